Serve a query from caller to leaves and back over separate processes

A control process feeds the catalog to the broker; the command line looks things up and drains a leaf.

Left: control keeps its catalog in memory only; no hedges, budgets or retry budgets yet.

--- /dev/null
+++ b/crates/broker/src/callers/response.rs
@@ -0,0 +1,195 @@
+//! How outcomes look in HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gingerkeel_domain::admission::RefusalReason;
+use gingerkeel_domain::query::{Answer, MissingReason, QueryOutcome};
+use gingerkeel_transport::{HttpResponse, TransportError};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderName, HeaderValue, StatusCode};
+use serde::Serialize;
+
+use super::request::RequestError;
+
+/// Milliseconds after which asking again is worth while; finer than `Retry-After`.
+const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("x-retry-after-ms");
+
+#[derive(Serialize)]
+struct Document<'answer> {
+    outcome: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(flatten, skip_serializing_if = "Option::is_none")]
+    answer: Option<AnswerDocument<'answer>>,
+}
+
+#[derive(Serialize)]
+struct AnswerDocument<'answer> {
+    snapshot: String,
+    shards: usize,
+    coverage: f64,
+    charge: u64,
+    missing: Vec<MissingDocument>,
+    parts: Vec<PartDocument<'answer>>,
+}
+
+#[derive(Serialize)]
+struct MissingDocument {
+    shard: u32,
+    reason: &'static str,
+}
+
+#[derive(Serialize)]
+struct PartDocument<'answer> {
+    shard: u32,
+    body: &'answer str,
+}
+
+/// The response for an outcome.
+pub fn answer(outcome: &QueryOutcome) -> HttpResponse {
+    match outcome {
+        QueryOutcome::Answered(answer) => {
+            let document = Document {
+                outcome: "answered",
+                reason: None,
+                message: None,
+                retry_after_ms: None,
+                answer: Some(answer_document(answer)),
+            };
+            respond(StatusCode::OK, &document)
+        }
+        QueryOutcome::NotRun {
+            reason,
+            retry_after,
+        } => {
+            let document = Document {
+                outcome: "not_run",
+                reason: Some(refusal(*reason)),
+                message: None,
+                retry_after_ms: Some(milliseconds(*retry_after)),
+                answer: None,
+            };
+            with_retry_after(respond(refusal_status(*reason), &document), *retry_after)
+        }
+        QueryOutcome::Unknown { known, retry_after } => {
+            let document = Document {
+                outcome: "outcome_unknown",
+                reason: None,
+                message: None,
+                retry_after_ms: Some(milliseconds(*retry_after)),
+                answer: Some(answer_document(known)),
+            };
+            with_retry_after(
+                respond(StatusCode::GATEWAY_TIMEOUT, &document),
+                *retry_after,
+            )
+        }
+    }
+}
+
+/// The response to a request that is not understood.
+pub fn bad_request(error: &RequestError) -> HttpResponse {
+    let status = match error {
+        RequestError::UnknownPath(_) => StatusCode::NOT_FOUND,
+        RequestError::WrongMethod(_) => StatusCode::METHOD_NOT_ALLOWED,
+        RequestError::MissingHeader(_) | RequestError::BadHeader(..) => StatusCode::BAD_REQUEST,
+    };
+    rejected(status, error.to_string())
+}
+
+/// The response to a message that is not acceptable HTTP.
+pub fn transport_error(status: StatusCode, error: &TransportError) -> HttpResponse {
+    rejected(status, error.to_string())
+}
+
+fn rejected(status: StatusCode, message: String) -> HttpResponse {
+    let document = Document {
+        outcome: "not_run",
+        reason: Some("bad_request"),
+        message: Some(message),
+        retry_after_ms: None,
+        answer: None,
+    };
+    respond(status, &document)
+}
+
+fn answer_document(answer: &Answer) -> AnswerDocument<'_> {
+    AnswerDocument {
+        snapshot: answer.snapshot.to_string(),
+        shards: answer.shard_count(),
+        coverage: answer.coverage(),
+        charge: answer.price,
+        missing: answer
+            .missing
+            .iter()
+            .map(|missing| MissingDocument {
+                shard: missing.shard.0,
+                reason: missing_reason(missing.reason),
+            })
+            .collect(),
+        parts: answer
+            .parts
+            .iter()
+            .map(|part| PartDocument {
+                shard: part.shard.0,
+                body: std::str::from_utf8(&part.body).unwrap_or_default(),
+            })
+            .collect(),
+    }
+}
+
+fn respond(status: StatusCode, document: &Document<'_>) -> HttpResponse {
+    let body = serde_json::to_vec(document).expect("the document has string keys only");
+    let mut response = HttpResponse::new(Bytes::from(body));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn with_retry_after(mut response: HttpResponse, retry_after: Duration) -> HttpResponse {
+    let headers = response.headers_mut();
+    headers.insert(
+        RETRY_AFTER,
+        HeaderValue::from(retry_after.as_secs_f64().ceil() as u64),
+    );
+    headers.insert(RETRY_AFTER_MS, HeaderValue::from(milliseconds(retry_after)));
+    response
+}
+
+fn milliseconds(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn missing_reason(reason: MissingReason) -> &'static str {
+    match reason {
+        MissingReason::NotRun => "not_run",
+        MissingReason::Unknown => "unknown",
+    }
+}
+
+fn refusal(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::QueueFull => "queue_full",
+        RefusalReason::Evicted => "evicted",
+        RefusalReason::DeadlineTooClose => "deadline_too_close",
+        RefusalReason::Stopping => "stopping",
+        RefusalReason::BudgetSpent => "budget_spent",
+        RefusalReason::NotServed => "not_served",
+        RefusalReason::LeavesRefused => "leaves_refused",
+    }
+}
+
+fn refusal_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::BudgetSpent => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::NotServed => StatusCode::NOT_FOUND,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/broker/src/leaves/connection.rs
@@ -0,0 +1,178 @@
+//! One connection to one leaf, owned by a task.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gingerkeel_domain::dispatch::LeafCompletion;
+use gingerkeel_domain::identifiers::{LeafId, LeafRequestId};
+use gingerkeel_domain::query::LeafFailure;
+use gingerkeel_transport::{
+    ClientConnection, HttpResponse, Limits, RequestWriter, ResponseReader, TransportError,
+};
+use local_sync::mpsc::unbounded::{Rx, Tx};
+use monoio::time::timeout;
+
+use super::wire::{WireRequest, cancellation, read_draining, read_reply};
+use crate::engine::EngineMessage;
+
+/// Time within which a connection to a leaf has to open.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// Time after the caller's deadline for which a reply is awaited before the connection is closed.
+const REPLY_GRACE: Duration = Duration::from_millis(500);
+
+/// Number of a connection within one broker run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// What a connection is told to do.
+#[derive(Debug)]
+pub enum ConnectionCommand {
+    /// Send a request and read its reply.
+    Send(WireRequest),
+    /// Cancel a request that another connection carries.
+    Cancel(LeafRequestId),
+}
+
+/// What a connection tells the engine.
+#[derive(Debug)]
+pub enum LeafMessage {
+    /// A request ended.
+    Completed {
+        /// The request.
+        request: LeafRequestId,
+        /// How it ended.
+        completion: LeafCompletion,
+        /// Whether the leaf said that it is leaving.
+        draining: Option<bool>,
+    },
+    /// The connection can take the next command.
+    Idle {
+        /// The leaf.
+        leaf: LeafId,
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// The connection is gone.
+    Closed {
+        /// The leaf.
+        leaf: LeafId,
+        /// The connection.
+        connection: ConnectionId,
+    },
+}
+
+/// What a connection task is started with.
+pub struct ConnectionTask {
+    /// The leaf.
+    pub leaf: LeafId,
+    /// Number of the connection.
+    pub connection: ConnectionId,
+    /// Address of the leaf.
+    pub address: SocketAddr,
+    /// Name of this broker run, part of request identifiers.
+    pub run: Rc<str>,
+    /// Bounds on replies.
+    pub limits: Limits,
+    /// Where outcomes go.
+    pub engine: Tx<EngineMessage>,
+}
+
+impl ConnectionTask {
+    /// Connects, then carries out commands until the connection fails.
+    pub async fn run(self, mut commands: Rx<ConnectionCommand>) {
+        let connecting = ClientConnection::connect(self.address, self.limits);
+        if let Ok(Ok(connection)) = timeout(CONNECT_TIME, connecting).await {
+            let (mut writer, mut reader) = connection.into_split();
+            while self
+                .serve_one(&mut writer, &mut reader, &mut commands)
+                .await
+                .is_some()
+            {
+                let idle = LeafMessage::Idle {
+                    leaf: self.leaf,
+                    connection: self.connection,
+                };
+                self.tell(idle);
+            }
+        }
+        self.close(commands);
+    }
+
+    /// Carries out one command; none when the connection is of no further use.
+    async fn serve_one(
+        &self,
+        writer: &mut RequestWriter,
+        reader: &mut ResponseReader,
+        commands: &mut Rx<ConnectionCommand>,
+    ) -> Option<()> {
+        // The read waits already while the connection is idle, so that a close by the leaf is
+        // seen before a request is written.
+        let mut receiving = pin!(reader.receive());
+        let command = monoio::select! {
+            _ = &mut receiving => None,
+            command = commands.recv() => command,
+        }?;
+        match command {
+            ConnectionCommand::Send(wire_request) => {
+                let request = wire_request.request;
+                let wait = wire_request.time_left + REPLY_GRACE;
+                if writer.send(wire_request.to_http(&self.run)).await.is_err() {
+                    self.complete(request, LeafCompletion::Failed(LeafFailure::Broken), None);
+                    return None;
+                }
+                let response = timeout(wait, receiving).await;
+                self.finish(request, response.ok())
+            }
+            ConnectionCommand::Cancel(request) => {
+                writer.send(cancellation(&self.run, request)).await.ok()?;
+                timeout(REPLY_GRACE, receiving).await.ok()?.ok().map(|_| ())
+            }
+        }
+    }
+
+    fn finish(
+        &self,
+        request: LeafRequestId,
+        response: Option<Result<HttpResponse, TransportError>>,
+    ) -> Option<()> {
+        let Some(Ok(response)) = response else {
+            self.complete(request, LeafCompletion::Failed(LeafFailure::Broken), None);
+            return None;
+        };
+        let draining = read_draining(&response);
+        let completion = read_reply(&self.run, request, response);
+        let broken = completion == LeafCompletion::Failed(LeafFailure::Broken);
+        self.complete(request, completion, draining);
+        (!broken).then_some(())
+    }
+
+    /// Fails the commands that were never written.
+    fn close(&self, mut commands: Rx<ConnectionCommand>) {
+        commands.close();
+        while let Ok(command) = commands.try_recv() {
+            if let ConnectionCommand::Send(wire_request) = command {
+                let completion = LeafCompletion::Failed(LeafFailure::NotSent);
+                self.complete(wire_request.request, completion, None);
+            }
+        }
+        self.tell(LeafMessage::Closed {
+            leaf: self.leaf,
+            connection: self.connection,
+        });
+    }
+
+    fn complete(&self, request: LeafRequestId, completion: LeafCompletion, draining: Option<bool>) {
+        self.tell(LeafMessage::Completed {
+            request,
+            completion,
+            draining,
+        });
+    }
+
+    fn tell(&self, message: LeafMessage) {
+        // The engine lives as long as the process.
+        let _ = self.engine.send(EngineMessage::Leaf(message));
+    }
+}
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,46 @@
+//! `gingerkeel-control`: the control process.
+
+use std::path::PathBuf;
+use std::process::exit;
+
+use gingerkeel_settings::{ControlSettings, EXIT_BAD_SETTINGS, load, start_logging};
+use gumdrop::Options;
+
+/// Control process of the gingerkeel query tier.
+#[derive(Debug, Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(help = "settings file, TOML", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(help = "check the settings and end", no_short)]
+    check_settings: bool,
+}
+
+fn main() {
+    let flags = Flags::parse_args_default_or_exit();
+    if flags.version {
+        println!("gingerkeel-control {}", env!("CARGO_PKG_VERSION"));
+        return;
+    }
+    let Some(path) = flags.settings else {
+        eprintln!("gingerkeel-control: no settings file: name one with --settings FILE");
+        exit(EXIT_BAD_SETTINGS);
+    };
+    let settings: ControlSettings = load(&path).unwrap_or_else(|error| {
+        eprintln!("gingerkeel-control: {error}");
+        exit(EXIT_BAD_SETTINGS);
+    });
+    if flags.check_settings {
+        println!("{}: settings are valid", path.display());
+        return;
+    }
+    start_logging();
+    let outcome = gingerkeel_transport::block_on(gingerkeel_control::run(settings));
+    if let Err(error) = outcome.and_then(|result| result) {
+        eprintln!("gingerkeel-control: {error}: check that the addresses are free");
+        exit(1);
+    }
+}
--- /dev/null
+++ b/crates/domain/src/catalog/service.rs
@@ -0,0 +1,198 @@
+//! A service: its classes, its partition maps and its published snapshot.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{CatalogError, NO_VERSION};
+use crate::identifiers::{ClassName, IndexVersion, LeafId, PartitionEpoch, ShardId, Snapshot};
+
+/// Partition maps that are kept: the published one, the one before it and one being prepared.
+const RETAINED_PARTITIONS: usize = 3;
+
+/// When a query of a class is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnswerPolicy {
+    /// Waits for every shard until the deadline.
+    Full,
+    /// Answers with what there is once `soft_deadline` has passed since arrival.
+    Partial {
+        /// Time from arrival until a partial answer is given.
+        soft_deadline: Duration,
+    },
+}
+
+/// How a service treats one class of requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassPolicy {
+    /// Name of the class.
+    pub name: ClassName,
+    /// Rank of the class; 0 is served first.
+    pub priority: u8,
+    /// Queries of this class that may wait in one broker.
+    pub queue_limit: u32,
+    /// Charge for one answered request, in the operators' unit.
+    pub price: u64,
+    /// When a query is answered.
+    pub answer_policy: AnswerPolicy,
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+}
+
+/// A caller's account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerAccount {
+    /// What the caller may spend per second at one broker, in the unit of prices.
+    pub budget_per_second: u64,
+    /// What an idle caller may save up and spend at once.
+    pub burst: u64,
+}
+
+/// Which leaves hold which shard, at one epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartitionMap {
+    /// Epoch of this map.
+    pub epoch: PartitionEpoch,
+    /// Replicas of each shard.
+    pub shards: BTreeMap<ShardId, Vec<LeafId>>,
+}
+
+impl PartitionMap {
+    /// A map of `shards` shards without replicas.
+    pub fn empty(epoch: PartitionEpoch, shards: u32) -> Self {
+        let shards = (0..shards)
+            .map(|number| (ShardId(number), Vec::new()))
+            .collect();
+        Self { epoch, shards }
+    }
+
+    /// Shards that no leaf holds.
+    pub fn unassigned(&self) -> impl Iterator<Item = ShardId> + '_ {
+        self.shards
+            .iter()
+            .filter(|(_, leaves)| leaves.is_empty())
+            .map(|(shard, _)| *shard)
+    }
+}
+
+/// One service as configured.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Queries that one broker runs at the same time.
+    pub concurrency: u32,
+    classes: Vec<ClassPolicy>,
+    partitions: Vec<PartitionMap>,
+    published: Snapshot,
+}
+
+impl Service {
+    /// A service without classes, shards or a published version.
+    pub fn new(concurrency: u32) -> Self {
+        Self {
+            concurrency,
+            classes: Vec::new(),
+            partitions: vec![PartitionMap::empty(PartitionEpoch(0), 0)],
+            published: Snapshot::default(),
+        }
+    }
+
+    /// Classes, highest priority first.
+    pub fn classes(&self) -> &[ClassPolicy] {
+        &self.classes
+    }
+
+    /// The class of this name.
+    pub fn class(&self, name: &ClassName) -> Option<&ClassPolicy> {
+        self.classes.iter().find(|class| &class.name == name)
+    }
+
+    /// The snapshot that new queries read, if one is published.
+    pub fn published(&self) -> Option<Snapshot> {
+        (self.published.version != NO_VERSION).then_some(self.published)
+    }
+
+    /// The partition map of an epoch, while it is retained.
+    pub fn partition(&self, epoch: PartitionEpoch) -> Option<&PartitionMap> {
+        self.partitions.iter().find(|map| map.epoch == epoch)
+    }
+
+    /// All retained partition maps, oldest first.
+    pub fn partitions(&self) -> &[PartitionMap] {
+        &self.partitions
+    }
+
+    /// Epoch of the newest map, which `ASSIGN SHARD` changes and the next `PUBLISH` uses.
+    pub fn newest_epoch(&self) -> PartitionEpoch {
+        self.newest().epoch
+    }
+
+    pub(super) fn define_class(&mut self, policy: ClassPolicy) -> Result<(), CatalogError> {
+        let rival = self
+            .classes
+            .iter()
+            .find(|class| class.priority == policy.priority && class.name != policy.name);
+        if let Some(rival) = rival {
+            return Err(CatalogError::PriorityTaken(
+                policy.priority,
+                rival.name.clone(),
+            ));
+        }
+        self.classes.retain(|class| class.name != policy.name);
+        self.classes.push(policy);
+        self.classes.sort_by_key(|class| class.priority);
+        Ok(())
+    }
+
+    pub(super) fn assign_shard(&mut self, shard: ShardId, leaves: &[LeafId]) {
+        self.newest_mut().shards.insert(shard, leaves.to_vec());
+    }
+
+    pub(super) fn add_partition(&mut self, map: PartitionMap) {
+        self.partitions.push(map);
+        let surplus = self.partitions.len().saturating_sub(RETAINED_PARTITIONS);
+        self.partitions.drain(..surplus);
+    }
+
+    pub(super) fn publish(&mut self, version: IndexVersion) -> Result<(), CatalogError> {
+        if version <= self.published.version {
+            return Err(CatalogError::VersionNotNewer(
+                version,
+                self.published.version,
+            ));
+        }
+        let unassigned: Vec<String> = self
+            .newest()
+            .unassigned()
+            .map(|shard| shard.to_string())
+            .collect();
+        if self.newest().shards.is_empty() || !unassigned.is_empty() {
+            return Err(CatalogError::ShardsUnassigned(unassigned.join(", ")));
+        }
+        self.published = Snapshot {
+            epoch: self.newest_epoch(),
+            version,
+        };
+        Ok(())
+    }
+
+    pub(super) fn forget_leaf(&mut self, leaf: LeafId) {
+        for map in &mut self.partitions {
+            for leaves in map.shards.values_mut() {
+                leaves.retain(|candidate| *candidate != leaf);
+            }
+        }
+    }
+
+    fn newest(&self) -> &PartitionMap {
+        self.partitions
+            .last()
+            .expect("a service has at least one partition map")
+    }
+
+    fn newest_mut(&mut self) -> &mut PartitionMap {
+        self.partitions
+            .last_mut()
+            .expect("a service has at least one partition map")
+    }
+}
--- /dev/null
+++ b/crates/domain/src/dispatch/effect.rs
@@ -0,0 +1,32 @@
+//! What a dispatcher wants done.
+
+use std::time::Duration;
+
+use crate::identifiers::{LeafId, LeafRequestId, QueryId};
+use crate::query::{QueryOutcome, Sending};
+
+/// Something that the driver of a dispatcher has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Give the caller its final answer.
+    Answer {
+        /// The query.
+        query: QueryId,
+        /// What became of it.
+        outcome: QueryOutcome,
+    },
+    /// Send a request to a leaf.
+    Send {
+        /// The request.
+        sending: Sending,
+        /// Time until the caller's deadline.
+        time_left: Duration,
+    },
+    /// Cancel a request in flight; its reply is not wanted any more.
+    Cancel {
+        /// The request.
+        request: LeafRequestId,
+        /// The leaf that has it.
+        leaf: LeafId,
+    },
+}
--- /dev/null
+++ b/crates/domain/src/dispatch/event.rs
@@ -0,0 +1,40 @@
+//! What a dispatcher is told.
+
+use std::sync::Arc;
+
+use crate::catalog::Catalog;
+use crate::identifiers::{LeafRequestId, QueryId};
+use crate::query::{LeafFailure, LeafReply, Submission};
+
+/// How a leaf request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeafCompletion {
+    /// With a well-formed reply.
+    Replied(LeafReply),
+    /// Without one.
+    Failed(LeafFailure),
+}
+
+/// Something that happened to the broker.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A caller submitted a query.
+    Submitted(Submission),
+    /// The caller of a query hung up.
+    CallerGone(QueryId),
+    /// A leaf request ended.
+    LeafCompleted {
+        /// The request.
+        request: LeafRequestId,
+        /// How it ended.
+        completion: LeafCompletion,
+        /// Whether the leaf said that it is leaving; none when it said nothing.
+        draining: Option<bool>,
+    },
+    /// The time that [`super::Dispatcher::next_timer`] named has come.
+    TimerElapsed,
+    /// A newer catalog is to be put in force.
+    CatalogChanged(Arc<Catalog>),
+    /// A planned stop begins: new queries are refused, those in flight finish.
+    StopRequested,
+}
--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,13 @@
+//! Pure aggregates of the gingerkeel query tier.
+//!
+//! Nothing here reads a clock, a socket, a file or a random source: an aggregate takes the
+//! current [`time::Timestamp`] and an event, changes its own state and returns typed effects.
+//! The programs and the simulation drive these very types.
+
+pub mod admission;
+pub mod catalog;
+pub mod dispatch;
+pub mod identifiers;
+pub mod query;
+pub mod routing;
+pub mod time;
--- /dev/null
+++ b/crates/settings/src/broker.rs
@@ -0,0 +1,81 @@
+//! Settings of a broker.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::{Check, SettingsError, Validate};
+
+/// Settings of a broker.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BrokerSettings {
+    /// Name of the broker, unique in the cluster.
+    pub name: String,
+    /// Region in which it runs.
+    pub region: String,
+    /// Zone in which it runs.
+    pub zone: String,
+    /// Address on which callers connect.
+    pub listen: SocketAddr,
+    /// Feed addresses of the control processes.
+    pub control: Vec<SocketAddr>,
+    /// Connections that callers may hold at the same time.
+    #[serde(default = "default_caller_connections")]
+    pub caller_connections: u32,
+    /// Bytes of a caller's request body.
+    #[serde(default = "default_body_bytes")]
+    pub body_bytes: u32,
+    /// Connections to one leaf.
+    #[serde(default = "default_connections_per_leaf")]
+    pub connections_per_leaf: u32,
+    /// Seed of the random choices; by default drawn from the operating system.
+    #[serde(default)]
+    pub seed: Option<u64>,
+}
+
+fn default_caller_connections() -> u32 {
+    4096
+}
+
+fn default_body_bytes() -> u32 {
+    64 * 1024
+}
+
+fn default_connections_per_leaf() -> u32 {
+    16
+}
+
+impl Validate for BrokerSettings {
+    fn validate(&self, check: &mut Check<'_>) -> Result<(), SettingsError> {
+        check.name("name", &self.name)?;
+        check.name("region", &self.region)?;
+        check.name("zone", &self.zone)?;
+        let control = format!("{:?}", self.control);
+        let remedy = "name the feed address of at least one control process";
+        check.field("control", control, !self.control.is_empty(), remedy)?;
+        let connections = self.caller_connections;
+        let remedy = "use a number from 1 to 100000";
+        check.field(
+            "caller_connections",
+            connections,
+            (1..=100_000).contains(&connections),
+            remedy,
+        )?;
+        let accepted = (1..=16 * 1024 * 1024).contains(&self.body_bytes);
+        check.field(
+            "body_bytes",
+            self.body_bytes,
+            accepted,
+            "use a number from 1 to 16777216",
+        )?;
+        let connections = self.connections_per_leaf;
+        let accepted = (1..=1024).contains(&connections);
+        check.field(
+            "connections_per_leaf",
+            connections,
+            accepted,
+            "use a number from 1 to 1024",
+        )
+    }
+}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,18 @@
+//! HTTP/1.1 connections with limits, over `monoio-http`.
+//!
+//! A [`ServerConnection`] reads requests of bounded size one at a time and writes a response to
+//! each; a [`ClientConnection`] does the reverse. Both own their socket.
+
+mod client;
+mod error;
+mod limits;
+mod message;
+mod runtime;
+mod server;
+
+pub use client::{ClientConnection, RequestWriter, ResponseReader};
+pub use error::TransportError;
+pub use limits::Limits;
+pub use message::{HttpRequest, HttpResponse};
+pub use runtime::{block_on, build_runtime};
+pub use server::{RequestReader, ResponseWriter, ServerConnection};
--- /dev/null
+++ b/crates/transport/src/message.rs
@@ -0,0 +1,144 @@
+//! Whole messages and the decoders that bound them.
+
+use bytes::{Bytes, BytesMut};
+use http::HeaderMap;
+use monoio::io::AsyncReadRent;
+use monoio_codec::{Decoded, Decoder, FramedRead};
+use monoio_http::common::request::{Request, RequestHead};
+use monoio_http::common::response::{Response, ResponseHead};
+use monoio_http::h1::codec::decoder::{
+    ChunkedBodyDecoder, DirectWrapper, FixedBodyDecoder, GenericHeadDecoder, PayloadDecoder,
+    RequestHeadDecoder, ResponseHeadDecoder,
+};
+use monoio_http::h1::payload::{FixedPayload, Payload};
+
+use crate::{Limits, TransportError};
+
+/// A request with its whole body.
+pub type HttpRequest = http::Request<Bytes>;
+/// A response with its whole body.
+pub type HttpResponse = http::Response<Bytes>;
+
+pub(crate) type RequestDecoder = GenericHeadDecoder<Request, RequestHeadDecoder, DirectWrapper>;
+pub(crate) type ResponseDecoder = GenericHeadDecoder<Response, ResponseHeadDecoder, DirectWrapper>;
+type BodyDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
+
+/// A message head that has headers.
+pub(crate) trait Head {
+    fn headers(&self) -> &HeaderMap;
+}
+
+impl Head for RequestHead {
+    fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+}
+
+impl Head for ResponseHead {
+    fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+}
+
+/// Stops a head decoder once more than `limit` bytes are buffered without a whole head.
+pub(crate) struct BoundedHead<D> {
+    pub(crate) inner: D,
+    pub(crate) limit: usize,
+}
+
+impl<D> Decoder for BoundedHead<D>
+where
+    D: Decoder,
+    D::Error: Into<TransportError>,
+{
+    type Item = D::Item;
+    type Error = TransportError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Decoded<Self::Item>, Self::Error> {
+        let buffered = source.len();
+        let decoded = self.inner.decode(source).map_err(Into::into)?;
+        let head_bytes = buffered - source.len();
+        let whole = matches!(decoded, Decoded::Some(_));
+        if (whole && head_bytes > self.limit) || (!whole && buffered > self.limit) {
+            return Err(TransportError::HeadTooLarge(self.limit));
+        }
+        Ok(decoded)
+    }
+}
+
+/// Reads one message; none when the peer closed the connection between messages.
+pub(crate) async fn read_message<IO, D, H>(
+    framed: &mut FramedRead<IO, ()>,
+    limits: &Limits,
+) -> Result<Option<(H, Bytes)>, TransportError>
+where
+    IO: AsyncReadRent,
+    D: Decoder<Item = (H, BodyDecoder)> + Default,
+    D::Error: Into<TransportError>,
+    H: Head,
+{
+    let mut decoder = BoundedHead {
+        inner: D::default(),
+        limit: limits.head_bytes,
+    };
+    let (head, body) = match framed.next_with(&mut decoder).await {
+        None => return Ok(None),
+        Some(result) => result?,
+    };
+    check_declared_length(head.headers(), limits)?;
+    let body = read_body(framed, body, limits).await?;
+    Ok(Some((head, body)))
+}
+
+fn check_declared_length(headers: &HeaderMap, limits: &Limits) -> Result<(), TransportError> {
+    let declared = headers
+        .get(http::header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse::<usize>().ok());
+    match declared {
+        Some(length) if length > limits.body_bytes => {
+            Err(TransportError::BodyTooLarge(limits.body_bytes))
+        }
+        _ => Ok(()),
+    }
+}
+
+async fn read_body<IO: AsyncReadRent>(
+    framed: &mut FramedRead<IO, ()>,
+    body: BodyDecoder,
+    limits: &Limits,
+) -> Result<Bytes, TransportError> {
+    match body {
+        PayloadDecoder::None => Ok(Bytes::new()),
+        PayloadDecoder::Fixed(mut decoder) => match framed.next_with(&mut decoder).await {
+            None => Err(TransportError::CutShort),
+            Some(Ok(bytes)) => Ok(bytes),
+            Some(Err(_)) => Err(TransportError::CutShort),
+        },
+        PayloadDecoder::Streamed(mut decoder) => {
+            let mut collected = BytesMut::new();
+            loop {
+                match framed.next_with(&mut decoder).await {
+                    None => return Err(TransportError::CutShort),
+                    Some(Err(error)) => return Err(TransportError::Malformed(error.to_string())),
+                    Some(Ok(None)) => return Ok(collected.freeze()),
+                    Some(Ok(Some(chunk))) => {
+                        if collected.len() + chunk.len() > limits.body_bytes {
+                            return Err(TransportError::BodyTooLarge(limits.body_bytes));
+                        }
+                        collected.extend_from_slice(&chunk);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A body as the encoder takes it.
+pub(crate) fn payload(body: Bytes) -> Payload {
+    if body.is_empty() {
+        Payload::None
+    } else {
+        Payload::Fixed(FixedPayload::new(body))
+    }
+}
