--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -37,7 +37,9 @@
 }
 
 fn main() {
-    let flags = Flags::parse_args_or_exit(gumdrop::ParsingStyle::AllOptions);
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let flags = Flags::parse_args_default(&arguments)
+        .unwrap_or_else(|error| fail(EXIT_USAGE, &format!("{error}: see --help")));
     if flags.help {
         println!("usage: gingerkeel --control ADDRESS [--json] [--file FILE | STATEMENT]");
         println!(
