--- a/crates/broker/src/callers/connection.rs
+++ b/crates/broker/src/callers/connection.rs
@@ -31,13 +31,7 @@
     /// Takes over an accepted socket; `number` is unique within the broker run.
     pub fn new(number: u32, stream: TcpStream, limits: Limits, engine: Tx<EngineMessage>) -> Self {
         let (reader, writer) = ServerConnection::new(stream, limits).into_split();
-        Self {
-            number,
-            next_query: 0,
-            reader,
-            writer,
-            engine,
-        }
+        Self { number, next_query: 0, reader, writer, engine }
     }
 
     /// Answers requests until the caller hangs up or sends something that is not HTTP.
@@ -82,11 +76,7 @@
         let (reply, mut outcome) = oneshot::channel();
         let CallerRequest { submission, body } = request;
         // The engine ends only when no query is in flight.
-        let _ = self.engine.send(EngineMessage::Submit {
-            submission,
-            body,
-            reply,
-        });
+        let _ = self.engine.send(EngineMessage::Submit { submission, body, reply });
         let mut reading = pin!(self.reader.next_request());
         let mut following = None;
         let outcome: QueryOutcome = loop {
--- a/crates/broker/src/callers/mod.rs
+++ b/crates/broker/src/callers/mod.rs
@@ -15,10 +15,7 @@
 
 /// Accepts callers' connections for ever.
 pub async fn serve(listener: TcpListener, engine: Tx<EngineMessage>, settings: BrokerSettings) {
-    let limits = Limits {
-        body_bytes: settings.body_bytes as usize,
-        ..Limits::default()
-    };
+    let limits = Limits { body_bytes: settings.body_bytes as usize, ..Limits::default() };
     let mut next_connection: u32 = 0;
     loop {
         match listener.accept().await {
--- a/crates/broker/src/callers/request.rs
+++ b/crates/broker/src/callers/request.rs
@@ -83,17 +83,13 @@
     name: &'static str,
 ) -> Result<&'head str, RequestError> {
     let value = headers.get(name).ok_or(RequestError::MissingHeader(name))?;
-    value
-        .to_str()
-        .map_err(|_| RequestError::BadHeader(name, "use ASCII text"))
+    value.to_str().map_err(|_| RequestError::BadHeader(name, "use ASCII text"))
 }
 
 fn deadline(headers: &HeaderMap) -> Result<Duration, RequestError> {
     let remedy = "give milliseconds as a whole number from 1 to 60000";
     let bad = || RequestError::BadHeader(DEADLINE_HEADER, remedy);
-    let milliseconds: u64 = required(headers, DEADLINE_HEADER)?
-        .parse()
-        .map_err(|_| bad())?;
+    let milliseconds: u64 = required(headers, DEADLINE_HEADER)?.parse().map_err(|_| bad())?;
     let deadline = Duration::from_millis(milliseconds);
     if deadline.is_zero() || deadline > MAXIMUM_DEADLINE {
         return Err(bad());
@@ -105,9 +101,6 @@
     match headers.get(REPEATABLE_HEADER).map(|value| value.as_bytes()) {
         None | Some(b"true") => Ok(true),
         Some(b"false") => Ok(false),
-        Some(_) => Err(RequestError::BadHeader(
-            REPEATABLE_HEADER,
-            "use true or false",
-        )),
+        Some(_) => Err(RequestError::BadHeader(REPEATABLE_HEADER, "use true or false")),
     }
 }
--- a/crates/broker/src/callers/response.rs
+++ b/crates/broker/src/callers/response.rs
@@ -63,10 +63,7 @@
             };
             respond(StatusCode::OK, &document)
         }
-        QueryOutcome::NotRun {
-            reason,
-            retry_after,
-        } => {
+        QueryOutcome::NotRun { reason, retry_after } => {
             let document = Document {
                 outcome: "not_run",
                 reason: Some(refusal(*reason)),
@@ -84,10 +81,7 @@
                 retry_after_ms: Some(milliseconds(*retry_after)),
                 answer: Some(answer_document(known)),
             };
-            with_retry_after(
-                respond(StatusCode::GATEWAY_TIMEOUT, &document),
-                *retry_after,
-            )
+            with_retry_after(respond(StatusCode::GATEWAY_TIMEOUT, &document), *retry_after)
         }
     }
 }
@@ -147,18 +141,13 @@
     let body = serde_json::to_vec(document).expect("the document has string keys only");
     let mut response = HttpResponse::new(Bytes::from(body));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
 fn with_retry_after(mut response: HttpResponse, retry_after: Duration) -> HttpResponse {
     let headers = response.headers_mut();
-    headers.insert(
-        RETRY_AFTER,
-        HeaderValue::from(retry_after.as_secs_f64().ceil() as u64),
-    );
+    headers.insert(RETRY_AFTER, HeaderValue::from(retry_after.as_secs_f64().ceil() as u64));
     headers.insert(RETRY_AFTER_MS, HeaderValue::from(milliseconds(retry_after)));
     response
 }
--- a/crates/broker/src/clock.rs
+++ b/crates/broker/src/clock.rs
@@ -13,9 +13,7 @@
 impl Clock {
     /// A clock whose origin is now.
     pub fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: Instant::now() }
     }
 
     /// The current time.
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -112,20 +112,15 @@
         }
         match due {
             None => messages.recv().await,
-            Some(due) => timeout(self.clock.until(due), messages.recv())
-                .await
-                .ok()
-                .flatten(),
+            Some(due) => timeout(self.clock.until(due), messages.recv()).await.ok().flatten(),
         }
     }
 
     fn handle(&mut self, message: EngineMessage, effects: &mut Vec<Effect>) {
         match message {
-            EngineMessage::Submit {
-                submission,
-                body,
-                reply,
-            } => self.submit(submission, body, reply, effects),
+            EngineMessage::Submit { submission, body, reply } => {
+                self.submit(submission, body, reply, effects)
+            }
             EngineMessage::CallerGone(query) => {
                 self.callers.remove(&query);
                 self.advance(Event::CallerGone(query), effects);
@@ -158,25 +153,15 @@
         let now = self.clock.now();
         submission.deadline = now.after(submission.deadline.since(Default::default()));
         let context = Rc::new(RequestContext { body, priority });
-        self.callers
-            .insert(submission.query, WaitingCaller { reply, context });
+        self.callers.insert(submission.query, WaitingCaller { reply, context });
         self.advance(Event::Submitted(submission), effects);
     }
 
     fn leaf_message(&mut self, message: LeafMessage, effects: &mut Vec<Effect>) {
         match message {
-            LeafMessage::Completed {
-                request,
-                completion,
-                draining,
-            } => self.advance(
-                Event::LeafCompleted {
-                    request,
-                    completion,
-                    draining,
-                },
-                effects,
-            ),
+            LeafMessage::Completed { request, completion, draining } => {
+                self.advance(Event::LeafCompleted { request, completion, draining }, effects)
+            }
             LeafMessage::Idle { leaf, connection } => {
                 if let Some(pool) = self.pools.get_mut(&leaf) {
                     pool.connection_idle(connection, &mut self.next_connection);
@@ -191,8 +176,7 @@
     }
 
     fn update_pools(&mut self, catalog: &Catalog) {
-        self.pools
-            .retain(|leaf, _| catalog.leaves().contains_key(leaf));
+        self.pools.retain(|leaf, _| catalog.leaves().contains_key(leaf));
         for (id, leaf) in catalog.leaves() {
             if self.pools.contains_key(id) {
                 continue;
@@ -250,11 +234,7 @@
     /// Reports a request that has nowhere to go; through the queue, so that events stay in order.
     fn fail_unsent(&self, request: LeafRequestId) {
         let completion = LeafCompletion::Failed(LeafFailure::NotSent);
-        let message = LeafMessage::Completed {
-            request,
-            completion,
-            draining: None,
-        };
+        let message = LeafMessage::Completed { request, completion, draining: None };
         // This task holds the receiver.
         let _ = self.messages.send(EngineMessage::Leaf(message));
     }
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -55,9 +55,7 @@
         info!(event = "catalog_applied", revision);
         send(&mut writer, &SubscriberMessage::Applied { revision }).await?;
     }
-    Err(ProtocolError::Malformed(
-        "the control process closed the link".into(),
-    ))
+    Err(ProtocolError::Malformed("the control process closed the link".into()))
 }
 
 fn apply(catalog: &mut Catalog, message: FeedMessage) -> Result<(), ProtocolError> {
@@ -72,9 +70,7 @@
         FeedMessage::Change { revision, document } => {
             let change: Change = decode_document(&document)?;
             if revision != catalog.revision().0 + 1 {
-                return Err(ProtocolError::Malformed(format!(
-                    "change {revision} out of order"
-                )));
+                return Err(ProtocolError::Malformed(format!("change {revision} out of order")));
             }
             catalog
                 .apply(&change)
--- a/crates/broker/src/leaves/connection.rs
+++ b/crates/broker/src/leaves/connection.rs
@@ -85,15 +85,8 @@
         let connecting = ClientConnection::connect(self.address, self.limits);
         if let Ok(Ok(connection)) = timeout(CONNECT_TIME, connecting).await {
             let (mut writer, mut reader) = connection.into_split();
-            while self
-                .serve_one(&mut writer, &mut reader, &mut commands)
-                .await
-                .is_some()
-            {
-                let idle = LeafMessage::Idle {
-                    leaf: self.leaf,
-                    connection: self.connection,
-                };
+            while self.serve_one(&mut writer, &mut reader, &mut commands).await.is_some() {
+                let idle = LeafMessage::Idle { leaf: self.leaf, connection: self.connection };
                 self.tell(idle);
             }
         }
@@ -157,18 +150,11 @@
                 self.complete(wire_request.request, completion, None);
             }
         }
-        self.tell(LeafMessage::Closed {
-            leaf: self.leaf,
-            connection: self.connection,
-        });
+        self.tell(LeafMessage::Closed { leaf: self.leaf, connection: self.connection });
     }
 
     fn complete(&self, request: LeafRequestId, completion: LeafCompletion, draining: Option<bool>) {
-        self.tell(LeafMessage::Completed {
-            request,
-            completion,
-            draining,
-        });
+        self.tell(LeafMessage::Completed { request, completion, draining });
     }
 
     fn tell(&self, message: LeafMessage) {
--- a/crates/broker/src/leaves/pool.rs
+++ b/crates/broker/src/leaves/pool.rs
@@ -96,11 +96,7 @@
             return false;
         }
         let completion = LeafCompletion::Replied(LeafReply::NotRun(NotRunReason::Cancelled));
-        let message = LeafMessage::Completed {
-            request,
-            completion,
-            draining: None,
-        };
+        let message = LeafMessage::Completed { request, completion, draining: None };
         // The engine lives as long as the process.
         let _ = self.engine.send(EngineMessage::Leaf(message));
         true
--- a/crates/broker/src/leaves/wire.rs
+++ b/crates/broker/src/leaves/wire.rs
@@ -55,20 +55,11 @@
         *request.uri_mut() = shard_uri(self.request);
         let headers = request.headers_mut();
         headers.insert(REQUEST_ID_HEADER, request_id(run, self.request));
-        headers.insert(
-            INDEX_VERSION_HEADER,
-            HeaderValue::from(self.snapshot.version.0),
-        );
-        headers.insert(
-            PARTITION_EPOCH_HEADER,
-            HeaderValue::from(self.snapshot.epoch.0),
-        );
+        headers.insert(INDEX_VERSION_HEADER, HeaderValue::from(self.snapshot.version.0));
+        headers.insert(PARTITION_EPOCH_HEADER, HeaderValue::from(self.snapshot.epoch.0));
         let milliseconds = u64::try_from(self.time_left.as_millis()).unwrap_or(u64::MAX);
         headers.insert(DEADLINE_HEADER, HeaderValue::from(milliseconds));
-        headers.insert(
-            PRIORITY_HEADER,
-            HeaderValue::from(u16::from(self.context.priority)),
-        );
+        headers.insert(PRIORITY_HEADER, HeaderValue::from(u16::from(self.context.priority)));
         request
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -42,10 +42,7 @@
         .unwrap_or_else(|error| fail(EXIT_USAGE, &format!("{error}: see --help")));
     if flags.help {
         println!("usage: gingerkeel --control ADDRESS [--json] [--file FILE | STATEMENT]");
-        println!(
-            "{}\n\nStatements (pest grammar):\n\n{GRAMMAR}",
-            Flags::usage()
-        );
+        println!("{}\n\nStatements (pest grammar):\n\n{GRAMMAR}", Flags::usage());
         return;
     }
     if flags.version {
@@ -53,17 +50,11 @@
         return;
     }
     let Some(control) = flags.control else {
-        fail(
-            EXIT_USAGE,
-            "no control process named: add --control ADDRESS",
-        );
+        fail(EXIT_USAGE, "no control process named: add --control ADDRESS");
     };
     let text = statement_text(&flags);
     let outcome = block_on(send(control, text)).unwrap_or_else(|error| {
-        fail(
-            EXIT_UNREACHABLE,
-            &format!("the runtime cannot start ({error})"),
-        )
+        fail(EXIT_UNREACHABLE, &format!("the runtime cannot start ({error})"))
     });
     match outcome {
         Ok(replies) => report(&replies, flags.json),
@@ -76,10 +67,7 @@
         return flags.statement.join(" ");
     };
     fs::read_to_string(path).unwrap_or_else(|error| {
-        fail(
-            EXIT_USAGE,
-            &format!("{}: cannot be read ({error})", path.display()),
-        )
+        fail(EXIT_USAGE, &format!("{}: cannot be read ({error})", path.display()))
     })
 }
 
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -25,10 +25,7 @@
 }
 
 fn print_row(cells: &[String], widths: &[usize]) {
-    let padded: Vec<String> = cells
-        .iter()
-        .zip(widths)
-        .map(|(cell, width)| format!("{cell:width$}"))
-        .collect();
+    let padded: Vec<String> =
+        cells.iter().zip(widths).map(|(cell, width)| format!("{cell:width$}")).collect();
     println!("{}", padded.join("  ").trim_end());
 }
--- a/crates/control/src/catalog_task.rs
+++ b/crates/control/src/catalog_task.rs
@@ -51,10 +51,7 @@
 /// Starts the task and gives the channel to it.
 pub fn start() -> Tx<CatalogMessage> {
     let (sender, receiver) = unbounded::channel();
-    let task = CatalogTask {
-        catalog: Catalog::default(),
-        subscribers: BTreeMap::new(),
-    };
+    let task = CatalogTask { catalog: Catalog::default(), subscribers: BTreeMap::new() };
     monoio::spawn(task.run(receiver));
     sender
 }
@@ -108,13 +105,9 @@
             Ok(revision) => {
                 info!(event = "change_accepted", revision = revision.0);
                 self.publish(revision.0, change);
-                StatementReply::Accepted {
-                    revision: revision.0,
-                }
+                StatementReply::Accepted { revision: revision.0 }
             }
-            Err(error) => StatementReply::Refused {
-                error: error.to_string(),
-            },
+            Err(error) => StatementReply::Refused { error: error.to_string() },
         }
     }
 
@@ -128,10 +121,7 @@
         };
         self.subscribers.retain(|_, subscriber| {
             let document = document.clone();
-            subscriber
-                .feed
-                .send(FeedMessage::Change { revision, document })
-                .is_ok()
+            subscriber.feed.send(FeedMessage::Change { revision, document }).is_ok()
         });
     }
 
@@ -140,8 +130,7 @@
             Ok(document) => {
                 if feed.send(FeedMessage::FullCatalog { document }).is_ok() {
                     info!(event = "broker_subscribed", broker);
-                    self.subscribers
-                        .insert(broker, Subscriber { applied: 0, feed });
+                    self.subscribers.insert(broker, Subscriber { applied: 0, feed });
                 }
             }
             Err(error) => warn!(event = "subscription_failed", broker, %error),
@@ -150,7 +139,5 @@
 }
 
 fn refused(error: String) -> StatementReplies {
-    StatementReplies {
-        replies: vec![StatementReply::Refused { error }],
-    }
+    StatementReplies { replies: vec![StatementReply::Refused { error }] }
 }
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -42,18 +42,9 @@
     let mut name = None;
     while let Some(message) = reader.next_with(&mut codec).await {
         match (message?, &name) {
-            (
-                SubscriberMessage::Subscribe {
-                    protocol_version,
-                    broker,
-                    ..
-                },
-                None,
-            ) => {
+            (SubscriberMessage::Subscribe { protocol_version, broker, .. }, None) => {
                 if protocol_version != PROTOCOL_VERSION {
-                    let refusal = FeedMessage::Refused {
-                        protocol_version: PROTOCOL_VERSION,
-                    };
+                    let refusal = FeedMessage::Refused { protocol_version: PROTOCOL_VERSION };
                     // The writer may have ended; then the broker is gone already.
                     let _ = feed.send(refusal);
                     return Err(ProtocolError::Malformed(format!(
@@ -64,10 +55,7 @@
                     .map_err(|_| ProtocolError::Malformed("broker name".into()))?;
                 name = Some(broker.clone());
                 // The catalog task lives as long as the process.
-                let _ = catalog.send(CatalogMessage::Subscribe {
-                    broker,
-                    feed: feed.clone(),
-                });
+                let _ = catalog.send(CatalogMessage::Subscribe { broker, feed: feed.clone() });
             }
             (SubscriberMessage::Applied { revision }, Some(broker)) => {
                 let broker = broker.clone();
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -30,9 +30,7 @@
     if let Err(error) = answer_requests(&mut connection, &catalog).await {
         debug!(event = "operator_connection_ended", %error);
         // The peer may be gone; then there is nobody to tell.
-        let _ = connection
-            .respond(plain(StatusCode::BAD_REQUEST, &error.to_string()))
-            .await;
+        let _ = connection.respond(plain(StatusCode::BAD_REQUEST, &error.to_string())).await;
     }
 }
 
@@ -49,41 +47,24 @@
 
 async fn answer(request: HttpRequest, catalog: &Tx<CatalogMessage>) -> HttpResponse {
     if request.method() != Method::POST || request.uri().path() != STATEMENTS_PATH {
-        return plain(
-            StatusCode::NOT_FOUND,
-            "unknown path: POST statements to /v1/statements",
-        );
+        return plain(StatusCode::NOT_FOUND, "unknown path: POST statements to /v1/statements");
     }
     let Ok(text) = String::from_utf8(request.into_body().to_vec()) else {
-        return plain(
-            StatusCode::BAD_REQUEST,
-            "the text is not UTF-8: send statements as UTF-8",
-        );
+        return plain(StatusCode::BAD_REQUEST, "the text is not UTF-8: send statements as UTF-8");
     };
     let (reply, receiver) = oneshot::channel();
-    if catalog
-        .send(CatalogMessage::Execute { text, reply })
-        .is_err()
-    {
-        return plain(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the process is stopping: ask another one",
-        );
+    if catalog.send(CatalogMessage::Execute { text, reply }).is_err() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping: ask another one");
     }
     match receiver.await {
         Ok(replies) => {
-            let status = if replies.succeeded() {
-                StatusCode::OK
-            } else {
-                StatusCode::BAD_REQUEST
-            };
+            let status = if replies.succeeded() { StatusCode::OK } else { StatusCode::BAD_REQUEST };
             let body = serde_json::to_vec(&replies).unwrap_or_default();
             respond(status, Bytes::from(body))
         }
-        Err(_) => plain(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the process is stopping: ask another one",
-        ),
+        Err(_) => {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping: ask another one")
+        }
     }
 }
 
--- a/crates/control/src/tables.rs
+++ b/crates/control/src/tables.rs
@@ -22,9 +22,7 @@
 }
 
 fn service_rows(name: &str, service: &Service) -> Vec<Vec<String>> {
-    let snapshot = service
-        .published()
-        .map_or("none".to_owned(), |snapshot| snapshot.to_string());
+    let snapshot = service.published().map_or("none".to_owned(), |snapshot| snapshot.to_string());
     let shards = service
         .partition(service.newest_epoch())
         .map_or(0, |partition| partition.shards.len())
@@ -57,15 +55,7 @@
 
 /// Leaves, a row each.
 pub fn leaves(catalog: &Catalog) -> StatementReply {
-    let columns = [
-        "leaf",
-        "address",
-        "region",
-        "zone",
-        "slots",
-        "connections",
-        "state",
-    ];
+    let columns = ["leaf", "address", "region", "zone", "slots", "connections", "state"];
     let rows = catalog
         .leaves()
         .values()
@@ -97,11 +87,7 @@
         .callers()
         .iter()
         .map(|(name, account)| {
-            vec![
-                name.to_string(),
-                account.budget_per_second.to_string(),
-                account.burst.to_string(),
-            ]
+            vec![name.to_string(), account.budget_per_second.to_string(), account.burst.to_string()]
         })
         .collect();
     table(&["caller", "budget per second", "burst"], rows)
@@ -119,19 +105,13 @@
 /// One row about the control process.
 pub fn status(catalog: &Catalog, subscribers: &BTreeMap<String, Subscriber>) -> StatementReply {
     let accepted = catalog.revision().0;
-    let in_force = subscribers
-        .values()
-        .map(|subscriber| subscriber.applied)
-        .min();
+    let in_force = subscribers.values().map(|subscriber| subscriber.applied).min();
     let row = vec![
         accepted.to_string(),
         in_force.unwrap_or(accepted).to_string(),
         subscribers.len().to_string(),
     ];
-    table(
-        &["accepted revision", "in force everywhere", "brokers"],
-        vec![row],
-    )
+    table(&["accepted revision", "in force everywhere", "brokers"], vec![row])
 }
 
 fn table(columns: &[&str], rows: Vec<Vec<String>>) -> StatementReply {
--- a/crates/domain/src/admission/drain_rate.rs
+++ b/crates/domain/src/admission/drain_rate.rs
@@ -22,10 +22,7 @@
 
 impl Default for DrainRate {
     fn default() -> Self {
-        Self {
-            interval: INITIAL_INTERVAL.as_secs_f64(),
-            last: None,
-        }
+        Self { interval: INITIAL_INTERVAL.as_secs_f64(), last: None }
     }
 }
 
--- a/crates/domain/src/admission/mod.rs
+++ b/crates/domain/src/admission/mod.rs
@@ -83,12 +83,8 @@
 impl Admission {
     /// An admission that runs `concurrency` queries at a time.
     pub fn new(concurrency: u32, limits: impl IntoIterator<Item = ClassLimit>) -> Self {
-        let mut admission = Self {
-            concurrency,
-            running: 0,
-            queues: Vec::new(),
-            drain_rate: DrainRate::default(),
-        };
+        let mut admission =
+            Self { concurrency, running: 0, queues: Vec::new(), drain_rate: DrainRate::default() };
         admission.reconfigure(concurrency, limits);
         admission
     }
@@ -122,11 +118,7 @@
     pub fn offer(&mut self, now: Timestamp, ticket: Ticket, decisions: &mut Vec<Decision>) {
         let retry_after = self.retry_after(ticket.priority);
         if ticket.deadline <= now {
-            decisions.push(refuse(
-                ticket.query,
-                RefusalReason::DeadlineTooClose,
-                retry_after,
-            ));
+            decisions.push(refuse(ticket.query, RefusalReason::DeadlineTooClose, retry_after));
             return;
         }
         if self.running < self.concurrency && self.waiting() == 0 {
@@ -134,10 +126,8 @@
             decisions.push(Decision::Start(ticket.query));
             return;
         }
-        let Some(queue) = self
-            .queues
-            .iter_mut()
-            .find(|queue| queue.limit.priority == ticket.priority)
+        let Some(queue) =
+            self.queues.iter_mut().find(|queue| queue.limit.priority == ticket.priority)
         else {
             decisions.push(refuse(ticket.query, RefusalReason::NotServed, retry_after));
             return;
@@ -159,20 +149,13 @@
     /// Starts waiting queries while there is room, highest class first, and refuses expired ones.
     pub fn start_waiting(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
         while self.running < self.concurrency {
-            let Some(ticket) = self
-                .queues
-                .iter_mut()
-                .find_map(|queue| queue.waiting.pop_front())
+            let Some(ticket) = self.queues.iter_mut().find_map(|queue| queue.waiting.pop_front())
             else {
                 return;
             };
             if ticket.deadline <= now {
                 let retry_after = self.retry_after(ticket.priority);
-                decisions.push(refuse(
-                    ticket.query,
-                    RefusalReason::DeadlineTooClose,
-                    retry_after,
-                ));
+                decisions.push(refuse(ticket.query, RefusalReason::DeadlineTooClose, retry_after));
                 continue;
             }
             self.running += 1;
@@ -206,9 +189,5 @@
 }
 
 fn refuse(query: QueryId, reason: RefusalReason, retry_after: Duration) -> Decision {
-    Decision::Refuse {
-        query,
-        reason,
-        retry_after,
-    }
+    Decision::Refuse { query, reason, retry_after }
 }
--- a/crates/domain/src/catalog/mod.rs
+++ b/crates/domain/src/catalog/mod.rs
@@ -57,18 +57,15 @@
             Change::AddLeaf(leaf) => self.add_leaf(leaf.clone())?,
             Change::SetLeafState { leaf, state } => self.leaf_mut(*leaf)?.state = *state,
             Change::RemoveLeaf(leaf) => self.remove_leaf(*leaf)?,
-            Change::DefineService {
-                service,
-                concurrency,
-            } => self.define_service(service, *concurrency),
+            Change::DefineService { service, concurrency } => {
+                self.define_service(service, *concurrency)
+            }
             Change::DefineClass { service, policy } => {
                 self.service_mut(service)?.define_class(policy.clone())?
             }
-            Change::AssignShard {
-                service,
-                shard,
-                leaves,
-            } => self.assign_shard(service, *shard, leaves)?,
+            Change::AssignShard { service, shard, leaves } => {
+                self.assign_shard(service, *shard, leaves)?
+            }
             Change::Repartition { service, shards } => self.repartition(service, *shards)?,
             Change::PublishVersion { service, version } => {
                 self.service_mut(service)?.publish(*version)?
@@ -131,15 +128,11 @@
     }
 
     fn service_mut(&mut self, name: &ServiceName) -> Result<&mut Service, CatalogError> {
-        self.services
-            .get_mut(name)
-            .ok_or_else(|| CatalogError::UnknownService(name.clone()))
+        self.services.get_mut(name).ok_or_else(|| CatalogError::UnknownService(name.clone()))
     }
 
     fn leaf_mut(&mut self, id: LeafId) -> Result<&mut Leaf, CatalogError> {
-        self.leaves
-            .get_mut(&id)
-            .ok_or(CatalogError::UnknownLeaf(id))
+        self.leaves.get_mut(&id).ok_or(CatalogError::UnknownLeaf(id))
     }
 }
 
--- a/crates/domain/src/catalog/service.rs
+++ b/crates/domain/src/catalog/service.rs
@@ -61,18 +61,13 @@
 impl PartitionMap {
     /// A map of `shards` shards without replicas.
     pub fn empty(epoch: PartitionEpoch, shards: u32) -> Self {
-        let shards = (0..shards)
-            .map(|number| (ShardId(number), Vec::new()))
-            .collect();
+        let shards = (0..shards).map(|number| (ShardId(number), Vec::new())).collect();
         Self { epoch, shards }
     }
 
     /// Shards that no leaf holds.
     pub fn unassigned(&self) -> impl Iterator<Item = ShardId> + '_ {
-        self.shards
-            .iter()
-            .filter(|(_, leaves)| leaves.is_empty())
-            .map(|(shard, _)| *shard)
+        self.shards.iter().filter(|(_, leaves)| leaves.is_empty()).map(|(shard, _)| *shard)
     }
 }
 
@@ -133,10 +128,7 @@
             .iter()
             .find(|class| class.priority == policy.priority && class.name != policy.name);
         if let Some(rival) = rival {
-            return Err(CatalogError::PriorityTaken(
-                policy.priority,
-                rival.name.clone(),
-            ));
+            return Err(CatalogError::PriorityTaken(policy.priority, rival.name.clone()));
         }
         self.classes.retain(|class| class.name != policy.name);
         self.classes.push(policy);
@@ -156,23 +148,14 @@
 
     pub(super) fn publish(&mut self, version: IndexVersion) -> Result<(), CatalogError> {
         if version <= self.published.version {
-            return Err(CatalogError::VersionNotNewer(
-                version,
-                self.published.version,
-            ));
+            return Err(CatalogError::VersionNotNewer(version, self.published.version));
         }
-        let unassigned: Vec<String> = self
-            .newest()
-            .unassigned()
-            .map(|shard| shard.to_string())
-            .collect();
+        let unassigned: Vec<String> =
+            self.newest().unassigned().map(|shard| shard.to_string()).collect();
         if self.newest().shards.is_empty() || !unassigned.is_empty() {
             return Err(CatalogError::ShardsUnassigned(unassigned.join(", ")));
         }
-        self.published = Snapshot {
-            epoch: self.newest_epoch(),
-            version,
-        };
+        self.published = Snapshot { epoch: self.newest_epoch(), version };
         Ok(())
     }
 
@@ -185,14 +168,10 @@
     }
 
     fn newest(&self) -> &PartitionMap {
-        self.partitions
-            .last()
-            .expect("a service has at least one partition map")
+        self.partitions.last().expect("a service has at least one partition map")
     }
 
     fn newest_mut(&mut self) -> &mut PartitionMap {
-        self.partitions
-            .last_mut()
-            .expect("a service has at least one partition map")
+        self.partitions.last_mut().expect("a service has at least one partition map")
     }
 }
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -36,10 +36,9 @@
     fn answer_by(&self) -> Timestamp {
         match self.policy.answer_policy {
             AnswerPolicy::Full => self.submission.deadline,
-            AnswerPolicy::Partial { soft_deadline } => self
-                .arrived
-                .after(soft_deadline)
-                .min(self.submission.deadline),
+            AnswerPolicy::Partial { soft_deadline } => {
+                self.arrived.after(soft_deadline).min(self.submission.deadline)
+            }
         }
     }
 }
@@ -89,11 +88,9 @@
         match event {
             Event::Submitted(submission) => self.submit(now, submission, effects),
             Event::CallerGone(query) => self.abandon(now, query, effects),
-            Event::LeafCompleted {
-                request,
-                completion,
-                draining,
-            } => self.leaf_completed(now, request, completion, draining, effects),
+            Event::LeafCompleted { request, completion, draining } => {
+                self.leaf_completed(now, request, completion, draining, effects)
+            }
             Event::TimerElapsed => self.run_timers(now, effects),
             Event::CatalogChanged(catalog) => self.reconfigure(now, catalog, effects),
             Event::StopRequested => self.stopping = true,
@@ -102,36 +99,18 @@
 
     fn submit(&mut self, now: Timestamp, submission: Submission, effects: &mut Vec<Effect>) {
         let query = submission.query;
-        let policy = self
-            .catalog
-            .class(&submission.service, &submission.class)
-            .cloned();
+        let policy = self.catalog.class(&submission.service, &submission.class).cloned();
         let (Some(policy), false) = (policy, self.stopping) else {
-            let reason = if self.stopping {
-                RefusalReason::Stopping
-            } else {
-                RefusalReason::NotServed
-            };
-            let outcome = QueryOutcome::NotRun {
-                reason,
-                retry_after: DEFAULT_RETRY_AFTER,
-            };
+            let reason =
+                if self.stopping { RefusalReason::Stopping } else { RefusalReason::NotServed };
+            let outcome = QueryOutcome::NotRun { reason, retry_after: DEFAULT_RETRY_AFTER };
             effects.push(Effect::Answer { query, outcome });
             return;
         };
-        let ticket = Ticket {
-            query,
-            priority: policy.priority,
-            deadline: submission.deadline,
-        };
+        let ticket = Ticket { query, priority: policy.priority, deadline: submission.deadline };
         let service = submission.service.clone();
         self.timers.insert((submission.deadline, query));
-        let active = ActiveQuery {
-            submission,
-            policy,
-            arrived: now,
-            execution: None,
-        };
+        let active = ActiveQuery { submission, policy, arrived: now, execution: None };
         self.queries.insert(query, active);
         let mut decisions = Vec::new();
         if let Some(admission) = self.admissions.get_mut(&service) {
@@ -144,16 +123,9 @@
         for decision in decisions {
             match decision {
                 Decision::Start(query) => self.start(now, query, effects),
-                Decision::Refuse {
-                    query,
-                    reason,
-                    retry_after,
-                } => {
+                Decision::Refuse { query, reason, retry_after } => {
                     self.forget(query);
-                    let outcome = QueryOutcome::NotRun {
-                        reason,
-                        retry_after,
-                    };
+                    let outcome = QueryOutcome::NotRun { reason, retry_after };
                     effects.push(Effect::Answer { query, outcome });
                 }
             }
@@ -206,8 +178,7 @@
         };
         let leaf = if execution.may_attempt(shard) {
             let tried = execution.tried(shard);
-            self.router
-                .choose(execution.replicas(shard), &tried, self.random.as_mut())
+            self.router.choose(execution.replicas(shard), &tried, self.random.as_mut())
         } else {
             None
         };
@@ -215,10 +186,7 @@
             return execution.give_up(shard);
         };
         self.router.sent(sending.leaf);
-        effects.push(Effect::Send {
-            sending,
-            time_left: deadline.since(now),
-        });
+        effects.push(Effect::Send { sending, time_left: deadline.since(now) });
         Progress::Waiting
     }
 
@@ -310,9 +278,7 @@
         let retry_after = self
             .admissions
             .get(&active.submission.service)
-            .map_or(DEFAULT_RETRY_AFTER, |admission| {
-                admission.retry_after(active.policy.priority)
-            });
+            .map_or(DEFAULT_RETRY_AFTER, |admission| admission.retry_after(active.policy.priority));
         let outcome = execution.finish(active.policy.price, retry_after);
         self.end(now, query, outcome, effects);
     }
@@ -351,10 +317,7 @@
     ) {
         for sending in owed {
             self.router.ended(now, sending.leaf, Observation::Cancelled);
-            effects.push(Effect::Cancel {
-                request: sending.request,
-                leaf: sending.leaf,
-            });
+            effects.push(Effect::Cancel { request: sending.request, leaf: sending.leaf });
         }
     }
 
@@ -401,15 +364,7 @@
         admission.withdraw(query);
         let reason = RefusalReason::DeadlineTooClose;
         let retry_after = admission.retry_after(priority);
-        self.carry_out(
-            now,
-            vec![Decision::Refuse {
-                query,
-                reason,
-                retry_after,
-            }],
-            effects,
-        );
+        self.carry_out(now, vec![Decision::Refuse { query, reason, retry_after }], effects);
     }
 
     fn reconfigure(&mut self, now: Timestamp, catalog: Arc<Catalog>, effects: &mut Vec<Effect>) {
@@ -451,10 +406,7 @@
     service
         .classes()
         .iter()
-        .map(|class| ClassLimit {
-            priority: class.priority,
-            queue_limit: class.queue_limit,
-        })
+        .map(|class| ClassLimit { priority: class.priority, queue_limit: class.queue_limit })
         .collect()
 }
 
--- a/crates/domain/src/query/execution.rs
+++ b/crates/domain/src/query/execution.rs
@@ -73,21 +73,12 @@
     }
 
     fn in_flight(&self) -> bool {
-        self.attempts
-            .iter()
-            .any(|attempt| attempt.state == AttemptState::InFlight)
+        self.attempts.iter().any(|attempt| attempt.state == AttemptState::InFlight)
     }
 
     fn missing_reason(&self) -> MissingReason {
-        let certain = self
-            .attempts
-            .iter()
-            .all(|attempt| attempt.state == AttemptState::NotRun);
-        if certain {
-            MissingReason::NotRun
-        } else {
-            MissingReason::Unknown
-        }
+        let certain = self.attempts.iter().all(|attempt| attempt.state == AttemptState::NotRun);
+        if certain { MissingReason::NotRun } else { MissingReason::Unknown }
     }
 }
 
@@ -143,22 +134,14 @@
 
     /// Replicas of a shard.
     pub fn replicas(&self, shard: ShardId) -> &[LeafId] {
-        self.shards
-            .get(&shard)
-            .map_or(&[], |progress| &progress.replicas)
+        self.shards.get(&shard).map_or(&[], |progress| &progress.replicas)
     }
 
     /// Leaves that were asked for the shard.
     pub fn tried(&self, shard: ShardId) -> SmallVec<[LeafId; 4]> {
         self.shards
             .get(&shard)
-            .map(|progress| {
-                progress
-                    .attempts
-                    .iter()
-                    .map(|attempt| attempt.leaf)
-                    .collect()
-            })
+            .map(|progress| progress.attempts.iter().map(|attempt| attempt.leaf).collect())
             .unwrap_or_default()
     }
 
@@ -179,23 +162,10 @@
         let number = self.next_attempt;
         let progress = self.shards.get_mut(&shard)?;
         let state = AttemptState::InFlight;
-        progress.attempts.push(Attempt {
-            number,
-            leaf,
-            sent: now,
-            state,
-        });
+        progress.attempts.push(Attempt { number, leaf, sent: now, state });
         self.next_attempt += 1;
-        let request = LeafRequestId {
-            query: self.query,
-            shard,
-            attempt: number,
-        };
-        Some(Sending {
-            request,
-            leaf,
-            snapshot: self.snapshot,
-        })
+        let request = LeafRequestId { query: self.query, shard, attempt: number };
+        Some(Sending { request, leaf, snapshot: self.snapshot })
     }
 
     /// No replica can be asked for the shard any more.
@@ -228,16 +198,9 @@
         for (shard, progress) in &self.shards {
             for attempt in &progress.attempts {
                 if attempt.state == AttemptState::InFlight {
-                    let request = LeafRequestId {
-                        query: self.query,
-                        shard: *shard,
-                        attempt: attempt.number,
-                    };
-                    sendings.push(Sending {
-                        request,
-                        leaf: attempt.leaf,
-                        snapshot: self.snapshot,
-                    });
+                    let request =
+                        LeafRequestId { query: self.query, shard: *shard, attempt: attempt.number };
+                    sendings.push(Sending { request, leaf: attempt.leaf, snapshot: self.snapshot });
                 }
             }
         }
@@ -292,21 +255,12 @@
     /// Ends the query with what there is now.
     pub fn finish(&self, price: u64, retry_after: Duration) -> QueryOutcome {
         let answer = self.answer(price);
-        let unknown = answer
-            .missing
-            .iter()
-            .any(|shard| shard.reason == MissingReason::Unknown);
+        let unknown = answer.missing.iter().any(|shard| shard.reason == MissingReason::Unknown);
         if answer.parts.is_empty() && !unknown && !self.may_have_run_before {
-            return QueryOutcome::NotRun {
-                reason: RefusalReason::LeavesRefused,
-                retry_after,
-            };
+            return QueryOutcome::NotRun { reason: RefusalReason::LeavesRefused, retry_after };
         }
         if answer.parts.is_empty() || (unknown && !self.repeatable) {
-            return QueryOutcome::Unknown {
-                known: answer,
-                retry_after,
-            };
+            return QueryOutcome::Unknown { known: answer, retry_after };
         }
         QueryOutcome::Answered(answer)
     }
@@ -316,22 +270,13 @@
         let mut missing = Vec::new();
         for (shard, progress) in &self.shards {
             match &progress.body {
-                Some(body) => parts.push(ShardPart {
-                    shard: *shard,
-                    body: body.clone(),
-                }),
-                None => missing.push(MissingShard {
-                    shard: *shard,
-                    reason: progress.missing_reason(),
-                }),
+                Some(body) => parts.push(ShardPart { shard: *shard, body: body.clone() }),
+                None => {
+                    missing.push(MissingShard { shard: *shard, reason: progress.missing_reason() })
+                }
             }
         }
-        Answer {
-            snapshot: self.snapshot,
-            parts,
-            missing,
-            price,
-        }
+        Answer { snapshot: self.snapshot, parts, missing, price }
     }
 
     fn may_have_run(&self) -> bool {
@@ -342,10 +287,7 @@
     }
 
     fn merge(&mut self, request: LeafRequestId, body: Bytes) -> Progress {
-        let progress = self
-            .shards
-            .get_mut(&request.shard)
-            .expect("the attempt is in flight");
+        let progress = self.shards.get_mut(&request.shard).expect("the attempt is in flight");
         progress.end_attempt(request.attempt, AttemptState::MayHaveRun);
         if !progress.settled() {
             progress.body = Some(body);
@@ -355,10 +297,7 @@
     }
 
     fn attempt_ended(&mut self, request: LeafRequestId, state: AttemptState) -> Progress {
-        let progress = self
-            .shards
-            .get_mut(&request.shard)
-            .expect("the attempt is in flight");
+        let progress = self.shards.get_mut(&request.shard).expect("the attempt is in flight");
         progress.end_attempt(request.attempt, state);
         if progress.settled() || progress.in_flight() {
             return self.progress();
@@ -367,21 +306,13 @@
     }
 
     fn progress(&self) -> Progress {
-        if self.unsettled == 0 {
-            Progress::Complete
-        } else {
-            Progress::Waiting
-        }
+        if self.unsettled == 0 { Progress::Complete } else { Progress::Waiting }
     }
 }
 
 impl ShardProgress {
     fn end_attempt(&mut self, number: u16, state: AttemptState) {
-        if let Some(attempt) = self
-            .attempts
-            .iter_mut()
-            .find(|attempt| attempt.number == number)
-        {
+        if let Some(attempt) = self.attempts.iter_mut().find(|attempt| attempt.number == number) {
             attempt.state = state;
         }
     }
--- a/crates/domain/src/routing/mod.rs
+++ b/crates/domain/src/routing/mod.rs
@@ -42,8 +42,7 @@
 impl Router {
     /// Takes over the leaves of a catalog; observations of those that remain are kept.
     pub fn reconfigure(&mut self, catalog: &Catalog) {
-        self.leaves
-            .retain(|leaf, _| catalog.leaves().contains_key(leaf));
+        self.leaves.retain(|leaf, _| catalog.leaves().contains_key(leaf));
         for (id, leaf) in catalog.leaves() {
             let view = self.leaves.entry(*id).or_default();
             view.operator_draining = leaf.state == LeafState::Draining;
@@ -69,9 +68,7 @@
 
     /// Whether new work may be sent to the leaf.
     pub fn takes_new_work(&self, leaf: LeafId) -> bool {
-        self.leaves
-            .get(&leaf)
-            .is_some_and(|view| !view.operator_draining && !view.marked_draining)
+        self.leaves.get(&leaf).is_some_and(|view| !view.operator_draining && !view.marked_draining)
     }
 
     /// A request was sent to the leaf.
@@ -105,11 +102,7 @@
             let view = &self.leaves[&leaf];
             (view.in_flight, view.smoothed_latency)
         };
-        if load(second) < load(first) {
-            second
-        } else {
-            first
-        }
+        if load(second) < load(first) { second } else { first }
     }
 }
 
--- a/crates/protocol/src/codec.rs
+++ b/crates/protocol/src/codec.rs
@@ -33,9 +33,7 @@
 pub fn encode_frame<M: Frame>(message: &M) -> Result<Vec<u8>, ProtocolError> {
     let mut cursor = Cursor::new(vec![0; LENGTH_BYTES]);
     cursor.set_position(LENGTH_BYTES as u64);
-    message
-        .write(&mut cursor)
-        .map_err(|error| ProtocolError::Malformed(error.to_string()))?;
+    message.write(&mut cursor).map_err(|error| ProtocolError::Malformed(error.to_string()))?;
     let mut bytes = cursor.into_inner();
     let length = bytes.len() - LENGTH_BYTES;
     check_length(length)?;
@@ -57,9 +55,7 @@
 
 impl<M> Default for FrameCodec<M> {
     fn default() -> Self {
-        Self {
-            message: PhantomData,
-        }
+        Self { message: PhantomData }
     }
 }
 
--- a/crates/rehearsal/src/leaf/journal.rs
+++ b/crates/rehearsal/src/leaf/journal.rs
@@ -30,9 +30,7 @@
     /// # Errors
     /// An [`io::Error`] when the file cannot be opened.
     pub fn open(path: &Path) -> io::Result<Self> {
-        Ok(Self {
-            file: OpenOptions::new().create(true).append(true).open(path)?,
-        })
+        Ok(Self { file: OpenOptions::new().create(true).append(true).open(path)? })
     }
 
     /// Appends an entry; it is handed to the operating system before this returns.
--- a/crates/rehearsal/src/leaf/mod.rs
+++ b/crates/rehearsal/src/leaf/mod.rs
@@ -19,17 +19,9 @@
 pub struct LeafFlags {
     #[options(help = "print this help")]
     help: bool,
-    #[options(
-        help = "address on which requests are taken",
-        meta = "ADDRESS",
-        required
-    )]
+    #[options(help = "address on which requests are taken", meta = "ADDRESS", required)]
     listen: Option<SocketAddr>,
-    #[options(
-        help = "file to which each request that runs is appended",
-        meta = "FILE",
-        required
-    )]
+    #[options(help = "file to which each request that runs is appended", meta = "FILE", required)]
     journal: Option<PathBuf>,
     #[options(help = "milliseconds that a request takes", default = "5", meta = "MS")]
     service_ms: u64,
@@ -44,7 +36,5 @@
     let journal = Journal::open(&flags.journal.ok_or(io::ErrorKind::InvalidInput)?)?;
     let listener = TcpListener::bind(listen)?;
     info!(event = "started", role = "leaf", %listen);
-    LeafServer::new(journal, flags.service_ms)
-        .serve(listener)
-        .await
+    LeafServer::new(journal, flags.service_ms).serve(listener).await
 }
--- a/crates/rehearsal/src/leaf/server.rs
+++ b/crates/rehearsal/src/leaf/server.rs
@@ -24,10 +24,7 @@
 impl LeafServer {
     /// A leaf whose requests all take `service_ms` milliseconds.
     pub fn new(journal: Journal, service_ms: u64) -> Self {
-        Self {
-            journal: RefCell::new(journal),
-            service_time: Duration::from_millis(service_ms),
-        }
+        Self { journal: RefCell::new(journal), service_time: Duration::from_millis(service_ms) }
     }
 
     /// Accepts connections for ever.
@@ -78,11 +75,7 @@
 
 fn read_entry(request: &HttpRequest) -> Option<JournalEntry> {
     let path = request.uri().path();
-    let shard = path
-        .strip_prefix("/v1/shards/")?
-        .strip_suffix("/search")?
-        .parse()
-        .ok()?;
+    let shard = path.strip_prefix("/v1/shards/")?.strip_suffix("/search")?.parse().ok()?;
     let headers = request.headers();
     Some(JournalEntry {
         request: text(headers, "x-request-id")?.to_owned(),
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -63,19 +63,9 @@
             remedy,
         )?;
         let accepted = (1..=16 * 1024 * 1024).contains(&self.body_bytes);
-        check.field(
-            "body_bytes",
-            self.body_bytes,
-            accepted,
-            "use a number from 1 to 16777216",
-        )?;
+        check.field("body_bytes", self.body_bytes, accepted, "use a number from 1 to 16777216")?;
         let connections = self.connections_per_leaf;
         let accepted = (1..=1024).contains(&connections);
-        check.field(
-            "connections_per_leaf",
-            connections,
-            accepted,
-            "use a number from 1 to 1024",
-        )
+        check.field("connections_per_leaf", connections, accepted, "use a number from 1 to 1024")
     }
 }
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -25,11 +25,6 @@
     fn validate(&self, check: &mut Check<'_>) -> Result<(), SettingsError> {
         check.name("name", &self.name)?;
         let distinct = self.operators != self.feed;
-        check.field(
-            "feed",
-            self.feed,
-            distinct,
-            "use another address than that of operators",
-        )
+        check.field("feed", self.feed, distinct, "use another address than that of operators")
     }
 }
--- a/crates/statement/src/parse.rs
+++ b/crates/statement/src/parse.rs
@@ -12,7 +12,7 @@
 };
 use pest::Parser;
 use pest::error::{ErrorVariant, LineColLocation};
-use pest::iterators::{Pair, Pairs};
+use pest::iterators::Pair;
 
 use crate::{Statement, StatementError, Subject};
 
@@ -21,6 +21,8 @@
 
 /// Longest text that is parsed, in bytes.
 const TEXT_LIMIT: usize = 256 * 1024;
+/// What the names of keyword rules start with.
+const KEYWORD_PREFIX: &str = "kw_";
 
 #[allow(missing_docs)]
 mod grammar {
@@ -43,10 +45,7 @@
     let mut parsed =
         Grammar::parse(Rule::statements, text).map_err(|error| syntax_error(&error))?;
     let root = parsed.next().expect("the grammar yields its root");
-    root.into_inner()
-        .filter(|pair| pair.as_rule() != Rule::EOI)
-        .map(statement)
-        .collect()
+    root.into_inner().filter(|pair| pair.as_rule() != Rule::EOI).map(statement).collect()
 }
 
 fn syntax_error(error: &pest::error::Error<Rule>) -> StatementError {
@@ -55,10 +54,7 @@
     };
     let expected = match &error.variant {
         ErrorVariant::ParsingError { positives, .. } => {
-            let names: Vec<String> = positives
-                .iter()
-                .map(|rule| format!("{rule:?}").replace('_', " "))
-                .collect();
+            let names: Vec<String> = positives.iter().map(|rule| rule_name(*rule)).collect();
             format!("expected {}", names.join(" or "))
         }
         ErrorVariant::CustomError { message } => message.clone(),
@@ -66,54 +62,52 @@
     StatementError::Syntax(line, column, expected)
 }
 
+/// A rule as operators know it: a keyword in capitals, anything else in words.
+fn rule_name(rule: Rule) -> String {
+    let name = format!("{rule:?}");
+    match name.strip_prefix(KEYWORD_PREFIX) {
+        Some(keyword) => keyword.to_ascii_uppercase(),
+        None => name.replace('_', " "),
+    }
+}
+
+fn is_keyword(rule: Rule) -> bool {
+    format!("{rule:?}").starts_with(KEYWORD_PREFIX)
+}
+
 fn statement(pair: Pair<'_, Rule>) -> Result<Statement, StatementError> {
     let rule = pair.as_rule();
-    let mut fields = Fields {
-        pairs: pair.into_inner(),
-    };
+    let fields: Vec<_> = pair.into_inner().filter(|pair| !is_keyword(pair.as_rule())).collect();
+    let mut fields = Fields { pairs: fields.into_iter() };
     let change = match rule {
         Rule::show => return Ok(Statement::Show(fields.subject())),
-        Rule::drain_leaf => Change::SetLeafState {
-            leaf: fields.leaf()?,
-            state: LeafState::Draining,
-        },
-        Rule::resume_leaf => Change::SetLeafState {
-            leaf: fields.leaf()?,
-            state: LeafState::Active,
-        },
+        Rule::drain_leaf => {
+            Change::SetLeafState { leaf: fields.leaf()?, state: LeafState::Draining }
+        }
+        Rule::resume_leaf => {
+            Change::SetLeafState { leaf: fields.leaf()?, state: LeafState::Active }
+        }
         Rule::remove_leaf => Change::RemoveLeaf(fields.leaf()?),
         Rule::add_leaf => Change::AddLeaf(fields.new_leaf()?),
-        Rule::define_service => Change::DefineService {
-            service: fields.service(),
-            concurrency: fields.number()?,
-        },
+        Rule::define_service => {
+            Change::DefineService { service: fields.service(), concurrency: fields.number()? }
+        }
         Rule::define_class => fields.class()?,
         Rule::define_caller => Change::DefineCaller {
             caller: CallerName::new(fields.text()),
-            account: CallerAccount {
-                budget_per_second: fields.number()?,
-                burst: fields.number()?,
-            },
+            account: CallerAccount { budget_per_second: fields.number()?, burst: fields.number()? },
         },
         Rule::assign_shard => {
             let shard = ShardId(fields.number()?);
             let service = fields.service();
-            Change::AssignShard {
-                service,
-                shard,
-                leaves: fields.remaining_leaves()?,
-            }
+            Change::AssignShard { service, shard, leaves: fields.remaining_leaves()? }
+        }
+        Rule::repartition => {
+            Change::Repartition { service: fields.service(), shards: fields.number()? }
         }
-        Rule::repartition => Change::Repartition {
-            service: fields.service(),
-            shards: fields.number()?,
-        },
         Rule::publish => {
             let version = IndexVersion(fields.number()?);
-            Change::PublishVersion {
-                service: fields.service(),
-                version,
-            }
+            Change::PublishVersion { service: fields.service(), version }
         }
         other => unreachable!("{other:?} is not a statement of the grammar"),
     };
@@ -122,7 +116,7 @@
 
 /// The fields of a statement, in the order of the grammar.
 struct Fields<'text> {
-    pairs: Pairs<'text, Rule>,
+    pairs: std::vec::IntoIter<Pair<'text, Rule>>,
 }
 
 impl<'text> Fields<'text> {
@@ -147,10 +141,7 @@
     }
 
     fn remaining_leaves(&mut self) -> Result<Vec<LeafId>, StatementError> {
-        self.pairs
-            .by_ref()
-            .map(|pair| Ok(LeafId(number(&pair)?)))
-            .collect()
+        self.pairs.by_ref().map(|pair| Ok(LeafId(number(&pair)?))).collect()
     }
 
     fn subject(&mut self) -> Subject {
@@ -181,8 +172,7 @@
         let pair = self.next();
         let (line, column) = pair.line_col();
         let text = pair.as_str();
-        text.parse()
-            .map_err(|_| StatementError::BadAddress(line, column, text.to_owned()))
+        text.parse().map_err(|_| StatementError::BadAddress(line, column, text.to_owned()))
     }
 
     fn class(&mut self) -> Result<Change, StatementError> {
@@ -204,14 +194,11 @@
     }
 
     fn answer_policy(&mut self) -> Result<AnswerPolicy, StatementError> {
-        let policy = self
-            .next()
-            .into_inner()
-            .next()
-            .expect("a policy has one form");
+        let policy = self.next().into_inner().next().expect("a policy has one form");
         match policy.as_rule() {
             Rule::partial => {
-                let soft_deadline = span(&policy.into_inner().next().expect("a span follows"))?;
+                let last = policy.into_inner().last().expect("a span follows");
+                let soft_deadline = span(&last)?;
                 Ok(AnswerPolicy::Partial { soft_deadline })
             }
             _ => Ok(AnswerPolicy::Full),
@@ -222,8 +209,7 @@
 fn number<T: FromStr>(pair: &Pair<'_, Rule>) -> Result<T, StatementError> {
     let (line, column) = pair.line_col();
     let text = pair.as_str();
-    text.parse()
-        .map_err(|_| StatementError::OutOfRange(line, column, text.to_owned()))
+    text.parse().map_err(|_| StatementError::OutOfRange(line, column, text.to_owned()))
 }
 
 fn span(pair: &Pair<'_, Rule>) -> Result<Duration, StatementError> {
@@ -236,9 +222,5 @@
     let out_of_range = || StatementError::OutOfRange(line, column, text.clone());
     let count: u32 = digits.parse().map_err(|_| out_of_range())?;
     let count = u64::from(count);
-    Ok(if seconds {
-        Duration::from_secs(count)
-    } else {
-        Duration::from_millis(count)
-    })
+    Ok(if seconds { Duration::from_secs(count) } else { Duration::from_millis(count) })
 }
--- a/crates/statement/src/reply.rs
+++ b/crates/statement/src/reply.rs
@@ -35,9 +35,6 @@
 impl StatementReplies {
     /// Whether every statement was carried out.
     pub fn succeeded(&self) -> bool {
-        !self
-            .replies
-            .iter()
-            .any(|reply| matches!(reply, StatementReply::Refused { .. }))
+        !self.replies.iter().any(|reply| matches!(reply, StatementReply::Refused { .. }))
     }
 }
--- a/crates/statement/tests/parse.rs
+++ b/crates/statement/tests/parse.rs
@@ -38,8 +38,5 @@
 #[test]
 fn number_out_of_range_is_refused() {
     let error = parse("DRAIN LEAF 99999999999").unwrap_err();
-    assert!(
-        matches!(error, StatementError::OutOfRange(1, 12, _)),
-        "{error}"
-    );
+    assert!(matches!(error, StatementError::OutOfRange(1, 12, _)), "{error}");
 }
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -40,13 +40,8 @@
         let _ = stream.set_nodelay(true);
         let (read_half, write_half) = stream.into_split();
         Ok(Self {
-            writer: RequestWriter {
-                encoder: GenericEncoder::new(write_half),
-            },
-            reader: ResponseReader {
-                framed: FramedRead::new(read_half, ()),
-                limits,
-            },
+            writer: RequestWriter { encoder: GenericEncoder::new(write_half) },
+            reader: ResponseReader { framed: FramedRead::new(read_half, ()), limits },
         })
     }
 
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -77,10 +77,7 @@
     D::Error: Into<TransportError>,
     H: Head,
 {
-    let mut decoder = BoundedHead {
-        inner: D::default(),
-        limit: limits.head_bytes,
-    };
+    let mut decoder = BoundedHead { inner: D::default(), limit: limits.head_bytes };
     let (head, body) = match framed.next_with(&mut decoder).await {
         None => return Ok(None),
         Some(result) => result?,
@@ -136,9 +133,5 @@
 
 /// A body as the encoder takes it.
 pub(crate) fn payload(body: Bytes) -> Payload {
-    if body.is_empty() {
-        Payload::None
-    } else {
-        Payload::Fixed(FixedPayload::new(body))
-    }
+    if body.is_empty() { Payload::None } else { Payload::Fixed(FixedPayload::new(body)) }
 }
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -35,13 +35,8 @@
         let _ = stream.set_nodelay(true);
         let (read_half, write_half) = stream.into_split();
         Self {
-            reader: RequestReader {
-                framed: FramedRead::new(read_half, ()),
-                limits,
-            },
-            writer: ResponseWriter {
-                encoder: GenericEncoder::new(write_half),
-            },
+            reader: RequestReader { framed: FramedRead::new(read_half, ()), limits },
+            writer: ResponseWriter { encoder: GenericEncoder::new(write_half) },
         }
     }
 
@@ -96,10 +91,7 @@
     pub async fn respond(&mut self, response: HttpResponse) -> Result<(), TransportError> {
         let (mut head, body) = response.into_parts();
         if body.is_empty() {
-            head.headers.insert(
-                http::header::CONTENT_LENGTH,
-                http::HeaderValue::from_static("0"),
-            );
+            head.headers.insert(http::header::CONTENT_LENGTH, http::HeaderValue::from_static("0"));
         }
         let response = http::Response::from_parts(head, payload(body));
         self.encoder.send_and_flush(response).await?;
