Simulate the serving tier on a virtual clock and check its promises

One expectation was wrong at first: a killed leaf alone never makes a whole query 'not run', so that rule has a mutant of its own, and the broken request shows as false coverage.

--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -51,12 +51,12 @@
     queries: BTreeMap<QueryId, ActiveQuery>,
     timers: BTreeSet<(Timestamp, QueryId)>,
     stopping: bool,
-    random: Box<dyn RngCore>,
+    random: Box<dyn RngCore + Send>,
 }
 
 impl Dispatcher {
     /// A dispatcher with an empty catalog; `random` drives the choice of replicas.
-    pub fn new(random: Box<dyn RngCore>) -> Self {
+    pub fn new(random: Box<dyn RngCore + Send>) -> Self {
         Self {
             catalog: Arc::default(),
             admissions: BTreeMap::new(),
--- /dev/null
+++ b/crates/simulation/src/serving/broker.rs
@@ -0,0 +1,120 @@
+//! A broker in simulation: its dispatcher and the mutant that may sit before it.
+
+use gingerkeel_domain::admission::RefusalReason;
+use gingerkeel_domain::dispatch::{Dispatcher, Effect, Event, LeafCompletion};
+use gingerkeel_domain::identifiers::{
+    IndexVersion, LeafRequestId, PartitionEpoch, QueryId, Snapshot,
+};
+use gingerkeel_domain::query::{LeafFailure, LeafReply, QueryOutcome};
+use gingerkeel_domain::time::Timestamp;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use super::fault::Mutant;
+
+/// Number of a broker in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BrokerIndex(pub usize);
+
+/// One broker.
+pub struct BrokerModel {
+    /// Its dispatcher.
+    pub dispatcher: Dispatcher,
+    /// It is killed or has stopped.
+    pub dead: bool,
+    /// The earliest timer that is scheduled.
+    pub armed: Option<Timestamp>,
+    /// Number of its next query.
+    pub next_query: u64,
+    mutant: Option<Mutant>,
+}
+
+impl BrokerModel {
+    /// A broker whose choices follow from `seed`.
+    pub fn new(seed: u64, mutant: Option<Mutant>) -> Self {
+        Self {
+            dispatcher: Dispatcher::new(Box::new(Pcg64::seed_from_u64(seed))),
+            dead: false,
+            armed: None,
+            next_query: 0,
+            mutant,
+        }
+    }
+
+    /// Handles an event, as the mutant lets it through.
+    pub fn handle(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
+        let event = self.bend_event(event);
+        let first = effects.len();
+        self.dispatcher.handle(now, event, effects);
+        for effect in &mut effects[first..] {
+            self.bend_effect(effect);
+        }
+    }
+
+    fn bend_event(&self, event: Event) -> Event {
+        match (self.mutant, event) {
+            (Some(Mutant::EveryQueryRepeatable), Event::Submitted(mut submission)) => {
+                submission.repeatable = true;
+                Event::Submitted(submission)
+            }
+            (Some(mutant), Event::LeafCompleted { request, completion, draining }) => {
+                let (request, completion) = self.bend_completion(mutant, request, completion);
+                let draining = draining.filter(|_| mutant != Mutant::NoDrainMarks);
+                Event::LeafCompleted { request, completion, draining }
+            }
+            (_, event) => event,
+        }
+    }
+
+    fn bend_completion(
+        &self,
+        mutant: Mutant,
+        request: LeafRequestId,
+        completion: LeafCompletion,
+    ) -> (LeafRequestId, LeafCompletion) {
+        match (mutant, completion) {
+            (Mutant::BrokenMeansNotSent, LeafCompletion::Failed(_)) => {
+                (request, LeafCompletion::Failed(LeafFailure::NotSent))
+            }
+            (
+                Mutant::EveryReplyOfSnapshot,
+                LeafCompletion::Replied(LeafReply::Result { body, .. }),
+            ) => {
+                let snapshot = snapshot_asked(&body);
+                (request, LeafCompletion::Replied(LeafReply::Result { snapshot, body }))
+            }
+            (Mutant::RepliesOfOthers, completion) => {
+                let query = QueryId(request.query.0 + 1);
+                (LeafRequestId { query, ..request }, completion)
+            }
+            (_, completion) => (request, completion),
+        }
+    }
+
+    fn bend_effect(&self, effect: &mut Effect) {
+        let Effect::Answer { outcome, .. } = effect else {
+            return;
+        };
+        match (self.mutant, &mut *outcome) {
+            (Some(Mutant::MissingShardsHidden), QueryOutcome::Answered(answer)) => {
+                answer.missing.clear();
+            }
+            (Some(Mutant::UnknownSaidNotRun), QueryOutcome::Unknown { retry_after, .. }) => {
+                let reason = RefusalReason::LeavesRefused;
+                *outcome = QueryOutcome::NotRun { reason, retry_after: *retry_after };
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The snapshot that was asked for, which the stand-in leaf names last in its body.
+fn snapshot_asked(body: &[u8]) -> Snapshot {
+    let text = String::from_utf8_lossy(body);
+    let asked = text.rsplit('=').next().unwrap_or_default();
+    let (epoch, version) = asked.split_once('.').unwrap_or(("0", "0"));
+    Snapshot {
+        epoch: PartitionEpoch(epoch.parse().unwrap_or_default()),
+        version: IndexVersion(version.parse().unwrap_or_default()),
+    }
+}
--- /dev/null
+++ b/crates/simulation/tests/serving.rs
@@ -0,0 +1,132 @@
+//! The promises of the serving tier under each failure, and the mutants that must break them.
+
+use std::time::Duration;
+
+use gingerkeel_domain::query::QueryOutcome;
+use gingerkeel_simulation::serving::{
+    Fault, History, Mutant, Outcome, Scenario, Violation, run_scenario,
+};
+use rstest::rstest;
+
+/// Seeds of each scenario; the command line runs more.
+const SEEDS: std::ops::Range<u64> = 0..8;
+
+fn run(name: &str, seed: u64, mutant: Option<Mutant>) -> Outcome {
+    let scenario = Scenario::named(name).expect("the scenario exists");
+    let faults = scenario.faults(seed);
+    run_scenario(seed, scenario.load, &faults, mutant, false).expect("the run ends")
+}
+
+fn answered_share(history: &History) -> f64 {
+    let answered = history
+        .queries
+        .values()
+        .filter(|record| {
+            matches!(record.outcomes.as_slice(), [(_, QueryOutcome::Answered(answer))] if answer.missing.is_empty())
+        })
+        .count();
+    answered as f64 / history.queries.len() as f64
+}
+
+#[rstest]
+fn promises_hold(
+    #[values(
+        "calm",
+        "straggler",
+        "replica-lost",
+        "freeze",
+        "cut",
+        "late-replies",
+        "wrong-version",
+        "fails-fast",
+        "version-change",
+        "version-lost",
+        "repartition",
+        "drain-by-operator",
+        "drain-by-leaf",
+        "planned-stop",
+        "broker-killed",
+        "overload-2",
+        "overload-4"
+    )]
+    name: &str,
+) {
+    for seed in SEEDS {
+        let outcome = run(name, seed, None);
+        assert_eq!(outcome.violations, Vec::new(), "scenario {name}, seed {seed}");
+    }
+}
+
+#[test]
+fn every_scenario_is_listed_in_the_test_above() {
+    let listed = include_str!("serving.rs");
+    for scenario in Scenario::all() {
+        assert!(listed.contains(&format!("\"{}\"", scenario.name)), "{}", scenario.name);
+    }
+}
+
+#[test]
+fn calm_run_answers_nearly_everything_whole() {
+    let outcome = run("calm", 1, None);
+    assert!(outcome.history.queries.len() > 1000);
+    assert!(answered_share(&outcome.history) > 0.97);
+}
+
+#[test]
+fn same_seed_gives_the_same_trace() {
+    let first = run("version-change", 5, None);
+    let second = run("version-change", 5, None);
+    assert_eq!(first.trace_hash, second.trace_hash);
+    assert_ne!(first.trace_hash, run("version-change", 6, None).trace_hash);
+}
+
+fn kind(violation: &Violation) -> &'static str {
+    match violation {
+        Violation::MixedSnapshot(_) => "mixed snapshot",
+        Violation::ForeignPart(_) => "foreign part",
+        Violation::FalseCoverage(_) => "false coverage",
+        Violation::NotRunWasRun(_) => "not run was run",
+        Violation::RanTwice(..) => "ran twice",
+        Violation::WorkForLeaving(_) => "work for leaving",
+        Violation::NoOutcome(_) => "no outcome",
+        Violation::SeveralOutcomes(_) => "several outcomes",
+        Violation::LateOutcome(_) => "late outcome",
+        Violation::HeldBack(_) => "held back",
+        Violation::NoRetryAfter(_) => "no retry after",
+        Violation::CutByStop(_) => "cut by stop",
+        Violation::LowerClassFirst(_) => "lower class first",
+    }
+}
+
+/// A rule that is switched off breaks its promise in some seed of the scenario that needs it.
+#[rstest]
+#[case::at_most_once(Mutant::EveryQueryRepeatable, "replica-lost", "ran twice")]
+#[case::snapshot(Mutant::EveryReplyOfSnapshot, "wrong-version", "mixed snapshot")]
+#[case::drain_by_operator(Mutant::NoDrainMarks, "drain-by-operator", "work for leaving")]
+#[case::drain_by_leaf(Mutant::NoDrainMarks, "drain-by-leaf", "work for leaving")]
+#[case::missing_not_run(Mutant::BrokenMeansNotSent, "replica-lost", "false coverage")]
+#[case::not_run(Mutant::UnknownSaidNotRun, "freeze", "not run was run")]
+#[case::own_answer(Mutant::RepliesOfOthers, "calm", "foreign part")]
+#[case::coverage(Mutant::MissingShardsHidden, "freeze", "false coverage")]
+#[case::planned_stop(Mutant::StopCutsInFlight, "planned-stop", "cut by stop")]
+#[case::at_once(Mutant::RefusalsHeldBack, "overload-4", "held back")]
+#[case::priorities(Mutant::ClassesIgnored, "overload-4", "lower class first")]
+fn rule_switched_off_breaks_its_promise(
+    #[case] mutant: Mutant,
+    #[case] scenario: &str,
+    #[case] expected: &str,
+) {
+    let broken = SEEDS.chain(100..112).any(|seed| {
+        run(scenario, seed, Some(mutant)).violations.iter().any(|found| kind(found) == expected)
+    });
+    assert!(broken, "{mutant:?} in {scenario} never gave '{expected}'");
+}
+
+#[test]
+fn faults_of_a_seed_are_those_that_are_replayed() {
+    let scenario = Scenario::named("straggler").expect("the scenario exists");
+    let faults = scenario.faults(3);
+    assert_eq!(faults, scenario.faults(3));
+    assert!(matches!(faults.as_slice(), [one] if matches!(one.fault, Fault::Slow { .. })));
+    assert!(faults.iter().all(|fault| fault.at < Duration::from_secs(3)));
+}
