--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -23,6 +23,10 @@
     list: bool,
     #[options(help = "scenario to run; all by default", meta = "NAME", no_short)]
     scenario: Option<String>,
+    #[options(help = "second scenario, whose faults come too", meta = "NAME", no_short)]
+    with: Option<String>,
+    #[options(help = "run every pair of scenarios", no_short)]
+    pairs: bool,
     #[options(help = "seed to replay, with its trace", meta = "N", no_short)]
     seed: Option<u64>,
     #[options(help = "seeds to run, the last one included", meta = "A..B", no_short)]
@@ -60,7 +64,7 @@
     }
     let scenarios = chosen_scenarios(&flags);
     if flags.list {
-        scenarios.iter().for_each(|scenario| println!("{}", scenario.name));
+        scenarios.iter().for_each(|scenario| println!("{}", scenario.name()));
         return;
     }
     let failed = match (flags.seed, flags.seeds) {
@@ -76,14 +80,28 @@
 }
 
 fn chosen_scenarios(flags: &Flags) -> Vec<Scenario> {
-    let Some(name) = &flags.scenario else {
-        return Scenario::all();
-    };
-    let Some(scenario) = Scenario::named(name) else {
+    let first = flags.scenario.as_deref().map(named);
+    let second = flags.with.as_deref().map(named);
+    match (first, second) {
+        (Some(first), Some(second)) => vec![first.with(&second)],
+        (Some(first), None) if flags.pairs => pairs(&[first]),
+        (Some(first), None) => vec![first],
+        (None, _) if flags.pairs => pairs(&Scenario::all()),
+        (None, _) => Scenario::all(),
+    }
+}
+
+fn named(name: &str) -> Scenario {
+    Scenario::named(name).unwrap_or_else(|| {
         eprintln!("gingerkeel-simulate: no scenario {name}: see --list");
         exit(EXIT_USAGE);
-    };
-    vec![scenario]
+    })
+}
+
+/// Each of `firsts` with every scenario, itself included: a failure may come twice.
+fn pairs(firsts: &[Scenario]) -> Vec<Scenario> {
+    let seconds = Scenario::all();
+    firsts.iter().flat_map(|first| seconds.iter().map(|second| first.with(second))).collect()
 }
 
 /// Runs one seed with its trace; whether every promise held.
@@ -123,9 +141,9 @@
         workers.into_iter().flat_map(|worker| worker.join().expect("a worker ends")).collect()
     });
     let count = seeds.last - seeds.first + 1;
-    println!("scenario={} seeds={count} failed={}", scenario.name, failing.len());
+    println!("scenario=\"{}\" seeds={count} failed={}", scenario.name(), failing.len());
     for seed in &failing {
-        println!("  replay: gingerkeel-simulate --scenario {} --seed {seed}", scenario.name);
+        println!("  replay: gingerkeel-simulate {} --seed {seed}", scenario.flags());
     }
     failing.len()
 }
--- a/crates/simulation/src/serving/mod.rs
+++ b/crates/simulation/src/serving/mod.rs
@@ -10,6 +10,7 @@
 mod scenario;
 mod world;
 
+pub use broker::BrokerIndex;
 pub use check::{Violation, check};
 pub use fault::{Fault, Mutant, TimedFault};
 pub use history::{History, LeafRun, QueryRecord};
--- a/crates/simulation/src/serving/scenario.rs
+++ b/crates/simulation/src/serving/scenario.rs
@@ -43,11 +43,15 @@
 /// A scenario: the faults that a run meets, and its load.
 #[derive(Debug, Clone)]
 pub struct Scenario {
-    /// Name, as the command line takes it.
-    pub name: &'static str,
     /// Load as a multiple of half the capacity.
     pub load: f64,
-    /// Faults that are always met.
+    parts: Vec<Part>,
+}
+
+/// Faults under one name.
+#[derive(Debug, Clone, Copy)]
+struct Part {
+    name: &'static str,
     faults: fn(&mut Pcg64) -> Vec<TimedFault>,
 }
 
@@ -80,7 +84,7 @@
 
 macro_rules! scenario {
     ($name:literal, $load:expr, |$random:ident| $faults:expr) => {
-        Scenario { name: $name, load: $load, faults: |$random| $faults }
+        Scenario { load: $load, parts: vec![Part { name: $name, faults: |$random| $faults }] }
     };
 }
 
@@ -168,12 +172,33 @@
 
     /// The scenario of this name.
     pub fn named(name: &str) -> Option<Self> {
-        Self::all().into_iter().find(|scenario| scenario.name == name)
+        Self::all().into_iter().find(|scenario| scenario.name() == name)
+    }
+
+    /// Name, as the command line takes it; a pair has both names.
+    pub fn name(&self) -> String {
+        let names: Vec<&str> = self.parts.iter().map(|part| part.name).collect();
+        names.join(" + ")
+    }
+
+    /// Flags of the command line that choose this scenario.
+    pub fn flags(&self) -> String {
+        let flags = ["--scenario", "--with"].into_iter().zip(&self.parts);
+        let words: Vec<String> =
+            flags.map(|(flag, part)| format!("{flag} {}", part.name)).collect();
+        words.join(" ")
+    }
+
+    /// This scenario with the faults of another one too, under the greater load of the two.
+    pub fn with(&self, other: &Self) -> Self {
+        let parts = self.parts.iter().chain(&other.parts).copied().collect();
+        Self { load: self.load.max(other.load), parts }
     }
 
     /// The faults of a run with this seed.
     pub fn faults(&self, seed: u64) -> Vec<TimedFault> {
-        (self.faults)(&mut Pcg64::seed_from_u64(seed ^ FAULT_STREAM))
+        let mut random = Pcg64::seed_from_u64(seed ^ FAULT_STREAM);
+        self.parts.iter().flat_map(|part| (part.faults)(&mut random)).collect()
     }
 }
 
--- a/crates/simulation/tests/serving.rs
+++ b/crates/simulation/tests/serving.rs
@@ -61,7 +61,7 @@
 fn every_scenario_is_listed_in_the_test_above() {
     let listed = include_str!("serving.rs");
     for scenario in Scenario::all() {
-        assert!(listed.contains(&format!("\"{}\"", scenario.name)), "{}", scenario.name);
+        assert!(listed.contains(&format!("\"{}\"", scenario.name())), "{}", scenario.name());
     }
 }
 
