--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -1,16 +1,21 @@
 //! The task that owns the dispatcher and the leaf pools.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use gingerkeel_domain::catalog::Catalog;
-use gingerkeel_domain::dispatch::{Dispatcher, Effect, Event, LeafCompletion};
-use gingerkeel_domain::identifiers::{LeafId, LeafRequestId, QueryId};
+use gingerkeel_domain::catalog::{Catalog, Placement};
+use gingerkeel_domain::dispatch::{
+    Dispatcher, DispatcherSettings, Effect, Event, LeafCompletion, SchedulingPolicy,
+};
+use gingerkeel_domain::identifiers::{
+    BrokerName, LeafId, LeafRequestId, QueryId, RegionName, ZoneName,
+};
 use gingerkeel_domain::query::{LeafFailure, QueryOutcome, Sending, Submission};
-use gingerkeel_settings::BrokerSettings;
+use gingerkeel_settings::{BrokerSettings, PolicySetting};
 use gingerkeel_transport::Limits;
 use local_sync::mpsc::unbounded::{Rx, Tx};
 use local_sync::oneshot;
@@ -74,7 +79,10 @@
         let run_number: u64 = rand::rng().random();
         Self {
             clock: Clock::start(),
-            dispatcher: Dispatcher::new(Box::new(Pcg64::from_rng(&mut random))),
+            dispatcher: Dispatcher::new(
+                dispatcher_settings(settings),
+                Box::new(Pcg64::from_rng(&mut random)),
+            ),
             callers: HashMap::new(),
             pools: BTreeMap::new(),
             connections_per_leaf: settings.connections_per_leaf as usize,
@@ -128,8 +136,8 @@
             EngineMessage::AnswerDelivered => self.undelivered -= 1,
             EngineMessage::Leaf(message) => self.leaf_message(message, effects),
             EngineMessage::CatalogChanged(catalog) => {
+                self.advance(Event::CatalogChanged(catalog.clone()), effects);
                 self.update_pools(&catalog);
-                self.advance(Event::CatalogChanged(catalog), effects);
             }
             EngineMessage::Stop => {
                 info!(event = "stop_requested", active = self.dispatcher.active());
@@ -159,8 +167,8 @@
 
     fn leaf_message(&mut self, message: LeafMessage, effects: &mut Vec<Effect>) {
         match message {
-            LeafMessage::Completed { request, completion, draining } => {
-                self.advance(Event::LeafCompleted { request, completion, draining }, effects)
+            LeafMessage::Completed { leaf, request, completion, draining } => {
+                self.advance(Event::LeafCompleted { leaf, request, completion, draining }, effects)
             }
             LeafMessage::Idle { leaf, connection } => {
                 if let Some(pool) = self.pools.get_mut(&leaf) {
@@ -175,21 +183,31 @@
         }
     }
 
+    /// Drops the pools of leaves that left or moved; new pools open with the first request.
     fn update_pools(&mut self, catalog: &Catalog) {
-        self.pools.retain(|leaf, _| catalog.leaves().contains_key(leaf));
-        for (id, leaf) in catalog.leaves() {
-            if self.pools.contains_key(id) {
-                continue;
+        self.pools.retain(|id, pool| {
+            catalog.leaves().get(id).is_some_and(|leaf| leaf.address == pool.address())
+        });
+        for (id, pool) in &mut self.pools {
+            pool.set_limit(connection_limit(&self.dispatcher, self.connections_per_leaf, *id));
+        }
+    }
+
+    fn pool(&mut self, id: LeafId) -> Option<&mut LeafPool> {
+        match self.pools.entry(id) {
+            Entry::Occupied(entry) => Some(entry.into_mut()),
+            Entry::Vacant(entry) => {
+                let leaf = self.dispatcher.catalog().leaves().get(&id)?;
+                let pool = LeafPool::new(
+                    id,
+                    leaf.address,
+                    connection_limit(&self.dispatcher, self.connections_per_leaf, id),
+                    self.run.clone(),
+                    Limits::default(),
+                    self.messages.clone(),
+                );
+                Some(entry.insert(pool))
             }
-            let pool = LeafPool::new(
-                *id,
-                leaf.address,
-                self.connections_per_leaf,
-                self.run.clone(),
-                Limits::default(),
-                self.messages.clone(),
-            );
-            self.pools.insert(*id, pool);
         }
     }
 
@@ -217,25 +235,49 @@
     }
 
     fn send(&mut self, sending: Sending, time_left: Duration) {
-        let caller = self.callers.get(&sending.request.query);
-        let (Some(caller), Some(pool)) = (caller, self.pools.get_mut(&sending.leaf)) else {
-            self.fail_unsent(sending.request);
-            return;
-        };
-        let work = LeafWork::Send(WireRequest {
-            request: sending.request,
-            snapshot: sending.snapshot,
-            time_left,
-            context: caller.context.clone(),
+        let context = self.callers.get(&sending.request.query).map(|caller| caller.context.clone());
+        let work = context.map(|context| {
+            LeafWork::Send(WireRequest {
+                request: sending.request,
+                snapshot: sending.snapshot,
+                time_left,
+                context,
+            })
         });
-        pool.submit(work, &mut self.next_connection);
+        let mut next_connection = self.next_connection;
+        match (work, self.pool(sending.leaf)) {
+            (Some(work), Some(pool)) => pool.submit(work, &mut next_connection),
+            _ => self.fail_unsent(sending.leaf, sending.request),
+        }
+        self.next_connection = next_connection;
     }
 
     /// Reports a request that has nowhere to go; through the queue, so that events stay in order.
-    fn fail_unsent(&self, request: LeafRequestId) {
+    fn fail_unsent(&self, leaf: LeafId, request: LeafRequestId) {
         let completion = LeafCompletion::Failed(LeafFailure::NotSent);
-        let message = LeafMessage::Completed { request, completion, draining: None };
+        let message = LeafMessage::Completed { leaf, request, completion, draining: None };
         // This task holds the receiver.
         let _ = self.messages.send(EngineMessage::Leaf(message));
     }
 }
+
+/// Connections to open to a leaf: as many as the settings allow, within this broker's share of
+/// the leaf's own limit.
+fn connection_limit(dispatcher: &Dispatcher, connections_per_leaf: usize, leaf: LeafId) -> usize {
+    dispatcher.connection_limit(leaf).clamp(1, connections_per_leaf)
+}
+
+fn dispatcher_settings(settings: &BrokerSettings) -> DispatcherSettings {
+    let placement = Placement {
+        region: RegionName::new(&settings.region),
+        zone: ZoneName::new(&settings.zone),
+    };
+    let policy = match settings.policy {
+        PolicySetting::Standard => SchedulingPolicy::Standard,
+        PolicySetting::Baseline => SchedulingPolicy::Baseline,
+    };
+    DispatcherSettings {
+        policy,
+        ..DispatcherSettings::new(BrokerName::new(&settings.name), placement)
+    }
+}
--- a/crates/broker/src/leaves/connection.rs
+++ b/crates/broker/src/leaves/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to one leaf, owned by a task.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -7,11 +8,12 @@
 
 use gingerkeel_domain::dispatch::LeafCompletion;
 use gingerkeel_domain::identifiers::{LeafId, LeafRequestId};
-use gingerkeel_domain::query::LeafFailure;
+use gingerkeel_domain::query::{LeafFailure, LeafReply, NotRunReason};
 use gingerkeel_transport::{
     ClientConnection, HttpResponse, Limits, RequestWriter, ResponseReader, TransportError,
 };
 use local_sync::mpsc::unbounded::{Rx, Tx};
+use monoio::time::error::Elapsed;
 use monoio::time::timeout;
 
 use super::wire::{WireRequest, cancellation, read_draining, read_reply};
@@ -21,6 +23,8 @@
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 /// Time after the caller's deadline for which a reply is awaited before the connection is closed.
 const REPLY_GRACE: Duration = Duration::from_millis(500);
+/// Time after a cancellation for which the reply owed is awaited before the connection is closed.
+const CANCEL_GRACE: Duration = Duration::from_millis(200);
 
 /// Number of a connection within one broker run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -33,6 +37,8 @@
     Send(WireRequest),
     /// Cancel a request that another connection carries.
     Cancel(LeafRequestId),
+    /// The reply to this connection's own request is not wanted any more.
+    Abandon(LeafRequestId),
 }
 
 /// What a connection tells the engine.
@@ -40,6 +46,8 @@
 pub enum LeafMessage {
     /// A request ended.
     Completed {
+        /// The leaf.
+        leaf: LeafId,
         /// The request.
         request: LeafRequestId,
         /// How it ended.
@@ -110,18 +118,29 @@
         match command {
             ConnectionCommand::Send(wire_request) => {
                 let request = wire_request.request;
-                let wait = wire_request.time_left + REPLY_GRACE;
-                if writer.send(wire_request.to_http(&self.run)).await.is_err() {
-                    self.complete(request, LeafCompletion::Failed(LeafFailure::Broken), None);
-                    return None;
+                if is_abandoned(commands, request) {
+                    let reply = LeafReply::NotRun(NotRunReason::Cancelled);
+                    self.complete(request, LeafCompletion::Replied(reply), None);
+                    // The read that waits is dropped without having taken a byte.
+                    return Some(());
                 }
-                let response = timeout(wait, receiving).await;
-                self.finish(request, response.ok())
+                let wait = wire_request.time_left + REPLY_GRACE;
+                let exchange = async {
+                    writer.send(wire_request.to_http(&self.run)).await?;
+                    receiving.await
+                };
+                let response = await_reply(timeout(wait, exchange), commands, request).await;
+                self.finish(request, response)
             }
             ConnectionCommand::Cancel(request) => {
-                writer.send(cancellation(&self.run, request)).await.ok()?;
-                timeout(REPLY_GRACE, receiving).await.ok()?.ok().map(|_| ())
+                let exchange = async {
+                    writer.send(cancellation(&self.run, request)).await?;
+                    receiving.await
+                };
+                timeout(REPLY_GRACE, exchange).await.ok()?.ok().map(|_| ())
             }
+            // The reply came before the word that it is not wanted.
+            ConnectionCommand::Abandon(_) => Some(()),
         }
     }
 
@@ -154,7 +173,8 @@
     }
 
     fn complete(&self, request: LeafRequestId, completion: LeafCompletion, draining: Option<bool>) {
-        self.tell(LeafMessage::Completed { request, completion, draining });
+        let leaf = self.leaf;
+        self.tell(LeafMessage::Completed { leaf, request, completion, draining });
     }
 
     fn tell(&self, message: LeafMessage) {
@@ -162,3 +182,33 @@
         let _ = self.engine.send(EngineMessage::Leaf(message));
     }
 }
+
+/// Whether the word that the request is not wanted any more came before it was written.
+fn is_abandoned(commands: &mut Rx<ConnectionCommand>, request: LeafRequestId) -> bool {
+    matches!(commands.try_recv(), Ok(ConnectionCommand::Abandon(abandoned)) if abandoned == request)
+}
+
+/// Awaits the reply; once it is not wanted any more only for [`CANCEL_GRACE`], so that a leaf
+/// which does not answer holds no connection for long. None when no reply came in time.
+async fn await_reply(
+    exchange: impl Future<Output = Result<Result<HttpResponse, TransportError>, Elapsed>>,
+    commands: &mut Rx<ConnectionCommand>,
+    request: LeafRequestId,
+) -> Option<Result<HttpResponse, TransportError>> {
+    let mut exchange = pin!(exchange);
+    loop {
+        let command = monoio::select! {
+            response = &mut exchange => return response.ok(),
+            command = commands.recv() => command,
+        };
+        match command {
+            Some(ConnectionCommand::Abandon(abandoned)) if abandoned == request => {
+                return timeout(CANCEL_GRACE, exchange).await.ok()?.ok();
+            }
+            // The pool gives a busy connection nothing else.
+            Some(_) => {}
+            // The pool is gone: the leaf left the catalog. What is owed is still awaited.
+            None => return exchange.await.ok(),
+        }
+    }
+}
--- a/crates/broker/src/leaves/pool.rs
+++ b/crates/broker/src/leaves/pool.rs
@@ -23,6 +23,12 @@
     Cancel(LeafRequestId),
 }
 
+/// A connection and the request whose reply it is owed.
+struct PooledConnection {
+    commands: Tx<ConnectionCommand>,
+    carries: Option<LeafRequestId>,
+}
+
 /// The connections of this broker to one leaf; at most `limit` of them are open.
 pub struct LeafPool {
     leaf: LeafId,
@@ -31,7 +37,7 @@
     run: Rc<str>,
     limits: Limits,
     engine: Tx<EngineMessage>,
-    connections: BTreeMap<ConnectionId, Tx<ConnectionCommand>>,
+    connections: BTreeMap<ConnectionId, PooledConnection>,
     idle: Vec<ConnectionId>,
     waiting: VecDeque<ConnectionCommand>,
 }
@@ -66,16 +72,35 @@
                 self.waiting.push_back(ConnectionCommand::Send(request));
             }
             LeafWork::Cancel(request) if self.withdraw(request) => {}
-            LeafWork::Cancel(request) => {
-                self.waiting.push_back(ConnectionCommand::Cancel(request));
+            LeafWork::Cancel(request) if self.abandon(request) => {
+                self.waiting.push_front(ConnectionCommand::Cancel(request));
             }
+            // The reply is on its way to the engine already.
+            LeafWork::Cancel(_) => {}
         }
         self.assign(next_connection);
     }
 
+    /// Address of the leaf.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes the number of connections; surplus ones close once they are idle.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     /// A connection can take the next command.
     pub fn connection_idle(&mut self, connection: ConnectionId, next_connection: &mut u64) {
-        self.idle.push(connection);
+        if self.connections.len() > self.limit {
+            self.connections.remove(&connection);
+            return;
+        }
+        if let Some(pooled) = self.connections.get_mut(&connection) {
+            pooled.carries = None;
+            self.idle.push(connection);
+        }
         self.assign(next_connection);
     }
 
@@ -96,12 +121,21 @@
             return false;
         }
         let completion = LeafCompletion::Replied(LeafReply::NotRun(NotRunReason::Cancelled));
-        let message = LeafMessage::Completed { request, completion, draining: None };
+        let message =
+            LeafMessage::Completed { leaf: self.leaf, request, completion, draining: None };
         // The engine lives as long as the process.
         let _ = self.engine.send(EngineMessage::Leaf(message));
         true
     }
 
+    /// Tells the connection that carries a request that its reply is not wanted any more; false
+    /// when no connection carries it.
+    fn abandon(&mut self, request: LeafRequestId) -> bool {
+        let carrier = self.connections.values().find(|pooled| pooled.carries == Some(request));
+        carrier
+            .is_some_and(|pooled| pooled.commands.send(ConnectionCommand::Abandon(request)).is_ok())
+    }
+
     fn assign(&mut self, next_connection: &mut u64) {
         while let Some(command) = self.waiting.pop_front() {
             let Some(connection) = self.idle.pop() else {
@@ -112,12 +146,13 @@
                 self.open(next_connection, command);
                 continue;
             };
-            let Some(sender) = self.connections.get(&connection) else {
+            let Some(pooled) = self.connections.get_mut(&connection) else {
                 self.waiting.push_front(command);
                 continue;
             };
+            pooled.carries = carried_request(&command);
             // A connection that closed just now fails what it is given as not sent.
-            let _ = sender.send(command);
+            let _ = pooled.commands.send(command);
         }
     }
 
@@ -125,9 +160,10 @@
         let connection = ConnectionId(*next_connection);
         *next_connection += 1;
         let (sender, commands) = unbounded::channel();
+        let carries = carried_request(&command);
         // The receiver is held below.
         let _ = sender.send(command);
-        self.connections.insert(connection, sender);
+        self.connections.insert(connection, PooledConnection { commands: sender, carries });
         let task = ConnectionTask {
             leaf: self.leaf,
             connection,
@@ -139,3 +175,10 @@
         monoio::spawn(task.run(commands));
     }
 }
+
+fn carried_request(command: &ConnectionCommand) -> Option<LeafRequestId> {
+    match command {
+        ConnectionCommand::Send(wire_request) => Some(wire_request.request),
+        ConnectionCommand::Cancel(_) | ConnectionCommand::Abandon(_) => None,
+    }
+}
--- a/crates/domain/src/catalog/service.rs
+++ b/crates/domain/src/catalog/service.rs
@@ -8,8 +8,9 @@
 use super::{CatalogError, NO_VERSION};
 use crate::identifiers::{ClassName, IndexVersion, LeafId, PartitionEpoch, ShardId, Snapshot};
 
-/// Partition maps that are kept: the published one, the one before it and one being prepared.
-const RETAINED_PARTITIONS: usize = 3;
+/// Published snapshots that are kept, so that queries in flight can go on and brokers can fall
+/// back while leaves load the newest.
+const RETAINED_SNAPSHOTS: usize = 3;
 
 /// When a query of a class is answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,7 +79,7 @@
     pub concurrency: u32,
     classes: Vec<ClassPolicy>,
     partitions: Vec<PartitionMap>,
-    published: Snapshot,
+    published: Vec<Snapshot>,
 }
 
 impl Service {
@@ -88,7 +89,7 @@
             concurrency,
             classes: Vec::new(),
             partitions: vec![PartitionMap::empty(PartitionEpoch(0), 0)],
-            published: Snapshot::default(),
+            published: Vec::new(),
         }
     }
 
@@ -104,7 +105,12 @@
 
     /// The snapshot that new queries read, if one is published.
     pub fn published(&self) -> Option<Snapshot> {
-        (self.published.version != NO_VERSION).then_some(self.published)
+        self.published.first().copied()
+    }
+
+    /// Published snapshots that are retained, newest first.
+    pub fn published_snapshots(&self) -> &[Snapshot] {
+        &self.published
     }
 
     /// The partition map of an epoch, while it is retained.
@@ -142,20 +148,22 @@
 
     pub(super) fn add_partition(&mut self, map: PartitionMap) {
         self.partitions.push(map);
-        let surplus = self.partitions.len().saturating_sub(RETAINED_PARTITIONS);
-        self.partitions.drain(..surplus);
+        self.forget_unused_partitions();
     }
 
     pub(super) fn publish(&mut self, version: IndexVersion) -> Result<(), CatalogError> {
-        if version <= self.published.version {
-            return Err(CatalogError::VersionNotNewer(version, self.published.version));
+        let newest = self.published().map_or(NO_VERSION, |snapshot| snapshot.version);
+        if version <= newest {
+            return Err(CatalogError::VersionNotNewer(version, newest));
         }
         let unassigned: Vec<String> =
             self.newest().unassigned().map(|shard| shard.to_string()).collect();
         if self.newest().shards.is_empty() || !unassigned.is_empty() {
             return Err(CatalogError::ShardsUnassigned(unassigned.join(", ")));
         }
-        self.published = Snapshot { epoch: self.newest_epoch(), version };
+        self.published.insert(0, Snapshot { epoch: self.newest_epoch(), version });
+        self.published.truncate(RETAINED_SNAPSHOTS);
+        self.forget_unused_partitions();
         Ok(())
     }
 
@@ -167,6 +175,15 @@
         }
     }
 
+    /// Keeps the newest map and those that a retained snapshot names.
+    fn forget_unused_partitions(&mut self) {
+        let newest = self.newest_epoch();
+        let published = &self.published;
+        self.partitions.retain(|map| {
+            map.epoch == newest || published.iter().any(|snapshot| snapshot.epoch == map.epoch)
+        });
+    }
+
     fn newest(&self) -> &PartitionMap {
         self.partitions.last().expect("a service has at least one partition map")
     }
--- a/crates/domain/src/dispatch/event.rs
+++ b/crates/domain/src/dispatch/event.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use crate::catalog::Catalog;
-use crate::identifiers::{LeafRequestId, QueryId};
+use crate::identifiers::{LeafId, LeafRequestId, QueryId};
 use crate::query::{LeafFailure, LeafReply, Submission};
+use crate::routing::subset::BrokerEntry;
 
 /// How a leaf request ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +25,8 @@
     CallerGone(QueryId),
     /// A leaf request ended.
     LeafCompleted {
+        /// The leaf that was asked.
+        leaf: LeafId,
         /// The request.
         request: LeafRequestId,
         /// How it ended.
@@ -35,6 +38,10 @@
     TimerElapsed,
     /// A newer catalog is to be put in force.
     CatalogChanged(Arc<Catalog>),
+    /// The brokers that share the leaves, all of them; empty while they are not known.
+    BrokersChanged(Arc<[BrokerEntry]>),
+    /// The platform's list of leaving machines, as leaves, whole.
+    PlatformLeaving(Vec<LeafId>),
     /// A planned stop begins: new queries are refused, those in flight finish.
     StopRequested,
 }
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -1,7 +1,10 @@
 //! The dispatcher: all queries of one broker, from submission to outcome.
 
+mod active;
 mod effect;
 mod event;
+mod scatter;
+mod settings;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -10,43 +13,29 @@
 use rand_core::RngCore;
 
 use crate::admission::{Admission, ClassLimit, Decision, RefusalReason, Ticket};
-use crate::catalog::{AnswerPolicy, Catalog, ClassPolicy, PartitionMap, Service};
-use crate::identifiers::{LeafRequestId, QueryId, ServiceName, ShardId, Snapshot};
-use crate::query::{
-    Execution, LeafFailure, LeafReply, NotRunReason, Progress, QueryOutcome, Submission,
-};
-use crate::routing::{Observation, Router};
+use crate::catalog::{Catalog, Service};
+use crate::identifiers::{LeafId, QueryId, ServiceName, Snapshot};
+use crate::query::{QueryOutcome, Submission};
+use crate::routing::Router;
 use crate::time::Timestamp;
+use active::ActiveQuery;
+use scatter::ServiceView;
 
 pub use effect::Effect;
 pub use event::{Event, LeafCompletion};
+pub use settings::{DispatcherSettings, SchedulingPolicy};
 
+/// Priority that all queries have under the baseline policy.
+const COMMON_PRIORITY: u8 = 0;
 /// Advice to callers when there is no measured rate to derive it from.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-struct ActiveQuery {
-    submission: Submission,
-    policy: ClassPolicy,
-    arrived: Timestamp,
-    execution: Option<Execution>,
-}
-
-impl ActiveQuery {
-    /// When the query is answered at the latest, while it runs.
-    fn answer_by(&self) -> Timestamp {
-        match self.policy.answer_policy {
-            AnswerPolicy::Full => self.submission.deadline,
-            AnswerPolicy::Partial { soft_deadline } => {
-                self.arrived.after(soft_deadline).min(self.submission.deadline)
-            }
-        }
-    }
-}
-
 /// All queries of one broker.
 pub struct Dispatcher {
     catalog: Arc<Catalog>,
+    settings: DispatcherSettings,
     admissions: BTreeMap<ServiceName, Admission>,
+    views: BTreeMap<ServiceName, ServiceView>,
     router: Router,
     queries: BTreeMap<QueryId, ActiveQuery>,
     timers: BTreeSet<(Timestamp, QueryId)>,
@@ -56,11 +45,13 @@
 
 impl Dispatcher {
     /// A dispatcher with an empty catalog; `random` drives the choice of replicas.
-    pub fn new(random: Box<dyn RngCore>) -> Self {
+    pub fn new(settings: DispatcherSettings, random: Box<dyn RngCore>) -> Self {
         Self {
             catalog: Arc::default(),
             admissions: BTreeMap::new(),
-            router: Router::default(),
+            views: BTreeMap::new(),
+            router: Router::new(settings.entry(), settings.routing_policy()),
+            settings,
             queries: BTreeMap::new(),
             timers: BTreeSet::new(),
             stopping: false,
@@ -73,6 +64,11 @@
         &self.catalog
     }
 
+    /// Connections that this broker may open to a leaf.
+    pub fn connection_limit(&self, leaf: LeafId) -> usize {
+        self.router.connection_limit(leaf)
+    }
+
     /// Queries that wait or run.
     pub fn active(&self) -> usize {
         self.queries.len()
@@ -88,11 +84,13 @@
         match event {
             Event::Submitted(submission) => self.submit(now, submission, effects),
             Event::CallerGone(query) => self.abandon(now, query, effects),
-            Event::LeafCompleted { request, completion, draining } => {
-                self.leaf_completed(now, request, completion, draining, effects)
+            Event::LeafCompleted { leaf, request, completion, draining } => {
+                self.leaf_completed(now, leaf, request, completion, draining, effects)
             }
             Event::TimerElapsed => self.run_timers(now, effects),
             Event::CatalogChanged(catalog) => self.reconfigure(now, catalog, effects),
+            Event::BrokersChanged(brokers) => self.router.brokers_changed(brokers, &self.catalog),
+            Event::PlatformLeaving(leaves) => self.router.platform_leaving(now, &leaves),
             Event::StopRequested => self.stopping = true,
         }
     }
@@ -107,10 +105,12 @@
             effects.push(Effect::Answer { query, outcome });
             return;
         };
-        let ticket = Ticket { query, priority: policy.priority, deadline: submission.deadline };
+        let priority = self.scheduled_priority(policy.priority);
+        let ticket = Ticket { query, priority, deadline: submission.deadline };
         let service = submission.service.clone();
         self.timers.insert((submission.deadline, query));
-        let active = ActiveQuery { submission, policy, arrived: now, execution: None };
+        let active =
+            ActiveQuery { submission, policy, arrived: now, execution: None, hedge_at: None };
         self.queries.insert(query, active);
         let mut decisions = Vec::new();
         if let Some(admission) = self.admissions.get_mut(&service) {
@@ -132,157 +132,6 @@
         }
     }
 
-    fn start(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
-        let Some(active) = self.queries.get_mut(&query) else {
-            return;
-        };
-        self.timers.insert((active.answer_by(), query));
-        let Some((snapshot, map)) = published(&self.catalog, &active.submission.service) else {
-            let outcome = QueryOutcome::NotRun {
-                reason: RefusalReason::NotServed,
-                retry_after: DEFAULT_RETRY_AFTER,
-            };
-            self.end(now, query, outcome, effects);
-            return;
-        };
-        let execution = Execution::new(query, snapshot, map, active.submission.repeatable);
-        active.execution = Some(execution);
-        self.scatter(now, query, effects);
-    }
-
-    fn scatter(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
-        let Some(execution) = self.execution(query) else {
-            return;
-        };
-        let mut progress = Progress::Waiting;
-        for shard in execution.shard_ids() {
-            progress = self.attempt(now, query, shard, effects);
-        }
-        self.follow(now, query, progress, effects);
-    }
-
-    /// Sends one more request for the shard, or gives the shard up.
-    fn attempt(
-        &mut self,
-        now: Timestamp,
-        query: QueryId,
-        shard: ShardId,
-        effects: &mut Vec<Effect>,
-    ) -> Progress {
-        let Some(active) = self.queries.get_mut(&query) else {
-            return Progress::Waiting;
-        };
-        let deadline = active.submission.deadline;
-        let Some(execution) = active.execution.as_mut() else {
-            return Progress::Waiting;
-        };
-        let leaf = if execution.may_attempt(shard) {
-            let tried = execution.tried(shard);
-            self.router.choose(execution.replicas(shard), &tried, self.random.as_mut())
-        } else {
-            None
-        };
-        let Some(sending) = leaf.and_then(|leaf| execution.send(now, shard, leaf)) else {
-            return execution.give_up(shard);
-        };
-        self.router.sent(sending.leaf);
-        effects.push(Effect::Send { sending, time_left: deadline.since(now) });
-        Progress::Waiting
-    }
-
-    fn leaf_completed(
-        &mut self,
-        now: Timestamp,
-        request: LeafRequestId,
-        completion: LeafCompletion,
-        draining: Option<bool>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(execution) = self.execution(request.query) else {
-            return;
-        };
-        let Some(attempt) = execution.attempt_in_flight(request) else {
-            return;
-        };
-        let observation = observe(&completion, now.since(attempt.sent));
-        let progress = match completion {
-            LeafCompletion::Replied(reply) => execution.replied(request, reply),
-            LeafCompletion::Failed(failure) => execution.failed(request, failure),
-        };
-        self.router.ended(now, attempt.leaf, observation);
-        if let Some(draining) = draining {
-            self.router.mark_draining(attempt.leaf, draining);
-        }
-        self.follow(now, request.query, progress, effects);
-    }
-
-    fn follow(
-        &mut self,
-        now: Timestamp,
-        query: QueryId,
-        progress: Progress,
-        effects: &mut Vec<Effect>,
-    ) {
-        match progress {
-            Progress::Waiting => {}
-            Progress::Complete => self.finish(now, query, effects),
-            Progress::Retry(shard) => {
-                let next = self.attempt(now, query, shard, effects);
-                if next == Progress::Complete {
-                    self.finish(now, query, effects);
-                }
-            }
-            Progress::SnapshotLost(shard) => self.snapshot_lost(now, query, shard, effects),
-        }
-    }
-
-    /// A replica no longer holds the pinned snapshot: start over on the published one if it
-    /// differs and the query is repeatable, else try another replica.
-    fn snapshot_lost(
-        &mut self,
-        now: Timestamp,
-        query: QueryId,
-        shard: ShardId,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(active) = self.queries.get_mut(&query) else {
-            return;
-        };
-        let newer = published(&self.catalog, &active.submission.service);
-        let Some(execution) = active.execution.as_mut() else {
-            return;
-        };
-        match newer {
-            Some((snapshot, map)) if snapshot > execution.snapshot() && execution.may_restart() => {
-                let owed = execution.in_flight();
-                execution.restart(snapshot, map);
-                self.cancel(now, owed, effects);
-                self.scatter(now, query, effects);
-            }
-            _ => {
-                let progress = self.attempt(now, query, shard, effects);
-                if progress == Progress::Complete {
-                    self.finish(now, query, effects);
-                }
-            }
-        }
-    }
-
-    fn finish(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
-        let Some(active) = self.queries.get(&query) else {
-            return;
-        };
-        let Some(execution) = active.execution.as_ref() else {
-            return;
-        };
-        let retry_after = self
-            .admissions
-            .get(&active.submission.service)
-            .map_or(DEFAULT_RETRY_AFTER, |admission| admission.retry_after(active.policy.priority));
-        let outcome = execution.finish(active.policy.price, retry_after);
-        self.end(now, query, outcome, effects);
-    }
-
     /// Ends a query that was started: cancels what is in flight and starts what waits.
     fn end(
         &mut self,
@@ -300,7 +149,9 @@
             return;
         };
         if let Some(execution) = &active.execution {
-            self.cancel(now, execution.in_flight(), effects);
+            let view = self.views.get(&active.submission.service);
+            let late = view.and_then(|view| view.tail.late_after());
+            self.cancel_owed(now, late, &execution.in_flight(), effects);
         }
         let mut decisions = Vec::new();
         if let Some(admission) = self.admissions.get_mut(&active.submission.service) {
@@ -309,18 +160,6 @@
         self.carry_out(now, decisions, effects);
     }
 
-    fn cancel(
-        &mut self,
-        now: Timestamp,
-        owed: Vec<crate::query::Sending>,
-        effects: &mut Vec<Effect>,
-    ) {
-        for sending in owed {
-            self.router.ended(now, sending.leaf, Observation::Cancelled);
-            effects.push(Effect::Cancel { request: sending.request, leaf: sending.leaf });
-        }
-    }
-
     /// The caller hung up: nothing is answered, what runs is cancelled.
     fn abandon(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
         let Some(active) = self.queries.get(&query) else {
@@ -351,8 +190,10 @@
             return;
         };
         if active.execution.is_some() {
-            if active.answer_by() <= now {
+            if active.is_due(now) {
                 self.finish(now, query, effects);
+            } else if active.hedge_at.is_some_and(|due| due <= now) {
+                self.hedge(now, query, effects);
             }
             return;
         }
@@ -372,9 +213,15 @@
             return;
         }
         self.catalog = catalog;
-        self.router.reconfigure(&self.catalog);
+        self.router.reconfigure(now, &self.catalog);
         for (name, service) in self.catalog.services() {
-            let limits = class_limits(service);
+            let tail = self.settings.tail_settings();
+            let view = self.views.entry(name.clone()).or_insert_with(|| ServiceView::new(tail));
+            view.snapshots.publish(published(service));
+            let limits = match self.settings.policy {
+                SchedulingPolicy::Standard => class_limits(service),
+                SchedulingPolicy::Baseline => common_limit(service),
+            };
             match self.admissions.get_mut(name) {
                 Some(admission) => admission.reconfigure(service.concurrency, limits),
                 None => {
@@ -390,14 +237,21 @@
         self.carry_out(now, decisions, effects);
     }
 
-    fn execution(&mut self, query: QueryId) -> Option<&mut Execution> {
-        self.queries.get_mut(&query)?.execution.as_mut()
+    /// The priority of a class as admission sees it: the baseline knows no classes.
+    fn scheduled_priority(&self, priority: u8) -> u8 {
+        match self.settings.policy {
+            SchedulingPolicy::Standard => priority,
+            SchedulingPolicy::Baseline => COMMON_PRIORITY,
+        }
     }
 
     fn forget(&mut self, query: QueryId) -> Option<ActiveQuery> {
         let active = self.queries.remove(&query)?;
         self.timers.remove(&(active.submission.deadline, query));
         self.timers.remove(&(active.answer_by(), query));
+        if let Some(due) = active.hedge_at {
+            self.timers.remove(&(due, query));
+        }
         Some(active)
     }
 }
@@ -410,24 +264,15 @@
         .collect()
 }
 
-fn published<'catalog>(
-    catalog: &'catalog Catalog,
-    service: &ServiceName,
-) -> Option<(Snapshot, &'catalog PartitionMap)> {
-    let service = catalog.services().get(service)?;
-    let snapshot = service.published()?;
-    Some((snapshot, service.partition(snapshot.epoch)?))
+/// One queue for all classes, as long as theirs together.
+fn common_limit(service: &Service) -> Vec<ClassLimit> {
+    let queue_limit = service.classes().iter().map(|class| class.queue_limit).sum();
+    vec![ClassLimit { priority: COMMON_PRIORITY, queue_limit }]
 }
 
-fn observe(completion: &LeafCompletion, latency: Duration) -> Observation {
-    match completion {
-        LeafCompletion::Replied(LeafReply::Result { .. }) => Observation::Answered(latency),
-        LeafCompletion::Replied(LeafReply::NotRun(NotRunReason::Cancelled)) => {
-            Observation::Cancelled
-        }
-        LeafCompletion::Replied(LeafReply::NotRun(_)) => Observation::Refused,
-        LeafCompletion::Failed(
-            LeafFailure::NotSent | LeafFailure::Broken | LeafFailure::LeafError,
-        ) => Observation::Failed,
-    }
+fn published(service: &Service) -> Vec<(Snapshot, usize)> {
+    let shards =
+        |snapshot: &Snapshot| service.partition(snapshot.epoch).map(|map| map.shards.len());
+    let retained = service.published_snapshots().iter();
+    retained.filter_map(|snapshot| Some((*snapshot, shards(snapshot)?))).collect()
 }
--- /dev/null
+++ b/crates/domain/src/dispatch/scatter.rs
@@ -0,0 +1,436 @@
+//! The way of one query over its leaves: scatter, retry, hedge, restart, gather.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{DEFAULT_RETRY_AFTER, Dispatcher, Effect, LeafCompletion};
+use crate::admission::RefusalReason;
+use crate::identifiers::{LeafId, LeafRequestId, QueryId, ServiceName, ShardId, Snapshot};
+use crate::query::{
+    Attempt, AttemptKind, Execution, LeafFailure, LeafReply, NotRunReason, Owed, Progress,
+    QueryOutcome, SnapshotDirectory,
+};
+use crate::routing::{Exclusions, Observation, ShardTable};
+use crate::tail::{TailControl, TailSettings};
+use crate::time::Timestamp;
+
+/// What one service's leaves were seen to do.
+#[derive(Debug)]
+pub(super) struct ServiceView {
+    pub(super) tail: TailControl,
+    pub(super) snapshots: SnapshotDirectory,
+}
+
+impl ServiceView {
+    pub(super) fn new(settings: TailSettings) -> Self {
+        Self { tail: TailControl::new(settings), snapshots: SnapshotDirectory::default() }
+    }
+}
+
+impl Dispatcher {
+    /// Starts a query that was admitted.
+    pub(super) fn start(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
+        let Some(active) = self.queries.get_mut(&query) else {
+            return;
+        };
+        self.timers.insert((active.answer_by(), query));
+        let repeatable = active.submission.repeatable;
+        let service = active.submission.service.clone();
+        let snapshot =
+            self.views.get(&service).and_then(|view| view.snapshots.choose(now, repeatable));
+        let target = snapshot.and_then(|snapshot| self.target(&service, snapshot));
+        let Some((snapshot, table)) = target else {
+            let reason = RefusalReason::NotServed;
+            let outcome = QueryOutcome::NotRun { reason, retry_after: DEFAULT_RETRY_AFTER };
+            self.end(now, query, outcome, effects);
+            return;
+        };
+        if let Some(active) = self.queries.get_mut(&query) {
+            active.execution = Some(Execution::new(query, snapshot, table, repeatable));
+        }
+        self.scatter(now, query, effects);
+    }
+
+    fn target(
+        &self,
+        service: &ServiceName,
+        snapshot: Snapshot,
+    ) -> Option<(Snapshot, Arc<ShardTable>)> {
+        Some((snapshot, self.router.table(service, snapshot.epoch)?))
+    }
+
+    fn scatter(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
+        let Some(execution) = self.execution(query) else {
+            return;
+        };
+        let table = execution.table().clone();
+        let mut progress = Progress::Waiting;
+        for route in &table.shards {
+            progress = self.attempt(now, query, route.shard, effects);
+        }
+        self.arm_hedge(now, query);
+        self.follow(now, query, progress, effects);
+    }
+
+    /// Sends one more request for the shard, or gives the shard up.
+    fn attempt(
+        &mut self,
+        now: Timestamp,
+        query: QueryId,
+        shard: ShardId,
+        effects: &mut Vec<Effect>,
+    ) -> Progress {
+        let Some(active) = self.queries.get_mut(&query) else {
+            return Progress::Waiting;
+        };
+        let deadline = active.submission.deadline;
+        let (Some(execution), Some(view)) =
+            (active.execution.as_mut(), self.views.get_mut(&active.submission.service))
+        else {
+            return Progress::Waiting;
+        };
+        let kind = execution.next_attempt(shard).filter(|kind| pay(*kind, &mut view.tail));
+        let Some(kind) = kind else {
+            return execution.give_up(shard);
+        };
+        let refused = view.snapshots.refusing(now, execution.snapshot());
+        let leaf = execution.route(shard).and_then(|route| {
+            let tried = execution.tried(shard);
+            let fresh = Exclusions { tried: &tried, refused: &refused };
+            let random = self.random.as_mut();
+            self.router.choose(now, route, fresh, random).or_else(|| {
+                let unfit = execution.unfit(shard);
+                let again = Exclusions { tried: &unfit, refused: &refused };
+                self.router.choose(now, route, again, random)
+            })
+        });
+        let Some(sending) = leaf.and_then(|leaf| execution.send(now, shard, leaf)) else {
+            pay_back(kind, &mut view.tail);
+            return execution.give_up(shard);
+        };
+        if kind == AttemptKind::Primary {
+            view.tail.primary_sent();
+        }
+        self.router.sent(sending.leaf);
+        effects.push(Effect::Send { sending, time_left: deadline.since(now) });
+        Progress::Waiting
+    }
+
+    /// A request to a leaf ended. A reply that is late or came already names no attempt in
+    /// flight; of it only the leaf's word on leaving counts.
+    pub(super) fn leaf_completed(
+        &mut self,
+        now: Timestamp,
+        leaf: LeafId,
+        request: LeafRequestId,
+        completion: LeafCompletion,
+        draining: Option<bool>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let attempt = self
+            .execution(request.query)
+            .and_then(|execution| execution.attempt_in_flight(request));
+        if let Some(draining) = draining {
+            let sent = attempt.map_or(Timestamp::ZERO, |attempt| attempt.sent);
+            self.router.mark_draining(now, leaf, sent, draining);
+        }
+        let Some(attempt) = attempt else {
+            return;
+        };
+        self.learn(now, request, attempt, &completion);
+        let Some(execution) = self.execution(request.query) else {
+            return;
+        };
+        let progress = match completion {
+            LeafCompletion::Replied(reply) => execution.replied(request, reply),
+            LeafCompletion::Failed(failure) => execution.failed(request, failure),
+        };
+        if progress == Progress::Waiting {
+            self.cancel_losers(now, request, effects);
+        }
+        self.follow(now, request.query, progress, effects);
+    }
+
+    /// Takes in what the end of a request says about its leaf, its service and its snapshot.
+    fn learn(
+        &mut self,
+        now: Timestamp,
+        request: LeafRequestId,
+        attempt: Attempt,
+        completion: &LeafCompletion,
+    ) {
+        let waited = now.since(attempt.sent);
+        let Some(active) = self.queries.get(&request.query) else {
+            return;
+        };
+        let (Some(execution), Some(view)) =
+            (&active.execution, self.views.get_mut(&active.submission.service))
+        else {
+            return;
+        };
+        let pinned = execution.snapshot();
+        let observation = match completion {
+            LeafCompletion::Replied(LeafReply::Result { snapshot, .. }) if *snapshot == pinned => {
+                view.tail.answered(now, waited);
+                view.snapshots.served(pinned, request.shard, attempt.leaf);
+                Observation::Answered(waited)
+            }
+            LeafCompletion::Replied(LeafReply::NotRun(reason)) => {
+                if *reason == NotRunReason::Shedding {
+                    view.tail.shed();
+                }
+                if *reason == NotRunReason::SnapshotUnavailable
+                    && let Some(route) = execution.route(request.shard)
+                {
+                    let router = &self.router;
+                    let live = route.replicas().filter(|leaf| router.takes_new_work(*leaf));
+                    view.snapshots.refused(now, pinned, attempt.leaf, live);
+                }
+                refusal(*reason, waited)
+            }
+            LeafCompletion::Replied(LeafReply::Result { .. }) => Observation::Failed(waited),
+            LeafCompletion::Failed(
+                LeafFailure::NotSent | LeafFailure::Broken | LeafFailure::LeafError,
+            ) => Observation::Failed(waited),
+        };
+        self.router.ended(now, attempt.leaf, observation);
+    }
+
+    /// Once a shard is answered, its other requests are not wanted any more.
+    fn cancel_losers(&mut self, now: Timestamp, request: LeafRequestId, effects: &mut Vec<Effect>) {
+        let Some(execution) = self.execution(request.query) else {
+            return;
+        };
+        if !execution.is_settled(request.shard) {
+            return;
+        }
+        let owed = execution.withdraw(request.shard);
+        self.cancel(now, request.query, &owed, effects);
+    }
+
+    pub(super) fn follow(
+        &mut self,
+        now: Timestamp,
+        query: QueryId,
+        progress: Progress,
+        effects: &mut Vec<Effect>,
+    ) {
+        match progress {
+            Progress::Waiting => {}
+            Progress::Complete => self.finish(now, query, effects),
+            Progress::Retry(shard) => {
+                let next = self.attempt(now, query, shard, effects);
+                if next == Progress::Complete {
+                    self.finish(now, query, effects);
+                }
+            }
+            Progress::SnapshotLost(shard) => self.snapshot_lost(now, query, shard, effects),
+        }
+    }
+
+    /// A replica does not hold the pinned snapshot: start over on a newer one if the query may;
+    /// else ask another replica of the shard; else start over on an older one; else the shard is
+    /// missing.
+    fn snapshot_lost(
+        &mut self,
+        now: Timestamp,
+        query: QueryId,
+        shard: ShardId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(active) = self.queries.get(&query) else {
+            return;
+        };
+        let service = &active.submission.service;
+        let (Some(execution), Some(view)) = (&active.execution, self.views.get(service)) else {
+            return;
+        };
+        let lost = execution.snapshot();
+        let may_restart = execution.may_restart();
+        let other = view.snapshots.newer(now, lost).or_else(|| {
+            let exhausted = !self.has_other_replica(now, execution, view, shard);
+            exhausted.then(|| view.snapshots.another(now, lost)).flatten()
+        });
+        let target = other.filter(|_| may_restart).and_then(|other| self.target(service, other));
+        match target {
+            Some((snapshot, table)) => self.restart(now, query, snapshot, table, effects),
+            None => self.follow(now, query, Progress::Retry(shard), effects),
+        }
+    }
+
+    fn has_other_replica(
+        &self,
+        now: Timestamp,
+        execution: &Execution,
+        view: &ServiceView,
+        shard: ShardId,
+    ) -> bool {
+        let refused = view.snapshots.refusing(now, execution.snapshot());
+        let tried = execution.tried(shard);
+        let open = |leaf: LeafId| {
+            !refused.contains(&leaf) && !tried.contains(&leaf) && self.router.takes_new_work(leaf)
+        };
+        execution.next_attempt(shard).is_some()
+            && execution.route(shard).is_some_and(|route| route.replicas().any(open))
+    }
+
+    fn restart(
+        &mut self,
+        now: Timestamp,
+        query: QueryId,
+        snapshot: Snapshot,
+        table: Arc<ShardTable>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(execution) = self.execution(query) else {
+            return;
+        };
+        let owed = execution.in_flight();
+        execution.restart(snapshot, table);
+        self.cancel(now, query, &owed, effects);
+        self.scatter(now, query, effects);
+    }
+
+    /// Sets the moment after which shards without a reply are late.
+    fn arm_hedge(&mut self, now: Timestamp, query: QueryId) {
+        let Some(active) = self.queries.get_mut(&query) else {
+            return;
+        };
+        let delay =
+            self.views.get(&active.submission.service).and_then(|view| view.tail.hedge_delay());
+        let (Some(delay), true) = (delay, active.submission.repeatable) else {
+            return;
+        };
+        if let Some(former) = active.hedge_at.take() {
+            self.timers.remove(&(former, query));
+        }
+        let due = now.after(delay);
+        active.hedge_at = Some(due);
+        self.timers.insert((due, query));
+    }
+
+    /// Hedges every late shard that the budget allows.
+    pub(super) fn hedge(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
+        let Some(execution) = self.execution(query) else {
+            return;
+        };
+        let late = execution.late_shards();
+        if late.is_empty() {
+            return;
+        }
+        for shard in late {
+            self.hedge_shard(now, query, shard, effects);
+        }
+        self.arm_hedge(now, query);
+    }
+
+    fn hedge_shard(
+        &mut self,
+        now: Timestamp,
+        query: QueryId,
+        shard: ShardId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(active) = self.queries.get_mut(&query) else {
+            return;
+        };
+        let deadline = active.submission.deadline;
+        let (Some(execution), Some(view)) =
+            (active.execution.as_mut(), self.views.get_mut(&active.submission.service))
+        else {
+            return;
+        };
+        if !view.tail.take_hedge() {
+            return;
+        }
+        let refused = view.snapshots.refusing(now, execution.snapshot());
+        let tried = execution.tried(shard);
+        let exclusions = Exclusions { tried: &tried, refused: &refused };
+        let leaf = execution
+            .route(shard)
+            .and_then(|route| self.router.choose(now, route, exclusions, self.random.as_mut()));
+        let Some(sending) = leaf.and_then(|leaf| execution.send(now, shard, leaf)) else {
+            view.tail.give_back_hedge();
+            return;
+        };
+        self.router.sent(sending.leaf);
+        effects.push(Effect::Send { sending, time_left: deadline.since(now) });
+    }
+
+    pub(super) fn finish(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
+        let Some(active) = self.queries.get(&query) else {
+            return;
+        };
+        let Some(execution) = active.execution.as_ref() else {
+            return;
+        };
+        let retry_after = self
+            .admissions
+            .get(&active.submission.service)
+            .map_or(DEFAULT_RETRY_AFTER, |admission| admission.retry_after(active.policy.priority));
+        let outcome = execution.finish(active.policy.price, retry_after);
+        self.end(now, query, outcome, effects);
+    }
+
+    /// Cancels requests whose replies are not wanted any more.
+    pub(super) fn cancel(
+        &mut self,
+        now: Timestamp,
+        query: QueryId,
+        owed: &[Owed],
+        effects: &mut Vec<Effect>,
+    ) {
+        let service = self.queries.get(&query).map(|active| &active.submission.service);
+        let late = service
+            .and_then(|service| self.views.get(service))
+            .and_then(|view| view.tail.late_after());
+        self.cancel_owed(now, late, owed, effects);
+    }
+
+    /// Cancels requests; one that was waited for longer than `late` counts as a failure of its
+    /// leaf, so that a leaf which never answers is left out although others always win.
+    pub(super) fn cancel_owed(
+        &mut self,
+        now: Timestamp,
+        late: Option<Duration>,
+        owed: &[Owed],
+        effects: &mut Vec<Effect>,
+    ) {
+        for owed in owed {
+            let waited = now.since(owed.sent);
+            let observation = match late {
+                Some(late) if waited >= late => Observation::Failed(waited),
+                _ => Observation::Cancelled(waited),
+            };
+            self.router.ended(now, owed.leaf, observation);
+            effects.push(Effect::Cancel { request: owed.request, leaf: owed.leaf });
+        }
+    }
+
+    fn execution(&mut self, query: QueryId) -> Option<&mut Execution> {
+        self.queries.get_mut(&query)?.execution.as_mut()
+    }
+}
+
+fn pay(kind: AttemptKind, tail: &mut TailControl) -> bool {
+    match kind {
+        AttemptKind::Primary => true,
+        AttemptKind::Retry => tail.take_retry(),
+    }
+}
+
+fn pay_back(kind: AttemptKind, tail: &mut TailControl) {
+    if kind == AttemptKind::Retry {
+        tail.give_back_retry();
+    }
+}
+
+fn refusal(reason: NotRunReason, waited: Duration) -> Observation {
+    match reason {
+        NotRunReason::Cancelled => Observation::Cancelled(waited),
+        NotRunReason::Shedding
+        | NotRunReason::Draining
+        | NotRunReason::SnapshotUnavailable
+        | NotRunReason::DeadlinePassed => Observation::Refused,
+    }
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod identifiers;
 pub mod query;
 pub mod routing;
+pub mod tail;
 pub mod time;
--- a/crates/domain/src/query/execution.rs
+++ b/crates/domain/src/query/execution.rs
@@ -1,6 +1,6 @@
 //! Scatter and gather of one query over the shards of one snapshot.
 
-use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,12 +9,16 @@
 use super::outcome::{Answer, MissingReason, MissingShard, QueryOutcome, ShardPart};
 use super::reply::{LeafFailure, LeafReply, NotRunReason};
 use crate::admission::RefusalReason;
-use crate::catalog::PartitionMap;
 use crate::identifiers::{LeafId, LeafRequestId, QueryId, ShardId, Snapshot};
+use crate::routing::{ShardRoute, ShardTable};
 use crate::time::Timestamp;
 
-/// Attempts at one shard that are made at most, over the whole query.
+/// Attempts at one shard of one snapshot whose request may have reached a leaf.
 const MAXIMUM_ATTEMPTS: usize = 3;
+/// Attempts at one shard of one snapshot that failed before a byte was written.
+const MAXIMUM_UNSENT: usize = 8;
+/// Times that one query starts over on another snapshot.
+const MAXIMUM_RESTARTS: u8 = 2;
 
 /// One request to one leaf.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,10 +35,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum AttemptState {
     InFlight,
+    NotSent,
     NotRun,
     MayHaveRun,
 }
 
+impl AttemptState {
+    fn is_certainly_not_run(self) -> bool {
+        matches!(self, Self::NotSent | Self::NotRun)
+    }
+}
+
 /// A leaf request to send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sending {
@@ -46,6 +57,17 @@
     pub snapshot: Snapshot,
 }
 
+/// A leaf request in flight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Owed {
+    /// Its identifier.
+    pub request: LeafRequestId,
+    /// The leaf that has it.
+    pub leaf: LeafId,
+    /// When it was sent.
+    pub sent: Timestamp,
+}
+
 /// What the dispatcher has to do after an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
@@ -59,9 +81,17 @@
     Complete,
 }
 
-#[derive(Debug)]
+/// What another attempt at a shard would be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptKind {
+    /// The first, or one after attempts of which no byte was written: no extra load.
+    Primary,
+    /// One more after a failure.
+    Retry,
+}
+
+#[derive(Debug, Default)]
 struct ShardProgress {
-    replicas: Vec<LeafId>,
     attempts: SmallVec<[Attempt; 2]>,
     body: Option<Bytes>,
     given_up: bool,
@@ -76,10 +106,20 @@
         self.attempts.iter().any(|attempt| attempt.state == AttemptState::InFlight)
     }
 
+    fn unsent(&self) -> usize {
+        self.attempts.iter().filter(|attempt| attempt.state == AttemptState::NotSent).count()
+    }
+
     fn missing_reason(&self) -> MissingReason {
-        let certain = self.attempts.iter().all(|attempt| attempt.state == AttemptState::NotRun);
+        let certain = self.attempts.iter().all(|attempt| attempt.state.is_certainly_not_run());
         if certain { MissingReason::NotRun } else { MissingReason::Unknown }
     }
+
+    fn end_attempt(&mut self, number: u16, state: AttemptState) {
+        if let Some(attempt) = self.attempts.iter_mut().find(|attempt| attempt.number == number) {
+            attempt.state = state;
+        }
+    }
 }
 
 /// State of a query that runs.
@@ -87,38 +127,38 @@
 pub struct Execution {
     query: QueryId,
     snapshot: Snapshot,
+    table: Arc<ShardTable>,
     repeatable: bool,
     may_have_run_before: bool,
     next_attempt: u16,
-    shards: BTreeMap<ShardId, ShardProgress>,
+    restarts: u8,
+    shards: Vec<ShardProgress>,
     unsettled: usize,
+    merged: usize,
 }
 
 impl Execution {
-    /// Starts a query on a snapshot; nothing is sent yet.
-    pub fn new(query: QueryId, snapshot: Snapshot, map: &PartitionMap, repeatable: bool) -> Self {
-        let shards: BTreeMap<ShardId, ShardProgress> = map
-            .shards
-            .iter()
-            .map(|(shard, replicas)| {
-                let progress = ShardProgress {
-                    replicas: replicas.clone(),
-                    attempts: SmallVec::new(),
-                    body: None,
-                    given_up: false,
-                };
-                (*shard, progress)
-            })
-            .collect();
+    /// Starts a query on a snapshot; nothing is sent yet. `table` is that of the snapshot's epoch.
+    pub fn new(
+        query: QueryId,
+        snapshot: Snapshot,
+        table: Arc<ShardTable>,
+        repeatable: bool,
+    ) -> Self {
+        let mut shards = Vec::new();
+        shards.resize_with(table.shards.len(), ShardProgress::default);
         let unsettled = shards.len();
         Self {
             query,
             snapshot,
+            table,
             repeatable,
             may_have_run_before: false,
             next_attempt: 0,
+            restarts: 0,
             shards,
             unsettled,
+            merged: 0,
         }
     }
 
@@ -127,40 +167,77 @@
         self.snapshot
     }
 
-    /// All shards of the query.
-    pub fn shard_ids(&self) -> Vec<ShardId> {
-        self.shards.keys().copied().collect()
+    /// The routes of the query's shards.
+    pub fn table(&self) -> &Arc<ShardTable> {
+        &self.table
+    }
+
+    /// The route of a shard.
+    pub fn route(&self, shard: ShardId) -> Option<&ShardRoute> {
+        Some(&self.table.shards[self.index(shard)?])
     }
 
-    /// Replicas of a shard.
-    pub fn replicas(&self, shard: ShardId) -> &[LeafId] {
-        self.shards.get(&shard).map_or(&[], |progress| &progress.replicas)
+    /// Whether any shard's reply was merged.
+    pub fn has_parts(&self) -> bool {
+        self.merged > 0
+    }
+
+    /// Whether the shard's reply was merged or the shard was given up.
+    pub fn is_settled(&self, shard: ShardId) -> bool {
+        self.progress_of(shard).is_some_and(ShardProgress::settled)
     }
 
     /// Leaves that were asked for the shard.
     pub fn tried(&self, shard: ShardId) -> SmallVec<[LeafId; 4]> {
-        self.shards
-            .get(&shard)
+        self.progress_of(shard)
             .map(|progress| progress.attempts.iter().map(|attempt| attempt.leaf).collect())
             .unwrap_or_default()
     }
 
-    /// Whether another attempt at the shard is allowed: always the first one; later ones only
-    /// for a repeatable query, or when no byte of the earlier ones was written.
-    pub fn may_attempt(&self, shard: ShardId) -> bool {
-        let Some(progress) = self.shards.get(&shard) else {
-            return false;
+    /// Leaves of the shard that it makes no sense to ask again: they refused, or have it still.
+    pub fn unfit(&self, shard: ShardId) -> SmallVec<[LeafId; 4]> {
+        let unfit = |attempt: &&Attempt| {
+            matches!(attempt.state, AttemptState::NotRun | AttemptState::InFlight)
         };
-        if progress.settled() || progress.attempts.len() >= MAXIMUM_ATTEMPTS {
-            return false;
+        self.progress_of(shard)
+            .map(|progress| progress.attempts.iter().filter(unfit).map(|a| a.leaf).collect())
+            .unwrap_or_default()
+    }
+
+    /// What another attempt at the shard would be; none when no further one is allowed. A query
+    /// that is not repeatable is written to one replica once: another attempt is allowed only
+    /// when no byte of the earlier ones was written.
+    pub fn next_attempt(&self, shard: ShardId) -> Option<AttemptKind> {
+        let progress = self.progress_of(shard)?;
+        if progress.settled() {
+            return None;
+        }
+        let unsent = progress.unsent();
+        let written = progress.attempts.len() - unsent;
+        if written == 0 {
+            return (unsent < MAXIMUM_UNSENT).then_some(AttemptKind::Primary);
+        }
+        (self.repeatable && written < MAXIMUM_ATTEMPTS).then_some(AttemptKind::Retry)
+    }
+
+    /// Shards whose only written attempt is in flight still, when hedging them is allowed.
+    pub fn late_shards(&self) -> SmallVec<[ShardId; 8]> {
+        if !self.repeatable {
+            return SmallVec::new();
         }
-        self.repeatable || progress.attempts.is_empty()
+        let late = |progress: &ShardProgress| {
+            !progress.settled()
+                && progress.in_flight()
+                && progress.attempts.len() - progress.unsent() == 1
+        };
+        let shards = self.table.shards.iter().zip(&self.shards);
+        shards.filter(|(_, progress)| late(progress)).map(|(route, _)| route.shard).collect()
     }
 
     /// Records that the shard is asked of `leaf` now.
     pub fn send(&mut self, now: Timestamp, shard: ShardId, leaf: LeafId) -> Option<Sending> {
         let number = self.next_attempt;
-        let progress = self.shards.get_mut(&shard)?;
+        let progress = self.progress_mut(shard)?;
         let state = AttemptState::InFlight;
         progress.attempts.push(Attempt { number, leaf, sent: now, state });
         self.next_attempt += 1;
@@ -170,7 +247,7 @@
 
     /// No replica can be asked for the shard any more.
     pub fn give_up(&mut self, shard: ShardId) -> Progress {
-        if let Some(progress) = self.shards.get_mut(&shard)
+        if let Some(progress) = self.progress_mut(shard)
             && !progress.settled()
             && !progress.in_flight()
         {
@@ -182,7 +259,7 @@
 
     /// The attempt that a request identifier names, while it is in flight.
     pub fn attempt_in_flight(&self, request: LeafRequestId) -> Option<Attempt> {
-        let progress = self.shards.get(&request.shard)?;
+        let progress = self.progress_of(request.shard)?;
         progress
             .attempts
             .iter()
@@ -193,18 +270,24 @@
     }
 
     /// All requests in flight.
-    pub fn in_flight(&self) -> Vec<Sending> {
-        let mut sendings = Vec::new();
-        for (shard, progress) in &self.shards {
-            for attempt in &progress.attempts {
-                if attempt.state == AttemptState::InFlight {
-                    let request =
-                        LeafRequestId { query: self.query, shard: *shard, attempt: attempt.number };
-                    sendings.push(Sending { request, leaf: attempt.leaf, snapshot: self.snapshot });
-                }
-            }
+    pub fn in_flight(&self) -> Vec<Owed> {
+        let mut owed = Vec::new();
+        for (route, progress) in self.table.shards.iter().zip(&self.shards) {
+            owed.extend(self.owed_by(route.shard, progress));
         }
-        sendings
+        owed
+    }
+
+    /// Takes the requests of a shard that are in flight back; their replies are not wanted.
+    pub fn withdraw(&mut self, shard: ShardId) -> SmallVec<[Owed; 2]> {
+        let Some(index) = self.index(shard) else {
+            return SmallVec::new();
+        };
+        let owed: SmallVec<[Owed; 2]> = self.owed_by(shard, &self.shards[index]).collect();
+        for request in &owed {
+            self.shards[index].end_attempt(request.request.attempt, AttemptState::MayHaveRun);
+        }
+        owed
     }
 
     /// A leaf replied. A reply of another snapshot is never merged.
@@ -218,8 +301,10 @@
             }
             LeafReply::Result { .. } => self.attempt_ended(request, AttemptState::MayHaveRun),
             LeafReply::NotRun(NotRunReason::SnapshotUnavailable) => {
-                self.attempt_ended(request, AttemptState::NotRun);
-                Progress::SnapshotLost(request.shard)
+                match self.attempt_ended(request, AttemptState::NotRun) {
+                    Progress::Retry(shard) => Progress::SnapshotLost(shard),
+                    progress => progress,
+                }
             }
             LeafReply::NotRun(_) => self.attempt_ended(request, AttemptState::NotRun),
         }
@@ -231,32 +316,36 @@
             return self.progress();
         }
         match failure {
-            LeafFailure::NotSent => self.attempt_ended(request, AttemptState::NotRun),
+            LeafFailure::NotSent => self.attempt_ended(request, AttemptState::NotSent),
             LeafFailure::Broken | LeafFailure::LeafError => {
                 self.attempt_ended(request, AttemptState::MayHaveRun)
             }
         }
     }
 
-    /// Starts over on another snapshot within the same query.
-    pub fn restart(&mut self, snapshot: Snapshot, map: &PartitionMap) {
+    /// Starts over on another snapshot within the same query. Attempts are numbered on, so that
+    /// late replies to the former ones name no attempt any more.
+    pub fn restart(&mut self, snapshot: Snapshot, table: Arc<ShardTable>) {
         let ran = self.may_have_run();
         let next_attempt = self.next_attempt;
-        *self = Self::new(self.query, snapshot, map, self.repeatable);
+        let restarts = self.restarts + 1;
+        *self = Self::new(self.query, snapshot, table, self.repeatable);
         self.next_attempt = next_attempt;
+        self.restarts = restarts;
         self.may_have_run_before = ran;
     }
 
-    /// Whether the query may start over: only when running a leaf request twice is allowed.
+    /// Whether the query may start over: only a bounded number of times, and only when running
+    /// a leaf request twice is allowed.
     pub fn may_restart(&self) -> bool {
-        self.repeatable
+        self.repeatable && self.restarts < MAXIMUM_RESTARTS
     }
 
     /// Ends the query with what there is now.
     pub fn finish(&self, price: u64, retry_after: Duration) -> QueryOutcome {
         let answer = self.answer(price);
         let unknown = answer.missing.iter().any(|shard| shard.reason == MissingReason::Unknown);
-        if answer.parts.is_empty() && !unknown && !self.may_have_run_before {
+        if answer.parts.is_empty() && !unknown {
             return QueryOutcome::NotRun { reason: RefusalReason::LeavesRefused, retry_after };
         }
         if answer.parts.is_empty() || (unknown && !self.repeatable) {
@@ -266,38 +355,47 @@
     }
 
     fn answer(&self, price: u64) -> Answer {
-        let mut parts = Vec::with_capacity(self.shards.len());
+        let mut parts = Vec::with_capacity(self.merged);
         let mut missing = Vec::new();
-        for (shard, progress) in &self.shards {
+        for (route, progress) in self.table.shards.iter().zip(&self.shards) {
+            let shard = route.shard;
             match &progress.body {
-                Some(body) => parts.push(ShardPart { shard: *shard, body: body.clone() }),
-                None => {
-                    missing.push(MissingShard { shard: *shard, reason: progress.missing_reason() })
-                }
+                Some(body) => parts.push(ShardPart { shard, body: body.clone() }),
+                None => missing.push(MissingShard { shard, reason: self.missing_reason(progress) }),
             }
         }
         Answer { snapshot: self.snapshot, parts, missing, price }
     }
 
+    /// After a restart a shard may have run on the former snapshot, whatever came of it since.
+    fn missing_reason(&self, progress: &ShardProgress) -> MissingReason {
+        if self.may_have_run_before { MissingReason::Unknown } else { progress.missing_reason() }
+    }
+
     fn may_have_run(&self) -> bool {
         self.may_have_run_before
-            || self.shards.values().any(|progress| {
+            || self.shards.iter().any(|progress| {
                 progress.body.is_some() || progress.missing_reason() == MissingReason::Unknown
             })
     }
 
     fn merge(&mut self, request: LeafRequestId, body: Bytes) -> Progress {
-        let progress = self.shards.get_mut(&request.shard).expect("the attempt is in flight");
+        let Some(progress) = self.progress_mut(request.shard) else {
+            return self.progress();
+        };
         progress.end_attempt(request.attempt, AttemptState::MayHaveRun);
         if !progress.settled() {
             progress.body = Some(body);
             self.unsettled -= 1;
+            self.merged += 1;
         }
         self.progress()
     }
 
     fn attempt_ended(&mut self, request: LeafRequestId, state: AttemptState) -> Progress {
-        let progress = self.shards.get_mut(&request.shard).expect("the attempt is in flight");
+        let Some(progress) = self.progress_mut(request.shard) else {
+            return self.progress();
+        };
         progress.end_attempt(request.attempt, state);
         if progress.settled() || progress.in_flight() {
             return self.progress();
@@ -308,12 +406,36 @@
     fn progress(&self) -> Progress {
         if self.unsettled == 0 { Progress::Complete } else { Progress::Waiting }
     }
-}
 
-impl ShardProgress {
-    fn end_attempt(&mut self, number: u16, state: AttemptState) {
-        if let Some(attempt) = self.attempts.iter_mut().find(|attempt| attempt.number == number) {
-            attempt.state = state;
+    fn owed_by<'progress>(
+        &self,
+        shard: ShardId,
+        progress: &'progress ShardProgress,
+    ) -> impl Iterator<Item = Owed> + use<'progress> {
+        let query = self.query;
+        let in_flight =
+            progress.attempts.iter().filter(|attempt| attempt.state == AttemptState::InFlight);
+        in_flight.map(move |attempt| Owed {
+            request: LeafRequestId { query, shard, attempt: attempt.number },
+            leaf: attempt.leaf,
+            sent: attempt.sent,
+        })
+    }
+
+    fn index(&self, shard: ShardId) -> Option<usize> {
+        let expected = shard.0 as usize;
+        if self.table.shards.get(expected).is_some_and(|route| route.shard == shard) {
+            return Some(expected);
         }
+        self.table.shards.binary_search_by_key(&shard, |route| route.shard).ok()
+    }
+
+    fn progress_of(&self, shard: ShardId) -> Option<&ShardProgress> {
+        Some(&self.shards[self.index(shard)?])
+    }
+
+    fn progress_mut(&mut self, shard: ShardId) -> Option<&mut ShardProgress> {
+        let index = self.index(shard)?;
+        Some(&mut self.shards[index])
     }
 }
--- a/crates/domain/src/query/mod.rs
+++ b/crates/domain/src/query/mod.rs
@@ -3,13 +3,15 @@
 mod execution;
 mod outcome;
 mod reply;
+mod snapshots;
 
 use crate::identifiers::{CallerName, ClassName, QueryId, ServiceName};
 use crate::time::Timestamp;
 
-pub use execution::{Attempt, Execution, Progress, Sending};
+pub use execution::{Attempt, AttemptKind, Execution, Owed, Progress, Sending};
 pub use outcome::{Answer, MissingReason, MissingShard, QueryOutcome, ShardPart};
 pub use reply::{LeafFailure, LeafReply, NotRunReason};
+pub use snapshots::SnapshotDirectory;
 
 /// A query as a caller submits it.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/domain/src/routing/mod.rs
+++ b/crates/domain/src/routing/mod.rs
@@ -1,16 +1,38 @@
 //! Choice of a replica for each shard, from this broker's own observations.
 
+mod ejection;
+pub mod subset;
+mod table;
+mod view;
+
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand_core::RngCore;
 
-use crate::catalog::{Catalog, LeafState};
-use crate::identifiers::LeafId;
+use crate::catalog::{Catalog, Leaf, LeafState};
+use crate::identifiers::{LeafId, PartitionEpoch, ServiceName};
 use crate::time::Timestamp;
+use subset::{BrokerEntry, Subsetting};
+use view::LeafView;
+
+pub use table::{Distance, ShardRoute, ShardTable};
 
-/// Weight of the newest latency in the smoothed latency.
-const LATENCY_SMOOTHING: f64 = 0.2;
+/// A farther replica is taken when the nearer one is expected to take this many times as long.
+const SPILL_FACTOR: f64 = 3.0;
+/// A replica whose latency exceeds this multiple of its peers' median is left out.
+const OUTLIER_FACTOR: f64 = 4.0;
+/// Latency in seconds that a replica needs besides, so that noise ejects nobody.
+const OUTLIER_FLOOR: f64 = 0.005;
+/// One replica in this many of a shard may be left out at the same time.
+const EJECTED_SHARE: usize = 2;
+/// Time between comparisons of latencies.
+const COMPARISON_PERIOD: Duration = Duration::from_millis(500);
+/// Weight of the newest latency in the latency common to all leaves.
+const COMMON_SMOOTHING: f64 = 0.01;
+/// Random draws from a tier before it is searched in order.
+const DRAWS: usize = 4;
 
 /// How a leaf request ended, as seen by this broker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,56 +41,150 @@
     Answered(Duration),
     /// The leaf refused without running it.
     Refused,
-    /// The leaf failed or did not answer in time.
-    Failed,
-    /// This broker cancelled the request.
-    Cancelled,
+    /// The leaf failed or did not answer in time; this is how long it was waited for.
+    Failed(Duration),
+    /// This broker cancelled the request after this time.
+    Cancelled(Duration),
+}
+
+/// How replicas are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoutingPolicy {
+    /// By own outcomes, near ones first, within this broker's subset.
+    Measured,
+    /// At random among all that are not draining; the baseline of experiments.
+    Random,
+}
+
+/// What limits a choice.
+#[derive(Debug, Clone, Copy)]
+pub struct Exclusions<'lists> {
+    /// Leaves that were asked already.
+    pub tried: &'lists [LeafId],
+    /// Leaves known not to hold the snapshot.
+    pub refused: &'lists [LeafId],
 }
 
-#[derive(Debug, Default)]
-struct LeafView {
-    in_flight: u32,
-    smoothed_latency: f64,
-    operator_draining: bool,
-    marked_draining: bool,
+impl Exclusions<'_> {
+    fn contains(&self, leaf: LeafId) -> bool {
+        self.tried.contains(&leaf) || self.refused.contains(&leaf)
+    }
 }
 
 /// Chooses replicas.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Router {
+    own: BrokerEntry,
+    policy: RoutingPolicy,
     leaves: BTreeMap<LeafId, LeafView>,
+    entries: BTreeMap<LeafId, Leaf>,
+    tables: BTreeMap<ServiceName, Vec<Arc<ShardTable>>>,
+    brokers: Arc<[BrokerEntry]>,
+    common_latency: f64,
+    compared: Timestamp,
 }
 
 impl Router {
+    /// A router without leaves for the broker `own`.
+    pub fn new(own: BrokerEntry, policy: RoutingPolicy) -> Self {
+        Self {
+            own,
+            policy,
+            leaves: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            tables: BTreeMap::new(),
+            brokers: Arc::new([]),
+            common_latency: 0.001,
+            compared: Timestamp::ZERO,
+        }
+    }
+
     /// Takes over the leaves of a catalog; observations of those that remain are kept.
-    pub fn reconfigure(&mut self, catalog: &Catalog) {
+    pub fn reconfigure(&mut self, now: Timestamp, catalog: &Catalog) {
+        let first = self.leaves.is_empty();
         self.leaves.retain(|leaf, _| catalog.leaves().contains_key(leaf));
         for (id, leaf) in catalog.leaves() {
-            let view = self.leaves.entry(*id).or_default();
-            view.operator_draining = leaf.state == LeafState::Draining;
+            let view = self
+                .leaves
+                .entry(*id)
+                .or_insert_with(|| if first { LeafView::default() } else { LeafView::cold(now) });
+            let changed = self.entries.get(id).is_some_and(|former| former != leaf);
+            if changed && leaf.state == LeafState::Active {
+                view.drain.leaf = false;
+                view.drain.platform = false;
+                view.cool(now);
+            }
+            view.drain.operator = leaf.state == LeafState::Draining;
+        }
+        self.entries = catalog.leaves().clone();
+        self.lay_out(catalog);
+    }
+
+    /// Takes over the list of brokers that share the leaves.
+    pub fn brokers_changed(&mut self, brokers: Arc<[BrokerEntry]>, catalog: &Catalog) {
+        self.brokers = brokers;
+        self.lay_out(catalog);
+    }
+
+    /// The platform's list of leaving machines, whole; it lags, so it only adds to the others.
+    pub fn platform_leaving(&mut self, now: Timestamp, leaving: &[LeafId]) {
+        for (id, view) in &mut self.leaves {
+            let listed = leaving.contains(id);
+            if view.drain.platform && !listed {
+                view.cool(now);
+            }
+            view.drain.platform = listed;
         }
     }
 
-    /// Chooses one of `replicas` that is not in `tried`, or none when no replica takes work.
+    /// The routes of a service's shards at an epoch.
+    pub fn table(&self, service: &ServiceName, epoch: PartitionEpoch) -> Option<Arc<ShardTable>> {
+        self.tables.get(service)?.iter().find(|table| table.epoch == epoch).cloned()
+    }
+
+    /// Connections that this broker may open to a leaf.
+    pub fn connection_limit(&self, leaf: LeafId) -> usize {
+        self.leaves.get(&leaf).map_or(0, |view| view.connection_limit)
+    }
+
+    /// Chooses a replica, or none when no replica takes work. Replicas that are left out or
+    /// outside the subset are asked only when there is no other.
     pub fn choose(
-        &mut self,
-        replicas: &[LeafId],
-        tried: &[LeafId],
+        &self,
+        now: Timestamp,
+        route: &ShardRoute,
+        exclusions: Exclusions<'_>,
         random: &mut dyn RngCore,
     ) -> Option<LeafId> {
-        let usable: Vec<LeafId> = replicas
-            .iter()
-            .copied()
-            .filter(|leaf| !tried.contains(leaf) && self.takes_new_work(*leaf))
-            .collect();
-        let first = pick(&usable, random)?;
-        let second = pick(&usable, random)?;
-        Some(self.less_loaded(first, second))
+        if self.policy == RoutingPolicy::Random {
+            let all: Vec<LeafId> = route.replicas().collect();
+            let usable = |leaf| !exclusions.contains(leaf) && self.takes_new_work(leaf);
+            return draw(&all, usable, random);
+        }
+        let in_service = |leaf: LeafId| {
+            !exclusions.contains(leaf)
+                && self
+                    .leaves
+                    .get(&leaf)
+                    .is_some_and(|view| view.takes_new_work() && !view.ejection.is_out(now))
+        };
+        self.best_tier(now, &route.tiers, in_service, random)
+            .or_else(|| draw(&route.spare, in_service, random))
+            .or_else(|| {
+                let all: Vec<LeafId> = route.replicas().collect();
+                let usable = |leaf| !exclusions.contains(leaf) && self.takes_new_work(leaf);
+                draw(&all, usable, random)
+            })
     }
 
     /// Whether new work may be sent to the leaf.
     pub fn takes_new_work(&self, leaf: LeafId) -> bool {
-        self.leaves.get(&leaf).is_some_and(|view| !view.operator_draining && !view.marked_draining)
+        self.leaves.get(&leaf).is_some_and(LeafView::takes_new_work)
+    }
+
+    /// Whether the leaf is left out for doing badly.
+    pub fn is_ejected(&self, now: Timestamp, leaf: LeafId) -> bool {
+        self.leaves.get(&leaf).is_some_and(|view| view.ejection.is_out(now))
     }
 
     /// A request was sent to the leaf.
@@ -79,37 +195,200 @@
     }
 
     /// A request to the leaf ended.
-    pub fn ended(&mut self, _now: Timestamp, leaf: LeafId, observation: Observation) {
+    pub fn ended(&mut self, now: Timestamp, leaf: LeafId, observation: Observation) {
         let Some(view) = self.leaves.get_mut(&leaf) else {
             return;
         };
         view.in_flight = view.in_flight.saturating_sub(1);
-        if let Observation::Answered(latency) = observation {
-            view.smoothed_latency +=
-                LATENCY_SMOOTHING * (latency.as_secs_f64() - view.smoothed_latency);
+        view.observe(now, observation);
+        match observation {
+            Observation::Answered(latency) => {
+                view.ejection.answered();
+                self.common_latency +=
+                    COMMON_SMOOTHING * (latency.as_secs_f64() - self.common_latency);
+            }
+            Observation::Failed(_) => {
+                if view.ejection.failed() {
+                    self.eject(now, leaf);
+                }
+            }
+            Observation::Refused | Observation::Cancelled(_) => {}
+        }
+        if now.since(self.compared) >= COMPARISON_PERIOD {
+            self.compared = now;
+            self.eject_slow(now);
         }
     }
 
-    /// The leaf said on a reply that it is leaving, or that it is not.
-    pub fn mark_draining(&mut self, leaf: LeafId, draining: bool) {
+    /// The leaf said on the reply to a request sent at `sent` whether it is leaving.
+    pub fn mark_draining(&mut self, now: Timestamp, leaf: LeafId, sent: Timestamp, draining: bool) {
         if let Some(view) = self.leaves.get_mut(&leaf) {
-            view.marked_draining = draining;
+            view.mark(now, sent, draining);
+        }
+    }
+
+    fn lay_out(&mut self, catalog: &Catalog) {
+        let subsetting = Subsetting::new(self.own.clone(), &self.brokers);
+        self.tables.clear();
+        for (name, service) in catalog.services() {
+            let tables = service.partitions().iter().map(|map| {
+                let table = match self.policy {
+                    RoutingPolicy::Measured => ShardTable::new(map, catalog.leaves(), &subsetting),
+                    RoutingPolicy::Random => ShardTable::flat(map, catalog.leaves()),
+                };
+                Arc::new(table)
+            });
+            self.tables.insert(name.clone(), tables.collect());
         }
+        self.limit_connections(catalog, &subsetting);
     }
 
-    fn less_loaded(&self, first: LeafId, second: LeafId) -> LeafId {
-        let load = |leaf: LeafId| {
-            let view = &self.leaves[&leaf];
-            (view.in_flight, view.smoothed_latency)
+    /// Divides each leaf's connection limit by the brokers that hold it, over all its shards in
+    /// the newest map of each service.
+    fn limit_connections(&mut self, catalog: &Catalog, subsetting: &Subsetting) {
+        let mut holders: BTreeMap<LeafId, usize> = BTreeMap::new();
+        for service in catalog.services().values() {
+            let Some(map) = service.partition(service.newest_epoch()) else {
+                continue;
+            };
+            for replicas in map.shards.values() {
+                let placed: Vec<&Leaf> =
+                    replicas.iter().filter_map(|leaf| catalog.leaves().get(leaf)).collect();
+                let by_placement = subsetting.holders(&placed);
+                for leaf in placed {
+                    let count = by_placement.get(&leaf.placement).copied().unwrap_or(1);
+                    *holders.entry(leaf.id).or_default() += count;
+                }
+            }
+        }
+        for (id, view) in &mut self.leaves {
+            let limit = catalog.leaves().get(id).map_or(1, |leaf| leaf.connection_limit as usize);
+            let holders =
+                if subsetting.is_alone() { 1 } else { holders.get(id).copied().unwrap_or(1) };
+            view.connection_limit = (limit / holders.max(1)).max(1);
+        }
+    }
+
+    /// The better of two random replicas of the nearest tier that has any, unless one of a
+    /// farther tier is expected to be [`SPILL_FACTOR`] times faster.
+    fn best_tier(
+        &self,
+        now: Timestamp,
+        tiers: &[Vec<LeafId>],
+        usable: impl Fn(LeafId) -> bool + Copy,
+        random: &mut dyn RngCore,
+    ) -> Option<LeafId> {
+        let mut best: Option<(LeafId, f64)> = None;
+        for tier in tiers {
+            let Some((leaf, cost)) = self.best_of_two(now, tier, usable, random) else {
+                continue;
+            };
+            if best.is_none_or(|(_, nearer)| nearer > SPILL_FACTOR * cost) {
+                best = Some((leaf, cost));
+            }
+        }
+        best.map(|(leaf, _)| leaf)
+    }
+
+    fn best_of_two(
+        &self,
+        now: Timestamp,
+        tier: &[LeafId],
+        usable: impl Fn(LeafId) -> bool + Copy,
+        random: &mut dyn RngCore,
+    ) -> Option<(LeafId, f64)> {
+        let first = draw(tier, usable, random)?;
+        let first_cost = self.cost(now, first);
+        let others = |leaf| leaf != first && usable(leaf);
+        let Some(second) = draw(tier, others, random) else {
+            return Some((first, first_cost));
         };
-        if load(second) < load(first) { second } else { first }
+        let second_cost = self.cost(now, second);
+        Some(if second_cost < first_cost { (second, second_cost) } else { (first, first_cost) })
+    }
+
+    fn cost(&self, now: Timestamp, leaf: LeafId) -> f64 {
+        self.leaves.get(&leaf).map_or(f64::INFINITY, |view| view.cost(now, self.common_latency))
+    }
+
+    /// Leaves out replicas that answer far more slowly than the others of their shard.
+    fn eject_slow(&mut self, now: Timestamp) {
+        let mut slow = Vec::new();
+        for table in self.tables.values().flatten() {
+            for route in &table.shards {
+                self.find_slow(now, route, &mut slow);
+            }
+        }
+        for leaf in slow {
+            if !self.is_ejected(now, leaf) {
+                self.eject(now, leaf);
+            }
+        }
+    }
+
+    fn find_slow(&self, now: Timestamp, route: &ShardRoute, slow: &mut Vec<LeafId>) {
+        for tier in &route.tiers {
+            let mut measured: Vec<(f64, LeafId)> = tier
+                .iter()
+                .filter(|leaf| !self.is_ejected(now, **leaf))
+                .filter_map(|leaf| Some((self.leaves.get(leaf)?.comparable_latency()?, *leaf)))
+                .collect();
+            if measured.len() < 2 {
+                continue;
+            }
+            measured.sort_by(|one, other| one.0.total_cmp(&other.0));
+            let median = measured[(measured.len() - 1) / 2].0;
+            let bound = (median * OUTLIER_FACTOR).max(median + OUTLIER_FLOOR);
+            slow.extend(
+                measured.iter().filter(|(latency, _)| *latency > bound).map(|(_, leaf)| *leaf),
+            );
+        }
+    }
+
+    /// Leaves a replica out, unless too many of one of its shards would be out.
+    fn eject(&mut self, now: Timestamp, leaf: LeafId) {
+        let allowed = self.policy == RoutingPolicy::Measured
+            && self
+                .tables
+                .values()
+                .flatten()
+                .flat_map(|table| &table.shards)
+                .filter(|route| route.replicas().any(|replica| replica == leaf))
+                .all(|route| self.may_eject_from(now, route));
+        if allowed && let Some(view) = self.leaves.get_mut(&leaf) {
+            view.ejection.eject(now);
+            view.forget_latency();
+        }
+    }
+
+    fn may_eject_from(&self, now: Timestamp, route: &ShardRoute) -> bool {
+        let preferred = route.tiers.iter().flatten().copied();
+        let live = preferred.filter(|leaf| self.takes_new_work(*leaf));
+        let out = live.clone().filter(|leaf| self.is_ejected(now, *leaf)).count();
+        out < live.count() / EJECTED_SHARE
     }
 }
 
-fn pick(leaves: &[LeafId], random: &mut dyn RngCore) -> Option<LeafId> {
+/// Draws a usable leaf at random: a few draws, then a search from a random start.
+fn draw(
+    leaves: &[LeafId],
+    usable: impl Fn(LeafId) -> bool,
+    random: &mut dyn RngCore,
+) -> Option<LeafId> {
     if leaves.is_empty() {
         return None;
     }
-    let index = random.next_u64() % leaves.len() as u64;
-    Some(leaves[index as usize])
+    for _ in 0..DRAWS {
+        let leaf = leaves[below(leaves.len(), random)];
+        if usable(leaf) {
+            return Some(leaf);
+        }
+    }
+    let start = below(leaves.len(), random);
+    leaves[start..].iter().chain(&leaves[..start]).copied().find(|leaf| usable(*leaf))
+}
+
+/// A random number below `bound`, by multiplication rather than division.
+fn below(bound: usize, random: &mut dyn RngCore) -> usize {
+    ((u64::from(random.next_u32()) * bound as u64) >> 32) as usize
 }
--- /dev/null
+++ b/crates/domain/src/routing/subset.rs
@@ -0,0 +1,223 @@
+//! Which replicas of each shard one broker connects to.
+//!
+//! Deterministic aperture: the brokers of a group and the replicas of a group are laid evenly
+//! round a ring, each in the order of a hash, and a broker takes the replicas whose arcs its own
+//! window meets. Windows of equal width that tile the ring meet each arc equally often, so the
+//! load is balanced to one broker per group; a change of 1 % in either list shifts the rest by a
+//! fraction of an arc, so little moves. The ways weighed are in `docs/design/subsetting.md`.
+
+use std::collections::BTreeMap;
+
+use crate::catalog::{Leaf, Placement};
+use crate::identifiers::{BrokerName, LeafId, ShardId};
+use crate::routing::table::{Distance, ShardRoute};
+
+/// Replicas of a shard that one broker connects to, when there are more.
+const PREFERRED_SUBSET: usize = 10;
+/// Smallest subset: a hedge needs a second replica.
+const MINIMUM_SUBSET: usize = 2;
+/// Share of a leaf's connection limit that the brokers' subsets may plan for.
+const CONNECTION_SHARE: f64 = 0.9;
+
+/// A broker as others see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BrokerEntry {
+    /// Its name.
+    pub name: BrokerName,
+    /// Its place.
+    pub placement: Placement,
+}
+
+/// Lays out shards for one broker among all.
+#[derive(Debug, Clone)]
+pub struct Subsetting {
+    own: BrokerEntry,
+    brokers: Vec<BrokerEntry>,
+    uses_all: bool,
+}
+
+/// Replicas to take from each distance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Quota {
+    zone: usize,
+    region: usize,
+    elsewhere: usize,
+}
+
+/// A broker's position among the brokers that share a ring.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    rank: usize,
+    count: usize,
+}
+
+impl Subsetting {
+    /// Subsetting among `brokers`. While that list is empty, the broker knows only itself and
+    /// uses every replica.
+    pub fn new(own: BrokerEntry, brokers: &[BrokerEntry]) -> Self {
+        let uses_all = brokers.is_empty();
+        let mut brokers = brokers.to_vec();
+        if !brokers.iter().any(|broker| broker.name == own.name) {
+            brokers.push(own.clone());
+        }
+        brokers
+            .sort_by_key(|broker| (hash(broker.name.as_str().as_bytes(), 0), broker.name.clone()));
+        brokers.dedup_by(|one, other| one.name == other.name);
+        Self { own, brokers, uses_all }
+    }
+
+    /// Whether no other broker is known, so that every replica is used.
+    pub fn is_alone(&self) -> bool {
+        self.uses_all
+    }
+
+    /// The route of one shard.
+    pub fn route(&self, shard: ShardId, replicas: Vec<&Leaf>) -> ShardRoute {
+        let mut groups: [Vec<&Leaf>; 3] = Default::default();
+        for leaf in &replicas {
+            groups[Distance::between(&self.own.placement, &leaf.placement) as usize].push(leaf);
+        }
+        let sizes = [groups[0].len(), groups[1].len(), groups[2].len()];
+        let quota = Self::quota(self.subset_size(&replicas), sizes);
+        let mut tiers = Vec::new();
+        let mut spare = Vec::new();
+        for distance in [Distance::Zone, Distance::Region, Distance::Elsewhere] {
+            let group = &groups[distance as usize];
+            let wanted = quota.by_distance()[distance as usize];
+            let (taken, left) = self.window(shard, group, wanted, distance);
+            if !taken.is_empty() {
+                tiers.push(taken);
+            }
+            spare.extend(left);
+        }
+        ShardRoute { shard, tiers, spare }
+    }
+
+    /// Brokers that hold a replica of a shard at most, by the place of the replica.
+    pub fn holders(&self, replicas: &[&Leaf]) -> BTreeMap<Placement, usize> {
+        let mut holders = BTreeMap::new();
+        if self.uses_all {
+            return holders;
+        }
+        let groups = by_placement(replicas);
+        for (viewpoint, brokers) in self.broker_counts() {
+            let sizes = group_sizes(&groups, &viewpoint);
+            let quota = Self::quota(self.subset_size(replicas), sizes);
+            for placement in groups.keys() {
+                let distance = Distance::between(&viewpoint, placement) as usize;
+                let wanted = quota.by_distance()[distance];
+                let share = (brokers * wanted).div_ceil(sizes[distance].max(1));
+                *holders.entry(placement.clone()).or_default() += share;
+            }
+        }
+        holders
+    }
+
+    fn broker_counts(&self) -> BTreeMap<Placement, usize> {
+        let mut counts = BTreeMap::new();
+        for broker in &self.brokers {
+            *counts.entry(broker.placement.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    fn quota(size: usize, available: [usize; 3]) -> Quota {
+        let elsewhere = (size / 8).min(available[2]);
+        let region = (size / 4).min(available[1]);
+        let zone = (size - elsewhere - region).min(available[0]);
+        let region = (size - elsewhere - zone).min(available[1]);
+        let elsewhere = (size - zone - region).min(available[2]);
+        Quota { zone, region, elsewhere }
+    }
+
+    /// Replicas of a shard to connect to, so that its leaves stay within their limits.
+    fn subset_size(&self, replicas: &[&Leaf]) -> usize {
+        if self.uses_all || replicas.len() <= MINIMUM_SUBSET {
+            return replicas.len();
+        }
+        let limit = replicas.iter().map(|leaf| leaf.connection_limit).min().unwrap_or(1);
+        let room = CONNECTION_SHARE * f64::from(limit) * replicas.len() as f64;
+        let affordable = (room / self.brokers.len() as f64) as usize;
+        affordable.clamp(MINIMUM_SUBSET, PREFERRED_SUBSET).min(replicas.len())
+    }
+
+    /// Splits a group into what this broker's window meets and the rest.
+    fn window(
+        &self,
+        shard: ShardId,
+        group: &[&Leaf],
+        wanted: usize,
+        distance: Distance,
+    ) -> (Vec<LeafId>, Vec<LeafId>) {
+        let salt = u64::from(shard.0) + 1;
+        let mut ring: Vec<(u64, LeafId)> =
+            group.iter().map(|leaf| (hash(&leaf.id.0.to_be_bytes(), salt), leaf.id)).collect();
+        ring.sort_unstable();
+        let leaves: Vec<LeafId> = ring.into_iter().map(|(_, leaf)| leaf).collect();
+        if wanted >= leaves.len() {
+            return (leaves, Vec::new());
+        }
+        let position = self.position(distance);
+        let start = ring_start(position, leaves.len());
+        let mut taken = Vec::with_capacity(wanted);
+        let mut spare = Vec::with_capacity(leaves.len() - wanted);
+        for step in 0..leaves.len() {
+            let leaf = leaves[(start + step) % leaves.len()];
+            if step < wanted { taken.push(leaf) } else { spare.push(leaf) }
+        }
+        (taken, spare)
+    }
+
+    /// Rank of this broker among those that share its view of a group: its zone for near
+    /// groups, its region for the far one.
+    fn position(&self, distance: Distance) -> Position {
+        let shares_ring = |broker: &&BrokerEntry| match distance {
+            Distance::Zone | Distance::Region => broker.placement == self.own.placement,
+            Distance::Elsewhere => broker.placement.region == self.own.placement.region,
+        };
+        let peers = self.brokers.iter().filter(shares_ring);
+        let rank = peers.clone().position(|broker| broker.name == self.own.name).unwrap_or(0);
+        Position { rank, count: peers.count().max(1) }
+    }
+}
+
+impl Quota {
+    fn by_distance(self) -> [usize; 3] {
+        [self.zone, self.region, self.elsewhere]
+    }
+}
+
+/// Number of replicas at each place.
+fn by_placement(replicas: &[&Leaf]) -> BTreeMap<Placement, usize> {
+    let mut counts = BTreeMap::new();
+    for leaf in replicas {
+        *counts.entry(leaf.placement.clone()).or_default() += 1;
+    }
+    counts
+}
+
+/// Number of replicas at each distance from a place.
+fn group_sizes(groups: &BTreeMap<Placement, usize>, viewpoint: &Placement) -> [usize; 3] {
+    let mut sizes = [0; 3];
+    for (placement, count) in groups {
+        sizes[Distance::between(viewpoint, placement) as usize] += count;
+    }
+    sizes
+}
+
+/// The replica at which a broker's window starts.
+fn ring_start(position: Position, leaves: usize) -> usize {
+    (position.rank * leaves / position.count) % leaves
+}
+
+/// FNV-1a with a finalizer: stable over releases, since brokers of different releases have to
+/// agree on the ring.
+fn hash(bytes: &[u8], salt: u64) -> u64 {
+    let mut state = 0xcbf2_9ce4_8422_2325_u64 ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    for byte in bytes {
+        state = (state ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    state = (state ^ (state >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    state = (state ^ (state >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    state ^ (state >> 33)
+}
--- /dev/null
+++ b/crates/domain/src/tail/budget.rs
@@ -0,0 +1,35 @@
+//! A token bucket that earns with each primary send.
+
+/// Extra sends in proportion to primary sends.
+#[derive(Debug, Clone, Copy)]
+pub struct SendBudget {
+    share: f64,
+    burst: f64,
+    tokens: f64,
+}
+
+impl SendBudget {
+    /// A full bucket of `burst` tokens that earns `share` of a token per primary send.
+    pub fn new(share: f64, burst: f64) -> Self {
+        Self { share, burst, tokens: burst }
+    }
+
+    /// A primary request was sent.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.burst);
+    }
+
+    /// Takes one token; false when there is none.
+    pub fn take(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Puts a token back that was not used.
+    pub fn give_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/tail.rs
@@ -0,0 +1,252 @@
+//! Hedges, retries, attempts and their budgets.
+
+mod support;
+
+use gingerkeel_domain::dispatch::{Effect, Event};
+use gingerkeel_domain::identifiers::LeafId;
+use gingerkeel_domain::query::{LeafFailure, MissingReason, NotRunReason, QueryOutcome, Sending};
+use gingerkeel_domain::tail::{LatencyWindow, SendBudget};
+use gingerkeel_domain::time::Timestamp;
+use rstest::rstest;
+use support::*;
+
+/// A fleet of one shard with four replicas whose p95 is known to be about 5 ms.
+fn measured() -> Harness {
+    let mut harness = Harness::new(&[&[0, 1, 2, 3]]);
+    harness.run_queries(120, 4, |_| millis(5));
+    harness
+}
+
+#[test]
+fn a_late_request_is_hedged_to_another_replica_and_the_loser_cancelled() {
+    let mut harness = measured();
+    let primary = sends(&harness.submit(true))[0];
+    assert!(sends(&harness.wait(millis(4))).is_empty(), "not late yet");
+    let hedge = sends(&harness.wait(millis(3)));
+    assert_eq!(hedge.len(), 1);
+    assert_ne!(hedge[0].leaf, primary.leaf);
+    let effects = harness.answer(hedge[0]);
+    assert_eq!(answered(&effects).coverage(), 1.0);
+    assert_eq!(cancels(&effects), [primary.leaf]);
+}
+
+#[test]
+fn a_loser_is_cancelled_while_other_shards_are_still_owed() {
+    let mut harness = Harness::new(&[&[0, 1], &[2, 3]]);
+    harness.run_queries(120, 4, |_| millis(5));
+    let primaries = sends(&harness.submit(true));
+    let hedges = sends(&harness.wait(millis(7)));
+    let effects = harness.answer(hedges[0]);
+    assert_eq!(cancels(&effects), [primaries[0].leaf]);
+    assert_eq!(outcome(&effects), None);
+}
+
+#[test]
+fn one_hedge_per_shard() {
+    let mut harness = measured();
+    harness.submit(true);
+    assert_eq!(sends(&harness.wait(millis(500))).len(), 1);
+}
+
+#[test]
+fn a_request_that_is_not_repeatable_is_never_hedged() {
+    let mut harness = measured();
+    harness.submit(false);
+    assert!(sends(&harness.wait(millis(999))).is_empty());
+}
+
+#[test]
+fn nothing_is_hedged_before_latency_was_measured() {
+    let mut harness = Harness::new(&[&[0, 1]]);
+    harness.submit(true);
+    assert!(sends(&harness.wait(millis(999))).is_empty());
+}
+
+#[test]
+fn hedges_stay_within_their_share_of_primary_sends() {
+    let mut harness = measured();
+    let (mut primaries, mut hedges) = (0, 0);
+    for _ in 0..4000 {
+        let primary = sends(&harness.submit(true));
+        primaries += primary.len();
+        let hedge = sends(&harness.wait(millis(6)));
+        hedges += hedge.len();
+        match hedge.first() {
+            Some(hedge) => harness.answer(*hedge),
+            None => harness.handle(Event::CallerGone(primary[0].request.query)),
+        };
+    }
+    // The bucket holds 50 when the load starts.
+    assert!(hedges <= primaries / 20 + 50, "{hedges} hedges for {primaries} primary sends");
+    assert!(hedges > 100);
+}
+
+#[test]
+fn while_leaves_shed_there_are_neither_hedges_nor_retries() {
+    let mut harness = measured();
+    let mut retries = 0;
+    for _ in 0..100 {
+        let mut open = sends(&harness.submit(true));
+        while let Some(sending) = open.pop() {
+            let more = sends(&harness.refuse(sending, NotRunReason::Shedding));
+            retries += more.len();
+            open.extend(more);
+        }
+    }
+    assert!(retries < 20, "{retries} retries");
+    harness.submit(true);
+    assert!(sends(&harness.wait(millis(500))).is_empty());
+}
+
+#[test]
+fn retries_stay_within_their_share_of_primary_sends() {
+    let mut harness = Harness::new(&[&[0, 1, 2, 3]]);
+    let (mut primaries, mut retries) = (0, 0);
+    for _ in 0..1000 {
+        let mut open = sends(&harness.submit(true));
+        primaries += open.len();
+        while let Some(sending) = open.pop() {
+            let more = sends(&harness.fail(sending, LeafFailure::Broken));
+            retries += more.len();
+            open.extend(more);
+        }
+    }
+    assert!(retries <= primaries / 10 + 50, "{retries} retries for {primaries} primary sends");
+    assert!(retries > 100);
+}
+
+/// Fails every attempt of one query the same way; gives the attempts and the final effects.
+fn fail_all(harness: &mut Harness, repeatable: bool, failure: LeafFailure) -> (usize, Vec<Effect>) {
+    let mut effects = harness.submit(repeatable);
+    let mut attempts = 0;
+    while let Some(sending) = sends(&effects).pop() {
+        attempts += 1;
+        effects = harness.fail(sending, failure);
+    }
+    (attempts, effects)
+}
+
+#[rstest]
+#[case::written_repeatable(true, LeafFailure::Broken, 3)]
+#[case::leaf_error_repeatable(true, LeafFailure::LeafError, 3)]
+#[case::written_once(false, LeafFailure::Broken, 1)]
+#[case::leaf_error_once(false, LeafFailure::LeafError, 1)]
+#[case::unsent_repeatable(true, LeafFailure::NotSent, 8)]
+#[case::unsent_once(false, LeafFailure::NotSent, 8)]
+fn attempts_are_bounded(
+    #[case] repeatable: bool,
+    #[case] failure: LeafFailure,
+    #[case] expected: usize,
+) {
+    let mut harness = Harness::new(&[&[0, 1, 2, 3]]);
+    assert_eq!(fail_all(&mut harness, repeatable, failure).0, expected);
+}
+
+#[rstest]
+#[case::unsent(LeafFailure::NotSent, true)]
+#[case::broken(LeafFailure::Broken, false)]
+#[case::leaf_error(LeafFailure::LeafError, false)]
+fn not_run_is_said_only_when_nothing_was_written(
+    #[case] failure: LeafFailure,
+    #[case] not_run: bool,
+) {
+    let mut harness = Harness::new(&[&[0, 1]]);
+    let (_, effects) = fail_all(&mut harness, false, failure);
+    let outcome = outcome(&effects).expect("the query ended");
+    assert_eq!(matches!(outcome, QueryOutcome::NotRun { .. }), not_run, "{outcome:?}");
+    assert_eq!(matches!(outcome, QueryOutcome::Unknown { .. }), !not_run, "{outcome:?}");
+}
+
+#[test]
+fn a_request_not_written_is_sent_to_another_replica_even_when_it_is_not_repeatable() {
+    let mut harness = Harness::new(&[&[0, 1]]);
+    let first = sends(&harness.submit(false))[0];
+    let second = sends(&harness.fail(first, LeafFailure::NotSent))[0];
+    assert_ne!(first.leaf, second.leaf);
+    assert_eq!(answered(&harness.answer(second)).coverage(), 1.0);
+}
+
+#[rstest]
+#[case::shedding(NotRunReason::Shedding)]
+#[case::draining(NotRunReason::Draining)]
+#[case::deadline(NotRunReason::DeadlinePassed)]
+fn a_request_that_is_not_repeatable_is_written_to_one_replica_only(#[case] reason: NotRunReason) {
+    let mut harness = Harness::new(&[&[0, 1]]);
+    let first = sends(&harness.submit(false))[0];
+    let effects = harness.refuse(first, reason);
+    assert!(sends(&effects).is_empty());
+    assert!(matches!(outcome(&effects), Some(QueryOutcome::NotRun { .. })), "{effects:?}");
+}
+
+#[test]
+fn a_broken_connection_to_the_only_replica_is_retried_there() {
+    let mut harness = Harness::new(&[&[7]]);
+    let first = sends(&harness.submit(true))[0];
+    let second = sends(&harness.fail(first, LeafFailure::Broken))[0];
+    assert_eq!(second.leaf, LeafId(7));
+}
+
+#[test]
+fn the_time_left_goes_with_every_request() {
+    let mut harness = measured();
+    let time_left = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::Send { time_left, .. } => Some(*time_left),
+            _ => None,
+        })
+    };
+    assert_eq!(time_left(&harness.submit(true)), Some(millis(1000)));
+    let hedge = harness.wait(millis(10));
+    let left = time_left(&hedge).expect("a hedge was sent");
+    assert!(left < millis(996) && left > millis(985), "{left:?}");
+}
+
+#[test]
+fn the_deadline_cancels_everything_and_says_unknown() {
+    let mut harness = measured();
+    let primary: Sending = sends(&harness.submit(false))[0];
+    let effects = harness.wait(millis(1000));
+    assert_eq!(cancels(&effects), [primary.leaf]);
+    let Some(QueryOutcome::Unknown { known, .. }) = outcome(&effects) else {
+        panic!("expected an unknown outcome, got {effects:?}");
+    };
+    assert_eq!(known.missing[0].reason, MissingReason::Unknown);
+}
+
+#[rstest]
+#[case(0.5)]
+#[case(0.95)]
+#[case(0.99)]
+fn quantiles_are_exact_to_one_part_in_sixteen(#[case] quantile: f64) {
+    let mut window = LatencyWindow::default();
+    for micros in 1..=10_000 {
+        window.record(Timestamp::ZERO, std::time::Duration::from_micros(micros));
+    }
+    let exact = quantile * 10_000.0;
+    let estimate = window.quantile(quantile).expect("enough was recorded").as_micros() as f64;
+    assert!((estimate - exact).abs() <= exact / 16.0 + 1.0, "{estimate} for {exact}");
+}
+
+#[test]
+fn old_latencies_leave_the_window() {
+    let mut window = LatencyWindow::default();
+    for _ in 0..1000 {
+        window.record(Timestamp::ZERO, millis(100));
+    }
+    for second in 6..=12 {
+        for _ in 0..200 {
+            window.record(Timestamp::ZERO.after(millis(second * 1000)), millis(1));
+        }
+    }
+    assert!(window.quantile(0.99).expect("enough was recorded") < millis(2));
+}
+
+#[test]
+fn a_budget_earns_its_share() {
+    let mut budget = SendBudget::new(0.05, 2.0);
+    assert!(budget.take() && budget.take() && !budget.take());
+    for _ in 0..21 {
+        budget.earn();
+    }
+    assert!(budget.take() && !budget.take());
+}
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -29,11 +29,25 @@
     /// Connections to one leaf.
     #[serde(default = "default_connections_per_leaf")]
     pub connections_per_leaf: u32,
+    /// How queries are scheduled; `baseline` is for experiments.
+    #[serde(default)]
+    pub policy: PolicySetting,
     /// Seed of the random choices; by default drawn from the operating system.
     #[serde(default)]
     pub seed: Option<u64>,
 }
 
+/// How queries are scheduled.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PolicySetting {
+    /// Classes, measured replica choice, subsets and hedges.
+    #[default]
+    Standard,
+    /// What experiments compare with: a random replica out of all, no hedge, no classes.
+    Baseline,
+}
+
 fn default_caller_connections() -> u32 {
     4096
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,7 +11,7 @@
 
 use serde::de::DeserializeOwned;
 
-pub use broker::BrokerSettings;
+pub use broker::{BrokerSettings, PolicySetting};
 pub use control::ControlSettings;
 pub use error::SettingsError;
 pub use logging::start_logging;
