--- a/crates/simulation/src/serving/broker.rs
+++ b/crates/simulation/src/serving/broker.rs
@@ -1,11 +1,11 @@
 //! A broker in simulation: its dispatcher and the mutant that may sit before it.
 
 use gingerkeel_domain::admission::RefusalReason;
-use gingerkeel_domain::dispatch::{Dispatcher, Effect, Event, LeafCompletion};
+use gingerkeel_domain::dispatch::{Dispatcher, DispatcherSettings, Effect, Event, LeafCompletion};
 use gingerkeel_domain::identifiers::{
     IndexVersion, LeafRequestId, PartitionEpoch, QueryId, Snapshot,
 };
-use gingerkeel_domain::query::{LeafFailure, LeafReply, QueryOutcome};
+use gingerkeel_domain::query::{LeafFailure, LeafReply, MissingReason, QueryOutcome};
 use gingerkeel_domain::time::Timestamp;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -33,7 +33,10 @@
     /// A broker whose choices follow from `seed`.
     pub fn new(seed: u64, mutant: Option<Mutant>) -> Self {
         Self {
-            dispatcher: Dispatcher::new(Box::new(Pcg64::seed_from_u64(seed))),
+            dispatcher: Dispatcher::new(
+                DispatcherSettings::default(),
+                Box::new(Pcg64::seed_from_u64(seed)),
+            ),
             dead: false,
             armed: None,
             next_query: 0,
@@ -57,10 +60,10 @@
                 submission.repeatable = true;
                 Event::Submitted(submission)
             }
-            (Some(mutant), Event::LeafCompleted { request, completion, draining }) => {
+            (Some(mutant), Event::LeafCompleted { leaf, request, completion, draining }) => {
                 let (request, completion) = self.bend_completion(mutant, request, completion);
                 let draining = draining.filter(|_| mutant != Mutant::NoDrainMarks);
-                Event::LeafCompleted { request, completion, draining }
+                Event::LeafCompleted { leaf, request, completion, draining }
             }
             (_, event) => event,
         }
@@ -99,6 +102,9 @@
             (Some(Mutant::MissingShardsHidden), QueryOutcome::Answered(answer)) => {
                 answer.missing.clear();
             }
+            (Some(Mutant::UnknownShardsSaidNotRun), QueryOutcome::Answered(answer)) => {
+                answer.missing.iter_mut().for_each(|shard| shard.reason = MissingReason::NotRun);
+            }
             (Some(Mutant::UnknownSaidNotRun), QueryOutcome::Unknown { retry_after, .. }) => {
                 let reason = RefusalReason::LeavesRefused;
                 *outcome = QueryOutcome::NotRun { reason, retry_after: *retry_after };
--- a/crates/simulation/src/serving/fault.rs
+++ b/crates/simulation/src/serving/fault.rs
@@ -84,6 +84,8 @@
     UnknownSaidNotRun,
     /// Missing shards are left out of answers.
     MissingShardsHidden,
+    /// Missing shards that may have run are said to be "not run".
+    UnknownShardsSaidNotRun,
     /// A planned stop ends the broker at once.
     StopCutsInFlight,
     /// Refusals are kept until the deadline.
--- a/crates/simulation/src/serving/world.rs
+++ b/crates/simulation/src/serving/world.rs
@@ -49,7 +49,7 @@
     /// A leaf has finished a request that it started in its run of this number.
     RunFinished(LeafId, u32, LeafRequest),
     /// News of a leaf request reaches its broker.
-    CompletionAtBroker(BrokerIndex, LeafRequestId, LeafCompletion, Option<bool>),
+    CompletionAtBroker(BrokerIndex, LeafId, LeafRequestId, LeafCompletion, Option<bool>),
     /// A timer of a broker may be due.
     BrokerTimer(BrokerIndex),
     /// A catalog reaches a broker.
@@ -104,8 +104,8 @@
             Event::RunFinished(leaf, run, request) => {
                 self.run_finished(now, leaf, run, request, schedule)
             }
-            Event::CompletionAtBroker(broker, request, completion, draining) => {
-                let event = BrokerEvent::LeafCompleted { request, completion, draining };
+            Event::CompletionAtBroker(broker, leaf, request, completion, draining) => {
+                let event = BrokerEvent::LeafCompleted { leaf, request, completion, draining };
                 self.tell_broker(now, broker, event, schedule);
             }
             Event::BrokerTimer(broker) => {
@@ -452,6 +452,7 @@
             }
             let event = Event::CompletionAtBroker(
                 request.broker,
+                id,
                 request.request,
                 completion.clone(),
                 draining,
@@ -567,7 +568,7 @@
         for (broker, request) in leaf.kill() {
             let completion = LeafCompletion::Failed(LeafFailure::Broken);
             if let Some(delay) = self.network.delay(&mut self.random, broker, id) {
-                let event = Event::CompletionAtBroker(broker, request, completion, None);
+                let event = Event::CompletionAtBroker(broker, id, request, completion, None);
                 schedule.after(delay, event);
             }
         }
