Rehearse a small fleet under load and check it from the outside

The whole path had no proof of its own promises: a stand-in leaf with a fixed service time and nobody who compared callers' answers with what leaves ran.

Weighed: leaves could cut a reply short themselves, but the HTTP library gives no raw socket back without unsafe code; that fault is left to a relay. Free ports are found on a loopback host derived from the process id, since a port found on 127.0.0.1 may be taken by another fleet before its owner starts.

--- /dev/null
+++ b/crates/rehearsal/src/fleet/settings_files.rs
@@ -0,0 +1,156 @@
+//! Settings files and statements of a fleet.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use super::topology::{AnswerTopology, CALLER, ServiceTopology, Topology, ZoneTopology};
+use crate::leaf::{LeafProcessSettings, LeafSettings};
+
+/// What the account of the rehearsal may spend in a second: more than any load.
+const BUDGET: u64 = 1_000_000_000;
+/// Requests that wait at a leaf for each of its slots.
+const WAITING_PER_SLOT: usize = 8;
+
+/// Settings of a control process.
+pub fn control(name: &str, operators: SocketAddr, feed: SocketAddr, data: &Path) -> String {
+    format!(
+        "name = \"{name}\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\n\
+         data_folder = \"{}\"\n",
+        data.display()
+    )
+}
+
+/// Settings of a broker.
+pub fn broker(
+    name: &str,
+    zone: &ZoneTopology,
+    listen: SocketAddr,
+    feeds: &[SocketAddr],
+    seed: u64,
+) -> String {
+    let feeds: Vec<String> = feeds.iter().map(|feed| format!("\"{feed}\"")).collect();
+    format!(
+        "name = \"{name}\"\nregion = \"{}\"\nzone = \"{}\"\nlisten = \"{listen}\"\n\
+         control = [{}]\nseed = {seed}\n",
+        zone.region,
+        zone.name,
+        feeds.join(", ")
+    )
+}
+
+/// Settings of a process of leaves.
+pub fn leaf_process(
+    topology: &Topology,
+    index: usize,
+    leaves: &[(u32, SocketAddr)],
+    brokers: &[String],
+    journal: &Path,
+) -> LeafProcessSettings {
+    let zone = topology.zone(index);
+    let broker_delay_ms = brokers
+        .iter()
+        .enumerate()
+        .map(|(number, broker)| (broker.clone(), topology.delay_ms(zone, topology.zone(number))))
+        .collect();
+    let leaves = leaves.iter().map(|(leaf, listen)| leaf_settings(topology, *leaf, *listen));
+    LeafProcessSettings {
+        seed: topology.seed,
+        broker_delay_ms,
+        ..LeafProcessSettings::new(journal.to_owned(), leaves.collect())
+    }
+}
+
+fn leaf_settings(topology: &Topology, leaf: u32, listen: SocketAddr) -> LeafSettings {
+    let service = topology
+        .services
+        .iter()
+        .find(|service| topology.leaves_of(service).contains(&leaf))
+        .expect("every leaf is of a service");
+    let slots = service.slots as usize;
+    LeafSettings {
+        slots,
+        queue: slots * WAITING_PER_SLOT,
+        connections: service.connections as usize,
+        service_ms: service.service_ms,
+        ..LeafSettings::new(leaf, listen)
+    }
+}
+
+/// Statements that make up the whole catalog; `leaves` are by number, from 1.
+pub fn statements(topology: &Topology, leaves: &[SocketAddr]) -> String {
+    let mut text = String::new();
+    let mut line = |statement: String| {
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "{statement};");
+    };
+    line(format!("DEFINE CALLER {CALLER} BUDGET {BUDGET} BURST {BUDGET}"));
+    for service in &topology.services {
+        define_service(service, &mut line);
+        add_leaves(topology, service, leaves, &mut line);
+        assign_shards(topology, service, service.shards, &mut line);
+        line(format!("PUBLISH VERSION 1 OF {}", service.name));
+    }
+    text
+}
+
+/// Statements that give a service a new partition map and publish a version on it.
+pub fn repartition(topology: &Topology, service: &str, shards: u32, version: u64) -> String {
+    let mut text = String::new();
+    for service in topology.services.iter().filter(|candidate| candidate.name == service) {
+        assign_shards(topology, service, shards, &mut |statement| {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "{statement};");
+        });
+    }
+    let _ = writeln!(text, "PUBLISH VERSION {version} OF {service};");
+    text
+}
+
+fn define_service(service: &ServiceTopology, line: &mut impl FnMut(String)) {
+    line(format!("DEFINE SERVICE {} CONCURRENCY {}", service.name, service.concurrency));
+    for (priority, class) in service.classes.iter().enumerate() {
+        let answer = match class.answer {
+            AnswerTopology::Full => "FULL".to_owned(),
+            AnswerTopology::PartialAfterMs(span) => format!("PARTIAL AFTER {span}ms"),
+        };
+        line(format!(
+            "DEFINE CLASS {} OF {} PRIORITY {priority} QUEUE {} PRICE {} DEADLINE {}ms {answer}",
+            class.name, service.name, class.queue, class.price, class.deadline_ms
+        ));
+    }
+}
+
+fn add_leaves(
+    topology: &Topology,
+    service: &ServiceTopology,
+    leaves: &[SocketAddr],
+    line: &mut impl FnMut(String),
+) {
+    for leaf in topology.leaves_of(service) {
+        let index = leaf as usize - 1;
+        let zone = topology.zone(index % topology.leaf_processes);
+        line(format!(
+            "ADD LEAF {leaf} AT {} REGION {} ZONE {} SLOTS {} CONNECTIONS {}",
+            leaves[index], zone.region, zone.name, service.slots, service.connections
+        ));
+    }
+}
+
+fn assign_shards(
+    topology: &Topology,
+    service: &ServiceTopology,
+    shards: u32,
+    line: &mut impl FnMut(String),
+) {
+    line(format!("REPARTITION {} INTO {shards} SHARDS", service.name));
+    let first = topology.leaves_of(service).start;
+    for shard in 0..shards {
+        let replicas: Vec<String> = service
+            .replicas_of(shard, shards)
+            .into_iter()
+            .map(|replica| (first + replica).to_string())
+            .collect();
+        line(format!("ASSIGN SHARD {shard} OF {} TO LEAF {}", service.name, replicas.join(", ")));
+    }
+}
--- a/crates/rehearsal/src/leaf/mod.rs
+++ b/crates/rehearsal/src/leaf/mod.rs
@@ -1,40 +1,96 @@
-//! A stand-in leaf: an HTTP server that keeps a journal of what it ran.
+//! Stand-in leaves: HTTP servers that keep a journal of what they ran.
+//!
+//! One process hosts any number of leaves, each on a port of its own.
 
-mod journal;
+mod admin;
+mod body;
+mod emulator;
+mod health;
 mod server;
+mod service_time;
+mod settings;
 
-use std::io;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
 
 use gumdrop::Options;
 use monoio::net::TcpListener;
 use tracing::info;
 
-use journal::Journal;
+pub use admin::{AdminCommand, ReplyFault, ReplyFaultKind};
+pub use body::{LeafBody, QueryBody};
+pub use settings::{LeafProcessSettings, LeafSettings, milliseconds};
+
+use crate::error::RehearsalError;
+use crate::record::RecordWriter;
+use emulator::Emulator;
 use server::LeafServer;
 
-/// Flags of a stand-in leaf.
+/// Flags of a process of stand-in leaves.
 #[derive(Debug, Options)]
 pub struct LeafFlags {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "address on which requests are taken", meta = "ADDRESS", required)]
-    listen: Option<SocketAddr>,
-    #[options(help = "file to which each request that runs is appended", meta = "FILE", required)]
+    #[options(help = "settings file, TOML; replaces the other flags", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(
+        help = "address on which a leaf takes requests; once for each leaf",
+        meta = "ADDRESS"
+    )]
+    listen: Vec<SocketAddr>,
+    #[options(help = "file to which each request that runs is appended", meta = "FILE")]
     journal: Option<PathBuf>,
-    #[options(help = "milliseconds that a request takes", default = "5", meta = "MS")]
-    service_ms: u64,
+    #[options(
+        help = "milliseconds that a request takes in the middle",
+        default = "5",
+        meta = "MS"
+    )]
+    service_ms: f64,
+}
+
+impl LeafFlags {
+    fn process_settings(self) -> Result<LeafProcessSettings, RehearsalError> {
+        if let Some(path) = self.settings {
+            return Ok(gingerkeel_settings::load(&path)?);
+        }
+        let journal = self.journal.ok_or_else(|| {
+            RehearsalError::Flag("no journal named: add --journal FILE or --settings FILE".into())
+        })?;
+        let service_ms = self.service_ms;
+        let leaves = (1..)
+            .zip(self.listen)
+            .map(|(id, listen)| LeafSettings { service_ms, ..LeafSettings::new(id, listen) })
+            .collect();
+        Ok(LeafProcessSettings::new(journal, leaves))
+    }
 }
 
 /// Serves requests until the process ends.
 ///
 /// # Errors
-/// An [`io::Error`] when the address cannot be bound or the journal cannot be opened.
-pub async fn run(flags: LeafFlags) -> io::Result<()> {
-    let listen = flags.listen.ok_or(io::ErrorKind::InvalidInput)?;
-    let journal = Journal::open(&flags.journal.ok_or(io::ErrorKind::InvalidInput)?)?;
-    let listener = TcpListener::bind(listen)?;
-    info!(event = "started", role = "leaf", %listen);
-    LeafServer::new(journal, flags.service_ms).serve(listener).await
+/// A [`RehearsalError`] when the settings are wrong, an address cannot be bound or the journal
+/// cannot be opened.
+pub async fn run(flags: LeafFlags) -> Result<(), RehearsalError> {
+    let settings = flags.process_settings()?;
+    let journal = Rc::new(RefCell::new(RecordWriter::open(&settings.journal)?));
+    let mut leaves = Vec::new();
+    let mut listeners = Vec::new();
+    for leaf in &settings.leaves {
+        let listener = TcpListener::bind(leaf.listen)
+            .map_err(|error| RehearsalError::resource(leaf.listen, error))?;
+        leaves.push(Rc::new(Emulator::new(leaf.clone(), settings.seed, journal.clone())));
+        listeners.push(listener);
+    }
+    let delays = Rc::new(settings.delays());
+    for (leaf, listener) in leaves.iter().zip(listeners) {
+        let server = LeafServer::new(leaf.clone(), leaves.clone(), delays.clone());
+        monoio::spawn(server.serve(listener));
+    }
+    info!(event = "started", role = "leaf", leaves = leaves.len());
+    loop {
+        monoio::time::sleep(Duration::from_secs(3600)).await;
+    }
 }
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -2,10 +2,19 @@
 
 use std::process::exit;
 
+use gingerkeel_rehearsal::check::{self, CheckFlags};
+use gingerkeel_rehearsal::demo::{self, DemoFlags};
+use gingerkeel_rehearsal::error::RehearsalError;
 use gingerkeel_rehearsal::leaf::{self, LeafFlags};
-use gingerkeel_settings::start_logging;
+use gingerkeel_rehearsal::load::{self, LoadFlags};
+use gingerkeel_settings::{EXIT_BAD_SETTINGS, start_logging};
 use gumdrop::Options;
 
+/// Exit code when a run could not be carried out.
+const EXIT_FAILED: i32 = 1;
+/// Exit code when a promise was broken.
+const EXIT_VIOLATIONS: i32 = 3;
+
 /// Stand-ins, load and experiments for the gingerkeel query tier.
 #[derive(Debug, Options)]
 struct Flags {
@@ -19,8 +28,14 @@
 
 #[derive(Debug, Options)]
 enum Command {
-    #[options(help = "run a stand-in leaf")]
+    #[options(help = "run stand-in leaves")]
     Leaf(LeafFlags),
+    #[options(help = "put open-loop load on brokers")]
+    Load(LoadFlags),
+    #[options(help = "check the records of a run for broken promises")]
+    Check(CheckFlags),
+    #[options(help = "run a small fleet under load, drain a leaf and kill another")]
+    Demo(DemoFlags),
 }
 
 fn main() {
@@ -30,15 +45,38 @@
         return;
     }
     start_logging();
-    let outcome = match flags.command {
-        Some(Command::Leaf(flags)) => gingerkeel_transport::block_on(leaf::run(flags)),
-        None => {
-            eprintln!("gingerkeel-rehearsal: no command: see --help");
-            exit(2);
-        }
+    let Some(command) = flags.command else {
+        eprintln!("gingerkeel-rehearsal: no command: see --help");
+        exit(EXIT_BAD_SETTINGS);
     };
-    if let Err(error) = outcome.and_then(|result| result) {
-        eprintln!("gingerkeel-rehearsal: {error}");
-        exit(1);
+    match run(command) {
+        Ok(0) => {}
+        Ok(violations) => {
+            eprintln!("gingerkeel-rehearsal: {violations} promises were broken");
+            exit(EXIT_VIOLATIONS);
+        }
+        Err(error) => {
+            eprintln!("gingerkeel-rehearsal: {error}");
+            exit(exit_code(&error));
+        }
+    }
+}
+
+/// Carries out a command; gives the number of broken promises.
+fn run(command: Command) -> Result<usize, RehearsalError> {
+    match command {
+        Command::Leaf(flags) => gingerkeel_transport::block_on(leaf::run(flags))
+            .map_err(|error| RehearsalError::resource("runtime", error))?
+            .map(|()| 0),
+        Command::Load(flags) => load::run(flags).map(|()| 0),
+        Command::Check(flags) => check::run(flags),
+        Command::Demo(flags) => demo::run(flags),
+    }
+}
+
+fn exit_code(error: &RehearsalError) -> i32 {
+    match error {
+        RehearsalError::Settings(_) | RehearsalError::Flag(_) => EXIT_BAD_SETTINGS,
+        _ => EXIT_FAILED,
     }
 }
