Add the core of a replicated log

Cause: the control tier needs its own replicated configuration log. Ruled out: joint configurations, as changes of one member suffice to replace a machine.

--- /dev/null
+++ b/crates/domain/src/consensus/appending.rs
@@ -0,0 +1,73 @@
+//! A follower's side of the log.
+
+use super::message::{AppendOutcome, Message, ReadRound};
+use super::node::Node;
+use super::types::{Entry, LogIndex, LogPosition, MemberId, Payload};
+use crate::time::Timestamp;
+
+impl Node {
+    pub(super) fn handle_append(
+        &mut self,
+        now: Timestamp,
+        from: MemberId,
+        previous: LogPosition,
+        mut entries: Vec<Entry>,
+        commit: LogIndex,
+        round: ReadRound,
+    ) {
+        self.follow(now, from);
+        let mut previous = previous;
+        if previous.index < self.commit {
+            // Committed entries are the leader's own.
+            entries.retain(|entry| entry.index > self.commit);
+            let term = self.log.term_at(self.commit).unwrap_or(previous.term);
+            previous = LogPosition { term, index: self.commit };
+        }
+        let outcome = if self.log.term_at(previous.index) == Some(previous.term) {
+            let matched = entries.last().map_or(previous.index, |entry| entry.index);
+            self.merge(entries);
+            self.commit = self.commit.max(commit.min(matched));
+            AppendOutcome::Accepted { matched }
+        } else {
+            let hint = self.agreement_hint(previous.index);
+            AppendOutcome::Rejected { previous: previous.index, hint }
+        };
+        self.send(from, Message::AppendResponse { outcome, round });
+    }
+
+    /// Takes entries whose predecessor matches; entries of other terms give way.
+    fn merge(&mut self, entries: Vec<Entry>) {
+        let Some(first) = self.log.first_difference(&entries) else {
+            return;
+        };
+        if first <= self.log.last().index {
+            self.log.truncate_from(first);
+            self.configurations.truncate_from(first);
+        }
+        for entry in entries.into_iter().filter(|entry| entry.index >= first) {
+            self.append_entry(entry);
+        }
+    }
+
+    /// Appends an entry; a configuration counts from here on.
+    pub(super) fn append_entry(&mut self, entry: Entry) {
+        if let Payload::Configuration(configuration) = &entry.payload {
+            self.configurations.push(entry.index, configuration.clone());
+        }
+        self.log.push(entry);
+    }
+
+    /// An entry before `rejected` up to which the logs may agree: the last of an earlier term.
+    fn agreement_hint(&self, rejected: LogIndex) -> LogIndex {
+        let last = self.log.last().index;
+        if rejected > last {
+            return last;
+        }
+        let conflict = self.log.term_at(rejected);
+        let mut hint = rejected;
+        while hint > self.commit && self.log.term_at(hint) == conflict {
+            hint = hint.previous();
+        }
+        hint
+    }
+}
