Hold the cluster's state as one aggregate that commands change

A change may name the revision it was made against; a change of the same thing since then refuses it and names who was first, when and at which revision. Comparing whole revisions was ruled out: unrelated changes of two operators would refuse each other.

--- a/crates/domain/src/catalog/change.rs
+++ b/crates/domain/src/catalog/change.rs
@@ -2,8 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CallerAccount, ClassPolicy, Leaf, LeafState};
-use crate::identifiers::{CallerName, IndexVersion, LeafId, ServiceName, ShardId};
+use super::{CallerAccount, ClassPolicy, ControlMember, Leaf, LeafState, MemberState};
+use crate::identifiers::{
+    BrokerName, CallerName, ClassName, ControlName, IndexVersion, LeafId, ServiceName, ShardId,
+};
 
 /// One change; applied whole or not at all.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,4 +65,49 @@
         /// The account.
         account: CallerAccount,
     },
+    /// Removes a service with its classes and maps; its queries are refused from then on.
+    RemoveService(ServiceName),
+    /// Removes a class of a service.
+    RemoveClass {
+        /// The service.
+        service: ServiceName,
+        /// The class.
+        class: ClassName,
+    },
+    /// Sets what an answered request of a class costs.
+    SetPrice {
+        /// The service.
+        service: ServiceName,
+        /// The class.
+        class: ClassName,
+        /// The price, in the operators' unit.
+        price: u64,
+    },
+    /// Removes a caller's account.
+    RemoveCaller(CallerName),
+    /// Admits a broker of this name, also one that was removed.
+    AddBroker {
+        /// The broker.
+        broker: BrokerName,
+    },
+    /// Drains a broker or takes it back.
+    SetBrokerState {
+        /// The broker.
+        broker: BrokerName,
+        /// Its new state, active or draining.
+        state: MemberState,
+    },
+    /// Removes a broker: it gets no catalog until it is added again.
+    RemoveBroker(BrokerName),
+    /// Adds a control process.
+    AddControl(ControlMember),
+    /// Drains a control process or takes it back.
+    SetControlState {
+        /// The control process.
+        control: ControlName,
+        /// Its new state, active or draining.
+        state: MemberState,
+    },
+    /// Removes a control process.
+    RemoveControl(ControlName),
 }
--- a/crates/domain/src/catalog/error.rs
+++ b/crates/domain/src/catalog/error.rs
@@ -1,12 +1,15 @@
 //! Reasons why a change is not accepted.
 
 use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
 
-use crate::identifiers::{ClassName, IndexVersion, LeafId, ServiceName};
+use crate::identifiers::{
+    BrokerName, CallerName, ClassName, ControlName, IndexVersion, LeafId, ServiceName, ShardId,
+};
 
 quick_error! {
     /// A change that the catalog refuses; each message names the remedy.
-    #[derive(Debug, Clone, PartialEq, Eq)]
+    #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
     pub enum CatalogError {
         /// The service is not defined.
         UnknownService(service: ServiceName) {
@@ -32,5 +35,37 @@
         ShardsUnassigned(shards: String) {
             display("shards without a leaf: [{shards}], or no shards at all: ASSIGN SHARD for each before PUBLISH")
         }
+        /// The service has no class of this name.
+        UnknownClass(service: ServiceName, class: ClassName) {
+            display("service {service} has no class {class}: list classes with SHOW CLASSES, or DEFINE CLASS first")
+        }
+        /// No account has this name.
+        UnknownCaller(caller: CallerName) {
+            display("caller {caller} has no account: list accounts with SHOW CALLERS, or DEFINE CALLER first")
+        }
+        /// A shard names a leaf twice.
+        ReplicaTwice(shard: ShardId, leaf: LeafId) {
+            display("shard {shard} names leaf {leaf} twice: name each leaf once")
+        }
+        /// A broker of this name is admitted.
+        BrokerExists(broker: BrokerName) {
+            display("broker {broker} exists: choose another name, or RESUME BROKER {broker}")
+        }
+        /// The broker is not known, or removed.
+        UnknownBroker(broker: BrokerName) {
+            display("broker {broker} is not known: list brokers with SHOW BROKERS, or ADD BROKER first")
+        }
+        /// A control process of this name is a member.
+        ControlExists(control: ControlName) {
+            display("control process {control} exists: choose another name; a machine whose disk was lost joins under a new one")
+        }
+        /// The control process is not a member.
+        UnknownControl(control: ControlName) {
+            display("control process {control} is not known: list them with SHOW CONTROLS, or ADD CONTROL first")
+        }
+        /// Too small or large a number.
+        BadNumber(field: String, value: u64, remedy: String) {
+            display("{field} {value} is not usable: {remedy}")
+        }
     }
 }
--- a/crates/domain/src/catalog/mod.rs
+++ b/crates/domain/src/catalog/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod error;
 mod leaf;
+mod member;
 mod service;
 
 use std::collections::BTreeMap;
@@ -10,12 +11,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::identifiers::{
-    CallerName, ClassName, IndexVersion, LeafId, PartitionEpoch, Revision, ServiceName, ShardId,
+    BrokerName, CallerName, ClassName, ControlName, IndexVersion, LeafId, PartitionEpoch, Revision,
+    ServiceName, ShardId,
 };
 
 pub use change::Change;
 pub use error::CatalogError;
 pub use leaf::{Leaf, LeafAddress, LeafState, Placement};
+pub use member::{ControlMember, MemberState};
 pub use service::{AnswerPolicy, CallerAccount, ClassPolicy, PartitionMap, Service};
 
 /// The whole configuration at one revision.
@@ -25,6 +28,8 @@
     services: BTreeMap<ServiceName, Service>,
     leaves: BTreeMap<LeafId, Leaf>,
     callers: BTreeMap<CallerName, CallerAccount>,
+    brokers: BTreeMap<BrokerName, MemberState>,
+    controls: BTreeMap<ControlName, ControlMember>,
 }
 
 impl Catalog {
@@ -48,6 +53,21 @@
         &self.callers
     }
 
+    /// Brokers of which operators want something.
+    pub fn brokers(&self) -> &BTreeMap<BrokerName, MemberState> {
+        &self.brokers
+    }
+
+    /// What operators want of a broker; active when they said nothing.
+    pub fn broker_state(&self, broker: &BrokerName) -> MemberState {
+        self.brokers.get(broker).copied().unwrap_or(MemberState::Active)
+    }
+
+    /// Control processes that operators added.
+    pub fn controls(&self) -> &BTreeMap<ControlName, ControlMember> {
+        &self.controls
+    }
+
     /// Applies `change` and moves to the next revision.
     ///
     /// # Errors
@@ -58,7 +78,7 @@
             Change::SetLeafState { leaf, state } => self.leaf_mut(*leaf)?.state = *state,
             Change::RemoveLeaf(leaf) => self.remove_leaf(*leaf)?,
             Change::DefineService { service, concurrency } => {
-                self.define_service(service, *concurrency)
+                self.define_service(service, *concurrency)?
             }
             Change::DefineClass { service, policy } => {
                 self.service_mut(service)?.define_class(policy.clone())?
@@ -73,6 +93,18 @@
             Change::DefineCaller { caller, account } => {
                 self.callers.insert(caller.clone(), account.clone());
             }
+            Change::RemoveService(service) => self.remove_service(service)?,
+            Change::RemoveClass { service, class } => self.remove_class(service, class)?,
+            Change::SetPrice { service, class, price } => self.set_price(service, class, *price)?,
+            Change::RemoveCaller(caller) => self.remove_caller(caller)?,
+            Change::AddBroker { broker } => self.add_broker(broker)?,
+            Change::SetBrokerState { broker, state } => self.set_broker_state(broker, *state)?,
+            Change::RemoveBroker(broker) => self.set_broker_state(broker, MemberState::Removed)?,
+            Change::AddControl(control) => self.add_control(control)?,
+            Change::SetControlState { control, state } => self.control_mut(control)?.state = *state,
+            Change::RemoveControl(control) => {
+                self.control_mut(control)?.state = MemberState::Removed
+            }
         }
         self.revision.0 += 1;
         Ok(self.revision)
@@ -100,11 +132,87 @@
         Ok(())
     }
 
-    fn define_service(&mut self, name: &ServiceName, concurrency: u32) {
+    fn define_service(&mut self, name: &ServiceName, concurrency: u32) -> Result<(), CatalogError> {
+        if concurrency == 0 {
+            return Err(bad_number("concurrency", 0, "use a number from 1"));
+        }
         self.services
             .entry(name.clone())
             .or_insert_with(|| Service::new(concurrency))
             .concurrency = concurrency;
+        Ok(())
+    }
+
+    fn remove_service(&mut self, name: &ServiceName) -> Result<(), CatalogError> {
+        self.service_mut(name)?;
+        self.services.remove(name);
+        Ok(())
+    }
+
+    fn remove_class(
+        &mut self,
+        service: &ServiceName,
+        class: &ClassName,
+    ) -> Result<(), CatalogError> {
+        if self.service_mut(service)?.remove_class(class) {
+            return Ok(());
+        }
+        Err(CatalogError::UnknownClass(service.clone(), class.clone()))
+    }
+
+    fn set_price(
+        &mut self,
+        service: &ServiceName,
+        class: &ClassName,
+        price: u64,
+    ) -> Result<(), CatalogError> {
+        if self.service_mut(service)?.set_price(class, price) {
+            return Ok(());
+        }
+        Err(CatalogError::UnknownClass(service.clone(), class.clone()))
+    }
+
+    fn remove_caller(&mut self, caller: &CallerName) -> Result<(), CatalogError> {
+        let removed = self.callers.remove(caller);
+        removed.map(|_| ()).ok_or_else(|| CatalogError::UnknownCaller(caller.clone()))
+    }
+
+    fn add_broker(&mut self, broker: &BrokerName) -> Result<(), CatalogError> {
+        match self.brokers.get(broker) {
+            None | Some(MemberState::Removed) => {
+                self.brokers.insert(broker.clone(), MemberState::Active);
+                Ok(())
+            }
+            Some(_) => Err(CatalogError::BrokerExists(broker.clone())),
+        }
+    }
+
+    fn set_broker_state(
+        &mut self,
+        broker: &BrokerName,
+        state: MemberState,
+    ) -> Result<(), CatalogError> {
+        if self.broker_state(broker) == MemberState::Removed {
+            return Err(CatalogError::UnknownBroker(broker.clone()));
+        }
+        self.brokers.insert(broker.clone(), state);
+        Ok(())
+    }
+
+    /// A name is never used again: a machine whose disk was lost has forgotten how it voted.
+    fn add_control(&mut self, control: &ControlMember) -> Result<(), CatalogError> {
+        if self.controls.contains_key(&control.name) {
+            return Err(CatalogError::ControlExists(control.name.clone()));
+        }
+        self.controls.insert(control.name.clone(), control.clone());
+        Ok(())
+    }
+
+    fn control_mut(&mut self, name: &ControlName) -> Result<&mut ControlMember, CatalogError> {
+        self.controls
+            .get_mut(name)
+            .filter(|control| control.state != MemberState::Removed)
+            .ok_or_else(|| CatalogError::UnknownControl(name.clone()))
     }
 
     fn assign_shard(
@@ -113,8 +221,15 @@
         shard: ShardId,
         leaves: &[LeafId],
     ) -> Result<(), CatalogError> {
-        for leaf in leaves {
+        for (index, leaf) in leaves.iter().enumerate() {
             self.leaf_mut(*leaf)?;
+            if leaves[..index].contains(leaf) {
+                return Err(CatalogError::ReplicaTwice(shard, *leaf));
+            }
+        }
+        if shard.0 >= SHARD_LIMIT {
+            let remedy = format!("use a number below {SHARD_LIMIT}");
+            return Err(bad_number("shard", shard.0, &remedy));
         }
         self.service_mut(service)?.assign_shard(shard, leaves);
         Ok(())
@@ -122,6 +237,10 @@
 
     fn repartition(&mut self, service: &ServiceName, shards: u32) -> Result<(), CatalogError> {
         let service = self.service_mut(service)?;
+        if !(1..=SHARD_LIMIT).contains(&shards) {
+            let remedy = format!("use a number from 1 to {SHARD_LIMIT}");
+            return Err(bad_number("shards", shards, &remedy));
+        }
         let epoch = PartitionEpoch(service.newest_epoch().0 + 1);
         service.add_partition(PartitionMap::empty(epoch, shards));
         Ok(())
@@ -136,5 +255,12 @@
     }
 }
 
+fn bad_number(field: &str, value: u32, remedy: &str) -> CatalogError {
+    CatalogError::BadNumber(field.to_owned(), value.into(), remedy.to_owned())
+}
+
+/// Shards that a service may have.
+const SHARD_LIMIT: u32 = 4096;
+
 /// The index version before any is published.
 pub const NO_VERSION: IndexVersion = IndexVersion(0);
--- a/crates/domain/src/catalog/service.rs
+++ b/crates/domain/src/catalog/service.rs
@@ -142,6 +142,19 @@
         Ok(())
     }
 
+    /// Whether there was such a class.
+    pub(super) fn remove_class(&mut self, name: &ClassName) -> bool {
+        let before = self.classes.len();
+        self.classes.retain(|class| &class.name != name);
+        self.classes.len() < before
+    }
+
+    /// Whether there is such a class.
+    pub(super) fn set_price(&mut self, name: &ClassName, price: u64) -> bool {
+        let class = self.classes.iter_mut().find(|class| &class.name == name);
+        class.map(|class| class.price = price).is_some()
+    }
+
     pub(super) fn assign_shard(&mut self, shard: ShardId, leaves: &[LeafId]) {
         self.newest_mut().shards.insert(shard, leaves.to_vec());
     }
--- /dev/null
+++ b/crates/domain/src/cluster/command.rs
@@ -0,0 +1,148 @@
+//! Commands of the replicated log and their outcomes.
+
+use std::fmt;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    BrokerChange, ChargeReceipt, ChargeReport, ControlRenewal, LeafHealthChange, Threshold,
+    WallTime,
+};
+use crate::catalog::{CatalogError, Change};
+use crate::identifiers::{ControlName, Revision, ServiceName, SessionName};
+
+/// Place of a command in the replicated log, from 1.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct LogIndex(pub u64);
+
+/// One command.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Command {
+    /// When it was proposed, by the proposer's clock.
+    pub at: WallTime,
+    /// What is to be done.
+    pub body: CommandBody,
+}
+
+/// What a command does.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CommandBody {
+    /// An operator changes the catalog.
+    Change(ChangeRequest),
+    /// A control process renews its lease.
+    RenewControl(ControlRenewal),
+    /// A control process tells what changed among the brokers that it feeds.
+    ReportBrokers {
+        /// The control process.
+        control: ControlName,
+        /// What changed.
+        changes: Vec<BrokerChange>,
+    },
+    /// A control process tells what changed among the leaves that it polls.
+    ReportLeaves {
+        /// The control process.
+        control: ControlName,
+        /// What changed.
+        changes: Vec<LeafHealthChange>,
+    },
+    /// Counters of charges, one report for each broker run.
+    ReportCharges(Vec<ChargeReport>),
+    /// Sets the lowest class that brokers admit.
+    SetThreshold {
+        /// The service.
+        service: ServiceName,
+        /// The threshold; none admits every class.
+        threshold: Option<Threshold>,
+    },
+}
+
+/// Identifies an operator's command over all resends.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CommandId {
+    /// The operator's session.
+    pub session: SessionName,
+    /// Number of the command within the session; greater than that of the command before.
+    pub sequence: u64,
+}
+
+impl fmt::Display for CommandId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}", self.session, self.sequence)
+    }
+}
+
+/// An operator's change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRequest {
+    /// Its identity.
+    pub id: CommandId,
+    /// The revision that the operator looked at; none accepts whatever came since.
+    pub based_on: Option<Revision>,
+    /// The change.
+    pub change: Change,
+}
+
+/// What became of a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CommandOutcome {
+    /// It was part of the state before.
+    AlreadyApplied,
+    /// Of a change.
+    Change(ChangeOutcome),
+    /// The report is part of the state.
+    Recorded,
+    /// Of charges, in the order of the reports.
+    Charges(Vec<ChargeReceipt>),
+}
+
+/// What became of a change; recorded for resends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChangeOutcome {
+    /// It is accepted.
+    Accepted {
+        /// Revision of the catalog that it gave.
+        revision: Revision,
+        /// When it was proposed.
+        at: WallTime,
+    },
+    /// It changed nothing.
+    Refused(ChangeRefusal),
+}
+
+quick_error! {
+    /// Why a change was refused; each message names the remedy.
+    #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+    pub enum ChangeRefusal {
+        /// Another change of the same thing was accepted since the revision that was named.
+        Conflict(target: String, first: SessionName, at: WallTime, revision: Revision) {
+            display("{target} was changed first by session {first} at revision {revision} ({} ms since 1970): look at it with SHOW, then repeat the change AT REVISION {revision} or later", at.0)
+        }
+        /// The revision that was named is not reached.
+        RevisionAhead(named: Revision, newest: Revision) {
+            display("revision {named} is not accepted yet, the newest is {newest}: name a revision that SHOW REVISION gave")
+        }
+        /// The changes since the revision that was named are not kept any more.
+        RevisionForgotten(named: Revision, oldest: Revision) {
+            display("revision {named} is too old to compare with, the oldest is {oldest}: look again with SHOW and name the new revision")
+        }
+        /// The number was used for another command.
+        SequenceReused(id: CommandId) {
+            display("command {id} was another one: number each new command higher than the last")
+        }
+        /// A newer command of the session was carried out, and this one is not recorded.
+        SequenceForgotten(id: CommandId) {
+            display("command {id} is older than the recorded ones, and was not carried out now: look with SHOW whether it was before, and number new commands higher")
+        }
+        /// No further session can be recorded.
+        TooManySessions(limit: u64) {
+            display("{limit} sessions are in use: go on in one of them with --session, or wait until idle ones expire")
+        }
+        /// The catalog refuses the change.
+        Catalog(error: CatalogError) {
+            display("{error}")
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/cluster/mod.rs
@@ -0,0 +1,188 @@
+//! The replicated state of the control tier.
+//!
+//! Every control process applies the same commands in the same order to a [`ClusterState`] and
+//! so holds the same catalog, sessions, members, hints and charges. Nothing here reads a clock:
+//! commands carry the time at which they were proposed.
+
+mod charges;
+mod command;
+mod history;
+mod leaf_health;
+mod members;
+mod sessions;
+mod thresholds;
+mod wall_time;
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{Catalog, CatalogError, Change};
+use crate::identifiers::Revision;
+
+pub use charges::{
+    ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, Charges, RUN_RETENTION,
+    TOMBSTONE_RETENTION,
+};
+pub use command::{
+    ChangeOutcome, ChangeRefusal, ChangeRequest, Command, CommandBody, CommandId, CommandOutcome,
+    LogIndex,
+};
+pub use history::{AcceptedChange, HISTORY_LIMIT, History, Target};
+pub use leaf_health::{LeafHealth, LeafHealthChange, LeafHints};
+pub use members::{
+    BrokerChange, BrokerRecord, CONTROL_LEASE, ControlRecord, ControlRenewal, Members,
+};
+pub use sessions::{OUTCOMES_PER_SESSION, SESSION_LIMIT, SESSION_RETENTION, Sessions};
+pub use thresholds::{Threshold, Thresholds};
+pub use wall_time::WallTime;
+
+/// The state that all control processes agree on.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClusterState {
+    applied: LogIndex,
+    now: WallTime,
+    catalog: Catalog,
+    history: History,
+    sessions: Sessions,
+    members: Members,
+    leaf_hints: LeafHints,
+    charges: Charges,
+    thresholds: Thresholds,
+}
+
+impl ClusterState {
+    /// Index of the last command applied.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// The time as the commands tell it.
+    pub fn now(&self) -> WallTime {
+        self.now
+    }
+
+    /// The configuration.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// The last accepted changes.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// Control processes and brokers.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// What the control processes saw of leaves.
+    pub fn leaf_hints(&self) -> &LeafHints {
+        &self.leaf_hints
+    }
+
+    /// What callers are charged.
+    pub fn charges(&self) -> &Charges {
+        &self.charges
+    }
+
+    /// The lowest class admitted, of each service.
+    pub fn thresholds(&self) -> &Thresholds {
+        &self.thresholds
+    }
+
+    /// Applies the command at `index` of the log; one at or before the last is left out.
+    pub fn apply(&mut self, index: LogIndex, command: &Command) -> CommandOutcome {
+        if index <= self.applied {
+            return CommandOutcome::AlreadyApplied;
+        }
+        self.applied = index;
+        self.advance_time(command.at);
+        match &command.body {
+            CommandBody::Change(request) => {
+                CommandOutcome::Change(self.change(command.at, request))
+            }
+            CommandBody::RenewControl(renewal) => {
+                self.members.renew_control(self.now, renewal);
+                CommandOutcome::Recorded
+            }
+            CommandBody::ReportBrokers { control, changes } => {
+                self.members.report_brokers(self.now, control, changes);
+                CommandOutcome::Recorded
+            }
+            CommandBody::ReportLeaves { control, changes } => {
+                self.leaf_hints.report(control, changes, &self.catalog);
+                CommandOutcome::Recorded
+            }
+            CommandBody::ReportCharges(reports) => {
+                let now = self.now;
+                let receipts = reports.iter().map(|report| self.charges.record(now, report));
+                CommandOutcome::Charges(receipts.collect())
+            }
+            CommandBody::SetThreshold { service, threshold } => {
+                self.thresholds.set(service.clone(), *threshold);
+                CommandOutcome::Recorded
+            }
+        }
+    }
+
+    fn advance_time(&mut self, at: WallTime) {
+        self.now = self.now.follow(at);
+        self.sessions.expire(self.now);
+        self.members.expire(self.now);
+        self.charges.settle(self.now);
+        self.thresholds.expire(self.now);
+    }
+
+    /// A change, once for each session and sequence number.
+    fn change(&mut self, at: WallTime, request: &ChangeRequest) -> ChangeOutcome {
+        if let Some(outcome) = self.sessions.recorded(request) {
+            return outcome;
+        }
+        let outcome = match self.sessions.admit(&request.id) {
+            Ok(()) => self.carry_out(at, request),
+            Err(refusal) => return ChangeOutcome::Refused(refusal),
+        };
+        self.sessions.record(self.now, request, &outcome);
+        outcome
+    }
+
+    fn carry_out(&mut self, at: WallTime, request: &ChangeRequest) -> ChangeOutcome {
+        match self.try_change(at, request) {
+            Ok(revision) => ChangeOutcome::Accepted { revision, at },
+            Err(refusal) => ChangeOutcome::Refused(refusal),
+        }
+    }
+
+    fn try_change(
+        &mut self,
+        at: WallTime,
+        request: &ChangeRequest,
+    ) -> Result<Revision, ChangeRefusal> {
+        if let Some(based_on) = request.based_on {
+            self.history.check(self.catalog.revision(), based_on, &request.change)?;
+        }
+        self.check_member(&request.change).map_err(ChangeRefusal::Catalog)?;
+        let revision = self.catalog.apply(&request.change).map_err(ChangeRefusal::Catalog)?;
+        self.history.push(AcceptedChange {
+            revision,
+            at,
+            session: request.id.session.clone(),
+            change: request.change.clone(),
+        });
+        self.members.forget_removed(&request.change);
+        self.leaf_hints.forget_removed(&request.change);
+        Ok(revision)
+    }
+
+    /// A process joins by itself, so its first mention by operators must be one that is live.
+    fn check_member(&self, change: &Change) -> Result<(), CatalogError> {
+        match change {
+            Change::SetBrokerState { broker, .. } | Change::RemoveBroker(broker) => {
+                let known = self.catalog.brokers().contains_key(broker)
+                    || self.members.brokers().contains_key(broker);
+                if known { Ok(()) } else { Err(CatalogError::UnknownBroker(broker.clone())) }
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/domain/src/identifiers.rs
+++ b/crates/domain/src/identifiers.rs
@@ -63,6 +63,14 @@
     /// Name of a broker process, unique in the cluster.
     BrokerName
 );
+name_type!(
+    /// Name of a control process, unique in the cluster and never used again.
+    ControlName
+);
+name_type!(
+    /// Name of an operator's session, unique to one run of a command line.
+    SessionName
+);
 name_type!(
     /// Name of a failure zone.
     ZoneName
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod catalog;
+pub mod cluster;
 pub mod dispatch;
 pub mod identifiers;
 pub mod query;
