Give statements the whole grammar and print them back

Operators need look-ups of classes, shards, versions, charges, revisions and control processes, changes of brokers, control processes, prices and removals, and a revision that a change was made against. Names are bounded at 64 characters.

--- a/crates/statement/src/lib.rs
+++ b/crates/statement/src/lib.rs
@@ -1,35 +1,13 @@
 //! The operator statement language: look-ups and changes of the catalog.
 
 mod error;
+mod fields;
 mod parse;
+mod print;
 mod reply;
-
-use gingerkeel_domain::catalog::Change;
+mod statement;
 
 pub use error::StatementError;
-pub use parse::{GRAMMAR, parse};
+pub use parse::{GRAMMAR, TEXT_LIMIT, parse};
 pub use reply::{StatementReplies, StatementReply};
-
-/// What a look-up shows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Subject {
-    /// Services, their classes and snapshots.
-    Services,
-    /// Leaves and their states.
-    Leaves,
-    /// Callers' accounts.
-    Callers,
-    /// Brokers and the revisions they run.
-    Brokers,
-    /// The control process itself.
-    Status,
-}
-
-/// One statement.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Statement {
-    /// A look-up.
-    Show(Subject),
-    /// A change of the catalog.
-    Change(Change),
-}
+pub use statement::{Statement, Subject};
--- a/crates/statement/src/parse.rs
+++ b/crates/statement/src/parse.rs
@@ -1,26 +1,19 @@
 //! From text to statements.
 
-use std::net::SocketAddr;
-use std::str::FromStr;
-use std::time::Duration;
-
-use gingerkeel_domain::catalog::{
-    AnswerPolicy, CallerAccount, Change, ClassPolicy, Leaf, LeafState, Placement,
-};
-use gingerkeel_domain::identifiers::{
-    CallerName, ClassName, IndexVersion, LeafId, RegionName, ServiceName, ShardId, ZoneName,
-};
+use gingerkeel_domain::catalog::{CallerAccount, Change, LeafState, MemberState};
+use gingerkeel_domain::identifiers::{CallerName, IndexVersion, Revision, ServiceName, ShardId};
 use pest::Parser;
 use pest::error::{ErrorVariant, LineColLocation};
 use pest::iterators::Pair;
 
+use crate::fields::Fields;
 use crate::{Statement, StatementError, Subject};
 
 /// The grammar, as shown by `gingerkeel --help`.
 pub const GRAMMAR: &str = include_str!("grammar.pest");
 
 /// Longest text that is parsed, in bytes.
-const TEXT_LIMIT: usize = 256 * 1024;
+pub const TEXT_LIMIT: usize = 256 * 1024;
 /// What the names of keyword rules start with.
 const KEYWORD_PREFIX: &str = "kw_";
 
@@ -32,7 +25,8 @@
     pub struct Grammar;
 }
 
-use grammar::{Grammar, Rule};
+use grammar::Grammar;
+pub(crate) use grammar::Rule;
 
 /// Parses a text of statements separated by `;`.
 ///
@@ -71,16 +65,49 @@
     }
 }
 
-fn is_keyword(rule: Rule) -> bool {
+pub(crate) fn is_keyword(rule: Rule) -> bool {
     format!("{rule:?}").starts_with(KEYWORD_PREFIX)
 }
 
 fn statement(pair: Pair<'_, Rule>) -> Result<Statement, StatementError> {
     let rule = pair.as_rule();
-    let fields: Vec<_> = pair.into_inner().filter(|pair| !is_keyword(pair.as_rule())).collect();
-    let mut fields = Fields { pairs: fields.into_iter() };
-    let change = match rule {
-        Rule::show => return Ok(Statement::Show(fields.subject())),
+    let mut parts = pair.into_inner();
+    if rule == Rule::show {
+        let subject = parts.nth(1).expect("a subject follows SHOW");
+        return Ok(Statement::Show(show_subject(subject)?));
+    }
+    let action = parts.next().expect("a change has an action");
+    let based_on = match parts.next() {
+        Some(revision) => Some(Revision(Fields::of(revision).number()?)),
+        None => None,
+    };
+    Ok(Statement::Change { change: change(action)?, based_on })
+}
+
+fn show_subject(pair: Pair<'_, Rule>) -> Result<Subject, StatementError> {
+    let rule = pair.as_rule();
+    let mut fields = Fields::of(pair);
+    Ok(match rule {
+        Rule::kw_services => Subject::Services,
+        Rule::kw_leaves => Subject::Leaves,
+        Rule::kw_callers => Subject::Callers,
+        Rule::kw_brokers => Subject::Brokers,
+        Rule::kw_controls => Subject::Controls,
+        Rule::kw_status => Subject::Status,
+        Rule::kw_revision => Subject::Revision,
+        Rule::kw_changes => Subject::Changes,
+        Rule::classes => Subject::Classes(fields.optional_name()?.map(ServiceName::new)),
+        Rule::shards => Subject::Shards(fields.optional_name()?.map(ServiceName::new)),
+        Rule::versions => Subject::Versions(fields.optional_name()?.map(ServiceName::new)),
+        Rule::charges => Subject::Charges(fields.optional_name()?.map(CallerName::new)),
+        other => unreachable!("{other:?} is not a subject of the grammar"),
+    })
+}
+
+fn change(pair: Pair<'_, Rule>) -> Result<Change, StatementError> {
+    let rule = pair.as_rule();
+    let mut fields = Fields::of(pair);
+    Ok(match rule {
         Rule::drain_leaf => {
             Change::SetLeafState { leaf: fields.leaf()?, state: LeafState::Draining }
         }
@@ -90,137 +117,58 @@
         Rule::remove_leaf => Change::RemoveLeaf(fields.leaf()?),
         Rule::add_leaf => Change::AddLeaf(fields.new_leaf()?),
         Rule::define_service => {
-            Change::DefineService { service: fields.service(), concurrency: fields.number()? }
+            Change::DefineService { service: fields.service()?, concurrency: fields.number()? }
         }
-        Rule::define_class => fields.class()?,
+        Rule::define_class => fields.class_definition()?,
         Rule::define_caller => Change::DefineCaller {
-            caller: CallerName::new(fields.text()),
+            caller: CallerName::new(fields.name()?),
             account: CallerAccount { budget_per_second: fields.number()?, burst: fields.number()? },
         },
         Rule::assign_shard => {
             let shard = ShardId(fields.number()?);
-            let service = fields.service();
+            let service = fields.service()?;
             Change::AssignShard { service, shard, leaves: fields.remaining_leaves()? }
         }
         Rule::repartition => {
-            Change::Repartition { service: fields.service(), shards: fields.number()? }
+            Change::Repartition { service: fields.service()?, shards: fields.number()? }
         }
         Rule::publish => {
             let version = IndexVersion(fields.number()?);
-            Change::PublishVersion { service: fields.service(), version }
+            Change::PublishVersion { service: fields.service()?, version }
         }
-        other => unreachable!("{other:?} is not a statement of the grammar"),
-    };
-    Ok(Statement::Change(change))
-}
-
-/// The fields of a statement, in the order of the grammar.
-struct Fields<'text> {
-    pairs: std::vec::IntoIter<Pair<'text, Rule>>,
-}
-
-impl<'text> Fields<'text> {
-    fn next(&mut self) -> Pair<'text, Rule> {
-        self.pairs.next().expect("the grammar yields every field")
-    }
-
-    fn text(&mut self) -> &'text str {
-        self.next().as_str()
-    }
-
-    fn number<T: FromStr>(&mut self) -> Result<T, StatementError> {
-        number(&self.next())
-    }
-
-    fn leaf(&mut self) -> Result<LeafId, StatementError> {
-        Ok(LeafId(self.number()?))
-    }
-
-    fn service(&mut self) -> ServiceName {
-        ServiceName::new(self.text())
-    }
-
-    fn remaining_leaves(&mut self) -> Result<Vec<LeafId>, StatementError> {
-        self.pairs.by_ref().map(|pair| Ok(LeafId(number(&pair)?))).collect()
-    }
-
-    fn subject(&mut self) -> Subject {
-        match self.text().to_ascii_uppercase().as_str() {
-            "SERVICES" => Subject::Services,
-            "LEAVES" => Subject::Leaves,
-            "CALLERS" => Subject::Callers,
-            "BROKERS" => Subject::Brokers,
-            _ => Subject::Status,
+        Rule::remove_service => Change::RemoveService(fields.service()?),
+        Rule::remove_class => {
+            let class = fields.class()?;
+            Change::RemoveClass { service: fields.service()?, class }
         }
-    }
-
-    fn new_leaf(&mut self) -> Result<Leaf, StatementError> {
-        Ok(Leaf {
-            id: self.leaf()?,
-            address: self.address()?,
-            placement: Placement {
-                region: RegionName::new(self.text()),
-                zone: ZoneName::new(self.text()),
-            },
-            slots: self.number()?,
-            connection_limit: self.number()?,
-            state: LeafState::Active,
-        })
-    }
-
-    fn address(&mut self) -> Result<SocketAddr, StatementError> {
-        let pair = self.next();
-        let (line, column) = pair.line_col();
-        let text = pair.as_str();
-        text.parse().map_err(|_| StatementError::BadAddress(line, column, text.to_owned()))
-    }
-
-    fn class(&mut self) -> Result<Change, StatementError> {
-        let name = ClassName::new(self.text());
-        let service = self.service();
-        let policy = ClassPolicy {
-            name,
-            priority: self.number()?,
-            queue_limit: self.number()?,
-            price: self.number()?,
-            default_deadline: self.span()?,
-            answer_policy: self.answer_policy()?,
-        };
-        Ok(Change::DefineClass { service, policy })
-    }
-
-    fn span(&mut self) -> Result<Duration, StatementError> {
-        span(&self.next())
-    }
-
-    fn answer_policy(&mut self) -> Result<AnswerPolicy, StatementError> {
-        let policy = self.next().into_inner().next().expect("a policy has one form");
-        match policy.as_rule() {
-            Rule::partial => {
-                let last = policy.into_inner().last().expect("a span follows");
-                let soft_deadline = span(&last)?;
-                Ok(AnswerPolicy::Partial { soft_deadline })
-            }
-            _ => Ok(AnswerPolicy::Full),
+        Rule::set_price => {
+            let class = fields.class()?;
+            Change::SetPrice { service: fields.service()?, class, price: fields.number()? }
         }
-    }
-}
-
-fn number<T: FromStr>(pair: &Pair<'_, Rule>) -> Result<T, StatementError> {
-    let (line, column) = pair.line_col();
-    let text = pair.as_str();
-    text.parse().map_err(|_| StatementError::OutOfRange(line, column, text.to_owned()))
+        Rule::remove_caller => Change::RemoveCaller(CallerName::new(fields.name()?)),
+        _ => return member_change(rule, fields),
+    })
 }
 
-fn span(pair: &Pair<'_, Rule>) -> Result<Duration, StatementError> {
-    let (line, column) = pair.line_col();
-    let text = pair.as_str().to_ascii_lowercase();
-    let (digits, seconds) = match text.strip_suffix("ms") {
-        Some(digits) => (digits, false),
-        None => (text.trim_end_matches('s'), true),
-    };
-    let out_of_range = || StatementError::OutOfRange(line, column, text.clone());
-    let count: u32 = digits.parse().map_err(|_| out_of_range())?;
-    let count = u64::from(count);
-    Ok(if seconds { Duration::from_secs(count) } else { Duration::from_millis(count) })
+/// Changes of brokers and control processes.
+fn member_change(rule: Rule, mut fields: Fields<'_>) -> Result<Change, StatementError> {
+    Ok(match rule {
+        Rule::add_broker => Change::AddBroker { broker: fields.broker()? },
+        Rule::drain_broker => {
+            Change::SetBrokerState { broker: fields.broker()?, state: MemberState::Draining }
+        }
+        Rule::resume_broker => {
+            Change::SetBrokerState { broker: fields.broker()?, state: MemberState::Active }
+        }
+        Rule::remove_broker => Change::RemoveBroker(fields.broker()?),
+        Rule::add_control => Change::AddControl(fields.new_control()?),
+        Rule::drain_control => {
+            Change::SetControlState { control: fields.control()?, state: MemberState::Draining }
+        }
+        Rule::resume_control => {
+            Change::SetControlState { control: fields.control()?, state: MemberState::Active }
+        }
+        Rule::remove_control => Change::RemoveControl(fields.control()?),
+        other => unreachable!("{other:?} is not a change of the grammar"),
+    })
 }
--- a/crates/statement/tests/parse.rs
+++ b/crates/statement/tests/parse.rs
@@ -1,24 +1,54 @@
 //! Statements by example.
 
-use gingerkeel_domain::catalog::{Change, LeafState};
-use gingerkeel_domain::identifiers::{LeafId, ServiceName, ShardId};
-use gingerkeel_statement::{Statement, StatementError, Subject, parse};
+use gingerkeel_domain::catalog::{Change, LeafState, MemberState};
+use gingerkeel_domain::identifiers::{
+    BrokerName, ClassName, LeafId, Revision, ServiceName, ShardId,
+};
+use gingerkeel_statement::{Statement, StatementError, Subject, TEXT_LIMIT, parse};
 use rstest::rstest;
 
 #[rstest]
 #[case("SHOW LEAVES", Statement::Show(Subject::Leaves))]
 #[case(
     "drain leaf 3;",
-    Statement::Change(Change::SetLeafState { leaf: LeafId(3), state: LeafState::Draining })
+    Statement::change(Change::SetLeafState { leaf: LeafId(3), state: LeafState::Draining })
 )]
 #[case(
     "ASSIGN SHARD 0 OF console TO LEAF 1, 2 -- the first shard",
-    Statement::Change(Change::AssignShard {
+    Statement::change(Change::AssignShard {
         service: ServiceName::new("console"),
         shard: ShardId(0),
         leaves: vec![LeafId(1), LeafId(2)],
     })
 )]
+#[case(
+    "RESUME LEAF 3 AT REVISION 17",
+    Statement::Change {
+        change: Change::SetLeafState { leaf: LeafId(3), state: LeafState::Active },
+        based_on: Some(Revision(17)),
+    }
+)]
+#[case(
+    "SHOW SHARDS OF console",
+    Statement::Show(Subject::Shards(Some(ServiceName::new("console"))))
+)]
+#[case("SHOW CHARGES", Statement::Show(Subject::Charges(None)))]
+#[case("SHOW REVISION", Statement::Show(Subject::Revision))]
+#[case(
+    "SET PRICE OF urgent OF console TO 12",
+    Statement::change(Change::SetPrice {
+        service: ServiceName::new("console"),
+        class: ClassName::new("urgent"),
+        price: 12,
+    })
+)]
+#[case(
+    "DRAIN BROKER palermo-1",
+    Statement::change(Change::SetBrokerState {
+        broker: BrokerName::new("palermo-1"),
+        state: MemberState::Draining,
+    })
+)]
 fn statement_is_understood(#[case] text: &str, #[case] expected: Statement) {
     assert_eq!(parse(text), Ok(vec![expected]));
 }
@@ -40,3 +70,22 @@
     let error = parse("DRAIN LEAF 99999999999").unwrap_err();
     assert!(matches!(error, StatementError::OutOfRange(1, 12, _)), "{error}");
 }
+
+#[test]
+fn name_too_long_is_refused_at_its_place() {
+    let error = parse(&format!("DRAIN BROKER {}", "b".repeat(65))).unwrap_err();
+    assert!(matches!(error, StatementError::NameTooLong(1, 14, 65, 64)), "{error}");
+}
+
+#[test]
+fn text_too_long_is_refused() {
+    let error = parse(&" ".repeat(TEXT_LIMIT + 1)).unwrap_err();
+    assert!(matches!(error, StatementError::TooLong(_, TEXT_LIMIT)), "{error}");
+}
+
+#[test]
+fn excerpt_marks_the_fault() {
+    let text = "SHOW STATUS;\nDRAIN LEFT 3";
+    let excerpt = parse(text).unwrap_err().excerpt(text).unwrap();
+    assert_eq!(excerpt, "DRAIN LEFT 3\n      ^");
+}
