Follow the catalog by a pure state with freshness leases, and frame the feed anew

A broker may rely on its catalog only while a control process confirms that it is the accepted one. Counting from the grant's arrival was ruled out: a frozen control process would hand out leases that are older than they look.

Frames carry names and places of brokers, renewals, leases, deltas of the list of brokers, leaving leaves and charges; the version of the frames is 2.

--- a/crates/broker/src/callers/response.rs
+++ b/crates/broker/src/callers/response.rs
@@ -172,6 +172,7 @@
         RefusalReason::BudgetSpent => "budget_spent",
         RefusalReason::NotServed => "not_served",
         RefusalReason::LeavesRefused => "leaves_refused",
+        RefusalReason::ConfigurationStale => "configuration_stale",
     }
 }
 
--- a/crates/domain/src/admission/mod.rs
+++ b/crates/domain/src/admission/mod.rs
@@ -38,6 +38,8 @@
     NotServed,
     /// Every leaf asked for it said that it did not run it.
     LeavesRefused,
+    /// The broker cannot tell whether its configuration is still the accepted one.
+    ConfigurationStale,
 }
 
 /// What becomes of a ticket.
--- a/crates/domain/src/dispatch/event.rs
+++ b/crates/domain/src/dispatch/event.rs
@@ -6,6 +6,7 @@
 use crate::identifiers::{LeafId, LeafRequestId, QueryId};
 use crate::query::{LeafFailure, LeafReply, Submission};
 use crate::routing::subset::BrokerEntry;
+use crate::time::Timestamp;
 
 /// How a leaf request ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,6 +39,8 @@
     TimerElapsed,
     /// A newer catalog is to be put in force.
     CatalogChanged(Arc<Catalog>),
+    /// New queries may start until then, as the freshness lease says; later ones are refused.
+    FreshUntil(Timestamp),
     /// The brokers that share the leaves, all of them; empty while they are not known.
     BrokersChanged(Arc<[BrokerEntry]>),
     /// The platform's list of leaving machines, as leaves, whole.
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -40,6 +40,8 @@
     queries: BTreeMap<QueryId, ActiveQuery>,
     timers: BTreeSet<(Timestamp, QueryId)>,
     stopping: bool,
+    /// None while no freshness lease is asked for.
+    fresh_until: Option<Timestamp>,
     random: Box<dyn RngCore + Send>,
 }
 
@@ -55,6 +57,7 @@
             queries: BTreeMap::new(),
             timers: BTreeSet::new(),
             stopping: false,
+            fresh_until: None,
             random,
         }
     }
@@ -89,6 +92,7 @@
             }
             Event::TimerElapsed => self.run_timers(now, effects),
             Event::CatalogChanged(catalog) => self.reconfigure(now, catalog, effects),
+            Event::FreshUntil(until) => self.fresh_until = Some(until),
             Event::BrokersChanged(brokers) => self.router.brokers_changed(brokers, &self.catalog),
             Event::PlatformLeaving(leaves) => self.router.platform_leaving(now, &leaves),
             Event::StopRequested => self.stopping = true,
@@ -98,9 +102,9 @@
     fn submit(&mut self, now: Timestamp, submission: Submission, effects: &mut Vec<Effect>) {
         let query = submission.query;
         let policy = self.catalog.class(&submission.service, &submission.class).cloned();
-        let (Some(policy), false) = (policy, self.stopping) else {
-            let reason =
-                if self.stopping { RefusalReason::Stopping } else { RefusalReason::NotServed };
+        let refusal = self.refusal(now);
+        let (Some(policy), None) = (policy, refusal) else {
+            let reason = refusal.unwrap_or(RefusalReason::NotServed);
             let outcome = QueryOutcome::NotRun { reason, retry_after: DEFAULT_RETRY_AFTER };
             effects.push(Effect::Answer { query, outcome });
             return;
@@ -119,6 +123,15 @@
         self.carry_out(now, decisions, effects);
     }
 
+    /// Why no query at all is taken now, if so.
+    fn refusal(&self, now: Timestamp) -> Option<RefusalReason> {
+        if self.stopping {
+            return Some(RefusalReason::Stopping);
+        }
+        let stale = self.fresh_until.is_some_and(|until| until <= now);
+        stale.then_some(RefusalReason::ConfigurationStale)
+    }
+
     fn carry_out(&mut self, now: Timestamp, decisions: Vec<Decision>, effects: &mut Vec<Effect>) {
         for decision in decisions {
             match decision {
--- /dev/null
+++ b/crates/domain/src/feed/follower.rs
@@ -0,0 +1,297 @@
+//! A broker that follows the catalog.
+//!
+//! The rules, whose reasons are in `docs/design/configuration-in-force.md`:
+//!
+//! - The catalog in force never goes back, whichever control process is asked.
+//! - A lease counts from when the broker asked for it, by the broker's own clock, and so never
+//!   lasts longer than the control process meant, however late the grant arrives.
+//! - A grant names the revision that was accepted when it was asked for; it counts once the
+//!   broker has that revision in force.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quick_error::quick_error;
+
+use crate::catalog::{Catalog, Change};
+use crate::identifiers::Revision;
+use crate::time::Timestamp;
+
+/// Times of a follower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowerSettings {
+    /// Time from one renewal of the lease to the next.
+    pub renewal_interval: Duration,
+    /// Time without a grant after which another control process is asked.
+    pub silence_limit: Duration,
+}
+
+impl Default for FollowerSettings {
+    fn default() -> Self {
+        Self {
+            renewal_interval: Duration::from_secs(1),
+            silence_limit: Duration::from_millis(1500),
+        }
+    }
+}
+
+quick_error! {
+    /// Why a link to a control process is given up for another one.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum FeedFault {
+        /// Its catalog is older than the one in force.
+        Older(offered: Revision, in_force: Revision) {
+            display("revision {offered} is older than {in_force}, which is in force: check that the control process is not cut off or of another cluster")
+        }
+        /// A change does not follow on the one in force.
+        Gap(offered: Revision, in_force: Revision) {
+            display("change {offered} does not follow on {in_force}: asking for what lies between")
+        }
+        /// A change cannot be applied.
+        Inapplicable(revision: Revision, reason: String) {
+            display("change {revision} cannot be applied ({reason}): run the same release at both ends")
+        }
+        /// No grant came in time.
+        Silent {
+            display("no lease was granted in time: check that a quorum of control processes is up and reachable")
+        }
+    }
+}
+
+/// A freshness lease as granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseGrant {
+    /// Number of the renewal that asked for it.
+    pub ticket: u64,
+    /// The revision that was accepted, by a quorum-confirmed read begun after the renewal came.
+    pub revision: Revision,
+    /// How long the lease lasts from when it was asked for.
+    pub duration: Duration,
+}
+
+/// What a follower is told.
+#[derive(Debug, Clone)]
+pub enum FollowerEvent {
+    /// A link to a control process is up.
+    Connected,
+    /// The link is lost.
+    Disconnected,
+    /// The whole catalog came.
+    FullCatalog(Catalog),
+    /// A change came.
+    Change {
+        /// The revision that it gives.
+        revision: Revision,
+        /// The change.
+        change: Change,
+    },
+    /// A lease was granted.
+    Granted(LeaseGrant),
+    /// The time that [`FollowerState::next_timer`] named has come.
+    TimerElapsed,
+}
+
+/// What a follower wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FollowerEffect {
+    /// Subscribe on the link, as one that holds this revision.
+    Subscribe(Revision),
+    /// Ask for a lease.
+    Renew {
+        /// Number of the renewal.
+        ticket: u64,
+        /// The revision in force.
+        in_force: Revision,
+    },
+    /// Put this catalog in force, and report it.
+    PutInForce(Arc<Catalog>),
+    /// Queries may start until then.
+    FreshUntil(Timestamp),
+    /// Close the link and take another control process.
+    GiveUp(FeedFault),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Renewal {
+    ticket: u64,
+    asked_at: Timestamp,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct UnmetLease {
+    revision: Revision,
+    until: Timestamp,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Link {
+    next_renewal: Timestamp,
+    last_grant: Timestamp,
+}
+
+/// The state of a follower.
+#[derive(Debug, Clone)]
+pub struct FollowerState {
+    settings: FollowerSettings,
+    catalog: Arc<Catalog>,
+    fresh_until: Timestamp,
+    next_ticket: u64,
+    renewals: VecDeque<Renewal>,
+    unmet: Option<UnmetLease>,
+    link: Option<Link>,
+}
+
+impl FollowerState {
+    /// A follower without a catalog, a lease or a link.
+    pub fn new(settings: FollowerSettings) -> Self {
+        Self {
+            settings,
+            catalog: Arc::default(),
+            fresh_until: Timestamp::ZERO,
+            next_ticket: 1,
+            renewals: VecDeque::new(),
+            unmet: None,
+            link: None,
+        }
+    }
+
+    /// The catalog in force.
+    pub fn catalog(&self) -> &Arc<Catalog> {
+        &self.catalog
+    }
+
+    /// Whether the lease holds.
+    pub fn is_fresh(&self, now: Timestamp) -> bool {
+        now < self.fresh_until
+    }
+
+    /// When [`FollowerEvent::TimerElapsed`] is due next; none without a link.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        let link = self.link?;
+        Some(link.next_renewal.min(link.last_grant.after(self.settings.silence_limit)))
+    }
+
+    /// Handles one event and appends what has to be done to `effects`.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: FollowerEvent,
+        effects: &mut Vec<FollowerEffect>,
+    ) {
+        match event {
+            FollowerEvent::Connected => self.connected(now, effects),
+            FollowerEvent::Disconnected => self.disconnected(),
+            FollowerEvent::FullCatalog(catalog) => self.full_catalog(catalog, effects),
+            FollowerEvent::Change { revision, change } => self.change(revision, &change, effects),
+            FollowerEvent::Granted(grant) => self.granted(now, grant, effects),
+            FollowerEvent::TimerElapsed => self.timer_elapsed(now, effects),
+        }
+    }
+
+    fn connected(&mut self, now: Timestamp, effects: &mut Vec<FollowerEffect>) {
+        self.disconnected();
+        self.link = Some(Link { next_renewal: now, last_grant: now });
+        effects.push(FollowerEffect::Subscribe(self.catalog.revision()));
+        self.renew(now, effects);
+    }
+
+    /// Renewals of a link end with it; the lease in hand goes on.
+    fn disconnected(&mut self) {
+        self.link = None;
+        self.renewals.clear();
+    }
+
+    fn renew(&mut self, now: Timestamp, effects: &mut Vec<FollowerEffect>) {
+        let Some(link) = &mut self.link else {
+            return;
+        };
+        link.next_renewal = now.after(self.settings.renewal_interval);
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.renewals.push_back(Renewal { ticket, asked_at: now });
+        effects.push(FollowerEffect::Renew { ticket, in_force: self.catalog.revision() });
+    }
+
+    fn timer_elapsed(&mut self, now: Timestamp, effects: &mut Vec<FollowerEffect>) {
+        let Some(link) = self.link else {
+            return;
+        };
+        if now >= link.last_grant.after(self.settings.silence_limit) {
+            self.give_up(FeedFault::Silent, effects);
+        } else if now >= link.next_renewal {
+            self.renew(now, effects);
+        }
+    }
+
+    fn give_up(&mut self, fault: FeedFault, effects: &mut Vec<FollowerEffect>) {
+        self.disconnected();
+        effects.push(FollowerEffect::GiveUp(fault));
+    }
+
+    fn full_catalog(&mut self, catalog: Catalog, effects: &mut Vec<FollowerEffect>) {
+        let (offered, in_force) = (catalog.revision(), self.catalog.revision());
+        if offered < in_force {
+            return self.give_up(FeedFault::Older(offered, in_force), effects);
+        }
+        self.put_in_force(catalog, effects);
+    }
+
+    fn change(&mut self, revision: Revision, change: &Change, effects: &mut Vec<FollowerEffect>) {
+        let in_force = self.catalog.revision();
+        if revision <= in_force {
+            return;
+        }
+        if revision.0 != in_force.0 + 1 {
+            return self.give_up(FeedFault::Gap(revision, in_force), effects);
+        }
+        let mut catalog = Catalog::clone(&self.catalog);
+        match catalog.apply(change) {
+            Ok(_) => self.put_in_force(catalog, effects),
+            Err(error) => {
+                self.give_up(FeedFault::Inapplicable(revision, error.to_string()), effects)
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, catalog: Catalog, effects: &mut Vec<FollowerEffect>) {
+        self.catalog = Arc::new(catalog);
+        effects.push(FollowerEffect::PutInForce(self.catalog.clone()));
+        let revision = self.catalog.revision();
+        if let Some(lease) = self.unmet.take_if(|lease| lease.revision <= revision) {
+            self.extend(lease.until, effects);
+        }
+    }
+
+    fn granted(&mut self, now: Timestamp, grant: LeaseGrant, effects: &mut Vec<FollowerEffect>) {
+        let Some(renewal) = self.take_renewal(grant.ticket) else {
+            return;
+        };
+        let in_force = self.catalog.revision();
+        if grant.revision < in_force {
+            return self.give_up(FeedFault::Older(grant.revision, in_force), effects);
+        }
+        if let Some(link) = &mut self.link {
+            link.last_grant = now;
+        }
+        let until = renewal.asked_at.after(grant.duration);
+        if grant.revision == in_force {
+            self.extend(until, effects);
+        } else {
+            self.unmet = Some(UnmetLease { revision: grant.revision, until });
+        }
+    }
+
+    /// The renewal of this number; it and older ones are answered.
+    fn take_renewal(&mut self, ticket: u64) -> Option<Renewal> {
+        let place = self.renewals.iter().position(|renewal| renewal.ticket == ticket)?;
+        self.renewals.drain(..=place).last()
+    }
+
+    fn extend(&mut self, until: Timestamp, effects: &mut Vec<FollowerEffect>) {
+        if until > self.fresh_until {
+            self.fresh_until = until;
+            effects.push(FollowerEffect::FreshUntil(until));
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/feed/mod.rs
@@ -0,0 +1,11 @@
+//! The broker's side of its feed: which catalog it has in force and until when it may rely on it.
+
+mod back_off;
+mod brokers;
+mod follower;
+
+pub use back_off::BackOff;
+pub use brokers::{BrokerList, BrokerListDelta};
+pub use follower::{
+    FeedFault, FollowerEffect, FollowerEvent, FollowerSettings, FollowerState, LeaseGrant,
+};
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod cluster;
 pub mod dispatch;
+pub mod feed;
 pub mod identifiers;
 pub mod query;
 pub mod routing;
--- a/crates/domain/src/routing/subset.rs
+++ b/crates/domain/src/routing/subset.rs
@@ -8,6 +8,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::catalog::{Leaf, Placement};
 use crate::identifiers::{BrokerName, LeafId, ShardId};
 use crate::routing::table::{Distance, ShardRoute};
@@ -20,7 +22,7 @@
 const CONNECTION_SHARE: f64 = 0.9;
 
 /// A broker as others see it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BrokerEntry {
     /// Its name.
     pub name: BrokerName,
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -1,9 +1,8 @@
-//! The feed of the catalog from a control process to a broker.
+//! The feed from a control process to a broker, and what the broker reports on it.
 
 use binrw::binrw;
 
-/// Longest name that travels in a frame, in bytes.
-const NAME_LIMIT: usize = 255;
+use crate::text::{Document, ShortText};
 
 /// A message from a broker to its control process.
 #[binrw]
@@ -15,22 +14,41 @@
     Subscribe {
         /// Version of the frames that the broker speaks.
         protocol_version: u16,
+        /// Number of the broker's run, drawn at its start.
+        run: u64,
         /// Revision of the catalog that the broker holds; 0 for none.
         revision: u64,
-        #[br(temp)]
-        #[bw(calc = broker.len().min(NAME_LIMIT) as u8)]
-        name_length: u8,
-        /// Name of the broker, UTF-8, at most 255 bytes.
-        #[br(count = name_length)]
-        #[bw(map = |name: &Vec<u8>| name[..name.len().min(NAME_LIMIT)].to_vec())]
-        broker: Vec<u8>,
+        /// Name of the broker.
+        broker: ShortText,
+        /// Region in which it runs.
+        region: ShortText,
+        /// Zone in which it runs.
+        zone: ShortText,
     },
-    /// The broker has put a revision in force.
+    /// The broker asks for a freshness lease.
     #[brw(magic = 2u8)]
-    Applied {
+    Renew {
+        /// Number of the renewal, which the grant repeats.
+        ticket: u64,
+        /// The revision that it has in force.
+        in_force: u64,
+    },
+    /// The broker has put a revision in force.
+    #[brw(magic = 3u8)]
+    InForce {
         /// The revision.
         revision: u64,
     },
+    /// Charge counters that changed since the last report that was recorded.
+    #[brw(magic = 4u8)]
+    Charges {
+        /// Number of the report, which the receipt repeats.
+        sequence: u64,
+        /// The run that counted.
+        run: u64,
+        /// The counters by key, as a document.
+        counters: Document,
+    },
 }
 
 /// A message from a control process to a broker.
@@ -41,29 +59,75 @@
     /// The whole catalog.
     #[brw(magic = 1u8)]
     FullCatalog {
-        #[br(temp)]
-        #[bw(calc = document.len() as u32)]
-        length: u32,
         /// The catalog as a document.
-        #[br(count = length)]
-        document: Vec<u8>,
+        catalog: Document,
     },
     /// One change that takes the catalog from `revision - 1` to `revision`.
     #[brw(magic = 2u8)]
     Change {
         /// The revision that the change gives.
         revision: u64,
-        #[br(temp)]
-        #[bw(calc = document.len() as u32)]
-        length: u32,
         /// The change as a document.
-        #[br(count = length)]
-        document: Vec<u8>,
+        change: Document,
     },
     /// The broker cannot be served.
     #[brw(magic = 3u8)]
     Refused {
         /// Version of the frames that the control process speaks.
         protocol_version: u16,
+        /// Why.
+        reason: FeedRefusal,
+    },
+    /// A freshness lease.
+    #[brw(magic = 4u8)]
+    Lease {
+        /// Number of the renewal that asked for it.
+        ticket: u64,
+        /// The revision that was accepted when the renewal came.
+        revision: u64,
+        /// How long it lasts from when it was asked for.
+        duration_milliseconds: u32,
+    },
+    /// What changed among the brokers that share the leaves, as a document.
+    #[brw(magic = 5u8)]
+    Brokers {
+        /// The delta.
+        delta: Document,
+    },
+    /// Leaves that said that they are leaving, all of them; a hint.
+    #[brw(magic = 6u8)]
+    Leaving {
+        /// How many.
+        #[br(temp)]
+        #[bw(calc = leaves.len() as u32)]
+        count: u32,
+        /// Their numbers.
+        #[br(count = count)]
+        leaves: Vec<u32>,
+    },
+    /// A report of charges is part of the totals.
+    #[brw(magic = 7u8)]
+    ChargesRecorded {
+        /// Number of the report.
+        sequence: u64,
     },
+    /// The run that was reported is settled: the broker counts on in a new one.
+    #[brw(magic = 8u8)]
+    RunSettled {
+        /// Number of the report.
+        sequence: u64,
+    },
+}
+
+/// Why a broker is not served.
+#[binrw]
+#[brw(big, repr = u8)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FeedRefusal {
+    /// The versions of the frames differ.
+    ProtocolVersion = 1,
+    /// Operators removed the broker.
+    Removed = 2,
+    /// Its name, region or zone is not UTF-8 or empty.
+    BadName = 3,
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,11 +7,13 @@
 mod document;
 mod error;
 mod feed;
+mod text;
 
 pub use codec::{Frame, FrameCodec, MAXIMUM_FRAME_BYTES, encode_frame};
 pub use document::{decode_document, encode_document};
 pub use error::ProtocolError;
-pub use feed::{FeedMessage, SubscriberMessage};
+pub use feed::{FeedMessage, FeedRefusal, SubscriberMessage};
+pub use text::{Document, ShortText};
 
 /// Version of the frames; both ends of a connection must speak the same.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
