--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod admission;
 pub mod catalog;
+pub mod cluster;
 pub mod consensus;
 pub mod dispatch;
+pub mod feed;
 pub mod identifiers;
 pub mod query;
 pub mod routing;
