--- /dev/null
+++ b/crates/simulation/src/control/check.rs
@@ -0,0 +1,203 @@
+//! Checks of a history against the promises of the control tier, apart from the code that keeps
+//! them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gingerkeel_domain::catalog::Change;
+use gingerkeel_domain::cluster::{ChangeOutcome, ChangeRefusal, CommandId};
+use gingerkeel_domain::consensus::LogIndex;
+use gingerkeel_domain::identifiers::Revision;
+use gingerkeel_domain::time::Timestamp;
+
+use super::broker::BrokerIndex;
+use super::history::{BrokerSample, CommandRecord, FinalState, History};
+
+/// Time after which an accepted change is in force everywhere.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(7);
+
+/// A broken promise.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Violation {
+    /// Members applied different commands at the same place of the log.
+    StatesDiverge(LogIndex),
+    /// A broker served by a configuration older than one accepted long before.
+    NotInForce(BrokerIndex, Revision),
+    /// A broker went back to an older configuration.
+    Reverted(BrokerIndex, Revision),
+    /// An accepted change is missing at the end, or stands at another revision.
+    AcceptedLost(CommandId),
+    /// A change was carried out more than once.
+    CarriedOutTwice(CommandId),
+    /// A command was told different outcomes.
+    OutcomesDiffer(CommandId),
+    /// Two changes of the same thing, made against the same revision, were both accepted.
+    ConflictAccepted(CommandId),
+    /// The one who lost a race was told another winner than the one who won.
+    WrongWinner(CommandId),
+    /// A command has no outcome at the end.
+    NoOutcome(CommandId),
+    /// The machines do not hold the same state at the end.
+    FinalStatesDiffer,
+    /// A broker does not serve by the last revision at the end.
+    BrokerBehind(BrokerIndex),
+}
+
+/// All broken promises of a history.
+pub fn check(history: &History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let diverged = history.divergences.iter().map(|found| found.index);
+    violations.extend(diverged.map(Violation::StatesDiverge));
+    check_in_force(history, &mut violations);
+    check_reverts(history, &mut violations);
+    check_commands(history, &mut violations);
+    check_races(history, &mut violations);
+    check_end(history, &mut violations);
+    violations
+}
+
+fn accepted_revision(record: &CommandRecord) -> Option<(Timestamp, Revision)> {
+    record.outcomes.iter().find_map(|(at, outcome)| match outcome {
+        ChangeOutcome::Accepted { revision, .. } => Some((*at, *revision)),
+        ChangeOutcome::Refused(_) => None,
+    })
+}
+
+/// The highest revision that was accepted by each moment at which one was.
+fn acceptances(history: &History) -> BTreeMap<Timestamp, Revision> {
+    let mut told: Vec<(Timestamp, Revision)> =
+        history.commands.values().filter_map(accepted_revision).collect();
+    told.sort_unstable();
+    let mut highest = Revision(0);
+    let rising = told.into_iter().map(|(at, revision)| {
+        highest = highest.max(revision);
+        (at, highest)
+    });
+    rising.collect()
+}
+
+fn check_in_force(history: &History, violations: &mut Vec<Violation>) {
+    let accepted = acceptances(history);
+    for sample in history.samples.iter().filter(|sample| sample.serves) {
+        let old_enough = accepted
+            .range(..sample.at)
+            .rev()
+            .find(|(at, _)| sample.at.since(**at) > IN_FORCE_BOUND);
+        if old_enough.is_some_and(|(_, revision)| sample.revision < *revision) {
+            violations.push(Violation::NotInForce(sample.broker, sample.revision));
+            return;
+        }
+    }
+}
+
+/// Within a run the revision never falls; a new run serves none older than the run before.
+fn check_reverts(history: &History, violations: &mut Vec<Violation>) {
+    let mut latest: BTreeMap<BrokerIndex, BrokerSample> = BTreeMap::new();
+    for sample in &history.samples {
+        if let Some(former) = latest.get(&sample.broker) {
+            let same_run = former.run == sample.run;
+            if sample.revision < former.revision && (same_run || sample.serves) {
+                violations.push(Violation::Reverted(sample.broker, sample.revision));
+                return;
+            }
+        }
+        // A run that has not come so far yet does not hide what the former one served by.
+        let behind = latest
+            .get(&sample.broker)
+            .is_some_and(|former| former.run != sample.run && !sample.serves);
+        if !behind {
+            latest.insert(sample.broker, *sample);
+        }
+    }
+}
+
+fn check_commands(history: &History, violations: &mut Vec<Violation>) {
+    let Some(last) = history.final_states.first() else {
+        return;
+    };
+    for (id, record) in &history.commands {
+        let mut outcomes = record.outcomes.iter().map(|(_, outcome)| outcome);
+        match outcomes.next() {
+            None => violations.push(Violation::NoOutcome(id.clone())),
+            Some(first) if outcomes.any(|other| other != first) => {
+                violations.push(Violation::OutcomesDiffer(id.clone()))
+            }
+            Some(_) => {}
+        }
+        check_carried_out(last, id, record, violations);
+    }
+}
+
+fn check_carried_out(
+    last: &FinalState,
+    id: &CommandId,
+    record: &CommandRecord,
+    violations: &mut Vec<Violation>,
+) {
+    let Some((_, revision)) = accepted_revision(record) else {
+        return;
+    };
+    let change = &record.request.change;
+    let place = last.changes.iter().find(|accepted| accepted.revision == revision);
+    if place.is_none_or(|accepted| accepted.change != *change || accepted.session != id.session) {
+        violations.push(Violation::AcceptedLost(id.clone()));
+    }
+    // Each change of an operator's own names a caller that no other change names.
+    let is_own = matches!(change, Change::DefineCaller { .. });
+    let copies = last.changes.iter().filter(|accepted| accepted.change == *change).count();
+    if is_own && copies > 1 {
+        violations.push(Violation::CarriedOutTwice(id.clone()));
+    }
+}
+
+/// Changes that were made against a revision all concern the leaf that is raced for.
+fn check_races(history: &History, violations: &mut Vec<Violation>) {
+    let mut winners: BTreeMap<Revision, &CommandId> = BTreeMap::new();
+    for (id, record) in &history.commands {
+        let (Some(based_on), Some(_)) = (record.request.based_on, accepted_revision(record)) else {
+            continue;
+        };
+        if winners.insert(based_on, id).is_some() {
+            violations.push(Violation::ConflictAccepted(id.clone()));
+        }
+    }
+    for (id, record) in &history.commands {
+        for (_, outcome) in &record.outcomes {
+            if let ChangeOutcome::Refused(ChangeRefusal::Conflict(_, first, _, revision)) = outcome
+                && !was_won_by(history, first.as_str(), *revision)
+            {
+                violations.push(Violation::WrongWinner(id.clone()));
+            }
+        }
+    }
+}
+
+/// Whether the change at this revision is of this session, as the machines hold it in the end.
+fn was_won_by(history: &History, session: &str, revision: Revision) -> bool {
+    history
+        .final_states
+        .iter()
+        .flat_map(|state| &state.changes)
+        .any(|accepted| accepted.revision == revision && accepted.session.as_str() == session)
+}
+
+fn check_end(history: &History, violations: &mut Vec<Violation>) {
+    let Some(first) = history.final_states.first() else {
+        return;
+    };
+    let same =
+        |other: &FinalState| other.catalog == first.catalog && other.changes == first.changes;
+    if !history.final_states.iter().all(same) {
+        violations.push(Violation::FinalStatesDiffer);
+    }
+    let mut last: BTreeMap<BrokerIndex, &BrokerSample> = BTreeMap::new();
+    for sample in &history.samples {
+        last.insert(sample.broker, sample);
+    }
+    let newest = first.catalog.revision();
+    for (broker, sample) in last {
+        if !sample.serves || sample.revision != newest {
+            violations.push(Violation::BrokerBehind(broker));
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/control/disk.rs
@@ -0,0 +1,47 @@
+//! A disk whose unsynced writes are lost when its machine is killed.
+
+use std::collections::VecDeque;
+
+use gingerkeel_domain::consensus::{Entry, Recovered, Write, WriteNumber};
+use gingerkeel_domain::time::Timestamp;
+
+/// A disk.
+#[derive(Debug, Default)]
+pub struct Disk {
+    /// What is synced.
+    pub synced: Recovered,
+    /// What is written and not synced, oldest first.
+    pub unsynced: VecDeque<Write>,
+    /// When the last write will be synced.
+    pub busy_until: Timestamp,
+}
+
+impl Disk {
+    /// A disk that holds `synced`.
+    pub fn holding(synced: Recovered) -> Self {
+        Self { synced, ..Self::default() }
+    }
+
+    /// Writes up to `number` are synced.
+    pub fn sync_up_to(&mut self, number: WriteNumber) {
+        while let Some(write) = self.unsynced.pop_front_if(|write| write.number <= number) {
+            persist(&mut self.synced, write);
+        }
+    }
+}
+
+fn persist(synced: &mut Recovered, write: Write) {
+    if let Some(hard_state) = write.hard_state {
+        synced.hard_state = hard_state;
+    }
+    if let Some(written) = write.snapshot {
+        let index = written.snapshot.metadata.position.index;
+        let kept = |entry: &Entry| !written.replaces_log && entry.index > index;
+        synced.entries.retain(kept);
+        synced.snapshot = Some(written.snapshot);
+    }
+    if let Some(first) = write.entries.first() {
+        synced.entries.retain(|entry| entry.index < first.index);
+    }
+    synced.entries.extend(write.entries);
+}
