--- a/crates/domain/src/consensus/progress.rs
+++ b/crates/domain/src/consensus/progress.rs
@@ -116,20 +116,20 @@
         news
     }
 
-    /// The member lacks the entry before the ones sent; tells whether to send again.
+    /// The member lacks the entry before the ones sent; tells whether to send again at once.
     pub fn rejected(&mut self, previous: LogIndex, hint: LogIndex) -> bool {
-        match &self.state {
-            ProgressState::Replicate { .. } if previous > self.matched => {
-                self.next = self.matched.next();
-            }
+        let next = match &self.state {
+            ProgressState::Replicate { .. } if previous > self.matched => self.matched.next(),
             ProgressState::Probe { .. } if previous.next() == self.next => {
-                self.next = previous.min(hint.next()).max(self.matched.next());
+                previous.min(hint.next()).max(self.matched.next())
             }
             // An answer to an earlier request.
             _ => return false,
-        }
-        self.state = ProgressState::Probe { waiting: false };
-        true
+        };
+        let moved = next != self.next;
+        self.next = next;
+        self.state = ProgressState::Probe { waiting: !moved };
+        moved
     }
 
     fn replicate(&mut self) {
--- /dev/null
+++ b/crates/domain/tests/consensus/membership.rs
@@ -0,0 +1,170 @@
+//! Changes of the members in a running cluster.
+
+use gingerkeel_domain::consensus::{
+    LogIndex, MemberChange, MemberChangeError, Recovered, RoleName,
+};
+use rstest::rstest;
+
+use crate::lab::{Lab, member};
+
+const ALL: [u32; 4] = [1, 2, 3, 4];
+
+fn change(lab: &mut Lab, change: MemberChange) -> Result<LogIndex, MemberChangeError> {
+    let now = lab.now;
+    let outcome = lab.node(1).node.change_members(now, change);
+    lab.flush(member(1));
+    outcome
+}
+
+/// Three voters that the first leads, and a fourth member without a log.
+fn cluster() -> Lab {
+    let mut lab = Lab::new(3);
+    lab.settle(1, &[1, 2, 3]);
+    lab.start(member(4), Recovered::default());
+    lab
+}
+
+/// The same, with the fourth as a learner; `reachable` get the log.
+fn with_learner(reachable: &[u32]) -> Lab {
+    let mut lab = cluster();
+    change(&mut lab, MemberChange::AddLearner(member(4))).expect("the learner is added");
+    lab.deliver_among(reachable);
+    lab.heartbeat(1, reachable);
+    lab
+}
+
+#[test]
+fn a_learner_gets_the_log_and_does_not_count() {
+    let mut lab = with_learner(&ALL);
+    lab.propose(1, "x");
+    lab.deliver_among(&[1, 4]);
+    assert!(lab.commands(1).is_empty());
+    lab.heartbeat(1, &ALL);
+    lab.heartbeat(1, &ALL);
+    assert_eq!(lab.commands(4), ["x"]);
+}
+
+#[test]
+fn a_learner_does_not_stand_for_election() {
+    let mut lab = with_learner(&ALL);
+    lab.advance(10_000);
+    lab.tick(4);
+    assert!(lab.pending.is_empty());
+    assert_eq!(lab.role(4), RoleName::Follower);
+}
+
+#[rstest]
+#[case::caught_up(&ALL, Ok(()))]
+#[case::never_reached(&[1, 2, 3], Err(MemberChangeError::NotCaughtUp(member(4))))]
+fn a_learner_is_promoted_only_when_caught_up(
+    #[case] reachable: &[u32],
+    #[case] expected: Result<(), MemberChangeError>,
+) {
+    let mut lab = with_learner(reachable);
+    for _ in 0..30 {
+        lab.propose(1, "x");
+        lab.deliver_among(reachable);
+    }
+    lab.heartbeat(1, reachable);
+    let outcome = change(&mut lab, MemberChange::Promote(member(4)));
+    assert_eq!(outcome.map(|_| ()), expected);
+}
+
+#[test]
+fn a_learner_that_fell_silent_is_not_promoted() {
+    let mut lab = with_learner(&ALL);
+    for _ in 0..10 {
+        lab.heartbeat(1, &[1, 2, 3]);
+    }
+    let outcome = change(&mut lab, MemberChange::Promote(member(4)));
+    assert_eq!(outcome, Err(MemberChangeError::NotCaughtUp(member(4))));
+}
+
+#[test]
+fn a_promoted_member_counts_from_its_entry_on() {
+    let mut lab = with_learner(&ALL);
+    change(&mut lab, MemberChange::Promote(member(4))).expect("it has caught up");
+    lab.deliver_among(&[1, 2]);
+    assert!(lab.commit(1) < lab.node(1).node.status().last.index, "two of four are no quorum");
+    lab.heartbeat(1, &[1, 2, 4]);
+    assert_eq!(lab.commit(1), lab.node(1).node.status().last.index);
+}
+
+#[test]
+fn one_change_at_a_time() {
+    let mut lab = cluster();
+    change(&mut lab, MemberChange::AddLearner(member(4))).expect("the first is taken");
+    let second = change(&mut lab, MemberChange::Remove(member(3)));
+    assert_eq!(second, Err(MemberChangeError::ChangePending));
+    lab.deliver_among(&ALL);
+    assert!(change(&mut lab, MemberChange::Remove(member(3))).is_ok());
+}
+
+#[test]
+fn no_change_before_an_entry_of_the_own_term_is_committed() {
+    let mut lab = Lab::new(3);
+    lab.elect(1, &[1, 2, 3]);
+    let outcome = change(&mut lab, MemberChange::Remove(member(3)));
+    assert_eq!(outcome, Err(MemberChangeError::ChangePending));
+}
+
+#[test]
+fn no_change_that_leaves_too_few_voters_that_answer() {
+    let mut lab = Lab::new(3);
+    lab.settle(1, &[1, 2, 3]);
+    for _ in 0..10 {
+        lab.heartbeat(1, &[1, 2]);
+    }
+    let outcome = change(&mut lab, MemberChange::Remove(member(2)));
+    assert_eq!(outcome, Err(MemberChangeError::QuorumAtRisk));
+    assert!(change(&mut lab, MemberChange::Remove(member(3))).is_ok());
+}
+
+#[test]
+fn a_change_that_was_overwritten_does_not_count() {
+    let mut lab = cluster();
+    change(&mut lab, MemberChange::AddLearner(member(4))).expect("it is taken");
+    lab.pending.clear();
+    lab.settle(2, &[2, 3]);
+    lab.heartbeat(2, &[1, 2, 3]);
+    lab.heartbeat(2, &[1, 2, 3]);
+    assert!(!lab.node(1).node.configuration().contains(member(4)));
+}
+
+#[test]
+fn a_leader_that_was_removed_ends_its_office() {
+    let mut lab = Lab::new(3);
+    lab.settle(1, &[1, 2, 3]);
+    change(&mut lab, MemberChange::Remove(member(1))).expect("it is taken");
+    lab.deliver_among(&[1, 2, 3]);
+    assert_eq!(lab.role(1), RoleName::Follower);
+    lab.settle(2, &[2, 3]);
+    lab.propose(2, "x");
+    lab.deliver_among(&[2, 3]);
+    assert_eq!(lab.commands(3), ["x"]);
+}
+
+#[test]
+fn a_removed_member_disturbs_nobody() {
+    let mut lab = Lab::new(3);
+    lab.settle(1, &[1, 2, 3]);
+    change(&mut lab, MemberChange::Remove(member(3))).expect("it is taken");
+    lab.deliver_among(&[1, 2]);
+    let term = lab.node(1).node.status().term;
+    for _ in 0..20 {
+        lab.heartbeat(1, &[1, 2]);
+        lab.advance(100);
+        lab.tick(3);
+        lab.deliver_among(&[1, 2, 3]);
+    }
+    assert_eq!(lab.role(1), RoleName::Leader);
+    assert_eq!(lab.node(1).node.status().term, term);
+}
+
+#[test]
+fn a_follower_does_not_change_members() {
+    let mut lab = cluster();
+    let now = lab.now;
+    let outcome = lab.node(2).node.change_members(now, MemberChange::Remove(member(3)));
+    assert_eq!(outcome, Err(MemberChangeError::NotLeader(Some(member(1)))));
+}
