Keep the replicated log in a data folder

Segments of checksummed records are appended and synced; a record is one batch, so a crash tears only the last. A torn tail is cut with a log line; a damaged record with a whole one after it, a missing segment, another cluster's, machine's or format's folder, and one in use are refused with the remedy. A full disk rolls the part back, says so and takes writes again; after a failed sync nothing more is written. A thread of its own persists, so that a slow sync does not hold up the reactor. Ruled out: preallocated segments, as their tail is not told from damage.

--- /dev/null
+++ b/crates/control/src/storage/error.rs
@@ -0,0 +1,68 @@
+//! Ways in which the data folder fails.
+
+use std::io;
+use std::path::PathBuf;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// The data folder cannot be used, or a write did not reach the disk.
+    #[derive(Debug)]
+    pub enum StorageError {
+        /// A file or the folder cannot be read or written.
+        Unusable(path: PathBuf, error: io::Error) {
+            source(error)
+            display("{}: {error}: check that the folder exists, belongs to this user and is on a healthy disk", path.display())
+        }
+        /// Another process uses the folder.
+        InUse(path: PathBuf) {
+            display("{}: another process uses this data folder: stop it, or name another data_folder", path.display())
+        }
+        /// The folder belongs to another cluster.
+        OtherCluster(path: PathBuf, found: String, expected: String) {
+            display("{}: the data folder is of cluster {found}, not {expected}: name the right data_folder, or the right cluster in the settings", path.display())
+        }
+        /// The folder belongs to another machine.
+        OtherNode(path: PathBuf, found: u32, expected: u32) {
+            display("{}: the data folder is of node {found}, not {expected}: never copy a data folder; name the right data_folder, or the right node in the settings", path.display())
+        }
+        /// The folder was written by a release with another format.
+        OtherFormat(path: PathBuf, found: u16, expected: u16) {
+            display("{}: the data folder has format {found}, this release reads {expected}: start the release that wrote it", path.display())
+        }
+        /// Something that was synced is not what was written.
+        Damaged(path: PathBuf, offset: u64, reason: &'static str) {
+            display("{}: damaged at byte {offset} ({reason}): move the data folder away and start with an empty one, so that the machine rejoins as a new member", path.display())
+        }
+        /// The disk is full; nothing of the batch counts, all before it does.
+        Full(path: PathBuf) {
+            display("{}: the disk is full: free some space; changes are accepted again by themselves", path.display())
+        }
+        /// A sync failed, so that it is unknown what is on the disk.
+        SyncFailed(path: PathBuf, error: io::Error) {
+            source(error)
+            display("{}: a sync failed ({error}): check the disk, then start the process again", path.display())
+        }
+        /// An earlier write failed for good.
+        Stopped(path: PathBuf) {
+            display("{}: an earlier write failed: check the disk, then start the process again", path.display())
+        }
+    }
+}
+
+impl StorageError {
+    /// Wraps an error of reading or writing `path`.
+    pub(super) fn unusable(path: &std::path::Path, error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
+                Self::Full(path.to_owned())
+            }
+            _ => Self::Unusable(path.to_owned(), error),
+        }
+    }
+
+    /// Whether the same write may succeed later.
+    pub fn is_temporary(&self) -> bool {
+        matches!(self, Self::Full(_))
+    }
+}
--- /dev/null
+++ b/crates/control/src/storage/identity.rs
@@ -0,0 +1,88 @@
+//! Whose folder it is.
+
+use std::fs;
+use std::path::Path;
+
+use gingerkeel_domain::consensus::{Incarnation, MemberId, NodeNumber};
+use gingerkeel_protocol::{decode_document, encode_document};
+use serde::{Deserialize, Serialize};
+
+use super::error::StorageError;
+use super::files::{replace_file, with_checksum, without_checksum};
+use super::io::StorageIo;
+
+/// Version of the files' format.
+pub const FORMAT_VERSION: u16 = 1;
+/// First bytes of the file, then the version.
+const MAGIC: &[u8; 8] = b"gkeelctl";
+const FILE: &str = "identity";
+
+/// Cluster and machine that a folder is opened for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FolderOwner {
+    /// Name of the cluster.
+    pub cluster: String,
+    /// Number of the machine.
+    pub node: NodeNumber,
+    /// What an empty folder becomes; must be higher than for any earlier folder of the machine.
+    pub new_incarnation: Incarnation,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct IdentityDocument {
+    cluster: String,
+    member: MemberId,
+}
+
+/// Reads the identity of a folder, or gives an empty folder its identity.
+pub(super) fn establish(
+    io: &mut dyn StorageIo,
+    folder: &Path,
+    owner: &FolderOwner,
+) -> Result<MemberId, StorageError> {
+    let path = folder.join(FILE);
+    match fs::read(&path) {
+        Ok(bytes) => check(&path, &bytes, owner),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => create(io, folder, owner),
+        Err(error) => Err(StorageError::unusable(&path, error)),
+    }
+}
+
+fn create(
+    io: &mut dyn StorageIo,
+    folder: &Path,
+    owner: &FolderOwner,
+) -> Result<MemberId, StorageError> {
+    let path = folder.join(FILE);
+    let member = MemberId { node: owner.node, incarnation: owner.new_incarnation };
+    let document = IdentityDocument { cluster: owner.cluster.clone(), member };
+    let document = encode_document(&document)
+        .map_err(|_| StorageError::Damaged(path.clone(), 0, "the identity cannot be written"))?;
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend_from_slice(&FORMAT_VERSION.to_be_bytes());
+    bytes.extend_from_slice(&with_checksum(&document));
+    replace_file(io, folder, &path, &bytes)?;
+    Ok(member)
+}
+
+fn check(path: &Path, bytes: &[u8], owner: &FolderOwner) -> Result<MemberId, StorageError> {
+    let damaged = |reason| StorageError::Damaged(path.to_owned(), 0, reason);
+    let rest = bytes.strip_prefix(MAGIC).ok_or(damaged("not an identity file"))?;
+    let (version, rest) = rest.split_first_chunk::<2>().ok_or(damaged("no format version"))?;
+    let version = u16::from_be_bytes(*version);
+    if version != FORMAT_VERSION {
+        return Err(StorageError::OtherFormat(path.to_owned(), version, FORMAT_VERSION));
+    }
+    let document = without_checksum(rest).ok_or(damaged("wrong checksum"))?;
+    let document: IdentityDocument =
+        decode_document(document).map_err(|_| damaged("not an identity"))?;
+    if document.cluster != owner.cluster {
+        let (found, expected) = (document.cluster, owner.cluster.clone());
+        return Err(StorageError::OtherCluster(path.to_owned(), found, expected));
+    }
+    let (found, expected) = (document.member.node, owner.node);
+    if found != expected {
+        return Err(StorageError::OtherNode(path.to_owned(), found.0, expected.0));
+    }
+    Ok(document.member)
+}
--- /dev/null
+++ b/crates/control/src/storage/mod.rs
@@ -0,0 +1,27 @@
+//! The data folder of a control process: the replicated log, hard state and snapshots.
+//!
+//! | file | holds |
+//! |---|---|
+//! | `lock` | nothing; locked while a process uses the folder |
+//! | `identity` | format version, cluster and member; written once |
+//! | `log-N` | records from number N on, appended and synced |
+//! | `snapshot-N` | the state after entry N; replaced as a whole |
+//!
+//! A record is one batch that was synced as a whole, so a crash can tear only the last one. A
+//! damaged record with a whole one after it was synced before and is refused, never skipped.
+
+mod error;
+mod files;
+mod identity;
+mod io;
+mod record;
+mod recovery;
+mod snapshot_file;
+mod storage_folder;
+mod writer;
+
+pub use error::StorageError;
+pub use identity::{FORMAT_VERSION, FolderOwner};
+pub use io::{DiskIo, StorageIo};
+pub use storage_folder::{OpenedStorage, Storage};
+pub use writer::{Writer, WriterEvent, WriterMessage};
--- /dev/null
+++ b/crates/control/src/storage/recovery.rs
@@ -0,0 +1,145 @@
+//! Reading the log back.
+
+use std::fs::{self, OpenOptions};
+use std::path::Path;
+
+use gingerkeel_domain::consensus::{Entry, HardState, LogIndex, Recovered, Snapshot};
+use tracing::warn;
+
+use super::error::StorageError;
+use super::files::{NumberedFile, numbered_files};
+use super::io::StorageIo;
+use super::record::{Found, LoggedWrite, Record};
+
+pub(super) const PREFIX: &str = "log-";
+
+/// A segment of the log as it was found.
+#[derive(Debug, Clone)]
+pub(super) struct Segment {
+    pub file: NumberedFile,
+    /// Last entry in it; 0 when there is none.
+    pub last_index: LogIndex,
+}
+
+/// The log as it was found.
+#[derive(Debug, Default)]
+pub(super) struct RecoveredLog {
+    pub segments: Vec<Segment>,
+    /// Sequence number of the next record.
+    pub next_sequence: u64,
+    pub hard_state: HardState,
+    entries: Vec<Entry>,
+}
+
+/// Reads all segments; a torn tail is cut.
+pub(super) fn read_log(
+    io: &mut dyn StorageIo,
+    folder: &Path,
+) -> Result<RecoveredLog, StorageError> {
+    let files = numbered_files(folder, PREFIX)?;
+    let mut log = RecoveredLog::default();
+    let count = files.len();
+    for (position, file) in files.into_iter().enumerate() {
+        if position == 0 {
+            log.next_sequence = file.number;
+        }
+        if file.number != log.next_sequence {
+            return Err(StorageError::Damaged(file.path, 0, "a segment before it is missing"));
+        }
+        log.read_segment(io, file, position + 1 == count)?;
+    }
+    Ok(log)
+}
+
+impl RecoveredLog {
+    fn read_segment(
+        &mut self,
+        io: &mut dyn StorageIo,
+        file: NumberedFile,
+        is_last: bool,
+    ) -> Result<(), StorageError> {
+        let bytes =
+            fs::read(&file.path).map_err(|error| StorageError::unusable(&file.path, error))?;
+        let mut segment = Segment { file, last_index: LogIndex(0) };
+        let mut offset = 0;
+        while offset < bytes.len() {
+            let Found::Record(record, length) = Record::decode(&bytes[offset..]) else {
+                cut_torn_tail(io, &segment.file.path, &bytes, offset, is_last)?;
+                break;
+            };
+            if record.sequence != self.next_sequence {
+                let path = segment.file.path;
+                return Err(StorageError::Damaged(path, offset as u64, "a record is missing"));
+            }
+            self.next_sequence += 1;
+            for write in record.writes {
+                let last = write.entries.last().map(|entry| entry.index);
+                segment.last_index = segment.last_index.max(last.unwrap_or_default());
+                self.replay(write);
+            }
+            offset += length;
+        }
+        self.segments.push(segment);
+        Ok(())
+    }
+
+    fn replay(&mut self, write: LoggedWrite) {
+        if write.resets_log {
+            self.entries.clear();
+        }
+        if let Some(hard_state) = write.hard_state {
+            self.hard_state = hard_state;
+        }
+        if let Some(first) = write.entries.first() {
+            let kept = self.entries.partition_point(|entry| entry.index < first.index);
+            self.entries.truncate(kept);
+        }
+        self.entries.extend(write.entries);
+    }
+
+    /// Joins the log and the snapshot.
+    pub fn join(
+        &mut self,
+        folder: &Path,
+        snapshot: Option<Snapshot>,
+    ) -> Result<Recovered, StorageError> {
+        let mut entries = std::mem::take(&mut self.entries);
+        let position = snapshot.as_ref().map(|snapshot| snapshot.metadata.position);
+        let position = position.unwrap_or_default();
+        let covered = entries.iter().find(|entry| entry.index == position.index);
+        let conflicting = covered.is_some_and(|entry| entry.term != position.term);
+        let ends_before = entries.last().is_some_and(|last| last.index < position.index);
+        if conflicting || ends_before {
+            // The process ended between an installed snapshot and the removal of the old log.
+            entries.clear();
+        }
+        entries.retain(|entry| entry.index > position.index);
+        let indexes = (position.index.0 + 1..).map(LogIndex);
+        if !entries.iter().zip(indexes).all(|(entry, index)| entry.index == index) {
+            return Err(StorageError::Damaged(folder.to_owned(), 0, "entries are missing"));
+        }
+        Ok(Recovered { hard_state: self.hard_state, snapshot, entries })
+    }
+}
+
+/// Cuts what an unfinished write left at the end of the last segment; refuses anything else.
+fn cut_torn_tail(
+    io: &mut dyn StorageIo,
+    path: &Path,
+    bytes: &[u8],
+    offset: usize,
+    is_last: bool,
+) -> Result<(), StorageError> {
+    // A record after the damage was synced later, so that the damaged one had been synced, too.
+    if !is_last || Record::is_in(&bytes[offset + 1..]) {
+        let reason = "a record that was synced is not whole";
+        return Err(StorageError::Damaged(path.to_owned(), offset as u64, reason));
+    }
+    let unusable = |error| StorageError::unusable(path, error);
+    let file = OpenOptions::new().write(true).open(path).map_err(unusable)?;
+    file.set_len(offset as u64).map_err(unusable)?;
+    io.sync(&file).map_err(unusable)?;
+    let cut = bytes.len() - offset;
+    warn!(event = "torn_tail_cut", file = %path.display(), offset, bytes = cut);
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/storage/storage_folder.rs
@@ -0,0 +1,232 @@
+//! The data folder while it is in use.
+
+use std::fs::{self, File, OpenOptions};
+use std::path::{Path, PathBuf};
+
+use gingerkeel_domain::consensus::{
+    HardState, LogIndex, MemberId, Recovered, SnapshotWrite, Write, WriteNumber,
+};
+use rustix::fs::{FlockOperation, flock};
+use rustix::io::Errno;
+
+use super::error::StorageError;
+use super::files::{NumberedFile, sync_folder};
+use super::identity::{self, FolderOwner};
+use super::io::{StorageIo, write_all};
+use super::record::{LoggedWrite, Record};
+use super::recovery::{PREFIX, Segment, read_log};
+use super::snapshot_file;
+
+const LOCK_FILE: &str = "lock";
+/// Bytes after which a new segment is begun.
+const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+
+/// A data folder that this process has locked.
+pub struct Storage {
+    folder: PathBuf,
+    /// Held for as long as the folder is in use.
+    _lock: File,
+    io: Box<dyn StorageIo>,
+    closed: Vec<Segment>,
+    open: Option<OpenSegment>,
+    next_sequence: u64,
+    hard_state: HardState,
+    stopped: bool,
+}
+
+struct OpenSegment {
+    segment: Segment,
+    file: File,
+    /// Bytes that are synced.
+    length: u64,
+}
+
+/// A folder and what was in it.
+pub struct OpenedStorage {
+    /// The folder.
+    pub storage: Storage,
+    /// Whose folder it is.
+    pub identity: MemberId,
+    /// What was in it.
+    pub recovered: Recovered,
+}
+
+impl Storage {
+    /// Locks a folder, checks that it is the right one, and reads it; an empty one becomes the
+    /// owner's.
+    ///
+    /// # Errors
+    /// A [`StorageError`] that names the file and the remedy.
+    pub fn open(
+        folder: &Path,
+        owner: &FolderOwner,
+        mut io: Box<dyn StorageIo>,
+    ) -> Result<OpenedStorage, StorageError> {
+        fs::create_dir_all(folder).map_err(|error| StorageError::unusable(folder, error))?;
+        let lock = lock(folder)?;
+        let identity = identity::establish(io.as_mut(), folder, owner)?;
+        let snapshot = snapshot_file::read_latest(folder)?;
+        let mut log = read_log(io.as_mut(), folder)?;
+        let recovered = log.join(folder, snapshot)?;
+        let storage = Self {
+            folder: folder.to_owned(),
+            _lock: lock,
+            io,
+            closed: log.segments,
+            open: None,
+            next_sequence: log.next_sequence,
+            hard_state: log.hard_state,
+            stopped: false,
+        };
+        Ok(OpenedStorage { storage, identity, recovered })
+    }
+
+    /// Makes an empty folder start from `recovered`, which holds no snapshot.
+    ///
+    /// # Errors
+    /// As [`Storage::persist`].
+    pub fn form(&mut self, recovered: &Recovered) -> Result<(), StorageError> {
+        self.persist(vec![Write {
+            number: WriteNumber(0),
+            hard_state: Some(recovered.hard_state),
+            snapshot: None,
+            entries: recovered.entries.clone(),
+        }])
+    }
+
+    /// Persists writes in their order; when this gives `Ok`, all are on the disk.
+    ///
+    /// # Errors
+    /// [`StorageError::Full`] when nothing of the last batch counts and the same writes may be
+    /// tried again; any other error means that nothing more is written until the process starts
+    /// again.
+    pub fn persist(&mut self, writes: Vec<Write>) -> Result<(), StorageError> {
+        if self.stopped {
+            return Err(StorageError::Stopped(self.folder.clone()));
+        }
+        let outcome = self.persist_in_order(writes);
+        if outcome.as_ref().is_err_and(|error| !error.is_temporary()) {
+            self.stopped = true;
+        }
+        outcome
+    }
+
+    fn persist_in_order(&mut self, writes: Vec<Write>) -> Result<(), StorageError> {
+        let mut batch = Vec::new();
+        for write in writes {
+            if let Some(snapshot) = &write.snapshot {
+                self.append(std::mem::take(&mut batch))?;
+                self.write_snapshot(snapshot)?;
+            }
+            batch.push(LoggedWrite {
+                resets_log: false,
+                hard_state: write.hard_state,
+                entries: write.entries,
+            });
+        }
+        self.append(batch)
+    }
+
+    fn write_snapshot(&mut self, write: &SnapshotWrite) -> Result<(), StorageError> {
+        snapshot_file::write(self.io.as_mut(), &self.folder, &write.snapshot)?;
+        if write.replaces_log {
+            self.append(vec![LoggedWrite { resets_log: true, ..LoggedWrite::default() }])?;
+        }
+        self.remove_covered_segments(write.snapshot.metadata.position.index)
+    }
+
+    /// Removes the earliest segments that a snapshot covers; the open one stays.
+    fn remove_covered_segments(&mut self, index: LogIndex) -> Result<(), StorageError> {
+        self.close_segment();
+        // Only a later segment, which repeats the hard state, makes earlier ones superfluous.
+        self.append(vec![LoggedWrite::default()])?;
+        let covered = self.closed.iter().take_while(|segment| segment.last_index <= index).count();
+        for segment in self.closed.drain(..covered) {
+            let path = segment.file.path;
+            fs::remove_file(&path).map_err(|error| StorageError::unusable(&path, error))?;
+        }
+        sync_folder(self.io.as_mut(), &self.folder)
+    }
+
+    /// Appends one record and syncs it.
+    fn append(&mut self, mut writes: Vec<LoggedWrite>) -> Result<(), StorageError> {
+        if writes.is_empty() {
+            return Ok(());
+        }
+        let hard_state = writes.iter().rev().find_map(|write| write.hard_state);
+        let hard_state = hard_state.unwrap_or(self.hard_state);
+        self.open_segment()?;
+        let Some(open) = &mut self.open else {
+            return Err(StorageError::Stopped(self.folder.clone()));
+        };
+        if open.length == 0
+            && let Some(first) = writes.first_mut()
+        {
+            // Each segment repeats the hard state, so that earlier ones can be removed.
+            first.hard_state = first.hard_state.or(Some(self.hard_state));
+        }
+        let path = &open.segment.file.path;
+        let last = writes.iter().filter_map(|write| write.entries.last()).next_back();
+        let last_index = last.map_or(LogIndex(0), |entry| entry.index);
+        let record = Record { sequence: self.next_sequence, writes };
+        let Some(bytes) = record.encode() else {
+            return Err(StorageError::Stopped(path.clone()));
+        };
+        if let Err(error) = write_all(self.io.as_mut(), &mut open.file, &bytes) {
+            let error = StorageError::unusable(path, error);
+            // What was written in part must not stand before the next try.
+            return match open.file.set_len(open.length) {
+                Ok(()) => Err(error),
+                Err(cause) => Err(StorageError::Unusable(path.clone(), cause)),
+            };
+        }
+        self.io.sync(&open.file).map_err(|error| StorageError::SyncFailed(path.clone(), error))?;
+        open.length += bytes.len() as u64;
+        open.segment.last_index = open.segment.last_index.max(last_index);
+        self.next_sequence += 1;
+        self.hard_state = hard_state;
+        if open.length >= SEGMENT_BYTES {
+            self.close_segment();
+        }
+        Ok(())
+    }
+
+    fn open_segment(&mut self) -> Result<(), StorageError> {
+        if self.open.is_some() {
+            return Ok(());
+        }
+        let file = NumberedFile::new(&self.folder, PREFIX, self.next_sequence);
+        let unusable = |error| StorageError::unusable(&file.path, error);
+        // A file of this name is empty: it was begun and nothing was synced to it.
+        let handle =
+            OpenOptions::new().create(true).append(true).open(&file.path).map_err(unusable)?;
+        handle.set_len(0).map_err(unusable)?;
+        sync_folder(self.io.as_mut(), &self.folder)?;
+        self.closed.retain(|segment| segment.file != file);
+        let segment = Segment { file, last_index: LogIndex(0) };
+        self.open = Some(OpenSegment { segment, file: handle, length: 0 });
+        Ok(())
+    }
+
+    fn close_segment(&mut self) {
+        if let Some(open) = self.open.take_if(|open| open.length > 0) {
+            self.closed.push(open.segment);
+        }
+    }
+}
+
+fn lock(folder: &Path) -> Result<File, StorageError> {
+    let path = folder.join(LOCK_FILE);
+    let unusable = |error| StorageError::unusable(&path, error);
+    let file = OpenOptions::new()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(&path)
+        .map_err(unusable)?;
+    match flock(&file, FlockOperation::NonBlockingLockExclusive) {
+        Ok(()) => Ok(file),
+        Err(Errno::WOULDBLOCK) => Err(StorageError::InUse(folder.to_owned())),
+        Err(error) => Err(unusable(error.into())),
+    }
+}
