--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,8 @@
 mod catalog_task;
 mod feed;
 mod operators;
+pub mod replication;
+pub mod storage;
 mod tables;
 
 use std::io;
