--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -15,6 +15,8 @@
     BrokerName, LeafId, LeafRequestId, QueryId, RegionName, ZoneName,
 };
 use gingerkeel_domain::query::{LeafFailure, QueryOutcome, Sending, Submission};
+use gingerkeel_domain::routing::subset::BrokerEntry;
+use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::{BrokerSettings, PolicySetting};
 use gingerkeel_transport::Limits;
 use local_sync::mpsc::unbounded::{Rx, Tx};
@@ -46,6 +48,12 @@
     Leaf(LeafMessage),
     /// A newer catalog.
     CatalogChanged(Arc<Catalog>),
+    /// New queries may start until then.
+    FreshUntil(Timestamp),
+    /// The brokers that share the leaves.
+    BrokersChanged(Arc<[BrokerEntry]>),
+    /// Leaves that say that they are leaving, all of them.
+    PlatformLeaving(Vec<LeafId>),
     /// A planned stop begins.
     Stop,
 }
@@ -71,14 +79,14 @@
 
 impl Engine {
     /// An engine without a catalog.
-    pub fn new(settings: &BrokerSettings, messages: Tx<EngineMessage>) -> Self {
+    pub fn new(settings: &BrokerSettings, clock: Clock, messages: Tx<EngineMessage>) -> Self {
         let mut random = match settings.seed {
             Some(seed) => Pcg64::seed_from_u64(seed),
             None => Pcg64::from_os_rng(),
         };
         let run_number: u64 = rand::rng().random();
         Self {
-            clock: Clock::start(),
+            clock,
             dispatcher: Dispatcher::new(
                 dispatcher_settings(settings),
                 Box::new(Pcg64::from_rng(&mut random)),
@@ -97,6 +105,8 @@
     /// Handles messages until a planned stop has finished what was in flight.
     pub async fn run(mut self, mut messages: Rx<EngineMessage>) {
         let mut effects = Vec::new();
+        // Nothing is served before the first lease.
+        self.advance(Event::FreshUntil(Timestamp::ZERO), &mut effects);
         while !self.finished() {
             match self.next_message(&mut messages).await {
                 Some(message) => self.handle(message, &mut effects),
@@ -139,6 +149,14 @@
                 self.advance(Event::CatalogChanged(catalog.clone()), effects);
                 self.update_pools(&catalog);
             }
+            EngineMessage::FreshUntil(until) => self.advance(Event::FreshUntil(until), effects),
+            EngineMessage::BrokersChanged(brokers) => {
+                self.advance(Event::BrokersChanged(brokers), effects);
+                self.update_pools(&self.dispatcher.catalog().clone());
+            }
+            EngineMessage::PlatformLeaving(leaves) => {
+                self.advance(Event::PlatformLeaving(leaves), effects)
+            }
             EngineMessage::Stop => {
                 info!(event = "stop_requested", active = self.dispatcher.active());
                 self.stopping = true;
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -1,93 +1,257 @@
-//! The broker's link to a control process, from which it learns the catalog.
+//! The broker's link to a control process: its catalog, its freshness lease and its peers.
 
+use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use gingerkeel_domain::catalog::{Catalog, Change};
+use gingerkeel_domain::feed::{
+    BackOff, BrokerList, FeedFault, FollowerEffect, FollowerEvent, FollowerSettings, FollowerState,
+    LeaseGrant,
+};
+use gingerkeel_domain::identifiers::{LeafId, Revision};
 use gingerkeel_protocol::{
-    FeedMessage, FrameCodec, PROTOCOL_VERSION, ProtocolError, SubscriberMessage, decode_document,
-    encode_frame,
+    FeedMessage, FrameCodec, PROTOCOL_VERSION, ProtocolError, ShortText, SubscriberMessage,
+    decode_document, encode_frame,
 };
 use gingerkeel_settings::BrokerSettings;
-use local_sync::mpsc::unbounded::Tx;
-use monoio::io::{AsyncWriteRentExt, OwnedWriteHalf, Splitable};
+use local_sync::mpsc::unbounded::{self, Rx, Tx};
+use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
+use monoio::time::timeout;
 use monoio_codec::FramedRead;
+use quick_error::quick_error;
+use rand::Rng;
 use tracing::{info, warn};
 
+use crate::clock::Clock;
 use crate::engine::EngineMessage;
 
-/// Pause between attempts to reach a control process.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Bound of the first pause before another control process is asked.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Bound of the longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Time that a control process has to accept a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1500);
 
-/// Follows the catalog for ever, changing to the next control process when one fails.
-pub async fn follow(settings: BrokerSettings, engine: Tx<EngineMessage>) {
-    let mut catalog = Catalog::default();
-    for control in settings.control.iter().copied().cycle() {
-        let Err(error) = follow_one(&settings.name, control, &mut catalog, &engine).await;
-        warn!(event = "control_link_lost", %control, %error);
-        monoio::time::sleep(RECONNECT_PAUSE).await;
+quick_error! {
+    /// Why a link ended.
+    #[derive(Debug)]
+    enum LinkError {
+        /// The peer did not accept the connection in time.
+        ConnectTimedOut {
+            display("no connection in time: check that the control process runs and is reachable")
+        }
+        /// A frame was not understood, or the socket failed.
+        Protocol(error: ProtocolError) {
+            from()
+            from(error: io::Error) -> (ProtocolError::from(error))
+            display("{error}")
+        }
+        /// The feed broke a rule.
+        Feed(fault: FeedFault) {
+            display("{fault}")
+        }
+        /// The control process closed the link.
+        Closed {
+            display("the control process closed the link")
+        }
     }
 }
 
-async fn follow_one(
-    name: &str,
-    control: SocketAddr,
-    catalog: &mut Catalog,
-    engine: &Tx<EngineMessage>,
-) -> Result<std::convert::Infallible, ProtocolError> {
-    let stream = TcpStream::connect_addr(control).await?;
-    let (read_half, mut writer) = stream.into_split();
-    let subscribe = SubscriberMessage::Subscribe {
-        protocol_version: PROTOCOL_VERSION,
-        revision: catalog.revision().0,
-        broker: name.as_bytes().to_vec(),
+/// Follows the catalog for ever, changing to the next control process when one fails.
+pub async fn follow(settings: BrokerSettings, clock: Clock, engine: Tx<EngineMessage>) {
+    let run = rand::rng().random();
+    let mut back_off = BackOff::new(FIRST_PAUSE, LONGEST_PAUSE);
+    let mut link = Link {
+        follower: FollowerState::new(FollowerSettings::default()),
+        brokers: BrokerList::default(),
+        settings,
+        run,
+        clock,
+        engine,
     };
-    send(&mut writer, &subscribe).await?;
-    let mut reader = FramedRead::new(read_half, ());
-    let mut codec = FrameCodec::<FeedMessage>::default();
-    while let Some(message) = reader.next_with(&mut codec).await {
-        apply(catalog, message?)?;
-        let revision = catalog.revision().0;
-        // The engine lives as long as the process.
-        let _ = engine.send(EngineMessage::CatalogChanged(Arc::new(catalog.clone())));
-        info!(event = "catalog_applied", revision);
-        send(&mut writer, &SubscriberMessage::Applied { revision }).await?;
+    let controls = link.settings.control.clone();
+    // Brokers start at different places, so that they spread over the control processes.
+    let start = rand::rng().random_range(0..controls.len().max(1));
+    for control in controls.iter().copied().cycle().skip(start) {
+        let fresh_before = link.follower.is_fresh(clock.now());
+        let Err(error) = link.follow_one(control).await;
+        link.tell(FollowerEvent::Disconnected, &mut Vec::new());
+        warn!(event = "control_link_lost", %control, %error);
+        if fresh_before || link.follower.is_fresh(clock.now()) {
+            back_off.succeeded();
+        }
+        let pause = back_off.next_pause(&mut rand::rng());
+        monoio::time::sleep(pause).await;
     }
-    Err(ProtocolError::Malformed("the control process closed the link".into()))
 }
 
-fn apply(catalog: &mut Catalog, message: FeedMessage) -> Result<(), ProtocolError> {
-    match message {
-        FeedMessage::FullCatalog { document } => {
-            let newer: Catalog = decode_document(&document)?;
-            if newer.revision() >= catalog.revision() {
-                *catalog = newer;
+struct Link {
+    follower: FollowerState,
+    brokers: BrokerList,
+    settings: BrokerSettings,
+    run: u64,
+    clock: Clock,
+    engine: Tx<EngineMessage>,
+}
+
+impl Link {
+    async fn follow_one(
+        &mut self,
+        control: SocketAddr,
+    ) -> Result<std::convert::Infallible, LinkError> {
+        let connecting = timeout(CONNECT_LIMIT, TcpStream::connect_addr(control));
+        let stream = connecting.await.map_err(|_| LinkError::ConnectTimedOut)??;
+        // Small frames must not wait for each other; a socket without the option still works.
+        let _ = stream.set_nodelay(true);
+        let (read_half, mut writer) = stream.into_split();
+        let (sender, mut messages) = unbounded::channel();
+        monoio::spawn(read_messages(read_half, sender));
+        let Err(error) = self.converse(&mut messages, &mut writer).await;
+        // Ends the reading task too; the peer may have closed the connection already.
+        let _ = writer.shutdown().await;
+        Err(error)
+    }
+
+    async fn converse(
+        &mut self,
+        messages: &mut Rx<Result<FeedMessage, ProtocolError>>,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+    ) -> Result<std::convert::Infallible, LinkError> {
+        let mut effects = Vec::new();
+        self.tell(FollowerEvent::Connected, &mut effects);
+        loop {
+            self.carry_out(&mut effects, writer).await?;
+            match self.next_message(messages).await {
+                Some(message) => self.receive(message?, &mut effects)?,
+                None => self.tell(FollowerEvent::TimerElapsed, &mut effects),
             }
-            Ok(())
         }
-        FeedMessage::Change { revision, document } => {
-            let change: Change = decode_document(&document)?;
-            if revision != catalog.revision().0 + 1 {
-                return Err(ProtocolError::Malformed(format!("change {revision} out of order")));
+    }
+
+    /// The next message, or none when a timer is due first.
+    async fn next_message(
+        &self,
+        messages: &mut Rx<Result<FeedMessage, ProtocolError>>,
+    ) -> Option<Result<FeedMessage, LinkError>> {
+        let due = self.follower.next_timer().unwrap_or_else(|| self.clock.now());
+        match timeout(self.clock.until(due), messages.recv()).await {
+            Ok(Some(message)) => Some(message.map_err(LinkError::from)),
+            Ok(None) => Some(Err(LinkError::Closed)),
+            Err(_) => None,
+        }
+    }
+
+    fn tell(&mut self, event: FollowerEvent, effects: &mut Vec<FollowerEffect>) {
+        self.follower.handle(self.clock.now(), event, effects);
+    }
+
+    fn receive(
+        &mut self,
+        message: FeedMessage,
+        effects: &mut Vec<FollowerEffect>,
+    ) -> Result<(), LinkError> {
+        match message {
+            FeedMessage::FullCatalog { catalog } => {
+                let catalog = decode_document(&catalog.bytes)?;
+                self.tell(FollowerEvent::FullCatalog(catalog), effects);
+            }
+            FeedMessage::Change { revision, change } => {
+                let change = decode_document(&change.bytes)?;
+                let revision = Revision(revision);
+                self.tell(FollowerEvent::Change { revision, change }, effects);
+            }
+            FeedMessage::Lease { ticket, revision, duration_milliseconds } => {
+                let duration = Duration::from_millis(duration_milliseconds.into());
+                let grant = LeaseGrant { ticket, revision: Revision(revision), duration };
+                self.tell(FollowerEvent::Granted(grant), effects);
+            }
+            FeedMessage::Brokers { delta } => {
+                self.brokers.apply(decode_document(&delta.bytes)?);
+                self.send_engine(EngineMessage::BrokersChanged(self.brokers.entries()));
+            }
+            FeedMessage::Leaving { leaves } => {
+                let leaves = leaves.into_iter().map(LeafId).collect();
+                self.send_engine(EngineMessage::PlatformLeaving(leaves));
+            }
+            FeedMessage::Refused { protocol_version, reason } => {
+                let text = format!("refused ({reason:?}, protocol version {protocol_version})");
+                return Err(ProtocolError::Malformed(text).into());
             }
-            catalog
-                .apply(&change)
-                .map(|_| ())
-                .map_err(|error| ProtocolError::Document(error.to_string()))
+            FeedMessage::ChargesRecorded { .. } | FeedMessage::RunSettled { .. } => {}
+        }
+        Ok(())
+    }
+
+    async fn carry_out(
+        &mut self,
+        effects: &mut Vec<FollowerEffect>,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+    ) -> Result<(), LinkError> {
+        for effect in effects.drain(..) {
+            match effect {
+                FollowerEffect::Subscribe(revision) => {
+                    send(writer, &self.subscription(revision)).await?
+                }
+                FollowerEffect::Renew { ticket, in_force } => {
+                    let in_force = in_force.0;
+                    send(writer, &SubscriberMessage::Renew { ticket, in_force }).await?
+                }
+                FollowerEffect::PutInForce(catalog) => {
+                    let revision = catalog.revision().0;
+                    self.send_engine(EngineMessage::CatalogChanged(catalog));
+                    info!(event = "catalog_applied", revision);
+                    send(writer, &SubscriberMessage::InForce { revision }).await?
+                }
+                FollowerEffect::FreshUntil(until) => {
+                    self.send_engine(EngineMessage::FreshUntil(until))
+                }
+                FollowerEffect::GiveUp(fault) => return Err(LinkError::Feed(fault)),
+            }
+        }
+        Ok(())
+    }
+
+    fn subscription(&self, revision: Revision) -> SubscriberMessage {
+        SubscriberMessage::Subscribe {
+            protocol_version: PROTOCOL_VERSION,
+            run: self.run,
+            revision: revision.0,
+            broker: ShortText::new(&self.settings.name),
+            region: ShortText::new(&self.settings.region),
+            zone: ShortText::new(&self.settings.zone),
+        }
+    }
+
+    fn send_engine(&self, message: EngineMessage) {
+        // The engine lives as long as the process.
+        let _ = self.engine.send(message);
+    }
+}
+
+/// Reads frames in a task of its own, so that a timer never cuts one in half.
+async fn read_messages(
+    read_half: OwnedReadHalf<TcpStream>,
+    messages: Tx<Result<FeedMessage, ProtocolError>>,
+) {
+    let mut reader = FramedRead::new(read_half, ());
+    let mut codec = FrameCodec::<FeedMessage>::default();
+    while let Some(message) = reader.next_with(&mut codec).await {
+        let ended = message.is_err();
+        if messages.send(message).is_err() || ended {
+            return;
         }
-        FeedMessage::Refused { protocol_version } => Err(ProtocolError::Malformed(format!(
-            "the control process speaks protocol version {protocol_version}"
-        ))),
     }
 }
 
 async fn send(
     writer: &mut OwnedWriteHalf<TcpStream>,
     message: &SubscriberMessage,
-) -> Result<(), ProtocolError> {
-    let (result, _) = writer.write_all(encode_frame(message)?).await;
+) -> Result<(), LinkError> {
+    let frame = encode_frame(message)?;
+    let (result, _) = timeout(CONNECT_LIMIT, writer.write_all(frame))
+        .await
+        .map_err(|_| LinkError::ConnectTimedOut)?;
     result?;
     Ok(())
 }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -13,6 +13,7 @@
 use monoio::net::TcpListener;
 use tracing::info;
 
+use crate::clock::Clock;
 use crate::engine::{Engine, EngineMessage};
 
 /// Serves callers until a planned stop has finished what was in flight.
@@ -25,14 +26,15 @@
     let stop = signals::stop_requested()?;
     info!(event = "started", name = settings.name, listen = %settings.listen);
     monoio::spawn(callers::serve(listener, engine.clone(), settings.clone()));
-    monoio::spawn(feed::follow(settings.clone(), engine.clone()));
+    let clock = Clock::start();
+    monoio::spawn(feed::follow(settings.clone(), clock, engine.clone()));
     let stop_messages = engine.clone();
     monoio::spawn(async move {
         stop.await;
         // The engine ends only after this message.
         let _ = stop_messages.send(EngineMessage::Stop);
     });
-    Engine::new(&settings, engine).run(messages).await;
+    Engine::new(&settings, clock, engine).run(messages).await;
     info!(event = "stopped", name = settings.name);
     Ok(())
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,17 +1,20 @@
 //! `gingerkeel`: the operator command line.
 
+mod client;
 mod output;
+mod shell;
 
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::exit;
 
-use bytes::Bytes;
-use gingerkeel_statement::{GRAMMAR, StatementReplies};
-use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, TransportError, block_on};
+use gingerkeel_statement::{GRAMMAR, Statement, StatementReplies, StatementReply, parse};
+use gingerkeel_transport::block_on;
 use gumdrop::Options;
 
+use crate::client::{ClientError, ControlClient};
+
 /// Exit code when flags or statements are wrong.
 const EXIT_USAGE: i32 = 2;
 /// Exit code when a statement was refused.
@@ -26,13 +29,24 @@
     help: bool,
     #[options(help = "print the version")]
     version: bool,
-    #[options(help = "operators' address of a control process", meta = "ADDRESS")]
-    control: Option<SocketAddr>,
+    #[options(help = "operators' address of a control process; may be repeated", meta = "ADDRESS")]
+    control: Vec<SocketAddr>,
     #[options(help = "print replies as JSON")]
     json: bool,
     #[options(help = "file of statements to carry out", meta = "FILE")]
     file: Option<PathBuf>,
-    #[options(free, help = "statement to carry out")]
+    #[options(
+        help = "session under which outcomes are recorded; drawn if left out",
+        meta = "NAME"
+    )]
+    session: Option<String>,
+    #[options(
+        help = "number of the first change, to send one again whose outcome is unknown",
+        meta = "NUMBER",
+        no_short
+    )]
+    sequence: Option<u64>,
+    #[options(free, help = "statement to carry out; the shell starts when there is none")]
     statement: Vec<String>,
 }
 
@@ -49,50 +63,110 @@
         println!("gingerkeel {}", env!("CARGO_PKG_VERSION"));
         return;
     }
-    let Some(control) = flags.control else {
+    if flags.control.is_empty() {
         fail(EXIT_USAGE, "no control process named: add --control ADDRESS");
-    };
-    let text = statement_text(&flags);
-    let outcome = block_on(send(control, text)).unwrap_or_else(|error| {
-        fail(EXIT_UNREACHABLE, &format!("the runtime cannot start ({error})"))
-    });
-    match outcome {
-        Ok(replies) => report(&replies, flags.json),
-        Err(error) => fail(EXIT_UNREACHABLE, &format!("{control}: {error}")),
+    }
+    if let Some(session) = &flags.session {
+        check_session(session);
+    }
+    let mut client =
+        ControlClient::new(flags.control.clone(), flags.session.clone(), flags.sequence);
+    match statement_text(&flags) {
+        Some(text) => run_text(&mut client, &text, flags.json),
+        None => run_shell(&mut client, flags.json),
     }
 }
 
-fn statement_text(flags: &Flags) -> String {
+fn check_session(session: &str) {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_".contains(c);
+    if session.is_empty() || session.len() > 64 || !session.chars().all(allowed) {
+        fail(EXIT_USAGE, "the session is not a name: use at most 64 letters, digits, '-' and '_'");
+    }
+}
+
+/// The text of a file or of the arguments; none when there is neither.
+fn statement_text(flags: &Flags) -> Option<String> {
     let Some(path) = &flags.file else {
-        return flags.statement.join(" ");
+        return (!flags.statement.is_empty()).then(|| flags.statement.join(" "));
     };
-    fs::read_to_string(path).unwrap_or_else(|error| {
+    let text = fs::read_to_string(path).unwrap_or_else(|error| {
         fail(EXIT_USAGE, &format!("{}: cannot be read ({error})", path.display()))
-    })
-}
-
-async fn send(control: SocketAddr, text: String) -> Result<StatementReplies, TransportError> {
-    let mut connection = ClientConnection::connect(control, Limits::default()).await?;
-    let mut request = HttpRequest::new(Bytes::from(text));
-    *request.method_mut() = http::Method::POST;
-    *request.uri_mut() = http::Uri::from_static("/v1/statements");
-    let response = connection.exchange(request).await?;
-    serde_json::from_slice(response.body()).map_err(|_| {
-        TransportError::Malformed(String::from_utf8_lossy(response.body()).into_owned())
-    })
+    });
+    Some(text)
 }
 
-fn report(replies: &StatementReplies, json: bool) {
+/// Carries out a whole text and ends with a code that says what became of it.
+fn run_text(client: &mut ControlClient, text: &str, json: bool) {
+    let statements = parse(text).unwrap_or_else(|error| {
+        let excerpt = error.excerpt(text).map(|excerpt| format!("\n{excerpt}"));
+        fail(EXIT_USAGE, &format!("{error}{}", excerpt.unwrap_or_default()))
+    });
+    let mut replies = StatementReplies::default();
+    let outcome = execute_all(client, &statements, |reply| {
+        if !json {
+            output::print(&reply);
+        }
+        replies.replies.push(reply);
+    });
     if json {
-        println!("{}", serde_json::to_string(replies).unwrap_or_default());
-    } else {
-        replies.replies.iter().for_each(output::print);
+        println!("{}", serde_json::to_string(&replies).unwrap_or_default());
+    }
+    if let Err(error) = outcome {
+        fail(EXIT_UNREACHABLE, &error.to_string());
     }
     if !replies.succeeded() {
         exit(EXIT_REFUSED);
     }
 }
 
+fn run_shell(client: &mut ControlClient, json: bool) {
+    let ended = shell::run(|text| match parse(text) {
+        Err(error) => {
+            eprintln!("{error}");
+            if let Some(excerpt) = error.excerpt(text) {
+                eprintln!("{excerpt}");
+            }
+        }
+        Ok(statements) => {
+            let outcome = execute_all(client, &statements, |reply| {
+                if json {
+                    println!("{}", serde_json::to_string(&reply).unwrap_or_default());
+                } else {
+                    output::print(&reply);
+                }
+            });
+            if let Err(error) = outcome {
+                eprintln!("gingerkeel: {error}");
+            }
+        }
+    });
+    if let Err(error) = ended {
+        fail(EXIT_USAGE, &format!("the terminal failed ({error}): name a statement or --file"));
+    }
+}
+
+/// Carries out statements in order, up to the first that fails.
+fn execute_all(
+    client: &mut ControlClient,
+    statements: &[Statement],
+    mut report: impl FnMut(StatementReply),
+) -> Result<(), ClientError> {
+    let executing = async {
+        for statement in statements {
+            let reply = client.execute(statement).await?;
+            let failed = reply.is_failure();
+            report(reply);
+            if failed {
+                break;
+            }
+        }
+        Ok(())
+    };
+    block_on(executing).unwrap_or_else(|error| {
+        fail(EXIT_UNREACHABLE, &format!("the runtime cannot start ({error})"))
+    })
+}
+
 fn fail(code: i32, message: &str) -> ! {
     eprintln!("gingerkeel: {message}");
     exit(code);
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -7,6 +7,7 @@
     match reply {
         StatementReply::Accepted { revision } => println!("accepted at revision {revision}"),
         StatementReply::Table { columns, rows } => print_table(columns, rows),
+        StatementReply::Unknown { error } => eprintln!("outcome unknown: {error}"),
         StatementReply::Refused { error } => eprintln!("refused: {error}"),
     }
 }
@@ -16,8 +17,8 @@
         .iter()
         .enumerate()
         .map(|(index, column)| {
-            let cells = rows.iter().map(|row| row[index].len());
-            cells.chain([column.len()]).max().unwrap_or_default()
+            let cells = rows.iter().map(|row| row[index].chars().count());
+            cells.chain([column.chars().count()]).max().unwrap_or_default()
         })
         .collect();
     print_row(columns, &widths);
--- /dev/null
+++ b/crates/control/src/cluster_task/message.rs
@@ -0,0 +1,132 @@
+//! Messages to the cluster task.
+
+use std::collections::BTreeMap;
+
+use gingerkeel_domain::catalog::Placement;
+use gingerkeel_domain::cluster::{
+    ChangeOutcome, ChangeRequest, ChargeCounter, ChargeKey, CommandId, LeafHealth, LogIndex,
+};
+use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision};
+use gingerkeel_protocol::FeedMessage;
+use gingerkeel_statement::{StatementReply, Subject};
+use local_sync::mpsc::unbounded::Tx;
+use local_sync::oneshot;
+
+use super::reads::{LeaseTicket, PendingRead};
+use crate::local_log::{ProposeError, ReadError, StateMachineMessage};
+
+/// Number of a broker's connection within this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId(pub u64);
+
+/// Who subscribed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SubscriberIdentity {
+    /// The broker.
+    pub broker: BrokerName,
+    /// Number of its run.
+    pub run: u64,
+    /// Where it runs.
+    pub placement: Placement,
+}
+
+/// What happened on a broker's connection.
+pub enum FeedEvent {
+    /// The broker opened its feed.
+    Subscribed {
+        /// The connection.
+        connection: ConnectionId,
+        /// The broker.
+        subscriber: SubscriberIdentity,
+        /// The revision that it holds.
+        revision: Revision,
+        /// Where its messages go.
+        feed: Tx<FeedMessage>,
+    },
+    /// The broker asked for a lease.
+    Renewed {
+        /// The connection.
+        connection: ConnectionId,
+        /// Number of the renewal.
+        ticket: u64,
+        /// The revision that it has in force.
+        in_force: Revision,
+    },
+    /// The broker put a revision in force.
+    InForce {
+        /// The connection.
+        connection: ConnectionId,
+        /// The revision.
+        revision: Revision,
+    },
+    /// The broker reported charges.
+    Charged {
+        /// The connection.
+        connection: ConnectionId,
+        /// The run that counted.
+        run: u64,
+        /// Number of the report.
+        sequence: u64,
+        /// The counters.
+        counters: BTreeMap<ChargeKey, ChargeCounter>,
+    },
+    /// The connection is lost.
+    Closed {
+        /// The connection.
+        connection: ConnectionId,
+    },
+}
+
+/// A message to the cluster task.
+pub enum ClusterMessage {
+    /// A request of the log.
+    Log(StateMachineMessage),
+    /// Propose an operator's change.
+    Change {
+        /// The change.
+        request: ChangeRequest,
+        /// Where its outcome goes.
+        reply: oneshot::Sender<Result<ChangeOutcome, ProposeError>>,
+    },
+    /// A change was perhaps not proposed.
+    ChangeNotProposed {
+        /// Its identity.
+        id: CommandId,
+        /// Why.
+        error: ProposeError,
+    },
+    /// Look something up.
+    Look {
+        /// What.
+        subject: Subject,
+        /// Where the table goes.
+        reply: oneshot::Sender<Result<StatementReply, ReadError>>,
+    },
+    /// A quorum confirmed reads, or not.
+    ReadConfirmed {
+        /// The reads.
+        reads: Vec<PendingRead>,
+        /// The index that they need.
+        outcome: Result<LogIndex, ReadError>,
+    },
+    /// A quorum confirmed a batch of leases, or not.
+    LeasesConfirmed {
+        /// The batch.
+        tickets: Vec<LeaseTicket>,
+        /// The index that they need.
+        outcome: Result<LogIndex, ReadError>,
+    },
+    /// Something happened on a broker's connection.
+    Feed(FeedEvent),
+    /// A leaf was polled.
+    LeafPolled {
+        /// The leaf.
+        leaf: LeafId,
+        /// What it said.
+        health: LeafHealth,
+    },
+    /// The reports of the last round are taken, or given up.
+    ReportsTaken,
+    /// Time for a round of reports and deltas.
+    Round,
+}
--- /dev/null
+++ b/crates/control/src/cluster_task/mod.rs
@@ -0,0 +1,289 @@
+//! The task that owns the replicated state of this process and serves reads from it.
+
+mod membership;
+mod message;
+mod reads;
+mod subscribers;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gingerkeel_domain::cluster::{
+    ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandId, CommandOutcome,
+    LogIndex,
+};
+use gingerkeel_protocol::{decode_document, encode_document};
+use local_sync::mpsc::unbounded::{self, Rx, Tx};
+use local_sync::oneshot;
+use tracing::{error, info};
+
+use crate::leaf_polling::PollPlan;
+use crate::local_log::{ProposeError, StateMachineMessage};
+use crate::replication_client::ReplicationClient;
+use crate::tables;
+
+use membership::Membership;
+pub use membership::OwnIdentity;
+pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity};
+use reads::{PendingRead, Reads};
+use subscribers::Subscribers;
+
+/// Time between two rounds of reports and deltas.
+const ROUND_INTERVAL: Duration = Duration::from_millis(250);
+
+type ChangeReply = oneshot::Sender<Result<ChangeOutcome, ProposeError>>;
+
+/// The state of the task.
+pub struct ClusterTask {
+    state: ClusterState,
+    replication: ReplicationClient,
+    own_messages: Tx<ClusterMessage>,
+    waiting_changes: BTreeMap<CommandId, Vec<ChangeReply>>,
+    reads: Reads,
+    subscribers: Subscribers,
+    membership: Membership,
+    polling: Tx<PollPlan>,
+}
+
+/// Starts the task on a channel that its users have already.
+pub fn start(
+    identity: OwnIdentity,
+    replication: ReplicationClient,
+    polling: Tx<PollPlan>,
+    own_messages: Tx<ClusterMessage>,
+    messages: Rx<ClusterMessage>,
+) {
+    monoio::spawn(send_rounds(own_messages.clone()));
+    let task = ClusterTask {
+        state: ClusterState::default(),
+        replication,
+        own_messages,
+        waiting_changes: BTreeMap::new(),
+        reads: Reads::default(),
+        subscribers: Subscribers::default(),
+        membership: Membership::new(identity),
+        polling,
+    };
+    monoio::spawn(task.run(messages));
+}
+
+/// Starts a task that hands the log's requests to the cluster task, and gives the way to it.
+pub fn state_machine(cluster: Tx<ClusterMessage>) -> Tx<StateMachineMessage> {
+    let (sender, mut receiver) = unbounded::channel();
+    monoio::spawn(async move {
+        while let Some(message) = receiver.recv().await {
+            if cluster.send(ClusterMessage::Log(message)).is_err() {
+                return;
+            }
+        }
+    });
+    sender
+}
+
+async fn send_rounds(messages: Tx<ClusterMessage>) {
+    while messages.send(ClusterMessage::Round).is_ok() {
+        monoio::time::sleep(ROUND_INTERVAL).await;
+    }
+}
+
+impl ClusterTask {
+    async fn run(mut self, mut messages: Rx<ClusterMessage>) {
+        while let Some(message) = messages.recv().await {
+            self.handle(message);
+        }
+    }
+
+    fn handle(&mut self, message: ClusterMessage) {
+        match message {
+            ClusterMessage::Log(message) => self.log_message(message),
+            ClusterMessage::Change { request, reply } => self.propose_change(request, reply),
+            ClusterMessage::ChangeNotProposed { id, error } => {
+                self.answer_change(&id, || Err(error.clone()))
+            }
+            ClusterMessage::Look { subject, reply } => {
+                self.start_read(vec![PendingRead::Look { subject, reply }])
+            }
+            ClusterMessage::ReadConfirmed { reads, outcome } => {
+                self.reads.confirmed(reads, outcome);
+                self.serve_reads();
+            }
+            ClusterMessage::LeasesConfirmed { tickets, outcome } => {
+                self.reads.leases_confirmed(tickets, outcome);
+                self.serve_reads();
+                self.confirm_leases();
+            }
+            ClusterMessage::Feed(event) => self.feed_event(event),
+            ClusterMessage::LeafPolled { leaf, health } => {
+                self.membership.leaf_polled(leaf, health)
+            }
+            ClusterMessage::ReportsTaken => self.membership.reports_taken(),
+            ClusterMessage::Round => self.round(),
+        }
+    }
+
+    fn log_message(&mut self, message: StateMachineMessage) {
+        match message {
+            StateMachineMessage::Apply { index, command } => self.apply(index, &command),
+            StateMachineMessage::Restore { index, snapshot } => self.restore(index, &snapshot),
+            StateMachineMessage::TakeSnapshot { reply } => match encode_document(&self.state) {
+                Ok(snapshot) => {
+                    // The log may have changed its mind.
+                    let _ = reply.send((self.state.applied(), snapshot));
+                }
+                Err(error) => error!(event = "snapshot_not_encoded", %error),
+            },
+        }
+    }
+
+    fn apply(&mut self, index: LogIndex, command: &[u8]) {
+        let command: Command = match decode_document(command) {
+            Ok(command) => command,
+            Err(error) => {
+                error!(event = "command_not_understood", index = index.0, %error);
+                return;
+            }
+        };
+        let outcome = self.state.apply(index, &command);
+        self.applied(&command.body, outcome);
+        self.subscribers.publish(&self.state);
+        self.serve_reads();
+    }
+
+    fn applied(&mut self, body: &CommandBody, outcome: CommandOutcome) {
+        match (body, outcome) {
+            (CommandBody::Change(request), CommandOutcome::Change(outcome)) => {
+                if let ChangeOutcome::Accepted { revision, .. } = &outcome {
+                    info!(event = "change_accepted", revision = revision.0, command = %request.id);
+                }
+                self.answer_change(&request.id, || Ok(outcome.clone()));
+            }
+            (CommandBody::ReportCharges(reports), CommandOutcome::Charges(receipts)) => {
+                self.subscribers.acknowledge_charges(reports, &receipts)
+            }
+            _ => {}
+        }
+    }
+
+    fn restore(&mut self, index: LogIndex, snapshot: &[u8]) {
+        match decode_document::<ClusterState>(snapshot) {
+            Ok(state) if state.applied() >= self.state.applied() => {
+                info!(event = "snapshot_restored", index = index.0);
+                self.state = state;
+                self.subscribers.publish(&self.state);
+                self.serve_reads();
+            }
+            Ok(state) => {
+                error!(event = "snapshot_older", offered = state.applied().0, index = index.0)
+            }
+            Err(error) => error!(event = "snapshot_not_understood", index = index.0, %error),
+        }
+    }
+
+    fn propose_change(&mut self, request: ChangeRequest, reply: ChangeReply) {
+        let id = request.id.clone();
+        self.waiting_changes.entry(id.clone()).or_default().push(reply);
+        let replication = self.replication.clone();
+        let messages = self.own_messages.clone();
+        monoio::spawn(async move {
+            if let Err(error) = replication.propose(CommandBody::Change(request)).await {
+                // This task lives as long as the process.
+                let _ = messages.send(ClusterMessage::ChangeNotProposed { id, error });
+            }
+        });
+    }
+
+    fn answer_change(
+        &mut self,
+        id: &CommandId,
+        outcome: impl Fn() -> Result<ChangeOutcome, ProposeError>,
+    ) {
+        for reply in self.waiting_changes.remove(id).unwrap_or_default() {
+            // The operator may have hung up; a resend gets the recorded outcome.
+            let _ = reply.send(outcome());
+        }
+    }
+
+    fn start_read(&mut self, reads: Vec<PendingRead>) {
+        let replication = self.replication.clone();
+        let messages = self.own_messages.clone();
+        monoio::spawn(async move {
+            let outcome = replication.confirm_read().await;
+            // This task lives as long as the process.
+            let _ = messages.send(ClusterMessage::ReadConfirmed { reads, outcome });
+        });
+    }
+
+    /// One confirmed read for all leases asked for since the last one began.
+    fn confirm_leases(&mut self) {
+        let Some(tickets) = self.reads.next_lease_batch() else {
+            return;
+        };
+        let replication = self.replication.clone();
+        let messages = self.own_messages.clone();
+        monoio::spawn(async move {
+            let outcome = replication.confirm_read().await;
+            // This task lives as long as the process.
+            let _ = messages.send(ClusterMessage::LeasesConfirmed { tickets, outcome });
+        });
+    }
+
+    fn serve_reads(&mut self) {
+        for read in self.reads.due(self.state.applied()) {
+            match read {
+                PendingRead::Look { subject, reply } => {
+                    // The operator may have hung up.
+                    let _ = reply.send(Ok(tables::show(&self.state, &subject)));
+                }
+                PendingRead::Leases(tickets) => {
+                    self.subscribers.grant_leases(self.state.catalog().revision(), &tickets)
+                }
+            }
+        }
+    }
+
+    fn feed_event(&mut self, event: FeedEvent) {
+        match event {
+            FeedEvent::Subscribed { connection, subscriber, revision, feed } => {
+                self.subscribers.subscribe(&self.state, connection, subscriber, revision, feed)
+            }
+            FeedEvent::Renewed { connection, ticket, in_force } => {
+                self.subscribers.in_force(connection, in_force);
+                self.reads.ask_lease(connection, ticket);
+                self.confirm_leases();
+            }
+            FeedEvent::InForce { connection, revision } => {
+                self.subscribers.in_force(connection, revision)
+            }
+            FeedEvent::Charged { connection, run, sequence, counters } => {
+                let report = self.subscribers.charge_report(connection, run, sequence, counters);
+                self.membership.charged(report);
+            }
+            FeedEvent::Closed { connection } => self.subscribers.closed(connection),
+        }
+    }
+
+    /// Reports what changed and passes on what others reported.
+    fn round(&mut self) {
+        self.subscribers.publish_members(&self.state);
+        if let Some(plan) = self.membership.poll_plan(&self.state) {
+            // The polling task lives as long as the process.
+            let _ = self.polling.send(plan);
+        }
+        let followers = self.subscribers.followers();
+        let commands = self.membership.reports(&self.state, followers);
+        if commands.is_empty() {
+            return;
+        }
+        let replication = self.replication.clone();
+        let messages = self.own_messages.clone();
+        monoio::spawn(async move {
+            for command in commands {
+                if let Err(error) = replication.propose(command).await {
+                    info!(event = "report_not_taken", %error);
+                }
+            }
+            // This task lives as long as the process.
+            let _ = messages.send(ClusterMessage::ReportsTaken);
+        });
+    }
+}
--- /dev/null
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -0,0 +1,216 @@
+//! The brokers that this process feeds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gingerkeel_domain::catalog::{Catalog, MemberState};
+use gingerkeel_domain::cluster::{
+    ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, ClusterState,
+};
+use gingerkeel_domain::feed::BrokerList;
+use gingerkeel_domain::identifiers::{BrokerName, Revision};
+use gingerkeel_domain::routing::subset::BrokerEntry;
+use gingerkeel_protocol::{Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, encode_document};
+use local_sync::mpsc::unbounded::Tx;
+use serde::Serialize;
+use tracing::{error, info};
+
+use super::reads::LeaseTicket;
+use super::{ConnectionId, SubscriberIdentity};
+
+/// How long a broker may rely on its catalog after it asked. With it, an accepted change is in
+/// force at every broker that serves within this time.
+const FRESHNESS_LEASE: Duration = Duration::from_secs(4);
+
+/// A broker that follows the catalog here.
+pub struct Follower {
+    /// Who it is.
+    pub identity: SubscriberIdentity,
+    /// The revision that it has in force.
+    pub in_force: Revision,
+    sent: Revision,
+    feed: Tx<FeedMessage>,
+}
+
+/// All brokers that this process feeds.
+#[derive(Default)]
+pub struct Subscribers {
+    connections: BTreeMap<ConnectionId, Follower>,
+    brokers: BrokerList,
+    leaving_version: u64,
+}
+
+impl Subscribers {
+    /// Opens a feed: the changes that the broker lacks, or the whole catalog when they are not
+    /// kept any more.
+    pub fn subscribe(
+        &mut self,
+        state: &ClusterState,
+        connection: ConnectionId,
+        identity: SubscriberIdentity,
+        revision: Revision,
+        feed: Tx<FeedMessage>,
+    ) {
+        if state.catalog().broker_state(&identity.broker) == MemberState::Removed {
+            info!(event = "broker_refused", broker = %identity.broker, reason = "removed");
+            let reason = FeedRefusal::Removed;
+            // A writer that ended means that the broker is gone.
+            let _ = feed.send(FeedMessage::Refused { protocol_version: PROTOCOL_VERSION, reason });
+            return;
+        }
+        info!(event = "broker_subscribed", broker = %identity.broker, revision = revision.0);
+        let mut follower = Follower { identity, in_force: revision, sent: revision, feed };
+        // A broker that is ahead of this process waits: the lease tells it what is accepted.
+        if revision == Revision(0) || !follower.send_changes(state) {
+            follower.send_catalog(state.catalog());
+        }
+        follower.send_document(&self.brokers.whole(), |delta| FeedMessage::Brokers { delta });
+        follower.send(leaving(state));
+        self.forget_older_connections(&follower.identity.broker);
+        self.connections.insert(connection, follower);
+    }
+
+    /// A broker has one feed: the newest.
+    fn forget_older_connections(&mut self, broker: &BrokerName) {
+        self.connections.retain(|_, follower| &follower.identity.broker != broker);
+    }
+
+    /// Sends what changed in the catalog and among leaving leaves.
+    pub fn publish(&mut self, state: &ClusterState) {
+        let revision = state.catalog().revision();
+        for follower in self.connections.values_mut().filter(|broker| broker.sent < revision) {
+            if !follower.send_changes(state) {
+                follower.send_catalog(state.catalog());
+            }
+        }
+        if state.leaf_hints().version() != self.leaving_version {
+            self.leaving_version = state.leaf_hints().version();
+            self.connections.values().for_each(|follower| follower.send(leaving(state)));
+        }
+        let catalog = state.catalog();
+        self.connections.retain(|_, follower| {
+            catalog.broker_state(&follower.identity.broker) != MemberState::Removed
+        });
+    }
+
+    /// Sends what changed among the brokers, once for all that came and went since.
+    pub fn publish_members(&mut self, state: &ClusterState) {
+        let members = state.members().brokers().iter();
+        let newer = BrokerList::new(members.map(|(name, broker)| BrokerEntry {
+            name: name.clone(),
+            placement: broker.placement.clone(),
+        }));
+        let Some(delta) = self.brokers.delta_to(&newer) else {
+            return;
+        };
+        for follower in self.connections.values() {
+            follower.send_document(&delta, |delta| FeedMessage::Brokers { delta });
+        }
+        self.brokers = newer;
+    }
+
+    /// Grants leases at the revision that a quorum confirmed.
+    pub fn grant_leases(&self, revision: Revision, tickets: &[LeaseTicket]) {
+        for ticket in tickets {
+            let Some(follower) = self.connections.get(&ticket.connection) else {
+                continue;
+            };
+            follower.send(FeedMessage::Lease {
+                ticket: ticket.ticket,
+                revision: revision.0,
+                duration_milliseconds: FRESHNESS_LEASE.as_millis() as u32,
+            });
+        }
+    }
+
+    /// A broker reports what it has in force.
+    pub fn in_force(&mut self, connection: ConnectionId, revision: Revision) {
+        if let Some(follower) = self.connections.get_mut(&connection) {
+            follower.in_force = follower.in_force.max(revision);
+        }
+    }
+
+    /// A report of charges under the name of the broker; none when it is not known any more.
+    pub fn charge_report(
+        &self,
+        connection: ConnectionId,
+        run: u64,
+        sequence: u64,
+        counters: BTreeMap<ChargeKey, ChargeCounter>,
+    ) -> Option<ChargeReport> {
+        let broker = self.connections.get(&connection)?.identity.broker.clone();
+        Some(ChargeReport { broker, run, sequence, counters })
+    }
+
+    /// Tells brokers that feed here what became of their reports.
+    pub fn acknowledge_charges(&self, reports: &[ChargeReport], receipts: &[ChargeReceipt]) {
+        for (report, receipt) in reports.iter().zip(receipts) {
+            let follower =
+                self.connections.values().find(|known| known.identity.broker == report.broker);
+            let sequence = report.sequence;
+            if let Some(follower) = follower {
+                follower.send(match receipt {
+                    ChargeReceipt::Recorded => FeedMessage::ChargesRecorded { sequence },
+                    ChargeReceipt::RunSettled => FeedMessage::RunSettled { sequence },
+                });
+            }
+        }
+    }
+
+    /// A connection is lost.
+    pub fn closed(&mut self, connection: ConnectionId) {
+        if let Some(follower) = self.connections.remove(&connection) {
+            info!(event = "broker_gone", broker = %follower.identity.broker);
+        }
+    }
+
+    /// All brokers that are fed here.
+    pub fn followers(&self) -> impl Iterator<Item = (ConnectionId, &Follower)> {
+        self.connections.iter().map(|(connection, follower)| (*connection, follower))
+    }
+}
+
+impl Follower {
+    /// Sends the changes after what was sent; false when they are not kept.
+    fn send_changes(&mut self, state: &ClusterState) -> bool {
+        let newest = state.catalog().revision();
+        if self.sent > newest {
+            return true;
+        }
+        let Some(changes) = state.history().since(newest, self.sent) else {
+            return false;
+        };
+        for accepted in changes {
+            let revision = accepted.revision.0;
+            self.send_document(&accepted.change, |change| FeedMessage::Change { revision, change });
+        }
+        self.sent = newest;
+        true
+    }
+
+    fn send_catalog(&mut self, catalog: &Catalog) {
+        self.send_document(catalog, |catalog| FeedMessage::FullCatalog { catalog });
+        self.sent = catalog.revision();
+    }
+
+    fn send_document(
+        &self,
+        document: &impl Serialize,
+        message: impl FnOnce(Document) -> FeedMessage,
+    ) {
+        match encode_document(document) {
+            Ok(bytes) => self.send(message(Document::from(bytes))),
+            Err(error) => error!(event = "document_not_encoded", %error),
+        }
+    }
+
+    fn send(&self, message: FeedMessage) {
+        // A writer that ended reports the connection as closed.
+        let _ = self.feed.send(message);
+    }
+}
+
+fn leaving(state: &ClusterState) -> FeedMessage {
+    let leaves = state.leaf_hints().leaving().into_iter().map(|leaf| leaf.0).collect();
+    FeedMessage::Leaving { leaves }
+}
--- /dev/null
+++ b/crates/control/src/feed/connection.rs
@@ -0,0 +1,137 @@
+//! One broker's connection: frames in, frames out.
+
+use std::time::Duration;
+
+use gingerkeel_domain::catalog::Placement;
+use gingerkeel_domain::identifiers::{BrokerName, RegionName, Revision, ZoneName};
+use gingerkeel_protocol::{
+    FeedMessage, FeedRefusal, FrameCodec, PROTOCOL_VERSION, ProtocolError, ShortText,
+    SubscriberMessage, decode_document, encode_frame,
+};
+use local_sync::mpsc::unbounded::{Rx, Tx};
+use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf};
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+use monoio_codec::FramedRead;
+use tracing::warn;
+
+use crate::cluster_task::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity};
+
+/// Time that a broker has to say something; it renews its lease every second.
+const SILENCE_LIMIT: Duration = Duration::from_secs(10);
+/// Time that a broker has to take a frame.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+
+type Reader = FramedRead<OwnedReadHalf<TcpStream>, ()>;
+
+/// Passes the broker's messages on until the connection ends.
+///
+/// # Errors
+/// A [`ProtocolError`] for a broken frame, a message out of order, silence or a lost socket.
+pub async fn follow(
+    mut reader: Reader,
+    connection: ConnectionId,
+    cluster: &Tx<ClusterMessage>,
+    feed: Tx<FeedMessage>,
+) -> Result<(), ProtocolError> {
+    let Some(first) = next(&mut reader).await? else {
+        return Ok(());
+    };
+    let (subscriber, revision) = understand_subscription(first, &feed)?;
+    let event = FeedEvent::Subscribed { connection, subscriber, revision, feed };
+    // The cluster task lives as long as the process.
+    let _ = cluster.send(ClusterMessage::Feed(event));
+    while let Some(message) = next(&mut reader).await? {
+        let event = understand(message, connection)?;
+        // The cluster task lives as long as the process.
+        let _ = cluster.send(ClusterMessage::Feed(event));
+    }
+    Ok(())
+}
+
+async fn next(reader: &mut Reader) -> Result<Option<SubscriberMessage>, ProtocolError> {
+    let mut codec = FrameCodec::<SubscriberMessage>::default();
+    match timeout(SILENCE_LIMIT, reader.next_with(&mut codec)).await {
+        Ok(message) => message.transpose(),
+        Err(_) => Err(ProtocolError::Malformed("the broker is silent".into())),
+    }
+}
+
+fn understand_subscription(
+    message: SubscriberMessage,
+    feed: &Tx<FeedMessage>,
+) -> Result<(SubscriberIdentity, Revision), ProtocolError> {
+    let SubscriberMessage::Subscribe { protocol_version, run, revision, broker, region, zone } =
+        message
+    else {
+        return Err(ProtocolError::Malformed("message before the subscription".into()));
+    };
+    let refuse = |reason, text: &str| {
+        // A writer that ended means that the broker is gone.
+        let _ = feed.send(FeedMessage::Refused { protocol_version: PROTOCOL_VERSION, reason });
+        ProtocolError::Malformed(text.to_owned())
+    };
+    if protocol_version != PROTOCOL_VERSION {
+        let text = format!("protocol version {protocol_version}");
+        return Err(refuse(FeedRefusal::ProtocolVersion, &text));
+    }
+    let identity = identity(&broker, run, &region, &zone);
+    let identity = identity.ok_or_else(|| refuse(FeedRefusal::BadName, "a name is not usable"))?;
+    Ok((identity, Revision(revision)))
+}
+
+fn identity(
+    broker: &ShortText,
+    run: u64,
+    region: &ShortText,
+    zone: &ShortText,
+) -> Option<SubscriberIdentity> {
+    Some(SubscriberIdentity {
+        broker: BrokerName::new(broker.text()?),
+        run,
+        placement: Placement {
+            region: RegionName::new(region.text()?),
+            zone: ZoneName::new(zone.text()?),
+        },
+    })
+}
+
+fn understand(
+    message: SubscriberMessage,
+    connection: ConnectionId,
+) -> Result<FeedEvent, ProtocolError> {
+    match message {
+        SubscriberMessage::Renew { ticket, in_force } => {
+            Ok(FeedEvent::Renewed { connection, ticket, in_force: Revision(in_force) })
+        }
+        SubscriberMessage::InForce { revision } => {
+            Ok(FeedEvent::InForce { connection, revision: Revision(revision) })
+        }
+        SubscriberMessage::Charges { sequence, run, counters } => {
+            let counters = decode_document(&counters.bytes)?;
+            Ok(FeedEvent::Charged { connection, run, sequence, counters })
+        }
+        SubscriberMessage::Subscribe { .. } => {
+            Err(ProtocolError::Malformed("second subscription".into()))
+        }
+    }
+}
+
+/// Writes messages until the feed is closed or the broker takes none.
+pub async fn write_messages(mut writer: OwnedWriteHalf<TcpStream>, mut messages: Rx<FeedMessage>) {
+    while let Some(message) = messages.recv().await {
+        let frame = match encode_frame(&message) {
+            Ok(frame) => frame,
+            Err(error) => {
+                warn!(event = "frame_not_sent", %error);
+                break;
+            }
+        };
+        match timeout(WRITE_LIMIT, writer.write_all(frame)).await {
+            Ok((Ok(_), _)) => {}
+            _ => break,
+        }
+    }
+    // The peer may have closed the connection already.
+    let _ = writer.shutdown().await;
+}
--- /dev/null
+++ b/crates/control/src/feed/mod.rs
@@ -0,0 +1,43 @@
+//! Feeds of brokers: their connections.
+
+mod connection;
+
+use gingerkeel_protocol::FeedMessage;
+use local_sync::mpsc::unbounded::{self, Tx};
+use monoio::io::Splitable;
+use monoio::net::{TcpListener, TcpStream};
+use monoio_codec::FramedRead;
+use tracing::{info, warn};
+
+use crate::cluster_task::{ClusterMessage, ConnectionId, FeedEvent};
+
+/// Accepts brokers' connections for ever.
+pub async fn serve(listener: TcpListener, cluster: Tx<ClusterMessage>) {
+    let mut last = ConnectionId(0);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                last.0 += 1;
+                monoio::spawn(converse(stream, last, cluster.clone()));
+            }
+            Err(error) => {
+                warn!(event = "accept_failed", listener = "feed", %error);
+                monoio::time::sleep(crate::ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn converse(stream: TcpStream, connection: ConnectionId, cluster: Tx<ClusterMessage>) {
+    // Small frames must not wait for each other; a socket without the option still works.
+    let _ = stream.set_nodelay(true);
+    let (read_half, write_half) = stream.into_split();
+    let reader = FramedRead::new(read_half, ());
+    let (feed, messages) = unbounded::channel::<FeedMessage>();
+    monoio::spawn(connection::write_messages(write_half, messages));
+    if let Err(error) = connection::follow(reader, connection, &cluster, feed).await {
+        info!(event = "feed_ended", connection = connection.0, %error);
+    }
+    // The cluster task lives as long as the process.
+    let _ = cluster.send(ClusterMessage::Feed(FeedEvent::Closed { connection }));
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,16 +1,31 @@
-//! The control process: it accepts operators' statements, holds the catalog and feeds brokers.
+//! The control process: it accepts operators' statements, holds the replicated state and feeds
+//! brokers.
 
-mod catalog_task;
+mod clock;
+mod cluster_task;
 mod feed;
+mod leaf_polling;
+pub mod local_log;
 mod operators;
+mod replication_client;
 mod tables;
 
 use std::io;
+use std::time::Duration;
 
+use gingerkeel_domain::identifiers::ControlName;
 use gingerkeel_settings::ControlSettings;
+use local_sync::mpsc::unbounded;
 use monoio::net::TcpListener;
+use rand::Rng;
 use tracing::info;
 
+use crate::cluster_task::OwnIdentity;
+use crate::replication_client::ReplicationClient;
+
+/// Pause after a connection could not be accepted, as when descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Serves operators and brokers until the process ends.
 ///
 /// # Errors
@@ -24,8 +39,19 @@
         operators = %settings.operators,
         feed = %settings.feed
     );
-    let catalog = catalog_task::start();
-    monoio::spawn(feed::serve(feed, catalog.clone()));
-    operators::serve(operators, catalog).await;
+    let identity = OwnIdentity {
+        name: ControlName::new(&settings.name),
+        run: rand::rng().random(),
+        operators: settings.operators,
+        feed: settings.feed,
+    };
+    let (cluster, messages) = unbounded::channel();
+    let log = local_log::start(cluster_task::state_machine(cluster.clone()));
+    let (polling, plans) = leaf_polling::channel();
+    let replication = ReplicationClient::new(log);
+    cluster_task::start(identity, replication, polling, cluster.clone(), messages);
+    monoio::spawn(leaf_polling::run(plans, cluster.clone()));
+    monoio::spawn(feed::serve(feed, cluster.clone()));
+    operators::serve(operators, cluster).await;
     Ok(())
 }
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -1,33 +1,49 @@
 //! Operators' HTTP interface: `POST /v1/statements` with a text of statements.
 
+use std::time::Duration;
+
 use bytes::Bytes;
+use gingerkeel_domain::catalog::Change;
+use gingerkeel_domain::cluster::{ChangeOutcome, ChangeRequest, CommandId};
+use gingerkeel_domain::identifiers::{Revision, SessionName};
+use gingerkeel_statement::{
+    SEQUENCE_HEADER, SESSION_HEADER, STATEMENTS_PATH, Statement, StatementReplies, StatementReply,
+    Subject, parse,
+};
 use gingerkeel_transport::{HttpRequest, HttpResponse, Limits, ServerConnection, TransportError};
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 use monoio::net::{TcpListener, TcpStream};
+use monoio::time::timeout;
+use rand::Rng;
 use tracing::{debug, warn};
 
-use crate::catalog_task::CatalogMessage;
+use crate::cluster_task::ClusterMessage;
 
-/// Path on which statements are taken.
-pub const STATEMENTS_PATH: &str = "/v1/statements";
+/// Longest name of a session, in bytes.
+const SESSION_NAME_LIMIT: usize = 64;
+/// Time that a statement has; then its outcome is unknown.
+const STATEMENT_LIMIT: Duration = Duration::from_secs(5);
 
 /// Accepts operators' connections for ever.
-pub async fn serve(listener: TcpListener, catalog: Tx<CatalogMessage>) {
+pub async fn serve(listener: TcpListener, cluster: Tx<ClusterMessage>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(converse(stream, catalog.clone()));
+                monoio::spawn(converse(stream, cluster.clone()));
+            }
+            Err(error) => {
+                warn!(event = "accept_failed", listener = "operators", %error);
+                monoio::time::sleep(crate::ACCEPT_PAUSE).await;
             }
-            Err(error) => warn!(event = "accept_failed", listener = "operators", %error),
         }
     }
 }
 
-async fn converse(stream: TcpStream, catalog: Tx<CatalogMessage>) {
+async fn converse(stream: TcpStream, cluster: Tx<ClusterMessage>) {
     let mut connection = ServerConnection::new(stream, Limits::default());
-    if let Err(error) = answer_requests(&mut connection, &catalog).await {
+    if let Err(error) = answer_requests(&mut connection, &cluster).await {
         debug!(event = "operator_connection_ended", %error);
         // The peer may be gone; then there is nobody to tell.
         let _ = connection.respond(plain(StatusCode::BAD_REQUEST, &error.to_string())).await;
@@ -36,38 +52,127 @@
 
 async fn answer_requests(
     connection: &mut ServerConnection,
-    catalog: &Tx<CatalogMessage>,
+    cluster: &Tx<ClusterMessage>,
 ) -> Result<(), TransportError> {
     while let Some(request) = connection.next_request().await? {
-        let response = answer(request, catalog).await;
+        let response = answer(request, cluster).await;
         connection.respond(response).await?;
     }
     Ok(())
 }
 
-async fn answer(request: HttpRequest, catalog: &Tx<CatalogMessage>) -> HttpResponse {
+async fn answer(request: HttpRequest, cluster: &Tx<ClusterMessage>) -> HttpResponse {
     if request.method() != Method::POST || request.uri().path() != STATEMENTS_PATH {
         return plain(StatusCode::NOT_FOUND, "unknown path: POST statements to /v1/statements");
     }
+    let Some(first) = command_id(request.headers()) else {
+        let text = format!(
+            "{SESSION_HEADER} or {SEQUENCE_HEADER} is not usable: send both, a name of at most \
+             {SESSION_NAME_LIMIT} letters, digits, '-' and '_', and a number from 1"
+        );
+        return plain(StatusCode::BAD_REQUEST, &text);
+    };
     let Ok(text) = String::from_utf8(request.into_body().to_vec()) else {
         return plain(StatusCode::BAD_REQUEST, "the text is not UTF-8: send statements as UTF-8");
     };
-    let (reply, receiver) = oneshot::channel();
-    if catalog.send(CatalogMessage::Execute { text, reply }).is_err() {
-        return plain(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping: ask another one");
+    let replies = match parse(&text) {
+        Ok(statements) => execute_all(statements, first, cluster).await,
+        Err(error) => {
+            let error = error.to_string();
+            StatementReplies { replies: vec![StatementReply::Refused { error }] }
+        }
+    };
+    let body = serde_json::to_vec(&replies).unwrap_or_default();
+    respond(status(&replies), Bytes::from(body))
+}
+
+fn status(replies: &StatementReplies) -> StatusCode {
+    if replies.is_unknown() {
+        return StatusCode::SERVICE_UNAVAILABLE;
     }
-    match receiver.await {
-        Ok(replies) => {
-            let status = if replies.succeeded() { StatusCode::OK } else { StatusCode::BAD_REQUEST };
-            let body = serde_json::to_vec(&replies).unwrap_or_default();
-            respond(status, Bytes::from(body))
+    if replies.succeeded() { StatusCode::OK } else { StatusCode::BAD_REQUEST }
+}
+
+/// Identity of the first change: as the headers say, or one that is never used again when there
+/// are none. None when they are not usable.
+fn command_id(headers: &HeaderMap) -> Option<CommandId> {
+    let text = |name| headers.get(name).map(|value| value.to_str().unwrap_or_default());
+    match (text(SESSION_HEADER), text(SEQUENCE_HEADER)) {
+        (None, None) => {
+            let session = format!("anonymous-{:016x}", rand::rng().random::<u64>());
+            Some(CommandId { session: SessionName::new(session), sequence: 1 })
         }
-        Err(_) => {
-            plain(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping: ask another one")
+        (Some(session), Some(sequence)) => {
+            let allowed = |c: char| c.is_ascii_alphanumeric() || "-_".contains(c);
+            let usable = !session.is_empty()
+                && session.len() <= SESSION_NAME_LIMIT
+                && session.chars().all(allowed);
+            let sequence = sequence.parse().ok().filter(|sequence| *sequence > 0)?;
+            usable.then(|| CommandId { session: SessionName::new(session), sequence })
         }
+        _ => None,
     }
 }
 
+async fn execute_all(
+    statements: Vec<Statement>,
+    first: CommandId,
+    cluster: &Tx<ClusterMessage>,
+) -> StatementReplies {
+    let mut replies = StatementReplies::default();
+    let mut id = first;
+    for statement in statements {
+        let reply = match statement {
+            Statement::Show(subject) => look(subject, cluster).await,
+            Statement::Change { change, based_on } => {
+                let reply = execute_change(change, based_on, id.clone(), cluster).await;
+                id.sequence = id.sequence.saturating_add(1);
+                reply
+            }
+        };
+        replies.replies.push(reply);
+        if !replies.succeeded() {
+            break;
+        }
+    }
+    replies
+}
+
+async fn look(subject: Subject, cluster: &Tx<ClusterMessage>) -> StatementReply {
+    let (reply, receiver) = oneshot::channel();
+    // The cluster task lives as long as the process.
+    let _ = cluster.send(ClusterMessage::Look { subject, reply });
+    let error = match timeout(STATEMENT_LIMIT, receiver).await {
+        Ok(Ok(Ok(table))) => return table,
+        Ok(Ok(Err(error))) => error.to_string(),
+        _ => "the look-up took too long: ask another control process".to_owned(),
+    };
+    StatementReply::Unknown { error }
+}
+
+async fn execute_change(
+    change: Change,
+    based_on: Option<Revision>,
+    id: CommandId,
+    cluster: &Tx<ClusterMessage>,
+) -> StatementReply {
+    let (reply, receiver) = oneshot::channel();
+    let request = ChangeRequest { id: id.clone(), based_on, change };
+    // The cluster task lives as long as the process.
+    let _ = cluster.send(ClusterMessage::Change { request, reply });
+    let error = match timeout(STATEMENT_LIMIT, receiver).await {
+        Ok(Ok(Ok(ChangeOutcome::Accepted { revision, .. }))) => {
+            return StatementReply::Accepted { revision: revision.0 };
+        }
+        Ok(Ok(Ok(ChangeOutcome::Refused(refusal)))) => {
+            return StatementReply::Refused { error: refusal.to_string() };
+        }
+        Ok(Ok(Err(error))) => error.to_string(),
+        _ => format!("the outcome of command {id} is unknown: send it again as the same command"),
+    };
+    StatementReply::Unknown { error }
+}
+
 fn plain(status: StatusCode, text: &str) -> HttpResponse {
     respond(status, Bytes::copy_from_slice(text.as_bytes()))
 }
--- /dev/null
+++ b/crates/control/src/replication_client.rs
@@ -0,0 +1,67 @@
+//! Requests to the replicated log, with a limit of time.
+
+use std::time::Duration;
+
+use gingerkeel_domain::cluster::{Command, CommandBody, LogIndex};
+use gingerkeel_protocol::encode_document;
+use local_sync::mpsc::unbounded::Tx;
+use local_sync::oneshot;
+use monoio::time::timeout;
+use tracing::error;
+
+use crate::clock::wall_time;
+use crate::local_log::{ProposeError, ReadError, ReplicationMessage};
+
+/// Time that the log has to take a command.
+const PROPOSE_LIMIT: Duration = Duration::from_secs(3);
+/// Time that a quorum has to confirm a read.
+const READ_LIMIT: Duration = Duration::from_secs(1);
+
+/// Sends requests to the replicated log.
+#[derive(Clone)]
+pub struct ReplicationClient {
+    log: Tx<ReplicationMessage>,
+}
+
+impl ReplicationClient {
+    /// A client of the log behind `log`.
+    pub fn new(log: Tx<ReplicationMessage>) -> Self {
+        Self { log }
+    }
+
+    /// Proposes a command of the present time.
+    ///
+    /// # Errors
+    /// A [`ProposeError`]; the command may be accepted all the same.
+    pub async fn propose(&self, body: CommandBody) -> Result<(), ProposeError> {
+        let command = encode_document(&Command { at: wall_time(), body }).map_err(|error| {
+            error!(event = "command_not_encoded", %error);
+            ProposeError::Stopping
+        })?;
+        let (reply, receiver) = oneshot::channel();
+        self.log
+            .send(ReplicationMessage::Propose { command, reply })
+            .map_err(|_| ProposeError::Stopping)?;
+        match timeout(PROPOSE_LIMIT, receiver).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => Err(ProposeError::Stopping),
+            Err(_) => Err(ProposeError::NoQuorum),
+        }
+    }
+
+    /// Confirms up to where the log is accepted.
+    ///
+    /// # Errors
+    /// A [`ReadError`] when no quorum confirmed it in time.
+    pub async fn confirm_read(&self) -> Result<LogIndex, ReadError> {
+        let (reply, receiver) = oneshot::channel();
+        self.log
+            .send(ReplicationMessage::ConfirmRead { reply })
+            .map_err(|_| ReadError::Stopping)?;
+        match timeout(READ_LIMIT, receiver).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => Err(ReadError::Stopping),
+            Err(_) => Err(ReadError::NoQuorum),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/tables/cluster.rs
@@ -0,0 +1,146 @@
+//! Tables of members, revisions and charges.
+
+use std::collections::BTreeSet;
+
+use gingerkeel_domain::catalog::MemberState;
+use gingerkeel_domain::cluster::ClusterState;
+use gingerkeel_domain::identifiers::{BrokerName, CallerName, ControlName};
+use gingerkeel_statement::{Statement, StatementReply};
+
+use super::table;
+
+/// What is shown where nothing is known.
+const NOTHING: &str = "-";
+
+/// Changes that are shown.
+const CHANGES_SHOWN: usize = 20;
+
+/// Brokers, live or configured, a row each.
+pub fn brokers(state: &ClusterState) -> StatementReply {
+    let live = state.members().brokers();
+    let configured = state.catalog().brokers();
+    let names: BTreeSet<&BrokerName> = live.keys().chain(configured.keys()).collect();
+    let rows = names.into_iter().map(|name| {
+        let record = live.get(name);
+        let shown = |text: Option<String>| text.unwrap_or_else(|| NOTHING.to_owned());
+        vec![
+            name.to_string(),
+            shown(record.map(|record| record.placement.region.to_string())),
+            shown(record.map(|record| record.placement.zone.to_string())),
+            shown(record.map(|record| record.control.to_string())),
+            shown(record.map(|record| record.in_force.to_string())),
+            member_state(state.catalog().broker_state(name)).to_owned(),
+            if record.is_some() { "yes" } else { "no" }.to_owned(),
+        ]
+    });
+    let columns = ["broker", "region", "zone", "control", "revision in force", "state", "live"];
+    table(&columns, rows.collect())
+}
+
+/// Control processes, live or configured, a row each.
+pub fn controls(state: &ClusterState) -> StatementReply {
+    let live = state.members().controls();
+    let configured = state.catalog().controls();
+    let names: BTreeSet<&ControlName> = live.keys().chain(configured.keys()).collect();
+    let rows = names.into_iter().map(|name| {
+        let record = live.get(name);
+        let address = |text: Option<String>| text.unwrap_or_else(|| NOTHING.to_owned());
+        let fed = state.members().brokers().values().filter(|broker| &broker.control == name);
+        let wanted = configured.get(name).map_or(MemberState::Active, |control| control.state);
+        vec![
+            name.to_string(),
+            address(record.map(|record| record.renewal.operators.to_string())),
+            address(record.map(|record| record.renewal.feed.to_string())),
+            fed.count().to_string(),
+            member_state(wanted).to_owned(),
+            if record.is_some() { "yes" } else { "no" }.to_owned(),
+        ]
+    });
+    table(&["control", "operators", "feed", "brokers", "state", "live"], rows.collect())
+}
+
+fn member_state(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Active => "active",
+        MemberState::Draining => "draining",
+        MemberState::Removed => "removed",
+    }
+}
+
+/// Charges, a row for each caller and class.
+pub fn charges(state: &ClusterState, caller: Option<&CallerName>) -> StatementReply {
+    let totals = state.charges().totals().iter();
+    let wanted = totals.filter(|(key, _)| caller.is_none_or(|caller| caller == &key.caller));
+    let rows = wanted.map(|(key, counter)| {
+        vec![
+            key.caller.to_string(),
+            key.service.to_string(),
+            key.class.to_string(),
+            counter.answered.to_string(),
+            counter.units.to_string(),
+        ]
+    });
+    table(&["caller", "service", "class", "answered", "units"], rows.collect())
+}
+
+/// One row about the cluster.
+pub fn status(state: &ClusterState) -> StatementReply {
+    let accepted = state.catalog().revision();
+    let members = state.members();
+    let row = vec![
+        accepted.to_string(),
+        members.in_force_everywhere(accepted).to_string(),
+        members.brokers().len().to_string(),
+        members.controls().len().to_string(),
+        state.catalog().leaves().len().to_string(),
+        state.applied().0.to_string(),
+    ];
+    let columns = [
+        "accepted revision",
+        "in force everywhere",
+        "brokers",
+        "controls",
+        "leaves",
+        "applied index",
+    ];
+    table(&columns, vec![row])
+}
+
+/// The revision accepted and that in force everywhere, with a row for each broker that lags.
+pub fn revision(state: &ClusterState) -> StatementReply {
+    let accepted = state.catalog().revision();
+    let everywhere = state.members().in_force_everywhere(accepted);
+    let row = |broker: &str, in_force: String, control: &str| {
+        vec![
+            accepted.to_string(),
+            everywhere.to_string(),
+            broker.to_owned(),
+            in_force,
+            control.to_owned(),
+        ]
+    };
+    let lagging = state.members().lagging(accepted);
+    let mut rows: Vec<_> = lagging
+        .map(|(name, broker)| {
+            row(name.as_str(), broker.in_force.to_string(), broker.control.as_str())
+        })
+        .collect();
+    if rows.is_empty() {
+        rows.push(row(NOTHING, NOTHING.to_owned(), NOTHING));
+    }
+    let columns = ["accepted", "in force everywhere", "lagging broker", "has in force", "control"];
+    table(&columns, rows)
+}
+
+/// The last accepted changes, newest first.
+pub fn changes(state: &ClusterState) -> StatementReply {
+    let rows = state.history().newest_first().take(CHANGES_SHOWN).map(|accepted| {
+        vec![
+            accepted.revision.to_string(),
+            accepted.at.0.to_string(),
+            accepted.session.to_string(),
+            Statement::change(accepted.change.clone()).to_string(),
+        ]
+    });
+    table(&["revision", "ms since 1970", "session", "change"], rows.collect())
+}
--- /dev/null
+++ b/crates/control/src/tables/mod.rs
@@ -0,0 +1,30 @@
+//! Look-ups as tables.
+
+mod catalog;
+mod cluster;
+
+use gingerkeel_domain::cluster::ClusterState;
+use gingerkeel_statement::{StatementReply, Subject};
+
+/// The table of a look-up.
+pub fn show(state: &ClusterState, subject: &Subject) -> StatementReply {
+    match subject {
+        Subject::Services => catalog::services(state.catalog()),
+        Subject::Classes(service) => catalog::classes(state.catalog(), service.as_ref()),
+        Subject::Leaves => catalog::leaves(state.catalog(), state.leaf_hints()),
+        Subject::Callers => catalog::callers(state.catalog()),
+        Subject::Shards(service) => catalog::shards(state.catalog(), service.as_ref()),
+        Subject::Versions(service) => catalog::versions(state.catalog(), service.as_ref()),
+        Subject::Brokers => cluster::brokers(state),
+        Subject::Controls => cluster::controls(state),
+        Subject::Charges(caller) => cluster::charges(state, caller.as_ref()),
+        Subject::Status => cluster::status(state),
+        Subject::Revision => cluster::revision(state),
+        Subject::Changes => cluster::changes(state),
+    }
+}
+
+fn table(columns: &[&str], rows: Vec<Vec<String>>) -> StatementReply {
+    let columns = columns.iter().map(|column| (*column).to_owned()).collect();
+    StatementReply::Table { columns, rows }
+}
--- a/crates/domain/src/cluster/history.rs
+++ b/crates/domain/src/cluster/history.rs
@@ -130,9 +130,9 @@
         Some(self.changes.range(first..))
     }
 
-    /// The newest change.
-    pub fn last(&self) -> Option<&AcceptedChange> {
-        self.changes.back()
+    /// The changes that are kept, newest first.
+    pub fn newest_first(&self) -> impl Iterator<Item = &AcceptedChange> {
+        self.changes.iter().rev()
     }
 
     /// Checks a change that was made against `based_on`.
--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -9,6 +9,7 @@
 mod history;
 mod leaf_health;
 mod members;
+mod polling;
 mod sessions;
 mod thresholds;
 mod wall_time;
@@ -31,6 +32,7 @@
 pub use members::{
     BrokerChange, BrokerRecord, CONTROL_LEASE, ControlRecord, ControlRenewal, Members,
 };
+pub use polling::polled_by;
 pub use sessions::{OUTCOMES_PER_SESSION, SESSION_LIMIT, SESSION_RETENTION, Sessions};
 pub use thresholds::{Threshold, Thresholds};
 pub use wall_time::WallTime;
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 use rand_core::RngCore;
 
 use crate::admission::{Admission, ClassLimit, Decision, RefusalReason, Ticket};
-use crate::catalog::{Catalog, Service};
+use crate::catalog::{Catalog, MemberState, Service};
 use crate::identifiers::{LeafId, QueryId, ServiceName, Snapshot};
 use crate::query::{QueryOutcome, Submission};
 use crate::routing::Router;
@@ -125,7 +125,8 @@
 
     /// Why no query at all is taken now, if so.
     fn refusal(&self, now: Timestamp) -> Option<RefusalReason> {
-        if self.stopping {
+        let wanted = self.catalog.broker_state(&self.settings.name);
+        if self.stopping || wanted != MemberState::Active {
             return Some(RefusalReason::Stopping);
         }
         let stale = self.fresh_until.is_some_and(|until| until <= now);
--- a/crates/domain/src/feed/follower.rs
+++ b/crates/domain/src/feed/follower.rs
@@ -285,7 +285,7 @@
     /// The renewal of this number; it and older ones are answered.
     fn take_renewal(&mut self, ticket: u64) -> Option<Renewal> {
         let place = self.renewals.iter().position(|renewal| renewal.ticket == ticket)?;
-        self.renewals.drain(..=place).last()
+        self.renewals.drain(..=place).next_back()
     }
 
     fn extend(&mut self, until: Timestamp, effects: &mut Vec<FollowerEffect>) {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod dispatch;
 pub mod feed;
+mod hash;
 pub mod identifiers;
 pub mod query;
 pub mod routing;
--- a/crates/domain/src/routing/subset.rs
+++ b/crates/domain/src/routing/subset.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Leaf, Placement};
+use crate::hash::hash;
 use crate::identifiers::{BrokerName, LeafId, ShardId};
 use crate::routing::table::{Distance, ShardRoute};
 
@@ -211,15 +212,3 @@
 fn ring_start(position: Position, leaves: usize) -> usize {
     (position.rank * leaves / position.count) % leaves
 }
-
-/// FNV-1a with a finalizer: stable over releases, since brokers of different releases have to
-/// agree on the ring.
-fn hash(bytes: &[u8], salt: u64) -> u64 {
-    let mut state = 0xcbf2_9ce4_8422_2325_u64 ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    for byte in bytes {
-        state = (state ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    }
-    state = (state ^ (state >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    state = (state ^ (state >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    state ^ (state >> 33)
-}
--- /dev/null
+++ b/crates/domain/tests/polling.rs
@@ -0,0 +1,42 @@
+//! Leaves are shared out among control processes.
+
+use std::collections::BTreeMap;
+
+use gingerkeel_domain::cluster::polled_by;
+use gingerkeel_domain::identifiers::{ControlName, LeafId};
+
+const LEAVES: u32 = 13_000;
+
+fn controls(count: usize) -> Vec<ControlName> {
+    (0..count).map(|number| ControlName::new(format!("control-{number}"))).collect()
+}
+
+#[test]
+fn every_control_process_polls_its_share() {
+    let controls = controls(8);
+    let mut counts: BTreeMap<&ControlName, u32> = BTreeMap::new();
+    for leaf in 0..LEAVES {
+        let control = polled_by(LeafId(leaf), &controls).unwrap();
+        *counts.entry(control).or_default() += 1;
+    }
+    let fair = LEAVES / 8;
+    assert_eq!(counts.len(), 8);
+    assert!(counts.values().all(|count| count.abs_diff(fair) < fair / 10), "{counts:?}");
+}
+
+#[test]
+fn only_the_leaves_of_a_lost_control_process_move() {
+    let all = controls(8);
+    let left = &all[1..];
+    for leaf in (0..LEAVES).map(LeafId) {
+        let before = polled_by(leaf, &all).unwrap();
+        if before != &all[0] {
+            assert_eq!(polled_by(leaf, left), Some(before));
+        }
+    }
+}
+
+#[test]
+fn without_control_processes_nobody_polls() {
+    assert_eq!(polled_by(LeafId(1), []), None);
+}
--- a/crates/statement/src/lib.rs
+++ b/crates/statement/src/lib.rs
@@ -9,5 +9,7 @@
 
 pub use error::StatementError;
 pub use parse::{GRAMMAR, TEXT_LIMIT, parse};
-pub use reply::{StatementReplies, StatementReply};
+pub use reply::{
+    SEQUENCE_HEADER, SESSION_HEADER, STATEMENTS_PATH, StatementReplies, StatementReply,
+};
 pub use statement::{Statement, Subject};
--- a/crates/statement/src/reply.rs
+++ b/crates/statement/src/reply.rs
@@ -18,6 +18,12 @@
         /// Cells, a row each.
         rows: Vec<Vec<String>>,
     },
+    /// Nobody knows yet whether the change is accepted; sent again under the same session and
+    /// sequence number it gets its one outcome.
+    Unknown {
+        /// Why, with the remedy.
+        error: String,
+    },
     /// The statement was refused; later ones of the same text were not carried out.
     Refused {
         /// Why, with the remedy.
@@ -25,6 +31,13 @@
     },
 }
 
+impl StatementReply {
+    /// Whether later statements of the same text are not carried out.
+    pub fn is_failure(&self) -> bool {
+        matches!(self, Self::Refused { .. } | Self::Unknown { .. })
+    }
+}
+
 /// Outcomes of a text of statements, in its order.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatementReplies {
@@ -35,6 +48,19 @@
 impl StatementReplies {
     /// Whether every statement was carried out.
     pub fn succeeded(&self) -> bool {
-        !self.replies.iter().any(|reply| matches!(reply, StatementReply::Refused { .. }))
+        !self.replies.iter().any(StatementReply::is_failure)
+    }
+
+    /// Whether the outcome of the last statement is not known.
+    pub fn is_unknown(&self) -> bool {
+        matches!(self.replies.last(), Some(StatementReply::Unknown { .. }))
     }
 }
+
+/// Header of a request that names the operator's session.
+pub const SESSION_HEADER: &str = "x-session";
+/// Header of a request that numbers its first change within the session; each further change of
+/// the same text has the next number.
+pub const SEQUENCE_HEADER: &str = "x-sequence";
+/// Path to which statements are posted.
+pub const STATEMENTS_PATH: &str = "/v1/statements";
