--- /dev/null
+++ b/crates/control/tests/feed.rs
@@ -0,0 +1,174 @@
+//! Feeds of a control process, as hollow brokers see them.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use gingerkeel_domain::cluster::{ChargeCounter, ChargeKey, HISTORY_LIMIT};
+use gingerkeel_domain::feed::{BrokerList, BrokerListDelta};
+use gingerkeel_domain::identifiers::{CallerName, ClassName, ServiceName};
+use gingerkeel_protocol::{
+    Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, SubscriberMessage, decode_document,
+    encode_document,
+};
+use rstest::rstest;
+use support::{Control, HollowBroker, subscription, wait_until};
+
+fn define(number: u64) -> String {
+    format!("DEFINE CALLER portal BUDGET {number} BURST 1")
+}
+
+#[test]
+fn new_broker_gets_the_whole_catalog_and_then_changes() {
+    let control = Control::start("control-1");
+    control.change(&define(1));
+    control.change(&define(2));
+    let mut broker = HollowBroker::subscribe(&control, "b1", 1, 0);
+    assert_eq!(broker.follow_to(2), (true, vec![2]));
+    control.change(&define(3));
+    assert_eq!(broker.follow_to(3), (false, vec![3]));
+}
+
+#[test]
+fn broker_that_comes_back_gets_only_what_it_lacks() {
+    let control = Control::start("control-1");
+    for number in 1..=5 {
+        control.change(&define(number));
+    }
+    let mut broker = HollowBroker::subscribe(&control, "b1", 1, 3);
+    assert_eq!(broker.follow_to(5), (false, vec![4, 5]));
+}
+
+#[test]
+fn broker_too_far_behind_gets_the_whole_catalog() {
+    let control = Control::start("control-1");
+    let last = HISTORY_LIMIT as u64 + 2;
+    let text: Vec<String> = (1..=last).map(define).collect();
+    assert_eq!(control.post(&text.join(";"), None).0, 200);
+    let mut broker = HollowBroker::subscribe(&control, "b1", 1, 1);
+    assert_eq!(broker.follow_to(last), (true, vec![last]));
+}
+
+#[test]
+fn lease_names_what_is_accepted_and_the_broker_reports_what_is_in_force() {
+    let control = Control::start("control-1");
+    control.change(&define(1));
+    let mut broker = HollowBroker::subscribe(&control, "b1", 1, 0);
+    assert_eq!(broker.renew(1, 1), 1);
+    control.change(&define(2));
+    assert_eq!(broker.renew(2, 1), 2);
+    wait_until(|| control.rows("SHOW REVISION")[0][..4] == ["2", "1", "b1", "1"]);
+    broker.send(&SubscriberMessage::InForce { revision: 2 });
+    wait_until(|| control.rows("SHOW REVISION")[0][..3] == ["2", "2", "-"]);
+}
+
+#[test]
+fn brokers_learn_of_each_other_by_deltas() {
+    let control = Control::start("control-1");
+    let mut first = HollowBroker::subscribe(&control, "b1", 1, 0);
+    let mut list = BrokerList::default();
+    let mut second = None;
+    for expected in [1, 2] {
+        while list.entries().len() != expected {
+            list.apply(first.receive_until(broker_delta));
+        }
+        second.get_or_insert_with(|| HollowBroker::subscribe(&control, "b2", 2, 0));
+    }
+    let names: Vec<String> = list.entries().iter().map(|entry| entry.name.to_string()).collect();
+    assert_eq!(names, ["b1", "b2"]);
+    drop(second);
+    while list.entries().len() != 1 {
+        first.renew(1, 0);
+        list.apply(first.receive_until(broker_delta));
+    }
+}
+
+fn broker_delta(message: FeedMessage) -> Option<BrokerListDelta> {
+    match message {
+        FeedMessage::Brokers { delta } => decode_document(&delta.bytes).ok(),
+        _ => None,
+    }
+}
+
+#[test]
+fn removed_broker_is_cut_off_until_it_is_added_again() {
+    let control = Control::start("control-1");
+    let mut broker = HollowBroker::subscribe(&control, "b1", 1, 0);
+    wait_until(|| !control.rows("SHOW BROKERS").is_empty());
+    control.change("REMOVE BROKER b1");
+    while broker.receive().is_some() {}
+    let mut again = HollowBroker::subscribe(&control, "b1", 2, 0);
+    let refused = again.receive();
+    assert!(
+        matches!(refused, Some(FeedMessage::Refused { reason: FeedRefusal::Removed, .. })),
+        "{refused:?}"
+    );
+    control.change("ADD BROKER b1");
+    let mut welcome = HollowBroker::subscribe(&control, "b1", 3, 0);
+    assert_eq!(welcome.follow_to(2), (true, vec![2]));
+}
+
+#[rstest]
+#[case::version(PROTOCOL_VERSION + 1, "b1", FeedRefusal::ProtocolVersion)]
+#[case::name(PROTOCOL_VERSION, "", FeedRefusal::BadName)]
+fn broker_that_cannot_be_served_is_told_why(
+    #[case] version: u16,
+    #[case] name: &str,
+    #[case] expected: FeedRefusal,
+) {
+    let control = Control::start("control-1");
+    let mut broker = HollowBroker::connect(&control);
+    broker.send(&subscription(version, name, 1, 0));
+    let refusal = FeedMessage::Refused { protocol_version: PROTOCOL_VERSION, reason: expected };
+    assert_eq!(broker.receive(), Some(refusal));
+    assert_eq!(broker.receive(), None);
+}
+
+#[rstest]
+#[case::not_a_message(&[0, 0, 0, 1, 99])]
+#[case::too_large(&[255, 255, 255, 255])]
+#[case::renewal_before_subscription(&[0, 0, 0, 17, 2, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0])]
+fn broken_frame_ends_the_connection_and_nothing_else(#[case] bytes: &[u8]) {
+    let control = Control::start("control-1");
+    let mut broker = HollowBroker::connect(&control);
+    broker.send_bytes(bytes);
+    assert_eq!(broker.receive(), None);
+    control.change(&define(1));
+    let mut other = HollowBroker::subscribe(&control, "b2", 1, 0);
+    assert_eq!(other.follow_to(1), (true, vec![1]));
+}
+
+fn counters(answered: u64) -> Document {
+    let key = ChargeKey {
+        caller: CallerName::new("portal"),
+        service: ServiceName::new("console"),
+        class: ClassName::new("urgent"),
+    };
+    let counter = ChargeCounter { answered, units: answered * 3 };
+    encode_document(&BTreeMap::from([(key, counter)])).unwrap().into()
+}
+
+fn charge(broker: &mut HollowBroker, run: u64, sequence: u64, answered: u64) {
+    let counters = counters(answered);
+    broker.send(&SubscriberMessage::Charges { sequence, run, counters });
+    broker.receive_until(|message| match message {
+        FeedMessage::ChargesRecorded { sequence: recorded } => (recorded == sequence).then_some(()),
+        _ => None,
+    });
+}
+
+#[test]
+fn charges_count_once_over_resends_and_restarts() {
+    let control = Control::start("control-1");
+    let mut broker = HollowBroker::subscribe(&control, "b1", 1, 0);
+    charge(&mut broker, 1, 1, 10);
+    charge(&mut broker, 1, 2, 15);
+    charge(&mut broker, 1, 1, 10);
+    let mut again = HollowBroker::subscribe(&control, "b1", 2, 0);
+    charge(&mut again, 2, 1, 4);
+    charge(&mut again, 1, 2, 15);
+    let row = ["portal", "console", "urgent", "19", "57"].map(str::to_owned).to_vec();
+    assert_eq!(control.rows("SHOW CHARGES"), [row.clone()]);
+    assert_eq!(control.rows("SHOW CHARGES OF portal"), [row]);
+    assert!(control.rows("SHOW CHARGES OF nobody").is_empty());
+}
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,209 @@
+//! A control process in a thread, operators who post statements, and hollow brokers.
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use gingerkeel_protocol::{
+    FeedMessage, FrameCodec, PROTOCOL_VERSION, ShortText, SubscriberMessage, encode_frame,
+};
+use gingerkeel_settings::ControlSettings;
+use gingerkeel_statement::{
+    SEQUENCE_HEADER, SESSION_HEADER, STATEMENTS_PATH, StatementReplies, StatementReply,
+};
+use gingerkeel_transport::{ClientConnection, HttpRequest, HttpResponse, Limits, block_on};
+use http::{Method, Uri};
+use monoio_codec::{Decoded, Decoder};
+
+/// Time that a process has to get ready, or a condition to hold; generous, for a busy machine.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
+/// A control process.
+pub struct Control {
+    pub operators: SocketAddr,
+    pub feed: SocketAddr,
+}
+
+impl Control {
+    /// Starts one on free addresses; it ends with the test.
+    pub fn start(name: &str) -> Self {
+        let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+        let [operators, feed] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
+        drop(listeners);
+        let settings = ControlSettings {
+            name: name.to_owned(),
+            operators,
+            feed,
+            data_folder: std::env::temp_dir(),
+        };
+        thread::spawn(move || block_on(gingerkeel_control::run(settings)).unwrap().unwrap());
+        wait_until(|| TcpStream::connect(operators).is_ok() && TcpStream::connect(feed).is_ok());
+        Self { operators, feed }
+    }
+
+    /// Posts a text; the status and the replies.
+    pub fn post(&self, text: &str, command: Option<(&str, &str)>) -> (u16, Vec<StatementReply>) {
+        let response = self.exchange(text, command);
+        let replies: StatementReplies =
+            serde_json::from_slice(response.body()).expect("replies come as JSON");
+        (response.status().as_u16(), replies.replies)
+    }
+
+    /// Posts a text; the response as it comes.
+    pub fn exchange(&self, text: &str, command: Option<(&str, &str)>) -> HttpResponse {
+        match command {
+            Some((session, sequence)) => {
+                let headers = [(SESSION_HEADER, session), (SEQUENCE_HEADER, sequence)];
+                self.exchange_with(text, &headers)
+            }
+            None => self.exchange_with(text, &[]),
+        }
+    }
+
+    /// Posts a text with headers; the response as it comes.
+    pub fn exchange_with(&self, text: &str, headers: &[(&'static str, &str)]) -> HttpResponse {
+        let mut request = HttpRequest::new(Bytes::copy_from_slice(text.as_bytes()));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(STATEMENTS_PATH);
+        for (name, value) in headers {
+            request.headers_mut().insert(*name, value.parse().unwrap());
+        }
+        let operators = self.operators;
+        let exchanging = async move {
+            let mut connection =
+                ClientConnection::connect(operators, Limits::default()).await.unwrap();
+            connection.exchange(request).await.unwrap()
+        };
+        block_on(exchanging).unwrap()
+    }
+
+    /// The rows of a look-up.
+    pub fn rows(&self, text: &str) -> Vec<Vec<String>> {
+        match self.post(text, None).1.pop() {
+            Some(StatementReply::Table { rows, .. }) => rows,
+            other => panic!("{text}: no table but {other:?}"),
+        }
+    }
+
+    /// Carries out one change; the revision that it gave.
+    pub fn change(&self, text: &str) -> u64 {
+        match self.post(text, None).1.pop() {
+            Some(StatementReply::Accepted { revision }) => revision,
+            other => panic!("{text}: not accepted but {other:?}"),
+        }
+    }
+}
+
+/// Waits until `condition` holds.
+pub fn wait_until(mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + WAIT_LIMIT;
+    while !condition() {
+        assert!(Instant::now() < end, "the condition does not hold in time");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A broker that only speaks the feed.
+pub struct HollowBroker {
+    stream: TcpStream,
+    received: BytesMut,
+}
+
+impl HollowBroker {
+    /// Connects without a word.
+    pub fn connect(control: &Control) -> Self {
+        let stream = TcpStream::connect(control.feed).unwrap();
+        stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+        Self { stream, received: BytesMut::new() }
+    }
+
+    /// Connects and subscribes.
+    pub fn subscribe(control: &Control, name: &str, run: u64, revision: u64) -> Self {
+        let mut broker = Self::connect(control);
+        broker.send(&subscription(PROTOCOL_VERSION, name, run, revision));
+        broker
+    }
+
+    pub fn send(&mut self, message: &SubscriberMessage) {
+        self.send_bytes(&encode_frame(message).unwrap());
+    }
+
+    pub fn send_bytes(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// The next message; none when the feed was closed.
+    pub fn receive(&mut self) -> Option<FeedMessage> {
+        loop {
+            let decoded = FrameCodec::<FeedMessage>::default().decode(&mut self.received).unwrap();
+            if let Decoded::Some(message) = decoded {
+                return Some(message);
+            }
+            let mut part = [0; 4096];
+            // A reset is as good an end as any other.
+            let count = self.stream.read(&mut part).unwrap_or(0);
+            if count == 0 {
+                return None;
+            }
+            self.received.extend_from_slice(&part[..count]);
+        }
+    }
+
+    /// The next message that `select` takes; others are left out.
+    pub fn receive_until<T>(&mut self, select: impl Fn(FeedMessage) -> Option<T>) -> T {
+        loop {
+            let message = self.receive().expect("the feed goes on");
+            if let Some(selected) = select(message) {
+                return selected;
+            }
+        }
+    }
+
+    /// The revisions that the feed brings up to `last`, and whether the first came whole.
+    pub fn follow_to(&mut self, last: u64) -> (bool, Vec<u64>) {
+        let (mut whole, mut revisions) = (false, Vec::new());
+        loop {
+            match self.receive().expect("the feed goes on") {
+                FeedMessage::FullCatalog { catalog } => {
+                    let catalog: gingerkeel_domain::catalog::Catalog =
+                        gingerkeel_protocol::decode_document(&catalog.bytes).unwrap();
+                    whole = true;
+                    revisions.push(catalog.revision().0);
+                }
+                FeedMessage::Change { revision, .. } => revisions.push(revision),
+                _ => continue,
+            }
+            if revisions.last() == Some(&last) {
+                return (whole, revisions);
+            }
+        }
+    }
+
+    /// Asks for a lease; the revision that it names.
+    pub fn renew(&mut self, number: u64, in_force: u64) -> u64 {
+        self.send(&SubscriberMessage::Renew { ticket: number, in_force });
+        self.receive_until(|message| match message {
+            FeedMessage::Lease { ticket, revision, .. } if ticket == number => Some(revision),
+            _ => None,
+        })
+    }
+}
+
+pub fn subscription(
+    protocol_version: u16,
+    name: &str,
+    run: u64,
+    revision: u64,
+) -> SubscriberMessage {
+    SubscriberMessage::Subscribe {
+        protocol_version,
+        run,
+        revision,
+        broker: ShortText::new(name),
+        region: ShortText::new("south"),
+        zone: ShortText::new("palermo"),
+    }
+}
--- a/crates/domain/src/cluster/command.rs
+++ b/crates/domain/src/cluster/command.rs
@@ -12,12 +12,6 @@
 use crate::catalog::{CatalogError, Change};
 use crate::identifiers::{ControlName, Revision, ServiceName, SessionName};
 
-/// Place of a command in the replicated log, from 1.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct LogIndex(pub u64);
-
 /// One command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Command {
--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -19,13 +19,14 @@
 use crate::catalog::{Catalog, CatalogError, Change};
 use crate::identifiers::Revision;
 
+pub use crate::consensus::LogIndex;
+
 pub use charges::{
     ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, Charges, RUN_RETENTION,
     TOMBSTONE_RETENTION,
 };
 pub use command::{
     ChangeOutcome, ChangeRefusal, ChangeRequest, Command, CommandBody, CommandId, CommandOutcome,
-    LogIndex,
 };
 pub use history::{AcceptedChange, HISTORY_LIMIT, History, Target};
 pub use leaf_health::{LeafHealth, LeafHealthChange, LeafHints};
