Run the control process on the replicated log

The state machine's task stood on a log in memory behind the same messages; now it stands on the replicated log with its data folder and peers. Errors of the log gained the two that its client gives by itself.

--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -13,7 +13,7 @@
 use local_sync::oneshot;
 
 use super::reads::{LeaseTicket, PendingRead};
-use crate::local_log::{ProposeError, ReadError, StateMachineMessage};
+use crate::replication::{ProposeError, ReadError, StateMachineMessage};
 
 /// Number of a broker's connection within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -18,7 +18,7 @@
 use tracing::{error, info};
 
 use crate::leaf_polling::PollPlan;
-use crate::local_log::{ProposeError, StateMachineMessage};
+use crate::replication::{ProposeError, StateMachineMessage, StateSnapshot};
 use crate::replication_client::ReplicationClient;
 use crate::tables;
 
@@ -126,9 +126,10 @@
             StateMachineMessage::Apply { index, command } => self.apply(index, &command),
             StateMachineMessage::Restore { index, snapshot } => self.restore(index, &snapshot),
             StateMachineMessage::TakeSnapshot { reply } => match encode_document(&self.state) {
-                Ok(snapshot) => {
+                Ok(bytes) => {
+                    let snapshot = StateSnapshot { index: self.state.applied(), bytes };
                     // The log may have changed its mind.
-                    let _ = reply.send((self.state.applied(), snapshot));
+                    let _ = reply.send(snapshot);
                 }
                 Err(error) => error!(event = "snapshot_not_encoded", %error),
             },
--- a/crates/control/src/cluster_task/reads.rs
+++ b/crates/control/src/cluster_task/reads.rs
@@ -5,7 +5,7 @@
 use local_sync::oneshot;
 
 use super::ConnectionId;
-use crate::local_log::ReadError;
+use crate::replication::ReadError;
 
 /// A lease that a broker asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::exit;
 
+use gingerkeel_control::ControlError;
 use gingerkeel_settings::{ControlSettings, EXIT_BAD_SETTINGS, load, start_logging};
 use gumdrop::Options;
 
@@ -39,8 +40,8 @@
     }
     start_logging();
     let outcome = gingerkeel_transport::block_on(gingerkeel_control::run(settings));
-    if let Err(error) = outcome.and_then(|result| result) {
-        eprintln!("gingerkeel-control: {error}: check that the addresses are free");
+    if let Err(error) = outcome.map_err(ControlError::from).and_then(|result| result) {
+        eprintln!("gingerkeel-control: {error}");
         exit(1);
     }
 }
--- a/crates/control/src/replication/error.rs
+++ b/crates/control/src/replication/error.rs
@@ -49,6 +49,14 @@
         Dropped {
             display("the leader changed before the change was accepted: send it again with the same session and sequence number")
         }
+        /// No quorum took it in time; it may be accepted all the same.
+        NoQuorum {
+            display("no quorum of control processes took the change in time: send it again with the same session and sequence number, or ask another control process")
+        }
+        /// The process is stopping; the command may be accepted all the same.
+        Stopping {
+            display("this control process is stopping: send the change again with the same session and sequence number to another one")
+        }
     }
 }
 
@@ -62,6 +70,14 @@
             source(error)
             display("{error}")
         }
+        /// No quorum answered in time.
+        NoQuorum {
+            display("no quorum of control processes answered in time: ask another control process")
+        }
+        /// The process is stopping.
+        Stopping {
+            display("this control process is stopping: ask another one")
+        }
     }
 }
 
--- a/crates/control/src/replication_client.rs
+++ b/crates/control/src/replication_client.rs
@@ -10,7 +10,7 @@
 use tracing::error;
 
 use crate::clock::wall_time;
-use crate::local_log::{ProposeError, ReadError, ReplicationMessage};
+use crate::replication::{ProposeError, ReadError, ReplicationMessage};
 
 /// Time that the log has to take a command.
 const PROPOSE_LIMIT: Duration = Duration::from_secs(3);
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use gingerkeel_transport::{ClientConnection, HttpRequest, HttpResponse, Limits, block_on};
 use http::{Method, Uri};
 use monoio_codec::{Decoded, Decoder};
+use tempfile::TempDir;
 
 /// Time that a process has to get ready, or a condition to hold; generous, for a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
@@ -25,6 +26,7 @@
 pub struct Control {
     pub operators: SocketAddr,
     pub feed: SocketAddr,
+    _folder: TempDir,
 }
 
 impl Control {
@@ -33,11 +35,12 @@
         let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
         let [operators, feed] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
         drop(listeners);
+        let folder = tempfile::tempdir().unwrap();
         let settings = ControlSettings {
             name: name.to_owned(),
             operators,
             feed,
-            data_folder: std::env::temp_dir(),
+            data_folder: folder.path().to_owned(),
             cluster: "test".into(),
             node: 1,
             region: "south".into(),
@@ -46,7 +49,7 @@
         };
         thread::spawn(move || block_on(gingerkeel_control::run(settings)).unwrap().unwrap());
         wait_until(|| TcpStream::connect(operators).is_ok() && TcpStream::connect(feed).is_ok());
-        Self { operators, feed }
+        Self { operators, feed, _folder: folder }
     }
 
     /// Posts a text; the status and the replies.
