Measure one broker, replica subsets and configuration feeds

Cause: the plan asks what one broker carries at a fan-out of 53, whether 1,600 brokers can hold subsets of 13,000 leaves within their connection limits, and what feeding 200 brokers costs a control process. Nothing measured any of it.

Added: `bench broker` (steps of open-loop load on one broker process against hollow leaves, CPU from /proc, added latency over the slowest leaf as the leaf itself reports it, then memory per connection and per query in flight from fresh brokers), `bench subsetting` (the layout of all brokers, computed), and `scale` (hollow brokers that run the broker's own feed code in one process, behind a relay that counts bytes, beside a real control process and a real broker).

Ruled out: counting bytes from /proc/PID/io (socket reads by recv are not in it) and from the loopback interface (shared with everything else on the machine).

--- /dev/null
+++ b/crates/broker/src/catalog_follower.rs
@@ -0,0 +1,25 @@
+//! A broker's link to control without the rest of the broker.
+//!
+//! Scale runs put many of these into one process: each holds the catalog as a broker does and
+//! speaks the feed's protocol through the very code that brokers run.
+
+use std::sync::Arc;
+
+use gingerkeel_domain::identifiers::Revision;
+use gingerkeel_settings::BrokerSettings;
+
+use crate::engine::EngineMessage;
+use crate::feed;
+
+/// Follows the catalog for ever; `applied` is told each revision that comes into force.
+pub async fn follow_catalog(settings: BrokerSettings, mut applied: impl FnMut(Revision)) {
+    let (engine, mut messages) = local_sync::mpsc::unbounded::channel();
+    monoio::spawn(feed::follow(settings, engine));
+    let mut in_force = Arc::default();
+    while let Some(message) = messages.recv().await {
+        if let EngineMessage::CatalogChanged(catalog) = message {
+            applied(catalog.revision());
+            drop(std::mem::replace(&mut in_force, catalog));
+        }
+    }
+}
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -1,6 +1,7 @@
 //! The broker: it admits callers' queries, scatters them to leaves, gathers and answers.
 
 mod callers;
+pub mod catalog_follower;
 mod clock;
 mod engine;
 mod feed;
--- a/crates/rehearsal/src/fleet/launch.rs
+++ b/crates/rehearsal/src/fleet/launch.rs
@@ -59,6 +59,7 @@
             operator,
             topology: self.topology.clone(),
             controls: control_processes,
+            feeds,
             brokers,
             leaf_processes,
             orders: RecordWriter::open(&self.folder.join(ORDERS_FILE))?,
@@ -156,7 +157,7 @@
         {
             let zone = self.topology.zone(number);
             let seed = self.topology.seed + number as u64;
-            let text = settings_files::broker(name, zone, address, feeds, seed);
+            let text = settings_files::broker(self.topology, name, zone, address, feeds, seed);
             let process = self.start(name, self.binaries.broker(), &[], &text)?;
             brokers.push(Broker { name: name.clone(), address, service, process });
         }
--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -16,17 +16,20 @@
 use tracing::info;
 
 pub use binaries::Binaries;
-pub use process::{Signal, end_processes_on_interrupt};
-pub use topology::{AnswerTopology, ClassTopology, ServiceTopology, Topology};
+pub use process::{ManagedProcess, Signal, end_processes_on_interrupt};
+pub use topology::{
+    AnswerTopology, ClassTopology, HollowTopology, PolicyTopology, ServiceTopology, Topology,
+    ZoneTopology,
+};
 pub use wait::wait_until;
 
 use crate::clock;
 use crate::error::RehearsalError;
 use crate::leaf::AdminCommand;
 use crate::load::{LoadPlan, ServiceLoad};
+use crate::process_usage::ProcessUsage;
 use crate::record::{Order, OrderKind, RecordWriter};
 use operator::Operator;
-use process::ManagedProcess;
 
 /// Time that brokers have to finish what is in flight.
 const BROKER_STOP_TIME: Duration = Duration::from_secs(15);
@@ -57,6 +60,7 @@
     operator: Operator,
     topology: Topology,
     controls: Vec<ManagedProcess>,
+    feeds: Vec<SocketAddr>,
     brokers: Vec<Broker>,
     leaf_processes: Vec<LeafProcess>,
     orders: RecordWriter<Order>,
@@ -92,6 +96,36 @@
         &self.leaf_processes
     }
 
+    /// What a broker has used so far.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when the process is gone.
+    pub fn broker_usage(&self, index: usize) -> Result<ProcessUsage, RehearsalError> {
+        self.brokers[index].process.usage()
+    }
+
+    /// Addresses on which control processes feed brokers.
+    pub fn feeds(&self) -> &[SocketAddr] {
+        &self.feeds
+    }
+
+    /// What a control process has used so far.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when the process is gone.
+    pub fn control_usage(&self, index: usize) -> Result<ProcessUsage, RehearsalError> {
+        self.controls[index].usage()
+    }
+
+    /// Requests that all leaves began to run.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Exchange`] when a process does not answer.
+    pub fn leaf_requests_started(&self) -> Result<u64, RehearsalError> {
+        let started = |process: &LeafProcess| operator::count_started(process.leaves[0].1);
+        self.leaf_processes.iter().map(started).sum()
+    }
+
     /// The load that the topology states, for so many seconds.
     pub fn load_plan(&self, seconds: f64, seed: u64) -> LoadPlan {
         let brokers = |service: &ServiceTopology| {
--- a/crates/rehearsal/src/fleet/operator.rs
+++ b/crates/rehearsal/src/fleet/operator.rs
@@ -11,7 +11,10 @@
 
 use super::binaries::Binaries;
 use crate::error::RehearsalError;
-use crate::leaf::AdminCommand;
+use crate::leaf::{AdminCommand, LeafCounters};
+
+/// Bytes of statements that are sent at once.
+const CHUNK_BYTES: usize = 128 * 1024;
 
 /// Runs the operators' command line.
 pub struct Operator {
@@ -31,6 +34,10 @@
     /// # Errors
     /// [`RehearsalError::Refused`] with what the command line said.
     pub fn execute(&self, statements: &str) -> Result<(), RehearsalError> {
+        chunks(statements).iter().try_for_each(|chunk| self.execute_chunk(chunk))
+    }
+
+    fn execute_chunk(&self, statements: &str) -> Result<(), RehearsalError> {
         let file = self.folder.join("statements.txt");
         fs::write(&file, statements)
             .map_err(|error| RehearsalError::resource(file.display(), error))?;
@@ -49,6 +56,21 @@
     }
 }
 
+/// Splits a text with a statement on each line into texts that control takes.
+fn chunks(statements: &str) -> Vec<String> {
+    let mut chunks = vec![String::new()];
+    for line in statements.lines() {
+        let full = chunks.last().is_some_and(|chunk| chunk.len() + line.len() > CHUNK_BYTES);
+        if full {
+            chunks.push(String::new());
+        }
+        let chunk = chunks.last_mut().expect("there is at least one");
+        chunk.push_str(line);
+        chunk.push('\n');
+    }
+    chunks
+}
+
 /// Changes stand-in leaves while they run.
 ///
 /// # Errors
@@ -70,6 +92,21 @@
     Ok(())
 }
 
+/// Requests that the leaves of a process began to run.
+///
+/// # Errors
+/// [`RehearsalError::Exchange`] when the process does not answer.
+pub fn count_started(address: SocketAddr) -> Result<u64, RehearsalError> {
+    let mut request = HttpRequest::new(Bytes::new());
+    *request.uri_mut() = Uri::from_static("/counters");
+    let process = format!("the leaves at {address}");
+    let response = exchange(address, request)
+        .map_err(|error| RehearsalError::Exchange(process.clone(), error))?;
+    let counters: LeafCounters = serde_json::from_slice(response.body())
+        .map_err(|_| RehearsalError::NotReady(format!("the counters of {process}")))?;
+    Ok(counters.started)
+}
+
 /// One request on a connection of its own.
 ///
 /// # Errors
--- a/crates/rehearsal/src/fleet/process.rs
+++ b/crates/rehearsal/src/fleet/process.rs
@@ -16,6 +16,7 @@
 
 use super::wait::wait_until;
 use crate::error::RehearsalError;
+use crate::process_usage::ProcessUsage;
 
 /// Exit code after an interrupt, as shells give it.
 const EXIT_INTERRUPTED: i32 = 130;
@@ -78,6 +79,14 @@
         Ok(Self { name: name.to_owned(), log: log.to_owned(), child })
     }
 
+    /// What it has used so far.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when the process is gone.
+    pub fn usage(&self) -> Result<ProcessUsage, RehearsalError> {
+        ProcessUsage::of(self.child.id())
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
--- a/crates/rehearsal/src/fleet/settings_files.rs
+++ b/crates/rehearsal/src/fleet/settings_files.rs
@@ -4,11 +4,15 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use super::topology::{AnswerTopology, CALLER, ServiceTopology, Topology, ZoneTopology};
+use super::topology::{
+    AnswerTopology, CALLER, HollowTopology, ServiceTopology, Topology, ZoneTopology,
+};
 use crate::leaf::{LeafProcessSettings, LeafSettings};
 
 /// What the account of the rehearsal may spend in a second: more than any load.
 const BUDGET: u64 = 1_000_000_000;
+/// Service of the leaves that are in the catalog only.
+const HOLLOW_SERVICE: &str = "hollow";
 /// Requests that wait at a leaf for each of its slots.
 const WAITING_PER_SLOT: usize = 8;
 
@@ -23,6 +27,7 @@
 
 /// Settings of a broker.
 pub fn broker(
+    topology: &Topology,
     name: &str,
     zone: &ZoneTopology,
     listen: SocketAddr,
@@ -30,13 +35,18 @@
     seed: u64,
 ) -> String {
     let feeds: Vec<String> = feeds.iter().map(|feed| format!("\"{feed}\"")).collect();
-    format!(
+    let policy = topology.policy.name();
+    let mut text = format!(
         "name = \"{name}\"\nregion = \"{}\"\nzone = \"{}\"\nlisten = \"{listen}\"\n\
-         control = [{}]\nseed = {seed}\n",
+         control = [{}]\nseed = {seed}\npolicy = \"{policy}\"\n",
         zone.region,
         zone.name,
         feeds.join(", ")
-    )
+    );
+    if let Some(connections) = topology.connections_per_leaf {
+        text.push_str(&format!("connections_per_leaf = {connections}\n"));
+    }
+    text
 }
 
 /// Settings of a process of leaves.
@@ -53,11 +63,12 @@
         .enumerate()
         .map(|(number, broker)| (broker.clone(), topology.delay_ms(zone, topology.zone(number))))
         .collect();
+    let journal = topology.journal.then(|| journal.to_owned());
     let leaves = leaves.iter().map(|(leaf, listen)| leaf_settings(topology, *leaf, *listen));
     LeafProcessSettings {
         seed: topology.seed,
         broker_delay_ms,
-        ..LeafProcessSettings::new(journal.to_owned(), leaves.collect())
+        ..LeafProcessSettings::new(journal, leaves.collect())
     }
 }
 
@@ -91,9 +102,35 @@
         assign_shards(topology, service, service.shards, &mut line);
         line(format!("PUBLISH VERSION 1 OF {}", service.name));
     }
+    if let Some(hollow) = topology.hollow {
+        define_hollow(topology, hollow, &mut line);
+    }
     text
 }
 
+/// Leaves that no process stands for, numbered after all others.
+fn define_hollow(topology: &Topology, hollow: HollowTopology, line: &mut impl FnMut(String)) {
+    let first = topology.leaf_count() + 1;
+    for number in 0..hollow.leaves {
+        let zone = topology.zone((number / hollow.shards) as usize);
+        let [_, high, middle, low] = number.to_be_bytes();
+        let leaf = first + number;
+        line(format!(
+            "ADD LEAF {leaf} AT 127.{high}.{middle}.{low}:9 REGION {} ZONE {} SLOTS 5 CONNECTIONS 75",
+            zone.region, zone.name
+        ));
+    }
+    line(format!("DEFINE SERVICE {HOLLOW_SERVICE} CONCURRENCY 64"));
+    line(format!("REPARTITION {HOLLOW_SERVICE} INTO {} SHARDS", hollow.shards));
+    for shard in 0..hollow.shards {
+        let replicas = (shard..hollow.leaves).step_by(hollow.shards as usize);
+        let replicas: Vec<String> = replicas.map(|number| (first + number).to_string()).collect();
+        let replicas = replicas.join(", ");
+        line(format!("ASSIGN SHARD {shard} OF {HOLLOW_SERVICE} TO LEAF {replicas}"));
+    }
+    line(format!("PUBLISH VERSION 1 OF {HOLLOW_SERVICE}"));
+}
+
 /// Statements that give a service a new partition map and publish a version on it.
 pub fn repartition(topology: &Topology, service: &str, shards: u32, version: u64) -> String {
     let mut text = String::new();
--- a/crates/rehearsal/src/fleet/topology.rs
+++ b/crates/rehearsal/src/fleet/topology.rs
@@ -30,13 +30,56 @@
     /// One-way delay between callers and brokers.
     #[serde(default)]
     pub client_delay_ms: f64,
+    /// Whether leaves write down what they run; without it there is nothing to check.
+    #[serde(default = "yes")]
+    pub journal: bool,
+    /// How brokers schedule queries.
+    #[serde(default)]
+    pub policy: PolicyTopology,
+    /// Connections of a broker to one leaf; the broker's default when absent.
+    #[serde(default)]
+    pub connections_per_leaf: Option<u32>,
     /// Seed of all random choices of the stand-ins.
     #[serde(default)]
     pub seed: u64,
+    /// Leaves that are in the catalog only.
+    #[serde(default)]
+    pub hollow: Option<HollowTopology>,
     /// The services.
     pub services: Vec<ServiceTopology>,
 }
 
+/// A service whose leaves are in the catalog only, so that it has the planned size.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HollowTopology {
+    /// Leaves, evenly over the shards and zones.
+    pub leaves: u32,
+    /// Shards.
+    pub shards: u32,
+}
+
+/// How brokers schedule queries.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PolicyTopology {
+    /// As in production.
+    #[default]
+    Standard,
+    /// What experiments compare with: a random replica, no hedge, no classes.
+    Baseline,
+}
+
+impl PolicyTopology {
+    /// Its name in settings and reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Standard => "standard",
+            Self::Baseline => "baseline",
+        }
+    }
+}
+
 /// A zone.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -111,6 +154,10 @@
     1
 }
 
+fn yes() -> bool {
+    true
+}
+
 impl Topology {
     /// The zone of the process with this number among those of its kind.
     pub fn zone(&self, index: usize) -> &ZoneTopology {
--- a/crates/rehearsal/src/leaf/admin.rs
+++ b/crates/rehearsal/src/leaf/admin.rs
@@ -22,6 +22,13 @@
     pub claimed_health: Option<bool>,
 }
 
+/// What the leaves of a process did since their start: `GET /counters`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeafCounters {
+    /// Requests that began to run.
+    pub started: u64,
+}
+
 /// A disturbance of replies.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/rehearsal/src/leaf/body.rs
+++ b/crates/rehearsal/src/leaf/body.rs
@@ -1,7 +1,11 @@
 //! Bodies of leaf replies, from which a checker can tell whose they are.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
+use crate::clock::microseconds;
+
 /// Offset basis of the 64-bit FNV-1a hash.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 /// Prime of the 64-bit FNV-1a hash.
@@ -19,13 +23,21 @@
     /// Index version that was read.
     pub version: u64,
     digest: String,
+    /// Microseconds from the arrival of the request to the departure of the reply.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub elapsed_us: Option<u64>,
 }
 
 impl LeafBody {
     /// A sealed body.
     pub fn new(query: String, shard: u32, epoch: u64, version: u64) -> Self {
         let digest = digest(&query, shard, epoch, version);
-        Self { query, shard, epoch, version, digest }
+        Self { query, shard, epoch, version, digest, elapsed_us: None }
+    }
+
+    /// The body with the time that the leaf took; not part of the seal.
+    pub fn with_elapsed(self, elapsed: Duration) -> Self {
+        Self { elapsed_us: Some(microseconds(elapsed)), ..self }
     }
 
     /// Whether no field was changed since it was sealed.
--- a/crates/rehearsal/src/leaf/emulator.rs
+++ b/crates/rehearsal/src/leaf/emulator.rs
@@ -58,23 +58,23 @@
     waiting: usize,
     connections: usize,
     cancellations: BTreeMap<String, oneshot::Sender<()>>,
+    started: u64,
 }
 
+/// Where the leaves of a process write what they do; hollow leaves do not.
+pub type Journal = Option<Rc<RefCell<RecordWriter<JournalEntry>>>>;
+
 /// One stand-in leaf.
 pub struct Emulator {
     settings: LeafSettings,
     slots: Semaphore,
-    journal: Rc<RefCell<RecordWriter<JournalEntry>>>,
+    journal: Journal,
     state: RefCell<State>,
 }
 
 impl Emulator {
     /// A leaf that has run nothing yet.
-    pub fn new(
-        settings: LeafSettings,
-        seed: u64,
-        journal: Rc<RefCell<RecordWriter<JournalEntry>>>,
-    ) -> Self {
+    pub fn new(settings: LeafSettings, seed: u64, journal: Journal) -> Self {
         let state = State {
             service_times: ServiceTimes::new(&settings, seed),
             slow_factor: 1.0,
@@ -88,6 +88,7 @@
             waiting: 0,
             connections: 0,
             cancellations: BTreeMap::new(),
+            started: 0,
         };
         let slots = Semaphore::new(settings.slots);
         Self { settings, slots, journal, state: RefCell::new(state) }
@@ -98,6 +99,11 @@
         self.settings.id
     }
 
+    /// Requests that began to run.
+    pub fn started(&self) -> u64 {
+        self.state.borrow().started
+    }
+
     /// Whether the leaf is leaving.
     pub fn draining(&self) -> bool {
         self.state.borrow().draining
@@ -220,6 +226,7 @@
         let Ok(Ok(_slot)) = slot else {
             return SearchOutcome::NotRun("deadline-passed");
         };
+        self.state.borrow_mut().started += 1;
         self.record(request, JournalStep::Started);
         let service_time = self.next_service_time();
         monoio::select! {
@@ -244,6 +251,9 @@
     }
 
     fn record(&self, request: &SearchRequest, step: JournalStep) {
+        let Some(journal) = &self.journal else {
+            return;
+        };
         let entry = JournalEntry {
             at: clock::now(),
             leaf: self.settings.id,
@@ -255,7 +265,7 @@
             epoch: request.epoch,
             drain_announced: self.draining(),
         };
-        self.journal.borrow_mut().append(&entry);
+        journal.borrow_mut().append(&entry);
     }
 }
 
--- a/crates/rehearsal/src/leaf/mod.rs
+++ b/crates/rehearsal/src/leaf/mod.rs
@@ -20,7 +20,7 @@
 use monoio::net::TcpListener;
 use tracing::info;
 
-pub use admin::{AdminCommand, ReplyFault, ReplyFaultKind};
+pub use admin::{AdminCommand, LeafCounters, ReplyFault, ReplyFaultKind};
 pub use body::{LeafBody, QueryBody};
 pub use settings::{LeafProcessSettings, LeafSettings, milliseconds};
 
@@ -64,7 +64,7 @@
             .zip(self.listen)
             .map(|(id, listen)| LeafSettings { service_ms, ..LeafSettings::new(id, listen) })
             .collect();
-        Ok(LeafProcessSettings::new(journal, leaves))
+        Ok(LeafProcessSettings::new(Some(journal), leaves))
     }
 }
 
@@ -75,7 +75,8 @@
 /// cannot be opened.
 pub async fn run(flags: LeafFlags) -> Result<(), RehearsalError> {
     let settings = flags.process_settings()?;
-    let journal = Rc::new(RefCell::new(RecordWriter::open(&settings.journal)?));
+    let journal = settings.journal.as_deref().map(RecordWriter::open).transpose()?;
+    let journal = journal.map(|journal| Rc::new(RefCell::new(journal)));
     let mut leaves = Vec::new();
     let mut listeners = Vec::new();
     for leaf in &settings.leaves {
--- a/crates/rehearsal/src/leaf/server.rs
+++ b/crates/rehearsal/src/leaf/server.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use tracing::warn;
 
-use super::admin::{AdminCommand, ReplyFault, ReplyFaultKind};
+use super::admin::{AdminCommand, LeafCounters, ReplyFault, ReplyFaultKind};
 use super::body::{LeafBody, QueryBody};
 use super::emulator::{Emulator, SearchOutcome, SearchRequest};
 use super::settings::Delays;
@@ -85,6 +85,7 @@
         }
         match path.as_str() {
             "/health" | "/load" => Some(json(&self.leaf.health())),
+            "/counters" => Some(json(&self.counters())),
             "/admin" => Some(self.administer(&request)),
             _ => match read_search(&request) {
                 Some(search) => self.search(search).await,
@@ -111,11 +112,16 @@
         status(StatusCode::OK)
     }
 
+    fn counters(&self) -> LeafCounters {
+        LeafCounters { started: self.process.iter().map(|leaf| leaf.started()).sum() }
+    }
+
     async fn search(&self, search: SearchRequest) -> Option<HttpResponse> {
+        let arrived = Instant::now();
         let delay = self.delays.of_request(&search.request);
         sleep(delay).await;
         let outcome = self.leaf.search(&search).await;
-        let mut response = reply(&search, outcome);
+        let mut response = reply(&search, outcome, arrived.elapsed() + delay);
         let draining = if self.leaf.draining() { "1" } else { "0" };
         response.headers_mut().insert(DRAINING, HeaderValue::from_static(draining));
         if outcome == SearchOutcome::Finished
@@ -128,12 +134,12 @@
     }
 }
 
-fn reply(search: &SearchRequest, outcome: SearchOutcome) -> HttpResponse {
+fn reply(search: &SearchRequest, outcome: SearchOutcome, elapsed: Duration) -> HttpResponse {
     let mut response = match outcome {
         SearchOutcome::Finished => {
             let query = search.query.clone();
             let body = LeafBody::new(query, search.shard, search.epoch, search.version);
-            HttpResponse::new(Bytes::from(body.to_text()))
+            HttpResponse::new(Bytes::from(body.with_elapsed(elapsed).to_text()))
         }
         SearchOutcome::Stopped => status(StatusCode::INTERNAL_SERVER_ERROR),
         SearchOutcome::NotRun(reason) => {
--- a/crates/rehearsal/src/leaf/settings.rs
+++ b/crates/rehearsal/src/leaf/settings.rs
@@ -12,8 +12,9 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeafProcessSettings {
-    /// File to which each request that runs is appended.
-    pub journal: PathBuf,
+    /// File to which each request that runs is appended; none for hollow leaves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub journal: Option<PathBuf>,
     /// Seed of service times and of the choice of disturbed replies.
     #[serde(default)]
     pub seed: u64,
@@ -144,7 +145,7 @@
 
 impl LeafProcessSettings {
     /// A process without delays.
-    pub fn new(journal: PathBuf, leaves: Vec<LeafSettings>) -> Self {
+    pub fn new(journal: Option<PathBuf>, leaves: Vec<LeafSettings>) -> Self {
         Self { journal, seed: 0, delay_ms: 0.0, broker_delay_ms: BTreeMap::new(), leaves }
     }
 
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -2,11 +2,14 @@
 
 use std::process::exit;
 
+use gingerkeel_rehearsal::bench::{self, BenchFlags};
 use gingerkeel_rehearsal::check::{self, CheckFlags};
 use gingerkeel_rehearsal::demo::{self, DemoFlags};
 use gingerkeel_rehearsal::error::RehearsalError;
+use gingerkeel_rehearsal::hollow_brokers::{self, HollowBrokersFlags};
 use gingerkeel_rehearsal::leaf::{self, LeafFlags};
 use gingerkeel_rehearsal::load::{self, LoadFlags};
+use gingerkeel_rehearsal::scale::{self, ScaleFlags};
 use gingerkeel_settings::{EXIT_BAD_SETTINGS, start_logging};
 use gumdrop::Options;
 
@@ -36,6 +39,12 @@
     Check(CheckFlags),
     #[options(help = "run a small fleet under load, drain a leaf and kill another")]
     Demo(DemoFlags),
+    #[options(help = "measure speed, memory and balance")]
+    Bench(BenchFlags),
+    #[options(help = "feed growing numbers of hollow brokers and measure both sides")]
+    Scale(ScaleFlags),
+    #[options(help = "run many brokers' links to control in one process")]
+    HollowBrokers(HollowBrokersFlags),
 }
 
 fn main() {
@@ -71,6 +80,11 @@
         Command::Load(flags) => load::run(flags).map(|()| 0),
         Command::Check(flags) => check::run(flags),
         Command::Demo(flags) => demo::run(flags),
+        Command::Bench(flags) => bench::run(flags).map(|()| 0),
+        Command::Scale(flags) => scale::run(&flags).map(|()| 0),
+        Command::HollowBrokers(flags) => gingerkeel_transport::block_on(hollow_brokers::run(flags))
+            .map_err(|error| RehearsalError::resource("runtime", error))?
+            .map(|()| 0),
     }
 }
 
