--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod demo;
 pub mod error;
+pub mod experiment;
 pub mod fit;
 pub mod fleet;
 pub mod hollow_brokers;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -6,6 +6,7 @@
 use gingerkeel_rehearsal::check::{self, CheckFlags};
 use gingerkeel_rehearsal::demo::{self, DemoFlags};
 use gingerkeel_rehearsal::error::RehearsalError;
+use gingerkeel_rehearsal::experiment::{self, RunFlags};
 use gingerkeel_rehearsal::hollow_brokers::{self, HollowBrokersFlags};
 use gingerkeel_rehearsal::leaf::{self, LeafFlags};
 use gingerkeel_rehearsal::load::{self, LoadFlags};
@@ -41,6 +42,8 @@
     Demo(DemoFlags),
     #[options(help = "measure speed, memory and balance")]
     Bench(BenchFlags),
+    #[options(help = "run an experiment file")]
+    Run(RunFlags),
     #[options(help = "feed growing numbers of hollow brokers and measure both sides")]
     Scale(ScaleFlags),
     #[options(help = "run many brokers' links to control in one process")]
@@ -81,6 +84,7 @@
         Command::Check(flags) => check::run(flags),
         Command::Demo(flags) => demo::run(flags),
         Command::Bench(flags) => bench::run(flags).map(|()| 0),
+        Command::Run(flags) => experiment::run(&flags),
         Command::Scale(flags) => scale::run(&flags).map(|()| 0),
         Command::HollowBrokers(flags) => gingerkeel_transport::block_on(hollow_brokers::run(flags))
             .map_err(|error| RehearsalError::resource("runtime", error))?
