Admit by measured time, charge callers and run keyed requests at most once

Cause: admission refused only at a full class queue or a passed deadline; its advice came from times between completions, which grew with every idle gap and ignored the number of slots. Budgets, charges and request keys were missing.

Admission now evicts the youngest query of the lowest class when all queues together hold as many as the longest may, refuses what cannot finish by the fastest recent run of its class and the slot time of what waits before it, and shuts out classes below a threshold. Waiting queries of a removed class are answered instead of being lost. Each answered request is paid for from the caller's token bucket and counted once in totals that only grow; a caller without an account is refused. A request key names the broker run that issued it; that run alone executes it, resends wait for it or get its record.

Ruled out: a mean run time as the bound of a single query, because one slow period would go on refusing queries that fit; the smallest run of the last two seconds refuses only what cannot fit, and is forgotten. A free slot does not exempt a query whose deadline is shorter than that.

Test set-up: catalogs of tests now define the caller's account, without which every query is refused by the new rule; no assertion was changed.

--- a/crates/broker/src/callers/request.rs
+++ b/crates/broker/src/callers/request.rs
@@ -74,6 +74,7 @@
         caller: CallerName::new(required(&head.headers, CALLER_HEADER)?),
         deadline: Timestamp::ZERO.after(deadline(&head.headers)?),
         repeatable: repeatable(&head.headers)?,
+        key: None,
     };
     Ok(CallerRequest { submission, body })
 }
--- a/crates/broker/src/callers/response.rs
+++ b/crates/broker/src/callers/response.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::admission::RefusalReason;
-use gingerkeel_domain::query::{Answer, MissingReason, QueryOutcome};
+use gingerkeel_domain::query::{Answer, MissingReason, QueryOutcome, UnrecordedReason};
 use gingerkeel_transport::{HttpResponse, TransportError};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, StatusCode};
@@ -83,6 +83,16 @@
             };
             with_retry_after(respond(StatusCode::GATEWAY_TIMEOUT, &document), *retry_after)
         }
+        QueryOutcome::Unrecorded(reason) => {
+            let document = Document {
+                outcome: "outcome_unknown",
+                reason: Some(unrecorded(*reason)),
+                message: None,
+                retry_after_ms: None,
+                answer: None,
+            };
+            respond(StatusCode::GATEWAY_TIMEOUT, &document)
+        }
     }
 }
 
@@ -168,17 +178,30 @@
         RefusalReason::QueueFull => "queue_full",
         RefusalReason::Evicted => "evicted",
         RefusalReason::DeadlineTooClose => "deadline_too_close",
+        RefusalReason::Overloaded => "overloaded",
         RefusalReason::Stopping => "stopping",
         RefusalReason::BudgetSpent => "budget_spent",
+        RefusalReason::UnknownCaller => "unknown_caller",
         RefusalReason::NotServed => "not_served",
         RefusalReason::LeavesRefused => "leaves_refused",
+        RefusalReason::KeyTaken => "key_taken",
+    }
+}
+
+fn unrecorded(reason: UnrecordedReason) -> &'static str {
+    match reason {
+        UnrecordedReason::OtherRun => "key_of_another_run",
+        UnrecordedReason::NotKnown => "key_not_known",
+        UnrecordedReason::StillRunning => "still_running",
     }
 }
 
 fn refusal_status(reason: RefusalReason) -> StatusCode {
     match reason {
         RefusalReason::BudgetSpent => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::UnknownCaller => StatusCode::FORBIDDEN,
         RefusalReason::NotServed => StatusCode::NOT_FOUND,
+        RefusalReason::KeyTaken => StatusCode::CONFLICT,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/domain/src/admission/mod.rs
+++ b/crates/domain/src/admission/mod.rs
@@ -1,107 +1,71 @@
 //! Admission of queries to one service on one broker: strict priority over bounded queues.
 
 mod drain_rate;
+mod overload;
+mod queue;
+mod run_time;
+mod ticket;
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::identifiers::QueryId;
+use crate::identifiers::{QueryId, ServiceName};
 use crate::time::Timestamp;
+use queue::ClassQueues;
 
 pub use drain_rate::DrainRate;
+pub use overload::{ADMIT_ALL, ClassPressure, OverloadReport};
+pub use run_time::FastestRun;
+pub use ticket::{ClassLimit, Decision, Finished, RefusalReason, Ticket};
 
-/// A query that asks to be admitted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Ticket {
-    /// The query.
-    pub query: QueryId,
-    /// Priority of its class; 0 is served first.
-    pub priority: u8,
-    /// Moment after which an answer is of no use.
-    pub deadline: Timestamp,
-}
-
-/// Why a query was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RefusalReason {
-    /// The queue of its class is full.
-    QueueFull,
-    /// A query of a higher class took its place in the queue.
-    Evicted,
-    /// It could not have finished before its deadline.
-    DeadlineTooClose,
-    /// The broker is stopping.
-    Stopping,
-    /// The caller's budget is spent.
-    BudgetSpent,
-    /// The service has no published snapshot, or is not defined any more.
-    NotServed,
-    /// Every leaf asked for it said that it did not run it.
-    LeavesRefused,
-}
-
-/// What becomes of a ticket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// The query starts now.
-    Start(QueryId),
-    /// The query is given up before anything of it was run.
-    Refuse {
-        /// The query.
-        query: QueryId,
-        /// Why.
-        reason: RefusalReason,
-        /// When asking again is worth while.
-        retry_after: Duration,
-    },
-}
-
-/// Queue lengths and priorities of a service's classes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClassLimit {
-    /// Priority of the class.
-    pub priority: u8,
-    /// Queries of it that may wait.
-    pub queue_limit: u32,
-}
-
-#[derive(Debug)]
-struct ClassQueue {
-    limit: ClassLimit,
-    waiting: VecDeque<Ticket>,
-}
+/// Shortest advice to a caller whose class is shut out: the threshold changes no faster.
+const THRESHOLD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Admits queries of one service.
 #[derive(Debug)]
 pub struct Admission {
     concurrency: u32,
     running: u32,
-    queues: Vec<ClassQueue>,
+    lowest_admitted: u8,
+    queues: ClassQueues,
     drain_rate: DrainRate,
 }
 
 impl Admission {
     /// An admission that runs `concurrency` queries at a time.
     pub fn new(concurrency: u32, limits: impl IntoIterator<Item = ClassLimit>) -> Self {
-        let mut admission =
-            Self { concurrency, running: 0, queues: Vec::new(), drain_rate: DrainRate::default() };
-        admission.reconfigure(concurrency, limits);
-        admission
+        let mut queues = ClassQueues::default();
+        queues.reconfigure(limits);
+        Self {
+            concurrency,
+            running: 0,
+            lowest_admitted: ADMIT_ALL,
+            queues,
+            drain_rate: DrainRate::default(),
+        }
     }
 
-    /// Takes over changed limits; what waits in a class that remains keeps waiting.
-    pub fn reconfigure(&mut self, concurrency: u32, limits: impl IntoIterator<Item = ClassLimit>) {
+    /// Takes over changed limits; what waits in a class that remains keeps waiting, what waits in
+    /// one that is no more is refused.
+    pub fn reconfigure(
+        &mut self,
+        now: Timestamp,
+        concurrency: u32,
+        limits: impl IntoIterator<Item = ClassLimit>,
+        decisions: &mut Vec<Decision>,
+    ) {
         self.concurrency = concurrency;
-        let mut former = std::mem::take(&mut self.queues);
-        for limit in limits {
-            let waiting = former
-                .iter_mut()
-                .find(|queue| queue.limit.priority == limit.priority)
-                .map(|queue| std::mem::take(&mut queue.waiting))
-                .unwrap_or_default();
-            self.queues.push(ClassQueue { limit, waiting });
+        for ticket in self.queues.reconfigure(limits) {
+            decisions.push(self.refusal(ticket, RefusalReason::NotServed));
+        }
+        self.start_waiting(now, decisions);
+    }
+
+    /// Shuts out classes lower than `lowest_admitted`; those of them that wait are refused now.
+    pub fn set_threshold(&mut self, lowest_admitted: u8, decisions: &mut Vec<Decision>) {
+        self.lowest_admitted = lowest_admitted;
+        for ticket in self.queues.drain_below(lowest_admitted) {
+            self.refuse(ticket, RefusalReason::Overloaded, decisions);
         }
-        self.queues.sort_by_key(|queue| queue.limit.priority);
     }
 
     /// Queries that run now.
@@ -111,83 +75,147 @@
 
     /// Queries that wait now, over all classes.
     pub fn waiting(&self) -> usize {
-        self.queues.iter().map(|queue| queue.waiting.len()).sum()
+        self.queues.waiting()
     }
 
-    /// Offers a query; it starts, waits or is refused. An evicted query is refused too.
-    pub fn offer(&mut self, now: Timestamp, ticket: Ticket, decisions: &mut Vec<Decision>) {
-        let retry_after = self.retry_after(ticket.priority);
-        if ticket.deadline <= now {
-            decisions.push(refuse(ticket.query, RefusalReason::DeadlineTooClose, retry_after));
-            return;
-        }
-        if self.running < self.concurrency && self.waiting() == 0 {
-            self.running += 1;
-            decisions.push(Decision::Start(ticket.query));
-            return;
+    /// Load and refusals as measured.
+    pub fn report(&self, service: ServiceName) -> OverloadReport {
+        let pressure = |queue: &queue::ClassQueue| ClassPressure {
+            priority: queue.limit.priority,
+            offered: queue.offered,
+            refused: queue.refused,
+            waiting: u32::try_from(queue.waiting.len()).unwrap_or(u32::MAX),
+        };
+        OverloadReport {
+            service,
+            running: self.running,
+            concurrency: self.concurrency,
+            lowest_admitted: self.lowest_admitted,
+            classes: self.queues.iter().map(pressure).collect(),
         }
-        let Some(queue) =
-            self.queues.iter_mut().find(|queue| queue.limit.priority == ticket.priority)
-        else {
-            decisions.push(refuse(ticket.query, RefusalReason::NotServed, retry_after));
+    }
+
+    /// Offers a query; it starts, waits or is refused at once. An evicted query is refused too.
+    pub fn offer(&mut self, now: Timestamp, ticket: Ticket, decisions: &mut Vec<Decision>) {
+        let Some(queue) = self.queues.get_mut(ticket.priority) else {
+            decisions.push(self.refusal(ticket, RefusalReason::NotServed));
             return;
         };
-        if queue.waiting.len() >= queue.limit.queue_limit as usize {
-            decisions.push(refuse(ticket.query, RefusalReason::QueueFull, retry_after));
-            return;
+        queue.offered += 1;
+        if ticket.priority > self.lowest_admitted {
+            self.refuse(ticket, RefusalReason::Overloaded, decisions);
+        } else if self.cannot_finish(now, ticket) {
+            self.refuse(ticket, RefusalReason::DeadlineTooClose, decisions);
+        } else if self.has_free_slot() {
+            self.start(ticket, decisions);
+        } else {
+            self.enqueue(ticket, decisions);
         }
-        queue.waiting.push_back(ticket);
     }
 
     /// A running query ended; starts what may start now.
-    pub fn finished(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
+    pub fn finished(&mut self, now: Timestamp, ended: Finished, decisions: &mut Vec<Decision>) {
         self.running = self.running.saturating_sub(1);
-        self.drain_rate.record(now);
+        self.drain_rate.record(ended.held);
+        if ended.answered
+            && let Some(queue) = self.queues.get_mut(ended.priority)
+        {
+            queue.fastest_run.record(now, ended.held);
+        }
         self.start_waiting(now, decisions);
     }
 
-    /// Starts waiting queries while there is room, highest class first, and refuses expired ones.
+    /// Starts waiting queries while there is room, highest class first, and refuses those that
+    /// cannot finish any more.
     pub fn start_waiting(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
         while self.running < self.concurrency {
-            let Some(ticket) = self.queues.iter_mut().find_map(|queue| queue.waiting.pop_front())
-            else {
+            let Some(ticket) = self.queues.pop_first() else {
                 return;
             };
-            if ticket.deadline <= now {
-                let retry_after = self.retry_after(ticket.priority);
-                decisions.push(refuse(ticket.query, RefusalReason::DeadlineTooClose, retry_after));
-                continue;
+            if now.after(self.fastest_run(now, ticket.priority)) >= ticket.deadline {
+                self.refuse(ticket, RefusalReason::DeadlineTooClose, decisions);
+            } else {
+                self.start(ticket, decisions);
             }
-            self.running += 1;
-            decisions.push(Decision::Start(ticket.query));
+        }
+    }
+
+    /// Refuses a query that waits although its deadline has come.
+    pub fn expire(&mut self, ticket: Ticket, decisions: &mut Vec<Decision>) {
+        if self.queues.withdraw(ticket.query) {
+            self.refuse(ticket, RefusalReason::DeadlineTooClose, decisions);
         }
     }
 
     /// Takes a waiting query out; false when it does not wait here.
     pub fn withdraw(&mut self, query: QueryId) -> bool {
-        for queue in &mut self.queues {
-            let before = queue.waiting.len();
-            queue.waiting.retain(|ticket| ticket.query != query);
-            if queue.waiting.len() < before {
-                return true;
-            }
-        }
-        false
+        self.queues.withdraw(query)
     }
 
     /// When a refused query of this priority may hope to be admitted: the time in which what
     /// waits before it drains at the measured rate.
     pub fn retry_after(&self, priority: u8) -> Duration {
-        let ahead: usize = self
-            .queues
-            .iter()
-            .filter(|queue| queue.limit.priority <= priority)
-            .map(|queue| queue.waiting.len())
-            .sum();
-        self.drain_rate.time_to_drain(ahead + 1)
+        let ahead = self.queues.waiting_before(priority);
+        self.drain_rate.retry_after(ahead + 1, self.concurrency)
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.running < self.concurrency && self.queues.waiting() == 0
+    }
+
+    fn start(&mut self, ticket: Ticket, decisions: &mut Vec<Decision>) {
+        self.running += 1;
+        decisions.push(Decision::Start(ticket.query));
+    }
+
+    fn enqueue(&mut self, ticket: Ticket, decisions: &mut Vec<Decision>) {
+        if self.queues.get(ticket.priority).is_none_or(queue::ClassQueue::is_full) {
+            self.refuse(ticket, RefusalReason::QueueFull, decisions);
+            return;
+        }
+        if self.queues.are_full() {
+            match self.queues.evict_below(ticket.priority) {
+                Some(evicted) => self.refuse(evicted, RefusalReason::Evicted, decisions),
+                None => {
+                    self.refuse(ticket, RefusalReason::QueueFull, decisions);
+                    return;
+                }
+            }
+        }
+        if let Some(queue) = self.queues.get_mut(ticket.priority) {
+            queue.waiting.push_back(ticket);
+        }
     }
-}
 
-fn refuse(query: QueryId, reason: RefusalReason, retry_after: Duration) -> Decision {
-    Decision::Refuse { query, reason, retry_after }
+    /// Whether the query would miss its deadline even if it ran as fast as the fastest of its
+    /// class once what waits before it has drained.
+    fn cannot_finish(&self, now: Timestamp, ticket: Ticket) -> bool {
+        let ahead = self.queues.waiting_before(ticket.priority);
+        let wait = if self.has_free_slot() {
+            Duration::ZERO
+        } else {
+            self.drain_rate.time_to_drain(ahead, self.concurrency)
+        };
+        now.after(wait + self.fastest_run(now, ticket.priority)) >= ticket.deadline
+    }
+
+    fn fastest_run(&self, now: Timestamp, priority: u8) -> Duration {
+        self.queues.get(priority).map_or(Duration::ZERO, |queue| queue.fastest_run.get(now))
+    }
+
+    fn refuse(&mut self, ticket: Ticket, reason: RefusalReason, decisions: &mut Vec<Decision>) {
+        if let Some(queue) = self.queues.get_mut(ticket.priority) {
+            queue.refused += 1;
+        }
+        decisions.push(self.refusal(ticket, reason));
+    }
+
+    fn refusal(&self, ticket: Ticket, reason: RefusalReason) -> Decision {
+        let drained = self.retry_after(ticket.priority);
+        let retry_after = match reason {
+            RefusalReason::Overloaded => drained.max(THRESHOLD_RETRY_AFTER),
+            _ => drained,
+        };
+        Decision::Refuse { query: ticket.query, reason, retry_after }
+    }
 }
--- a/crates/domain/src/dispatch/active.rs
+++ b/crates/domain/src/dispatch/active.rs
@@ -1,6 +1,8 @@
 //! A query that waits or runs.
 
+use crate::admission::{Finished, Ticket};
 use crate::catalog::{AnswerPolicy, ClassPolicy};
+use crate::identifiers::QueryId;
 use crate::query::{Execution, Submission};
 use crate::time::Timestamp;
 
@@ -9,13 +11,54 @@
 pub(super) struct ActiveQuery {
     pub(super) submission: Submission,
     pub(super) policy: ClassPolicy,
+    /// Priority as admission sees it.
+    pub(super) scheduled_priority: u8,
     pub(super) arrived: Timestamp,
+    /// When admission let it start.
+    pub(super) started: Option<Timestamp>,
     pub(super) execution: Option<Execution>,
     /// When late shards are hedged next.
     pub(super) hedge_at: Option<Timestamp>,
+    /// The caller hung up, but the request key keeps the query going.
+    pub(super) caller_gone: bool,
+    /// Resent requests that wait for its outcome.
+    pub(super) followers: Vec<QueryId>,
 }
 
 impl ActiveQuery {
+    pub(super) fn new(
+        now: Timestamp,
+        submission: Submission,
+        policy: ClassPolicy,
+        scheduled_priority: u8,
+    ) -> Self {
+        Self {
+            submission,
+            policy,
+            scheduled_priority,
+            arrived: now,
+            started: None,
+            execution: None,
+            hedge_at: None,
+            caller_gone: false,
+            followers: Vec::new(),
+        }
+    }
+
+    pub(super) fn ticket(&self) -> Ticket {
+        Ticket {
+            query: self.submission.query,
+            priority: self.scheduled_priority,
+            deadline: self.submission.deadline,
+        }
+    }
+
+    /// What admission is told when the query gives its slot back.
+    pub(super) fn finished(&self, now: Timestamp, answered: bool) -> Finished {
+        let held = self.started.map(|started| now.since(started)).unwrap_or_default();
+        Finished { priority: self.scheduled_priority, held, answered }
+    }
+
     /// When the query is answered, if there is something to answer with.
     pub(super) fn answer_by(&self) -> Timestamp {
         match self.policy.answer_policy {
--- a/crates/domain/src/dispatch/event.rs
+++ b/crates/domain/src/dispatch/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::catalog::Catalog;
-use crate::identifiers::{LeafId, LeafRequestId, QueryId};
+use crate::identifiers::{LeafId, LeafRequestId, QueryId, ServiceName};
 use crate::query::{LeafFailure, LeafReply, Submission};
 use crate::routing::subset::BrokerEntry;
 
@@ -42,6 +42,13 @@
     BrokersChanged(Arc<[BrokerEntry]>),
     /// The platform's list of leaving machines, as leaves, whole.
     PlatformLeaving(Vec<LeafId>),
+    /// The brokers of a service admit no class lower than this one.
+    ThresholdChanged {
+        /// The service.
+        service: ServiceName,
+        /// Priority of the lowest class admitted.
+        lowest_admitted: u8,
+    },
     /// A planned stop begins: new queries are refused, those in flight finish.
     StopRequested,
 }
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 mod active;
 mod effect;
 mod event;
+mod intake;
 mod scatter;
 mod settings;
 
@@ -12,13 +13,17 @@
 
 use rand_core::RngCore;
 
-use crate::admission::{Admission, ClassLimit, Decision, RefusalReason, Ticket};
+use crate::admission::{Admission, ClassLimit, Decision, OverloadReport};
+use crate::budget::Budgets;
 use crate::catalog::{Catalog, Service};
-use crate::identifiers::{LeafId, QueryId, ServiceName, Snapshot};
-use crate::query::{QueryOutcome, Submission};
+use crate::identifiers::{CallerName, LeafId, QueryId, ServiceName, Snapshot};
+use crate::metering::{ChargeCounters, ChargeReport};
+use crate::query::QueryOutcome;
+use crate::request_key::{KeysExhausted, RequestKey, RequestKeys};
 use crate::routing::Router;
 use crate::time::Timestamp;
 use active::ActiveQuery;
+use intake::Follower;
 use scatter::ServiceView;
 
 pub use effect::Effect;
@@ -38,7 +43,11 @@
     views: BTreeMap<ServiceName, ServiceView>,
     router: Router,
     queries: BTreeMap<QueryId, ActiveQuery>,
+    followers: BTreeMap<QueryId, Follower>,
     timers: BTreeSet<(Timestamp, QueryId)>,
+    budgets: Budgets,
+    charges: ChargeCounters,
+    keys: RequestKeys,
     stopping: bool,
     random: Box<dyn RngCore + Send>,
 }
@@ -51,9 +60,13 @@
             admissions: BTreeMap::new(),
             views: BTreeMap::new(),
             router: Router::new(settings.entry(), settings.routing_policy()),
+            keys: RequestKeys::new(settings.name.clone(), settings.run, settings.keys),
             settings,
             queries: BTreeMap::new(),
+            followers: BTreeMap::new(),
             timers: BTreeSet::new(),
+            budgets: Budgets::default(),
+            charges: ChargeCounters::default(),
             stopping: false,
             random,
         }
@@ -69,9 +82,37 @@
         self.router.connection_limit(leaf)
     }
 
-    /// Queries that wait or run.
+    /// Queries that wait or run, and resent requests that wait for their outcome.
     pub fn active(&self) -> usize {
-        self.queries.len()
+        self.queries.len() + self.followers.len()
+    }
+
+    /// Whether the query waits or runs, also when its caller has hung up.
+    pub fn is_active(&self, query: QueryId) -> bool {
+        self.queries.contains_key(&query)
+    }
+
+    /// Issues a request key to a caller.
+    ///
+    /// # Errors
+    /// [`KeysExhausted`] when as many keys are known as may be.
+    pub fn issue_key(
+        &mut self,
+        now: Timestamp,
+        caller: CallerName,
+    ) -> Result<RequestKey, KeysExhausted> {
+        self.keys.issue(now, caller)
+    }
+
+    /// What answered requests cost, as totals of this run.
+    pub fn charges(&self) -> ChargeReport {
+        self.charges.report(self.settings.name.clone(), self.settings.run)
+    }
+
+    /// Load and refusals of each service, by name.
+    pub fn overload(&self) -> Vec<OverloadReport> {
+        let report = |(name, admission): (&ServiceName, &Admission)| admission.report(name.clone());
+        self.admissions.iter().map(report).collect()
     }
 
     /// When [`Event::TimerElapsed`] is due next.
@@ -91,48 +132,29 @@
             Event::CatalogChanged(catalog) => self.reconfigure(now, catalog, effects),
             Event::BrokersChanged(brokers) => self.router.brokers_changed(brokers, &self.catalog),
             Event::PlatformLeaving(leaves) => self.router.platform_leaving(now, &leaves),
+            Event::ThresholdChanged { service, lowest_admitted } => {
+                self.threshold_changed(now, &service, lowest_admitted, effects)
+            }
             Event::StopRequested => self.stopping = true,
         }
     }
 
-    fn submit(&mut self, now: Timestamp, submission: Submission, effects: &mut Vec<Effect>) {
-        let query = submission.query;
-        let policy = self.catalog.class(&submission.service, &submission.class).cloned();
-        let (Some(policy), false) = (policy, self.stopping) else {
-            let reason =
-                if self.stopping { RefusalReason::Stopping } else { RefusalReason::NotServed };
-            let outcome = QueryOutcome::NotRun { reason, retry_after: DEFAULT_RETRY_AFTER };
-            effects.push(Effect::Answer { query, outcome });
-            return;
-        };
-        let priority = self.scheduled_priority(policy.priority);
-        let ticket = Ticket { query, priority, deadline: submission.deadline };
-        let service = submission.service.clone();
-        self.timers.insert((submission.deadline, query));
-        let active =
-            ActiveQuery { submission, policy, arrived: now, execution: None, hedge_at: None };
-        self.queries.insert(query, active);
-        let mut decisions = Vec::new();
-        if let Some(admission) = self.admissions.get_mut(&service) {
-            admission.offer(now, ticket, &mut decisions);
-        }
-        self.carry_out(now, decisions, effects);
-    }
-
     fn carry_out(&mut self, now: Timestamp, decisions: Vec<Decision>, effects: &mut Vec<Effect>) {
         for decision in decisions {
             match decision {
                 Decision::Start(query) => self.start(now, query, effects),
                 Decision::Refuse { query, reason, retry_after } => {
-                    self.forget(query);
+                    let Some(active) = self.forget(query) else {
+                        continue;
+                    };
                     let outcome = QueryOutcome::NotRun { reason, retry_after };
-                    effects.push(Effect::Answer { query, outcome });
+                    self.conclude(now, &active, outcome, effects);
                 }
             }
         }
     }
 
-    /// Ends a query that was started: cancels what is in flight and starts what waits.
+    /// Ends a query that was started: answers it, cancels what is in flight and starts what waits.
     fn end(
         &mut self,
         now: Timestamp,
@@ -140,41 +162,34 @@
         outcome: QueryOutcome,
         effects: &mut Vec<Effect>,
     ) {
-        effects.push(Effect::Answer { query, outcome });
-        self.release(now, query, effects);
-    }
-
-    fn release(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
         let Some(active) = self.forget(query) else {
             return;
         };
+        let answered = matches!(outcome, QueryOutcome::Answered(_));
+        self.conclude(now, &active, outcome, effects);
+        self.release(now, &active, answered, effects);
+    }
+
+    /// Gives the slot of a query back: cancels what is in flight and starts what waits.
+    fn release(
+        &mut self,
+        now: Timestamp,
+        active: &ActiveQuery,
+        answered: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let service = &active.submission.service;
         if let Some(execution) = &active.execution {
-            let view = self.views.get(&active.submission.service);
-            let late = view.and_then(|view| view.tail.late_after());
+            let late = self.views.get(service).and_then(|view| view.tail.late_after());
             self.cancel_owed(now, late, &execution.in_flight(), effects);
         }
         let mut decisions = Vec::new();
-        if let Some(admission) = self.admissions.get_mut(&active.submission.service) {
-            admission.finished(now, &mut decisions);
+        if let Some(admission) = self.admissions.get_mut(service) {
+            admission.finished(now, active.finished(now, answered), &mut decisions);
         }
         self.carry_out(now, decisions, effects);
     }
 
-    /// The caller hung up: nothing is answered, what runs is cancelled.
-    fn abandon(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
-        let Some(active) = self.queries.get(&query) else {
-            return;
-        };
-        if active.execution.is_some() {
-            self.release(now, query, effects);
-            return;
-        }
-        if let Some(admission) = self.admissions.get_mut(&active.submission.service) {
-            admission.withdraw(query);
-        }
-        self.forget(query);
-    }
-
     fn run_timers(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         while let Some((due, query)) = self.timers.first().copied() {
             if due > now {
@@ -187,6 +202,7 @@
 
     fn time_out(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
         let Some(active) = self.queries.get(&query) else {
+            self.follower_timed_out(query, effects);
             return;
         };
         if active.execution.is_some() {
@@ -197,15 +213,26 @@
             }
             return;
         }
-        let priority = active.policy.priority;
-        let service = active.submission.service.clone();
-        let Some(admission) = self.admissions.get_mut(&service) else {
-            return;
-        };
-        admission.withdraw(query);
-        let reason = RefusalReason::DeadlineTooClose;
-        let retry_after = admission.retry_after(priority);
-        self.carry_out(now, vec![Decision::Refuse { query, reason, retry_after }], effects);
+        let ticket = active.ticket();
+        let mut decisions = Vec::new();
+        if let Some(admission) = self.admissions.get_mut(&active.submission.service) {
+            admission.expire(ticket, &mut decisions);
+        }
+        self.carry_out(now, decisions, effects);
+    }
+
+    fn threshold_changed(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        lowest_admitted: u8,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut decisions = Vec::new();
+        if let Some(admission) = self.admissions.get_mut(service) {
+            admission.set_threshold(lowest_admitted, &mut decisions);
+        }
+        self.carry_out(now, decisions, effects);
     }
 
     fn reconfigure(&mut self, now: Timestamp, catalog: Arc<Catalog>, effects: &mut Vec<Effect>) {
@@ -214,6 +241,8 @@
         }
         self.catalog = catalog;
         self.router.reconfigure(now, &self.catalog);
+        self.budgets.reconfigure(now, self.catalog.callers());
+        let mut decisions = Vec::new();
         for (name, service) in self.catalog.services() {
             let tail = self.settings.tail_settings();
             let view = self.views.entry(name.clone()).or_insert_with(|| ServiceView::new(tail));
@@ -223,17 +252,15 @@
                 SchedulingPolicy::Baseline => common_limit(service),
             };
             match self.admissions.get_mut(name) {
-                Some(admission) => admission.reconfigure(service.concurrency, limits),
+                Some(admission) => {
+                    admission.reconfigure(now, service.concurrency, limits, &mut decisions)
+                }
                 None => {
                     let admission = Admission::new(service.concurrency, limits);
                     self.admissions.insert(name.clone(), admission);
                 }
             }
         }
-        let mut decisions = Vec::new();
-        for admission in self.admissions.values_mut() {
-            admission.start_waiting(now, &mut decisions);
-        }
         self.carry_out(now, decisions, effects);
     }
 
--- a/crates/domain/src/dispatch/scatter.rs
+++ b/crates/domain/src/dispatch/scatter.rs
@@ -33,6 +33,7 @@
         let Some(active) = self.queries.get_mut(&query) else {
             return;
         };
+        active.started = Some(now);
         self.timers.insert((active.answer_by(), query));
         let repeatable = active.submission.repeatable;
         let service = active.submission.service.clone();
@@ -367,7 +368,9 @@
         let retry_after = self
             .admissions
             .get(&active.submission.service)
-            .map_or(DEFAULT_RETRY_AFTER, |admission| admission.retry_after(active.policy.priority));
+            .map_or(DEFAULT_RETRY_AFTER, |admission| {
+                admission.retry_after(active.scheduled_priority)
+            });
         let outcome = execution.finish(active.policy.price, retry_after);
         self.end(now, query, outcome, effects);
     }
--- a/crates/domain/src/dispatch/settings.rs
+++ b/crates/domain/src/dispatch/settings.rs
@@ -1,7 +1,8 @@
 //! What a dispatcher is told of its own broker.
 
 use crate::catalog::Placement;
-use crate::identifiers::{BrokerName, RegionName, ZoneName};
+use crate::identifiers::{BrokerName, BrokerRun, RegionName, ZoneName};
+use crate::request_key::KeyLimits;
 use crate::routing::RoutingPolicy;
 use crate::routing::subset::BrokerEntry;
 use crate::tail::TailSettings;
@@ -21,19 +22,29 @@
 pub struct DispatcherSettings {
     /// Name of the broker.
     pub name: BrokerName,
+    /// Number of its run, part of request keys and of charge reports.
+    pub run: BrokerRun,
     /// Where it runs.
     pub placement: Placement,
     /// How queries are scheduled.
     pub policy: SchedulingPolicy,
     /// Extra load that leaves may be given.
     pub tail: TailSettings,
+    /// Bounds of the table of request keys.
+    pub keys: KeyLimits,
 }
 
 impl DispatcherSettings {
     /// The standard policy for a broker at a place.
     pub fn new(name: BrokerName, placement: Placement) -> Self {
-        let policy = SchedulingPolicy::Standard;
-        Self { name, placement, policy, tail: TailSettings::default() }
+        Self {
+            name,
+            run: BrokerRun::default(),
+            placement,
+            policy: SchedulingPolicy::Standard,
+            tail: TailSettings::default(),
+            keys: KeyLimits::default(),
+        }
     }
 
     pub(super) fn entry(&self) -> BrokerEntry {
--- a/crates/domain/src/identifiers.rs
+++ b/crates/domain/src/identifiers.rs
@@ -71,10 +71,6 @@
     /// Name of a region, which holds zones.
     RegionName
 );
-name_type!(
-    /// A caller's own key for a request, under which it is recorded and never run twice.
-    RequestKey
-);
 number_type!(
     /// Number of a leaf (back end) in the catalog.
     LeafId(u32)
@@ -99,6 +95,10 @@
     /// Number of a query within one broker run.
     QueryId(u64)
 );
+number_type!(
+    /// Number of one run of a broker process, drawn at random when it starts.
+    BrokerRun(u64)
+);
 
 /// The state of an index that one answer is computed from.
 #[derive(
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -5,10 +5,13 @@
 //! The programs and the simulation drive these very types.
 
 pub mod admission;
+pub mod budget;
 pub mod catalog;
 pub mod dispatch;
 pub mod identifiers;
+pub mod metering;
 pub mod query;
+pub mod request_key;
 pub mod routing;
 pub mod tail;
 pub mod time;
--- a/crates/domain/src/query/execution.rs
+++ b/crates/domain/src/query/execution.rs
@@ -349,7 +349,8 @@
             return QueryOutcome::NotRun { reason: RefusalReason::LeavesRefused, retry_after };
         }
         if answer.parts.is_empty() || (unknown && !self.repeatable) {
-            return QueryOutcome::Unknown { known: answer, retry_after };
+            // Only an answer is charged.
+            return QueryOutcome::Unknown { known: Answer { price: 0, ..answer }, retry_after };
         }
         QueryOutcome::Answered(answer)
     }
--- a/crates/domain/src/query/mod.rs
+++ b/crates/domain/src/query/mod.rs
@@ -6,10 +6,11 @@
 mod snapshots;
 
 use crate::identifiers::{CallerName, ClassName, QueryId, ServiceName};
+use crate::request_key::KeyedRequest;
 use crate::time::Timestamp;
 
 pub use execution::{Attempt, AttemptKind, Execution, Owed, Progress, Sending};
-pub use outcome::{Answer, MissingReason, MissingShard, QueryOutcome, ShardPart};
+pub use outcome::{Answer, MissingReason, MissingShard, QueryOutcome, ShardPart, UnrecordedReason};
 pub use reply::{LeafFailure, LeafReply, NotRunReason};
 pub use snapshots::SnapshotDirectory;
 
@@ -28,4 +29,6 @@
     pub deadline: Timestamp,
     /// Whether a leaf may be asked more than once.
     pub repeatable: bool,
+    /// Under which the outcome is recorded, so that the request can be sent again.
+    pub key: Option<KeyedRequest>,
 }
--- a/crates/domain/src/query/outcome.rs
+++ b/crates/domain/src/query/outcome.rs
@@ -82,4 +82,17 @@
         /// When asking again is worth while.
         retry_after: Duration,
     },
+    /// The request may have run under its key, but this broker has no record that tells.
+    Unrecorded(UnrecordedReason),
+}
+
+/// Why nothing is known of what became of a request under its key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnrecordedReason {
+    /// The key was issued by another broker or an earlier run of this one.
+    OtherRun,
+    /// The key was not issued, was issued to another caller, or has expired with its record.
+    NotKnown,
+    /// The first request under the key runs on after the deadline of this one.
+    StillRunning,
 }
--- /dev/null
+++ b/crates/domain/tests/budgets.rs
@@ -0,0 +1,200 @@
+//! Budgets and charges: the class's price is paid, once for each answered request.
+
+mod support;
+
+use std::time::Duration;
+
+use gingerkeel_domain::admission::RefusalReason;
+use gingerkeel_domain::budget::{Budgets, Unpaid};
+use gingerkeel_domain::catalog::{CallerAccount, Change};
+use gingerkeel_domain::dispatch::{Effect, Event};
+use gingerkeel_domain::identifiers::{BrokerName, BrokerRun, CallerName, ClassName};
+use gingerkeel_domain::metering::{ChargeCounters, ChargeKey, ChargeLedger, ChargeTotal};
+use gingerkeel_domain::query::{LeafFailure, NotRunReason, QueryOutcome, Sending};
+use gingerkeel_domain::time::Timestamp;
+use rstest::rstest;
+use support::*;
+
+const START: Timestamp = Timestamp::from_micros(5_000_000);
+/// Price of the class of the test catalog.
+const PRICE: u64 = 3;
+
+fn budgets(budget_per_second: u64, burst: u64) -> Budgets {
+    let mut budgets = Budgets::default();
+    let account = CallerAccount { budget_per_second, burst };
+    budgets.reconfigure(START, &[(caller(), account)].into());
+    budgets
+}
+
+#[test]
+fn a_full_bucket_holds_the_burst_and_fills_at_the_rate() {
+    let mut budgets = budgets(10, 20);
+    assert_eq!(budgets.pay(START, &caller(), 20), Ok(()));
+    assert_eq!(budgets.pay(START, &caller(), 5), Err(Unpaid::BudgetSpent(millis(500))));
+    assert_eq!(
+        budgets.pay(START.after(millis(499)), &caller(), 5),
+        Err(Unpaid::BudgetSpent(millis(1)))
+    );
+    assert_eq!(budgets.pay(START.after(millis(500)), &caller(), 5), Ok(()));
+    let long_after = START.after(Duration::from_secs(3600));
+    assert_eq!(budgets.pay(long_after, &caller(), 20), Ok(()));
+    assert!(budgets.pay(long_after, &caller(), 1).is_err(), "no more than the burst is saved up");
+}
+
+#[test]
+fn small_gains_are_not_rounded_away() {
+    let mut budgets = budgets(1, 1);
+    assert_eq!(budgets.pay(START, &caller(), 1), Ok(()));
+    for micro in 1..1_000_000 {
+        let now = START.after(Duration::from_micros(micro));
+        assert!(budgets.pay(now, &caller(), 1).is_err());
+    }
+    assert_eq!(budgets.pay(START.after(millis(1000)), &caller(), 1), Ok(()));
+}
+
+#[test]
+fn what_is_given_back_can_be_spent_but_not_saved_beyond_the_burst() {
+    let mut budgets = budgets(0, 4);
+    assert_eq!(budgets.pay(START, &caller(), 4), Ok(()));
+    budgets.give_back(START, &caller(), 4);
+    budgets.give_back(START, &caller(), 4);
+    assert_eq!(budgets.pay(START, &caller(), 4), Ok(()));
+    assert!(budgets.pay(START, &caller(), 1).is_err());
+}
+
+#[test]
+fn a_changed_account_keeps_what_was_spent() {
+    let mut budgets = budgets(0, 10);
+    assert_eq!(budgets.pay(START, &caller(), 8), Ok(()));
+    let account = CallerAccount { budget_per_second: 0, burst: 100 };
+    budgets.reconfigure(START, &[(caller(), account)].into());
+    assert!(budgets.pay(START, &caller(), 3).is_err());
+    assert_eq!(budgets.pay(START, &CallerName::new("other"), 0), Err(Unpaid::UnknownCaller));
+}
+
+/// A dispatcher whose caller can pay for two queries and earns nothing.
+fn poor() -> Harness {
+    let mut harness = Harness::new(&[&[0, 1]]);
+    let account = CallerAccount { budget_per_second: 0, burst: 2 * PRICE };
+    harness.reconfigure(|catalog| {
+        // The bucket holds no more than the smaller burst from now on.
+        change(catalog, Change::DefineCaller { caller: caller(), account });
+    });
+    harness
+}
+
+fn reason(effects: &[Effect]) -> Option<RefusalReason> {
+    match outcome(effects) {
+        Some(QueryOutcome::NotRun { reason, .. }) => Some(reason),
+        _ => None,
+    }
+}
+
+fn charged(harness: &Harness) -> ChargeTotal {
+    let report = harness.dispatcher.charges();
+    let class = ClassName::new("urgent");
+    let key = ChargeKey { caller: caller(), service: service(), class };
+    let mut ledger = ChargeLedger::default();
+    ledger.fold(report);
+    ledger.total(&key)
+}
+
+#[test]
+fn a_caller_whose_budget_is_spent_is_refused_before_anything_is_sent() {
+    let mut harness = poor();
+    for _ in 0..2 {
+        let sending = sends(&harness.submit(true))[0];
+        answered(&harness.answer(sending));
+    }
+    let effects = harness.submit(true);
+    assert_eq!(reason(&effects), Some(RefusalReason::BudgetSpent));
+    assert_eq!(sends(&effects), []);
+    assert_eq!(charged(&harness), ChargeTotal { answered: 2, units: 2 * PRICE });
+}
+
+#[test]
+fn a_caller_without_an_account_is_refused() {
+    let mut harness = poor();
+    let key = harness.dispatcher.issue_key(harness.now, CallerName::new("stranger")).unwrap();
+    let (_, effects) = harness.submit_keyed(CallerName::new("stranger"), &key, 1, millis(500));
+    assert_eq!(reason(&effects), Some(RefusalReason::UnknownCaller));
+}
+
+/// Ends a query in a way that is not an answer.
+type Ending = fn(&mut Harness, Sending);
+
+#[rstest]
+#[case::refused_by_leaves(|harness: &mut Harness, first: Sending| {
+    let again = sends(&harness.refuse(first, NotRunReason::Draining));
+    for sending in again {
+        harness.refuse(sending, NotRunReason::Draining);
+    }
+})]
+#[case::outcome_unknown(|harness: &mut Harness, first: Sending| {
+    let again = sends(&harness.fail(first, LeafFailure::Broken));
+    for sending in again {
+        let more = sends(&harness.fail(sending, LeafFailure::Broken));
+        for sending in more {
+            harness.fail(sending, LeafFailure::Broken);
+        }
+    }
+})]
+#[case::caller_gone(|harness: &mut Harness, first: Sending| {
+    harness.handle(Event::CallerGone(first.request.query));
+})]
+#[case::deadline(|harness: &mut Harness, _first: Sending| {
+    harness.wait(millis(2000));
+})]
+fn what_is_not_answered_is_given_back_and_not_charged(#[case] ending: Ending) {
+    let mut harness = poor();
+    for _ in 0..5 {
+        let sending = sends(&harness.submit(true))[0];
+        ending(&mut harness, sending);
+        assert_eq!(harness.dispatcher.active(), 0);
+    }
+    assert_eq!(charged(&harness), ChargeTotal::default());
+}
+
+#[test]
+fn a_query_that_is_refused_in_the_queue_is_given_its_price_back() {
+    let mut harness = poor();
+    harness.reconfigure(|catalog| {
+        let service = service();
+        change(catalog, Change::DefineService { service, concurrency: 0 });
+    });
+    for _ in 0..5 {
+        assert_eq!(outcome(&harness.submit(true)), None);
+        let effects = harness.wait(millis(1000));
+        assert_eq!(reason(&effects), Some(RefusalReason::DeadlineTooClose));
+    }
+}
+
+#[test]
+fn an_outcome_that_is_unknown_names_no_charge() {
+    let mut harness = poor();
+    let sending = sends(&harness.submit(false))[0];
+    let effects = harness.fail(sending, LeafFailure::Broken);
+    let Some(QueryOutcome::Unknown { known, .. }) = outcome(&effects) else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(known.price, 0);
+}
+
+#[test]
+fn reports_that_come_twice_late_or_after_a_restart_count_once() {
+    let key = ChargeKey { caller: caller(), service: service(), class: ClassName::new("urgent") };
+    let broker = BrokerName::new("broker");
+    let mut counters = ChargeCounters::default();
+    counters.charge(key.clone(), 3);
+    let early = counters.report(broker.clone(), BrokerRun(1));
+    counters.charge(key.clone(), 5);
+    let late = counters.report(broker.clone(), BrokerRun(1));
+    let mut restarted = ChargeCounters::default();
+    restarted.charge(key.clone(), 3);
+    let next_run = restarted.report(broker, BrokerRun(2));
+    let mut ledger = ChargeLedger::default();
+    for report in [&late, &early, &late, &next_run, &early, &next_run] {
+        ledger.fold(report.clone());
+    }
+    assert_eq!(ledger.total(&key), ChargeTotal { answered: 3, units: 11 });
+}
--- a/crates/domain/tests/replica_choice.rs
+++ b/crates/domain/tests/replica_choice.rs
@@ -27,6 +27,7 @@
     change(&mut catalog, Change::DefineService { service: service(), concurrency: 1000 });
     let policy = class("urgent", AnswerPolicy::Full);
     change(&mut catalog, Change::DefineClass { service: service(), policy });
+    define_caller(&mut catalog);
     assign(&mut catalog, &[&[0, 1, 2]]);
     publish(&mut catalog, 1);
     catalog
--- a/crates/domain/tests/support/mod.rs
+++ b/crates/domain/tests/support/mod.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::catalog::{
-    AnswerPolicy, Catalog, Change, ClassPolicy, Leaf, LeafState, Placement,
+    AnswerPolicy, CallerAccount, Catalog, Change, ClassPolicy, Leaf, LeafState, Placement,
 };
 use gingerkeel_domain::dispatch::{
     Dispatcher, DispatcherSettings, Effect, Event, LeafCompletion, SchedulingPolicy,
@@ -18,12 +18,20 @@
 use gingerkeel_domain::query::{
     Answer, LeafFailure, LeafReply, NotRunReason, QueryOutcome, Sending, Submission,
 };
+use gingerkeel_domain::request_key::{KeyedRequest, RequestKey};
 use gingerkeel_domain::time::Timestamp;
 use rand_pcg::Pcg64;
 
 /// Seed of all random choices.
 const SEED: u128 = 0x6b65_656c;
 
+/// A budget that no test spends.
+const AMPLE: u64 = 1_000_000_000;
+
+pub fn caller() -> CallerName {
+    CallerName::new("caller")
+}
+
 pub fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -75,6 +83,7 @@
     change(&mut catalog, Change::DefineService { service: service(), concurrency: 100 });
     let policy = class("urgent", answer_policy);
     change(&mut catalog, Change::DefineClass { service: service(), policy });
+    define_caller(&mut catalog);
     assign(&mut catalog, shards);
     publish(&mut catalog, 1);
     catalog
@@ -84,6 +93,12 @@
     catalog.apply(&change).expect("the change is valid");
 }
 
+/// Gives the caller of the tests a budget that none of them spends.
+pub fn define_caller(catalog: &mut Catalog) {
+    let account = CallerAccount { budget_per_second: AMPLE, burst: AMPLE };
+    change(catalog, Change::DefineCaller { caller: caller(), account });
+}
+
 pub fn assign(catalog: &mut Catalog, shards: &[&[u32]]) {
     for (shard, replicas) in shards.iter().enumerate() {
         let shard = ShardId(shard as u32);
@@ -153,12 +168,35 @@
             query,
             service: service(),
             class: ClassName::new("urgent"),
-            caller: CallerName::new("caller"),
+            caller: caller(),
             deadline: self.now.after(millis(1000)),
             repeatable,
+            key: None,
         }))
     }
 
+    /// Submits a query that is not repeatable under a key; gives its number too.
+    pub fn submit_keyed(
+        &mut self,
+        caller: CallerName,
+        key: &RequestKey,
+        digest: u64,
+        deadline: Duration,
+    ) -> (QueryId, Vec<Effect>) {
+        let query = QueryId(self.next_query);
+        self.next_query += 1;
+        let effects = self.handle(Event::Submitted(Submission {
+            query,
+            service: service(),
+            class: ClassName::new("urgent"),
+            caller,
+            deadline: self.now.after(deadline),
+            repeatable: false,
+            key: Some(KeyedRequest { key: key.clone(), digest }),
+        }));
+        (query, effects)
+    }
+
     /// Moves the time on, running what falls due.
     pub fn wait(&mut self, span: Duration) -> Vec<Effect> {
         let end = self.now.after(span);
--- a/crates/simulation/src/serving/caller.rs
+++ b/crates/simulation/src/serving/caller.rs
@@ -7,6 +7,9 @@
 use rand::Rng;
 use rand_pcg::Pcg64;
 
+/// Account of the callers.
+pub const CALLER: &str = "caller";
+
 /// Queries of one class.
 #[derive(Debug, Clone)]
 pub struct ClassLoad {
--- a/crates/simulation/src/serving/check.rs
+++ b/crates/simulation/src/serving/check.rs
@@ -138,7 +138,7 @@
         QueryOutcome::NotRun { .. } if !runs.is_empty() => {
             violations.push(Violation::NotRunWasRun(query));
         }
-        QueryOutcome::NotRun { .. } => {}
+        QueryOutcome::NotRun { .. } | QueryOutcome::Unrecorded(_) => {}
     }
 }
 
--- a/crates/simulation/src/serving/scenario.rs
+++ b/crates/simulation/src/serving/scenario.rs
@@ -4,16 +4,17 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use gingerkeel_domain::catalog::{Catalog, Change, Leaf, LeafState, Placement};
+use gingerkeel_domain::catalog::{CallerAccount, Catalog, Change, Leaf, LeafState, Placement};
 use gingerkeel_domain::identifiers::{
-    IndexVersion, LeafId, PartitionEpoch, RegionName, ServiceName, ShardId, Snapshot, ZoneName,
+    CallerName, IndexVersion, LeafId, PartitionEpoch, RegionName, ServiceName, ShardId, Snapshot,
+    ZoneName,
 };
 use gingerkeel_domain::time::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
 use super::broker::{BrokerIndex, BrokerModel};
-use super::caller::{ClassLoad, classes};
+use super::caller::{CALLER, ClassLoad, classes};
 use super::check::{Violation, check};
 use super::fault::{Fault, Mutant, TimedFault};
 use super::history::History;
@@ -37,6 +38,8 @@
 const ARRIVALS: Duration = Duration::from_secs(6);
 /// Time after the last caller until everything has an outcome.
 const SETTLING: Duration = Duration::from_secs(4);
+/// A budget that no load spends.
+const AMPLE: u64 = 1_000_000_000;
 /// Queries per second at which the tier is about half used.
 const HALF_LOAD: f64 = 400.0;
 
@@ -267,6 +270,8 @@
     let service = ServiceName::new(SERVICE);
     let mut changes =
         vec![Change::DefineService { service: service.clone(), concurrency: CONCURRENCY }];
+    let account = CallerAccount { budget_per_second: AMPLE, burst: AMPLE };
+    changes.push(Change::DefineCaller { caller: CallerName::new(CALLER), account });
     changes.extend(
         loads.iter().map(|load| Change::DefineClass {
             service: service.clone(),
--- a/crates/simulation/src/serving/world.rs
+++ b/crates/simulation/src/serving/world.rs
@@ -17,7 +17,7 @@
 use rand_pcg::Pcg64;
 
 use super::broker::{BrokerIndex, BrokerModel};
-use super::caller::ClassLoad;
+use super::caller::{CALLER, ClassLoad};
 use super::fault::{Fault, Mutant};
 use super::history::{
     DrainRecord, GlobalQuery, History, LeafArrival, LeafRun, QueryRecord, StopRecord, leaf_body,
@@ -203,9 +203,10 @@
             query,
             service: ServiceName::new(SERVICE),
             class: load.policy.name.clone(),
-            caller: CallerName::new("caller"),
+            caller: CallerName::new(CALLER),
             deadline: now.after(load.policy.default_deadline),
             repeatable,
+            key: None,
         }
     }
 
@@ -608,6 +609,10 @@
 pub fn decided_on_entry(reason: RefusalReason) -> bool {
     matches!(
         reason,
-        RefusalReason::QueueFull | RefusalReason::Stopping | RefusalReason::BudgetSpent
+        RefusalReason::QueueFull
+            | RefusalReason::Stopping
+            | RefusalReason::BudgetSpent
+            | RefusalReason::UnknownCaller
+            | RefusalReason::KeyTaken
     )
 }
