--- a/crates/broker/src/callers/connection.rs
+++ b/crates/broker/src/callers/connection.rs
@@ -1,22 +1,33 @@
 //! One caller's connection, owned by a task.
 
-use std::pin::pin;
+use std::time::Duration;
 
-use gingerkeel_domain::identifiers::QueryId;
-use gingerkeel_domain::query::QueryOutcome;
+use bytes::Bytes;
+use gingerkeel_domain::identifiers::{CallerName, QueryId};
+use gingerkeel_domain::query::{QueryOutcome, Submission};
 use gingerkeel_transport::{
     HttpRequest, HttpResponse, Limits, RequestReader, ResponseWriter, ServerConnection,
     TransportError,
 };
-use http::StatusCode;
+use http::header::CONNECTION;
+use http::{StatusCode, Version};
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 use monoio::net::TcpStream;
+use monoio::time::{sleep, timeout};
 use tracing::debug;
 
 use super::request::{CallerRequest, read_request};
 use super::response;
 use crate::engine::EngineMessage;
+use crate::stop::StopSignal;
+
+/// Time for which an idle connection takes a last request once a planned stop has begun.
+const STOP_GRACE: Duration = Duration::from_millis(250);
+/// Time for which a caller that was rejected may go on sending before the connection is closed.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Bytes that a caller that was rejected may go on sending.
+const LINGER_BYTES: usize = 16 * 1024 * 1024;
 
 /// One caller's connection.
 pub struct CallerConnection {
@@ -24,27 +35,39 @@
     next_query: u32,
     reader: RequestReader,
     writer: ResponseWriter,
+    limits: Limits,
     engine: Tx<EngineMessage>,
+    stop: StopSignal,
+}
+
+/// What becomes of a connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum After {
+    KeepAlive,
+    Close,
 }
 
 impl CallerConnection {
     /// Takes over an accepted socket; `number` is unique within the broker run.
-    pub fn new(number: u32, stream: TcpStream, limits: Limits, engine: Tx<EngineMessage>) -> Self {
+    pub fn new(
+        number: u32,
+        stream: TcpStream,
+        limits: Limits,
+        engine: Tx<EngineMessage>,
+        stop: StopSignal,
+    ) -> Self {
         let (reader, writer) = ServerConnection::new(stream, limits).into_split();
-        Self { number, next_query: 0, reader, writer, engine }
+        Self { number, next_query: 0, reader, writer, limits, engine, stop }
     }
 
-    /// Answers requests until the caller hangs up or sends something that is not HTTP.
+    /// Answers requests until the caller hangs up, sends something that is not HTTP, or a planned
+    /// stop has begun.
     pub async fn run(mut self) {
-        let mut pipelined = None;
-        loop {
-            let next = match pipelined.take() {
-                Some(request) => Ok(Some(request)),
-                None => self.reader.next_request().await,
-            };
-            match next {
+        while self.request_comes().await {
+            match self.reader.next_request().await {
                 Ok(Some(request)) => match self.answer(request).await {
-                    Ok(following) => pipelined = following,
+                    Ok(After::KeepAlive) => {}
+                    Ok(After::Close) => return self.linger().await,
                     Err(error) => return debug!(event = "caller_gone", %error),
                 },
                 Ok(None) => return,
@@ -53,49 +76,68 @@
         }
     }
 
-    /// Answers one request; gives the one that the caller sent meanwhile, if any.
-    async fn answer(
-        &mut self,
-        request: HttpRequest,
-    ) -> Result<Option<HttpRequest>, TransportError> {
-        match read_request(self.next_query_id(), request) {
-            Ok(request) => self.answer_query(request).await,
-            Err(error) => {
-                let response = response::bad_request(&error);
-                self.writer.respond(response).await?;
-                Ok(None)
+    /// Whether the first byte of a request comes; an idle connection ends with a planned stop.
+    async fn request_comes(&mut self) -> bool {
+        let grace = async {
+            self.stop.given().await;
+            sleep(STOP_GRACE).await;
+        };
+        monoio::select! {
+            begun = self.reader.wait() => matches!(begun, Ok(true)),
+            _ = grace => false,
+        }
+    }
+
+    async fn answer(&mut self, request: HttpRequest) -> Result<After, TransportError> {
+        let last = asks_to_close(&request);
+        let response = match read_request(self.next_query_id(), request) {
+            Ok(CallerRequest::Query { submission, body }) => {
+                let outcome = self.run_query(submission, body).await?;
+                response::answer(&outcome)
             }
+            Ok(CallerRequest::IssueKey(caller)) => self.issue_key(caller).await?,
+            Err(error) => response::bad_request(&error),
+        };
+        if last || self.stop.is_given() {
+            self.respond(response::last(response)).await?;
+            return Ok(After::Close);
         }
+        self.respond(response).await?;
+        Ok(After::KeepAlive)
     }
 
-    async fn answer_query(
+    /// Submits a query and awaits its outcome; tells the engine when the caller hangs up. A
+    /// caller that has sent more bytes meanwhile counts as present.
+    async fn run_query(
         &mut self,
-        request: CallerRequest,
-    ) -> Result<Option<HttpRequest>, TransportError> {
-        let query = request.submission.query;
+        submission: Submission,
+        body: Bytes,
+    ) -> Result<QueryOutcome, TransportError> {
+        let query = submission.query;
         let (reply, mut outcome) = oneshot::channel();
-        let CallerRequest { submission, body } = request;
-        // The engine ends only when no query is in flight.
+        // The engine lives as long as the process.
         let _ = self.engine.send(EngineMessage::Submit { submission, body, reply });
-        let mut reading = pin!(self.reader.next_request());
-        let mut following = None;
-        let outcome: QueryOutcome = loop {
+        let mut watching = true;
+        loop {
             monoio::select! {
-                answered = &mut outcome => {
-                    break answered.map_err(|_| TransportError::CutShort)?;
-                }
-                next = &mut reading, if following.is_none() => match next {
-                    Ok(Some(request)) => following = Some(request),
-                    Ok(None) | Err(_) => {
+                answered = &mut outcome => return answered.map_err(|_| TransportError::CutShort),
+                begun = self.reader.wait(), if watching => match begun {
+                    Ok(true) => watching = false,
+                    Ok(false) | Err(_) => {
                         let _ = self.engine.send(EngineMessage::CallerGone(query));
                         return Err(TransportError::CutShort);
                     }
                 }
             }
-        };
-        let written = self.writer.respond(response::answer(&outcome)).await;
-        let _ = self.engine.send(EngineMessage::AnswerDelivered);
-        written.map(|()| following)
+        }
+    }
+
+    async fn issue_key(&self, caller: CallerName) -> Result<HttpResponse, TransportError> {
+        let (reply, issued) = oneshot::channel();
+        // The engine lives as long as the process.
+        let _ = self.engine.send(EngineMessage::IssueKey { caller, reply });
+        let issued = issued.await.map_err(|_| TransportError::CutShort)?;
+        Ok(issued.map_or_else(response::refused, |key| response::issued_key(&key)))
     }
 
     async fn reject(mut self, error: &TransportError) {
@@ -106,9 +148,23 @@
             TransportError::Malformed(_) => StatusCode::BAD_REQUEST,
             TransportError::CutShort | TransportError::Socket(_) => return,
         };
-        let response: HttpResponse = response::transport_error(status, error);
-        // The caller may be gone; then there is nobody to tell.
-        let _ = self.writer.respond(response).await;
+        let response = response::last(response::transport_error(status, error));
+        if self.respond(response).await.is_ok() {
+            self.linger().await;
+        }
+    }
+
+    async fn respond(&mut self, response: HttpResponse) -> Result<(), TransportError> {
+        let writing = self.writer.respond(response);
+        timeout(self.limits.message_time, writing).await.map_err(|_| TransportError::Slow)?
+    }
+
+    /// Ends the connection so that the caller can read its answer although it still sends.
+    async fn linger(mut self) {
+        if self.writer.close().await.is_ok() {
+            // Once the time is over the connection is closed in any case.
+            let _ = timeout(LINGER_TIME, self.reader.discard(LINGER_BYTES)).await;
+        }
     }
 
     fn next_query_id(&mut self) -> QueryId {
@@ -117,3 +173,12 @@
         QueryId(query)
     }
 }
+
+fn asks_to_close(request: &HttpRequest) -> bool {
+    let option = request.headers().get(CONNECTION).and_then(|value| value.to_str().ok());
+    match option {
+        Some(option) if option.eq_ignore_ascii_case("close") => true,
+        Some(option) if option.eq_ignore_ascii_case("keep-alive") => false,
+        _ => request.version() < Version::HTTP_11,
+    }
+}
--- a/crates/broker/src/callers/mod.rs
+++ b/crates/broker/src/callers/mod.rs
@@ -1,31 +1,91 @@
 //! Callers' connections and the HTTP exchange on them.
 
 mod connection;
+mod refusal;
 mod request;
 mod response;
 
+use std::rc::Rc;
+use std::time::Duration;
+
 use gingerkeel_settings::BrokerSettings;
 use gingerkeel_transport::Limits;
 use local_sync::mpsc::unbounded::Tx;
-use monoio::net::TcpListener;
+use local_sync::semaphore::Semaphore;
+use monoio::net::{TcpListener, TcpStream};
 use tracing::warn;
 
 use crate::engine::EngineMessage;
+use crate::stop::StopSignal;
 use connection::CallerConnection;
+use refusal::{Refuser, Unwelcome};
+
+/// Accepts callers' connections.
+pub struct CallerServer {
+    listener: TcpListener,
+    engine: Tx<EngineMessage>,
+    stop: StopSignal,
+    limits: Limits,
+    places: Rc<Semaphore>,
+    refuser: Refuser,
+    next_connection: u32,
+}
 
-/// Accepts callers' connections for ever.
-pub async fn serve(listener: TcpListener, engine: Tx<EngineMessage>, settings: BrokerSettings) {
-    let limits = Limits { body_bytes: settings.body_bytes as usize, ..Limits::default() };
-    let mut next_connection: u32 = 0;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection =
-                    CallerConnection::new(next_connection, stream, limits, engine.clone());
-                next_connection = next_connection.wrapping_add(1);
-                monoio::spawn(connection.run());
+impl CallerServer {
+    /// A server on a bound listener.
+    pub fn new(
+        listener: TcpListener,
+        engine: Tx<EngineMessage>,
+        stop: StopSignal,
+        settings: &BrokerSettings,
+    ) -> Self {
+        let limits = Limits {
+            body_bytes: settings.body_bytes as usize,
+            message_time: Duration::from_millis(u64::from(settings.request_time_ms)),
+            ..Limits::default()
+        };
+        Self {
+            listener,
+            engine,
+            stop,
+            limits,
+            places: Rc::new(Semaphore::new(settings.caller_connections as usize)),
+            refuser: Refuser::new(limits),
+            next_connection: 0,
+        }
+    }
+
+    /// Accepts connections for ever.
+    pub async fn run(mut self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => self.accepted(stream),
+                Err(error) => warn!(event = "accept_failed", listener = "callers", %error),
             }
-            Err(error) => warn!(event = "accept_failed", listener = "callers", %error),
         }
     }
+
+    fn accepted(&mut self, stream: TcpStream) {
+        if self.stop.is_given() {
+            self.refuser.refuse(stream, Unwelcome::Stopping);
+            return;
+        }
+        let Ok(place) = self.places.clone().try_acquire_owned() else {
+            self.refuser.refuse(stream, Unwelcome::TooMany);
+            return;
+        };
+        let number = self.next_connection;
+        self.next_connection = self.next_connection.wrapping_add(1);
+        let stop = self.stop.clone();
+        let connection =
+            CallerConnection::new(number, stream, self.limits, self.engine.clone(), stop);
+        let engine = self.engine.clone();
+        // The engine lives as long as the process.
+        let _ = engine.send(EngineMessage::CallerConnected);
+        monoio::spawn(async move {
+            connection.run().await;
+            drop(place);
+            let _ = engine.send(EngineMessage::CallerDisconnected);
+        });
+    }
 }
--- a/crates/broker/src/callers/request.rs
+++ b/crates/broker/src/callers/request.rs
@@ -1,10 +1,13 @@
-//! How callers' requests look in HTTP: `POST /v1/services/{service}/query`.
+//! How callers' requests look in HTTP: `POST /v1/services/{service}/query` and
+//! `POST /v1/request-keys`.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use bytes::Bytes;
 use gingerkeel_domain::identifiers::{CallerName, ClassName, QueryId, ServiceName};
 use gingerkeel_domain::query::Submission;
+use gingerkeel_domain::request_key::KeyedRequest;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_transport::HttpRequest;
 use http::{HeaderMap, Method};
@@ -18,6 +21,10 @@
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// `false` for a request that may run at most once.
 const REPEATABLE_HEADER: &str = "x-repeatable";
+/// Key under which a request that may run at most once is recorded.
+const KEY_HEADER: &str = "x-request-key";
+/// Path that issues keys.
+const KEYS_PATH: &str = "/v1/request-keys";
 /// Longest deadline.
 const MAXIMUM_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -27,7 +34,7 @@
     pub enum RequestError {
         /// The path is not one of the broker's.
         UnknownPath(path: String) {
-            display("unknown path {path}: POST to /v1/services/NAME/query")
+            display("unknown path {path}: POST to /v1/services/NAME/query or /v1/request-keys")
         }
         /// The method is not POST.
         WrongMethod(method: String) {
@@ -45,11 +52,16 @@
 }
 
 /// A caller's request.
-pub struct CallerRequest {
-    /// The query; its deadline counts from [`Timestamp::ZERO`].
-    pub submission: Submission,
-    /// Body of the query.
-    pub body: Bytes,
+pub enum CallerRequest {
+    /// Run a query.
+    Query {
+        /// The query; its deadline counts from [`Timestamp::ZERO`].
+        submission: Submission,
+        /// Body of the query.
+        body: Bytes,
+    },
+    /// Issue a request key.
+    IssueKey(CallerName),
 }
 
 /// Reads a caller's request.
@@ -62,21 +74,53 @@
     let service = path
         .strip_prefix("/v1/services/")
         .and_then(|rest| rest.strip_suffix("/query"))
-        .filter(|name| !name.is_empty() && !name.contains('/'))
-        .ok_or_else(|| RequestError::UnknownPath(path.to_owned()))?;
+        .filter(|name| !name.is_empty() && !name.contains('/'));
+    if service.is_none() && path != KEYS_PATH {
+        return Err(RequestError::UnknownPath(path.to_owned()));
+    }
     if head.method != Method::POST {
         return Err(RequestError::WrongMethod(head.method.to_string()));
     }
+    let caller = CallerName::new(required(&head.headers, CALLER_HEADER)?);
+    let Some(service) = service else {
+        return Ok(CallerRequest::IssueKey(caller));
+    };
+    let class = required(&head.headers, CLASS_HEADER)?;
+    let repeatable = repeatable(&head.headers)?;
     let submission = Submission {
         query,
         service: ServiceName::new(service),
-        class: ClassName::new(required(&head.headers, CLASS_HEADER)?),
-        caller: CallerName::new(required(&head.headers, CALLER_HEADER)?),
+        class: ClassName::new(class),
+        caller,
         deadline: Timestamp::ZERO.after(deadline(&head.headers)?),
-        repeatable: repeatable(&head.headers)?,
-        key: None,
+        repeatable,
+        key: keyed_request(&head.headers, repeatable, digest(service, class, &body))?,
     };
-    Ok(CallerRequest { submission, body })
+    Ok(CallerRequest::Query { submission, body })
+}
+
+fn keyed_request(
+    headers: &HeaderMap,
+    repeatable: bool,
+    digest: u64,
+) -> Result<Option<KeyedRequest>, RequestError> {
+    if !headers.contains_key(KEY_HEADER) {
+        return Ok(None);
+    }
+    let remedy = "send it with x-repeatable: false only, as POST /v1/request-keys gave it";
+    let bad = || RequestError::BadHeader(KEY_HEADER, remedy);
+    let key = required(headers, KEY_HEADER)?.parse().map_err(|_| bad())?;
+    if repeatable {
+        return Err(bad());
+    }
+    Ok(Some(KeyedRequest { key, digest }))
+}
+
+/// Tells requests apart that come under the same key; it is compared within one process only.
+fn digest(service: &str, class: &str, body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (service, class, body).hash(&mut hasher);
+    hasher.finish()
 }
 
 fn required<'head>(
--- a/crates/broker/src/callers/response.rs
+++ b/crates/broker/src/callers/response.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gingerkeel_domain::admission::RefusalReason;
+use gingerkeel_domain::admission::{Refusal, RefusalReason};
 use gingerkeel_domain::query::{Answer, MissingReason, QueryOutcome, UnrecordedReason};
+use gingerkeel_domain::request_key::RequestKey;
 use gingerkeel_transport::{HttpResponse, TransportError};
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, StatusCode};
 use serde::Serialize;
 
@@ -15,6 +16,9 @@
 /// Milliseconds after which asking again is worth while; finer than `Retry-After`.
 const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("x-retry-after-ms");
 
+/// Advice to a caller whose connection is one too many.
+const CONNECTIONS_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 #[derive(Serialize)]
 struct Document<'answer> {
     outcome: &'static str,
@@ -28,6 +32,11 @@
     answer: Option<AnswerDocument<'answer>>,
 }
 
+#[derive(Serialize)]
+struct KeyDocument {
+    key: String,
+}
+
 #[derive(Serialize)]
 struct AnswerDocument<'answer> {
     snapshot: String,
@@ -64,14 +73,7 @@
             respond(StatusCode::OK, &document)
         }
         QueryOutcome::NotRun { reason, retry_after } => {
-            let document = Document {
-                outcome: "not_run",
-                reason: Some(refusal(*reason)),
-                message: None,
-                retry_after_ms: Some(milliseconds(*retry_after)),
-                answer: None,
-            };
-            with_retry_after(respond(refusal_status(*reason), &document), *retry_after)
+            refused(Refusal { reason: *reason, retry_after: *retry_after })
         }
         QueryOutcome::Unknown { known, retry_after } => {
             let document = Document {
@@ -96,6 +98,43 @@
     }
 }
 
+/// The response to a request that is refused.
+pub fn refused(refusal: Refusal) -> HttpResponse {
+    let Refusal { reason, retry_after } = refusal;
+    let document = Document {
+        outcome: "not_run",
+        reason: Some(refusal_reason(reason)),
+        message: None,
+        retry_after_ms: Some(milliseconds(retry_after)),
+        answer: None,
+    };
+    with_retry_after(respond(refusal_status(reason), &document), retry_after)
+}
+
+/// The response to a connection that is one too many.
+pub fn too_many_connections() -> HttpResponse {
+    let document = Document {
+        outcome: "not_run",
+        reason: Some("too_many_connections"),
+        message: Some("use fewer connections, or raise caller_connections".to_owned()),
+        retry_after_ms: Some(milliseconds(CONNECTIONS_RETRY_AFTER)),
+        answer: None,
+    };
+    let response = respond(StatusCode::SERVICE_UNAVAILABLE, &document);
+    with_retry_after(response, CONNECTIONS_RETRY_AFTER)
+}
+
+/// The response that carries a request key.
+pub fn issued_key(key: &RequestKey) -> HttpResponse {
+    respond(StatusCode::CREATED, &KeyDocument { key: key.to_string() })
+}
+
+/// Marks a response as the last of its connection.
+pub fn last(mut response: HttpResponse) -> HttpResponse {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// The response to a request that is not understood.
 pub fn bad_request(error: &RequestError) -> HttpResponse {
     let status = match error {
@@ -147,7 +186,7 @@
     }
 }
 
-fn respond(status: StatusCode, document: &Document<'_>) -> HttpResponse {
+fn respond(status: StatusCode, document: &impl Serialize) -> HttpResponse {
     let body = serde_json::to_vec(document).expect("the document has string keys only");
     let mut response = HttpResponse::new(Bytes::from(body));
     *response.status_mut() = status;
@@ -173,7 +212,7 @@
     }
 }
 
-fn refusal(reason: RefusalReason) -> &'static str {
+fn refusal_reason(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::QueueFull => "queue_full",
         RefusalReason::Evicted => "evicted",
@@ -185,6 +224,7 @@
         RefusalReason::NotServed => "not_served",
         RefusalReason::LeavesRefused => "leaves_refused",
         RefusalReason::KeyTaken => "key_taken",
+        RefusalReason::KeysExhausted => "keys_exhausted",
     }
 }
 
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -7,14 +7,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gingerkeel_domain::admission::Refusal;
 use gingerkeel_domain::catalog::{Catalog, Placement};
 use gingerkeel_domain::dispatch::{
     Dispatcher, DispatcherSettings, Effect, Event, LeafCompletion, SchedulingPolicy,
 };
 use gingerkeel_domain::identifiers::{
-    BrokerName, LeafId, LeafRequestId, QueryId, RegionName, ZoneName,
+    BrokerName, BrokerRun, CallerName, LeafId, LeafRequestId, QueryId, RegionName, ZoneName,
 };
 use gingerkeel_domain::query::{LeafFailure, QueryOutcome, Sending, Submission};
+use gingerkeel_domain::request_key::RequestKey;
+use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::{BrokerSettings, PolicySetting};
 use gingerkeel_transport::Limits;
 use local_sync::mpsc::unbounded::{Rx, Tx};
@@ -26,6 +29,7 @@
 
 use crate::clock::Clock;
 use crate::leaves::{LeafMessage, LeafPool, LeafWork, RequestContext, WireRequest};
+use crate::metrics::{ClassLabels, Metrics};
 
 /// A message to the engine.
 pub enum EngineMessage {
@@ -40,8 +44,22 @@
     },
     /// A caller hung up.
     CallerGone(QueryId),
-    /// An answer was written to its caller, or could not be.
-    AnswerDelivered,
+    /// A caller wants a request key.
+    IssueKey {
+        /// The caller.
+        caller: CallerName,
+        /// Where the key goes.
+        reply: oneshot::Sender<Result<RequestKey, Refusal>>,
+    },
+    /// A caller's connection opened.
+    CallerConnected,
+    /// A caller's connection closed; whatever it was owed is written or lost.
+    CallerDisconnected,
+    /// Metrics are read.
+    RenderMetrics {
+        /// Where their text goes.
+        reply: oneshot::Sender<String>,
+    },
     /// News of a leaf connection.
     Leaf(LeafMessage),
     /// A newer catalog.
@@ -51,8 +69,11 @@
 }
 
 struct WaitingCaller {
-    reply: oneshot::Sender<QueryOutcome>,
+    /// None once the caller hung up.
+    reply: Option<oneshot::Sender<QueryOutcome>>,
     context: Rc<RequestContext>,
+    labels: ClassLabels,
+    arrived: Timestamp,
 }
 
 /// The state of the engine.
@@ -65,7 +86,8 @@
     next_connection: u64,
     run: Rc<str>,
     messages: Tx<EngineMessage>,
-    undelivered: usize,
+    metrics: Metrics,
+    open_callers: usize,
     stopping: bool,
 }
 
@@ -76,20 +98,21 @@
             Some(seed) => Pcg64::seed_from_u64(seed),
             None => Pcg64::from_os_rng(),
         };
-        let run_number: u64 = rand::rng().random();
+        let run = BrokerRun(rand::rng().random());
         Self {
             clock: Clock::start(),
             dispatcher: Dispatcher::new(
-                dispatcher_settings(settings),
+                dispatcher_settings(settings, run),
                 Box::new(Pcg64::from_rng(&mut random)),
             ),
             callers: HashMap::new(),
             pools: BTreeMap::new(),
             connections_per_leaf: settings.connections_per_leaf as usize,
             next_connection: 0,
-            run: Rc::from(format!("{}-{run_number:016x}", settings.name)),
+            run: Rc::from(format!("{}-{:016x}", settings.name, run.0)),
             messages,
-            undelivered: 0,
+            metrics: Metrics::new(),
+            open_callers: 0,
             stopping: false,
         }
     }
@@ -106,7 +129,7 @@
     }
 
     fn finished(&self) -> bool {
-        self.stopping && self.dispatcher.active() == 0 && self.undelivered == 0
+        self.stopping && self.dispatcher.active() == 0 && self.open_callers == 0
     }
 
     /// The next message, or none when a timer is due first.
@@ -129,11 +152,17 @@
             EngineMessage::Submit { submission, body, reply } => {
                 self.submit(submission, body, reply, effects)
             }
-            EngineMessage::CallerGone(query) => {
-                self.callers.remove(&query);
-                self.advance(Event::CallerGone(query), effects);
+            EngineMessage::CallerGone(query) => self.caller_gone(query, effects),
+            EngineMessage::IssueKey { caller, reply } => {
+                // The caller may have hung up; its key then expires.
+                let _ = reply.send(self.dispatcher.issue_key(self.clock.now(), caller));
+            }
+            EngineMessage::CallerConnected => self.open_callers += 1,
+            EngineMessage::CallerDisconnected => self.open_callers -= 1,
+            EngineMessage::RenderMetrics { reply } => {
+                // The reader may have hung up.
+                let _ = reply.send(self.metrics.render(&self.dispatcher));
             }
-            EngineMessage::AnswerDelivered => self.undelivered -= 1,
             EngineMessage::Leaf(message) => self.leaf_message(message, effects),
             EngineMessage::CatalogChanged(catalog) => {
                 self.advance(Event::CatalogChanged(catalog.clone()), effects);
@@ -161,10 +190,24 @@
         let now = self.clock.now();
         submission.deadline = now.after(submission.deadline.since(Default::default()));
         let context = Rc::new(RequestContext { body, priority });
-        self.callers.insert(submission.query, WaitingCaller { reply, context });
+        let labels = ClassLabels::new(catalog, &submission);
+        let caller = WaitingCaller { reply: Some(reply), context, labels, arrived: now };
+        self.callers.insert(submission.query, caller);
         self.advance(Event::Submitted(submission), effects);
     }
 
+    /// A query under a request key goes on without its caller.
+    fn caller_gone(&mut self, query: QueryId, effects: &mut Vec<Effect>) {
+        self.advance(Event::CallerGone(query), effects);
+        if self.dispatcher.is_active(query) {
+            if let Some(caller) = self.callers.get_mut(&query) {
+                caller.reply = None;
+            }
+        } else if let Some(caller) = self.callers.remove(&query) {
+            self.metrics.query_cancelled(&caller.labels);
+        }
+    }
+
     fn leaf_message(&mut self, message: LeafMessage, effects: &mut Vec<Effect>) {
         match message {
             LeafMessage::Completed { leaf, request, completion, draining } => {
@@ -227,14 +270,19 @@
     }
 
     fn answer(&mut self, query: QueryId, outcome: QueryOutcome) {
-        if let Some(caller) = self.callers.remove(&query)
-            && caller.reply.send(outcome).is_ok()
-        {
-            self.undelivered += 1;
+        let Some(caller) = self.callers.remove(&query) else {
+            return;
+        };
+        let latency = self.clock.now().since(caller.arrived);
+        self.metrics.query_ended(&caller.labels, &outcome, latency);
+        if let Some(reply) = caller.reply {
+            // The caller may have hung up just now.
+            let _ = reply.send(outcome);
         }
     }
 
     fn send(&mut self, sending: Sending, time_left: Duration) {
+        self.metrics.leaf_request(sending.kind);
         let context = self.callers.get(&sending.request.query).map(|caller| caller.context.clone());
         let work = context.map(|context| {
             LeafWork::Send(WireRequest {
@@ -267,7 +315,7 @@
     dispatcher.connection_limit(leaf).clamp(1, connections_per_leaf)
 }
 
-fn dispatcher_settings(settings: &BrokerSettings) -> DispatcherSettings {
+fn dispatcher_settings(settings: &BrokerSettings, run: BrokerRun) -> DispatcherSettings {
     let placement = Placement {
         region: RegionName::new(&settings.region),
         zone: ZoneName::new(&settings.zone),
@@ -277,6 +325,7 @@
         PolicySetting::Baseline => SchedulingPolicy::Baseline,
     };
     DispatcherSettings {
+        run,
         policy,
         ..DispatcherSettings::new(BrokerName::new(&settings.name), placement)
     }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -5,15 +5,20 @@
 mod engine;
 mod feed;
 mod leaves;
+mod metrics;
 mod signals;
+mod stop;
 
 use std::io;
 
 use gingerkeel_settings::BrokerSettings;
+use local_sync::mpsc::unbounded::Tx;
 use monoio::net::TcpListener;
 use tracing::info;
 
+use crate::callers::CallerServer;
 use crate::engine::{Engine, EngineMessage};
+use crate::stop::StopSignal;
 
 /// Serves callers until a planned stop has finished what was in flight.
 ///
@@ -21,18 +26,36 @@
 /// An [`io::Error`] when an address cannot be bound or signals cannot be watched.
 pub async fn run(settings: BrokerSettings) -> io::Result<()> {
     let listener = TcpListener::bind(settings.listen)?;
+    let metrics_listener = settings.metrics.map(TcpListener::bind).transpose()?;
     let (engine, messages) = local_sync::mpsc::unbounded::channel();
-    let stop = signals::stop_requested()?;
-    info!(event = "started", name = settings.name, listen = %settings.listen);
-    monoio::spawn(callers::serve(listener, engine.clone(), settings.clone()));
+    let stop = StopSignal::new();
+    spawn_stop_watch(stop.clone(), engine.clone())?;
+    let listen = listener.local_addr()?;
+    match &metrics_listener {
+        Some(metrics) => {
+            let metrics = metrics.local_addr()?;
+            info!(event = "started", name = settings.name, %listen, %metrics);
+        }
+        None => info!(event = "started", name = settings.name, %listen),
+    }
+    let server = CallerServer::new(listener, engine.clone(), stop, &settings);
+    monoio::spawn(server.run());
+    if let Some(listener) = metrics_listener {
+        monoio::spawn(metrics::serve(listener, engine.clone()));
+    }
     monoio::spawn(feed::follow(settings.clone(), engine.clone()));
-    let stop_messages = engine.clone();
+    Engine::new(&settings, engine).run(messages).await;
+    info!(event = "stopped", name = settings.name);
+    Ok(())
+}
+
+fn spawn_stop_watch(stop: StopSignal, engine: Tx<EngineMessage>) -> io::Result<()> {
+    let requested = signals::stop_requested()?;
     monoio::spawn(async move {
-        stop.await;
+        requested.await;
+        stop.give();
         // The engine ends only after this message.
-        let _ = stop_messages.send(EngineMessage::Stop);
+        let _ = engine.send(EngineMessage::Stop);
     });
-    Engine::new(&settings, engine).run(messages).await;
-    info!(event = "stopped", name = settings.name);
     Ok(())
 }
--- /dev/null
+++ b/crates/broker/src/metrics/endpoint.rs
@@ -0,0 +1,71 @@
+//! The endpoint on which metrics are read: `GET /metrics`.
+
+use bytes::Bytes;
+use gingerkeel_transport::{HttpRequest, HttpResponse, Limits, ServerConnection};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, StatusCode};
+use local_sync::mpsc::unbounded::Tx;
+use local_sync::oneshot;
+use monoio::net::TcpListener;
+use tracing::{debug, warn};
+
+use crate::engine::EngineMessage;
+
+/// Path of the metrics.
+const PATH: &str = "/metrics";
+/// Type of the text format.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Serves metrics for ever.
+pub async fn serve(listener: TcpListener, engine: Tx<EngineMessage>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = ServerConnection::new(stream, Limits::default());
+                monoio::spawn(serve_connection(connection, engine.clone()));
+            }
+            Err(error) => warn!(event = "accept_failed", listener = "metrics", %error),
+        }
+    }
+}
+
+async fn serve_connection(mut connection: ServerConnection, engine: Tx<EngineMessage>) {
+    loop {
+        let request = match connection.next_request().await {
+            Ok(Some(request)) => request,
+            Ok(None) => return,
+            Err(error) => return debug!(event = "metrics_request_failed", %error),
+        };
+        let response = answer(&request, &engine).await;
+        if connection.respond(response).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(request: &HttpRequest, engine: &Tx<EngineMessage>) -> HttpResponse {
+    if request.uri().path() != PATH {
+        return plain(StatusCode::NOT_FOUND, "unknown path: GET /metrics\n");
+    }
+    if request.method() != Method::GET {
+        return plain(StatusCode::METHOD_NOT_ALLOWED, "use GET\n");
+    }
+    let (reply, text) = oneshot::channel();
+    // The engine lives as long as the process.
+    let _ = engine.send(EngineMessage::RenderMetrics { reply });
+    match text.await {
+        Ok(text) => with_type(HttpResponse::new(Bytes::from(text)), OPEN_METRICS),
+        Err(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "the broker has stopped\n"),
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> HttpResponse {
+    let mut response = HttpResponse::new(Bytes::from_static(text.as_bytes()));
+    *response.status_mut() = status;
+    with_type(response, "text/plain; charset=utf-8")
+}
+
+fn with_type(mut response: HttpResponse, content_type: &'static str) -> HttpResponse {
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/crates/broker/tests/at_most_once.rs
@@ -0,0 +1,212 @@
+//! Requests that may run at most once: to the leaf, and under a request key.
+
+mod support;
+
+use std::sync::mpsc;
+use std::sync::{Arc, Mutex};
+
+use rstest::rstest;
+use support::broker::Broker;
+use support::caller::{Caller, Query, issue_key};
+use support::control::catalog;
+use support::deaf_address;
+use support::leaf::{Act, LeafRequest, ScriptedLeaf, response};
+
+fn close(_request: &LeafRequest) -> Act {
+    Act::SendAndClose(Vec::new())
+}
+
+fn half_a_reply(request: &LeafRequest) -> Act {
+    Act::SendAndClose(request.reply("a body")[..30].to_vec())
+}
+
+fn wrong_version(request: &LeafRequest) -> Act {
+    Act::Send(response(200, &request.reply_headers().replace("version: 3", "version: 2"), b""))
+}
+
+fn error(request: &LeafRequest) -> Act {
+    Act::Send(response(500, &request.reply_headers(), b""))
+}
+
+#[rstest]
+#[case::closed(close)]
+#[case::half_a_reply(half_a_reply)]
+#[case::wrong_version(wrong_version)]
+#[case::error(error)]
+fn a_request_whose_reply_is_lost_is_written_once_and_its_outcome_unknown(
+    #[case] reply: fn(&LeafRequest) -> Act,
+) {
+    let leaves = [ScriptedLeaf::scripted(reply), ScriptedLeaf::scripted(reply)];
+    let broker = Broker::start(&catalog(&[&[leaves[0].address, leaves[1].address]]));
+    let response = broker.caller().ask(&Query::new("whole").once());
+    assert_eq!((response.status, response.outcome().as_str()), (504, "outcome_unknown"));
+    let written: usize = leaves.iter().map(|leaf| leaf.searches().len()).sum();
+    assert_eq!(written, 1);
+}
+
+#[test]
+fn a_connection_that_breaks_while_the_request_is_written_leaves_the_outcome_unknown() {
+    const BODY_BYTES: usize = 8 * 1024 * 1024;
+    let leaves = [ScriptedLeaf::resetting_after(1000), ScriptedLeaf::resetting_after(1000)];
+    let catalog = catalog(&[&[leaves[0].address, leaves[1].address]]);
+    let broker = Broker::start_with(&catalog, &format!("body_bytes = {BODY_BYTES}"));
+    let query = Query { body: vec![b'x'; BODY_BYTES], ..Query::new("whole").once() };
+    let response = broker.caller().ask(&query);
+    assert_eq!((response.status, response.outcome().as_str()), (504, "outcome_unknown"));
+    let written: usize = leaves.iter().map(|leaf| leaf.searches().len()).sum();
+    assert_eq!(written, 1);
+}
+
+#[test]
+fn a_request_that_no_leaf_could_be_sent_was_not_run() {
+    let broker = Broker::start(&catalog(&[&[deaf_address()]]));
+    let response = broker.caller().ask(&Query::new("whole").once());
+    assert_eq!(
+        (response.outcome().as_str(), response.reason().as_str()),
+        ("not_run", "leaves_refused")
+    );
+}
+
+#[test]
+fn a_request_goes_to_another_leaf_when_the_first_cannot_be_reached() {
+    let leaf = ScriptedLeaf::honest("right");
+    let broker = Broker::start(&catalog(&[&[deaf_address(), leaf.address]]));
+    for _ in 0..5 {
+        let response = broker.caller().ask(&Query::new("whole").once());
+        assert_eq!(response.outcome(), "answered", "{}", response.body);
+    }
+    assert_eq!(leaf.searches().len(), 5);
+}
+
+#[test]
+fn a_connection_that_the_leaf_closed_while_it_idled_costs_no_request() {
+    let leaf = ScriptedLeaf::scripted(|request| Act::SendAndClose(request.reply("right")));
+    let broker = Broker::start(&catalog(&[&[leaf.address]]));
+    for _ in 0..3 {
+        let response = broker.caller().ask(&Query::new("whole").once());
+        assert_eq!(response.outcome(), "answered", "{}", response.body);
+        // The close has to reach the broker before the next request is written.
+        std::thread::sleep(std::time::Duration::from_millis(200));
+    }
+    assert_eq!(leaf.searches().len(), 3);
+}
+
+/// A leaf that answers once the test lets it, and the means to let it.
+fn held_leaf() -> (ScriptedLeaf, mpsc::Sender<()>) {
+    let (release, held) = mpsc::channel();
+    let held = Arc::new(Mutex::new(held));
+    let leaf = ScriptedLeaf::scripted(move |request| {
+        // Ends with an error when the test is over.
+        let _ = held.lock().expect("no thread panicked").recv();
+        Act::Send(request.reply("booked"))
+    });
+    (leaf, release)
+}
+
+fn keyed(broker: &Broker) -> Query {
+    let key = issue_key(broker.caller()).expect("a key");
+    Query::new("whole").once().with("x-request-key", &key)
+}
+
+#[test]
+fn a_resend_gets_the_recorded_answer_and_runs_nothing() {
+    let leaf = ScriptedLeaf::honest("booked");
+    let broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let query = keyed(&broker);
+    let first = broker.caller().ask(&query);
+    let second = broker.caller().ask(&query);
+    assert_eq!(first.outcome(), "answered");
+    assert_eq!(first.body, second.body);
+    assert_eq!(leaf.searches().len(), 1);
+}
+
+#[test]
+fn a_resend_waits_for_the_request_that_runs() {
+    let (leaf, release) = held_leaf();
+    let broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let query = keyed(&broker);
+    let (mut first, mut second) = (broker.caller(), broker.caller());
+    first.send(&query.bytes());
+    leaf.wait_for_searches(1);
+    second.send(&query.bytes());
+    release.send(()).expect("the leaf waits");
+    for caller in [&mut first, &mut second] {
+        assert_eq!(caller.receive().expect("an answer").outcome(), "answered");
+    }
+    assert_eq!(leaf.searches().len(), 1);
+}
+
+#[test]
+fn a_caller_that_hung_up_gets_the_answer_when_it_sends_the_request_again() {
+    let (leaf, release) = held_leaf();
+    let broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let query = keyed(&broker);
+    let mut first = broker.caller();
+    first.send(&query.bytes());
+    leaf.wait_for_searches(1);
+    first.hang_up();
+    let mut second = broker.caller();
+    second.send(&query.bytes());
+    release.send(()).expect("the leaf waits");
+    assert_eq!(second.receive().expect("an answer").outcome(), "answered");
+    assert_eq!(leaf.searches().len(), 1);
+}
+
+#[test]
+fn an_unknown_outcome_stays_unknown_when_the_request_is_sent_again() {
+    let leaf = ScriptedLeaf::scripted(close);
+    let broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let query = keyed(&broker);
+    for _ in 0..2 {
+        assert_eq!(broker.caller().ask(&query).outcome(), "outcome_unknown");
+    }
+    assert_eq!(leaf.searches().len(), 1);
+}
+
+#[test]
+fn a_key_of_an_earlier_run_is_never_executed() {
+    let leaf = ScriptedLeaf::honest("booked");
+    let catalog = catalog(&[&[leaf.address]]);
+    let earlier = Broker::start(&catalog);
+    let query = keyed(&earlier);
+    drop(earlier);
+    let broker = Broker::start(&catalog);
+    let response = broker.caller().ask(&query);
+    assert_eq!((response.status, response.outcome().as_str()), (504, "outcome_unknown"));
+    assert_eq!(response.reason(), "key_of_another_run");
+    assert_eq!(leaf.searches().len(), 0);
+}
+
+#[test]
+fn a_key_does_not_serve_a_second_request() {
+    let leaf = ScriptedLeaf::honest("booked");
+    let broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let query = keyed(&broker);
+    assert_eq!(broker.caller().ask(&query).outcome(), "answered");
+    let other = Query { body: b"another".to_vec(), ..query };
+    let response = broker.caller().ask(&other);
+    assert_eq!((response.status, response.reason().as_str()), (409, "key_taken"));
+    assert_eq!(leaf.searches().len(), 1);
+}
+
+#[test]
+fn a_key_that_is_not_one_or_on_a_repeatable_request_is_a_bad_request() {
+    let leaf = ScriptedLeaf::honest("booked");
+    let broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let nonsense = Query::new("whole").once().with("x-request-key", "nonsense");
+    let repeatable = keyed(&broker).with("x-repeatable", "true");
+    for query in [nonsense, repeatable] {
+        let response = broker.caller().ask(&query);
+        assert_eq!((response.status, response.reason().as_str()), (400, "bad_request"));
+    }
+    assert_eq!(leaf.searches().len(), 0);
+}
+
+#[test]
+fn no_key_is_issued_to_a_caller_without_an_account() {
+    let broker = Broker::start(&catalog(&[&[deaf_address()]]));
+    let mut caller: Caller = broker.caller();
+    caller.send(b"POST /v1/request-keys HTTP/1.1\r\nhost: x\r\nx-caller: stranger\r\ncontent-length: 0\r\n\r\n");
+    let response = caller.receive().expect("an answer");
+    assert_eq!((response.status, response.reason().as_str()), (403, "unknown_caller"));
+}
--- /dev/null
+++ b/crates/broker/tests/planned_stop.rs
@@ -0,0 +1,141 @@
+//! A planned stop: what is in flight finishes, new work is refused, nothing is cut.
+
+mod support;
+
+use std::sync::{Arc, Mutex, mpsc};
+
+use rstest::rstest;
+use rustix::process::Signal;
+use support::broker::Broker;
+use support::caller::{Caller, Query, issue_key};
+use support::control::catalog;
+use support::leaf::{Act, ScriptedLeaf};
+use support::wait_until;
+
+/// A leaf that answers once the test lets it, and the means to let it.
+fn held_leaf() -> (ScriptedLeaf, mpsc::Sender<()>) {
+    let (release, held) = mpsc::channel();
+    let held = Arc::new(Mutex::new(held));
+    let leaf = ScriptedLeaf::scripted(move |request| {
+        // Ends with an error when the test is over.
+        let _ = held.lock().expect("no thread panicked").recv();
+        Act::Send(request.reply("finished"))
+    });
+    (leaf, release)
+}
+
+fn stop(broker: &Broker, signal: Signal) {
+    broker.signal(signal);
+    wait_until("the broker knows of the stop", || broker.log().contains("stop_requested"));
+}
+
+#[rstest]
+#[case::terminate(Signal::TERM)]
+#[case::interrupt(Signal::INT)]
+fn what_is_in_flight_finishes_and_new_work_is_refused(#[case] signal: Signal) {
+    let (leaf, release) = held_leaf();
+    let mut broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let mut in_flight = broker.caller();
+    in_flight.send(&Query::new("whole").with("x-deadline-ms", "30000").bytes());
+    leaf.wait_for_searches(1);
+    stop(&broker, signal);
+
+    let mut late = broker.caller();
+    let refused = late.ask(&Query::new("whole"));
+    assert_eq!((refused.status, refused.reason().as_str()), (503, "stopping"));
+    assert_eq!(refused.outcome(), "not_run");
+    assert!(refused.header("retry-after").is_some());
+    assert!(late.is_closed());
+    assert!(!broker.has_ended());
+
+    release.send(()).expect("the leaf waits");
+    let answer = in_flight.receive().expect("an answer");
+    assert_eq!(answer.outcome(), "answered");
+    assert_eq!(answer.json()["coverage"], 1.0);
+    assert!(answer.closes());
+    assert!(in_flight.is_closed());
+    broker.assert_ends_well();
+    assert_eq!(leaf.searches().len(), 1);
+}
+
+#[test]
+fn a_request_that_comes_on_an_open_connection_is_refused_and_the_connection_closed() {
+    let (leaf, release) = held_leaf();
+    let mut broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let mut in_flight = broker.caller();
+    // The second request of the connection is read only after the first is answered.
+    let query = Query::new("whole").with("x-deadline-ms", "30000").bytes();
+    in_flight.send(&[&query[..], &query[..]].concat());
+    leaf.wait_for_searches(1);
+    stop(&broker, Signal::TERM);
+    release.send(()).expect("the leaf waits");
+    let first = in_flight.receive().expect("an answer");
+    assert_eq!(first.outcome(), "answered");
+    if !first.closes() {
+        let second = in_flight.receive().expect("an answer");
+        assert_eq!(second.reason(), "stopping");
+    }
+    assert!(in_flight.is_closed());
+    broker.assert_ends_well();
+    assert_eq!(leaf.searches().len(), 1);
+}
+
+#[test]
+fn a_request_that_is_half_sent_is_answered() {
+    let leaf = ScriptedLeaf::honest("right");
+    let mut broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let mut caller = broker.caller();
+    // The first answer shows that the connection is served.
+    assert_eq!(caller.ask(&Query::new("whole")).outcome(), "answered");
+    let query = Query::new("whole").bytes();
+    let (begin, end) = query.split_at(40);
+    caller.send(begin);
+    stop(&broker, Signal::TERM);
+    caller.send(end);
+    let response = caller.receive().expect("an answer");
+    assert_eq!(response.reason(), "stopping");
+    assert!(caller.is_closed());
+    broker.assert_ends_well();
+}
+
+#[test]
+fn a_query_that_no_leaf_answers_ends_at_its_deadline_and_so_does_the_broker() {
+    let leaf = ScriptedLeaf::scripted(|_| Act::KeepSilent);
+    let mut broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let mut caller = broker.caller();
+    caller.send(&Query::new("whole").with("x-deadline-ms", "1500").bytes());
+    leaf.wait_for_searches(1);
+    stop(&broker, Signal::TERM);
+    let response = caller.receive().expect("an answer");
+    assert_eq!((response.status, response.outcome().as_str()), (504, "outcome_unknown"));
+    broker.assert_ends_well();
+}
+
+#[test]
+fn idle_connections_do_not_keep_the_broker() {
+    let leaf = ScriptedLeaf::honest("right");
+    let mut broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let mut idle: Vec<Caller> = (0..5).map(|_| broker.caller()).collect();
+    for caller in &mut idle {
+        assert_eq!(caller.ask(&Query::new("whole")).outcome(), "answered");
+    }
+    broker.signal(Signal::TERM);
+    broker.assert_ends_well();
+    assert!(idle.iter_mut().all(Caller::is_closed));
+}
+
+#[test]
+fn a_request_under_a_key_finishes_though_its_caller_is_gone() {
+    let (leaf, release) = held_leaf();
+    let mut broker = Broker::start(&catalog(&[&[leaf.address]]));
+    let key = issue_key(broker.caller()).expect("a key");
+    let mut caller = broker.caller();
+    let query = Query::new("whole").once().with("x-request-key", &key);
+    caller.send(&query.with("x-deadline-ms", "30000").bytes());
+    leaf.wait_for_searches(1);
+    caller.hang_up();
+    stop(&broker, Signal::TERM);
+    assert!(!broker.has_ended());
+    release.send(()).expect("the leaf waits");
+    broker.assert_ends_well();
+}
--- /dev/null
+++ b/crates/broker/tests/settings.rs
@@ -0,0 +1,102 @@
+//! Settings that are wrong: the error names file, field, value and remedy, and nothing starts.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Output};
+
+use rstest::rstest;
+
+/// Settings that are right.
+const VALID: &str = "name = \"b1\"\nregion = \"south\"\nzone = \"a\"\nlisten = \"LISTEN\"\n\
+                     control = [\"127.0.0.1:1\"]\n";
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port")
+}
+
+fn run(text: &str, arguments: &[&str]) -> Output {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = folder.path().join("broker.toml");
+    fs::write(&path, text).expect("the settings are written");
+    Command::new(env!("CARGO_BIN_EXE_gingerkeel-broker"))
+        .arg("--settings")
+        .arg(&path)
+        .args(arguments)
+        .output()
+        .expect("the program starts")
+}
+
+/// A line that replaces the one of the same field, or is added, and what the error has to name.
+#[rstest]
+#[case::name("name = \"1b\"", &["field name", "`1b`", "use a letter"])]
+#[case::empty_name("name = \"\"", &["field name", "``", "use a letter"])]
+#[case::region("region = \"a b\"", &["field region", "`a b`", "use a letter"])]
+#[case::zone("zone = \"ä\"", &["field zone", "`ä`", "use a letter"])]
+#[case::listen("listen = \"nowhere\"", &["listen", "nowhere", "correct the field"])]
+#[case::no_port("listen = \"127.0.0.1\"", &["listen", "127.0.0.1", "correct the field"])]
+#[case::no_control("control = []", &["field control", "`[]`", "at least one control process"])]
+#[case::control_text("control = \"127.0.0.1:1\"", &["control", "127.0.0.1:1", "correct the field"])]
+#[case::connections("caller_connections = 0", &["field caller_connections", "`0`", "from 1 to"])]
+#[case::negative("caller_connections = -1", &["caller_connections", "-1", "correct the field"])]
+#[case::body("body_bytes = 99999999", &["field body_bytes", "`99999999`", "from 1 to 16777216"])]
+#[case::time("request_time_ms = 0", &["field request_time_ms", "`0`", "from 1 to 60000"])]
+#[case::per_leaf(
+    "connections_per_leaf = 5000",
+    &["field connections_per_leaf", "`5000`", "from 1 to 1024"]
+)]
+#[case::metrics("metrics = \"LISTEN\"", &["field metrics", "`127.0.0.1:", "another address"])]
+#[case::policy("policy = \"best\"", &["policy", "best", "correct the field"])]
+#[case::seed("seed = 1.5", &["seed", "1.5", "correct the field"])]
+#[case::unknown_field("colour = \"red\"", &["colour", "unknown field", "correct the field"])]
+#[case::not_toml("name = ", &["line 1", "correct the field"])]
+fn a_wrong_field_is_named_with_its_value_and_the_remedy(
+    #[case] line: &str,
+    #[case] expected: &[&str],
+) {
+    let field = line.split(" =").next().unwrap_or_default();
+    let others = VALID.lines().filter(|other| !other.starts_with(&format!("{field} =")));
+    let text = std::iter::once(line).chain(others).collect::<Vec<_>>().join("\n");
+    let output = run(&text.replace("LISTEN", &free_address().to_string()), &[]);
+    assert_refused(&output, expected);
+}
+
+#[rstest]
+fn a_missing_field_is_named(#[values("name", "region", "zone", "listen", "control")] field: &str) {
+    let others = VALID.lines().filter(|line| !line.starts_with(&format!("{field} =")));
+    let text = others.collect::<Vec<_>>().join("\n");
+    let output = run(&text.replace("LISTEN", &free_address().to_string()), &[]);
+    assert_refused(&output, &["missing field", field, "correct the field"]);
+}
+
+#[test]
+fn valid_settings_are_checked_without_starting() {
+    let text = VALID.replace("LISTEN", &free_address().to_string());
+    let output = run(&text, &["--check-settings"]);
+    assert_eq!(output.status.code(), Some(0));
+    assert!(String::from_utf8_lossy(&output.stdout).contains("settings are valid"));
+    assert_eq!(output.stderr, b"");
+}
+
+#[test]
+fn wrong_settings_fail_the_check_too() {
+    assert_refused(&run("name = \"b1\"", &["--check-settings"]), &["missing field"]);
+}
+
+#[test]
+fn an_address_that_is_taken_is_said_with_another_exit_code() {
+    let holder = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = holder.local_addr().expect("a bound address");
+    let output = run(&VALID.replace("LISTEN", &address.to_string()), &[]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("addresses are free"));
+}
+
+fn assert_refused(output: &Output, expected: &[&str]) {
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{errors}");
+    for text in ["broker.toml"].iter().chain(expected) {
+        assert!(errors.contains(text), "no '{text}' in: {errors}");
+    }
+    assert!(!errors.contains("event=started"), "{errors}");
+    assert_eq!(output.stdout, b"");
+}
--- /dev/null
+++ b/crates/broker/tests/support/broker.rs
@@ -0,0 +1,132 @@
+//! A broker process.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use gingerkeel_domain::catalog::Catalog;
+use rustix::process::{Pid, Signal, kill_process};
+use tempfile::TempDir;
+
+use super::caller::{Caller, issue_key};
+use super::{control, wait_until};
+
+/// A broker process; killed when dropped.
+pub struct Broker {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    child: Child,
+    folder: TempDir,
+}
+
+impl Broker {
+    /// Starts a broker with a catalog in force.
+    pub fn start(catalog: &Catalog) -> Self {
+        Self::start_with(catalog, "")
+    }
+
+    /// Starts a broker with further settings.
+    pub fn start_with(catalog: &Catalog, settings: &str) -> Self {
+        let control = control::serve(catalog);
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let path = folder.path().join("broker.toml");
+        let text = format!(
+            "name = \"broker\"\nregion = \"south\"\nzone = \"a\"\n\
+             listen = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\ncontrol = [\"{control}\"]\nseed = 1\n{settings}\n"
+        );
+        fs::write(&path, text).expect("the settings are written");
+        let log = fs::File::create(folder.path().join("log")).expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_gingerkeel-broker"))
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the broker starts");
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut broker = Self { listen: nowhere, metrics: nowhere, child, folder };
+        wait_until("the broker has said where it listens", || {
+            let log = broker.log();
+            let started = log.lines().find(|line| line.contains("event=started"));
+            let Some(started) = started.filter(|_| log.ends_with('\n')) else {
+                return false;
+            };
+            broker.listen = address_in(started, "listen");
+            broker.metrics = address_in(started, "metrics");
+            true
+        });
+        wait_until("the broker has its catalog", || issue_key(broker.caller()).is_some());
+        broker
+    }
+
+    /// Number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// A new connection.
+    pub fn caller(&self) -> Caller {
+        Caller::connect(self.listen)
+    }
+
+    /// What was logged so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
+    }
+
+    /// The metrics as text.
+    pub fn metrics(&self) -> String {
+        let mut caller = Caller::connect(self.metrics);
+        caller.send(b"GET /metrics HTTP/1.1\r\nhost: broker\r\n\r\n");
+        let response = caller.receive().expect("an answer");
+        assert_eq!(response.status, 200);
+        response.body
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(id.expect("a process number"), signal).expect("the process runs");
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be watched").is_some()
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> ExitStatus {
+        let mut status = None;
+        wait_until("the broker has ended", || {
+            status = self.child.try_wait().expect("the process can be watched");
+            status.is_some()
+        });
+        status.expect("the process has ended")
+    }
+
+    /// Fails unless the process ends by itself with exit code 0.
+    pub fn assert_ends_well(&mut self) {
+        let status = self.wait();
+        assert_eq!(status.signal(), None, "{}", self.log());
+        assert_eq!(status.code(), Some(0), "{}", self.log());
+    }
+}
+
+/// The address under a key of a log line.
+fn address_in(line: &str, key: &str) -> SocketAddr {
+    let prefix = format!("{key}=");
+    let value = line.split(' ').find_map(|pair| pair.strip_prefix(prefix.as_str()));
+    value.and_then(|value| value.parse().ok()).unwrap_or_else(|| panic!("no {key} in {line}"))
+}
+
+impl Drop for Broker {
+    fn drop(&mut self) {
+        // Fails only when the process has ended before.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/broker/tests/support/control.rs
@@ -0,0 +1,98 @@
+//! A scripted control process that serves one catalog, and the catalogs that tests use.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use gingerkeel_domain::catalog::{
+    AnswerPolicy, CallerAccount, Catalog, Change, ClassPolicy, Leaf, LeafState, Placement,
+};
+use gingerkeel_domain::identifiers::{
+    CallerName, ClassName, IndexVersion, LeafId, RegionName, ServiceName, ShardId, ZoneName,
+};
+use gingerkeel_protocol::{FeedMessage, encode_document, encode_frame};
+
+/// Serves a catalog to every broker that subscribes; the thread ends with the test.
+pub fn serve(catalog: &Catalog) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let document = encode_document(catalog).expect("a catalog is a document");
+    let frame = encode_frame(&FeedMessage::FullCatalog { document }).expect("a small frame");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let frame = frame.clone();
+            thread::spawn(move || feed(stream, &frame));
+        }
+    });
+    address
+}
+
+/// Sends the catalog once the broker has subscribed, then reads what it acknowledges.
+fn feed(mut stream: TcpStream, frame: &[u8]) {
+    let mut buffer = [0; 1024];
+    let mut subscribed = false;
+    while let Ok(count) = stream.read(&mut buffer) {
+        if count == 0 || (!subscribed && stream.write_all(frame).is_err()) {
+            return;
+        }
+        subscribed = true;
+    }
+}
+
+/// A catalog with service `tickets`, whose shard `s` is held by the leaves `shards[s]`. Its
+/// classes are `urgent`, which answers partly after 300 ms, and `whole`, which waits for all.
+pub fn catalog(shards: &[&[SocketAddr]]) -> Catalog {
+    let mut catalog = Catalog::default();
+    let service = ServiceName::new("tickets");
+    apply(&mut catalog, Change::DefineService { service: service.clone(), concurrency: 8 });
+    let partial = AnswerPolicy::Partial { soft_deadline: Duration::from_millis(300) };
+    for policy in [class("urgent", 0, 8, partial), class("whole", 1, 2, AnswerPolicy::Full)] {
+        apply(&mut catalog, Change::DefineClass { service: service.clone(), policy });
+    }
+    let account = CallerAccount { budget_per_second: 1_000_000, burst: 1_000_000 };
+    apply(&mut catalog, Change::DefineCaller { caller: CallerName::new("desk"), account });
+    let account = CallerAccount { budget_per_second: 0, burst: 8 };
+    apply(&mut catalog, Change::DefineCaller { caller: CallerName::new("poor"), account });
+    let shard_count = u32::try_from(shards.len()).expect("few shards");
+    apply(&mut catalog, Change::Repartition { service: service.clone(), shards: shard_count });
+    let mut next = 0;
+    for (shard, replicas) in (0..).map(ShardId).zip(shards) {
+        let mut leaves = Vec::new();
+        for address in *replicas {
+            leaves.push(LeafId(next));
+            apply(&mut catalog, Change::AddLeaf(leaf(next, *address)));
+            next += 1;
+        }
+        apply(&mut catalog, Change::AssignShard { service: service.clone(), shard, leaves });
+    }
+    apply(&mut catalog, Change::PublishVersion { service, version: IndexVersion(3) });
+    catalog
+}
+
+/// Applies a change that is valid.
+pub fn apply(catalog: &mut Catalog, change: Change) {
+    catalog.apply(&change).expect("the change is valid");
+}
+
+fn class(name: &str, priority: u8, price: u64, answer_policy: AnswerPolicy) -> ClassPolicy {
+    ClassPolicy {
+        name: ClassName::new(name),
+        priority,
+        queue_limit: 16,
+        price,
+        answer_policy,
+        default_deadline: Duration::from_secs(5),
+    }
+}
+
+fn leaf(id: u32, address: SocketAddr) -> Leaf {
+    Leaf {
+        id: LeafId(id),
+        address,
+        placement: Placement { region: RegionName::new("south"), zone: ZoneName::new("a") },
+        slots: 8,
+        connection_limit: 64,
+        state: LeafState::Active,
+    }
+}
--- /dev/null
+++ b/crates/broker/tests/support/leaf.rs
@@ -0,0 +1,195 @@
+//! A leaf that replies as a test scripts it, byte for byte.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use rustix::net::sockopt::set_socket_linger;
+
+use super::wait_until;
+
+/// A request as it reached a leaf.
+#[derive(Debug, Clone)]
+pub struct LeafRequest {
+    /// Start line and headers.
+    pub head: String,
+    /// Body, as far as it was read.
+    pub body: Vec<u8>,
+}
+
+impl LeafRequest {
+    /// The value of a header, empty when it is missing.
+    pub fn header(&self, name: &str) -> &str {
+        let value = |line: &&str| {
+            line.split_once(": ").is_some_and(|(key, _)| key.eq_ignore_ascii_case(name))
+        };
+        self.head
+            .lines()
+            .find(value)
+            .and_then(|line| line.split_once(": "))
+            .map_or("", |pair| pair.1)
+    }
+
+    /// Whether it asks to run something, and not to cancel it.
+    pub fn is_search(&self) -> bool {
+        self.head.starts_with("POST ")
+    }
+
+    /// Headers of a correct reply, each with its line end.
+    pub fn reply_headers(&self) -> String {
+        format!(
+            "x-request-id: {}\r\nx-index-version: {}\r\nx-partition-epoch: {}\r\n",
+            self.header("x-request-id"),
+            self.header("x-index-version"),
+            self.header("x-partition-epoch")
+        )
+    }
+
+    /// A correct reply.
+    pub fn reply(&self, body: &str) -> Vec<u8> {
+        response(200, &self.reply_headers(), body.as_bytes())
+    }
+}
+
+/// An HTTP response.
+pub fn response(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!("HTTP/1.1 {status} X\r\n{headers}content-length: {length}\r\n\r\n");
+    [head.as_bytes(), body].concat()
+}
+
+/// What a leaf does with a request.
+pub enum Act {
+    /// Sends these bytes and keeps the connection.
+    Send(Vec<u8>),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(Vec<u8>),
+    /// Never answers, but keeps the connection.
+    KeepSilent,
+}
+
+type Script = dyn Fn(&LeafRequest) -> Act + Send + Sync;
+
+/// A scripted leaf; its threads end with the test.
+pub struct ScriptedLeaf {
+    /// Where it listens.
+    pub address: SocketAddr,
+    journal: Arc<Mutex<Vec<LeafRequest>>>,
+}
+
+impl ScriptedLeaf {
+    /// A leaf that answers every request correctly with `body`.
+    pub fn honest(body: &'static str) -> Self {
+        Self::scripted(move |request| Act::Send(request.reply(body)))
+    }
+
+    /// A leaf that reads each request whole and then follows the script.
+    pub fn scripted(script: impl Fn(&LeafRequest) -> Act + Send + Sync + 'static) -> Self {
+        let journal: Arc<Mutex<Vec<LeafRequest>>> = Arc::default();
+        let script: Arc<Script> = Arc::new(script);
+        let entries = journal.clone();
+        let address = listen(move |stream| serve(stream, &entries, script.as_ref()));
+        Self { address, journal }
+    }
+
+    /// A leaf that reads `limit` bytes of each connection and resets it.
+    pub fn resetting_after(limit: usize) -> Self {
+        let journal: Arc<Mutex<Vec<LeafRequest>>> = Arc::default();
+        let entries = journal.clone();
+        let address = listen(move |mut stream| {
+            let mut body = vec![0; limit];
+            if stream.read_exact(&mut body).is_ok() {
+                let request = LeafRequest { head: "POST ".into(), body };
+                entries.lock().expect("no thread panicked").push(request);
+            }
+            // Closes with a reset although more bytes are on their way.
+            let _ = set_socket_linger(&stream, Some(std::time::Duration::ZERO));
+        });
+        Self { address, journal }
+    }
+
+    /// Requests to run something, in the order of arrival.
+    pub fn searches(&self) -> Vec<LeafRequest> {
+        let journal = self.journal.lock().expect("no thread panicked");
+        journal.iter().filter(|request| request.is_search()).cloned().collect()
+    }
+
+    /// Waits until so many requests to run something have arrived.
+    pub fn wait_for_searches(&self, count: usize) {
+        wait_until("the leaf has its requests", || self.searches().len() >= count);
+    }
+
+    /// Waits until a request was cancelled.
+    pub fn wait_for_cancellation(&self) {
+        wait_until("the leaf is told to cancel", || {
+            let journal = self.journal.lock().expect("no thread panicked");
+            journal.iter().any(|request| request.head.starts_with("DELETE /v1/requests/"))
+        });
+    }
+}
+
+fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+fn serve(mut stream: TcpStream, journal: &Mutex<Vec<LeafRequest>>, script: &Script) {
+    while let Some(request) = read_request(&mut stream) {
+        journal.lock().expect("no thread panicked").push(request.clone());
+        let act = match request.is_search() {
+            true => script(&request),
+            false => Act::Send(response(204, "", b"")),
+        };
+        let (bytes, close) = match act {
+            Act::Send(bytes) => (bytes, false),
+            Act::SendAndClose(bytes) => (bytes, true),
+            Act::KeepSilent => (Vec::new(), false),
+        };
+        if stream.write_all(&bytes).is_err() {
+            return;
+        }
+        if close {
+            // The broker may have closed the connection before.
+            let _ = stream.shutdown(Shutdown::Both);
+            return;
+        }
+    }
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<LeafRequest> {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            break end + 4;
+        }
+        read_some(stream, &mut bytes)?;
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let mut request = LeafRequest { head, body: Vec::new() };
+    let length: usize = request.header("content-length").parse().unwrap_or(0);
+    while bytes.len() < head_end + length {
+        read_some(stream, &mut bytes)?;
+    }
+    request.body = bytes.split_off(head_end);
+    Some(request)
+}
+
+fn read_some(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<()> {
+    let mut buffer = [0; 4096];
+    match stream.read(&mut buffer) {
+        Ok(0) | Err(_) => None,
+        Ok(count) => {
+            bytes.extend_from_slice(&buffer[..count]);
+            Some(())
+        }
+    }
+}
--- a/crates/domain/src/admission/mod.rs
+++ b/crates/domain/src/admission/mod.rs
@@ -15,7 +15,7 @@
 pub use drain_rate::DrainRate;
 pub use overload::{ADMIT_ALL, ClassPressure, OverloadReport};
 pub use run_time::FastestRun;
-pub use ticket::{ClassLimit, Decision, Finished, RefusalReason, Ticket};
+pub use ticket::{ClassLimit, Decision, Finished, Refusal, RefusalReason, Ticket};
 
 /// Shortest advice to a caller whose class is shut out: the threshold changes no faster.
 const THRESHOLD_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/domain/src/admission/ticket.rs
+++ b/crates/domain/src/admission/ticket.rs
@@ -39,6 +39,17 @@
     LeavesRefused,
     /// Its request key belongs to another request.
     KeyTaken,
+    /// As many request keys are known as may be.
+    KeysExhausted,
+}
+
+/// Why something was not run, and when asking again is worth while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When asking again is worth while.
+    pub retry_after: Duration,
 }
 
 /// What becomes of a ticket.
--- a/crates/domain/src/dispatch/active.rs
+++ b/crates/domain/src/dispatch/active.rs
@@ -19,8 +19,6 @@
     pub(super) execution: Option<Execution>,
     /// When late shards are hedged next.
     pub(super) hedge_at: Option<Timestamp>,
-    /// The caller hung up, but the request key keeps the query going.
-    pub(super) caller_gone: bool,
     /// Resent requests that wait for its outcome.
     pub(super) followers: Vec<QueryId>,
 }
@@ -40,7 +38,6 @@
             started: None,
             execution: None,
             hedge_at: None,
-            caller_gone: false,
             followers: Vec::new(),
         }
     }
--- a/crates/domain/src/dispatch/intake.rs
+++ b/crates/domain/src/dispatch/intake.rs
@@ -42,11 +42,8 @@
     /// lets the caller ask for the outcome later.
     pub(super) fn abandon(&mut self, now: Timestamp, query: QueryId, effects: &mut Vec<Effect>) {
         self.detach(query);
-        let Some(active) = self.queries.get_mut(&query) else {
-            return;
-        };
-        if active.submission.key.is_some() {
-            active.caller_gone = true;
+        let keyed = |active: &ActiveQuery| active.submission.key.is_some();
+        if self.queries.get(&query).is_some_and(keyed) {
             return;
         }
         let Some(active) = self.forget(query) else {
@@ -60,7 +57,8 @@
         }
     }
 
-    /// Gives a query that was forgotten its outcome, and those that wait for the same one.
+    /// Gives a query that was forgotten its outcome, and those that wait for the same one. The
+    /// caller of a query under a key may have hung up; the driver then drops the outcome.
     pub(super) fn conclude(
         &mut self,
         now: Timestamp,
@@ -82,9 +80,7 @@
                 self.answer(*follower, outcome.clone(), effects);
             }
         }
-        if !active.caller_gone {
-            self.answer(active.submission.query, outcome, effects);
-        }
+        self.answer(active.submission.query, outcome, effects);
     }
 
     /// A resent request has waited to its own deadline; the query that runs goes on.
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -13,13 +13,13 @@
 
 use rand_core::RngCore;
 
-use crate::admission::{Admission, ClassLimit, Decision, OverloadReport};
+use crate::admission::{Admission, ClassLimit, Decision, OverloadReport, Refusal, RefusalReason};
 use crate::budget::Budgets;
 use crate::catalog::{Catalog, Service};
 use crate::identifiers::{CallerName, LeafId, QueryId, ServiceName, Snapshot};
 use crate::metering::{ChargeCounters, ChargeReport};
 use crate::query::QueryOutcome;
-use crate::request_key::{KeysExhausted, RequestKey, RequestKeys};
+use crate::request_key::{RequestKey, RequestKeys};
 use crate::routing::Router;
 use crate::time::Timestamp;
 use active::ActiveQuery;
@@ -95,13 +95,20 @@
     /// Issues a request key to a caller.
     ///
     /// # Errors
-    /// [`KeysExhausted`] when as many keys are known as may be.
-    pub fn issue_key(
-        &mut self,
-        now: Timestamp,
-        caller: CallerName,
-    ) -> Result<RequestKey, KeysExhausted> {
-        self.keys.issue(now, caller)
+    /// A [`Refusal`] when the broker stops, the caller has no account, or as many keys are known
+    /// as may be.
+    pub fn issue_key(&mut self, now: Timestamp, caller: CallerName) -> Result<RequestKey, Refusal> {
+        let refuse = |reason| Refusal { reason, retry_after: DEFAULT_RETRY_AFTER };
+        if self.stopping {
+            return Err(refuse(RefusalReason::Stopping));
+        }
+        if !self.catalog.callers().contains_key(&caller) {
+            return Err(refuse(RefusalReason::UnknownCaller));
+        }
+        self.keys.issue(now, caller).map_err(|exhausted| Refusal {
+            reason: RefusalReason::KeysExhausted,
+            retry_after: exhausted.retry_after,
+        })
     }
 
     /// What answered requests cost, as totals of this run.
@@ -109,6 +116,11 @@
         self.charges.report(self.settings.name.clone(), self.settings.run)
     }
 
+    /// How often a replica was left out so far.
+    pub fn ejections(&self) -> u64 {
+        self.router.ejections()
+    }
+
     /// Load and refusals of each service, by name.
     pub fn overload(&self) -> Vec<OverloadReport> {
         let report = |(name, admission): (&ServiceName, &Admission)| admission.report(name.clone());
--- a/crates/domain/src/dispatch/scatter.rs
+++ b/crates/domain/src/dispatch/scatter.rs
@@ -105,7 +105,7 @@
                 self.router.choose(now, route, again, random)
             })
         });
-        let Some(sending) = leaf.and_then(|leaf| execution.send(now, shard, leaf)) else {
+        let Some(sending) = leaf.and_then(|leaf| execution.send(now, shard, leaf, kind)) else {
             pay_back(kind, &mut view.tail);
             return execution.give_up(shard);
         };
@@ -341,7 +341,7 @@
         else {
             return;
         };
-        if !view.tail.take_hedge() {
+        if !pay(AttemptKind::Hedge, &mut view.tail) {
             return;
         }
         let refused = view.snapshots.refusing(now, execution.snapshot());
@@ -350,8 +350,10 @@
         let leaf = execution
             .route(shard)
             .and_then(|route| self.router.choose(now, route, exclusions, self.random.as_mut()));
-        let Some(sending) = leaf.and_then(|leaf| execution.send(now, shard, leaf)) else {
-            view.tail.give_back_hedge();
+        let Some(sending) =
+            leaf.and_then(|leaf| execution.send(now, shard, leaf, AttemptKind::Hedge))
+        else {
+            pay_back(AttemptKind::Hedge, &mut view.tail);
             return;
         };
         self.router.sent(sending.leaf);
@@ -419,12 +421,15 @@
     match kind {
         AttemptKind::Primary => true,
         AttemptKind::Retry => tail.take_retry(),
+        AttemptKind::Hedge => tail.take_hedge(),
     }
 }
 
 fn pay_back(kind: AttemptKind, tail: &mut TailControl) {
-    if kind == AttemptKind::Retry {
-        tail.give_back_retry();
+    match kind {
+        AttemptKind::Primary => {}
+        AttemptKind::Retry => tail.give_back_retry(),
+        AttemptKind::Hedge => tail.give_back_hedge(),
     }
 }
 
--- a/crates/domain/src/query/execution.rs
+++ b/crates/domain/src/query/execution.rs
@@ -55,6 +55,8 @@
     pub leaf: LeafId,
     /// The snapshot it reads.
     pub snapshot: Snapshot,
+    /// Why it is sent.
+    pub kind: AttemptKind,
 }
 
 /// A leaf request in flight.
@@ -81,13 +83,15 @@
     Complete,
 }
 
-/// What another attempt at a shard would be.
+/// Why a request is sent to a leaf.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptKind {
     /// The first, or one after attempts of which no byte was written: no extra load.
     Primary,
     /// One more after a failure.
     Retry,
+    /// One more beside one that is late.
+    Hedge,
 }
 
 #[derive(Debug, Default)]
@@ -235,14 +239,20 @@
     }
 
     /// Records that the shard is asked of `leaf` now.
-    pub fn send(&mut self, now: Timestamp, shard: ShardId, leaf: LeafId) -> Option<Sending> {
+    pub fn send(
+        &mut self,
+        now: Timestamp,
+        shard: ShardId,
+        leaf: LeafId,
+        kind: AttemptKind,
+    ) -> Option<Sending> {
         let number = self.next_attempt;
         let progress = self.progress_mut(shard)?;
         let state = AttemptState::InFlight;
         progress.attempts.push(Attempt { number, leaf, sent: now, state });
         self.next_attempt += 1;
         let request = LeafRequestId { query: self.query, shard, attempt: number };
-        Some(Sending { request, leaf, snapshot: self.snapshot })
+        Some(Sending { request, leaf, snapshot: self.snapshot, kind })
     }
 
     /// No replica can be asked for the shard any more.
--- a/crates/domain/src/routing/mod.rs
+++ b/crates/domain/src/routing/mod.rs
@@ -82,6 +82,7 @@
     brokers: Arc<[BrokerEntry]>,
     common_latency: f64,
     compared: Timestamp,
+    ejections: u64,
 }
 
 impl Router {
@@ -96,6 +97,7 @@
             brokers: Arc::new([]),
             common_latency: 0.001,
             compared: Timestamp::ZERO,
+            ejections: 0,
         }
     }
 
@@ -187,6 +189,11 @@
         self.leaves.get(&leaf).is_some_and(|view| view.ejection.is_out(now))
     }
 
+    /// How often a replica was left out so far.
+    pub fn ejections(&self) -> u64 {
+        self.ejections
+    }
+
     /// A request was sent to the leaf.
     pub fn sent(&mut self, leaf: LeafId) {
         if let Some(view) = self.leaves.get_mut(&leaf) {
@@ -358,6 +365,7 @@
         if allowed && let Some(view) = self.leaves.get_mut(&leaf) {
             view.ejection.eject(now);
             view.forget_latency();
+            self.ejections += 1;
         }
     }
 
--- a/crates/domain/tests/budgets.rs
+++ b/crates/domain/tests/budgets.rs
@@ -6,8 +6,8 @@
 
 use gingerkeel_domain::admission::RefusalReason;
 use gingerkeel_domain::budget::{Budgets, Unpaid};
-use gingerkeel_domain::catalog::{CallerAccount, Change};
-use gingerkeel_domain::dispatch::{Effect, Event};
+use gingerkeel_domain::catalog::{AnswerPolicy, CallerAccount, Catalog, Change};
+use gingerkeel_domain::dispatch::{Effect, Event, SchedulingPolicy};
 use gingerkeel_domain::identifiers::{BrokerName, BrokerRun, CallerName, ClassName};
 use gingerkeel_domain::metering::{ChargeCounters, ChargeKey, ChargeLedger, ChargeTotal};
 use gingerkeel_domain::query::{LeafFailure, NotRunReason, QueryOutcome, Sending};
@@ -113,11 +113,27 @@
 }
 
 #[test]
-fn a_caller_without_an_account_is_refused() {
+fn a_caller_without_an_account_gets_neither_a_key_nor_an_answer() {
     let mut harness = poor();
-    let key = harness.dispatcher.issue_key(harness.now, CallerName::new("stranger")).unwrap();
-    let (_, effects) = harness.submit_keyed(CallerName::new("stranger"), &key, 1, millis(500));
+    let stranger = CallerName::new("stranger");
+    let refusal = harness.dispatcher.issue_key(harness.now, stranger).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::UnknownCaller);
+    let mut harness = Harness::with_catalog(catalog_without_callers(), SchedulingPolicy::Standard);
+    let effects = harness.submit(true);
     assert_eq!(reason(&effects), Some(RefusalReason::UnknownCaller));
+    assert_eq!(sends(&effects), []);
+}
+
+/// The catalog of the other tests, but for the account.
+fn catalog_without_callers() -> Catalog {
+    let mut catalog = Catalog::default();
+    change(&mut catalog, Change::AddLeaf(leaf(0, placement("south", "a"))));
+    change(&mut catalog, Change::DefineService { service: service(), concurrency: 100 });
+    let policy = class("urgent", AnswerPolicy::Full);
+    change(&mut catalog, Change::DefineClass { service: service(), policy });
+    repartition(&mut catalog, &[&[0]]);
+    publish(&mut catalog, 1);
+    catalog
 }
 
 /// Ends a query in a way that is not an answer.
--- a/crates/domain/tests/request_keys.rs
+++ b/crates/domain/tests/request_keys.rs
@@ -88,6 +88,14 @@
     assert_eq!(sends(&effects).len(), 1);
 }
 
+#[test]
+fn a_broker_that_stops_issues_no_keys() {
+    let mut harness = Harness::new(&[&[0]]);
+    harness.handle(Event::StopRequested);
+    let refusal = harness.dispatcher.issue_key(harness.now, caller()).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::Stopping);
+}
+
 #[test]
 fn a_refusal_on_entry_leaves_the_key_unused() {
     let mut harness = Harness::new(&[&[0]]);
@@ -113,7 +121,10 @@
     assert!(harness.dispatcher.is_active(first));
     let (second, _) = harness.submit_keyed(caller(), &key, DIGEST, millis(1000));
     let ended = outcomes(&harness.answer(sending));
-    assert!(matches!(ended.as_slice(), [(query, QueryOutcome::Answered(_))] if *query == second));
+    let answered = |(query, outcome): &(QueryId, QueryOutcome)| {
+        *query == second && matches!(outcome, QueryOutcome::Answered(_))
+    };
+    assert!(ended.iter().any(answered), "{ended:?}");
 }
 
 #[test]
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -20,12 +20,18 @@
     pub listen: SocketAddr,
     /// Feed addresses of the control processes.
     pub control: Vec<SocketAddr>,
+    /// Address on which metrics are read; none by default.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// Connections that callers may hold at the same time.
     #[serde(default = "default_caller_connections")]
     pub caller_connections: u32,
     /// Bytes of a caller's request body.
     #[serde(default = "default_body_bytes")]
     pub body_bytes: u32,
+    /// Milliseconds from the first byte of a caller's request to its last.
+    #[serde(default = "default_request_time_ms")]
+    pub request_time_ms: u32,
     /// Connections to one leaf.
     #[serde(default = "default_connections_per_leaf")]
     pub connections_per_leaf: u32,
@@ -56,6 +62,10 @@
     64 * 1024
 }
 
+fn default_request_time_ms() -> u32 {
+    10_000
+}
+
 fn default_connections_per_leaf() -> u32 {
     16
 }
@@ -78,6 +88,14 @@
         )?;
         let accepted = (1..=16 * 1024 * 1024).contains(&self.body_bytes);
         check.field("body_bytes", self.body_bytes, accepted, "use a number from 1 to 16777216")?;
+        let accepted = (1..=60_000).contains(&self.request_time_ms);
+        let remedy = "use milliseconds from 1 to 60000";
+        check.field("request_time_ms", self.request_time_ms, accepted, remedy)?;
+        if let Some(metrics) = self.metrics {
+            let remedy = "use another address than that of callers";
+            let distinct = metrics != self.listen || metrics.port() == 0;
+            check.field("metrics", metrics, distinct, remedy)?;
+        }
         let connections = self.connections_per_leaf;
         let accepted = (1..=1024).contains(&connections);
         check.field("connections_per_leaf", connections, accepted, "use a number from 1 to 1024")
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use monoio::io::AsyncReadRent;
 use monoio_codec::{Decoded, Decoder, FramedRead};
 use monoio_http::common::request::{Request, RequestHead};
@@ -82,14 +83,26 @@
         None => return Ok(None),
         Some(result) => result?,
     };
+    check_framing(head.headers())?;
     check_declared_length(head.headers(), limits)?;
     let body = read_body(framed, body, limits).await?;
     Ok(Some((head, body)))
 }
 
+/// Refuses a message whose length is declared more than once: peers that take different
+/// declarations for the true one disagree on where the next message begins.
+fn check_framing(headers: &HeaderMap) -> Result<(), TransportError> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let declarations = lengths + usize::from(headers.contains_key(TRANSFER_ENCODING));
+    if declarations > 1 {
+        return Err(TransportError::Malformed("its length is declared more than once".to_owned()));
+    }
+    Ok(())
+}
+
 fn check_declared_length(headers: &HeaderMap, limits: &Limits) -> Result<(), TransportError> {
     let declared = headers
-        .get(http::header::CONTENT_LENGTH)
+        .get(CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse::<usize>().ok());
     match declared {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,12 +1,14 @@
 //! The side of a connection that answers requests.
 
-use monoio::io::sink::SinkExt;
+use bytes::BytesMut;
+use monoio::io::sink::{Sink, SinkExt};
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
-use monoio_codec::FramedRead;
+use monoio_codec::{Decoded, Decoder, FramedRead};
 use monoio_http::common::request::RequestHead;
 use monoio_http::h1::codec::encoder::GenericEncoder;
+use monoio_http::h1::payload::Payload;
 
 use crate::message::{HttpRequest, HttpResponse, RequestDecoder, payload, read_message};
 use crate::{Limits, TransportError};
@@ -62,17 +64,52 @@
     }
 }
 
+/// Takes whatever has arrived.
+struct Discard;
+
+impl Decoder for Discard {
+    type Item = usize;
+    type Error = TransportError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Decoded<usize>, TransportError> {
+        let count = source.len();
+        source.clear();
+        Ok(if count > 0 { Decoded::Some(count) } else { Decoded::Insufficient })
+    }
+}
+
 impl RequestReader {
+    /// Waits for the first byte of the next request; false when the peer closed the connection.
+    /// Nothing is lost when the wait is given up.
+    ///
+    /// # Errors
+    /// A [`TransportError`] when the socket fails.
+    pub async fn wait(&mut self) -> Result<bool, TransportError> {
+        if !self.framed.read_buffer().is_empty() {
+            return Ok(true);
+        }
+        Ok(!self.framed.peek_data().await?.is_empty())
+    }
+
+    /// Reads and drops up to `limit` bytes until the peer closes the connection, so that closing
+    /// it here does not reset it before the peer has read its response.
+    pub async fn discard(&mut self, limit: usize) {
+        let mut dropped = 0;
+        while let Some(Ok(count)) = self.framed.next_with(&mut Discard).await {
+            dropped += count;
+            if dropped > limit {
+                return;
+            }
+        }
+    }
+
     /// Reads the next request; none when the peer closed the connection between requests.
     ///
     /// # Errors
     /// A [`TransportError`] when the request is malformed, too large, too slow or cut short.
     pub async fn next_request(&mut self) -> Result<Option<HttpRequest>, TransportError> {
-        if self.framed.read_buffer().is_empty() {
-            let first = self.framed.peek_data().await?;
-            if first.is_empty() {
-                return Ok(None);
-            }
+        if !self.wait().await? {
+            return Ok(None);
         }
         let reading =
             read_message::<_, RequestDecoder, RequestHead>(&mut self.framed, &self.limits);
@@ -97,4 +134,12 @@
         self.encoder.send_and_flush(response).await?;
         Ok(())
     }
+    /// Tells the peer that nothing more will be sent.
+    ///
+    /// # Errors
+    /// A [`TransportError`] when the socket fails.
+    pub async fn close(&mut self) -> Result<(), TransportError> {
+        Sink::<http::Response<Payload>>::close(&mut self.encoder).await?;
+        Ok(())
+    }
 }
