--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod catalog;
+pub mod consensus;
 pub mod dispatch;
 pub mod identifiers;
 pub mod metering;
