Simulate resent keys, cut budgets, short queues and a threshold

Cause: admission's eviction and threshold, budgets, charges and request keys had unit tests but no run in which they meet lost replicas, hang-ups and overload.

Charges are checked in every scenario: a broker's totals are the prices of the answers it gave, each key once. Random schedules draw the new faults too.

The check of priorities leaves refusals for a spent budget out: dearer classes spend it sooner, which says nothing about the order of classes; no run had such a refusal before. The first form of the budget check was wrong, not the code: it counted a recorded answer again for each resend; random schedules showed it.

--- a/crates/simulation/src/serving/check.rs
+++ b/crates/simulation/src/serving/check.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use gingerkeel_domain::admission::RefusalReason;
 use gingerkeel_domain::identifiers::{LeafId, ShardId};
 use gingerkeel_domain::query::{Answer, MissingReason, QueryOutcome};
 use gingerkeel_domain::time::Timestamp;
 
+use super::broker::BrokerIndex;
+use super::check_accounts::{check_accounts, owners};
 use super::history::{GlobalQuery, History, QueryRecord};
 use super::world::decided_on_entry;
 
@@ -48,6 +51,14 @@
     CutByStop(GlobalQuery),
     /// A class was refused more than a lower one.
     LowerClassFirst(u8),
+    /// Requests under one key got different answers.
+    AnswersDiffer(GlobalQuery),
+    /// A broker's charges are not the prices of its answers.
+    FalseCharge(BrokerIndex),
+    /// A caller was answered for more than its budget.
+    OverBudget(BrokerIndex),
+    /// Something of a class that is shut out was run.
+    BelowThreshold(GlobalQuery),
 }
 
 /// All broken promises of a history.
@@ -65,6 +76,7 @@
     }
     check_leaving(history, &mut violations);
     check_priorities(history, &mut violations);
+    check_accounts(history, &mut violations);
     violations
 }
 
@@ -151,10 +163,13 @@
 ) {
     let mut mixed = false;
     let mut foreign = false;
+    let owners = owners(history, query);
     for part in &answer.parts {
         let text = String::from_utf8_lossy(&part.body).into_owned();
-        let owner = format!("{}/{}/{}/", query.broker.0, query.query, part.shard);
-        let read = text.strip_prefix(&owner).and_then(|rest| rest.split('=').next());
+        let read = owners.iter().find_map(|owner| {
+            let owner = format!("{}/{}/{}/", owner.broker.0, owner.query, part.shard);
+            text.strip_prefix(&owner).and_then(|rest| rest.split('=').next())
+        });
         foreign |= read.is_none();
         mixed |= read.is_some_and(|read| read != answer.snapshot.to_string());
     }
@@ -232,8 +247,10 @@
     for record in history.queries.values() {
         let class = classes.entry(record.priority).or_default();
         class.submitted += 1;
-        let refused = |(_, outcome): &(Timestamp, QueryOutcome)| {
-            matches!(outcome, QueryOutcome::NotRun { .. })
+        // A caller's own spent budget says nothing about the order of classes.
+        let refused = |(_, outcome): &(Timestamp, QueryOutcome)| match outcome {
+            QueryOutcome::NotRun { reason, .. } => *reason != RefusalReason::BudgetSpent,
+            _ => false,
         };
         class.refused += usize::from(record.outcomes.iter().any(refused));
     }
--- a/crates/simulation/src/serving/fault.rs
+++ b/crates/simulation/src/serving/fault.rs
@@ -54,6 +54,14 @@
     StopBroker(BrokerIndex),
     /// The broker is killed; its callers see a broken connection.
     KillBroker(BrokerIndex),
+    /// Callers send not-repeatable queries under keys from now on, and send them again.
+    ResendUnderKeys,
+    /// The callers' account is cut to this rate per second at each broker.
+    CutBudget(u64),
+    /// The queue of each class may hold this many queries from now on.
+    ShortenQueues(u32),
+    /// The brokers admit no class lower than this one from now on.
+    SetThreshold(u8),
     /// The leaf does not hold the published version of the shard any more.
     LoseVersion(LeafId, ShardId),
 }
@@ -92,4 +100,10 @@
     RefusalsHeldBack,
     /// All classes are queued as one.
     ClassesIgnored,
+    /// The dispatcher is told of no request key.
+    KeysIgnored,
+    /// The dispatcher is told of no cut budget.
+    BudgetUnheard,
+    /// The dispatcher is told of no threshold.
+    ThresholdUnheard,
 }
--- a/crates/simulation/src/serving/history.rs
+++ b/crates/simulation/src/serving/history.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use gingerkeel_domain::catalog::CallerAccount;
 use gingerkeel_domain::identifiers::{
     LeafId, LeafRequestId, PartitionEpoch, QueryId, ShardId, Snapshot,
 };
@@ -76,6 +77,37 @@
     pub requested: Timestamp,
 }
 
+/// A budget that was cut.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BudgetRecord {
+    /// The account since then.
+    pub account: CallerAccount,
+    /// When it was ordered.
+    pub ordered: Timestamp,
+    /// When every broker knows it.
+    pub in_force: Timestamp,
+}
+
+/// A threshold that was set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ThresholdRecord {
+    /// Priority of the lowest class admitted.
+    pub lowest_admitted: u8,
+    /// When every broker knows it.
+    pub in_force: Timestamp,
+}
+
+/// What one broker had charged at the end of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChargeRecord {
+    /// The broker.
+    pub broker: BrokerIndex,
+    /// Answered queries that it counted.
+    pub answered: u64,
+    /// Their prices together.
+    pub units: u64,
+}
+
 /// All that callers and leaves saw in one run.
 #[derive(Debug, Clone, Default)]
 pub struct History {
@@ -89,6 +121,12 @@
     pub drains: Vec<DrainRecord>,
     /// Brokers that were told to stop.
     pub stops: Vec<StopRecord>,
+    /// The budget, if it was cut.
+    pub budget: Option<BudgetRecord>,
+    /// The threshold, if one was set.
+    pub threshold: Option<ThresholdRecord>,
+    /// What brokers had charged at the end.
+    pub charges: Vec<ChargeRecord>,
     /// Shards of every partition map that was ever in force.
     pub shards: BTreeMap<PartitionEpoch, Vec<ShardId>>,
 }
--- a/crates/simulation/src/serving/mod.rs
+++ b/crates/simulation/src/serving/mod.rs
@@ -3,10 +3,13 @@
 mod broker;
 mod caller;
 mod check;
+mod check_accounts;
 mod fault;
 mod history;
 mod leaf;
 mod network;
+mod operator;
+mod resend;
 mod scenario;
 mod world;
 
--- a/crates/simulation/src/serving/scenario.rs
+++ b/crates/simulation/src/serving/scenario.rs
@@ -6,8 +6,8 @@
 
 use gingerkeel_domain::catalog::{CallerAccount, Catalog, Change, Leaf, LeafState, Placement};
 use gingerkeel_domain::identifiers::{
-    CallerName, IndexVersion, LeafId, PartitionEpoch, RegionName, ServiceName, ShardId, Snapshot,
-    ZoneName,
+    BrokerRun, CallerName, IndexVersion, LeafId, PartitionEpoch, RegionName, ServiceName, ShardId,
+    Snapshot, ZoneName,
 };
 use gingerkeel_domain::time::Timestamp;
 use rand::{Rng, SeedableRng};
@@ -170,6 +170,24 @@
             )]),
             scenario!("overload-2", 4.0, |_random| Vec::new()),
             scenario!("overload-4", 8.0, |_random| Vec::new()),
+            scenario!("short-queues", 8.0, |random| vec![at(
+                any_moment(random) / 2,
+                Fault::ShortenQueues(random.random_range(2..12))
+            )]),
+            scenario!("threshold", 8.0, |random| vec![at(
+                any_moment(random) / 2,
+                Fault::SetThreshold(random.random_range(0..2))
+            )]),
+            scenario!("budget-cut", 1.0, |random| vec![at(
+                any_moment(random) / 2,
+                Fault::CutBudget(random.random_range(50..200))
+            )]),
+            scenario!("resent-keys", 1.0, |_random| vec![at(0, Fault::ResendUnderKeys)]),
+            scenario!("resent-keys-replica-lost", 1.0, |random| {
+                let leaf = any_leaf(random);
+                let moment = any_moment(random);
+                vec![at(0, Fault::ResendUnderKeys), at(moment, Fault::Kill(leaf))]
+            }),
         ]
     }
 
@@ -231,7 +249,8 @@
     for fault in faults {
         start.after(fault.at, Event::Fault(fault.fault));
     }
-    let world = run(world, start, ARRIVALS + SETTLING)?;
+    let mut world = run(world, start, ARRIVALS + SETTLING)?;
+    world.record_charges();
     let violations = check(&world.history);
     Ok(Outcome { trace_hash: world.trace.hash(), history: world.history, violations })
 }
@@ -243,7 +262,9 @@
     print_trace: bool,
 ) -> ServingWorld {
     let mut random = Pcg64::seed_from_u64(seed);
-    let brokers = (0..BROKERS).map(|_| BrokerModel::new(random.random(), mutant)).collect();
+    let brokers = (0..BROKERS as u64)
+        .map(|number| BrokerModel::new(random.random(), BrokerRun(number), mutant))
+        .collect();
     let leaves: BTreeMap<LeafId, LeafModel> = (0..SHARDS * REPLICAS)
         .map(LeafId)
         .map(|id| (id, LeafModel::new(SLOTS as usize, first_snapshot())))
@@ -257,6 +278,7 @@
         history: History::default(),
         trace: Trace::new(print_trace),
         network: Network::default(),
+        resending: false,
         random,
         mutant,
     }
--- a/crates/simulation/src/serving/world.rs
+++ b/crates/simulation/src/serving/world.rs
@@ -32,7 +32,7 @@
 /// Time after the first leaf loads a version until the operator publishes it.
 const PUBLISH_DELAY: Duration = Duration::from_millis(200);
 /// Within this time a change reaches a broker.
-const FEED_DELAY: Duration = Duration::from_millis(50);
+pub const FEED_DELAY: Duration = Duration::from_millis(50);
 
 /// Name of the rehearsed service.
 pub const SERVICE: &str = "records";
@@ -62,6 +62,10 @@
     SnapshotLoaded(LeafId, Snapshot),
     /// An operator's change is accepted.
     ChangeAccepted(Change),
+    /// A caller sends a query again under its key.
+    CallerResends(GlobalQuery),
+    /// The caller of a query hangs up.
+    CallerHangsUp(GlobalQuery),
     /// An answer that was held back is given.
     HeldAnswer(GlobalQuery, QueryOutcome),
     /// A fault comes.
@@ -86,6 +90,8 @@
     pub trace: Trace,
     /// The network between brokers and leaves.
     pub network: Network,
+    /// Callers send not-repeatable queries under keys, and send them again.
+    pub resending: bool,
     /// Source of all random choices of the world.
     pub random: Pcg64,
     /// A rule that is switched off.
@@ -130,6 +136,8 @@
                 }
             }
             Event::ChangeAccepted(change) => self.accept(&change, schedule),
+            Event::CallerResends(query) => self.caller_resends(now, query, schedule),
+            Event::CallerHangsUp(query) => self.caller_hangs_up(now, query, schedule),
             Event::HeldAnswer(query, outcome) => self.deliver(now, query, outcome),
             Event::Fault(fault) => self.fault(now, fault, schedule),
         }
@@ -184,17 +192,32 @@
         }
         let broker = BrokerIndex(alive[self.random.random_range(0..alive.len())]);
         let repeatable = !self.random.random_bool(load.not_repeatable);
-        let submission = self.submission(now, broker, &load, repeatable);
+        let mut submission = self.submission(now, broker, &load, repeatable);
+        if self.resending && !repeatable {
+            self.plan_resends(now, broker, &mut submission, schedule);
+        }
+        self.submit(now, broker, submission, load.policy.priority, schedule);
+    }
+
+    /// A query reaches a broker.
+    pub(super) fn submit(
+        &mut self,
+        now: Timestamp,
+        broker: BrokerIndex,
+        submission: Submission,
+        priority: u8,
+        schedule: &mut Schedule<Event>,
+    ) {
         let query = GlobalQuery { broker, query: submission.query };
         let record = QueryRecord {
             submission: submission.clone(),
-            priority: load.policy.priority,
+            priority,
             submitted: now,
             outcomes: Vec::new(),
             excused: false,
         };
         self.history.queries.insert(query, record);
-        let submission = self.bend_class(submission);
+        let submission = self.bend_key(self.bend_class(submission));
         self.tell_broker(now, broker, BrokerEvent::Submitted(submission), schedule);
     }
 
@@ -226,7 +249,7 @@
         submission
     }
 
-    fn tell_broker(
+    pub(super) fn tell_broker(
         &mut self,
         now: Timestamp,
         broker: BrokerIndex,
@@ -503,6 +526,10 @@
             Fault::KillBroker(broker) => self.kill_broker(broker),
             Fault::Kill(leaf) => self.kill_leaf(leaf, schedule),
             Fault::Thaw(leaf) => self.thaw(leaf, schedule),
+            Fault::ResendUnderKeys => self.resending = true,
+            Fault::CutBudget(rate) => self.cut_budget(now, rate, schedule),
+            Fault::ShortenQueues(limit) => self.shorten_queues(limit, schedule),
+            Fault::SetThreshold(lowest) => self.set_threshold(now, lowest, schedule),
             other => self.leaf_fault(now, other),
         }
     }
--- a/crates/simulation/tests/schedules.rs
+++ b/crates/simulation/tests/schedules.rs
@@ -42,6 +42,10 @@
         leaf().prop_map(Fault::DrainByOperator),
         broker().prop_map(Fault::StopBroker),
         broker().prop_map(Fault::KillBroker),
+        Just(Fault::ResendUnderKeys),
+        (20u64..2000).prop_map(Fault::CutBudget),
+        (1u32..50).prop_map(Fault::ShortenQueues),
+        (0u8..3).prop_map(Fault::SetThreshold),
     ]
 }
 
