--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -9,6 +9,7 @@
 mod history;
 mod leaf_health;
 mod members;
+mod polling;
 mod sessions;
 mod thresholds;
 mod wall_time;
@@ -18,19 +19,21 @@
 use crate::catalog::{Catalog, CatalogError, Change};
 use crate::identifiers::Revision;
 
+pub use crate::consensus::LogIndex;
+
 pub use charges::{
     ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, Charges, RUN_RETENTION,
     TOMBSTONE_RETENTION,
 };
 pub use command::{
     ChangeOutcome, ChangeRefusal, ChangeRequest, Command, CommandBody, CommandId, CommandOutcome,
-    LogIndex,
 };
 pub use history::{AcceptedChange, HISTORY_LIMIT, History, Target};
 pub use leaf_health::{LeafHealth, LeafHealthChange, LeafHints};
 pub use members::{
     BrokerChange, BrokerRecord, CONTROL_LEASE, ControlRecord, ControlRenewal, Members,
 };
+pub use polling::polled_by;
 pub use sessions::{OUTCOMES_PER_SESSION, SESSION_LIMIT, SESSION_RETENTION, Sessions};
 pub use thresholds::{Threshold, Thresholds};
 pub use wall_time::WallTime;
--- a/crates/domain/src/routing/mod.rs
+++ b/crates/domain/src/routing/mod.rs
@@ -85,6 +85,7 @@
     held: BTreeSet<LeafId>,
     common_latency: f64,
     compared: Timestamp,
+    ejections: u64,
     probe_round: Option<Timestamp>,
 }
 
@@ -101,6 +102,7 @@
             held: BTreeSet::new(),
             common_latency: 0.001,
             compared: Timestamp::ZERO,
+            ejections: 0,
             probe_round: None,
         }
     }
@@ -232,6 +234,11 @@
         self.leaves.get(&leaf).is_some_and(|view| view.ejection.is_out(now))
     }
 
+    /// How often a replica was left out so far.
+    pub fn ejections(&self) -> u64 {
+        self.ejections
+    }
+
     /// A request was sent to the leaf.
     pub fn sent(&mut self, leaf: LeafId) {
         if let Some(view) = self.leaves.get_mut(&leaf) {
@@ -404,6 +411,7 @@
         if allowed && let Some(view) = self.leaves.get_mut(&leaf) {
             view.ejection.eject(now);
             view.forget_latency();
+            self.ejections += 1;
         }
     }
 
