Keep stand-in leaves alive when queued requests are cancelled

Leaf processes had died with 'RefCell already borrowed' in the semaphore of local-sync 0.1.1: dropping a waiter that was assigned its permit borrows the list of waiters twice. It happens when a request is cancelled in the same turn in which it gets a slot. The broker does not use that semaphore. Ruled out: the broker's retries and the leaves' shedding.

Before: a test of 20 callers that cancel 3,000 requests about when they get a slot ended with connections cut. After: it passes, three runs of three, with tokio's semaphore, which runs on any runtime and gives an assigned permit back. The load tool used the same semaphore and changes too.

--- a/crates/rehearsal/src/leaf/emulator.rs
+++ b/crates/rehearsal/src/leaf/emulator.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use local_sync::oneshot;
-use local_sync::semaphore::Semaphore;
 use monoio::time::{sleep, timeout};
+use tokio::sync::Semaphore;
 
 use super::admin::{AdminCommand, ReplyFault, ReplyFaultKind};
 use super::health::{HealthReport, LaggingReport};
--- a/crates/rehearsal/src/load/connections.rs
+++ b/crates/rehearsal/src/load/connections.rs
@@ -8,8 +8,8 @@
     ClientConnection, HttpRequest, HttpResponse, Limits, RequestWriter, ResponseReader,
     TransportError,
 };
-use local_sync::semaphore::{Semaphore, SemaphorePermit};
 use monoio::time::timeout;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Time within which a connection has to open.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
