--- a/crates/rehearsal/src/bench/broker.rs
+++ b/crates/rehearsal/src/bench/broker.rs
@@ -180,6 +180,7 @@
         let report = measure(&mut fleet, flags, *rate, &step)?;
         print(&report);
     }
+    fleet.check_running()?;
     fleet.stop();
     Ok(())
 }
--- a/crates/rehearsal/src/bench/memory.rs
+++ b/crates/rehearsal/src/bench/memory.rs
@@ -69,6 +69,7 @@
     let folder = subfolder(folder, kind)?;
     let mut fleet = Fleet::launch(topology, &subfolder(&folder, "fleet")?)?;
     let points = points(&mut fleet, &folder)?;
+    fleet.check_running()?;
     fleet.stop();
     fit(kind, &points);
     Ok(())
--- a/crates/rehearsal/src/experiment/mod.rs
+++ b/crates/rehearsal/src/experiment/mod.rs
@@ -84,7 +84,7 @@
     let mut topology = settings.topology.clone();
     topology.policy = policy;
     topology.scale_load(load);
-    let fleet = Fleet::launch(&topology, folder)?;
+    let mut fleet = Fleet::launch(&topology, folder)?;
     if let Some(slow) = &settings.slow_leaves {
         slow_down(&fleet, slow)?;
     }
@@ -93,6 +93,7 @@
     sleep(Duration::from_secs_f64(settings.warm_up_seconds));
     let measured_from = clock::now();
     run.join();
+    fleet.check_running()?;
     let unfinished = fleet.stop();
     if !unfinished.is_empty() {
         return Err(RehearsalError::NotReady(format!("the end of {}", unfinished.join(", "))));
--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -118,6 +118,17 @@
         self.controls[index].usage()
     }
 
+    /// Fails when a process has ended by itself.
+    ///
+    /// # Errors
+    /// [`RehearsalError::EndedEarly`] with the log that tells why.
+    pub fn check_running(&mut self) -> Result<(), RehearsalError> {
+        let brokers = self.brokers.iter_mut().map(|broker| &mut broker.process);
+        let leaves = self.leaf_processes.iter_mut().map(|leaves| &mut leaves.process);
+        let mut processes = self.controls.iter_mut().chain(brokers).chain(leaves);
+        processes.try_for_each(ManagedProcess::check_running)
+    }
+
     /// Requests that all leaves began to run.
     ///
     /// # Errors
