--- a/crates/broker/src/catalog_follower.rs
+++ b/crates/broker/src/catalog_follower.rs
@@ -8,13 +8,14 @@
 use gingerkeel_domain::identifiers::Revision;
 use gingerkeel_settings::BrokerSettings;
 
+use crate::clock::Clock;
 use crate::engine::EngineMessage;
 use crate::feed;
 
 /// Follows the catalog for ever; `applied` is told each revision that comes into force.
 pub async fn follow_catalog(settings: BrokerSettings, mut applied: impl FnMut(Revision)) {
     let (engine, mut messages) = local_sync::mpsc::unbounded::channel();
-    monoio::spawn(feed::follow(settings, engine));
+    monoio::spawn(feed::follow(settings, Clock::start(), engine));
     let mut in_force = Arc::default();
     while let Some(message) = messages.recv().await {
         if let EngineMessage::CatalogChanged(catalog) = message {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -6,8 +6,11 @@
 
 pub mod admission;
 pub mod catalog;
+pub mod cluster;
 pub mod consensus;
 pub mod dispatch;
+pub mod feed;
+mod hash;
 pub mod identifiers;
 pub mod query;
 pub mod routing;
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hollow_brokers;
 pub mod leaf;
 pub mod load;
+pub mod log_member;
 pub mod plot;
 pub mod process_usage;
 pub mod record;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -10,6 +10,7 @@
 use gingerkeel_rehearsal::hollow_brokers::{self, HollowBrokersFlags};
 use gingerkeel_rehearsal::leaf::{self, LeafFlags};
 use gingerkeel_rehearsal::load::{self, LoadFlags};
+use gingerkeel_rehearsal::log_member::{self, LogMemberFlags};
 use gingerkeel_rehearsal::scale::{self, ScaleFlags};
 use gingerkeel_settings::{EXIT_BAD_SETTINGS, start_logging};
 use gumdrop::Options;
@@ -40,6 +41,8 @@
     Check(CheckFlags),
     #[options(help = "run a small fleet under load, drain a leaf and kill another")]
     Demo(DemoFlags),
+    #[options(help = "run a member of a replicated log of plain words")]
+    LogMember(LogMemberFlags),
     #[options(help = "measure speed, memory and balance")]
     Bench(BenchFlags),
     #[options(help = "run an experiment file")]
@@ -83,6 +86,7 @@
         Command::Load(flags) => load::run(flags).map(|()| 0),
         Command::Check(flags) => check::run(flags),
         Command::Demo(flags) => demo::run(flags),
+        Command::LogMember(flags) => log_member::run(flags).map(|()| 0),
         Command::Bench(flags) => bench::run(flags).map(|()| 0),
         Command::Run(flags) => experiment::run(&flags),
         Command::Scale(flags) => scale::run(&flags).map(|()| 0),
