Replicate the log between control processes

A task owns the core and the writer thread; peers talk by binrw frames over one connection per direction, which checks protocol version, cluster, and that the settings name the peer, and gives a silent connection up after 2 s. Settings name node, cluster, region, zone and peers; peers alike are refused. The first voter forms the cluster only once every other voter has said that it has no log, so a machine that lost its disk joins as a learner, is promoted once caught up, and its old identity is removed. Members run as real processes under `gingerkeel-rehearsal log-member`: killed in turn and all at once, frozen, without a quorum, with a lost disk while another fails, alone, and with a folder in use or of another cluster. Ruled out: driving these in one process, as threads cannot be killed.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 mod catalog_task;
 mod feed;
 mod operators;
+pub mod replication;
 pub mod storage;
 mod tables;
 
--- /dev/null
+++ b/crates/control/src/replication/mod.rs
@@ -0,0 +1,101 @@
+//! The replicated log of a control process: the consensus core with its disk, peers and clock.
+//!
+//! One task owns the core. Other tasks ask it by [`ReplicationMessage`]; it tells the task of the
+//! state machine what to apply by [`StateMachineMessage`].
+
+mod clock;
+mod error;
+mod membership;
+mod messages;
+mod peers;
+mod requests;
+mod task;
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use gingerkeel_domain::consensus::{ConsensusSettings, Incarnation, NodeNumber};
+use gingerkeel_settings::ControlSettings;
+use local_sync::mpsc::unbounded::{self, Rx, Tx};
+use monoio::net::TcpListener;
+use tracing::info;
+
+use crate::storage::{DiskIo, FolderOwner, Storage};
+
+pub use error::{ChangeError, ProposeError, ReadError, StartError};
+pub use messages::{
+    MemberStatus, ReplicationMessage, ReplicationStatus, StateMachineMessage, StateSnapshot,
+};
+
+use messages::TaskEvent;
+
+/// Entries that are applied before the state machine is asked for a snapshot.
+pub const SNAPSHOT_INTERVAL: u64 = 1_000;
+
+/// How the log of a process is kept.
+#[derive(Debug, Clone, Copy)]
+pub struct ReplicationOptions {
+    /// Timing and limits of the core.
+    pub consensus: ConsensusSettings,
+    /// Entries that are applied before the state machine is asked for a snapshot.
+    pub snapshot_interval: u64,
+}
+
+impl Default for ReplicationOptions {
+    fn default() -> Self {
+        Self { consensus: ConsensusSettings::default(), snapshot_interval: SNAPSHOT_INTERVAL }
+    }
+}
+
+/// Opens the data folder and starts the log; what is accepted goes to `state_machine`.
+///
+/// # Errors
+/// A [`StartError`] when the folder or the address for peers cannot be used.
+pub fn start(
+    settings: &ControlSettings,
+    options: ReplicationOptions,
+    state_machine: Tx<StateMachineMessage>,
+) -> Result<Tx<ReplicationMessage>, StartError> {
+    let owner = FolderOwner {
+        cluster: settings.cluster.clone(),
+        node: NodeNumber(settings.node),
+        new_incarnation: new_incarnation(),
+    };
+    let opened = Storage::open(&settings.data_folder, &owner, Box::new(DiskIo))?;
+    info!(
+        event = "log_opened",
+        member = %opened.identity,
+        entries = opened.recovered.entries.len(),
+        snapshot = opened.recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index().0)
+    );
+    let (events, receiver) = unbounded::channel();
+    let identity = opened.identity;
+    let formed = !opened.recovered.is_empty();
+    let directory = peers::Directory::new(settings, identity, formed);
+    if let Some(address) = settings.peer_address() {
+        let listener =
+            TcpListener::bind(address).map_err(|error| StartError::Address(address, error))?;
+        monoio::spawn(peers::serve(listener, directory.clone(), events.clone()));
+    }
+    let links = peers::Links::start(settings, &directory, &events);
+    let task =
+        task::ReplicationTask::new(settings, options, opened, links, directory, state_machine);
+    let task = task.map_err(StartError::Thread)?;
+    let (sender, requests) = unbounded::channel();
+    monoio::spawn(forward_requests(requests, events.clone()));
+    monoio::spawn(task.run(receiver, events));
+    Ok(sender)
+}
+
+/// Microseconds since 1970: higher than for any earlier folder of the machine.
+fn new_incarnation() -> Incarnation {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+}
+
+async fn forward_requests(mut requests: Rx<ReplicationMessage>, events: Tx<TaskEvent>) {
+    while let Some(request) = requests.recv().await {
+        if events.send(TaskEvent::Request(request)).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/replication/peers/directory.rs
@@ -0,0 +1,107 @@
+//! Who the peers are, by the settings and by what they said.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use gingerkeel_domain::consensus::{Incarnation, MemberId, NodeNumber};
+use gingerkeel_protocol::{PROTOCOL_VERSION, PeerFrame, PeerIdentity, PeerRefusal};
+use gingerkeel_settings::ControlSettings;
+
+/// Who the peers are; shared by the tasks of one process.
+#[derive(Clone)]
+pub struct Directory {
+    own: MemberId,
+    formed: Rc<Cell<bool>>,
+    cluster: Rc<str>,
+    nodes: Rc<BTreeSet<NodeNumber>>,
+    latest: Rc<RefCell<BTreeMap<NodeNumber, PeerIdentity>>>,
+}
+
+impl Directory {
+    pub fn new(settings: &ControlSettings, own: MemberId, formed: bool) -> Self {
+        let nodes = settings.other_peers().map(|peer| NodeNumber(peer.node)).collect();
+        Self {
+            own,
+            formed: Rc::new(Cell::new(formed)),
+            cluster: settings.cluster.as_str().into(),
+            nodes: Rc::new(nodes),
+            latest: Rc::default(),
+        }
+    }
+
+    /// What this process says about itself.
+    pub fn own_identity(&self) -> PeerIdentity {
+        PeerIdentity {
+            node: self.own.node.0,
+            incarnation: self.own.incarnation.0,
+            formed: u8::from(self.formed.get()),
+        }
+    }
+
+    /// The log of this process holds entries.
+    pub fn set_formed(&self) {
+        self.formed.set(true);
+    }
+
+    pub fn hello(&self) -> PeerFrame {
+        PeerFrame::Hello {
+            protocol_version: PROTOCOL_VERSION,
+            identity: self.own_identity(),
+            cluster: self.cluster.as_bytes().to_vec(),
+        }
+    }
+
+    /// Checks what a process said when it connected.
+    pub fn check_hello(
+        &self,
+        protocol_version: u16,
+        cluster: &[u8],
+        identity: PeerIdentity,
+    ) -> Result<(), PeerRefusal> {
+        if protocol_version != PROTOCOL_VERSION {
+            return Err(PeerRefusal::ProtocolVersion);
+        }
+        if cluster != self.cluster.as_bytes() {
+            return Err(PeerRefusal::Cluster);
+        }
+        self.learn(identity)
+    }
+
+    /// Notes who a peer is, unless it is unknown or was seen with a later data folder.
+    pub fn learn(&self, identity: PeerIdentity) -> Result<(), PeerRefusal> {
+        let node = NodeNumber(identity.node);
+        if !self.nodes.contains(&node) {
+            return Err(PeerRefusal::UnknownPeer);
+        }
+        let mut latest = self.latest.borrow_mut();
+        if latest.get(&node).is_some_and(|known| known.incarnation > identity.incarnation) {
+            return Err(PeerRefusal::EarlierIncarnation);
+        }
+        latest.insert(node, identity);
+        Ok(())
+    }
+
+    /// Whether the machine has been seen with a later data folder.
+    pub fn is_superseded(&self, member: MemberId) -> bool {
+        self.latest
+            .borrow()
+            .get(&member.node)
+            .is_some_and(|known| known.incarnation > member.incarnation.0)
+    }
+
+    /// What a peer said last.
+    pub fn latest(&self, node: NodeNumber) -> Option<PeerIdentity> {
+        self.latest.borrow().get(&node).copied()
+    }
+
+    /// A peer whose log holds entries.
+    pub fn any_formed(&self) -> Option<MemberId> {
+        self.latest.borrow().values().find(|peer| peer.formed != 0).map(|peer| member(*peer))
+    }
+}
+
+/// The member that a peer said it is.
+pub fn member(identity: PeerIdentity) -> MemberId {
+    MemberId { node: NodeNumber(identity.node), incarnation: Incarnation(identity.incarnation) }
+}
--- /dev/null
+++ b/crates/control/src/replication/peers/mod.rs
@@ -0,0 +1,9 @@
+//! Connections to and from the other control processes.
+
+mod directory;
+mod incoming;
+mod outgoing;
+
+pub(super) use directory::{Directory, member};
+pub(super) use incoming::serve;
+pub(super) use outgoing::Links;
--- /dev/null
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -0,0 +1,185 @@
+//! Connections to peers, one each, kept up for ever.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gingerkeel_domain::consensus::{Envelope, NodeNumber};
+use gingerkeel_protocol::{FrameCodec, PeerFrame, ProtocolError, encode_document};
+use gingerkeel_settings::ControlSettings;
+use local_sync::mpsc::unbounded::{self, Rx, Tx};
+use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
+use monoio::net::TcpStream;
+use monoio::time::{sleep, timeout};
+use monoio_codec::FramedRead;
+use tracing::{info, warn};
+
+use super::directory::Directory;
+use super::incoming::{explain, send};
+use crate::replication::messages::TaskEvent;
+
+/// Pause between attempts to connect.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
+/// Time that a connection, a greeting or a write may take.
+const STEP_LIMIT: Duration = Duration::from_secs(2);
+/// Time between probes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Silence after which a connection is given up, as a cut leaves no other sign.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Messages that may wait for one peer; more are dropped, as the core repeats what matters.
+const QUEUE_LIMIT: usize = 1_024;
+
+/// The connections to all peers.
+pub struct Links {
+    links: BTreeMap<NodeNumber, Link>,
+}
+
+struct Link {
+    queue: Tx<Envelope>,
+    queued: Rc<Cell<usize>>,
+}
+
+impl Links {
+    pub fn start(
+        settings: &ControlSettings,
+        directory: &Directory,
+        events: &Tx<TaskEvent>,
+    ) -> Self {
+        let mut links = BTreeMap::new();
+        for peer in settings.other_peers() {
+            let (queue, receiver) = unbounded::channel();
+            let queued = Rc::new(Cell::new(0));
+            let task = LinkTask {
+                address: peer.address,
+                queue: receiver,
+                queued: queued.clone(),
+                directory: directory.clone(),
+                events: events.clone(),
+            };
+            monoio::spawn(task.run());
+            links.insert(NodeNumber(peer.node), Link { queue, queued });
+        }
+        Self { links }
+    }
+
+    /// Sends a message, unless too many wait already.
+    pub fn send(&self, envelope: Envelope) {
+        let Some(link) = self.links.get(&envelope.to.node) else {
+            return;
+        };
+        let queued = link.queued.get();
+        if queued < QUEUE_LIMIT && link.queue.send(envelope).is_ok() {
+            link.queued.set(queued + 1);
+        }
+    }
+}
+
+struct LinkTask {
+    address: SocketAddr,
+    queue: Rx<Envelope>,
+    queued: Rc<Cell<usize>>,
+    directory: Directory,
+    events: Tx<TaskEvent>,
+}
+
+impl LinkTask {
+    async fn run(mut self) {
+        let mut reported = false;
+        loop {
+            match self.connect().await {
+                Ok((reader, writer)) => {
+                    reported = false;
+                    if let Err(error) = self.transmit(reader, writer).await {
+                        info!(event = "peer_connection_ended", direction = "out", peer = %self.address, %error);
+                    }
+                }
+                Err(error) if !reported => {
+                    warn!(event = "peer_not_reached", peer = %self.address, %error);
+                    reported = true;
+                }
+                Err(_) => {}
+            }
+            self.drop_queue();
+            if self.events.is_closed() {
+                return;
+            }
+            sleep(RECONNECT_PAUSE).await;
+        }
+    }
+
+    async fn connect(&mut self) -> Result<(Reader, OwnedWriteHalf<TcpStream>), ProtocolError> {
+        let stream = step(TcpStream::connect_addr(self.address)).await??;
+        // Without it messages are only slower.
+        let _ = stream.set_nodelay(true);
+        let (read_half, mut writer) = stream.into_split();
+        let mut reader = FramedRead::new(read_half, ());
+        step(send(&mut writer, &self.directory.hello())).await??;
+        let mut codec = FrameCodec::<PeerFrame>::default();
+        match step(reader.next_with(&mut codec)).await?.transpose()? {
+            Some(PeerFrame::Welcome { identity }) => {
+                let learned = self.directory.learn(identity);
+                learned.map_err(|reason| ProtocolError::Malformed(explain(reason).into()))?;
+                info!(event = "peer_connected", peer = %self.address, node = identity.node);
+                // The log's task may have ended with the process.
+                let _ = self.events.send(TaskEvent::PeerKnown);
+                Ok((reader, writer))
+            }
+            Some(PeerFrame::Refused { reason }) => {
+                Err(ProtocolError::Malformed(format!("refused: {}", explain(reason))))
+            }
+            _ => Err(ProtocolError::Malformed("no welcome".into())),
+        }
+    }
+
+    async fn transmit(
+        &mut self,
+        reader: Reader,
+        mut writer: OwnedWriteHalf<TcpStream>,
+    ) -> Result<(), ProtocolError> {
+        self.drop_queue();
+        let heard = Rc::new(Cell::new(Some(Instant::now())));
+        monoio::spawn(listen(reader, heard.clone()));
+        let mut probed = Instant::now();
+        loop {
+            if let Ok(message) = timeout(PROBE_INTERVAL, self.queue.recv()).await {
+                let Some(envelope) = message else {
+                    return Ok(());
+                };
+                self.queued.set(self.queued.get().saturating_sub(1));
+                let document = encode_document(&envelope)?;
+                step(send(&mut writer, &PeerFrame::Consensus { document })).await??;
+            }
+            if heard.get().is_none_or(|heard| heard.elapsed() > SILENCE_LIMIT) {
+                return Err(ProtocolError::Malformed("the peer is silent".into()));
+            }
+            if probed.elapsed() >= PROBE_INTERVAL {
+                probed = Instant::now();
+                step(send(&mut writer, &PeerFrame::Probe)).await??;
+            }
+        }
+    }
+
+    /// What waited for a connection that is gone is of no use on the next.
+    fn drop_queue(&mut self) {
+        while self.queue.try_recv().is_ok() {}
+        self.queued.set(0);
+    }
+}
+
+type Reader = FramedRead<OwnedReadHalf<TcpStream>, ()>;
+
+/// Notes signs of life until the connection ends; then there is none any more.
+async fn listen(mut reader: Reader, heard: Rc<Cell<Option<Instant>>>) {
+    let mut codec = FrameCodec::<PeerFrame>::default();
+    while let Some(Ok(PeerFrame::ProbeReply)) = reader.next_with(&mut codec).await {
+        heard.set(Some(Instant::now()));
+    }
+    heard.set(None);
+}
+
+async fn step<F: Future>(future: F) -> Result<F::Output, ProtocolError> {
+    let limited = timeout(STEP_LIMIT, future).await;
+    limited.map_err(|_| ProtocolError::Malformed("the peer does not answer".into()))
+}
--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use gingerkeel_domain::consensus::{
-    HardState, LogIndex, MemberId, Recovered, SnapshotWrite, Write, WriteNumber,
+    HardState, LogIndex, MemberId, Recovered, SnapshotWrite, Write,
 };
 use rustix::fs::{FlockOperation, flock};
 use rustix::io::Errno;
@@ -81,19 +81,6 @@
         Ok(OpenedStorage { storage, identity, recovered })
     }
 
-    /// Makes an empty folder start from `recovered`, which holds no snapshot.
-    ///
-    /// # Errors
-    /// As [`Storage::persist`].
-    pub fn form(&mut self, recovered: &Recovered) -> Result<(), StorageError> {
-        self.persist(vec![Write {
-            number: WriteNumber(0),
-            hard_state: Some(recovered.hard_state),
-            snapshot: None,
-            entries: recovered.entries.clone(),
-        }])
-    }
-
     /// Persists writes in their order; when this gives `Ok`, all are on the disk.
     ///
     /// # Errors
--- a/crates/domain/src/consensus/node.rs
+++ b/crates/domain/src/consensus/node.rs
@@ -202,6 +202,20 @@
         }
     }
 
+    /// Forms a new cluster: the members become the first entry of an empty log.
+    ///
+    /// Only one member of a cluster may do so, once it knows that no other has a log. Without
+    /// effect when the log is not empty.
+    pub fn form(&mut self, now: Timestamp, configuration: Configuration) {
+        if self.log.last() != LogPosition::default() || self.hard_state != HardState::default() {
+            return;
+        }
+        let formed = Recovered::formed(configuration);
+        self.set_hard_state(formed.hard_state);
+        formed.entries.into_iter().for_each(|entry| self.append_entry(entry));
+        self.election_due = now;
+    }
+
     /// Puts a command into the log, or hands it to the leader.
     ///
     /// # Errors
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,11 +7,13 @@
 mod document;
 mod error;
 mod feed;
+mod peer;
 
 pub use codec::{Frame, FrameCodec, MAXIMUM_FRAME_BYTES, encode_frame};
 pub use document::{decode_document, encode_document};
 pub use error::ProtocolError;
 pub use feed::{FeedMessage, SubscriberMessage};
+pub use peer::{PeerFrame, PeerIdentity, PeerRefusal};
 
 /// Version of the frames; both ends of a connection must speak the same.
 pub const PROTOCOL_VERSION: u16 = 1;
--- a/crates/rehearsal/src/error.rs
+++ b/crates/rehearsal/src/error.rs
@@ -47,6 +47,10 @@
             source(error)
             display("{what}: {error}")
         }
+        /// A replicated log does not start, or does not answer.
+        Log(reason: String) {
+            display("{reason}")
+        }
         /// Statements were refused.
         Refused(reason: String) {
             display("a statement was refused ({reason}): correct the topology")
--- a/crates/rehearsal/src/fleet/launch.rs
+++ b/crates/rehearsal/src/fleet/launch.rs
@@ -37,9 +37,13 @@
 }
 
 /// Addresses of one control process.
-struct ControlAddresses {
-    operators: SocketAddr,
-    feed: SocketAddr,
+pub struct ControlAddresses {
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For brokers.
+    pub feed: SocketAddr,
+    /// For other control processes.
+    pub peers: SocketAddr,
 }
 
 impl Launch<'_> {
@@ -101,9 +105,13 @@
     }
 
     fn control_addresses(&self) -> Result<Vec<ControlAddresses>, RehearsalError> {
-        let addresses = free_addresses(self.topology.controls * 2)?;
-        let pairs = addresses.chunks_exact(2);
-        Ok(pairs.map(|pair| ControlAddresses { operators: pair[0], feed: pair[1] }).collect())
+        let addresses = free_addresses(self.topology.controls * 3)?;
+        let of_one = |own: &[SocketAddr]| ControlAddresses {
+            operators: own[0],
+            feed: own[1],
+            peers: own[2],
+        };
+        Ok(addresses.chunks_exact(3).map(of_one).collect())
     }
 
     fn start_controls(
@@ -111,12 +119,14 @@
         controls: &[ControlAddresses],
     ) -> Result<Vec<ManagedProcess>, RehearsalError> {
         let mut processes = Vec::new();
+        let peers: Vec<SocketAddr> = controls.iter().map(|control| control.peers).collect();
         for (number, control) in controls.iter().enumerate() {
             let name = format!("control-{number}");
             let data = self.folder.join(format!("{name}.data"));
             fs::create_dir_all(&data)
                 .map_err(|error| RehearsalError::resource(data.display(), error))?;
-            let text = settings_files::control(&name, control.operators, control.feed, &data);
+            let zone = self.topology.zone(number);
+            let text = settings_files::control(number + 1, zone, control, &peers, &data);
             processes.push(self.start(&name, self.binaries.control(), &[], &text)?);
         }
         Ok(processes)
--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -16,7 +16,7 @@
 use tracing::info;
 
 pub use binaries::Binaries;
-pub use process::{Signal, end_processes_on_interrupt};
+pub use process::{ManagedProcess, Signal, end_processes_on_interrupt};
 pub use topology::{AnswerTopology, ClassTopology, ServiceTopology, Topology};
 pub use wait::wait_until;
 
@@ -26,7 +26,6 @@
 use crate::load::{LoadPlan, ServiceLoad};
 use crate::record::{Order, OrderKind, RecordWriter};
 use operator::Operator;
-use process::ManagedProcess;
 
 /// Time that brokers have to finish what is in flight.
 const BROKER_STOP_TIME: Duration = Duration::from_secs(15);
--- a/crates/rehearsal/src/fleet/settings_files.rs
+++ b/crates/rehearsal/src/fleet/settings_files.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use super::launch::ControlAddresses;
 use super::topology::{AnswerTopology, CALLER, ServiceTopology, Topology, ZoneTopology};
 use crate::leaf::{LeafProcessSettings, LeafSettings};
 
@@ -12,13 +13,29 @@
 /// Requests that wait at a leaf for each of its slots.
 const WAITING_PER_SLOT: usize = 8;
 
-/// Settings of a control process.
-pub fn control(name: &str, operators: SocketAddr, feed: SocketAddr, data: &Path) -> String {
-    format!(
-        "name = \"{name}\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\n\
-         data_folder = \"{}\"\n",
+/// Settings of a control process; `peers` are the addresses of all, by number from 1.
+pub fn control(
+    node: usize,
+    zone: &ZoneTopology,
+    own: &ControlAddresses,
+    peers: &[SocketAddr],
+    data: &Path,
+) -> String {
+    let mut text = format!(
+        "name = \"control-{}\"\ncluster = \"rehearsal\"\nnode = {node}\nregion = \"{}\"\n\
+         zone = \"{}\"\noperators = \"{}\"\nfeed = \"{}\"\ndata_folder = \"{}\"\n",
+        node - 1,
+        zone.region,
+        zone.name,
+        own.operators,
+        own.feed,
         data.display()
-    )
+    );
+    for (number, address) in (1..).zip(peers) {
+        // Writing to a string does not fail.
+        let _ = write!(text, "[[peers]]\nnode = {number}\naddress = \"{address}\"\n");
+    }
+    text
 }
 
 /// Settings of a broker.
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fleet;
 pub mod leaf;
 pub mod load;
+pub mod log_member;
 pub mod record;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -7,6 +7,7 @@
 use gingerkeel_rehearsal::error::RehearsalError;
 use gingerkeel_rehearsal::leaf::{self, LeafFlags};
 use gingerkeel_rehearsal::load::{self, LoadFlags};
+use gingerkeel_rehearsal::log_member::{self, LogMemberFlags};
 use gingerkeel_settings::{EXIT_BAD_SETTINGS, start_logging};
 use gumdrop::Options;
 
@@ -36,6 +37,8 @@
     Check(CheckFlags),
     #[options(help = "run a small fleet under load, drain a leaf and kill another")]
     Demo(DemoFlags),
+    #[options(help = "run a member of a replicated log of plain words")]
+    LogMember(LogMemberFlags),
 }
 
 fn main() {
@@ -71,6 +74,7 @@
         Command::Load(flags) => load::run(flags).map(|()| 0),
         Command::Check(flags) => check::run(flags),
         Command::Demo(flags) => demo::run(flags),
+        Command::LogMember(flags) => log_member::run(flags).map(|()| 0),
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 
 pub use broker::{BrokerSettings, PolicySetting};
-pub use control::ControlSettings;
+pub use control::{ControlSettings, PeerSettings};
 pub use error::SettingsError;
 pub use logging::start_logging;
 pub use validate::{Check, Validate};
