--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 
 use tracing::info;
 
+pub use addresses::free_addresses;
 pub use binaries::Binaries;
 pub use process::{ManagedProcess, Signal, end_processes_on_interrupt};
 pub use topology::{AnswerTopology, ClassTopology, ServiceTopology, Topology};
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for back ends and callers, with load, faults and reports.
 
+pub mod bench_consensus;
 pub mod check;
 pub mod clock;
 pub mod demo;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::exit;
 
+use gingerkeel_rehearsal::bench_consensus::{self, BenchConsensusFlags};
 use gingerkeel_rehearsal::check::{self, CheckFlags};
 use gingerkeel_rehearsal::demo::{self, DemoFlags};
 use gingerkeel_rehearsal::error::RehearsalError;
@@ -39,6 +40,8 @@
     Demo(DemoFlags),
     #[options(help = "run a member of a replicated log of plain words")]
     LogMember(LogMemberFlags),
+    #[options(help = "measure commits and recovery of the replicated log")]
+    BenchConsensus(BenchConsensusFlags),
 }
 
 fn main() {
@@ -74,6 +77,7 @@
         Command::Load(flags) => load::run(flags).map(|()| 0),
         Command::Check(flags) => check::run(flags),
         Command::Demo(flags) => demo::run(flags),
+        Command::BenchConsensus(flags) => bench_consensus::run(flags).map(|()| 0),
         Command::LogMember(flags) => log_member::run(flags).map(|()| 0),
     }
 }
