Refuse strangers and broken frames between control processes, and tell a full disk

A member's peers are refused by version, cluster, number and earlier data folder, and a broken or forged frame ends only its connection. On a full disk what waits is answered at once, new commands are refused with the reason, and acceptance goes on when there is room. The log ends and gives its folder free once nobody can ask it any more: before, a writer thread outlived its task, which the restart in the test showed.

--- a/crates/control/src/replication/messages.rs
+++ b/crates/control/src/replication/messages.rs
@@ -103,6 +103,8 @@
 pub(super) enum TaskEvent {
     /// A request of another task.
     Request(ReplicationMessage),
+    /// No other task can make requests any more.
+    RequestsEnded,
     /// A message of a peer.
     Received(Envelope),
     /// A peer said who it is.
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -19,7 +19,7 @@
 use monoio::net::TcpListener;
 use tracing::info;
 
-use crate::storage::{DiskIo, FolderOwner, Storage};
+use crate::storage::{DiskIo, FolderOwner, Storage, StorageIo};
 
 pub use error::{ChangeError, ProposeError, ReadError, StartError};
 pub use messages::{
@@ -48,19 +48,34 @@
 
 /// Opens the data folder and starts the log; what is accepted goes to `state_machine`.
 ///
+/// The log ends, and gives the folder free, once all senders of requests are dropped.
+///
 /// # Errors
 /// A [`StartError`] when the folder or the address for peers cannot be used.
 pub fn start(
     settings: &ControlSettings,
     options: ReplicationOptions,
     state_machine: Tx<StateMachineMessage>,
+) -> Result<Tx<ReplicationMessage>, StartError> {
+    start_with_io(settings, options, Box::new(DiskIo), state_machine)
+}
+
+/// As [`start`], with another way to write and sync files.
+///
+/// # Errors
+/// As [`start`].
+pub fn start_with_io(
+    settings: &ControlSettings,
+    options: ReplicationOptions,
+    io: Box<dyn StorageIo>,
+    state_machine: Tx<StateMachineMessage>,
 ) -> Result<Tx<ReplicationMessage>, StartError> {
     let owner = FolderOwner {
         cluster: settings.cluster.clone(),
         node: NodeNumber(settings.node),
         new_incarnation: new_incarnation(),
     };
-    let opened = Storage::open(&settings.data_folder, &owner, Box::new(DiskIo))?;
+    let opened = Storage::open(&settings.data_folder, &owner, io)?;
     info!(
         event = "log_opened",
         member = %opened.identity,
@@ -98,4 +113,6 @@
             return;
         }
     }
+    // The log's task may have ended before.
+    let _ = events.send(TaskEvent::RequestsEnded);
 }
--- a/crates/control/src/replication/requests.rs
+++ b/crates/control/src/replication/requests.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// This member no longer leads, or its disk takes no writes: what waits may be accepted or not.
+    pub fn drop_proposals(&mut self) {
+        for pending in std::mem::take(&mut self.proposals).into_values() {
+            let _ = pending.reply.send(Err(ProposeError::Dropped));
+        }
+    }
+
     /// A read was confirmed or dropped.
     pub fn read_outcome(&mut self, outcome: ReadOutcome) {
         let Some(pending) = self.unconfirmed.remove(&outcome.number) else {
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::consensus::{
-    Entry, Envelope, LogIndex, MemberChange, MemberId, Node, NodeStatus, Payload, Proposed,
-    RoleName, Snapshot,
+    Entry, Envelope, LogIndex, MemberChange, MemberChangeError, MemberId, Node, NodeStatus,
+    Payload, Proposed, RoleName, Snapshot,
 };
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::ControlSettings;
@@ -59,6 +59,8 @@
     reported: Option<(RoleName, Option<MemberId>)>,
     /// Whom to ask for a place among the members.
     join_through: Option<MemberId>,
+    /// Whether no more requests can come.
+    ended: bool,
 }
 
 impl ReplicationTask {
@@ -90,6 +92,7 @@
             storage_error: None,
             reported: None,
             join_through: None,
+            ended: false,
         })
     }
 
@@ -111,6 +114,10 @@
                 };
                 self.handle(event);
             }
+            if self.ended {
+                info!(event = "log_closed");
+                return;
+            }
             self.pass_time();
         }
     }
@@ -130,6 +137,7 @@
     fn handle(&mut self, event: TaskEvent) {
         match event {
             TaskEvent::Request(request) => self.handle_request(request),
+            TaskEvent::RequestsEnded => self.ended = true,
             TaskEvent::Received(envelope) => self.handle_envelope(envelope),
             TaskEvent::PeerKnown => self.maintenance_due = self.clock.now(),
             TaskEvent::WriterWoke => self.handle_writer(),
@@ -201,7 +209,7 @@
             return;
         }
         let Some(leader) = status.leader else {
-            let refused = gingerkeel_domain::consensus::MemberChangeError::NotLeader(None);
+            let refused = MemberChangeError::NotLeader(None);
             let _ = reply.send(Err(ChangeError::Refused(refused)));
             return;
         };
@@ -243,6 +251,7 @@
                 WriterEvent::Full(cause) | WriterEvent::Failed(cause) => {
                     error!(event = "storage_failed", %cause);
                     self.storage_error = Some(cause.to_string());
+                    self.requests.drop_proposals();
                     self.node.set_storage_available(now, false);
                 }
             }
@@ -324,6 +333,9 @@
         let state = Some((status.role, status.leader));
         if self.reported != state {
             self.reported = state;
+            if status.role != RoleName::Leader {
+                self.requests.drop_proposals();
+            }
             let leader = status.leader.map_or("none".to_owned(), |leader| leader.to_string());
             let (role, term) = (status.role, status.term.0);
             info!(event = "role_changed", ?role, term, leader);
@@ -363,11 +375,8 @@
     }
 
     /// The member that was asked for a place may know the leader.
-    fn joined_or_redirected(
-        &mut self,
-        result: Result<LogIndex, gingerkeel_domain::consensus::MemberChangeError>,
-    ) {
-        if let Err(gingerkeel_domain::consensus::MemberChangeError::NotLeader(leader)) = result {
+    fn joined_or_redirected(&mut self, result: Result<LogIndex, MemberChangeError>) {
+        if let Err(MemberChangeError::NotLeader(leader)) = result {
             self.join_through = leader;
         }
     }
--- /dev/null
+++ b/crates/control/tests/replication/full_disk.rs
@@ -0,0 +1,89 @@
+//! A full disk stops acceptance, is told, and loses nothing that was accepted.
+
+use std::fs::File;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use gingerkeel_control::replication::ProposeError;
+use gingerkeel_control::storage::{DiskIo, FolderOwner, Storage, StorageIo};
+use gingerkeel_domain::consensus::{Incarnation, NodeNumber};
+use tempfile::TempDir;
+
+use crate::support::{Member, settings};
+
+const PAUSE: Duration = Duration::from_millis(20);
+const TRIES: usize = 1_000;
+
+struct Disk {
+    full: Arc<AtomicBool>,
+}
+
+impl StorageIo for Disk {
+    fn write(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<usize> {
+        match self.full.load(Ordering::Relaxed) {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => io::Write::write(file, bytes),
+        }
+    }
+
+    fn sync(&mut self, file: &File) -> io::Result<()> {
+        file.sync_data()
+    }
+}
+
+fn until_accepted(member: &Member, command: &'static str) {
+    let accepted = (0..TRIES).any(|_| {
+        let accepted = member.propose(command).is_ok();
+        if !accepted {
+            std::thread::sleep(PAUSE);
+        }
+        accepted
+    });
+    assert!(accepted, "{command} is accepted");
+}
+
+/// The writer's thread gives the folder free once it has noticed that the member ended.
+fn wait_until_free(folder: &Path) {
+    let owner = FolderOwner {
+        cluster: "test".into(),
+        node: NodeNumber(1),
+        new_incarnation: Incarnation(0),
+    };
+    let free = (0..TRIES).any(|_| {
+        std::thread::sleep(PAUSE);
+        Storage::open(folder, &owner, Box::new(DiskIo)).is_ok()
+    });
+    assert!(free, "the folder is given free");
+}
+
+#[test]
+fn a_full_disk_is_told_and_acceptance_goes_on_when_there_is_room() {
+    let folder = TempDir::new().expect("a folder");
+    let full = Arc::new(AtomicBool::new(false));
+    let disk = Disk { full: full.clone() };
+    let member = Member::start(settings(folder.path(), &[]), Box::new(disk));
+    until_accepted(&member, "before");
+    full.store(true, Ordering::Relaxed);
+    assert_eq!(member.propose("during"), Err(ProposeError::Dropped));
+    let error = member.propose("refused").expect_err("the disk is full");
+    assert!(error.to_string().contains("the disk is full"), "{error}");
+    assert!(member.status().storage_error.is_some());
+    full.store(false, Ordering::Relaxed);
+    until_accepted(&member, "after");
+    assert_eq!(member.status().storage_error, None);
+    member.stop();
+    wait_until_free(folder.path());
+
+    let member = Member::start(
+        settings(folder.path(), &[]),
+        Box::new(Disk { full: Arc::new(AtomicBool::new(false)) }),
+    );
+    until_accepted(&member, "last");
+    let commands: Vec<String> = member.commands.try_iter().collect();
+    assert!(commands.starts_with(&["before".into()]), "{commands:?}");
+    assert!(commands.ends_with(&["after".into(), "last".into()]), "{commands:?}");
+    assert!(!commands.contains(&"refused".into()), "{commands:?}");
+}
--- /dev/null
+++ b/crates/control/tests/replication/peers.rs
@@ -0,0 +1,155 @@
+//! Connections that are refused, and frames that end a connection.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use gingerkeel_control::storage::DiskIo;
+use gingerkeel_domain::consensus::{
+    Envelope, Incarnation, LogPosition, MemberId, Message, NodeNumber, Term,
+};
+use gingerkeel_protocol::{
+    FrameCodec, PROTOCOL_VERSION, PeerFrame, PeerIdentity, PeerRefusal, encode_document,
+    encode_frame,
+};
+use monoio_codec::{Decoded, Decoder};
+use rstest::rstest;
+use tempfile::TempDir;
+
+use crate::support::{Member, free_addresses, settings};
+
+const ANSWER_LIMIT: Duration = Duration::from_secs(20);
+const TRIES: usize = 500;
+const PAUSE: Duration = Duration::from_millis(10);
+
+struct Peer {
+    stream: TcpStream,
+    received: BytesMut,
+}
+
+impl Peer {
+    fn connect(address: SocketAddr) -> Self {
+        let connected = (0..TRIES).find_map(|_| {
+            let stream = TcpStream::connect(address).ok();
+            if stream.is_none() {
+                std::thread::sleep(PAUSE);
+            }
+            stream
+        });
+        let stream = connected.expect("it listens");
+        stream.set_read_timeout(Some(ANSWER_LIMIT)).expect("a limit");
+        Self { stream, received: BytesMut::new() }
+    }
+
+    fn send(&mut self, frame: &PeerFrame) {
+        let bytes = encode_frame(frame).expect("a frame");
+        self.stream.write_all(&bytes).expect("it is sent");
+    }
+
+    /// The next frame; none when the connection ends.
+    fn next(&mut self) -> Option<PeerFrame> {
+        let mut codec = FrameCodec::<PeerFrame>::default();
+        loop {
+            if let Decoded::Some(frame) = codec.decode(&mut self.received).expect("a frame") {
+                return Some(frame);
+            }
+            let mut buffer = [0; 1024];
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return None,
+                Ok(count) => self.received.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(error) => panic!("no answer: {error}"),
+            }
+        }
+    }
+}
+
+fn identity(node: u32, incarnation: u64) -> PeerIdentity {
+    PeerIdentity { node, incarnation, formed: 0 }
+}
+
+fn hello(protocol_version: u16, cluster: &str, identity: PeerIdentity) -> PeerFrame {
+    PeerFrame::Hello { protocol_version, identity, cluster: cluster.as_bytes().to_vec() }
+}
+
+/// The first of two members; the test plays the second.
+fn member(folder: &TempDir) -> (Member, SocketAddr) {
+    let addresses = free_addresses(2);
+    let settings = settings(folder.path(), &addresses);
+    (Member::start(settings, Box::new(DiskIo)), addresses[0])
+}
+
+#[rstest]
+#[case::version(hello(PROTOCOL_VERSION + 1, "test", identity(2, 5)), PeerRefusal::ProtocolVersion)]
+#[case::cluster(hello(PROTOCOL_VERSION, "other", identity(2, 5)), PeerRefusal::Cluster)]
+#[case::unknown(hello(PROTOCOL_VERSION, "test", identity(3, 5)), PeerRefusal::UnknownPeer)]
+#[case::itself(hello(PROTOCOL_VERSION, "test", identity(1, 5)), PeerRefusal::UnknownPeer)]
+fn a_stranger_is_refused(#[case] greeting: PeerFrame, #[case] reason: PeerRefusal) {
+    let folder = TempDir::new().expect("a folder");
+    let (_member, address) = member(&folder);
+    let mut peer = Peer::connect(address);
+    peer.send(&greeting);
+    assert_eq!(peer.next(), Some(PeerFrame::Refused { reason }));
+    assert_eq!(peer.next(), None);
+}
+
+#[test]
+fn an_earlier_data_folder_is_refused_once_a_later_one_was_seen() {
+    let folder = TempDir::new().expect("a folder");
+    let (_member, address) = member(&folder);
+    let mut later = Peer::connect(address);
+    later.send(&hello(PROTOCOL_VERSION, "test", identity(2, 9)));
+    assert!(matches!(later.next(), Some(PeerFrame::Welcome { .. })));
+    let mut earlier = Peer::connect(address);
+    earlier.send(&hello(PROTOCOL_VERSION, "test", identity(2, 5)));
+    let reason = PeerRefusal::EarlierIncarnation;
+    assert_eq!(earlier.next(), Some(PeerFrame::Refused { reason }));
+}
+
+/// A message that speaks for another member than the one that connected.
+fn forged() -> Vec<u8> {
+    let other = MemberId { node: NodeNumber(2), incarnation: Incarnation(6) };
+    let message = Message::VoteRequest { last: LogPosition::default() };
+    let envelope = Envelope { from: other, to: other, term: Term(99), message };
+    let document = encode_document(&envelope).expect("a document");
+    encode_frame(&PeerFrame::Consensus { document }).expect("a frame")
+}
+
+fn frame(document: &[u8]) -> Vec<u8> {
+    encode_frame(&PeerFrame::Consensus { document: document.to_vec() }).expect("a frame")
+}
+
+#[rstest]
+#[case::no_frame(vec![0xff; 64])]
+#[case::unknown_kind(vec![0, 0, 0, 1, 0x77])]
+#[case::no_document(frame(&[0xee; 20]))]
+#[case::forged_sender(forged())]
+#[case::second_greeting(
+    encode_frame(&hello(PROTOCOL_VERSION, "test", identity(2, 5))).expect("a frame")
+)]
+fn a_broken_frame_ends_the_connection_and_nothing_else(#[case] bytes: Vec<u8>) {
+    let folder = TempDir::new().expect("a folder");
+    let (member, address) = member(&folder);
+    let mut peer = Peer::connect(address);
+    peer.send(&hello(PROTOCOL_VERSION, "test", identity(2, 5)));
+    assert!(matches!(peer.next(), Some(PeerFrame::Welcome { .. })));
+    peer.send(&PeerFrame::Probe);
+    assert_eq!(peer.next(), Some(PeerFrame::ProbeReply));
+    peer.stream.write_all(&bytes).expect("it is sent");
+    assert_eq!(peer.next(), None);
+    assert!(member.status().term < Term(99));
+    let mut again = Peer::connect(address);
+    again.send(&hello(PROTOCOL_VERSION, "test", identity(2, 5)));
+    assert!(matches!(again.next(), Some(PeerFrame::Welcome { .. })));
+}
+
+#[test]
+fn a_cluster_is_not_formed_while_a_voter_is_unheard_of() {
+    let folder = TempDir::new().expect("a folder");
+    let (member, address) = member(&folder);
+    let _unanswered = Peer::connect(address);
+    std::thread::sleep(PAUSE);
+    assert!(member.status().members.is_empty());
+    assert!(member.propose("early").is_err());
+}
--- /dev/null
+++ b/crates/control/tests/replication/support.rs
@@ -0,0 +1,161 @@
+//! A member in a thread of its own, and requests to it.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use gingerkeel_control::replication::{
+    ProposeError, ReplicationMessage, ReplicationOptions, ReplicationStatus, StateMachineMessage,
+    start_with_io,
+};
+use gingerkeel_control::storage::StorageIo;
+use gingerkeel_settings::{ControlSettings, parse};
+use local_sync::mpsc::unbounded::{self, Tx};
+use local_sync::oneshot;
+use monoio::time::{sleep, timeout};
+
+const LOOK_INTERVAL: Duration = Duration::from_millis(2);
+const ANSWER_LIMIT: Duration = Duration::from_secs(20);
+
+/// A request from the test's thread.
+enum Ask {
+    Propose(&'static str),
+    Status,
+    Stop,
+}
+
+/// An answer to the test's thread.
+pub enum Answer {
+    Proposed(Result<(), ProposeError>),
+    Status(Box<ReplicationStatus>),
+}
+
+/// A member in a thread of its own.
+pub struct Member {
+    asks: Sender<Ask>,
+    answers: Receiver<Answer>,
+    pub commands: Receiver<String>,
+    thread: Option<JoinHandle<()>>,
+}
+
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, 192 + high % 32, middle, low);
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind((host, 0)).expect("a free port")).collect();
+    listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
+}
+
+/// Settings of member 1 of `peers`.
+pub fn settings(data: &Path, peers: &[SocketAddr]) -> ControlSettings {
+    let own = free_addresses(2);
+    let mut text = format!(
+        "name = \"control-1\"\ncluster = \"test\"\noperators = \"{}\"\nfeed = \"{}\"\n\
+         data_folder = \"{}\"\n",
+        own[0],
+        own[1],
+        data.display()
+    );
+    for (node, address) in (1..).zip(peers) {
+        text.push_str(&format!("[[peers]]\nnode = {node}\naddress = \"{address}\"\n"));
+    }
+    parse("test", &text).expect("valid settings")
+}
+
+impl Member {
+    pub fn start(settings: ControlSettings, io: Box<dyn StorageIo>) -> Self {
+        let (asks, received) = channel();
+        let (sender, answers) = channel();
+        let (applied, commands) = channel();
+        let thread = thread::spawn(move || {
+            let run = run(settings, io, received, sender, applied);
+            gingerkeel_transport::block_on(run).expect("a runtime");
+        });
+        Self { asks, answers, commands, thread: Some(thread) }
+    }
+
+    pub fn propose(&self, command: &'static str) -> Result<(), ProposeError> {
+        self.asks.send(Ask::Propose(command)).expect("it runs");
+        match self.answers.recv().expect("it answers") {
+            Answer::Proposed(outcome) => outcome,
+            Answer::Status(_) => panic!("another answer"),
+        }
+    }
+
+    pub fn status(&self) -> ReplicationStatus {
+        self.asks.send(Ask::Status).expect("it runs");
+        match self.answers.recv().expect("it answers") {
+            Answer::Status(status) => *status,
+            Answer::Proposed(_) => panic!("another answer"),
+        }
+    }
+
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        let _ = self.asks.send(Ask::Stop);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+async fn run(
+    settings: ControlSettings,
+    io: Box<dyn StorageIo>,
+    asks: Receiver<Ask>,
+    answers: Sender<Answer>,
+    applied: Sender<String>,
+) {
+    let (sender, mut state_machine) = unbounded::channel();
+    let options = ReplicationOptions::default();
+    let log = start_with_io(&settings, options, io, sender).expect("it starts");
+    monoio::spawn(async move {
+        while let Some(message) = state_machine.recv().await {
+            if let StateMachineMessage::Apply { command, .. } = message {
+                let _ = applied.send(String::from_utf8_lossy(&command).into_owned());
+            }
+        }
+    });
+    loop {
+        let answer = match asks.try_recv() {
+            Ok(Ask::Propose(command)) => Answer::Proposed(propose(&log, command).await),
+            Ok(Ask::Status) => {
+                let (reply, receiver) = oneshot::channel();
+                let _ = log.send(ReplicationMessage::Status { reply });
+                Answer::Status(Box::new(receiver.await.expect("it answers")))
+            }
+            Ok(Ask::Stop) => {
+                // The log's task ends before the pause does, as it is woken at once.
+                drop(log);
+                sleep(LOOK_INTERVAL * 10).await;
+                return;
+            }
+            Err(_) => {
+                sleep(LOOK_INTERVAL).await;
+                continue;
+            }
+        };
+        if answers.send(answer).is_err() {
+            return;
+        }
+    }
+}
+
+async fn propose(log: &Tx<ReplicationMessage>, command: &'static str) -> Result<(), ProposeError> {
+    let (reply, receiver) = oneshot::channel();
+    let command = command.as_bytes().to_vec();
+    let _ = log.send(ReplicationMessage::Propose { command, reply });
+    let answer = timeout(ANSWER_LIMIT, receiver).await.expect("an answer in time");
+    answer.expect("the log runs")
+}
--- a/crates/rehearsal/src/bench_consensus/member.rs
+++ b/crates/rehearsal/src/bench_consensus/member.rs
@@ -105,23 +105,39 @@
     run: MemberRun,
 ) -> Result<MemberResult, RehearsalError> {
     let (started, log, words) = start(group, index).await?;
-    match run {
-        MemberRun::Load(load) => {
-            while !group.is_stopped() && !leads(&log).await {
-                sleep(LOOK_INTERVAL).await;
-            }
-            if group.is_stopped() {
-                return Err(RehearsalError::NotReady("a follower leads nothing and".into()));
-            }
-            client::put_load(&log, load).await
-        }
-        MemberRun::Recover => {
-            let words = client::read_words(&log, &words).await?;
-            let latency = client::histogram();
-            let elapsed = since(started);
-            Ok(MemberResult { latency, commands_per_second: 0.0, elapsed, words })
-        }
+    let result = match run {
+        MemberRun::Load(load) => lead_and_load(group, &log, load).await,
+        MemberRun::Recover => recover(started, &log, &words).await,
+    };
+    // The log's task ends before the pause does, as it is woken at once.
+    drop(log);
+    sleep(LOOK_INTERVAL * 10).await;
+    result
+}
+
+async fn lead_and_load(
+    group: &Group,
+    log: &Tx<ReplicationMessage>,
+    load: Load,
+) -> Result<MemberResult, RehearsalError> {
+    while !group.is_stopped() && !leads(log).await {
+        sleep(LOOK_INTERVAL).await;
+    }
+    if group.is_stopped() {
+        return Err(RehearsalError::NotReady("a follower".into()));
     }
+    client::put_load(log, load).await
+}
+
+async fn recover(
+    started: Instant,
+    log: &Tx<ReplicationMessage>,
+    words: &Tx<WordsMessage>,
+) -> Result<MemberResult, RehearsalError> {
+    let words = client::read_words(log, words).await?;
+    let latency = client::histogram();
+    let elapsed = since(started);
+    Ok(MemberResult { latency, commands_per_second: 0.0, elapsed, words })
 }
 
 /// Starts the log, once an earlier run has given the folder free.
