--- a/crates/domain/src/consensus/mod.rs
+++ b/crates/domain/src/consensus/mod.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod election;
 mod error;
+mod handing_out;
 mod installing;
 mod leadership;
 mod leading;
--- a/crates/domain/src/consensus/node.rs
+++ b/crates/domain/src/consensus/node.rs
@@ -12,11 +12,11 @@
 use super::log::Log;
 use super::message::{AppendOutcome, Envelope, Message, ReadRound};
 use super::ready::{
-    IssuedWrite, MemberChangeOutcome, Outbox, ReadOutcome, Ready, SnapshotWrite, Write, WriteNumber,
+    IssuedWrite, MemberChangeOutcome, Outbox, ReadOutcome, SnapshotWrite, WriteNumber,
 };
 use super::settings::ConsensusSettings;
 use super::types::{
-    Entry, HardState, LogIndex, LogPosition, MemberId, Payload, Recovered, Snapshot, Term,
+    HardState, LogIndex, LogPosition, MemberId, Payload, Recovered, Snapshot, Term,
 };
 use crate::time::Timestamp;
 
@@ -26,9 +26,9 @@
     pub(super) settings: ConsensusSettings,
     random: Box<dyn RngCore>,
     pub(super) hard_state: HardState,
-    issued_hard_state: HardState,
+    pub(super) issued_hard_state: HardState,
     /// The write that holds the current term.
-    term_write: WriteNumber,
+    pub(super) term_write: WriteNumber,
     pub(super) log: Log,
     pub(super) configurations: ConfigurationHistory,
     pub(super) commit: LogIndex,
@@ -41,11 +41,11 @@
     pub(super) snapshot: Option<Snapshot>,
     pub(super) unissued_snapshot: Option<SnapshotWrite>,
     pub(super) incoming: Option<IncomingSnapshot>,
-    writes: VecDeque<IssuedWrite>,
-    issued: WriteNumber,
-    persisted: WriteNumber,
-    outbox: Outbox,
-    restore: Option<Snapshot>,
+    pub(super) writes: VecDeque<IssuedWrite>,
+    pub(super) issued: WriteNumber,
+    pub(super) persisted: WriteNumber,
+    pub(super) outbox: Outbox,
+    pub(super) restore: Option<Snapshot>,
     pub(super) reads: Vec<ReadOutcome>,
     pub(super) member_changes: Vec<MemberChangeOutcome>,
     pub(super) storage_available: bool,
@@ -233,35 +233,6 @@
         Ok(Proposed::Forwarded(leader))
     }
 
-    /// Takes what the driver has to do; none when there is nothing.
-    pub fn ready(&mut self) -> Option<Ready> {
-        let ready = Ready {
-            write: self.take_write(),
-            messages: self.outbox.take(),
-            restore: self.restore.take(),
-            committed: self.take_committed(),
-            reads: std::mem::take(&mut self.reads),
-            member_changes: std::mem::take(&mut self.member_changes),
-        };
-        (ready != Ready::default()).then_some(ready)
-    }
-
-    /// All writes up to `number` are on disk.
-    pub fn persisted(&mut self, now: Timestamp, number: WriteNumber) {
-        while self.writes.front().is_some_and(|write| write.number <= number) {
-            let Some(write) = self.writes.pop_front() else {
-                break;
-            };
-            self.persisted = write.number;
-            self.log.mark_persisted(write.last);
-            if write.restore.is_some() {
-                self.restore = write.restore;
-            }
-        }
-        self.outbox.release(self.persisted);
-        self.advance_commit(now);
-    }
-
     /// Tells whether the disk takes writes.
     ///
     /// Without it a leader gives up its office, so that a member with room can lead, and the
@@ -273,72 +244,14 @@
         }
     }
 
-    /// Whether something waits for the driver.
-    pub fn has_ready(&self) -> bool {
-        self.is_dirty()
-            || self.outbox.has_sendable()
-            || self.restore.is_some()
-            || self.applicable() > self.applied
-            || !self.reads.is_empty()
-            || !self.member_changes.is_empty()
-    }
-
     pub(super) fn is_voter(&self) -> bool {
         self.configuration().voters.contains(&self.identity)
     }
 
-    /// The state on disk would change if all were written now.
-    fn is_dirty(&self) -> bool {
-        self.hard_state != self.issued_hard_state
-            || self.unissued_snapshot.is_some()
-            || self.log.has_unissued()
-    }
-
-    /// The write after which all of the present state is on disk.
-    fn pending_write(&self) -> WriteNumber {
-        if self.is_dirty() { WriteNumber(self.issued.0 + 1) } else { self.issued }
-    }
-
-    /// Sends once all of the present state is on disk.
-    pub(super) fn send(&mut self, to: MemberId, message: Message) {
-        let needed = self.pending_write();
-        self.push(to, self.hard_state.term, message, needed);
-    }
-
-    /// Sends once the present term is on disk: a leader's requests may go out before its own
-    /// entries are, as it counts its own copy only afterwards.
-    pub(super) fn send_as_leader(&mut self, to: MemberId, message: Message) {
-        self.push(to, self.hard_state.term, message, self.term_write);
-    }
-
-    /// Sends a request for a pre-vote, which promises nothing.
-    pub(super) fn send_pre_vote(&mut self, to: MemberId, message: Message) {
-        let term = Term(self.hard_state.term.0 + 1);
-        self.push(to, term, message, WriteNumber(0));
-    }
-
-    /// Answers a request for a pre-vote with the term that it asked about.
-    pub(super) fn grant_pre_vote(&mut self, to: MemberId, term: Term) {
-        self.push(to, term, Message::PreVoteResponse { granted: true }, WriteNumber(0));
-    }
-
-    pub(super) fn set_hard_state(&mut self, hard_state: HardState) {
-        let next = WriteNumber(self.issued.0 + 1);
-        if hard_state != self.hard_state {
-            self.hard_state = hard_state;
-            self.term_write = next;
-        }
-    }
-
     pub(super) fn random_below(&mut self, limit: u64) -> u64 {
         self.random.next_u64() % limit.max(1)
     }
 
-    fn push(&mut self, to: MemberId, term: Term, message: Message, needed: WriteNumber) {
-        let envelope = Envelope { from: self.identity, to, term, message };
-        self.outbox.push(envelope, needed, self.persisted);
-    }
-
     fn role_name(&self) -> RoleName {
         match self.role {
             Role::Follower => RoleName::Follower,
@@ -348,35 +261,6 @@
         }
     }
 
-    fn take_write(&mut self) -> Option<Write> {
-        if !self.is_dirty() {
-            return None;
-        }
-        let number = self.pending_write();
-        let changed = self.hard_state != self.issued_hard_state;
-        let snapshot = self.unissued_snapshot.take();
-        let restore = snapshot.as_ref().filter(|snapshot| snapshot.replaces_log);
-        let restore = restore.map(|snapshot| snapshot.snapshot.clone());
-        let entries = self.log.take_unissued();
-        self.issued = number;
-        self.issued_hard_state = self.hard_state;
-        self.writes.push_back(IssuedWrite { number, last: self.log.last(), restore });
-        let hard_state = changed.then_some(self.hard_state);
-        Some(Write { number, hard_state, snapshot, entries })
-    }
-
-    /// Last entry that may be applied: committed, and on the own disk.
-    fn applicable(&self) -> LogIndex {
-        self.commit.min(self.log.persisted())
-    }
-
-    fn take_committed(&mut self) -> Vec<Entry> {
-        let last = self.applicable().max(self.applied);
-        let entries = self.log.between(self.applied, last);
-        self.applied = last;
-        entries
-    }
-
     /// Compares terms; false when the message is of no further use.
     fn admit_term(&mut self, now: Timestamp, envelope: &Envelope) -> bool {
         let term = envelope.term;
--- a/crates/domain/tests/consensus/main.rs
+++ b/crates/domain/tests/consensus/main.rs
@@ -6,6 +6,7 @@
 mod commitment;
 mod configurations;
 mod elections;
+mod faults;
 mod lab;
 mod log_matching;
 mod membership;
