--- a/crates/control/src/replication/requests.rs
+++ b/crates/control/src/replication/requests.rs
@@ -178,6 +178,9 @@
                 let _ = pending.reply.send(Err(ChangeError::Dropped));
             }
         }
+        // Their requesters gave up.
         self.proposals.retain(|_, pending| !pending.reply.is_closed());
+        self.confirmed.retain(|pending| !pending.reply.is_closed());
+        self.logged.retain(|pending| !pending.reply.is_closed());
     }
 }
--- a/crates/control/tests/replication/peers.rs
+++ b/crates/control/tests/replication/peers.rs
@@ -23,6 +23,9 @@
 const TRIES: usize = 500;
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// Checksum (CRC-32) of the voters 1 and 2, each as four bytes.
+const PLANNED_VOTERS: u32 = 0xb64c_97f5;
+
 struct Peer {
     stream: TcpStream,
     received: BytesMut,
@@ -66,7 +69,7 @@
 }
 
 fn identity(node: u32, incarnation: u64) -> PeerIdentity {
-    PeerIdentity { node, incarnation, formed: 0 }
+    PeerIdentity { node, incarnation, formed: 0, planned_voters: PLANNED_VOTERS }
 }
 
 fn hello(protocol_version: u16, cluster: &str, identity: PeerIdentity) -> PeerFrame {
@@ -144,12 +147,29 @@
     assert!(matches!(again.next(), Some(PeerFrame::Welcome { .. })));
 }
 
-#[test]
-fn a_cluster_is_not_formed_while_a_voter_is_unheard_of() {
+/// Whether a cluster is formed after the second voter has said who it is.
+#[rstest]
+#[case::without_a_log(0, PLANNED_VOTERS, true)]
+#[case::with_a_log(1, PLANNED_VOTERS, false)]
+#[case::with_other_voters(0, PLANNED_VOTERS + 1, false)]
+fn a_cluster_is_formed_only_by_voters_that_agree(
+    #[case] formed: u8,
+    #[case] planned_voters: u32,
+    #[case] expected: bool,
+) {
     let folder = TempDir::new().expect("a folder");
     let (member, address) = member(&folder);
-    let _unanswered = Peer::connect(address);
+    let mut peer = Peer::connect(address);
     std::thread::sleep(PAUSE);
-    assert!(member.status().members.is_empty());
+    assert!(member.status().members.is_empty(), "not before all voters are heard of");
     assert!(member.propose("early").is_err());
+    let greeting = PeerIdentity { formed, planned_voters, ..identity(2, 5) };
+    peer.send(&hello(PROTOCOL_VERSION, "test", greeting));
+    assert!(matches!(peer.next(), Some(PeerFrame::Welcome { .. })));
+    let tries = if expected { TRIES } else { 60 };
+    let found = (0..tries).any(|_| {
+        std::thread::sleep(PAUSE);
+        !member.status().members.is_empty()
+    });
+    assert_eq!(found, expected);
 }
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -2,13 +2,17 @@
 
 use std::process::exit;
 
+use gingerkeel_rehearsal::bench::{self, BenchFlags};
 use gingerkeel_rehearsal::bench_consensus::{self, BenchConsensusFlags};
 use gingerkeel_rehearsal::check::{self, CheckFlags};
 use gingerkeel_rehearsal::demo::{self, DemoFlags};
 use gingerkeel_rehearsal::error::RehearsalError;
+use gingerkeel_rehearsal::experiment::{self, RunFlags};
+use gingerkeel_rehearsal::hollow_brokers::{self, HollowBrokersFlags};
 use gingerkeel_rehearsal::leaf::{self, LeafFlags};
 use gingerkeel_rehearsal::load::{self, LoadFlags};
 use gingerkeel_rehearsal::log_member::{self, LogMemberFlags};
+use gingerkeel_rehearsal::scale::{self, ScaleFlags};
 use gingerkeel_settings::{EXIT_BAD_SETTINGS, start_logging};
 use gumdrop::Options;
 
@@ -42,6 +46,14 @@
     LogMember(LogMemberFlags),
     #[options(help = "measure commits and recovery of the replicated log")]
     BenchConsensus(BenchConsensusFlags),
+    #[options(help = "measure speed, memory and balance")]
+    Bench(BenchFlags),
+    #[options(help = "run an experiment file")]
+    Run(RunFlags),
+    #[options(help = "feed growing numbers of hollow brokers and measure both sides")]
+    Scale(ScaleFlags),
+    #[options(help = "run many brokers' links to control in one process")]
+    HollowBrokers(HollowBrokersFlags),
 }
 
 fn main() {
@@ -79,6 +91,12 @@
         Command::Demo(flags) => demo::run(flags),
         Command::BenchConsensus(flags) => bench_consensus::run(flags).map(|()| 0),
         Command::LogMember(flags) => log_member::run(flags).map(|()| 0),
+        Command::Bench(flags) => bench::run(flags).map(|()| 0),
+        Command::Run(flags) => experiment::run(&flags),
+        Command::Scale(flags) => scale::run(&flags).map(|()| 0),
+        Command::HollowBrokers(flags) => gingerkeel_transport::block_on(hollow_brokers::run(flags))
+            .map_err(|error| RehearsalError::resource("runtime", error))?
+            .map(|()| 0),
     }
 }
 
