--- a/crates/simulation/src/serving/scenario.rs
+++ b/crates/simulation/src/serving/scenario.rs
@@ -4,16 +4,17 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use gingerkeel_domain::catalog::{Catalog, Change, Leaf, LeafState, Placement};
+use gingerkeel_domain::catalog::{CallerAccount, Catalog, Change, Leaf, LeafState, Placement};
 use gingerkeel_domain::identifiers::{
-    IndexVersion, LeafId, PartitionEpoch, RegionName, ServiceName, ShardId, Snapshot, ZoneName,
+    BrokerRun, CallerName, IndexVersion, LeafId, PartitionEpoch, RegionName, ServiceName, ShardId,
+    Snapshot, ZoneName,
 };
 use gingerkeel_domain::time::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
 use super::broker::{BrokerIndex, BrokerModel};
-use super::caller::{ClassLoad, classes};
+use super::caller::{CALLER, ClassLoad, classes};
 use super::check::{Violation, check};
 use super::fault::{Fault, Mutant, TimedFault};
 use super::history::History;
@@ -37,6 +38,8 @@
 const ARRIVALS: Duration = Duration::from_secs(6);
 /// Time after the last caller until everything has an outcome.
 const SETTLING: Duration = Duration::from_secs(4);
+/// A budget that no load spends.
+const AMPLE: u64 = 1_000_000_000;
 /// Queries per second at which the tier is about half used.
 const HALF_LOAD: f64 = 400.0;
 
@@ -167,6 +170,24 @@
             )]),
             scenario!("overload-2", 4.0, |_random| Vec::new()),
             scenario!("overload-4", 8.0, |_random| Vec::new()),
+            scenario!("short-queues", 8.0, |random| vec![at(
+                any_moment(random) / 2,
+                Fault::ShortenQueues(random.random_range(2..12))
+            )]),
+            scenario!("threshold", 8.0, |random| vec![at(
+                any_moment(random) / 2,
+                Fault::SetThreshold(random.random_range(0..2))
+            )]),
+            scenario!("budget-cut", 1.0, |random| vec![at(
+                any_moment(random) / 2,
+                Fault::CutBudget(random.random_range(50..200))
+            )]),
+            scenario!("resent-keys", 1.0, |_random| vec![at(0, Fault::ResendUnderKeys)]),
+            scenario!("resent-keys-replica-lost", 1.0, |random| {
+                let leaf = any_leaf(random);
+                let moment = any_moment(random);
+                vec![at(0, Fault::ResendUnderKeys), at(moment, Fault::Kill(leaf))]
+            }),
         ]
     }
 
@@ -228,7 +249,8 @@
     for fault in faults {
         start.after(fault.at, Event::Fault(fault.fault));
     }
-    let world = run(world, start, ARRIVALS + SETTLING)?;
+    let mut world = run(world, start, ARRIVALS + SETTLING)?;
+    world.record_charges();
     let violations = check(&world.history);
     Ok(Outcome { trace_hash: world.trace.hash(), history: world.history, violations })
 }
@@ -240,7 +262,9 @@
     print_trace: bool,
 ) -> ServingWorld {
     let mut random = Pcg64::seed_from_u64(seed);
-    let brokers = (0..BROKERS).map(|_| BrokerModel::new(random.random(), mutant)).collect();
+    let brokers = (0..BROKERS as u64)
+        .map(|number| BrokerModel::new(random.random(), BrokerRun(number), mutant))
+        .collect();
     let leaves: BTreeMap<LeafId, LeafModel> = (0..SHARDS * REPLICAS)
         .map(LeafId)
         .map(|id| (id, LeafModel::new(SLOTS as usize, first_snapshot())))
@@ -254,6 +278,7 @@
         history: History::default(),
         trace: Trace::new(print_trace),
         network: Network::default(),
+        resending: false,
         random,
         mutant,
     }
@@ -267,6 +292,8 @@
     let service = ServiceName::new(SERVICE);
     let mut changes =
         vec![Change::DefineService { service: service.clone(), concurrency: CONCURRENCY }];
+    let account = CallerAccount { budget_per_second: AMPLE, burst: AMPLE };
+    changes.push(Change::DefineCaller { caller: CallerName::new(CALLER), account });
     changes.extend(
         loads.iter().map(|load| Change::DefineClass {
             service: service.clone(),
