--- a/crates/broker/src/callers/response.rs
+++ b/crates/broker/src/callers/response.rs
@@ -225,6 +225,7 @@
         RefusalReason::LeavesRefused => "leaves_refused",
         RefusalReason::KeyTaken => "key_taken",
         RefusalReason::KeysExhausted => "keys_exhausted",
+        RefusalReason::ConfigurationStale => "configuration_stale",
     }
 }
 
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -17,6 +17,7 @@
 use tracing::info;
 
 use crate::callers::CallerServer;
+use crate::clock::Clock;
 use crate::engine::{Engine, EngineMessage};
 use crate::stop::StopSignal;
 
@@ -43,8 +44,9 @@
     if let Some(listener) = metrics_listener {
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
-    monoio::spawn(feed::follow(settings.clone(), engine.clone()));
-    Engine::new(&settings, engine).run(messages).await;
+    let clock = Clock::start();
+    monoio::spawn(feed::follow(settings.clone(), clock, engine.clone()));
+    Engine::new(&settings, clock, engine).run(messages).await;
     info!(event = "stopped", name = settings.name);
     Ok(())
 }
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -5,38 +5,69 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use gingerkeel_domain::catalog::{
     AnswerPolicy, CallerAccount, Catalog, Change, ClassPolicy, Leaf, LeafState, Placement,
 };
 use gingerkeel_domain::identifiers::{
     CallerName, ClassName, IndexVersion, LeafId, RegionName, ServiceName, ShardId, ZoneName,
 };
-use gingerkeel_protocol::{FeedMessage, encode_document, encode_frame};
+use gingerkeel_protocol::{
+    FeedMessage, FrameCodec, SubscriberMessage, encode_document, encode_frame,
+};
+use monoio_codec::{Decoded, Decoder};
+
+/// How long each freshness lease lasts.
+const LEASE_MILLISECONDS: u32 = 60_000;
 
 /// Serves a catalog to every broker that subscribes; the thread ends with the test.
 pub fn serve(catalog: &Catalog) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("a bound address");
-    let document = encode_document(catalog).expect("a catalog is a document");
-    let frame = encode_frame(&FeedMessage::FullCatalog { document }).expect("a small frame");
+    let catalog = catalog.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let frame = frame.clone();
-            thread::spawn(move || feed(stream, &frame));
+            let catalog = catalog.clone();
+            thread::spawn(move || feed(stream, &catalog));
         }
     });
     address
 }
 
-/// Sends the catalog once the broker has subscribed, then reads what it acknowledges.
-fn feed(mut stream: TcpStream, frame: &[u8]) {
+/// Answers a broker's subscription with the catalog and each renewal with a lease.
+fn feed(mut stream: TcpStream, catalog: &Catalog) {
+    let mut bytes = BytesMut::new();
+    let mut codec = FrameCodec::<SubscriberMessage>::default();
     let mut buffer = [0; 1024];
-    let mut subscribed = false;
     while let Ok(count) = stream.read(&mut buffer) {
-        if count == 0 || (!subscribed && stream.write_all(frame).is_err()) {
+        if count == 0 {
             return;
         }
-        subscribed = true;
+        bytes.extend_from_slice(&buffer[..count]);
+        while let Decoded::Some(message) = codec.decode(&mut bytes).expect("frames of a broker") {
+            let Some(reply) = reply(catalog, &message) else {
+                continue;
+            };
+            let frame = encode_frame(&reply).expect("a small frame");
+            if stream.write_all(&frame).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn reply(catalog: &Catalog, message: &SubscriberMessage) -> Option<FeedMessage> {
+    match message {
+        SubscriberMessage::Subscribe { .. } => {
+            let document = encode_document(catalog).expect("a catalog is a document");
+            Some(FeedMessage::FullCatalog { catalog: document.into() })
+        }
+        SubscriberMessage::Renew { ticket, .. } => Some(FeedMessage::Lease {
+            ticket: *ticket,
+            revision: catalog.revision().0,
+            duration_milliseconds: LEASE_MILLISECONDS,
+        }),
+        _ => None,
     }
 }
 
--- a/crates/domain/src/admission/ticket.rs
+++ b/crates/domain/src/admission/ticket.rs
@@ -37,6 +37,8 @@
     NotServed,
     /// Every leaf asked for it said that it did not run it.
     LeavesRefused,
+    /// The broker cannot tell whether its configuration is still the accepted one.
+    ConfigurationStale,
     /// Its request key belongs to another request.
     KeyTaken,
     /// As many request keys are known as may be.
--- a/crates/domain/src/dispatch/intake.rs
+++ b/crates/domain/src/dispatch/intake.rs
@@ -4,8 +4,8 @@
 use crate::admission::RefusalReason;
 use crate::budget::Unpaid;
 use crate::catalog::ClassPolicy;
+use crate::cluster::ChargeKey;
 use crate::identifiers::QueryId;
-use crate::metering::ChargeKey;
 use crate::query::{QueryOutcome, Submission, UnrecordedReason};
 use crate::request_key::Claim;
 use crate::time::Timestamp;
@@ -128,8 +128,8 @@
         now: Timestamp,
         submission: &Submission,
     ) -> Result<ClassPolicy, QueryOutcome> {
-        if self.stopping {
-            return Err(refused(RefusalReason::Stopping));
+        if let Some(reason) = self.refusal(now) {
+            return Err(refused(reason));
         }
         let policy = self.catalog.class(&submission.service, &submission.class).cloned();
         let policy = policy.ok_or_else(|| refused(RefusalReason::NotServed))?;
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -15,9 +15,9 @@
 
 use crate::admission::{Admission, ClassLimit, Decision, OverloadReport, Refusal, RefusalReason};
 use crate::budget::Budgets;
-use crate::catalog::{Catalog, Service};
+use crate::catalog::{Catalog, MemberState, Service};
 use crate::identifiers::{CallerName, LeafId, QueryId, ServiceName, Snapshot};
-use crate::metering::{ChargeCounters, ChargeReport};
+use crate::metering::ChargeCounters;
 use crate::query::QueryOutcome;
 use crate::request_key::{RequestKey, RequestKeys};
 use crate::routing::Router;
@@ -49,6 +49,8 @@
     charges: ChargeCounters,
     keys: RequestKeys,
     stopping: bool,
+    /// None while no freshness lease is asked for.
+    fresh_until: Option<Timestamp>,
     random: Box<dyn RngCore + Send>,
 }
 
@@ -68,6 +70,7 @@
             budgets: Budgets::default(),
             charges: ChargeCounters::default(),
             stopping: false,
+            fresh_until: None,
             random,
         }
     }
@@ -99,8 +102,8 @@
     /// as may be.
     pub fn issue_key(&mut self, now: Timestamp, caller: CallerName) -> Result<RequestKey, Refusal> {
         let refuse = |reason| Refusal { reason, retry_after: DEFAULT_RETRY_AFTER };
-        if self.stopping {
-            return Err(refuse(RefusalReason::Stopping));
+        if let Some(reason) = self.refusal(now) {
+            return Err(refuse(reason));
         }
         if !self.catalog.callers().contains_key(&caller) {
             return Err(refuse(RefusalReason::UnknownCaller));
@@ -111,9 +114,9 @@
         })
     }
 
-    /// What answered requests cost, as totals of this run.
-    pub fn charges(&self) -> ChargeReport {
-        self.charges.report(self.settings.name.clone(), self.settings.run)
+    /// What answered requests cost, as counters of this run.
+    pub fn charges(&self) -> &ChargeCounters {
+        &self.charges
     }
 
     /// How often a replica was left out so far.
@@ -150,6 +153,7 @@
                 effects.extend(due.map(|leaf| Effect::Probe { leaf }));
             }
             Event::CatalogChanged(catalog) => self.reconfigure(now, catalog, effects),
+            Event::FreshUntil(until) => self.fresh_until = Some(until),
             Event::BrokersChanged(brokers) => self.router.brokers_changed(brokers, &self.catalog),
             Event::PlatformLeaving(leaves) => self.router.platform_leaving(now, &leaves),
             Event::ThresholdChanged { service, lowest_admitted } => {
@@ -159,6 +163,16 @@
         }
     }
 
+    /// Why no query at all is taken now, if so.
+    fn refusal(&self, now: Timestamp) -> Option<RefusalReason> {
+        let wanted = self.catalog.broker_state(&self.settings.name);
+        if self.stopping || wanted != MemberState::Active {
+            return Some(RefusalReason::Stopping);
+        }
+        let stale = self.fresh_until.is_some_and(|until| until <= now);
+        stale.then_some(RefusalReason::ConfigurationStale)
+    }
+
     fn carry_out(&mut self, now: Timestamp, decisions: Vec<Decision>, effects: &mut Vec<Effect>) {
         for decision in decisions {
             match decision {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -7,8 +7,11 @@
 pub mod admission;
 pub mod budget;
 pub mod catalog;
+pub mod cluster;
 pub mod consensus;
 pub mod dispatch;
+pub mod feed;
+mod hash;
 pub mod identifiers;
 pub mod metering;
 pub mod query;
--- a/crates/domain/tests/admission.rs
+++ b/crates/domain/tests/admission.rs
@@ -286,11 +286,14 @@
 
 #[test]
 fn a_waiting_query_is_refused_at_its_deadline_though_nothing_finishes() {
-    let mut harness = narrow(0);
+    let mut harness = narrow(1);
+    let key = harness.dispatcher.issue_key(harness.now, caller()).expect("the table has room");
+    let (_, effects) = harness.submit_keyed(caller(), &key, 1, millis(60_000));
+    assert_eq!(sends(&effects).len(), 1, "the only slot is taken for long");
     assert_eq!(harness.submit(true), []);
     assert_eq!(harness.wait(millis(999)), []);
     assert_eq!(reason(&harness.wait(millis(1))), Some(RefusalReason::DeadlineTooClose));
-    assert_eq!(harness.dispatcher.active(), 0);
+    assert_eq!(harness.dispatcher.active(), 1);
 }
 
 #[test]
--- a/crates/domain/tests/budgets.rs
+++ b/crates/domain/tests/budgets.rs
@@ -7,9 +7,10 @@
 use gingerkeel_domain::admission::RefusalReason;
 use gingerkeel_domain::budget::{Budgets, Unpaid};
 use gingerkeel_domain::catalog::{AnswerPolicy, CallerAccount, Catalog, Change};
+use gingerkeel_domain::cluster::{ChargeCounter, ChargeKey, Charges, WallTime};
 use gingerkeel_domain::dispatch::{Effect, Event, SchedulingPolicy};
 use gingerkeel_domain::identifiers::{BrokerName, BrokerRun, CallerName, ClassName};
-use gingerkeel_domain::metering::{ChargeCounters, ChargeKey, ChargeLedger, ChargeTotal};
+use gingerkeel_domain::metering::ChargeCounters;
 use gingerkeel_domain::query::{LeafFailure, NotRunReason, QueryOutcome, Sending};
 use gingerkeel_domain::time::Timestamp;
 use rstest::rstest;
@@ -90,13 +91,12 @@
     }
 }
 
-fn charged(harness: &Harness) -> ChargeTotal {
-    let report = harness.dispatcher.charges();
-    let class = ClassName::new("urgent");
-    let key = ChargeKey { caller: caller(), service: service(), class };
-    let mut ledger = ChargeLedger::default();
-    ledger.fold(report);
-    ledger.total(&key)
+fn key() -> ChargeKey {
+    ChargeKey { caller: caller(), service: service(), class: ClassName::new("urgent") }
+}
+
+fn charged(harness: &Harness) -> ChargeCounter {
+    harness.dispatcher.charges().counter(&key())
 }
 
 #[test]
@@ -109,7 +109,7 @@
     let effects = harness.submit(true);
     assert_eq!(reason(&effects), Some(RefusalReason::BudgetSpent));
     assert_eq!(sends(&effects), []);
-    assert_eq!(charged(&harness), ChargeTotal { answered: 2, units: 2 * PRICE });
+    assert_eq!(charged(&harness), ChargeCounter { answered: 2, units: 2 * PRICE });
 }
 
 #[test]
@@ -168,7 +168,7 @@
         ending(&mut harness, sending);
         assert_eq!(harness.dispatcher.active(), 0);
     }
-    assert_eq!(charged(&harness), ChargeTotal::default());
+    assert_eq!(charged(&harness), ChargeCounter::default());
 }
 
 #[test]
@@ -176,8 +176,11 @@
     let mut harness = poor();
     harness.reconfigure(|catalog| {
         let service = service();
-        change(catalog, Change::DefineService { service, concurrency: 0 });
+        change(catalog, Change::DefineService { service, concurrency: 1 });
     });
+    let key = harness.dispatcher.issue_key(harness.now, caller()).expect("the table has room");
+    let (_, effects) = harness.submit_keyed(caller(), &key, 1, millis(60_000));
+    assert_eq!(sends(&effects).len(), 1, "the only slot is taken for long");
     for _ in 0..5 {
         assert_eq!(outcome(&harness.submit(true)), None);
         let effects = harness.wait(millis(1000));
@@ -198,19 +201,18 @@
 
 #[test]
 fn reports_that_come_twice_late_or_after_a_restart_count_once() {
-    let key = ChargeKey { caller: caller(), service: service(), class: ClassName::new("urgent") };
     let broker = BrokerName::new("broker");
     let mut counters = ChargeCounters::default();
-    counters.charge(key.clone(), 3);
-    let early = counters.report(broker.clone(), BrokerRun(1));
-    counters.charge(key.clone(), 5);
-    let late = counters.report(broker.clone(), BrokerRun(1));
+    counters.charge(key(), 3);
+    let early = counters.report(broker.clone(), BrokerRun(1), 0);
+    counters.charge(key(), 5);
+    let late = counters.report(broker.clone(), BrokerRun(1), 1);
     let mut restarted = ChargeCounters::default();
-    restarted.charge(key.clone(), 3);
-    let next_run = restarted.report(broker, BrokerRun(2));
-    let mut ledger = ChargeLedger::default();
+    restarted.charge(key(), 3);
+    let next_run = restarted.report(broker, BrokerRun(2), 0);
+    let mut charges = Charges::default();
     for report in [&late, &early, &late, &next_run, &early, &next_run] {
-        ledger.fold(report.clone());
+        charges.record(WallTime::default(), report);
     }
-    assert_eq!(ledger.total(&key), ChargeTotal { answered: 3, units: 11 });
+    assert_eq!(charges.totals()[&key()], ChargeCounter { answered: 3, units: 11 });
 }
