--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -168,7 +168,7 @@
     charge(&mut again, 2, 1, 4);
     charge(&mut again, 1, 2, 15);
     let row = ["portal", "console", "urgent", "19", "57"].map(str::to_owned).to_vec();
-    assert_eq!(control.rows("SHOW CHARGES"), [row.clone()]);
+    assert_eq!(control.rows("SHOW CHARGES"), std::slice::from_ref(&row));
     assert_eq!(control.rows("SHOW CHARGES OF portal"), [row]);
     assert!(control.rows("SHOW CHARGES OF nobody").is_empty());
 }
