--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,116 @@
+//! A control process in a thread, and the command line against it.
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Output, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gingerkeel_settings::ControlSettings;
+
+/// Time that a control process has to get ready; generous, for a busy machine.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Starts a control process on free addresses; it ends with the test. Gives where operators
+/// reach it.
+pub fn start_control() -> SocketAddr {
+    let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let [operators, feed] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
+    drop(listeners);
+    let settings = ControlSettings {
+        name: "control-1".to_owned(),
+        operators,
+        feed,
+        data_folder: std::env::temp_dir(),
+    };
+    thread::spawn(move || {
+        gingerkeel_transport::block_on(gingerkeel_control::run(settings)).unwrap().unwrap()
+    });
+    let end = Instant::now() + READY_LIMIT;
+    while TcpStream::connect(operators).is_err() {
+        assert!(Instant::now() < end, "the control process is not ready in time");
+        thread::sleep(Duration::from_millis(20));
+    }
+    operators
+}
+
+/// A relay that passes a request on and loses the answer.
+pub struct LosingRelay {
+    pub address: SocketAddr,
+    lost: Arc<AtomicUsize>,
+}
+
+impl LosingRelay {
+    /// Starts one in front of `target`; it ends with the test.
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let lost = Arc::new(AtomicUsize::new(0));
+        let counted = lost.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                lose_answer(stream, target);
+                counted.fetch_add(1, Ordering::SeqCst);
+            }
+        });
+        Self { address, lost }
+    }
+
+    /// Answers that were lost.
+    pub fn lost(&self) -> usize {
+        self.lost.load(Ordering::SeqCst)
+    }
+}
+
+fn lose_answer(mut stream: TcpStream, target: SocketAddr) {
+    let mut control = TcpStream::connect(target).unwrap();
+    let mut part = [0; 16 * 1024];
+    // The head and the body of such a small request come in a part each at most.
+    stream.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+    while let Ok(count) = stream.read(&mut part) {
+        if count == 0 {
+            break;
+        }
+        control.write_all(&part[..count]).unwrap();
+    }
+    // The control process has carried it out once it answers.
+    let _ = control.read(&mut part);
+}
+
+/// Runs the command line.
+pub fn run(controls: &[SocketAddr], arguments: &[&str]) -> Output {
+    command(controls, arguments).output().expect("the program starts")
+}
+
+/// Runs the shell on these lines.
+pub fn shell(controls: &[SocketAddr], lines: &str, home: &std::path::Path) -> Output {
+    let mut child = command(controls, &[])
+        .env("HOME", home)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    child.stdin.take().unwrap().write_all(lines.as_bytes()).unwrap();
+    child.wait_with_output().unwrap()
+}
+
+fn command(controls: &[SocketAddr], arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gingerkeel"));
+    for control in controls {
+        command.args(["--control", &control.to_string()]);
+    }
+    command.args(arguments);
+    command
+}
+
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -167,8 +167,8 @@
     let mut again = HollowBroker::subscribe(&control, "b1", 2, 0);
     charge(&mut again, 2, 1, 4);
     charge(&mut again, 1, 2, 15);
-    let row = ["portal", "console", "urgent", "19", "57"].map(str::to_owned).to_vec();
-    assert_eq!(control.rows("SHOW CHARGES"), [row.clone()]);
-    assert_eq!(control.rows("SHOW CHARGES OF portal"), [row]);
+    let rows = vec![["portal", "console", "urgent", "19", "57"].map(str::to_owned).to_vec()];
+    assert_eq!(control.rows("SHOW CHARGES"), rows);
+    assert_eq!(control.rows("SHOW CHARGES OF portal"), rows);
     assert!(control.rows("SHOW CHARGES OF nobody").is_empty());
 }
