--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,7 +7,9 @@
 mod leaf_polling;
 pub mod local_log;
 mod operators;
+pub mod replication;
 mod replication_client;
+pub mod storage;
 mod tables;
 
 use std::io;
