Run the cluster's state on the replicated log

A change whose command was lost with a leader is forgotten once its operator has given up; sent again it is carried out once. An address or data folder that cannot be used ends the process with the remedy.

--- a/crates/cli/tests/operator_page.rs
+++ b/crates/cli/tests/operator_page.rs
@@ -37,7 +37,8 @@
 
 #[test]
 fn examples_do_what_the_page_says() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("example.txt");
     let mut said = String::new();
--- a/crates/cli/tests/statements.rs
+++ b/crates/cli/tests/statements.rs
@@ -16,7 +16,8 @@
 
 #[test]
 fn lost_answer_is_asked_for_again_and_the_change_made_once() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     let relay = LosingRelay::start(control);
     let output = run(&[relay.address, control], &[DEFINE]);
     assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
@@ -27,14 +28,16 @@
 
 #[test]
 fn next_control_process_is_asked_when_one_is_down() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     let output = run(&[dead_address(), control], &[DEFINE]);
     assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
 }
 
 #[test]
 fn unknown_outcome_tells_how_to_send_the_command_again() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     let relay = LosingRelay::start(control);
     let lost = run(&[relay.address], &[DEFINE]);
     assert_eq!(lost.status.code(), Some(3));
@@ -50,7 +53,8 @@
 
 #[test]
 fn commands_of_a_named_session_are_numbered_on_from_run_to_run() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     for revision in 1..=2 {
         let output = run(&[control], &["--session", "anna", DEFINE]);
         assert_eq!(stdout(&output), format!("accepted at revision {revision}\n"));
@@ -59,7 +63,8 @@
 
 #[test]
 fn wrong_statement_is_shown_with_its_place_and_nothing_is_sent() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     let output = run(&[control], &[&format!("{DEFINE}; DRAIN LEFT 3")]);
     assert_eq!(output.status.code(), Some(2));
     let said = stderr(&output);
@@ -70,7 +75,8 @@
 
 #[test]
 fn refusal_ends_a_file_with_its_exit_code() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("statements.txt");
     fs::write(&file, format!("{DEFINE};\nDRAIN LEAF 9;\nREMOVE CALLER portal;\n")).unwrap();
@@ -82,7 +88,8 @@
 
 #[test]
 fn replies_come_as_json() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     let output = run(&[control], &["--json", &format!("{DEFINE}; SHOW CALLERS")]);
     let replies: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
     assert_eq!(replies["replies"][0]["kind"], "accepted");
@@ -91,7 +98,8 @@
 
 #[test]
 fn shell_carries_on_after_errors_and_keeps_a_history() {
-    let control = start_control();
+    let process = start_control();
+    let control = process.address;
     let home = tempfile::tempdir().unwrap();
     let lines = format!("DRAIN LEFT 3;\nDEFINE CALLER gate\nBUDGET 1 BURST 2;\n{DEFINE};\nquit\n");
     let output = shell(&[control], &lines, home.path());
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -10,31 +10,37 @@
 use std::time::{Duration, Instant};
 
 use gingerkeel_settings::ControlSettings;
+use tempfile::TempDir;
 
 /// Time that a control process has to get ready; generous, for a busy machine.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
-/// Starts a control process on free addresses; it ends with the test. Gives where operators
-/// reach it.
-pub fn start_control() -> SocketAddr {
+/// A control process.
+pub struct ControlProcess {
+    /// Where operators reach it.
+    pub address: SocketAddr,
+    _folder: TempDir,
+}
+
+/// Starts a control process on free addresses; it ends with the test.
+pub fn start_control() -> ControlProcess {
     let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
     let [operators, feed] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
     drop(listeners);
-    let settings = ControlSettings {
-        name: "control-1".to_owned(),
-        operators,
-        feed,
-        data_folder: std::env::temp_dir(),
-    };
+    let folder = tempfile::tempdir().unwrap();
+    let text = format!(
+        "name = \"control-1\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\ndata_folder = {:?}",
+        folder.path()
+    );
+    let settings: ControlSettings = gingerkeel_settings::parse("test", &text).unwrap();
     thread::spawn(move || {
         gingerkeel_transport::block_on(gingerkeel_control::run(settings)).unwrap().unwrap()
     });
     let end = Instant::now() + READY_LIMIT;
-    while TcpStream::connect(operators).is_err() {
+    while !run(&[operators], &["SHOW STATUS"]).status.success() {
         assert!(Instant::now() < end, "the control process is not ready in time");
-        thread::sleep(Duration::from_millis(20));
     }
-    operators
+    ControlProcess { address: operators, _folder: folder }
 }
 
 /// A relay that passes a request on and loses the answer.
--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -13,7 +13,8 @@
 use local_sync::oneshot;
 
 use super::reads::{LeaseTicket, PendingRead};
-use crate::local_log::{ProposeError, ReadError, StateMachineMessage};
+use crate::replication::StateMachineMessage;
+use crate::replication_client::LogError;
 
 /// Number of a broker's connection within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -86,35 +87,35 @@
         /// The change.
         request: ChangeRequest,
         /// Where its outcome goes.
-        reply: oneshot::Sender<Result<ChangeOutcome, ProposeError>>,
+        reply: oneshot::Sender<Result<ChangeOutcome, LogError>>,
     },
     /// A change was perhaps not proposed.
     ChangeNotProposed {
         /// Its identity.
         id: CommandId,
         /// Why.
-        error: ProposeError,
+        error: LogError,
     },
     /// Look something up.
     Look {
         /// What.
         subject: Subject,
         /// Where the table goes.
-        reply: oneshot::Sender<Result<StatementReply, ReadError>>,
+        reply: oneshot::Sender<Result<StatementReply, LogError>>,
     },
     /// A quorum confirmed reads, or not.
     ReadConfirmed {
         /// The reads.
         reads: Vec<PendingRead>,
         /// The index that they need.
-        outcome: Result<LogIndex, ReadError>,
+        outcome: Result<LogIndex, LogError>,
     },
     /// A quorum confirmed a batch of leases, or not.
     LeasesConfirmed {
         /// The batch.
         tickets: Vec<LeaseTicket>,
         /// The index that they need.
-        outcome: Result<LogIndex, ReadError>,
+        outcome: Result<LogIndex, LogError>,
     },
     /// Something happened on a broker's connection.
     Feed(FeedEvent),
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -18,8 +18,8 @@
 use tracing::{error, info};
 
 use crate::leaf_polling::PollPlan;
-use crate::local_log::{ProposeError, StateMachineMessage};
-use crate::replication_client::ReplicationClient;
+use crate::replication::{StateMachineMessage, StateSnapshot};
+use crate::replication_client::{LogError, ReplicationClient};
 use crate::tables;
 
 use membership::Membership;
@@ -31,7 +31,7 @@
 /// Time between two rounds of reports and deltas.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-type ChangeReply = oneshot::Sender<Result<ChangeOutcome, ProposeError>>;
+type ChangeReply = oneshot::Sender<Result<ChangeOutcome, LogError>>;
 
 /// The state of the task.
 pub struct ClusterTask {
@@ -128,7 +128,8 @@
             StateMachineMessage::TakeSnapshot { reply } => match encode_document(&self.state) {
                 Ok(snapshot) => {
                     // The log may have changed its mind.
-                    let _ = reply.send((self.state.applied(), snapshot));
+                    let _ =
+                        reply.send(StateSnapshot { index: self.state.applied(), bytes: snapshot });
                 }
                 Err(error) => error!(event = "snapshot_not_encoded", %error),
             },
@@ -195,7 +196,7 @@
     fn answer_change(
         &mut self,
         id: &CommandId,
-        outcome: impl Fn() -> Result<ChangeOutcome, ProposeError>,
+        outcome: impl Fn() -> Result<ChangeOutcome, LogError>,
     ) {
         for reply in self.waiting_changes.remove(id).unwrap_or_default() {
             // The operator may have hung up; a resend gets the recorded outcome.
@@ -203,6 +204,14 @@
         }
     }
 
+    /// A command handed to a leader that was lost then never comes back; its operator gave up.
+    fn forget_abandoned_changes(&mut self) {
+        self.waiting_changes.retain(|_, replies| {
+            replies.retain(|reply| !reply.is_closed());
+            !replies.is_empty()
+        });
+    }
+
     fn start_read(&mut self, reads: Vec<PendingRead>) {
         let replication = self.replication.clone();
         let messages = self.own_messages.clone();
@@ -264,6 +273,7 @@
 
     /// Reports what changed and passes on what others reported.
     fn round(&mut self) {
+        self.forget_abandoned_changes();
         self.subscribers.publish_members(&self.state);
         if let Some(plan) = self.membership.poll_plan(&self.state) {
             // The polling task lives as long as the process.
--- a/crates/control/src/cluster_task/reads.rs
+++ b/crates/control/src/cluster_task/reads.rs
@@ -5,7 +5,7 @@
 use local_sync::oneshot;
 
 use super::ConnectionId;
-use crate::local_log::ReadError;
+use crate::replication_client::LogError;
 
 /// A lease that a broker asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,7 +23,7 @@
         /// What.
         subject: Subject,
         /// Where the table goes.
-        reply: oneshot::Sender<Result<StatementReply, ReadError>>,
+        reply: oneshot::Sender<Result<StatementReply, LogError>>,
     },
     /// Leases of brokers.
     Leases(Vec<LeaseTicket>),
@@ -62,7 +62,7 @@
     pub fn leases_confirmed(
         &mut self,
         tickets: Vec<LeaseTicket>,
-        outcome: Result<LogIndex, ReadError>,
+        outcome: Result<LogIndex, LogError>,
     ) {
         self.confirming_leases = false;
         if let Ok(needs) = outcome {
@@ -71,7 +71,7 @@
     }
 
     /// The outcome of reads.
-    pub fn confirmed(&mut self, reads: Vec<PendingRead>, outcome: Result<LogIndex, ReadError>) {
+    pub fn confirmed(&mut self, reads: Vec<PendingRead>, outcome: Result<LogIndex, LogError>) {
         for read in reads {
             match (&outcome, read) {
                 (Ok(needs), read) => self.confirmed.push(ConfirmedRead { needs: *needs, read }),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,16 +3,16 @@
 
 mod clock;
 mod cluster_task;
+mod error;
 mod feed;
 mod leaf_polling;
-pub mod local_log;
 mod operators;
 pub mod replication;
 mod replication_client;
 pub mod storage;
 mod tables;
 
-use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use gingerkeel_domain::identifiers::ControlName;
@@ -22,7 +22,10 @@
 use rand::Rng;
 use tracing::info;
 
+pub use crate::error::RunError;
+
 use crate::cluster_task::OwnIdentity;
+use crate::replication::ReplicationOptions;
 use crate::replication_client::ReplicationClient;
 
 /// Pause after a connection could not be accepted, as when descriptors are short.
@@ -31,10 +34,10 @@
 /// Serves operators and brokers until the process ends.
 ///
 /// # Errors
-/// An [`io::Error`] when an address cannot be bound.
-pub async fn run(settings: ControlSettings) -> io::Result<()> {
-    let operators = TcpListener::bind(settings.operators)?;
-    let feed = TcpListener::bind(settings.feed)?;
+/// A [`RunError`] when an address or the data folder cannot be used.
+pub async fn run(settings: ControlSettings) -> Result<(), RunError> {
+    let operators = bind(settings.operators)?;
+    let feed = bind(settings.feed)?;
     info!(
         event = "started",
         name = settings.name,
@@ -48,7 +51,8 @@
         feed: settings.feed,
     };
     let (cluster, messages) = unbounded::channel();
-    let log = local_log::start(cluster_task::state_machine(cluster.clone()));
+    let state_machine = cluster_task::state_machine(cluster.clone());
+    let log = replication::start(&settings, ReplicationOptions::default(), state_machine)?;
     let (polling, plans) = leaf_polling::channel();
     let replication = ReplicationClient::new(log);
     cluster_task::start(identity, replication, polling, cluster.clone(), messages);
@@ -57,3 +61,7 @@
     operators::serve(operators, cluster).await;
     Ok(())
 }
+
+fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).map_err(|error| RunError::Address(address, error))
+}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -39,8 +39,14 @@
     }
     start_logging();
     let outcome = gingerkeel_transport::block_on(gingerkeel_control::run(settings));
-    if let Err(error) = outcome.and_then(|result| result) {
-        eprintln!("gingerkeel-control: {error}: check that the addresses are free");
-        exit(1);
+    match outcome {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => fail(&error.to_string()),
+        Err(error) => fail(&format!("the runtime cannot start ({error}): check the limits")),
     }
 }
+
+fn fail(message: &str) -> ! {
+    eprintln!("gingerkeel-control: {message}");
+    exit(1);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use gingerkeel_transport::{ClientConnection, HttpRequest, HttpResponse, Limits, block_on};
 use http::{Method, Uri};
 use monoio_codec::{Decoded, Decoder};
+use tempfile::TempDir;
 
 /// Time that a process has to get ready, or a condition to hold; generous, for a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
@@ -25,6 +26,7 @@
 pub struct Control {
     pub operators: SocketAddr,
     pub feed: SocketAddr,
+    _folder: TempDir,
 }
 
 impl Control {
@@ -33,15 +35,17 @@
         let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
         let [operators, feed] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
         drop(listeners);
-        let settings = ControlSettings {
-            name: name.to_owned(),
-            operators,
-            feed,
-            data_folder: std::env::temp_dir(),
-        };
+        let folder = tempfile::tempdir().unwrap();
+        let text = format!(
+            "name = \"{name}\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\ndata_folder = {:?}",
+            folder.path()
+        );
+        let settings: ControlSettings = gingerkeel_settings::parse("test", &text).unwrap();
         thread::spawn(move || block_on(gingerkeel_control::run(settings)).unwrap().unwrap());
         wait_until(|| TcpStream::connect(operators).is_ok() && TcpStream::connect(feed).is_ok());
-        Self { operators, feed }
+        let control = Self { operators, feed, _folder: folder };
+        wait_until(|| control.post("SHOW STATUS", None).0 == 200);
+        control
     }
 
     /// Posts a text; the status and the replies.
