--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -14,7 +14,9 @@
 use gingerkeel_statement::{
     SEQUENCE_HEADER, SESSION_HEADER, STATEMENTS_PATH, StatementReplies, StatementReply,
 };
-use gingerkeel_transport::{ClientConnection, HttpRequest, HttpResponse, Limits, block_on};
+use gingerkeel_transport::{
+    ClientConnection, HttpRequest, HttpResponse, Limits, TransportError, block_on,
+};
 use http::{Method, Uri};
 use monoio_codec::{Decoded, Decoder};
 use tempfile::TempDir;
@@ -26,7 +28,7 @@
 pub struct Control {
     pub operators: SocketAddr,
     pub feed: SocketAddr,
-    _folder: TempDir,
+    _folder: Option<TempDir>,
 }
 
 impl Control {
@@ -43,11 +45,28 @@
         let settings: ControlSettings = gingerkeel_settings::parse("test", &text).unwrap();
         thread::spawn(move || block_on(gingerkeel_control::run(settings)).unwrap().unwrap());
         wait_until(|| TcpStream::connect(operators).is_ok() && TcpStream::connect(feed).is_ok());
-        let control = Self { operators, feed, _folder: folder };
+        let control = Self { operators, feed, _folder: Some(folder) };
         wait_until(|| control.post("SHOW STATUS", None).0 == 200);
         control
     }
 
+    /// One that runs elsewhere.
+    pub fn at(operators: SocketAddr, feed: SocketAddr) -> Self {
+        Self { operators, feed, _folder: None }
+    }
+
+    /// Whether it answers look-ups.
+    pub fn is_ready(&self) -> bool {
+        matches!(self.try_post("SHOW STATUS", None), Some(StatementReply::Table { .. }))
+    }
+
+    /// Posts one statement; its reply, or none when the process cannot be asked.
+    pub fn try_post(&self, text: &str, command: Option<(&str, &str)>) -> Option<StatementReply> {
+        let response = self.try_exchange(text, &headers(command)).ok()?;
+        let replies: StatementReplies = serde_json::from_slice(response.body()).ok()?;
+        replies.replies.into_iter().next()
+    }
+
     /// Posts a text; the status and the replies.
     pub fn post(&self, text: &str, command: Option<(&str, &str)>) -> (u16, Vec<StatementReply>) {
         let response = self.exchange(text, command);
@@ -58,17 +77,19 @@
 
     /// Posts a text; the response as it comes.
     pub fn exchange(&self, text: &str, command: Option<(&str, &str)>) -> HttpResponse {
-        match command {
-            Some((session, sequence)) => {
-                let headers = [(SESSION_HEADER, session), (SEQUENCE_HEADER, sequence)];
-                self.exchange_with(text, &headers)
-            }
-            None => self.exchange_with(text, &[]),
-        }
+        self.exchange_with(text, &headers(command))
     }
 
     /// Posts a text with headers; the response as it comes.
     pub fn exchange_with(&self, text: &str, headers: &[(&'static str, &str)]) -> HttpResponse {
+        self.try_exchange(text, headers).expect("the process answers")
+    }
+
+    fn try_exchange(
+        &self,
+        text: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Result<HttpResponse, TransportError> {
         let mut request = HttpRequest::new(Bytes::copy_from_slice(text.as_bytes()));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(STATEMENTS_PATH);
@@ -77,9 +98,8 @@
         }
         let operators = self.operators;
         let exchanging = async move {
-            let mut connection =
-                ClientConnection::connect(operators, Limits::default()).await.unwrap();
-            connection.exchange(request).await.unwrap()
+            let mut connection = ClientConnection::connect(operators, Limits::default()).await?;
+            connection.exchange(request).await
         };
         block_on(exchanging).unwrap()
     }
@@ -101,6 +121,15 @@
     }
 }
 
+fn headers<'text>(command: Option<(&'text str, &'text str)>) -> Vec<(&'static str, &'text str)> {
+    match command {
+        Some((session, sequence)) => {
+            vec![(SESSION_HEADER, session), (SEQUENCE_HEADER, sequence)]
+        }
+        None => Vec::new(),
+    }
+}
+
 /// Waits until `condition` holds.
 pub fn wait_until(mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + WAIT_LIMIT;
