--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -13,8 +13,7 @@
 use local_sync::oneshot;
 
 use super::reads::{LeaseTicket, PendingRead};
-use crate::replication::StateMachineMessage;
-use crate::replication_client::LogError;
+use crate::replication::{ProposeError, ReadError, StateMachineMessage};
 
 /// Number of a broker's connection within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -87,35 +86,35 @@
         /// The change.
         request: ChangeRequest,
         /// Where its outcome goes.
-        reply: oneshot::Sender<Result<ChangeOutcome, LogError>>,
+        reply: oneshot::Sender<Result<ChangeOutcome, ProposeError>>,
     },
     /// A change was perhaps not proposed.
     ChangeNotProposed {
         /// Its identity.
         id: CommandId,
         /// Why.
-        error: LogError,
+        error: ProposeError,
     },
     /// Look something up.
     Look {
         /// What.
         subject: Subject,
         /// Where the table goes.
-        reply: oneshot::Sender<Result<StatementReply, LogError>>,
+        reply: oneshot::Sender<Result<StatementReply, ReadError>>,
     },
     /// A quorum confirmed reads, or not.
     ReadConfirmed {
         /// The reads.
         reads: Vec<PendingRead>,
         /// The index that they need.
-        outcome: Result<LogIndex, LogError>,
+        outcome: Result<LogIndex, ReadError>,
     },
     /// A quorum confirmed a batch of leases, or not.
     LeasesConfirmed {
         /// The batch.
         tickets: Vec<LeaseTicket>,
         /// The index that they need.
-        outcome: Result<LogIndex, LogError>,
+        outcome: Result<LogIndex, ReadError>,
     },
     /// Something happened on a broker's connection.
     Feed(FeedEvent),
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -18,8 +18,8 @@
 use tracing::{error, info};
 
 use crate::leaf_polling::PollPlan;
-use crate::replication::{StateMachineMessage, StateSnapshot};
-use crate::replication_client::{LogError, ReplicationClient};
+use crate::replication::{ProposeError, StateMachineMessage, StateSnapshot};
+use crate::replication_client::ReplicationClient;
 use crate::tables;
 
 use membership::Membership;
@@ -31,7 +31,7 @@
 /// Time between two rounds of reports and deltas.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-type ChangeReply = oneshot::Sender<Result<ChangeOutcome, LogError>>;
+type ChangeReply = oneshot::Sender<Result<ChangeOutcome, ProposeError>>;
 
 /// The state of the task.
 pub struct ClusterTask {
@@ -126,10 +126,10 @@
             StateMachineMessage::Apply { index, command } => self.apply(index, &command),
             StateMachineMessage::Restore { index, snapshot } => self.restore(index, &snapshot),
             StateMachineMessage::TakeSnapshot { reply } => match encode_document(&self.state) {
-                Ok(snapshot) => {
+                Ok(bytes) => {
+                    let snapshot = StateSnapshot { index: self.state.applied(), bytes };
                     // The log may have changed its mind.
-                    let _ =
-                        reply.send(StateSnapshot { index: self.state.applied(), bytes: snapshot });
+                    let _ = reply.send(snapshot);
                 }
                 Err(error) => error!(event = "snapshot_not_encoded", %error),
             },
@@ -196,7 +196,7 @@
     fn answer_change(
         &mut self,
         id: &CommandId,
-        outcome: impl Fn() -> Result<ChangeOutcome, LogError>,
+        outcome: impl Fn() -> Result<ChangeOutcome, ProposeError>,
     ) {
         for reply in self.waiting_changes.remove(id).unwrap_or_default() {
             // The operator may have hung up; a resend gets the recorded outcome.
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -8,19 +8,25 @@
 use crate::replication::StartError;
 
 quick_error! {
-    /// The control process cannot start; the message names the remedy.
+    /// A control process cannot start.
     #[derive(Debug)]
-    pub enum RunError {
+    pub enum ControlError {
         /// An address cannot be bound.
         Address(address: SocketAddr, error: io::Error) {
             source(error)
             display("address {address}: {error}: check that the address is this machine's and is free")
         }
-        /// The replicated log cannot be started.
+        /// The replicated log cannot be opened.
         Log(error: StartError) {
             from()
             source(error)
             display("{error}")
         }
+        /// The runtime cannot start.
+        Runtime(error: io::Error) {
+            from()
+            source(error)
+            display("the runtime cannot start ({error}): check the limits of the process")
+        }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,7 +22,7 @@
 use rand::Rng;
 use tracing::info;
 
-pub use crate::error::RunError;
+pub use error::ControlError;
 
 use crate::cluster_task::OwnIdentity;
 use crate::replication::ReplicationOptions;
@@ -34,8 +34,8 @@
 /// Serves operators and brokers until the process ends.
 ///
 /// # Errors
-/// A [`RunError`] when an address or the data folder cannot be used.
-pub async fn run(settings: ControlSettings) -> Result<(), RunError> {
+/// A [`ControlError`] when an address or the data folder cannot be used.
+pub async fn run(settings: ControlSettings) -> Result<(), ControlError> {
     let operators = bind(settings.operators)?;
     let feed = bind(settings.feed)?;
     info!(
@@ -62,6 +62,6 @@
     Ok(())
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
-    TcpListener::bind(address).map_err(|error| RunError::Address(address, error))
+fn bind(address: SocketAddr) -> Result<TcpListener, ControlError> {
+    TcpListener::bind(address).map_err(|error| ControlError::Address(address, error))
 }
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::exit;
 
+use gingerkeel_control::ControlError;
 use gingerkeel_settings::{ControlSettings, EXIT_BAD_SETTINGS, load, start_logging};
 use gumdrop::Options;
 
@@ -39,14 +40,8 @@
     }
     start_logging();
     let outcome = gingerkeel_transport::block_on(gingerkeel_control::run(settings));
-    match outcome {
-        Ok(Ok(())) => {}
-        Ok(Err(error)) => fail(&error.to_string()),
-        Err(error) => fail(&format!("the runtime cannot start ({error}): check the limits")),
+    if let Err(error) = outcome.map_err(ControlError::from).and_then(|result| result) {
+        eprintln!("gingerkeel-control: {error}");
+        exit(1);
     }
 }
-
-fn fail(message: &str) -> ! {
-    eprintln!("gingerkeel-control: {message}");
-    exit(1);
-}
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -3,14 +3,13 @@
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 
 use gingerkeel_domain::catalog::Catalog;
 use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document};
 use gingerkeel_statement::StatementReply;
 use rustix::process::{Pid, Signal, kill_process};
-use support::{Control, HollowBroker, wait_until};
+use support::{Control, HollowBroker, free_addresses, wait_until};
 use tempfile::TempDir;
 
 const PROCESSES: usize = 3;
@@ -119,12 +118,6 @@
         .expect("the program starts")
 }
 
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
-}
-
 #[test]
 fn accepted_commands_are_there_once_on_all_that_were_killed_and_frozen_in_turn() {
     let mut cluster = Cluster::start();
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,7 +2,8 @@
 #![allow(dead_code)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,11 @@
 /// Time that a process has to get ready, or a condition to hold; generous, for a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// Second octet of the loopback hosts of tests; those of rehearsals are below.
+const FIRST_OCTET: u8 = 150;
+/// Lists of addresses that a test process may ask for.
+const CALL_LIMIT: u8 = 100;
+
 /// A control process.
 pub struct Control {
     pub operators: SocketAddr,
@@ -34,9 +40,8 @@
 impl Control {
     /// Starts one on free addresses; it ends with the test.
     pub fn start(name: &str) -> Self {
-        let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-        let [operators, feed] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
-        drop(listeners);
+        let addresses = free_addresses(2);
+        let [operators, feed] = [addresses[0], addresses[1]];
         let folder = tempfile::tempdir().unwrap();
         let text = format!(
             "name = \"{name}\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\ndata_folder = {:?}",
@@ -121,6 +126,19 @@
     }
 }
 
+/// Free addresses of a loopback host that no other call and no other test process uses: between
+/// the search and the start of a process, nobody else takes them.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    static CALLS: AtomicU8 = AtomicU8::new(0);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    assert!(call < CALL_LIMIT, "a test process asks for at most 100 lists of addresses");
+    let [_, _, middle, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, FIRST_OCTET + call, middle, low.max(1));
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind((host, 0)).unwrap()).collect();
+    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+}
+
 fn headers<'text>(command: Option<(&'text str, &'text str)>) -> Vec<(&'static str, &'text str)> {
     match command {
         Some((session, sequence)) => {
