--- a/crates/protocol/tests/feed.rs
+++ b/crates/protocol/tests/feed.rs
@@ -147,3 +147,11 @@
     assert_eq!(ShortText::new("palermo-1").text(), Some("palermo-1"));
     assert_eq!(ShortText::new(&"x".repeat(300)).text().map(str::len), Some(255));
 }
+
+#[test]
+fn renewal_and_grant_are_as_small_as_the_design_note_says() {
+    let renewal = SubscriberMessage::Renew { ticket: 1, in_force: 1 };
+    assert_eq!(encode_frame(&renewal).unwrap().len(), 21);
+    let grant = FeedMessage::Lease { ticket: 1, revision: 1, duration_milliseconds: 4_000 };
+    assert_eq!(encode_frame(&grant).unwrap().len(), 25);
+}
