--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,7 +2,8 @@
 #![allow(dead_code)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,9 @@
 use gingerkeel_statement::{
     SEQUENCE_HEADER, SESSION_HEADER, STATEMENTS_PATH, StatementReplies, StatementReply,
 };
-use gingerkeel_transport::{ClientConnection, HttpRequest, HttpResponse, Limits, block_on};
+use gingerkeel_transport::{
+    ClientConnection, HttpRequest, HttpResponse, Limits, TransportError, block_on,
+};
 use http::{Method, Uri};
 use monoio_codec::{Decoded, Decoder};
 use tempfile::TempDir;
@@ -22,34 +25,51 @@
 /// Time that a process has to get ready, or a condition to hold; generous, for a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// Second octet of the loopback hosts of tests; those of rehearsals are below.
+const FIRST_OCTET: u8 = 150;
+/// Lists of addresses that a test process may ask for.
+const CALL_LIMIT: u8 = 100;
+
 /// A control process.
 pub struct Control {
     pub operators: SocketAddr,
     pub feed: SocketAddr,
-    _folder: TempDir,
+    _folder: Option<TempDir>,
 }
 
 impl Control {
     /// Starts one on free addresses; it ends with the test.
     pub fn start(name: &str) -> Self {
-        let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-        let [operators, feed] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
-        drop(listeners);
+        let addresses = free_addresses(2);
+        let [operators, feed] = [addresses[0], addresses[1]];
         let folder = tempfile::tempdir().unwrap();
-        let settings = ControlSettings {
-            name: name.to_owned(),
-            operators,
-            feed,
-            data_folder: folder.path().to_owned(),
-            cluster: "test".into(),
-            node: 1,
-            region: "south".into(),
-            zone: "zone-0".into(),
-            peers: Vec::new(),
-        };
+        let text = format!(
+            "name = \"{name}\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\ndata_folder = {:?}",
+            folder.path()
+        );
+        let settings: ControlSettings = gingerkeel_settings::parse("test", &text).unwrap();
         thread::spawn(move || block_on(gingerkeel_control::run(settings)).unwrap().unwrap());
         wait_until(|| TcpStream::connect(operators).is_ok() && TcpStream::connect(feed).is_ok());
-        Self { operators, feed, _folder: folder }
+        let control = Self { operators, feed, _folder: Some(folder) };
+        wait_until(|| control.post("SHOW STATUS", None).0 == 200);
+        control
+    }
+
+    /// One that runs elsewhere.
+    pub fn at(operators: SocketAddr, feed: SocketAddr) -> Self {
+        Self { operators, feed, _folder: None }
+    }
+
+    /// Whether it answers look-ups.
+    pub fn is_ready(&self) -> bool {
+        matches!(self.try_post("SHOW STATUS", None), Some(StatementReply::Table { .. }))
+    }
+
+    /// Posts one statement; its reply, or none when the process cannot be asked.
+    pub fn try_post(&self, text: &str, command: Option<(&str, &str)>) -> Option<StatementReply> {
+        let response = self.try_exchange(text, &headers(command)).ok()?;
+        let replies: StatementReplies = serde_json::from_slice(response.body()).ok()?;
+        replies.replies.into_iter().next()
     }
 
     /// Posts a text; the status and the replies.
@@ -62,17 +82,19 @@
 
     /// Posts a text; the response as it comes.
     pub fn exchange(&self, text: &str, command: Option<(&str, &str)>) -> HttpResponse {
-        match command {
-            Some((session, sequence)) => {
-                let headers = [(SESSION_HEADER, session), (SEQUENCE_HEADER, sequence)];
-                self.exchange_with(text, &headers)
-            }
-            None => self.exchange_with(text, &[]),
-        }
+        self.exchange_with(text, &headers(command))
     }
 
     /// Posts a text with headers; the response as it comes.
     pub fn exchange_with(&self, text: &str, headers: &[(&'static str, &str)]) -> HttpResponse {
+        self.try_exchange(text, headers).expect("the process answers")
+    }
+
+    fn try_exchange(
+        &self,
+        text: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Result<HttpResponse, TransportError> {
         let mut request = HttpRequest::new(Bytes::copy_from_slice(text.as_bytes()));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(STATEMENTS_PATH);
@@ -81,9 +103,8 @@
         }
         let operators = self.operators;
         let exchanging = async move {
-            let mut connection =
-                ClientConnection::connect(operators, Limits::default()).await.unwrap();
-            connection.exchange(request).await.unwrap()
+            let mut connection = ClientConnection::connect(operators, Limits::default()).await?;
+            connection.exchange(request).await
         };
         block_on(exchanging).unwrap()
     }
@@ -105,6 +126,28 @@
     }
 }
 
+/// Free addresses of a loopback host that no other call and no other test process uses: between
+/// the search and the start of a process, nobody else takes them.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    static CALLS: AtomicU8 = AtomicU8::new(0);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    assert!(call < CALL_LIMIT, "a test process asks for at most 100 lists of addresses");
+    let [_, _, middle, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, FIRST_OCTET + call, middle, low.max(1));
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind((host, 0)).unwrap()).collect();
+    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+}
+
+fn headers<'text>(command: Option<(&'text str, &'text str)>) -> Vec<(&'static str, &'text str)> {
+    match command {
+        Some((session, sequence)) => {
+            vec![(SESSION_HEADER, session), (SEQUENCE_HEADER, sequence)]
+        }
+        None => Vec::new(),
+    }
+}
+
 /// Waits until `condition` holds.
 pub fn wait_until(mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + WAIT_LIMIT;
