--- a/crates/simulation/src/control/disk.rs
+++ b/crates/simulation/src/control/disk.rs
@@ -24,8 +24,10 @@
 
     /// Writes up to `number` are synced.
     pub fn sync_up_to(&mut self, number: WriteNumber) {
-        while let Some(write) = self.unsynced.pop_front_if(|write| write.number <= number) {
-            persist(&mut self.synced, write);
+        while self.unsynced.front().is_some_and(|write| write.number <= number) {
+            if let Some(write) = self.unsynced.pop_front() {
+                persist(&mut self.synced, write);
+            }
         }
     }
 }
