--- a/crates/rehearsal/src/experiment/figures.rs
+++ b/crates/rehearsal/src/experiment/figures.rs
@@ -50,7 +50,7 @@
     pub p99_ms: f64,
     /// As `p50_ms`, 999 in 1000.
     pub p999_ms: f64,
-    /// Latency at each quantile of [`CURVE`].
+    /// Latency at each quantile of the curve that reports plot.
     pub curve_ms: Vec<f64>,
 }
 
