Start no waiting query once the lease has run out

Cause: the lease was looked at when a query came in; one that waited in a queue started later, under a configuration that might not be the accepted one any more. Ruled out: refusing what runs already, as the lease names when queries may start. Before: the new test fails (the second query is sent). After: it is refused as not run (configuration_stale); all tests of the domain pass.

--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -169,8 +169,12 @@
         if self.stopping || wanted != MemberState::Active {
             return Some(RefusalReason::Stopping);
         }
-        let stale = self.fresh_until.is_some_and(|until| until <= now);
-        stale.then_some(RefusalReason::ConfigurationStale)
+        self.is_stale(now).then_some(RefusalReason::ConfigurationStale)
+    }
+
+    /// Whether the configuration in force may not be the accepted one any more.
+    fn is_stale(&self, now: Timestamp) -> bool {
+        self.fresh_until.is_some_and(|until| until <= now)
     }
 
     fn carry_out(&mut self, now: Timestamp, decisions: Vec<Decision>, effects: &mut Vec<Effect>) {
--- a/crates/domain/src/dispatch/scatter.rs
+++ b/crates/domain/src/dispatch/scatter.rs
@@ -40,11 +40,12 @@
         let snapshot =
             self.views.get(&service).and_then(|view| view.snapshots.choose(now, repeatable));
         let target = snapshot.and_then(|snapshot| self.target(&service, snapshot));
+        // A query that waited for long may start after the lease has run out.
+        if self.is_stale(now) {
+            return self.refuse_started(now, query, RefusalReason::ConfigurationStale, effects);
+        }
         let Some((snapshot, table)) = target else {
-            let reason = RefusalReason::NotServed;
-            let outcome = QueryOutcome::NotRun { reason, retry_after: DEFAULT_RETRY_AFTER };
-            self.end(now, query, outcome, effects);
-            return;
+            return self.refuse_started(now, query, RefusalReason::NotServed, effects);
         };
         if let Some(active) = self.queries.get_mut(&query) {
             active.execution = Some(Execution::new(query, snapshot, table, repeatable));
@@ -52,6 +53,18 @@
         self.scatter(now, query, effects);
     }
 
+    /// Refuses a query that was to start and of which nothing was run.
+    fn refuse_started(
+        &mut self,
+        now: Timestamp,
+        query: QueryId,
+        reason: RefusalReason,
+        effects: &mut Vec<Effect>,
+    ) {
+        let outcome = QueryOutcome::NotRun { reason, retry_after: DEFAULT_RETRY_AFTER };
+        self.end(now, query, outcome, effects);
+    }
+
     fn target(
         &self,
         service: &ServiceName,
--- a/crates/domain/tests/freshness.rs
+++ b/crates/domain/tests/freshness.rs
@@ -8,7 +8,7 @@
 use gingerkeel_domain::identifiers::BrokerName;
 use gingerkeel_domain::query::QueryOutcome;
 use gingerkeel_domain::time::Timestamp;
-use support::{Harness, answered, change, millis, outcome, sends};
+use support::{Harness, answered, change, millis, outcome, sends, service};
 
 fn refusal(outcome: Option<QueryOutcome>) -> Option<RefusalReason> {
     match outcome {
@@ -41,6 +41,26 @@
     assert_eq!(sends(&harness.submit(true)).len(), 1);
 }
 
+#[test]
+fn query_that_waited_does_not_start_after_the_lease() {
+    let mut harness = Harness::new(&[&[0]]);
+    harness.reconfigure(|catalog| {
+        change(catalog, Change::DefineService { service: service(), concurrency: 1 });
+    });
+    harness.handle(Event::FreshUntil(harness.now.after(millis(100))));
+    let running = sends(&harness.submit(true));
+    assert_eq!(harness.submit(true), [], "the second one waits");
+    harness.wait(millis(100));
+    let effects = harness.answer(running[0]);
+    let outcomes: Vec<_> =
+        effects.iter().filter_map(|effect| outcome(std::slice::from_ref(effect))).collect();
+    let [QueryOutcome::Answered(_), refused] = outcomes.as_slice() else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(refusal(Some(refused.clone())), Some(RefusalReason::ConfigurationStale));
+    assert!(sends(&effects).is_empty());
+}
+
 #[test]
 fn drained_broker_starts_nothing_until_it_is_resumed() {
     let mut harness = Harness::new(&[&[0]]);
