Give each test's members a loopback host of their own

Cause: a run of the whole workspace failed once, as a test that ran beside had taken a port between its search and its use (`a_cluster_is_formed_only_by_voters_that_agree`, address in use). Each call now has a host of its own. Ruled out: binding port 0 in the members, as peers have to be known beforehand.

--- a/crates/control/tests/replication/support.rs
+++ b/crates/control/tests/replication/support.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -40,9 +41,15 @@
     thread: Option<JoinHandle<()>>,
 }
 
+/// Calls of [`free_addresses`] so far.
+static CALLS: AtomicU8 = AtomicU8::new(0);
+
+/// Free addresses of a loopback host that no other call uses, so that no test that runs beside
+/// takes a port before it is bound.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, 192 + high % 32, middle, low);
+    let [_, _, middle, low] = std::process::id().to_be_bytes();
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    let host = Ipv4Addr::new(127, 130 + call % 60, middle, low);
     let listeners: Vec<TcpListener> =
         (0..count).map(|_| TcpListener::bind((host, 0)).expect("a free port")).collect();
     listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
--- a/crates/rehearsal/tests/replicated_log.rs
+++ b/crates/rehearsal/tests/replicated_log.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -31,11 +32,15 @@
     _folder: TempDir,
 }
 
-/// Free addresses of a loopback host of this test process alone, so that no outgoing connection
-/// takes a port while a member is down.
+/// Calls of [`free_addresses`] so far.
+static CALLS: AtomicU8 = AtomicU8::new(0);
+
+/// Free addresses of a loopback host that no other call uses, so that neither an outgoing
+/// connection nor a test that runs beside takes a port while a member is down.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, 128 + high % 64, middle, low);
+    let [_, _, middle, low] = std::process::id().to_be_bytes();
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    let host = Ipv4Addr::new(127, 190 + call % 60, middle, low);
     let listeners: Vec<TcpListener> =
         (0..count).map(|_| TcpListener::bind((host, 0)).expect("a free port")).collect();
     listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
