--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -204,6 +204,14 @@
         }
     }
 
+    /// A command handed to a leader that was lost then never comes back; its operator gave up.
+    fn forget_abandoned_changes(&mut self) {
+        self.waiting_changes.retain(|_, replies| {
+            replies.retain(|reply| !reply.is_closed());
+            !replies.is_empty()
+        });
+    }
+
     fn start_read(&mut self, reads: Vec<PendingRead>) {
         let replication = self.replication.clone();
         let messages = self.own_messages.clone();
@@ -265,6 +273,7 @@
 
     /// Reports what changed and passes on what others reported.
     fn round(&mut self) {
+        self.forget_abandoned_changes();
         self.subscribers.publish_members(&self.state);
         if let Some(plan) = self.membership.poll_plan(&self.state) {
             // The polling task lives as long as the process.
--- a/crates/domain/src/consensus/node.rs
+++ b/crates/domain/src/consensus/node.rs
@@ -24,7 +24,7 @@
 pub struct Node {
     pub(super) identity: MemberId,
     pub(super) settings: ConsensusSettings,
-    random: Box<dyn RngCore>,
+    random: Box<dyn RngCore + Send>,
     pub(super) hard_state: HardState,
     pub(super) issued_hard_state: HardState,
     /// The write that holds the current term.
@@ -99,7 +99,7 @@
     pub fn new(
         identity: MemberId,
         settings: ConsensusSettings,
-        random: Box<dyn RngCore>,
+        random: Box<dyn RngCore + Send>,
         recovered: Recovered,
         now: Timestamp,
     ) -> Self {
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 use crate::budget::Budgets;
 use crate::catalog::{Catalog, MemberState, Service};
 use crate::identifiers::{CallerName, LeafId, QueryId, ServiceName, Snapshot};
-use crate::metering::{ChargeCounters, ChargeReport};
+use crate::metering::ChargeCounters;
 use crate::query::QueryOutcome;
 use crate::request_key::{RequestKey, RequestKeys};
 use crate::routing::Router;
@@ -102,8 +102,8 @@
     /// as may be.
     pub fn issue_key(&mut self, now: Timestamp, caller: CallerName) -> Result<RequestKey, Refusal> {
         let refuse = |reason| Refusal { reason, retry_after: DEFAULT_RETRY_AFTER };
-        if self.stopping {
-            return Err(refuse(RefusalReason::Stopping));
+        if let Some(reason) = self.refusal(now) {
+            return Err(refuse(reason));
         }
         if !self.catalog.callers().contains_key(&caller) {
             return Err(refuse(RefusalReason::UnknownCaller));
@@ -114,9 +114,9 @@
         })
     }
 
-    /// What answered requests cost, as totals of this run.
-    pub fn charges(&self) -> ChargeReport {
-        self.charges.report(self.settings.name.clone(), self.settings.run)
+    /// What answered requests cost, as counters of this run.
+    pub fn charges(&self) -> &ChargeCounters {
+        &self.charges
     }
 
     /// How often a replica was left out so far.
--- a/crates/domain/tests/request_keys.rs
+++ b/crates/domain/tests/request_keys.rs
@@ -6,9 +6,9 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::admission::RefusalReason;
+use gingerkeel_domain::cluster::ChargeCounter;
 use gingerkeel_domain::dispatch::{Effect, Event};
 use gingerkeel_domain::identifiers::{BrokerName, BrokerRun, CallerName, QueryId, ShardId};
-use gingerkeel_domain::metering::ChargeTotal;
 use gingerkeel_domain::query::{
     Answer, LeafFailure, NotRunReason, QueryOutcome, ShardPart, UnrecordedReason,
 };
@@ -33,8 +33,8 @@
     harness.dispatcher.issue_key(harness.now, caller()).expect("the table has room")
 }
 
-fn charged(harness: &Harness) -> ChargeTotal {
-    harness.dispatcher.charges().entries.first().map(|entry| entry.total).unwrap_or_default()
+fn charged(harness: &Harness) -> ChargeCounter {
+    harness.dispatcher.charges().counters().values().next().copied().unwrap_or_default()
 }
 
 #[test]
@@ -50,7 +50,7 @@
     assert!(ended.iter().all(|(_, outcome)| matches!(outcome, QueryOutcome::Answered(_))));
     assert!(ended.iter().any(|(query, _)| *query == first));
     assert!(ended.iter().any(|(query, _)| *query == second));
-    assert_eq!(charged(&harness), ChargeTotal { answered: 1, units: 3 });
+    assert_eq!(charged(&harness), ChargeCounter { answered: 1, units: 3 });
     assert_eq!(harness.dispatcher.active(), 0);
 }
 
@@ -63,7 +63,7 @@
     let (_, effects) = harness.submit_keyed(caller(), &key, DIGEST, millis(1000));
     assert_eq!(answered(&effects), answer);
     assert_eq!(sends(&effects), []);
-    assert_eq!(charged(&harness), ChargeTotal { answered: 1, units: 3 });
+    assert_eq!(charged(&harness), ChargeCounter { answered: 1, units: 3 });
 }
 
 #[test]
--- a/crates/simulation/src/serving/operator.rs
+++ b/crates/simulation/src/serving/operator.rs
@@ -57,11 +57,11 @@
     /// Keeps what brokers have charged for the checks.
     pub(super) fn record_charges(&mut self) {
         for (index, broker) in self.brokers.iter().enumerate() {
-            let entries = broker.dispatcher.charges().entries;
+            let counters = broker.dispatcher.charges().counters().values();
             self.history.charges.push(ChargeRecord {
                 broker: BrokerIndex(index),
-                answered: entries.iter().map(|entry| entry.total.answered).sum(),
-                units: entries.iter().map(|entry| entry.total.units).sum(),
+                answered: counters.clone().map(|counter| counter.answered).sum(),
+                units: counters.map(|counter| counter.units).sum(),
             });
         }
     }
