--- a/crates/control/tests/replication/peers.rs
+++ b/crates/control/tests/replication/peers.rs
@@ -173,3 +173,15 @@
     });
     assert_eq!(found, expected);
 }
+
+#[test]
+fn an_address_in_use_is_refused() {
+    let folders = [TempDir::new().expect("a folder"), TempDir::new().expect("a folder")];
+    let addresses = free_addresses(2);
+    let first = settings(folders[0].path(), &addresses);
+    let member = Member::start(first, Box::new(DiskIo));
+    assert!(member.status().members.is_empty());
+    let second = settings(folders[1].path(), &addresses);
+    let error = Member::start_error(second);
+    assert!(error.contains("check that the address is this machine's and is free"), "{error}");
+}
--- a/crates/control/tests/replication/support.rs
+++ b/crates/control/tests/replication/support.rs
@@ -11,7 +11,7 @@
     ProposeError, ReplicationMessage, ReplicationOptions, ReplicationStatus, StateMachineMessage,
     start_with_io,
 };
-use gingerkeel_control::storage::StorageIo;
+use gingerkeel_control::storage::{DiskIo, StorageIo};
 use gingerkeel_settings::{ControlSettings, parse};
 use local_sync::mpsc::unbounded::{self, Tx};
 use local_sync::oneshot;
@@ -83,6 +83,16 @@
         Self { asks, answers, commands, thread: Some(thread) }
     }
 
+    /// Why a member does not start.
+    pub fn start_error(settings: ControlSettings) -> String {
+        let started = gingerkeel_transport::block_on(async move {
+            let (sender, _state_machine) = unbounded::channel();
+            start_with_io(&settings, ReplicationOptions::default(), Box::new(DiskIo), sender)
+                .map(|_| ())
+        });
+        started.expect("a runtime").expect_err("it does not start").to_string()
+    }
+
     pub fn propose(&self, command: &'static str) -> Result<(), ProposeError> {
         self.asks.send(Ask::Propose(command)).expect("it runs");
         match self.answers.recv().expect("it answers") {
