--- a/crates/control/tests/replication/support.rs
+++ b/crates/control/tests/replication/support.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -10,7 +11,7 @@
     ProposeError, ReplicationMessage, ReplicationOptions, ReplicationStatus, StateMachineMessage,
     start_with_io,
 };
-use gingerkeel_control::storage::StorageIo;
+use gingerkeel_control::storage::{DiskIo, StorageIo};
 use gingerkeel_settings::{ControlSettings, parse};
 use local_sync::mpsc::unbounded::{self, Tx};
 use local_sync::oneshot;
@@ -40,9 +41,15 @@
     thread: Option<JoinHandle<()>>,
 }
 
+/// Calls of [`free_addresses`] so far.
+static CALLS: AtomicU8 = AtomicU8::new(0);
+
+/// Free addresses of a loopback host that no other call uses, so that no test that runs beside
+/// takes a port before it is bound.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, 192 + high % 32, middle, low);
+    let [_, _, middle, low] = std::process::id().to_be_bytes();
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    let host = Ipv4Addr::new(127, 130 + call % 60, middle, low);
     let listeners: Vec<TcpListener> =
         (0..count).map(|_| TcpListener::bind((host, 0)).expect("a free port")).collect();
     listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
@@ -76,6 +83,16 @@
         Self { asks, answers, commands, thread: Some(thread) }
     }
 
+    /// Why a member does not start.
+    pub fn start_error(settings: ControlSettings) -> String {
+        let started = gingerkeel_transport::block_on(async move {
+            let (sender, _state_machine) = unbounded::channel();
+            start_with_io(&settings, ReplicationOptions::default(), Box::new(DiskIo), sender)
+                .map(|_| ())
+        });
+        started.expect("a runtime").expect_err("it does not start").to_string()
+    }
+
     pub fn propose(&self, command: &'static str) -> Result<(), ProposeError> {
         self.asks.send(Ask::Propose(command)).expect("it runs");
         match self.answers.recv().expect("it answers") {
