--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -19,6 +19,8 @@
     pub incarnation: u64,
     /// 1 when its log holds entries, 0 when it does not.
     pub formed: u8,
+    /// Checksum of the voters that its settings name for a new cluster.
+    pub planned_voters: u32,
 }
 
 /// Why a connection is refused.
