Listen on addresses that no other process listens on

Cause: the runtime sets SO_REUSEPORT by default, so a second process on the same address started without a word and took some of the first one's connections; two test fleets met each other so. Before: the new test fails with the default (both listen). After: the second one is refused.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -13,8 +13,8 @@
 use std::io;
 
 use gingerkeel_settings::BrokerSettings;
+use gingerkeel_transport::listen;
 use local_sync::mpsc::unbounded::Tx;
-use monoio::net::TcpListener;
 use tracing::info;
 
 use crate::callers::CallerServer;
@@ -27,18 +27,18 @@
 /// # Errors
 /// An [`io::Error`] when an address cannot be bound or signals cannot be watched.
 pub async fn run(settings: BrokerSettings) -> io::Result<()> {
-    let listener = TcpListener::bind(settings.listen)?;
-    let metrics_listener = settings.metrics.map(TcpListener::bind).transpose()?;
+    let listener = listen(settings.listen)?;
+    let metrics_listener = settings.metrics.map(listen).transpose()?;
     let (engine, messages) = local_sync::mpsc::unbounded::channel();
     let stop = StopSignal::new();
     spawn_stop_watch(stop.clone(), engine.clone())?;
-    let listen = listener.local_addr()?;
+    let address = listener.local_addr()?;
     match &metrics_listener {
         Some(metrics) => {
             let metrics = metrics.local_addr()?;
-            info!(event = "started", name = settings.name, %listen, %metrics);
+            info!(event = "started", name = settings.name, listen = %address, %metrics);
         }
-        None => info!(event = "started", name = settings.name, %listen),
+        None => info!(event = "started", name = settings.name, listen = %address),
     }
     let server = CallerServer::new(listener, engine.clone(), stop, &settings);
     monoio::spawn(server.run());
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 
 use gingerkeel_domain::identifiers::ControlName;
 use gingerkeel_settings::ControlSettings;
+use gingerkeel_transport::listen;
 use local_sync::mpsc::unbounded;
 use monoio::net::TcpListener;
 use rand::Rng;
@@ -63,5 +64,5 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, ControlError> {
-    TcpListener::bind(address).map_err(|error| ControlError::Address(address, error))
+    listen(address).map_err(|error| ControlError::Address(address, error))
 }
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -15,8 +15,8 @@
 
 use gingerkeel_domain::consensus::{ConsensusSettings, Incarnation, NodeNumber};
 use gingerkeel_settings::ControlSettings;
+use gingerkeel_transport::listen;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
-use monoio::net::{ListenerOpts, TcpListener};
 use tracing::info;
 
 use crate::storage::{DiskIo, FolderOwner, Storage, StorageIo};
@@ -87,10 +87,7 @@
     let formed = !opened.recovered.is_empty();
     let directory = peers::Directory::new(settings, identity, formed);
     if let Some(address) = settings.peer_address() {
-        // By default two processes could share an address, and each would miss messages.
-        let exclusive = ListenerOpts::new().reuse_port(false);
-        let listener = TcpListener::bind_with_config(address, &exclusive)
-            .map_err(|error| StartError::Address(address, error))?;
+        let listener = listen(address).map_err(|error| StartError::Address(address, error))?;
         monoio::spawn(peers::serve(listener, directory.clone(), events.clone()));
     }
     let links = peers::Links::start(settings, &directory, &events);
--- a/crates/rehearsal/src/leaf/mod.rs
+++ b/crates/rehearsal/src/leaf/mod.rs
@@ -17,7 +17,6 @@
 use std::time::Duration;
 
 use gumdrop::Options;
-use monoio::net::TcpListener;
 use tracing::info;
 
 pub use admin::{AdminCommand, LeafCounters, ReplyFault, ReplyFaultKind};
@@ -80,7 +79,7 @@
     let mut leaves = Vec::new();
     let mut listeners = Vec::new();
     for leaf in &settings.leaves {
-        let listener = TcpListener::bind(leaf.listen)
+        let listener = gingerkeel_transport::listen(leaf.listen)
             .map_err(|error| RehearsalError::resource(leaf.listen, error))?;
         leaves.push(Rc::new(Emulator::new(leaf.clone(), settings.seed, journal.clone())));
         listeners.push(listener);
--- a/crates/rehearsal/src/log_member/mod.rs
+++ b/crates/rehearsal/src/log_member/mod.rs
@@ -13,7 +13,6 @@
 use gingerkeel_settings::ControlSettings;
 use gumdrop::Options;
 use local_sync::mpsc::unbounded;
-use monoio::net::TcpListener;
 use tracing::info;
 
 pub use interface::{Request, ask};
@@ -47,7 +46,7 @@
 }
 
 async fn serve(settings: ControlSettings, interval: u64) -> Result<(), RehearsalError> {
-    let listener = TcpListener::bind(settings.operators)
+    let listener = gingerkeel_transport::listen(settings.operators)
         .map_err(|error| RehearsalError::resource(settings.operators, error))?;
     let (applies, received) = unbounded::channel();
     let options = ReplicationOptions { snapshot_interval: interval, ..Default::default() };
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod error;
 mod limits;
+mod listener;
 mod message;
 mod runtime;
 mod server;
@@ -13,6 +14,7 @@
 pub use client::{ClientConnection, RequestWriter, ResponseReader};
 pub use error::TransportError;
 pub use limits::Limits;
+pub use listener::listen;
 pub use message::{HttpRequest, HttpResponse};
 pub use runtime::{block_on, build_runtime};
 pub use server::{RequestReader, ResponseWriter, ServerConnection};
