--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -5,6 +5,7 @@
 //! The programs and the simulation drive these very types.
 
 pub mod admission;
+pub mod budget;
 pub mod catalog;
 pub mod cluster;
 pub mod consensus;
@@ -12,7 +13,9 @@
 pub mod feed;
 mod hash;
 pub mod identifiers;
+pub mod metering;
 pub mod query;
+pub mod request_key;
 pub mod routing;
 pub mod tail;
 pub mod time;
