Give tests addresses that were never bound before

Sockets that are bound and let go stay bound while a program that another test starts has inherited them, until it has started: one run in three of the command line's tests failed with an address in use, on hosts of their own too. Hosts of their own need no search: the ports are fixed.

--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -15,6 +15,8 @@
 /// Time that a control process has to get ready; generous, for a busy machine.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
+/// First port of a list.
+const FIRST_PORT: u16 = 20_000;
 /// Second octet of the loopback hosts of tests; those of rehearsals are below.
 const FIRST_OCTET: u8 = 150;
 /// Control processes that a test process may start.
@@ -46,16 +48,16 @@
     ControlProcess { address: operators, _folder: folder }
 }
 
-/// Free addresses of a loopback host that no other call and no other test process uses: between
-/// the search and the start of a process, nobody else takes them.
+/// Addresses of a loopback host that no other call and no other test process uses, so that they
+/// are free. To bind them first and let them go would not do: a program that another test starts
+/// at that moment inherits the sockets for as long as it takes to start.
 fn free_addresses() -> [SocketAddr; 2] {
     static CALLS: AtomicU8 = AtomicU8::new(0);
     let call = CALLS.fetch_add(1, Ordering::Relaxed);
     assert!(call < CALL_LIMIT, "a test process starts at most 100 control processes");
     let [_, _, middle, low] = std::process::id().to_be_bytes();
     let host = Ipv4Addr::new(127, FIRST_OCTET + call, middle, low.max(1));
-    let listeners = [0, 1].map(|_| TcpListener::bind((host, 0)).unwrap());
-    listeners.each_ref().map(|listener| listener.local_addr().unwrap())
+    [0, 1].map(|number| SocketAddr::from((host, FIRST_PORT + number)))
 }
 
 /// A relay that passes a request on and loses the answer.
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -25,6 +25,8 @@
 /// Time that a process has to get ready, or a condition to hold; generous, for a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// First port of a list.
+const FIRST_PORT: u16 = 20_000;
 /// Second octet of the loopback hosts of tests; those of rehearsals are below.
 const FIRST_OCTET: u8 = 150;
 /// Lists of addresses that a test process may ask for.
@@ -126,17 +128,16 @@
     }
 }
 
-/// Free addresses of a loopback host that no other call and no other test process uses: between
-/// the search and the start of a process, nobody else takes them.
+/// Addresses of a loopback host that no other call and no other test process uses, so that they
+/// are free. To bind them first and let them go would not do: a program that another test starts
+/// at that moment inherits the sockets for as long as it takes to start.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
     static CALLS: AtomicU8 = AtomicU8::new(0);
     let call = CALLS.fetch_add(1, Ordering::Relaxed);
     assert!(call < CALL_LIMIT, "a test process asks for at most 100 lists of addresses");
     let [_, _, middle, low] = std::process::id().to_be_bytes();
     let host = Ipv4Addr::new(127, FIRST_OCTET + call, middle, low.max(1));
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind((host, 0)).unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+    (0..count).map(|number| SocketAddr::from((host, FIRST_PORT + number as u16))).collect()
 }
 
 fn headers<'text>(command: Option<(&'text str, &'text str)>) -> Vec<(&'static str, &'text str)> {
