--- a/crates/broker/src/callers/response.rs
+++ b/crates/broker/src/callers/response.rs
@@ -223,9 +223,9 @@
         RefusalReason::UnknownCaller => "unknown_caller",
         RefusalReason::NotServed => "not_served",
         RefusalReason::LeavesRefused => "leaves_refused",
+        RefusalReason::ConfigurationStale => "configuration_stale",
         RefusalReason::KeyTaken => "key_taken",
         RefusalReason::KeysExhausted => "keys_exhausted",
-        RefusalReason::ConfigurationStale => "configuration_stale",
     }
 }
 
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -13,14 +13,15 @@
     CallerName, ClassName, IndexVersion, LeafId, RegionName, ServiceName, ShardId, ZoneName,
 };
 use gingerkeel_protocol::{
-    FeedMessage, FrameCodec, SubscriberMessage, encode_document, encode_frame,
+    Document, FeedMessage, FrameCodec, SubscriberMessage, encode_document, encode_frame,
 };
 use monoio_codec::{Decoded, Decoder};
 
-/// How long each freshness lease lasts.
-const LEASE_MILLISECONDS: u32 = 60_000;
+/// How long a granted lease lasts: longer than any test.
+const LEASE_MILLISECONDS: u32 = 600_000;
 
-/// Serves a catalog to every broker that subscribes; the thread ends with the test.
+/// Serves a catalog, and leases on it, to every broker that subscribes; the threads end with the
+/// test.
 pub fn serve(catalog: &Catalog) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("a bound address");
@@ -34,40 +35,35 @@
     address
 }
 
-/// Answers a broker's subscription with the catalog and each renewal with a lease.
-fn feed(mut stream: TcpStream, catalog: &Catalog) {
-    let mut bytes = BytesMut::new();
+/// Answers what the broker asks for until it closes the connection.
+fn feed(mut stream: TcpStream, catalog: &Catalog) -> Option<()> {
     let mut codec = FrameCodec::<SubscriberMessage>::default();
+    let mut received = BytesMut::new();
     let mut buffer = [0; 1024];
-    while let Ok(count) = stream.read(&mut buffer) {
-        if count == 0 {
-            return;
-        }
-        bytes.extend_from_slice(&buffer[..count]);
-        while let Decoded::Some(message) = codec.decode(&mut bytes).expect("frames of a broker") {
-            let Some(reply) = reply(catalog, &message) else {
-                continue;
-            };
-            let frame = encode_frame(&reply).expect("a small frame");
-            if stream.write_all(&frame).is_err() {
-                return;
+    loop {
+        let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
+        received.extend_from_slice(&buffer[..count]);
+        while let Ok(Decoded::Some(message)) = codec.decode(&mut received) {
+            for reply in replies(catalog, &message) {
+                let frame = encode_frame(&reply).expect("a small frame");
+                stream.write_all(&frame).ok()?;
             }
         }
     }
 }
 
-fn reply(catalog: &Catalog, message: &SubscriberMessage) -> Option<FeedMessage> {
+fn replies(catalog: &Catalog, message: &SubscriberMessage) -> Vec<FeedMessage> {
     match message {
         SubscriberMessage::Subscribe { .. } => {
-            let document = encode_document(catalog).expect("a catalog is a document");
-            Some(FeedMessage::FullCatalog { catalog: document.into() })
+            let bytes = encode_document(catalog).expect("a catalog is a document");
+            vec![FeedMessage::FullCatalog { catalog: Document::from(bytes) }]
+        }
+        SubscriberMessage::Renew { ticket, .. } => {
+            let (ticket, revision) = (*ticket, catalog.revision().0);
+            let duration_milliseconds = LEASE_MILLISECONDS;
+            vec![FeedMessage::Lease { ticket, revision, duration_milliseconds }]
         }
-        SubscriberMessage::Renew { ticket, .. } => Some(FeedMessage::Lease {
-            ticket: *ticket,
-            revision: catalog.revision().0,
-            duration_milliseconds: LEASE_MILLISECONDS,
-        }),
-        _ => None,
+        _ => Vec::new(),
     }
 }
 
--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -33,7 +33,8 @@
     }
 
     /// The first voter forms the cluster, and only once every other voter has said that it has no
-    /// log: a machine that lost its disk meets others that have one, and joins them.
+    /// log and knows the same voters: a machine that lost its disk meets others that have a log,
+    /// and joins them; one with other settings forms nothing.
     pub fn first_step(&self, directory: &Directory) -> FirstStep {
         if let Some(formed) = directory.any_formed() {
             return FirstStep::Join(formed, MemberChange::AddLearner(self.own));
@@ -43,7 +44,7 @@
         }
         let identity = |node: &NodeNumber| match *node == self.own.node {
             true => Some(self.own),
-            false => directory.latest(*node).map(super::peers::member),
+            false => directory.latest_with_same_voters(*node).map(super::peers::member),
         };
         let voters: Option<Vec<MemberId>> = self.voters.iter().map(identity).collect();
         voters.map_or(FirstStep::Wait, |voters| FirstStep::Form(Configuration::of_voters(voters)))
--- a/crates/control/src/replication/peers/directory.rs
+++ b/crates/control/src/replication/peers/directory.rs
@@ -14,6 +14,7 @@
     own: MemberId,
     formed: Rc<Cell<bool>>,
     cluster: Rc<str>,
+    planned_voters: u32,
     nodes: Rc<BTreeSet<NodeNumber>>,
     latest: Rc<RefCell<BTreeMap<NodeNumber, PeerIdentity>>>,
 }
@@ -25,6 +26,7 @@
             own,
             formed: Rc::new(Cell::new(formed)),
             cluster: settings.cluster.as_str().into(),
+            planned_voters: checksum_of_voters(settings),
             nodes: Rc::new(nodes),
             latest: Rc::default(),
         }
@@ -36,6 +38,7 @@
             node: self.own.node.0,
             incarnation: self.own.incarnation.0,
             formed: u8::from(self.formed.get()),
+            planned_voters: self.planned_voters,
         }
     }
 
@@ -90,9 +93,10 @@
             .is_some_and(|known| known.incarnation > member.incarnation.0)
     }
 
-    /// What a peer said last.
-    pub fn latest(&self, node: NodeNumber) -> Option<PeerIdentity> {
-        self.latest.borrow().get(&node).copied()
+    /// What a peer said last, if its settings name the same voters.
+    pub fn latest_with_same_voters(&self, node: NodeNumber) -> Option<PeerIdentity> {
+        let latest = self.latest.borrow().get(&node).copied();
+        latest.filter(|peer| peer.planned_voters == self.planned_voters)
     }
 
     /// A peer whose log holds entries.
@@ -101,6 +105,14 @@
     }
 }
 
+/// Tells settings apart that would form different clusters.
+fn checksum_of_voters(settings: &ControlSettings) -> u32 {
+    let voters = settings.peers.iter().filter(|peer| peer.voter);
+    let voters: BTreeSet<u32> = voters.map(|peer| peer.node).collect();
+    let bytes: Vec<u8> = voters.iter().flat_map(|node| node.to_be_bytes()).collect();
+    crc32fast::hash(&bytes)
+}
+
 /// The member that a peer said it is.
 pub fn member(identity: PeerIdentity) -> MemberId {
     MemberId { node: NodeNumber(identity.node), incarnation: Incarnation(identity.incarnation) }
--- a/crates/domain/tests/admission.rs
+++ b/crates/domain/tests/admission.rs
@@ -11,7 +11,7 @@
 use gingerkeel_domain::catalog::{AnswerPolicy, Change, ClassPolicy};
 use gingerkeel_domain::dispatch::{Effect, Event};
 use gingerkeel_domain::identifiers::QueryId;
-use gingerkeel_domain::query::QueryOutcome;
+use gingerkeel_domain::query::{QueryOutcome, Submission};
 use gingerkeel_domain::time::Timestamp;
 use rstest::rstest;
 use support::*;
@@ -287,13 +287,14 @@
 #[test]
 fn a_waiting_query_is_refused_at_its_deadline_though_nothing_finishes() {
     let mut harness = narrow(1);
-    let key = harness.dispatcher.issue_key(harness.now, caller()).expect("the table has room");
-    let (_, effects) = harness.submit_keyed(caller(), &key, 1, millis(60_000));
-    assert_eq!(sends(&effects).len(), 1, "the only slot is taken for long");
+    let running = harness.submission(true);
+    let deadline = running.deadline.after(millis(10_000));
+    let effects = harness.handle(Event::Submitted(Submission { deadline, ..running }));
+    assert_eq!(sends(&effects).len(), 1);
     assert_eq!(harness.submit(true), []);
     assert_eq!(harness.wait(millis(999)), []);
     assert_eq!(reason(&harness.wait(millis(1))), Some(RefusalReason::DeadlineTooClose));
-    assert_eq!(harness.dispatcher.active(), 1);
+    assert_eq!(harness.dispatcher.active(), 1, "the running one goes on");
 }
 
 #[test]
--- a/crates/domain/tests/support/mod.rs
+++ b/crates/domain/tests/support/mod.rs
@@ -162,9 +162,15 @@
 
     /// Submits a query with a deadline in a second.
     pub fn submit(&mut self, repeatable: bool) -> Vec<Effect> {
+        let submission = self.submission(repeatable);
+        self.handle(Event::Submitted(submission))
+    }
+
+    /// A new query with a deadline in a second.
+    pub fn submission(&mut self, repeatable: bool) -> Submission {
         let query = QueryId(self.next_query);
         self.next_query += 1;
-        self.handle(Event::Submitted(Submission {
+        Submission {
             query,
             service: service(),
             class: ClassName::new("urgent"),
@@ -172,7 +178,7 @@
             deadline: self.now.after(millis(1000)),
             repeatable,
             key: None,
-        }))
+        }
     }
 
     /// Submits a query that is not repeatable under a key; gives its number too.
