--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -5,16 +5,18 @@
 use std::time::Duration;
 
 use gingerkeel_domain::feed::{
-    BackOff, BrokerList, FeedFault, FollowerEffect, FollowerEvent, FollowerSettings, FollowerState,
-    LeaseGrant,
+    BackOff, BrokerList, ChargeReporter, FeedFault, FollowerEffect, FollowerEvent,
+    FollowerSettings, FollowerState, LeaseGrant,
 };
 use gingerkeel_domain::identifiers::{LeafId, Revision};
+use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
     FeedMessage, FrameCodec, PROTOCOL_VERSION, ProtocolError, ShortText, SubscriberMessage,
-    decode_document, encode_frame,
+    decode_document, encode_document, encode_frame,
 };
 use gingerkeel_settings::BrokerSettings;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
+use local_sync::oneshot;
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
@@ -33,6 +35,9 @@
 /// Time that a control process has to accept a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(1500);
 
+/// Time between two reports of charges.
+const CHARGES_INTERVAL: Duration = Duration::from_secs(2);
+
 quick_error! {
     /// Why a link ended.
     #[derive(Debug)]
@@ -65,6 +70,8 @@
     let mut link = Link {
         follower: FollowerState::new(FollowerSettings::default()),
         brokers: BrokerList::default(),
+        charges: ChargeReporter::new(run),
+        charges_due: clock.now(),
         settings,
         run,
         clock,
@@ -89,6 +96,8 @@
 struct Link {
     follower: FollowerState,
     brokers: BrokerList,
+    charges: ChargeReporter,
+    charges_due: Timestamp,
     settings: BrokerSettings,
     run: u64,
     clock: Clock,
@@ -122,6 +131,9 @@
         self.tell(FollowerEvent::Connected, &mut effects);
         loop {
             self.carry_out(&mut effects, writer).await?;
+            if self.charges_due <= self.clock.now() {
+                self.report_charges(writer).await?;
+            }
             match self.next_message(messages).await {
                 Some(message) => self.receive(message?, &mut effects)?,
                 None => self.tell(FollowerEvent::TimerElapsed, &mut effects),
@@ -135,6 +147,7 @@
         messages: &mut Rx<Result<FeedMessage, ProtocolError>>,
     ) -> Option<Result<FeedMessage, LinkError>> {
         let due = self.follower.next_timer().unwrap_or_else(|| self.clock.now());
+        let due = due.min(self.charges_due);
         match timeout(self.clock.until(due), messages.recv()).await {
             Ok(Some(message)) => Some(message.map_err(LinkError::from)),
             Ok(None) => Some(Err(LinkError::Closed)),
@@ -178,7 +191,10 @@
                 let text = format!("refused ({reason:?}, protocol version {protocol_version})");
                 return Err(ProtocolError::Malformed(text).into());
             }
-            FeedMessage::ChargesRecorded { .. } | FeedMessage::RunSettled { .. } => {}
+            FeedMessage::ChargesRecorded { sequence } => self.charges.recorded(sequence),
+            FeedMessage::RunSettled { sequence } => {
+                self.charges.run_settled(sequence, rand::rng().random())
+            }
         }
         Ok(())
     }
@@ -212,6 +228,25 @@
         Ok(())
     }
 
+    /// Sends what changed, or once more what has no receipt yet: a resend counts nothing twice.
+    async fn report_charges(
+        &mut self,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+    ) -> Result<(), LinkError> {
+        self.charges_due = self.clock.now().after(CHARGES_INTERVAL);
+        let (reply, receiver) = oneshot::channel();
+        self.send_engine(EngineMessage::ReadCharges { reply });
+        let Ok(totals) = receiver.await else {
+            return Ok(());
+        };
+        let Some(report) = self.charges.report(&totals) else {
+            return Ok(());
+        };
+        let counters = encode_document(&report.totals)?.into();
+        let (sequence, run) = (report.sequence, report.run);
+        send(writer, &SubscriberMessage::Charges { sequence, run, counters }).await
+    }
+
     fn subscription(&self, revision: Revision) -> SubscriberMessage {
         SubscriberMessage::Subscribe {
             protocol_version: PROTOCOL_VERSION,
--- a/crates/domain/src/feed/mod.rs
+++ b/crates/domain/src/feed/mod.rs
@@ -2,10 +2,12 @@
 
 mod back_off;
 mod brokers;
+mod charge_reporter;
 mod follower;
 
 pub use back_off::BackOff;
 pub use brokers::{BrokerList, BrokerListDelta};
+pub use charge_reporter::{ChargeReporter, ChargeTotals, RunReport};
 pub use follower::{
     FeedFault, FollowerEffect, FollowerEvent, FollowerSettings, FollowerState, LeaseGrant,
 };
