--- a/crates/simulation/src/control/fault.rs
+++ b/crates/simulation/src/control/fault.rs
@@ -1,7 +1,5 @@
 //! Faults that a run meets, and mutants that switch a rule of the code off.
 
-use std::time::Duration;
-
 use super::broker::BrokerIndex;
 use super::machine::MachineIndex;
 
@@ -51,13 +49,7 @@
 }
 
 /// A fault and when it comes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TimedFault {
-    /// Time since the start of the run.
-    pub at: Duration,
-    /// The fault.
-    pub fault: Fault,
-}
+pub type TimedFault = crate::fault_plan::TimedFault<Fault>;
 
 /// A rule of the code that is switched off by an adapter round it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/simulation/src/control/mod.rs
+++ b/crates/simulation/src/control/mod.rs
@@ -2,15 +2,19 @@
 //! and checks.
 
 mod broker;
+mod brokers;
 mod check;
 mod disk;
 mod fault;
 mod faults;
+mod feeds;
 mod history;
 mod machine;
+mod machines;
 mod message;
 mod network;
 mod operator;
+mod operators;
 mod scenario;
 mod world;
 
--- /dev/null
+++ b/crates/simulation/src/control/operators.rs
@@ -0,0 +1,138 @@
+//! What operators do: changes, races for the same thing, and resends.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use gingerkeel_domain::catalog::{Leaf, LeafState, Placement};
+use gingerkeel_domain::cluster::ChangeRequest;
+use gingerkeel_domain::identifiers::{LeafId, RegionName, ZoneName};
+use gingerkeel_domain::time::Timestamp;
+use rand::Rng;
+
+use super::fault::Mutant;
+use super::history::CommandRecord;
+use super::machine::MachineIndex;
+use super::message::{Endpoint, Message};
+use super::operator::OperatorIndex;
+use super::world::{ControlWorld, Event, RACE_INTERVAL};
+use crate::virtual_clock::Schedule;
+
+/// Time without an answer after which an operator sends its command to the next machine.
+const RESEND_AFTER: Duration = Duration::from_millis(900);
+/// Time before a race in which the operators look up the accepted revision.
+const RACE_LOOKUP: Duration = Duration::from_millis(300);
+/// The leaf that operators race for.
+const RACED_LEAF: LeafId = LeafId(1);
+
+impl ControlWorld {
+    /// The first operator adds the leaf that all race for.
+    pub(super) fn add_raced_leaf(&mut self, schedule: &mut Schedule<Event>) {
+        let request = self.operators[0].addition(raced_leaf());
+        self.submit(OperatorIndex(0), request, schedule);
+    }
+
+    pub(super) fn own_change(
+        &mut self,
+        now: Timestamp,
+        index: OperatorIndex,
+        schedule: &mut Schedule<Event>,
+    ) {
+        if now >= self.changes_end {
+            return;
+        }
+        let mean = self.change_interval.as_micros() as u64;
+        let pause = Duration::from_micros(self.random.random_range(mean / 2..mean * 3 / 2));
+        schedule.after(pause, Event::OwnChange(index));
+        if self.operators[index.0].outstanding.is_none() {
+            let request = self.operators[index.0].own_change();
+            self.submit(index, request, schedule);
+        }
+    }
+
+    pub(super) fn race_lookup(&mut self, now: Timestamp, schedule: &mut Schedule<Event>) {
+        if now >= self.changes_end {
+            return;
+        }
+        schedule.after(RACE_LOOKUP, Event::Race);
+        for operator in (0..self.operators.len()).map(OperatorIndex) {
+            let to = Endpoint::Machine(self.operators[operator.0].machine);
+            let message = Message::AskRevision(operator);
+            self.send(Endpoint::Operator(operator), to, message, schedule);
+        }
+    }
+
+    pub(super) fn race(&mut self, _now: Timestamp, schedule: &mut Schedule<Event>) {
+        schedule.after(RACE_INTERVAL, Event::RaceLookup);
+        for operator in (0..self.operators.len()).map(OperatorIndex) {
+            if self.operators[operator.0].outstanding.is_some() {
+                continue;
+            }
+            let state =
+                if operator.0.is_multiple_of(2) { LeafState::Draining } else { LeafState::Active };
+            let request = self.operators[operator.0].racing_change(RACED_LEAF, state);
+            self.submit(operator, request, schedule);
+        }
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        index: OperatorIndex,
+        request: ChangeRequest,
+        schedule: &mut Schedule<Event>,
+    ) {
+        let operator = &mut self.operators[index.0];
+        operator.outstanding = Some(request.clone());
+        let to = Endpoint::Machine(operator.machine);
+        let record = CommandRecord { request: request.clone(), outcomes: Vec::new() };
+        self.history.commands.entry(request.id.clone()).or_insert(record);
+        let message = Message::Request(index, request.clone());
+        self.send(Endpoint::Operator(index), to, message, schedule);
+        schedule.after(RESEND_AFTER, Event::ResendDue(index, request));
+    }
+
+    /// No answer came: the same command goes to the next machine.
+    pub(super) fn resend(
+        &mut self,
+        index: OperatorIndex,
+        request: &ChangeRequest,
+        schedule: &mut Schedule<Event>,
+    ) {
+        let machines = self.machines.len();
+        let operator = &mut self.operators[index.0];
+        if operator.outstanding.as_ref() != Some(request) {
+            return;
+        }
+        operator.machine = MachineIndex((operator.machine.0 + 1) % machines);
+        if self.mutant == Some(Mutant::ResendsRenumbered) {
+            operator.renumber();
+        }
+        if let Some(outstanding) = operator.outstanding.clone() {
+            self.submit(index, outstanding, schedule);
+        }
+    }
+
+    pub(super) fn operator_told(&mut self, now: Timestamp, index: OperatorIndex, message: Message) {
+        let operator = &mut self.operators[index.0];
+        match message {
+            Message::Reply(request, outcome) => {
+                operator.told(&request, &outcome);
+                if let Some(record) = self.history.commands.get_mut(&request.id) {
+                    record.outcomes.push((now, outcome));
+                }
+            }
+            Message::RevisionIs(revision) => operator.known = operator.known.max(revision),
+            _ => {}
+        }
+    }
+}
+
+fn raced_leaf() -> Leaf {
+    Leaf {
+        id: RACED_LEAF,
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9001)),
+        placement: Placement { region: RegionName::new("south"), zone: ZoneName::new("zone-0") },
+        slots: 5,
+        connection_limit: 75,
+        state: LeafState::Active,
+    }
+}
--- a/crates/simulation/src/control/scenario.rs
+++ b/crates/simulation/src/control/scenario.rs
@@ -18,6 +18,7 @@
 use super::network::Network;
 use super::operator::Operator;
 use super::world::{ControlWorld, Event};
+use crate::fault_plan::{FaultPlan, at};
 use crate::trace::Trace;
 use crate::virtual_clock::{ClockError, Schedule, run};
 
@@ -35,22 +36,12 @@
 const CHANGE_INTERVAL: Duration = Duration::from_millis(400);
 /// The same where hundreds of changes are to come.
 const FAST_CHANGES: Duration = Duration::from_millis(90);
-/// Separates the choice of faults from the choices of the world.
-const FAULT_STREAM: u64 = 0x9e37_79b9_7f4a_7c15;
-
 /// A scenario: the faults that a run meets, and how fast operators change things.
 #[derive(Debug, Clone)]
 pub struct Scenario {
     /// Mean time between changes of one operator.
     pub change_interval: Duration,
-    parts: Vec<Part>,
-}
-
-/// Faults under one name.
-#[derive(Debug, Clone, Copy)]
-struct Part {
-    name: &'static str,
-    faults: fn(&mut Pcg64) -> Vec<TimedFault>,
+    plan: FaultPlan<Fault>,
 }
 
 /// What a run gave.
@@ -64,10 +55,6 @@
     pub violations: Vec<Violation>,
 }
 
-fn at(milliseconds: u64, fault: Fault) -> TimedFault {
-    TimedFault { at: Duration::from_millis(milliseconds), fault }
-}
-
 fn any_machine(random: &mut Pcg64) -> MachineIndex {
     MachineIndex(random.random_range(0..MACHINES))
 }
@@ -106,10 +93,7 @@
         scenario!($name, CHANGE_INTERVAL, |$random| $faults)
     };
     ($name:literal, $interval:expr, |$random:ident| $faults:expr) => {
-        Scenario {
-            change_interval: $interval,
-            parts: vec![Part { name: $name, faults: |$random| $faults }],
-        }
+        Scenario { change_interval: $interval, plan: FaultPlan::new($name, |$random| $faults) }
     };
 }
 
@@ -223,20 +207,20 @@
 
     /// Name, as the command line takes it; a pair has both names.
     pub fn name(&self) -> String {
-        let names: Vec<&str> = self.parts.iter().map(|part| part.name).collect();
-        names.join(" + ")
+        self.plan.name()
     }
 
     /// This scenario with the faults of another one too, at the faster changes of the two.
     pub fn with(&self, other: &Self) -> Self {
-        let parts = self.parts.iter().chain(&other.parts).copied().collect();
-        Self { change_interval: self.change_interval.min(other.change_interval), parts }
+        Self {
+            change_interval: self.change_interval.min(other.change_interval),
+            plan: self.plan.with(&other.plan),
+        }
     }
 
     /// The faults of a run with this seed.
     pub fn faults(&self, seed: u64) -> Vec<TimedFault> {
-        let mut random = Pcg64::seed_from_u64(seed ^ FAULT_STREAM);
-        self.parts.iter().flat_map(|part| (part.faults)(&mut random)).collect()
+        self.plan.faults(seed)
     }
 }
 
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,6 +4,7 @@
 //! events in time on one thread. The same seed gives the same trace, byte for byte.
 
 pub mod control;
+pub mod fault_plan;
 pub mod serving;
 pub mod suite;
 pub mod trace;
--- a/crates/simulation/src/serving/fault.rs
+++ b/crates/simulation/src/serving/fault.rs
@@ -67,13 +67,7 @@
 }
 
 /// A fault and when it comes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TimedFault {
-    /// Time since the start of the run.
-    pub at: Duration,
-    /// The fault.
-    pub fault: Fault,
-}
+pub type TimedFault = crate::fault_plan::TimedFault<Fault>;
 
 /// A rule of the code that is switched off by keeping from it what it needs to know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/simulation/src/serving/scenario.rs
+++ b/crates/simulation/src/serving/scenario.rs
@@ -21,6 +21,7 @@
 use super::leaf::LeafModel;
 use super::network::Network;
 use super::world::{Event, SERVICE, ServingWorld, assignments};
+use crate::fault_plan::{FaultPlan, at};
 use crate::trace::Trace;
 use crate::virtual_clock::{ClockError, Schedule, run};
 
@@ -48,14 +49,7 @@
 pub struct Scenario {
     /// Load as a multiple of half the capacity.
     pub load: f64,
-    parts: Vec<Part>,
-}
-
-/// Faults under one name.
-#[derive(Debug, Clone, Copy)]
-struct Part {
-    name: &'static str,
-    faults: fn(&mut Pcg64) -> Vec<TimedFault>,
+    plan: FaultPlan<Fault>,
 }
 
 /// What a run gave.
@@ -69,10 +63,6 @@
     pub violations: Vec<Violation>,
 }
 
-fn at(milliseconds: u64, fault: Fault) -> TimedFault {
-    TimedFault { at: Duration::from_millis(milliseconds), fault }
-}
-
 fn any_leaf(random: &mut Pcg64) -> LeafId {
     LeafId(random.random_range(0..SHARDS * REPLICAS))
 }
@@ -87,7 +77,7 @@
 
 macro_rules! scenario {
     ($name:literal, $load:expr, |$random:ident| $faults:expr) => {
-        Scenario { load: $load, parts: vec![Part { name: $name, faults: |$random| $faults }] }
+        Scenario { load: $load, plan: FaultPlan::new($name, |$random| $faults) }
     };
 }
 
@@ -198,26 +188,20 @@
 
     /// Name, as the command line takes it; a pair has both names.
     pub fn name(&self) -> String {
-        let names: Vec<&str> = self.parts.iter().map(|part| part.name).collect();
-        names.join(" + ")
+        self.plan.name()
     }
 
     /// This scenario with the faults of another one too, under the greater load of the two.
     pub fn with(&self, other: &Self) -> Self {
-        let parts = self.parts.iter().chain(&other.parts).copied().collect();
-        Self { load: self.load.max(other.load), parts }
+        Self { load: self.load.max(other.load), plan: self.plan.with(&other.plan) }
     }
 
     /// The faults of a run with this seed.
     pub fn faults(&self, seed: u64) -> Vec<TimedFault> {
-        let mut random = Pcg64::seed_from_u64(seed ^ FAULT_STREAM);
-        self.parts.iter().flat_map(|part| (part.faults)(&mut random)).collect()
+        self.plan.faults(seed)
     }
 }
 
-/// Separates the choice of faults from the choices of the world.
-const FAULT_STREAM: u64 = 0x9e37_79b9_7f4a_7c15;
-
 /// Runs faults under a load and checks what came of it.
 ///
 /// # Errors
