Lay out only what a change of the catalog touches

A change cloned the whole catalog in the feed (13,000 leaves with their names) and laid out all shards again in the engine, with the holders of every shard. Services, partition maps, replica lists and leaves are now shared between a catalog and its copies, and the router compares them by identity: a shard whose replicas, with their places and limits, are as before keeps its route, its table and its holders. A new list of brokers lays out the whole.

Properties over random changes hold the routes, limits and probes against those of a new router.

--- a/crates/control/src/tables/catalog.rs
+++ b/crates/control/src/tables/catalog.rs
@@ -1,5 +1,7 @@
 //! Tables of the catalog.
 
+use std::sync::Arc;
+
 use gingerkeel_domain::catalog::{AnswerPolicy, Catalog, LeafState, Service};
 use gingerkeel_domain::cluster::{LeafHealth, LeafHints};
 use gingerkeel_domain::identifiers::{LeafId, ServiceName};
@@ -30,7 +32,7 @@
 fn selected<'a>(
     catalog: &'a Catalog,
     name: Option<&'a ServiceName>,
-) -> impl Iterator<Item = (&'a ServiceName, &'a Service)> {
+) -> impl Iterator<Item = (&'a ServiceName, &'a Arc<Service>)> {
     let wanted = move |candidate: &ServiceName| name.is_none_or(|name| name == candidate);
     catalog.services().iter().filter(move |(candidate, _)| wanted(candidate))
 }
--- a/crates/domain/src/catalog/mod.rs
+++ b/crates/domain/src/catalog/mod.rs
@@ -7,6 +7,7 @@
 mod service;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -22,11 +23,14 @@
 pub use service::{AnswerPolicy, CallerAccount, ClassPolicy, PartitionMap, Service};
 
 /// The whole configuration at one revision.
+///
+/// Services and leaves are shared between a catalog and its copies, so that a copy costs little
+/// and what a change touched is told apart by its identity.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Catalog {
     revision: Revision,
-    services: BTreeMap<ServiceName, Service>,
-    leaves: BTreeMap<LeafId, Leaf>,
+    services: BTreeMap<ServiceName, Arc<Service>>,
+    leaves: BTreeMap<LeafId, Arc<Leaf>>,
     callers: BTreeMap<CallerName, CallerAccount>,
     brokers: BTreeMap<BrokerName, MemberState>,
     controls: BTreeMap<ControlName, ControlMember>,
@@ -39,12 +43,12 @@
     }
 
     /// All services by name.
-    pub fn services(&self) -> &BTreeMap<ServiceName, Service> {
+    pub fn services(&self) -> &BTreeMap<ServiceName, Arc<Service>> {
         &self.services
     }
 
     /// All leaves by number.
-    pub fn leaves(&self) -> &BTreeMap<LeafId, Leaf> {
+    pub fn leaves(&self) -> &BTreeMap<LeafId, Arc<Leaf>> {
         &self.leaves
     }
 
@@ -119,15 +123,15 @@
         if self.leaves.contains_key(&leaf.id) {
             return Err(CatalogError::LeafExists(leaf.id));
         }
-        self.leaves.insert(leaf.id, leaf);
+        self.leaves.insert(leaf.id, Arc::new(leaf));
         Ok(())
     }
 
     fn remove_leaf(&mut self, leaf: LeafId) -> Result<(), CatalogError> {
         self.leaf_mut(leaf)?;
         self.leaves.remove(&leaf);
-        for service in self.services.values_mut() {
-            service.forget_leaf(leaf);
+        for service in self.services.values_mut().filter(|service| service.names_leaf(leaf)) {
+            Arc::make_mut(service).forget_leaf(leaf);
         }
         Ok(())
     }
@@ -136,10 +140,9 @@
         if concurrency == 0 {
             return Err(bad_number("concurrency", 0, "use a number from 1"));
         }
-        self.services
-            .entry(name.clone())
-            .or_insert_with(|| Service::new(concurrency))
-            .concurrency = concurrency;
+        let service =
+            self.services.entry(name.clone()).or_insert_with(|| Service::new(concurrency).into());
+        Arc::make_mut(service).concurrency = concurrency;
         Ok(())
     }
 
@@ -247,11 +250,12 @@
     }
 
     fn service_mut(&mut self, name: &ServiceName) -> Result<&mut Service, CatalogError> {
-        self.services.get_mut(name).ok_or_else(|| CatalogError::UnknownService(name.clone()))
+        let service = self.services.get_mut(name).map(Arc::make_mut);
+        service.ok_or_else(|| CatalogError::UnknownService(name.clone()))
     }
 
     fn leaf_mut(&mut self, id: LeafId) -> Result<&mut Leaf, CatalogError> {
-        self.leaves.get_mut(&id).ok_or(CatalogError::UnknownLeaf(id))
+        self.leaves.get_mut(&id).map(Arc::make_mut).ok_or(CatalogError::UnknownLeaf(id))
     }
 }
 
--- a/crates/domain/src/catalog/service.rs
+++ b/crates/domain/src/catalog/service.rs
@@ -1,6 +1,7 @@
 //! A service: its classes, its partition maps and its published snapshot.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -56,16 +57,20 @@
     /// Epoch of this map.
     pub epoch: PartitionEpoch,
     /// Replicas of each shard.
-    pub shards: BTreeMap<ShardId, Vec<LeafId>>,
+    pub shards: BTreeMap<ShardId, Arc<Vec<LeafId>>>,
 }
 
 impl PartitionMap {
     /// A map of `shards` shards without replicas.
     pub fn empty(epoch: PartitionEpoch, shards: u32) -> Self {
-        let shards = (0..shards).map(|number| (ShardId(number), Vec::new())).collect();
+        let shards = (0..shards).map(|number| (ShardId(number), Arc::default())).collect();
         Self { epoch, shards }
     }
 
+    fn names_leaf(&self, leaf: LeafId) -> bool {
+        self.shards.values().any(|leaves| leaves.contains(&leaf))
+    }
+
     /// Shards that no leaf holds.
     pub fn unassigned(&self) -> impl Iterator<Item = ShardId> + '_ {
         self.shards.iter().filter(|(_, leaves)| leaves.is_empty()).map(|(shard, _)| *shard)
@@ -78,7 +83,7 @@
     /// Queries that one broker runs at the same time.
     pub concurrency: u32,
     classes: Vec<ClassPolicy>,
-    partitions: Vec<PartitionMap>,
+    partitions: Vec<Arc<PartitionMap>>,
     published: Vec<Snapshot>,
 }
 
@@ -88,7 +93,7 @@
         Self {
             concurrency,
             classes: Vec::new(),
-            partitions: vec![PartitionMap::empty(PartitionEpoch(0), 0)],
+            partitions: vec![PartitionMap::empty(PartitionEpoch(0), 0).into()],
             published: Vec::new(),
         }
     }
@@ -114,12 +119,12 @@
     }
 
     /// The partition map of an epoch, while it is retained.
-    pub fn partition(&self, epoch: PartitionEpoch) -> Option<&PartitionMap> {
+    pub fn partition(&self, epoch: PartitionEpoch) -> Option<&Arc<PartitionMap>> {
         self.partitions.iter().find(|map| map.epoch == epoch)
     }
 
     /// All retained partition maps, oldest first.
-    pub fn partitions(&self) -> &[PartitionMap] {
+    pub fn partitions(&self) -> &[Arc<PartitionMap>] {
         &self.partitions
     }
 
@@ -156,11 +161,11 @@
     }
 
     pub(super) fn assign_shard(&mut self, shard: ShardId, leaves: &[LeafId]) {
-        self.newest_mut().shards.insert(shard, leaves.to_vec());
+        self.newest_mut().shards.insert(shard, Arc::new(leaves.to_vec()));
     }
 
     pub(super) fn add_partition(&mut self, map: PartitionMap) {
-        self.partitions.push(map);
+        self.partitions.push(Arc::new(map));
         self.forget_unused_partitions();
     }
 
@@ -180,10 +185,16 @@
         Ok(())
     }
 
+    /// Whether some retained map names the leaf.
+    pub(super) fn names_leaf(&self, leaf: LeafId) -> bool {
+        self.partitions.iter().any(|map| map.names_leaf(leaf))
+    }
+
     pub(super) fn forget_leaf(&mut self, leaf: LeafId) {
-        for map in &mut self.partitions {
-            for leaves in map.shards.values_mut() {
-                leaves.retain(|candidate| *candidate != leaf);
+        for map in self.partitions.iter_mut().filter(|map| map.names_leaf(leaf)) {
+            let shards = Arc::make_mut(map).shards.values_mut();
+            for leaves in shards.filter(|leaves| leaves.contains(&leaf)) {
+                Arc::make_mut(leaves).retain(|candidate| *candidate != leaf);
             }
         }
     }
@@ -202,6 +213,7 @@
     }
 
     fn newest_mut(&mut self) -> &mut PartitionMap {
-        self.partitions.last_mut().expect("a service has at least one partition map")
+        let newest = self.partitions.last_mut();
+        Arc::make_mut(newest.expect("a service has at least one partition map"))
     }
 }
--- a/crates/domain/src/routing/mod.rs
+++ b/crates/domain/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Choice of a replica for each shard, from this broker's own observations.
 
 mod ejection;
+mod layout;
 pub mod subset;
 mod table;
 mod view;
@@ -14,6 +15,7 @@
 use crate::catalog::{Catalog, Leaf, LeafState};
 use crate::identifiers::{LeafId, PartitionEpoch, ServiceName};
 use crate::time::Timestamp;
+use layout::{Layout, LeafChanges, LeafEntries};
 use subset::{BrokerEntry, Subsetting};
 use view::LeafView;
 
@@ -79,10 +81,9 @@
     own: BrokerEntry,
     policy: RoutingPolicy,
     leaves: BTreeMap<LeafId, LeafView>,
-    entries: BTreeMap<LeafId, Leaf>,
-    tables: BTreeMap<ServiceName, Vec<Arc<ShardTable>>>,
-    brokers: Arc<[BrokerEntry]>,
-    held: BTreeSet<LeafId>,
+    entries: LeafEntries,
+    subsetting: Subsetting,
+    layout: Layout,
     common_latency: f64,
     compared: Timestamp,
     ejections: u64,
@@ -93,13 +94,12 @@
     /// A router without leaves for the broker `own`.
     pub fn new(own: BrokerEntry, policy: RoutingPolicy) -> Self {
         Self {
-            own,
             policy,
             leaves: BTreeMap::new(),
-            entries: BTreeMap::new(),
-            tables: BTreeMap::new(),
-            brokers: Arc::new([]),
-            held: BTreeSet::new(),
+            entries: LeafEntries::new(),
+            subsetting: Subsetting::new(own.clone(), &[]),
+            own,
+            layout: Layout::default(),
             common_latency: 0.001,
             compared: Timestamp::ZERO,
             ejections: 0,
@@ -110,27 +110,37 @@
     /// Takes over the leaves of a catalog; observations of those that remain are kept.
     pub fn reconfigure(&mut self, now: Timestamp, catalog: &Catalog) {
         let first = self.leaves.is_empty();
-        self.leaves.retain(|leaf, _| catalog.leaves().contains_key(leaf));
-        for (id, leaf) in catalog.leaves() {
-            let view = self
-                .leaves
-                .entry(*id)
-                .or_insert_with(|| if first { LeafView::first(now) } else { LeafView::cold(now) });
-            let changed = self.entries.get(id).is_some_and(|former| former != leaf);
-            if changed && leaf.state == LeafState::Active {
-                view.drain.leaf = false;
-                view.drain.platform = false;
-                view.cool(now);
+        let changes = LeafChanges::between(&self.entries, catalog.leaves());
+        for leaf in &changes.removed {
+            self.leaves.remove(leaf);
+        }
+        for id in &changes.changed {
+            if let Some(leaf) = catalog.leaves().get(id) {
+                self.take_over(now, leaf, first);
             }
-            view.drain.operator = leaf.state == LeafState::Draining;
         }
         self.entries = catalog.leaves().clone();
-        self.lay_out(catalog);
+        self.lay_out(catalog, &changes.moved);
         if self.policy == RoutingPolicy::Measured {
             self.probe_round.get_or_insert(now.after(PROBE_ROUND));
         }
     }
 
+    /// Takes over a leaf that is new or differs from before.
+    fn take_over(&mut self, now: Timestamp, leaf: &Leaf, first: bool) {
+        let known = self.entries.contains_key(&leaf.id);
+        let view = self
+            .leaves
+            .entry(leaf.id)
+            .or_insert_with(|| if first { LeafView::first(now) } else { LeafView::cold(now) });
+        if known && leaf.state == LeafState::Active {
+            view.drain.leaf = false;
+            view.drain.platform = false;
+            view.cool(now);
+        }
+        view.drain.operator = leaf.state == LeafState::Draining;
+    }
+
     /// When [`Self::due_probes`] is to be asked next.
     pub fn next_probe_round(&self) -> Option<Timestamp> {
         self.probe_round
@@ -144,7 +154,7 @@
         }
         self.probe_round = Some(now.after(PROBE_ROUND));
         let mut due = Vec::new();
-        for leaf in &self.held {
+        for leaf in self.layout.held() {
             if let Some(view) = self.leaves.get_mut(leaf).filter(|view| view.wants_probe(now)) {
                 view.probe_sent(now);
                 due.push(*leaf);
@@ -162,8 +172,10 @@
 
     /// Takes over the list of brokers that share the leaves.
     pub fn brokers_changed(&mut self, brokers: Arc<[BrokerEntry]>, catalog: &Catalog) {
-        self.brokers = brokers;
-        self.lay_out(catalog);
+        self.subsetting = Subsetting::new(self.own.clone(), &brokers);
+        self.layout = Layout::default();
+        let all = self.entries.keys().copied().collect();
+        self.lay_out(catalog, &all);
     }
 
     /// The platform's list of leaving machines, whole; it lags, so it only adds to the others.
@@ -179,7 +191,7 @@
 
     /// The routes of a service's shards at an epoch.
     pub fn table(&self, service: &ServiceName, epoch: PartitionEpoch) -> Option<Arc<ShardTable>> {
-        self.tables.get(service)?.iter().find(|table| table.epoch == epoch).cloned()
+        self.layout.table(service, epoch).cloned()
     }
 
     /// Connections that this broker may open to a leaf.
@@ -279,47 +291,25 @@
         }
     }
 
-    fn lay_out(&mut self, catalog: &Catalog) {
-        let subsetting = Subsetting::new(self.own.clone(), &self.brokers);
-        self.tables.clear();
-        for (name, service) in catalog.services() {
-            let tables = service.partitions().iter().map(|map| {
-                let table = match self.policy {
-                    RoutingPolicy::Measured => ShardTable::new(map, catalog.leaves(), &subsetting),
-                    RoutingPolicy::Random => ShardTable::flat(map, catalog.leaves()),
-                };
-                Arc::new(table)
-            });
-            self.tables.insert(name.clone(), tables.collect());
+    /// Lays out what a change of the catalog touches.
+    fn lay_out(&mut self, catalog: &Catalog, moved: &BTreeSet<LeafId>) {
+        let mut touched = self.layout.update(catalog, moved, &self.subsetting, self.policy);
+        touched.extend(moved);
+        for leaf in touched {
+            self.limit_connections(leaf);
         }
-        self.held = preferred_leaves(self.tables.values().flatten());
-        self.limit_connections(catalog, &subsetting);
     }
 
-    /// Divides each leaf's connection limit by the brokers that hold it, over all its shards in
-    /// the newest map of each service.
-    fn limit_connections(&mut self, catalog: &Catalog, subsetting: &Subsetting) {
-        let mut holders: BTreeMap<LeafId, usize> = BTreeMap::new();
-        for service in catalog.services().values() {
-            let Some(map) = service.partition(service.newest_epoch()) else {
-                continue;
-            };
-            for replicas in map.shards.values() {
-                let placed: Vec<&Leaf> =
-                    replicas.iter().filter_map(|leaf| catalog.leaves().get(leaf)).collect();
-                let by_placement = subsetting.holders(&placed);
-                for leaf in placed {
-                    let count = by_placement.get(&leaf.placement).copied().unwrap_or(1);
-                    *holders.entry(leaf.id).or_default() += count;
-                }
-            }
-        }
-        for (id, view) in &mut self.leaves {
-            let limit = catalog.leaves().get(id).map_or(1, |leaf| leaf.connection_limit as usize);
-            let holders =
-                if subsetting.is_alone() { 1 } else { holders.get(id).copied().unwrap_or(1) };
-            view.connection_limit = (limit / holders.max(1)).max(1);
-        }
+    /// Divides a leaf's connection limit by the brokers that hold it, over all its shards in the
+    /// newest map of each service.
+    fn limit_connections(&mut self, leaf: LeafId) {
+        let Some(view) = self.leaves.get_mut(&leaf) else {
+            return;
+        };
+        let limit = self.entries.get(&leaf).map_or(1, |entry| entry.connection_limit as usize);
+        let alone = self.subsetting.is_alone();
+        let holders = if alone { 1 } else { self.layout.holders(leaf).unwrap_or(1) };
+        view.connection_limit = (limit / holders.max(1)).max(1);
     }
 
     /// The better of two random replicas of the nearest tier that has any, unless one of a
@@ -367,10 +357,8 @@
     /// Leaves out replicas that answer far more slowly than the others of their shard.
     fn eject_slow(&mut self, now: Timestamp) {
         let mut slow = Vec::new();
-        for table in self.tables.values().flatten() {
-            for route in &table.shards {
-                self.find_slow(now, route, &mut slow);
-            }
+        for route in self.layout.routes() {
+            self.find_slow(now, route, &mut slow);
         }
         for leaf in slow {
             if !self.is_ejected(now, leaf) {
@@ -402,10 +390,8 @@
     fn eject(&mut self, now: Timestamp, leaf: LeafId) {
         let allowed = self.policy == RoutingPolicy::Measured
             && self
-                .tables
-                .values()
-                .flatten()
-                .flat_map(|table| &table.shards)
+                .layout
+                .routes()
                 .filter(|route| route.replicas().any(|replica| replica == leaf))
                 .all(|route| self.may_eject_from(now, route));
         if allowed && let Some(view) = self.leaves.get_mut(&leaf) {
@@ -423,14 +409,6 @@
     }
 }
 
-/// Leaves that some route prefers.
-fn preferred_leaves<'tables>(
-    tables: impl Iterator<Item = &'tables Arc<ShardTable>>,
-) -> BTreeSet<LeafId> {
-    let routes = tables.flat_map(|table| &table.shards);
-    routes.flat_map(|route| route.tiers.iter().flatten().copied()).collect()
-}
-
 /// Draws a usable leaf at random: a few draws, then a search from a random start.
 fn draw(
     leaves: &[LeafId],
--- a/crates/domain/src/routing/table.rs
+++ b/crates/domain/src/routing/table.rs
@@ -1,9 +1,6 @@
 //! The replicas of each shard as one broker sees them: nearest first, and its own subset.
 
-use std::collections::BTreeMap;
-
-use super::subset::Subsetting;
-use crate::catalog::{Leaf, PartitionMap, Placement};
+use crate::catalog::{Leaf, Placement};
 use crate::identifiers::{LeafId, PartitionEpoch, ShardId};
 
 /// How far a leaf is from this broker.
@@ -39,6 +36,12 @@
 }
 
 impl ShardRoute {
+    /// All replicas in one tier, without regard to distance or subset.
+    pub fn flat(shard: ShardId, replicas: &[&Leaf]) -> Self {
+        let tier = replicas.iter().map(|leaf| leaf.id).collect();
+        Self { shard, tiers: vec![tier], spare: Vec::new() }
+    }
+
     /// All replicas, nearest first, then the spare ones.
     pub fn replicas(&self) -> impl Iterator<Item = LeafId> + '_ {
         self.tiers.iter().flatten().chain(&self.spare).copied()
@@ -53,35 +56,3 @@
     /// A route for each shard, by shard number.
     pub shards: Vec<ShardRoute>,
 }
-
-impl ShardTable {
-    /// Lays the map out for one broker.
-    pub fn new(
-        map: &PartitionMap,
-        leaves: &BTreeMap<LeafId, Leaf>,
-        subsetting: &Subsetting,
-    ) -> Self {
-        let shards = map
-            .shards
-            .iter()
-            .map(|(shard, replicas)| {
-                let placed = replicas.iter().filter_map(|leaf| leaves.get(leaf));
-                subsetting.route(*shard, placed.collect())
-            })
-            .collect();
-        Self { epoch: map.epoch, shards }
-    }
-
-    /// All replicas of each shard in one tier, without regard to distance or subset.
-    pub fn flat(map: &PartitionMap, leaves: &BTreeMap<LeafId, Leaf>) -> Self {
-        let shards = map
-            .shards
-            .iter()
-            .map(|(shard, replicas)| {
-                let known = replicas.iter().copied().filter(|leaf| leaves.contains_key(leaf));
-                ShardRoute { shard: *shard, tiers: vec![known.collect()], spare: Vec::new() }
-            })
-            .collect();
-        Self { epoch: map.epoch, shards }
-    }
-}
--- /dev/null
+++ b/crates/domain/tests/layout.rs
@@ -0,0 +1,232 @@
+//! A layout brought up to date by changes is the one that a new router makes of the result.
+
+mod support;
+
+use std::sync::Arc;
+
+use gingerkeel_domain::catalog::{Catalog, Change, Leaf, LeafState, Placement};
+use gingerkeel_domain::identifiers::{BrokerName, IndexVersion, LeafId, ServiceName, ShardId};
+use gingerkeel_domain::routing::subset::BrokerEntry;
+use gingerkeel_domain::routing::{Router, RoutingPolicy};
+use gingerkeel_domain::time::Timestamp;
+use proptest::prelude::*;
+use proptest::sample::{Index, subsequence};
+use rstest::rstest;
+use support::{change, leaf, placement, service};
+
+/// Leaves that changes speak of.
+const LEAVES: u32 = 24;
+/// Shards that changes speak of.
+const SHARDS: u32 = 3;
+/// A moment at which every leaf has been silent for too long.
+const LATER: Timestamp = Timestamp::from_micros(1_000_000_000);
+
+/// One step of a broker's life.
+#[derive(Debug, Clone)]
+enum Step {
+    Change(Change),
+    Brokers(usize),
+}
+
+fn places() -> impl Strategy<Value = Placement> {
+    (0..2usize, 0..2usize).prop_map(|(region, zone)| place(region * 2 + zone))
+}
+
+fn place(number: usize) -> Placement {
+    let (region, zone) = [("north", "a"), ("north", "b"), ("south", "a"), ("south", "b")][number];
+    placement(region, zone)
+}
+
+fn services() -> impl Strategy<Value = ServiceName> {
+    prop_oneof![Just(service()), Just(ServiceName::new("other"))]
+}
+
+fn entries() -> impl Strategy<Value = Leaf> {
+    (0..LEAVES, places(), 1..9u32).prop_map(|(id, placement, connection_limit)| Leaf {
+        connection_limit,
+        ..leaf(id, placement)
+    })
+}
+
+fn changes() -> impl Strategy<Value = Change> {
+    let leaves = (0..LEAVES).prop_map(LeafId);
+    let states = prop_oneof![Just(LeafState::Active), Just(LeafState::Draining)];
+    let replicas = subsequence((0..LEAVES).map(LeafId).collect::<Vec<_>>(), 0..LEAVES as usize);
+    prop_oneof![
+        3 => entries().prop_map(Change::AddLeaf),
+        2 => (leaves.clone(), states)
+            .prop_map(|(leaf, state)| Change::SetLeafState { leaf, state }),
+        2 => leaves.prop_map(Change::RemoveLeaf),
+        1 => services().prop_map(|service| Change::DefineService { service, concurrency: 8 }),
+        1 => services().prop_map(Change::RemoveService),
+        1 => (services(), 1..=SHARDS)
+            .prop_map(|(service, shards)| Change::Repartition { service, shards }),
+        1 => (services(), 1..9u64).prop_map(|(service, version)| Change::PublishVersion {
+            service,
+            version: IndexVersion(version),
+        }),
+        4 => (services(), 0..SHARDS, replicas).prop_map(|(service, shard, leaves)| {
+            Change::AssignShard { service, shard: ShardId(shard), leaves }
+        }),
+    ]
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        12 => changes().prop_map(Step::Change),
+        1 => (0..30usize).prop_map(Step::Brokers),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+/// A catalog in which changes of all kinds find something to change.
+fn first_catalog() -> Catalog {
+    let mut catalog = Catalog::default();
+    for id in 0..LEAVES / 2 {
+        change(&mut catalog, Change::AddLeaf(leaf(id, place(id as usize % 4))));
+    }
+    for name in [service(), ServiceName::new("other")] {
+        change(&mut catalog, Change::DefineService { service: name.clone(), concurrency: 8 });
+        change(&mut catalog, Change::Repartition { service: name.clone(), shards: SHARDS });
+        for shard in 0..SHARDS {
+            let leaves = (0..LEAVES / 2).filter(|id| id % SHARDS == shard).map(LeafId).collect();
+            let shard = ShardId(shard);
+            change(&mut catalog, Change::AssignShard { service: name.clone(), shard, leaves });
+        }
+    }
+    catalog
+}
+
+fn own() -> BrokerEntry {
+    BrokerEntry { name: BrokerName::new("broker-0"), placement: place(0) }
+}
+
+fn brokers(count: usize) -> Arc<[BrokerEntry]> {
+    let broker = |number: usize| BrokerEntry {
+        name: BrokerName::new(format!("broker-{number}")),
+        placement: place(number % 4),
+    };
+    (0..count).map(broker).collect()
+}
+
+fn router(policy: RoutingPolicy, known: &Arc<[BrokerEntry]>, catalog: &Catalog) -> Router {
+    let mut router = Router::new(own(), policy);
+    router.brokers_changed(known.clone(), &Catalog::default());
+    router.reconfigure(Timestamp::ZERO, catalog);
+    router
+}
+
+/// Whether two routers route, limit connections and probe alike.
+fn check_alike(one: &mut Router, other: &mut Router, catalog: &Catalog) {
+    check_routes(one, other, catalog);
+    for leaf in (0..LEAVES).map(LeafId) {
+        assert_eq!(one.connection_limit(leaf), other.connection_limit(leaf), "leaf {leaf}");
+        assert_eq!(one.takes_new_work(leaf), other.takes_new_work(leaf), "leaf {leaf}");
+    }
+    assert_eq!(one.due_probes(LATER), other.due_probes(LATER));
+}
+
+/// Whether two routers route alike.
+fn check_routes(one: &Router, other: &Router, catalog: &Catalog) {
+    for (name, service) in catalog.services() {
+        for map in service.partitions() {
+            assert_eq!(one.table(name, map.epoch), other.table(name, map.epoch), "{name}");
+        }
+    }
+}
+
+fn follow(policy: RoutingPolicy, steps: Vec<Step>, picks: &[Index]) {
+    let mut catalog = first_catalog();
+    let mut known = brokers(0);
+    let mut kept = Router::new(own(), policy);
+    kept.reconfigure(Timestamp::ZERO, &catalog);
+    let checked: Vec<usize> = picks.iter().map(|pick| pick.index(steps.len())).collect();
+    for (number, step) in steps.into_iter().enumerate() {
+        match step {
+            // A change that is refused leaves the catalog as it is.
+            Step::Change(change) => {
+                let _ = catalog.apply(&change);
+                kept.reconfigure(Timestamp::ZERO, &catalog);
+            }
+            Step::Brokers(count) => {
+                known = brokers(count);
+                kept.brokers_changed(known.clone(), &catalog);
+            }
+        }
+        if checked.contains(&number) {
+            check_routes(&kept, &router(policy, &known, &catalog), &catalog);
+        }
+    }
+    check_alike(&mut kept, &mut router(policy, &known, &catalog), &catalog);
+}
+
+proptest! {
+    #[test]
+    fn changes_lead_to_the_layout_of_the_whole(
+        steps in steps(),
+        picks in prop::collection::vec(any::<Index>(), 3),
+    ) {
+        follow(RoutingPolicy::Measured, steps, &picks);
+    }
+
+    #[test]
+    fn changes_lead_to_the_baseline_layout_of_the_whole(
+        steps in steps(),
+        picks in prop::collection::vec(any::<Index>(), 3),
+    ) {
+        follow(RoutingPolicy::Random, steps, &picks);
+    }
+}
+
+/// Tables of both services before and after a change.
+fn tables_kept(apply: Change) -> [bool; 2] {
+    let mut catalog = first_catalog();
+    let mut router = router(RoutingPolicy::Measured, &brokers(8), &catalog);
+    let names = [service(), ServiceName::new("other")];
+    let table = |router: &Router, catalog: &Catalog, name: &ServiceName| {
+        let epoch = catalog.services()[name].newest_epoch();
+        router.table(name, epoch).expect("the service has a table")
+    };
+    let before = names.each_ref().map(|name| table(&router, &catalog, name));
+    change(&mut catalog, apply);
+    router.reconfigure(Timestamp::ZERO, &catalog);
+    let after = names.each_ref().map(|name| table(&router, &catalog, name));
+    [Arc::ptr_eq(&before[0], &after[0]), Arc::ptr_eq(&before[1], &after[1])]
+}
+
+#[rstest]
+#[case::drained(Change::SetLeafState { leaf: LeafId(0), state: LeafState::Draining }, [true, true])]
+#[case::added(Change::AddLeaf(leaf(LEAVES, place(0))), [true, true])]
+#[case::concurrency(Change::DefineService { service: service(), concurrency: 9 }, [true, true])]
+#[case::published(
+    Change::PublishVersion { service: service(), version: IndexVersion(1) },
+    [true, true]
+)]
+#[case::assigned(
+    Change::AssignShard { service: service(), shard: ShardId(0), leaves: vec![LeafId(0)] },
+    [false, true]
+)]
+#[case::removed(Change::RemoveLeaf(LeafId(0)), [false, false])]
+fn only_tables_that_a_change_touches_are_laid_out_anew(
+    #[case] change: Change,
+    #[case] kept: [bool; 2],
+) {
+    assert_eq!(tables_kept(change), kept);
+}
+
+#[test]
+fn a_copy_of_a_catalog_shares_what_no_change_touched() {
+    let before = first_catalog();
+    let mut after = before.clone();
+    let drain = Change::SetLeafState { leaf: LeafId(0), state: LeafState::Draining };
+    change(&mut after, drain);
+    assert_eq!(before.leaves()[&LeafId(0)].state, LeafState::Active);
+    let shared = |id: u32| {
+        let id = LeafId(id);
+        Arc::ptr_eq(&before.leaves()[&id], &after.leaves()[&id])
+    };
+    assert!(!shared(0));
+    assert!((1..LEAVES / 2).all(shared));
+    let service = service();
+    assert!(Arc::ptr_eq(&before.services()[&service], &after.services()[&service]));
+}
