Run scale rehearsals on several control processes, frozen and cut

The relays follow the frames and count them by kind; relays between the control processes count what each sends to the others. Processor time, memory and bytes to peers are reported for leader, follower and learner. The logs of hollow brokers are read as they grow, as 1,600 brokers write too much to read all of them at each look.

Ruled out: one parsed catalog for all hollow brokers of a process, which would hide what each broker spends and holds; the kernel's counts of written bytes, which leave sends out.

--- a/crates/rehearsal/src/bench/broker.rs
+++ b/crates/rehearsal/src/bench/broker.rs
@@ -153,6 +153,8 @@
     };
     Topology {
         controls: 1,
+        voters: None,
+        relay_peers: false,
         zones: vec![ZoneTopology { name: "zone".into(), region: "region".into() }],
         leaf_processes: LEAF_PROCESSES,
         zone_delay_ms: 0.0,
--- a/crates/rehearsal/src/fleet/launch.rs
+++ b/crates/rehearsal/src/fleet/launch.rs
@@ -13,6 +13,7 @@
 use super::addresses::free_addresses;
 use super::binaries::Binaries;
 use super::operator::{Operator, exchange};
+use super::peer_relays::PeerRelays;
 use super::process::ManagedProcess;
 use super::topology::{CALLER, ServiceTopology, Topology};
 use super::wait::wait_until;
@@ -52,8 +53,10 @@
         let broker_names = self.broker_names();
         let leaf_processes = self.start_leaves(&leaf_addresses, &broker_names)?;
         let controls = self.control_addresses()?;
-        let mut control_processes = self.start_controls(&controls)?;
-        let operator = Operator::new(&self.binaries, controls[0].operators, self.folder.to_owned());
+        let peer_relays = self.start_peer_relays(&controls)?;
+        let mut control_processes = self.start_controls(&controls, peer_relays.as_ref())?;
+        let operators = controls.iter().map(|control| control.operators).collect();
+        let operator = Operator::new(&self.binaries, operators, self.folder.to_owned());
         self.await_controls(&operator, &mut control_processes)?;
         operator.execute(&settings_files::statements(self.topology, &leaf_addresses))?;
         let feeds: Vec<SocketAddr> = controls.iter().map(|control| control.feed).collect();
@@ -63,6 +66,7 @@
             operator,
             topology: self.topology.clone(),
             controls: control_processes,
+            peer_relays,
             feeds,
             brokers,
             leaf_processes,
@@ -115,9 +119,18 @@
         Ok(addresses.chunks_exact(3).map(of_one).collect())
     }
 
+    fn start_peer_relays(
+        &self,
+        controls: &[ControlAddresses],
+    ) -> Result<Option<PeerRelays>, RehearsalError> {
+        let peers: Vec<SocketAddr> = controls.iter().map(|control| control.peers).collect();
+        self.topology.relay_peers.then(|| PeerRelays::start(&peers)).transpose()
+    }
+
     fn start_controls(
         &self,
         controls: &[ControlAddresses],
+        relays: Option<&PeerRelays>,
     ) -> Result<Vec<ManagedProcess>, RehearsalError> {
         let mut processes = Vec::new();
         let peers: Vec<SocketAddr> = controls.iter().map(|control| control.peers).collect();
@@ -127,6 +140,9 @@
             fs::create_dir_all(&data)
                 .map_err(|error| RehearsalError::resource(data.display(), error))?;
             let zone = self.topology.zone(number);
+            let seen = relays.map_or_else(|| peers.clone(), |all| all.addresses(number, &peers));
+            let voters = self.topology.voters.unwrap_or(peers.len());
+            let peers = settings_files::Peers { addresses: &seen, voters };
             let text = settings_files::control(number + 1, zone, control, &peers, &data);
             processes.push(self.start(&name, self.binaries.control(), &[], &text)?);
         }
--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -4,11 +4,13 @@
 mod binaries;
 mod launch;
 mod operator;
+mod peer_relays;
 mod process;
 mod settings_files;
 mod topology;
 mod wait;
 
+use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -31,12 +33,18 @@
 use crate::process_usage::ProcessUsage;
 use crate::record::{Order, OrderKind, RecordWriter};
 use operator::Operator;
+use peer_relays::PeerRelays;
 
 /// Time that brokers have to finish what is in flight.
 const BROKER_STOP_TIME: Duration = Duration::from_secs(15);
 /// Time that other processes have to end.
 const STOP_TIME: Duration = Duration::from_secs(3);
 
+/// Marks a line of a control process's log that tells its role.
+const ROLE_EVENT: &str = "event=role_changed";
+/// Marks the role of the leader on such a line.
+const LEADER_ROLE: &str = "role=Leader";
+
 /// A broker of a fleet.
 pub struct Broker {
     /// Name within the cluster.
@@ -61,6 +69,7 @@
     operator: Operator,
     topology: Topology,
     controls: Vec<ManagedProcess>,
+    peer_relays: Option<PeerRelays>,
     feeds: Vec<SocketAddr>,
     brokers: Vec<Broker>,
     leaf_processes: Vec<LeafProcess>,
@@ -118,6 +127,34 @@
         self.controls[index].usage()
     }
 
+    /// Bytes that a control process sent to the others so far; 0 without relays between them.
+    pub fn peer_bytes(&self, index: usize) -> u64 {
+        self.peer_relays.as_ref().map_or(0, |relays| relays.bytes_from(index))
+    }
+
+    /// The control process that leads, by the logs of all; none when none says so.
+    pub fn leading_control(&self) -> Option<usize> {
+        (0..self.controls.len()).find(|index| {
+            let log = fs::read_to_string(self.folder.join(format!("control-{index}.log")));
+            let mut lines = log.iter().flat_map(|log| log.lines());
+            let last = lines.rfind(|line| line.contains(ROLE_EVENT));
+            last.is_some_and(|line| line.contains(LEADER_ROLE))
+        })
+    }
+
+    /// Sends a signal to a control process.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when the process is gone.
+    pub fn signal_control(&self, index: usize, signal: Signal) -> Result<(), RehearsalError> {
+        self.controls[index].signal(signal)
+    }
+
+    /// Has operators ask this control process from now on.
+    pub fn ask_control(&mut self, index: usize) {
+        self.operator.ask(index);
+    }
+
     /// Fails when a process has ended by itself.
     ///
     /// # Errors
--- a/crates/rehearsal/src/fleet/operator.rs
+++ b/crates/rehearsal/src/fleet/operator.rs
@@ -19,14 +19,20 @@
 /// Runs the operators' command line.
 pub struct Operator {
     program: PathBuf,
-    control: SocketAddr,
+    controls: Vec<SocketAddr>,
+    asked: usize,
     folder: PathBuf,
 }
 
 impl Operator {
-    /// An operator who asks the control process at `control`.
-    pub fn new(binaries: &Binaries, control: SocketAddr, folder: PathBuf) -> Self {
-        Self { program: binaries.command_line(), control, folder }
+    /// An operator who asks the first of `controls`, of which there is at least one.
+    pub fn new(binaries: &Binaries, controls: Vec<SocketAddr>, folder: PathBuf) -> Self {
+        Self { program: binaries.command_line(), controls, asked: 0, folder }
+    }
+
+    /// Asks the control process of this number from now on.
+    pub fn ask(&mut self, index: usize) {
+        self.asked = index % self.controls.len();
     }
 
     /// Carries out statements.
@@ -42,7 +48,7 @@
         fs::write(&file, statements)
             .map_err(|error| RehearsalError::resource(file.display(), error))?;
         let output = Command::new(&self.program)
-            .args(["--control", &self.control.to_string(), "--file"])
+            .args(["--control", &self.controls[self.asked].to_string(), "--file"])
             .arg(&file)
             .output()
             .map_err(|error| {
--- a/crates/rehearsal/src/fleet/settings_files.rs
+++ b/crates/rehearsal/src/fleet/settings_files.rs
@@ -17,12 +17,20 @@
 /// Requests that wait at a leaf for each of its slots.
 const WAITING_PER_SLOT: usize = 8;
 
-/// Settings of a control process; `peers` are the addresses of all, by number from 1.
+/// All control processes, as one of them sees them.
+pub struct Peers<'peers> {
+    /// Their addresses, by number from 1.
+    pub addresses: &'peers [SocketAddr],
+    /// How many of them, from the first, vote.
+    pub voters: usize,
+}
+
+/// Settings of a control process.
 pub fn control(
     node: usize,
     zone: &ZoneTopology,
     own: &ControlAddresses,
-    peers: &[SocketAddr],
+    peers: &Peers<'_>,
     data: &Path,
 ) -> String {
     let mut text = format!(
@@ -35,9 +43,11 @@
         own.feed,
         data.display()
     );
-    for (number, address) in (1..).zip(peers) {
+    for (number, address) in (1..).zip(peers.addresses) {
+        let voter = number <= peers.voters;
         // Writing to a string does not fail.
-        let _ = write!(text, "[[peers]]\nnode = {number}\naddress = \"{address}\"\n");
+        let _ =
+            write!(text, "[[peers]]\nnode = {number}\naddress = \"{address}\"\nvoter = {voter}\n");
     }
     text
 }
--- a/crates/rehearsal/src/fleet/topology.rs
+++ b/crates/rehearsal/src/fleet/topology.rs
@@ -17,6 +17,12 @@
     /// Control processes.
     #[serde(default = "one")]
     pub controls: usize,
+    /// Control processes that vote, from the first; all when absent.
+    #[serde(default)]
+    pub voters: Option<usize>,
+    /// Whether what control processes send to each other is counted.
+    #[serde(default)]
+    pub relay_peers: bool,
     /// Zones over which brokers and leaves are spread, each with its region.
     pub zones: Vec<ZoneTopology>,
     /// Processes over which all leaves are spread; a multiple of the number of zones.
@@ -230,6 +236,9 @@
 impl Validate for Topology {
     fn validate(&self, check: &mut Check<'_>) -> Result<(), SettingsError> {
         check.field("controls", self.controls, self.controls > 0, "use a number from 1")?;
+        let voters = self.voters.unwrap_or(self.controls);
+        let accepted = (1..=self.controls).contains(&voters);
+        check.field("voters", voters, accepted, "use 1 up to the number of control processes")?;
         check.field("zones", "[]", !self.zones.is_empty(), "name at least one zone")?;
         let processes = self.leaf_processes;
         let accepted = processes > 0 && processes.is_multiple_of(self.zones.len());
--- /dev/null
+++ b/crates/rehearsal/src/relay/mod.rs
@@ -0,0 +1,207 @@
+//! A relay between processes that counts the bytes that pass, and can be cut.
+
+mod frames;
+
+use std::collections::BTreeMap;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+
+use monoio::io::{
+    AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
+};
+use monoio::net::{TcpListener, TcpStream};
+use tracing::warn;
+
+pub use frames::{BytesByKind, FrameFollower, KindCounters};
+
+use crate::error::RehearsalError;
+
+/// Bytes that are read at once.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// Bytes that passed a relay in one direction.
+#[derive(Debug, Default)]
+struct Direction {
+    bytes: AtomicU64,
+    kinds: KindCounters,
+}
+
+/// What a relay and its thread share.
+#[derive(Debug, Default)]
+struct Shared {
+    to_target: Direction,
+    from_target: Direction,
+    connections: Mutex<Connections>,
+}
+
+/// Open connections to the target, so that a cut can close them.
+#[derive(Debug, Default)]
+struct Connections {
+    cut: bool,
+    next: u64,
+    open: BTreeMap<u64, std::net::TcpStream>,
+}
+
+/// A relay on a thread of its own, which runs as long as the process.
+pub struct Relay {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+/// Bytes that passed a relay in each direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RelayedBytes {
+    /// From the connecting side to the target.
+    pub to_target: u64,
+    /// From the target to the connecting side.
+    pub from_target: u64,
+    /// The same by kind, where frames pass.
+    pub kinds_to_target: BytesByKind,
+    /// The same by kind, where frames pass.
+    pub kinds_from_target: BytesByKind,
+}
+
+impl Relay {
+    /// Relays connections to `target`.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when no port is free or no thread can be started.
+    pub fn start(target: SocketAddr) -> Result<Self, RehearsalError> {
+        let resource = |error| RehearsalError::resource(format!("relay to {target}"), error);
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(resource)?;
+        listener.set_nonblocking(true).map_err(resource)?;
+        let address = listener.local_addr().map_err(resource)?;
+        let shared = Arc::new(Shared::default());
+        let of_thread = shared.clone();
+        thread::Builder::new()
+            .name("relay".into())
+            .spawn(move || {
+                let serving = serve(listener, target, of_thread);
+                if let Err(error) = gingerkeel_transport::block_on(serving).and_then(|end| end) {
+                    warn!(event = "relay_ended", %error);
+                }
+            })
+            .map_err(resource)?;
+        Ok(Self { address, shared })
+    }
+
+    /// Address on which connections are taken.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Bytes that passed so far.
+    pub fn bytes(&self) -> RelayedBytes {
+        RelayedBytes {
+            to_target: self.shared.to_target.bytes.load(Ordering::Relaxed),
+            from_target: self.shared.from_target.bytes.load(Ordering::Relaxed),
+            kinds_to_target: self.shared.to_target.kinds.read(),
+            kinds_from_target: self.shared.from_target.kinds.read(),
+        }
+    }
+
+    /// Closes all connections, and every new one at once, until [`Self::heal`].
+    pub fn cut(&self) {
+        let mut connections = self.shared.connections();
+        connections.cut = true;
+        for connection in std::mem::take(&mut connections.open).into_values() {
+            // One that ended by itself meanwhile needs no end.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Ends a cut.
+    pub fn heal(&self) {
+        self.shared.connections().cut = false;
+    }
+}
+
+impl Shared {
+    fn connections(&self) -> MutexGuard<'_, Connections> {
+        self.connections.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Notes a connection to the target; none during a cut.
+    fn admit(&self, connection: std::net::TcpStream) -> Option<u64> {
+        let mut connections = self.connections();
+        if connections.cut {
+            return None;
+        }
+        let number = connections.next;
+        connections.next += 1;
+        connections.open.insert(number, connection);
+        Some(number)
+    }
+
+    fn forget(&self, number: u64) {
+        self.connections().open.remove(&number);
+    }
+}
+
+async fn serve(
+    listener: std::net::TcpListener,
+    target: SocketAddr,
+    shared: Arc<Shared>,
+) -> std::io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    loop {
+        let (stream, _) = listener.accept().await?;
+        monoio::spawn(connect(stream, target, shared.clone()));
+    }
+}
+
+async fn connect(stream: TcpStream, target: SocketAddr, shared: Arc<Shared>) {
+    // The connecting side sees its connection close.
+    let Ok((peer, handle)) = open(target) else {
+        return;
+    };
+    let Some(number) = shared.admit(handle) else {
+        return;
+    };
+    // Latency is measured in milliseconds here; a socket without the option still works.
+    let _ = (stream.set_nodelay(true), peer.set_nodelay(true));
+    let (from_caller, to_caller) = stream.into_split();
+    let (from_target, to_target) = peer.into_split();
+    let backward = shared.clone();
+    monoio::spawn(async move {
+        pass(from_target, to_caller, &backward.from_target).await;
+        backward.forget(number);
+    });
+    pass(from_caller, to_target, &shared.to_target).await;
+}
+
+/// A connection to the target, and a handle by which a cut closes it.
+fn open(target: SocketAddr) -> std::io::Result<(TcpStream, std::net::TcpStream)> {
+    let peer = std::net::TcpStream::connect(target)?;
+    peer.set_nonblocking(true)?;
+    let handle = peer.try_clone()?;
+    Ok((TcpStream::from_std(peer)?, handle))
+}
+
+/// Passes bytes on until either side closes, then closes the other.
+async fn pass(
+    mut from: OwnedReadHalf<TcpStream>,
+    mut to: OwnedWriteHalf<TcpStream>,
+    direction: &Direction,
+) {
+    let mut frames = FrameFollower::default();
+    let mut buffer = Vec::with_capacity(BUFFER_BYTES);
+    loop {
+        let (read, filled) = from.read(buffer).await;
+        let Ok(count @ 1..) = read else {
+            break;
+        };
+        direction.bytes.fetch_add(count as u64, Ordering::Relaxed);
+        frames.follow(&filled[..count], &direction.kinds);
+        let (written, emptied) = to.write_all(filled).await;
+        if written.is_err() {
+            break;
+        }
+        buffer = emptied;
+        buffer.clear();
+    }
+    // The other side may have closed it already.
+    let _ = to.shutdown().await;
+}
--- a/crates/rehearsal/src/scale/mod.rs
+++ b/crates/rehearsal/src/scale/mod.rs
@@ -1,10 +1,15 @@
 //! Scale runs: hollow brokers in growing numbers beside real control and broker processes.
 //!
-//! The catalog has the planned size. Each size is a fleet of its own: one control process, one
-//! real broker with two real leaves, and processes of hollow brokers whose links pass a relay
-//! that counts bytes. A stream of configuration changes then runs through it.
+//! The catalog has the planned size. Each size is a fleet of its own: control processes, one real
+//! broker with two real leaves, and processes of hollow brokers whose links pass relays that count
+//! bytes. A stream of configuration changes then runs through it: in normal running, with the
+//! leader frozen, and after a cut of all feeds.
 
+pub mod applied;
+pub mod feed_bytes;
+mod fleet;
 mod measure;
+mod reading;
 mod report;
 
 use std::path::PathBuf;
@@ -16,7 +21,9 @@
 
 /// Sizes of a run at most.
 const MAXIMUM_SIZES: usize = 6;
-/// Hollow brokers of a size at most.
+/// Control processes of a size at most.
+const MAXIMUM_CONTROLS: u32 = 16;
+/// Hollow brokers for each control process at most.
 const MAXIMUM_BROKERS: u32 = 400;
 /// Leaves of the catalog at most.
 const MAXIMUM_LEAVES: u32 = 13_000;
@@ -28,7 +35,13 @@
 pub struct ScaleFlags {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "hollow brokers of each size", default = "1,50,200", meta = "COUNTS")]
+    #[options(help = "control processes of each size", default = "1", meta = "COUNTS", no_short)]
+    controls: String,
+    #[options(
+        help = "hollow brokers for each control process, of each size",
+        default = "1,50,200",
+        meta = "COUNTS"
+    )]
     brokers: String,
     #[options(help = "hollow brokers of each process", default = "25", meta = "COUNT", no_short)]
     per_process: u32,
@@ -49,7 +62,8 @@
 /// What one size is run with.
 #[derive(Debug, Clone, Copy)]
 struct SizePlan {
-    brokers: u32,
+    controls: u32,
+    brokers_per_control: u32,
     per_process: u32,
     leaves: u32,
     shards: u32,
@@ -58,6 +72,13 @@
     idle_seconds: f64,
 }
 
+impl SizePlan {
+    /// Hollow brokers of all control processes.
+    fn brokers(&self) -> u32 {
+        self.controls * self.brokers_per_control
+    }
+}
+
 /// Runs each size, prints one JSON line for it, and writes summary and page.
 ///
 /// # Errors
@@ -72,7 +93,8 @@
     let folder = flags.output.as_deref().unwrap_or(scratch.path());
     let mut sizes = Vec::new();
     for plan in &plans {
-        let size = measure::run(plan, &folder.join(format!("size-{}", plan.brokers)))?;
+        let size =
+            measure::run(plan, &folder.join(format!("size-{}-{}", plan.controls, plan.brokers())))?;
         println!("{}", serde_json::to_string(&size).expect("string keys only"));
         sizes.push(size);
     }
@@ -86,15 +108,12 @@
 
 fn plans(flags: &ScaleFlags) -> Result<Vec<SizePlan>, RehearsalError> {
     let flag = |text: &str| Err(RehearsalError::Flag(text.to_owned()));
-    let counts: Option<Vec<u32>> =
-        flags.brokers.split(',').map(|count| count.trim().parse().ok()).collect();
-    let accepted = |counts: &Vec<u32>| {
-        counts.len() <= MAXIMUM_SIZES
-            && counts.iter().all(|count| (1..=MAXIMUM_BROKERS).contains(count))
-    };
-    let Some(counts) = counts.filter(accepted) else {
+    let Some(brokers) = counts(&flags.brokers, MAXIMUM_BROKERS) else {
         return flag("--brokers: use at most 6 numbers from 1 to 400, as 1,50,200");
     };
+    let Some(controls) = counts(&flags.controls, MAXIMUM_CONTROLS) else {
+        return flag("--controls: use at most 6 numbers from 1 to 16, as 1,3,8");
+    };
     if !(1..=MAXIMUM_BROKERS).contains(&flags.per_process) {
         return flag("--per-process: use a number from 1 to 400");
     }
@@ -113,8 +132,9 @@
     if !(0.5..=60.0).contains(&flags.idle_seconds) {
         return flag("--idle-seconds: use a number from 0.5 to 60");
     }
-    let plan = |brokers| SizePlan {
-        brokers,
+    let plan = |controls, brokers_per_control| SizePlan {
+        controls,
+        brokers_per_control,
         per_process: flags.per_process,
         leaves: flags.leaves,
         shards: flags.shards,
@@ -122,5 +142,16 @@
         rate: flags.rate,
         idle_seconds: flags.idle_seconds,
     };
-    Ok(counts.into_iter().map(plan).collect())
+    let sizes = controls.into_iter().flat_map(|controls| {
+        brokers.iter().map(move |brokers| (controls, *brokers)).collect::<Vec<_>>()
+    });
+    Ok(sizes.map(|(controls, brokers)| plan(controls, brokers)).collect())
+}
+
+/// Numbers from 1 to `most`, with commas between them; none when one is not.
+fn counts(text: &str, most: u32) -> Option<Vec<u32>> {
+    let counts: Option<Vec<u32>> = text.split(',').map(|count| count.trim().parse().ok()).collect();
+    counts.filter(|counts| {
+        counts.len() <= MAXIMUM_SIZES && counts.iter().all(|count| (1..=most).contains(count))
+    })
 }
--- a/crates/rehearsal/src/scale/report.rs
+++ b/crates/rehearsal/src/scale/report.rs
@@ -28,6 +28,7 @@
     kind: &'static str,
     control_cpu_ms_per_change: Option<Line>,
     control_resident_bytes: Option<Line>,
+    control_idle_core_share: Option<Line>,
     hollow_resident_bytes: Option<Line>,
     in_force_p99_ms: Option<Line>,
 }
@@ -39,7 +40,8 @@
         let slopes = Slopes {
             kind: "scale_slopes",
             control_cpu_ms_per_change: line(|size| size.control_cpu_ms_per_change),
-            control_resident_bytes: line(|size| size.control_resident_bytes as f64),
+            control_resident_bytes: line(|size| size.control_resident_bytes),
+            control_idle_core_share: line(|size| size.idle.control_core_share),
             hollow_resident_bytes: line(|size| size.hollow_resident_bytes as f64),
             in_force_p99_ms: line(|size| size.in_force_ms.p99),
         };
@@ -60,11 +62,12 @@
     fn page(&self) -> ReportPage {
         let mut page = ReportPage::new("Scale run: configuration feeds");
         page.paragraph(
-            "Hollow brokers follow the catalog in one process beside one control process and one \
-             real broker. Times run from the start of the operator's command line until the \
-             change is in force.",
+            "Hollow brokers follow the catalog beside control processes and one real broker. Times \
+             run from the start of the operator's command line until the change is in force, and \
+             after a heal from its moment. The leader is frozen from three control processes on.",
         );
         let columns = [
+            "controls",
             "brokers",
             "in force p50 ms",
             "p99 ms",
@@ -74,6 +77,8 @@
             "broker CPU ms per change",
             "hollow CPU ms per change",
             "control RSS MB",
+            "leader frozen p100 ms",
+            "after a heal p100 ms",
         ];
         page.table(&columns, &self.sizes.iter().map(row).collect::<Vec<_>>());
         self.plots(&mut page);
@@ -91,13 +96,13 @@
         ];
         page.plot(&lines("Accepted to in force", "hollow brokers", "ms", &in_force));
         let processor = [
-            series("control", |size| size.control_cpu_ms_per_change),
+            series("all control processes", |size| size.control_cpu_ms_per_change),
             series("one real broker", |size| size.broker_cpu_ms_per_change),
             series("one hollow broker", |size| size.hollow_cpu_ms_per_change),
         ];
         page.plot(&lines("Processor time per change", "hollow brokers", "ms", &processor));
         let memory = [
-            series("control", |size| size.control_resident_bytes as f64 / MEGABYTE),
+            series("one control process", |size| size.control_resident_bytes / MEGABYTE),
             series("one real broker", |size| size.broker_resident_bytes as f64 / MEGABYTE),
             series("all hollow brokers", |size| size.hollow_resident_bytes as f64 / MEGABYTE),
         ];
@@ -118,8 +123,10 @@
         size.control_cpu_ms_per_change,
         size.broker_cpu_ms_per_change,
         size.hollow_cpu_ms_per_change,
-        size.control_resident_bytes as f64 / MEGABYTE,
+        size.control_resident_bytes / MEGABYTE,
+        size.frozen.as_ref().map_or(f64::NAN, |frozen| frozen.in_force_ms.p100),
+        size.healed.in_force_ms.p100,
     ];
     let numbers = figures.iter().map(|figure| format!("{figure:.2}"));
-    std::iter::once(size.brokers.to_string()).chain(numbers).collect()
+    [size.controls.to_string(), size.brokers.to_string()].into_iter().chain(numbers).collect()
 }
--- a/crates/rehearsal/tests/relay.rs
+++ b/crates/rehearsal/tests/relay.rs
@@ -4,7 +4,8 @@
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 
-use gingerkeel_rehearsal::relay::Relay;
+use gingerkeel_rehearsal::relay::{FrameFollower, KindCounters, Relay};
+use rstest::rstest;
 
 #[test]
 fn bytes_pass_and_are_counted_by_direction() {
@@ -27,3 +28,50 @@
     assert_eq!(relay.bytes().to_target, 5);
     assert_eq!(relay.bytes().from_target, 9);
 }
+
+#[test]
+fn a_cut_closes_connections_and_a_heal_lets_new_ones_pass() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let relay = Relay::start(listener.local_addr().expect("an address")).expect("a relay");
+    let ask = || TcpStream::connect(relay.address()).expect("a connection");
+    let mut cut_off = ask();
+    let (target_side, _) = listener.accept().expect("a connection");
+    relay.cut();
+    assert_eq!(cut_off.read(&mut [0]).expect("the end"), 0);
+    assert_eq!(ask().read(&mut [0]).expect("the end"), 0, "a new connection is closed");
+    relay.heal();
+    drop(target_side);
+    let mut healed = ask();
+    let served = thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            // Connections of the time of the cut end without a byte.
+            if stream.read(&mut [0]).is_ok_and(|count| count == 1) {
+                return stream.write_all(b"x").is_ok();
+            }
+        }
+        false
+    });
+    healed.write_all(b"y").expect("the question");
+    assert_eq!(healed.read(&mut [0]).expect("the answer"), 1);
+    assert!(served.join().expect("the server ends"));
+}
+
+/// Two frames: 3 bytes of kind 7 and 5 bytes of kind 2, with their lengths.
+const FRAMES: &[u8] = &[0, 0, 0, 3, 7, 1, 1, 0, 0, 0, 0, 0, 0, 0, 5, 2, 9, 9, 9, 9];
+
+#[rstest]
+#[case::whole(FRAMES.len())]
+#[case::by_byte(1)]
+#[case::across_lengths(3)]
+#[case::across_bodies(6)]
+fn frames_are_counted_by_kind_in_whatever_pieces_they_come(#[case] piece: usize) {
+    let counters = KindCounters::default();
+    let mut follower = FrameFollower::default();
+    for piece in FRAMES.chunks(piece) {
+        follower.follow(piece, &counters);
+    }
+    let bytes = counters.read();
+    assert_eq!((bytes.of(7), bytes.of(2), bytes.of(0)), (7, 9, 0));
+    assert_eq!(bytes.of(7) + bytes.of(2) + 4, FRAMES.len() as u64, "an empty frame has no kind");
+}
