Hold the hedging budget in every window of primary sends

The bucket of hedges was full at the start and held 50, so a stretch of load could see its 5 % and 50 more; a test allowed for as much. Hedges now stay within their share of the last 1,000 primary sends, and of all primary sends before there are as many. 50 may still come at once.

The test that allowed the 50 is replaced by a stricter one that judges after every query, and keeps latency measured by queries that are answered in time: the former one relied on the burst to measure anything, as late queries were abandoned.

Ruled out: an empty bucket with a small burst, which keeps the mean but cannot hedge a single query of 53 shards whose leaves stall together. Retries keep their full bucket: a query that fails right after a start needs its retry too.

--- a/crates/domain/src/tail/mod.rs
+++ b/crates/domain/src/tail/mod.rs
@@ -1,13 +1,15 @@
 //! Extra sends that shorten the tail: hedges and retries, within budgets.
 //!
 //! One [`TailControl`] per service. A hedge is a second request for a shard whose first reply is
-//! late; a retry is another request after a failure. Both are paid from token buckets that earn
-//! a share of a token with each primary send, so the extra load stays a stated share of the
-//! load, and both stop while the leaves shed.
+//! late; a retry is another request after a failure. Hedges stay within their share of the primary
+//! sends in every window of these. Retries are paid from a token bucket that earns a share of a
+//! token with each primary send; it is full at the start, as a query that fails then needs its
+//! retry too. Both stop while the leaves shed.
 
 mod budget;
 mod latency;
 mod shedding;
+mod sliding;
 
 use std::time::Duration;
 
@@ -16,6 +18,7 @@
 pub use budget::SendBudget;
 pub use latency::LatencyWindow;
 pub use shedding::SheddingDetector;
+pub use sliding::SlidingBudget;
 
 /// How much extra load a service's leaves may be given.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -38,8 +41,9 @@
 
 /// Shortest wait before a hedge: below it the timer's own error decides.
 const MINIMUM_HEDGE_DELAY: Duration = Duration::from_millis(1);
-/// Hedges that may be sent at once after a quiet time.
-const HEDGE_BURST: f64 = 50.0;
+/// Primary sends over which hedges stay within their share; a share of 5 % of them, 50, may be
+/// sent at once after a quiet time.
+const HEDGE_WINDOW: usize = 1000;
 /// Retries that may be sent at once after a quiet time.
 const RETRY_BURST: f64 = 50.0;
 
@@ -48,18 +52,18 @@
 pub struct TailControl {
     settings: TailSettings,
     latencies: LatencyWindow,
-    hedges: SendBudget,
+    hedges: SlidingBudget,
     retries: SendBudget,
     shedding: SheddingDetector,
 }
 
 impl TailControl {
-    /// A control without observations; its buckets are full.
+    /// A control without observations, which may retry but not hedge yet.
     pub fn new(settings: TailSettings) -> Self {
         Self {
             settings,
             latencies: LatencyWindow::default(),
-            hedges: SendBudget::new(settings.hedge_share, HEDGE_BURST),
+            hedges: SlidingBudget::new(settings.hedge_share, HEDGE_WINDOW),
             retries: SendBudget::new(settings.retry_share, RETRY_BURST),
             shedding: SheddingDetector::default(),
         }
--- a/crates/domain/tests/tail.rs
+++ b/crates/domain/tests/tail.rs
@@ -5,8 +5,9 @@
 use gingerkeel_domain::dispatch::{Effect, Event};
 use gingerkeel_domain::identifiers::LeafId;
 use gingerkeel_domain::query::{LeafFailure, MissingReason, NotRunReason, QueryOutcome, Sending};
-use gingerkeel_domain::tail::{LatencyWindow, SendBudget};
+use gingerkeel_domain::tail::{LatencyWindow, SendBudget, SlidingBudget};
 use gingerkeel_domain::time::Timestamp;
+use proptest::prelude::*;
 use rstest::rstest;
 use support::*;
 
@@ -65,20 +66,22 @@
 #[test]
 fn hedges_stay_within_their_share_of_primary_sends() {
     let mut harness = measured();
-    let (mut primaries, mut hedges) = (0, 0);
+    // The queries that were measured.
+    let (mut primaries, mut hedges) = (120, 0);
     for _ in 0..4000 {
+        // Latency stays measured, as late requests tell nothing of it.
+        harness.run_queries(1, 4, |_| millis(5));
         let primary = sends(&harness.submit(true));
-        primaries += primary.len();
+        primaries += 1 + primary.len();
         let hedge = sends(&harness.wait(millis(6)));
         hedges += hedge.len();
         match hedge.first() {
             Some(hedge) => harness.answer(*hedge),
             None => harness.handle(Event::CallerGone(primary[0].request.query)),
         };
+        assert!(hedges <= primaries / 20, "{hedges} hedges for {primaries} primary sends");
     }
-    // The bucket holds 50 when the load starts.
-    assert!(hedges <= primaries / 20 + 50, "{hedges} hedges for {primaries} primary sends");
-    assert!(hedges > 100);
+    assert!(hedges > 300, "{hedges} hedges for {primaries} primary sends");
 }
 
 #[test]
@@ -250,3 +253,57 @@
     }
     assert!(budget.take() && !budget.take());
 }
+
+/// Window of the sliding budgets of tests.
+const WINDOW: usize = 40;
+/// Share of the sliding budgets of tests: one in ten.
+const ONE_IN: usize = 10;
+
+/// Extra sends after each primary send, when so many are wanted.
+fn taken(wanted: &[usize]) -> Vec<usize> {
+    let mut budget = SlidingBudget::new(1.0 / ONE_IN as f64, WINDOW);
+    let take = |wanted: &usize| {
+        budget.earn();
+        (0..*wanted).filter(|_| budget.take()).count()
+    };
+    wanted.iter().map(take).collect()
+}
+
+proptest! {
+    #[test]
+    fn a_sliding_budget_holds_in_every_window_and_from_the_start(
+        wanted in prop::collection::vec(0..8usize, 1..300),
+    ) {
+        let taken = taken(&wanted);
+        for window in taken.windows(WINDOW) {
+            prop_assert!(window.iter().sum::<usize>() <= WINDOW / ONE_IN, "{taken:?}");
+        }
+        for sends in 1..=taken.len() {
+            prop_assert!(taken[..sends].iter().sum::<usize>() <= sends / ONE_IN, "{taken:?}");
+        }
+    }
+}
+
+#[test]
+fn a_sliding_budget_is_used_up_when_wanted() {
+    assert_eq!(taken(&[8; 400]).iter().sum::<usize>(), 400 / ONE_IN);
+}
+
+#[test]
+fn what_a_sliding_budget_saved_up_may_be_taken_at_once() {
+    let mut wanted = vec![0; 100];
+    wanted[99] = 8;
+    assert_eq!(taken(&wanted)[99], WINDOW / ONE_IN);
+}
+
+#[test]
+fn what_is_given_back_to_a_sliding_budget_can_be_taken_again() {
+    let mut budget = SlidingBudget::new(0.5, 4);
+    budget.give_back();
+    assert!(!budget.take(), "nothing was sent");
+    (0..4).for_each(|_| budget.earn());
+    assert!(budget.take() && budget.take() && !budget.take());
+    budget.earn();
+    budget.give_back();
+    assert!(budget.take() && !budget.take());
+}
