Share leaves between copies of a catalog in blocks

A copy of the catalog still copied a pointer for each of 13,000 leaves, and the router compared all of them. Leaves are kept in blocks of at most 128 numbers that copies share: a copy costs about a hundred pointers, a change one block, and the router compares only blocks that differ by identity. Leaves are written as a map, as before.

Ruled out: a persistent map from a library, for its licence.

--- a/crates/domain/src/catalog/mod.rs
+++ b/crates/domain/src/catalog/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod error;
 mod leaf;
+mod leaf_map;
 mod member;
 mod service;
 
@@ -19,6 +20,7 @@
 pub use change::Change;
 pub use error::CatalogError;
 pub use leaf::{Leaf, LeafAddress, LeafState, Placement};
+pub use leaf_map::LeafMap;
 pub use member::{ControlMember, MemberState};
 pub use service::{AnswerPolicy, CallerAccount, ClassPolicy, PartitionMap, Service};
 
@@ -30,7 +32,7 @@
 pub struct Catalog {
     revision: Revision,
     services: BTreeMap<ServiceName, Arc<Service>>,
-    leaves: BTreeMap<LeafId, Arc<Leaf>>,
+    leaves: LeafMap,
     callers: BTreeMap<CallerName, CallerAccount>,
     brokers: BTreeMap<BrokerName, MemberState>,
     controls: BTreeMap<ControlName, ControlMember>,
@@ -48,7 +50,7 @@
     }
 
     /// All leaves by number.
-    pub fn leaves(&self) -> &BTreeMap<LeafId, Arc<Leaf>> {
+    pub fn leaves(&self) -> &LeafMap {
         &self.leaves
     }
 
@@ -123,7 +125,7 @@
         if self.leaves.contains_key(&leaf.id) {
             return Err(CatalogError::LeafExists(leaf.id));
         }
-        self.leaves.insert(leaf.id, Arc::new(leaf));
+        self.leaves.insert(leaf);
         Ok(())
     }
 
@@ -255,7 +257,7 @@
     }
 
     fn leaf_mut(&mut self, id: LeafId) -> Result<&mut Leaf, CatalogError> {
-        self.leaves.get_mut(&id).map(Arc::make_mut).ok_or(CatalogError::UnknownLeaf(id))
+        self.leaves.get_mut(&id).ok_or(CatalogError::UnknownLeaf(id))
     }
 }
 
--- a/crates/domain/src/routing/layout.rs
+++ b/crates/domain/src/routing/layout.rs
@@ -9,7 +9,7 @@
 use super::RoutingPolicy;
 use super::subset::Subsetting;
 use super::table::{ShardRoute, ShardTable};
-use crate::catalog::{Catalog, Leaf, PartitionMap, Service};
+use crate::catalog::{Catalog, Leaf, LeafMap, PartitionMap, Service};
 use crate::identifiers::{LeafId, PartitionEpoch, ServiceName, ShardId};
 
 /// Leaves that differ between two catalogs.
@@ -23,31 +23,29 @@
     pub moved: BTreeSet<LeafId>,
 }
 
-/// The leaves of a catalog by number.
-pub type LeafEntries = BTreeMap<LeafId, Arc<Leaf>>;
-
 impl LeafChanges {
     /// Compares the leaves of two catalogs; those that they share are not looked into.
-    pub fn between(former: &LeafEntries, newer: &LeafEntries) -> Self {
+    pub fn between(former: &LeafMap, newer: &LeafMap) -> Self {
         let mut changes = Self::default();
-        for (id, leaf) in newer {
-            match former.get(id) {
-                Some(known) if Arc::ptr_eq(known, leaf) || known == leaf => {}
-                Some(known) => {
-                    changes.changed.push(*id);
-                    if lies_elsewhere(known, leaf) {
-                        changes.moved.insert(*id);
-                    }
-                }
-                None => {
-                    changes.changed.push(*id);
-                    changes.moved.insert(*id);
+        for id in newer.unshared_with(former) {
+            changes.compare(id, former.get(&id), newer.get(&id));
+        }
+        changes
+    }
+
+    fn compare(&mut self, id: LeafId, known: Option<&Arc<Leaf>>, newer: Option<&Arc<Leaf>>) {
+        match (known, newer) {
+            (Some(known), Some(leaf)) if known == leaf => return,
+            (Some(known), Some(leaf)) => {
+                self.changed.push(id);
+                if !lies_elsewhere(known, leaf) {
+                    return;
                 }
             }
+            (None, Some(_)) => self.changed.push(id),
+            (_, None) => self.removed.push(id),
         }
-        changes.removed = former.keys().copied().filter(|id| !newer.contains_key(id)).collect();
-        changes.moved.extend(&changes.removed);
-        changes
+        self.moved.insert(id);
     }
 }
 
--- a/crates/domain/src/routing/mod.rs
+++ b/crates/domain/src/routing/mod.rs
@@ -12,10 +12,10 @@
 
 use rand_core::RngCore;
 
-use crate::catalog::{Catalog, Leaf, LeafState};
+use crate::catalog::{Catalog, Leaf, LeafMap, LeafState};
 use crate::identifiers::{LeafId, PartitionEpoch, ServiceName};
 use crate::time::Timestamp;
-use layout::{Layout, LeafChanges, LeafEntries};
+use layout::{Layout, LeafChanges};
 use subset::{BrokerEntry, Subsetting};
 use view::LeafView;
 
@@ -81,7 +81,7 @@
     own: BrokerEntry,
     policy: RoutingPolicy,
     leaves: BTreeMap<LeafId, LeafView>,
-    entries: LeafEntries,
+    entries: LeafMap,
     subsetting: Subsetting,
     layout: Layout,
     common_latency: f64,
@@ -96,7 +96,7 @@
         Self {
             policy,
             leaves: BTreeMap::new(),
-            entries: LeafEntries::new(),
+            entries: LeafMap::default(),
             subsetting: Subsetting::new(own.clone(), &[]),
             own,
             layout: Layout::default(),
--- a/crates/domain/tests/layout.rs
+++ b/crates/domain/tests/layout.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use gingerkeel_domain::catalog::{Catalog, Change, Leaf, LeafState, Placement};
+use gingerkeel_domain::catalog::{Catalog, Change, Leaf, LeafMap, LeafState, Placement};
 use gingerkeel_domain::identifiers::{BrokerName, IndexVersion, LeafId, ServiceName, ShardId};
 use gingerkeel_domain::routing::subset::BrokerEntry;
 use gingerkeel_domain::routing::{Router, RoutingPolicy};
@@ -230,3 +231,30 @@
     let service = service();
     assert!(Arc::ptr_eq(&before.services()[&service], &after.services()[&service]));
 }
+
+#[test]
+fn leaves_of_blocks_that_no_change_touched_are_shared() {
+    let mut before = first_catalog();
+    for id in [500, 1000] {
+        change(&mut before, Change::AddLeaf(leaf(id, place(0))));
+    }
+    let mut after = before.clone();
+    change(&mut after, Change::RemoveLeaf(LeafId(500)));
+    change(&mut after, Change::AddLeaf(leaf(2000, place(0))));
+    let unshared = after.leaves().unshared_with(before.leaves());
+    assert_eq!(unshared, [LeafId(500), LeafId(2000)].into());
+    assert_eq!(after.leaves().len(), before.leaves().len());
+    assert!(!after.leaves().contains_key(&LeafId(500)));
+    assert!(before.leaves().contains_key(&LeafId(500)));
+}
+
+#[test]
+fn leaves_are_written_as_a_map_and_read_back() {
+    let mut catalog = first_catalog();
+    change(&mut catalog, Change::AddLeaf(leaf(1000, place(0))));
+    let bytes = postcard::to_allocvec(catalog.leaves()).expect("leaves can be written");
+    let map: BTreeMap<LeafId, Leaf> = postcard::from_bytes(&bytes).expect("a map");
+    let numbers: Vec<LeafId> = catalog.leaves().keys().copied().collect();
+    assert_eq!(map.into_keys().collect::<Vec<_>>(), numbers);
+    assert_eq!(&postcard::from_bytes::<LeafMap>(&bytes).expect("leaves"), catalog.leaves());
+}
