Measure what changes leave on a control process's disk

Scale runs wait for the lists of brokers to spread before they measure the idle time, which those lists filled.

--- a/crates/rehearsal/src/bench/mod.rs
+++ b/crates/rehearsal/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements of speed, memory and balance; each prints one JSON document a line.
 
 mod broker;
+mod control_log;
 mod memory;
 mod served;
 mod subsetting;
@@ -10,6 +11,7 @@
 
 use crate::error::RehearsalError;
 use broker::BrokerFlags;
+use control_log::ControlLogFlags;
 use subsetting::SubsettingFlags;
 
 /// Flags of the measurements.
@@ -27,6 +29,8 @@
     Broker(BrokerFlags),
     #[options(help = "lay out replica subsets at the planned size and count connections")]
     Subsetting(SubsettingFlags),
+    #[options(help = "make changes on one control process, and look at its disk and restart")]
+    ControlLog(ControlLogFlags),
 }
 
 /// Runs a measurement.
@@ -37,6 +41,7 @@
     match flags.command {
         Some(BenchCommand::Broker(flags)) => broker::run(&flags),
         Some(BenchCommand::Subsetting(flags)) => subsetting::run(&flags),
+        Some(BenchCommand::ControlLog(flags)) => control_log::run(&flags),
         None => Err(RehearsalError::Flag("name a measurement: see bench --help".into())),
     }
 }
--- a/crates/rehearsal/src/scale/measure.rs
+++ b/crates/rehearsal/src/scale/measure.rs
@@ -24,6 +24,8 @@
 const CHANGED_LEAF: u32 = 2;
 /// Changes that are made while a control process is frozen, at most.
 const FROZEN_CHANGES: u32 = 10;
+/// Time that the lists of brokers have to spread before the idle time is measured.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Time for which all feeds are cut.
 const CUT_TIME: Duration = Duration::from_secs(4);
 
@@ -134,6 +136,7 @@
 
 impl Size {
     fn measure(&mut self, start: StartReport) -> Result<SizeReport, RehearsalError> {
+        sleep(SETTLE_TIME);
         let before_idle = self.read()?;
         sleep(Duration::from_secs_f64(self.plan.idle_seconds));
         let before_changes = self.read()?;
--- a/crates/rehearsal/tests/measurements.rs
+++ b/crates/rehearsal/tests/measurements.rs
@@ -74,6 +74,17 @@
     assert!(folder.path().join("summary.json").exists());
 }
 
+#[test]
+fn changes_on_a_control_process_grow_its_folder_and_it_comes_back() {
+    let flags = ["--changes", "60", "--leaves", "20", "--shards", "2"];
+    let reports = reports(&[&["bench", "control-log"], &flags[..]].concat());
+    let report = &reports[0];
+    let bytes = |name: &str| report[name].as_u64().expect("bytes");
+    assert!(bytes("folder_bytes_after") > bytes("folder_bytes_before"), "{report}");
+    assert!(bytes("log_bytes") > 60 * 10, "{report}");
+    assert!(report["restart_ms"].as_f64() > Some(0.0), "{report}");
+}
+
 #[test]
 fn a_scale_run_on_several_control_processes_tells_roles_and_survives_a_frozen_leader() {
     let flags = ["--controls", "3", "--brokers", "1", "--leaves", "20", "--shards", "2"];
@@ -105,6 +116,7 @@
 #[case::seconds(&["bench", "broker", "--seconds", "0"], "--seconds")]
 #[case::sizes(&["bench", "subsetting", "--sizes", "5"], "--sizes")]
 #[case::brokers(&["scale", "--brokers", "0"], "--brokers")]
+#[case::log_changes(&["bench", "control-log", "--changes", "0"], "--changes")]
 #[case::controls(&["scale", "--controls", "17"], "--controls")]
 #[case::changes(&["scale", "--changes", "100000"], "--changes")]
 #[case::no_measurement(&["bench"], "bench --help")]
