Tell times from acceptance to force, and end each measured statement

The scale run counted from the start of the operator's command, which with a frozen leader includes the wait for another one. The logs of control processes tell when a change was accepted. The measurement of a control process's disk sent its statements without an end between them and was refused; its test now passes.

--- a/crates/rehearsal/src/bench/control_log.rs
+++ b/crates/rehearsal/src/bench/control_log.rs
@@ -167,11 +167,11 @@
             let shard = (number / CYCLE) % hollow.shards;
             let replicas = (shard..hollow.leaves).step_by(hollow.shards as usize);
             let replicas: Vec<String> = replicas.map(|leaf| (first + leaf).to_string()).collect();
-            format!("ASSIGN SHARD {shard} OF hollow TO LEAF {}\n", replicas.join(", "))
+            format!("ASSIGN SHARD {shard} OF hollow TO LEAF {};\n", replicas.join(", "))
         }
-        1 => format!("PUBLISH VERSION {} OF hollow\n", 2 + number / CYCLE),
-        even if even % 2 == 0 => format!("DRAIN LEAF {}\n", first + number % hollow.leaves),
-        _ => format!("RESUME LEAF {}\n", first + (number - 1) % hollow.leaves),
+        1 => format!("PUBLISH VERSION {} OF hollow;\n", 2 + number / CYCLE),
+        even if even % 2 == 0 => format!("DRAIN LEAF {};\n", first + number % hollow.leaves),
+        _ => format!("RESUME LEAF {};\n", first + (number - 1) % hollow.leaves),
     };
     (0..changes).map(statement).collect()
 }
--- a/crates/rehearsal/src/scale/measure.rs
+++ b/crates/rehearsal/src/scale/measure.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use super::SizePlan;
+use super::accepted::AcceptedTimes;
 use super::applied::{AppliedLogs, InForce, OrderedChange};
 use super::feed_bytes::FeedBytes;
 use super::fleet::{start_hollow, topology};
@@ -56,6 +57,8 @@
     pub bytes_per_change: f64,
     /// Milliseconds from the start of the operator's command until a change was in force.
     pub in_force_ms: InForce,
+    /// The same from when it was accepted.
+    pub accepted_to_in_force_ms: InForce,
     brokers_with_every_change: u32,
     /// The same with the leader frozen; none with fewer than three control processes.
     pub frozen: Option<FrozenReport>,
@@ -84,6 +87,8 @@
     changes: u32,
     /// Milliseconds from the start of the operator's command until a change was in force.
     pub in_force_ms: InForce,
+    /// The same from when it was accepted.
+    pub accepted_to_in_force_ms: InForce,
 }
 
 /// The end of a cut of all feeds, during which one change was made.
@@ -148,6 +153,7 @@
         let milliseconds = |before: f64, after: f64| (after - before) * 1000.0 / count;
         let cpu = |usage: &ProcessUsage| usage.cpu_seconds;
         let in_force_ms = self.applied.in_force(&ordered);
+        let accepted_to_in_force_ms = self.applied.in_force(&self.accepted(&ordered));
         let brokers_with_every_change = self.applied.brokers_with_every(&ordered);
         let frozen = (self.plan.controls >= 3).then(|| self.freeze()).transpose()?;
         let healed = self.cut_and_heal()?;
@@ -170,6 +176,7 @@
             broker_cpu_ms_per_change: milliseconds(cpu(&before_changes.broker), cpu(&after.broker)),
             bytes_per_change: (after.bytes_down() - before_changes.bytes_down()) / count / brokers,
             in_force_ms,
+            accepted_to_in_force_ms,
             brokers_with_every_change,
             frozen,
             healed,
@@ -249,7 +256,12 @@
         let changes = self.plan.changes.min(FROZEN_CHANGES);
         let ordered = self.change(changes);
         self.fleet.signal_control(leader, Signal::CONT)?;
-        Ok(FrozenReport { changes, in_force_ms: self.applied.in_force(&ordered?) })
+        let ordered = ordered?;
+        Ok(FrozenReport {
+            changes,
+            in_force_ms: self.applied.in_force(&ordered),
+            accepted_to_in_force_ms: self.applied.in_force(&self.accepted(&ordered)),
+        })
     }
 
     /// Cuts all feeds of hollow brokers, makes one change, and heals the cut.
@@ -275,6 +287,16 @@
         })
     }
 
+    /// The changes with when they were accepted, as far as the logs tell it.
+    fn accepted(&self, ordered: &[OrderedChange]) -> Vec<OrderedChange> {
+        let times = AcceptedTimes::read(self.fleet.folder(), self.plan.controls);
+        let accepted = ordered.iter().filter_map(|change| {
+            let at = times.of(change.revision)?;
+            Some(OrderedChange { at, ..*change })
+        });
+        accepted.collect()
+    }
+
     fn leader(&self) -> Option<usize> {
         self.fleet.leading_control()
     }
--- a/crates/rehearsal/src/scale/mod.rs
+++ b/crates/rehearsal/src/scale/mod.rs
@@ -5,6 +5,7 @@
 //! bytes. A stream of configuration changes then runs through it: in normal running, with the
 //! leader frozen, and after a cut of all feeds.
 
+pub mod accepted;
 pub mod applied;
 pub mod feed_bytes;
 mod fleet;
--- a/crates/rehearsal/tests/measurements.rs
+++ b/crates/rehearsal/tests/measurements.rs
@@ -100,6 +100,11 @@
     assert!(leader_sends > Some(0.0), "{report}");
     assert_eq!(report["frozen"]["changes"], 4, "{report}");
     assert!(report["frozen"]["in_force_ms"]["p100"].as_f64() > Some(0.0), "{report}");
+    for part in [report, &report["frozen"]] {
+        let accepted = part["accepted_to_in_force_ms"]["p50"].as_f64();
+        assert!(accepted > Some(0.0), "{report}");
+        assert!(accepted <= part["in_force_ms"]["p50"].as_f64(), "{report}");
+    }
     let healed = &report["healed"]["bytes_per_broker"];
     assert!(healed["subscriptions"].as_f64() > Some(0.0), "{report}");
     assert!(report["idle"]["feed_bytes_per_second"]["leases"].as_f64() > Some(0.0), "{report}");
--- a/crates/rehearsal/tests/scale.rs
+++ b/crates/rehearsal/tests/scale.rs
@@ -5,6 +5,7 @@
 use gingerkeel_protocol::{
     Document, FeedMessage, PROTOCOL_VERSION, ShortText, SubscriberMessage, encode_frame,
 };
+use gingerkeel_rehearsal::scale::accepted::AcceptedTimes;
 use gingerkeel_rehearsal::scale::applied::{AppliedLogs, OrderedChange};
 use gingerkeel_rehearsal::scale::feed_bytes::{from_broker, to_broker};
 use rstest::rstest;
@@ -84,3 +85,24 @@
     assert!((all.p100 - 8.5).abs() < 0.01, "{all:?}");
     assert!((first.p50 - 0.5).abs() < 0.01, "{first:?}");
 }
+
+#[test]
+fn the_first_log_that_tells_of_a_change_tells_when_it_was_accepted() {
+    let mut times = AcceptedTimes::default();
+    let line = |at: &str, event: &str| format!("ts={at} level=info event={event} revision=7 x=1");
+    times.add(&line("2026-12-02T07:57:52.680806311Z", "change_accepted"));
+    times.add(&line("2026-12-02T07:57:52.5Z", "change_accepted"));
+    times.add(&line("2026-12-02T07:57:51Z", "other"));
+    assert_eq!(times.of(7), Some(1_796_198_272_500_000));
+    assert_eq!(times.of(8), None);
+}
+
+#[rstest]
+#[case::epoch("1970-01-01T00:00:00Z", 0)]
+#[case::leap_day("2024-02-29T12:00:00.000001Z", 1_709_208_000_000_001)]
+#[case::after_a_leap_day("2024-03-01T00:00:00Z", 1_709_251_200_000_000)]
+fn moments_of_logs_are_understood(#[case] text: &str, #[case] micros: u64) {
+    let mut times = AcceptedTimes::default();
+    times.add(&format!("ts={text} event=change_accepted revision=1"));
+    assert_eq!(times.of(1), Some(micros));
+}
