Cut control processes off from each other on real processes

The new test found that the command line gave up during an election: it asked each control process three times with pauses of 1.2 s together in the mean, while a leader cut off steps down after 0.6 s and an election takes up to 1.2 s more; it now goes round for 5 s. The rehearsal's operator asked one control process only. Ruled out: the log itself (the other two had elected a leader in the logs).

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -5,7 +5,7 @@
 //! whatever became of the first try.
 
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use gingerkeel_statement::{
@@ -17,11 +17,11 @@
 use quick_error::quick_error;
 use rand::Rng;
 
-/// Times that each control process is asked.
-const ROUNDS: u32 = 3;
+/// Time after which no further round over the control processes begins; several elections long.
+const ROUNDS_LIMIT: Duration = Duration::from_secs(5);
 /// Time that a control process has to answer; longer than it gives a statement itself.
 const ANSWER_LIMIT: Duration = Duration::from_secs(7);
-/// Bound of the pause after each round, times the number of the round.
+/// Bound of the pause after each round.
 const PAUSE_BOUND: Duration = Duration::from_millis(400);
 
 quick_error! {
@@ -75,7 +75,8 @@
         }
         let text = statement.to_string();
         let mut last = String::new();
-        for round in 1..=ROUNDS {
+        let begun = Instant::now();
+        while begun.elapsed() < ROUNDS_LIMIT {
             for _ in 0..self.controls.len() {
                 let control = self.controls[self.preferred];
                 match self.attempt(control, &text, sequence).await {
@@ -85,7 +86,7 @@
                 self.preferred = (self.preferred + 1) % self.controls.len();
             }
             let share: f64 = rand::rng().random();
-            sleep(PAUSE_BOUND.mul_f64(share * f64::from(round))).await;
+            sleep(PAUSE_BOUND.mul_f64(share)).await;
         }
         let command = format!("--session {} --sequence {sequence}", self.session);
         Err(ClientError::NoAnswer(command, last))
--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -132,6 +132,16 @@
         self.peer_relays.as_ref().map_or(0, |relays| relays.bytes_from(index))
     }
 
+    /// Cuts a control process off from the others; without relays between them, nothing happens.
+    pub fn cut_control(&self, index: usize) {
+        self.peer_relays.iter().for_each(|relays| relays.cut(index));
+    }
+
+    /// Ends the cut of a control process.
+    pub fn heal_control(&self, index: usize) {
+        self.peer_relays.iter().for_each(|relays| relays.heal(index));
+    }
+
     /// The control process that leads, by the logs of all; none when none says so.
     pub fn leading_control(&self) -> Option<usize> {
         (0..self.controls.len()).find(|index| {
--- a/crates/rehearsal/src/fleet/operator.rs
+++ b/crates/rehearsal/src/fleet/operator.rs
@@ -25,12 +25,13 @@
 }
 
 impl Operator {
-    /// An operator who asks the first of `controls`, of which there is at least one.
+    /// An operator who asks the first of `controls`, of which there is at least one, and the
+    /// others when it gives no outcome.
     pub fn new(binaries: &Binaries, controls: Vec<SocketAddr>, folder: PathBuf) -> Self {
         Self { program: binaries.command_line(), controls, asked: 0, folder }
     }
 
-    /// Asks the control process of this number from now on.
+    /// Asks the control process of this number first from now on.
     pub fn ask(&mut self, index: usize) {
         self.asked = index % self.controls.len();
     }
@@ -43,12 +44,19 @@
         chunks(statements).iter().try_for_each(|chunk| self.execute_chunk(chunk))
     }
 
+    /// Flags that name all control processes, the asked one first.
+    fn control_flags(&self) -> Vec<String> {
+        let (later, first) = (&self.controls[..self.asked], &self.controls[self.asked..]);
+        first.iter().chain(later).map(|control| format!("--control={control}")).collect()
+    }
+
     fn execute_chunk(&self, statements: &str) -> Result<(), RehearsalError> {
         let file = self.folder.join("statements.txt");
         fs::write(&file, statements)
             .map_err(|error| RehearsalError::resource(file.display(), error))?;
         let output = Command::new(&self.program)
-            .args(["--control", &self.controls[self.asked].to_string(), "--file"])
+            .args(self.control_flags())
+            .arg("--file")
             .arg(&file)
             .output()
             .map_err(|error| {
--- a/crates/rehearsal/src/fleet/peer_relays.rs
+++ b/crates/rehearsal/src/fleet/peer_relays.rs
@@ -35,6 +35,22 @@
         own.map(|(relay, peer)| relay.as_ref().map_or(*peer, Relay::address)).collect()
     }
 
+    /// Cuts a process off from all others, both ways, and tells nobody.
+    pub fn cut(&self, process: usize) {
+        self.of_process(process).for_each(Relay::cut);
+    }
+
+    /// Ends the cut of a process.
+    pub fn heal(&self, process: usize) {
+        self.of_process(process).for_each(Relay::heal);
+    }
+
+    /// The relays to and from a process.
+    fn of_process(&self, process: usize) -> impl Iterator<Item = &Relay> {
+        let to = self.relays.iter().filter_map(move |receivers| receivers[process].as_ref());
+        self.relays[process].iter().flatten().chain(to)
+    }
+
     /// Bytes that a process sent to the others so far.
     pub fn bytes_from(&self, sender: usize) -> u64 {
         self.relays[sender].iter().flatten().map(|relay| relay.bytes().to_target).sum()
--- a/crates/rehearsal/tests/support/mod.rs
+++ b/crates/rehearsal/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! A small fleet under load, disturbed by a test and judged by the outside checker.
+#![allow(dead_code)]
 
 use std::thread::sleep;
 use std::time::Duration;
@@ -87,15 +88,26 @@
     seconds: f64,
     disturb: impl FnOnce(&mut Fleet) -> Result<(), RehearsalError>,
 ) -> Outcome {
-    run(seconds, disturb).unwrap_or_else(|error| panic!("{error}"))
+    run(TOPOLOGY, seconds, disturb).unwrap_or_else(|error| panic!("{error}"))
+}
+
+/// The same on a fleet of several control processes with relays between them.
+pub fn rehearse_with_controls(
+    controls: usize,
+    seconds: f64,
+    disturb: impl FnOnce(&mut Fleet) -> Result<(), RehearsalError>,
+) -> Outcome {
+    let topology = format!("controls = {controls}\nrelay_peers = true\n{TOPOLOGY}");
+    run(&topology, seconds, disturb).unwrap_or_else(|error| panic!("{error}"))
 }
 
 fn run(
+    topology: &str,
     seconds: f64,
     disturb: impl FnOnce(&mut Fleet) -> Result<(), RehearsalError>,
 ) -> Result<Outcome, RehearsalError> {
     let folder = tempfile::tempdir().expect("a temporary folder");
-    let topology: Topology = gingerkeel_settings::parse("topology", TOPOLOGY)?;
+    let topology: Topology = gingerkeel_settings::parse("topology", topology)?;
     let mut fleet = Fleet::launch(&topology, folder.path())?;
     let load = LoadRun::start(&fleet.load_plan(seconds, 1), folder.path())?;
     sleep(SETTLED);
