Draw a broker's run number once

The feed and the engine each drew a number of their own, so that the run that operators saw with a broker was not the one in request keys and identifiers of leaf requests, and reports of charges would have named a third thing. It is drawn in `run` now and handed to both.

--- a/crates/broker/src/catalog_follower.rs
+++ b/crates/broker/src/catalog_follower.rs
@@ -5,8 +5,9 @@
 
 use std::sync::Arc;
 
-use gingerkeel_domain::identifiers::Revision;
+use gingerkeel_domain::identifiers::{BrokerRun, Revision};
 use gingerkeel_settings::BrokerSettings;
+use rand::Rng;
 
 use crate::clock::Clock;
 use crate::engine::EngineMessage;
@@ -14,8 +15,9 @@
 
 /// Follows the catalog for ever; `applied` is told each revision that comes into force.
 pub async fn follow_catalog(settings: BrokerSettings, mut applied: impl FnMut(Revision)) {
+    let run = BrokerRun(rand::rng().random());
     let (engine, mut messages) = local_sync::mpsc::unbounded::channel();
-    monoio::spawn(feed::follow(settings, Clock::start(), engine));
+    monoio::spawn(feed::follow(settings, run, Clock::start(), engine));
     let mut in_force = Arc::default();
     while let Some(message) = messages.recv().await {
         if let EngineMessage::CatalogChanged(catalog) = message {
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -24,7 +24,7 @@
 use local_sync::mpsc::unbounded::{Rx, Tx};
 use local_sync::oneshot;
 use monoio::time::timeout;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use tracing::info;
 
@@ -99,13 +99,17 @@
 }
 
 impl Engine {
-    /// An engine without a catalog.
-    pub fn new(settings: &BrokerSettings, clock: Clock, messages: Tx<EngineMessage>) -> Self {
+    /// An engine without a catalog; `run` numbers this run of the process.
+    pub fn new(
+        settings: &BrokerSettings,
+        run: BrokerRun,
+        clock: Clock,
+        messages: Tx<EngineMessage>,
+    ) -> Self {
         let mut random = match settings.seed {
             Some(seed) => Pcg64::seed_from_u64(seed),
             None => Pcg64::from_os_rng(),
         };
-        let run = BrokerRun(rand::rng().random());
         Self {
             clock,
             dispatcher: Dispatcher::new(
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -8,7 +8,7 @@
     BackOff, BrokerList, FeedFault, FollowerEffect, FollowerEvent, FollowerSettings, FollowerState,
     LeaseGrant,
 };
-use gingerkeel_domain::identifiers::{LeafId, Revision};
+use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision};
 use gingerkeel_protocol::{
     FeedMessage, FrameCodec, PROTOCOL_VERSION, ProtocolError, ShortText, SubscriberMessage,
     decode_document, encode_frame,
@@ -59,8 +59,12 @@
 }
 
 /// Follows the catalog for ever, changing to the next control process when one fails.
-pub async fn follow(settings: BrokerSettings, clock: Clock, engine: Tx<EngineMessage>) {
-    let run = rand::rng().random();
+pub async fn follow(
+    settings: BrokerSettings,
+    run: BrokerRun,
+    clock: Clock,
+    engine: Tx<EngineMessage>,
+) {
     let mut back_off = BackOff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let mut link = Link {
         follower: FollowerState::new(FollowerSettings::default()),
@@ -90,7 +94,7 @@
     follower: FollowerState,
     brokers: BrokerList,
     settings: BrokerSettings,
-    run: u64,
+    run: BrokerRun,
     clock: Clock,
     engine: Tx<EngineMessage>,
 }
@@ -215,7 +219,7 @@
     fn subscription(&self, revision: Revision) -> SubscriberMessage {
         SubscriberMessage::Subscribe {
             protocol_version: PROTOCOL_VERSION,
-            run: self.run,
+            run: self.run.0,
             revision: revision.0,
             broker: ShortText::new(&self.settings.name),
             region: ShortText::new(&self.settings.region),
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -12,9 +12,11 @@
 
 use std::io;
 
+use gingerkeel_domain::identifiers::BrokerRun;
 use gingerkeel_settings::BrokerSettings;
 use local_sync::mpsc::unbounded::Tx;
 use monoio::net::TcpListener;
+use rand::Rng;
 use tracing::info;
 
 use crate::callers::CallerServer;
@@ -46,8 +48,9 @@
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
     let clock = Clock::start();
-    monoio::spawn(feed::follow(settings.clone(), clock, engine.clone()));
-    Engine::new(&settings, clock, engine).run(messages).await;
+    let run = BrokerRun(rand::rng().random());
+    monoio::spawn(feed::follow(settings.clone(), run, clock, engine.clone()));
+    Engine::new(&settings, run, clock, engine).run(messages).await;
     info!(event = "stopped", name = settings.name);
     Ok(())
 }
--- a/crates/broker/tests/support/broker.rs
+++ b/crates/broker/tests/support/broker.rs
@@ -10,7 +10,8 @@
 use tempfile::TempDir;
 
 use super::caller::{Caller, issue_key};
-use super::{control, wait_until};
+use super::control::ScriptedControl;
+use super::wait_until;
 
 /// A broker process; killed when dropped.
 pub struct Broker {
@@ -18,6 +19,8 @@
     pub listen: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
+    /// The control process that feeds it.
+    pub control: ScriptedControl,
     child: Child,
     folder: TempDir,
 }
@@ -30,12 +33,13 @@
 
     /// Starts a broker with further settings.
     pub fn start_with(catalog: &Catalog, settings: &str) -> Self {
-        let control = control::serve(catalog);
+        let control = ScriptedControl::serve(catalog);
+        let feed = control.address;
         let folder = tempfile::tempdir().expect("a temporary folder");
         let path = folder.path().join("broker.toml");
         let text = format!(
             "name = \"broker\"\nregion = \"south\"\nzone = \"a\"\n\
-             listen = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\ncontrol = [\"{control}\"]\nseed = 1\n{settings}\n"
+             listen = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\ncontrol = [\"{feed}\"]\nseed = 1\n{settings}\n"
         );
         fs::write(&path, text).expect("the settings are written");
         let log = fs::File::create(folder.path().join("log")).expect("a log file");
@@ -48,7 +52,7 @@
             .spawn()
             .expect("the broker starts");
         let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-        let mut broker = Self { listen: nowhere, metrics: nowhere, child, folder };
+        let mut broker = Self { listen: nowhere, metrics: nowhere, control, child, folder };
         wait_until("the broker has said where it listens", || {
             let log = broker.log();
             let started = log.lines().find(|line| line.contains("event=started"));
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -20,23 +21,42 @@
 /// How long a granted lease lasts: longer than any test.
 const LEASE_MILLISECONDS: u32 = 600_000;
 
-/// Serves a catalog, and leases on it, to every broker that subscribes; the threads end with the
-/// test.
-pub fn serve(catalog: &Catalog) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("a bound address");
-    let catalog = catalog.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let catalog = catalog.clone();
-            thread::spawn(move || feed(stream, &catalog));
-        }
-    });
-    address
+/// A scripted control process; its threads end with the test.
+pub struct ScriptedControl {
+    /// Where it feeds brokers.
+    pub address: SocketAddr,
+    received: Arc<Mutex<Vec<SubscriberMessage>>>,
+}
+
+impl ScriptedControl {
+    /// Serves a catalog, and leases on it, to every broker that subscribes.
+    pub fn serve(catalog: &Catalog) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let catalog = catalog.clone();
+        let received: Arc<Mutex<Vec<SubscriberMessage>>> = Arc::default();
+        let journal = received.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (catalog, journal) = (catalog.clone(), journal.clone());
+                thread::spawn(move || feed(stream, &catalog, &journal));
+            }
+        });
+        Self { address, received }
+    }
+
+    /// What brokers sent so far.
+    pub fn received(&self) -> Vec<SubscriberMessage> {
+        self.received.lock().expect("no thread panicked").clone()
+    }
 }
 
 /// Answers what the broker asks for until it closes the connection.
-fn feed(mut stream: TcpStream, catalog: &Catalog) -> Option<()> {
+fn feed(
+    mut stream: TcpStream,
+    catalog: &Catalog,
+    journal: &Mutex<Vec<SubscriberMessage>>,
+) -> Option<()> {
     let mut codec = FrameCodec::<SubscriberMessage>::default();
     let mut received = BytesMut::new();
     let mut buffer = [0; 1024];
@@ -44,6 +64,7 @@
         let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
         received.extend_from_slice(&buffer[..count]);
         while let Ok(Decoded::Some(message)) = codec.decode(&mut received) {
+            journal.lock().expect("no thread panicked").push(message.clone());
             for reply in replies(catalog, &message) {
                 let frame = encode_frame(&reply).expect("a small frame");
                 stream.write_all(&frame).ok()?;
