--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -12,6 +12,7 @@
 use gingerkeel_domain::dispatch::{
     Dispatcher, DispatcherSettings, Effect, Event, LeafCompletion, SchedulingPolicy,
 };
+use gingerkeel_domain::feed::ChargeTotals;
 use gingerkeel_domain::identifiers::{
     BrokerName, BrokerRun, CallerName, LeafId, LeafRequestId, QueryId, RegionName, ZoneName,
 };
@@ -65,6 +66,11 @@
     Leaf(LeafMessage),
     /// A newer catalog.
     CatalogChanged(Arc<Catalog>),
+    /// The totals of charges are read.
+    ReadCharges {
+        /// Where they go.
+        reply: oneshot::Sender<ChargeTotals>,
+    },
     /// New queries may start until then.
     FreshUntil(Timestamp),
     /// The brokers that share the leaves.
@@ -181,6 +187,10 @@
                 self.advance(Event::CatalogChanged(catalog.clone()), effects);
                 self.update_pools(&catalog);
             }
+            EngineMessage::ReadCharges { reply } => {
+                // The link may have been lost just now.
+                let _ = reply.send(self.dispatcher.charges().counters().clone());
+            }
             EngineMessage::FreshUntil(until) => self.advance(Event::FreshUntil(until), effects),
             EngineMessage::BrokersChanged(brokers) => {
                 self.advance(Event::BrokersChanged(brokers), effects);
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -2,10 +2,10 @@
 #![allow(dead_code)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Output, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,13 @@
 /// Time that a control process has to get ready; generous, for a busy machine.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
+/// First port of a list.
+const FIRST_PORT: u16 = 20_000;
+/// Second octet of the loopback hosts of tests; those of rehearsals are below.
+const FIRST_OCTET: u8 = 150;
+/// Control processes that a test process may start.
+const CALL_LIMIT: u8 = 100;
+
 /// A control process.
 pub struct ControlProcess {
     /// Where operators reach it.
@@ -24,9 +31,7 @@
 
 /// Starts a control process on free addresses; it ends with the test.
 pub fn start_control() -> ControlProcess {
-    let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    let [operators, feed] = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
-    drop(listeners);
+    let [operators, feed] = free_addresses();
     let folder = tempfile::tempdir().unwrap();
     let text = format!(
         "name = \"control-1\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\ndata_folder = {:?}",
@@ -43,6 +48,18 @@
     ControlProcess { address: operators, _folder: folder }
 }
 
+/// Addresses of a loopback host that no other call and no other test process uses, so that they
+/// are free. To bind them first and let them go would not do: a program that another test starts
+/// at that moment inherits the sockets for as long as it takes to start.
+fn free_addresses() -> [SocketAddr; 2] {
+    static CALLS: AtomicU8 = AtomicU8::new(0);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    assert!(call < CALL_LIMIT, "a test process starts at most 100 control processes");
+    let [_, _, middle, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, FIRST_OCTET + call, middle, low.max(1));
+    [0, 1].map(|number| SocketAddr::from((host, FIRST_PORT + number)))
+}
+
 /// A relay that passes a request on and loses the answer.
 pub struct LosingRelay {
     pub address: SocketAddr,
