Record a broker's last charges before it ends

Charges of up to two seconds were lost with each planned stop: the process ended with whatever it had not reported. Now it sends the rest once nothing is in flight, and ends when all is recorded or after 5 s, which is logged. Reports come each second instead of each two, which bounds what a kill -9 loses.

Receipts name the run besides the sequence. Sequences of two runs of a broker are alike, so the receipt for a report of a killed run, which may be committed after the restart, was taken as one for the first report of the next run, and those charges were never reported again. Ruled out: sequences drawn at random, which say nothing to a reader of a log.

Receipts of other runs are a case of the reporter's own test.

--- a/crates/broker/src/catalog_follower.rs
+++ b/crates/broker/src/catalog_follower.rs
@@ -17,7 +17,8 @@
 pub async fn follow_catalog(settings: BrokerSettings, mut applied: impl FnMut(Revision)) {
     let run = BrokerRun(rand::rng().random());
     let (engine, mut messages) = local_sync::mpsc::unbounded::channel();
-    monoio::spawn(feed::follow(settings, run, Clock::start(), engine));
+    let (_last_report, last_reports) = local_sync::mpsc::unbounded::channel();
+    monoio::spawn(feed::follow(settings, run, Clock::start(), engine, last_reports));
     let mut in_force = Arc::default();
     while let Some(message) = messages.recv().await {
         if let EngineMessage::CatalogChanged(catalog) = message {
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -134,8 +134,9 @@
         }
     }
 
-    /// Handles messages until a planned stop has finished what was in flight.
-    pub async fn run(mut self, mut messages: Rx<EngineMessage>) {
+    /// Handles messages until a planned stop has finished what was in flight; gives the totals of
+    /// charges.
+    pub async fn run(mut self, mut messages: Rx<EngineMessage>) -> ChargeTotals {
         let mut effects = Vec::new();
         // Nothing is served before the first lease.
         self.advance(Event::FreshUntil(Timestamp::ZERO), &mut effects);
@@ -145,6 +146,7 @@
                 None => self.advance(Event::TimerElapsed, &mut effects),
             }
         }
+        self.dispatcher.charges().counters().clone()
     }
 
     fn finished(&self) -> bool {
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use gingerkeel_domain::feed::{
-    BackOff, BrokerList, ChargeReporter, FeedFault, FollowerEffect, FollowerEvent,
+    BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
     FollowerSettings, FollowerState, LeaseGrant,
 };
 use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision};
@@ -19,7 +19,7 @@
 use local_sync::oneshot;
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
-use monoio::time::timeout;
+use monoio::time::{sleep, timeout};
 use monoio_codec::FramedRead;
 use quick_error::quick_error;
 use rand::Rng;
@@ -35,8 +35,11 @@
 /// Time that a control process has to accept a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(1500);
 
-/// Time between two reports of charges.
-const CHARGES_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two reports of charges: what a killed broker may not have reported.
+const CHARGES_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time that the engine has to tell its totals; it ends with the process.
+const ENGINE_LIMIT: Duration = Duration::from_millis(500);
 
 quick_error! {
     /// Why a link ended.
@@ -69,6 +72,7 @@
     run: BrokerRun,
     clock: Clock,
     engine: Tx<EngineMessage>,
+    last_reports: Rx<LastReport>,
 ) {
     let mut back_off = BackOff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let mut link = Link {
@@ -76,6 +80,8 @@
         brokers: BrokerList::default(),
         charges: ChargeReporter::new(run.0),
         charges_due: clock.now(),
+        last_reports,
+        last_report: None,
         settings,
         run,
         clock,
@@ -93,15 +99,32 @@
             back_off.succeeded();
         }
         let pause = back_off.next_pause(&mut rand::rng());
-        monoio::time::sleep(pause).await;
+        sleep(pause).await;
     }
 }
 
+/// What ends with the process: its last totals, to be reported before it does.
+pub struct LastReport {
+    /// Totals of charges.
+    pub totals: ChargeTotals,
+    /// Told once all of them are recorded.
+    pub recorded: oneshot::Sender<()>,
+}
+
+/// What a link waits for.
+enum News {
+    Message(Result<FeedMessage, LinkError>),
+    LastReport(LastReport),
+    TimerElapsed,
+}
+
 struct Link {
     follower: FollowerState,
     brokers: BrokerList,
     charges: ChargeReporter,
     charges_due: Timestamp,
+    last_reports: Rx<LastReport>,
+    last_report: Option<LastReport>,
     settings: BrokerSettings,
     run: BrokerRun,
     clock: Clock,
@@ -133,29 +156,41 @@
     ) -> Result<std::convert::Infallible, LinkError> {
         let mut effects = Vec::new();
         self.tell(FollowerEvent::Connected, &mut effects);
+        // What the last link left without a receipt is sent at once.
+        self.charges_due = self.clock.now();
         loop {
             self.carry_out(&mut effects, writer).await?;
             if self.charges_due <= self.clock.now() {
                 self.report_charges(writer).await?;
             }
-            match self.next_message(messages).await {
-                Some(message) => self.receive(message?, &mut effects)?,
-                None => self.tell(FollowerEvent::TimerElapsed, &mut effects),
+            match self.next_news(messages).await {
+                News::Message(message) => self.receive(message?, &mut effects)?,
+                News::LastReport(report) => {
+                    self.last_report = Some(report);
+                    self.hurry_last_report();
+                }
+                News::TimerElapsed => self.tell(FollowerEvent::TimerElapsed, &mut effects),
             }
         }
     }
 
-    /// The next message, or none when a timer is due first.
-    async fn next_message(
-        &self,
-        messages: &mut Rx<Result<FeedMessage, ProtocolError>>,
-    ) -> Option<Result<FeedMessage, LinkError>> {
+    async fn next_news(&mut self, messages: &mut Rx<Result<FeedMessage, ProtocolError>>) -> News {
         let due = self.follower.next_timer().unwrap_or_else(|| self.clock.now());
         let due = due.min(self.charges_due);
-        match timeout(self.clock.until(due), messages.recv()).await {
-            Ok(Some(message)) => Some(message.map_err(LinkError::from)),
-            Ok(None) => Some(Err(LinkError::Closed)),
-            Err(_) => None,
+        monoio::select! {
+            message = messages.recv() => match message {
+                Some(message) => News::Message(message.map_err(LinkError::from)),
+                None => News::Message(Err(LinkError::Closed)),
+            },
+            report = next_last_report(&mut self.last_reports) => News::LastReport(report),
+            _ = sleep(self.clock.until(due)) => News::TimerElapsed,
+        }
+    }
+
+    /// With a planned stop, each receipt is followed by the next report at once.
+    fn hurry_last_report(&mut self) {
+        if self.last_report.is_some() {
+            self.charges_due = self.clock.now();
         }
     }
 
@@ -195,9 +230,13 @@
                 let text = format!("refused ({reason:?}, protocol version {protocol_version})");
                 return Err(ProtocolError::Malformed(text).into());
             }
-            FeedMessage::ChargesRecorded { sequence } => self.charges.recorded(sequence),
-            FeedMessage::RunSettled { sequence } => {
-                self.charges.run_settled(sequence, rand::rng().random())
+            FeedMessage::ChargesRecorded { run, sequence } => {
+                self.charges.recorded(run, sequence);
+                self.hurry_last_report();
+            }
+            FeedMessage::RunSettled { run, sequence } => {
+                self.charges.run_settled(run, sequence, rand::rng().random());
+                self.hurry_last_report();
             }
         }
         Ok(())
@@ -238,12 +277,14 @@
         writer: &mut OwnedWriteHalf<TcpStream>,
     ) -> Result<(), LinkError> {
         self.charges_due = self.clock.now().after(CHARGES_INTERVAL);
-        let (reply, receiver) = oneshot::channel();
-        self.send_engine(EngineMessage::ReadCharges { reply });
-        let Ok(totals) = receiver.await else {
+        let Some(totals) = self.charge_totals().await else {
             return Ok(());
         };
         let Some(report) = self.charges.report(&totals) else {
+            if let Some(last) = self.last_report.take() {
+                // The process may have given up waiting.
+                let _ = last.recorded.send(());
+            }
             return Ok(());
         };
         let counters = encode_document(&report.totals)?.into();
@@ -251,6 +292,16 @@
         send(writer, &SubscriberMessage::Charges { sequence, run, counters }).await
     }
 
+    /// The totals of the process; none while the engine ends.
+    async fn charge_totals(&self) -> Option<ChargeTotals> {
+        if let Some(last) = &self.last_report {
+            return Some(last.totals.clone());
+        }
+        let (reply, receiver) = oneshot::channel();
+        self.send_engine(EngineMessage::ReadCharges { reply });
+        timeout(ENGINE_LIMIT, receiver).await.ok()?.ok()
+    }
+
     fn subscription(&self, revision: Revision) -> SubscriberMessage {
         SubscriberMessage::Subscribe {
             protocol_version: PROTOCOL_VERSION,
@@ -268,6 +319,14 @@
     }
 }
 
+async fn next_last_report(reports: &mut Rx<LastReport>) -> LastReport {
+    match reports.recv().await {
+        Some(report) => report,
+        // Whoever could ask for one has ended.
+        None => std::future::pending().await,
+    }
+}
+
 /// Reads frames in a task of its own, so that a timer never cuts one in half.
 async fn read_messages(
     read_half: OwnedReadHalf<TcpStream>,
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -11,19 +11,27 @@
 mod stop;
 
 use std::io;
+use std::time::Duration;
 
+use gingerkeel_domain::feed::ChargeTotals;
 use gingerkeel_domain::identifiers::BrokerRun;
 use gingerkeel_settings::BrokerSettings;
 use gingerkeel_transport::listen;
 use local_sync::mpsc::unbounded::Tx;
+use local_sync::oneshot;
+use monoio::time::timeout;
 use rand::Rng;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::callers::CallerServer;
 use crate::clock::Clock;
 use crate::engine::{Engine, EngineMessage};
+use crate::feed::LastReport;
 use crate::stop::StopSignal;
 
+/// Time that a planned stop waits for the receipt of the last charges.
+const LAST_REPORT_LIMIT: Duration = Duration::from_secs(5);
+
 /// Serves callers until a planned stop has finished what was in flight.
 ///
 /// # Errors
@@ -49,12 +57,24 @@
     }
     let clock = Clock::start();
     let run = BrokerRun(rand::rng().random());
-    monoio::spawn(feed::follow(settings.clone(), run, clock, engine.clone()));
-    Engine::new(&settings, run, clock, engine).run(messages).await;
+    let (last_report, last_reports) = local_sync::mpsc::unbounded::channel();
+    monoio::spawn(feed::follow(settings.clone(), run, clock, engine.clone(), last_reports));
+    let totals = Engine::new(&settings, run, clock, engine).run(messages).await;
+    report_last(totals, &last_report).await;
     info!(event = "stopped", name = settings.name);
     Ok(())
 }
 
+/// Has the last charges recorded before the process ends, within [`LAST_REPORT_LIMIT`].
+async fn report_last(totals: ChargeTotals, feed: &Tx<LastReport>) {
+    let (recorded, receipt) = oneshot::channel();
+    // The feed lives as long as the process.
+    let _ = feed.send(LastReport { totals, recorded });
+    if timeout(LAST_REPORT_LIMIT, receipt).await.is_err() {
+        warn!(event = "charges_not_recorded", remedy = "check that a quorum of control is up");
+    }
+}
+
 fn spawn_stop_watch(stop: StopSignal, engine: Tx<EngineMessage>) -> io::Result<()> {
     let requested = signals::stop_requested()?;
     monoio::spawn(async move {
--- a/crates/broker/tests/support/broker.rs
+++ b/crates/broker/tests/support/broker.rs
@@ -33,7 +33,11 @@
 
     /// Starts a broker with further settings.
     pub fn start_with(catalog: &Catalog, settings: &str) -> Self {
-        let control = ScriptedControl::serve(catalog);
+        Self::start_on(ScriptedControl::serve(catalog), settings)
+    }
+
+    /// Starts a broker of this control process.
+    pub fn start_on(control: ScriptedControl, settings: &str) -> Self {
         let feed = control.address;
         let folder = tempfile::tempdir().expect("a temporary folder");
         let path = folder.path().join("broker.toml");
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -10,11 +10,13 @@
 use gingerkeel_domain::catalog::{
     AnswerPolicy, CallerAccount, Catalog, Change, ClassPolicy, Leaf, LeafState, Placement,
 };
+use gingerkeel_domain::feed::ChargeTotals;
 use gingerkeel_domain::identifiers::{
     CallerName, ClassName, IndexVersion, LeafId, RegionName, ServiceName, ShardId, ZoneName,
 };
 use gingerkeel_protocol::{
-    Document, FeedMessage, FrameCodec, SubscriberMessage, encode_document, encode_frame,
+    Document, FeedMessage, FrameCodec, SubscriberMessage, decode_document, encode_document,
+    encode_frame,
 };
 use monoio_codec::{Decoded, Decoder};
 
@@ -29,8 +31,13 @@
 }
 
 impl ScriptedControl {
-    /// Serves a catalog, and leases on it, to every broker that subscribes.
+    /// Serves a catalog, and leases on it, to every broker that subscribes, and records charges.
     pub fn serve(catalog: &Catalog) -> Self {
+        Self::serve_with(catalog, true)
+    }
+
+    /// The same, with or without receipts for charges.
+    pub fn serve_with(catalog: &Catalog, receipts: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let catalog = catalog.clone();
@@ -39,12 +46,25 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (catalog, journal) = (catalog.clone(), journal.clone());
-                thread::spawn(move || feed(stream, &catalog, &journal));
+                thread::spawn(move || feed(stream, &catalog, receipts, &journal));
             }
         });
         Self { address, received }
     }
 
+    /// Totals of charges of the run that reported first, as reported so far.
+    pub fn charges(&self) -> ChargeTotals {
+        let mut totals = ChargeTotals::new();
+        for message in self.received() {
+            if let SubscriberMessage::Charges { counters, .. } = message {
+                let counters: ChargeTotals =
+                    decode_document(&counters.bytes).expect("counters are a document");
+                totals.extend(counters);
+            }
+        }
+        totals
+    }
+
     /// What brokers sent so far.
     pub fn received(&self) -> Vec<SubscriberMessage> {
         self.received.lock().expect("no thread panicked").clone()
@@ -55,6 +75,7 @@
 fn feed(
     mut stream: TcpStream,
     catalog: &Catalog,
+    receipts: bool,
     journal: &Mutex<Vec<SubscriberMessage>>,
 ) -> Option<()> {
     let mut codec = FrameCodec::<SubscriberMessage>::default();
@@ -65,7 +86,7 @@
         received.extend_from_slice(&buffer[..count]);
         while let Ok(Decoded::Some(message)) = codec.decode(&mut received) {
             journal.lock().expect("no thread panicked").push(message.clone());
-            for reply in replies(catalog, &message) {
+            for reply in replies(catalog, receipts, &message) {
                 let frame = encode_frame(&reply).expect("a small frame");
                 stream.write_all(&frame).ok()?;
             }
@@ -73,8 +94,11 @@
     }
 }
 
-fn replies(catalog: &Catalog, message: &SubscriberMessage) -> Vec<FeedMessage> {
+fn replies(catalog: &Catalog, receipts: bool, message: &SubscriberMessage) -> Vec<FeedMessage> {
     match message {
+        SubscriberMessage::Charges { sequence, run, .. } if receipts => {
+            vec![FeedMessage::ChargesRecorded { run: *run, sequence: *sequence }]
+        }
         SubscriberMessage::Subscribe { .. } => {
             let bytes = encode_document(catalog).expect("a catalog is a document");
             vec![FeedMessage::FullCatalog { catalog: Document::from(bytes) }]
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -147,11 +147,11 @@
         for (report, receipt) in reports.iter().zip(receipts) {
             let follower =
                 self.connections.values().find(|known| known.identity.broker == report.broker);
-            let sequence = report.sequence;
+            let (run, sequence) = (report.run, report.sequence);
             if let Some(follower) = follower {
                 follower.send(match receipt {
-                    ChargeReceipt::Recorded => FeedMessage::ChargesRecorded { sequence },
-                    ChargeReceipt::RunSettled => FeedMessage::RunSettled { sequence },
+                    ChargeReceipt::Recorded => FeedMessage::ChargesRecorded { run, sequence },
+                    ChargeReceipt::RunSettled => FeedMessage::RunSettled { run, sequence },
                 });
             }
         }
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -152,7 +152,9 @@
     let counters = counters(answered);
     broker.send(&SubscriberMessage::Charges { sequence, run, counters });
     broker.receive_until(|message| match message {
-        FeedMessage::ChargesRecorded { sequence: recorded } => (recorded == sequence).then_some(()),
+        FeedMessage::ChargesRecorded { run: of, sequence: recorded } => {
+            (of == run && recorded == sequence).then_some(())
+        }
         _ => None,
     });
 }
--- a/crates/domain/src/feed/charge_reporter.rs
+++ b/crates/domain/src/feed/charge_reporter.rs
@@ -69,9 +69,10 @@
         self.on_its_way.clone()
     }
 
-    /// A report is part of the cluster's totals.
-    pub fn recorded(&mut self, sequence: u64) {
-        if let Some(report) = self.on_its_way.take_if(|report| report.sequence == sequence) {
+    /// A report is part of the cluster's totals. A receipt of another run, such as one of a
+    /// process that was killed and had the same name, says nothing about this one.
+    pub fn recorded(&mut self, run: u64, sequence: u64) {
+        if let Some(report) = self.take_report(run, sequence) {
             self.sent.extend(report.totals.clone());
             self.recorded.extend(report.totals);
         }
@@ -79,8 +80,8 @@
 
     /// The run of a report is settled, and nothing of the report was counted: it is counted under
     /// `next_run`, with all that comes.
-    pub fn run_settled(&mut self, sequence: u64, next_run: u64) {
-        if self.on_its_way.take_if(|report| report.sequence == sequence).is_none() {
+    pub fn run_settled(&mut self, run: u64, sequence: u64, next_run: u64) {
+        if self.take_report(run, sequence).is_none() {
             return;
         }
         for (key, total) in std::mem::take(&mut self.sent) {
@@ -91,6 +92,10 @@
         self.recorded.clear();
         self.run = next_run;
     }
+
+    fn take_report(&mut self, run: u64, sequence: u64) -> Option<RunReport> {
+        self.on_its_way.take_if(|report| report.run == run && report.sequence == sequence)
+    }
 }
 
 fn since(total: ChargeCounter, base: Option<&ChargeCounter>) -> ChargeCounter {
--- a/crates/domain/tests/charge_reporter.rs
+++ b/crates/domain/tests/charge_reporter.rs
@@ -32,9 +32,13 @@
     counters.charge(key(0), PRICE);
     let report = reporter.report(counters.counters()).unwrap();
     assert_eq!(reporter.report(counters.counters()), Some(report.clone()));
-    reporter.recorded(report.sequence + 1);
-    assert!(reporter.report(counters.counters()).is_some(), "a foreign receipt counts nothing");
-    reporter.recorded(report.sequence);
+    for (run, sequence) in [(report.run, report.sequence + 1), (report.run + 1, report.sequence)] {
+        reporter.recorded(run, sequence);
+        reporter.run_settled(run, sequence, 9);
+        let again = reporter.report(counters.counters());
+        assert_eq!(again.as_ref(), Some(&report), "a foreign receipt counts nothing");
+    }
+    reporter.recorded(report.run, report.sequence);
     assert_eq!(reporter.report(counters.counters()), None);
 }
 
@@ -47,13 +51,13 @@
     counters.charge(key(0), PRICE);
     let first = reporter.report(counters.counters()).unwrap();
     assert_eq!(record(&mut charges, now, &first), ChargeReceipt::Recorded);
-    reporter.recorded(first.sequence);
+    reporter.recorded(first.run, first.sequence);
     now = now.after(RUN_RETENTION);
     charges.settle(now);
     counters.charge(key(0), PRICE);
     let second = reporter.report(counters.counters()).unwrap();
     assert_eq!(record(&mut charges, now, &second), ChargeReceipt::RunSettled);
-    reporter.run_settled(second.sequence, 2);
+    reporter.run_settled(second.run, second.sequence, 2);
     let again = reporter.report(counters.counters()).unwrap();
     assert_eq!(record(&mut charges, now, &again), ChargeReceipt::Recorded);
     assert_eq!(charges.totals(), counters.counters());
@@ -74,7 +78,7 @@
             if arrives {
                 record(&mut charges, now, &report);
                 if receipt_arrives {
-                    reporter.recorded(report.sequence);
+                    reporter.recorded(report.run, report.sequence);
                 }
             }
             for (key, total) in charges.totals() {
@@ -83,7 +87,7 @@
         }
         while let Some(report) = reporter.report(counters.counters()) {
             record(&mut charges, now, &report);
-            reporter.recorded(report.sequence);
+            reporter.recorded(report.run, report.sequence);
         }
         prop_assert_eq!(charges.totals(), counters.counters());
     }
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -108,13 +108,17 @@
     /// A report of charges is part of the totals.
     #[brw(magic = 7u8)]
     ChargesRecorded {
-        /// Number of the report.
+        /// The run that counted.
+        run: u64,
+        /// Number of the report within the run.
         sequence: u64,
     },
     /// The run that was reported is settled: the broker counts on in a new one.
     #[brw(magic = 8u8)]
     RunSettled {
-        /// Number of the report.
+        /// The run that counted.
+        run: u64,
+        /// Number of the report within the run.
         sequence: u64,
     },
 }
--- a/crates/protocol/tests/feed.rs
+++ b/crates/protocol/tests/feed.rs
@@ -61,8 +61,9 @@
         document().prop_map(|delta| FeedMessage::Brokers { delta }),
         prop::collection::vec(any::<u32>(), 0..50)
             .prop_map(|leaves| FeedMessage::Leaving { leaves }),
-        any::<u64>().prop_map(|sequence| FeedMessage::ChargesRecorded { sequence }),
-        any::<u64>().prop_map(|sequence| FeedMessage::RunSettled { sequence }),
+        any::<(u64, u64)>()
+            .prop_map(|(run, sequence)| FeedMessage::ChargesRecorded { run, sequence }),
+        any::<(u64, u64)>().prop_map(|(run, sequence)| FeedMessage::RunSettled { run, sequence }),
     ]
 }
 
--- a/crates/rehearsal/src/fleet/launch.rs
+++ b/crates/rehearsal/src/fleet/launch.rs
@@ -57,6 +57,7 @@
         self.await_controls(&operator, &mut control_processes)?;
         operator.execute(&settings_files::statements(self.topology, &leaf_addresses))?;
         let feeds: Vec<SocketAddr> = controls.iter().map(|control| control.feed).collect();
+        let operators = controls.iter().map(|control| control.operators).collect();
         let brokers = self.start_brokers(&broker_names, &feeds)?;
         let mut fleet = Fleet {
             folder: self.folder.to_owned(),
@@ -64,6 +65,7 @@
             topology: self.topology.clone(),
             controls: control_processes,
             feeds,
+            operators,
             brokers,
             leaf_processes,
             orders: RecordWriter::open(&self.folder.join(ORDERS_FILE))?,
--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -62,6 +62,7 @@
     topology: Topology,
     controls: Vec<ManagedProcess>,
     feeds: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
     brokers: Vec<Broker>,
     leaf_processes: Vec<LeafProcess>,
     orders: RecordWriter<Order>,
@@ -110,6 +111,19 @@
         &self.feeds
     }
 
+    /// Addresses on which control processes take operators' statements.
+    pub fn operators(&self) -> &[SocketAddr] {
+        &self.operators
+    }
+
+    /// Sends a signal to a control process.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when the process is gone.
+    pub fn signal_control(&self, index: usize, signal: Signal) -> Result<(), RehearsalError> {
+        self.controls[index].signal(signal)
+    }
+
     /// What a control process has used so far.
     ///
     /// # Errors
