Fold overload of all brokers into thresholds

Brokers could obey a threshold and measure their overload, and control processes could hold thresholds, but neither told the other: the threshold was never set. A broker now sends a report for each service once a second while it is overloaded and once after; reports go into the replicated log, are folded as they are applied, and the lowest class admitted goes to every broker of the feed.

Ruled out: a fold in each process over the brokers that it feeds (thresholds would differ) and a fold at the leader (forgets with each election).

What thresholds do to latencies under load is not measured yet.

--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gingerkeel_domain::admission::Refusal;
+use gingerkeel_domain::admission::{OverloadReport, Refusal};
 use gingerkeel_domain::catalog::{Catalog, Placement};
 use gingerkeel_domain::dispatch::{
     Dispatcher, DispatcherSettings, Effect, Event, LeafCompletion, SchedulingPolicy,
 };
 use gingerkeel_domain::feed::ChargeTotals;
 use gingerkeel_domain::identifiers::{
-    BrokerName, BrokerRun, CallerName, LeafId, LeafRequestId, QueryId, RegionName, ZoneName,
+    BrokerName, BrokerRun, CallerName, LeafId, LeafRequestId, QueryId, RegionName, ServiceName,
+    ZoneName,
 };
 use gingerkeel_domain::query::{LeafFailure, QueryOutcome, Sending, Submission};
 use gingerkeel_domain::request_key::RequestKey;
@@ -71,6 +72,18 @@
         /// Where they go.
         reply: oneshot::Sender<ChargeTotals>,
     },
+    /// Load and refusals are read.
+    ReadOverload {
+        /// Where they go.
+        reply: oneshot::Sender<Vec<OverloadReport>>,
+    },
+    /// The brokers of a service admit no class lower than this one.
+    ThresholdChanged {
+        /// The service.
+        service: ServiceName,
+        /// Priority of the lowest class admitted.
+        lowest_admitted: u8,
+    },
     /// New queries may start until then.
     FreshUntil(Timestamp),
     /// The brokers that share the leaves.
@@ -193,6 +206,14 @@
                 // The link may have been lost just now.
                 let _ = reply.send(self.dispatcher.charges().counters().clone());
             }
+            EngineMessage::ReadOverload { reply } => {
+                // The link may have been lost just now.
+                let _ = reply.send(self.dispatcher.overload());
+            }
+            EngineMessage::ThresholdChanged { service, lowest_admitted } => {
+                info!(event = "threshold_changed", %service, lowest_admitted);
+                self.advance(Event::ThresholdChanged { service, lowest_admitted }, effects);
+            }
             EngineMessage::FreshUntil(until) => self.advance(Event::FreshUntil(until), effects),
             EngineMessage::BrokersChanged(brokers) => {
                 self.advance(Event::BrokersChanged(brokers), effects);
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -6,9 +6,9 @@
 
 use gingerkeel_domain::feed::{
     BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
-    FollowerSettings, FollowerState, LeaseGrant,
+    FollowerSettings, FollowerState, LeaseGrant, OverloadReporter,
 };
-use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision};
+use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName};
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
     FeedMessage, FrameCodec, PROTOCOL_VERSION, ProtocolError, ShortText, SubscriberMessage,
@@ -35,8 +35,8 @@
 /// Time that a control process has to accept a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(1500);
 
-/// Time between two reports of charges: what a killed broker may not have reported.
-const CHARGES_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two reports of charges and of overload: what a killed broker may not have reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time that the engine has to tell its totals; it ends with the process.
 const ENGINE_LIMIT: Duration = Duration::from_millis(500);
@@ -79,7 +79,8 @@
         follower: FollowerState::new(FollowerSettings::default()),
         brokers: BrokerList::default(),
         charges: ChargeReporter::new(run.0),
-        charges_due: clock.now(),
+        overload: OverloadReporter::default(),
+        reports_due: clock.now(),
         last_reports,
         last_report: None,
         settings,
@@ -122,7 +123,8 @@
     follower: FollowerState,
     brokers: BrokerList,
     charges: ChargeReporter,
-    charges_due: Timestamp,
+    overload: OverloadReporter,
+    reports_due: Timestamp,
     last_reports: Rx<LastReport>,
     last_report: Option<LastReport>,
     settings: BrokerSettings,
@@ -157,11 +159,12 @@
         let mut effects = Vec::new();
         self.tell(FollowerEvent::Connected, &mut effects);
         // What the last link left without a receipt is sent at once.
-        self.charges_due = self.clock.now();
+        self.reports_due = self.clock.now();
         loop {
             self.carry_out(&mut effects, writer).await?;
-            if self.charges_due <= self.clock.now() {
+            if self.reports_due <= self.clock.now() {
                 self.report_charges(writer).await?;
+                self.report_overload(writer).await?;
             }
             match self.next_news(messages).await {
                 News::Message(message) => self.receive(message?, &mut effects)?,
@@ -176,7 +179,7 @@
 
     async fn next_news(&mut self, messages: &mut Rx<Result<FeedMessage, ProtocolError>>) -> News {
         let due = self.follower.next_timer().unwrap_or_else(|| self.clock.now());
-        let due = due.min(self.charges_due);
+        let due = due.min(self.reports_due);
         monoio::select! {
             message = messages.recv() => match message {
                 Some(message) => News::Message(message.map_err(LinkError::from)),
@@ -190,7 +193,7 @@
     /// With a planned stop, each receipt is followed by the next report at once.
     fn hurry_last_report(&mut self) {
         if self.last_report.is_some() {
-            self.charges_due = self.clock.now();
+            self.reports_due = self.clock.now();
         }
     }
 
@@ -226,6 +229,11 @@
                 let leaves = leaves.into_iter().map(LeafId).collect();
                 self.send_engine(EngineMessage::PlatformLeaving(leaves));
             }
+            FeedMessage::Threshold { service, lowest_admitted } => {
+                if let Some(service) = service.text().map(ServiceName::new) {
+                    self.send_engine(EngineMessage::ThresholdChanged { service, lowest_admitted });
+                }
+            }
             FeedMessage::Refused { protocol_version, reason } => {
                 let text = format!("refused ({reason:?}, protocol version {protocol_version})");
                 return Err(ProtocolError::Malformed(text).into());
@@ -276,7 +284,7 @@
         &mut self,
         writer: &mut OwnedWriteHalf<TcpStream>,
     ) -> Result<(), LinkError> {
-        self.charges_due = self.clock.now().after(CHARGES_INTERVAL);
+        self.reports_due = self.clock.now().after(REPORT_INTERVAL);
         let Some(totals) = self.charge_totals().await else {
             return Ok(());
         };
@@ -292,6 +300,26 @@
         send(writer, &SubscriberMessage::Charges { sequence, run, counters }).await
     }
 
+    /// Sends what there is to say of overload.
+    async fn report_overload(
+        &mut self,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+    ) -> Result<(), LinkError> {
+        if self.last_report.is_some() {
+            return Ok(());
+        }
+        let (reply, receiver) = oneshot::channel();
+        self.send_engine(EngineMessage::ReadOverload { reply });
+        let Ok(Ok(measured)) = timeout(ENGINE_LIMIT, receiver).await else {
+            return Ok(());
+        };
+        for report in self.overload.reports(measured) {
+            let report = encode_document(&report)?.into();
+            send(writer, &SubscriberMessage::Overload { report }).await?;
+        }
+        Ok(())
+    }
+
     /// The totals of the process; none while the engine ends.
     async fn charge_totals(&self) -> Option<ChargeTotals> {
         if let Some(last) = &self.last_report {
--- a/crates/broker/tests/reports.rs
+++ b/crates/broker/tests/reports.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
+use gingerkeel_domain::admission::OverloadReport;
 use gingerkeel_domain::request_key::RequestKey;
-use gingerkeel_protocol::SubscriberMessage;
+use gingerkeel_protocol::{SubscriberMessage, decode_document};
 use rustix::process::Signal;
 use support::broker::Broker;
 use support::caller::{Query, issue_key};
-use support::control::{ScriptedControl, catalog};
+use support::control::{ControlScript, ScriptedControl, catalog};
 use support::leaf::ScriptedLeaf;
 use support::wait_until;
 
@@ -61,10 +62,37 @@
 #[test]
 fn a_planned_stop_ends_although_no_receipt_comes() {
     let leaf = ScriptedLeaf::honest("right");
-    let control = ScriptedControl::serve_with(&catalog(&[&[leaf.address]]), false);
+    let control = ScriptedControl::serve_with(
+        &catalog(&[&[leaf.address]]),
+        ControlScript { receipts: false, ..ControlScript::default() },
+    );
     let mut broker = Broker::start_on(control, "");
     ask_five(&broker);
     broker.signal(Signal::TERM);
     broker.assert_ends_well();
     assert!(broker.log().contains("charges_not_recorded"), "{}", broker.log());
 }
+
+#[test]
+fn a_threshold_of_the_control_process_shuts_lower_classes_out_and_is_reported() {
+    let leaf = ScriptedLeaf::honest("right");
+    let script = ControlScript { lowest_admitted: 0, ..ControlScript::default() };
+    let control = ScriptedControl::serve_with(&catalog(&[&[leaf.address]]), script);
+    let broker = Broker::start_on(control, "");
+    let mut caller = broker.caller();
+    assert_eq!(caller.ask(&Query::new("urgent")).outcome(), "answered");
+    assert_eq!(caller.ask(&Query::new("whole")).reason(), "overloaded");
+    wait_until("the refusal is reported", || {
+        let overload = broker.control.received().into_iter().filter_map(|message| match message {
+            SubscriberMessage::Overload { report } => Some(report),
+            _ => None,
+        });
+        let mut reports = overload.map(|report| {
+            let report: OverloadReport = decode_document(&report.bytes).expect("a report");
+            report
+        });
+        reports.any(|report| {
+            report.lowest_admitted == 0 && report.classes.iter().any(|class| class.refused == 1)
+        })
+    });
+}
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use gingerkeel_domain::admission::ADMIT_ALL;
 use gingerkeel_domain::catalog::{
     AnswerPolicy, CallerAccount, Catalog, Change, ClassPolicy, Leaf, LeafState, Placement,
 };
@@ -15,14 +16,29 @@
     CallerName, ClassName, IndexVersion, LeafId, RegionName, ServiceName, ShardId, ZoneName,
 };
 use gingerkeel_protocol::{
-    Document, FeedMessage, FrameCodec, SubscriberMessage, decode_document, encode_document,
-    encode_frame,
+    Document, FeedMessage, FrameCodec, ShortText, SubscriberMessage, decode_document,
+    encode_document, encode_frame,
 };
 use monoio_codec::{Decoded, Decoder};
 
 /// How long a granted lease lasts: longer than any test.
 const LEASE_MILLISECONDS: u32 = 600_000;
 
+/// What a scripted control process does besides serving a catalog and leases.
+#[derive(Debug, Clone, Copy)]
+pub struct ControlScript {
+    /// Whether it records charges.
+    pub receipts: bool,
+    /// Lowest class that brokers are told to admit.
+    pub lowest_admitted: u8,
+}
+
+impl Default for ControlScript {
+    fn default() -> Self {
+        Self { receipts: true, lowest_admitted: ADMIT_ALL }
+    }
+}
+
 /// A scripted control process; its threads end with the test.
 pub struct ScriptedControl {
     /// Where it feeds brokers.
@@ -33,11 +49,11 @@
 impl ScriptedControl {
     /// Serves a catalog, and leases on it, to every broker that subscribes, and records charges.
     pub fn serve(catalog: &Catalog) -> Self {
-        Self::serve_with(catalog, true)
+        Self::serve_with(catalog, ControlScript::default())
     }
 
-    /// The same, with or without receipts for charges.
-    pub fn serve_with(catalog: &Catalog, receipts: bool) -> Self {
+    /// Serves a catalog, and leases on it, and follows a script otherwise.
+    pub fn serve_with(catalog: &Catalog, script: ControlScript) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let catalog = catalog.clone();
@@ -46,7 +62,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (catalog, journal) = (catalog.clone(), journal.clone());
-                thread::spawn(move || feed(stream, &catalog, receipts, &journal));
+                thread::spawn(move || feed(stream, &catalog, script, &journal));
             }
         });
         Self { address, received }
@@ -75,7 +91,7 @@
 fn feed(
     mut stream: TcpStream,
     catalog: &Catalog,
-    receipts: bool,
+    script: ControlScript,
     journal: &Mutex<Vec<SubscriberMessage>>,
 ) -> Option<()> {
     let mut codec = FrameCodec::<SubscriberMessage>::default();
@@ -86,7 +102,7 @@
         received.extend_from_slice(&buffer[..count]);
         while let Ok(Decoded::Some(message)) = codec.decode(&mut received) {
             journal.lock().expect("no thread panicked").push(message.clone());
-            for reply in replies(catalog, receipts, &message) {
+            for reply in replies(catalog, script, &message) {
                 let frame = encode_frame(&reply).expect("a small frame");
                 stream.write_all(&frame).ok()?;
             }
@@ -94,14 +110,22 @@
     }
 }
 
-fn replies(catalog: &Catalog, receipts: bool, message: &SubscriberMessage) -> Vec<FeedMessage> {
+fn replies(
+    catalog: &Catalog,
+    script: ControlScript,
+    message: &SubscriberMessage,
+) -> Vec<FeedMessage> {
     match message {
-        SubscriberMessage::Charges { sequence, run, .. } if receipts => {
+        SubscriberMessage::Charges { sequence, run, .. } if script.receipts => {
             vec![FeedMessage::ChargesRecorded { run: *run, sequence: *sequence }]
         }
         SubscriberMessage::Subscribe { .. } => {
             let bytes = encode_document(catalog).expect("a catalog is a document");
-            vec![FeedMessage::FullCatalog { catalog: Document::from(bytes) }]
+            let service = ShortText::new("tickets");
+            vec![
+                FeedMessage::FullCatalog { catalog: Document::from(bytes) },
+                FeedMessage::Threshold { service, lowest_admitted: script.lowest_admitted },
+            ]
         }
         SubscriberMessage::Renew { ticket, .. } => {
             let (ticket, revision) = (*ticket, catalog.revision().0);
--- a/crates/control/src/cluster_task/membership.rs
+++ b/crates/control/src/cluster_task/membership.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use gingerkeel_domain::cluster::{
-    BrokerChange, ChargeReport, ClusterState, CommandBody, ControlRenewal, LeafHealth,
-    LeafHealthChange, polled_by,
+    BrokerChange, BrokerOverload, ChargeReport, ClusterState, CommandBody, ControlRenewal,
+    LeafHealth, LeafHealthChange, polled_by,
 };
 use gingerkeel_domain::identifiers::{BrokerName, ControlName, LeafId, Revision};
 
@@ -51,6 +51,7 @@
     gone_since: BTreeMap<BrokerName, Instant>,
     polled: BTreeMap<LeafId, LeafHealth>,
     charges: Vec<ChargeReport>,
+    overload: Vec<BrokerOverload>,
     planned_for: Option<PlanBasis>,
     /// Connections of brokers that were recorded as fed here.
     claimed: BTreeSet<ConnectionId>,
@@ -66,6 +67,7 @@
             gone_since: BTreeMap::new(),
             polled: BTreeMap::new(),
             charges: Vec::new(),
+            overload: Vec::new(),
             planned_for: None,
             claimed: BTreeSet::new(),
         }
@@ -81,6 +83,17 @@
         self.charges.extend(report);
     }
 
+    /// A broker reported load and refusals; only its newest report of a service counts.
+    pub fn overloaded(&mut self, report: Option<BrokerOverload>) {
+        let Some(newer) = report else {
+            return;
+        };
+        self.overload.retain(|older| {
+            older.broker != newer.broker || older.report.service != newer.report.service
+        });
+        self.overload.push(newer);
+    }
+
     /// The reports of the last round are taken, or given up.
     pub fn reports_taken(&mut self) {
         self.reporting_since = None;
@@ -117,6 +130,9 @@
         self.report_brokers(now, state, followers, &mut commands);
         self.report_leaves(state, &mut commands);
         self.report_charges(&mut commands);
+        if !self.overload.is_empty() {
+            commands.push(CommandBody::ReportOverload(std::mem::take(&mut self.overload)));
+        }
         self.reporting_since = (!commands.is_empty()).then_some(now);
         commands
     }
--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use gingerkeel_domain::admission::OverloadReport;
 use gingerkeel_domain::catalog::Placement;
 use gingerkeel_domain::cluster::{
     ChangeOutcome, ChangeRequest, ChargeCounter, ChargeKey, CommandId, LeafHealth, LogIndex,
@@ -70,6 +71,13 @@
         /// The counters.
         counters: BTreeMap<ChargeKey, ChargeCounter>,
     },
+    /// The broker reported load and refusals.
+    Overloaded {
+        /// The connection.
+        connection: ConnectionId,
+        /// The report.
+        report: OverloadReport,
+    },
     /// The connection is lost.
     Closed {
         /// The connection.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -267,6 +267,10 @@
                 let report = self.subscribers.charge_report(connection, run, sequence, counters);
                 self.membership.charged(report);
             }
+            FeedEvent::Overloaded { connection, report } => {
+                let report = self.subscribers.overload_report(connection, report);
+                self.membership.overloaded(report);
+            }
             FeedEvent::Closed { connection } => self.subscribers.closed(connection),
         }
     }
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -1,16 +1,19 @@
 //! The brokers that this process feeds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use gingerkeel_domain::admission::{ADMIT_ALL, OverloadReport};
 use gingerkeel_domain::catalog::{Catalog, MemberState};
 use gingerkeel_domain::cluster::{
-    ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, ClusterState,
+    BrokerOverload, ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, ClusterState,
 };
 use gingerkeel_domain::feed::BrokerList;
-use gingerkeel_domain::identifiers::{BrokerName, Revision};
+use gingerkeel_domain::identifiers::{BrokerName, Revision, ServiceName};
 use gingerkeel_domain::routing::subset::BrokerEntry;
-use gingerkeel_protocol::{Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, encode_document};
+use gingerkeel_protocol::{
+    Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, ShortText, encode_document,
+};
 use local_sync::mpsc::unbounded::Tx;
 use serde::Serialize;
 use tracing::{error, info};
@@ -38,6 +41,7 @@
     connections: BTreeMap<ConnectionId, Follower>,
     brokers: BrokerList,
     leaving_version: u64,
+    thresholds: BTreeMap<ServiceName, u8>,
 }
 
 impl Subscribers {
@@ -66,6 +70,11 @@
         }
         follower.send_document(&self.brokers.whole(), |delta| FeedMessage::Brokers { delta });
         follower.send(leaving(state));
+        // A broker that comes from another control process may still hold one that has ended.
+        let thresholds = lowest_admitted(state);
+        for service in state.catalog().services().keys() {
+            follower.send_threshold(service, thresholds.get(service).copied());
+        }
         self.forget_older_connections(&follower.identity.broker);
         self.connections.insert(connection, follower);
     }
@@ -87,12 +96,30 @@
             self.leaving_version = state.leaf_hints().version();
             self.connections.values().for_each(|follower| follower.send(leaving(state)));
         }
+        self.publish_thresholds(state);
         let catalog = state.catalog();
         self.connections.retain(|_, follower| {
             catalog.broker_state(&follower.identity.broker) != MemberState::Removed
         });
     }
 
+    fn publish_thresholds(&mut self, state: &ClusterState) {
+        let newer = lowest_admitted(state);
+        let before = std::mem::replace(&mut self.thresholds, newer);
+        let services: BTreeSet<&ServiceName> =
+            before.keys().chain(self.thresholds.keys()).collect();
+        for service in services {
+            let threshold = self.thresholds.get(service).copied();
+            if before.get(service).copied() == threshold {
+                continue;
+            }
+            info!(event = "threshold_changed", %service, lowest_admitted = threshold);
+            for follower in self.connections.values() {
+                follower.send_threshold(service, threshold);
+            }
+        }
+    }
+
     /// Sends what changed among the brokers, once for all that came and went since.
     pub fn publish_members(&mut self, state: &ClusterState) {
         let members = state.members().brokers().iter();
@@ -142,6 +169,16 @@
         Some(ChargeReport { broker, run, sequence, counters })
     }
 
+    /// A report of overload under the name of the broker; none when it is not known any more.
+    pub fn overload_report(
+        &self,
+        connection: ConnectionId,
+        report: OverloadReport,
+    ) -> Option<BrokerOverload> {
+        let broker = self.connections.get(&connection)?.identity.broker.clone();
+        Some(BrokerOverload { broker, report })
+    }
+
     /// Tells brokers that feed here what became of their reports.
     pub fn acknowledge_charges(&self, reports: &[ChargeReport], receipts: &[ChargeReceipt]) {
         for (report, receipt) in reports.iter().zip(receipts) {
@@ -193,6 +230,12 @@
         self.sent = catalog.revision();
     }
 
+    fn send_threshold(&self, service: &ServiceName, threshold: Option<u8>) {
+        let lowest_admitted = threshold.unwrap_or(ADMIT_ALL);
+        let service = ShortText::new(service.as_str());
+        self.send(FeedMessage::Threshold { service, lowest_admitted });
+    }
+
     fn send_document(
         &self,
         document: &impl Serialize,
@@ -210,6 +253,11 @@
     }
 }
 
+fn lowest_admitted(state: &ClusterState) -> BTreeMap<ServiceName, u8> {
+    let thresholds = state.thresholds().services().iter();
+    thresholds.map(|(service, threshold)| (service.clone(), threshold.lowest_admitted)).collect()
+}
+
 fn leaving(state: &ClusterState) -> FeedMessage {
     let leaves = state.leaf_hints().leaving().into_iter().map(|leaf| leaf.0).collect();
     FeedMessage::Leaving { leaves }
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -111,6 +111,10 @@
             let counters = decode_document(&counters.bytes)?;
             Ok(FeedEvent::Charged { connection, run, sequence, counters })
         }
+        SubscriberMessage::Overload { report } => {
+            let report = decode_document(&report.bytes)?;
+            Ok(FeedEvent::Overloaded { connection, report })
+        }
         SubscriberMessage::Subscribe { .. } => {
             Err(ProtocolError::Malformed("second subscription".into()))
         }
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use gingerkeel_domain::admission::{ADMIT_ALL, ClassPressure, OverloadReport};
 use gingerkeel_domain::cluster::{ChargeCounter, ChargeKey, HISTORY_LIMIT};
 use gingerkeel_domain::feed::{BrokerList, BrokerListDelta};
 use gingerkeel_domain::identifiers::{CallerName, ClassName, ServiceName};
@@ -174,3 +175,51 @@
     assert_eq!(control.rows("SHOW CHARGES OF portal"), rows);
     assert!(control.rows("SHOW CHARGES OF nobody").is_empty());
 }
+
+/// The next threshold that the feed brings.
+fn threshold(broker: &mut HollowBroker) -> u8 {
+    broker.receive_until(|message| match message {
+        FeedMessage::Threshold { lowest_admitted, .. } => Some(lowest_admitted),
+        _ => None,
+    })
+}
+
+/// The next threshold, from a broker that renews its lease so as not to be taken for dead.
+fn threshold_while_renewing(broker: &mut HollowBroker) -> u8 {
+    let renewal = SubscriberMessage::Renew { ticket: 1, in_force: 1 };
+    broker.send(&renewal);
+    loop {
+        match broker.receive().expect("the feed goes on") {
+            FeedMessage::Threshold { lowest_admitted, .. } => return lowest_admitted,
+            FeedMessage::Lease { .. } => {
+                std::thread::sleep(std::time::Duration::from_secs(1));
+                broker.send(&renewal);
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn overload_of_one_broker_sets_the_threshold_of_all_and_ends_with_its_reports() {
+    let control = Control::start("control-1");
+    control.change("DEFINE SERVICE console CONCURRENCY 8");
+    let mut first = HollowBroker::subscribe(&control, "b1", 1, 0);
+    let mut second = HollowBroker::subscribe(&control, "b2", 2, 0);
+    assert_eq!([threshold(&mut first), threshold(&mut second)], [ADMIT_ALL; 2]);
+    let class = |priority| ClassPressure { priority, offered: 10, refused: 5, waiting: 1 };
+    let report = OverloadReport {
+        service: ServiceName::new("console"),
+        running: 8,
+        concurrency: 8,
+        lowest_admitted: ADMIT_ALL,
+        classes: vec![class(1), class(2)],
+    };
+    let report = encode_document(&report).unwrap().into();
+    first.send(&SubscriberMessage::Overload { report });
+    assert_eq!([threshold(&mut first), threshold(&mut second)], [1; 2]);
+    let mut third = HollowBroker::subscribe(&control, "b3", 3, 0);
+    assert_eq!(threshold(&mut third), 1);
+    let lowest_admitted = threshold_while_renewing(&mut second);
+    assert_eq!(lowest_admitted, ADMIT_ALL, "nobody reports any more");
+}
--- a/crates/domain/src/cluster/command.rs
+++ b/crates/domain/src/cluster/command.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    BrokerChange, ChargeReceipt, ChargeReport, ControlRenewal, LeafHealthChange, Threshold,
-    WallTime,
+    BrokerChange, BrokerOverload, ChargeReceipt, ChargeReport, ControlRenewal, LeafHealthChange,
+    Threshold, WallTime,
 };
 use crate::catalog::{CatalogError, Change};
 use crate::identifiers::{ControlName, Revision, ServiceName, SessionName};
@@ -44,6 +44,8 @@
     },
     /// Counters of charges, one report for each broker run.
     ReportCharges(Vec<ChargeReport>),
+    /// What brokers reported of their overload, which sets thresholds.
+    ReportOverload(Vec<BrokerOverload>),
     /// Sets the lowest class that brokers admit.
     SetThreshold {
         /// The service.
--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -9,6 +9,7 @@
 mod history;
 mod leaf_health;
 mod members;
+mod overload;
 mod polling;
 mod sessions;
 mod thresholds;
@@ -33,6 +34,7 @@
 pub use members::{
     BrokerChange, BrokerRecord, CONTROL_LEASE, ControlRecord, ControlRenewal, Members,
 };
+pub use overload::{BrokerOverload, OverloadFold, OverloadSettings};
 pub use polling::polled_by;
 pub use sessions::{OUTCOMES_PER_SESSION, SESSION_LIMIT, SESSION_RETENTION, Sessions};
 pub use thresholds::{Threshold, Thresholds};
@@ -50,6 +52,7 @@
     leaf_hints: LeafHints,
     charges: Charges,
     thresholds: Thresholds,
+    overload: OverloadFold,
 }
 
 impl ClusterState {
@@ -121,6 +124,13 @@
                 let receipts = reports.iter().map(|report| self.charges.record(now, report));
                 CommandOutcome::Charges(receipts.collect())
             }
+            CommandBody::ReportOverload(reports) => {
+                let settings = OverloadSettings::default();
+                for report in reports {
+                    self.overload.report(&settings, self.now, report, &mut self.thresholds);
+                }
+                CommandOutcome::Recorded
+            }
             CommandBody::SetThreshold { service, threshold } => {
                 self.thresholds.set(service.clone(), *threshold);
                 CommandOutcome::Recorded
@@ -134,6 +144,7 @@
         self.members.expire(self.now);
         self.charges.settle(self.now);
         self.thresholds.expire(self.now);
+        self.overload.expire(&OverloadSettings::default(), self.now);
     }
 
     /// A change, once for each session and sequence number.
--- a/crates/domain/src/feed/mod.rs
+++ b/crates/domain/src/feed/mod.rs
@@ -4,6 +4,7 @@
 mod brokers;
 mod charge_reporter;
 mod follower;
+mod overload_reporter;
 
 pub use back_off::BackOff;
 pub use brokers::{BrokerList, BrokerListDelta};
@@ -11,3 +12,4 @@
 pub use follower::{
     FeedFault, FollowerEffect, FollowerEvent, FollowerSettings, FollowerState, LeaseGrant,
 };
+pub use overload_reporter::OverloadReporter;
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -49,6 +49,12 @@
         /// The counters by key, as a document.
         counters: Document,
     },
+    /// Load and refusals of one service since the last such report.
+    #[brw(magic = 5u8)]
+    Overload {
+        /// The report as a document.
+        report: Document,
+    },
 }
 
 /// A message from a control process to a broker.
@@ -113,6 +119,14 @@
         /// Number of the report within the run.
         sequence: u64,
     },
+    /// The lowest class of a service that brokers admit.
+    #[brw(magic = 9u8)]
+    Threshold {
+        /// Name of the service.
+        service: ShortText,
+        /// Priority of the class; 255 admits every class.
+        lowest_admitted: u8,
+    },
     /// The run that was reported is settled: the broker counts on in a new one.
     #[brw(magic = 8u8)]
     RunSettled {
--- a/crates/protocol/tests/feed.rs
+++ b/crates/protocol/tests/feed.rs
@@ -44,6 +44,7 @@
         (any::<(u64, u64)>(), document()).prop_map(|((sequence, run), counters)| {
             SubscriberMessage::Charges { sequence, run, counters }
         }),
+        document().prop_map(|report| SubscriberMessage::Overload { report }),
     ]
 }
 
@@ -63,6 +64,10 @@
             .prop_map(|leaves| FeedMessage::Leaving { leaves }),
         any::<(u64, u64)>()
             .prop_map(|(run, sequence)| FeedMessage::ChargesRecorded { run, sequence }),
+        (text(), any::<u8>()).prop_map(|(service, lowest_admitted)| FeedMessage::Threshold {
+            service,
+            lowest_admitted
+        }),
         any::<(u64, u64)>().prop_map(|(run, sequence)| FeedMessage::RunSettled { run, sequence }),
     ]
 }
