Close idle callers' connections, and give queries the deadline of their class

A caller's connection that lay idle held one of `caller_connections` places for ever; it is closed after `idle_time_ms` (75 s). One that waits for its answer is not idle.

--- a/crates/broker/src/callers/connection.rs
+++ b/crates/broker/src/callers/connection.rs
@@ -29,13 +29,22 @@
 /// Bytes that a caller that was rejected may go on sending.
 const LINGER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Bounds of a caller's connection.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionBounds {
+    /// Bounds of each request.
+    pub limits: Limits,
+    /// Time for which the connection may lie idle between requests.
+    pub idle_time: Duration,
+}
+
 /// One caller's connection.
 pub struct CallerConnection {
     number: u32,
     next_query: u32,
     reader: RequestReader,
     writer: ResponseWriter,
-    limits: Limits,
+    bounds: ConnectionBounds,
     engine: Tx<EngineMessage>,
     stop: StopSignal,
 }
@@ -52,16 +61,16 @@
     pub fn new(
         number: u32,
         stream: TcpStream,
-        limits: Limits,
+        bounds: ConnectionBounds,
         engine: Tx<EngineMessage>,
         stop: StopSignal,
     ) -> Self {
-        let (reader, writer) = ServerConnection::new(stream, limits).into_split();
-        Self { number, next_query: 0, reader, writer, limits, engine, stop }
+        let (reader, writer) = ServerConnection::new(stream, bounds.limits).into_split();
+        Self { number, next_query: 0, reader, writer, bounds, engine, stop }
     }
 
-    /// Answers requests until the caller hangs up, sends something that is not HTTP, or a planned
-    /// stop has begun.
+    /// Answers requests until the caller hangs up, stays idle for too long, sends something that is
+    /// not HTTP, or a planned stop has begun.
     pub async fn run(mut self) {
         while self.request_comes().await {
             match self.reader.next_request().await {
@@ -76,7 +85,8 @@
         }
     }
 
-    /// Whether the first byte of a request comes; an idle connection ends with a planned stop.
+    /// Whether the first byte of a request comes in time; an idle connection ends with a planned
+    /// stop.
     async fn request_comes(&mut self) -> bool {
         let grace = async {
             self.stop.given().await;
@@ -85,14 +95,15 @@
         monoio::select! {
             begun = self.reader.wait() => matches!(begun, Ok(true)),
             _ = grace => false,
+            _ = sleep(self.bounds.idle_time) => false,
         }
     }
 
     async fn answer(&mut self, request: HttpRequest) -> Result<After, TransportError> {
         let last = asks_to_close(&request);
         let response = match read_request(self.next_query_id(), request) {
-            Ok(CallerRequest::Query { submission, body }) => {
-                let outcome = self.run_query(submission, body).await?;
+            Ok(CallerRequest::Query { submission, deadline, body }) => {
+                let outcome = self.run_query(submission, deadline, body).await?;
                 response::answer(&outcome)
             }
             Ok(CallerRequest::IssueKey(caller)) => self.issue_key(caller).await?,
@@ -111,12 +122,13 @@
     async fn run_query(
         &mut self,
         submission: Submission,
+        deadline: Option<Duration>,
         body: Bytes,
     ) -> Result<QueryOutcome, TransportError> {
         let query = submission.query;
         let (reply, mut outcome) = oneshot::channel();
         // The engine lives as long as the process.
-        let _ = self.engine.send(EngineMessage::Submit { submission, body, reply });
+        let _ = self.engine.send(EngineMessage::Submit { submission, deadline, body, reply });
         let mut watching = true;
         loop {
             monoio::select! {
@@ -156,7 +168,7 @@
 
     async fn respond(&mut self, response: HttpResponse) -> Result<(), TransportError> {
         let writing = self.writer.respond(response);
-        timeout(self.limits.message_time, writing).await.map_err(|_| TransportError::Slow)?
+        timeout(self.bounds.limits.message_time, writing).await.map_err(|_| TransportError::Slow)?
     }
 
     /// Ends the connection so that the caller can read its answer although it still sends.
--- a/crates/broker/src/callers/mod.rs
+++ b/crates/broker/src/callers/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::engine::EngineMessage;
 use crate::stop::StopSignal;
-use connection::CallerConnection;
+use connection::{CallerConnection, ConnectionBounds};
 use refusal::{Refuser, Unwelcome};
 
 /// Accepts callers' connections.
@@ -26,6 +26,7 @@
     engine: Tx<EngineMessage>,
     stop: StopSignal,
     limits: Limits,
+    idle_time: Duration,
     places: Rc<Semaphore>,
     refuser: Refuser,
     next_connection: u32,
@@ -49,6 +50,7 @@
             engine,
             stop,
             limits,
+            idle_time: Duration::from_millis(u64::from(settings.idle_time_ms)),
             places: Rc::new(Semaphore::new(settings.caller_connections as usize)),
             refuser: Refuser::new(limits),
             next_connection: 0,
@@ -77,8 +79,8 @@
         let number = self.next_connection;
         self.next_connection = self.next_connection.wrapping_add(1);
         let stop = self.stop.clone();
-        let connection =
-            CallerConnection::new(number, stream, self.limits, self.engine.clone(), stop);
+        let bounds = ConnectionBounds { limits: self.limits, idle_time: self.idle_time };
+        let connection = CallerConnection::new(number, stream, bounds, self.engine.clone(), stop);
         let engine = self.engine.clone();
         // The engine lives as long as the process.
         let _ = engine.send(EngineMessage::CallerConnected);
--- a/crates/broker/src/callers/request.rs
+++ b/crates/broker/src/callers/request.rs
@@ -17,7 +17,7 @@
 const CLASS_HEADER: &str = "x-class";
 /// Account of the caller.
 const CALLER_HEADER: &str = "x-caller";
-/// Milliseconds until an answer is of no use.
+/// Milliseconds until an answer is of no use; by default those of the class.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// `false` for a request that may run at most once.
 const REPEATABLE_HEADER: &str = "x-repeatable";
@@ -55,8 +55,10 @@
 pub enum CallerRequest {
     /// Run a query.
     Query {
-        /// The query; its deadline counts from [`Timestamp::ZERO`].
+        /// The query; its deadline is set when it reaches the engine.
         submission: Submission,
+        /// Time until an answer is of no use; none takes that of the class.
+        deadline: Option<Duration>,
         /// Body of the query.
         body: Bytes,
     },
@@ -87,16 +89,17 @@
     };
     let class = required(&head.headers, CLASS_HEADER)?;
     let repeatable = repeatable(&head.headers)?;
+    let deadline = deadline(&head.headers)?;
     let submission = Submission {
         query,
         service: ServiceName::new(service),
         class: ClassName::new(class),
         caller,
-        deadline: Timestamp::ZERO.after(deadline(&head.headers)?),
+        deadline: Timestamp::ZERO,
         repeatable,
         key: keyed_request(&head.headers, repeatable, digest(service, class, &body))?,
     };
-    Ok(CallerRequest::Query { submission, body })
+    Ok(CallerRequest::Query { submission, deadline, body })
 }
 
 fn keyed_request(
@@ -131,7 +134,10 @@
     value.to_str().map_err(|_| RequestError::BadHeader(name, "use ASCII text"))
 }
 
-fn deadline(headers: &HeaderMap) -> Result<Duration, RequestError> {
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, RequestError> {
+    if !headers.contains_key(DEADLINE_HEADER) {
+        return Ok(None);
+    }
     let remedy = "give milliseconds as a whole number from 1 to 60000";
     let bad = || RequestError::BadHeader(DEADLINE_HEADER, remedy);
     let milliseconds: u64 = required(headers, DEADLINE_HEADER)?.parse().map_err(|_| bad())?;
@@ -139,7 +145,7 @@
     if deadline.is_zero() || deadline > MAXIMUM_DEADLINE {
         return Err(bad());
     }
-    Ok(deadline)
+    Ok(Some(deadline))
 }
 
 fn repeatable(headers: &HeaderMap) -> Result<bool, RequestError> {
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -38,8 +38,10 @@
 pub enum EngineMessage {
     /// A caller submitted a query.
     Submit {
-        /// The query; its deadline counts from the engine's clock.
+        /// The query; its deadline is set here.
         submission: Submission,
+        /// Time until an answer is of no use; none takes that of the class.
+        deadline: Option<Duration>,
         /// Body of the query.
         body: Bytes,
         /// Where the outcome goes.
@@ -183,7 +185,8 @@
 
     fn handle(&mut self, message: EngineMessage, effects: &mut Vec<Effect>) {
         match message {
-            EngineMessage::Submit { submission, body, reply } => {
+            EngineMessage::Submit { mut submission, deadline, body, reply } => {
+                submission.deadline = self.deadline(&submission, deadline);
                 self.submit(submission, body, reply, effects)
             }
             EngineMessage::CallerGone(query) => self.caller_gone(query, effects),
@@ -230,9 +233,16 @@
         }
     }
 
+    /// When an answer is of no use any more; a class that is not known is refused anyway.
+    fn deadline(&self, submission: &Submission, named: Option<Duration>) -> Timestamp {
+        let class = self.dispatcher.catalog().class(&submission.service, &submission.class);
+        let deadline = named.or(class.map(|class| class.default_deadline));
+        self.clock.now().after(deadline.unwrap_or_default())
+    }
+
     fn submit(
         &mut self,
-        mut submission: Submission,
+        submission: Submission,
         body: Bytes,
         reply: oneshot::Sender<QueryOutcome>,
         effects: &mut Vec<Effect>,
@@ -242,7 +252,6 @@
             .class(&submission.service, &submission.class)
             .map_or(u8::MAX, |class| class.priority);
         let now = self.clock.now();
-        submission.deadline = now.after(submission.deadline.since(Default::default()));
         let context = Rc::new(RequestContext { body, priority });
         let labels = ClassLabels::new(catalog, &submission);
         let caller = WaitingCaller { reply: Some(reply), context, labels, arrived: now };
--- a/crates/broker/tests/settings.rs
+++ b/crates/broker/tests/settings.rs
@@ -40,6 +40,7 @@
 #[case::negative("caller_connections = -1", &["caller_connections", "-1", "correct the field"])]
 #[case::body("body_bytes = 99999999", &["field body_bytes", "`99999999`", "from 1 to 16777216"])]
 #[case::time("request_time_ms = 0", &["field request_time_ms", "`0`", "from 1 to 60000"])]
+#[case::idle("idle_time_ms = 0", &["field idle_time_ms", "`0`", "from 1 to 3600000"])]
 #[case::per_leaf(
     "connections_per_leaf = 5000",
     &["field connections_per_leaf", "`5000`", "from 1 to 1024"]
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -32,6 +32,9 @@
     /// Milliseconds from the first byte of a caller's request to its last.
     #[serde(default = "default_request_time_ms")]
     pub request_time_ms: u32,
+    /// Milliseconds for which a caller's connection may lie idle between requests.
+    #[serde(default = "default_idle_time_ms")]
+    pub idle_time_ms: u32,
     /// Connections to one leaf.
     #[serde(default = "default_connections_per_leaf")]
     pub connections_per_leaf: u32,
@@ -66,6 +69,10 @@
     10_000
 }
 
+fn default_idle_time_ms() -> u32 {
+    75_000
+}
+
 fn default_connections_per_leaf() -> u32 {
     16
 }
@@ -91,6 +98,9 @@
         let accepted = (1..=60_000).contains(&self.request_time_ms);
         let remedy = "use milliseconds from 1 to 60000";
         check.field("request_time_ms", self.request_time_ms, accepted, remedy)?;
+        let accepted = (1..=3_600_000).contains(&self.idle_time_ms);
+        let remedy = "use milliseconds from 1 to 3600000";
+        check.field("idle_time_ms", self.idle_time_ms, accepted, remedy)?;
         if let Some(metrics) = self.metrics {
             let remedy = "use another address than that of callers";
             let distinct = metrics != self.listen || metrics.port() == 0;
