Show the lowest class admitted in SHOW STATUS

Operators could not see which classes a threshold shuts out. The row about the cluster names, for each service that has a threshold, the lowest class that its brokers admit.

--- a/crates/control/src/tables/cluster.rs
+++ b/crates/control/src/tables/cluster.rs
@@ -94,6 +94,7 @@
         members.controls().len().to_string(),
         state.catalog().leaves().len().to_string(),
         state.applied().0.to_string(),
+        lowest_admitted(state),
     ];
     let columns = [
         "accepted revision",
@@ -102,10 +103,27 @@
         "controls",
         "leaves",
         "applied index",
+        "lowest class admitted",
     ];
     table(&columns, vec![row])
 }
 
+/// The lowest class that brokers admit, of each service of which they do not admit all.
+fn lowest_admitted(state: &ClusterState) -> String {
+    let thresholds = state.thresholds().services().iter();
+    let named = thresholds.map(|(name, threshold)| {
+        let priority = threshold.lowest_admitted;
+        let service = state.catalog().services().get(name);
+        let classes = service.into_iter().flat_map(|service| service.classes());
+        let class = classes.into_iter().find(|class| class.priority == priority);
+        let class =
+            class.map_or_else(|| format!("priority {priority}"), |class| class.name.to_string());
+        format!("{name}: {class}")
+    });
+    let named: Vec<String> = named.collect();
+    if named.is_empty() { NOTHING.to_owned() } else { named.join(", ") }
+}
+
 /// The revision accepted and that in force everywhere, with a row for each broker that lags.
 pub fn revision(state: &ClusterState) -> StatementReply {
     let accepted = state.catalog().revision();
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -204,6 +204,9 @@
 fn overload_of_one_broker_sets_the_threshold_of_all_and_ends_with_its_reports() {
     let control = Control::start("control-1");
     control.change("DEFINE SERVICE console CONCURRENCY 8");
+    control.change("DEFINE CLASS callback OF console PRIORITY 1 QUEUE 8 PRICE 1 DEADLINE 1s FULL");
+    let shown = || control.rows("SHOW STATUS")[0].last().cloned();
+    assert_eq!(shown().as_deref(), Some("-"));
     let mut first = HollowBroker::subscribe(&control, "b1", 1, 0);
     let mut second = HollowBroker::subscribe(&control, "b2", 2, 0);
     assert_eq!([threshold(&mut first), threshold(&mut second)], [ADMIT_ALL; 2]);
@@ -218,6 +221,7 @@
     let report = encode_document(&report).unwrap().into();
     first.send(&SubscriberMessage::Overload { report });
     assert_eq!([threshold(&mut first), threshold(&mut second)], [1; 2]);
+    assert_eq!(shown().as_deref(), Some("console: callback"));
     let mut third = HollowBroker::subscribe(&control, "b3", 3, 0);
     assert_eq!(threshold(&mut third), 1);
     let lowest_admitted = threshold_while_renewing(&mut second);
