--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gingerkeel_domain::admission::Refusal;
+use gingerkeel_domain::admission::{OverloadReport, Refusal};
 use gingerkeel_domain::catalog::{Catalog, Placement};
 use gingerkeel_domain::dispatch::{
     Dispatcher, DispatcherSettings, Effect, Event, LeafCompletion, SchedulingPolicy,
 };
 use gingerkeel_domain::feed::ChargeTotals;
 use gingerkeel_domain::identifiers::{
-    BrokerName, BrokerRun, CallerName, LeafId, LeafRequestId, QueryId, RegionName, ZoneName,
+    BrokerName, BrokerRun, CallerName, LeafId, LeafRequestId, QueryId, RegionName, ServiceName,
+    ZoneName,
 };
 use gingerkeel_domain::query::{LeafFailure, QueryOutcome, Sending, Submission};
 use gingerkeel_domain::request_key::RequestKey;
@@ -25,7 +26,7 @@
 use local_sync::mpsc::unbounded::{Rx, Tx};
 use local_sync::oneshot;
 use monoio::time::timeout;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use tracing::info;
 
@@ -37,8 +38,10 @@
 pub enum EngineMessage {
     /// A caller submitted a query.
     Submit {
-        /// The query; its deadline counts from the engine's clock.
+        /// The query; its deadline is set here.
         submission: Submission,
+        /// Time until an answer is of no use; none takes that of the class.
+        deadline: Option<Duration>,
         /// Body of the query.
         body: Bytes,
         /// Where the outcome goes.
@@ -71,6 +74,18 @@
         /// Where they go.
         reply: oneshot::Sender<ChargeTotals>,
     },
+    /// Load and refusals are read.
+    ReadOverload {
+        /// Where they go.
+        reply: oneshot::Sender<Vec<OverloadReport>>,
+    },
+    /// The brokers of a service admit no class lower than this one.
+    ThresholdChanged {
+        /// The service.
+        service: ServiceName,
+        /// Priority of the lowest class admitted.
+        lowest_admitted: u8,
+    },
     /// New queries may start until then.
     FreshUntil(Timestamp),
     /// The brokers that share the leaves.
@@ -105,13 +120,17 @@
 }
 
 impl Engine {
-    /// An engine without a catalog.
-    pub fn new(settings: &BrokerSettings, clock: Clock, messages: Tx<EngineMessage>) -> Self {
+    /// An engine without a catalog; `run` numbers this run of the process.
+    pub fn new(
+        settings: &BrokerSettings,
+        run: BrokerRun,
+        clock: Clock,
+        messages: Tx<EngineMessage>,
+    ) -> Self {
         let mut random = match settings.seed {
             Some(seed) => Pcg64::seed_from_u64(seed),
             None => Pcg64::from_os_rng(),
         };
-        let run = BrokerRun(rand::rng().random());
         Self {
             clock,
             dispatcher: Dispatcher::new(
@@ -130,8 +149,9 @@
         }
     }
 
-    /// Handles messages until a planned stop has finished what was in flight.
-    pub async fn run(mut self, mut messages: Rx<EngineMessage>) {
+    /// Handles messages until a planned stop has finished what was in flight; gives the totals of
+    /// charges.
+    pub async fn run(mut self, mut messages: Rx<EngineMessage>) -> ChargeTotals {
         let mut effects = Vec::new();
         // Nothing is served before the first lease.
         self.advance(Event::FreshUntil(Timestamp::ZERO), &mut effects);
@@ -141,6 +161,7 @@
                 None => self.advance(Event::TimerElapsed, &mut effects),
             }
         }
+        self.dispatcher.charges().counters().clone()
     }
 
     fn finished(&self) -> bool {
@@ -164,7 +185,8 @@
 
     fn handle(&mut self, message: EngineMessage, effects: &mut Vec<Effect>) {
         match message {
-            EngineMessage::Submit { submission, body, reply } => {
+            EngineMessage::Submit { mut submission, deadline, body, reply } => {
+                submission.deadline = self.deadline(&submission, deadline);
                 self.submit(submission, body, reply, effects)
             }
             EngineMessage::CallerGone(query) => self.caller_gone(query, effects),
@@ -187,6 +209,14 @@
                 // The link may have been lost just now.
                 let _ = reply.send(self.dispatcher.charges().counters().clone());
             }
+            EngineMessage::ReadOverload { reply } => {
+                // The link may have been lost just now.
+                let _ = reply.send(self.dispatcher.overload());
+            }
+            EngineMessage::ThresholdChanged { service, lowest_admitted } => {
+                info!(event = "threshold_changed", %service, lowest_admitted);
+                self.advance(Event::ThresholdChanged { service, lowest_admitted }, effects);
+            }
             EngineMessage::FreshUntil(until) => self.advance(Event::FreshUntil(until), effects),
             EngineMessage::BrokersChanged(brokers) => {
                 self.advance(Event::BrokersChanged(brokers), effects);
@@ -203,9 +233,16 @@
         }
     }
 
+    /// When an answer is of no use any more; a class that is not known is refused anyway.
+    fn deadline(&self, submission: &Submission, named: Option<Duration>) -> Timestamp {
+        let class = self.dispatcher.catalog().class(&submission.service, &submission.class);
+        let deadline = named.or(class.map(|class| class.default_deadline));
+        self.clock.now().after(deadline.unwrap_or_default())
+    }
+
     fn submit(
         &mut self,
-        mut submission: Submission,
+        submission: Submission,
         body: Bytes,
         reply: oneshot::Sender<QueryOutcome>,
         effects: &mut Vec<Effect>,
@@ -215,7 +252,6 @@
             .class(&submission.service, &submission.class)
             .map_or(u8::MAX, |class| class.priority);
         let now = self.clock.now();
-        submission.deadline = now.after(submission.deadline.since(Default::default()));
         let context = Rc::new(RequestContext { body, priority });
         let labels = ClassLabels::new(catalog, &submission);
         let caller = WaitingCaller { reply: Some(reply), context, labels, arrived: now };
--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -71,6 +71,7 @@
     controls: Vec<ManagedProcess>,
     peer_relays: Option<PeerRelays>,
     feeds: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
     brokers: Vec<Broker>,
     leaf_processes: Vec<LeafProcess>,
     orders: RecordWriter<Order>,
@@ -119,6 +120,19 @@
         &self.feeds
     }
 
+    /// Addresses on which control processes take operators' statements.
+    pub fn operators(&self) -> &[SocketAddr] {
+        &self.operators
+    }
+
+    /// Sends a signal to a control process.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when the process is gone.
+    pub fn signal_control(&self, index: usize, signal: Signal) -> Result<(), RehearsalError> {
+        self.controls[index].signal(signal)
+    }
+
     /// What a control process has used so far.
     ///
     /// # Errors
@@ -152,14 +166,6 @@
         })
     }
 
-    /// Sends a signal to a control process.
-    ///
-    /// # Errors
-    /// [`RehearsalError::Resource`] when the process is gone.
-    pub fn signal_control(&self, index: usize, signal: Signal) -> Result<(), RehearsalError> {
-        self.controls[index].signal(signal)
-    }
-
     /// Has operators ask this control process from now on.
     pub fn ask_control(&mut self, index: usize) {
         self.operator.ask(index);
