--- a/crates/rehearsal/tests/scale.rs
+++ b/crates/rehearsal/tests/scale.rs
@@ -26,8 +26,8 @@
 )]
 #[case::brokers(FeedMessage::Brokers { delta: document() }, to_broker::BROKERS)]
 #[case::leaving(FeedMessage::Leaving { leaves: vec![9] }, to_broker::LEAVING)]
-#[case::recorded(FeedMessage::ChargesRecorded { sequence: 9 }, to_broker::CHARGES_RECORDED)]
-#[case::settled(FeedMessage::RunSettled { sequence: 9 }, to_broker::RUN_SETTLED)]
+#[case::recorded(FeedMessage::ChargesRecorded { run: 1, sequence: 9 }, to_broker::CHARGES_RECORDED)]
+#[case::settled(FeedMessage::RunSettled { run: 1, sequence: 9 }, to_broker::RUN_SETTLED)]
 fn kinds_of_frames_to_brokers_are_those_of_the_protocol(
     #[case] message: FeedMessage,
     #[case] kind: u8,
