--- a/crates/simulation/src/serving/world.rs
+++ b/crates/simulation/src/serving/world.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gingerkeel_domain::admission::RefusalReason;
-use gingerkeel_domain::catalog::{Catalog, Change, LeafState};
+use gingerkeel_domain::catalog::{Catalog, Change};
 use gingerkeel_domain::dispatch::{Effect, Event as BrokerEvent, LeafCompletion};
 use gingerkeel_domain::identifiers::{
-    CallerName, ClassName, IndexVersion, LeafId, LeafRequestId, QueryId, ServiceName, Snapshot,
+    CallerName, ClassName, LeafId, LeafRequestId, QueryId, ServiceName, Snapshot,
 };
-use gingerkeel_domain::query::{LeafFailure, LeafReply, QueryOutcome, Sending, Submission};
+use gingerkeel_domain::query::{QueryOutcome, Sending, Submission};
 use gingerkeel_domain::time::Timestamp;
 use rand::Rng;
 use rand_pcg::Pcg64;
@@ -19,18 +18,12 @@
 use super::broker::{BrokerIndex, BrokerModel};
 use super::caller::{CALLER, ClassLoad};
 use super::fault::{Fault, Mutant};
-use super::history::{
-    DrainRecord, GlobalQuery, History, LeafArrival, LeafRun, QueryRecord, StopRecord, leaf_body,
-};
-use super::leaf::{LeafAction, LeafModel, LeafRequest};
+use super::history::{GlobalQuery, History, QueryRecord};
+use super::leaf::{LeafModel, LeafRequest};
 use super::network::Network;
 use crate::trace::Trace;
 use crate::virtual_clock::{Schedule, World};
 
-/// Within this time all leaves load a newly built index version.
-const LOAD_SPREAD: Duration = Duration::from_millis(300);
-/// Time after the first leaf loads a version until the operator publishes it.
-const PUBLISH_DELAY: Duration = Duration::from_millis(200);
 /// Within this time a change reaches a broker.
 pub const FEED_DELAY: Duration = Duration::from_millis(50);
 
@@ -169,7 +162,7 @@
         }
     }
 
-    fn record(&mut self, now: Timestamp, event: &Event) {
+    pub(super) fn record(&mut self, now: Timestamp, event: &Event) {
         match event {
             Event::CatalogAtBroker(broker, catalog) => {
                 let revision = catalog.revision();
@@ -179,7 +172,12 @@
         }
     }
 
-    fn caller_arrives(&mut self, now: Timestamp, class: usize, schedule: &mut Schedule<Event>) {
+    pub(super) fn caller_arrives(
+        &mut self,
+        now: Timestamp,
+        class: usize,
+        schedule: &mut Schedule<Event>,
+    ) {
         if now >= self.arrivals_end {
             return;
         }
@@ -221,7 +219,7 @@
         self.tell_broker(now, broker, BrokerEvent::Submitted(submission), schedule);
     }
 
-    fn submission(
+    pub(super) fn submission(
         &mut self,
         now: Timestamp,
         broker: BrokerIndex,
@@ -242,7 +240,7 @@
         }
     }
 
-    fn bend_class(&self, mut submission: Submission) -> Submission {
+    pub(super) fn bend_class(&self, mut submission: Submission) -> Submission {
         if self.mutant == Some(Mutant::ClassesIgnored) {
             submission.class = ClassName::new("standard");
         }
@@ -269,7 +267,7 @@
         self.end_stopped(broker);
     }
 
-    fn carry_out(
+    pub(super) fn carry_out(
         &mut self,
         now: Timestamp,
         broker: BrokerIndex,
@@ -302,7 +300,7 @@
         }
     }
 
-    fn send(
+    pub(super) fn send(
         &mut self,
         broker: BrokerIndex,
         sending: Sending,
@@ -314,7 +312,7 @@
         }
     }
 
-    fn answer(
+    pub(super) fn answer(
         &mut self,
         now: Timestamp,
         query: GlobalQuery,
@@ -331,14 +329,19 @@
         self.deliver(now, query, outcome);
     }
 
-    fn deliver(&mut self, now: Timestamp, query: GlobalQuery, outcome: QueryOutcome) {
+    pub(super) fn deliver(&mut self, now: Timestamp, query: GlobalQuery, outcome: QueryOutcome) {
         self.trace.record(now, format_args!("answer={query:?} outcome={outcome:?}"));
         if let Some(record) = self.history.queries.get_mut(&query) {
             record.outcomes.push((now, outcome));
         }
     }
 
-    fn arm_timer(&mut self, now: Timestamp, broker: BrokerIndex, schedule: &mut Schedule<Event>) {
+    pub(super) fn arm_timer(
+        &mut self,
+        now: Timestamp,
+        broker: BrokerIndex,
+        schedule: &mut Schedule<Event>,
+    ) {
         let model = &mut self.brokers[broker.0];
         let Some(due) = model.dispatcher.next_timer() else {
             return;
@@ -349,291 +352,13 @@
         }
     }
 
-    fn end_stopped(&mut self, broker: BrokerIndex) {
+    pub(super) fn end_stopped(&mut self, broker: BrokerIndex) {
         let stopping = self.history.stops.iter().any(|stop| stop.broker == broker);
         let model = &mut self.brokers[broker.0];
         if stopping && model.dispatcher.active() == 0 {
             model.dead = true;
         }
     }
-
-    fn request_at_leaf(
-        &mut self,
-        now: Timestamp,
-        id: LeafId,
-        request: LeafRequest,
-        schedule: &mut Schedule<Event>,
-    ) {
-        self.history.arrivals.push(LeafArrival { leaf: id, arrived: now });
-        let Some(leaf) = self.leaves.get_mut(&id) else {
-            return;
-        };
-        if leaf.dead {
-            let completion = LeafCompletion::Failed(LeafFailure::NotSent);
-            self.reply(id, request, completion, schedule);
-            return;
-        }
-        if let Some(arrivals) = &mut leaf.frozen {
-            arrivals.push(request);
-            return;
-        }
-        if leaf.fail_fast {
-            let completion = LeafCompletion::Failed(LeafFailure::LeafError);
-            self.reply(id, request, completion, schedule);
-            return;
-        }
-        if let Some(action) = leaf.arrive(now, request, &mut self.random) {
-            self.act(now, id, action, schedule);
-        }
-    }
-
-    fn cancel_at_leaf(
-        &mut self,
-        now: Timestamp,
-        id: LeafId,
-        broker: BrokerIndex,
-        request: LeafRequestId,
-        schedule: &mut Schedule<Event>,
-    ) {
-        let Some(leaf) = self.leaves.get_mut(&id) else {
-            return;
-        };
-        leaf.cancel(broker, request);
-        for action in leaf.start_waiting(now, &mut self.random) {
-            self.act(now, id, action, schedule);
-        }
-    }
-
-    fn probe_at_leaf(&mut self, id: LeafId, broker: BrokerIndex, schedule: &mut Schedule<Event>) {
-        let answering = self.leaves.get(&id).filter(|leaf| !leaf.dead && leaf.frozen.is_none());
-        let Some(draining) = answering.map(|leaf| leaf.draining) else {
-            return;
-        };
-        if let Some(delay) = self.network.delay(&mut self.random, broker, id) {
-            schedule.after(delay, Event::MarkAtBroker(broker, id, draining));
-        }
-    }
-
-    fn act(
-        &mut self,
-        now: Timestamp,
-        id: LeafId,
-        action: LeafAction,
-        schedule: &mut Schedule<Event>,
-    ) {
-        match action {
-            LeafAction::Refuse(request, reason) => {
-                let completion = LeafCompletion::Replied(LeafReply::NotRun(reason));
-                self.reply(id, request, completion, schedule);
-            }
-            LeafAction::Run(request, time) => {
-                self.history.runs.push(LeafRun {
-                    leaf: id,
-                    broker: request.broker,
-                    request: request.request,
-                    snapshot: request.snapshot,
-                    started: now,
-                });
-                let run = self.leaves[&id].run;
-                schedule.after(time, Event::RunFinished(id, run, request));
-            }
-        }
-    }
-
-    fn run_finished(
-        &mut self,
-        now: Timestamp,
-        id: LeafId,
-        run: u32,
-        request: LeafRequest,
-        schedule: &mut Schedule<Event>,
-    ) {
-        let Some(leaf) = self.leaves.get_mut(&id) else {
-            return;
-        };
-        if leaf.run != run {
-            return;
-        }
-        if leaf.frozen.is_some() {
-            schedule.after(FEED_DELAY, Event::RunFinished(id, run, request));
-            return;
-        }
-        if !leaf.finish(request.broker, request.request) {
-            return;
-        }
-        let actions = leaf.start_waiting(now, &mut self.random);
-        let completion = self.result(id, &request);
-        self.reply(id, request, completion, schedule);
-        for action in actions {
-            self.act(now, id, action, schedule);
-        }
-    }
-
-    fn result(&self, id: LeafId, request: &LeafRequest) -> LeafCompletion {
-        let mut read = request.snapshot;
-        if self.leaves[&id].wrong_version {
-            read.version = IndexVersion(read.version.0 + 1);
-        }
-        let query = GlobalQuery { broker: request.broker, query: request.request.query };
-        let body = leaf_body(query, request.request.shard, read, request.snapshot);
-        LeafCompletion::Replied(LeafReply::Result { snapshot: read, body: Bytes::from(body) })
-    }
-
-    /// Sends news of a request to its broker, marked with what the leaf says of itself.
-    fn reply(
-        &mut self,
-        id: LeafId,
-        request: LeafRequest,
-        completion: LeafCompletion,
-        schedule: &mut Schedule<Event>,
-    ) {
-        let leaf = &self.leaves[&id];
-        let draining = (!leaf.dead).then_some(leaf.draining);
-        let copies = if leaf.duplicate_replies { 2 } else { 1 };
-        let spread = leaf.reply_spread;
-        for _ in 0..copies {
-            let Some(mut delay) = self.network.delay(&mut self.random, request.broker, id) else {
-                continue;
-            };
-            if !spread.is_zero() {
-                delay += self.random.random_range(Duration::ZERO..spread);
-            }
-            let event = Event::CompletionAtBroker(
-                request.broker,
-                id,
-                request.request,
-                completion.clone(),
-                draining,
-            );
-            schedule.after(delay, event);
-        }
-    }
-
-    fn fault(&mut self, now: Timestamp, fault: Fault, schedule: &mut Schedule<Event>) {
-        match fault {
-            Fault::Cut(broker, leaf) => self.network.cut(broker, leaf),
-            Fault::Heal(broker, leaf) => self.network.heal(broker, leaf),
-            Fault::PublishNext => self.publish_next(schedule),
-            Fault::Repartition(shards) => self.repartition(shards, schedule),
-            Fault::DrainByOperator(leaf) => {
-                self.history.drains.push(DrainRecord { leaf, ordered: now });
-                if self.mutant != Some(Mutant::NoDrainMarks) {
-                    let change = Change::SetLeafState { leaf, state: LeafState::Draining };
-                    self.accept(&change, schedule);
-                }
-            }
-            Fault::StopBroker(broker) => self.stop(now, broker, schedule),
-            Fault::KillBroker(broker) => self.kill_broker(broker),
-            Fault::Kill(leaf) => self.kill_leaf(leaf, schedule),
-            Fault::Thaw(leaf) => self.thaw(leaf, schedule),
-            Fault::ResendUnderKeys => self.resending = true,
-            Fault::CutBudget(rate) => self.cut_budget(now, rate, schedule),
-            Fault::ShortenQueues(limit) => self.shorten_queues(limit, schedule),
-            Fault::SetThreshold(lowest) => self.set_threshold(now, lowest, schedule),
-            other => self.leaf_fault(now, other),
-        }
-    }
-
-    fn leaf_fault(&mut self, now: Timestamp, fault: Fault) {
-        let service = ServiceName::new(SERVICE);
-        let published = self.catalog.services()[&service].published();
-        let leaf_of =
-            |leaves: &mut BTreeMap<LeafId, LeafModel>, id, change: &dyn Fn(&mut LeafModel)| {
-                if let Some(leaf) = leaves.get_mut(&id) {
-                    change(leaf);
-                }
-            };
-        let leaves = &mut self.leaves;
-        match fault {
-            Fault::Slow { leaf, factor } => {
-                leaf_of(leaves, leaf, &|leaf| leaf.slow_factor = factor)
-            }
-            Fault::Restart(leaf) => leaf_of(leaves, leaf, &|leaf| leaf.restart()),
-            Fault::Freeze(leaf) => leaf_of(leaves, leaf, &|leaf| leaf.frozen = Some(Vec::new())),
-            Fault::LateReplies { leaf, spread } => {
-                leaf_of(leaves, leaf, &|leaf| leaf.reply_spread = spread)
-            }
-            Fault::DuplicateReplies(leaf) => {
-                leaf_of(leaves, leaf, &|leaf| leaf.duplicate_replies = true)
-            }
-            Fault::WrongVersion(leaf) => leaf_of(leaves, leaf, &|leaf| leaf.wrong_version = true),
-            Fault::FailFast(leaf) => leaf_of(leaves, leaf, &|leaf| leaf.fail_fast = true),
-            Fault::LoseVersion(leaf, _) => leaf_of(leaves, leaf, &|leaf| {
-                if let Some(published) = published {
-                    leaf.lose(published);
-                }
-            }),
-            Fault::DrainByLeaf(leaf) => {
-                self.history.drains.push(DrainRecord { leaf, ordered: now });
-                leaf_of(leaves, leaf, &|leaf| leaf.draining = true);
-            }
-            _ => unreachable!("{fault:?} is not a fault of one leaf"),
-        }
-    }
-
-    fn publish_next(&mut self, schedule: &mut Schedule<Event>) {
-        let service = ServiceName::new(SERVICE);
-        let Some(published) = self.catalog.services()[&service].published() else {
-            return;
-        };
-        let epoch = self.catalog.services()[&service].newest_epoch();
-        let version = IndexVersion(published.version.0 + 1);
-        for leaf in self.leaves.keys() {
-            let delay = self.random.random_range(Duration::ZERO..LOAD_SPREAD);
-            schedule.after(delay, Event::SnapshotLoaded(*leaf, Snapshot { epoch, version }));
-        }
-        let change = Change::PublishVersion { service, version };
-        schedule.after(PUBLISH_DELAY, Event::ChangeAccepted(change));
-    }
-
-    fn repartition(&mut self, shards: u32, schedule: &mut Schedule<Event>) {
-        let service = ServiceName::new(SERVICE);
-        self.accept(&Change::Repartition { service: service.clone(), shards }, schedule);
-        for change in assignments(&service, shards, self.leaves.keys().copied()) {
-            self.accept(&change, schedule);
-        }
-        self.publish_next(schedule);
-    }
-
-    fn stop(&mut self, now: Timestamp, broker: BrokerIndex, schedule: &mut Schedule<Event>) {
-        self.history.stops.push(StopRecord { broker, requested: now });
-        if self.mutant == Some(Mutant::StopCutsInFlight) {
-            self.brokers[broker.0].dead = true;
-            return;
-        }
-        self.tell_broker(now, broker, BrokerEvent::StopRequested, schedule);
-    }
-
-    fn kill_broker(&mut self, broker: BrokerIndex) {
-        self.brokers[broker.0].dead = true;
-        for (query, record) in &mut self.history.queries {
-            if query.broker == broker && record.outcomes.is_empty() {
-                record.excused = true;
-            }
-        }
-    }
-
-    fn kill_leaf(&mut self, id: LeafId, schedule: &mut Schedule<Event>) {
-        let Some(leaf) = self.leaves.get_mut(&id) else {
-            return;
-        };
-        for (broker, request) in leaf.kill() {
-            let completion = LeafCompletion::Failed(LeafFailure::Broken);
-            if let Some(delay) = self.network.delay(&mut self.random, broker, id) {
-                let event = Event::CompletionAtBroker(broker, id, request, completion, None);
-                schedule.after(delay, event);
-            }
-        }
-    }
-
-    fn thaw(&mut self, id: LeafId, schedule: &mut Schedule<Event>) {
-        let Some(arrivals) = self.leaves.get_mut(&id).and_then(|leaf| leaf.frozen.take()) else {
-            return;
-        };
-        for request in arrivals {
-            schedule.after(Duration::ZERO, Event::RequestAtLeaf(id, request));
-        }
-    }
 }
 
 /// Assigns leaves to shards in turn.
