--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -125,14 +125,6 @@
         &self.operators
     }
 
-    /// Sends a signal to a control process.
-    ///
-    /// # Errors
-    /// [`RehearsalError::Resource`] when the process is gone.
-    pub fn signal_control(&self, index: usize, signal: Signal) -> Result<(), RehearsalError> {
-        self.controls[index].signal(signal)
-    }
-
     /// What a control process has used so far.
     ///
     /// # Errors
@@ -166,6 +158,14 @@
         })
     }
 
+    /// Sends a signal to a control process.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when the process is gone.
+    pub fn signal_control(&self, index: usize, signal: Signal) -> Result<(), RehearsalError> {
+        self.controls[index].signal(signal)
+    }
+
     /// Has operators ask this control process from now on.
     pub fn ask_control(&mut self, index: usize) {
         self.operator.ask(index);
--- a/crates/rehearsal/src/scale/feed_bytes.rs
+++ b/crates/rehearsal/src/scale/feed_bytes.rs
@@ -20,6 +20,8 @@
     pub const CHARGES_RECORDED: u8 = 7;
     /// A settled run.
     pub const RUN_SETTLED: u8 = 8;
+    /// The lowest class admitted.
+    pub const THRESHOLD: u8 = 9;
 }
 
 /// Kinds of frames from a broker to control, as the first byte of their body.
@@ -32,6 +34,8 @@
     pub const IN_FORCE: u8 = 3;
     /// Charges.
     pub const CHARGES: u8 = 4;
+    /// Load and refusals.
+    pub const OVERLOAD: u8 = 5;
 }
 
 /// Bytes, or a rate of bytes, by purpose and direction.
@@ -49,6 +53,8 @@
     pub leaving: f64,
     /// Receipts for charges to brokers.
     pub charge_receipts: f64,
+    /// Lowest classes admitted, to brokers.
+    pub thresholds: f64,
     /// Subscriptions from brokers.
     pub subscriptions: f64,
     /// Renewals of leases from brokers.
@@ -57,6 +63,8 @@
     pub in_force: f64,
     /// Charges from brokers.
     pub charges: f64,
+    /// Load and refusals from brokers.
+    pub overload: f64,
 }
 
 impl FeedBytes {
@@ -71,10 +79,12 @@
             broker_list: down(to_broker::BROKERS),
             leaving: down(to_broker::LEAVING),
             charge_receipts: down(to_broker::CHARGES_RECORDED) + down(to_broker::RUN_SETTLED),
+            thresholds: down(to_broker::THRESHOLD),
             subscriptions: up(from_broker::SUBSCRIBE),
             renewals: up(from_broker::RENEW),
             in_force: up(from_broker::IN_FORCE),
             charges: up(from_broker::CHARGES),
+            overload: up(from_broker::OVERLOAD),
         }
     }
 
@@ -87,10 +97,12 @@
             broker_list: with(self.broker_list, other.broker_list),
             leaving: with(self.leaving, other.leaving),
             charge_receipts: with(self.charge_receipts, other.charge_receipts),
+            thresholds: with(self.thresholds, other.thresholds),
             subscriptions: with(self.subscriptions, other.subscriptions),
             renewals: with(self.renewals, other.renewals),
             in_force: with(self.in_force, other.in_force),
             charges: with(self.charges, other.charges),
+            overload: with(self.overload, other.overload),
         }
     }
 
--- a/crates/rehearsal/tests/measurements.rs
+++ b/crates/rehearsal/tests/measurements.rs
@@ -109,7 +109,15 @@
     assert!(healed["subscriptions"].as_f64() > Some(0.0), "{report}");
     assert!(report["idle"]["feed_bytes_per_second"]["leases"].as_f64() > Some(0.0), "{report}");
     let changes = &report["changes"]["feed_bytes_per_second"];
-    let down = ["full_copies", "deltas", "leases", "broker_list", "leaving", "charge_receipts"];
+    let down = [
+        "full_copies",
+        "deltas",
+        "leases",
+        "broker_list",
+        "leaving",
+        "charge_receipts",
+        "thresholds",
+    ];
     let sum: f64 = down.iter().filter_map(|kind| changes[*kind].as_f64()).sum();
     let all = report["changes"]["bytes_per_second_to_broker"].as_f64().expect("a rate");
     assert!((sum - all).abs() < 0.01 * all, "every byte has a purpose: {report}");
--- a/crates/rehearsal/tests/scale.rs
+++ b/crates/rehearsal/tests/scale.rs
@@ -26,8 +26,12 @@
 )]
 #[case::brokers(FeedMessage::Brokers { delta: document() }, to_broker::BROKERS)]
 #[case::leaving(FeedMessage::Leaving { leaves: vec![9] }, to_broker::LEAVING)]
-#[case::recorded(FeedMessage::ChargesRecorded { run: 1, sequence: 9 }, to_broker::CHARGES_RECORDED)]
-#[case::settled(FeedMessage::RunSettled { run: 1, sequence: 9 }, to_broker::RUN_SETTLED)]
+#[case::recorded(FeedMessage::ChargesRecorded { run: 9, sequence: 9 }, to_broker::CHARGES_RECORDED)]
+#[case::settled(FeedMessage::RunSettled { run: 9, sequence: 9 }, to_broker::RUN_SETTLED)]
+#[case::threshold(
+    FeedMessage::Threshold { service: text("s"), lowest_admitted: 9 },
+    to_broker::THRESHOLD
+)]
 fn kinds_of_frames_to_brokers_are_those_of_the_protocol(
     #[case] message: FeedMessage,
     #[case] kind: u8,
@@ -57,6 +61,7 @@
     SubscriberMessage::Charges { sequence: 9, run: 9, counters: document() },
     from_broker::CHARGES
 )]
+#[case::overload(SubscriberMessage::Overload { report: document() }, from_broker::OVERLOAD)]
 fn kinds_of_frames_from_brokers_are_those_of_the_protocol(
     #[case] message: SubscriberMessage,
     #[case] kind: u8,
