--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use gingerkeel_domain::feed::{
-    BackOff, BrokerList, ChargeReporter, FeedFault, FollowerEffect, FollowerEvent,
-    FollowerSettings, FollowerState, LeaseGrant,
+    BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
+    FollowerSettings, FollowerState, LeaseGrant, OverloadReporter,
 };
-use gingerkeel_domain::identifiers::{LeafId, Revision};
+use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName};
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
     FeedMessage, FrameCodec, PROTOCOL_VERSION, ProtocolError, ShortText, SubscriberMessage,
@@ -19,7 +19,7 @@
 use local_sync::oneshot;
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
-use monoio::time::timeout;
+use monoio::time::{sleep, timeout};
 use monoio_codec::FramedRead;
 use quick_error::quick_error;
 use rand::Rng;
@@ -35,8 +35,11 @@
 /// Time that a control process has to accept a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(1500);
 
-/// Time between two reports of charges.
-const CHARGES_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two reports of charges and of overload: what a killed broker may not have reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time that the engine has to tell its totals; it ends with the process.
+const ENGINE_LIMIT: Duration = Duration::from_millis(500);
 
 quick_error! {
     /// Why a link ended.
@@ -64,14 +67,22 @@
 }
 
 /// Follows the catalog for ever, changing to the next control process when one fails.
-pub async fn follow(settings: BrokerSettings, clock: Clock, engine: Tx<EngineMessage>) {
-    let run = rand::rng().random();
+pub async fn follow(
+    settings: BrokerSettings,
+    run: BrokerRun,
+    clock: Clock,
+    engine: Tx<EngineMessage>,
+    last_reports: Rx<LastReport>,
+) {
     let mut back_off = BackOff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let mut link = Link {
         follower: FollowerState::new(FollowerSettings::default()),
         brokers: BrokerList::default(),
-        charges: ChargeReporter::new(run),
-        charges_due: clock.now(),
+        charges: ChargeReporter::new(run.0),
+        overload: OverloadReporter::default(),
+        reports_due: clock.now(),
+        last_reports,
+        last_report: None,
         settings,
         run,
         clock,
@@ -89,17 +100,35 @@
             back_off.succeeded();
         }
         let pause = back_off.next_pause(&mut rand::rng());
-        monoio::time::sleep(pause).await;
+        sleep(pause).await;
     }
 }
 
+/// What ends with the process: its last totals, to be reported before it does.
+pub struct LastReport {
+    /// Totals of charges.
+    pub totals: ChargeTotals,
+    /// Told once all of them are recorded.
+    pub recorded: oneshot::Sender<()>,
+}
+
+/// What a link waits for.
+enum News {
+    Message(Result<FeedMessage, LinkError>),
+    LastReport(LastReport),
+    TimerElapsed,
+}
+
 struct Link {
     follower: FollowerState,
     brokers: BrokerList,
     charges: ChargeReporter,
-    charges_due: Timestamp,
+    overload: OverloadReporter,
+    reports_due: Timestamp,
+    last_reports: Rx<LastReport>,
+    last_report: Option<LastReport>,
     settings: BrokerSettings,
-    run: u64,
+    run: BrokerRun,
     clock: Clock,
     engine: Tx<EngineMessage>,
 }
@@ -129,29 +158,42 @@
     ) -> Result<std::convert::Infallible, LinkError> {
         let mut effects = Vec::new();
         self.tell(FollowerEvent::Connected, &mut effects);
+        // What the last link left without a receipt is sent at once.
+        self.reports_due = self.clock.now();
         loop {
             self.carry_out(&mut effects, writer).await?;
-            if self.charges_due <= self.clock.now() {
+            if self.reports_due <= self.clock.now() {
                 self.report_charges(writer).await?;
+                self.report_overload(writer).await?;
             }
-            match self.next_message(messages).await {
-                Some(message) => self.receive(message?, &mut effects)?,
-                None => self.tell(FollowerEvent::TimerElapsed, &mut effects),
+            match self.next_news(messages).await {
+                News::Message(message) => self.receive(message?, &mut effects)?,
+                News::LastReport(report) => {
+                    self.last_report = Some(report);
+                    self.hurry_last_report();
+                }
+                News::TimerElapsed => self.tell(FollowerEvent::TimerElapsed, &mut effects),
             }
         }
     }
 
-    /// The next message, or none when a timer is due first.
-    async fn next_message(
-        &self,
-        messages: &mut Rx<Result<FeedMessage, ProtocolError>>,
-    ) -> Option<Result<FeedMessage, LinkError>> {
+    async fn next_news(&mut self, messages: &mut Rx<Result<FeedMessage, ProtocolError>>) -> News {
         let due = self.follower.next_timer().unwrap_or_else(|| self.clock.now());
-        let due = due.min(self.charges_due);
-        match timeout(self.clock.until(due), messages.recv()).await {
-            Ok(Some(message)) => Some(message.map_err(LinkError::from)),
-            Ok(None) => Some(Err(LinkError::Closed)),
-            Err(_) => None,
+        let due = due.min(self.reports_due);
+        monoio::select! {
+            message = messages.recv() => match message {
+                Some(message) => News::Message(message.map_err(LinkError::from)),
+                None => News::Message(Err(LinkError::Closed)),
+            },
+            report = next_last_report(&mut self.last_reports) => News::LastReport(report),
+            _ = sleep(self.clock.until(due)) => News::TimerElapsed,
+        }
+    }
+
+    /// With a planned stop, each receipt is followed by the next report at once.
+    fn hurry_last_report(&mut self) {
+        if self.last_report.is_some() {
+            self.reports_due = self.clock.now();
         }
     }
 
@@ -187,13 +229,22 @@
                 let leaves = leaves.into_iter().map(LeafId).collect();
                 self.send_engine(EngineMessage::PlatformLeaving(leaves));
             }
+            FeedMessage::Threshold { service, lowest_admitted } => {
+                if let Some(service) = service.text().map(ServiceName::new) {
+                    self.send_engine(EngineMessage::ThresholdChanged { service, lowest_admitted });
+                }
+            }
             FeedMessage::Refused { protocol_version, reason } => {
                 let text = format!("refused ({reason:?}, protocol version {protocol_version})");
                 return Err(ProtocolError::Malformed(text).into());
             }
-            FeedMessage::ChargesRecorded { sequence } => self.charges.recorded(sequence),
-            FeedMessage::RunSettled { sequence } => {
-                self.charges.run_settled(sequence, rand::rng().random())
+            FeedMessage::ChargesRecorded { run, sequence } => {
+                self.charges.recorded(run, sequence);
+                self.hurry_last_report();
+            }
+            FeedMessage::RunSettled { run, sequence } => {
+                self.charges.run_settled(run, sequence, rand::rng().random());
+                self.hurry_last_report();
             }
         }
         Ok(())
@@ -233,13 +284,15 @@
         &mut self,
         writer: &mut OwnedWriteHalf<TcpStream>,
     ) -> Result<(), LinkError> {
-        self.charges_due = self.clock.now().after(CHARGES_INTERVAL);
-        let (reply, receiver) = oneshot::channel();
-        self.send_engine(EngineMessage::ReadCharges { reply });
-        let Ok(totals) = receiver.await else {
+        self.reports_due = self.clock.now().after(REPORT_INTERVAL);
+        let Some(totals) = self.charge_totals().await else {
             return Ok(());
         };
         let Some(report) = self.charges.report(&totals) else {
+            if let Some(last) = self.last_report.take() {
+                // The process may have given up waiting.
+                let _ = last.recorded.send(());
+            }
             return Ok(());
         };
         let counters = encode_document(&report.totals)?.into();
@@ -247,10 +300,40 @@
         send(writer, &SubscriberMessage::Charges { sequence, run, counters }).await
     }
 
+    /// Sends what there is to say of overload.
+    async fn report_overload(
+        &mut self,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+    ) -> Result<(), LinkError> {
+        if self.last_report.is_some() {
+            return Ok(());
+        }
+        let (reply, receiver) = oneshot::channel();
+        self.send_engine(EngineMessage::ReadOverload { reply });
+        let Ok(Ok(measured)) = timeout(ENGINE_LIMIT, receiver).await else {
+            return Ok(());
+        };
+        for report in self.overload.reports(measured) {
+            let report = encode_document(&report)?.into();
+            send(writer, &SubscriberMessage::Overload { report }).await?;
+        }
+        Ok(())
+    }
+
+    /// The totals of the process; none while the engine ends.
+    async fn charge_totals(&self) -> Option<ChargeTotals> {
+        if let Some(last) = &self.last_report {
+            return Some(last.totals.clone());
+        }
+        let (reply, receiver) = oneshot::channel();
+        self.send_engine(EngineMessage::ReadCharges { reply });
+        timeout(ENGINE_LIMIT, receiver).await.ok()?.ok()
+    }
+
     fn subscription(&self, revision: Revision) -> SubscriberMessage {
         SubscriberMessage::Subscribe {
             protocol_version: PROTOCOL_VERSION,
-            run: self.run,
+            run: self.run.0,
             revision: revision.0,
             broker: ShortText::new(&self.settings.name),
             region: ShortText::new(&self.settings.region),
@@ -264,6 +347,14 @@
     }
 }
 
+async fn next_last_report(reports: &mut Rx<LastReport>) -> LastReport {
+    match reports.recv().await {
+        Some(report) => report,
+        // Whoever could ask for one has ended.
+        None => std::future::pending().await,
+    }
+}
+
 /// Reads frames in a task of its own, so that a timer never cuts one in half.
 async fn read_messages(
     read_half: OwnedReadHalf<TcpStream>,
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -2,41 +2,98 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use bytes::BytesMut;
+use gingerkeel_domain::admission::ADMIT_ALL;
 use gingerkeel_domain::catalog::{
     AnswerPolicy, CallerAccount, Catalog, Change, ClassPolicy, Leaf, LeafState, Placement,
 };
+use gingerkeel_domain::feed::ChargeTotals;
 use gingerkeel_domain::identifiers::{
     CallerName, ClassName, IndexVersion, LeafId, RegionName, ServiceName, ShardId, ZoneName,
 };
 use gingerkeel_protocol::{
-    Document, FeedMessage, FrameCodec, SubscriberMessage, encode_document, encode_frame,
+    Document, FeedMessage, FrameCodec, ShortText, SubscriberMessage, decode_document,
+    encode_document, encode_frame,
 };
 use monoio_codec::{Decoded, Decoder};
 
 /// How long a granted lease lasts: longer than any test.
 const LEASE_MILLISECONDS: u32 = 600_000;
 
-/// Serves a catalog, and leases on it, to every broker that subscribes; the threads end with the
-/// test.
-pub fn serve(catalog: &Catalog) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("a bound address");
-    let catalog = catalog.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let catalog = catalog.clone();
-            thread::spawn(move || feed(stream, &catalog));
+/// What a scripted control process does besides serving a catalog and leases.
+#[derive(Debug, Clone, Copy)]
+pub struct ControlScript {
+    /// Whether it records charges.
+    pub receipts: bool,
+    /// Lowest class that brokers are told to admit.
+    pub lowest_admitted: u8,
+}
+
+impl Default for ControlScript {
+    fn default() -> Self {
+        Self { receipts: true, lowest_admitted: ADMIT_ALL }
+    }
+}
+
+/// A scripted control process; its threads end with the test.
+pub struct ScriptedControl {
+    /// Where it feeds brokers.
+    pub address: SocketAddr,
+    received: Arc<Mutex<Vec<SubscriberMessage>>>,
+}
+
+impl ScriptedControl {
+    /// Serves a catalog, and leases on it, to every broker that subscribes, and records charges.
+    pub fn serve(catalog: &Catalog) -> Self {
+        Self::serve_with(catalog, ControlScript::default())
+    }
+
+    /// Serves a catalog, and leases on it, and follows a script otherwise.
+    pub fn serve_with(catalog: &Catalog, script: ControlScript) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let catalog = catalog.clone();
+        let received: Arc<Mutex<Vec<SubscriberMessage>>> = Arc::default();
+        let journal = received.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (catalog, journal) = (catalog.clone(), journal.clone());
+                thread::spawn(move || feed(stream, &catalog, script, &journal));
+            }
+        });
+        Self { address, received }
+    }
+
+    /// Totals of charges of the run that reported first, as reported so far.
+    pub fn charges(&self) -> ChargeTotals {
+        let mut totals = ChargeTotals::new();
+        for message in self.received() {
+            if let SubscriberMessage::Charges { counters, .. } = message {
+                let counters: ChargeTotals =
+                    decode_document(&counters.bytes).expect("counters are a document");
+                totals.extend(counters);
+            }
         }
-    });
-    address
+        totals
+    }
+
+    /// What brokers sent so far.
+    pub fn received(&self) -> Vec<SubscriberMessage> {
+        self.received.lock().expect("no thread panicked").clone()
+    }
 }
 
 /// Answers what the broker asks for until it closes the connection.
-fn feed(mut stream: TcpStream, catalog: &Catalog) -> Option<()> {
+fn feed(
+    mut stream: TcpStream,
+    catalog: &Catalog,
+    script: ControlScript,
+    journal: &Mutex<Vec<SubscriberMessage>>,
+) -> Option<()> {
     let mut codec = FrameCodec::<SubscriberMessage>::default();
     let mut received = BytesMut::new();
     let mut buffer = [0; 1024];
@@ -44,7 +101,8 @@
         let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
         received.extend_from_slice(&buffer[..count]);
         while let Ok(Decoded::Some(message)) = codec.decode(&mut received) {
-            for reply in replies(catalog, &message) {
+            journal.lock().expect("no thread panicked").push(message.clone());
+            for reply in replies(catalog, script, &message) {
                 let frame = encode_frame(&reply).expect("a small frame");
                 stream.write_all(&frame).ok()?;
             }
@@ -52,11 +110,22 @@
     }
 }
 
-fn replies(catalog: &Catalog, message: &SubscriberMessage) -> Vec<FeedMessage> {
+fn replies(
+    catalog: &Catalog,
+    script: ControlScript,
+    message: &SubscriberMessage,
+) -> Vec<FeedMessage> {
     match message {
+        SubscriberMessage::Charges { sequence, run, .. } if script.receipts => {
+            vec![FeedMessage::ChargesRecorded { run: *run, sequence: *sequence }]
+        }
         SubscriberMessage::Subscribe { .. } => {
             let bytes = encode_document(catalog).expect("a catalog is a document");
-            vec![FeedMessage::FullCatalog { catalog: Document::from(bytes) }]
+            let service = ShortText::new("tickets");
+            vec![
+                FeedMessage::FullCatalog { catalog: Document::from(bytes) },
+                FeedMessage::Threshold { service, lowest_admitted: script.lowest_admitted },
+            ]
         }
         SubscriberMessage::Renew { ticket, .. } => {
             let (ticket, revision) = (*ticket, catalog.revision().0);
--- a/crates/rehearsal/src/fleet/mod.rs
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -71,6 +71,7 @@
     controls: Vec<ManagedProcess>,
     peer_relays: Option<PeerRelays>,
     feeds: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
     brokers: Vec<Broker>,
     leaf_processes: Vec<LeafProcess>,
     orders: RecordWriter<Order>,
@@ -119,6 +120,19 @@
         &self.feeds
     }
 
+    /// Addresses on which control processes take operators' statements.
+    pub fn operators(&self) -> &[SocketAddr] {
+        &self.operators
+    }
+
+    /// Sends a signal to a control process.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when the process is gone.
+    pub fn signal_control(&self, index: usize, signal: Signal) -> Result<(), RehearsalError> {
+        self.controls[index].signal(signal)
+    }
+
     /// What a control process has used so far.
     ///
     /// # Errors
@@ -132,6 +146,16 @@
         self.peer_relays.as_ref().map_or(0, |relays| relays.bytes_from(index))
     }
 
+    /// Cuts a control process off from the others; without relays between them, nothing happens.
+    pub fn cut_control(&self, index: usize) {
+        self.peer_relays.iter().for_each(|relays| relays.cut(index));
+    }
+
+    /// Ends the cut of a control process.
+    pub fn heal_control(&self, index: usize) {
+        self.peer_relays.iter().for_each(|relays| relays.heal(index));
+    }
+
     /// The control process that leads, by the logs of all; none when none says so.
     pub fn leading_control(&self) -> Option<usize> {
         (0..self.controls.len()).find(|index| {
@@ -142,14 +166,6 @@
         })
     }
 
-    /// Sends a signal to a control process.
-    ///
-    /// # Errors
-    /// [`RehearsalError::Resource`] when the process is gone.
-    pub fn signal_control(&self, index: usize, signal: Signal) -> Result<(), RehearsalError> {
-        self.controls[index].signal(signal)
-    }
-
     /// Has operators ask this control process from now on.
     pub fn ask_control(&mut self, index: usize) {
         self.operator.ask(index);
