Propose an operator's change again when its outcome does not come

Cause: a follower hands a command to the leader and forgets it; a leader that is frozen loses it, and the operator waits for the 5 s of the statement until its client sends it again. Operators waited by the command's identity, so that one under the same number with another text was told the first one's outcome. Ruled out: the election (the others had a leader after 0.6 to 1.8 s). Before: the new test gets 'outcome unknown' from the process asked.

--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -5,7 +5,7 @@
 use gingerkeel_domain::admission::OverloadReport;
 use gingerkeel_domain::catalog::Placement;
 use gingerkeel_domain::cluster::{
-    ChangeOutcome, ChangeRequest, ChargeCounter, ChargeKey, CommandId, LeafHealth, LogIndex,
+    ChangeOutcome, ChangeRequest, ChargeCounter, ChargeKey, LeafHealth, LogIndex,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision};
 use gingerkeel_protocol::FeedMessage;
@@ -98,8 +98,8 @@
     },
     /// A change was perhaps not proposed.
     ChangeNotProposed {
-        /// Its identity.
-        id: CommandId,
+        /// The change.
+        request: ChangeRequest,
         /// Why.
         error: ProposeError,
     },
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -4,21 +4,19 @@
 mod message;
 mod reads;
 mod subscribers;
+mod waiting;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use gingerkeel_domain::cluster::{
-    ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandId, CommandOutcome,
-    LogIndex,
+    ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandOutcome, LogIndex,
 };
 use gingerkeel_protocol::{decode_document, encode_document};
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
-use local_sync::oneshot;
 use tracing::{error, info};
 
 use crate::leaf_polling::PollPlan;
-use crate::replication::{ProposeError, StateMachineMessage, StateSnapshot};
+use crate::replication::{StateMachineMessage, StateSnapshot};
 use crate::replication_client::ReplicationClient;
 use crate::tables;
 
@@ -27,18 +25,17 @@
 pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity};
 use reads::{PendingRead, Reads};
 use subscribers::Subscribers;
+use waiting::{ChangeReply, WaitingChanges};
 
 /// Time between two rounds of reports and deltas.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-type ChangeReply = oneshot::Sender<Result<ChangeOutcome, ProposeError>>;
-
 /// The state of the task.
 pub struct ClusterTask {
     state: ClusterState,
     replication: ReplicationClient,
     own_messages: Tx<ClusterMessage>,
-    waiting_changes: BTreeMap<CommandId, Vec<ChangeReply>>,
+    waiting_changes: WaitingChanges,
     reads: Reads,
     subscribers: Subscribers,
     membership: Membership,
@@ -58,7 +55,7 @@
         state: ClusterState::default(),
         replication,
         own_messages,
-        waiting_changes: BTreeMap::new(),
+        waiting_changes: WaitingChanges::default(),
         reads: Reads::default(),
         subscribers: Subscribers::default(),
         membership: Membership::new(identity),
@@ -97,8 +94,8 @@
         match message {
             ClusterMessage::Log(message) => self.log_message(message),
             ClusterMessage::Change { request, reply } => self.propose_change(request, reply),
-            ClusterMessage::ChangeNotProposed { id, error } => {
-                self.answer_change(&id, || Err(error.clone()))
+            ClusterMessage::ChangeNotProposed { request, error } => {
+                self.waiting_changes.answer(&request, &Err(error))
             }
             ClusterMessage::Look { subject, reply } => {
                 self.start_read(vec![PendingRead::Look { subject, reply }])
@@ -156,7 +153,7 @@
                 if let ChangeOutcome::Accepted { revision, .. } = &outcome {
                     info!(event = "change_accepted", revision = revision.0, command = %request.id);
                 }
-                self.answer_change(&request.id, || Ok(outcome.clone()));
+                self.waiting_changes.answer(request, &Ok(outcome));
             }
             (CommandBody::ReportCharges(reports), CommandOutcome::Charges(receipts)) => {
                 self.subscribers.acknowledge_charges(reports, &receipts)
@@ -181,34 +178,25 @@
     }
 
     fn propose_change(&mut self, request: ChangeRequest, reply: ChangeReply) {
-        let id = request.id.clone();
-        self.waiting_changes.entry(id.clone()).or_default().push(reply);
+        self.waiting_changes.add(request.clone(), reply);
         let replication = self.replication.clone();
         let messages = self.own_messages.clone();
         monoio::spawn(async move {
-            if let Err(error) = replication.propose(CommandBody::Change(request)).await {
+            let body = CommandBody::Change(request.clone());
+            if let Err(error) = replication.propose(body).await {
                 // This task lives as long as the process.
-                let _ = messages.send(ClusterMessage::ChangeNotProposed { id, error });
+                let _ = messages.send(ClusterMessage::ChangeNotProposed { request, error });
             }
         });
     }
 
-    fn answer_change(
-        &mut self,
-        id: &CommandId,
-        outcome: impl Fn() -> Result<ChangeOutcome, ProposeError>,
-    ) {
-        for reply in self.waiting_changes.remove(id).unwrap_or_default() {
-            // The operator may have hung up; a resend gets the recorded outcome.
-            let _ = reply.send(outcome());
-        }
-    }
-
-    /// A command handed to a leader that was lost then never comes back; its operator gave up.
-    fn forget_abandoned_changes(&mut self) {
-        self.waiting_changes.retain(|_, replies| {
-            replies.retain(|reply| !reply.is_closed());
-            !replies.is_empty()
+    fn propose_again(&self, request: ChangeRequest) {
+        let replication = self.replication.clone();
+        monoio::spawn(async move {
+            let command = request.id.to_string();
+            if let Err(error) = replication.propose(CommandBody::Change(request)).await {
+                info!(event = "change_not_proposed_again", command, %error);
+            }
         });
     }
 
@@ -277,7 +265,9 @@
 
     /// Reports what changed and passes on what others reported.
     fn round(&mut self) {
-        self.forget_abandoned_changes();
+        for request in self.waiting_changes.round() {
+            self.propose_again(request);
+        }
         self.subscribers.publish_members(&self.state);
         if let Some(plan) = self.membership.poll_plan(&self.state) {
             // The polling task lives as long as the process.
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -164,6 +164,22 @@
     }
 }
 
+/// The client sends each command once: the process that it asked has to see to it.
+#[test]
+fn command_handed_to_a_frozen_leader_is_accepted_without_a_resend_by_the_client() {
+    let cluster = Cluster::start();
+    for frozen in 0..PROCESSES {
+        cluster.signal(frozen, Signal::STOP);
+        let asked = &cluster.members[(frozen + 1) % PROCESSES].control;
+        let text = format!("DEFINE CALLER caller-{frozen} BUDGET 1 BURST 1");
+        let (status, replies) = asked.post(&text, Some(("anna", &(frozen + 1).to_string())));
+        cluster.signal(frozen, Signal::CONT);
+        assert_eq!(status, 200, "{replies:?}");
+        wait_until(|| cluster.members.iter().all(|member| member.control.is_ready()));
+    }
+    assert_eq!(cluster.members[0].control.rows("SHOW STATUS")[0][0], "3");
+}
+
 #[test]
 fn restart_after_500_changes_comes_back_current() {
     let mut cluster = Cluster::start();
