--- a/crates/domain/src/consensus/types.rs
+++ b/crates/domain/src/consensus/types.rs
@@ -6,36 +6,21 @@
 use serde::{Deserialize, Serialize};
 
 use super::configuration::Configuration;
+use crate::identifiers::number_type;
 
-macro_rules! counter_type {
-    ($(#[$meta:meta])* $name:ident($inner:ty)) => {
-        $(#[$meta])*
-        #[derive(
-            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-        )]
-        pub struct $name(pub $inner);
-
-        impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(formatter, "{}", self.0)
-            }
-        }
-    };
-}
-
-counter_type!(
+number_type!(
     /// Number of a term; each term has at most one leader.
     Term(u64)
 );
-counter_type!(
+number_type!(
     /// Index of an entry in the replicated log; the first entry has index 1.
     LogIndex(u64)
 );
-counter_type!(
+number_type!(
     /// Number of a control machine, fixed by its settings.
     NodeNumber(u32)
 );
-counter_type!(
+number_type!(
     /// Number of a data folder of one machine; a later folder has a higher number.
     Incarnation(u64)
 );
--- a/crates/domain/src/identifiers.rs
+++ b/crates/domain/src/identifiers.rs
@@ -31,22 +31,35 @@
     };
 }
 
+/// A number that is a type of its own.
 macro_rules! number_type {
     ($(#[$meta:meta])* $name:ident($inner:ty)) => {
         $(#[$meta])*
         #[derive(
-            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+            Debug,
+            Clone,
+            Copy,
+            Default,
+            PartialEq,
+            Eq,
+            PartialOrd,
+            Ord,
+            Hash,
+            serde::Serialize,
+            serde::Deserialize,
         )]
         pub struct $name(pub $inner);
 
-        impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        impl std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
                 write!(formatter, "{}", self.0)
             }
         }
     };
 }
 
+pub(crate) use number_type;
+
 name_type!(
     /// Name of a service: a sharded index that callers query.
     ServiceName
