--- a/crates/simulation/src/control/feeds.rs
+++ b/crates/simulation/src/control/feeds.rs
@@ -6,7 +6,6 @@
 use gingerkeel_domain::cluster::ClusterState;
 use gingerkeel_domain::feed::LeaseGrant;
 use gingerkeel_domain::identifiers::Revision;
-use gingerkeel_domain::time::Timestamp;
 
 use super::broker::BrokerIndex;
 use super::fault::Mutant;
@@ -21,7 +20,6 @@
 impl ControlWorld {
     pub(super) fn read(
         &mut self,
-        now: Timestamp,
         index: MachineIndex,
         read: PendingRead,
         schedule: &mut Schedule<Event>,
@@ -33,7 +31,7 @@
             return;
         };
         if unconfirmed {
-            self.answer_read(now, index, read, schedule);
+            self.answer_read(index, read, schedule);
         } else if process.node.read(number).is_ok() {
             process.reads.insert(number.0, read);
         }
@@ -41,7 +39,6 @@
 
     pub(super) fn answer_read(
         &mut self,
-        _now: Timestamp,
         index: MachineIndex,
         read: PendingRead,
         schedule: &mut Schedule<Event>,
@@ -111,12 +108,7 @@
         }
     }
 
-    pub(super) fn answer_reads(
-        &mut self,
-        now: Timestamp,
-        index: MachineIndex,
-        schedule: &mut Schedule<Event>,
-    ) {
+    pub(super) fn answer_reads(&mut self, index: MachineIndex, schedule: &mut Schedule<Event>) {
         let Some(process) = self.machines[index.0].process.as_mut() else {
             return;
         };
@@ -126,7 +118,7 @@
             confirmed.into_iter().partition(|read| read.index <= applied);
         process.confirmed = later;
         for read in due {
-            self.answer_read(now, index, read.read, schedule);
+            self.answer_read(index, read.read, schedule);
         }
     }
 }
--- a/crates/simulation/src/control/machines.rs
+++ b/crates/simulation/src/control/machines.rs
@@ -82,7 +82,7 @@
                 self.subscribe(index, broker, link, revision, schedule);
             }
             Message::Renew(broker, link, ticket) => {
-                self.read(now, index, PendingRead::Lease(broker, link, ticket), schedule);
+                self.read(index, PendingRead::Lease(broker, link, ticket), schedule);
             }
             Message::Request(operator, request) => {
                 process.waiting.insert(request.id.clone(), operator);
@@ -92,7 +92,7 @@
                 let _ = process.node.propose(now, command);
             }
             Message::AskRevision(operator) => {
-                self.read(now, index, PendingRead::Revision(operator), schedule);
+                self.read(index, PendingRead::Revision(operator), schedule);
             }
             Message::Feed(..) | Message::Reply(..) | Message::RevisionIs(_) => {}
         }
@@ -150,7 +150,7 @@
                     process.confirmed.push(ConfirmedRead { index, read });
                 }
             }
-            self.answer_reads(now, index, schedule);
+            self.answer_reads(index, schedule);
             self.take_snapshot(index);
         }
         self.set_machine_timer(now, index, schedule);
--- a/crates/simulation/src/control/operators.rs
+++ b/crates/simulation/src/control/operators.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    pub(super) fn race(&mut self, _now: Timestamp, schedule: &mut Schedule<Event>) {
+    pub(super) fn race(&mut self, schedule: &mut Schedule<Event>) {
         schedule.after(RACE_INTERVAL, Event::RaceLookup);
         for operator in (0..self.operators.len()).map(OperatorIndex) {
             if self.operators[operator.0].outstanding.is_some() {
--- a/crates/simulation/src/control/world.rs
+++ b/crates/simulation/src/control/world.rs
@@ -112,7 +112,7 @@
             Event::AddRacedLeaf => self.add_raced_leaf(schedule),
             Event::OwnChange(operator) => self.own_change(now, operator, schedule),
             Event::RaceLookup => self.race_lookup(now, schedule),
-            Event::Race => self.race(now, schedule),
+            Event::Race => self.race(schedule),
             Event::ResendDue(operator, request) => self.resend(operator, &request, schedule),
             Event::Fault(fault) => self.fault(now, fault, schedule),
             Event::HealAll => self.heal_all(now, schedule),
