--- a/crates/broker/src/catalog_follower.rs
+++ b/crates/broker/src/catalog_follower.rs
@@ -18,7 +18,7 @@
     let run = BrokerRun(rand::rng().random());
     let (engine, mut messages) = local_sync::mpsc::unbounded::channel();
     let (_last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    monoio::spawn(feed::follow(settings, run, Clock::start(), engine, last_reports));
+    monoio::spawn(feed::follow(settings, run, Clock::start(), engine, last_reports, None));
     let mut in_force = Arc::default();
     while let Some(message) = messages.recv().await {
         if let EngineMessage::CatalogChanged(catalog) = message {
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory};
 use gingerkeel_domain::feed::{
     BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
     FollowerSettings, FollowerState, LeaseGrant, OverloadReporter,
 };
 use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName};
+use gingerkeel_domain::routes::RouteConfiguration;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
     FeedMessage, FrameCodec, PROTOCOL_VERSION, ProtocolError, ShortText, SubscriberMessage,
@@ -73,6 +75,7 @@
     clock: Clock,
     engine: Tx<EngineMessage>,
     last_reports: Rx<LastReport>,
+    routes: Option<Tx<RouteUpdate>>,
 ) {
     let mut back_off = BackOff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let mut link = Link {
@@ -87,11 +90,14 @@
         run,
         clock,
         engine,
+        routes,
+        learned_controls: Vec::new(),
     };
-    let controls = link.settings.control.clone();
     // Brokers start at different places, so that they spread over the control processes.
-    let start = rand::rng().random_range(0..controls.len().max(1));
-    for control in controls.iter().copied().cycle().skip(start) {
+    let mut turn: usize = rand::rng().random_range(0..link.settings.control.len().max(1));
+    loop {
+        let control = link.control(turn);
+        turn = turn.wrapping_add(1);
         let fresh_before = link.follower.is_fresh(clock.now());
         let Err(error) = link.follow_one(control).await;
         link.tell(FollowerEvent::Disconnected, &mut Vec::new());
@@ -119,6 +125,18 @@
     TimerElapsed,
 }
 
+/// News of routes and leaves, for a broker that serves routes.
+pub enum RouteUpdate {
+    /// The configuration of routes.
+    Routes(RouteConfiguration),
+    /// The whole list of leaves.
+    WholeDirectory(LeafDirectory),
+    /// A change of the list.
+    DirectoryChange(DirectoryDelta),
+    /// How many brokers share the leaves.
+    Brokers(usize),
+}
+
 struct Link {
     follower: FollowerState,
     brokers: BrokerList,
@@ -131,9 +149,31 @@
     run: BrokerRun,
     clock: Clock,
     engine: Tx<EngineMessage>,
+    routes: Option<Tx<RouteUpdate>>,
+    /// Control processes that the settings do not name.
+    learned_controls: Vec<SocketAddr>,
 }
 
 impl Link {
+    /// The control process whose turn it is, out of those of the settings and the learned ones.
+    fn control(&self, turn: usize) -> SocketAddr {
+        let named = &self.settings.control;
+        let learned = self.learned_controls.iter().filter(|control| !named.contains(control));
+        let all: Vec<SocketAddr> = named.iter().chain(learned).copied().collect();
+        all[turn % all.len()]
+    }
+
+    fn send_routes(
+        &self,
+        update: impl FnOnce() -> Result<RouteUpdate, ProtocolError>,
+    ) -> Result<(), LinkError> {
+        if let Some(routes) = &self.routes {
+            // The task that serves routes lives as long as the process.
+            let _ = routes.send(update()?);
+        }
+        Ok(())
+    }
+
     async fn follow_one(
         &mut self,
         control: SocketAddr,
@@ -223,6 +263,8 @@
             }
             FeedMessage::Brokers { delta } => {
                 self.brokers.apply(decode_document(&delta.bytes)?);
+                let count = self.brokers.entries().len();
+                self.send_routes(|| Ok(RouteUpdate::Brokers(count)))?;
                 self.send_engine(EngineMessage::BrokersChanged(self.brokers.entries()));
             }
             FeedMessage::Leaving { leaves } => {
@@ -234,6 +276,17 @@
                     self.send_engine(EngineMessage::ThresholdChanged { service, lowest_admitted });
                 }
             }
+            FeedMessage::Routes { configuration } => {
+                self.send_routes(|| decode_document(&configuration.bytes).map(RouteUpdate::Routes))?
+            }
+            FeedMessage::WholeDirectory { directory } => self.send_routes(|| {
+                decode_document(&directory.bytes).map(RouteUpdate::WholeDirectory)
+            })?,
+            FeedMessage::DirectoryChange { delta } => self
+                .send_routes(|| decode_document(&delta.bytes).map(RouteUpdate::DirectoryChange))?,
+            FeedMessage::Controls { addresses } => {
+                self.learned_controls = decode_document(&addresses.bytes)?;
+            }
             FeedMessage::Refused { protocol_version, reason } => {
                 let text = format!("refused ({reason:?}, protocol version {protocol_version})");
                 return Err(ProtocolError::Malformed(text).into());
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod leaves;
 mod metrics;
+pub mod routes;
 mod signals;
 mod stop;
 
@@ -58,7 +59,8 @@
     let clock = Clock::start();
     let run = BrokerRun(rand::rng().random());
     let (last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    monoio::spawn(feed::follow(settings.clone(), run, clock, engine.clone(), last_reports));
+    let feed = feed::follow(settings.clone(), run, clock, engine.clone(), last_reports, None);
+    monoio::spawn(feed);
     let totals = Engine::new(&settings, run, clock, engine).run(messages).await;
     report_last(totals, &last_report).await;
     info!(event = "stopped", name = settings.name);
--- /dev/null
+++ b/crates/broker/src/routes/attempt.rs
@@ -0,0 +1,296 @@
+//! One attempt: a request to one leaf, and its reply.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::forwarding::Outcome;
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
+use gingerkeel_domain::routes::Route;
+use gingerkeel_transport::http1::{
+    BodyDecoder, BodyFraming, HttpReader, ReadError, RequestHead, ResponseHead, response_framing,
+};
+
+use super::pool::LeafConnection;
+use super::state::RouteState;
+
+/// Bytes of a leaf's head.
+const HEAD_LIMIT: usize = 32 * 1024;
+/// Bytes of a reply that are held before they are handed on; a longer reply is streamed.
+const HELD_BYTES: usize = 64 * 1024;
+/// Replies to other requests that are passed over on one connection.
+const STRAY_REPLIES: usize = 2;
+
+/// A caller's request as it goes to leaves.
+pub struct ForwardedRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its whole body.
+    pub body: Bytes,
+    /// Its id, as the caller sent it.
+    pub id: Vec<u8>,
+    /// When it was received.
+    pub received: Instant,
+    /// When it has to be answered.
+    pub deadline: Instant,
+}
+
+/// Why an attempt gave no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptError {
+    /// This broker has no connection to spare for the leaf; nothing was sent.
+    NoConnection,
+    /// The leaf took no connection; nothing was sent.
+    NotConnected,
+    /// The leaf said that it did not run the request.
+    Rejected,
+    /// The connection failed after the request was sent; it may have run.
+    Lost,
+    /// The reply was not usable; the request may have run.
+    Unusable,
+}
+
+impl AttemptError {
+    /// Whether the request has certainly not run.
+    pub fn certainly_not_run(self) -> bool {
+        matches!(self, Self::NoConnection | Self::NotConnected | Self::Rejected)
+    }
+
+    /// Whether the leaf counts the request as one that arrived.
+    pub fn arrived(self) -> bool {
+        !matches!(self, Self::NoConnection | Self::NotConnected)
+    }
+}
+
+/// The rest of a reply that is streamed.
+pub struct ReplyStream {
+    connection: LeafConnection,
+    decoder: BodyDecoder,
+}
+
+/// A leaf's reply.
+pub struct LeafReply {
+    /// Which leaf.
+    pub leaf: LeafIdentity,
+    /// Its head.
+    pub head: ResponseHead,
+    /// How the leaf framed the body.
+    pub framing: BodyFraming,
+    /// The body, or its first part.
+    pub body: Bytes,
+    /// The rest of the body; none when it is whole.
+    pub rest: Option<ReplyStream>,
+}
+
+impl ReplyStream {
+    /// The next piece; none once the body is whole.
+    ///
+    /// # Errors
+    /// A [`ReadError`] when the reply is cut short.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, ReadError> {
+        self.connection.reader.body_piece(&mut self.decoder).await
+    }
+}
+
+/// Counts an attempt as ended, however it ends.
+struct Watch<'state> {
+    state: &'state RouteState,
+    service: &'state ServiceName,
+    leaf: &'state LeafIdentity,
+    started: Instant,
+    /// Whether a connection is counted that is to be given back or closed.
+    holds_connection: bool,
+    outcome: Outcome,
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        self.state.finish(self.service, self.leaf, self.outcome);
+        if self.holds_connection {
+            self.state.connection_closed(self.leaf);
+        }
+    }
+}
+
+/// Sends a request to a leaf and reads its reply. Dropping the future closes the connection, by
+/// which the leaf drops the request.
+///
+/// # Errors
+/// An [`AttemptError`] that tells whether the request may have run.
+pub async fn attempt(
+    state: &Rc<RouteState>,
+    route: &Route,
+    service: &ServiceName,
+    leaf: &ListedLeaf,
+    request: &ForwardedRequest,
+) -> Result<LeafReply, AttemptError> {
+    let started = Instant::now();
+    state.begin(service, &leaf.identity);
+    let mut watch = Watch {
+        state,
+        service,
+        leaf: &leaf.identity,
+        started,
+        holds_connection: false,
+        outcome: Outcome::Abandoned,
+    };
+    let connection = connect(&mut watch, leaf).await?;
+    let outcome = exchange(&mut watch, connection, leaf, request).await;
+    watch.outcome = match &outcome {
+        Ok(_) => Outcome::Answered(watch.started.elapsed()),
+        Err(AttemptError::Rejected) => Outcome::Rejected,
+        Err(_) => Outcome::Failed,
+    };
+    if outcome.is_ok() {
+        state.record_latency(route, watch.started.elapsed());
+    }
+    outcome
+}
+
+async fn connect(watch: &mut Watch<'_>, leaf: &ListedLeaf) -> Result<LeafConnection, AttemptError> {
+    if let Some(connection) = watch.state.take_idle(watch.leaf) {
+        watch.holds_connection = true;
+        return Ok(connection);
+    }
+    if !watch.state.admit_connection(watch.service, watch.leaf) {
+        return Err(AttemptError::NoConnection);
+    }
+    watch.holds_connection = true;
+    LeafConnection::connect(leaf.address).await.map_err(|_| {
+        watch.outcome = Outcome::Failed;
+        AttemptError::NotConnected
+    })
+}
+
+async fn exchange(
+    watch: &mut Watch<'_>,
+    mut connection: LeafConnection,
+    leaf: &ListedLeaf,
+    request: &ForwardedRequest,
+) -> Result<LeafReply, AttemptError> {
+    let state = watch.state;
+    let bytes = compose(state, leaf, request);
+    let method = request.head.method.as_str();
+    let id_name = state.dialect.request_id;
+    let reading =
+        async |reader: &mut HttpReader| read_head(reader, method, id_name, &request.id).await;
+    let (head, whole) =
+        connection.exchange(bytes, reading).await.map_err(|_| AttemptError::Lost)?;
+    let framing = response_framing(method, &head).map_err(|_| AttemptError::Unusable)?;
+    let mut decoder = BodyDecoder::new(framing);
+    let body = read_body(&mut connection.reader, &mut decoder).await?;
+    let not_executed = head.headers.get(state.dialect.not_executed).is_some();
+    let rejected = not_executed || head.status == 421;
+    let reusable = whole
+        && head.keeps_alive()
+        && framing != BodyFraming::UntilClose
+        && connection.reader.is_empty();
+    if !decoder.is_done() && !rejected {
+        let rest = ReplyStream { connection, decoder };
+        let leaf = leaf.identity.clone();
+        return Ok(LeafReply { leaf, head, framing, body, rest: Some(rest) });
+    }
+    if reusable {
+        connection.keep_for(stated_keep(&head));
+        state.give_back(watch.leaf, connection);
+        watch.holds_connection = false;
+    }
+    if rejected {
+        return Err(AttemptError::Rejected);
+    }
+    Ok(LeafReply { leaf: leaf.identity.clone(), head, framing, body, rest: None })
+}
+
+/// Reads the head of the reply to this very request. A late reply to another one may come first;
+/// it is passed over.
+async fn read_head(
+    reader: &mut HttpReader,
+    method: &str,
+    id_name: &str,
+    id: &[u8],
+) -> Result<ResponseHead, ReadError> {
+    for _ in 0..=STRAY_REPLIES {
+        let head = reader.response_head(HEAD_LIMIT).await?;
+        if (100..=199).contains(&head.status) {
+            continue;
+        }
+        if head.headers.get(id_name).is_none_or(|repeated| repeated == id) {
+            return Ok(head);
+        }
+        let mut decoder = BodyDecoder::new(response_framing(method, &head)?);
+        while reader.body_piece(&mut decoder).await?.is_some() {}
+    }
+    Err(ReadError::CutShort)
+}
+
+/// Reads a body, or its beginning when it is long.
+async fn read_body(
+    reader: &mut HttpReader,
+    decoder: &mut BodyDecoder,
+) -> Result<Bytes, AttemptError> {
+    let mut body = BytesMut::new();
+    while body.len() < HELD_BYTES {
+        match reader.body_piece(decoder).await {
+            Ok(Some(piece)) if body.is_empty() && decoder.is_done() => return Ok(piece),
+            Ok(Some(piece)) => body.extend_from_slice(&piece),
+            Ok(None) => {
+                *decoder = BodyDecoder::new(BodyFraming::None);
+                break;
+            }
+            Err(ReadError::Fault(_)) => return Err(AttemptError::Unusable),
+            Err(_) => return Err(AttemptError::Lost),
+        }
+        if decoder.is_done() {
+            break;
+        }
+    }
+    Ok(body.freeze())
+}
+
+/// How long the leaf says that it keeps an idle connection.
+fn stated_keep(head: &ResponseHead) -> Option<Duration> {
+    let text = head.headers.text("keep-alive")?;
+    let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
+
+fn compose(state: &RouteState, leaf: &ListedLeaf, request: &ForwardedRequest) -> Vec<u8> {
+    let head = &request.head;
+    let mut bytes = Vec::with_capacity(512 + request.body.len());
+    bytes.extend_from_slice(head.method.as_bytes());
+    bytes.push(b' ');
+    bytes.extend_from_slice(head.target.as_bytes());
+    bytes.extend_from_slice(b" HTTP/1.1\r\n");
+    for (name, value) in head.headers.iter() {
+        if !is_replaced(state, name) && !head.headers.is_hop_by_hop(name) {
+            add_field(&mut bytes, name, value);
+        }
+    }
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    let left = left.as_millis().to_string();
+    add_field(&mut bytes, state.dialect.deadline.as_bytes(), left.as_bytes());
+    let identity = leaf.identity.as_str().as_bytes();
+    add_field(&mut bytes, state.dialect.expected_leaf.as_bytes(), identity);
+    let has_length = head.headers.get("content-length").is_some();
+    if !request.body.is_empty() || has_length || head.headers.get("transfer-encoding").is_some() {
+        let length = request.body.len().to_string();
+        add_field(&mut bytes, b"Content-Length", length.as_bytes());
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+/// Whether the broker sets the field itself.
+fn is_replaced(state: &RouteState, name: &[u8]) -> bool {
+    let own = [state.dialect.deadline, state.dialect.expected_leaf, "content-length", "expect"];
+    own.iter().any(|field| name.eq_ignore_ascii_case(field.as_bytes()))
+}
+
+pub(super) fn add_field(bytes: &mut Vec<u8>, name: &[u8], value: &[u8]) {
+    bytes.extend_from_slice(name);
+    bytes.extend_from_slice(b": ");
+    bytes.extend_from_slice(value);
+    bytes.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/broker/src/routes/attempts.rs
@@ -0,0 +1,193 @@
+//! Attempts at the leaves of one service until one replies: retries and hedges.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
+use gingerkeel_domain::routes::{Destination, Route};
+use monoio::time::sleep;
+use tracing::debug;
+
+use super::attempt::{AttemptError, ForwardedRequest, LeafReply, attempt};
+use super::state::RouteState;
+
+/// Share of replies of a part that are waited for before another leaf is asked as well.
+const PART_HEDGE_QUANTILE: f64 = 0.95;
+/// The same of a request to a single leaf.
+const SINGLE_HEDGE_QUANTILE: f64 = 0.98;
+/// Latest moment of a hedge, as a share of the target latency.
+const LATEST_HEDGE: f64 = 0.35;
+/// Least time before a hedge.
+const EARLIEST_HEDGE: Duration = Duration::from_millis(8);
+/// Silence, in hedge delays, after which an attempt that is given up counts as a failure.
+const SILENT_AFTER: u32 = 3;
+
+/// Why no leaf of a service replied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoReply {
+    /// No leaf can be asked now; the request has not run.
+    NoLeaf,
+    /// Every leaf that was asked refused; the request has not run.
+    Rejected,
+    /// The request may have run.
+    Unknown,
+}
+
+/// Leaves that were asked for one request.
+struct Asked<'state> {
+    state: &'state Rc<RouteState>,
+    service: &'state ServiceName,
+    hedge_delay: Duration,
+    open: Vec<(LeafIdentity, Instant)>,
+}
+
+impl Asked<'_> {
+    fn ended(&mut self, leaf: &LeafIdentity) {
+        self.open.retain(|(open, _)| open != leaf);
+    }
+}
+
+impl Drop for Asked<'_> {
+    /// Leaves that owe a reply for long when the request is given up are failing.
+    fn drop(&mut self) {
+        for (leaf, since) in &self.open {
+            if since.elapsed() >= self.hedge_delay * SILENT_AFTER {
+                self.state.silent(self.service, leaf);
+            }
+        }
+    }
+}
+
+/// When another leaf is asked as well.
+fn hedge_delay(state: &RouteState, route: &Route) -> Duration {
+    let quantile = match route.destination {
+        Destination::Shards(_) => PART_HEDGE_QUANTILE,
+        _ => SINGLE_HEDGE_QUANTILE,
+    };
+    let latest = Duration::from_millis(route.target_latency_ms).mul_f64(LATEST_HEDGE);
+    let latest = latest.max(EARLIEST_HEDGE);
+    let measured = state.latency(route, quantile).unwrap_or(latest);
+    measured.clamp(EARLIEST_HEDGE, latest)
+}
+
+/// Asks leaves of a service until one replies. A failure of a leaf that ran the request is a
+/// reply of the last leaf asked only.
+///
+/// # Errors
+/// A [`NoReply`] that tells whether the request may have run.
+pub async fn ask(
+    state: &Rc<RouteState>,
+    route: &Route,
+    service: &ServiceName,
+    request: &ForwardedRequest,
+) -> Result<LeafReply, NoReply> {
+    let hedge_delay = hedge_delay(state, route);
+    let mut asked = Asked { state, service, hedge_delay, open: Vec::new() };
+    let mut tried: Vec<LeafIdentity> = Vec::new();
+    let mut running = FuturesUnordered::new();
+    let mut may_have_run = 0;
+    let mut arrived = 0;
+    let mut failure: Option<LeafReply> = None;
+    let mut last_error = NoReply::NoLeaf;
+    state.earn(service);
+    loop {
+        if running.is_empty() {
+            let Some(leaf) = next_leaf(state, route, service, &tried, arrived, may_have_run) else {
+                return failure.ok_or(last_error);
+            };
+            may_have_run += 1;
+            start(&mut asked, &mut tried, &leaf);
+            running.push(run(state, route, service, leaf, request));
+        }
+        let can_hedge = route.repeatable && may_have_run < route.attempts.max(1);
+        let wait = if can_hedge { hedge_delay } else { Duration::from_secs(3600) };
+        let (leaf, outcome) = monoio::select! {
+            ended = running.next() => match ended {
+                Some(ended) => ended,
+                None => continue,
+            },
+            _ = sleep(wait) => {
+                mark_late(&asked);
+                if let Some(leaf) = next_leaf(state, route, service, &tried, arrived + 1, may_have_run) {
+                    debug!(event = "hedge", service = %service, leaf = %leaf.identity);
+                    may_have_run += 1;
+                    start(&mut asked, &mut tried, &leaf);
+                    running.push(run(state, route, service, leaf, request));
+                }
+                continue;
+            }
+        };
+        asked.ended(&leaf);
+        match outcome {
+            Ok(reply) if reply.head.status < 500 || !route.repeatable => return Ok(reply),
+            Ok(reply) => {
+                arrived += 1;
+                failure = Some(reply);
+                last_error = NoReply::Unknown;
+            }
+            Err(error) => {
+                debug!(event = "attempt_failed", service = %service, leaf = %leaf, ?error);
+                arrived += u32::from(error.arrived());
+                if error.certainly_not_run() {
+                    may_have_run -= 1;
+                    if last_error == NoReply::NoLeaf && error == AttemptError::Rejected {
+                        last_error = NoReply::Rejected;
+                    }
+                } else {
+                    last_error = NoReply::Unknown;
+                    if !route.repeatable {
+                        return Err(NoReply::Unknown);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn mark_late(asked: &Asked<'_>) {
+    for (leaf, since) in &asked.open {
+        if since.elapsed() >= asked.hedge_delay {
+            asked.state.late(asked.service, leaf);
+        }
+    }
+}
+
+fn start(asked: &mut Asked<'_>, tried: &mut Vec<LeafIdentity>, leaf: &ListedLeaf) {
+    asked.open.push((leaf.identity.clone(), Instant::now()));
+    tried.push(leaf.identity.clone());
+}
+
+async fn run(
+    state: &Rc<RouteState>,
+    route: &Route,
+    service: &ServiceName,
+    leaf: ListedLeaf,
+    request: &ForwardedRequest,
+) -> (LeafIdentity, Result<LeafReply, AttemptError>) {
+    let outcome = attempt(state, route, service, &leaf, request).await;
+    (leaf.identity, outcome)
+}
+
+/// The leaf to ask next, if one may be asked: within the attempts of the route, and for every
+/// one beyond the first that arrives within the budget of extra requests.
+fn next_leaf(
+    state: &RouteState,
+    route: &Route,
+    service: &ServiceName,
+    tried: &[LeafIdentity],
+    arrived: u32,
+    may_have_run: u32,
+) -> Option<ListedLeaf> {
+    if may_have_run >= route.attempts.max(1) {
+        return None;
+    }
+    let choice = state.choose(service, tried)?;
+    let leaf = state.leaf(&choice.leaf)?;
+    if arrived > 0 && !state.take_extra(service) {
+        return None;
+    }
+    Some(leaf)
+}
--- /dev/null
+++ b/crates/broker/src/routes/callers.rs
@@ -0,0 +1,371 @@
+//! Callers' connections.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use gingerkeel_domain::forwarding::choose_part;
+use gingerkeel_domain::identifiers::ServiceName;
+use gingerkeel_domain::routes::{CallerLimits, Destination, Route, RouteLookup};
+use gingerkeel_transport::http1::{
+    BodyDecoder, BodyFraming, HeadFault, HttpReader, ReadError, RequestHead, request_framing,
+};
+use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf, Splitable};
+use monoio::net::{TcpListener, TcpStream};
+use monoio::time::{sleep, timeout};
+use tracing::{debug, info, warn};
+
+use super::attempt::{ForwardedRequest, LeafReply};
+use super::attempts::{NoReply, ask};
+use super::gather::gather;
+use super::respond::{MergedAnswer, Refusal, RelayFraming, relayed_head};
+use super::state::RouteState;
+use crate::stop::StopSignal;
+
+/// Pause after a connection could not be accepted, as when descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// When a caller is asked to come back while nothing is known yet.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When a caller is asked to come back after no leaf took its request.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// Longest that a request is held when its caller names no deadline and its route is unknown.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Bytes that are read and dropped after a refusal, so that it reaches the caller.
+const DISCARD_BYTES: usize = 1024 * 1024;
+/// Time for that.
+const DISCARD_LIMIT: Duration = Duration::from_secs(1);
+/// Bytes of further requests that are read ahead while one is served.
+const READ_AHEAD_BYTES: usize = 32 * 1024;
+/// Time that a caller has to take a part of its answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(15);
+
+/// Takes callers' connections.
+pub struct CallerServer {
+    state: Rc<RouteState>,
+    stop: StopSignal,
+    open: Rc<Cell<usize>>,
+}
+
+/// Why a connection ends.
+enum End {
+    /// After the answer that was written, or without one.
+    Closed,
+    /// After this refusal.
+    Refused(Refusal),
+}
+
+/// What became of a request.
+enum Served {
+    Merged(MergedAnswer),
+    Relayed(Box<LeafReply>),
+    Refused(Refusal),
+}
+
+impl CallerServer {
+    /// A server that has no connections yet.
+    pub fn new(state: Rc<RouteState>, stop: StopSignal) -> Self {
+        Self { state, stop, open: Rc::default() }
+    }
+
+    /// Connections that are open.
+    pub fn open_connections(&self) -> Rc<Cell<usize>> {
+        self.open.clone()
+    }
+
+    /// Accepts connections for ever.
+    pub async fn run(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let connection = CallerConnection::new(stream, &self);
+                    monoio::spawn(connection.run());
+                }
+                Err(error) => {
+                    warn!(event = "accept_failed", listener = "routes", %error);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Counts a connection for as long as it lives.
+struct OpenCount(Rc<Cell<usize>>);
+
+impl OpenCount {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+struct CallerConnection {
+    state: Rc<RouteState>,
+    stop: StopSignal,
+    reader: HttpReader,
+    writer: OwnedWriteHalf<TcpStream>,
+    _count: OpenCount,
+}
+
+impl CallerConnection {
+    fn new(stream: TcpStream, server: &CallerServer) -> Self {
+        // Latency is measured in milliseconds here; a socket without the option still works.
+        let _ = stream.set_nodelay(true);
+        let (read_half, writer) = stream.into_split();
+        Self {
+            state: server.state.clone(),
+            stop: server.stop.clone(),
+            reader: HttpReader::new(read_half),
+            writer,
+            _count: OpenCount::new(&server.open),
+        }
+    }
+
+    async fn run(mut self) {
+        loop {
+            match self.serve_one().await {
+                Ok(()) => {}
+                Err(End::Closed) => break,
+                Err(End::Refused(refusal)) => {
+                    let written = self.write(refusal.to_bytes(false)).await;
+                    // The caller may be gone.
+                    let _ = self.writer.shutdown().await;
+                    if written.is_ok() {
+                        let _ = timeout(DISCARD_LIMIT, self.reader.discard(DISCARD_BYTES)).await;
+                    }
+                    return;
+                }
+            }
+        }
+        // The caller may be gone.
+        let _ = self.writer.shutdown().await;
+    }
+
+    fn limits(&self) -> CallerLimits {
+        self.state.table().map(|table| table.limits()).unwrap_or_default()
+    }
+
+    async fn serve_one(&mut self) -> Result<(), End> {
+        self.wait_for_request().await?;
+        let received = Instant::now();
+        let limits = self.limits();
+        let time = Duration::from_millis(limits.head_time_ms.into());
+        let head = match timeout(time, self.reader.request_head(limits.head_bytes as usize)).await {
+            Err(_) => return Err(End::Refused(Refusal::Slow)),
+            Ok(Ok(Some(head))) => head,
+            Ok(Ok(None)) => return Err(End::Closed),
+            Ok(Err(error)) => return Err(fault(&error)),
+        };
+        let body = self.read_body(&head, limits).await?;
+        let keep_alive = head.keeps_alive() && !self.state.is_stopping();
+        let request = self.understand(head, body, received);
+        let served = self.serve_while_connected(request).await?;
+        let keep_alive = keep_alive && !self.state.is_stopping();
+        self.answer(served, keep_alive).await?;
+        if keep_alive { Ok(()) } else { Err(End::Closed) }
+    }
+
+    /// Waits for the first byte of a request. A planned stop ends the wait after a while.
+    async fn wait_for_request(&mut self) -> Result<(), End> {
+        if !self.reader.is_empty() {
+            return Ok(());
+        }
+        let idle = Duration::from_millis(self.limits().idle_time_ms.into());
+        monoio::select! {
+            count = self.reader.fill() => match count {
+                Ok(count) if count > 0 => Ok(()),
+                _ => Err(End::Closed),
+            },
+            _ = sleep(idle) => Err(End::Closed),
+            _ = stopped_for(&self.stop, self.state.stop_idle_after()) => Err(End::Closed),
+        }
+    }
+
+    async fn read_body(&mut self, head: &RequestHead, limits: CallerLimits) -> Result<Bytes, End> {
+        let framing = request_framing(&head.headers);
+        let framing = framing.map_err(|_| End::Refused(Refusal::Malformed))?;
+        let limit = u64::from(limits.body_bytes);
+        match framing {
+            BodyFraming::None => return Ok(Bytes::new()),
+            BodyFraming::Length(length) if length > limit => {
+                return Err(End::Refused(Refusal::BodyTooLarge));
+            }
+            _ => {}
+        }
+        if head.headers.lists("expect", "100-continue") {
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()).await?;
+        }
+        let mut decoder = BodyDecoder::new(framing);
+        let time = Duration::from_millis(limits.idle_time_ms.into());
+        let reading = collect(&mut self.reader, &mut decoder, limit);
+        timeout(time, reading).await.unwrap_or(Err(End::Refused(Refusal::Slow)))
+    }
+
+    fn understand(&self, head: RequestHead, body: Bytes, received: Instant) -> ForwardedRequest {
+        let dialect = &self.state.dialect;
+        let stated = head.headers.text(dialect.deadline).and_then(|text| text.trim().parse().ok());
+        let time = stated.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let deadline = received + time.min(DEFAULT_DEADLINE * 10);
+        let id = head.headers.get(dialect.request_id).unwrap_or_default().to_vec();
+        ForwardedRequest { head, body, id, received, deadline }
+    }
+
+    /// Serves a request unless its caller leaves before; then everything for it is cancelled.
+    async fn serve_while_connected(&mut self, request: ForwardedRequest) -> Result<Served, End> {
+        let state = self.state.clone();
+        let mut serving = std::pin::pin!(serve(&state, request));
+        loop {
+            if self.reader.buffered() > READ_AHEAD_BYTES {
+                return Ok(serving.await);
+            }
+            monoio::select! {
+                biased;
+                served = &mut serving => return Ok(served),
+                count = self.reader.fill() => match count {
+                    Ok(count) if count > 0 => {}
+                    _ => {
+                        debug!(event = "caller_left");
+                        return Err(End::Closed);
+                    }
+                },
+            }
+        }
+    }
+
+    async fn answer(&mut self, served: Served, keep_alive: bool) -> Result<(), End> {
+        match served {
+            Served::Merged(answer) => {
+                let bytes = answer.to_bytes(&self.state.dialect, b"", keep_alive);
+                self.write(bytes).await
+            }
+            Served::Refused(refusal) => self.write(refusal.to_bytes(keep_alive)).await,
+            Served::Relayed(reply) => self.relay(*reply, keep_alive).await,
+        }
+    }
+
+    /// Relays a reply. One that is cut short ends the connection, so that it looks cut short.
+    async fn relay(&mut self, reply: LeafReply, keep_alive: bool) -> Result<(), End> {
+        let (mut bytes, framing) = relayed_head(&reply, "", keep_alive);
+        add_piece(&mut bytes, &reply.body, framing);
+        self.write(bytes).await?;
+        let Some(mut rest) = reply.rest else {
+            return Ok(());
+        };
+        loop {
+            match rest.next().await {
+                Ok(Some(piece)) => {
+                    let mut bytes = Vec::with_capacity(piece.len() + 16);
+                    add_piece(&mut bytes, &piece, framing);
+                    self.write(bytes).await?;
+                }
+                Ok(None) if framing == RelayFraming::Chunked => {
+                    return self.write(b"0\r\n\r\n".to_vec()).await;
+                }
+                Ok(None) => return Ok(()),
+                Err(error) => {
+                    info!(event = "reply_cut_short", leaf = %reply.leaf, %error);
+                    return Err(End::Closed);
+                }
+            }
+        }
+    }
+
+    async fn write(&mut self, bytes: Vec<u8>) -> Result<(), End> {
+        match timeout(WRITE_LIMIT, self.writer.write_all(bytes)).await {
+            Ok((Ok(_), _)) => Ok(()),
+            _ => Err(End::Closed),
+        }
+    }
+}
+
+/// Ends a while after a planned stop has begun.
+async fn stopped_for(stop: &StopSignal, span: Duration) {
+    stop.given().await;
+    sleep(span).await;
+}
+
+async fn collect(
+    reader: &mut HttpReader,
+    decoder: &mut BodyDecoder,
+    limit: u64,
+) -> Result<Bytes, End> {
+    let mut body = BytesMut::new();
+    loop {
+        match reader.body_piece(decoder).await {
+            Ok(Some(piece)) => body.extend_from_slice(&piece),
+            Ok(None) => return Ok(body.freeze()),
+            Err(error) => return Err(fault(&error)),
+        }
+        if body.len() as u64 > limit {
+            return Err(End::Refused(Refusal::BodyTooLarge));
+        }
+    }
+}
+
+fn fault(error: &ReadError) -> End {
+    match error {
+        ReadError::Fault(HeadFault::TooLarge(_)) => End::Refused(Refusal::HeadTooLarge),
+        ReadError::Fault(_) => End::Refused(Refusal::Malformed),
+        ReadError::Socket(_) | ReadError::CutShort => End::Closed,
+    }
+}
+
+fn add_piece(bytes: &mut Vec<u8>, piece: &[u8], framing: RelayFraming) {
+    match framing {
+        RelayFraming::None => {}
+        RelayFraming::Chunked if piece.is_empty() => {}
+        RelayFraming::Chunked => {
+            bytes.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+            bytes.extend_from_slice(piece);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        RelayFraming::Whole | RelayFraming::Length(_) => bytes.extend_from_slice(piece),
+    }
+}
+
+async fn serve(state: &Rc<RouteState>, mut request: ForwardedRequest) -> Served {
+    let Some(table) = state.table().filter(|_| state.has_leaves()) else {
+        return Served::Refused(Refusal::NotRun { retry_after: UNKNOWN_RETRY_AFTER });
+    };
+    let host = request.head.headers.text("host").unwrap_or_default();
+    let RouteLookup::Found(route) = table.find(host, request.head.path()) else {
+        return Served::Refused(Refusal::NoRoute);
+    };
+    let timeout_at = request.received + Duration::from_millis(route.timeout_ms);
+    request.deadline = request.deadline.min(timeout_at);
+    match &route.destination {
+        Destination::Shards(shards) => match gather(state, &route, shards, &request).await {
+            Ok(answer) => Served::Merged(answer),
+            Err(refusal) => Served::Refused(refusal),
+        },
+        Destination::Service(service) => forward(state, &route, service, &request).await,
+        Destination::Split(parts) => match choose_part(parts, state.draw_number()) {
+            Some(part) => forward(state, &route, &part.service, &request).await,
+            None => Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER }),
+        },
+    }
+}
+
+async fn forward(
+    state: &Rc<RouteState>,
+    route: &Route,
+    service: &ServiceName,
+    request: &ForwardedRequest,
+) -> Served {
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    match timeout(left, ask(state, route, service, request)).await {
+        Ok(Ok(reply)) => Served::Relayed(Box::new(reply)),
+        Ok(Err(NoReply::NoLeaf | NoReply::Rejected)) => {
+            Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER })
+        }
+        Ok(Err(NoReply::Unknown)) => Served::Refused(Refusal::NoReply),
+        Err(_) => Served::Refused(Refusal::TimedOut),
+    }
+}
--- /dev/null
+++ b/crates/broker/src/routes/dialect.rs
@@ -0,0 +1,37 @@
+//! Names of the header fields that callers, leaves and a broker exchange besides HTTP's own.
+
+/// Names of header fields, in lower case.
+#[derive(Debug, Clone)]
+pub struct Dialect {
+    /// Id of a request, given by the caller and repeated by the leaf.
+    pub request_id: &'static str,
+    /// Milliseconds that are left for a request.
+    pub deadline: &'static str,
+    /// Identity of the leaf that is meant; any other one refuses the request.
+    pub expected_leaf: &'static str,
+    /// A leaf's attestation of its answer.
+    pub attestation: &'static str,
+    /// Attestations of the parts of a gathered answer.
+    pub part_attestations: &'static str,
+    /// How many shards are missing from a gathered answer.
+    pub missing_parts: &'static str,
+    /// Marks an answer of a leaf that did not run the request.
+    pub not_executed: &'static str,
+    /// Path on which readiness is asked for.
+    pub readiness_path: &'static str,
+}
+
+impl Default for Dialect {
+    fn default() -> Self {
+        Self {
+            request_id: "gingerkeel-request-id",
+            deadline: "gingerkeel-deadline-ms",
+            expected_leaf: "gingerkeel-leaf",
+            attestation: "gingerkeel-attestation",
+            part_attestations: "gingerkeel-part-attestations",
+            missing_parts: "gingerkeel-missing-parts",
+            not_executed: "gingerkeel-not-executed",
+            readiness_path: "/ready",
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/routes/gather.rs
@@ -0,0 +1,146 @@
+//! Answers that are merged from one leaf of each shard.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use gingerkeel_domain::forwarding::GreatestRecords;
+use gingerkeel_domain::identifiers::ServiceName;
+use gingerkeel_domain::routes::{Route, ShardSet};
+use monoio::time::sleep;
+use tracing::info;
+
+use super::attempt::{ForwardedRequest, LeafReply};
+use super::attempts::{NoReply, ask};
+use super::respond::{MergedAnswer, Refusal};
+use super::state::RouteState;
+
+/// When a caller is asked to come back after too many shards could not be asked.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// The parts of one answer.
+struct Parts {
+    whole: usize,
+    failed: usize,
+    /// Whether some part may have run.
+    asked: bool,
+    attestations: Vec<Vec<u8>>,
+    records: GreatestRecords,
+}
+
+impl Parts {
+    fn settled(&self) -> usize {
+        self.attestations.len() + self.failed
+    }
+
+    fn reach(&self, shards: &ShardSet) -> bool {
+        let count = self.attestations.len();
+        count > 0 && shards.least_share.reached_by(count, self.whole)
+    }
+
+    /// Whether the least share can still be reached.
+    fn can_reach(&self, shards: &ShardSet) -> bool {
+        let most = self.whole - self.failed;
+        most > 0 && shards.least_share.reached_by(most, self.whole)
+    }
+
+    fn take(&mut self, state: &RouteState, outcome: Result<LeafReply, NoReply>) {
+        let Ok(reply) = outcome else {
+            self.asked |= outcome.is_err_and(|error| error == NoReply::Unknown);
+            self.failed += 1;
+            return;
+        };
+        self.asked = true;
+        let headers = &reply.head.headers;
+        let attestation = headers.get(state.dialect.attestation);
+        let whole = (200..=299).contains(&reply.head.status) && reply.rest.is_none();
+        match attestation.filter(|attestation| whole && !attestation.is_empty()) {
+            Some(attestation) => {
+                self.attestations.push(attestation.to_vec());
+                self.records.add(&reply.body);
+            }
+            None => self.failed += 1,
+        }
+    }
+}
+
+/// Asks one leaf of each shard and merges what comes. At the route's target latency the answer
+/// leaves with the parts that are in, once they reach the least share; what is still on its way
+/// is cancelled.
+///
+/// # Errors
+/// A [`Refusal`] when the least share was not reached.
+pub async fn gather(
+    state: &Rc<RouteState>,
+    route: &Route,
+    shards: &ShardSet,
+    request: &ForwardedRequest,
+) -> Result<MergedAnswer, Refusal> {
+    let mut parts = Parts {
+        whole: shards.services.len(),
+        failed: 0,
+        asked: false,
+        attestations: Vec::new(),
+        records: GreatestRecords::new(shards.greatest as usize),
+    };
+    let mut running = FuturesUnordered::new();
+    for service in &shards.services {
+        running.push(ask_part(state, route, service, request));
+    }
+    let margin = Duration::from_millis(state.settings.answer_margin_ms.into());
+    let target = Duration::from_millis(route.target_latency_ms).saturating_sub(margin);
+    let soft = (request.received + target).min(request.deadline);
+    loop {
+        if parts.settled() == parts.whole || !parts.can_reach(shards) {
+            break;
+        }
+        let now = Instant::now();
+        if now >= request.deadline || (now >= soft && parts.reach(shards)) {
+            break;
+        }
+        let wake = if now >= soft { request.deadline } else { soft };
+        monoio::select! {
+            part = running.next() => if let Some((_, outcome)) = part {
+                parts.take(state, outcome);
+            },
+            _ = sleep(wake.saturating_duration_since(now)) => {}
+        }
+    }
+    drop(running);
+    finish(route, shards, parts, request)
+}
+
+async fn ask_part<'part>(
+    state: &'part Rc<RouteState>,
+    route: &'part Route,
+    service: &'part ServiceName,
+    request: &'part ForwardedRequest,
+) -> (&'part ServiceName, Result<LeafReply, NoReply>) {
+    (service, ask(state, route, service, request).await)
+}
+
+fn finish(
+    route: &Route,
+    shards: &ShardSet,
+    parts: Parts,
+    request: &ForwardedRequest,
+) -> Result<MergedAnswer, Refusal> {
+    let (present, whole) = (parts.attestations.len(), parts.whole);
+    let missing = whole - present;
+    if missing > 0 {
+        let id = String::from_utf8_lossy(&request.id);
+        let held_ms = request.received.elapsed().as_millis() as u64;
+        info!(event = "parts_missing", request = %id, route = route.name, present, whole, held_ms);
+    }
+    if !parts.reach(shards) {
+        // A repeatable request may be sent again, whatever has run of it.
+        let over = Instant::now() >= request.deadline;
+        return Err(match over {
+            true => Refusal::TimedOut,
+            false => Refusal::NotRun { retry_after: RETRY_AFTER },
+        });
+    }
+    let records = parts.records.into_bytes();
+    Ok(MergedAnswer { attestations: parts.attestations, missing, records })
+}
--- /dev/null
+++ b/crates/broker/src/routes/mod.rs
@@ -0,0 +1,123 @@
+//! Serving of routes: requests by host and path to one leaf, or to one leaf of each shard.
+
+mod attempt;
+mod attempts;
+mod callers;
+mod dialect;
+mod gather;
+mod pool;
+mod readiness;
+mod respond;
+mod state;
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gingerkeel_domain::identifiers::BrokerRun;
+use gingerkeel_settings::{BrokerSettings, RouteSettings};
+use gingerkeel_transport::listen;
+use local_sync::mpsc::unbounded::{self, Rx};
+use monoio::time::sleep;
+use rand::Rng;
+use tracing::info;
+
+pub use dialect::Dialect;
+
+use crate::clock::Clock;
+use crate::feed::{self, RouteUpdate};
+use crate::signals;
+use crate::stop::StopSignal;
+use callers::CallerServer;
+use state::RouteState;
+
+/// Time between two looks at idle connections.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at whether a planned stop is done.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Part of the time of a planned stop in which new connections may still come.
+const STOP_ACCEPT_SHARE: f64 = 0.6;
+/// Part of the time of a planned stop after which the process ends in any case.
+const STOP_END_SHARE: f64 = 0.95;
+
+/// Serves routes until a planned stop has finished what was in flight.
+///
+/// # Errors
+/// An [`io::Error`] when an address cannot be bound or signals cannot be watched.
+pub async fn run(
+    settings: BrokerSettings,
+    routes: RouteSettings,
+    dialect: Dialect,
+) -> io::Result<()> {
+    signals::ignore_reload()?;
+    let listener = listen(routes.listen)?;
+    let readiness = routes.readiness.map(listen).transpose()?;
+    let stop = StopSignal::new();
+    let requested = signals::stop_requested()?;
+    let clock = Clock::start();
+    let stop_time = Duration::from_millis(routes.stop_ms.into());
+    info!(event = "started", name = settings.name, listen = %routes.listen, routes = true);
+    let state = Rc::new(RouteState::new(settings.clone(), routes, dialect, clock));
+    if let Some(listener) = readiness {
+        monoio::spawn(readiness::serve(listener, state.clone()));
+    }
+    let server = CallerServer::new(state.clone(), stop.clone());
+    let open = server.open_connections();
+    monoio::spawn(server.run(listener));
+    follow(settings.clone(), clock, state.clone());
+    monoio::spawn(keep_up(state.clone()));
+    requested.await;
+    info!(event = "stopping", open = open.get());
+    state.stop();
+    stop.give();
+    drain(&open, stop_time).await;
+    info!(event = "stopped", name = settings.name, open = open.get());
+    Ok(())
+}
+
+/// Waits until no connection is open and none can come any more, or the time is over.
+async fn drain(open: &Cell<usize>, limit: Duration) {
+    let began = Instant::now();
+    while began.elapsed() < limit.mul_f64(STOP_END_SHARE) {
+        let may_come = began.elapsed() < limit.mul_f64(STOP_ACCEPT_SHARE);
+        if !may_come && open.get() == 0 {
+            return;
+        }
+        sleep(STOP_POLL).await;
+    }
+}
+
+/// Follows the control processes for ever.
+fn follow(settings: BrokerSettings, clock: Clock, state: Rc<RouteState>) {
+    let run = BrokerRun(rand::rng().random());
+    let (engine, mut messages) = unbounded::channel();
+    // Without queries there is nothing to charge for and nothing to report.
+    monoio::spawn(async move { while messages.recv().await.is_some() {} });
+    let (last_report, last_reports) = unbounded::channel();
+    let (updates, received) = unbounded::channel();
+    monoio::spawn(apply_updates(received, state));
+    monoio::spawn(async move {
+        // Kept so that the feed does not take it for the end of the process.
+        let _last_report = last_report;
+        feed::follow(settings, run, clock, engine, last_reports, Some(updates)).await;
+    });
+}
+
+async fn apply_updates(mut updates: Rx<RouteUpdate>, state: Rc<RouteState>) {
+    while let Some(update) = updates.recv().await {
+        match update {
+            RouteUpdate::Routes(configuration) => state.replace_routes(configuration),
+            RouteUpdate::WholeDirectory(directory) => state.replace_directory(directory),
+            RouteUpdate::DirectoryChange(delta) => state.change_directory(&delta),
+            RouteUpdate::Brokers(count) => state.set_brokers(count),
+        }
+    }
+}
+
+async fn keep_up(state: Rc<RouteState>) {
+    loop {
+        sleep(UPKEEP_INTERVAL).await;
+        state.close_expired();
+    }
+}
--- /dev/null
+++ b/crates/broker/src/routes/pool.rs
@@ -0,0 +1,118 @@
+//! Connections to one leaf that wait for their next request.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use gingerkeel_transport::http1::{HttpReader, ReadError};
+use monoio::io::{AsyncWriteRentExt, OwnedWriteHalf, Splitable};
+use monoio::net::TcpStream;
+
+/// Time for which a connection is kept when the leaf does not say how long it does.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+/// Part of a leaf's own time after which a connection is not used again.
+const KEEP_SHARE: f64 = 0.6;
+
+/// A connection to a leaf; one request at a time.
+pub struct LeafConnection {
+    /// Reads responses.
+    pub reader: HttpReader,
+    writer: OwnedWriteHalf<TcpStream>,
+    keep_until: Instant,
+}
+
+impl LeafConnection {
+    /// Connects to a leaf.
+    ///
+    /// # Errors
+    /// An [`io::Error`] when it does not take the connection.
+    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect_addr(address).await?;
+        // Latency is measured in milliseconds here; a socket without the option still works.
+        let _ = stream.set_nodelay(true);
+        let (read_half, writer) = stream.into_split();
+        let keep_until = Instant::now() + DEFAULT_KEEP;
+        Ok(Self { reader: HttpReader::new(read_half), writer, keep_until })
+    }
+
+    /// Writes a request while the response is already awaited: a leaf may answer before it has
+    /// read the whole body. Gives whether the request was written whole, too.
+    ///
+    /// # Errors
+    /// A [`ReadError`] of the response, or of the socket.
+    pub async fn exchange<F, T>(
+        &mut self,
+        request: Vec<u8>,
+        read: F,
+    ) -> Result<(T, bool), ReadError>
+    where
+        F: AsyncFnOnce(&mut HttpReader) -> Result<T, ReadError>,
+    {
+        let mut reading = std::pin::pin!(read(&mut self.reader));
+        let mut writing = std::pin::pin!(self.writer.write_all(request));
+        monoio::select! {
+            biased;
+            (written, _) = &mut writing => written?,
+            answer = &mut reading => return answer.map(|answer| (answer, false)),
+        };
+        reading.await.map(|answer| (answer, true))
+    }
+
+    /// Whether the leaf has sent nothing and has not closed the connection while it lay idle.
+    pub fn is_quiet(&mut self) -> bool {
+        self.reader.is_empty() && self.reader.fill().now_or_never().is_none()
+    }
+
+    /// The leaf said, or did not, how long it keeps the connection.
+    pub fn keep_for(&mut self, stated: Option<Duration>) {
+        let span = stated.map_or(DEFAULT_KEEP, |stated| stated.mul_f64(KEEP_SHARE));
+        self.keep_until = Instant::now() + span;
+    }
+}
+
+/// Connections to one leaf.
+#[derive(Default)]
+pub struct LeafPool {
+    idle: Vec<LeafConnection>,
+    open: usize,
+}
+
+impl LeafPool {
+    /// An idle connection that is still sound, the last used one first.
+    pub fn take_idle(&mut self) -> Option<LeafConnection> {
+        let now = Instant::now();
+        while let Some(mut connection) = self.idle.pop() {
+            if now < connection.keep_until && connection.is_quiet() {
+                return Some(connection);
+            }
+            self.open -= 1;
+        }
+        None
+    }
+
+    /// Counts a connection that is about to be opened, unless `limit` are open.
+    pub fn admit(&mut self, limit: usize) -> bool {
+        let admitted = self.open < limit;
+        self.open += usize::from(admitted);
+        admitted
+    }
+
+    /// A connection that was taken is closed.
+    pub fn closed(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// A connection that was taken is idle again.
+    pub fn give_back(&mut self, connection: LeafConnection) {
+        self.idle.push(connection);
+    }
+
+    /// Closes idle connections whose time is over.
+    pub fn close_expired(&mut self) {
+        let now = Instant::now();
+        let before = self.idle.len();
+        self.idle.retain(|connection| now < connection.keep_until);
+        self.open = self.open.saturating_sub(before - self.idle.len());
+    }
+}
--- /dev/null
+++ b/crates/broker/src/routes/respond.rs
@@ -0,0 +1,163 @@
+//! Answers to callers as bytes.
+
+use std::time::Duration;
+
+use gingerkeel_transport::http1::BodyFraming;
+
+use super::attempt::{LeafReply, add_field};
+use super::dialect::Dialect;
+
+/// A refusal of the broker's own, or the word that it has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The head or the body is not valid HTTP.
+    Malformed,
+    /// The request did not arrive in time.
+    Slow,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The head is too large.
+    HeadTooLarge,
+    /// No route matches.
+    NoRoute,
+    /// The request has not run; the caller may come back.
+    NotRun {
+        /// When.
+        retry_after: Duration,
+    },
+    /// No leaf gave a usable reply; the request may have run.
+    NoReply,
+    /// The time of the request is over; it may have run.
+    TimedOut,
+}
+
+impl Refusal {
+    /// The status.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::NoRoute => 404,
+            Self::Slow => 408,
+            Self::BodyTooLarge => 413,
+            Self::HeadTooLarge => 431,
+            Self::NoReply => 502,
+            Self::NotRun { .. } => 503,
+            Self::TimedOut => 504,
+        }
+    }
+
+    fn text(self) -> &'static str {
+        match self {
+            Self::Malformed => "not a valid request: check what was sent\n",
+            Self::NoRoute => "no route matches the host and path: check both\n",
+            Self::Slow => "the request did not arrive in time: send it faster\n",
+            Self::BodyTooLarge => "the body is too large: send a shorter one\n",
+            Self::HeadTooLarge => "the head is too large: send fewer or shorter fields\n",
+            Self::NoReply => "no usable reply came; the request may have run\n",
+            Self::NotRun { .. } => "the request has not run: send it again later\n",
+            Self::TimedOut => "the time of the request is over; it may have run\n",
+        }
+    }
+
+    /// The whole answer.
+    pub fn to_bytes(self, keep_alive: bool) -> Vec<u8> {
+        let mut bytes = status_line(self.status());
+        if let Self::NotRun { retry_after } = self {
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            add_field(&mut bytes, b"Retry-After", seconds.as_bytes());
+        }
+        add_field(&mut bytes, b"Content-Type", b"text/plain");
+        finish(bytes, self.text().as_bytes(), keep_alive)
+    }
+}
+
+/// A merged answer.
+pub struct MergedAnswer {
+    /// The attestations of the parts that are in.
+    pub attestations: Vec<Vec<u8>>,
+    /// How many parts are missing.
+    pub missing: usize,
+    /// The records.
+    pub records: Vec<u8>,
+}
+
+impl MergedAnswer {
+    /// The whole answer.
+    pub fn to_bytes(&self, dialect: &Dialect, id: &[u8], keep_alive: bool) -> Vec<u8> {
+        let mut bytes = status_line(200);
+        if !id.is_empty() {
+            add_field(&mut bytes, dialect.request_id.as_bytes(), id);
+        }
+        let attestations = self.attestations.join(&b", "[..]);
+        add_field(&mut bytes, dialect.part_attestations.as_bytes(), &attestations);
+        let missing = self.missing.to_string();
+        add_field(&mut bytes, dialect.missing_parts.as_bytes(), missing.as_bytes());
+        add_field(&mut bytes, b"Content-Type", b"application/octet-stream");
+        finish(bytes, &self.records, keep_alive)
+    }
+}
+
+/// How a relayed body is framed towards the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayFraming {
+    /// The whole body follows the head at once.
+    Whole,
+    /// Its length is known from the leaf.
+    Length(u64),
+    /// In chunks.
+    Chunked,
+    /// There is none.
+    None,
+}
+
+/// The head of a relayed reply, and how its body follows.
+pub fn relayed_head(reply: &LeafReply, method: &str, keep_alive: bool) -> (Vec<u8>, RelayFraming) {
+    let mut bytes = status_line(reply.head.status);
+    let headers = &reply.head.headers;
+    let bodiless = method == "HEAD" || matches!(reply.head.status, 100..=199 | 204 | 304);
+    for (name, value) in headers.iter() {
+        let is_length = name.eq_ignore_ascii_case(b"content-length");
+        if !headers.is_hop_by_hop(name) && (!is_length || bodiless) {
+            add_field(&mut bytes, name, value);
+        }
+    }
+    let framing = match (bodiless, &reply.rest, reply.framing) {
+        (true, _, _) => RelayFraming::None,
+        (_, None, _) => RelayFraming::Whole,
+        (_, Some(_), BodyFraming::Length(length)) => RelayFraming::Length(length),
+        _ => RelayFraming::Chunked,
+    };
+    match framing {
+        RelayFraming::None => {}
+        RelayFraming::Whole => add_length(&mut bytes, reply.body.len() as u64),
+        RelayFraming::Length(length) => add_length(&mut bytes, length),
+        RelayFraming::Chunked => add_field(&mut bytes, b"Transfer-Encoding", b"chunked"),
+    }
+    add_connection(&mut bytes, keep_alive);
+    bytes.extend_from_slice(b"\r\n");
+    (bytes, framing)
+}
+
+fn finish(mut bytes: Vec<u8>, body: &[u8], keep_alive: bool) -> Vec<u8> {
+    add_length(&mut bytes, body.len() as u64);
+    add_connection(&mut bytes, keep_alive);
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+fn add_length(bytes: &mut Vec<u8>, length: u64) {
+    add_field(bytes, b"Content-Length", length.to_string().as_bytes());
+}
+
+fn add_connection(bytes: &mut Vec<u8>, keep_alive: bool) {
+    if !keep_alive {
+        add_field(bytes, b"Connection", b"close");
+    }
+}
+
+fn status_line(status: u16) -> Vec<u8> {
+    let reason = http::StatusCode::from_u16(status).ok();
+    let reason = reason.and_then(|status| status.canonical_reason()).unwrap_or("Unknown");
+    format!("HTTP/1.1 {status} {reason}\r\n").into_bytes()
+}
--- /dev/null
+++ b/crates/broker/src/routes/state.rs
@@ -0,0 +1,318 @@
+//! What the tasks that serve routes share: the configuration and the leaves in force, what was
+//! observed of them, and the connections to them.
+//!
+//! All tasks run on one thread. The state is borrowed between two waits only, never across one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
+use gingerkeel_domain::forwarding::{
+    Choice, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, ReplicaSet, ReplicaSettings,
+};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
+use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable};
+use gingerkeel_domain::tail::LatencyWindow;
+use gingerkeel_domain::time::Timestamp;
+use gingerkeel_settings::{BrokerSettings, RouteSettings};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tracing::{info, warn};
+
+use super::dialect::Dialect;
+use super::pool::{LeafConnection, LeafPool};
+use crate::clock::Clock;
+
+/// Least connections that a broker may open to a leaf.
+const LEAST_CONNECTIONS: usize = 2;
+
+/// Part of the time of a planned stop for which idle connections are kept.
+const STOP_IDLE_SHARE: f64 = 0.4;
+
+/// What is known of one service.
+#[derive(Default)]
+struct ServiceState {
+    replicas: ReplicaSet,
+    budget: ExtraLoadBudget,
+}
+
+#[derive(Default)]
+struct Leaves {
+    directory: LeafDirectory,
+    services: BTreeMap<ServiceName, ServiceState>,
+    pools: BTreeMap<LeafIdentity, LeafPool>,
+}
+
+/// The shared state.
+pub struct RouteState {
+    /// Names of header fields.
+    pub dialect: Dialect,
+    /// Settings of the serving of routes.
+    pub settings: RouteSettings,
+    /// The clock.
+    pub clock: Clock,
+    broker: BrokerSettings,
+    extra: ExtraLoadSettings,
+    replica_settings: ReplicaSettings,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    leaves: RefCell<Leaves>,
+    latencies: RefCell<BTreeMap<String, LatencyWindow>>,
+    brokers: Cell<usize>,
+    stopping: Cell<bool>,
+    random: RefCell<Pcg64>,
+}
+
+impl RouteState {
+    /// Nothing is known yet.
+    pub fn new(
+        broker: BrokerSettings,
+        settings: RouteSettings,
+        dialect: Dialect,
+        clock: Clock,
+    ) -> Self {
+        let seed = broker.seed.unwrap_or_else(|| rand::rng().random());
+        let extra = ExtraLoadSettings {
+            ratio: settings.extra_ratio,
+            window: Duration::from_millis(settings.extra_window_ms.into()),
+            slack: settings.extra_slack,
+        };
+        Self {
+            dialect,
+            settings,
+            clock,
+            broker,
+            extra,
+            replica_settings: ReplicaSettings::default(),
+            table: RefCell::default(),
+            leaves: RefCell::default(),
+            latencies: RefCell::default(),
+            brokers: Cell::new(1),
+            stopping: Cell::new(false),
+            random: RefCell::new(Pcg64::seed_from_u64(seed)),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Whether requests can be served: a configuration and a list of leaves are in force.
+    pub fn is_ready(&self) -> bool {
+        self.has_leaves() && self.table.borrow().is_some() && !self.stopping.get()
+    }
+
+    /// Whether a list of leaves is in force.
+    pub fn has_leaves(&self) -> bool {
+        self.leaves.borrow().directory.version().0 > 0
+    }
+
+    /// How long an idle connection is kept after a planned stop has begun.
+    pub fn stop_idle_after(&self) -> Duration {
+        Duration::from_millis(self.settings.stop_ms.into()).mul_f64(STOP_IDLE_SHARE)
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// A planned stop begins.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Puts a configuration in force, unless one of this or a higher version is.
+    pub fn replace_routes(&self, configuration: RouteConfiguration) {
+        let held = self.table.borrow().as_ref().map(|table| table.version());
+        let version = configuration.version;
+        if held.is_some_and(|held| version <= held) {
+            return;
+        }
+        let routes = configuration.routes.len();
+        info!(
+            event = "routes_in_force",
+            version = version.0,
+            held = held.map(|held| held.0),
+            routes
+        );
+        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
+    }
+
+    /// Takes a whole list of leaves over, unless it is older than the one in force.
+    pub fn replace_directory(&self, directory: LeafDirectory) {
+        let mut leaves = self.leaves.borrow_mut();
+        if directory.version() >= leaves.directory.version() {
+            leaves.directory = directory;
+            self.list(&mut leaves);
+        }
+    }
+
+    /// Takes a change of the list over.
+    pub fn change_directory(&self, delta: &DirectoryDelta) {
+        let mut leaves = self.leaves.borrow_mut();
+        if leaves.directory.apply(delta) {
+            self.list(&mut leaves);
+        } else if delta.base > leaves.directory.version() {
+            let held = leaves.directory.version().0;
+            warn!(event = "directory_gap", held, base = delta.base.0);
+        }
+    }
+
+    /// How many brokers share the leaves.
+    pub fn set_brokers(&self, count: usize) {
+        self.brokers.set(count.max(1));
+    }
+
+    fn list(&self, leaves: &mut Leaves) {
+        let Leaves { directory, services, pools } = leaves;
+        for leaf in directory.leaves().values() {
+            let service = services.entry(leaf.service.clone()).or_default();
+            service.replicas.list(leaf, self.distance(leaf));
+        }
+        for service in services.values_mut() {
+            service.replicas.retain(|identity| directory.leaves().contains_key(identity));
+        }
+        pools.retain(|identity, _| directory.leaves().contains_key(identity));
+        let version = directory.version().0;
+        info!(event = "directory_in_force", version, leaves = directory.leaves().len());
+    }
+
+    fn distance(&self, leaf: &ListedLeaf) -> Distance {
+        if leaf.zone.as_str() == self.broker.zone {
+            return Distance::Zone;
+        }
+        let own = self.settings.zone_regions.get(&self.broker.zone);
+        let same_region =
+            own.is_some() && own == self.settings.zone_regions.get(leaf.zone.as_str());
+        if same_region { Distance::Region } else { Distance::Far }
+    }
+
+    /// A number from 0 to 1.
+    pub fn draw(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// A number.
+    pub fn draw_number(&self) -> u64 {
+        self.random.borrow_mut().random()
+    }
+
+    fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Chooses a leaf of a service other than those tried.
+    pub fn choose(&self, service: &ServiceName, tried: &[LeafIdentity]) -> Option<Choice> {
+        let leaves = self.leaves.borrow();
+        let service = leaves.services.get(service)?;
+        service.replicas.choose(self.now(), &self.replica_settings, tried, || self.draw())
+    }
+
+    /// A leaf as the directory lists it.
+    pub fn leaf(&self, identity: &LeafIdentity) -> Option<ListedLeaf> {
+        self.leaves.borrow().directory.leaves().get(identity).cloned()
+    }
+
+    /// A request for a service begins: it may be sent to one leaf.
+    pub fn earn(&self, service: &ServiceName) {
+        let now = self.now();
+        let mut leaves = self.leaves.borrow_mut();
+        let state = leaves.services.entry(service.clone()).or_default();
+        state.budget.earn(&self.extra, now);
+    }
+
+    /// Takes one extra request out of the budget of a service; false when there is no room.
+    pub fn take_extra(&self, service: &ServiceName) -> bool {
+        let (now, brokers) = (self.now(), self.brokers.get());
+        let mut leaves = self.leaves.borrow_mut();
+        let state = leaves.services.get_mut(service);
+        state.is_some_and(|state| state.budget.take(&self.extra, now, brokers))
+    }
+
+    /// An attempt begins.
+    pub fn begin(&self, service: &ServiceName, leaf: &LeafIdentity) {
+        self.with_replicas(service, |replicas, _, _| replicas.begin(leaf));
+    }
+
+    /// An attempt has waited longer than expected.
+    pub fn late(&self, service: &ServiceName, leaf: &LeafIdentity) {
+        self.with_replicas(service, |replicas, now, settings| replicas.late(now, settings, leaf));
+    }
+
+    /// An attempt got no answer at all.
+    pub fn silent(&self, service: &ServiceName, leaf: &LeafIdentity) {
+        self.with_replicas(service, |replicas, now, settings| replicas.silent(now, settings, leaf));
+    }
+
+    /// An attempt has ended.
+    pub fn finish(&self, service: &ServiceName, leaf: &LeafIdentity, outcome: Outcome) {
+        self.with_replicas(service, |replicas, now, settings| {
+            replicas.finish(now, settings, leaf, outcome);
+        });
+    }
+
+    fn with_replicas(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut ReplicaSet, Timestamp, &ReplicaSettings),
+    ) {
+        let now = self.now();
+        if let Some(state) = self.leaves.borrow_mut().services.get_mut(service) {
+            change(&mut state.replicas, now, &self.replica_settings);
+        }
+    }
+
+    /// An idle connection to a leaf.
+    pub fn take_idle(&self, leaf: &LeafIdentity) -> Option<LeafConnection> {
+        self.leaves.borrow_mut().pools.get_mut(leaf)?.take_idle()
+    }
+
+    /// Counts a connection that is about to be opened, unless this broker has its share of those
+    /// that the leaf accepts.
+    pub fn admit_connection(&self, service: &ServiceName, leaf: &LeafIdentity) -> bool {
+        let table = self.table();
+        let known = table.as_ref().and_then(|table| table.service(service));
+        let accepted = known.map_or(usize::MAX, |service| service.connection_limit as usize);
+        let limit = (accepted / self.brokers.get()).max(LEAST_CONNECTIONS);
+        self.leaves.borrow_mut().pools.entry(leaf.clone()).or_default().admit(limit)
+    }
+
+    /// A connection to a leaf is closed.
+    pub fn connection_closed(&self, leaf: &LeafIdentity) {
+        if let Some(pool) = self.leaves.borrow_mut().pools.get_mut(leaf) {
+            pool.closed();
+        }
+    }
+
+    /// A connection to a leaf is idle again. That to a leaf which is gone is closed.
+    pub fn give_back(&self, leaf: &LeafIdentity, connection: LeafConnection) {
+        if let Some(pool) = self.leaves.borrow_mut().pools.get_mut(leaf) {
+            pool.give_back(connection);
+        }
+    }
+
+    /// Closes idle connections whose time is over.
+    pub fn close_expired(&self) {
+        self.leaves.borrow_mut().pools.values_mut().for_each(LeafPool::close_expired);
+    }
+
+    /// Records how long a leaf took for a request of a route.
+    pub fn record_latency(&self, route: &Route, latency: Duration) {
+        let now = self.now();
+        let mut latencies = self.latencies.borrow_mut();
+        if !latencies.contains_key(&route.name) {
+            latencies.insert(route.name.clone(), LatencyWindow::default());
+        }
+        if let Some(window) = latencies.get_mut(&route.name) {
+            window.record(now, latency);
+        }
+    }
+
+    /// The latency that this share of the answers of a route keeps to, if enough are known.
+    pub fn latency(&self, route: &Route, quantile: f64) -> Option<Duration> {
+        self.latencies.borrow().get(&route.name)?.quantile(quantile)
+    }
+}
--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -1,19 +1,23 @@
 //! Messages to the cluster task.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use gingerkeel_domain::admission::OverloadReport;
 use gingerkeel_domain::catalog::Placement;
 use gingerkeel_domain::cluster::{
     ChangeOutcome, ChangeRequest, ChargeCounter, ChargeKey, LeafHealth, LogIndex,
 };
+use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision};
+use gingerkeel_domain::routes::AcceptedRoutes;
 use gingerkeel_protocol::FeedMessage;
 use gingerkeel_statement::{StatementReply, Subject};
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 
 use super::reads::{LeaseTicket, PendingRead};
+use super::waiting_routes::RoutesReply;
 use crate::replication::{ProposeError, ReadError, StateMachineMessage};
 
 /// Number of a broker's connection within this process.
@@ -110,6 +114,27 @@
         /// Where the table goes.
         reply: oneshot::Sender<Result<StatementReply, ReadError>>,
     },
+    /// Replace the configuration of routes.
+    ReplaceRoutes {
+        /// The newer configuration.
+        routes: Arc<AcceptedRoutes>,
+        /// Told once one of its version or a higher one is accepted.
+        reply: RoutesReply,
+    },
+    /// A replacement was perhaps not proposed.
+    RoutesNotProposed {
+        /// The configuration.
+        routes: Arc<AcceptedRoutes>,
+        /// Why.
+        error: ProposeError,
+    },
+    /// Read the configuration of routes.
+    ReadRoutes {
+        /// Where it goes.
+        reply: oneshot::Sender<Result<Option<Arc<AcceptedRoutes>>, ReadError>>,
+    },
+    /// The whole list of leaves was read.
+    DirectoryRead(Vec<ListedLeaf>),
     /// A quorum confirmed reads, or not.
     ReadConfirmed {
         /// The reads.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -3,8 +3,10 @@
 mod membership;
 mod message;
 mod reads;
+mod routes;
 mod subscribers;
 mod waiting;
+mod waiting_routes;
 
 use std::time::Duration;
 
@@ -26,6 +28,7 @@
 use reads::{PendingRead, Reads};
 use subscribers::Subscribers;
 use waiting::{ChangeReply, WaitingChanges};
+use waiting_routes::WaitingReplacements;
 
 /// Time between two rounds of reports and deltas.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
@@ -36,6 +39,7 @@
     replication: ReplicationClient,
     own_messages: Tx<ClusterMessage>,
     waiting_changes: WaitingChanges,
+    waiting_routes: WaitingReplacements,
     reads: Reads,
     subscribers: Subscribers,
     membership: Membership,
@@ -56,6 +60,7 @@
         replication,
         own_messages,
         waiting_changes: WaitingChanges::default(),
+        waiting_routes: WaitingReplacements::default(),
         reads: Reads::default(),
         subscribers: Subscribers::default(),
         membership: Membership::new(identity),
@@ -100,6 +105,14 @@
             ClusterMessage::Look { subject, reply } => {
                 self.start_read(vec![PendingRead::Look { subject, reply }])
             }
+            ClusterMessage::ReplaceRoutes { routes, reply } => self.replace_routes(routes, reply),
+            ClusterMessage::RoutesNotProposed { routes, error } => {
+                self.waiting_routes.not_proposed(&routes, &error)
+            }
+            ClusterMessage::ReadRoutes { reply } => {
+                self.start_read(vec![PendingRead::Routes { reply }])
+            }
+            ClusterMessage::DirectoryRead(listed) => self.directory_read(&listed),
             ClusterMessage::ReadConfirmed { reads, outcome } => {
                 self.reads.confirmed(reads, outcome);
                 self.serve_reads();
@@ -158,6 +171,16 @@
             (CommandBody::ReportCharges(reports), CommandOutcome::Charges(receipts)) => {
                 self.subscribers.acknowledge_charges(reports, &receipts)
             }
+            (CommandBody::ReplaceRoutes(routes), CommandOutcome::Routes(outcome)) => {
+                let version = routes.configuration.version.0;
+                info!(event = "routes_replaced", version, ?outcome);
+                self.waiting_routes.accepted(self.state.routes().version());
+            }
+            (CommandBody::ReportDirectory(delta), _) => {
+                let version = self.state.directory().version().0;
+                info!(event = "directory_changed", version);
+                self.subscribers.publish_directory_delta(&self.state, delta);
+            }
             _ => {}
         }
     }
@@ -167,6 +190,7 @@
             Ok(state) if state.applied() >= self.state.applied() => {
                 info!(event = "snapshot_restored", index = index.0);
                 self.state = state;
+                self.waiting_routes.accepted(self.state.routes().version());
                 self.subscribers.publish(&self.state);
                 self.serve_reads();
             }
@@ -231,6 +255,10 @@
                     // The operator may have hung up.
                     let _ = reply.send(Ok(tables::show(&self.state, &subject)));
                 }
+                PendingRead::Routes { reply } => {
+                    // The operator may have hung up.
+                    let _ = reply.send(Ok(self.state.routes().current().cloned()));
+                }
                 PendingRead::Leases(tickets) => {
                     self.subscribers.grant_leases(self.state.catalog().revision(), &tickets)
                 }
@@ -268,6 +296,7 @@
         for request in self.waiting_changes.round() {
             self.propose_again(request);
         }
+        self.propose_routes_again();
         self.subscribers.publish_members(&self.state);
         if let Some(plan) = self.membership.poll_plan(&self.state) {
             // The polling task lives as long as the process.
--- a/crates/control/src/cluster_task/reads.rs
+++ b/crates/control/src/cluster_task/reads.rs
@@ -1,6 +1,9 @@
 //! Reads that wait for a quorum, and then for the state to reach what it confirmed.
 
+use std::sync::Arc;
+
 use gingerkeel_domain::cluster::LogIndex;
+use gingerkeel_domain::routes::AcceptedRoutes;
 use gingerkeel_statement::{StatementReply, Subject};
 use local_sync::oneshot;
 
@@ -25,6 +28,11 @@
         /// Where the table goes.
         reply: oneshot::Sender<Result<StatementReply, ReadError>>,
     },
+    /// A look at the configuration of routes.
+    Routes {
+        /// Where it goes.
+        reply: oneshot::Sender<Result<Option<Arc<AcceptedRoutes>>, ReadError>>,
+    },
     /// Leases of brokers.
     Leases(Vec<LeaseTicket>),
 }
@@ -79,6 +87,10 @@
                     // The operator may have hung up.
                     let _ = reply.send(Err(error.clone()));
                 }
+                (Err(error), PendingRead::Routes { reply }) => {
+                    // As above.
+                    let _ = reply.send(Err(error.clone()));
+                }
                 (Err(_), PendingRead::Leases(_)) => {}
             }
         }
--- /dev/null
+++ b/crates/control/src/cluster_task/routes.rs
@@ -0,0 +1,66 @@
+//! Routes and the list of leaves: replacements, reads and what is proposed of them.
+
+use std::sync::Arc;
+
+use gingerkeel_domain::cluster::CommandBody;
+use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::routes::AcceptedRoutes;
+use tracing::info;
+
+use super::waiting_routes::RoutesReply;
+use super::{ClusterMessage, ClusterTask};
+
+impl ClusterTask {
+    /// Replaces the configuration. One that is overtaken already is acknowledged at once, since
+    /// only accepted versions are applied here.
+    pub(super) fn replace_routes(&mut self, routes: Arc<AcceptedRoutes>, reply: RoutesReply) {
+        let held = self.state.routes().version();
+        if self.state.routes().current().is_some() && routes.configuration.version <= held {
+            // The operator may have hung up.
+            let _ = reply.send(Ok(held));
+            return;
+        }
+        self.waiting_routes.add(routes.clone(), reply);
+        self.propose_routes(routes, true);
+    }
+
+    /// Proposes a replacement; the operator is told of a failure only the first time.
+    fn propose_routes(&self, routes: Arc<AcceptedRoutes>, first: bool) {
+        let replication = self.replication.clone();
+        let messages = self.own_messages.clone();
+        monoio::spawn(async move {
+            let version = routes.configuration.version.0;
+            let proposed = replication.propose(CommandBody::ReplaceRoutes(routes.clone())).await;
+            let Err(error) = proposed else {
+                return;
+            };
+            info!(event = "routes_not_proposed", version, %error);
+            if first {
+                // This task lives as long as the process.
+                let _ = messages.send(ClusterMessage::RoutesNotProposed { routes, error });
+            }
+        });
+    }
+
+    /// Proposes again what got no outcome in time.
+    pub(super) fn propose_routes_again(&mut self) {
+        for routes in self.waiting_routes.round() {
+            self.propose_routes(routes, false);
+        }
+    }
+
+    /// The list of leaves was read: what differs from the replicated list is proposed.
+    pub(super) fn directory_read(&mut self, listed: &[ListedLeaf]) {
+        let Some(delta) = self.state.directory().delta_to(listed) else {
+            return;
+        };
+        let (changed, gone) = (delta.changed.len(), delta.gone.len());
+        info!(event = "directory_differs", base = delta.base.0, changed, gone);
+        let replication = self.replication.clone();
+        monoio::spawn(async move {
+            if let Err(error) = replication.propose(CommandBody::ReportDirectory(delta)).await {
+                info!(event = "directory_not_proposed", %error);
+            }
+        });
+    }
+}
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -1,6 +1,7 @@
 //! The brokers that this process feeds.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use gingerkeel_domain::admission::{ADMIT_ALL, OverloadReport};
@@ -8,8 +9,10 @@
 use gingerkeel_domain::cluster::{
     BrokerOverload, ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, ClusterState,
 };
+use gingerkeel_domain::directory::{DirectoryDelta, DirectoryVersion, LeafDirectory};
 use gingerkeel_domain::feed::BrokerList;
 use gingerkeel_domain::identifiers::{BrokerName, Revision, ServiceName};
+use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::routing::subset::BrokerEntry;
 use gingerkeel_protocol::{
     Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, ShortText, encode_document,
@@ -32,6 +35,8 @@
     /// The revision that it has in force.
     pub in_force: Revision,
     sent: Revision,
+    routes_sent: RouteVersion,
+    directory_sent: DirectoryVersion,
     feed: Tx<FeedMessage>,
 }
 
@@ -42,6 +47,7 @@
     brokers: BrokerList,
     leaving_version: u64,
     thresholds: BTreeMap<ServiceName, u8>,
+    controls: Vec<SocketAddr>,
 }
 
 impl Subscribers {
@@ -63,11 +69,22 @@
             return;
         }
         info!(event = "broker_subscribed", broker = %identity.broker, revision = revision.0);
-        let mut follower = Follower { identity, in_force: revision, sent: revision, feed };
+        let mut follower = Follower {
+            identity,
+            in_force: revision,
+            sent: revision,
+            routes_sent: RouteVersion(0),
+            directory_sent: DirectoryVersion(0),
+            feed,
+        };
         // A broker that is ahead of this process waits: the lease tells it what is accepted.
         if revision == Revision(0) || !follower.send_changes(state) {
             follower.send_catalog(state.catalog());
         }
+        follower.send_routes(state);
+        follower.send_directory(state.directory());
+        let controls = feed_addresses(state);
+        follower.send_document(&controls, |addresses| FeedMessage::Controls { addresses });
         follower.send_document(&self.brokers.whole(), |delta| FeedMessage::Brokers { delta });
         follower.send(leaving(state));
         // A broker that comes from another control process may still hold one that has ended.
@@ -96,6 +113,10 @@
             self.leaving_version = state.leaf_hints().version();
             self.connections.values().for_each(|follower| follower.send(leaving(state)));
         }
+        for follower in self.connections.values_mut() {
+            follower.send_routes(state);
+            follower.send_directory(state.directory());
+        }
         self.publish_thresholds(state);
         let catalog = state.catalog();
         self.connections.retain(|_, follower| {
@@ -103,6 +124,16 @@
         });
     }
 
+    /// Sends a change of the list of leaves, which the state holds already.
+    pub fn publish_directory_delta(&mut self, state: &ClusterState, delta: &DirectoryDelta) {
+        let version = state.directory().version();
+        let current = |broker: &&mut Follower| broker.directory_sent == delta.base;
+        for follower in self.connections.values_mut().filter(current) {
+            follower.send_document(delta, |delta| FeedMessage::DirectoryChange { delta });
+            follower.directory_sent = version;
+        }
+    }
+
     fn publish_thresholds(&mut self, state: &ClusterState) {
         let newer = lowest_admitted(state);
         let before = std::mem::replace(&mut self.thresholds, newer);
@@ -122,6 +153,7 @@
 
     /// Sends what changed among the brokers, once for all that came and went since.
     pub fn publish_members(&mut self, state: &ClusterState) {
+        self.publish_controls(state);
         let members = state.members().brokers().iter();
         let newer = BrokerList::new(members.map(|(name, broker)| BrokerEntry {
             name: name.clone(),
@@ -136,6 +168,18 @@
         self.brokers = newer;
     }
 
+    /// Tells brokers where else they may go.
+    fn publish_controls(&mut self, state: &ClusterState) {
+        let controls = feed_addresses(state);
+        if self.controls == controls {
+            return;
+        }
+        for follower in self.connections.values() {
+            follower.send_document(&controls, |addresses| FeedMessage::Controls { addresses });
+        }
+        self.controls = controls;
+    }
+
     /// Grants leases at the revision that a quorum confirmed.
     pub fn grant_leases(&self, revision: Revision, tickets: &[LeaseTicket]) {
         for ticket in tickets {
@@ -225,6 +269,26 @@
         true
     }
 
+    fn send_routes(&mut self, state: &ClusterState) {
+        let Some(routes) = state.routes().current() else {
+            return;
+        };
+        let version = routes.configuration.version;
+        if self.routes_sent < version {
+            self.send_document(&routes.configuration, |configuration| FeedMessage::Routes {
+                configuration,
+            });
+            self.routes_sent = version;
+        }
+    }
+
+    fn send_directory(&mut self, directory: &LeafDirectory) {
+        if self.directory_sent < directory.version() {
+            self.send_document(directory, |directory| FeedMessage::WholeDirectory { directory });
+            self.directory_sent = directory.version();
+        }
+    }
+
     fn send_catalog(&mut self, catalog: &Catalog) {
         self.send_document(catalog, |catalog| FeedMessage::FullCatalog { catalog });
         self.sent = catalog.revision();
@@ -253,6 +317,10 @@
     }
 }
 
+fn feed_addresses(state: &ClusterState) -> Vec<SocketAddr> {
+    state.members().controls().values().map(|control| control.renewal.feed).collect()
+}
+
 fn lowest_admitted(state: &ClusterState) -> BTreeMap<ServiceName, u8> {
     let thresholds = state.thresholds().services().iter();
     thresholds.map(|(service, threshold)| (service.clone(), threshold.lowest_admitted)).collect()
--- /dev/null
+++ b/crates/control/src/cluster_task/waiting_routes.rs
@@ -0,0 +1,64 @@
+//! Replacements of the routes whose outcome has not come yet.
+
+use std::sync::Arc;
+
+use gingerkeel_domain::routes::{AcceptedRoutes, RouteVersion};
+use local_sync::oneshot;
+
+use crate::replication::ProposeError;
+
+/// Rounds after which a replacement without an outcome is proposed again: one second.
+const ROUNDS_UNTIL_PROPOSED_AGAIN: u32 = 4;
+
+/// Where the outcome of a replacement goes: the version accepted, its own or a higher one.
+pub type RoutesReply = oneshot::Sender<Result<RouteVersion, ProposeError>>;
+
+struct WaitingRoutes {
+    routes: Arc<AcceptedRoutes>,
+    reply: RoutesReply,
+    rounds: u32,
+}
+
+/// Replacements whose outcome has not come yet.
+#[derive(Default)]
+pub struct WaitingReplacements {
+    waiting: Vec<WaitingRoutes>,
+}
+
+impl WaitingReplacements {
+    /// An operator waits for a replacement.
+    pub fn add(&mut self, routes: Arc<AcceptedRoutes>, reply: RoutesReply) {
+        self.waiting.push(WaitingRoutes { routes, reply, rounds: 0 });
+    }
+
+    /// Configurations up to `accepted` have been accepted or overtaken.
+    pub fn accepted(&mut self, accepted: RouteVersion) {
+        let due = |waiting: &mut WaitingRoutes| waiting.routes.configuration.version <= accepted;
+        for answered in self.waiting.extract_if(.., due) {
+            // The operator may have hung up; a resend is acknowledged as well.
+            let _ = answered.reply.send(Ok(accepted));
+        }
+    }
+
+    /// A replacement was certainly not proposed.
+    pub fn not_proposed(&mut self, routes: &Arc<AcceptedRoutes>, error: &ProposeError) {
+        for failed in self.waiting.extract_if(.., |waiting| Arc::ptr_eq(&waiting.routes, routes)) {
+            // The operator may have hung up.
+            let _ = failed.reply.send(Err(error.clone()));
+        }
+    }
+
+    /// The replacements to propose again after one more round. One that was handed to a leader
+    /// which froze or fell is lost on the way; proposed twice, it is carried out once all the same.
+    pub fn round(&mut self) -> Vec<Arc<AcceptedRoutes>> {
+        self.waiting.retain(|waiting| !waiting.reply.is_closed());
+        let mut due = Vec::new();
+        for waiting in &mut self.waiting {
+            waiting.rounds += 1;
+            if waiting.rounds.is_multiple_of(ROUNDS_UNTIL_PROPOSED_AGAIN) {
+                due.push(waiting.routes.clone());
+            }
+        }
+        due
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,16 +3,21 @@
 
 mod clock;
 mod cluster_task;
+mod directory_polling;
 mod error;
 mod feed;
 mod leaf_polling;
 mod operators;
+pub mod ports;
 pub mod replication;
 mod replication_client;
+mod route_operators;
+mod signals;
 pub mod storage;
 mod tables;
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use gingerkeel_domain::identifiers::ControlName;
@@ -26,17 +31,39 @@
 pub use error::ControlError;
 
 use crate::cluster_task::OwnIdentity;
+use crate::ports::{DirectoryInterface, RouteInterface};
 use crate::replication::ReplicationOptions;
 use crate::replication_client::ReplicationClient;
 
 /// Pause after a connection could not be accepted, as when descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// What a control process speaks besides its own protocols.
+#[derive(Default)]
+pub struct Interfaces {
+    /// With operators of routes.
+    pub routes: Option<Rc<dyn RouteInterface>>,
+    /// With the directory of leaves.
+    pub directory: Option<Rc<dyn DirectoryInterface>>,
+}
+
 /// Serves operators and brokers until the process ends.
 ///
 /// # Errors
 /// A [`ControlError`] when an address or the data folder cannot be used.
 pub async fn run(settings: ControlSettings) -> Result<(), ControlError> {
+    run_with(settings, Interfaces::default()).await
+}
+
+/// As [`run`], with other interfaces besides the own ones.
+///
+/// # Errors
+/// As [`run`].
+pub async fn run_with(
+    settings: ControlSettings,
+    interfaces: Interfaces,
+) -> Result<(), ControlError> {
+    signals::ignore_reload()?;
     let operators = bind(settings.operators)?;
     let feed = bind(settings.feed)?;
     info!(
@@ -56,6 +83,13 @@
     let log = replication::start(&settings, ReplicationOptions::default(), state_machine)?;
     let (polling, plans) = leaf_polling::channel();
     let replication = ReplicationClient::new(log);
+    if let (Some(directory), Some(interface)) = (settings.directory.clone(), interfaces.directory) {
+        let (replication, cluster) = (replication.clone(), cluster.clone());
+        monoio::spawn(directory_polling::run(directory, interface, replication, cluster));
+    }
+    if let (Some(address), Some(interface)) = (settings.routes, interfaces.routes) {
+        monoio::spawn(route_operators::serve(bind(address)?, interface, cluster.clone()));
+    }
     cluster_task::start(identity, replication, polling, cluster.clone(), messages);
     monoio::spawn(leaf_polling::run(plans, cluster.clone()));
     monoio::spawn(feed::serve(feed, cluster.clone()));
--- /dev/null
+++ b/crates/control/src/ports.rs
@@ -0,0 +1,78 @@
+//! What a control process speaks with operators of routes and with the directory of leaves.
+//!
+//! The process decides; an implementation of these traits only translates.
+
+use bytes::Bytes;
+use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::routes::{AcceptedRoutes, RouteVersion};
+use gingerkeel_transport::{HttpRequest, HttpResponse};
+use quick_error::quick_error;
+
+quick_error! {
+    /// A message that cannot be understood.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum InterfaceError {
+        /// What is wrong and what to do.
+        Malformed(reason: String) {
+            display("{reason}")
+        }
+    }
+}
+
+/// What an operator wants.
+pub enum RouteCall {
+    /// Replace the configuration of routes.
+    Replace(Box<AcceptedRoutes>),
+    /// Read it.
+    Read,
+    /// Something that there is not.
+    Unknown,
+}
+
+/// What an operator is told.
+pub enum RouteAnswer<'answer> {
+    /// This version or a higher one is accepted.
+    Accepted(RouteVersion),
+    /// The configuration, as the operator sent it.
+    Current(&'answer AcceptedRoutes),
+    /// There is no configuration yet.
+    Empty,
+    /// The call is not valid and has changed nothing.
+    Invalid(String),
+    /// The outcome is not known, or the newest state is not: ask again.
+    Unavailable(String),
+    /// There is no such call.
+    Unknown,
+}
+
+/// The operators' calls about routes.
+pub trait RouteInterface {
+    /// Understands a call.
+    ///
+    /// # Errors
+    /// An [`InterfaceError`] when the body is not a whole configuration.
+    fn understand(&self, request: &HttpRequest) -> Result<RouteCall, InterfaceError>;
+
+    /// Gives the answer its form.
+    fn answer(&self, answer: RouteAnswer<'_>) -> HttpResponse;
+}
+
+/// A page of the list of leaves.
+pub struct DirectoryPage {
+    /// The leaves of the page.
+    pub leaves: Vec<ListedLeaf>,
+    /// Name of the next page; none on the last.
+    pub next: Option<String>,
+}
+
+/// The outside directory of leaves.
+pub trait DirectoryInterface {
+    /// The path and query by which a page is asked for; the first when none is named.
+    fn request_target(&self, page: Option<&str>) -> String;
+
+    /// Understands a page.
+    ///
+    /// # Errors
+    /// An [`InterfaceError`] when the body is no page.
+    fn understand(&self, body: &Bytes) -> Result<DirectoryPage, InterfaceError>;
+}
--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -1,5 +1,7 @@
 //! How a process becomes a member: by forming the cluster or by joining it.
 
+use std::time::Duration;
+
 use gingerkeel_domain::consensus::{Configuration, MemberChange, MemberId, NodeNumber};
 use gingerkeel_settings::ControlSettings;
 
@@ -9,6 +11,18 @@
 pub(super) struct PlannedMembers {
     own: MemberId,
     voters: Vec<NodeNumber>,
+    /// Whether this process may form a cluster.
+    may_form: bool,
+    growth: Option<Growth>,
+}
+
+/// How a cluster grows that members join by themselves.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Growth {
+    /// Most voters.
+    pub voters: usize,
+    /// Silence after which a learner takes the place of a voter.
+    pub lost_after: Duration,
 }
 
 /// What a process without a log does next.
@@ -25,11 +39,29 @@
     pub fn new(settings: &ControlSettings, own: MemberId) -> Self {
         let voters = settings.peers.iter().filter(|peer| peer.voter);
         let mut voters: Vec<NodeNumber> = voters.map(|peer| NodeNumber(peer.node)).collect();
-        if settings.peers.is_empty() {
+        if let Some(seeds) = &settings.seeds {
+            voters.extend(seeds.seed_numbers().map(NodeNumber));
+        } else if settings.peers.is_empty() {
             voters.push(own.node);
         }
         voters.sort_unstable();
-        Self { own, voters }
+        voters.dedup();
+        let may_form = settings.seeds.as_ref().is_none_or(|seeds| seeds.form);
+        let growth = settings.seeds.as_ref().map(|seeds| Growth {
+            voters: seeds.voters as usize,
+            lost_after: Duration::from_millis(seeds.replace_after_ms.into()),
+        });
+        Self { own, voters, may_form, growth }
+    }
+
+    /// The machines that form the cluster.
+    pub fn voters(&self) -> impl Iterator<Item = NodeNumber> + '_ {
+        self.voters.iter().copied()
+    }
+
+    /// How the cluster grows; none when operators name its members.
+    pub fn growth(&self) -> Option<Growth> {
+        self.growth
     }
 
     /// The first voter forms the cluster, and only once every other voter has said that it has no
@@ -39,7 +71,7 @@
         if let Some(formed) = directory.any_formed() {
             return FirstStep::Join(formed, MemberChange::AddLearner(self.own));
         }
-        if self.voters.first() != Some(&self.own.node) {
+        if !self.may_form || self.voters.first() != Some(&self.own.node) {
             return FirstStep::Wait;
         }
         let identity = |node: &NodeNumber| match *node == self.own.node {
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -72,7 +72,7 @@
 ) -> Result<Tx<ReplicationMessage>, StartError> {
     let owner = FolderOwner {
         cluster: settings.cluster.clone(),
-        node: NodeNumber(settings.node),
+        node: NodeNumber(settings.node_number()),
         new_incarnation: new_incarnation(),
     };
     let opened = Storage::open(&settings.data_folder, &owner, io)?;
--- a/crates/control/src/replication/peers/directory.rs
+++ b/crates/control/src/replication/peers/directory.rs
@@ -15,19 +15,20 @@
     formed: Rc<Cell<bool>>,
     cluster: Rc<str>,
     planned_voters: u32,
-    nodes: Rc<BTreeSet<NodeNumber>>,
+    /// The machines that the settings name; none when any machine of the cluster may join.
+    nodes: Option<Rc<BTreeSet<NodeNumber>>>,
     latest: Rc<RefCell<BTreeMap<NodeNumber, PeerIdentity>>>,
 }
 
 impl Directory {
     pub fn new(settings: &ControlSettings, own: MemberId, formed: bool) -> Self {
-        let nodes = settings.other_peers().map(|peer| NodeNumber(peer.node)).collect();
+        let listed = settings.other_peers().map(|peer| NodeNumber(peer.node)).collect();
         Self {
             own,
             formed: Rc::new(Cell::new(formed)),
             cluster: settings.cluster.as_str().into(),
             planned_voters: checksum_of_voters(settings),
-            nodes: Rc::new(nodes),
+            nodes: settings.seeds.is_none().then(|| Rc::new(listed)),
             latest: Rc::default(),
         }
     }
@@ -74,7 +75,7 @@
     /// Notes who a peer is, unless it is unknown or was seen with a later data folder.
     pub fn learn(&self, identity: PeerIdentity) -> Result<(), PeerRefusal> {
         let node = NodeNumber(identity.node);
-        if !self.nodes.contains(&node) {
+        if self.nodes.as_ref().is_some_and(|nodes| !nodes.contains(&node)) {
             return Err(PeerRefusal::UnknownPeer);
         }
         let mut latest = self.latest.borrow_mut();
@@ -99,6 +100,11 @@
         latest.filter(|peer| peer.planned_voters == self.planned_voters)
     }
 
+    /// All peers that said who they are.
+    pub fn known(&self) -> Vec<NodeNumber> {
+        self.latest.borrow().keys().copied().collect()
+    }
+
     /// A peer whose log holds entries.
     pub fn any_formed(&self) -> Option<MemberId> {
         self.latest.borrow().values().find(|peer| peer.formed != 0).map(|peer| member(*peer))
@@ -107,8 +113,9 @@
 
 /// Tells settings apart that would form different clusters.
 fn checksum_of_voters(settings: &ControlSettings) -> u32 {
-    let voters = settings.peers.iter().filter(|peer| peer.voter);
-    let voters: BTreeSet<u32> = voters.map(|peer| peer.node).collect();
+    let listed = settings.peers.iter().filter(|peer| peer.voter).map(|peer| peer.node);
+    let seeds = settings.seeds.iter().flat_map(|seeds| seeds.seed_numbers());
+    let voters: BTreeSet<u32> = listed.chain(seeds).collect();
     let bytes: Vec<u8> = voters.iter().flat_map(|node| node.to_be_bytes()).collect();
     crc32fast::hash(&bytes)
 }
--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -1,14 +1,15 @@
 //! Connections to peers, one each, kept up for ever.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use gingerkeel_domain::consensus::{Envelope, NodeNumber};
 use gingerkeel_protocol::{FrameCodec, PeerFrame, ProtocolError, encode_document};
 use gingerkeel_settings::ControlSettings;
+use local_sync::mpsc::TryRecvError;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
@@ -34,6 +35,11 @@
 /// The connections to all peers.
 pub struct Links {
     links: BTreeMap<NodeNumber, Link>,
+    /// Port of all peers when their number is their address.
+    common_port: Option<u16>,
+    own: NodeNumber,
+    directory: Directory,
+    events: Tx<TaskEvent>,
 }
 
 struct Link {
@@ -47,21 +53,46 @@
         directory: &Directory,
         events: &Tx<TaskEvent>,
     ) -> Self {
-        let mut links = BTreeMap::new();
+        let mut links = Self {
+            links: BTreeMap::new(),
+            common_port: settings.seeds.as_ref().map(|seeds| seeds.own.port()),
+            own: NodeNumber(settings.node_number()),
+            directory: directory.clone(),
+            events: events.clone(),
+        };
         for peer in settings.other_peers() {
-            let (queue, receiver) = unbounded::channel();
-            let queued = Rc::new(Cell::new(0));
-            let task = LinkTask {
-                address: peer.address,
-                queue: receiver,
-                queued: queued.clone(),
-                directory: directory.clone(),
-                events: events.clone(),
-            };
-            monoio::spawn(task.run());
-            links.insert(NodeNumber(peer.node), Link { queue, queued });
+            links.open(NodeNumber(peer.node), peer.address);
         }
-        Self { links }
+        links
+    }
+
+    /// Keeps links to just these machines, whose numbers are their addresses. Without effect when
+    /// the settings list the peers.
+    pub fn keep(&mut self, nodes: &BTreeSet<NodeNumber>) {
+        let Some(port) = self.common_port else {
+            return;
+        };
+        self.links.retain(|node, _| nodes.contains(node));
+        for node in nodes {
+            if *node != self.own && !self.links.contains_key(node) {
+                let address = SocketAddr::from((Ipv4Addr::from(node.0), port));
+                self.open(*node, address);
+            }
+        }
+    }
+
+    fn open(&mut self, node: NodeNumber, address: SocketAddr) {
+        let (queue, receiver) = unbounded::channel();
+        let queued = Rc::new(Cell::new(0));
+        let task = LinkTask {
+            address,
+            queue: receiver,
+            queued: queued.clone(),
+            directory: self.directory.clone(),
+            events: self.events.clone(),
+        };
+        monoio::spawn(task.run());
+        self.links.insert(node, Link { queue, queued });
     }
 
     /// Sends a message, unless too many wait already.
@@ -101,8 +132,8 @@
                 }
                 Err(_) => {}
             }
-            self.drop_queue();
-            if self.events.is_closed() {
+            let dropped = self.drop_queue();
+            if dropped || self.events.is_closed() {
                 return;
             }
             sleep(RECONNECT_PAUSE).await;
@@ -138,7 +169,9 @@
         reader: Reader,
         mut writer: OwnedWriteHalf<TcpStream>,
     ) -> Result<(), ProtocolError> {
-        self.drop_queue();
+        if self.drop_queue() {
+            return Ok(());
+        }
         let heard = Rc::new(Cell::new(Some(Instant::now())));
         monoio::spawn(listen(reader, heard.clone()));
         let mut probed = Instant::now();
@@ -161,10 +194,17 @@
         }
     }
 
-    /// What waited for a connection that is gone is of no use on the next.
-    fn drop_queue(&mut self) {
-        while self.queue.try_recv().is_ok() {}
+    /// What waited for a connection that is gone is of no use on the next. True when the link
+    /// itself was dropped.
+    fn drop_queue(&mut self) -> bool {
+        let ended = loop {
+            match self.queue.try_recv() {
+                Ok(_) => {}
+                Err(error) => break error == TryRecvError::Disconnected,
+            }
+        };
         self.queued.set(0);
+        ended
     }
 }
 
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -1,12 +1,13 @@
 //! The task that owns the core and the disk.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
 use gingerkeel_domain::consensus::{
-    Entry, Envelope, LogIndex, MemberChange, MemberChangeError, MemberId, Node, NodeStatus,
-    Payload, Proposed, RoleName, Snapshot,
+    Entry, Envelope, LogIndex, MemberChange, MemberChangeError, MemberId, Node, NodeNumber,
+    NodeStatus, Payload, Proposed, RoleName, Snapshot,
 };
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::ControlSettings;
@@ -32,6 +33,8 @@
 
 /// Time that a leader has to answer.
 const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// Time without a leader after which a member asks whether it was taken out.
+const RETURN_AFTER: Duration = Duration::from_secs(3);
 /// Time between looks at what a member has to do besides.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Events that are handled together before the core's work is carried out.
@@ -59,6 +62,7 @@
     reported: Option<(RoleName, Option<MemberId>)>,
     /// Whom to ask for a place among the members.
     join_through: Option<MemberId>,
+    leaderless_since: Option<Timestamp>,
     /// Whether no more requests can come.
     ended: bool,
 }
@@ -92,6 +96,7 @@
             storage_error: None,
             reported: None,
             join_through: None,
+            leaderless_since: None,
             ended: false,
         })
     }
@@ -344,9 +349,12 @@
 
     /// What a member does besides: becoming one, and replacing lost data folders.
     fn maintain(&mut self, now: Timestamp) {
+        self.keep_links();
         if self.node.status().last.index > LogIndex(0) {
             self.directory.set_formed();
             self.replace_lost_folders(now);
+            self.grow(now);
+            self.return_if_removed(now);
             return;
         }
         match self.planned.first_step(&self.directory) {
@@ -374,6 +382,48 @@
         }
     }
 
+    /// Connects to all members and seeds, and to whoever joins.
+    fn keep_links(&mut self) {
+        let mut nodes: BTreeSet<NodeNumber> = self.planned.voters().collect();
+        nodes.extend(self.node.configuration().members().map(|member| member.node));
+        nodes.extend(self.directory.known());
+        self.links.keep(&nodes);
+    }
+
+    fn grow(&mut self, now: Timestamp) {
+        let Some(growth) = self.planned.growth() else {
+            return;
+        };
+        let Some(change) = self.node.due_growth(now, growth.voters, growth.lost_after) else {
+            return;
+        };
+        match self.node.change_members(now, change) {
+            Ok(index) => info!(event = "member_change", ?change, index = index.0),
+            Err(error) => warn!(event = "member_not_changed_yet", ?change, %error),
+        }
+    }
+
+    /// A member that has heard no leader for long may have been taken out meanwhile, as one that
+    /// was lost: it asks for a place, which changes nothing when it still has one.
+    fn return_if_removed(&mut self, now: Timestamp) {
+        if self.planned.growth().is_none() || self.node.status().leader.is_some() {
+            self.leaderless_since = None;
+            return;
+        }
+        let since = *self.leaderless_since.get_or_insert(now);
+        if now.since(since) < RETURN_AFTER {
+            return;
+        }
+        self.leaderless_since = Some(now);
+        let Some(formed) = self.directory.any_formed() else {
+            return;
+        };
+        let through = self.join_through.take().unwrap_or(formed);
+        let number = self.requests.next_number();
+        let change = MemberChange::AddLearner(self.node.identity());
+        self.node.request_member_change(through, number, change);
+    }
+
     /// The member that was asked for a place may know the leader.
     fn joined_or_redirected(&mut self, result: Result<LogIndex, MemberChangeError>) {
         if let Err(MemberChangeError::NotLeader(leader)) = result {
--- a/crates/control/src/replication_client.rs
+++ b/crates/control/src/replication_client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gingerkeel_domain::cluster::{Command, CommandBody, LogIndex};
+use gingerkeel_domain::consensus::RoleName;
 use gingerkeel_protocol::encode_document;
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
@@ -49,6 +50,13 @@
         }
     }
 
+    /// The role of this process in the cluster; none while the log ends.
+    pub async fn role(&self) -> Option<RoleName> {
+        let (reply, receiver) = oneshot::channel();
+        self.log.send(ReplicationMessage::Status { reply }).ok()?;
+        receiver.await.ok().map(|status| status.role)
+    }
+
     /// Confirms up to where the log is accepted.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/control/src/route_operators.rs
@@ -0,0 +1,121 @@
+//! The operators' calls about routes.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gingerkeel_domain::routes::AcceptedRoutes;
+use gingerkeel_transport::{HttpRequest, HttpResponse, Limits, ServerConnection, TransportError};
+use local_sync::mpsc::unbounded::Tx;
+use local_sync::oneshot;
+use monoio::net::{TcpListener, TcpStream};
+use monoio::time::timeout;
+use tracing::{debug, info, warn};
+
+use crate::cluster_task::ClusterMessage;
+use crate::ports::{RouteAnswer, RouteCall, RouteInterface};
+
+/// Time that a call has; then its outcome is unknown.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Accepts operators' connections for ever.
+pub async fn serve(
+    listener: TcpListener,
+    interface: Rc<dyn RouteInterface>,
+    cluster: Tx<ClusterMessage>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(converse(stream, interface.clone(), cluster.clone()));
+            }
+            Err(error) => {
+                warn!(event = "accept_failed", listener = "routes", %error);
+                monoio::time::sleep(crate::ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn converse(
+    stream: TcpStream,
+    interface: Rc<dyn RouteInterface>,
+    cluster: Tx<ClusterMessage>,
+) {
+    let mut connection = ServerConnection::new(stream, Limits::default());
+    if let Err(error) = answer_requests(&mut connection, interface.as_ref(), &cluster).await {
+        debug!(event = "operator_connection_ended", %error);
+        let answer = interface.answer(RouteAnswer::Invalid(error.to_string()));
+        // The peer may be gone; then there is nobody to tell.
+        let _ = connection.respond(answer).await;
+    }
+}
+
+async fn answer_requests(
+    connection: &mut ServerConnection,
+    interface: &dyn RouteInterface,
+    cluster: &Tx<ClusterMessage>,
+) -> Result<(), TransportError> {
+    while let Some(request) = connection.next_request().await? {
+        let response = respond(&request, interface, cluster).await;
+        connection.respond(response).await?;
+    }
+    Ok(())
+}
+
+async fn respond(
+    request: &HttpRequest,
+    interface: &dyn RouteInterface,
+    cluster: &Tx<ClusterMessage>,
+) -> HttpResponse {
+    match interface.understand(request) {
+        Ok(RouteCall::Replace(routes)) => replace(*routes, interface, cluster).await,
+        Ok(RouteCall::Read) => read(interface, cluster).await,
+        Ok(RouteCall::Unknown) => interface.answer(RouteAnswer::Unknown),
+        Err(error) => {
+            info!(event = "routes_refused", %error);
+            interface.answer(RouteAnswer::Invalid(error.to_string()))
+        }
+    }
+}
+
+async fn replace(
+    routes: AcceptedRoutes,
+    interface: &dyn RouteInterface,
+    cluster: &Tx<ClusterMessage>,
+) -> HttpResponse {
+    let version = routes.configuration.version.0;
+    if let Err(error) = routes.configuration.validate() {
+        info!(event = "routes_refused", version, %error);
+        return interface.answer(RouteAnswer::Invalid(error.to_string()));
+    }
+    let (reply, receiver) = oneshot::channel();
+    let message = ClusterMessage::ReplaceRoutes { routes: Arc::new(routes), reply };
+    // The cluster task lives as long as the process.
+    let _ = cluster.send(message);
+    let error = match timeout(CALL_LIMIT, receiver).await {
+        Ok(Ok(Ok(accepted))) => {
+            info!(event = "routes_acknowledged", version, accepted = accepted.0);
+            return interface.answer(RouteAnswer::Accepted(accepted));
+        }
+        Ok(Ok(Err(error))) => error.to_string(),
+        _ => "the outcome is unknown: send the configuration again".to_owned(),
+    };
+    info!(event = "routes_outcome_unknown", version, error);
+    interface.answer(RouteAnswer::Unavailable(error))
+}
+
+async fn read(interface: &dyn RouteInterface, cluster: &Tx<ClusterMessage>) -> HttpResponse {
+    let (reply, receiver) = oneshot::channel();
+    // The cluster task lives as long as the process.
+    let _ = cluster.send(ClusterMessage::ReadRoutes { reply });
+    match timeout(CALL_LIMIT, receiver).await {
+        Ok(Ok(Ok(Some(routes)))) => interface.answer(RouteAnswer::Current(&routes)),
+        Ok(Ok(Ok(None))) => interface.answer(RouteAnswer::Empty),
+        Ok(Ok(Err(error))) => interface.answer(RouteAnswer::Unavailable(error.to_string())),
+        _ => {
+            let error = "no quorum confirmed the read in time: ask another control process";
+            interface.answer(RouteAnswer::Unavailable(error.to_owned()))
+        }
+    }
+}
--- a/crates/domain/src/cluster/command.rs
+++ b/crates/domain/src/cluster/command.rs
@@ -1,6 +1,7 @@
 //! Commands of the replicated log and their outcomes.
 
 use std::fmt;
+use std::sync::Arc;
 
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -10,7 +11,9 @@
     Threshold, WallTime,
 };
 use crate::catalog::{CatalogError, Change};
+use crate::directory::DirectoryDelta;
 use crate::identifiers::{ControlName, Revision, ServiceName, SessionName};
+use crate::routes::{AcceptedRoutes, ReplaceOutcome};
 
 /// One command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +56,10 @@
         /// The threshold; none admits every class.
         threshold: Option<Threshold>,
     },
+    /// An operator replaces the configuration of routes.
+    ReplaceRoutes(Arc<AcceptedRoutes>),
+    /// The poller tells what changed in the list of leaves.
+    ReportDirectory(DirectoryDelta),
 }
 
 /// Identifies an operator's command over all resends.
@@ -92,6 +99,8 @@
     Recorded,
     /// Of charges, in the order of the reports.
     Charges(Vec<ChargeReceipt>),
+    /// Of a replacement of the routes.
+    Routes(ReplaceOutcome),
 }
 
 /// What became of a change; recorded for resends.
--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -18,7 +18,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Catalog, CatalogError, Change};
+use crate::directory::LeafDirectory;
 use crate::identifiers::Revision;
+use crate::routes::RouteState;
 
 pub use crate::consensus::LogIndex;
 
@@ -53,6 +55,8 @@
     charges: Charges,
     thresholds: Thresholds,
     overload: OverloadFold,
+    routes: RouteState,
+    directory: LeafDirectory,
 }
 
 impl ClusterState {
@@ -96,6 +100,16 @@
         &self.thresholds
     }
 
+    /// The configuration of routes.
+    pub fn routes(&self) -> &RouteState {
+        &self.routes
+    }
+
+    /// The list of leaves.
+    pub fn directory(&self) -> &LeafDirectory {
+        &self.directory
+    }
+
     /// Applies the command at `index` of the log; one at or before the last is left out.
     pub fn apply(&mut self, index: LogIndex, command: &Command) -> CommandOutcome {
         if index <= self.applied {
@@ -135,6 +149,14 @@
                 self.thresholds.set(service.clone(), *threshold);
                 CommandOutcome::Recorded
             }
+            CommandBody::ReplaceRoutes(routes) => {
+                CommandOutcome::Routes(self.routes.replace(routes))
+            }
+            CommandBody::ReportDirectory(delta) => {
+                // One that was made against another list is made anew with the next poll.
+                self.directory.apply(delta);
+                CommandOutcome::Recorded
+            }
         }
     }
 
--- a/crates/domain/src/consensus/membership.rs
+++ b/crates/domain/src/consensus/membership.rs
@@ -4,6 +4,8 @@
 //! joint configuration is needed. A change counts from the moment it is in the log; the next one
 //! is taken only when it is committed and the leader has committed an entry of its own term.
 
+use std::time::Duration;
+
 use super::configuration::{Configuration, MemberChange};
 use super::error::MemberChangeError;
 use super::leading::Sending;
@@ -71,6 +73,32 @@
         self.configuration().replacement(|learner| self.has_caught_up(now, learner))
     }
 
+    /// The next change by which a cluster that members join by themselves grows to `limit`
+    /// voters and keeps that number: a learner that has caught up takes the place of a voter that
+    /// was silent for `lost_after`, and only then that voter is taken out.
+    pub fn due_growth(
+        &self,
+        now: Timestamp,
+        limit: usize,
+        lost_after: Duration,
+    ) -> Option<MemberChange> {
+        let configuration = self.configuration();
+        let is_lost = |member: &MemberId| {
+            let progress = self.progress(*member);
+            progress.is_some_and(|progress| !progress.is_active(now, lost_after))
+        };
+        let learners = configuration.learners.iter();
+        let ready = learners.copied().find(|learner| self.has_caught_up(now, *learner));
+        let lost = configuration.voters.iter().copied().find(is_lost);
+        let voters = configuration.voters.len();
+        match (ready, lost) {
+            (Some(learner), _) if voters < limit => Some(MemberChange::Promote(learner)),
+            (_, Some(voter)) if voters > limit => Some(MemberChange::Remove(voter)),
+            (Some(learner), Some(_)) if voters == limit => Some(MemberChange::Promote(learner)),
+            _ => None,
+        }
+    }
+
     /// Whether a learner answers and has nearly all that is committed.
     pub fn has_caught_up(&self, now: Timestamp, learner: MemberId) -> bool {
         let lag = self.settings.promotion_lag;
--- /dev/null
+++ b/crates/domain/src/forwarding/greatest.rs
@@ -0,0 +1,51 @@
+//! Merging of parts: the greatest records of all of them.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Bytes of a record.
+pub const RECORD_BYTES: usize = 16;
+
+type Record = [u8; RECORD_BYTES];
+
+/// The greatest records of the parts seen so far, compared byte by byte; equal ones each count.
+#[derive(Debug)]
+pub struct GreatestRecords {
+    limit: usize,
+    /// The least of those kept is on top.
+    kept: BinaryHeap<Reverse<Record>>,
+}
+
+impl GreatestRecords {
+    /// Keeps at most `limit` records.
+    pub fn new(limit: usize) -> Self {
+        Self { limit, kept: BinaryHeap::new() }
+    }
+
+    /// Adds the records of a part. What is left over at the end is no record.
+    pub fn add(&mut self, part: &[u8]) {
+        for record in part.chunks_exact(RECORD_BYTES) {
+            if let Ok(record) = Record::try_from(record) {
+                self.add_record(record);
+            }
+        }
+    }
+
+    fn add_record(&mut self, record: Record) {
+        if self.kept.len() < self.limit {
+            self.kept.push(Reverse(record));
+            return;
+        }
+        if self.kept.peek().is_some_and(|least| least.0 < record) {
+            self.kept.pop();
+            self.kept.push(Reverse(record));
+        }
+    }
+
+    /// The records, the greatest first.
+    pub fn into_bytes(self) -> Vec<u8> {
+        // Reversed records sort the greatest first.
+        let sorted = self.kept.into_sorted_vec();
+        sorted.into_iter().flat_map(|record| record.0).collect()
+    }
+}
--- /dev/null
+++ b/crates/domain/src/forwarding/mod.rs
@@ -0,0 +1,13 @@
+//! Forwarding of a request to leaves: whom to ask, how often, and what to answer.
+
+mod extra_load;
+mod greatest;
+mod replica;
+mod replica_set;
+mod split;
+
+pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings};
+pub use greatest::{GreatestRecords, RECORD_BYTES};
+pub use replica::{Distance, Outcome};
+pub use replica_set::{Choice, ReplicaSet, ReplicaSettings};
+pub use split::choose_part;
--- /dev/null
+++ b/crates/domain/src/forwarding/replica.rs
@@ -0,0 +1,157 @@
+//! What a broker has observed of one leaf.
+
+use std::time::Duration;
+
+use super::replica_set::ReplicaSettings;
+use crate::time::Timestamp;
+
+/// Weight of the newest latency in the smoothed one.
+const SMOOTHING: f64 = 0.2;
+/// Failures in a row after which a leaf is left out for a while.
+const FAILURES_TO_EJECT: u32 = 2;
+/// Most doublings of the time for which a leaf is left out.
+const EJECTION_DOUBLINGS: u32 = 3;
+
+/// Most doublings of the time for which a late leaf is asked last.
+const SUSPICION_DOUBLINGS: u32 = 3;
+
+/// How far away a leaf is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the own zone.
+    Zone,
+    /// In another zone of the own region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The leaf answered after this time.
+    Answered(Duration),
+    /// The leaf said that it did not run the request.
+    Rejected,
+    /// The connection failed, or the answer was not usable.
+    Failed,
+    /// The attempt was given up before an outcome came.
+    Abandoned,
+}
+
+/// What was observed of one leaf.
+#[derive(Debug)]
+pub struct Replica {
+    pub(super) distance: Distance,
+    pub(super) slots: u32,
+    pub(super) leaving: bool,
+    pub(super) in_flight: u32,
+    latency: Option<f64>,
+    observed: Timestamp,
+    /// Attempts that have waited longer than expected since the last answer.
+    late: u32,
+    suspect_until: Timestamp,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Timestamp,
+    rejected_until: Timestamp,
+}
+
+impl Replica {
+    pub(super) fn new(distance: Distance, slots: u32, leaving: bool) -> Self {
+        Self {
+            distance,
+            slots: slots.max(1),
+            leaving,
+            in_flight: 0,
+            latency: None,
+            observed: Timestamp::ZERO,
+            late: 0,
+            suspect_until: Timestamp::ZERO,
+            failures: 0,
+            ejections: 0,
+            ejected_until: Timestamp::ZERO,
+            rejected_until: Timestamp::ZERO,
+        }
+    }
+
+    /// Whether the leaf is left out for its failures.
+    pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
+        if self.failures < FAILURES_TO_EJECT {
+            return false;
+        }
+        // Once the time is over, one attempt at a time finds out whether the leaf is back.
+        now < self.ejected_until || self.in_flight > 0
+    }
+
+    /// Whether the leaf owes an answer for longer than expected, or has just refused work. Once
+    /// the time is over, one attempt at a time finds out whether it answers again.
+    pub(super) fn is_suspect(&self, now: Timestamp) -> bool {
+        let late = self.late > 0 && (now < self.suspect_until || self.in_flight > 0);
+        late || now < self.rejected_until
+    }
+
+    pub(super) fn finish(&mut self, now: Timestamp, settings: &ReplicaSettings, outcome: Outcome) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match outcome {
+            Outcome::Answered(latency) => self.answered(now, latency),
+            Outcome::Rejected => {
+                self.late = 0;
+                self.rejected_until = now.after(settings.rejection_pause);
+            }
+            Outcome::Failed => self.failed(now, settings),
+            Outcome::Abandoned => {}
+        }
+    }
+
+    fn answered(&mut self, now: Timestamp, latency: Duration) {
+        let sample = latency.as_secs_f64();
+        let smoothed = self.latency.map_or(sample, |old| old + SMOOTHING * (sample - old));
+        self.latency = Some(smoothed);
+        self.observed = now;
+        self.late = 0;
+        self.failures = 0;
+        self.ejections = 0;
+    }
+
+    fn failed(&mut self, now: Timestamp, settings: &ReplicaSettings) {
+        self.failures += 1;
+        if self.failures >= FAILURES_TO_EJECT {
+            let span = settings.ejection * 2u32.pow(self.ejections.min(EJECTION_DOUBLINGS));
+            self.ejected_until = now.after(span);
+            self.ejections += 1;
+        }
+    }
+
+    /// An attempt has waited longer than expected.
+    pub(super) fn mark_late(&mut self, now: Timestamp, settings: &ReplicaSettings) {
+        let doublings = self.late.min(SUSPICION_DOUBLINGS);
+        self.suspect_until =
+            self.suspect_until.max(now.after(settings.suspicion * (1 << doublings)));
+        self.late += 1;
+    }
+
+    /// An attempt got no answer at all.
+    pub(super) fn mark_silent(&mut self, now: Timestamp, settings: &ReplicaSettings) {
+        self.mark_late(now, settings);
+        self.failed(now, settings);
+    }
+
+    /// What an attempt is expected to take, in seconds: the smoothed latency, which tends to the
+    /// ordinary one while nothing is observed, with the queue in front of the slots.
+    pub(super) fn expected_cost(&self, now: Timestamp, settings: &ReplicaSettings) -> f64 {
+        let ordinary = settings.ordinary_latency.as_secs_f64();
+        let age = now.since(self.observed).as_secs_f64() / settings.memory.as_secs_f64();
+        let known = self.latency.map_or(ordinary, |latency| {
+            if latency <= ordinary {
+                latency
+            } else {
+                ordinary + (latency - ordinary) * (-age).exp()
+            }
+        });
+        let waiting = (self.in_flight + 1).saturating_sub(self.slots);
+        let queue = 1.0 + f64::from(waiting) / f64::from(self.slots);
+        let share = 1.0 + f64::from(self.in_flight) / f64::from(self.slots) * settings.spread;
+        known * queue * share + settings.distance_cost(self.distance).as_secs_f64()
+    }
+}
--- /dev/null
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -0,0 +1,183 @@
+//! The leaves of one service as one broker sees them, and the choice of one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::replica::{Distance, Outcome, Replica};
+use crate::directory::{LeafAvailability, ListedLeaf};
+use crate::identifiers::LeafIdentity;
+use crate::time::Timestamp;
+
+/// Share by which costs are varied at random, so that brokers do not all choose alike.
+const COST_VARIATION: f64 = 0.1;
+
+/// Bounds of the choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReplicaSettings {
+    /// Latency that is assumed of a leaf of which nothing is known.
+    pub ordinary_latency: Duration,
+    /// Time after which an observation counts little.
+    pub memory: Duration,
+    /// What another zone of the region costs.
+    pub region_cost: Duration,
+    /// What another region costs.
+    pub far_cost: Duration,
+    /// How much occupied slots count.
+    pub spread: f64,
+    /// Time for which a failing leaf is left out at first.
+    pub ejection: Duration,
+    /// Time for which a leaf that owes an answer is asked last, at first.
+    pub suspicion: Duration,
+    /// Time for which a leaf that refused work is asked last.
+    pub rejection_pause: Duration,
+}
+
+impl Default for ReplicaSettings {
+    fn default() -> Self {
+        Self {
+            ordinary_latency: Duration::from_millis(30),
+            memory: Duration::from_secs(2),
+            region_cost: Duration::from_millis(10),
+            far_cost: Duration::from_millis(60),
+            spread: 0.5,
+            ejection: Duration::from_millis(500),
+            suspicion: Duration::from_millis(300),
+            rejection_pause: Duration::from_millis(100),
+        }
+    }
+}
+
+impl ReplicaSettings {
+    pub(super) fn distance_cost(&self, distance: Distance) -> Duration {
+        match distance {
+            Distance::Zone => Duration::ZERO,
+            Distance::Region => self.region_cost,
+            Distance::Far => self.far_cost,
+        }
+    }
+}
+
+/// How good a choice is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    Sound,
+    Suspect,
+    Ejected,
+}
+
+/// A chosen leaf.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The leaf.
+    pub leaf: LeafIdentity,
+    /// Whether it answered as expected lately, as far as is known.
+    pub sound: bool,
+}
+
+/// The leaves of one service.
+#[derive(Debug, Default)]
+pub struct ReplicaSet {
+    replicas: BTreeMap<LeafIdentity, Replica>,
+}
+
+impl ReplicaSet {
+    /// Takes over what the directory says of a leaf.
+    pub fn list(&mut self, leaf: &ListedLeaf, distance: Distance) {
+        let leaving = leaf.availability == LeafAvailability::Leaving;
+        let replica = self.replicas.entry(leaf.identity.clone());
+        let replica = replica.or_insert_with(|| Replica::new(distance, leaf.slots, leaving));
+        replica.slots = leaf.slots.max(1);
+        replica.leaving = leaving;
+        replica.distance = distance;
+    }
+
+    /// Forgets the leaves that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&LeafIdentity) -> bool) {
+        self.replicas.retain(|identity, _| keep(identity));
+    }
+
+    /// Whether no leaf is known.
+    pub fn is_empty(&self) -> bool {
+        self.replicas.is_empty()
+    }
+
+    /// Chooses a leaf other than those of `tried`. A leaf that is left out for its failures is
+    /// not chosen; `variation` gives numbers from 0 to 1.
+    pub fn choose(
+        &self,
+        now: Timestamp,
+        settings: &ReplicaSettings,
+        tried: &[LeafIdentity],
+        mut variation: impl FnMut() -> f64,
+    ) -> Option<Choice> {
+        let mut best: Option<(Tier, f64, &LeafIdentity)> = None;
+        for (identity, replica) in &self.replicas {
+            if replica.leaving || tried.contains(identity) {
+                continue;
+            }
+            let tier = tier(replica, now);
+            if tier == Tier::Ejected {
+                continue;
+            }
+            let cost = replica.expected_cost(now, settings) * (1.0 + COST_VARIATION * variation());
+            let better = best.is_none_or(|(best_tier, best_cost, _)| {
+                tier < best_tier || (tier == best_tier && cost < best_cost)
+            });
+            if better {
+                best = Some((tier, cost, identity));
+            }
+        }
+        best.map(|(tier, _, leaf)| Choice { leaf: leaf.clone(), sound: tier == Tier::Sound })
+    }
+
+    /// An attempt at a leaf begins.
+    pub fn begin(&mut self, leaf: &LeafIdentity) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.in_flight += 1;
+        }
+    }
+
+    /// An attempt has waited longer than expected.
+    pub fn late(&mut self, now: Timestamp, settings: &ReplicaSettings, leaf: &LeafIdentity) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.mark_late(now, settings);
+        }
+    }
+
+    /// An attempt got no answer in the whole time that it had.
+    pub fn silent(&mut self, now: Timestamp, settings: &ReplicaSettings, leaf: &LeafIdentity) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.mark_silent(now, settings);
+        }
+    }
+
+    /// An attempt at a leaf has ended.
+    pub fn finish(
+        &mut self,
+        now: Timestamp,
+        settings: &ReplicaSettings,
+        leaf: &LeafIdentity,
+        outcome: Outcome,
+    ) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.finish(now, settings, outcome);
+        }
+    }
+
+    /// The leaf said itself that it is leaving.
+    pub fn leaving(&mut self, leaf: &LeafIdentity) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.leaving = true;
+        }
+    }
+}
+
+fn tier(replica: &Replica, now: Timestamp) -> Tier {
+    if replica.is_ejected(now) {
+        Tier::Ejected
+    } else if replica.is_suspect(now) {
+        Tier::Suspect
+    } else {
+        Tier::Sound
+    }
+}
--- a/crates/domain/src/identifiers.rs
+++ b/crates/domain/src/identifiers.rs
@@ -84,6 +84,10 @@
     /// Name of an operator's session, unique to one run of a command line.
     SessionName
 );
+name_type!(
+    /// Identity of one run of a leaf, never used again by another one.
+    LeafIdentity
+);
 name_type!(
     /// Name of a failure zone.
     ZoneName
--- /dev/null
+++ b/crates/domain/src/routes/accepted.rs
@@ -0,0 +1,57 @@
+//! The configuration of routes as control processes agree on it.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::configuration::{RouteConfiguration, RouteVersion};
+
+/// A configuration with the operator's own text of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedRoutes {
+    /// The configuration.
+    pub configuration: RouteConfiguration,
+    /// The document by which the operator sent it, given back to readers to the letter.
+    pub document: Vec<u8>,
+}
+
+/// What became of a replacement; both are acknowledged to the operator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplaceOutcome {
+    /// It is the configuration now.
+    Accepted,
+    /// One of this or a higher version was accepted before; nothing changed.
+    Superseded(RouteVersion),
+    /// It is not valid; nothing changed.
+    Invalid,
+}
+
+/// The configuration of the highest version accepted.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteState {
+    current: Option<Arc<AcceptedRoutes>>,
+}
+
+impl RouteState {
+    /// The configuration, if one was accepted.
+    pub fn current(&self) -> Option<&Arc<AcceptedRoutes>> {
+        self.current.as_ref()
+    }
+
+    /// Its version; 0 when there is none.
+    pub fn version(&self) -> RouteVersion {
+        self.current.as_ref().map_or(RouteVersion(0), |routes| routes.configuration.version)
+    }
+
+    /// Replaces the configuration by one of a higher version.
+    pub fn replace(&mut self, newer: &Arc<AcceptedRoutes>) -> ReplaceOutcome {
+        if self.current.is_some() && newer.configuration.version <= self.version() {
+            return ReplaceOutcome::Superseded(self.version());
+        }
+        if newer.configuration.validate().is_err() {
+            return ReplaceOutcome::Invalid;
+        }
+        self.current = Some(newer.clone());
+        ReplaceOutcome::Accepted
+    }
+}
--- /dev/null
+++ b/crates/domain/src/routes/error.rs
@@ -0,0 +1,44 @@
+//! Why a configuration of routes is refused.
+
+use quick_error::quick_error;
+
+use crate::identifiers::ServiceName;
+
+quick_error! {
+    /// A fault of a configuration; nothing of the configuration was taken.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum RouteError {
+        /// A route names a service that the configuration does not define.
+        UnknownService(route: String, service: ServiceName) {
+            display("route {route} names service {service}, which is not defined: define it or name another one")
+        }
+        /// A service is defined twice.
+        ServiceTwice(service: ServiceName) {
+            display("service {service} is defined twice: define it once")
+        }
+        /// Two routes match the same requests.
+        SamePlace(route: String, host: String, prefix: String) {
+            display("route {route} has the host {host} and the prefix {prefix} of another route: give each route a place of its own")
+        }
+        /// The weights of a split add up to nothing.
+        NoWeight(route: String) {
+            display("the weights of route {route} add up to 0: give at least one service a weight")
+        }
+        /// A route has no time.
+        NoTimeout(route: String) {
+            display("route {route} has a time-out of 0: give it at least one millisecond")
+        }
+        /// A prefix does not begin and end with a slash.
+        BadPrefix(route: String, prefix: String) {
+            display("route {route} has the prefix `{prefix}`: begin and end it with a slash")
+        }
+        /// A route names no host.
+        NoHost(route: String) {
+            display("route {route} names no host: name one")
+        }
+        /// A set of shards is empty or names a service twice.
+        BadShards(route: String) {
+            display("route {route} names no shard or one of them twice: name each shard once")
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/routes/mod.rs
@@ -0,0 +1,17 @@
+//! Routes: which back ends answer a request, by its host and path.
+//!
+//! A [`RouteConfiguration`] is replaced as a whole under a version that operators give. It is
+//! valid as a whole or not at all, and the highest version wins.
+
+mod accepted;
+mod configuration;
+mod error;
+mod table;
+
+pub use accepted::{AcceptedRoutes, ReplaceOutcome, RouteState};
+pub use configuration::{
+    BackEndService, CallerLimits, Destination, PartsPerMillion, Route, RouteConfiguration,
+    RouteVersion, ShardSet, WeightedService,
+};
+pub use error::RouteError;
+pub use table::{RouteLookup, RouteTable};
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -127,6 +127,30 @@
         /// Priority of the class; 255 admits every class.
         lowest_admitted: u8,
     },
+    /// The configuration of routes.
+    #[brw(magic = 10u8)]
+    Routes {
+        /// The configuration as a document.
+        configuration: Document,
+    },
+    /// The whole list of leaves.
+    #[brw(magic = 11u8)]
+    WholeDirectory {
+        /// The list as a document.
+        directory: Document,
+    },
+    /// What changed in the list of leaves.
+    #[brw(magic = 12u8)]
+    DirectoryChange {
+        /// The delta as a document.
+        delta: Document,
+    },
+    /// Where the control processes take brokers' connections.
+    #[brw(magic = 13u8)]
+    Controls {
+        /// The addresses as a document.
+        addresses: Document,
+    },
     /// The run that was reported is settled: the broker counts on in a new one.
     #[brw(magic = 8u8)]
     RunSettled {
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -1,5 +1,6 @@
 //! Settings of a broker.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -44,6 +45,38 @@
     /// Seed of the random choices; by default drawn from the operating system.
     #[serde(default)]
     pub seed: Option<u64>,
+    /// Serving of routes; none when the broker answers queries only.
+    #[serde(default)]
+    pub routes: Option<RouteSettings>,
+}
+
+/// How a broker serves routes.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteSettings {
+    /// Address on which callers of routes connect.
+    pub listen: SocketAddr,
+    /// Address on which readiness is asked for; none when nobody asks.
+    #[serde(default)]
+    pub readiness: Option<SocketAddr>,
+    /// Extra leaf requests (hedges and retries) as a share of requests, from 0 to 1.
+    #[serde(default = "default_extra_ratio")]
+    pub extra_ratio: f64,
+    /// Milliseconds of the window in which extra leaf requests are counted.
+    #[serde(default = "default_extra_window_ms")]
+    pub extra_window_ms: u32,
+    /// Extra leaf requests of all brokers together beyond the share.
+    #[serde(default)]
+    pub extra_slack: f64,
+    /// Milliseconds before the target latency at which an answer with parts missing leaves.
+    #[serde(default = "default_answer_margin_ms")]
+    pub answer_margin_ms: u32,
+    /// Region of each zone, by which leaves of the own region are preferred.
+    #[serde(default)]
+    pub zone_regions: BTreeMap<String, String>,
+    /// Milliseconds that a planned stop may take.
+    #[serde(default = "default_stop_ms")]
+    pub stop_ms: u32,
 }
 
 /// How queries are scheduled.
@@ -57,6 +90,22 @@
     Baseline,
 }
 
+fn default_extra_ratio() -> f64 {
+    0.1
+}
+
+fn default_extra_window_ms() -> u32 {
+    10_000
+}
+
+fn default_answer_margin_ms() -> u32 {
+    15
+}
+
+fn default_stop_ms() -> u32 {
+    6_000
+}
+
 fn default_caller_connections() -> u32 {
     4096
 }
@@ -108,6 +157,30 @@
         }
         let connections = self.connections_per_leaf;
         let accepted = (1..=1024).contains(&connections);
-        check.field("connections_per_leaf", connections, accepted, "use a number from 1 to 1024")
+        check.field(
+            "connections_per_leaf",
+            connections,
+            accepted,
+            "use a number from 1 to 1024",
+        )?;
+        self.routes.as_ref().map_or(Ok(()), |routes| routes.validate(check))
+    }
+}
+
+impl Validate for RouteSettings {
+    fn validate(&self, check: &mut Check<'_>) -> Result<(), SettingsError> {
+        let accepted = (0.0..=1.0).contains(&self.extra_ratio);
+        check.field("routes.extra_ratio", self.extra_ratio, accepted, "use a share from 0 to 1")?;
+        let accepted = (100..=600_000).contains(&self.extra_window_ms);
+        let remedy = "use milliseconds from 100 to 600000";
+        check.field("routes.extra_window_ms", self.extra_window_ms, accepted, remedy)?;
+        let accepted = self.extra_slack >= 0.0 && self.extra_slack.is_finite();
+        check.field("routes.extra_slack", self.extra_slack, accepted, "use a number from 0")?;
+        let accepted = self.answer_margin_ms <= 10_000;
+        let remedy = "use milliseconds up to 10000";
+        check.field("routes.answer_margin_ms", self.answer_margin_ms, accepted, remedy)?;
+        let accepted = (100..=600_000).contains(&self.stop_ms);
+        let remedy = "use milliseconds from 100 to 600000";
+        check.field("routes.stop_ms", self.stop_ms, accepted, remedy)
     }
 }
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -1,7 +1,7 @@
 //! Settings of a control process.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 
 use serde::Deserialize;
@@ -38,6 +38,47 @@
     /// All control processes of the cluster, this one included; none when it is the only one.
     #[serde(default)]
     pub peers: Vec<PeerSettings>,
+    /// How the control processes find each other without a list of them; `peers` stays empty then.
+    #[serde(default)]
+    pub seeds: Option<SeedSettings>,
+    /// The outside list of leaves that this cluster follows; none when operators name the leaves.
+    #[serde(default)]
+    pub directory: Option<DirectorySettings>,
+    /// Address on which operators replace the configuration of routes; none without routes.
+    #[serde(default)]
+    pub routes: Option<SocketAddr>,
+}
+
+/// Control processes that are known from the start, by which all others are found.
+///
+/// A machine's number is its address, so that a machine at another address is another member.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SeedSettings {
+    /// Address on which this process takes connections of the others; all use the same port.
+    pub own: SocketAddrV4,
+    /// Addresses on which the seeds do.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Whether the seeds may form a new cluster; only at the first start of all of them.
+    #[serde(default)]
+    pub form: bool,
+    /// Most voters; further members wait as learners to take the place of a lost one.
+    #[serde(default = "default_voters")]
+    pub voters: u32,
+    /// Milliseconds of silence after which a learner takes the place of a voter.
+    #[serde(default = "default_replace_after_ms")]
+    pub replace_after_ms: u32,
+}
+
+/// An outside list of leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DirectorySettings {
+    /// Where the list is asked for.
+    pub address: SocketAddr,
+    /// Milliseconds from one reading of the whole list to the next.
+    #[serde(default = "default_poll_interval_ms")]
+    pub poll_interval_ms: u32,
 }
 
 /// A control process of the cluster.
@@ -53,6 +94,18 @@
     pub voter: bool,
 }
 
+fn default_voters() -> u32 {
+    5
+}
+
+fn default_replace_after_ms() -> u32 {
+    6_000
+}
+
+fn default_poll_interval_ms() -> u32 {
+    700
+}
+
 fn default_cluster() -> String {
     "gingerkeel".into()
 }
@@ -72,6 +125,9 @@
 impl ControlSettings {
     /// Address on which this process takes connections of its peers, if it has any.
     pub fn peer_address(&self) -> Option<SocketAddr> {
+        if let Some(seeds) = &self.seeds {
+            return Some(seeds.own.into());
+        }
         self.peers.iter().find(|peer| peer.node == self.node).map(|peer| peer.address)
     }
 
@@ -80,6 +136,37 @@
         self.peers.iter().filter(|peer| peer.node != self.node)
     }
 
+    /// Number of this process among the members.
+    pub fn node_number(&self) -> u32 {
+        self.seeds.as_ref().map_or(self.node, SeedSettings::node_number)
+    }
+
+    fn validate_seeds(&self, check: &mut Check<'_>) -> Result<(), SettingsError> {
+        let Some(seeds) = &self.seeds else {
+            return Ok(());
+        };
+        let count = self.peers.len();
+        check.field("peers", count, count == 0, "name either `peers` or `seeds`")?;
+        let named = seeds.seeds.len();
+        check.field("seeds.seeds", named, named > 0, "name at least one seed")?;
+        let same = seeds.seeds.iter().all(|seed| seed.port() == seeds.own.port());
+        check.field("seeds.own", seeds.own, same, "use the port of the seeds")?;
+        let accepted = (1..=15).contains(&seeds.voters);
+        check.field("seeds.voters", seeds.voters, accepted, "use a number from 1 to 15")?;
+        let wait = seeds.replace_after_ms;
+        let accepted = (1_000..=3_600_000).contains(&wait);
+        check.field("seeds.replace_after_ms", wait, accepted, "use 1000 to 3600000")
+    }
+
+    fn validate_directory(&self, check: &mut Check<'_>) -> Result<(), SettingsError> {
+        let Some(directory) = &self.directory else {
+            return Ok(());
+        };
+        let interval = directory.poll_interval_ms;
+        let accepted = (50..=60_000).contains(&interval);
+        check.field("directory.poll_interval_ms", interval, accepted, "use 50 to 60000")
+    }
+
     fn validate_peers(&self, check: &mut Check<'_>) -> Result<(), SettingsError> {
         let count = self.peers.len();
         check.field("peers", count, count <= PEER_LIMIT, "name at most 16 control processes")?;
@@ -105,6 +192,18 @@
     }
 }
 
+impl SeedSettings {
+    /// The number of this machine: its address.
+    pub fn node_number(&self) -> u32 {
+        u32::from(*self.own.ip())
+    }
+
+    /// The numbers of the seeds.
+    pub fn seed_numbers(&self) -> impl Iterator<Item = u32> + '_ {
+        self.seeds.iter().map(|seed| u32::from(*seed.ip()))
+    }
+}
+
 impl Validate for ControlSettings {
     fn validate(&self, check: &mut Check<'_>) -> Result<(), SettingsError> {
         check.name("name", &self.name)?;
@@ -114,6 +213,8 @@
         check.field("node", self.node, self.node > 0, "use a number from 1")?;
         let distinct = self.operators != self.feed;
         check.field("feed", self.feed, distinct, "use another address than that of operators")?;
+        self.validate_seeds(check)?;
+        self.validate_directory(check)?;
         self.validate_peers(check)
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,8 +11,8 @@
 
 use serde::de::DeserializeOwned;
 
-pub use broker::{BrokerSettings, PolicySetting};
-pub use control::{ControlSettings, PeerSettings};
+pub use broker::{BrokerSettings, PolicySetting, RouteSettings};
+pub use control::{ControlSettings, DirectorySettings, PeerSettings, SeedSettings};
 pub use error::SettingsError;
 pub use logging::start_logging;
 pub use validate::{Check, Validate};
--- /dev/null
+++ b/crates/transport/src/http1/body.rs
@@ -0,0 +1,129 @@
+//! Bodies, piece by piece.
+
+use bytes::{Bytes, BytesMut};
+
+use super::framing::BodyFraming;
+use super::head::HeadFault;
+
+/// Longest line that gives the size of a chunk, or of a trailer.
+const LINE_LIMIT: usize = 4 * 1024;
+
+/// Takes the pieces of one body off a buffer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BodyDecoder {
+    state: State,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    ChunkSize,
+    Chunk(u64),
+    ChunkEnd,
+    Trailers,
+    UntilClose,
+    Done,
+}
+
+impl BodyDecoder {
+    /// A decoder of a body framed in this way.
+    pub fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::None => State::Done,
+            BodyFraming::Length(length) => State::Length(length),
+            BodyFraming::Chunked => State::ChunkSize,
+            BodyFraming::UntilClose => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Whether the whole body was taken.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Whether the body ends with the connection.
+    pub fn ends_with_connection(&self) -> bool {
+        self.state == State::UntilClose
+    }
+
+    /// The next piece; none when more bytes are needed, or the body is done.
+    ///
+    /// # Errors
+    /// A [`HeadFault`] when the chunks are malformed.
+    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, HeadFault> {
+        loop {
+            match self.state {
+                State::Done => return Ok(None),
+                State::UntilClose => return Ok(take(buffer, u64::MAX).map(|(piece, _)| piece)),
+                State::Length(left) => {
+                    let Some((piece, taken)) = take(buffer, left) else {
+                        return Ok(None);
+                    };
+                    self.state =
+                        if taken == left { State::Done } else { State::Length(left - taken) };
+                    return Ok(Some(piece));
+                }
+                State::Chunk(left) => {
+                    let Some((piece, taken)) = take(buffer, left) else {
+                        return Ok(None);
+                    };
+                    self.state =
+                        if taken == left { State::ChunkEnd } else { State::Chunk(left - taken) };
+                    return Ok(Some(piece));
+                }
+                State::ChunkSize => match take_line(buffer)? {
+                    Some(line) => self.state = chunk_state(&line)?,
+                    None => return Ok(None),
+                },
+                State::ChunkEnd => match take_line(buffer)? {
+                    Some(line) if line.is_empty() => self.state = State::ChunkSize,
+                    Some(_) => return Err(malformed("bytes after a chunk")),
+                    None => return Ok(None),
+                },
+                State::Trailers => match take_line(buffer)? {
+                    Some(line) if line.is_empty() => self.state = State::Done,
+                    Some(_) => {}
+                    None => return Ok(None),
+                },
+            }
+        }
+    }
+}
+
+fn chunk_state(line: &[u8]) -> Result<State, HeadFault> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+    let hexadecimal = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
+    let text = std::str::from_utf8(digits).map_err(|_| malformed("size of a chunk"))?;
+    let size = u64::from_str_radix(text, 16).ok().filter(|_| hexadecimal);
+    match size.ok_or_else(|| malformed("size of a chunk"))? {
+        0 => Ok(State::Trailers),
+        size => Ok(State::Chunk(size)),
+    }
+}
+
+fn take(buffer: &mut BytesMut, limit: u64) -> Option<(Bytes, u64)> {
+    let count = (buffer.len() as u64).min(limit);
+    if count == 0 {
+        return None;
+    }
+    Some((buffer.split_to(count as usize).freeze(), count))
+}
+
+fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, HeadFault> {
+    let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
+        if buffer.len() > LINE_LIMIT {
+            return Err(malformed("a line without an end"));
+        }
+        return Ok(None);
+    };
+    let line = buffer.split_to(end + 1).freeze();
+    match line.strip_suffix(b"\r\n") {
+        Some(text) => Ok(Some(line.slice(..text.len()))),
+        None => Err(malformed("a line that ends with a bare line feed")),
+    }
+}
+
+fn malformed(reason: &str) -> HeadFault {
+    HeadFault::Malformed(reason.to_owned())
+}
--- /dev/null
+++ b/crates/transport/src/http1/framing.rs
@@ -0,0 +1,72 @@
+//! How the end of a body is known.
+
+use super::head::{HeadFault, Headers, ResponseHead};
+
+/// How the end of a body is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// There is no body.
+    None,
+    /// By its length in bytes.
+    Length(u64),
+    /// By its last chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+/// How the body of a request ends.
+///
+/// # Errors
+/// [`HeadFault::Framing`] when two parties could disagree on it.
+pub fn request_framing(headers: &Headers) -> Result<BodyFraming, HeadFault> {
+    match (is_chunked(headers)?, declared_length(headers)?) {
+        (true, Some(_)) => Err(HeadFault::Framing),
+        (true, None) => Ok(BodyFraming::Chunked),
+        (false, Some(0)) | (false, None) => Ok(BodyFraming::None),
+        (false, Some(length)) => Ok(BodyFraming::Length(length)),
+    }
+}
+
+/// How the body of a response to a request of `method` ends.
+///
+/// # Errors
+/// [`HeadFault::Framing`] when two parties could disagree on it.
+pub fn response_framing(method: &str, head: &ResponseHead) -> Result<BodyFraming, HeadFault> {
+    let bodiless = matches!(head.status, 100..=199 | 204 | 304) || method == "HEAD";
+    if bodiless {
+        return Ok(BodyFraming::None);
+    }
+    match (is_chunked(&head.headers)?, declared_length(&head.headers)?) {
+        (true, Some(_)) => Err(HeadFault::Framing),
+        (true, None) => Ok(BodyFraming::Chunked),
+        (false, Some(0)) => Ok(BodyFraming::None),
+        (false, Some(length)) => Ok(BodyFraming::Length(length)),
+        (false, None) => Ok(BodyFraming::UntilClose),
+    }
+}
+
+fn is_chunked(headers: &Headers) -> Result<bool, HeadFault> {
+    let mut encodings = headers.all("transfer-encoding");
+    let Some(encoding) = encodings.next() else {
+        return Ok(false);
+    };
+    let only = encodings.next().is_none();
+    if only && encoding.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+        Ok(true)
+    } else {
+        Err(HeadFault::Framing)
+    }
+}
+
+fn declared_length(headers: &Headers) -> Result<Option<u64>, HeadFault> {
+    let mut lengths = headers.all("content-length");
+    let Some(length) = lengths.next() else {
+        return Ok(None);
+    };
+    if lengths.next().is_some() || length.is_empty() || !length.iter().all(u8::is_ascii_digit) {
+        return Err(HeadFault::Framing);
+    }
+    let text = std::str::from_utf8(length).map_err(|_| HeadFault::Framing)?;
+    text.parse().map(Some).map_err(|_| HeadFault::Framing)
+}
--- /dev/null
+++ b/crates/transport/src/http1/head.rs
@@ -0,0 +1,233 @@
+//! Heads of requests and responses.
+
+use bytes::{Bytes, BytesMut};
+use quick_error::quick_error;
+
+/// Most headers of one head.
+const HEADER_LIMIT: usize = 96;
+
+quick_error! {
+    /// A head that is not valid.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum HeadFault {
+        /// It is no HTTP/1.1.
+        Malformed(reason: String) {
+            display("not a valid HTTP/1.1 head ({reason}): check the sender")
+        }
+        /// Its length is declared more than once, or not readably.
+        Framing {
+            display("the length of the message is not clear: declare it once, by a length or as chunked")
+        }
+        /// It is larger than the limit, or has too many headers.
+        TooLarge(limit: usize) {
+            display("the head exceeds {limit} bytes or {} headers: send fewer or shorter headers", HEADER_LIMIT)
+        }
+    }
+}
+
+/// A header field.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Field {
+    name: Bytes,
+    value: Bytes,
+}
+
+/// The header fields of a message, in their order.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Headers {
+    fields: Vec<Field>,
+}
+
+impl Headers {
+    /// The first value of a field, without regard to case.
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        let same = |field: &&Field| field.name.eq_ignore_ascii_case(name.as_bytes());
+        self.fields.iter().find(same).map(|field| &field.value[..])
+    }
+
+    /// The first value of a field as text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.get(name)?).ok()
+    }
+
+    /// All values of a field, without regard to case.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let same = |field: &&Field| field.name.eq_ignore_ascii_case(name.as_bytes());
+        self.fields.iter().filter(same).map(|field| &field.value[..])
+    }
+
+    /// All fields, as name and value.
+    pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        self.fields.iter().map(|field| (&field.name[..], &field.value[..]))
+    }
+
+    /// Whether a field that lists words names this one.
+    pub fn lists(&self, name: &str, word: &str) -> bool {
+        self.all(name).any(|value| {
+            let words = value.split(|byte| *byte == b',');
+            words
+                .into_iter()
+                .any(|listed| listed.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+        })
+    }
+
+    /// Whether a field concerns one connection only and is not forwarded.
+    pub fn is_hop_by_hop(&self, name: &[u8]) -> bool {
+        const HOP_BY_HOP: [&str; 9] = [
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+        ];
+        let fixed = HOP_BY_HOP.iter().any(|known| name.eq_ignore_ascii_case(known.as_bytes()));
+        fixed || std::str::from_utf8(name).is_ok_and(|name| self.lists("connection", name))
+    }
+}
+
+/// Head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method.
+    pub method: String,
+    /// Path and query as sent.
+    pub target: String,
+    /// Whether it is HTTP/1.0.
+    pub is_http_10: bool,
+    /// Its header fields.
+    pub headers: Headers,
+}
+
+impl RequestHead {
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split_once('?').map_or(self.target.as_str(), |(path, _)| path)
+    }
+
+    /// Whether the connection stays open after this request, as far as the sender says.
+    pub fn keeps_alive(&self) -> bool {
+        if self.headers.lists("connection", "close") {
+            return false;
+        }
+        !self.is_http_10 || self.headers.lists("connection", "keep-alive")
+    }
+}
+
+/// Head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: u16,
+    /// Whether it is HTTP/1.0.
+    pub is_http_10: bool,
+    /// Its header fields.
+    pub headers: Headers,
+}
+
+impl ResponseHead {
+    /// Whether the connection stays open after this response, as far as the sender says.
+    pub fn keeps_alive(&self) -> bool {
+        if self.headers.lists("connection", "close") {
+            return false;
+        }
+        !self.is_http_10 || self.headers.lists("connection", "keep-alive")
+    }
+}
+
+/// Takes the head of a request off the front of `buffer`; none when it is not whole.
+///
+/// # Errors
+/// A [`HeadFault`] when it is not valid or exceeds `limit` bytes.
+pub fn parse_request(
+    buffer: &mut BytesMut,
+    limit: usize,
+) -> Result<Option<RequestHead>, HeadFault> {
+    let mut fields = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+    let mut parsed = httparse::Request::new(&mut fields);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return incomplete(buffer.len(), limit),
+        Err(error) => return Err(fault(error, limit)),
+    };
+    check_length(length, limit)?;
+    let method = parsed.method.unwrap_or_default().to_owned();
+    let target = parsed.path.unwrap_or_default().to_owned();
+    let is_http_10 = parsed.version == Some(0);
+    let places = places(buffer, parsed.headers);
+    let headers = take_headers(buffer, length, &places);
+    Ok(Some(RequestHead { method, target, is_http_10, headers }))
+}
+
+/// Takes the head of a response off the front of `buffer`; none when it is not whole.
+///
+/// # Errors
+/// A [`HeadFault`] when it is not valid or exceeds `limit` bytes.
+pub fn parse_response(
+    buffer: &mut BytesMut,
+    limit: usize,
+) -> Result<Option<ResponseHead>, HeadFault> {
+    let mut fields = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+    let mut parsed = httparse::Response::new(&mut fields);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return incomplete(buffer.len(), limit),
+        Err(error) => return Err(fault(error, limit)),
+    };
+    check_length(length, limit)?;
+    let status = parsed.code.unwrap_or_default();
+    let is_http_10 = parsed.version == Some(0);
+    let places = places(buffer, parsed.headers);
+    let headers = take_headers(buffer, length, &places);
+    Ok(Some(ResponseHead { status, is_http_10, headers }))
+}
+
+fn incomplete<T>(buffered: usize, limit: usize) -> Result<Option<T>, HeadFault> {
+    check_length(buffered, limit)?;
+    Ok(None)
+}
+
+fn check_length(length: usize, limit: usize) -> Result<(), HeadFault> {
+    if length > limit { Err(HeadFault::TooLarge(limit)) } else { Ok(()) }
+}
+
+fn fault(error: httparse::Error, limit: usize) -> HeadFault {
+    match error {
+        httparse::Error::TooManyHeaders => HeadFault::TooLarge(limit),
+        error => HeadFault::Malformed(error.to_string()),
+    }
+}
+
+/// Where a field lies in the buffer.
+struct Place {
+    name: std::ops::Range<usize>,
+    value: std::ops::Range<usize>,
+}
+
+fn places(buffer: &[u8], fields: &[httparse::Header<'_>]) -> Vec<Place> {
+    let start = buffer.as_ptr() as usize;
+    let range = |bytes: &[u8]| {
+        let from = (bytes.as_ptr() as usize).saturating_sub(start);
+        // An empty value may lie anywhere.
+        if bytes.is_empty() { 0..0 } else { from..from + bytes.len() }
+    };
+    let place = |field: &httparse::Header<'_>| Place {
+        name: range(field.name.as_bytes()),
+        value: range(field.value),
+    };
+    fields.iter().map(place).collect()
+}
+
+fn take_headers(buffer: &mut BytesMut, length: usize, places: &[Place]) -> Headers {
+    // A copy of its own, so that the buffer's memory is not held by a head that lives on.
+    let head = Bytes::copy_from_slice(&buffer[..length]);
+    let _ = buffer.split_to(length);
+    let field = |place: &Place| Field {
+        name: head.slice(place.name.clone()),
+        value: head.slice(place.value.clone()),
+    };
+    Headers { fields: places.iter().map(field).collect() }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod error;
+pub mod http1;
 mod limits;
 mod listener;
 mod message;
