--- /dev/null
+++ b/crates/domain/tests/forwarding.rs
@@ -0,0 +1,217 @@
+//! Forwarding: choice of leaves, the budget of extra requests, merging and splits.
+
+use std::time::Duration;
+
+use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
+use gingerkeel_domain::forwarding::{
+    Distance, ExtraLoadBudget, ExtraLoadSettings, GreatestRecords, Outcome, RECORD_BYTES,
+    ReplicaSet, ReplicaSettings, choose_part,
+};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use gingerkeel_domain::routes::WeightedService;
+use gingerkeel_domain::time::Timestamp;
+use proptest::prelude::*;
+
+fn identity(name: &str) -> LeafIdentity {
+    LeafIdentity::new(name)
+}
+
+fn leaf(name: &str) -> ListedLeaf {
+    ListedLeaf {
+        identity: identity(name),
+        service: ServiceName::new("s"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: ZoneName::new("z"),
+        slots: 4,
+        availability: LeafAvailability::Ready,
+    }
+}
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_micros(milliseconds * 1_000)
+}
+
+/// One leaf in the own zone, two far away.
+fn three_leaves() -> ReplicaSet {
+    let mut set = ReplicaSet::default();
+    set.list(&leaf("near"), Distance::Zone);
+    set.list(&leaf("far-1"), Distance::Far);
+    set.list(&leaf("far-2"), Distance::Far);
+    set
+}
+
+fn chosen(set: &ReplicaSet, now: Timestamp, tried: &[LeafIdentity]) -> Option<String> {
+    let choice = set.choose(now, &ReplicaSettings::default(), tried, || 0.0);
+    choice.map(|choice| choice.leaf.as_str().to_owned())
+}
+
+fn answered(set: &mut ReplicaSet, now: Timestamp, name: &str, milliseconds: u64) {
+    let latency = Duration::from_millis(milliseconds);
+    set.begin(&identity(name));
+    set.finish(now, &ReplicaSettings::default(), &identity(name), Outcome::Answered(latency));
+}
+
+#[test]
+fn the_own_zone_is_preferred_and_a_tried_leaf_is_not_asked_again() {
+    let set = three_leaves();
+    assert_eq!(chosen(&set, at(0), &[]).as_deref(), Some("near"));
+    assert_ne!(chosen(&set, at(0), &[identity("near")]).as_deref(), Some("near"));
+    let all = [identity("near"), identity("far-1"), identity("far-2")];
+    assert_eq!(chosen(&set, at(0), &all), None);
+}
+
+#[test]
+fn a_leaving_leaf_gets_no_new_work() {
+    let mut set = three_leaves();
+    set.list(
+        &ListedLeaf { availability: LeafAvailability::Leaving, ..leaf("near") },
+        Distance::Zone,
+    );
+    assert_ne!(chosen(&set, at(0), &[]).as_deref(), Some("near"));
+}
+
+#[test]
+fn a_leaf_that_owes_an_answer_is_asked_last_until_one_comes() {
+    let settings = ReplicaSettings::default();
+    let mut set = three_leaves();
+    set.begin(&identity("near"));
+    set.late(at(50), &settings, &identity("near"));
+    assert_ne!(chosen(&set, at(60), &[]).as_deref(), Some("near"));
+    set.finish(at(70), &settings, &identity("near"), Outcome::Answered(Duration::from_millis(70)));
+    assert_eq!(chosen(&set, at(71), &[]).as_deref(), Some("near"));
+}
+
+#[test]
+fn a_late_leaf_is_tried_by_one_request_once_its_time_is_over() {
+    let settings = ReplicaSettings::default();
+    let mut set = three_leaves();
+    set.begin(&identity("near"));
+    set.late(at(0), &settings, &identity("near"));
+    set.finish(at(10), &settings, &identity("near"), Outcome::Abandoned);
+    let over = at(11).after(settings.suspicion);
+    assert_eq!(chosen(&set, over, &[]).as_deref(), Some("near"));
+    set.begin(&identity("near"));
+    assert_ne!(chosen(&set, over, &[]).as_deref(), Some("near"), "one at a time");
+}
+
+#[test]
+fn a_failing_leaf_is_left_out_and_comes_back() {
+    let settings = ReplicaSettings::default();
+    let mut set = ReplicaSet::default();
+    set.list(&leaf("only"), Distance::Zone);
+    for _ in 0..2 {
+        set.begin(&identity("only"));
+        set.finish(at(0), &settings, &identity("only"), Outcome::Failed);
+    }
+    assert_eq!(chosen(&set, at(1), &[]), None);
+    let over = at(1).after(settings.ejection);
+    assert_eq!(chosen(&set, over, &[]).as_deref(), Some("only"));
+}
+
+#[test]
+fn a_slow_leaf_loses_its_nearness_and_wins_it_back() {
+    let settings = ReplicaSettings::default();
+    let mut set = three_leaves();
+    for _ in 0..20 {
+        answered(&mut set, at(0), "near", 250);
+    }
+    assert_ne!(chosen(&set, at(1), &[]).as_deref(), Some("near"));
+    let later = at(1).after(settings.memory * 5);
+    assert_eq!(chosen(&set, later, &[]).as_deref(), Some("near"));
+}
+
+#[test]
+fn leaves_that_are_gone_are_forgotten() {
+    let mut set = three_leaves();
+    set.retain(|leaf| leaf == &identity("far-2"));
+    assert_eq!(chosen(&set, at(0), &[]).as_deref(), Some("far-2"));
+    set.retain(|_| false);
+    assert!(set.is_empty());
+}
+
+const BUDGET: ExtraLoadSettings =
+    ExtraLoadSettings { ratio: 0.2, window: Duration::from_secs(10), slack: 9.0 };
+
+#[test]
+fn the_slack_is_shared_by_the_brokers() {
+    let taken = |brokers: usize| {
+        let mut budget = ExtraLoadBudget::default();
+        (0..100).filter(|_| budget.take(&BUDGET, at(0), brokers)).count()
+    };
+    assert_eq!(taken(1), 9);
+    assert_eq!(taken(3), 3);
+    assert_eq!(taken(100), 0);
+}
+
+proptest! {
+    /// However requests and extra ones come, no window of the stated length holds more extra
+    /// ones than the ratio of the requests of that window, with the window before as the rule
+    /// allows, and the slack.
+    #[test]
+    fn no_window_holds_more_extra_requests_than_allowed(
+        steps in prop::collection::vec((0u64..400, 0u8..4), 1..400),
+    ) {
+        let mut budget = ExtraLoadBudget::default();
+        let (mut now, mut requests, mut extra) = (0, Vec::new(), Vec::new());
+        for (pause, kind) in steps {
+            now += pause;
+            if kind == 0 {
+                budget.earn(&BUDGET, at(now));
+                requests.push(now);
+            } else if budget.take(&BUDGET, at(now), 1) {
+                extra.push(now);
+            }
+        }
+        for end in &extra {
+            let start = end.saturating_sub(10_000);
+            let inside = |time: &&u64| **time > start && *time <= end;
+            let counted = extra.iter().filter(inside).count() as f64;
+            // Parts of the window are counted whole, so one part more may be drawn on.
+            let from = end.saturating_sub(11_000);
+            let drawn = requests.iter().filter(|time| **time >= from && *time <= end).count();
+            prop_assert!(counted <= 0.2 * drawn as f64 + 9.0, "{counted} of {drawn}");
+        }
+    }
+
+    #[test]
+    fn merging_gives_the_greatest_records_whatever_the_parts(
+        parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..6),
+        limit in 0usize..20,
+    ) {
+        let mut merged = GreatestRecords::new(limit);
+        let mut all: Vec<Vec<u8>> = Vec::new();
+        for part in &parts {
+            merged.add(part);
+            all.extend(part.chunks_exact(RECORD_BYTES).map(<[u8]>::to_vec));
+        }
+        all.sort_by(|left, right| right.cmp(left));
+        all.truncate(limit);
+        prop_assert_eq!(merged.into_bytes(), all.concat());
+    }
+
+    #[test]
+    fn a_split_follows_the_weights(weights in prop::collection::vec(0u64..5, 1..6)) {
+        let part = |(number, weight): (usize, &u64)| WeightedService {
+            service: ServiceName::new(format!("s{number}")),
+            weight: *weight,
+        };
+        let parts: Vec<WeightedService> = weights.iter().enumerate().map(part).collect();
+        let total: u64 = weights.iter().sum();
+        for (number, weight) in weights.iter().enumerate() {
+            let name = ServiceName::new(format!("s{number}"));
+            let drawn = (0..total).filter(|draw| {
+                choose_part(&parts, *draw).is_some_and(|part| part.service == name)
+            });
+            prop_assert_eq!(drawn.count() as u64, *weight);
+        }
+    }
+}
+
+#[test]
+fn equal_records_each_count() {
+    let mut merged = GreatestRecords::new(3);
+    merged.add(&[7; 32]);
+    merged.add(&[7; 16]);
+    merged.add(&[1; 16]);
+    assert_eq!(merged.into_bytes(), vec![7; 48]);
+}
--- /dev/null
+++ b/crates/domain/tests/leaf_directory.rs
@@ -0,0 +1,58 @@
+//! The list of leaves: deltas, identities and versions.
+
+use gingerkeel_domain::directory::{DirectoryVersion, LeafAvailability, LeafDirectory, ListedLeaf};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+
+fn leaf(identity: &str, port: u16) -> ListedLeaf {
+    ListedLeaf {
+        identity: LeafIdentity::new(identity),
+        service: ServiceName::new("s"),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: ZoneName::new("z"),
+        slots: 4,
+        availability: LeafAvailability::Ready,
+    }
+}
+
+fn listing(leaves: &[ListedLeaf]) -> LeafDirectory {
+    let mut directory = LeafDirectory::default();
+    let delta = directory.delta_to(leaves).expect("a first list");
+    assert!(directory.apply(&delta));
+    directory
+}
+
+#[test]
+fn the_first_list_counts_even_when_it_is_empty() {
+    let directory = listing(&[]);
+    assert_eq!(directory.version(), DirectoryVersion(1));
+    assert_eq!(directory.delta_to(&[]), None);
+}
+
+#[test]
+fn a_delta_names_only_what_changed() {
+    let directory = listing(&[leaf("a", 1), leaf("b", 2), leaf("c", 3)]);
+    let leaving = ListedLeaf { availability: LeafAvailability::Leaving, ..leaf("b", 2) };
+    let delta = directory.delta_to(&[leaf("a", 1), leaving.clone()]).expect("a change");
+    assert_eq!(delta.changed, vec![leaving]);
+    assert_eq!(delta.gone, vec![LeafIdentity::new("c")]);
+}
+
+#[test]
+fn an_address_that_is_used_again_is_another_leaf() {
+    let mut directory = listing(&[leaf("a", 1)]);
+    let delta = directory.delta_to(&[leaf("new", 1)]).expect("a change");
+    assert!(directory.apply(&delta));
+    let identities: Vec<&LeafIdentity> = directory.leaves().keys().collect();
+    assert_eq!(identities, vec![&LeafIdentity::new("new")]);
+}
+
+#[test]
+fn a_delta_of_another_version_changes_nothing() {
+    let mut directory = listing(&[leaf("a", 1)]);
+    let late = directory.delta_to(&[]).expect("a change");
+    let first = directory.delta_to(&[leaf("a", 1), leaf("b", 2)]).expect("a change");
+    assert!(directory.apply(&first));
+    assert!(!directory.apply(&late));
+    assert_eq!(directory.leaves().len(), 2);
+    assert_eq!(directory.version(), DirectoryVersion(2));
+}
--- /dev/null
+++ b/crates/transport/tests/http1.rs
@@ -0,0 +1,144 @@
+//! Heads, framing and bodies of connections that forward.
+
+use bytes::{Bytes, BytesMut};
+use gingerkeel_transport::http1::{
+    BodyDecoder, BodyFraming, HeadFault, Headers, RequestHead, parse_request, parse_response,
+    request_framing, response_framing,
+};
+use rstest::rstest;
+
+const LIMIT: usize = 1024;
+
+fn request(text: &str) -> RequestHead {
+    let mut buffer = BytesMut::from(text);
+    parse_request(&mut buffer, LIMIT).expect("a valid head").expect("a whole head")
+}
+
+fn headers(fields: &str) -> Headers {
+    request(&format!("GET / HTTP/1.1\r\n{fields}\r\n")).headers
+}
+
+#[test]
+fn a_head_is_taken_off_and_the_rest_is_left() {
+    let mut buffer = BytesMut::from("GET /a/b?c HTTP/1.1\r\nHost: h\r\nX-Empty:\r\n\r\nrest");
+    let head = parse_request(&mut buffer, LIMIT).expect("valid").expect("whole");
+    assert_eq!(
+        (head.method.as_str(), head.target.as_str(), head.path()),
+        ("GET", "/a/b?c", "/a/b")
+    );
+    assert_eq!(head.headers.text("HOST"), Some("h"));
+    assert_eq!(head.headers.get("x-empty"), Some(&b""[..]));
+    assert_eq!(&buffer[..], b"rest");
+}
+
+#[test]
+fn a_partial_head_waits_and_a_large_one_is_refused() {
+    let mut partial = BytesMut::from("GET / HTTP/1.1\r\nHost:");
+    assert_eq!(parse_request(&mut partial, LIMIT), Ok(None));
+    let large = format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(LIMIT));
+    let refused = parse_request(&mut BytesMut::from(large.as_str()), LIMIT);
+    assert_eq!(refused, Err(HeadFault::TooLarge(LIMIT)));
+}
+
+#[rstest]
+#[case("GET / HTTP/1.1\r\nBad Name: x\r\n\r\n")]
+#[case("\u{0}\u{1}\u{2}\r\n\r\n")]
+#[case("GET / HTTP/9.9\r\n\r\n")]
+fn what_is_no_head_is_refused(#[case] text: &str) {
+    let parsed = parse_request(&mut BytesMut::from(text), LIMIT);
+    assert!(matches!(parsed, Err(HeadFault::Malformed(_))), "{parsed:?}");
+}
+
+#[rstest]
+#[case("", Ok(BodyFraming::None))]
+#[case("Content-Length: 0\r\n", Ok(BodyFraming::None))]
+#[case("Content-Length: 12\r\n", Ok(BodyFraming::Length(12)))]
+#[case("Transfer-Encoding: Chunked\r\n", Ok(BodyFraming::Chunked))]
+#[case("Content-Length: 1\r\nContent-Length: 1\r\n", Err(HeadFault::Framing))]
+#[case("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", Err(HeadFault::Framing))]
+#[case("Transfer-Encoding: gzip, chunked\r\n", Err(HeadFault::Framing))]
+#[case("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Err(HeadFault::Framing))]
+#[case("Content-Length: +1\r\n", Err(HeadFault::Framing))]
+#[case("Content-Length: 99999999999999999999999\r\n", Err(HeadFault::Framing))]
+fn the_length_of_a_request_is_declared_once(
+    #[case] fields: &str,
+    #[case] expected: Result<BodyFraming, HeadFault>,
+) {
+    assert_eq!(request_framing(&headers(fields)), expected);
+}
+
+#[rstest]
+#[case("GET", 200, "", BodyFraming::UntilClose)]
+#[case("GET", 200, "Content-Length: 4\r\n", BodyFraming::Length(4))]
+#[case("GET", 204, "", BodyFraming::None)]
+#[case("GET", 304, "Content-Length: 4\r\n", BodyFraming::None)]
+#[case("HEAD", 200, "Content-Length: 4\r\n", BodyFraming::None)]
+fn the_body_of_a_response_ends_as_its_head_says(
+    #[case] method: &str,
+    #[case] status: u16,
+    #[case] fields: &str,
+    #[case] expected: BodyFraming,
+) {
+    let text = format!("HTTP/1.1 {status} X\r\n{fields}\r\n");
+    let head = parse_response(&mut BytesMut::from(text.as_str()), LIMIT);
+    let head = head.expect("valid").expect("whole");
+    assert_eq!(response_framing(method, &head), Ok(expected));
+}
+
+/// Feeds a body in pieces of `step` bytes; gives the body, or none when it did not end.
+fn decode(framing: BodyFraming, bytes: &[u8], step: usize) -> Result<Option<Vec<u8>>, HeadFault> {
+    let mut decoder = BodyDecoder::new(framing);
+    let (mut buffer, mut body) = (BytesMut::new(), Vec::new());
+    for part in bytes.chunks(step) {
+        buffer.extend_from_slice(part);
+        while let Some(piece) = decoder.decode(&mut buffer)? {
+            body.extend_from_slice(&piece);
+        }
+    }
+    Ok(decoder.is_done().then_some(body))
+}
+
+#[rstest]
+fn a_body_is_the_same_however_it_arrives(#[values(1, 2, 3, 7, 100)] step: usize) {
+    let chunked = b"4\r\nWiki\r\n5;x=y\r\npedia\r\n0\r\nTrailer: t\r\n\r\n";
+    assert_eq!(decode(BodyFraming::Chunked, chunked, step), Ok(Some(b"Wikipedia".to_vec())));
+    assert_eq!(decode(BodyFraming::Length(4), b"Wiki", step), Ok(Some(b"Wiki".to_vec())));
+    assert_eq!(decode(BodyFraming::Length(5), b"Wiki", step), Ok(None));
+    assert_eq!(decode(BodyFraming::Chunked, b"4\r\nWiki\r\n", step), Ok(None));
+}
+
+#[rstest]
+#[case(b"x\r\n")]
+#[case(b"-1\r\n")]
+#[case(b"4\nWiki")]
+#[case(b"1\r\nab\r\n")]
+#[case(b"\r\n")]
+fn malformed_chunks_are_refused(#[case] bytes: &[u8]) {
+    let decoded = decode(BodyFraming::Chunked, bytes, 100);
+    assert!(matches!(decoded, Err(HeadFault::Malformed(_))), "{decoded:?}");
+}
+
+#[test]
+fn a_decoder_takes_no_byte_beyond_the_body() {
+    let mut buffer = BytesMut::from("0\r\n\r\nnext");
+    let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+    assert_eq!(decoder.decode(&mut buffer), Ok(None::<Bytes>));
+    assert!(decoder.is_done());
+    assert_eq!(&buffer[..], b"next");
+}
+
+#[test]
+fn fields_of_one_connection_are_told_apart() {
+    let headers = headers("Connection: close, X-Own\r\nX-Own: 1\r\nX-Other: 2\r\nTE: x\r\n");
+    let hop: Vec<bool> = headers.iter().map(|(name, _)| headers.is_hop_by_hop(name)).collect();
+    assert_eq!(hop, vec![true, true, false, true]);
+}
+
+#[rstest]
+#[case("GET / HTTP/1.1\r\n\r\n", true)]
+#[case("GET / HTTP/1.1\r\nConnection: foo, Close\r\n\r\n", false)]
+#[case("GET / HTTP/1.0\r\n\r\n", false)]
+#[case("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", true)]
+fn a_connection_stays_open_as_the_sender_says(#[case] text: &str, #[case] expected: bool) {
+    assert_eq!(request(text).keeps_alive(), expected);
+}
