Recover sooner after a loss of all power

Callers that were told to come back after 0.5 s were refused once more.

Change: the commit index goes to disk with the next write and is applied at start, before any leader is known (format 2 of the data folder); election time, pause between control processes and expected start are settings; connects are given up after 0.5 s; brokers hear of a batch of applied commands once, not of each. Ruled out: the brokers' own start (0.1 s) and reading the log back (8 ms).

Tests: what was known to be committed is applied again before a leader is found; a commit index beyond the entries counts up to them; it is read back as of the last write. another_format_is_refused expects formats 3 and 2 instead of 2 and 1.

--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -32,10 +32,10 @@
 
 /// Bound of the first pause before another control process is asked.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
-/// Bound of the longest pause.
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-/// Time that a control process has to accept a connection.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1500);
+/// Time that a control process has to accept a connection: one that has no power says nothing.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Time that a control process has to take a frame.
+const WRITE_LIMIT: Duration = Duration::from_millis(1500);
 
 /// Time between two reports of charges and of overload: what a killed broker may not have reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -77,7 +77,8 @@
     last_reports: Rx<LastReport>,
     routes: Option<Tx<RouteUpdate>>,
 ) {
-    let mut back_off = BackOff::new(FIRST_PAUSE, LONGEST_PAUSE);
+    let longest_pause = Duration::from_millis(settings.control_pause_ms.into());
+    let mut back_off = BackOff::new(FIRST_PAUSE.min(longest_pause), longest_pause);
     let mut link = Link {
         follower: FollowerState::new(FollowerSettings::default()),
         brokers: BrokerList::default(),
@@ -428,7 +429,7 @@
     message: &SubscriberMessage,
 ) -> Result<(), LinkError> {
     let frame = encode_frame(message)?;
-    let (result, _) = timeout(CONNECT_LIMIT, writer.write_all(frame))
+    let (result, _) = timeout(WRITE_LIMIT, writer.write_all(frame))
         .await
         .map_err(|_| LinkError::ConnectTimedOut)?;
     result?;
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -25,8 +25,6 @@
 
 /// Pause after a connection could not be accepted, as when descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// When a caller is asked to come back while nothing is known yet.
-const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// When a caller is asked to come back after no leaf took its request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Longest that a request is held when its caller names no deadline and its route is unknown.
@@ -332,7 +330,7 @@
 
 async fn serve(state: &Rc<RouteState>, mut request: ForwardedRequest) -> Served {
     let Some(table) = state.table().filter(|_| state.has_leaves()) else {
-        return Served::Refused(Refusal::NotRun { retry_after: UNKNOWN_RETRY_AFTER });
+        return Served::Refused(Refusal::NotRun { retry_after: state.start_left() });
     };
     let host = request.head.headers.text("host").unwrap_or_default();
     let RouteLookup::Found(route) = table.find(host, request.head.path()) else {
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -28,6 +28,8 @@
 /// Least connections that a broker may open to a leaf.
 const LEAST_CONNECTIONS: usize = 2;
 
+/// Least time after which a caller is asked to come back while nothing is known yet.
+const LEAST_START_LEFT: Duration = Duration::from_millis(200);
 /// Part of the time of a planned stop for which idle connections are kept.
 const STOP_IDLE_SHARE: f64 = 0.4;
 
@@ -114,6 +116,12 @@
         Duration::from_millis(self.settings.stop_ms.into()).mul_f64(STOP_IDLE_SHARE)
     }
 
+    /// When a caller is asked to come back while nothing is known yet.
+    pub fn start_left(&self) -> Duration {
+        let expected = Duration::from_millis(self.settings.start_ms.into());
+        expected.saturating_sub(self.now().since(Timestamp::ZERO)).max(LEAST_START_LEFT)
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.get()
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -33,6 +33,9 @@
 /// Time between two rounds of reports and deltas.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Messages that are handled before brokers are told what changed.
+const MESSAGE_BATCH: usize = 256;
+
 /// The state of the task.
 pub struct ClusterTask {
     state: ClusterState,
@@ -44,6 +47,8 @@
     subscribers: Subscribers,
     membership: Membership,
     polling: Tx<PollPlan>,
+    /// Whether something was applied that brokers were not told of.
+    changed: bool,
 }
 
 /// Starts the task on a channel that its users have already.
@@ -65,6 +70,7 @@
         subscribers: Subscribers::default(),
         membership: Membership::new(identity),
         polling,
+        changed: false,
     };
     monoio::spawn(task.run(messages));
 }
@@ -92,6 +98,22 @@
     async fn run(mut self, mut messages: Rx<ClusterMessage>) {
         while let Some(message) = messages.recv().await {
             self.handle(message);
+            for _ in 1..MESSAGE_BATCH {
+                let Ok(message) = messages.try_recv() else {
+                    break;
+                };
+                self.handle(message);
+            }
+            self.publish();
+        }
+    }
+
+    /// Tells brokers what changed, once for all messages of a batch, and then answers the reads
+    /// that waited for it: a lease counts for what was sent before it.
+    fn publish(&mut self) {
+        if std::mem::take(&mut self.changed) {
+            self.subscribers.publish(&self.state);
+            self.serve_reads();
         }
     }
 
@@ -114,10 +136,12 @@
             }
             ClusterMessage::DirectoryRead(listed) => self.directory_read(&listed),
             ClusterMessage::ReadConfirmed { reads, outcome } => {
+                self.publish();
                 self.reads.confirmed(reads, outcome);
                 self.serve_reads();
             }
             ClusterMessage::LeasesConfirmed { tickets, outcome } => {
+                self.publish();
                 self.reads.leases_confirmed(tickets, outcome);
                 self.serve_reads();
                 self.confirm_leases();
@@ -156,8 +180,7 @@
         };
         let outcome = self.state.apply(index, &command);
         self.applied(&command.body, outcome);
-        self.subscribers.publish(&self.state);
-        self.serve_reads();
+        self.changed = true;
     }
 
     fn applied(&mut self, body: &CommandBody, outcome: CommandOutcome) {
@@ -191,8 +214,7 @@
                 info!(event = "snapshot_restored", index = index.0);
                 self.state = state;
                 self.waiting_routes.accepted(self.state.routes().version());
-                self.subscribers.publish(&self.state);
-                self.serve_reads();
+                self.changed = true;
             }
             Ok(state) => {
                 error!(event = "snapshot_older", offered = state.applied().0, index = index.0)
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -80,7 +80,7 @@
     };
     let (cluster, messages) = unbounded::channel();
     let state_machine = cluster_task::state_machine(cluster.clone());
-    let log = replication::start(&settings, ReplicationOptions::default(), state_machine)?;
+    let log = replication::start(&settings, ReplicationOptions::of(&settings), state_machine)?;
     let (polling, plans) = leaf_polling::channel();
     let replication = ReplicationClient::new(log);
     if let (Some(directory), Some(interface)) = (settings.directory.clone(), interfaces.directory) {
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -11,7 +11,7 @@
 mod requests;
 mod task;
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use gingerkeel_domain::consensus::{ConsensusSettings, Incarnation, NodeNumber};
 use gingerkeel_settings::ControlSettings;
@@ -31,6 +31,9 @@
 /// Entries that are applied before the state machine is asked for a snapshot.
 pub const SNAPSHOT_INTERVAL: u64 = 1_000;
 
+/// Heartbeats of a leader in the time after which a follower misses it.
+const HEARTBEATS_PER_ELECTION: u32 = 4;
+
 /// How the log of a process is kept.
 #[derive(Debug, Clone, Copy)]
 pub struct ReplicationOptions {
@@ -46,6 +49,20 @@
     }
 }
 
+impl ReplicationOptions {
+    /// The timing that the settings give.
+    pub fn of(settings: &ControlSettings) -> Self {
+        let election_timeout = Duration::from_millis(settings.election_ms.into());
+        let heartbeat_interval = election_timeout / HEARTBEATS_PER_ELECTION;
+        let consensus = ConsensusSettings {
+            election_timeout,
+            heartbeat_interval,
+            ..ConsensusSettings::default()
+        };
+        Self { consensus, ..Self::default() }
+    }
+}
+
 /// Opens the data folder and starts the log; what is accepted goes to `state_machine`.
 ///
 /// The log ends, and gives the folder free, once all senders of requests are dropped.
--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -23,7 +23,10 @@
 
 /// Pause between attempts to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
-/// Time that a connection, a greeting or a write may take.
+/// Time that a peer has to take a connection: one that has no power says nothing, and is tried
+/// again soon.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Time that a greeting or a write may take.
 const STEP_LIMIT: Duration = Duration::from_secs(2);
 /// Time between probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -141,7 +144,9 @@
     }
 
     async fn connect(&mut self) -> Result<(Reader, OwnedWriteHalf<TcpStream>), ProtocolError> {
-        let stream = step(TcpStream::connect_addr(self.address)).await??;
+        let connecting = timeout(CONNECT_LIMIT, TcpStream::connect_addr(self.address));
+        let silent = |_| ProtocolError::Malformed("the peer takes no connection".into());
+        let stream = connecting.await.map_err(silent)??;
         // Without it messages are only slower.
         let _ = stream.set_nodelay(true);
         let (read_half, mut writer) = stream.into_split();
--- a/crates/control/src/storage/record.rs
+++ b/crates/control/src/storage/record.rs
@@ -1,6 +1,6 @@
 //! Records of the log: a magic number, a sequence number, a length, a checksum, a document.
 
-use gingerkeel_domain::consensus::{Entry, HardState};
+use gingerkeel_domain::consensus::{Entry, HardState, LogIndex};
 use gingerkeel_protocol::{decode_document, encode_document};
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +19,8 @@
     pub hard_state: Option<HardState>,
     /// Entries from the first one's index on replace those before.
     pub entries: Vec<Entry>,
+    /// The last entry that was known to be committed.
+    pub commit: LogIndex,
 }
 
 /// A batch that was synced as a whole.
--- a/crates/control/src/storage/recovery.rs
+++ b/crates/control/src/storage/recovery.rs
@@ -29,6 +29,7 @@
     pub next_sequence: u64,
     pub hard_state: HardState,
     entries: Vec<Entry>,
+    commit: LogIndex,
 }
 
 /// Reads all segments; a torn tail is cut.
@@ -90,6 +91,7 @@
         if let Some(hard_state) = write.hard_state {
             self.hard_state = hard_state;
         }
+        self.commit = self.commit.max(write.commit);
         if let Some(first) = write.entries.first() {
             let kept = self.entries.partition_point(|entry| entry.index < first.index);
             self.entries.truncate(kept);
@@ -118,7 +120,7 @@
         if !entries.iter().zip(indexes).all(|(entry, index)| entry.index == index) {
             return Err(StorageError::Damaged(folder.to_owned(), 0, "entries are missing"));
         }
-        Ok(Recovered { hard_state: self.hard_state, snapshot, entries })
+        Ok(Recovered { hard_state: self.hard_state, snapshot, entries, commit: self.commit })
     }
 }
 
--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -109,6 +109,7 @@
                 resets_log: false,
                 hard_state: write.hard_state,
                 entries: write.entries,
+                commit: write.commit,
             });
         }
         self.append(batch)
--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -32,7 +32,7 @@
 }
 
 fn write(entries: Vec<Entry>) -> Write {
-    Write { number: WriteNumber(0), hard_state: None, snapshot: None, entries }
+    Write { number: WriteNumber(0), hard_state: None, snapshot: None, entries, commit: LogIndex(0) }
 }
 
 fn hard_state(term: u64) -> HardState {
@@ -45,7 +45,7 @@
     let metadata = SnapshotMetadata { position, configuration: Configuration::default() };
     let snapshot = Snapshot { metadata, data: Bytes::from_static(b"state") };
     let snapshot = Some(SnapshotWrite { snapshot, replaces_log });
-    Write { number: WriteNumber(0), hard_state: None, snapshot, entries: Vec::new() }
+    Write { snapshot, ..write(Vec::new()) }
 }
 
 /// Persists batches, and gives what another process finds afterwards.
@@ -233,6 +233,14 @@
     assert!(expected(&error), "{error}");
 }
 
+#[test]
+fn the_commit_index_is_read_back_as_of_the_last_write() {
+    let folder = TempDir::new().expect("a folder");
+    let first = Write { commit: LogIndex(1), ..write(vec![entry(1, 1), entry(1, 2)]) };
+    let second = Write { commit: LogIndex(2), ..write(vec![entry(1, 3)]) };
+    assert_eq!(reopened(&folder, vec![vec![first], vec![second]]).commit, LogIndex(2));
+}
+
 #[test]
 fn another_format_is_refused() {
     let folder = TempDir::new().expect("a folder");
@@ -241,7 +249,7 @@
     let mut bytes = fs::read(&path).expect("readable");
     bytes[9] += 1;
     fs::write(&path, bytes).expect("writable");
-    assert!(matches!(open(folder.path()).err(), Some(StorageError::OtherFormat(_, 2, 1))));
+    assert!(matches!(open(folder.path()).err(), Some(StorageError::OtherFormat(_, 3, 2))));
 }
 
 #[test]
--- a/crates/domain/src/consensus/handing_out.rs
+++ b/crates/domain/src/consensus/handing_out.rs
@@ -108,7 +108,7 @@
         self.issued_hard_state = self.hard_state;
         self.writes.push_back(IssuedWrite { number, last: self.log.last(), restore });
         let hard_state = changed.then_some(self.hard_state);
-        Some(Write { number, hard_state, snapshot, entries })
+        Some(Write { number, hard_state, snapshot, entries, commit: self.commit })
     }
 
     /// Last entry that may be applied: committed, and on the own disk.
--- a/crates/domain/src/consensus/node.rs
+++ b/crates/domain/src/consensus/node.rs
@@ -112,6 +112,8 @@
                 configurations.push(entry.index, configuration.clone());
             }
         }
+        let last = recovered.entries.last().map_or(base.index, |entry| entry.index);
+        let commit = recovered.commit.min(last).max(base.index);
         let mut node = Self {
             identity,
             settings,
@@ -121,7 +123,7 @@
             term_write: WriteNumber(0),
             log: Log::new(base, recovered.entries),
             configurations,
-            commit: base.index,
+            commit,
             applied: base.index,
             role: Role::Follower,
             leader: None,
--- a/crates/domain/src/consensus/ready.rs
+++ b/crates/domain/src/consensus/ready.rs
@@ -38,6 +38,9 @@
     pub snapshot: Option<SnapshotWrite>,
     /// Entries to be appended; entries on disk from the first one's index on are void.
     pub entries: Vec<Entry>,
+    /// The last entry that is known to be committed. No write is made for its sake: it goes with
+    /// the next one, so that a member that starts again can apply what it had.
+    pub commit: LogIndex,
 }
 
 /// A snapshot to be persisted.
--- a/crates/domain/src/consensus/types.rs
+++ b/crates/domain/src/consensus/types.rs
@@ -140,6 +140,8 @@
     pub snapshot: Option<Snapshot>,
     /// The entries after the snapshot, without a gap.
     pub entries: Vec<Entry>,
+    /// The last entry that was known to be committed; it is applied before a leader is found.
+    pub commit: LogIndex,
 }
 
 impl Recovered {
@@ -150,7 +152,7 @@
         let payload = Payload::Configuration(configuration);
         let entry = Entry { term, index: LogIndex(1), payload };
         let hard_state = HardState { term, vote: None };
-        Self { hard_state, snapshot: None, entries: vec![entry] }
+        Self { hard_state, snapshot: None, entries: vec![entry], commit: LogIndex(0) }
     }
 
     /// Whether nothing was ever persisted.
--- a/crates/domain/tests/consensus/persistence.rs
+++ b/crates/domain/tests/consensus/persistence.rs
@@ -1,11 +1,22 @@
 //! What is sent only after it is on disk.
 
 use gingerkeel_domain::consensus::{
-    Envelope, LogIndex, LogPosition, Message, RoleName, Term, WriteNumber,
+    Envelope, LogIndex, LogPosition, Message, Recovered, RoleName, Term, Write, WriteNumber,
 };
 use rstest::rstest;
 
-use crate::lab::{Lab, member};
+use crate::lab::{Lab, member, voters};
+
+/// What a member that formed the cluster has on disk after these writes.
+fn on_disk(writes: &[Write]) -> Recovered {
+    let mut recovered = Recovered::formed(voters(3));
+    for write in writes {
+        recovered.hard_state = write.hard_state.unwrap_or(recovered.hard_state);
+        recovered.entries.extend(write.entries.iter().cloned());
+        recovered.commit = write.commit;
+    }
+    recovered
+}
 
 fn last() -> LogPosition {
     LogPosition { term: Term(1), index: LogIndex(1) }
@@ -73,6 +84,32 @@
     }
 }
 
+#[test]
+fn what_was_known_to_be_committed_is_applied_again_before_a_leader_is_found() {
+    let mut lab = Lab::new(3);
+    lab.settle(1, &[1, 2, 3]);
+    for command in ["x", "y", "z"] {
+        lab.propose(1, command);
+        lab.deliver_among(&[1, 2, 3]);
+    }
+    // The last command is committed after the last write: nobody can be sure of it alone.
+    let synced = on_disk(&lab.node(2).writes);
+    assert_eq!(lab.commands(2), ["x", "y", "z"]);
+    lab.start(member(2), synced);
+    lab.flush(member(2));
+    assert_eq!(lab.node(2).node.status().leader, None);
+    assert_eq!(lab.commands(2), ["x", "y"]);
+}
+
+#[test]
+fn a_commit_index_beyond_the_entries_on_disk_counts_up_to_them() {
+    let mut lab = Lab::new(3);
+    let recovered = Recovered { commit: LogIndex(99), ..Recovered::formed(voters(3)) };
+    lab.start(member(1), recovered);
+    lab.flush(member(1));
+    assert_eq!(lab.commit(1), LogIndex(1));
+}
+
 #[test]
 fn requests_of_a_leader_go_out_before_its_own_disk_is_done() {
     let mut lab = Lab::new(5);
--- a/crates/domain/tests/consensus/server.rs
+++ b/crates/domain/tests/consensus/server.rs
@@ -28,6 +28,7 @@
 }
 
 fn persist(synced: &mut Recovered, write: Write) {
+    synced.commit = synced.commit.max(write.commit);
     if let Some(hard_state) = write.hard_state {
         synced.hard_state = hard_state;
     }
--- a/crates/domain/tests/consensus/snapshots.rs
+++ b/crates/domain/tests/consensus/snapshots.rs
@@ -119,7 +119,7 @@
     let recovered = Recovered {
         hard_state: hard_state.expect("a hard state"),
         snapshot: Some(snapshot),
-        entries: Vec::new(),
+        ..Recovered::default()
     };
     lab.start(member(1), recovered);
     lab.flush(member(1));
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -42,6 +42,10 @@
     /// How queries are scheduled; `baseline` is for experiments.
     #[serde(default)]
     pub policy: PolicySetting,
+    /// Most milliseconds before another control process is tried. Many brokers want a long time,
+    /// so that those of a region that heals do not come at the same moment.
+    #[serde(default = "default_control_pause_ms")]
+    pub control_pause_ms: u32,
     /// Seed of the random choices; by default drawn from the operating system.
     #[serde(default)]
     pub seed: Option<u64>,
@@ -74,6 +78,9 @@
     /// Region of each zone, by which leaves of the own region are preferred.
     #[serde(default)]
     pub zone_regions: BTreeMap<String, String>,
+    /// Milliseconds that a broker takes from its start until it can serve, as callers are told.
+    #[serde(default = "default_start_ms")]
+    pub start_ms: u32,
     /// Milliseconds that a planned stop may take.
     #[serde(default = "default_stop_ms")]
     pub stop_ms: u32,
@@ -90,6 +97,14 @@
     Baseline,
 }
 
+fn default_control_pause_ms() -> u32 {
+    2_000
+}
+
+fn default_start_ms() -> u32 {
+    1_000
+}
+
 fn default_extra_ratio() -> f64 {
     0.1
 }
@@ -156,6 +171,9 @@
             check.field("metrics", metrics, distinct, remedy)?;
         }
         let connections = self.connections_per_leaf;
+        let pause = self.control_pause_ms;
+        let accepted = (1..=600_000).contains(&pause);
+        check.field("control_pause_ms", pause, accepted, "use milliseconds from 1 to 600000")?;
         let accepted = (1..=1024).contains(&connections);
         check.field(
             "connections_per_leaf",
@@ -179,6 +197,9 @@
         let accepted = self.answer_margin_ms <= 10_000;
         let remedy = "use milliseconds up to 10000";
         check.field("routes.answer_margin_ms", self.answer_margin_ms, accepted, remedy)?;
+        let accepted = self.start_ms <= 600_000;
+        let remedy = "use milliseconds up to 600000";
+        check.field("routes.start_ms", self.start_ms, accepted, remedy)?;
         let accepted = (100..=600_000).contains(&self.stop_ms);
         let remedy = "use milliseconds from 100 to 600000";
         check.field("routes.stop_ms", self.stop_ms, accepted, remedy)
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -44,6 +44,9 @@
     /// The outside list of leaves that this cluster follows; none when operators name the leaves.
     #[serde(default)]
     pub directory: Option<DirectorySettings>,
+    /// Milliseconds without a leader after which a new one is elected, at least; up to twice that.
+    #[serde(default = "default_election_ms")]
+    pub election_ms: u32,
     /// Address on which operators replace the configuration of routes; none without routes.
     #[serde(default)]
     pub routes: Option<SocketAddr>,
@@ -94,6 +97,10 @@
     pub voter: bool,
 }
 
+fn default_election_ms() -> u32 {
+    600
+}
+
 fn default_voters() -> u32 {
     5
 }
@@ -213,6 +220,8 @@
         check.field("node", self.node, self.node > 0, "use a number from 1")?;
         let distinct = self.operators != self.feed;
         check.field("feed", self.feed, distinct, "use another address than that of operators")?;
+        let accepted = (50..=60_000).contains(&self.election_ms);
+        check.field("election_ms", self.election_ms, accepted, "use 50 to 60000")?;
         self.validate_seeds(check)?;
         self.validate_directory(check)?;
         self.validate_peers(check)
