Take the place of a lost control process by its successor, and take the lost one out

Cause, by reading: with three control processes and room for five voters, a process that was replaced at another address left a dead voter behind; one more loss then ended the quorum (2 of 4). Change: a voter that was silent for long is taken out once enough others answer (settings least_voters), a learner that has caught up is promoted before; one that comes back joins again.

Tests that fail without it: five of the rule in the consensus core; on real processes a cluster formed from seeds keeps the highest version over a restart of all, replaces a lost machine and bears the next loss, takes a wiped machine back, and a process that may not form a cluster forms none.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod feed;
 mod leaf_polling;
+mod native_routes;
 mod operators;
 pub mod ports;
 pub mod replication;
@@ -31,6 +32,7 @@
 pub use error::ControlError;
 
 use crate::cluster_task::OwnIdentity;
+use crate::native_routes::NativeRoutes;
 use crate::ports::{DirectoryInterface, RouteInterface};
 use crate::replication::ReplicationOptions;
 use crate::replication_client::ReplicationClient;
@@ -52,7 +54,8 @@
 /// # Errors
 /// A [`ControlError`] when an address or the data folder cannot be used.
 pub async fn run(settings: ControlSettings) -> Result<(), ControlError> {
-    run_with(settings, Interfaces::default()).await
+    let interfaces = Interfaces { routes: Some(Rc::new(NativeRoutes)), directory: None };
+    run_with(settings, interfaces).await
 }
 
 /// As [`run`], with other interfaces besides the own ones.
--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gingerkeel_domain::consensus::{Configuration, MemberChange, MemberId, NodeNumber};
+use gingerkeel_domain::consensus::{Configuration, Growth, MemberChange, MemberId, NodeNumber};
 use gingerkeel_settings::ControlSettings;
 
 use super::peers::Directory;
@@ -16,15 +16,6 @@
     growth: Option<Growth>,
 }
 
-/// How a cluster grows that members join by themselves.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Growth {
-    /// Most voters.
-    pub voters: usize,
-    /// Silence after which a learner takes the place of a voter.
-    pub lost_after: Duration,
-}
-
 /// What a process without a log does next.
 pub(super) enum FirstStep {
     /// Wait for the others.
@@ -48,7 +39,8 @@
         voters.dedup();
         let may_form = settings.seeds.as_ref().is_none_or(|seeds| seeds.form);
         let growth = settings.seeds.as_ref().map(|seeds| Growth {
-            voters: seeds.voters as usize,
+            least_voters: seeds.least_voters as usize,
+            most_voters: seeds.voters as usize,
             lost_after: Duration::from_millis(seeds.replace_after_ms.into()),
         });
         Self { own, voters, may_form, growth }
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -394,7 +394,7 @@
         let Some(growth) = self.planned.growth() else {
             return;
         };
-        let Some(change) = self.node.due_growth(now, growth.voters, growth.lost_after) else {
+        let Some(change) = self.node.due_growth(now, &growth) else {
             return;
         };
         match self.node.change_members(now, change) {
--- /dev/null
+++ b/crates/control/tests/seeds.rs
@@ -0,0 +1,227 @@
+//! A cluster that forms from seeds, grows by whoever joins, and replaces what it lost.
+
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use bytes::Bytes;
+use gingerkeel_domain::identifiers::ServiceName;
+use gingerkeel_domain::routes::{
+    BackEndService, CallerLimits, Destination, Route, RouteConfiguration, RouteVersion,
+};
+use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, block_on};
+use http::{Method, Uri};
+use support::{free_addresses, wait_until};
+use tempfile::TempDir;
+
+/// Processes by which the others are found.
+const SEEDS: usize = 3;
+
+/// A machine: a host of its own, a data folder and a process.
+struct Machine {
+    host: Ipv4Addr,
+    routes: SocketAddr,
+    data: PathBuf,
+    settings: PathBuf,
+    process: Option<Child>,
+}
+
+struct Cluster {
+    folder: TempDir,
+    machines: Vec<Machine>,
+    /// Ports of peers, feed, statements and routes, the same everywhere.
+    ports: [u16; 4],
+    hosts: Vec<Ipv4Addr>,
+}
+
+impl Cluster {
+    /// Starts the seeds, which may form a cluster.
+    fn start() -> Self {
+        let addresses = free_addresses(SEEDS + 3);
+        let hosts: Vec<Ipv4Addr> =
+            (0..SEEDS as u8 + 3).map(|last| host(addresses[0], last)).collect();
+        let ports =
+            [addresses[0].port(), addresses[1].port(), addresses[2].port(), addresses[3].port()];
+        let folder = tempfile::tempdir().unwrap();
+        let mut cluster = Self { folder, machines: Vec::new(), ports, hosts };
+        for _ in 0..SEEDS {
+            cluster.add(true);
+        }
+        cluster
+    }
+
+    /// Starts one more machine on a host of its own, with an empty disk.
+    fn add(&mut self, form: bool) -> usize {
+        let index = self.machines.len();
+        let host = self.hosts[index];
+        let [peers, feed, statements, routes] = self.ports;
+        let seeds: Vec<String> =
+            self.hosts[..SEEDS].iter().map(|seed| format!("\"{seed}:{peers}\"")).collect();
+        let data = self.folder.path().join(format!("data-{index}"));
+        let text = format!(
+            "name = \"control-{index}\"\noperators = \"{host}:{statements}\"\n\
+             feed = \"{host}:{feed}\"\nroutes = \"{host}:{routes}\"\ndata_folder = {data:?}\n\
+             election_ms = 300\n[seeds]\nown = \"{host}:{peers}\"\nseeds = [{}]\nform = {form}\n\
+             replace_after_ms = 1500\n",
+            seeds.join(", ")
+        );
+        let settings = self.folder.path().join(format!("control-{index}.toml"));
+        std::fs::write(&settings, text).unwrap();
+        let routes = SocketAddr::from((host, routes));
+        self.machines.push(Machine { host, routes, data, settings, process: None });
+        self.run(index);
+        index
+    }
+
+    fn run(&mut self, index: usize) {
+        let settings = self.machines[index].settings.display().to_string();
+        let process = Command::new(env!("CARGO_BIN_EXE_gingerkeel-control"))
+            .args(["--settings", &settings])
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        self.machines[index].process = Some(process);
+    }
+
+    fn kill(&mut self, index: usize) {
+        if let Some(mut process) = self.machines[index].process.take() {
+            process.kill().unwrap();
+            process.wait().unwrap();
+        }
+    }
+
+    fn replace(&self, index: usize, version: u64) -> Option<u16> {
+        let body = serde_json::to_vec(&configuration(version)).unwrap();
+        self.call(index, Method::PUT, body).map(|(status, _)| status)
+    }
+
+    fn version(&self, index: usize) -> Option<u64> {
+        let (status, body) = self.call(index, Method::GET, Vec::new())?;
+        let read: RouteConfiguration = serde_json::from_slice(&body).ok()?;
+        (status == 200).then_some(read.version.0)
+    }
+
+    fn call(&self, index: usize, method: Method, body: Vec<u8>) -> Option<(u16, Bytes)> {
+        let address = self.machines[index].routes;
+        let mut request = HttpRequest::new(Bytes::from(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = Uri::from_static("/v1/routes");
+        let exchanging = async move {
+            let mut connection = ClientConnection::connect(address, Limits::default()).await?;
+            connection.exchange(request).await
+        };
+        let response = block_on(exchanging).unwrap().ok()?;
+        Some((response.status().as_u16(), response.into_body()))
+    }
+
+    /// Waits until a process takes a newer configuration.
+    fn wait_accepted(&self, index: usize, version: u64) {
+        wait_until(|| self.replace(index, version) == Some(200));
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for index in 0..self.machines.len() {
+            self.kill(index);
+        }
+    }
+}
+
+/// A host beside that of the address, so that all machines use the same ports.
+fn host(address: SocketAddr, last: u8) -> Ipv4Addr {
+    let SocketAddr::V4(address) = address else {
+        panic!("an IPv4 address");
+    };
+    let [first, second, third, _] = address.ip().octets();
+    Ipv4Addr::new(first, second, third, 1 + last)
+}
+
+fn configuration(version: u64) -> RouteConfiguration {
+    let service = ServiceName::new("s");
+    RouteConfiguration {
+        version: RouteVersion(version),
+        routes: vec![Route {
+            name: "r".to_owned(),
+            host: "h".to_owned(),
+            path_prefix: "/".to_owned(),
+            repeatable: true,
+            timeout_ms: 1_000,
+            target_latency_ms: 100,
+            priority: 0,
+            attempts: 1,
+            destination: Destination::Service(service.clone()),
+        }],
+        services: vec![BackEndService {
+            name: service,
+            health_path: "/health".to_owned(),
+            connection_limit: 4,
+        }],
+        limits: CallerLimits::default(),
+    }
+}
+
+#[test]
+fn the_highest_version_is_kept_by_all_and_survives_a_restart_of_all() {
+    let mut cluster = Cluster::start();
+    cluster.wait_accepted(1, 5);
+    assert_eq!(cluster.replace(2, 3), Some(200), "an older one is acknowledged");
+    assert_eq!(cluster.replace(0, 5), Some(200), "the same one is acknowledged again");
+    let invalid = RouteConfiguration { services: vec![], ..configuration(9) };
+    let refused = cluster.call(0, Method::PUT, serde_json::to_vec(&invalid).unwrap());
+    assert_eq!(refused.map(|(status, _)| status), Some(400));
+    for index in 0..SEEDS {
+        wait_until(|| cluster.version(index) == Some(5));
+    }
+    (0..SEEDS).for_each(|index| cluster.kill(index));
+    (0..SEEDS).for_each(|index| cluster.run(index));
+    for index in 0..SEEDS {
+        wait_until(|| cluster.version(index) == Some(5));
+    }
+}
+
+#[test]
+fn a_machine_at_another_address_takes_the_place_of_a_lost_one() {
+    let mut cluster = Cluster::start();
+    cluster.wait_accepted(0, 1);
+    cluster.kill(2);
+    let successor = cluster.add(false);
+    cluster.wait_accepted(successor, 2);
+    // Once the lost one is taken out, the two others may lose one more and still be a quorum.
+    wait_until(|| {
+        cluster.kill(1);
+        let accepted = (0..20).any(|_| {
+            std::thread::sleep(std::time::Duration::from_millis(100));
+            cluster.replace(successor, 3) == Some(200)
+        });
+        if !accepted {
+            cluster.run(1);
+            std::thread::sleep(std::time::Duration::from_secs(3));
+        }
+        accepted
+    });
+    assert_eq!(cluster.version(successor), Some(3));
+}
+
+#[test]
+fn a_machine_that_lost_its_disk_joins_again_and_forms_no_cluster() {
+    let mut cluster = Cluster::start();
+    cluster.wait_accepted(0, 7);
+    cluster.kill(0);
+    std::fs::remove_dir_all(&cluster.machines[0].data).unwrap();
+    cluster.run(0);
+    wait_until(|| cluster.version(0) == Some(7));
+}
+
+#[test]
+fn a_seed_that_may_not_form_waits_for_the_others() {
+    let mut cluster = Cluster::start();
+    cluster.wait_accepted(0, 1);
+    (0..SEEDS).for_each(|index| cluster.kill(index));
+    let stranger = cluster.add(false);
+    std::thread::sleep(std::time::Duration::from_secs(2));
+    assert_ne!(cluster.replace(stranger, 9), Some(200), "{}", cluster.machines[stranger].host);
+}
--- a/crates/domain/src/consensus/membership.rs
+++ b/crates/domain/src/consensus/membership.rs
@@ -14,6 +14,17 @@
 use super::types::{LogIndex, MemberId, Payload};
 use crate::time::Timestamp;
 
+/// How a cluster grows that members join by themselves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Growth {
+    /// Voters that have to answer before a lost one is taken out.
+    pub least_voters: usize,
+    /// Most voters; further members wait as learners.
+    pub most_voters: usize,
+    /// Silence after which a voter counts as lost.
+    pub lost_after: Duration,
+}
+
 impl Node {
     /// Puts a change of the members into the log; it is made once the entry is committed.
     ///
@@ -73,30 +84,29 @@
         self.configuration().replacement(|learner| self.has_caught_up(now, learner))
     }
 
-    /// The next change by which a cluster that members join by themselves grows to `limit`
-    /// voters and keeps that number: a learner that has caught up takes the place of a voter that
-    /// was silent for `lost_after`, and only then that voter is taken out.
-    pub fn due_growth(
-        &self,
-        now: Timestamp,
-        limit: usize,
-        lost_after: Duration,
-    ) -> Option<MemberChange> {
+    /// The next change by which a cluster that members join by themselves grows and replaces
+    /// what it lost, if this member leads and one is due.
+    ///
+    /// A voter that was silent for long is taken out once enough others answer; a learner that has
+    /// caught up is promoted while there are not too many voters or one is lost, so that it takes
+    /// the place of the lost one before that is taken out. A voter that was taken out and comes
+    /// back joins again as a learner.
+    pub fn due_growth(&self, now: Timestamp, growth: &Growth) -> Option<MemberChange> {
         let configuration = self.configuration();
         let is_lost = |member: &MemberId| {
             let progress = self.progress(*member);
-            progress.is_some_and(|progress| !progress.is_active(now, lost_after))
+            progress.is_some_and(|progress| !progress.is_active(now, growth.lost_after))
         };
-        let learners = configuration.learners.iter();
-        let ready = learners.copied().find(|learner| self.has_caught_up(now, *learner));
-        let lost = configuration.voters.iter().copied().find(is_lost);
-        let voters = configuration.voters.len();
-        match (ready, lost) {
-            (Some(learner), _) if voters < limit => Some(MemberChange::Promote(learner)),
-            (_, Some(voter)) if voters > limit => Some(MemberChange::Remove(voter)),
-            (Some(learner), Some(_)) if voters == limit => Some(MemberChange::Promote(learner)),
-            _ => None,
+        let voters = &configuration.voters;
+        let lost = voters.iter().copied().find(is_lost);
+        let present = voters.iter().filter(|voter| !is_lost(voter)).count();
+        if let Some(voter) = lost.filter(|_| present >= growth.least_voters) {
+            return Some(MemberChange::Remove(voter));
         }
+        let mut learners = configuration.learners.iter().copied();
+        let ready = learners.find(|learner| self.has_caught_up(now, *learner))?;
+        let wanted = voters.len() < growth.most_voters || lost.is_some();
+        wanted.then_some(MemberChange::Promote(ready))
     }
 
     /// Whether a learner answers and has nearly all that is committed.
--- a/crates/domain/tests/consensus/membership.rs
+++ b/crates/domain/tests/consensus/membership.rs
@@ -1,7 +1,9 @@
 //! Changes of the members in a running cluster.
 
+use std::time::Duration;
+
 use gingerkeel_domain::consensus::{
-    LogIndex, MemberChange, MemberChangeError, Recovered, RoleName,
+    Growth, LogIndex, MemberChange, MemberChangeError, Recovered, RoleName,
 };
 use rstest::rstest;
 
@@ -168,3 +170,67 @@
     let outcome = lab.node(2).node.change_members(now, MemberChange::Remove(member(3)));
     assert_eq!(outcome, Err(MemberChangeError::NotLeader(Some(member(1)))));
 }
+
+const GROWTH: Growth =
+    Growth { least_voters: 3, most_voters: 4, lost_after: Duration::from_millis(2_000) };
+
+fn due(lab: &mut Lab, growth: &Growth) -> Option<MemberChange> {
+    let now = lab.now;
+    lab.node(1).node.due_growth(now, growth)
+}
+
+/// The leader hears from these members alone for longer than a lost one may be silent.
+fn hear_only(lab: &mut Lab, numbers: &[u32]) {
+    for _ in 0..30 {
+        lab.heartbeat(1, numbers);
+    }
+}
+
+#[test]
+fn a_learner_becomes_a_voter_up_to_the_most() {
+    let mut lab = with_learner(&ALL);
+    assert_eq!(due(&mut lab, &GROWTH), Some(MemberChange::Promote(member(4))));
+    let full = Growth { most_voters: 3, ..GROWTH };
+    assert_eq!(due(&mut lab, &full), None);
+}
+
+#[test]
+fn a_learner_takes_the_place_of_a_lost_voter_before_that_is_taken_out() {
+    let full = Growth { most_voters: 3, ..GROWTH };
+    let mut lab = with_learner(&ALL);
+    hear_only(&mut lab, &[1, 2, 4]);
+    let promotion = MemberChange::Promote(member(4));
+    assert_eq!(due(&mut lab, &full), Some(promotion));
+    change(&mut lab, promotion).expect("the learner has caught up");
+    hear_only(&mut lab, &[1, 2, 4]);
+    assert_eq!(due(&mut lab, &full), Some(MemberChange::Remove(member(3))));
+}
+
+#[test]
+fn a_lost_voter_stays_while_too_few_others_answer() {
+    let mut lab = Lab::new(3);
+    lab.settle(1, &[1, 2, 3]);
+    hear_only(&mut lab, &[1, 2]);
+    assert_eq!(due(&mut lab, &GROWTH), None);
+}
+
+#[test]
+fn a_member_that_was_taken_out_may_join_again_with_its_log() {
+    let mut lab = with_learner(&ALL);
+    change(&mut lab, MemberChange::Promote(member(4))).expect("promoted");
+    hear_only(&mut lab, &[1, 2, 4]);
+    change(&mut lab, MemberChange::Remove(member(3))).expect("taken out");
+    hear_only(&mut lab, &[1, 2, 4]);
+    change(&mut lab, MemberChange::AddLearner(member(3))).expect("it joins again");
+    lab.propose(1, "x");
+    hear_only(&mut lab, &ALL);
+    assert_eq!(lab.commands(3), ["x"]);
+    assert_eq!(due(&mut lab, &GROWTH), Some(MemberChange::Promote(member(3))));
+}
+
+#[test]
+fn only_a_leader_sees_a_change_due() {
+    let mut lab = with_learner(&ALL);
+    let now = lab.now;
+    assert_eq!(lab.node(2).node.due_growth(now, &GROWTH), None);
+}
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -68,7 +68,11 @@
     /// Most voters; further members wait as learners to take the place of a lost one.
     #[serde(default = "default_voters")]
     pub voters: u32,
-    /// Milliseconds of silence after which a learner takes the place of a voter.
+    /// Voters that have to answer before a lost one is taken out: twice the losses to be borne at
+    /// once, and one.
+    #[serde(default = "default_least_voters")]
+    pub least_voters: u32,
+    /// Milliseconds of silence after which a voter counts as lost.
     #[serde(default = "default_replace_after_ms")]
     pub replace_after_ms: u32,
 }
@@ -105,6 +109,10 @@
     5
 }
 
+fn default_least_voters() -> u32 {
+    3
+}
+
 fn default_replace_after_ms() -> u32 {
     6_000
 }
@@ -160,6 +168,9 @@
         check.field("seeds.own", seeds.own, same, "use the port of the seeds")?;
         let accepted = (1..=15).contains(&seeds.voters);
         check.field("seeds.voters", seeds.voters, accepted, "use a number from 1 to 15")?;
+        let least = seeds.least_voters;
+        let accepted = (1..=seeds.voters).contains(&least);
+        check.field("seeds.least_voters", least, accepted, "use 1 up to `seeds.voters`")?;
         let wait = seeds.replace_after_ms;
         let accepted = (1_000..=3_600_000).contains(&wait);
         check.field("seeds.replace_after_ms", wait, accepted, "use 1000 to 3600000")
