Ask another leaf when the other parts say so, and remember slow leaves

Half of the far attempts opened a connection (+25 ms) though another far leaf had one idle. While leaves were slow for long, each broker spent its budget on the same leaves again: an attempt that was given up told nothing, three that waited together counted as three lapses, and a very late answer cleared the leaf.

Tests: rare tries of a slow leaf, one lapse of attempts that wait together, given-up attempts, a far leaf with a connection first.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -101,12 +101,13 @@
     started: Instant,
     /// Whether a connection is counted that is to be given back or closed.
     holds_connection: bool,
-    outcome: Outcome,
+    outcome: Option<Outcome>,
 }
 
 impl Drop for Watch<'_> {
     fn drop(&mut self) {
-        self.state.finish(self.service, self.leaf, self.outcome);
+        let given_up = || Outcome::Abandoned(self.started.elapsed());
+        self.state.finish(self.service, self.leaf, self.outcome.unwrap_or_else(given_up));
         if self.holds_connection {
             self.state.connection_closed(self.leaf);
         }
@@ -133,15 +134,15 @@
         leaf: &leaf.identity,
         started,
         holds_connection: false,
-        outcome: Outcome::Abandoned,
+        outcome: None,
     };
     let connection = connect(&mut watch, leaf).await?;
     let outcome = exchange(&mut watch, connection, leaf, request).await;
-    watch.outcome = match &outcome {
+    watch.outcome = Some(match &outcome {
         Ok(_) => Outcome::Answered(watch.started.elapsed()),
         Err(AttemptError::Rejected) => Outcome::Rejected,
         Err(_) => Outcome::Failed,
-    };
+    });
     if outcome.is_ok() {
         state.record_latency(route, watch.started.elapsed());
     }
@@ -158,7 +159,7 @@
     }
     watch.holds_connection = true;
     LeafConnection::connect(leaf.address).await.map_err(|_| {
-        watch.outcome = Outcome::Failed;
+        watch.outcome = Some(Outcome::Failed);
         AttemptError::NotConnected
     })
 }
@@ -215,7 +216,10 @@
         if (100..=199).contains(&head.status) {
             continue;
         }
-        if head.headers.get(id_name).is_none_or(|repeated| repeated == id) {
+        let repeated = head.headers.get(id_name);
+        // A refusal may name no request; an answer that is used names this one.
+        let nameless = repeated.is_none() && (id.is_empty() || head.status >= 400);
+        if nameless || repeated == Some(id) {
             return Ok(head);
         }
         let mut decoder = BodyDecoder::new(response_framing(method, &head)?);
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -13,6 +13,7 @@
 
 use super::attempt::{AttemptError, ForwardedRequest, LeafReply, attempt};
 use super::state::RouteState;
+use crate::stop::StopSignal;
 
 /// Share of replies of a part that are waited for before another leaf is asked as well.
 const PART_HEDGE_QUANTILE: f64 = 0.95;
@@ -45,6 +46,13 @@
 }
 
 impl Asked<'_> {
+    /// The leaf that was asked last takes longer than expected; the ones before were late already.
+    fn mark_newest_late(&self) {
+        if let Some((leaf, _)) = self.open.last() {
+            self.state.late(self.service, leaf);
+        }
+    }
+
     fn ended(&mut self, leaf: &LeafIdentity) {
         self.open.retain(|(open, _)| open != leaf);
     }
@@ -73,7 +81,8 @@
     measured.clamp(EARLIEST_HEDGE, latest)
 }
 
-/// Asks leaves of a service until one replies. A failure of a leaf that ran the request is a
+/// Asks leaves of a service until one replies. Another leaf is asked as well once the measured
+/// latency of the route says that the first is late, or `overdue` does. A failure of a leaf that ran the request is a
 /// reply of the last leaf asked only.
 ///
 /// # Errors
@@ -83,6 +92,7 @@
     route: &Route,
     service: &ServiceName,
     request: &ForwardedRequest,
+    overdue: &StopSignal,
 ) -> Result<LeafReply, NoReply> {
     let hedge_delay = hedge_delay(state, route);
     let mut asked = Asked { state, service, hedge_delay, open: Vec::new() };
@@ -92,6 +102,7 @@
     let mut arrived = 0;
     let mut failure: Option<LeafReply> = None;
     let mut last_error = NoReply::NoLeaf;
+    let mut told_overdue = false;
     state.earn(service);
     loop {
         if running.is_empty() {
@@ -109,8 +120,11 @@
                 Some(ended) => ended,
                 None => continue,
             },
-            _ = sleep(wait) => {
-                mark_late(&asked);
+            _ = hedge_due(wait, overdue, told_overdue) => {
+                told_overdue = overdue.is_given();
+                if can_hedge {
+                    asked.mark_newest_late();
+                }
                 if let Some(leaf) = next_leaf(state, route, service, &tried, arrived + 1, may_have_run) {
                     debug!(event = "hedge", service = %service, leaf = %leaf.identity);
                     may_have_run += 1;
@@ -147,11 +161,14 @@
     }
 }
 
-fn mark_late(asked: &Asked<'_>) {
-    for (leaf, since) in &asked.open {
-        if since.elapsed() >= asked.hedge_delay {
-            asked.state.late(asked.service, leaf);
-        }
+/// Ends after `wait`, or once the request is said to be overdue for the first time.
+async fn hedge_due(wait: Duration, overdue: &StopSignal, told: bool) {
+    if told {
+        return sleep(wait).await;
+    }
+    monoio::select! {
+        _ = sleep(wait) => {}
+        _ = overdue.given() => {}
     }
 }
 
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -358,7 +358,7 @@
     request: &ForwardedRequest,
 ) -> Served {
     let left = request.deadline.saturating_duration_since(Instant::now());
-    match timeout(left, ask(state, route, service, request)).await {
+    match timeout(left, ask(state, route, service, request, &StopSignal::new())).await {
         Ok(Ok(reply)) => Served::Relayed(Box::new(reply)),
         Ok(Err(NoReply::NoLeaf | NoReply::Rejected)) => {
             Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER })
--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -15,10 +15,18 @@
 use super::attempts::{NoReply, ask};
 use super::respond::{MergedAnswer, Refusal};
 use super::state::RouteState;
+use crate::stop::StopSignal;
 
 /// When a caller is asked to come back after too many shards could not be asked.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Share of the parts that tells how long the others may take: those of one request take alike.
+const MOST_PARTS: f64 = 0.6;
+/// Part of the time until most parts were in that the others may take longer.
+const OVERDUE_FACTOR: f64 = 0.3;
+/// Time besides that the others may take longer.
+const OVERDUE_TIME: Duration = Duration::from_millis(6);
+
 /// The parts of one answer.
 struct Parts {
     whole: usize,
@@ -34,6 +42,10 @@
         self.attestations.len() + self.failed
     }
 
+    fn most_are_in(&self) -> bool {
+        self.attestations.len() as f64 >= self.whole as f64 * MOST_PARTS
+    }
+
     fn reach(&self, shards: &ShardSet) -> bool {
         let count = self.attestations.len();
         count > 0 && shards.least_share.reached_by(count, self.whole)
@@ -84,9 +96,11 @@
         attestations: Vec::new(),
         records: GreatestRecords::new(shards.greatest as usize),
     };
+    let overdue = StopSignal::new();
+    let mut overdue_at: Option<Instant> = None;
     let mut running = FuturesUnordered::new();
     for service in &shards.services {
-        running.push(ask_part(state, route, service, request));
+        running.push(ask_part(state, route, service, request, &overdue));
     }
     let margin = Duration::from_millis(state.settings.answer_margin_ms.into());
     let target = Duration::from_millis(route.target_latency_ms).saturating_sub(margin);
@@ -99,10 +113,18 @@
         if now >= request.deadline || (now >= soft && parts.reach(shards)) {
             break;
         }
+        if overdue_at.is_some_and(|at| now >= at) && !overdue.is_given() {
+            overdue.give();
+        }
+        let pending = overdue_at.filter(|_| !overdue.is_given());
         let wake = if now >= soft { request.deadline } else { soft };
+        let wake = pending.map_or(wake, |at| at.min(wake));
         monoio::select! {
             part = running.next() => if let Some((_, outcome)) = part {
                 parts.take(state, outcome);
+                if overdue_at.is_none() && parts.most_are_in() {
+                    overdue_at = Some(Instant::now() + request.received.elapsed().mul_f64(OVERDUE_FACTOR) + OVERDUE_TIME);
+                }
             },
             _ = sleep(wake.saturating_duration_since(now)) => {}
         }
@@ -116,8 +138,9 @@
     route: &'part Route,
     service: &'part ServiceName,
     request: &'part ForwardedRequest,
+    overdue: &'part StopSignal,
 ) -> (&'part ServiceName, Result<LeafReply, NoReply>) {
-    (service, ask(state, route, service, request).await)
+    (service, ask(state, route, service, request, overdue).await)
 }
 
 fn finish(
--- a/crates/broker/src/routes/pool.rs
+++ b/crates/broker/src/routes/pool.rs
@@ -12,7 +12,7 @@
 /// Time for which a connection is kept when the leaf does not say how long it does.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 /// Part of a leaf's own time after which a connection is not used again.
-const KEEP_SHARE: f64 = 0.6;
+const KEEP_SHARE: f64 = 0.8;
 
 /// A connection to a leaf; one request at a time.
 pub struct LeafConnection {
@@ -91,6 +91,12 @@
         None
     }
 
+    /// Whether a connection lies idle that may be used again.
+    pub fn has_idle(&self) -> bool {
+        let now = Instant::now();
+        self.idle.iter().any(|connection| now < connection.keep_until)
+    }
+
     /// Counts a connection that is about to be opened, unless `limit` are open.
     pub fn admit(&mut self, limit: usize) -> bool {
         let admitted = self.open < limit;
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -216,7 +216,10 @@
     pub fn choose(&self, service: &ServiceName, tried: &[LeafIdentity]) -> Option<Choice> {
         let leaves = self.leaves.borrow();
         let service = leaves.services.get(service)?;
-        service.replicas.choose(self.now(), &self.replica_settings, tried, || self.draw())
+        let pools = &leaves.pools;
+        let connected = |leaf: &LeafIdentity| pools.get(leaf).is_some_and(LeafPool::has_idle);
+        let settings = &self.replica_settings;
+        service.replicas.choose(self.now(), settings, tried, connected, || self.draw())
     }
 
     /// A leaf as the directory lists it.
--- a/crates/domain/src/forwarding/replica.rs
+++ b/crates/domain/src/forwarding/replica.rs
@@ -6,7 +6,9 @@
 use crate::time::Timestamp;
 
 /// Weight of the newest latency in the smoothed one.
-const SMOOTHING: f64 = 0.2;
+const SMOOTHING: f64 = 0.25;
+/// How many times the ordinary latency an answer of a slow leaf takes.
+const SLOW_FACTOR: f64 = 3.0;
 /// Failures in a row after which a leaf is left out for a while.
 const FAILURES_TO_EJECT: u32 = 2;
 /// Most doublings of the time for which a leaf is left out.
@@ -35,8 +37,8 @@
     Rejected,
     /// The connection failed, or the answer was not usable.
     Failed,
-    /// The attempt was given up before an outcome came.
-    Abandoned,
+    /// The attempt was given up after this time, before an outcome came.
+    Abandoned(Duration),
 }
 
 /// What was observed of one leaf.
@@ -91,29 +93,55 @@
         late || now < self.rejected_until
     }
 
-    pub(super) fn finish(&mut self, now: Timestamp, settings: &ReplicaSettings, outcome: Outcome) {
+    pub(super) fn finish(
+        &mut self,
+        now: Timestamp,
+        settings: &ReplicaSettings,
+        ordinary: f64,
+        outcome: Outcome,
+    ) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
-            Outcome::Answered(latency) => self.answered(now, latency),
+            Outcome::Answered(latency) => self.answered(now, ordinary, latency),
             Outcome::Rejected => {
                 self.late = 0;
                 self.rejected_until = now.after(settings.rejection_pause);
             }
             Outcome::Failed => self.failed(now, settings),
-            Outcome::Abandoned => {}
+            Outcome::Abandoned(waited) => self.abandoned(now, settings, ordinary, waited),
         }
     }
 
-    fn answered(&mut self, now: Timestamp, latency: Duration) {
-        let sample = latency.as_secs_f64();
-        let smoothed = self.latency.map_or(sample, |old| old + SMOOTHING * (sample - old));
-        self.latency = Some(smoothed);
-        self.observed = now;
-        self.late = 0;
+    fn answered(&mut self, now: Timestamp, ordinary: f64, latency: Duration) {
+        let known = self.latency.unwrap_or(latency.as_secs_f64());
+        self.observe(now, known, latency);
+        // A leaf that answers far too late is not sound again.
+        if latency.as_secs_f64() <= ordinary * SLOW_FACTOR {
+            self.late = 0;
+        }
         self.failures = 0;
         self.ejections = 0;
     }
 
+    /// The leaf takes at least as long as was waited: that counts where it is news.
+    fn abandoned(
+        &mut self,
+        now: Timestamp,
+        settings: &ReplicaSettings,
+        ordinary: f64,
+        waited: Duration,
+    ) {
+        let known = self.known_latency(now, settings, ordinary);
+        if waited.as_secs_f64() > known {
+            self.observe(now, known, waited);
+        }
+    }
+
+    fn observe(&mut self, now: Timestamp, known: f64, sample: Duration) {
+        self.latency = Some(known + SMOOTHING * (sample.as_secs_f64() - known));
+        self.observed = now;
+    }
+
     fn failed(&mut self, now: Timestamp, settings: &ReplicaSettings) {
         self.failures += 1;
         if self.failures >= FAILURES_TO_EJECT {
@@ -125,6 +153,10 @@
 
     /// An attempt has waited longer than expected.
     pub(super) fn mark_late(&mut self, now: Timestamp, settings: &ReplicaSettings) {
+        // Attempts that wait together are late for one and the same reason.
+        if now < self.suspect_until {
+            return;
+        }
         let doublings = self.late.min(SUSPICION_DOUBLINGS);
         self.suspect_until =
             self.suspect_until.max(now.after(settings.suspicion * (1 << doublings)));
@@ -137,18 +169,24 @@
         self.failed(now, settings);
     }
 
-    /// What an attempt is expected to take, in seconds: the smoothed latency, which tends to the
-    /// ordinary one while nothing is observed, with the queue in front of the slots.
-    pub(super) fn expected_cost(&self, now: Timestamp, settings: &ReplicaSettings) -> f64 {
-        let ordinary = settings.ordinary_latency.as_secs_f64();
+    /// The smoothed latency in seconds, which tends to the ordinary one while nothing is observed.
+    fn known_latency(&self, now: Timestamp, settings: &ReplicaSettings, ordinary: f64) -> f64 {
+        let Some(latency) = self.latency else {
+            return ordinary;
+        };
         let age = now.since(self.observed).as_secs_f64() / settings.memory.as_secs_f64();
-        let known = self.latency.map_or(ordinary, |latency| {
-            if latency <= ordinary {
-                latency
-            } else {
-                ordinary + (latency - ordinary) * (-age).exp()
-            }
-        });
+        ordinary.min(latency) + (latency - ordinary).max(0.0) * (-age).exp()
+    }
+
+    /// What an attempt is expected to take, in seconds: the smoothed latency with the queue in front
+    /// of the slots.
+    pub(super) fn expected_cost(
+        &self,
+        now: Timestamp,
+        settings: &ReplicaSettings,
+        ordinary: f64,
+    ) -> f64 {
+        let known = self.known_latency(now, settings, ordinary);
         let waiting = (self.in_flight + 1).saturating_sub(self.slots);
         let queue = 1.0 + f64::from(waiting) / f64::from(self.slots);
         let share = 1.0 + f64::from(self.in_flight) / f64::from(self.slots) * settings.spread;
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -10,11 +10,15 @@
 
 /// Share by which costs are varied at random, so that brokers do not all choose alike.
 const COST_VARIATION: f64 = 0.1;
+/// Weight of one answer in the ordinary latency of a service.
+const ORDINARY_SMOOTHING: f64 = 0.05;
+/// Most that one answer counts, in ordinary latencies: a few slow leaves do not make it ordinary.
+const LARGEST_SAMPLE: f64 = 3.0;
 
 /// Bounds of the choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReplicaSettings {
-    /// Latency that is assumed of a leaf of which nothing is known.
+    /// Latency that is assumed of a service of which nothing is known.
     pub ordinary_latency: Duration,
     /// Time after which an observation counts little.
     pub memory: Duration,
@@ -22,6 +26,8 @@
     pub region_cost: Duration,
     /// What another region costs.
     pub far_cost: Duration,
+    /// What a new connection costs in the own zone, and to another region.
+    pub opening: [Duration; 2],
     /// How much occupied slots count.
     pub spread: f64,
     /// Time for which a failing leaf is left out at first.
@@ -39,6 +45,7 @@
             memory: Duration::from_secs(2),
             region_cost: Duration::from_millis(10),
             far_cost: Duration::from_millis(60),
+            opening: [Duration::from_millis(3), Duration::from_millis(30)],
             spread: 0.5,
             ejection: Duration::from_millis(500),
             suspicion: Duration::from_millis(300),
@@ -48,6 +55,14 @@
 }
 
 impl ReplicaSettings {
+    fn opening_cost(&self, distance: Distance) -> f64 {
+        let [near, far] = self.opening;
+        match distance {
+            Distance::Far => far.as_secs_f64(),
+            Distance::Zone | Distance::Region => near.as_secs_f64(),
+        }
+    }
+
     pub(super) fn distance_cost(&self, distance: Distance) -> Duration {
         match distance {
             Distance::Zone => Duration::ZERO,
@@ -78,6 +93,8 @@
 #[derive(Debug, Default)]
 pub struct ReplicaSet {
     replicas: BTreeMap<LeafIdentity, Replica>,
+    /// What an answer of this service ordinarily takes, in seconds; none before the first.
+    ordinary: Option<f64>,
 }
 
 impl ReplicaSet {
@@ -102,14 +119,17 @@
     }
 
     /// Chooses a leaf other than those of `tried`. A leaf that is left out for its failures is
-    /// not chosen; `variation` gives numbers from 0 to 1.
+    /// not chosen; `connected` tells whether a connection lies ready, `variation` gives numbers from
+    /// 0 to 1.
     pub fn choose(
         &self,
         now: Timestamp,
         settings: &ReplicaSettings,
         tried: &[LeafIdentity],
+        connected: impl Fn(&LeafIdentity) -> bool,
         mut variation: impl FnMut() -> f64,
     ) -> Option<Choice> {
+        let ordinary = self.ordinary(settings);
         let mut best: Option<(Tier, f64, &LeafIdentity)> = None;
         for (identity, replica) in &self.replicas {
             if replica.leaving || tried.contains(identity) {
@@ -119,7 +139,10 @@
             if tier == Tier::Ejected {
                 continue;
             }
-            let cost = replica.expected_cost(now, settings) * (1.0 + COST_VARIATION * variation());
+            let opening =
+                if connected(identity) { 0.0 } else { settings.opening_cost(replica.distance) };
+            let cost = replica.expected_cost(now, settings, ordinary) + opening;
+            let cost = cost * (1.0 + COST_VARIATION * variation());
             let better = best.is_none_or(|(best_tier, best_cost, _)| {
                 tier < best_tier || (tier == best_tier && cost < best_cost)
             });
@@ -159,11 +182,20 @@
         leaf: &LeafIdentity,
         outcome: Outcome,
     ) {
+        let ordinary = self.ordinary(settings);
+        if let Outcome::Answered(latency) = outcome {
+            let sample = latency.as_secs_f64().min(ordinary * LARGEST_SAMPLE);
+            self.ordinary = Some(ordinary + ORDINARY_SMOOTHING * (sample - ordinary));
+        }
         if let Some(replica) = self.replicas.get_mut(leaf) {
-            replica.finish(now, settings, outcome);
+            replica.finish(now, settings, ordinary, outcome);
         }
     }
 
+    fn ordinary(&self, settings: &ReplicaSettings) -> f64 {
+        self.ordinary.unwrap_or(settings.ordinary_latency.as_secs_f64())
+    }
+
     /// The leaf said itself that it is leaving.
     pub fn leaving(&mut self, leaf: &LeafIdentity) {
         if let Some(replica) = self.replicas.get_mut(leaf) {
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -41,7 +41,7 @@
 }
 
 fn chosen(set: &ReplicaSet, now: Timestamp, tried: &[LeafIdentity]) -> Option<String> {
-    let choice = set.choose(now, &ReplicaSettings::default(), tried, || 0.0);
+    let choice = set.choose(now, &ReplicaSettings::default(), tried, |_| true, || 0.0);
     choice.map(|choice| choice.leaf.as_str().to_owned())
 }
 
@@ -60,6 +60,19 @@
     assert_eq!(chosen(&set, at(0), &all), None);
 }
 
+#[test]
+fn of_far_leaves_one_with_a_connection_is_preferred() {
+    let set = three_leaves();
+    let chosen = |warm: &str| {
+        let settings = ReplicaSettings::default();
+        let connected = |leaf: &LeafIdentity| leaf.as_str() == warm;
+        let choice = set.choose(at(0), &settings, &[identity("near")], connected, || 0.0);
+        choice.map(|choice| choice.leaf)
+    };
+    assert_eq!(chosen("far-1"), Some(identity("far-1")));
+    assert_eq!(chosen("far-2"), Some(identity("far-2")));
+}
+
 #[test]
 fn a_leaving_leaf_gets_no_new_work() {
     let mut set = three_leaves();
@@ -87,13 +100,48 @@
     let mut set = three_leaves();
     set.begin(&identity("near"));
     set.late(at(0), &settings, &identity("near"));
-    set.finish(at(10), &settings, &identity("near"), Outcome::Abandoned);
+    set.finish(at(10), &settings, &identity("near"), Outcome::Abandoned(Duration::ZERO));
     let over = at(11).after(settings.suspicion);
     assert_eq!(chosen(&set, over, &[]).as_deref(), Some("near"));
     set.begin(&identity("near"));
     assert_ne!(chosen(&set, over, &[]).as_deref(), Some("near"), "one at a time");
 }
 
+#[test]
+fn a_leaf_that_stays_slow_is_tried_ever_more_rarely() {
+    let settings = ReplicaSettings::default();
+    let mut set = three_leaves();
+    (0..100).for_each(|_| answered(&mut set, at(0), "far-1", 20));
+    let mut tries = 0;
+    for now in (0..8_000).step_by(20) {
+        if chosen(&set, at(now), &[]).as_deref() == Some("near") {
+            tries += 1;
+            set.begin(&identity("near"));
+            set.late(at(now), &settings, &identity("near"));
+            answered(&mut set, at(now), "far-1", 50);
+            let slow = Outcome::Answered(Duration::from_millis(270));
+            set.finish(at(now), &settings, &identity("near"), slow);
+        }
+    }
+    assert!((2..=6).contains(&tries), "{tries}");
+}
+
+#[test]
+fn attempts_that_wait_together_are_late_once() {
+    let settings = ReplicaSettings::default();
+    let mut set = three_leaves();
+    for now in 0..10 {
+        set.begin(&identity("near"));
+        set.late(at(now), &settings, &identity("near"));
+    }
+    for now in 10..20 {
+        let outcome = Outcome::Abandoned(Duration::ZERO);
+        set.finish(at(now), &settings, &identity("near"), outcome);
+    }
+    let over = at(20).after(settings.suspicion);
+    assert_eq!(chosen(&set, over, &[]).as_deref(), Some("near"));
+}
+
 #[test]
 fn a_failing_leaf_is_left_out_and_comes_back() {
     let settings = ReplicaSettings::default();
@@ -120,6 +168,30 @@
     assert_eq!(chosen(&set, later, &[]).as_deref(), Some("near"));
 }
 
+#[test]
+fn attempts_that_were_given_up_tell_that_a_leaf_is_slow() {
+    let settings = ReplicaSettings::default();
+    let mut set = three_leaves();
+    for _ in 0..8 {
+        set.begin(&identity("near"));
+        let waited = Outcome::Abandoned(Duration::from_millis(200));
+        set.finish(at(0), &settings, &identity("near"), waited);
+    }
+    assert_ne!(chosen(&set, at(1), &[]).as_deref(), Some("near"));
+}
+
+#[test]
+fn attempts_that_were_given_up_early_tell_nothing() {
+    let settings = ReplicaSettings::default();
+    let mut set = three_leaves();
+    for _ in 0..20 {
+        set.begin(&identity("near"));
+        let waited = Outcome::Abandoned(Duration::from_millis(5));
+        set.finish(at(0), &settings, &identity("near"), waited);
+    }
+    assert_eq!(chosen(&set, at(1), &[]).as_deref(), Some("near"));
+}
+
 #[test]
 fn leaves_that_are_gone_are_forgotten() {
     let mut set = three_leaves();
