Admit by priority where leaves run short of capacity

Change: an overload gate a destination judges rounds of 200 ms; while many requests are late or refused, those under way are limited, lower priorities first, and refused at once with when to come back (as long as it has lasted already, 0.8 to 4 s); no hedges meanwhile.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -113,7 +113,9 @@
             start(&mut asked, &mut tried, &leaf);
             running.push(run(state, route, service, leaf, request));
         }
-        let can_hedge = route.repeatable && may_have_run < route.attempts.max(1);
+        // Asking twice takes capacity from others where it is short.
+        let can_hedge =
+            route.repeatable && may_have_run < route.attempts.max(1) && !state.is_overloaded(route);
         let wait = if can_hedge { hedge_delay } else { Duration::from_secs(3600) };
         let (leaf, outcome) = monoio::select! {
             ended = running.next() => match ended {
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use gingerkeel_domain::forwarding::choose_part;
+use gingerkeel_domain::forwarding::{Admitted, choose_part};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{CallerLimits, Destination, Route, RouteLookup};
 use gingerkeel_transport::http1::{
@@ -338,14 +338,39 @@
     };
     let timeout_at = request.received + Duration::from_millis(route.timeout_ms);
     request.deadline = request.deadline.min(timeout_at);
+    if let Admitted::No(retry_after) = state.admit(&table, &route) {
+        return Served::Refused(Refusal::NotRun { retry_after });
+    }
+    let mut under_way = UnderWay { state, route: &route, in_time: None };
+    let served = serve_route(state, &route, &request).await;
+    let target = Duration::from_millis(route.target_latency_ms);
+    let answered = !matches!(served, Served::Refused(_));
+    under_way.in_time = Some(answered && request.received.elapsed() <= target);
+    served
+}
+
+/// A request that was admitted, until it ends.
+struct UnderWay<'state> {
+    state: &'state RouteState,
+    route: &'state Route,
+    in_time: Option<bool>,
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.state.request_ended(self.route, self.in_time);
+    }
+}
+
+async fn serve_route(state: &Rc<RouteState>, route: &Route, request: &ForwardedRequest) -> Served {
     match &route.destination {
-        Destination::Shards(shards) => match gather(state, &route, shards, &request).await {
+        Destination::Shards(shards) => match gather(state, route, shards, request).await {
             Ok(answer) => Served::Merged(answer),
             Err(refusal) => Served::Refused(refusal),
         },
-        Destination::Service(service) => forward(state, &route, service, &request).await,
+        Destination::Service(service) => forward(state, route, service, request).await,
         Destination::Split(parts) => match choose_part(parts, state.draw_number()) {
-            Some(part) => forward(state, &route, &part.service, &request).await,
+            Some(part) => forward(state, route, &part.service, request).await,
             None => Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER }),
         },
     }
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -10,7 +10,8 @@
 
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::forwarding::{
-    Choice, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, ReplicaSet, ReplicaSettings,
+    Admitted, Choice, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, OverloadGate,
+    OverloadGateSettings, ReplicaSet, ReplicaSettings,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable};
@@ -61,6 +62,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     leaves: RefCell<Leaves>,
     latencies: RefCell<BTreeMap<String, LatencyWindow>>,
+    gates: RefCell<BTreeMap<ServiceName, OverloadGate>>,
+    gate_settings: OverloadGateSettings,
     brokers: Cell<usize>,
     stopping: Cell<bool>,
     random: RefCell<Pcg64>,
@@ -90,6 +93,8 @@
             table: RefCell::default(),
             leaves: RefCell::default(),
             latencies: RefCell::default(),
+            gates: RefCell::default(),
+            gate_settings: OverloadGateSettings::default(),
             brokers: Cell::new(1),
             stopping: Cell::new(false),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
@@ -222,6 +227,39 @@
         service.replicas.choose(self.now(), settings, tried, connected, || self.draw())
     }
 
+    /// Whether a request of a route is served now.
+    pub fn admit(&self, table: &RouteTable, route: &Route) -> Admitted {
+        let Some(service) = route.destination.representative() else {
+            return Admitted::Yes;
+        };
+        let mut gates = self.gates.borrow_mut();
+        let gate = gates.entry(service.clone()).or_default();
+        gate.admit(self.now(), &self.gate_settings, table.rank(route))
+    }
+
+    /// A request that was admitted has ended; `in_time` is none when its caller left.
+    pub fn request_ended(&self, route: &Route, in_time: Option<bool>) {
+        let now = self.now();
+        let mut gates = self.gates.borrow_mut();
+        let gate = route.destination.representative().and_then(|service| gates.get_mut(service));
+        let Some(gate) = gate else {
+            return;
+        };
+        let limiting = gate.is_limiting();
+        gate.finish(now, &self.gate_settings, in_time);
+        if gate.is_limiting() != limiting {
+            let (limited, in_flight) = (!limiting, gate.in_flight());
+            info!(event = "admission_changed", route = route.name, limited, in_flight);
+        }
+    }
+
+    /// Whether leaves of a route run short of capacity.
+    pub fn is_overloaded(&self, route: &Route) -> bool {
+        let gates = self.gates.borrow();
+        let gate = route.destination.representative().and_then(|service| gates.get(service));
+        gate.is_some_and(OverloadGate::is_limiting)
+    }
+
     /// A leaf as the directory lists it.
     pub fn leaf(&self, identity: &LeafIdentity) -> Option<ListedLeaf> {
         self.leaves.borrow().directory.leaves().get(identity).cloned()
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -2,12 +2,14 @@
 
 mod extra_load;
 mod greatest;
+mod overload;
 mod replica;
 mod replica_set;
 mod split;
 
 pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
+pub use overload::{Admitted, OverloadGate, OverloadGateSettings};
 pub use replica::{Distance, Outcome};
 pub use replica_set::{Choice, ReplicaSet, ReplicaSettings};
 pub use split::choose_part;
--- a/crates/domain/src/routes/configuration.rs
+++ b/crates/domain/src/routes/configuration.rs
@@ -130,6 +130,15 @@
 }
 
 impl Destination {
+    /// The service that stands for the destination: routes to the same leaves share it.
+    pub fn representative(&self) -> Option<&ServiceName> {
+        match self {
+            Self::Service(service) => Some(service),
+            Self::Split(parts) => parts.first().map(|part| &part.service),
+            Self::Shards(shards) => shards.services.first(),
+        }
+    }
+
     /// The services that are named.
     pub fn services(&self) -> Vec<&ServiceName> {
         match self {
--- a/crates/domain/src/routes/table.rs
+++ b/crates/domain/src/routes/table.rs
@@ -1,6 +1,6 @@
 //! The routes as a broker looks them up.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::configuration::{BackEndService, CallerLimits, Route, RouteConfiguration, RouteVersion};
@@ -14,6 +14,8 @@
     services: BTreeMap<ServiceName, BackEndService>,
     /// Routes of a host, those of longer prefixes first.
     hosts: BTreeMap<String, Vec<Arc<Route>>>,
+    /// Priorities of the routes to each destination.
+    priorities: BTreeMap<ServiceName, BTreeSet<u32>>,
 }
 
 /// What a request matches.
@@ -29,7 +31,11 @@
     /// Indexes a valid configuration.
     pub fn new(configuration: RouteConfiguration) -> Self {
         let mut hosts: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
+        let mut priorities: BTreeMap<ServiceName, BTreeSet<u32>> = BTreeMap::new();
         for route in configuration.routes {
+            if let Some(service) = route.destination.representative() {
+                priorities.entry(service.clone()).or_default().insert(route.priority);
+            }
             hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
         }
         for routes in hosts.values_mut() {
@@ -41,6 +47,7 @@
             limits: configuration.limits,
             services: services.map(|service| (service.name.clone(), service)).collect(),
             hosts,
+            priorities,
         }
     }
 
@@ -59,6 +66,13 @@
         self.services.get(name)
     }
 
+    /// How many priorities above that of the route its destination serves.
+    pub fn rank(&self, route: &Route) -> u32 {
+        let service = route.destination.representative();
+        let known = service.and_then(|service| self.priorities.get(service));
+        known.map_or(0, |known| known.range(..route.priority).count() as u32)
+    }
+
     /// The route of the longest prefix that begins `path`. The host may carry a port.
     pub fn find(&self, host: &str, path: &str) -> RouteLookup {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/domain/tests/routes.rs
+++ b/crates/domain/tests/routes.rs
@@ -155,6 +155,22 @@
     assert_eq!(found.as_deref(), expected);
 }
 
+#[test]
+fn routes_to_the_same_leaves_are_ranked_by_priority() {
+    let prioritized = |name: &str, prefix: &str, priority| Route {
+        priority,
+        destination: shards(&["a", "b"]),
+        ..route(name, "h", prefix)
+    };
+    let alone = Route { priority: 9, destination: shards(&["b"]), ..route("alone", "h", "/d/") };
+    let (high, low, same) =
+        (prioritized("x", "/a/", 1), prioritized("y", "/b/", 7), prioritized("z", "/c/", 7));
+    let routes = vec![low.clone(), high.clone(), same.clone(), alone.clone()];
+    let table = RouteTable::new(configuration(1, routes));
+    let ranks: Vec<u32> = [&high, &low, &same, &alone].map(|route| table.rank(route)).to_vec();
+    assert_eq!(ranks, [0, 1, 1, 0]);
+}
+
 #[rstest]
 #[case(890_000, 9, 10, true)]
 #[case(890_000, 8, 10, false)]
