Test routes on a broker process over scripted leaves, and serve them beside queries

A setting [routes] starts it there, under the product's own header names.

Tests: 41 on a real process: forwarding unaltered, framings, bad input that reaches no leaf, retries, at most once, stray and surplus answers, cut replies, merging, true missing parts, time-outs, cancellation when a caller leaves, readiness, planned stop, SIGHUP. One failed first: the head alone (HEAD) was relayed with a length of 0.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -28,6 +28,7 @@
 use crate::clock::Clock;
 use crate::engine::{Engine, EngineMessage};
 use crate::feed::LastReport;
+use crate::routes::{Dialect, RouteServer};
 use crate::stop::StopSignal;
 
 /// Time that a planned stop waits for the receipt of the last charges.
@@ -38,6 +39,7 @@
 /// # Errors
 /// An [`io::Error`] when an address cannot be bound or signals cannot be watched.
 pub async fn run(settings: BrokerSettings) -> io::Result<()> {
+    signals::ignore_reload()?;
     let listener = listen(settings.listen)?;
     let metrics_listener = settings.metrics.map(listen).transpose()?;
     let (engine, messages) = local_sync::mpsc::unbounded::channel();
@@ -51,17 +53,28 @@
         }
         None => info!(event = "started", name = settings.name, listen = %address),
     }
-    let server = CallerServer::new(listener, engine.clone(), stop, &settings);
+    let server = CallerServer::new(listener, engine.clone(), stop.clone(), &settings);
     monoio::spawn(server.run());
     if let Some(listener) = metrics_listener {
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
     let clock = Clock::start();
+    let (routes, updates) = match settings.routes.clone() {
+        Some(routes) => {
+            let dialect = Dialect::default();
+            let started = RouteServer::start(&settings, routes, dialect, clock, &stop)?;
+            (Some(started.0), Some(started.1))
+        }
+        None => (None, None),
+    };
     let run = BrokerRun(rand::rng().random());
     let (last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    let feed = feed::follow(settings.clone(), run, clock, engine.clone(), last_reports, None);
+    let feed = feed::follow(settings.clone(), run, clock, engine.clone(), last_reports, updates);
     monoio::spawn(feed);
     let totals = Engine::new(&settings, run, clock, engine).run(messages).await;
+    if let Some(routes) = routes {
+        routes.finish().await;
+    }
     report_last(totals, &last_report).await;
     info!(event = "stopped", name = settings.name);
     Ok(())
--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -75,6 +75,8 @@
     pub leaf: LeafIdentity,
     /// Its head.
     pub head: ResponseHead,
+    /// Whether the request asked for the head alone.
+    pub head_only: bool,
     /// How the leaf framed the body.
     pub framing: BodyFraming,
     /// The body, or its first part.
@@ -190,7 +192,8 @@
     if !decoder.is_done() && !rejected {
         let rest = ReplyStream { connection, decoder };
         let leaf = leaf.identity.clone();
-        return Ok(LeafReply { leaf, head, framing, body, rest: Some(rest) });
+        let head_only = method == "HEAD";
+        return Ok(LeafReply { leaf, head, head_only, framing, body, rest: Some(rest) });
     }
     if reusable {
         connection.keep_for(stated_keep(&head));
@@ -200,7 +203,8 @@
     if rejected {
         return Err(AttemptError::Rejected);
     }
-    Ok(LeafReply { leaf: leaf.identity.clone(), head, framing, body, rest: None })
+    let (leaf, head_only) = (leaf.identity.clone(), method == "HEAD");
+    Ok(LeafReply { leaf, head, head_only, framing, body, rest: None })
 }
 
 /// Reads the head of the reply to this very request. A late reply to another one may come first;
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -250,7 +250,7 @@
 
     /// Relays a reply. One that is cut short ends the connection, so that it looks cut short.
     async fn relay(&mut self, reply: LeafReply, keep_alive: bool) -> Result<(), End> {
-        let (mut bytes, framing) = relayed_head(&reply, "", keep_alive);
+        let (mut bytes, framing) = relayed_head(&reply, keep_alive);
         add_piece(&mut bytes, &reply.body, framing);
         self.write(bytes).await?;
         let Some(mut rest) = reply.rest else {
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -18,10 +18,10 @@
 use gingerkeel_domain::identifiers::BrokerRun;
 use gingerkeel_settings::{BrokerSettings, RouteSettings};
 use gingerkeel_transport::listen;
-use local_sync::mpsc::unbounded::{self, Rx};
+use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use monoio::time::sleep;
 use rand::Rng;
-use tracing::info;
+use tracing::{info, warn};
 
 pub use dialect::Dialect;
 
@@ -41,7 +41,7 @@
 /// Part of the time of a planned stop after which the process ends in any case.
 const STOP_END_SHARE: f64 = 0.95;
 
-/// Serves routes until a planned stop has finished what was in flight.
+/// Serves routes, and nothing else, until a planned stop has finished what was in flight.
 ///
 /// # Errors
 /// An [`io::Error`] when an address cannot be bound or signals cannot be watched.
@@ -51,52 +51,85 @@
     dialect: Dialect,
 ) -> io::Result<()> {
     signals::ignore_reload()?;
-    let listener = listen(routes.listen)?;
-    let readiness = routes.readiness.map(listen).transpose()?;
-    let stop = StopSignal::new();
     let requested = signals::stop_requested()?;
-    let clock = Clock::start();
-    let stop_time = Duration::from_millis(routes.stop_ms.into());
-    info!(event = "started", name = settings.name, listen = %routes.listen, routes = true);
-    let state = Rc::new(RouteState::new(settings.clone(), routes, dialect, clock));
-    if let Some(listener) = readiness {
-        monoio::spawn(readiness::serve(listener, state.clone()));
-    }
-    let server = CallerServer::new(state.clone(), stop.clone());
-    let open = server.open_connections();
-    monoio::spawn(server.run(listener));
-    follow(settings.clone(), clock, state.clone());
-    monoio::spawn(keep_up(state.clone()));
+    let (stop, clock) = (StopSignal::new(), Clock::start());
+    let (server, updates) = RouteServer::start(&settings, routes, dialect, clock, &stop)?;
+    follow(settings.clone(), clock, updates);
     requested.await;
-    info!(event = "stopping", open = open.get());
-    state.stop();
     stop.give();
-    drain(&open, stop_time).await;
-    info!(event = "stopped", name = settings.name, open = open.get());
+    server.finish().await;
+    info!(event = "stopped", name = settings.name);
     Ok(())
 }
 
-/// Waits until no connection is open and none can come any more, or the time is over.
-async fn drain(open: &Cell<usize>, limit: Duration) {
-    let began = Instant::now();
-    while began.elapsed() < limit.mul_f64(STOP_END_SHARE) {
-        let may_come = began.elapsed() < limit.mul_f64(STOP_ACCEPT_SHARE);
-        if !may_come && open.get() == 0 {
-            return;
+/// The serving of routes in this process.
+pub struct RouteServer {
+    state: Rc<RouteState>,
+    open: Rc<Cell<usize>>,
+    stop_time: Duration,
+}
+
+impl RouteServer {
+    /// Listens for callers, who are served once the news of routes and leaves have come over the
+    /// channel that is given back.
+    ///
+    /// # Errors
+    /// An [`io::Error`] when an address cannot be bound.
+    pub fn start(
+        settings: &BrokerSettings,
+        routes: RouteSettings,
+        dialect: Dialect,
+        clock: Clock,
+        stop: &StopSignal,
+    ) -> io::Result<(Self, Tx<RouteUpdate>)> {
+        let listener = listen(routes.listen)?;
+        let readiness = routes.readiness.map(listen).transpose()?;
+        let stop_time = Duration::from_millis(routes.stop_ms.into());
+        let address = listener.local_addr()?;
+        match &readiness {
+            Some(readiness) => {
+                let readiness = readiness.local_addr()?;
+                info!(event = "routes_started", name = settings.name, routes = %address, %readiness);
+            }
+            None => info!(event = "routes_started", name = settings.name, routes = %address),
+        }
+        let state = Rc::new(RouteState::new(settings.clone(), routes, dialect, clock));
+        if let Some(listener) = readiness {
+            monoio::spawn(readiness::serve(listener, state.clone()));
+        }
+        let server = CallerServer::new(state.clone(), stop.clone());
+        let open = server.open_connections();
+        monoio::spawn(server.run(listener));
+        monoio::spawn(keep_up(state.clone()));
+        let (updates, received) = unbounded::channel();
+        monoio::spawn(apply_updates(received, state.clone()));
+        Ok((Self { state, open, stop_time }, updates))
+    }
+
+    /// A planned stop has begun: waits until no connection is open and none can come any more, or
+    /// the time is over.
+    pub async fn finish(self) {
+        info!(event = "stopping", open = self.open.get());
+        self.state.stop();
+        let began = Instant::now();
+        while began.elapsed() < self.stop_time.mul_f64(STOP_END_SHARE) {
+            let may_come = began.elapsed() < self.stop_time.mul_f64(STOP_ACCEPT_SHARE);
+            if !may_come && self.open.get() == 0 {
+                return;
+            }
+            sleep(STOP_POLL).await;
         }
-        sleep(STOP_POLL).await;
+        warn!(event = "stopped_with_open_connections", open = self.open.get());
     }
 }
 
 /// Follows the control processes for ever.
-fn follow(settings: BrokerSettings, clock: Clock, state: Rc<RouteState>) {
+fn follow(settings: BrokerSettings, clock: Clock, updates: Tx<RouteUpdate>) {
     let run = BrokerRun(rand::rng().random());
     let (engine, mut messages) = unbounded::channel();
     // Without queries there is nothing to charge for and nothing to report.
     monoio::spawn(async move { while messages.recv().await.is_some() {} });
     let (last_report, last_reports) = unbounded::channel();
-    let (updates, received) = unbounded::channel();
-    monoio::spawn(apply_updates(received, state));
     monoio::spawn(async move {
         // Kept so that the feed does not take it for the end of the process.
         let _last_report = last_report;
--- a/crates/broker/src/routes/respond.rs
+++ b/crates/broker/src/routes/respond.rs
@@ -111,10 +111,10 @@
 }
 
 /// The head of a relayed reply, and how its body follows.
-pub fn relayed_head(reply: &LeafReply, method: &str, keep_alive: bool) -> (Vec<u8>, RelayFraming) {
+pub fn relayed_head(reply: &LeafReply, keep_alive: bool) -> (Vec<u8>, RelayFraming) {
     let mut bytes = status_line(reply.head.status);
     let headers = &reply.head.headers;
-    let bodiless = method == "HEAD" || matches!(reply.head.status, 100..=199 | 204 | 304);
+    let bodiless = reply.head_only || matches!(reply.head.status, 100..=199 | 204 | 304);
     for (name, value) in headers.iter() {
         let is_length = name.eq_ignore_ascii_case(b"content-length");
         if !headers.is_hop_by_hop(name) && (!is_length || bodiless) {
--- /dev/null
+++ b/crates/broker/tests/routes.rs
@@ -0,0 +1,362 @@
+//! Routes served by a broker process over scripted leaves.
+
+mod support;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
+
+use rstest::rstest;
+use rustix::process::Signal;
+use support::control::ControlScript;
+use support::leaf::{Act, ScriptedLeaf, response};
+use support::routed::{RoutedBroker, rejection, reply, request};
+use support::{deaf_address, wait_until};
+
+/// A leaf that answers every request with `body` under its own attestation.
+fn honest(attestation: &'static str, body: &'static [u8]) -> ScriptedLeaf {
+    ScriptedLeaf::for_all(move |request| Act::Send(reply(request, attestation, body)))
+}
+
+/// A leaf that does this with its first request and answers the others.
+fn first(act: impl Fn(&support::leaf::LeafRequest) -> Act + Send + Sync + 'static) -> ScriptedLeaf {
+    let count = AtomicUsize::new(0);
+    ScriptedLeaf::for_all(move |request| match count.fetch_add(1, Ordering::SeqCst) {
+        0 => act(request),
+        _ => Act::Send(reply(request, "later", b"later")),
+    })
+}
+
+fn records(records: &[u8]) -> Vec<u8> {
+    records.iter().flat_map(|byte| [*byte; 16]).collect()
+}
+
+#[test]
+fn a_request_is_forwarded_unaltered_but_for_what_concerns_one_connection() {
+    let leaf = honest("stamp", b"body");
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    let answer = broker.get("/one/a%20b?x=1&y");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "body"));
+    assert_eq!(answer.header("gingerkeel-attestation"), Some("stamp"));
+    let request = leaf.requests().remove(0);
+    assert!(request.head.starts_with("GET /one/a%20b?x=1&y HTTP/1.1\r\n"), "{}", request.head);
+    assert_eq!(request.header("gingerkeel-request-id"), "r1");
+    assert_eq!(request.header("gingerkeel-leaf"), "single-0");
+    assert_eq!((request.header("x-own"), request.header("x-hop")), ("kept", ""));
+    let left: u64 = request.header("gingerkeel-deadline-ms").parse().expect("milliseconds");
+    assert!((2_000..=3_000).contains(&left), "the route holds it for 3 s: {left}");
+}
+
+#[test]
+fn a_body_arrives_whole_however_it_was_framed() {
+    let leaf = honest("stamp", b"");
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    let mut caller = broker.caller();
+    caller.send(b"POST /once/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    assert_eq!(caller.receive().expect("an answer").status, 200);
+    caller.send(b"PUT /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nfghij");
+    assert_eq!(caller.receive().expect("an answer").status, 200);
+    let bodies: Vec<Vec<u8>> = leaf.requests().into_iter().map(|request| request.body).collect();
+    assert_eq!(bodies, [b"abcde".to_vec(), b"fghij".to_vec()]);
+}
+
+#[rstest]
+#[case::unknown_path("GET /other/ HTTP/1.1\r\nHost: h\r\n\r\n", 404)]
+#[case::unknown_host("GET /one/ HTTP/1.1\r\nHost: other\r\n\r\n", 404)]
+#[case::no_host("GET /one/ HTTP/1.1\r\n\r\n", 404)]
+#[case::no_http("nonsense\r\n\r\n", 400)]
+#[case::two_lengths(
+    "POST /one/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+    400
+)]
+#[case::smuggled(
+    "POST /one/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    400
+)]
+#[case::bad_chunk(
+    "POST /one/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    400
+)]
+#[case::large_declared("POST /one/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", 413)]
+fn bad_input_gets_a_clear_refusal_and_reaches_no_leaf(#[case] text: &str, #[case] status: u16) {
+    let leaf = honest("stamp", b"");
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    let mut caller = broker.caller();
+    caller.send(text.as_bytes());
+    let answer = caller.receive().expect("an answer");
+    assert_eq!(answer.status, status);
+    assert!(answer.body.contains(':') || answer.body.contains("check"), "{}", answer.body);
+    assert!(leaf.requests().is_empty());
+}
+
+#[test]
+fn a_large_head_and_a_large_chunked_body_are_refused() {
+    let leaf = honest("stamp", b"");
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    let mut caller = broker.caller();
+    caller.send(
+        format!("GET /one/ HTTP/1.1\r\nHost: h\r\nA: {}\r\n\r\n", "x".repeat(3_000)).as_bytes(),
+    );
+    assert_eq!(caller.receive().expect("an answer").status, 431);
+    let mut caller = broker.caller();
+    let chunk = format!("{:x}\r\n{}\r\n", 2_000, "x".repeat(2_000));
+    caller.send(
+        format!("POST /one/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}")
+            .as_bytes(),
+    );
+    assert_eq!(caller.receive().expect("an answer").status, 413);
+    assert!(leaf.requests().is_empty());
+}
+
+#[rstest]
+#[case::reset_by_nobody(None)]
+#[case::rejected(Some(rejection()))]
+#[case::no_answer(Some(b"nonsense\r\n\r\n".to_vec()))]
+#[case::failure(Some(response(500, "gingerkeel-request-id: r1\r\n", b"")))]
+#[case::cut_short(Some(b"HTTP/1.1 200 OK\r\ngingerkeel-request-id: r1\r\ncontent-length: 9\r\n\r\nabc".to_vec()))]
+#[case::of_another_request(Some(response(200, "gingerkeel-request-id: other\r\n", b"not ours")))]
+#[case::nameless(Some(response(200, "", b"not ours")))]
+fn a_repeatable_request_goes_to_another_leaf(#[case] bytes: Option<Vec<u8>>) {
+    let bad = ScriptedLeaf::for_all(move |_| Act::SendAndClose(bytes.clone().unwrap_or_default()));
+    let good = honest("good", b"good");
+    let broker = RoutedBroker::start(&[bad.address, good.address], &[]);
+    let answer = broker.get("/one/");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "good"));
+    assert_eq!(good.requests().len(), 1);
+}
+
+#[rstest]
+#[case::lost(b"".to_vec(), 502)]
+#[case::no_answer(b"nonsense\r\n\r\n".to_vec(), 502)]
+#[case::failure(response(500, "gingerkeel-request-id: r1\r\n", b"its own"), 500)]
+fn one_that_is_not_repeatable_runs_at_most_once(#[case] bytes: Vec<u8>, #[case] status: u16) {
+    let bad = ScriptedLeaf::for_all(move |_| Act::SendAndClose(bytes.clone()));
+    let good = honest("good", b"good");
+    let broker = RoutedBroker::start(&[bad.address, good.address], &[]);
+    assert_eq!(broker.get("/once/").status, status);
+    assert_eq!((bad.requests().len(), good.requests().len()), (1, 0));
+}
+
+#[test]
+fn one_that_certainly_has_not_run_may_go_to_another_leaf() {
+    let full = ScriptedLeaf::for_all(|_| Act::Send(rejection()));
+    let good = honest("good", b"good");
+    let broker = RoutedBroker::start(&[full.address, good.address], &[]);
+    assert_eq!(broker.get("/once/").body, "good");
+    let broker = RoutedBroker::start(&[deaf_address(), good.address], &[]);
+    assert_eq!(broker.get("/once/").body, "good");
+}
+
+#[test]
+fn when_every_leaf_refuses_the_caller_is_told_that_nothing_ran_and_when_to_come_back() {
+    let full = ScriptedLeaf::for_all(|_| Act::Send(rejection()));
+    let broker = RoutedBroker::start(&[full.address], &[]);
+    let answer = broker.get("/once/");
+    assert_eq!(answer.status, 503);
+    let after: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+    assert!(after > 0.0);
+}
+
+#[test]
+fn an_answer_to_another_request_is_passed_over() {
+    let leaf = ScriptedLeaf::for_all(|request| {
+        let stray = response(200, "gingerkeel-request-id: stray\r\n", b"of another");
+        Act::Send([stray, reply(request, "own", b"own")].concat())
+    });
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    assert_eq!(broker.get("/one/").body, "own");
+}
+
+#[test]
+fn bytes_after_an_answer_belong_to_no_request() {
+    let leaf = first(|request| {
+        Act::Send([reply(request, "own", b"own"), reply(request, "extra", b"extra")].concat())
+    });
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    assert_eq!(broker.get("/one/").body, "own");
+    assert_eq!(broker.get("/one/").body, "later", "the connection was not used again");
+}
+
+#[test]
+fn a_reply_that_ends_with_its_connection_is_relayed_whole() {
+    let leaf = ScriptedLeaf::for_all(|_| {
+        Act::SendAndClose(
+            b"HTTP/1.1 200 OK\r\ngingerkeel-request-id: r1\r\n\r\nuntil the end".to_vec(),
+        )
+    });
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    assert_eq!(broker.get("/one/").body, "until the end");
+}
+
+#[test]
+fn the_head_alone_is_relayed_with_the_length_that_it_states() {
+    let leaf = ScriptedLeaf::for_all(|request| {
+        let whole = reply(request, "s", b"12345");
+        let head = if request.head.starts_with("HEAD") { whole.len() - 5 } else { whole.len() };
+        Act::Send(whole[..head].to_vec())
+    });
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    let mut caller = broker.caller();
+    let head = request("/one/", "5000").replacen("GET", "HEAD", 1);
+    let both = head + &request("/one/", "5000");
+    caller.send(both.as_bytes());
+    let text = caller.receive_text(2);
+    let lengths = text.matches("Content-Length: 5\r\n").count()
+        + text.matches("content-length: 5\r\n").count();
+    assert_eq!(lengths, 2, "{text}");
+    assert!(text.ends_with("\r\n\r\n12345"), "{text}");
+    assert_eq!(text.matches("12345").count(), 1, "{text}");
+}
+
+#[test]
+fn a_long_reply_that_is_cut_short_does_not_look_complete() {
+    let leaf = ScriptedLeaf::for_all(|_| {
+        let head = "HTTP/1.1 200 OK\r\ngingerkeel-request-id: r1\r\ncontent-length: 300000\r\n\r\n";
+        Act::SendAndClose([head.as_bytes(), &[b'x'; 200_000]].concat())
+    });
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    let mut caller = broker.caller();
+    caller.send(request("/one/", "5000").as_bytes());
+    assert!(caller.receive().is_none(), "the connection closes before the length is reached");
+}
+
+#[test]
+fn a_long_reply_is_relayed_whole() {
+    let leaf = ScriptedLeaf::for_all(|request| Act::Send(reply(request, "s", &[b'x'; 300_000])));
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    assert_eq!(broker.get("/one/").body.len(), 300_000);
+}
+
+#[test]
+fn the_greatest_records_of_all_shards_are_merged() {
+    let parts: [&'static [u8]; 3] = [b"a", b"c", b"b"];
+    let leaves = parts.map(|part| {
+        let body = [records(part), records(b"c"), b"rest".to_vec()].concat();
+        ScriptedLeaf::for_all(move |request| {
+            let attestation = std::str::from_utf8(part).unwrap_or_default();
+            Act::Send(reply(request, attestation, &body))
+        })
+    });
+    let shards: Vec<Vec<_>> = leaves.iter().map(|leaf| vec![leaf.address]).collect();
+    let shards: Vec<&[_]> = shards.iter().map(Vec::as_slice).collect();
+    let broker = RoutedBroker::start(&[], &shards);
+    let answer = broker.get("/all/x");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body.as_bytes(), records(b"ccc"), "equal records each count");
+    let mut attested: Vec<&str> =
+        answer.header("gingerkeel-part-attestations").expect("attestations").split(", ").collect();
+    attested.sort_unstable();
+    assert_eq!(attested, ["a", "b", "c"]);
+    assert_eq!(answer.header("gingerkeel-missing-parts"), Some("0"));
+}
+
+#[rstest]
+#[case::silent(None)]
+#[case::failure(Some(response(
+    500,
+    "gingerkeel-request-id: r1\r\ngingerkeel-attestation: z\r\n",
+    b""
+)))]
+#[case::unattested(Some(response(200, "gingerkeel-request-id: r1\r\n", &[1; 16])))]
+#[case::full(Some(rejection()))]
+fn a_missing_part_is_counted_and_never_merged(#[case] bytes: Option<Vec<u8>>) {
+    let bad = ScriptedLeaf::for_all(move |_| match &bytes {
+        Some(bytes) => Act::Send(bytes.clone()),
+        None => Act::KeepSilent,
+    });
+    let good = honest("good", b"0123456789abcdef");
+    let broker = RoutedBroker::start(&[], &[&[good.address], &[bad.address]]);
+    let answer = broker.get("/all/");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "0123456789abcdef"));
+    assert_eq!(answer.header("gingerkeel-part-attestations"), Some("good"));
+    assert_eq!(answer.header("gingerkeel-missing-parts"), Some("1"));
+}
+
+#[test]
+fn below_the_least_share_there_is_no_answer() {
+    let good = honest("good", b"0123456789abcdef");
+    let deaf = [deaf_address()];
+    let broker = RoutedBroker::start(&[], &[&[good.address], &deaf, &deaf]);
+    let answer = broker.get("/all/");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[test]
+fn a_silent_leaf_is_made_up_for_by_another_within_the_attempts() {
+    let silent = ScriptedLeaf::for_all(|_| Act::KeepSilent);
+    let good = honest("good", b"good");
+    let broker = RoutedBroker::start(&[silent.address, good.address], &[]);
+    assert_eq!(broker.get("/one/").body, "good");
+    assert_eq!((silent.requests().len(), good.requests().len()), (1, 1));
+}
+
+#[test]
+fn the_time_of_the_route_or_the_caller_ends_a_request() {
+    let silent = ScriptedLeaf::for_all(|_| Act::KeepSilent);
+    let broker = RoutedBroker::start(&[silent.address], &[]);
+    let mut caller = broker.caller();
+    caller.send(request("/once/", "300").as_bytes());
+    assert_eq!(caller.receive().expect("an answer").status, 504);
+}
+
+#[test]
+fn when_the_caller_leaves_the_leaf_connection_is_closed() {
+    let silent = ScriptedLeaf::for_all(|_| Act::KeepSilent);
+    let broker = RoutedBroker::start(&[silent.address], &[]);
+    let mut caller = broker.caller();
+    caller.send(request("/once/", "3000").as_bytes());
+    wait_until("the leaf has the request", || silent.requests().len() == 1);
+    caller.hang_up();
+    wait_until("the broker holds no connection to the leaf", || {
+        !established(broker.broker.id(), silent.address.port())
+    });
+}
+
+/// Whether the process holds a connection to this port.
+fn established(process: u32, port: u16) -> bool {
+    let table = std::fs::read_to_string(format!("/proc/{process}/net/tcp")).expect("a table");
+    let remote = format!(":{port:04X} 01");
+    table.lines().any(|line| line.contains(&remote))
+}
+
+#[test]
+fn a_broker_that_knows_nothing_is_not_ready_and_says_when_to_come_back() {
+    let broker = RoutedBroker::start_on(ControlScript::default());
+    assert_eq!(broker.ready(), 503);
+    let answer = broker.get("/one/");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[test]
+fn a_planned_stop_finishes_what_is_in_flight_and_what_still_arrives() {
+    let slow = ScriptedLeaf::for_all(|request| {
+        sleep(Duration::from_millis(600));
+        Act::Send(reply(request, "s", b"whole"))
+    });
+    let mut broker = RoutedBroker::start(&[slow.address], &[]);
+    let mut in_flight = broker.caller();
+    in_flight.send(request("/once/", "3000").as_bytes());
+    wait_until("the leaf has the request", || slow.requests().len() == 1);
+    broker.broker.signal(Signal::TERM);
+    wait_until("the broker is not ready", || broker.ready() == 503);
+    let mut late = broker.caller();
+    late.send(request("/once/", "3000").as_bytes());
+    for caller in [&mut in_flight, &mut late] {
+        let answer = caller.receive().expect("an answer");
+        assert_eq!((answer.status, answer.body.as_str()), (200, "whole"));
+        assert!(answer.closes());
+        assert!(caller.is_closed());
+    }
+    broker.broker.assert_ends_well();
+}
+
+#[test]
+fn the_word_of_changed_settings_does_not_end_the_process() {
+    let leaf = honest("s", b"x");
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    broker.broker.signal(Signal::HUP);
+    sleep(Duration::from_millis(100));
+    assert_eq!(broker.get("/one/").status, 200);
+}
--- a/crates/broker/tests/support/caller.rs
+++ b/crates/broker/tests/support/caller.rs
@@ -137,6 +137,17 @@
         Some(response)
     }
 
+    /// Reads until so many heads have come and the last byte is no line end; all of it as text.
+    pub fn receive_text(&mut self, heads: usize) -> String {
+        loop {
+            let text = String::from_utf8_lossy(&self.unread).into_owned();
+            if text.matches("\r\n\r\n").count() >= heads && !text.ends_with('\n') {
+                return text;
+            }
+            self.read_some().expect("more of the answers");
+        }
+    }
+
     /// Whether the broker closes the connection without another byte.
     pub fn is_closed(&mut self) -> bool {
         self.unread.is_empty() && self.read_some().is_none()
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -25,17 +25,19 @@
 const LEASE_MILLISECONDS: u32 = 600_000;
 
 /// What a scripted control process does besides serving a catalog and leases.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ControlScript {
     /// Whether it records charges.
     pub receipts: bool,
     /// Lowest class that brokers are told to admit.
     pub lowest_admitted: u8,
+    /// What brokers are told besides once they subscribe.
+    pub news: Vec<FeedMessage>,
 }
 
 impl Default for ControlScript {
     fn default() -> Self {
-        Self { receipts: true, lowest_admitted: ADMIT_ALL }
+        Self { receipts: true, lowest_admitted: ADMIT_ALL, news: Vec::new() }
     }
 }
 
@@ -62,7 +64,8 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (catalog, journal) = (catalog.clone(), journal.clone());
-                thread::spawn(move || feed(stream, &catalog, script, &journal));
+                let script = script.clone();
+                thread::spawn(move || feed(stream, &catalog, &script, &journal));
             }
         });
         Self { address, received }
@@ -91,7 +94,7 @@
 fn feed(
     mut stream: TcpStream,
     catalog: &Catalog,
-    script: ControlScript,
+    script: &ControlScript,
     journal: &Mutex<Vec<SubscriberMessage>>,
 ) -> Option<()> {
     let mut codec = FrameCodec::<SubscriberMessage>::default();
@@ -112,7 +115,7 @@
 
 fn replies(
     catalog: &Catalog,
-    script: ControlScript,
+    script: &ControlScript,
     message: &SubscriberMessage,
 ) -> Vec<FeedMessage> {
     match message {
@@ -122,10 +125,12 @@
         SubscriberMessage::Subscribe { .. } => {
             let bytes = encode_document(catalog).expect("a catalog is a document");
             let service = ShortText::new("tickets");
-            vec![
+            let mut messages = vec![
                 FeedMessage::FullCatalog { catalog: Document::from(bytes) },
                 FeedMessage::Threshold { service, lowest_admitted: script.lowest_admitted },
-            ]
+            ];
+            messages.extend(script.news.iter().cloned());
+            messages
         }
         SubscriberMessage::Renew { ticket, .. } => {
             let (ticket, revision) = (*ticket, catalog.revision().0);
--- a/crates/broker/tests/support/leaf.rs
+++ b/crates/broker/tests/support/leaf.rs
@@ -93,6 +93,19 @@
         Self { address, journal }
     }
 
+    /// A leaf that follows the script for every request, whatever its method.
+    pub fn for_all(script: impl Fn(&LeafRequest) -> Act + Send + Sync + 'static) -> Self {
+        let journal: Arc<Mutex<Vec<LeafRequest>>> = Arc::default();
+        let entries = journal.clone();
+        let address = listen(move |stream| converse(stream, &entries, &script));
+        Self { address, journal }
+    }
+
+    /// All requests, in the order of arrival.
+    pub fn requests(&self) -> Vec<LeafRequest> {
+        self.journal.lock().expect("no thread panicked").clone()
+    }
+
     /// A leaf that reads `limit` bytes of each connection and resets it.
     pub fn resetting_after(limit: usize) -> Self {
         let journal: Arc<Mutex<Vec<LeafRequest>>> = Arc::default();
@@ -142,13 +155,21 @@
     address
 }
 
-fn serve(mut stream: TcpStream, journal: &Mutex<Vec<LeafRequest>>, script: &Script) {
+fn serve(stream: TcpStream, journal: &Mutex<Vec<LeafRequest>>, script: &Script) {
+    converse(stream, journal, &|request| match request.is_search() {
+        true => script(request),
+        false => Act::Send(response(204, "", b"")),
+    });
+}
+
+fn converse(
+    mut stream: TcpStream,
+    journal: &Mutex<Vec<LeafRequest>>,
+    script: &dyn Fn(&LeafRequest) -> Act,
+) {
     while let Some(request) = read_request(&mut stream) {
         journal.lock().expect("no thread panicked").push(request.clone());
-        let act = match request.is_search() {
-            true => script(&request),
-            false => Act::Send(response(204, "", b"")),
-        };
+        let act = script(&request);
         let (bytes, close) = match act {
             Act::Send(bytes) => (bytes, false),
             Act::SendAndClose(bytes) => (bytes, true),
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod control;
 pub mod leaf;
+pub mod routed;
 
 use std::net::SocketAddr;
 use std::thread::sleep;
--- /dev/null
+++ b/crates/broker/tests/support/routed.rs
@@ -0,0 +1,179 @@
+//! A broker that serves routes, between a scripted control process and scripted leaves.
+
+use std::net::SocketAddr;
+
+use gingerkeel_domain::directory::{LeafAvailability, LeafDirectory, ListedLeaf};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use gingerkeel_domain::routes::{
+    BackEndService, CallerLimits, Destination, PartsPerMillion, Route, RouteConfiguration,
+    RouteVersion, ShardSet,
+};
+use gingerkeel_protocol::{FeedMessage, encode_document};
+
+use super::broker::Broker;
+use super::caller::{Caller, Response};
+use super::control::{ControlScript, ScriptedControl};
+use super::leaf::{LeafRequest, response};
+use super::wait_until;
+
+/// Services of the configuration: `single` and the shards `s0`, `s1` and so on.
+pub const SINGLE: &str = "single";
+
+/// A broker that serves routes of host `h`: `/one/` and `/once/` to service `single`, the second
+/// not repeatable; `/all/` to the shards.
+pub struct RoutedBroker {
+    pub broker: Broker,
+    pub routes: SocketAddr,
+    pub readiness: SocketAddr,
+}
+
+impl RoutedBroker {
+    /// Starts one over leaves of `single` and leaves of each shard.
+    pub fn start(single: &[SocketAddr], shards: &[&[SocketAddr]]) -> Self {
+        Self::start_with(&configuration(shards.len()), &directory(single, shards))
+    }
+
+    /// Starts one with this configuration and list of leaves.
+    pub fn start_with(configuration: &RouteConfiguration, directory: &LeafDirectory) -> Self {
+        let news = vec![
+            FeedMessage::Routes { configuration: document(configuration) },
+            FeedMessage::WholeDirectory { directory: document(directory) },
+        ];
+        Self::start_on(ControlScript { news, ..ControlScript::default() })
+    }
+
+    /// Starts one whose control process follows a script.
+    pub fn start_on(script: ControlScript) -> Self {
+        let ready = !script.news.is_empty();
+        let control = ScriptedControl::serve_with(
+            &super::control::catalog(&[&[super::deaf_address()]]),
+            script,
+        );
+        let settings = "[routes]\nlisten = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\n\
+                        extra_ratio = 1.0\nextra_slack = 100.0\nstop_ms = 2000\n\
+                        zone_regions = { a = \"south\" }";
+        let broker = Broker::start_on(control, settings);
+        let log = broker.log();
+        let started = log.lines().find(|line| line.contains("event=routes_started"));
+        let address = |key: &str| {
+            let value = started.and_then(|line| line.split(&format!(" {key}=")).nth(1));
+            let value = value.and_then(|rest| rest.split(' ').next()).expect("an address");
+            value.parse().expect("an address")
+        };
+        let routed = Self { routes: address("routes"), readiness: address("readiness"), broker };
+        if ready {
+            wait_until("the broker is ready", || routed.ready() == 200);
+        }
+        routed
+    }
+
+    /// What the broker says of its readiness.
+    pub fn ready(&self) -> u16 {
+        let mut caller = Caller::connect(self.readiness);
+        caller.send(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n");
+        caller.receive().map_or(0, |response| response.status)
+    }
+
+    /// A new connection of a caller.
+    pub fn caller(&self) -> Caller {
+        Caller::connect(self.routes)
+    }
+
+    /// Sends one request on a connection of its own.
+    pub fn get(&self, path: &str) -> Response {
+        let mut caller = self.caller();
+        caller.send(request(path, "5000").as_bytes());
+        caller.receive().expect("an answer")
+    }
+}
+
+/// A request to host `h`.
+pub fn request(path: &str, deadline: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: h\r\ngingerkeel-request-id: r1\r\n\
+         gingerkeel-deadline-ms: {deadline}\r\nX-Own: kept\r\nConnection: x-hop\r\nX-Hop: dropped\r\n\r\n"
+    )
+}
+
+/// A leaf's correct reply.
+pub fn reply(request: &LeafRequest, attestation: &str, body: &[u8]) -> Vec<u8> {
+    let id = request.header("gingerkeel-request-id");
+    let headers =
+        format!("gingerkeel-request-id: {id}\r\ngingerkeel-attestation: {attestation}\r\n");
+    response(200, &headers, body)
+}
+
+/// A leaf's word that it did not run the request.
+pub fn rejection() -> Vec<u8> {
+    response(503, "gingerkeel-not-executed: 1\r\n", b"full")
+}
+
+fn document<T: serde::Serialize>(value: &T) -> gingerkeel_protocol::Document {
+    encode_document(value).expect("a document").into()
+}
+
+fn route(name: &str, repeatable: bool, destination: Destination) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        path_prefix: format!("/{name}/"),
+        repeatable,
+        timeout_ms: 3_000,
+        target_latency_ms: 400,
+        priority: 0,
+        attempts: 2,
+        destination,
+    }
+}
+
+/// The configuration over `shards` shards, of which half are enough.
+pub fn configuration(shards: usize) -> RouteConfiguration {
+    let names: Vec<ServiceName> = (0..shards).map(shard).collect();
+    let mut routes = vec![
+        route("one", true, Destination::Service(ServiceName::new(SINGLE))),
+        route("once", false, Destination::Service(ServiceName::new(SINGLE))),
+    ];
+    if !names.is_empty() {
+        let set = ShardSet {
+            services: names.clone(),
+            greatest: 3,
+            least_share: PartsPerMillion(500_000),
+        };
+        routes.push(route("all", true, Destination::Shards(set)));
+    }
+    let service =
+        |name| BackEndService { name, health_path: "/health".to_owned(), connection_limit: 16 };
+    RouteConfiguration {
+        version: RouteVersion(1),
+        routes,
+        services: names.into_iter().chain([ServiceName::new(SINGLE)]).map(service).collect(),
+        limits: CallerLimits { head_bytes: 2_048, body_bytes: 1_000, ..CallerLimits::default() },
+    }
+}
+
+fn shard(number: usize) -> ServiceName {
+    ServiceName::new(format!("s{number}"))
+}
+
+/// A list of these leaves.
+pub fn directory(single: &[SocketAddr], shards: &[&[SocketAddr]]) -> LeafDirectory {
+    let mut leaves = Vec::new();
+    let mut add = |service: ServiceName, addresses: &[SocketAddr]| {
+        for (number, address) in addresses.iter().enumerate() {
+            leaves.push(ListedLeaf {
+                identity: LeafIdentity::new(format!("{service}-{number}")),
+                service: service.clone(),
+                address: *address,
+                zone: ZoneName::new(if number == 0 { "a" } else { "b" }),
+                slots: 4,
+                availability: LeafAvailability::Ready,
+            });
+        }
+    };
+    add(ServiceName::new(SINGLE), single);
+    shards.iter().enumerate().for_each(|(number, addresses)| add(shard(number), addresses));
+    let mut directory = LeafDirectory::default();
+    let delta = directory.delta_to(&leaves).expect("a first list");
+    directory.apply(&delta);
+    directory
+}
