Log what was decided about a request when it ends, within a budget and without waiting

Cause: on-call engineers have only logs and metrics, and the serving of routes wrote a line for parts that were missing and nothing else. A trail is kept for each request; its lines are written when it ends, always for one that failed, was refused, came late or lacks parts, and for a sample by id of the others. Counters and latencies of routes are served on an address of the settings.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -14,6 +14,7 @@
 
 use super::pool::LeafConnection;
 use super::state::RouteState;
+use super::trail::Trail;
 
 /// Bytes of a leaf's head.
 const HEAD_LIMIT: usize = 32 * 1024;
@@ -34,6 +35,8 @@
     pub received: Instant,
     /// When it has to be answered.
     pub deadline: Instant,
+    /// What was decided about it.
+    pub trail: Trail,
 }
 
 /// Why an attempt gave no reply.
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -9,10 +9,10 @@
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
 use monoio::time::sleep;
-use tracing::debug;
 
 use super::attempt::{AttemptError, ForwardedRequest, LeafReply, attempt};
 use super::state::RouteState;
+use super::trail::AskReason;
 use crate::stop::StopSignal;
 
 /// Share of replies of a part that are waited for before another leaf is asked as well.
@@ -106,10 +106,14 @@
     state.earn(service);
     loop {
         if running.is_empty() {
-            let Some(leaf) = next_leaf(state, route, service, &tried, arrived, may_have_run) else {
+            let Some((leaf, sound)) =
+                next_leaf(state, route, service, &tried, arrived, may_have_run)
+            else {
                 return failure.ok_or(last_error);
             };
             may_have_run += 1;
+            let reason = if tried.is_empty() { AskReason::First } else { AskReason::Retry };
+            note(state, request, service, &leaf, reason, sound);
             start(&mut asked, &mut tried, &leaf);
             running.push(run(state, route, service, leaf, request));
         }
@@ -127,8 +131,8 @@
                 if can_hedge {
                     asked.mark_newest_late();
                 }
-                if let Some(leaf) = next_leaf(state, route, service, &tried, arrived + 1, may_have_run) {
-                    debug!(event = "hedge", service = %service, leaf = %leaf.identity);
+                if let Some((leaf, sound)) = next_leaf(state, route, service, &tried, arrived + 1, may_have_run) {
+                    note(state, request, service, &leaf, AskReason::Hedge, sound);
                     may_have_run += 1;
                     start(&mut asked, &mut tried, &leaf);
                     running.push(run(state, route, service, leaf, request));
@@ -137,6 +141,8 @@
             }
         };
         asked.ended(&leaf);
+        let noted = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
+        request.trail.ended(&leaf, noted);
         match outcome {
             Ok(reply) if reply.head.status < 500 || !route.repeatable => return Ok(reply),
             Ok(reply) => {
@@ -145,7 +151,6 @@
                 last_error = NoReply::Unknown;
             }
             Err(error) => {
-                debug!(event = "attempt_failed", service = %service, leaf = %leaf, ?error);
                 arrived += u32::from(error.arrived());
                 if error.certainly_not_run() {
                     may_have_run -= 1;
@@ -174,6 +179,18 @@
     }
 }
 
+fn note(
+    state: &RouteState,
+    request: &ForwardedRequest,
+    service: &ServiceName,
+    leaf: &ListedLeaf,
+    reason: AskReason,
+    sound: bool,
+) {
+    request.trail.asked(service, &leaf.identity, reason, sound);
+    state.metrics.leaf_asked(reason.as_str());
+}
+
 fn start(asked: &mut Asked<'_>, tried: &mut Vec<LeafIdentity>, leaf: &ListedLeaf) {
     asked.open.push((leaf.identity.clone(), Instant::now()));
     tried.push(leaf.identity.clone());
@@ -199,7 +216,7 @@
     tried: &[LeafIdentity],
     arrived: u32,
     may_have_run: u32,
-) -> Option<ListedLeaf> {
+) -> Option<(ListedLeaf, bool)> {
     if may_have_run >= route.attempts.max(1) {
         return None;
     }
@@ -208,5 +225,5 @@
     if arrived > 0 && !state.take_extra(service) {
         return None;
     }
-    Some(leaf)
+    Some((leaf, choice.sound))
 }
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -5,28 +5,24 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use gingerkeel_domain::forwarding::{Admitted, choose_part};
-use gingerkeel_domain::identifiers::ServiceName;
-use gingerkeel_domain::routes::{CallerLimits, Destination, Route, RouteLookup};
+use gingerkeel_domain::routes::CallerLimits;
 use gingerkeel_transport::http1::{
     BodyDecoder, BodyFraming, HeadFault, HttpReader, ReadError, RequestHead, request_framing,
 };
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::{sleep, timeout};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 use super::attempt::{ForwardedRequest, LeafReply};
-use super::attempts::{NoReply, ask};
-use super::gather::gather;
-use super::respond::{MergedAnswer, Refusal, RelayFraming, relayed_head};
+use super::respond::{Refusal, RelayFraming, relayed_head};
+use super::serving::{Served, serve};
 use super::state::RouteState;
+use super::trail::Trail;
 use crate::stop::StopSignal;
 
 /// Pause after a connection could not be accepted, as when descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// When a caller is asked to come back after no leaf took its request.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Longest that a request is held when its caller names no deadline and its route is unknown.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Bytes that are read and dropped after a refusal, so that it reaches the caller.
@@ -53,13 +49,6 @@
     Refused(Refusal),
 }
 
-/// What became of a request.
-enum Served {
-    Merged(MergedAnswer),
-    Relayed(Box<LeafReply>),
-    Refused(Refusal),
-}
-
 impl CallerServer {
     /// A server that has no connections yet.
     pub fn new(state: Rc<RouteState>, stop: StopSignal) -> Self {
@@ -212,7 +201,7 @@
         let time = stated.map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let deadline = received + time.min(DEFAULT_DEADLINE * 10);
         let id = head.headers.get(dialect.request_id).unwrap_or_default().to_vec();
-        ForwardedRequest { head, body, id, received, deadline }
+        ForwardedRequest { head, body, id, received, deadline, trail: Trail::new(received) }
     }
 
     /// Serves a request unless its caller leaves before; then everything for it is cancelled.
@@ -228,10 +217,7 @@
                 served = &mut serving => return Ok(served),
                 count = self.reader.fill() => match count {
                     Ok(count) if count > 0 => {}
-                    _ => {
-                        debug!(event = "caller_left");
-                        return Err(End::Closed);
-                    }
+                    _ => return Err(End::Closed),
                 },
             }
         }
@@ -327,68 +313,3 @@
         RelayFraming::Whole | RelayFraming::Length(_) => bytes.extend_from_slice(piece),
     }
 }
-
-async fn serve(state: &Rc<RouteState>, mut request: ForwardedRequest) -> Served {
-    let Some(table) = state.table().filter(|_| state.has_leaves()) else {
-        return Served::Refused(Refusal::NotRun { retry_after: state.start_left() });
-    };
-    let host = request.head.headers.text("host").unwrap_or_default();
-    let RouteLookup::Found(route) = table.find(host, request.head.path()) else {
-        return Served::Refused(Refusal::NoRoute);
-    };
-    let timeout_at = request.received + Duration::from_millis(route.timeout_ms);
-    request.deadline = request.deadline.min(timeout_at);
-    if let Admitted::No(retry_after) = state.admit(&table, &route) {
-        return Served::Refused(Refusal::NotRun { retry_after });
-    }
-    let mut under_way = UnderWay { state, route: &route, in_time: None };
-    let served = serve_route(state, &route, &request).await;
-    let target = Duration::from_millis(route.target_latency_ms);
-    let answered = !matches!(served, Served::Refused(_));
-    under_way.in_time = Some(answered && request.received.elapsed() <= target);
-    served
-}
-
-/// A request that was admitted, until it ends.
-struct UnderWay<'state> {
-    state: &'state RouteState,
-    route: &'state Route,
-    in_time: Option<bool>,
-}
-
-impl Drop for UnderWay<'_> {
-    fn drop(&mut self) {
-        self.state.request_ended(self.route, self.in_time);
-    }
-}
-
-async fn serve_route(state: &Rc<RouteState>, route: &Route, request: &ForwardedRequest) -> Served {
-    match &route.destination {
-        Destination::Shards(shards) => match gather(state, route, shards, request).await {
-            Ok(answer) => Served::Merged(answer),
-            Err(refusal) => Served::Refused(refusal),
-        },
-        Destination::Service(service) => forward(state, route, service, request).await,
-        Destination::Split(parts) => match choose_part(parts, state.draw_number()) {
-            Some(part) => forward(state, route, &part.service, request).await,
-            None => Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER }),
-        },
-    }
-}
-
-async fn forward(
-    state: &Rc<RouteState>,
-    route: &Route,
-    service: &ServiceName,
-    request: &ForwardedRequest,
-) -> Served {
-    let left = request.deadline.saturating_duration_since(Instant::now());
-    match timeout(left, ask(state, route, service, request, &StopSignal::new())).await {
-        Ok(Ok(reply)) => Served::Relayed(Box::new(reply)),
-        Ok(Err(NoReply::NoLeaf | NoReply::Rejected)) => {
-            Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER })
-        }
-        Ok(Err(NoReply::Unknown)) => Served::Refused(Refusal::NoReply),
-        Err(_) => Served::Refused(Refusal::TimedOut),
-    }
-}
--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -9,7 +9,6 @@
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Route, ShardSet};
 use monoio::time::sleep;
-use tracing::info;
 
 use super::attempt::{ForwardedRequest, LeafReply};
 use super::attempts::{NoReply, ask};
@@ -130,7 +129,7 @@
         }
     }
     drop(running);
-    finish(route, shards, parts, request)
+    finish(shards, parts, request)
 }
 
 async fn ask_part<'part>(
@@ -144,18 +143,11 @@
 }
 
 fn finish(
-    route: &Route,
     shards: &ShardSet,
     parts: Parts,
     request: &ForwardedRequest,
 ) -> Result<MergedAnswer, Refusal> {
-    let (present, whole) = (parts.attestations.len(), parts.whole);
-    let missing = whole - present;
-    if missing > 0 {
-        let id = String::from_utf8_lossy(&request.id);
-        let held_ms = request.received.elapsed().as_millis() as u64;
-        info!(event = "parts_missing", request = %id, route = route.name, present, whole, held_ms);
-    }
+    let missing = parts.whole - parts.attestations.len();
     if !parts.reach(shards) {
         // A repeatable request may be sent again, whatever has run of it.
         let over = Instant::now() >= request.deadline;
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -8,7 +8,10 @@
 mod pool;
 mod readiness;
 mod respond;
+mod route_metrics;
+mod serving;
 mod state;
+mod trail;
 
 use std::cell::Cell;
 use std::io;
@@ -39,7 +42,7 @@
 /// Part of the time of a planned stop in which new connections may still come.
 const STOP_ACCEPT_SHARE: f64 = 0.6;
 /// Part of the time of a planned stop after which the process ends in any case.
-const STOP_END_SHARE: f64 = 0.95;
+const STOP_END_SHARE: f64 = 0.92;
 
 /// Serves routes, and nothing else, until a planned stop has finished what was in flight.
 ///
@@ -84,6 +87,7 @@
     ) -> io::Result<(Self, Tx<RouteUpdate>)> {
         let listener = listen(routes.listen)?;
         let readiness = routes.readiness.map(listen).transpose()?;
+        let metrics = routes.metrics.map(listen).transpose()?;
         let stop_time = Duration::from_millis(routes.stop_ms.into());
         let address = listener.local_addr()?;
         match &readiness {
@@ -97,6 +101,9 @@
         if let Some(listener) = readiness {
             monoio::spawn(readiness::serve(listener, state.clone()));
         }
+        if let Some(listener) = metrics {
+            monoio::spawn(route_metrics::serve(listener, state.clone()));
+        }
         let server = CallerServer::new(state.clone(), stop.clone());
         let open = server.open_connections();
         monoio::spawn(server.run(listener));
--- a/crates/broker/src/routes/respond.rs
+++ b/crates/broker/src/routes/respond.rs
@@ -32,6 +32,20 @@
 }
 
 impl Refusal {
+    /// In one word, as logs and metrics say it.
+    pub fn outcome(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::NoRoute => "no_route",
+            Self::Slow => "too_slow",
+            Self::BodyTooLarge => "body_too_large",
+            Self::HeadTooLarge => "head_too_large",
+            Self::NoReply => "no_usable_reply",
+            Self::NotRun { .. } => "no_leaf_took_it",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
     /// The status.
     pub fn status(self) -> u16 {
         match self {
--- /dev/null
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -0,0 +1,136 @@
+//! Counters and latencies of the serving of routes, in bounded memory.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gingerkeel_transport::{HttpResponse, Limits, ServerConnection};
+use http::{HeaderValue, StatusCode, header};
+use monoio::net::{TcpListener, TcpStream};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use std::rc::Rc;
+use tracing::warn;
+
+use super::state::RouteState;
+
+/// Path of the metrics.
+const PATH: &str = "/metrics";
+/// Type of the text format.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// Upper bound of the first latency bucket, in seconds.
+const FIRST_BUCKET: f64 = 0.004;
+/// Latency buckets; each is twice as wide as the one before, up to 16 seconds.
+const BUCKETS: u16 = 13;
+
+/// An outcome of requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
+/// Why leaves were asked.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+/// Metrics of the serving of routes.
+pub struct RouteMetrics {
+    registry: Registry,
+    requests: Family<OutcomeLabels, Counter>,
+    seconds: Histogram,
+    missing_parts: Counter,
+    leaf_requests: Family<ReasonLabels, Counter>,
+    routes_version: Gauge,
+    directory_version: Gauge,
+}
+
+impl Default for RouteMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("gingerkeel_routes"),
+            requests: Family::default(),
+            seconds: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
+            missing_parts: Counter::default(),
+            leaf_requests: Family::default(),
+            routes_version: Gauge::default(),
+            directory_version: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl RouteMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by outcome", self.requests.clone());
+        let help = "Seconds from the arrival of a request to its answer";
+        registry.register("request_seconds", help, self.seconds.clone());
+        let help = "Parts that answers went out without";
+        registry.register("missing_parts", help, self.missing_parts.clone());
+        let help = "Requests to leaves, by why they were sent";
+        registry.register("leaf_requests", help, self.leaf_requests.clone());
+        let help = "Version of the configuration of routes in force";
+        registry.register("routes_version", help, self.routes_version.clone());
+        let help = "Version of the list of leaves in force";
+        registry.register("directory_version", help, self.directory_version.clone());
+    }
+
+    /// A request has ended.
+    pub fn request_ended(&self, outcome: &'static str, held: Duration, missing: usize) {
+        self.requests.get_or_create(&OutcomeLabels { outcome }).inc();
+        self.seconds.observe(held.as_secs_f64());
+        self.missing_parts.inc_by(missing as u64);
+    }
+
+    /// A leaf is asked.
+    pub fn leaf_asked(&self, reason: &'static str) {
+        self.leaf_requests.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    fn render(&self, state: &RouteState) -> String {
+        let version = state.table().map_or(0, |table| table.version().0);
+        self.routes_version.set(version as i64);
+        self.directory_version.set(state.directory_version() as i64);
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Serves the metrics for ever.
+pub async fn serve(listener: TcpListener, state: Rc<RouteState>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(converse(stream, state.clone()));
+            }
+            Err(error) => warn!(event = "accept_failed", listener = "route_metrics", %error),
+        }
+    }
+}
+
+async fn converse(stream: TcpStream, state: Rc<RouteState>) {
+    let mut connection = ServerConnection::new(stream, Limits::default());
+    while let Ok(Some(request)) = connection.next_request().await {
+        let mut response = match request.uri().path() {
+            PATH => HttpResponse::new(Bytes::from(state.metrics.render(&state))),
+            _ => HttpResponse::new(Bytes::from_static(b"unknown path: GET /metrics\n")),
+        };
+        if request.uri().path() != PATH {
+            *response.status_mut() = StatusCode::NOT_FOUND;
+        }
+        let kind = HeaderValue::from_static(OPEN_METRICS);
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        if connection.respond(response).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/routes/serving.rs
@@ -0,0 +1,191 @@
+//! One request from its route to its outcome, and the record of it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gingerkeel_domain::forwarding::{Admitted, choose_part};
+use gingerkeel_domain::identifiers::ServiceName;
+use gingerkeel_domain::routes::{Destination, Route, RouteLookup, RouteTable, RouteVersion};
+use monoio::time::timeout;
+
+use super::attempt::{ForwardedRequest, LeafReply};
+use super::attempts::{NoReply, ask};
+use super::gather::gather;
+use super::respond::{MergedAnswer, Refusal};
+use super::state::RouteState;
+use super::trail::RequestEnd;
+use crate::stop::StopSignal;
+
+/// When a caller is asked to come back after no leaf took its request.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// What became of a request.
+pub enum Served {
+    /// Parts of several leaves, merged.
+    Merged(MergedAnswer),
+    /// The reply of one leaf.
+    Relayed(Box<LeafReply>),
+    /// A refusal of the broker's own.
+    Refused(Refusal),
+}
+
+/// Serves one request. When the future is dropped the caller has left, and everything for the
+/// request is cancelled.
+pub async fn serve(state: &Rc<RouteState>, mut request: ForwardedRequest) -> Served {
+    let found = find_route(state, &request);
+    if let Ok((_, route)) = &found {
+        let timeout_at = request.received + Duration::from_millis(route.timeout_ms);
+        request.deadline = request.deadline.min(timeout_at);
+    }
+    let mut record = Record::new(state, &request);
+    let (table, route) = match &found {
+        Ok(found) => found,
+        Err((refusal, reason)) => return record.refuse(*refusal, reason),
+    };
+    record.route = Some(route);
+    if let Admitted::No(retry_after) = state.admit(table, route) {
+        return record.refuse(Refusal::NotRun { retry_after }, "leaves_overloaded");
+    }
+    record.admitted = true;
+    let served = serve_route(state, route, &request).await;
+    record.end(&served);
+    served
+}
+
+type Found = (Rc<RouteTable>, Arc<Route>);
+
+fn find_route(
+    state: &RouteState,
+    request: &ForwardedRequest,
+) -> Result<Found, (Refusal, &'static str)> {
+    let Some(table) = state.table().filter(|_| state.has_leaves()) else {
+        let refusal = Refusal::NotRun { retry_after: state.start_left() };
+        return Err((refusal, "nothing_known_yet"));
+    };
+    let host = request.head.headers.text("host").unwrap_or_default();
+    match table.find(host, request.head.path()) {
+        RouteLookup::Found(route) => Ok((table, route)),
+        RouteLookup::NotFound => Err((Refusal::NoRoute, "no_route")),
+    }
+}
+
+async fn serve_route(state: &Rc<RouteState>, route: &Route, request: &ForwardedRequest) -> Served {
+    match &route.destination {
+        Destination::Shards(shards) => match gather(state, route, shards, request).await {
+            Ok(answer) => Served::Merged(answer),
+            Err(refusal) => Served::Refused(refusal),
+        },
+        Destination::Service(service) => forward(state, route, service, request).await,
+        Destination::Split(parts) => match choose_part(parts, state.draw_number()) {
+            Some(part) => forward(state, route, &part.service, request).await,
+            None => Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER }),
+        },
+    }
+}
+
+async fn forward(
+    state: &Rc<RouteState>,
+    route: &Route,
+    service: &ServiceName,
+    request: &ForwardedRequest,
+) -> Served {
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    match timeout(left, ask(state, route, service, request, &StopSignal::new())).await {
+        Ok(Ok(reply)) => Served::Relayed(Box::new(reply)),
+        Ok(Err(NoReply::NoLeaf | NoReply::Rejected)) => {
+            Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER })
+        }
+        Ok(Err(NoReply::Unknown)) => Served::Refused(Refusal::NoReply),
+        Err(_) => Served::Refused(Refusal::TimedOut),
+    }
+}
+
+/// What is recorded of a request when it ends, however it ends.
+struct Record<'request> {
+    state: &'request RouteState,
+    request: &'request ForwardedRequest,
+    route: Option<&'request Route>,
+    routes_version: RouteVersion,
+    admitted: bool,
+    outcome: &'static str,
+    status: u16,
+    parts: Option<(usize, usize)>,
+    retry_after: Option<Duration>,
+}
+
+impl<'request> Record<'request> {
+    fn new(state: &'request RouteState, request: &'request ForwardedRequest) -> Self {
+        Self {
+            state,
+            request,
+            route: None,
+            routes_version: state.table().map_or(RouteVersion(0), |table| table.version()),
+            admitted: false,
+            outcome: "caller_left",
+            status: 0,
+            parts: None,
+            retry_after: None,
+        }
+    }
+
+    fn refuse(&mut self, refusal: Refusal, reason: &'static str) -> Served {
+        self.end(&Served::Refused(refusal));
+        self.outcome = reason;
+        Served::Refused(refusal)
+    }
+
+    fn end(&mut self, served: &Served) {
+        match served {
+            Served::Merged(answer) => {
+                let present = answer.attestations.len();
+                self.parts = Some((present, present + answer.missing));
+                self.outcome = if answer.missing > 0 { "answered_partly" } else { "answered" };
+                self.status = 200;
+            }
+            Served::Relayed(reply) => {
+                self.outcome = if reply.head.status < 500 { "answered" } else { "leaf_failed" };
+                self.status = reply.head.status;
+            }
+            Served::Refused(refusal) => {
+                self.outcome = refusal.outcome();
+                self.status = refusal.status();
+                if let Refusal::NotRun { retry_after } = refusal {
+                    self.retry_after = Some(*retry_after);
+                }
+            }
+        }
+    }
+
+    /// Whether it was answered within the target latency; none when its caller left.
+    fn in_time(&self) -> Option<bool> {
+        let target = self.route.map_or(0, |route| route.target_latency_ms);
+        let held = self.request.received.elapsed();
+        let answered = (200..=499).contains(&self.status);
+        (self.status != 0).then(|| answered && held <= Duration::from_millis(target))
+    }
+}
+
+impl Drop for Record<'_> {
+    fn drop(&mut self) {
+        let in_time = self.in_time();
+        if let Some(route) = self.route.filter(|_| self.admitted) {
+            self.state.request_ended(route, in_time);
+        }
+        let missing = self.parts.map_or(0, |(present, whole)| whole - present);
+        let held = self.request.received.elapsed();
+        self.state.metrics.request_ended(self.outcome, held, missing);
+        let end = RequestEnd {
+            route: self.route.map_or("", |route| route.name.as_str()),
+            routes_version: self.routes_version,
+            directory_version: self.state.directory_version(),
+            outcome: self.outcome,
+            status: self.status,
+            parts: self.parts,
+            retry_after_ms: self.retry_after.map(|span| span.as_millis() as u64),
+            ordinary: in_time == Some(true) && missing == 0,
+        };
+        let sample = self.state.settings.log_sample;
+        self.request.trail.write(&self.request.id, &end, sample);
+    }
+}
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -24,6 +24,7 @@
 
 use super::dialect::Dialect;
 use super::pool::{LeafConnection, LeafPool};
+use super::route_metrics::RouteMetrics;
 use crate::clock::Clock;
 
 /// Least connections that a broker may open to a leaf.
@@ -56,6 +57,8 @@
     pub settings: RouteSettings,
     /// The clock.
     pub clock: Clock,
+    /// Counters and latencies.
+    pub metrics: RouteMetrics,
     broker: BrokerSettings,
     extra: ExtraLoadSettings,
     replica_settings: ReplicaSettings,
@@ -87,6 +90,7 @@
             dialect,
             settings,
             clock,
+            metrics: RouteMetrics::default(),
             broker,
             extra,
             replica_settings: ReplicaSettings::default(),
@@ -111,9 +115,14 @@
         self.has_leaves() && self.table.borrow().is_some() && !self.stopping.get()
     }
 
+    /// Version of the list of leaves in force; 0 for none.
+    pub fn directory_version(&self) -> u64 {
+        self.leaves.borrow().directory.version().0
+    }
+
     /// Whether a list of leaves is in force.
     pub fn has_leaves(&self) -> bool {
-        self.leaves.borrow().directory.version().0 > 0
+        self.directory_version() > 0
     }
 
     /// How long an idle connection is kept after a planned stop has begun.
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -63,6 +63,12 @@
     /// Address on which readiness is asked for; none when nobody asks.
     #[serde(default)]
     pub readiness: Option<SocketAddr>,
+    /// Address on which the metrics of routes are read; none by default.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// Of requests answered whole and in time, one in so many is logged; 0 logs none of them.
+    #[serde(default = "default_log_sample")]
+    pub log_sample: u64,
     /// Extra leaf requests (hedges and retries) as a share of requests, from 0 to 1.
     #[serde(default = "default_extra_ratio")]
     pub extra_ratio: f64,
@@ -105,6 +111,10 @@
     1_000
 }
 
+fn default_log_sample() -> u64 {
+    64
+}
+
 fn default_extra_ratio() -> f64 {
     0.1
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,7 +14,7 @@
 pub use broker::{BrokerSettings, PolicySetting, RouteSettings};
 pub use control::{ControlSettings, DirectorySettings, PeerSettings, SeedSettings};
 pub use error::SettingsError;
-pub use logging::start_logging;
+pub use logging::{LogGuard, LogSettings, start_bounded_logging, start_logging};
 pub use validate::{Check, Validate};
 
 /// Exit code of a process whose settings or flags are wrong.
