Let a machine join that met the seeds before they formed the cluster

A process says whether its log holds entries only when a connection is opened; those that had connected before the cluster was formed never heard of it. On the smaller sites all control processes are seeds. Ruled out: wiped disks taken for empty ones (new incarnations were drawn), and the bound of voters.

Reports that no leader takes are logged at debug level: four lines a second said the same.

Test that failed first: a machine that met the seeds before the third one started takes a change.

--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -15,7 +15,7 @@
 };
 use gingerkeel_protocol::{decode_document, encode_document};
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
-use tracing::{error, info};
+use tracing::{debug, error, info};
 
 use crate::leaf_polling::PollPlan;
 use crate::replication::{StateMachineMessage, StateSnapshot};
@@ -334,7 +334,7 @@
         monoio::spawn(async move {
             for command in commands {
                 if let Err(error) = replication.propose(command).await {
-                    info!(event = "report_not_taken", %error);
+                    debug!(event = "report_not_taken", %error);
                 }
             }
             // This task lives as long as the process.
--- a/crates/control/src/replication/peers/incoming.rs
+++ b/crates/control/src/replication/peers/incoming.rs
@@ -60,7 +60,10 @@
     };
     while let Some(frame) = next(reader).await? {
         match frame {
-            PeerFrame::Probe => send(writer, &PeerFrame::ProbeReply).await?,
+            PeerFrame::Probe => {
+                let identity = directory.own_identity();
+                send(writer, &PeerFrame::ProbeReply { identity }).await?
+            }
             PeerFrame::Consensus { document } => {
                 let envelope: Envelope = decode_document(&document)?;
                 if envelope.from != peer {
--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -178,7 +178,7 @@
             return Ok(());
         }
         let heard = Rc::new(Cell::new(Some(Instant::now())));
-        monoio::spawn(listen(reader, heard.clone()));
+        monoio::spawn(listen(reader, heard.clone(), self.directory.clone()));
         let mut probed = Instant::now();
         loop {
             if let Ok(message) = timeout(PROBE_INTERVAL, self.queue.recv()).await {
@@ -216,9 +216,12 @@
 type Reader = FramedRead<OwnedReadHalf<TcpStream>, ()>;
 
 /// Notes signs of life until the connection ends; then there is none any more.
-async fn listen(mut reader: Reader, heard: Rc<Cell<Option<Instant>>>) {
+async fn listen(mut reader: Reader, heard: Rc<Cell<Option<Instant>>>, directory: Directory) {
     let mut codec = FrameCodec::<PeerFrame>::default();
-    while let Some(Ok(PeerFrame::ProbeReply)) = reader.next_with(&mut codec).await {
+    while let Some(Ok(PeerFrame::ProbeReply { identity })) = reader.next_with(&mut codec).await {
+        if directory.learn(identity).is_err() {
+            break;
+        }
         heard.set(Some(Instant::now()));
     }
     heard.set(None);
--- a/crates/control/tests/replication/peers.rs
+++ b/crates/control/tests/replication/peers.rs
@@ -138,7 +138,7 @@
     peer.send(&hello(PROTOCOL_VERSION, "test", identity(2, 5)));
     assert!(matches!(peer.next(), Some(PeerFrame::Welcome { .. })));
     peer.send(&PeerFrame::Probe);
-    assert_eq!(peer.next(), Some(PeerFrame::ProbeReply));
+    assert!(matches!(peer.next(), Some(PeerFrame::ProbeReply { .. })));
     peer.stream.write_all(&bytes).expect("it is sent");
     assert_eq!(peer.next(), None);
     assert!(member.status().term < Term(99));
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -39,21 +39,33 @@
 impl Cluster {
     /// Starts the seeds, which may form a cluster.
     fn start() -> Self {
+        let mut cluster = Self::prepare();
+        for _ in 0..SEEDS {
+            cluster.add(true);
+        }
+        cluster
+    }
+
+    /// Hosts and ports for machines to come.
+    fn prepare() -> Self {
         let addresses = free_addresses(SEEDS + 3);
         let hosts: Vec<Ipv4Addr> =
             (0..SEEDS as u8 + 3).map(|last| host(addresses[0], last)).collect();
         let ports =
             [addresses[0].port(), addresses[1].port(), addresses[2].port(), addresses[3].port()];
         let folder = tempfile::tempdir().unwrap();
-        let mut cluster = Self { folder, machines: Vec::new(), ports, hosts };
-        for _ in 0..SEEDS {
-            cluster.add(true);
-        }
-        cluster
+        Self { folder, machines: Vec::new(), ports, hosts }
     }
 
     /// Starts one more machine on a host of its own, with an empty disk.
     fn add(&mut self, form: bool) -> usize {
+        let index = self.prepare_machine(form);
+        self.run(index);
+        index
+    }
+
+    /// One more machine, which does not run yet.
+    fn prepare_machine(&mut self, form: bool) -> usize {
         let index = self.machines.len();
         let host = self.hosts[index];
         let [peers, feed, statements, routes] = self.ports;
@@ -71,7 +83,6 @@
         std::fs::write(&settings, text).unwrap();
         let routes = SocketAddr::from((host, routes));
         self.machines.push(Machine { host, routes, data, settings, process: None });
-        self.run(index);
         index
     }
 
@@ -183,6 +194,22 @@
     }
 }
 
+#[test]
+fn a_machine_that_met_the_seeds_before_they_formed_the_cluster_joins_it() {
+    let mut cluster = Cluster::prepare();
+    (0..SEEDS).for_each(|_| {
+        cluster.prepare_machine(true);
+    });
+    cluster.run(0);
+    cluster.run(1);
+    let early = cluster.add(true);
+    // Long enough to connect to the seeds that run; the cluster waits for the last one.
+    std::thread::sleep(std::time::Duration::from_secs(2));
+    cluster.run(2);
+    cluster.wait_accepted(early, 4);
+    wait_until(|| cluster.version(early) == Some(4));
+}
+
 #[test]
 fn a_machine_at_another_address_takes_the_place_of_a_lost_one() {
     let mut cluster = Cluster::start();
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -73,9 +73,13 @@
     /// Asks for a sign of life.
     #[brw(magic = 4u8)]
     Probe,
-    /// The sign of life.
+    /// The sign of life. It says anew who the sender is: a process that had no log when the
+    /// connection was opened may have one since.
     #[brw(magic = 5u8)]
-    ProbeReply,
+    ProbeReply {
+        /// The sender.
+        identity: PeerIdentity,
+    },
     /// A message of the replicated log.
     #[brw(magic = 6u8)]
     Consensus {
--- a/crates/protocol/tests/peer.rs
+++ b/crates/protocol/tests/peer.rs
@@ -28,7 +28,7 @@
 #[case::unknown(PeerFrame::Refused { reason: PeerRefusal::UnknownPeer })]
 #[case::earlier(PeerFrame::Refused { reason: PeerRefusal::EarlierIncarnation })]
 #[case::probe(PeerFrame::Probe)]
-#[case::probe_reply(PeerFrame::ProbeReply)]
+#[case::probe_reply(PeerFrame::ProbeReply { identity: IDENTITY })]
 #[case::consensus(PeerFrame::Consensus { document: vec![1, 2, 3] })]
 fn a_frame_comes_back(#[case] frame: PeerFrame) {
     let bytes = encode_frame(&frame).expect("a frame");
