Pack commands and whole copies, take split turns in proportion, show routes by statements

A split drew its service at random, off by several in a hundred over a few hundred requests. Routes could be read by the platform's call only.

Change: documents of 1 KB and more are compressed (miniz_oxide) in commands and whole copies; a split takes turns by earned credit, from a random start at each broker; SHOW ROUTES and SHOW DIRECTORY.

--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -14,7 +14,7 @@
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
     FeedMessage, FrameCodec, PROTOCOL_VERSION, ProtocolError, ShortText, SubscriberMessage,
-    decode_document, encode_document, encode_frame,
+    decode_document, encode_document, encode_frame, unpack_document,
 };
 use gingerkeel_settings::BrokerSettings;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
@@ -278,10 +278,10 @@
                 }
             }
             FeedMessage::Routes { configuration } => {
-                self.send_routes(|| decode_document(&configuration.bytes).map(RouteUpdate::Routes))?
+                self.send_routes(|| unpack_document(&configuration.bytes).map(RouteUpdate::Routes))?
             }
             FeedMessage::WholeDirectory { directory } => self.send_routes(|| {
-                decode_document(&directory.bytes).map(RouteUpdate::WholeDirectory)
+                unpack_document(&directory.bytes).map(RouteUpdate::WholeDirectory)
             })?,
             FeedMessage::DirectoryChange { delta } => self
                 .send_routes(|| decode_document(&delta.bytes).map(RouteUpdate::DirectoryChange))?,
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::forwarding::{Admitted, choose_part};
+use gingerkeel_domain::forwarding::Admitted;
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Destination, Route, RouteLookup, RouteTable, RouteVersion};
 use monoio::time::timeout;
@@ -77,8 +77,8 @@
             Err(refusal) => Served::Refused(refusal),
         },
         Destination::Service(service) => forward(state, route, service, request).await,
-        Destination::Split(parts) => match choose_part(parts, state.draw_number()) {
-            Some(part) => forward(state, route, &part.service, request).await,
+        Destination::Split(parts) => match state.next_of_split(route, parts) {
+            Some(service) => forward(state, route, &service, request).await,
             None => Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER }),
         },
     }
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -11,10 +11,10 @@
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::forwarding::{
     Admitted, Choice, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, OverloadGate,
-    OverloadGateSettings, ReplicaSet, ReplicaSettings,
+    OverloadGateSettings, ReplicaSet, ReplicaSettings, SplitTurns,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
-use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable};
+use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable, WeightedService};
 use gingerkeel_domain::tail::LatencyWindow;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::{BrokerSettings, RouteSettings};
@@ -65,6 +65,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     leaves: RefCell<Leaves>,
     latencies: RefCell<BTreeMap<String, LatencyWindow>>,
+    /// Turns of each route that splits its requests.
+    splits: RefCell<BTreeMap<String, SplitTurns>>,
     gates: RefCell<BTreeMap<ServiceName, OverloadGate>>,
     gate_settings: OverloadGateSettings,
     brokers: Cell<usize>,
@@ -97,6 +99,7 @@
             table: RefCell::default(),
             leaves: RefCell::default(),
             latencies: RefCell::default(),
+            splits: RefCell::default(),
             gates: RefCell::default(),
             gate_settings: OverloadGateSettings::default(),
             brokers: Cell::new(1),
@@ -160,6 +163,7 @@
             held = held.map(|held| held.0),
             routes
         );
+        self.splits.borrow_mut().clear();
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
     }
 
@@ -217,9 +221,13 @@
         self.random.borrow_mut().random()
     }
 
-    /// A number.
-    pub fn draw_number(&self) -> u64 {
-        self.random.borrow_mut().random()
+    /// The service of a split whose turn it is.
+    pub fn next_of_split(&self, route: &Route, parts: &[WeightedService]) -> Option<ServiceName> {
+        let mut splits = self.splits.borrow_mut();
+        let turns = splits
+            .entry(route.name.clone())
+            .or_insert_with(|| SplitTurns::starting_at(parts, self.random.borrow_mut().random()));
+        turns.next(parts).map(|part| part.service.clone())
     }
 
     fn now(&self) -> Timestamp {
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -13,7 +13,7 @@
 use gingerkeel_domain::cluster::{
     ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandOutcome, LogIndex,
 };
-use gingerkeel_protocol::{decode_document, encode_document};
+use gingerkeel_protocol::{decode_document, encode_document, unpack_document};
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use tracing::{debug, error, info};
 
@@ -171,7 +171,7 @@
     }
 
     fn apply(&mut self, index: LogIndex, command: &[u8]) {
-        let command: Command = match decode_document(command) {
+        let command: Command = match unpack_document(command) {
             Ok(command) => command,
             Err(error) => {
                 error!(event = "command_not_understood", index = index.0, %error);
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -15,7 +15,8 @@
 use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::routing::subset::BrokerEntry;
 use gingerkeel_protocol::{
-    Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, ShortText, encode_document,
+    Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, ProtocolError, ShortText,
+    encode_document, pack_document,
 };
 use local_sync::mpsc::unbounded::Tx;
 use serde::Serialize;
@@ -275,7 +276,7 @@
         };
         let version = routes.configuration.version;
         if self.routes_sent < version {
-            self.send_document(&routes.configuration, |configuration| FeedMessage::Routes {
+            self.send_packed(&routes.configuration, |configuration| FeedMessage::Routes {
                 configuration,
             });
             self.routes_sent = version;
@@ -284,7 +285,7 @@
 
     fn send_directory(&mut self, directory: &LeafDirectory) {
         if self.directory_sent < directory.version() {
-            self.send_document(directory, |directory| FeedMessage::WholeDirectory { directory });
+            self.send_packed(directory, |directory| FeedMessage::WholeDirectory { directory });
             self.directory_sent = directory.version();
         }
     }
@@ -305,7 +306,24 @@
         document: &impl Serialize,
         message: impl FnOnce(Document) -> FeedMessage,
     ) {
-        match encode_document(document) {
+        self.send_encoded(encode_document(document), message);
+    }
+
+    /// Sends a document that is large and repeats itself.
+    fn send_packed(
+        &self,
+        document: &impl Serialize,
+        message: impl FnOnce(Document) -> FeedMessage,
+    ) {
+        self.send_encoded(pack_document(document), message);
+    }
+
+    fn send_encoded(
+        &self,
+        encoded: Result<Vec<u8>, ProtocolError>,
+        message: impl FnOnce(Document) -> FeedMessage,
+    ) {
+        match encoded {
             Ok(bytes) => self.send(message(Document::from(bytes))),
             Err(error) => error!(event = "document_not_encoded", %error),
         }
--- a/crates/control/src/replication_client.rs
+++ b/crates/control/src/replication_client.rs
@@ -4,7 +4,7 @@
 
 use gingerkeel_domain::cluster::{Command, CommandBody, LogIndex};
 use gingerkeel_domain::consensus::RoleName;
-use gingerkeel_protocol::encode_document;
+use gingerkeel_protocol::pack_document;
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 use monoio::time::timeout;
@@ -35,7 +35,7 @@
     /// # Errors
     /// A [`ProposeError`]; the command may be accepted all the same.
     pub async fn propose(&self, body: CommandBody) -> Result<(), ProposeError> {
-        let command = encode_document(&Command { at: wall_time(), body }).map_err(|error| {
+        let command = pack_document(&Command { at: wall_time(), body }).map_err(|error| {
             error!(event = "command_not_encoded", %error);
             ProposeError::Stopping
         })?;
--- a/crates/control/src/tables/mod.rs
+++ b/crates/control/src/tables/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalog;
 mod cluster;
+mod routes;
 
 use gingerkeel_domain::cluster::ClusterState;
 use gingerkeel_statement::{StatementReply, Subject};
@@ -21,6 +22,8 @@
         Subject::Status => cluster::status(state),
         Subject::Revision => cluster::revision(state),
         Subject::Changes => cluster::changes(state),
+        Subject::Routes => routes::routes(state.routes()),
+        Subject::Directory => routes::directory(state.directory()),
     }
 }
 
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -13,7 +13,7 @@
 };
 use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, block_on};
 use http::{Method, Uri};
-use support::{free_addresses, wait_until};
+use support::{Control, free_addresses, wait_until};
 use tempfile::TempDir;
 
 /// Processes by which the others are found.
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Where a process takes statements.
+    fn statements(&self, index: usize) -> Control {
+        let host = self.machines[index].host;
+        Control::at((host, self.ports[2]).into(), (host, self.ports[1]).into())
+    }
+
     fn replace(&self, index: usize, version: u64) -> Option<u16> {
         let body = serde_json::to_vec(&configuration(version)).unwrap();
         self.call(index, Method::PUT, body).map(|(status, _)| status)
@@ -187,6 +193,10 @@
     for index in 0..SEEDS {
         wait_until(|| cluster.version(index) == Some(5));
     }
+    let shown = cluster.statements(0).rows("SHOW ROUTES");
+    assert_eq!(shown.len(), 1);
+    assert_eq!((shown[0][0].as_str(), shown[0][9].as_str()), ("r", "5"));
+    assert!(cluster.statements(0).rows("SHOW DIRECTORY").is_empty());
     (0..SEEDS).for_each(|index| cluster.kill(index));
     (0..SEEDS).for_each(|index| cluster.run(index));
     for index in 0..SEEDS {
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -12,4 +12,4 @@
 pub use overload::{Admitted, OverloadGate, OverloadGateSettings};
 pub use replica::{Distance, Outcome};
 pub use replica_set::{Choice, ReplicaSet, ReplicaSettings};
-pub use split::choose_part;
+pub use split::SplitTurns;
--- a/crates/domain/tests/overload_gate.rs
+++ b/crates/domain/tests/overload_gate.rs
@@ -1,7 +1,5 @@
 //! Admission when leaves run short of capacity.
 
-use std::time::Duration;
-
 use gingerkeel_domain::forwarding::{Admitted, OverloadGate, OverloadGateSettings};
 use gingerkeel_domain::time::Timestamp;
 
--- a/crates/statement/src/parse.rs
+++ b/crates/statement/src/parse.rs
@@ -96,6 +96,8 @@
         Rule::kw_status => Subject::Status,
         Rule::kw_revision => Subject::Revision,
         Rule::kw_changes => Subject::Changes,
+        Rule::kw_routes => Subject::Routes,
+        Rule::kw_directory => Subject::Directory,
         Rule::classes => Subject::Classes(fields.optional_name()?.map(ServiceName::new)),
         Rule::shards => Subject::Shards(fields.optional_name()?.map(ServiceName::new)),
         Rule::versions => Subject::Versions(fields.optional_name()?.map(ServiceName::new)),
--- a/crates/statement/src/print.rs
+++ b/crates/statement/src/print.rs
@@ -40,6 +40,8 @@
             Self::Status => out.write_str("STATUS"),
             Self::Revision => out.write_str("REVISION"),
             Self::Changes => out.write_str("CHANGES"),
+            Self::Routes => out.write_str("ROUTES"),
+            Self::Directory => out.write_str("DIRECTORY"),
         }
     }
 }
--- a/crates/statement/src/statement.rs
+++ b/crates/statement/src/statement.rs
@@ -24,6 +24,10 @@
     Shards(Option<ServiceName>),
     /// Published index versions that are retained.
     Versions(Option<ServiceName>),
+    /// Routes of the configuration accepted.
+    Routes,
+    /// Leaves of the outside directory.
+    Directory,
     /// The state of the cluster in short.
     Status,
     /// The revision accepted, that in force everywhere, and the brokers that lag.
--- a/crates/statement/tests/parse.rs
+++ b/crates/statement/tests/parse.rs
@@ -34,6 +34,8 @@
 )]
 #[case("SHOW CHARGES", Statement::Show(Subject::Charges(None)))]
 #[case("SHOW REVISION", Statement::Show(Subject::Revision))]
+#[case("show routes", Statement::Show(Subject::Routes))]
+#[case("SHOW DIRECTORY;", Statement::Show(Subject::Directory))]
 #[case(
     "SET PRICE OF urgent OF console TO 12",
     Statement::change(Change::SetPrice {
--- a/crates/statement/tests/properties.rs
+++ b/crates/statement/tests/properties.rs
@@ -162,6 +162,8 @@
         Just(Subject::Status),
         Just(Subject::Revision),
         Just(Subject::Changes),
+        Just(Subject::Routes),
+        Just(Subject::Directory),
         optional_service().prop_map(Subject::Classes),
         optional_service().prop_map(Subject::Shards),
         optional_service().prop_map(Subject::Versions),
