Share connections by zone, wait for one a little, and make copies for brokers once

Change: a broker of the leaf's zone gets three times the share of another; a request waits for a connection up to a fifth of its target; copies are made once a version.

Tests: shares add up to no more than a leaf accepts (property); forty requests over sixteen connections are all answered.

--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -9,7 +9,7 @@
     BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
     FollowerSettings, FollowerState, LeaseGrant, OverloadReporter,
 };
-use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName};
+use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName, ZoneName};
 use gingerkeel_domain::routes::RouteConfiguration;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
@@ -134,8 +134,8 @@
     WholeDirectory(LeafDirectory),
     /// A change of the list.
     DirectoryChange(DirectoryDelta),
-    /// How many brokers share the leaves.
-    Brokers(usize),
+    /// The zones of all brokers that share the leaves, one for each broker.
+    Brokers(Vec<ZoneName>),
 }
 
 struct Link {
@@ -264,8 +264,10 @@
             }
             FeedMessage::Brokers { delta } => {
                 self.brokers.apply(decode_document(&delta.bytes)?);
-                let count = self.brokers.entries().len();
-                self.send_routes(|| Ok(RouteUpdate::Brokers(count)))?;
+                let brokers = self.brokers.entries();
+                let zones = brokers.iter().map(|broker| broker.placement.zone.clone());
+                let zones = zones.collect();
+                self.send_routes(|| Ok(RouteUpdate::Brokers(zones)))?;
                 self.send_engine(EngineMessage::BrokersChanged(self.brokers.entries()));
             }
             FeedMessage::Leaving { leaves } => {
--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -159,7 +159,7 @@
         watch.holds_connection = true;
         return Ok(connection);
     }
-    if !watch.state.admit_connection(watch.service, watch.leaf) {
+    if !watch.state.admit_connection(watch.service, leaf) {
         return Err(AttemptError::NoConnection);
     }
     watch.holds_connection = true;
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -26,6 +26,11 @@
 /// Silence, in hedge delays, after which an attempt that is given up counts as a failure.
 const SILENT_AFTER: u32 = 3;
 
+/// Time until leaves are tried again to which this broker had no connection to spare.
+const CONNECTION_WAIT: Duration = Duration::from_millis(4);
+/// Part of the target latency for which a request waits for a connection at most.
+const CONNECTION_WAIT_SHARE: f64 = 0.2;
+
 /// Why no leaf of a service replied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoReply {
@@ -103,13 +108,23 @@
     let mut failure: Option<LeafReply> = None;
     let mut last_error = NoReply::NoLeaf;
     let mut told_overdue = false;
+    // Leaves to which this broker had no connection to spare.
+    let mut busy: Vec<LeafIdentity> = Vec::new();
     state.earn(service);
     loop {
         if running.is_empty() {
             let Some((leaf, sound)) =
                 next_leaf(state, route, service, &tried, arrived, may_have_run)
             else {
-                return failure.ok_or(last_error);
+                let waited = request.received.elapsed();
+                if busy.is_empty() || failure.is_some() || waited > longest_wait(route) {
+                    return failure.ok_or(last_error);
+                }
+                // A connection of this broker is soon free again.
+                sleep(CONNECTION_WAIT).await;
+                tried.retain(|leaf| !busy.contains(leaf));
+                busy.clear();
+                continue;
             };
             may_have_run += 1;
             let reason = if tried.is_empty() { AskReason::First } else { AskReason::Retry };
@@ -151,6 +166,9 @@
                 last_error = NoReply::Unknown;
             }
             Err(error) => {
+                if error == AttemptError::NoConnection {
+                    busy.push(leaf);
+                }
                 arrived += u32::from(error.arrived());
                 if error.certainly_not_run() {
                     may_have_run -= 1;
@@ -179,6 +197,11 @@
     }
 }
 
+/// How long a request waits for a connection; after that its caller is better told to come back.
+fn longest_wait(route: &Route) -> Duration {
+    Duration::from_millis(route.target_latency_ms).mul_f64(CONNECTION_WAIT_SHARE)
+}
+
 fn note(
     state: &RouteState,
     request: &ForwardedRequest,
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -150,7 +150,7 @@
             RouteUpdate::Routes(configuration) => state.replace_routes(configuration),
             RouteUpdate::WholeDirectory(directory) => state.replace_directory(directory),
             RouteUpdate::DirectoryChange(delta) => state.change_directory(&delta),
-            RouteUpdate::Brokers(count) => state.set_brokers(count),
+            RouteUpdate::Brokers(zones) => state.set_brokers(&zones),
         }
     }
 }
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -11,9 +11,10 @@
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::forwarding::{
     Admitted, Choice, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, OverloadGate,
-    OverloadGateSettings, ReplicaSet, ReplicaSettings, SplitTurns,
+    OverloadGateSettings, ReplicaSet, ReplicaSettings, SharingBrokers, SplitTurns,
+    connection_share,
 };
-use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable, WeightedService};
 use gingerkeel_domain::tail::LatencyWindow;
 use gingerkeel_domain::time::Timestamp;
@@ -27,9 +28,6 @@
 use super::route_metrics::RouteMetrics;
 use crate::clock::Clock;
 
-/// Least connections that a broker may open to a leaf.
-const LEAST_CONNECTIONS: usize = 2;
-
 /// Least time after which a caller is asked to come back while nothing is known yet.
 const LEAST_START_LEFT: Duration = Duration::from_millis(200);
 /// Part of the time of a planned stop for which idle connections are kept.
@@ -69,7 +67,8 @@
     splits: RefCell<BTreeMap<String, SplitTurns>>,
     gates: RefCell<BTreeMap<ServiceName, OverloadGate>>,
     gate_settings: OverloadGateSettings,
-    brokers: Cell<usize>,
+    /// How many brokers there are in each zone.
+    brokers: RefCell<BTreeMap<ZoneName, usize>>,
     stopping: Cell<bool>,
     random: RefCell<Pcg64>,
 }
@@ -102,7 +101,7 @@
             splits: RefCell::default(),
             gates: RefCell::default(),
             gate_settings: OverloadGateSettings::default(),
-            brokers: Cell::new(1),
+            brokers: RefCell::default(),
             stopping: Cell::new(false),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
         }
@@ -187,9 +186,17 @@
         }
     }
 
-    /// How many brokers share the leaves.
-    pub fn set_brokers(&self, count: usize) {
-        self.brokers.set(count.max(1));
+    /// The zones of all brokers that share the leaves.
+    pub fn set_brokers(&self, zones: &[ZoneName]) {
+        let mut counts = BTreeMap::new();
+        for zone in zones {
+            *counts.entry(zone.clone()).or_insert(0) += 1;
+        }
+        *self.brokers.borrow_mut() = counts;
+    }
+
+    fn broker_count(&self) -> usize {
+        self.brokers.borrow().values().sum::<usize>().max(1)
     }
 
     fn list(&self, leaves: &mut Leaves) {
@@ -292,7 +299,7 @@
 
     /// Takes one extra request out of the budget of a service; false when there is no room.
     pub fn take_extra(&self, service: &ServiceName) -> bool {
-        let (now, brokers) = (self.now(), self.brokers.get());
+        let (now, brokers) = (self.now(), self.broker_count());
         let mut leaves = self.leaves.borrow_mut();
         let state = leaves.services.get_mut(service);
         state.is_some_and(|state| state.budget.take(&self.extra, now, brokers))
@@ -338,12 +345,15 @@
 
     /// Counts a connection that is about to be opened, unless this broker has its share of those
     /// that the leaf accepts.
-    pub fn admit_connection(&self, service: &ServiceName, leaf: &LeafIdentity) -> bool {
+    pub fn admit_connection(&self, service: &ServiceName, leaf: &ListedLeaf) -> bool {
         let table = self.table();
         let known = table.as_ref().and_then(|table| table.service(service));
         let accepted = known.map_or(usize::MAX, |service| service.connection_limit as usize);
-        let limit = (accepted / self.brokers.get()).max(LEAST_CONNECTIONS);
-        self.leaves.borrow_mut().pools.entry(leaf.clone()).or_default().admit(limit)
+        let in_zone = self.brokers.borrow().get(&leaf.zone).copied().unwrap_or(0);
+        let brokers = SharingBrokers { in_zone, elsewhere: self.broker_count() - in_zone };
+        let is_in_zone = leaf.zone.as_str() == self.broker.zone;
+        let limit = connection_share(accepted, brokers, is_in_zone);
+        self.leaves.borrow_mut().pools.entry(leaf.identity.clone()).or_default().admit(limit)
     }
 
     /// A connection to a leaf is closed.
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -10,7 +10,7 @@
 use rustix::process::Signal;
 use support::control::ControlScript;
 use support::leaf::{Act, ScriptedLeaf, response};
-use support::routed::{RoutedBroker, rejection, reply, request};
+use support::routed::{RoutedBroker, configuration, directory, rejection, reply, request};
 use support::{deaf_address, wait_until};
 
 /// A leaf that answers every request with `body` under its own attestation.
@@ -282,6 +282,21 @@
     assert!(answer.header("retry-after").is_some());
 }
 
+#[test]
+fn requests_beyond_the_connections_of_a_leaf_wait_for_one() {
+    let leaf = ScriptedLeaf::for_all(|request| {
+        sleep(Duration::from_millis(20));
+        Act::Send(reply(request, "s", b"x"))
+    });
+    let mut patient = configuration(0);
+    patient.routes.iter_mut().for_each(|route| route.target_latency_ms = 60_000);
+    let broker = RoutedBroker::start_with(&patient, &directory(&[leaf.address], &[]));
+    let mut callers: Vec<_> = (0..40).map(|_| broker.caller()).collect();
+    callers.iter_mut().for_each(|caller| caller.send(request("/once/", "5000").as_bytes()));
+    let statuses = callers.iter_mut().map(|caller| caller.receive().expect("an answer").status);
+    assert_eq!(statuses.filter(|status| *status == 200).count(), 40);
+}
+
 #[test]
 fn a_silent_leaf_is_made_up_for_by_another_within_the_attempts() {
     let silent = ScriptedLeaf::for_all(|_| Act::KeepSilent);
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -1,5 +1,6 @@
 //! The task that owns the replicated state of this process and serves reads from it.
 
+mod copies;
 mod membership;
 mod message;
 mod reads;
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -9,19 +9,19 @@
 use gingerkeel_domain::cluster::{
     BrokerOverload, ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, ClusterState,
 };
-use gingerkeel_domain::directory::{DirectoryDelta, DirectoryVersion, LeafDirectory};
+use gingerkeel_domain::directory::{DirectoryDelta, DirectoryVersion};
 use gingerkeel_domain::feed::BrokerList;
 use gingerkeel_domain::identifiers::{BrokerName, Revision, ServiceName};
 use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::routing::subset::BrokerEntry;
 use gingerkeel_protocol::{
-    Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, ProtocolError, ShortText,
-    encode_document, pack_document,
+    Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, ShortText, encode_document,
 };
 use local_sync::mpsc::unbounded::Tx;
 use serde::Serialize;
 use tracing::{error, info};
 
+use super::copies::Copies;
 use super::reads::LeaseTicket;
 use super::{ConnectionId, SubscriberIdentity};
 
@@ -36,7 +36,7 @@
     /// The revision that it has in force.
     pub in_force: Revision,
     sent: Revision,
-    routes_sent: RouteVersion,
+    routes_sent: Option<RouteVersion>,
     directory_sent: DirectoryVersion,
     feed: Tx<FeedMessage>,
 }
@@ -49,6 +49,7 @@
     leaving_version: u64,
     thresholds: BTreeMap<ServiceName, u8>,
     controls: Vec<SocketAddr>,
+    copies: Copies,
 }
 
 impl Subscribers {
@@ -74,7 +75,7 @@
             identity,
             in_force: revision,
             sent: revision,
-            routes_sent: RouteVersion(0),
+            routes_sent: None,
             directory_sent: DirectoryVersion(0),
             feed,
         };
@@ -82,8 +83,7 @@
         if revision == Revision(0) || !follower.send_changes(state) {
             follower.send_catalog(state.catalog());
         }
-        follower.send_routes(state);
-        follower.send_directory(state.directory());
+        follower.send_copies(state, &mut self.copies);
         let controls = feed_addresses(state);
         follower.send_document(&controls, |addresses| FeedMessage::Controls { addresses });
         follower.send_document(&self.brokers.whole(), |delta| FeedMessage::Brokers { delta });
@@ -115,8 +115,7 @@
             self.connections.values().for_each(|follower| follower.send(leaving(state)));
         }
         for follower in self.connections.values_mut() {
-            follower.send_routes(state);
-            follower.send_directory(state.directory());
+            follower.send_copies(state, &mut self.copies);
         }
         self.publish_thresholds(state);
         let catalog = state.catalog();
@@ -270,23 +269,17 @@
         true
     }
 
-    fn send_routes(&mut self, state: &ClusterState) {
-        let Some(routes) = state.routes().current() else {
-            return;
-        };
-        let version = routes.configuration.version;
-        if self.routes_sent < version {
-            self.send_packed(&routes.configuration, |configuration| FeedMessage::Routes {
-                configuration,
-            });
-            self.routes_sent = version;
+    /// Sends the routes and the list of leaves where the broker lacks the newest.
+    fn send_copies(&mut self, state: &ClusterState, copies: &mut Copies) {
+        let accepted = state.routes().current();
+        let newest = accepted.map(|accepted| accepted.configuration.version);
+        if self.routes_sent < newest {
+            copies.routes(state).into_iter().for_each(|message| self.send(message));
+            self.routes_sent = newest;
         }
-    }
-
-    fn send_directory(&mut self, directory: &LeafDirectory) {
-        if self.directory_sent < directory.version() {
-            self.send_packed(directory, |directory| FeedMessage::WholeDirectory { directory });
-            self.directory_sent = directory.version();
+        if self.directory_sent < state.directory().version() {
+            copies.directory(state).into_iter().for_each(|message| self.send(message));
+            self.directory_sent = state.directory().version();
         }
     }
 
@@ -306,24 +299,7 @@
         document: &impl Serialize,
         message: impl FnOnce(Document) -> FeedMessage,
     ) {
-        self.send_encoded(encode_document(document), message);
-    }
-
-    /// Sends a document that is large and repeats itself.
-    fn send_packed(
-        &self,
-        document: &impl Serialize,
-        message: impl FnOnce(Document) -> FeedMessage,
-    ) {
-        self.send_encoded(pack_document(document), message);
-    }
-
-    fn send_encoded(
-        &self,
-        encoded: Result<Vec<u8>, ProtocolError>,
-        message: impl FnOnce(Document) -> FeedMessage,
-    ) {
-        match encoded {
+        match encode_document(document) {
             Ok(bytes) => self.send(message(Document::from(bytes))),
             Err(error) => error!(event = "document_not_encoded", %error),
         }
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -1,5 +1,6 @@
 //! Forwarding of a request to leaves: whom to ask, how often, and what to answer.
 
+mod connection_share;
 mod extra_load;
 mod greatest;
 mod overload;
@@ -7,6 +8,7 @@
 mod replica_set;
 mod split;
 
+pub use connection_share::{SharingBrokers, connection_share};
 pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
 pub use overload::{Admitted, OverloadGate, OverloadGateSettings};
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -5,7 +5,7 @@
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::forwarding::{
     Distance, ExtraLoadBudget, ExtraLoadSettings, GreatestRecords, Outcome, RECORD_BYTES,
-    ReplicaSet, ReplicaSettings, SplitTurns,
+    ReplicaSet, ReplicaSettings, SharingBrokers, SplitTurns, connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::routes::WeightedService;
@@ -216,6 +216,24 @@
 }
 
 proptest! {
+    /// The shares of all brokers add up to no more than a leaf accepts, when it accepts enough for
+    /// everybody's least share.
+    #[test]
+    fn connections_are_shared_out(
+        in_zone in 0usize..20,
+        elsewhere in 0usize..80,
+        accepted in 1usize..500,
+    ) {
+        let brokers = SharingBrokers { in_zone, elsewhere };
+        let near = connection_share(accepted, brokers, true);
+        let far = connection_share(accepted, brokers, false);
+        prop_assert!(near >= 2 && far >= 1 && near >= far);
+        let weights = in_zone * 3 + elsewhere;
+        if accepted >= weights {
+            prop_assert!(near * in_zone + far * elsewhere <= accepted);
+        }
+    }
+
     /// However requests and extra ones come, no window of the stated length holds more extra
     /// ones than the ratio of the requests of that window, with the window before as the rule
     /// allows, and the slack.
