--- a/crates/control/src/cluster_task/routes.rs
+++ b/crates/control/src/cluster_task/routes.rs
@@ -21,11 +21,10 @@
             return;
         }
         self.waiting_routes.add(routes.clone(), reply);
-        self.propose_routes(routes, true);
+        self.propose_routes(routes);
     }
 
-    /// Proposes a replacement; the operator is told of a failure only the first time.
-    fn propose_routes(&self, routes: Arc<AcceptedRoutes>, first: bool) {
+    fn propose_routes(&self, routes: Arc<AcceptedRoutes>) {
         let replication = self.replication.clone();
         let messages = self.own_messages.clone();
         monoio::spawn(async move {
@@ -35,17 +34,15 @@
                 return;
             };
             info!(event = "routes_not_proposed", version, %error);
-            if first {
-                // This task lives as long as the process.
-                let _ = messages.send(ClusterMessage::RoutesNotProposed { routes, error });
-            }
+            // This task lives as long as the process.
+            let _ = messages.send(ClusterMessage::RoutesNotProposed { routes, error });
         });
     }
 
     /// Proposes again what got no outcome in time.
     pub(super) fn propose_routes_again(&mut self) {
         for routes in self.waiting_routes.round() {
-            self.propose_routes(routes, false);
+            self.propose_routes(routes);
         }
     }
 
--- a/crates/control/src/cluster_task/waiting_routes.rs
+++ b/crates/control/src/cluster_task/waiting_routes.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use gingerkeel_domain::consensus;
 use gingerkeel_domain::routes::{AcceptedRoutes, RouteVersion};
 use local_sync::oneshot;
 
@@ -40,9 +41,18 @@
         }
     }
 
-    /// A replacement was certainly not proposed.
+    /// A replacement was not proposed. While there is no leader it waits for one, and is proposed
+    /// with the next round; the operator would only ask the next process, which knows none either.
     pub fn not_proposed(&mut self, routes: &Arc<AcceptedRoutes>, error: &ProposeError) {
-        for failed in self.waiting.extract_if(.., |waiting| Arc::ptr_eq(&waiting.routes, routes)) {
+        let same = |waiting: &WaitingRoutes| Arc::ptr_eq(&waiting.routes, routes);
+        if matches!(error, ProposeError::Refused(consensus::ProposeError::NoLeader)) {
+            let waiting = self.waiting.iter_mut().find(|waiting| same(waiting));
+            waiting
+                .into_iter()
+                .for_each(|waiting| waiting.rounds = ROUNDS_UNTIL_PROPOSED_AGAIN - 1);
+            return;
+        }
+        for failed in self.waiting.extract_if(.., |waiting| same(waiting)) {
             // The operator may have hung up.
             let _ = failed.reply.send(Err(error.clone()));
         }
