Make it a setting what a broker does out of touch

Cause: routes were served by whatever was held, for ever, with no other way; the product's rule is that an accepted configuration is in force wherever requests are served. Test: both values with a lease of 1.5 s that is not renewed.

--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -134,6 +134,8 @@
     WholeDirectory(LeafDirectory),
     /// A change of the list.
     DirectoryChange(DirectoryDelta),
+    /// What is held was confirmed, and counts until then.
+    FreshUntil(Timestamp),
     /// The zones of all brokers that share the leaves, one for each broker.
     Brokers(Vec<ZoneName>),
 }
@@ -327,6 +329,7 @@
                     send(writer, &SubscriberMessage::InForce { revision }).await?
                 }
                 FollowerEffect::FreshUntil(until) => {
+                    self.send_routes(|| Ok(RouteUpdate::FreshUntil(until)))?;
                     self.send_engine(EngineMessage::FreshUntil(until))
                 }
                 FollowerEffect::GiveUp(fault) => return Err(LinkError::Feed(fault)),
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -150,6 +150,7 @@
             RouteUpdate::Routes(configuration) => state.replace_routes(configuration),
             RouteUpdate::WholeDirectory(directory) => state.replace_directory(directory),
             RouteUpdate::DirectoryChange(delta) => state.change_directory(&delta),
+            RouteUpdate::FreshUntil(until) => state.set_fresh_until(until),
             RouteUpdate::Brokers(zones) => state.set_brokers(&zones),
         }
     }
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -20,6 +20,9 @@
 /// When a caller is asked to come back after no leaf took its request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// When a caller is asked to come back while no control process is in touch.
+const OUT_OF_TOUCH_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What became of a request.
 pub enum Served {
     /// Parts of several leaves, merged.
@@ -63,6 +66,10 @@
         let refusal = Refusal::NotRun { retry_after: state.start_left() };
         return Err((refusal, "nothing_known_yet"));
     };
+    if state.is_out_of_date() {
+        let refusal = Refusal::NotRun { retry_after: OUT_OF_TOUCH_RETRY_AFTER };
+        return Err((refusal, "out_of_touch"));
+    }
     let host = request.head.headers.text("host").unwrap_or_default();
     match table.find(host, request.head.path()) {
         RouteLookup::Found(route) => Ok((table, route)),
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -18,7 +18,7 @@
 use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable, WeightedService};
 use gingerkeel_domain::tail::LatencyWindow;
 use gingerkeel_domain::time::Timestamp;
-use gingerkeel_settings::{BrokerSettings, RouteSettings};
+use gingerkeel_settings::{BrokerSettings, OutOfTouchSetting, RouteSettings};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use tracing::{info, warn};
@@ -69,6 +69,7 @@
     gate_settings: OverloadGateSettings,
     /// How many brokers there are in each zone.
     brokers: RefCell<BTreeMap<ZoneName, usize>>,
+    fresh_until: Cell<Timestamp>,
     stopping: Cell<bool>,
     random: RefCell<Pcg64>,
 }
@@ -102,6 +103,7 @@
             gates: RefCell::default(),
             gate_settings: OverloadGateSettings::default(),
             brokers: RefCell::default(),
+            fresh_until: Cell::new(Timestamp::ZERO),
             stopping: Cell::new(false),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
         }
@@ -114,7 +116,10 @@
 
     /// Whether requests can be served: a configuration and a list of leaves are in force.
     pub fn is_ready(&self) -> bool {
-        self.has_leaves() && self.table.borrow().is_some() && !self.stopping.get()
+        self.has_leaves()
+            && !self.is_out_of_date()
+            && self.table.borrow().is_some()
+            && !self.stopping.get()
     }
 
     /// Version of the list of leaves in force; 0 for none.
@@ -138,6 +143,17 @@
         expected.saturating_sub(self.now().since(Timestamp::ZERO)).max(LEAST_START_LEFT)
     }
 
+    /// What is held was confirmed, and counts until then.
+    pub fn set_fresh_until(&self, until: Timestamp) {
+        self.fresh_until.set(until);
+    }
+
+    /// Whether requests have to be refused because what is held may be out of date.
+    pub fn is_out_of_date(&self) -> bool {
+        let refuses = self.settings.out_of_touch == OutOfTouchSetting::Refuse;
+        refuses && self.now() >= self.fresh_until.get()
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.get()
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -10,7 +10,7 @@
 use rustix::process::Signal;
 use support::control::ControlScript;
 use support::leaf::{Act, ScriptedLeaf, response};
-use support::routed::{RoutedBroker, configuration, directory, rejection, reply, request};
+use support::routed::{RoutedBroker, configuration, directory, news, rejection, reply, request};
 use support::{deaf_address, wait_until};
 
 /// A leaf that answers every request with `body` under its own attestation.
@@ -337,13 +337,33 @@
 
 #[test]
 fn a_broker_that_knows_nothing_is_not_ready_and_says_when_to_come_back() {
-    let broker = RoutedBroker::start_on(ControlScript::default());
+    let broker = RoutedBroker::start_on(ControlScript::default(), "");
     assert_eq!(broker.ready(), 503);
     let answer = broker.get("/one/");
     assert_eq!(answer.status, 503);
     assert!(answer.header("retry-after").is_some());
 }
 
+#[rstest]
+#[case::refuse("", 503)]
+#[case::serve("out_of_touch = \"serve\"", 200)]
+fn what_is_done_out_of_touch_is_a_setting(#[case] setting: &str, #[case] status: u16) {
+    let leaf = honest("s", b"x");
+    let news = news(&configuration(0), &directory(&[leaf.address], &[]));
+    let script = ControlScript {
+        news,
+        lease_milliseconds: 1_500,
+        renews: false,
+        ..ControlScript::default()
+    };
+    let broker = RoutedBroker::start_on(script, setting);
+    sleep(Duration::from_millis(1_600));
+    let answer = broker.get("/one/");
+    assert_eq!(answer.status, status);
+    assert_eq!(answer.header("retry-after").is_some(), status == 503);
+    assert_eq!(broker.ready(), status);
+}
+
 #[test]
 fn a_planned_stop_finishes_what_is_in_flight_and_what_still_arrives() {
     let slow = ScriptedLeaf::for_all(|request| {
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -31,13 +31,23 @@
     pub receipts: bool,
     /// Lowest class that brokers are told to admit.
     pub lowest_admitted: u8,
+    /// How long a granted lease lasts.
+    pub lease_milliseconds: u32,
+    /// Whether leases are granted after the first one.
+    pub renews: bool,
     /// What brokers are told besides once they subscribe.
     pub news: Vec<FeedMessage>,
 }
 
 impl Default for ControlScript {
     fn default() -> Self {
-        Self { receipts: true, lowest_admitted: ADMIT_ALL, news: Vec::new() }
+        Self {
+            receipts: true,
+            lowest_admitted: ADMIT_ALL,
+            lease_milliseconds: LEASE_MILLISECONDS,
+            renews: true,
+            news: Vec::new(),
+        }
     }
 }
 
@@ -134,7 +144,10 @@
         }
         SubscriberMessage::Renew { ticket, .. } => {
             let (ticket, revision) = (*ticket, catalog.revision().0);
-            let duration_milliseconds = LEASE_MILLISECONDS;
+            let duration_milliseconds = script.lease_milliseconds;
+            if ticket > 1 && !script.renews {
+                return Vec::new();
+            }
             vec![FeedMessage::Lease { ticket, revision, duration_milliseconds }]
         }
         _ => Vec::new(),
--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -35,24 +35,23 @@
 
     /// Starts one with this configuration and list of leaves.
     pub fn start_with(configuration: &RouteConfiguration, directory: &LeafDirectory) -> Self {
-        let news = vec![
-            FeedMessage::Routes { configuration: document(configuration) },
-            FeedMessage::WholeDirectory { directory: document(directory) },
-        ];
-        Self::start_on(ControlScript { news, ..ControlScript::default() })
+        let news = news(configuration, directory);
+        Self::start_on(ControlScript { news, ..ControlScript::default() }, "")
     }
 
     /// Starts one whose control process follows a script.
-    pub fn start_on(script: ControlScript) -> Self {
+    pub fn start_on(script: ControlScript, further_settings: &str) -> Self {
         let ready = !script.news.is_empty();
         let control = ScriptedControl::serve_with(
             &super::control::catalog(&[&[super::deaf_address()]]),
             script,
         );
-        let settings = "[routes]\nlisten = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\n\
+        let settings = format!(
+            "[routes]\nlisten = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\n\
                         extra_ratio = 1.0\nextra_slack = 100.0\nstop_ms = 2000\n\
-                        zone_regions = { a = \"south\" }";
-        let broker = Broker::start_on(control, settings);
+                        zone_regions = {{ a = \"south\" }}\n{further_settings}"
+        );
+        let broker = Broker::start_on(control, &settings);
         let log = broker.log();
         let started = log.lines().find(|line| line.contains("event=routes_started"));
         let address = |key: &str| {
@@ -87,6 +86,14 @@
     }
 }
 
+/// What a control process tells of these.
+pub fn news(configuration: &RouteConfiguration, directory: &LeafDirectory) -> Vec<FeedMessage> {
+    vec![
+        FeedMessage::Routes { configuration: document(configuration) },
+        FeedMessage::WholeDirectory { directory: document(directory) },
+    ]
+}
+
 /// A request to host `h`.
 pub fn request(path: &str, deadline: &str) -> String {
     format!(
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -81,6 +81,9 @@
     /// Milliseconds before the target latency at which an answer with parts missing leaves.
     #[serde(default = "default_answer_margin_ms")]
     pub answer_margin_ms: u32,
+    /// What is done with requests while no control process confirms the configuration.
+    #[serde(default)]
+    pub out_of_touch: OutOfTouchSetting,
     /// Region of each zone, by which leaves of the own region are preferred.
     #[serde(default)]
     pub zone_regions: BTreeMap<String, String>,
@@ -92,6 +95,17 @@
     pub stop_ms: u32,
 }
 
+/// What a broker does with requests of routes while no control process confirms what it has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum OutOfTouchSetting {
+    /// It refuses them as not run: an accepted configuration is in force wherever requests are served.
+    #[default]
+    Refuse,
+    /// It serves by the newest configuration that it has, never by an older one.
+    Serve,
+}
+
 /// How queries are scheduled.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
