--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod feed;
 mod leaf_polling;
+mod native_directory;
 mod native_routes;
 mod operators;
 pub mod ports;
@@ -32,6 +33,7 @@
 pub use error::ControlError;
 
 use crate::cluster_task::OwnIdentity;
+use crate::native_directory::NativeDirectory;
 use crate::native_routes::NativeRoutes;
 use crate::ports::{DirectoryInterface, RouteInterface};
 use crate::replication::ReplicationOptions;
@@ -54,7 +56,10 @@
 /// # Errors
 /// A [`ControlError`] when an address or the data folder cannot be used.
 pub async fn run(settings: ControlSettings) -> Result<(), ControlError> {
-    let interfaces = Interfaces { routes: Some(Rc::new(NativeRoutes)), directory: None };
+    let interfaces = Interfaces {
+        routes: Some(Rc::new(NativeRoutes)),
+        directory: Some(Rc::new(NativeDirectory)),
+    };
     run_with(settings, interfaces).await
 }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod relay;
 pub mod report_page;
 pub mod scale;
+pub mod soak;
--- /dev/null
+++ b/crates/rehearsal/src/soak/leaves.rs
@@ -0,0 +1,236 @@
+//! Stand-in leaves of routes, with a journal of what they ran, and the directory that lists them.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::Duration;
+
+use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+
+use super::answer::{attestation, records};
+use crate::error::RehearsalError;
+
+/// Bytes of the largest request head.
+const HEAD_LIMIT: usize = 64 * 1024;
+/// What an ordinary request takes.
+const ORDINARY: Duration = Duration::from_millis(4);
+/// What a request takes at a slow leaf.
+const SLOW: Duration = Duration::from_millis(300);
+
+/// What a leaf does with requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeafMode {
+    /// It answers soon.
+    Sound,
+    /// It answers late.
+    Slow,
+    /// It runs them and says nothing.
+    Silent,
+    /// It runs them and closes the connection.
+    LosesAnswers,
+    /// It closes the connection before it reads them.
+    Resets,
+    /// It refuses them without running them.
+    Rejects,
+    /// It answers, and sends bytes of no request after that.
+    Garbles,
+}
+
+/// Modes other than the sound one.
+pub const TROUBLED_MODES: [LeafMode; 6] = [
+    LeafMode::Slow,
+    LeafMode::Silent,
+    LeafMode::LosesAnswers,
+    LeafMode::Resets,
+    LeafMode::Rejects,
+    LeafMode::Garbles,
+];
+
+/// How often each request ran, over all leaves.
+#[derive(Debug, Default)]
+pub struct Journal {
+    runs: Mutex<BTreeMap<String, u32>>,
+}
+
+impl Journal {
+    /// A request ran at a service.
+    pub fn ran(&self, service: &str, id: &str) {
+        *lock(&self.runs).entry(key(service, id)).or_insert(0) += 1;
+    }
+
+    /// How often the request ran at a service.
+    pub fn runs(&self, service: &str, id: &str) -> u32 {
+        lock(&self.runs).get(&key(service, id)).copied().unwrap_or(0)
+    }
+
+    /// The requests that ran more than once at `service`.
+    pub fn repeated(&self, service: &str) -> Vec<String> {
+        let prefix = key(service, "");
+        let runs = lock(&self.runs);
+        let of_service = runs.iter().filter(|(key, _)| key.starts_with(&prefix));
+        of_service.filter(|(_, count)| **count > 1).map(|(key, _)| key.clone()).collect()
+    }
+}
+
+fn key(service: &str, id: &str) -> String {
+    format!("{service} {id}")
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// A stand-in leaf; its threads end with the process.
+pub struct StandInLeaf {
+    /// How the directory lists it.
+    pub listed: ListedLeaf,
+    mode: Arc<Mutex<LeafMode>>,
+}
+
+impl StandInLeaf {
+    /// Starts the `number`-th leaf of a service.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Resource`] when no port is free.
+    pub fn start(
+        service: &str,
+        number: usize,
+        zone: &str,
+        journal: &Arc<Journal>,
+    ) -> Result<Self, RehearsalError> {
+        let listener = listen()?;
+        let address = local_address(&listener)?;
+        let identity = format!("{service}-{number}");
+        let mode = Arc::new(Mutex::new(LeafMode::Sound));
+        let listed = ListedLeaf {
+            identity: LeafIdentity::new(&identity),
+            service: ServiceName::new(service),
+            address,
+            zone: ZoneName::new(zone),
+            slots: 8,
+            availability: LeafAvailability::Ready,
+        };
+        let of_thread = (mode.clone(), journal.clone());
+        let service = service.to_owned();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (mode, journal) = of_thread.clone();
+                let (service, identity) = (service.clone(), identity.clone());
+                thread::spawn(move || converse(stream, &service, &identity, &mode, &journal));
+            }
+        });
+        Ok(Self { listed, mode })
+    }
+
+    /// Changes what it does.
+    pub fn set_mode(&self, mode: LeafMode) {
+        *lock(&self.mode) = mode;
+    }
+}
+
+/// Serves the list of leaves for as long as the process runs; gives the address.
+///
+/// # Errors
+/// [`RehearsalError::Resource`] when no port is free.
+pub fn serve_directory(leaves: &[StandInLeaf]) -> Result<SocketAddr, RehearsalError> {
+    let listener = listen()?;
+    let address = local_address(&listener)?;
+    let listed: Vec<&ListedLeaf> = leaves.iter().map(|leaf| &leaf.listed).collect();
+    let body = serde_json::json!({ "leaves": listed }).to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let body = body.clone();
+            thread::spawn(move || serve_list(stream, &body));
+        }
+    });
+    Ok(address)
+}
+
+fn serve_list(mut stream: TcpStream, body: &str) {
+    while read_head(&mut stream).is_some() {
+        if write_response(&mut stream, 200, "", body.as_bytes()).is_none() {
+            return;
+        }
+    }
+}
+
+fn converse(
+    mut stream: TcpStream,
+    service: &str,
+    identity: &str,
+    mode: &Mutex<LeafMode>,
+    journal: &Journal,
+) -> Option<()> {
+    loop {
+        let head = read_head(&mut stream)?;
+        let mode = *lock(mode);
+        let id = header(&head, "gingerkeel-request-id").unwrap_or_default().to_owned();
+        if mode == LeafMode::Resets {
+            return None;
+        }
+        let expected = header(&head, "gingerkeel-leaf");
+        if mode == LeafMode::Rejects || expected.is_some_and(|expected| expected != identity) {
+            let status = if mode == LeafMode::Rejects { 503 } else { 421 };
+            write_response(&mut stream, status, "gingerkeel-not-executed: 1\r\n", b"")?;
+            continue;
+        }
+        journal.ran(service, &id);
+        match mode {
+            LeafMode::LosesAnswers => return None,
+            LeafMode::Silent => {
+                // The broker gives up by closing the connection.
+                let _ = stream.read(&mut [0; 1]);
+                return None;
+            }
+            LeafMode::Slow => thread::sleep(SLOW),
+            _ => thread::sleep(ORDINARY),
+        }
+        let attestation = attestation(service, &id);
+        let fields =
+            format!("gingerkeel-request-id: {id}\r\ngingerkeel-attestation: {attestation}\r\n");
+        write_response(&mut stream, 200, &fields, &records(service, &id))?;
+        if mode == LeafMode::Garbles {
+            stream.write_all(b"bytes of no request\r\n\r\n").ok()?;
+        }
+    }
+}
+
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0; 512];
+    while !head.ends_with(b"\r\n\r\n") {
+        let count = stream.read(&mut byte).ok().filter(|count| *count > 0)?;
+        head.extend_from_slice(&byte[..count]);
+        if head.len() > HEAD_LIMIT {
+            return None;
+        }
+    }
+    String::from_utf8(head).ok()
+}
+
+fn header<'head>(head: &'head str, name: &str) -> Option<&'head str> {
+    let fields = head.lines().filter_map(|line| line.split_once(": "));
+    fields.into_iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+}
+
+fn write_response(stream: &mut TcpStream, status: u16, fields: &str, body: &[u8]) -> Option<()> {
+    let length = body.len();
+    let head = format!("HTTP/1.1 {status} X\r\n{fields}content-length: {length}\r\n\r\n");
+    let written = stream.write_all(&[head.as_bytes(), body].concat());
+    if written.is_err() {
+        // The broker may have closed the connection before.
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+    written.ok()
+}
+
+fn listen() -> Result<TcpListener, RehearsalError> {
+    TcpListener::bind("127.0.0.1:0").map_err(|error| RehearsalError::resource("a port", error))
+}
+
+fn local_address(listener: &TcpListener) -> Result<SocketAddr, RehearsalError> {
+    listener.local_addr().map_err(|error| RehearsalError::resource("a port", error))
+}
--- /dev/null
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -0,0 +1,211 @@
+//! Callers and an operator, each a thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use gingerkeel_domain::identifiers::ServiceName;
+use gingerkeel_domain::routes::{
+    BackEndService, CallerLimits, Destination, PartsPerMillion, Route, RouteConfiguration,
+    RouteVersion, ShardSet,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::answer::{GREATEST, LEAST_SHARE, SHARDS, SINGLE, fault_of_merged, fault_of_single};
+use super::http::{NoResponse, Response, exchange};
+use super::record::{Cut, Record, Seen};
+
+/// Pause between two requests of a caller.
+const CALLER_PAUSE: Duration = Duration::from_millis(5);
+/// Time that a caller waits; more than any request may be held.
+const CALLER_LIMIT: Duration = Duration::from_secs(8);
+/// Pause between two acts of the operator.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(300);
+/// Time that the operator waits.
+const OPERATOR_LIMIT: Duration = Duration::from_secs(6);
+/// Time that a request is held at most, in milliseconds.
+const ROUTE_TIMEOUT_MS: u64 = 3_000;
+
+/// What a run's parties share.
+#[derive(Clone)]
+pub struct Scene {
+    /// Where brokers take callers.
+    pub callers: Vec<SocketAddr>,
+    /// Where control processes take configurations.
+    pub operators: Vec<SocketAddr>,
+    /// What was seen.
+    pub record: Arc<Record>,
+    /// The end of the run.
+    pub stop: Arc<AtomicBool>,
+    /// Highest version sent.
+    pub sent_version: Arc<AtomicU64>,
+}
+
+impl Scene {
+    fn is_over(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+}
+
+/// The configuration of a version: the routes of the callers, and one that only this version has.
+pub fn configuration(version: u64) -> RouteConfiguration {
+    let single = || Destination::Service(ServiceName::new(SINGLE));
+    let shards = Destination::Shards(ShardSet {
+        services: SHARDS.iter().map(ServiceName::new).collect(),
+        greatest: GREATEST as u32,
+        least_share: PartsPerMillion(LEAST_SHARE),
+    });
+    let route = |name: &str, repeatable, destination| Route {
+        name: name.to_owned(),
+        host: "soak".to_owned(),
+        path_prefix: format!("/{name}/"),
+        repeatable,
+        timeout_ms: ROUTE_TIMEOUT_MS,
+        target_latency_ms: 200,
+        priority: 0,
+        attempts: 2,
+        destination,
+    };
+    let service = |name: &&str| BackEndService {
+        name: ServiceName::new(name),
+        health_path: "/health".to_owned(),
+        connection_limit: 32,
+    };
+    RouteConfiguration {
+        version: RouteVersion(version),
+        routes: vec![
+            route("all", true, shards),
+            route("one", true, single()),
+            route("once", false, single()),
+            route(&format!("v{version}"), true, single()),
+        ],
+        services: SHARDS.iter().chain(&[SINGLE]).map(service).collect(),
+        limits: CallerLimits::default(),
+    }
+}
+
+/// Sends one request after the other until the run is over.
+pub fn call(scene: &Scene, number: usize, seed: u64) {
+    let mut random = Pcg64::seed_from_u64(seed ^ (number as u64 + 1));
+    let mut sequence = 0;
+    while !scene.is_over() {
+        sequence += 1;
+        let path = ["all", "all", "one", "once"][random.random_range(0..4usize)];
+        let id = format!("c{number}-{sequence}-{path}");
+        let broker = random.random_range(0..scene.callers.len());
+        call_once(scene, broker, path, &id);
+        sleep(CALLER_PAUSE);
+    }
+}
+
+fn call_once(scene: &Scene, broker: usize, path: &str, id: &str) {
+    let request = format!(
+        "GET /{path}/x HTTP/1.1\r\nhost: soak\r\ngingerkeel-request-id: {id}\r\n\
+         gingerkeel-deadline-ms: 4000\r\nconnection: close\r\n\r\n"
+    );
+    let sent = Instant::now();
+    let outcome = exchange(scene.callers[broker], request.as_bytes(), CALLER_LIMIT);
+    let mut seen = scene.record.lock();
+    seen.counts.sent += 1;
+    match outcome {
+        Ok(response) => judge(&mut seen, &response, path, id),
+        Err(reason) => {
+            seen.counts.without_answer += 1;
+            let cut = Cut { broker, id: id.to_owned(), sent, ended: Instant::now() };
+            if reason != NoResponse::NotConnected {
+                seen.cuts.push(cut);
+            }
+        }
+    }
+}
+
+/// Judges a response.
+pub fn judge(seen: &mut Seen, response: &Response, path: &str, id: &str) {
+    match response.status {
+        200 => {
+            let merged = path == "all";
+            let judged = if merged { fault_of_merged } else { fault_of_single };
+            let whole = response.header("gingerkeel-missing-parts").unwrap_or("0") == "0";
+            seen.counts.answered += u64::from(whole);
+            seen.counts.partial += u64::from(!whole);
+            seen.violations.extend(judged(response, id));
+        }
+        503 => {
+            seen.counts.not_run += 1;
+            if response.header("retry-after").is_none() {
+                seen.violations.push(format!("the refusal of {id} does not say when to come back"));
+            }
+            if path == "once" {
+                seen.refused_once.push(id.to_owned());
+            }
+        }
+        404 => seen.violations.push(format!("{id} was refused though its route was never removed")),
+        _ => seen.counts.failed += 1,
+    }
+}
+
+/// Replaces the configuration and reads it back until the run is over.
+pub fn operate(scene: &Scene, seed: u64) {
+    let mut random = Pcg64::seed_from_u64(seed);
+    while !scene.is_over() {
+        let control = random.random_range(0..scene.operators.len());
+        match random.random_bool(0.5) {
+            true => replace(scene, control),
+            false => {
+                read(scene, control);
+            }
+        }
+        sleep(OPERATOR_PAUSE);
+    }
+}
+
+/// Sends the next version.
+pub fn replace(scene: &Scene, control: usize) {
+    let version = scene.sent_version.fetch_add(1, Ordering::Relaxed) + 1;
+    let body = serde_json::to_string(&configuration(version)).unwrap_or_default();
+    let request = format!(
+        "PUT /v1/routes HTTP/1.1\r\nhost: soak\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let outcome = exchange(scene.operators[control], request.as_bytes(), OPERATOR_LIMIT);
+    let mut seen = scene.record.lock();
+    match outcome.map(|response| response.status) {
+        Ok(200) => {
+            seen.counts.acknowledged += 1;
+            seen.acknowledged = seen.acknowledged.max(version);
+        }
+        Ok(503) | Err(_) => {}
+        Ok(status) => seen.violations.push(format!("version {version} was refused with {status}")),
+    }
+}
+
+/// Reads the configuration; gives its version.
+pub fn read(scene: &Scene, control: usize) -> Option<u64> {
+    let acknowledged = scene.record.lock().acknowledged;
+    let request = b"GET /v1/routes HTTP/1.1\r\nhost: soak\r\n\r\n";
+    let response = exchange(scene.operators[control], request, OPERATOR_LIMIT).ok()?;
+    if response.status != 200 {
+        return None;
+    }
+    let read: RouteConfiguration = serde_json::from_slice(&response.body).ok()?;
+    judge_read(scene, control, acknowledged, &read);
+    Some(read.version.0)
+}
+
+/// Judges a configuration that was read from a control process after `acknowledged` was.
+pub fn judge_read(scene: &Scene, control: usize, acknowledged: u64, read: &RouteConfiguration) {
+    let version = read.version.0;
+    let mut seen = scene.record.lock();
+    seen.counts.read += 1;
+    if version < acknowledged {
+        let text =
+            format!("control-{control} gave {version} after {acknowledged} was acknowledged");
+        seen.violations.push(text);
+    }
+    if *read != configuration(version) {
+        seen.violations.push(format!("version {version} was read with other content"));
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/soak/tests.rs
@@ -0,0 +1,118 @@
+//! Each check of a soak fails for a doctored run.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::answer::{
+    GREATEST, SHARDS, SINGLE, attestation, fault_of_merged, fault_of_single, records,
+};
+use super::http::Response;
+use super::leaves::Journal;
+use super::parties::{Scene, judge};
+use super::record::{Cut, Record};
+use super::{check_refusals, cut_without_fault};
+use gingerkeel_domain::forwarding::GreatestRecords;
+
+fn merged(services: &[&str], missing: &str, id: &str) -> Response {
+    let parts: Vec<String> = services.iter().map(|service| attestation(service, id)).collect();
+    let mut greatest = GreatestRecords::new(GREATEST);
+    services.iter().for_each(|service| greatest.add(&records(service, id)));
+    let fields = format!(
+        "gingerkeel-part-attestations: {}\r\ngingerkeel-missing-parts: {missing}\r\n",
+        parts.join(", ")
+    );
+    Response::doctored(200, &fields, &greatest.into_bytes())
+}
+
+#[test]
+fn a_sound_answer_has_no_fault() {
+    assert_eq!(fault_of_merged(&merged(&SHARDS, "0", "x"), "x"), None);
+    assert_eq!(fault_of_merged(&merged(&SHARDS[..3], "1", "x"), "x"), None);
+    let fields = format!("gingerkeel-attestation: {}\r\n", attestation(SINGLE, "x"));
+    let single = Response::doctored(200, &fields, &records(SINGLE, "x"));
+    assert_eq!(fault_of_single(&single, "x"), None);
+}
+
+#[rstest]
+#[case::of_another_request(merged(&SHARDS, "0", "y"), "foreign part")]
+#[case::a_part_twice(merged(&[SHARDS[0], SHARDS[0], SHARDS[1]], "2", "x"), "twice")]
+#[case::untrue_coverage(merged(&SHARDS[..3], "0", "x"), "missing")]
+#[case::below_the_least_share(merged(&SHARDS[..1], "3", "x"), "least share")]
+fn a_doctored_merger_is_found(#[case] response: Response, #[case] text: &str) {
+    let fault = fault_of_merged(&response, "x").expect("a fault");
+    assert!(fault.contains(text), "{fault}");
+}
+
+#[test]
+fn a_body_that_is_not_the_merger_is_found() {
+    let mut response = merged(&SHARDS, "0", "x");
+    response.body[3] ^= 1;
+    assert!(fault_of_merged(&response, "x").is_some_and(|fault| fault.contains("not the merger")));
+}
+
+#[rstest]
+#[case::cut_short("x", 1)]
+#[case::of_another_request("y", 0)]
+fn a_doctored_single_answer_is_found(#[case] id: &str, #[case] missing: usize) {
+    let fields = format!("gingerkeel-attestation: {}\r\n", attestation(SINGLE, id));
+    let body = records(SINGLE, id);
+    let response = Response::doctored(200, &fields, &body[missing..]);
+    assert!(fault_of_single(&response, "x").is_some());
+}
+
+#[rstest]
+#[case::no_word_when_to_come_back(503, "come back")]
+#[case::a_route_that_was_never_removed(404, "never removed")]
+fn a_doctored_refusal_is_found(#[case] status: u16, #[case] text: &str) {
+    let record = Record::default();
+    judge(&mut record.lock(), &Response::doctored(status, "", b""), "once", "x-once");
+    assert!(record.lock().violations[0].contains(text));
+}
+
+#[test]
+fn a_second_run_and_a_run_after_not_run_are_found() {
+    let (journal, record) = (Journal::default(), Record::default());
+    let refusal = Response::doctored(503, "retry-after: 1\r\n", b"");
+    judge(&mut record.lock(), &refusal, "once", "x-once");
+    check_refusals(&record, &journal);
+    assert!(record.lock().violations.is_empty());
+    journal.ran(SINGLE, "x-once");
+    check_refusals(&record, &journal);
+    assert!(record.lock().violations[0].contains("refused as not run, and ran"));
+    assert!(journal.repeated(SINGLE).is_empty());
+    journal.ran(SINGLE, "x-once");
+    assert_eq!(journal.repeated(SINGLE).len(), 1);
+}
+
+#[test]
+fn a_cut_without_a_fault_is_found() {
+    let now = Instant::now();
+    let cut = Cut { broker: 0, id: "x".to_owned(), sent: now, ended: now + Duration::from_secs(1) };
+    assert!(cut_without_fault(&cut, |_, _, _| false).is_some());
+    assert_eq!(cut_without_fault(&cut, |_, _, _| true), None);
+}
+
+#[test]
+fn an_older_configuration_is_found() {
+    let scene = Scene {
+        callers: Vec::new(),
+        operators: Vec::new(),
+        record: Arc::default(),
+        stop: Arc::new(AtomicBool::new(false)),
+        sent_version: Arc::new(AtomicU64::new(0)),
+    };
+    let read = |version, known| {
+        super::parties::judge_read(&scene, 0, known, &super::parties::configuration(version))
+    };
+    read(7, 7);
+    assert!(scene.record.lock().violations.is_empty());
+    read(6, 7);
+    assert!(scene.record.lock().violations[0].contains("gave 6 after 7"));
+    let mut other = super::parties::configuration(8);
+    other.routes.pop();
+    super::parties::judge_read(&scene, 0, 0, &other);
+    assert!(scene.record.lock().violations[1].contains("other content"));
+}
