Ask leaves in short steps, and send no hedge where leaves run short

Cause, by reading: ask() did seven things in ninety lines, and a request that the other parts said to be overdue was hedged also while its leaves ran short of capacity. One type holds what is known of a request at one service now, with a method for each decision; a hedge is due only where one may be sent. The JSON and text answers of operators' interfaces stood twice; they are in transport now.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -31,6 +31,9 @@
 /// Part of the target latency for which a request waits for a connection at most.
 const CONNECTION_WAIT_SHARE: f64 = 0.2;
 
+/// Least status that tells of a leaf's failure.
+const FIRST_FAILURE: u16 = 500;
+
 /// Why no leaf of a service replied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoReply {
@@ -42,15 +45,61 @@
     Unknown,
 }
 
-/// Leaves that were asked for one request.
-struct Asked<'state> {
-    state: &'state Rc<RouteState>,
-    service: &'state ServiceName,
+/// One request at the leaves of one service.
+struct Asking<'request> {
+    state: &'request Rc<RouteState>,
+    route: &'request Route,
+    service: &'request ServiceName,
+    request: &'request ForwardedRequest,
     hedge_delay: Duration,
+    /// Leaves that owe a reply, and since when; the one asked last is the last.
     open: Vec<(LeafIdentity, Instant)>,
+    /// Leaves that were asked.
+    tried: Vec<LeafIdentity>,
+    /// Leaves to which this broker had no connection to spare.
+    busy: Vec<LeafIdentity>,
+    /// Leaves on which the request may have run.
+    may_have_run: u32,
+    /// Leaves at which the request arrived, whether they ran it or not.
+    arrived: u32,
+    failure: Option<LeafReply>,
+    last_error: NoReply,
 }
 
-impl Asked<'_> {
+impl<'request> Asking<'request> {
+    /// The leaf to ask next, if one may be asked: within the attempts of the route, and for every
+    /// one beyond the first that arrives within the budget of extra requests.
+    fn next_leaf(&mut self, reason: AskReason) -> Option<ListedLeaf> {
+        if self.may_have_run >= self.route.attempts.max(1) {
+            return None;
+        }
+        let choice = self.state.choose(self.service, &self.tried)?;
+        let leaf = self.state.leaf(&choice.leaf)?;
+        let is_extra = self.arrived > 0 || reason == AskReason::Hedge;
+        if is_extra && !self.state.take_extra(self.service) {
+            return None;
+        }
+        self.may_have_run += 1;
+        self.request.trail.asked(self.service, &leaf.identity, reason, choice.sound);
+        self.state.metrics.leaf_asked(reason.as_str());
+        self.open.push((leaf.identity.clone(), Instant::now()));
+        self.tried.push(leaf.identity.clone());
+        Some(leaf)
+    }
+
+    /// Why the next leaf is asked when none owes a reply.
+    fn reason(&self) -> AskReason {
+        if self.tried.is_empty() { AskReason::First } else { AskReason::Retry }
+    }
+
+    /// Whether another leaf may be asked while one owes a reply: not where a second run would
+    /// matter, and not where it takes capacity from others that is short.
+    fn can_hedge(&self) -> bool {
+        self.route.repeatable
+            && self.may_have_run < self.route.attempts.max(1)
+            && !self.state.is_overloaded(self.route)
+    }
+
     /// The leaf that was asked last takes longer than expected; the ones before were late already.
     fn mark_newest_late(&self) {
         if let Some((leaf, _)) = self.open.last() {
@@ -58,12 +107,72 @@
         }
     }
 
-    fn ended(&mut self, leaf: &LeafIdentity) {
-        self.open.retain(|(open, _)| open != leaf);
+    /// Whether it is worth waiting for a connection of this broker to be free again. After a part
+    /// of the target latency the caller is better told to come back.
+    fn may_wait_for_connection(&self) -> bool {
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        let waited = self.request.received.elapsed();
+        !self.busy.is_empty()
+            && self.failure.is_none()
+            && waited <= target.mul_f64(CONNECTION_WAIT_SHARE)
+    }
+
+    /// Leaves may be tried again to which no connection was to spare.
+    fn retry_busy(&mut self) {
+        let busy = std::mem::take(&mut self.busy);
+        self.tried.retain(|leaf| !busy.contains(leaf));
+    }
+
+    /// An attempt has ended; gives the outcome of the request when that settles it.
+    fn settle(
+        &mut self,
+        leaf: LeafIdentity,
+        outcome: Result<LeafReply, AttemptError>,
+    ) -> Option<Result<LeafReply, NoReply>> {
+        self.open.retain(|(open, _)| open != &leaf);
+        let noted = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
+        self.request.trail.ended(&leaf, noted);
+        match outcome {
+            Ok(reply) if reply.head.status < FIRST_FAILURE || !self.route.repeatable => {
+                Some(Ok(reply))
+            }
+            Ok(reply) => {
+                self.arrived += 1;
+                self.failure = Some(reply);
+                self.last_error = NoReply::Unknown;
+                None
+            }
+            Err(error) => self.failed(leaf, error),
+        }
+    }
+
+    fn failed(
+        &mut self,
+        leaf: LeafIdentity,
+        error: AttemptError,
+    ) -> Option<Result<LeafReply, NoReply>> {
+        if error == AttemptError::NoConnection {
+            self.busy.push(leaf);
+        }
+        self.arrived += u32::from(error.arrived());
+        if error.certainly_not_run() {
+            self.may_have_run -= 1;
+            if self.last_error == NoReply::NoLeaf && error == AttemptError::Rejected {
+                self.last_error = NoReply::Rejected;
+            }
+            return None;
+        }
+        self.last_error = NoReply::Unknown;
+        (!self.route.repeatable).then_some(Err(NoReply::Unknown))
+    }
+
+    /// The outcome when no further leaf can be asked.
+    fn give_up(&mut self) -> Result<LeafReply, NoReply> {
+        self.failure.take().ok_or(self.last_error)
     }
 }
 
-impl Drop for Asked<'_> {
+impl Drop for Asking<'_> {
     /// Leaves that owe a reply for long when the request is given up are failing.
     fn drop(&mut self) {
         for (leaf, since) in &self.open {
@@ -87,8 +196,8 @@
 }
 
 /// Asks leaves of a service until one replies. Another leaf is asked as well once the measured
-/// latency of the route says that the first is late, or `overdue` does. A failure of a leaf that ran the request is a
-/// reply of the last leaf asked only.
+/// latency of the route says that the first is late, or `overdue` does. The failure of a leaf that
+/// ran a repeatable request is the reply only when no other leaf can be asked.
 ///
 /// # Errors
 /// A [`NoReply`] that tells whether the request may have run.
@@ -99,126 +208,69 @@
     request: &ForwardedRequest,
     overdue: &StopSignal,
 ) -> Result<LeafReply, NoReply> {
-    let hedge_delay = hedge_delay(state, route);
-    let mut asked = Asked { state, service, hedge_delay, open: Vec::new() };
-    let mut tried: Vec<LeafIdentity> = Vec::new();
+    let mut asking = Asking {
+        state,
+        route,
+        service,
+        request,
+        hedge_delay: hedge_delay(state, route),
+        open: Vec::new(),
+        tried: Vec::new(),
+        busy: Vec::new(),
+        may_have_run: 0,
+        arrived: 0,
+        failure: None,
+        last_error: NoReply::NoLeaf,
+    };
     let mut running = FuturesUnordered::new();
-    let mut may_have_run = 0;
-    let mut arrived = 0;
-    let mut failure: Option<LeafReply> = None;
-    let mut last_error = NoReply::NoLeaf;
     let mut told_overdue = false;
-    // Leaves to which this broker had no connection to spare.
-    let mut busy: Vec<LeafIdentity> = Vec::new();
     state.earn(service);
     loop {
         if running.is_empty() {
-            let Some((leaf, sound)) =
-                next_leaf(state, route, service, &tried, arrived, may_have_run)
-            else {
-                let waited = request.received.elapsed();
-                if busy.is_empty() || failure.is_some() || waited > longest_wait(route) {
-                    return failure.ok_or(last_error);
+            let reason = asking.reason();
+            match asking.next_leaf(reason) {
+                Some(leaf) => running.push(run(state, route, service, leaf, request)),
+                None if asking.may_wait_for_connection() => {
+                    sleep(CONNECTION_WAIT).await;
+                    asking.retry_busy();
+                    continue;
                 }
-                // A connection of this broker is soon free again.
-                sleep(CONNECTION_WAIT).await;
-                tried.retain(|leaf| !busy.contains(leaf));
-                busy.clear();
-                continue;
-            };
-            may_have_run += 1;
-            let reason = if tried.is_empty() { AskReason::First } else { AskReason::Retry };
-            note(state, request, service, &leaf, reason, sound);
-            start(&mut asked, &mut tried, &leaf);
-            running.push(run(state, route, service, leaf, request));
+                None => return asking.give_up(),
+            }
         }
-        // Asking twice takes capacity from others where it is short.
-        let can_hedge =
-            route.repeatable && may_have_run < route.attempts.max(1) && !state.is_overloaded(route);
-        let wait = if can_hedge { hedge_delay } else { Duration::from_secs(3600) };
-        let (leaf, outcome) = monoio::select! {
-            ended = running.next() => match ended {
-                Some(ended) => ended,
-                None => continue,
-            },
-            _ = hedge_due(wait, overdue, told_overdue) => {
-                told_overdue = overdue.is_given();
-                if can_hedge {
-                    asked.mark_newest_late();
-                }
-                if let Some((leaf, sound)) = next_leaf(state, route, service, &tried, arrived + 1, may_have_run) {
-                    note(state, request, service, &leaf, AskReason::Hedge, sound);
-                    may_have_run += 1;
-                    start(&mut asked, &mut tried, &leaf);
-                    running.push(run(state, route, service, leaf, request));
+        monoio::select! {
+            ended = running.next() => {
+                let settled = ended.and_then(|(leaf, outcome)| asking.settle(leaf, outcome));
+                if let Some(settled) = settled {
+                    return settled;
                 }
-                continue;
-            }
-        };
-        asked.ended(&leaf);
-        let noted = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
-        request.trail.ended(&leaf, noted);
-        match outcome {
-            Ok(reply) if reply.head.status < 500 || !route.repeatable => return Ok(reply),
-            Ok(reply) => {
-                arrived += 1;
-                failure = Some(reply);
-                last_error = NoReply::Unknown;
             }
-            Err(error) => {
-                if error == AttemptError::NoConnection {
-                    busy.push(leaf);
-                }
-                arrived += u32::from(error.arrived());
-                if error.certainly_not_run() {
-                    may_have_run -= 1;
-                    if last_error == NoReply::NoLeaf && error == AttemptError::Rejected {
-                        last_error = NoReply::Rejected;
-                    }
-                } else {
-                    last_error = NoReply::Unknown;
-                    if !route.repeatable {
-                        return Err(NoReply::Unknown);
-                    }
+            () = hedge_due(&asking, overdue, told_overdue) => {
+                told_overdue = overdue.is_given();
+                asking.mark_newest_late();
+                if let Some(leaf) = asking.next_leaf(AskReason::Hedge) {
+                    running.push(run(state, route, service, leaf, request));
                 }
             }
         }
     }
 }
 
-/// Ends after `wait`, or once the request is said to be overdue for the first time.
-async fn hedge_due(wait: Duration, overdue: &StopSignal, told: bool) {
+/// Ends when another leaf is to be asked: after the hedge delay, or once the request is said to be
+/// overdue for the first time. Never while none may be asked.
+async fn hedge_due(asking: &Asking<'_>, overdue: &StopSignal, told: bool) {
+    if !asking.can_hedge() {
+        return std::future::pending().await;
+    }
     if told {
-        return sleep(wait).await;
+        return sleep(asking.hedge_delay).await;
     }
     monoio::select! {
-        _ = sleep(wait) => {}
+        _ = sleep(asking.hedge_delay) => {}
         _ = overdue.given() => {}
     }
 }
 
-/// How long a request waits for a connection; after that its caller is better told to come back.
-fn longest_wait(route: &Route) -> Duration {
-    Duration::from_millis(route.target_latency_ms).mul_f64(CONNECTION_WAIT_SHARE)
-}
-
-fn note(
-    state: &RouteState,
-    request: &ForwardedRequest,
-    service: &ServiceName,
-    leaf: &ListedLeaf,
-    reason: AskReason,
-    sound: bool,
-) {
-    request.trail.asked(service, &leaf.identity, reason, sound);
-    state.metrics.leaf_asked(reason.as_str());
-}
-
-fn start(asked: &mut Asked<'_>, tried: &mut Vec<LeafIdentity>, leaf: &ListedLeaf) {
-    asked.open.push((leaf.identity.clone(), Instant::now()));
-    tried.push(leaf.identity.clone());
-}
-
 async fn run(
     state: &Rc<RouteState>,
     route: &Route,
@@ -229,24 +281,3 @@
     let outcome = attempt(state, route, service, &leaf, request).await;
     (leaf.identity, outcome)
 }
-
-/// The leaf to ask next, if one may be asked: within the attempts of the route, and for every
-/// one beyond the first that arrives within the budget of extra requests.
-fn next_leaf(
-    state: &RouteState,
-    route: &Route,
-    service: &ServiceName,
-    tried: &[LeafIdentity],
-    arrived: u32,
-    may_have_run: u32,
-) -> Option<(ListedLeaf, bool)> {
-    if may_have_run >= route.attempts.max(1) {
-        return None;
-    }
-    let choice = state.choose(service, tried)?;
-    let leaf = state.leaf(&choice.leaf)?;
-    if arrived > 0 && !state.take_extra(service) {
-        return None;
-    }
-    Some((leaf, choice.sound))
-}
--- a/crates/control/src/native_routes.rs
+++ b/crates/control/src/native_routes.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::routes::{AcceptedRoutes, RouteConfiguration};
-use gingerkeel_transport::{HttpRequest, HttpResponse};
-use http::{HeaderValue, Method, StatusCode, header};
+use gingerkeel_transport::{HttpRequest, HttpResponse, json_answer, text_answer};
+use http::{Method, StatusCode};
 
 use crate::ports::{InterfaceError, RouteAnswer, RouteCall, RouteInterface};
 
@@ -29,14 +29,16 @@
     fn answer(&self, answer: RouteAnswer<'_>) -> HttpResponse {
         match answer {
             RouteAnswer::Accepted(version) => {
-                json(StatusCode::OK, format!("{{\"accepted\":{}}}", version.0))
+                json_answer(StatusCode::OK, format!("{{\"accepted\":{}}}", version.0))
+            }
+            RouteAnswer::Current(routes) => json_answer(StatusCode::OK, routes.document.clone()),
+            RouteAnswer::Empty => text_answer(StatusCode::NOT_FOUND, "no routes were accepted yet"),
+            RouteAnswer::Invalid(reason) => text_answer(StatusCode::BAD_REQUEST, &reason),
+            RouteAnswer::Unavailable(reason) => {
+                text_answer(StatusCode::SERVICE_UNAVAILABLE, &reason)
             }
-            RouteAnswer::Current(routes) => json(StatusCode::OK, routes.document.clone()),
-            RouteAnswer::Empty => text(StatusCode::NOT_FOUND, "no routes were accepted yet"),
-            RouteAnswer::Invalid(reason) => text(StatusCode::BAD_REQUEST, &reason),
-            RouteAnswer::Unavailable(reason) => text(StatusCode::SERVICE_UNAVAILABLE, &reason),
             RouteAnswer::Unknown => {
-                text(StatusCode::NOT_FOUND, "unknown call: use GET or PUT of /v1/routes")
+                text_answer(StatusCode::NOT_FOUND, "unknown call: use GET or PUT of /v1/routes")
             }
         }
     }
@@ -48,17 +50,3 @@
     })?;
     Ok(AcceptedRoutes { configuration, document: body.to_vec() })
 }
-
-fn json(status: StatusCode, body: impl Into<Bytes>) -> HttpResponse {
-    let mut response = text(status, "");
-    *response.body_mut() = body.into();
-    let kind = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    response
-}
-
-fn text(status: StatusCode, reason: &str) -> HttpResponse {
-    let mut response = HttpResponse::new(Bytes::copy_from_slice(reason.as_bytes()));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 //! A [`ServerConnection`] reads requests of bounded size one at a time and writes a response to
 //! each; a [`ClientConnection`] does the reverse. Both own their socket.
 
+mod answers;
 mod client;
 mod error;
 pub mod http1;
@@ -12,6 +13,7 @@
 mod runtime;
 mod server;
 
+pub use answers::{json_answer, text_answer};
 pub use client::{ClientConnection, RequestWriter, ResponseReader};
 pub use error::TransportError;
 pub use limits::Limits;
