Make it a setting whether brokers learn control processes from the feed

Cause: the scale run's test found no subscription after a cut of all feeds was healed: hollow brokers had learnt the control processes' own addresses and gone round the relays that were cut.

--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -96,15 +96,18 @@
     };
     // Brokers start at different places, so that they spread over the control processes.
     let mut turn: usize = rand::rng().random_range(0..link.settings.control.len().max(1));
+    let mut failures = 0;
     loop {
-        let control = link.control(turn);
+        let control = link.control(turn, failures);
         turn = turn.wrapping_add(1);
+        failures += 1;
         let fresh_before = link.follower.is_fresh(clock.now());
         let Err(error) = link.follow_one(control).await;
         link.tell(FollowerEvent::Disconnected, &mut Vec::new());
         warn!(event = "control_link_lost", %control, %error);
         if fresh_before || link.follower.is_fresh(clock.now()) {
             back_off.succeeded();
+            failures = 0;
         }
         let pause = back_off.next_pause(&mut rand::rng());
         sleep(pause).await;
@@ -158,9 +161,13 @@
 }
 
 impl Link {
-    /// The control process whose turn it is, out of those of the settings and the learned ones.
-    fn control(&self, turn: usize) -> SocketAddr {
+    /// The control process whose turn it is: one of the settings, and once as many tries in a row
+    /// have failed as they name, also one that was learnt.
+    fn control(&self, turn: usize, failures: usize) -> SocketAddr {
         let named = &self.settings.control;
+        if failures < named.len() {
+            return named[turn % named.len()];
+        }
         let learned = self.learned_controls.iter().filter(|control| !named.contains(control));
         let all: Vec<SocketAddr> = named.iter().chain(learned).copied().collect();
         all[turn % all.len()]
@@ -289,6 +296,7 @@
             })?,
             FeedMessage::DirectoryChange { delta } => self
                 .send_routes(|| decode_document(&delta.bytes).map(RouteUpdate::DirectoryChange))?,
+            FeedMessage::Controls { .. } if !self.settings.learn_controls => {}
             FeedMessage::Controls { addresses } => {
                 self.learned_controls = decode_document(&addresses.bytes)?;
             }
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -42,6 +42,10 @@
     /// How queries are scheduled; `baseline` is for experiments.
     #[serde(default)]
     pub policy: PolicySetting,
+    /// Whether control processes that the feed names are tried, too. Off where brokers reach them by
+    /// other addresses than those that they know of themselves.
+    #[serde(default)]
+    pub learn_controls: bool,
     /// Most milliseconds before another control process is tried. Many brokers want a long time,
     /// so that those of a region that heals do not come at the same moment.
     #[serde(default = "default_control_pause_ms")]
