Remove what nothing reads from gathering, replies and routes

Ruled out: ReplicaSet::is_empty stays, a test states its rule with it. The accept loops of callers, readiness, metrics and operators are alike in shape but serve different tasks, and were left.

--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -226,7 +226,7 @@
     async fn answer(&mut self, served: Served, keep_alive: bool) -> Result<(), End> {
         match served {
             Served::Merged(answer) => {
-                let bytes = answer.to_bytes(&self.state.dialect, b"", keep_alive);
+                let bytes = answer.to_bytes(&self.state.dialect, keep_alive);
                 self.write(bytes).await
             }
             Served::Refused(refusal) => self.write(refusal.to_bytes(keep_alive)).await,
--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -6,7 +6,6 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use gingerkeel_domain::forwarding::GreatestRecords;
-use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Route, ShardSet};
 use monoio::time::sleep;
 
@@ -30,8 +29,6 @@
 struct Parts {
     whole: usize,
     failed: usize,
-    /// Whether some part may have run.
-    asked: bool,
     attestations: Vec<Vec<u8>>,
     records: GreatestRecords,
 }
@@ -58,11 +55,9 @@
 
     fn take(&mut self, state: &RouteState, outcome: Result<LeafReply, NoReply>) {
         let Ok(reply) = outcome else {
-            self.asked |= outcome.is_err_and(|error| error == NoReply::Unknown);
             self.failed += 1;
             return;
         };
-        self.asked = true;
         let headers = &reply.head.headers;
         let attestation = headers.get(state.dialect.attestation);
         let whole = (200..=299).contains(&reply.head.status) && reply.rest.is_none();
@@ -91,7 +86,6 @@
     let mut parts = Parts {
         whole: shards.services.len(),
         failed: 0,
-        asked: false,
         attestations: Vec::new(),
         records: GreatestRecords::new(shards.greatest as usize),
     };
@@ -99,7 +93,7 @@
     let mut overdue_at: Option<Instant> = None;
     let mut running = FuturesUnordered::new();
     for service in &shards.services {
-        running.push(ask_part(state, route, service, request, &overdue));
+        running.push(ask(state, route, service, request, &overdue));
     }
     let margin = Duration::from_millis(state.settings.answer_margin_ms.into());
     let target = Duration::from_millis(route.target_latency_ms).saturating_sub(margin);
@@ -119,7 +113,7 @@
         let wake = if now >= soft { request.deadline } else { soft };
         let wake = pending.map_or(wake, |at| at.min(wake));
         monoio::select! {
-            part = running.next() => if let Some((_, outcome)) = part {
+            part = running.next() => if let Some(outcome) = part {
                 parts.take(state, outcome);
                 if overdue_at.is_none() && parts.most_are_in() {
                     overdue_at = Some(Instant::now() + request.received.elapsed().mul_f64(OVERDUE_FACTOR) + OVERDUE_TIME);
@@ -132,16 +126,6 @@
     finish(shards, parts, request)
 }
 
-async fn ask_part<'part>(
-    state: &'part Rc<RouteState>,
-    route: &'part Route,
-    service: &'part ServiceName,
-    request: &'part ForwardedRequest,
-    overdue: &'part StopSignal,
-) -> (&'part ServiceName, Result<LeafReply, NoReply>) {
-    (service, ask(state, route, service, request, overdue).await)
-}
-
 fn finish(
     shards: &ShardSet,
     parts: Parts,
--- a/crates/broker/src/routes/respond.rs
+++ b/crates/broker/src/routes/respond.rs
@@ -97,11 +97,8 @@
 
 impl MergedAnswer {
     /// The whole answer.
-    pub fn to_bytes(&self, dialect: &Dialect, id: &[u8], keep_alive: bool) -> Vec<u8> {
+    pub fn to_bytes(&self, dialect: &Dialect, keep_alive: bool) -> Vec<u8> {
         let mut bytes = status_line(200);
-        if !id.is_empty() {
-            add_field(&mut bytes, dialect.request_id.as_bytes(), id);
-        }
         let attestations = self.attestations.join(&b", "[..]);
         add_field(&mut bytes, dialect.part_attestations.as_bytes(), &attestations);
         let missing = self.missing.to_string();
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -195,13 +195,6 @@
     fn ordinary(&self, settings: &ReplicaSettings) -> f64 {
         self.ordinary.unwrap_or(settings.ordinary_latency.as_secs_f64())
     }
-
-    /// The leaf said itself that it is leaving.
-    pub fn leaving(&mut self, leaf: &LeafIdentity) {
-        if let Some(replica) = self.replicas.get_mut(leaf) {
-            replica.leaving = true;
-        }
-    }
 }
 
 fn tier(replica: &Replica, now: Timestamp) -> Tier {
--- a/crates/domain/src/routes/configuration.rs
+++ b/crates/domain/src/routes/configuration.rs
@@ -174,11 +174,6 @@
         }
         Ok(())
     }
-
-    /// The service of this name.
-    pub fn service(&self, name: &ServiceName) -> Option<&BackEndService> {
-        self.services.iter().find(|service| &service.name == name)
-    }
 }
 
 impl Route {
