Wait for a connection to a sound leaf rather than ask a late one, and share out connections without loss

Rounding also left 4 of 18 connections to nobody. Mend: the choice of a leaf knows whether a connection is idle, may be opened or is exhausted, and says to wait where an exhausted leaf is sounder or soon free; what rounding leaves over is given out. Tests: four of the choice in domain/tests/forwarding.rs, the property test of the shares is stricter.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -6,6 +6,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::forwarding::{Choice, Selection};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
 use monoio::time::sleep;
@@ -26,7 +27,7 @@
 /// Silence, in hedge delays, after which an attempt that is given up counts as a failure.
 const SILENT_AFTER: u32 = 3;
 
-/// Time until leaves are tried again to which this broker had no connection to spare.
+/// Time until leaves are looked at again to which this broker has no connection to spare.
 const CONNECTION_WAIT: Duration = Duration::from_millis(4);
 /// Part of the target latency for which a request waits for a connection at most.
 const CONNECTION_WAIT_SHARE: f64 = 0.2;
@@ -45,6 +46,16 @@
     Unknown,
 }
 
+/// What is done next for a request that no leaf owes a reply.
+enum Next {
+    /// This leaf is asked.
+    Ask(ListedLeaf),
+    /// A connection is waited for.
+    Wait,
+    /// No leaf may be asked.
+    Nobody,
+}
+
 /// One request at the leaves of one service.
 struct Asking<'request> {
     state: &'request Rc<RouteState>,
@@ -56,8 +67,6 @@
     open: Vec<(LeafIdentity, Instant)>,
     /// Leaves that were asked.
     tried: Vec<LeafIdentity>,
-    /// Leaves to which this broker had no connection to spare.
-    busy: Vec<LeafIdentity>,
     /// Leaves on which the request may have run.
     may_have_run: u32,
     /// Leaves at which the request arrived, whether they ran it or not.
@@ -69,11 +78,20 @@
 impl<'request> Asking<'request> {
     /// The leaf to ask next, if one may be asked: within the attempts of the route, and for every
     /// one beyond the first that arrives within the budget of extra requests.
-    fn next_leaf(&mut self, reason: AskReason) -> Option<ListedLeaf> {
+    fn next(&mut self, reason: AskReason) -> Next {
         if self.may_have_run >= self.route.attempts.max(1) {
-            return None;
+            return Next::Nobody;
         }
-        let choice = self.state.choose(self.service, &self.tried)?;
+        let choice = match self.state.choose(self.service, &self.tried) {
+            Selection::Ask(choice) => Some(choice),
+            Selection::Wait { .. } if self.may_wait_for_connection(reason) => return Next::Wait,
+            Selection::Wait { otherwise } => otherwise,
+            Selection::Nobody => None,
+        };
+        choice.and_then(|choice| self.ask(&choice, reason)).map_or(Next::Nobody, Next::Ask)
+    }
+
+    fn ask(&mut self, choice: &Choice, reason: AskReason) -> Option<ListedLeaf> {
         let leaf = self.state.leaf(&choice.leaf)?;
         let is_extra = self.arrived > 0 || reason == AskReason::Hedge;
         if is_extra && !self.state.take_extra(self.service) {
@@ -107,20 +125,13 @@
         }
     }
 
-    /// Whether it is worth waiting for a connection of this broker to be free again. After a part
-    /// of the target latency the caller is better told to come back.
-    fn may_wait_for_connection(&self) -> bool {
+    /// Whether it is worth waiting for a connection of this broker to be free again: while no leaf
+    /// owes a reply, for a part of the target latency. After that the caller is better told to come
+    /// back.
+    fn may_wait_for_connection(&self, reason: AskReason) -> bool {
         let target = Duration::from_millis(self.route.target_latency_ms);
         let waited = self.request.received.elapsed();
-        !self.busy.is_empty()
-            && self.failure.is_none()
-            && waited <= target.mul_f64(CONNECTION_WAIT_SHARE)
-    }
-
-    /// Leaves may be tried again to which no connection was to spare.
-    fn retry_busy(&mut self) {
-        let busy = std::mem::take(&mut self.busy);
-        self.tried.retain(|leaf| !busy.contains(leaf));
+        reason != AskReason::Hedge && waited <= target.mul_f64(CONNECTION_WAIT_SHARE)
     }
 
     /// An attempt has ended; gives the outcome of the request when that settles it.
@@ -152,7 +163,7 @@
         error: AttemptError,
     ) -> Option<Result<LeafReply, NoReply>> {
         if error == AttemptError::NoConnection {
-            self.busy.push(leaf);
+            self.tried.retain(|tried| tried != &leaf);
         }
         self.arrived += u32::from(error.arrived());
         if error.certainly_not_run() {
@@ -216,7 +227,6 @@
         hedge_delay: hedge_delay(state, route),
         open: Vec::new(),
         tried: Vec::new(),
-        busy: Vec::new(),
         may_have_run: 0,
         arrived: 0,
         failure: None,
@@ -228,14 +238,13 @@
     loop {
         if running.is_empty() {
             let reason = asking.reason();
-            match asking.next_leaf(reason) {
-                Some(leaf) => running.push(run(state, route, service, leaf, request)),
-                None if asking.may_wait_for_connection() => {
+            match asking.next(reason) {
+                Next::Ask(leaf) => running.push(run(state, route, service, leaf, request)),
+                Next::Wait => {
                     sleep(CONNECTION_WAIT).await;
-                    asking.retry_busy();
                     continue;
                 }
-                None => return asking.give_up(),
+                Next::Nobody => return asking.give_up(),
             }
         }
         monoio::select! {
@@ -248,7 +257,7 @@
             () = hedge_due(&asking, overdue, told_overdue) => {
                 told_overdue = overdue.is_given();
                 asking.mark_newest_late();
-                if let Some(leaf) = asking.next_leaf(AskReason::Hedge) {
+                if let Next::Ask(leaf) = asking.next(AskReason::Hedge) {
                     running.push(run(state, route, service, leaf, request));
                 }
             }
--- a/crates/broker/src/routes/pool.rs
+++ b/crates/broker/src/routes/pool.rs
@@ -97,9 +97,14 @@
         self.idle.iter().any(|connection| now < connection.keep_until)
     }
 
+    /// Whether another connection may be opened where `limit` may be open.
+    pub fn has_room(&self, limit: usize) -> bool {
+        self.open < limit
+    }
+
     /// Counts a connection that is about to be opened, unless `limit` are open.
     pub fn admit(&mut self, limit: usize) -> bool {
-        let admitted = self.open < limit;
+        let admitted = self.has_room(limit);
         self.open += usize::from(admitted);
         admitted
     }
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -10,8 +10,8 @@
 
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::forwarding::{
-    Admitted, Choice, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, OverloadGate,
-    OverloadGateSettings, ReplicaSet, ReplicaSettings, SharingBrokers, SplitTurns,
+    Admitted, Connectivity, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, OverloadGate,
+    OverloadGateSettings, ReplicaSet, ReplicaSettings, Selection, SharingBrokers, SplitTurns,
     connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
@@ -258,13 +258,35 @@
     }
 
     /// Chooses a leaf of a service other than those tried.
-    pub fn choose(&self, service: &ServiceName, tried: &[LeafIdentity]) -> Option<Choice> {
+    pub fn choose(&self, service: &ServiceName, tried: &[LeafIdentity]) -> Selection {
         let leaves = self.leaves.borrow();
-        let service = leaves.services.get(service)?;
-        let pools = &leaves.pools;
-        let connected = |leaf: &LeafIdentity| pools.get(leaf).is_some_and(LeafPool::has_idle);
+        let Some(state) = leaves.services.get(service) else {
+            return Selection::Nobody;
+        };
+        let connectivity = |leaf: &LeafIdentity| match leaves.directory.leaves().get(leaf) {
+            Some(leaf) => self.connectivity(&leaves, service, leaf),
+            None => Connectivity::Exhausted,
+        };
         let settings = &self.replica_settings;
-        service.replicas.choose(self.now(), settings, tried, connected, || self.draw())
+        state.replicas.choose(self.now(), settings, tried, connectivity, || self.draw())
+    }
+
+    fn connectivity(
+        &self,
+        leaves: &Leaves,
+        service: &ServiceName,
+        leaf: &ListedLeaf,
+    ) -> Connectivity {
+        let Some(pool) = leaves.pools.get(&leaf.identity) else {
+            return Connectivity::Openable;
+        };
+        if pool.has_idle() {
+            Connectivity::Idle
+        } else if pool.has_room(self.connection_limit(service, leaf)) {
+            Connectivity::Openable
+        } else {
+            Connectivity::Exhausted
+        }
     }
 
     /// Whether a request of a route is served now.
@@ -362,14 +384,18 @@
     /// Counts a connection that is about to be opened, unless this broker has its share of those
     /// that the leaf accepts.
     pub fn admit_connection(&self, service: &ServiceName, leaf: &ListedLeaf) -> bool {
+        let limit = self.connection_limit(service, leaf);
+        self.leaves.borrow_mut().pools.entry(leaf.identity.clone()).or_default().admit(limit)
+    }
+
+    /// How many connections to a leaf this broker may have.
+    fn connection_limit(&self, service: &ServiceName, leaf: &ListedLeaf) -> usize {
         let table = self.table();
         let known = table.as_ref().and_then(|table| table.service(service));
         let accepted = known.map_or(usize::MAX, |service| service.connection_limit as usize);
         let in_zone = self.brokers.borrow().get(&leaf.zone).copied().unwrap_or(0);
         let brokers = SharingBrokers { in_zone, elsewhere: self.broker_count() - in_zone };
-        let is_in_zone = leaf.zone.as_str() == self.broker.zone;
-        let limit = connection_share(accepted, brokers, is_in_zone);
-        self.leaves.borrow_mut().pools.entry(leaf.identity.clone()).or_default().admit(limit)
+        connection_share(accepted, brokers, leaf.zone.as_str() == self.broker.zone)
     }
 
     /// A connection to a leaf is closed.
--- a/crates/domain/src/forwarding/connection_share.rs
+++ b/crates/domain/src/forwarding/connection_share.rs
@@ -19,12 +19,19 @@
 
 /// Connections that a broker may open to a leaf which accepts `accepted` from all brokers
 /// together. Every broker that knows the same brokers comes to shares that add up to no more,
-/// unless the leaf accepts too few for everybody's least share.
+/// unless the leaf accepts too few for everybody's least share. What rounding leaves over goes to
+/// the brokers elsewhere when it is enough for one more each, and else to those in the zone.
 pub fn connection_share(accepted: usize, brokers: SharingBrokers, is_in_zone: bool) -> usize {
-    let weights = brokers.in_zone * OWN_ZONE_WEIGHT + brokers.elsewhere;
-    let (weight, least) = match is_in_zone {
-        true => (OWN_ZONE_WEIGHT, LEAST_IN_ZONE),
-        false => (1, LEAST_ELSEWHERE),
+    let SharingBrokers { in_zone, elsewhere } = brokers;
+    let weights = (in_zone * OWN_ZONE_WEIGHT + elsewhere).max(1);
+    let near = (accepted.saturating_mul(OWN_ZONE_WEIGHT) / weights).max(LEAST_IN_ZONE);
+    let far = (accepted / weights).max(LEAST_ELSEWHERE);
+    let given = near.saturating_mul(in_zone).saturating_add(far.saturating_mul(elsewhere));
+    let left = accepted.saturating_sub(given);
+    let (more_near, more_far) = match (left / in_zone.max(1), left / elsewhere.max(1)) {
+        (_, far) if elsewhere > 0 && far > 0 => (0, 1),
+        (near, _) if in_zone > 0 && near > 0 => (1, 0),
+        _ => (0, 0),
     };
-    (accepted.saturating_mul(weight) / weights.max(weight)).max(least)
+    if is_in_zone { near + more_near } else { far + more_far }
 }
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -13,5 +13,5 @@
 pub use greatest::{GreatestRecords, RECORD_BYTES};
 pub use overload::{Admitted, OverloadGate, OverloadGateSettings};
 pub use replica::{Distance, Outcome};
-pub use replica_set::{Choice, ReplicaSet, ReplicaSettings};
+pub use replica_set::{Choice, Connectivity, ReplicaSet, ReplicaSettings, Selection};
 pub use split::SplitTurns;
--- a/crates/domain/src/forwarding/replica.rs
+++ b/crates/domain/src/forwarding/replica.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::replica_set::ReplicaSettings;
+use super::replica_set::{Connectivity, ReplicaSettings};
 use crate::time::Timestamp;
 
 /// Weight of the newest latency in the smoothed one.
@@ -192,4 +192,19 @@
         let share = 1.0 + f64::from(self.in_flight) / f64::from(self.slots) * settings.spread;
         known * queue * share + settings.distance_cost(self.distance).as_secs_f64()
     }
+
+    /// What it takes until a connection is there, in seconds. One that is in use is free once its
+    /// request is answered; the more there are, the sooner the first is.
+    pub(super) fn connection_cost(
+        &self,
+        settings: &ReplicaSettings,
+        ordinary: f64,
+        connectivity: Connectivity,
+    ) -> f64 {
+        match connectivity {
+            Connectivity::Idle => 0.0,
+            Connectivity::Openable => settings.opening_cost(self.distance),
+            Connectivity::Exhausted => ordinary / f64::from(self.in_flight.max(1)),
+        }
+    }
 }
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -55,7 +55,7 @@
 }
 
 impl ReplicaSettings {
-    fn opening_cost(&self, distance: Distance) -> f64 {
+    pub(super) fn opening_cost(&self, distance: Distance) -> f64 {
         let [near, far] = self.opening;
         match distance {
             Distance::Far => far.as_secs_f64(),
@@ -80,6 +80,17 @@
     Ejected,
 }
 
+/// What a request to a leaf would be sent over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connectivity {
+    /// A connection that lies ready.
+    Idle,
+    /// A connection that is still to be opened.
+    Openable,
+    /// Nothing: this broker uses all connections to the leaf that it may open.
+    Exhausted,
+}
+
 /// A chosen leaf.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
@@ -89,6 +100,29 @@
     pub sound: bool,
 }
 
+/// What to do with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Selection {
+    /// Ask this leaf.
+    Ask(Choice),
+    /// Wait for a connection: a leaf to which none can be had now is better than all others.
+    Wait {
+        /// The leaf to ask where there is no time to wait.
+        otherwise: Option<Choice>,
+    },
+    /// No leaf can be asked.
+    Nobody,
+}
+
+impl From<Option<Choice>> for Selection {
+    fn from(choice: Option<Choice>) -> Self {
+        choice.map_or(Self::Nobody, Self::Ask)
+    }
+}
+
+/// A leaf with what speaks for it, the less the better.
+type Candidate<'set> = (Tier, f64, &'set LeafIdentity);
+
 /// The leaves of one service.
 #[derive(Debug, Default)]
 pub struct ReplicaSet {
@@ -119,38 +153,39 @@
     }
 
     /// Chooses a leaf other than those of `tried`. A leaf that is left out for its failures is
-    /// not chosen; `connected` tells whether a connection lies ready, `variation` gives numbers from
-    /// 0 to 1.
+    /// not chosen; `variation` gives numbers from 0 to 1.
     pub fn choose(
         &self,
         now: Timestamp,
         settings: &ReplicaSettings,
         tried: &[LeafIdentity],
-        connected: impl Fn(&LeafIdentity) -> bool,
+        connectivity: impl Fn(&LeafIdentity) -> Connectivity,
         mut variation: impl FnMut() -> f64,
-    ) -> Option<Choice> {
+    ) -> Selection {
         let ordinary = self.ordinary(settings);
-        let mut best: Option<(Tier, f64, &LeafIdentity)> = None;
+        let (mut best, mut exhausted): (Option<Candidate>, Option<Candidate>) = (None, None);
         for (identity, replica) in &self.replicas {
-            if replica.leaving || tried.contains(identity) {
-                continue;
-            }
             let tier = tier(replica, now);
-            if tier == Tier::Ejected {
+            if replica.leaving || tier == Tier::Ejected || tried.contains(identity) {
                 continue;
             }
-            let opening =
-                if connected(identity) { 0.0 } else { settings.opening_cost(replica.distance) };
-            let cost = replica.expected_cost(now, settings, ordinary) + opening;
-            let cost = cost * (1.0 + COST_VARIATION * variation());
-            let better = best.is_none_or(|(best_tier, best_cost, _)| {
-                tier < best_tier || (tier == best_tier && cost < best_cost)
-            });
-            if better {
-                best = Some((tier, cost, identity));
+            let connectivity = connectivity(identity);
+            let cost = replica.expected_cost(now, settings, ordinary)
+                + replica.connection_cost(settings, ordinary, connectivity);
+            let candidate = (tier, cost * (1.0 + COST_VARIATION * variation()), identity);
+            match connectivity {
+                Connectivity::Exhausted => keep_better(&mut exhausted, candidate),
+                Connectivity::Idle | Connectivity::Openable => keep_better(&mut best, candidate),
             }
         }
-        best.map(|(tier, _, leaf)| Choice { leaf: leaf.clone(), sound: tier == Tier::Sound })
+        let otherwise = best.map(Choice::from);
+        match (best, exhausted) {
+            (Some(best), Some(exhausted)) if !is_better(exhausted, best) => {
+                Selection::from(otherwise)
+            }
+            (_, Some(_)) => Selection::Wait { otherwise },
+            (_, None) => Selection::from(otherwise),
+        }
     }
 
     /// An attempt at a leaf begins.
@@ -197,6 +232,22 @@
     }
 }
 
+impl From<Candidate<'_>> for Choice {
+    fn from((tier, _, leaf): Candidate<'_>) -> Self {
+        Self { leaf: leaf.clone(), sound: tier == Tier::Sound }
+    }
+}
+
+fn is_better(candidate: Candidate, than: Candidate) -> bool {
+    candidate.0 < than.0 || (candidate.0 == than.0 && candidate.1 < than.1)
+}
+
+fn keep_better<'set>(best: &mut Option<Candidate<'set>>, candidate: Candidate<'set>) {
+    if best.is_none_or(|best| is_better(candidate, best)) {
+        *best = Some(candidate);
+    }
+}
+
 fn tier(replica: &Replica, now: Timestamp) -> Tier {
     if replica.is_ejected(now) {
         Tier::Ejected
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -4,8 +4,9 @@
 
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::forwarding::{
-    Distance, ExtraLoadBudget, ExtraLoadSettings, GreatestRecords, Outcome, RECORD_BYTES,
-    ReplicaSet, ReplicaSettings, SharingBrokers, SplitTurns, connection_share,
+    Connectivity, Distance, ExtraLoadBudget, ExtraLoadSettings, GreatestRecords, Outcome,
+    RECORD_BYTES, ReplicaSet, ReplicaSettings, Selection, SharingBrokers, SplitTurns,
+    connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::routes::WeightedService;
@@ -41,8 +42,23 @@
 }
 
 fn chosen(set: &ReplicaSet, now: Timestamp, tried: &[LeafIdentity]) -> Option<String> {
-    let choice = set.choose(now, &ReplicaSettings::default(), tried, |_| true, || 0.0);
-    choice.map(|choice| choice.leaf.as_str().to_owned())
+    asked(&select(set, now, tried, |_| Connectivity::Idle))
+}
+
+fn select(
+    set: &ReplicaSet,
+    now: Timestamp,
+    tried: &[LeafIdentity],
+    connectivity: impl Fn(&LeafIdentity) -> Connectivity,
+) -> Selection {
+    set.choose(now, &ReplicaSettings::default(), tried, connectivity, || 0.0)
+}
+
+fn asked(selection: &Selection) -> Option<String> {
+    match selection {
+        Selection::Ask(choice) => Some(choice.leaf.as_str().to_owned()),
+        Selection::Wait { .. } | Selection::Nobody => None,
+    }
 }
 
 fn answered(set: &mut ReplicaSet, now: Timestamp, name: &str, milliseconds: u64) {
@@ -64,13 +80,59 @@
 fn of_far_leaves_one_with_a_connection_is_preferred() {
     let set = three_leaves();
     let chosen = |warm: &str| {
-        let settings = ReplicaSettings::default();
-        let connected = |leaf: &LeafIdentity| leaf.as_str() == warm;
-        let choice = set.choose(at(0), &settings, &[identity("near")], connected, || 0.0);
-        choice.map(|choice| choice.leaf)
+        let connectivity = |leaf: &LeafIdentity| match leaf.as_str() == warm {
+            true => Connectivity::Idle,
+            false => Connectivity::Openable,
+        };
+        asked(&select(&set, at(0), &[identity("near")], connectivity))
+    };
+    assert_eq!(chosen("far-1").as_deref(), Some("far-1"));
+    assert_eq!(chosen("far-2").as_deref(), Some("far-2"));
+}
+
+/// Connections to all leaves but one are exhausted.
+fn only(open: &'static str) -> impl Fn(&LeafIdentity) -> Connectivity {
+    move |leaf| match leaf.as_str() == open {
+        true => Connectivity::Idle,
+        false => Connectivity::Exhausted,
+    }
+}
+
+#[test]
+fn a_connection_to_a_sound_leaf_is_waited_for_rather_than_a_late_one_asked() {
+    let mut set = three_leaves();
+    set.begin(&identity("far-1"));
+    set.late(at(0), &ReplicaSettings::default(), &identity("far-1"));
+    let Selection::Wait { otherwise } = select(&set, at(10), &[], only("far-1")) else {
+        panic!("a sound leaf is worth waiting for");
     };
-    assert_eq!(chosen("far-1"), Some(identity("far-1")));
-    assert_eq!(chosen("far-2"), Some(identity("far-2")));
+    let otherwise = otherwise.expect("a leaf for those who cannot wait");
+    assert_eq!((otherwise.leaf.as_str(), otherwise.sound), ("far-1", false));
+}
+
+#[test]
+fn a_sound_leaf_that_has_a_connection_is_not_passed_over_for_a_late_one_without() {
+    let mut set = three_leaves();
+    set.begin(&identity("near"));
+    set.late(at(0), &ReplicaSettings::default(), &identity("near"));
+    assert_eq!(asked(&select(&set, at(10), &[], only("far-1"))).as_deref(), Some("far-1"));
+}
+
+#[test]
+fn the_more_connections_to_a_near_leaf_are_in_use_the_sooner_one_is_free() {
+    let settings = ReplicaSettings { far_cost: Duration::from_millis(25), ..Default::default() };
+    let mut set = three_leaves();
+    let select = |set: &ReplicaSet| set.choose(at(0), &settings, &[], only("far-1"), || 0.0);
+    set.begin(&identity("near"));
+    assert_eq!(asked(&select(&set)).as_deref(), Some("far-1"));
+    set.begin(&identity("near"));
+    assert!(matches!(select(&set), Selection::Wait { otherwise: Some(_) }));
+}
+
+#[test]
+fn with_no_connection_to_any_leaf_one_is_waited_for() {
+    let selection = select(&three_leaves(), at(0), &[], |_| Connectivity::Exhausted);
+    assert_eq!(selection, Selection::Wait { otherwise: None });
 }
 
 #[test]
@@ -230,7 +292,11 @@
         prop_assert!(near >= 2 && far >= 1 && near >= far);
         let weights = in_zone * 3 + elsewhere;
         if accepted >= weights {
-            prop_assert!(near * in_zone + far * elsewhere <= accepted);
+            let given = near * in_zone + far * elsewhere;
+            prop_assert!(given <= accepted);
+            // Nothing is left that would be enough for one more each.
+            let groups = in_zone.max(elsewhere);
+            prop_assert!(groups == 0 || accepted - given < groups);
         }
     }
 
