Limit admission only when most parts are late, not when a few shards are

Cause: the gate took each late request for a lack of capacity. Test: only_parts_that_are_late_everywhere_tell_of_a_lack_of_capacity; its first case fails with the former judgement, as the gate limits after the first rounds. The request_ended line of a gathered request that was refused now says how many parts were in at its target.

--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -89,6 +89,7 @@
         attestations: Vec::new(),
         records: GreatestRecords::new(shards.greatest as usize),
     };
+    request.trail.gathered(0, parts.whole);
     let overdue = StopSignal::new();
     let mut overdue_at: Option<Instant> = None;
     let mut running = FuturesUnordered::new();
@@ -99,10 +100,13 @@
     let target = Duration::from_millis(route.target_latency_ms).saturating_sub(margin);
     let soft = (request.received + target).min(request.deadline);
     loop {
+        let now = Instant::now();
+        if now < soft {
+            request.trail.gathered(parts.attestations.len(), parts.whole);
+        }
         if parts.settled() == parts.whole || !parts.can_reach(shards) {
             break;
         }
-        let now = Instant::now();
         if now >= request.deadline || (now >= soft && parts.reach(shards)) {
             break;
         }
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::forwarding::Admitted;
+use gingerkeel_domain::forwarding::{Admitted, Ended};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Destination, Route, RouteLookup, RouteTable, RouteVersion};
 use monoio::time::timeout;
@@ -164,20 +164,22 @@
         }
     }
 
-    /// Whether it was answered within the target latency; none when its caller left.
-    fn in_time(&self) -> Option<bool> {
+    fn ended(&self) -> Ended {
         let target = self.route.map_or(0, |route| route.target_latency_ms);
-        let held = self.request.received.elapsed();
-        let answered = (200..=499).contains(&self.status);
-        (self.status != 0).then(|| answered && held <= Duration::from_millis(target))
+        let in_time = self.request.received.elapsed() <= Duration::from_millis(target);
+        match self.status {
+            0 => Ended::GivenUp,
+            200..=499 if in_time => Ended::InTime,
+            _ => Ended::Late { parts: self.request.trail.parts_in_time() },
+        }
     }
 }
 
 impl Drop for Record<'_> {
     fn drop(&mut self) {
-        let in_time = self.in_time();
+        let ended = self.ended();
         if let Some(route) = self.route.filter(|_| self.admitted) {
-            self.state.request_ended(route, in_time);
+            self.state.request_ended(route, ended);
         }
         let missing = self.parts.map_or(0, |(present, whole)| whole - present);
         let held = self.request.received.elapsed();
@@ -190,7 +192,7 @@
             status: self.status,
             parts: self.parts,
             retry_after_ms: self.retry_after.map(|span| span.as_millis() as u64),
-            ordinary: in_time == Some(true) && missing == 0,
+            ordinary: ended == Ended::InTime && missing == 0,
         };
         let sample = self.state.settings.log_sample;
         self.request.trail.write(&self.request.id, &end, sample);
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -10,9 +10,9 @@
 
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::forwarding::{
-    Admitted, Connectivity, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, OverloadGate,
-    OverloadGateSettings, ReplicaSet, ReplicaSettings, Selection, SharingBrokers, SplitTurns,
-    connection_share,
+    Admitted, Connectivity, Distance, Ended, ExtraLoadBudget, ExtraLoadSettings, Outcome,
+    OverloadGate, OverloadGateSettings, ReplicaSet, ReplicaSettings, Selection, SharingBrokers,
+    SplitTurns, connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable, WeightedService};
@@ -299,8 +299,8 @@
         gate.admit(self.now(), &self.gate_settings, table.rank(route))
     }
 
-    /// A request that was admitted has ended; `in_time` is none when its caller left.
-    pub fn request_ended(&self, route: &Route, in_time: Option<bool>) {
+    /// A request that was admitted has ended.
+    pub fn request_ended(&self, route: &Route, ended: Ended) {
         let now = self.now();
         let mut gates = self.gates.borrow_mut();
         let gate = route.destination.representative().and_then(|service| gates.get_mut(service));
@@ -308,7 +308,7 @@
             return;
         };
         let limiting = gate.is_limiting();
-        gate.finish(now, &self.gate_settings, in_time);
+        gate.finish(now, &self.gate_settings, ended);
         if gate.is_limiting() != limiting {
             let (limited, in_flight) = (!limiting, gate.in_flight());
             info!(event = "admission_changed", route = route.name, limited, in_flight);
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -4,7 +4,7 @@
 //! came late or lacks parts, and for a sample of the others, chosen by the request's id so that
 //! every process samples the same ones.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Instant;
 
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
@@ -78,12 +78,24 @@
 pub struct Trail {
     received: Instant,
     attempts: RefCell<Vec<Attempt>>,
+    /// Parts that came within the target latency, and all parts, of a request to many shards.
+    parts_in_time: Cell<Option<(usize, usize)>>,
 }
 
 impl Trail {
     /// Nothing was decided yet.
     pub fn new(received: Instant) -> Self {
-        Self { received, attempts: RefCell::default() }
+        Self { received, attempts: RefCell::default(), parts_in_time: Cell::default() }
+    }
+
+    /// Of a request to many shards, `present` of `whole` parts came within the target latency.
+    pub fn gathered(&self, present: usize, whole: usize) {
+        self.parts_in_time.set(Some((present, whole)));
+    }
+
+    /// What [`Self::gathered`] was told; none before.
+    pub fn parts_in_time(&self) -> Option<(usize, usize)> {
+        self.parts_in_time.get()
     }
 
     /// A leaf is asked.
@@ -125,7 +137,7 @@
             return;
         }
         let request = String::from_utf8_lossy(id);
-        let (parts_in, parts) = end.parts.unwrap_or((0, 0));
+        let (parts_in, parts) = end.parts.or(self.parts_in_time()).unwrap_or((0, 0));
         info!(
             event = "request_ended",
             %request,
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -11,7 +11,7 @@
 pub use connection_share::{SharingBrokers, connection_share};
 pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
-pub use overload::{Admitted, OverloadGate, OverloadGateSettings};
+pub use overload::{Admitted, Ended, OverloadGate, OverloadGateSettings};
 pub use replica::{Distance, Outcome};
 pub use replica_set::{Choice, Connectivity, ReplicaSet, ReplicaSettings, Selection};
 pub use split::SplitTurns;
--- a/crates/domain/src/forwarding/overload.rs
+++ b/crates/domain/src/forwarding/overload.rs
@@ -2,7 +2,7 @@
 //!
 //! While most requests are answered in time everything is admitted. When many are late or refused
 //! by leaves, the requests under way are limited: the limit falls while it stays so and rises
-//! slowly when it is over. Requests of lower priority are refused first, at once, since a request
+//! slowly when it is over. A request to many shards of which only a few were late does not count. Requests of lower priority are refused first, at once, since a request
 //! that cannot be answered in time only takes capacity from those that can.
 
 use std::time::Duration;
@@ -16,6 +16,9 @@
     pub round: Duration,
     /// Share of late or refused requests above which a round is bad.
     pub bad_share: f64,
+    /// Share of the parts of a late request that came in time from which on it tells of the shards
+    /// that were late, and not of a lack of capacity.
+    pub few_late_parts: f64,
     /// Requests that a round needs to be judged.
     pub least_samples: u32,
     /// Factor of the limit after a bad round.
@@ -35,6 +38,7 @@
         Self {
             round: Duration::from_millis(200),
             bad_share: 0.2,
+            few_late_parts: 0.75,
             least_samples: 8,
             decrease: 0.8,
             increase: 1.05,
@@ -54,6 +58,36 @@
     No(Duration),
 }
 
+/// How a request that was admitted has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// It was answered within its target latency.
+    InTime,
+    /// It was not.
+    Late {
+        /// Parts that came within the target latency, and all parts, of a request to many shards.
+        parts: Option<(usize, usize)>,
+    },
+    /// Its caller gave it up.
+    GivenUp,
+}
+
+impl Ended {
+    /// Whether it tells that leaves run short; none where it tells nothing. All shards of a request
+    /// get the same load: where few of them are late, these are slow, and fewer requests would not
+    /// make them faster.
+    fn tells_of_shortage(self, settings: &OverloadGateSettings) -> Option<bool> {
+        match self {
+            Self::InTime => Some(false),
+            Self::Late { parts: None } => Some(true),
+            Self::Late { parts: Some((in_time, whole)) } => {
+                Some((in_time as f64) < whole as f64 * settings.few_late_parts)
+            }
+            Self::GivenUp => None,
+        }
+    }
+}
+
 /// Admission for one destination.
 #[derive(Debug, Default)]
 pub struct OverloadGate {
@@ -99,17 +133,12 @@
         Admitted::Yes
     }
 
-    /// A request has ended; `in_time` is none when its caller gave it up.
-    pub fn finish(
-        &mut self,
-        now: Timestamp,
-        settings: &OverloadGateSettings,
-        in_time: Option<bool>,
-    ) {
+    /// A request has ended.
+    pub fn finish(&mut self, now: Timestamp, settings: &OverloadGateSettings, ended: Ended) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        match in_time {
-            Some(true) => self.good += 1,
-            Some(false) => self.bad += 1,
+        match ended.tells_of_shortage(settings) {
+            Some(true) => self.bad += 1,
+            Some(false) => self.good += 1,
             None => {}
         }
         if now.since(self.round_began) >= settings.round {
--- a/crates/domain/tests/overload_gate.rs
+++ b/crates/domain/tests/overload_gate.rs
@@ -1,12 +1,17 @@
 //! Admission when leaves run short of capacity.
 
-use gingerkeel_domain::forwarding::{Admitted, OverloadGate, OverloadGateSettings};
+use gingerkeel_domain::forwarding::{Admitted, Ended, OverloadGate, OverloadGateSettings};
 use gingerkeel_domain::time::Timestamp;
+use rstest::rstest;
 
 fn at(milliseconds: u64) -> Timestamp {
     Timestamp::from_micros(milliseconds * 1_000)
 }
 
+fn ended(in_time: bool) -> Ended {
+    if in_time { Ended::InTime } else { Ended::Late { parts: None } }
+}
+
 /// Leaves that work on `capacity` requests at once, each for 50 ms; callers ask `per_tick` times
 /// each 10 ms for each of two ranks. A request that ends more than 100 ms after it came is late.
 struct World {
@@ -37,12 +42,12 @@
     fn run(&mut self, from: u64, to: u64, per_tick: usize) {
         (self.in_time, self.late, self.refused) = Default::default();
         for now in (from..to).step_by(10) {
-            let ended = self.running.extract_if(.., |(_, end, _)| *end <= now);
-            for (came, _, rank) in ended.collect::<Vec<_>>() {
+            let over = self.running.extract_if(.., |(_, end, _)| *end <= now);
+            for (came, _, rank) in over.collect::<Vec<_>>() {
                 let in_time = now - came <= 100;
                 let counts = if in_time { &mut self.in_time } else { &mut self.late };
                 counts[rank] += 1;
-                self.gate.finish(at(now), &self.settings, Some(in_time));
+                self.gate.finish(at(now), &self.settings, ended(in_time));
             }
             for rank in (0..per_tick * 2).map(|number| number % 2) {
                 match self.gate.admit(at(now), &self.settings, rank as u32) {
@@ -95,17 +100,35 @@
     for number in 0..1_000 {
         let now = at(number * 5);
         assert_eq!(gate.admit(now, &settings, 3), Admitted::Yes);
-        gate.finish(now, &settings, Some(number % 8 != 0));
+        gate.finish(now, &settings, ended(number % 8 != 0));
     }
     assert!(!gate.is_limiting());
 }
 
+/// Every request lacks two of ten parts at its target latency, or most of them.
+#[rstest]
+#[case::a_few_slow_shards(8, false)]
+#[case::all_leaves_are_short(3, true)]
+fn only_parts_that_are_late_everywhere_tell_of_a_lack_of_capacity(
+    #[case] in_time: usize,
+    #[case] limits: bool,
+) {
+    let (mut gate, settings) = (OverloadGate::default(), OverloadGateSettings::default());
+    for number in 0..200 {
+        let now = at(number * 10);
+        if gate.admit(now, &settings, 1) == Admitted::Yes {
+            gate.finish(now, &settings, Ended::Late { parts: Some((in_time, 10)) });
+        }
+    }
+    assert_eq!(gate.is_limiting(), limits);
+}
+
 #[test]
 fn requests_that_callers_gave_up_say_nothing_and_are_not_under_way() {
     let (mut gate, settings) = (OverloadGate::default(), OverloadGateSettings::default());
     for number in 0..1_000 {
         assert_eq!(gate.admit(at(number), &settings, 0), Admitted::Yes);
-        gate.finish(at(number), &settings, None);
+        gate.finish(at(number), &settings, Ended::GivenUp);
     }
     assert_eq!(gate.in_flight(), 0);
     assert!(!gate.is_limiting());
