Take over the control processes that changed settings name, and say what else needs a restart

Before, both programs only kept SIGHUP from ending them. A broker whose control processes were all replaced while it was cut off had nobody left to ask until its restart. Ways weighed: taking everything over while running (budgets, addresses: each needs a rule of its own for what is under way), or only what can leave a broker alone for good; the second, and the log names the rest. The file is looked at each second besides the signal, since it may change without one. Tests: broker/tests/reload.rs (a second control process is followed, with a signal and without one; unusable settings change nothing; the rest is named), control/tests/reload.rs.

--- a/crates/broker/src/catalog_follower.rs
+++ b/crates/broker/src/catalog_follower.rs
@@ -11,14 +11,16 @@
 
 use crate::clock::Clock;
 use crate::engine::EngineMessage;
-use crate::feed;
+use crate::feed::{self, FeedInputs};
 
 /// Follows the catalog for ever; `applied` is told each revision that comes into force.
 pub async fn follow_catalog(settings: BrokerSettings, mut applied: impl FnMut(Revision)) {
     let run = BrokerRun(rand::rng().random());
     let (engine, mut messages) = local_sync::mpsc::unbounded::channel();
     let (_last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    monoio::spawn(feed::follow(settings, run, Clock::start(), engine, last_reports, None));
+    let (_controls, controls) = local_sync::mpsc::unbounded::channel();
+    let inputs = FeedInputs { last_reports, controls };
+    monoio::spawn(feed::follow(settings, run, Clock::start(), engine, inputs, None));
     let mut in_force = Arc::default();
     while let Some(message) = messages.recv().await {
         if let EngineMessage::CatalogChanged(catalog) = message {
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -74,7 +74,7 @@
     run: BrokerRun,
     clock: Clock,
     engine: Tx<EngineMessage>,
-    last_reports: Rx<LastReport>,
+    inputs: FeedInputs,
     routes: Option<Tx<RouteUpdate>>,
 ) {
     let longest_pause = Duration::from_millis(settings.control_pause_ms.into());
@@ -85,8 +85,9 @@
         charges: ChargeReporter::new(run.0),
         overload: OverloadReporter::default(),
         reports_due: clock.now(),
-        last_reports,
+        last_reports: inputs.last_reports,
         last_report: None,
+        controls: inputs.controls,
         settings,
         run,
         clock,
@@ -114,6 +115,14 @@
     }
 }
 
+/// What other tasks tell the feed.
+pub struct FeedInputs {
+    /// The last totals, once the process ends.
+    pub last_reports: Rx<LastReport>,
+    /// The addresses of control processes, when the settings have changed.
+    pub controls: Rx<Vec<SocketAddr>>,
+}
+
 /// What ends with the process: its last totals, to be reported before it does.
 pub struct LastReport {
     /// Totals of charges.
@@ -151,6 +160,7 @@
     reports_due: Timestamp,
     last_reports: Rx<LastReport>,
     last_report: Option<LastReport>,
+    controls: Rx<Vec<SocketAddr>>,
     settings: BrokerSettings,
     run: BrokerRun,
     clock: Clock,
@@ -163,7 +173,10 @@
 impl Link {
     /// The control process whose turn it is: one of the settings, and once as many tries in a row
     /// have failed as they name, also one that was learnt.
-    fn control(&self, turn: usize, failures: usize) -> SocketAddr {
+    fn control(&mut self, turn: usize, failures: usize) -> SocketAddr {
+        while let Ok(named) = self.controls.try_recv() {
+            self.settings.control = named;
+        }
         let named = &self.settings.control;
         if failures < named.len() {
             return named[turn % named.len()];
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod leaves;
 mod metrics;
+mod reload;
 pub mod routes;
 mod signals;
 mod stop;
@@ -16,7 +17,7 @@
 
 use gingerkeel_domain::feed::ChargeTotals;
 use gingerkeel_domain::identifiers::BrokerRun;
-use gingerkeel_settings::BrokerSettings;
+use gingerkeel_settings::{BrokerSettings, SettingsSource};
 use gingerkeel_transport::listen;
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
@@ -27,19 +28,23 @@
 use crate::callers::CallerServer;
 use crate::clock::Clock;
 use crate::engine::{Engine, EngineMessage};
-use crate::feed::LastReport;
+use crate::feed::{FeedInputs, LastReport};
 use crate::routes::{Dialect, RouteServer};
 use crate::stop::StopSignal;
 
 /// Time that a planned stop waits for the receipt of the last charges.
 const LAST_REPORT_LIMIT: Duration = Duration::from_secs(5);
 
-/// Serves callers until a planned stop has finished what was in flight.
+/// Serves callers until a planned stop has finished what was in flight. The settings are read again
+/// from `source` when it changes.
 ///
 /// # Errors
 /// An [`io::Error`] when an address cannot be bound or signals cannot be watched.
-pub async fn run(settings: BrokerSettings) -> io::Result<()> {
-    signals::ignore_reload()?;
+pub async fn run(
+    settings: BrokerSettings,
+    source: SettingsSource<BrokerSettings>,
+) -> io::Result<()> {
+    let controls = reload::start(source, &settings)?;
     let listener = listen(settings.listen)?;
     let metrics_listener = settings.metrics.map(listen).transpose()?;
     let (engine, messages) = local_sync::mpsc::unbounded::channel();
@@ -69,7 +74,8 @@
     };
     let run = BrokerRun(rand::rng().random());
     let (last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    let feed = feed::follow(settings.clone(), run, clock, engine.clone(), last_reports, updates);
+    let inputs = FeedInputs { last_reports, controls };
+    let feed = feed::follow(settings.clone(), run, clock, engine.clone(), inputs, updates);
     monoio::spawn(feed);
     let totals = Engine::new(&settings, run, clock, engine).run(messages).await;
     if let Some(routes) = routes {
--- a/crates/broker/src/main.rs
+++ b/crates/broker/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::exit;
 
-use gingerkeel_settings::{BrokerSettings, EXIT_BAD_SETTINGS, load, start_logging};
+use gingerkeel_settings::{BrokerSettings, EXIT_BAD_SETTINGS, SettingsSource, load, start_logging};
 use gumdrop::Options;
 
 /// Broker of the gingerkeel query tier.
@@ -38,7 +38,8 @@
         return;
     }
     start_logging();
-    let outcome = gingerkeel_transport::block_on(gingerkeel_broker::run(settings));
+    let source = SettingsSource::new(path, |path| load(path).map_err(|error| error.to_string()));
+    let outcome = gingerkeel_transport::block_on(gingerkeel_broker::run(settings, source));
     if let Err(error) = outcome.and_then(|result| result) {
         eprintln!("gingerkeel-broker: {error}: check that the addresses are free");
         exit(1);
--- /dev/null
+++ b/crates/broker/src/reload.rs
@@ -0,0 +1,50 @@
+//! Takes over settings that change while the broker runs: the addresses of control processes.
+
+use std::io;
+use std::net::SocketAddr;
+
+use gingerkeel_settings::{BrokerSettings, SettingsSource};
+use gingerkeel_transport::FileWatch;
+use local_sync::mpsc::unbounded::{self, Rx, Tx};
+use tracing::{info, warn};
+
+/// Watches the settings file for ever; gives the channel over which the addresses of control
+/// processes come when they have changed.
+///
+/// # Errors
+/// An [`io::Error`] when the signal of changed settings cannot be watched.
+pub fn start(
+    source: SettingsSource<BrokerSettings>,
+    in_force: &BrokerSettings,
+) -> io::Result<Rx<Vec<SocketAddr>>> {
+    let watch = FileWatch::start(source.path())?;
+    let (controls, changed) = unbounded::channel();
+    monoio::spawn(run(watch, source, in_force.clone(), controls));
+    Ok(changed)
+}
+
+async fn run(
+    mut watch: FileWatch,
+    source: SettingsSource<BrokerSettings>,
+    mut in_force: BrokerSettings,
+    controls: Tx<Vec<SocketAddr>>,
+) {
+    loop {
+        watch.changed().await;
+        let file = source.path().display();
+        match source.read() {
+            Ok(settings) => {
+                let control_changed = settings.control != in_force.control;
+                in_force.control = settings.control.clone();
+                // All else stands as it was read at the start.
+                let restart_needed = settings != in_force;
+                info!(event = "settings_read", %file, control_changed, restart_needed);
+                if control_changed {
+                    // The feed lives as long as the process.
+                    let _ = controls.send(settings.control);
+                }
+            }
+            Err(error) => warn!(event = "settings_unusable", %file, %error, kept = true),
+        }
+    }
+}
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -15,11 +15,12 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use gingerkeel_domain::identifiers::BrokerRun;
-use gingerkeel_settings::{BrokerSettings, RouteSettings};
+use gingerkeel_settings::{BrokerSettings, RouteSettings, SettingsSource};
 use gingerkeel_transport::listen;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use monoio::time::sleep;
@@ -29,7 +30,8 @@
 pub use dialect::Dialect;
 
 use crate::clock::Clock;
-use crate::feed::{self, RouteUpdate};
+use crate::feed::{self, FeedInputs, RouteUpdate};
+use crate::reload;
 use crate::signals;
 use crate::stop::StopSignal;
 use callers::CallerServer;
@@ -44,7 +46,8 @@
 /// Part of the time of a planned stop after which the process ends in any case.
 const STOP_END_SHARE: f64 = 0.92;
 
-/// Serves routes, and nothing else, until a planned stop has finished what was in flight.
+/// Serves routes, and nothing else, until a planned stop has finished what was in flight. The
+/// settings are read again from `source` when it changes.
 ///
 /// # Errors
 /// An [`io::Error`] when an address cannot be bound or signals cannot be watched.
@@ -52,12 +55,13 @@
     settings: BrokerSettings,
     routes: RouteSettings,
     dialect: Dialect,
+    source: SettingsSource<BrokerSettings>,
 ) -> io::Result<()> {
-    signals::ignore_reload()?;
+    let controls = reload::start(source, &settings)?;
     let requested = signals::stop_requested()?;
     let (stop, clock) = (StopSignal::new(), Clock::start());
     let (server, updates) = RouteServer::start(&settings, routes, dialect, clock, &stop)?;
-    follow(settings.clone(), clock, updates);
+    follow(settings.clone(), clock, controls, updates);
     requested.await;
     stop.give();
     server.finish().await;
@@ -131,7 +135,12 @@
 }
 
 /// Follows the control processes for ever.
-fn follow(settings: BrokerSettings, clock: Clock, updates: Tx<RouteUpdate>) {
+fn follow(
+    settings: BrokerSettings,
+    clock: Clock,
+    controls: Rx<Vec<SocketAddr>>,
+    updates: Tx<RouteUpdate>,
+) {
     let run = BrokerRun(rand::rng().random());
     let (engine, mut messages) = unbounded::channel();
     // Without queries there is nothing to charge for and nothing to report.
@@ -140,7 +149,8 @@
     monoio::spawn(async move {
         // Kept so that the feed does not take it for the end of the process.
         let _last_report = last_report;
-        feed::follow(settings, run, clock, engine, last_reports, Some(updates)).await;
+        let inputs = FeedInputs { last_reports, controls };
+        feed::follow(settings, run, clock, engine, inputs, Some(updates)).await;
     });
 }
 
--- a/crates/broker/src/signals.rs
+++ b/crates/broker/src/signals.rs
@@ -3,24 +3,12 @@
 use std::future::Future;
 use std::io;
 use std::os::unix::net::UnixStream as StdUnixStream;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::low_level::pipe;
 
-/// Takes the word that settings have changed: by itself it would end the process. A broker reads
-/// its settings at its start only.
-///
-/// # Errors
-/// An [`io::Error`] when the signal cannot be watched.
-pub fn ignore_reload() -> io::Result<()> {
-    signal_hook::flag::register(SIGHUP, Arc::new(AtomicBool::new(false)))?;
-    Ok(())
-}
-
 /// A future that ends once SIGTERM or SIGINT has arrived.
 ///
 /// # Errors
--- a/crates/broker/tests/support/broker.rs
+++ b/crates/broker/tests/support/broker.rs
@@ -13,6 +13,9 @@
 use super::control::ScriptedControl;
 use super::wait_until;
 
+/// Name of the settings file.
+const SETTINGS: &str = "broker.toml";
+
 /// A broker process; killed when dropped.
 pub struct Broker {
     /// Where callers connect.
@@ -40,7 +43,7 @@
     pub fn start_on(control: ScriptedControl, settings: &str) -> Self {
         let feed = control.address;
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let path = folder.path().join("broker.toml");
+        let path = folder.path().join(SETTINGS);
         let text = format!(
             "name = \"broker\"\nregion = \"south\"\nzone = \"a\"\n\
              listen = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\ncontrol = [\"{feed}\"]\nseed = 1\n{settings}\n"
@@ -86,6 +89,13 @@
         fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
     }
 
+    /// Writes the settings file anew, without a signal.
+    pub fn change_settings(&self, change: impl FnOnce(String) -> String) {
+        let path = self.folder.path().join(SETTINGS);
+        let text = fs::read_to_string(&path).expect("the settings are read");
+        fs::write(&path, change(text)).expect("the settings are written");
+    }
+
     /// The metrics as text.
     pub fn metrics(&self) -> String {
         let mut caller = Caller::connect(self.metrics);
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -39,7 +39,7 @@
     );
     let settings: ControlSettings = gingerkeel_settings::parse("test", &text).unwrap();
     thread::spawn(move || {
-        gingerkeel_transport::block_on(gingerkeel_control::run(settings)).unwrap().unwrap()
+        gingerkeel_transport::block_on(gingerkeel_control::run(settings, None)).unwrap().unwrap()
     });
     let end = Instant::now() + READY_LIMIT;
     while !run(&[operators], &["SHOW STATUS"]).status.success() {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,10 +11,10 @@
 mod native_routes;
 mod operators;
 pub mod ports;
+mod reload;
 pub mod replication;
 mod replication_client;
 mod route_operators;
-mod signals;
 pub mod storage;
 mod tables;
 
@@ -23,7 +23,7 @@
 use std::time::Duration;
 
 use gingerkeel_domain::identifiers::ControlName;
-use gingerkeel_settings::ControlSettings;
+use gingerkeel_settings::{ControlSettings, SettingsSource};
 use gingerkeel_transport::listen;
 use local_sync::mpsc::unbounded;
 use monoio::net::TcpListener;
@@ -51,16 +51,20 @@
     pub directory: Option<Rc<dyn DirectoryInterface>>,
 }
 
-/// Serves operators and brokers until the process ends.
+/// Serves operators and brokers until the process ends. When `source` changes, it is said whether
+/// that needs a restart.
 ///
 /// # Errors
 /// A [`ControlError`] when an address or the data folder cannot be used.
-pub async fn run(settings: ControlSettings) -> Result<(), ControlError> {
+pub async fn run(
+    settings: ControlSettings,
+    source: Option<SettingsSource<ControlSettings>>,
+) -> Result<(), ControlError> {
     let interfaces = Interfaces {
         routes: Some(Rc::new(NativeRoutes)),
         directory: Some(Rc::new(NativeDirectory)),
     };
-    run_with(settings, interfaces).await
+    run_with(settings, source, interfaces).await
 }
 
 /// As [`run`], with other interfaces besides the own ones.
@@ -69,9 +73,12 @@
 /// As [`run`].
 pub async fn run_with(
     settings: ControlSettings,
+    source: Option<SettingsSource<ControlSettings>>,
     interfaces: Interfaces,
 ) -> Result<(), ControlError> {
-    signals::ignore_reload()?;
+    if let Some(source) = source {
+        reload::start(source, &settings)?;
+    }
     let operators = bind(settings.operators)?;
     let feed = bind(settings.feed)?;
     info!(
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -4,7 +4,9 @@
 use std::process::exit;
 
 use gingerkeel_control::ControlError;
-use gingerkeel_settings::{ControlSettings, EXIT_BAD_SETTINGS, load, start_logging};
+use gingerkeel_settings::{
+    ControlSettings, EXIT_BAD_SETTINGS, SettingsSource, load, start_logging,
+};
 use gumdrop::Options;
 
 /// Control process of the gingerkeel query tier.
@@ -39,7 +41,8 @@
         return;
     }
     start_logging();
-    let outcome = gingerkeel_transport::block_on(gingerkeel_control::run(settings));
+    let source = SettingsSource::new(path, |path| load(path).map_err(|error| error.to_string()));
+    let outcome = gingerkeel_transport::block_on(gingerkeel_control::run(settings, Some(source)));
     if let Err(error) = outcome.map_err(ControlError::from).and_then(|result| result) {
         eprintln!("gingerkeel-control: {error}");
         exit(1);
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -50,7 +50,7 @@
             folder.path()
         );
         let settings: ControlSettings = gingerkeel_settings::parse("test", &text).unwrap();
-        thread::spawn(move || block_on(gingerkeel_control::run(settings)).unwrap().unwrap());
+        thread::spawn(move || block_on(gingerkeel_control::run(settings, None)).unwrap().unwrap());
         wait_until(|| TcpStream::connect(operators).is_ok() && TcpStream::connect(feed).is_ok());
         let control = Self { operators, feed, _folder: Some(folder) };
         wait_until(|| control.post("SHOW STATUS", None).0 == 200);
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -8,7 +8,7 @@
 use crate::{Check, SettingsError, Validate};
 
 /// Settings of a broker.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BrokerSettings {
     /// Name of the broker, unique in the cluster.
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -12,7 +12,7 @@
 const PEER_LIMIT: usize = 16;
 
 /// Settings of a control process.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
     /// Name of the process, unique in the cluster.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 mod control;
 mod error;
 mod logging;
+mod source;
 mod validate;
 
 use std::fs;
@@ -15,6 +16,7 @@
 pub use control::{ControlSettings, DirectorySettings, PeerSettings, SeedSettings};
 pub use error::SettingsError;
 pub use logging::{LogGuard, LogSettings, start_bounded_logging, start_logging};
+pub use source::{ReadSettings, SettingsSource};
 pub use validate::{Check, Validate};
 
 /// Exit code of a process whose settings or flags are wrong.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod client;
 mod error;
+mod file_watch;
 pub mod http1;
 mod limits;
 mod listener;
@@ -16,6 +17,7 @@
 pub use answers::{json_answer, text_answer};
 pub use client::{ClientConnection, RequestWriter, ResponseReader};
 pub use error::TransportError;
+pub use file_watch::FileWatch;
 pub use limits::Limits;
 pub use listener::listen;
 pub use message::{HttpRequest, HttpResponse};
