Tell a silent control process apart from one that runs another release

Cause: a peer that took no connection or sent nothing in time was logged as a malformed frame, with the remedy to run the same release at both ends.

--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -145,7 +145,7 @@
 
     async fn connect(&mut self) -> Result<(Reader, OwnedWriteHalf<TcpStream>), ProtocolError> {
         let connecting = timeout(CONNECT_LIMIT, TcpStream::connect_addr(self.address));
-        let silent = |_| ProtocolError::Malformed("the peer takes no connection".into());
+        let silent = |_| ProtocolError::Silent("it takes no connection");
         let stream = connecting.await.map_err(silent)??;
         // Without it messages are only slower.
         let _ = stream.set_nodelay(true);
@@ -190,7 +190,7 @@
                 step(send(&mut writer, &PeerFrame::Consensus { document })).await??;
             }
             if heard.get().is_none_or(|heard| heard.elapsed() > SILENCE_LIMIT) {
-                return Err(ProtocolError::Malformed("the peer is silent".into()));
+                return Err(ProtocolError::Silent("it sends nothing"));
             }
             if probed.elapsed() >= PROBE_INTERVAL {
                 probed = Instant::now();
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -20,6 +20,10 @@
         Document(reason: String) {
             display("a document is not understood ({reason}): run the same release at both ends")
         }
+        /// The peer did not do in time what it had to.
+        Silent(what: &'static str) {
+            display("the peer is silent ({what}): check that it runs and is reachable")
+        }
         /// The socket failed.
         Socket(error: io::Error) {
             from()
