Disturb the links between processes in the soak: delays, silence both ways or one way, resets

The relay of the scale runs gets these faults and stands between brokers and control processes and before each leaf. Ways weighed for a reset: a linger time of zero (the library sends a close first, so that the target sees an ordered end: the test failed with it), or disconnecting the socket, which resets; the second. The connecting side sees a close. Not done: relays among control processes, whose addresses are their names.

--- a/crates/rehearsal/src/relay/mod.rs
+++ b/crates/rehearsal/src/relay/mod.rs
@@ -1,22 +1,28 @@
-//! A relay between processes that counts the bytes that pass, and can be cut.
+//! A relay between processes that counts the bytes that pass, and can be cut or disturbed.
 
 mod frames;
+mod link;
 
 use std::collections::BTreeMap;
 use std::net::{Shutdown, SocketAddr};
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
+use std::time::Duration;
 
 use monoio::io::{
     AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
 };
 use monoio::net::{TcpListener, TcpStream};
+use rustix::net::connect_unspec;
 use tracing::warn;
 
 pub use frames::{BytesByKind, FrameFollower, KindCounters};
+pub use link::LinkFault;
 
 use crate::error::RehearsalError;
+use link::LinkState;
 
 /// Bytes that are read at once.
 const BUFFER_BYTES: usize = 64 * 1024;
@@ -26,6 +32,7 @@
 struct Direction {
     bytes: AtomicU64,
     kinds: KindCounters,
+    link: LinkState,
 }
 
 /// What a relay and its thread share.
@@ -112,9 +119,41 @@
         }
     }
 
-    /// Ends a cut.
+    /// Disturbs the link until [`Self::heal`].
+    pub fn disturb(&self, fault: LinkFault) {
+        let (to_target, from_target) = (&self.shared.to_target.link, &self.shared.from_target.link);
+        match fault {
+            LinkFault::Delayed(delay) => {
+                to_target.set(delay, false);
+                from_target.set(delay, false);
+            }
+            LinkFault::Silent => {
+                to_target.set(Duration::ZERO, true);
+                from_target.set(Duration::ZERO, true);
+            }
+            LinkFault::SilentToTarget => to_target.set(Duration::ZERO, true),
+            LinkFault::SilentFromTarget => from_target.set(Duration::ZERO, true),
+            LinkFault::Reset => self.reset(),
+        }
+    }
+
+    /// Resets all connections, and every new one at once, until [`Self::heal`].
+    fn reset(&self) {
+        let mut connections = self.shared.connections();
+        connections.cut = true;
+        for connection in std::mem::take(&mut connections.open).into_values() {
+            // Without a peer the connection is reset, and the task that passes bytes on ends. One that
+            // ended by itself meanwhile needs no end.
+            let _ = connect_unspec(&connection);
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Ends a cut and every other fault.
     pub fn heal(&self) {
         self.shared.connections().cut = false;
+        self.shared.to_target.link.set(Duration::ZERO, false);
+        self.shared.from_target.link.set(Duration::ZERO, false);
     }
 }
 
@@ -135,6 +174,10 @@
         Some(number)
     }
 
+    fn is_cut(&self) -> bool {
+        self.connections().cut
+    }
+
     fn forget(&self, number: u64) {
         self.connections().open.remove(&number);
     }
@@ -148,11 +191,11 @@
     let listener = TcpListener::from_std(listener)?;
     loop {
         let (stream, _) = listener.accept().await?;
-        monoio::spawn(connect(stream, target, shared.clone()));
+        monoio::spawn(relay(stream, target, shared.clone()));
     }
 }
 
-async fn connect(stream: TcpStream, target: SocketAddr, shared: Arc<Shared>) {
+async fn relay(stream: TcpStream, target: SocketAddr, shared: Arc<Shared>) {
     // The connecting side sees its connection close.
     let Ok((peer, handle)) = open(target) else {
         return;
@@ -164,12 +207,16 @@
     let _ = (stream.set_nodelay(true), peer.set_nodelay(true));
     let (from_caller, to_caller) = stream.into_split();
     let (from_target, to_target) = peer.into_split();
-    let backward = shared.clone();
-    monoio::spawn(async move {
-        pass(from_target, to_caller, &backward.from_target).await;
-        backward.forget(number);
-    });
-    pass(from_caller, to_target, &shared.to_target).await;
+    let mut forward = pin!(pass(from_caller, to_target, &shared, &shared.to_target));
+    let mut backward = pin!(pass(from_target, to_caller, &shared, &shared.from_target));
+    monoio::select! {
+        _ = &mut forward => backward.await,
+        // What is left of a connection that was cut closes with this task.
+        _ = &mut backward => if !shared.is_cut() {
+            forward.await;
+        },
+    }
+    shared.forget(number);
 }
 
 /// A connection to the target, and a handle by which a cut closes it.
@@ -184,6 +231,7 @@
 async fn pass(
     mut from: OwnedReadHalf<TcpStream>,
     mut to: OwnedWriteHalf<TcpStream>,
+    shared: &Shared,
     direction: &Direction,
 ) {
     let mut frames = FrameFollower::default();
@@ -195,6 +243,7 @@
         };
         direction.bytes.fetch_add(count as u64, Ordering::Relaxed);
         frames.follow(&filled[..count], &direction.kinds);
+        direction.link.let_pass().await;
         let (written, emptied) = to.write_all(filled).await;
         if written.is_err() {
             break;
@@ -202,6 +251,8 @@
         buffer = emptied;
         buffer.clear();
     }
-    // The other side may have closed it already.
-    let _ = to.shutdown().await;
+    // A connection that is reset is not closed in order; the other side may have closed it already.
+    if !shared.is_cut() {
+        let _ = to.shutdown().await;
+    }
 }
--- a/crates/rehearsal/src/soak/faults.rs
+++ b/crates/rehearsal/src/soak/faults.rs
@@ -11,6 +11,7 @@
 use super::leaves::{LeafMode, StandInLeaf, TROUBLED_MODES};
 use super::record::Record;
 use crate::error::RehearsalError;
+use crate::relay::{LinkFault, Relay};
 
 /// Time for which all control processes have to have run before one loses its disk.
 const QUIET_BEFORE_WIPE: Duration = Duration::from_secs(6);
@@ -26,9 +27,11 @@
     StopBroker,
     TroubleLeaves,
     KillAllControls,
+    DisturbFeed,
+    DisturbLeafLinks,
 }
 
-const FAULTS: [Fault; 8] = [
+const FAULTS: [Fault; 10] = [
     Fault::KillControl,
     Fault::FreezeControl,
     Fault::WipeControl,
@@ -37,6 +40,8 @@
     Fault::StopBroker,
     Fault::TroubleLeaves,
     Fault::KillAllControls,
+    Fault::DisturbFeed,
+    Fault::DisturbLeafLinks,
 ];
 
 /// Causes faults, one after the other, until `end`.
@@ -93,6 +98,14 @@
                 }
             }
             Fault::TroubleLeaves => trouble(leaves, random, lasts),
+            Fault::DisturbFeed => {
+                let links = fleet.feeds[broker].iter().filter(|_| random.random_bool(0.6));
+                disturb(&links.collect::<Vec<_>>(), random, lasts);
+            }
+            Fault::DisturbLeafLinks => {
+                let links = leaves.iter().filter(|_| random.random_bool(0.4));
+                disturb(&links.map(|leaf| &leaf.link).collect::<Vec<_>>(), random, lasts);
+            }
         }
         note_own_ends(fleet, record);
         fleet.run_all()?;
@@ -117,6 +130,22 @@
     troubled.iter().for_each(|leaf| leaf.set_mode(LeafMode::Sound));
 }
 
+/// Some links do badly for a while.
+fn disturb(links: &[&Relay], random: &mut Pcg64, lasts: Duration) {
+    let faults = [
+        LinkFault::Delayed(Duration::from_millis(random.random_range(1..80))),
+        LinkFault::Silent,
+        LinkFault::SilentToTarget,
+        LinkFault::SilentFromTarget,
+        LinkFault::Reset,
+    ];
+    let fault = faults[random.random_range(0..faults.len())];
+    info!(event = "links_disturbed", ?fault, count = links.len());
+    links.iter().for_each(|link| link.disturb(fault));
+    sleep(lasts);
+    links.iter().for_each(|link| link.heal());
+}
+
 /// A process that ended though nobody ended it has failed.
 fn note_own_ends(fleet: &mut SoakFleet, record: &Record) {
     let nodes = fleet.controls.iter_mut().chain(&mut fleet.brokers);
--- a/crates/rehearsal/src/soak/fleet.rs
+++ b/crates/rehearsal/src/soak/fleet.rs
@@ -8,6 +8,7 @@
 use super::http::exchange;
 use crate::error::RehearsalError;
 use crate::fleet::{Binaries, ManagedProcess, Signal, free_addresses};
+use crate::relay::Relay;
 
 /// Control processes; all are seeds.
 pub const CONTROLS: usize = 3;
@@ -122,6 +123,8 @@
     pub controls: Vec<Node>,
     /// Brokers.
     pub brokers: Vec<Node>,
+    /// The links of each broker to each control process.
+    pub feeds: Vec<Vec<Relay>>,
     /// Where each control process takes configurations of routes.
     pub operators: Vec<SocketAddr>,
     /// Where each broker takes callers of routes.
@@ -158,25 +161,30 @@
             );
             controls.push(Node::new(name, programs.control(), folder, &text)?);
         }
-        let feeds: Vec<String> = (0..CONTROLS).map(|host| format!("\"{}\"", at(host, 1))).collect();
+        let mut feeds = Vec::new();
         let addresses = free_addresses(BROKERS * 3)?;
         let mut brokers = Vec::new();
         for broker in 0..BROKERS {
             let [listen, routes, readiness] = [0, 1, 2].map(|part| addresses[broker * 3 + part]);
             let name = format!("broker-{broker}");
             let zone = if broker == 0 { "a" } else { "b" };
+            let links = (0..CONTROLS).map(|host| Relay::start(at(host, 1)));
+            let links = links.collect::<Result<Vec<_>, _>>()?;
+            let control = links.iter().map(|link| format!("\"{}\"", link.address()));
+            let control = control.collect::<Vec<_>>().join(", ");
             let text = format!(
                 "name = \"{name}\"\nregion = \"r\"\nzone = \"{zone}\"\nlisten = \"{listen}\"\n\
-                 control = [{}]\ncontrol_pause_ms = 200\n[routes]\nlisten = \"{routes}\"\n\
+                 control = [{control}]\ncontrol_pause_ms = 200\n[routes]\nlisten = \"{routes}\"\n\
                  readiness = \"{readiness}\"\nextra_ratio = 0.2\nextra_slack = 50.0\n\
-                 out_of_touch = \"serve\"\nstop_ms = {STOP_MILLISECONDS}\n",
-                feeds.join(", ")
+                 out_of_touch = \"serve\"\nstop_ms = {STOP_MILLISECONDS}\n"
             );
+            feeds.push(links);
             brokers.push(Node::new(name, programs.broker(), folder, &text)?);
         }
         let mut fleet = Self {
             controls,
             brokers,
+            feeds,
             operators: (0..CONTROLS).map(|host| at(host, 3)).collect(),
             callers: (0..BROKERS).map(|broker| addresses[broker * 3 + 1]).collect(),
             readiness: (0..BROKERS).map(|broker| addresses[broker * 3 + 2]).collect(),
--- a/crates/rehearsal/src/soak/leaves.rs
+++ b/crates/rehearsal/src/soak/leaves.rs
@@ -12,6 +12,7 @@
 
 use super::answer::{attestation, records};
 use crate::error::RehearsalError;
+use crate::relay::Relay;
 
 /// Bytes of the largest request head.
 const HEAD_LIMIT: usize = 64 * 1024;
@@ -87,6 +88,8 @@
 pub struct StandInLeaf {
     /// How the directory lists it.
     pub listed: ListedLeaf,
+    /// The link over which brokers reach it.
+    pub link: Relay,
     mode: Arc<Mutex<LeafMode>>,
 }
 
@@ -102,13 +105,13 @@
         journal: &Arc<Journal>,
     ) -> Result<Self, RehearsalError> {
         let listener = listen()?;
-        let address = local_address(&listener)?;
+        let link = Relay::start(local_address(&listener)?)?;
         let identity = format!("{service}-{number}");
         let mode = Arc::new(Mutex::new(LeafMode::Sound));
         let listed = ListedLeaf {
             identity: LeafIdentity::new(&identity),
             service: ServiceName::new(service),
-            address,
+            address: link.address(),
             zone: ZoneName::new(zone),
             slots: 8,
             availability: LeafAvailability::Ready,
@@ -122,7 +125,7 @@
                 thread::spawn(move || converse(stream, &service, &identity, &mode, &journal));
             }
         });
-        Ok(Self { listed, mode })
+        Ok(Self { listed, link, mode })
     }
 
     /// Changes what it does.
