Simulate the serving of routes, with mutants for each rule

Nothing of the forwarding of routes was simulated; its rules were met by tests on processes and by the platform's bench only. Now twelve scenarios drive the aggregates of the broker on the virtual clock, with checks apart from them and six mutants which each break the promise of their rule. Cause: requests leave a window before the extra ones that they allowed. Stated where the budget stands; settings below the bound, as the platform's adapter has, keep it. Two faults of the model itself were mended (a reply that tells of a failure is no answer; a connection that was not taken is no arrival).

--- a/crates/domain/src/forwarding/extra_load.rs
+++ b/crates/domain/src/forwarding/extra_load.rs
@@ -2,7 +2,9 @@
 //!
 //! All brokers together may send a share of the requests of a service again, and a few more, in
 //! every window. Each broker keeps to the share of its own requests and to its part of the rest,
-//! so that the sum holds without a word between them.
+//! so that the sum holds without a word between them. A window that has moved on a little may hold
+//! fewer requests than those that allowed its extra ones: settings belong somewhat below a bound that
+//! has to be kept.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- /dev/null
+++ b/crates/simulation/src/routes/broker.rs
@@ -0,0 +1,492 @@
+//! A broker in simulation: the aggregates of forwarding, driven by events instead of tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::forwarding::{
+    Admitted, AfterAttempt, AttemptError, Choice, Connectivity, Distance, Ended, ExtraLoadBudget,
+    ExtraLoadSettings, GatherStep, GatherTimes, Gathering, NoReply, Outcome, OverloadGate,
+    OverloadGateSettings, ReplicaSet, ReplicaSettings, RequestAttempts, Selection, hedge_delay,
+};
+use gingerkeel_domain::identifiers::LeafIdentity;
+use gingerkeel_domain::routes::PartsPerMillion;
+use gingerkeel_domain::tail::LatencyWindow;
+use gingerkeel_domain::time::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::fault::Mutant;
+use super::history::{Ending, RequestNumber};
+use super::request::{Part, Request, RouteKind};
+
+/// Time that a request is held at most.
+pub const TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time within which an answer is worth all.
+pub const TARGET: Duration = Duration::from_millis(120);
+/// Least share of the parts.
+pub const LEAST_SHARE: PartsPerMillion = PartsPerMillion(750_000);
+/// Leaves that one request may run on, at each service.
+pub const ATTEMPTS: u32 = 2;
+/// Extra requests that all brokers may send in a window, as a share of requests.
+pub const EXTRA_RATIO: f64 = 0.2;
+/// Extra requests beyond that.
+pub const EXTRA_SLACK: f64 = 12.0;
+/// The budget of brokers. It stays below the bound, as the requests of a window that has moved on
+/// may be fewer than those that allowed its extra ones.
+pub const EXTRA_LOAD: ExtraLoadSettings = ExtraLoadSettings {
+    ratio: 0.95 * EXTRA_RATIO,
+    window: Duration::from_secs(2),
+    slack: 0.7 * EXTRA_SLACK,
+};
+/// Connections of a broker to one leaf.
+const CONNECTIONS: usize = 8;
+/// Share of replies that are waited for before another leaf is asked as well.
+const HEDGE_QUANTILE: f64 = 0.95;
+/// Silence, in hedge delays, after which a leaf that owes a reply is failing.
+const SILENT_AFTER: u32 = 3;
+/// Time until leaves are looked at again to which there was no connection to spare.
+const CONNECTION_WAIT: Duration = Duration::from_millis(4);
+/// Time for which a request waits for a connection at most.
+const CONNECTION_WAIT_LIMIT: Duration = Duration::from_millis(24);
+
+/// An attempt of a broker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AttemptKey {
+    /// The request.
+    pub request: RequestNumber,
+    /// Place of the part.
+    pub part: usize,
+    /// The leaf.
+    pub leaf: LeafIdentity,
+}
+
+/// Something that a broker waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Timer {
+    /// Whether an answer is complete enough.
+    Progress(RequestNumber),
+    /// Whether another leaf is asked as well, after so many were.
+    Hedge(RequestNumber, usize, usize),
+    /// Whether a connection is free.
+    Connection(RequestNumber, usize),
+}
+
+/// What a broker does.
+#[derive(Debug)]
+pub enum Action {
+    /// It sends a request to a leaf.
+    Send(AttemptKey),
+    /// It closes the connection of an attempt.
+    Cancel(AttemptKey),
+    /// It wants to be told after this time.
+    Wake(Duration, Timer),
+    /// It answers a caller.
+    End(RequestNumber, Ending),
+}
+
+/// One broker.
+pub struct BrokerModel {
+    replicas: BTreeMap<usize, ReplicaSet>,
+    budgets: BTreeMap<usize, ExtraLoadBudget>,
+    gates: BTreeMap<RouteKind, OverloadGate>,
+    latencies: BTreeMap<RouteKind, LatencyWindow>,
+    requests: BTreeMap<RequestNumber, Request>,
+    in_use: BTreeMap<LeafIdentity, usize>,
+    brokers: usize,
+    replica_settings: ReplicaSettings,
+    gate_settings: OverloadGateSettings,
+    random: Pcg64,
+    mutant: Option<Mutant>,
+}
+
+impl BrokerModel {
+    /// A broker, one of so many, that knows no leaf.
+    pub fn new(brokers: usize, seed: u64, mutant: Option<Mutant>) -> Self {
+        Self {
+            replicas: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            gates: BTreeMap::new(),
+            latencies: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            in_use: BTreeMap::new(),
+            brokers,
+            replica_settings: ReplicaSettings::default(),
+            gate_settings: OverloadGateSettings::default(),
+            random: Pcg64::seed_from_u64(seed),
+            mutant,
+        }
+    }
+
+    /// The list of leaves tells of one.
+    pub fn list(&mut self, service: usize, leaf: &ListedLeaf, distance: Distance) {
+        self.replicas.entry(service).or_default().list(leaf, distance);
+    }
+
+    /// A caller's request comes.
+    pub fn receive(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        kind: RouteKind,
+        services: &[usize],
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let gate = self.gates.entry(kind).or_default();
+        if gate.admit(now, &self.gate_settings, 0) != Admitted::Yes {
+            return vec![Action::End(number, Ending::NotRun)];
+        }
+        let repeatable = self.mutant == Some(Mutant::EveryRequestRepeatable);
+        let repeatable = repeatable || kind == RouteKind::Gathered;
+        let part = |service: &usize| Part {
+            service: *service,
+            attempts: RequestAttempts::new(repeatable, ATTEMPTS),
+            began: BTreeMap::new(),
+            came: None,
+            leaf_failed: false,
+            told_overdue: false,
+        };
+        let deadline = now.after(TIMEOUT);
+        let times = GatherTimes { received: now, soft: now.after(TARGET), deadline };
+        let gathering = || Gathering::new(services.len(), LEAST_SHARE, times);
+        let mut request = Request {
+            kind,
+            received: now,
+            deadline,
+            gathering: (kind == RouteKind::Gathered).then(gathering),
+            parts: services.iter().map(part).collect(),
+        };
+        for (part, service) in services.iter().enumerate() {
+            self.budgets.entry(*service).or_default().earn(&EXTRA_LOAD, now);
+            self.ask(now, number, &mut request, part, false, &mut actions);
+        }
+        self.advance(now, number, request, &mut actions);
+        actions
+    }
+
+    /// An attempt has ended.
+    pub fn attempt_ended(
+        &mut self,
+        now: Timestamp,
+        key: &AttemptKey,
+        outcome: Result<u16, AttemptError>,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(mut request) = self.requests.remove(&key.request) else {
+            return actions;
+        };
+        let part = &mut request.parts[key.part];
+        if let Some(began) = part.began.remove(&key.leaf) {
+            let (service, took) = (part.service, now.since(began));
+            let after = part.attempts.ended(&key.leaf, outcome);
+            part.leaf_failed = outcome.is_ok_and(|status| status >= 500);
+            self.observe(now, request.kind, service, &key.leaf, outcome, took);
+            self.settle(now, key, &mut request, after, &mut actions);
+        }
+        self.advance(now, key.request, request, &mut actions);
+        actions
+    }
+
+    /// A timer is due.
+    pub fn wake(&mut self, now: Timestamp, timer: Timer) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let (Timer::Progress(number) | Timer::Hedge(number, _, _) | Timer::Connection(number, _)) =
+            timer;
+        let Some(mut request) = self.requests.remove(&number) else {
+            return actions;
+        };
+        match timer {
+            Timer::Progress(_) => {}
+            Timer::Hedge(_, part, asked) => {
+                if request.parts[part].attempts.tried().len() == asked {
+                    self.hedge(now, number, &mut request, part, &mut actions);
+                }
+            }
+            Timer::Connection(_, part) => {
+                if request.parts[part].came.is_none() && request.parts[part].began.is_empty() {
+                    self.ask(now, number, &mut request, part, false, &mut actions);
+                }
+            }
+        }
+        self.advance(now, number, request, &mut actions);
+        actions
+    }
+
+    fn settle(
+        &mut self,
+        now: Timestamp,
+        key: &AttemptKey,
+        request: &mut Request,
+        after: AfterAttempt,
+        actions: &mut Vec<Action>,
+    ) {
+        let none_open = request.parts[key.part].began.is_empty();
+        match after {
+            _ if request.parts[key.part].came.is_some() => {}
+            AfterAttempt::Reply => {
+                self.part_came(now, key.request, request, key.part, true, actions)
+            }
+            AfterAttempt::NoReply(_) => {
+                self.part_came(now, key.request, request, key.part, false, actions);
+            }
+            AfterAttempt::AskAnother { .. } if none_open => {
+                self.ask(now, key.request, request, key.part, false, actions);
+            }
+            AfterAttempt::AskAnother { .. } => {}
+        }
+    }
+
+    fn part_came(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        request: &mut Request,
+        part: usize,
+        came: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        request.parts[part].came = Some(came);
+        if let Some(gathering) = &mut request.gathering {
+            let counts = came || self.mutant == Some(Mutant::FailedPartsCount);
+            gathering.part(now, counts);
+        }
+        self.give_up_attempts(now, number, request, part, actions);
+    }
+
+    /// Asks the next leaf, if one may be asked.
+    fn ask(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        request: &mut Request,
+        part: usize,
+        hedge: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let choice = match self.select(now, &request.parts[part]) {
+            Selection::Ask(choice) => Some(choice),
+            Selection::Wait { .. }
+                if !hedge && now.since(request.received) <= CONNECTION_WAIT_LIMIT =>
+            {
+                actions.push(Action::Wake(CONNECTION_WAIT, Timer::Connection(number, part)));
+                return;
+            }
+            Selection::Wait { otherwise } => otherwise,
+            Selection::Nobody => None,
+        };
+        let asked = choice.filter(|_| self.may_ask(now, &request.parts[part]));
+        match asked {
+            Some(choice) => self.send(now, number, request, part, choice, actions),
+            None if request.parts[part].began.is_empty() => {
+                self.part_came(now, number, request, part, false, actions);
+            }
+            None => {}
+        }
+    }
+
+    fn select(&mut self, now: Timestamp, part: &Part) -> Selection {
+        let in_use = &self.in_use;
+        let connectivity = |leaf: &LeafIdentity| {
+            let used = in_use.get(leaf).copied().unwrap_or(0);
+            if used < CONNECTIONS { Connectivity::Idle } else { Connectivity::Exhausted }
+        };
+        let random = &mut self.random;
+        let Some(replicas) = self.replicas.get(&part.service) else {
+            return Selection::Nobody;
+        };
+        let tried = part.attempts.tried();
+        replicas.choose(now, &self.replica_settings, tried, connectivity, || random.random())
+    }
+
+    fn may_ask(&mut self, now: Timestamp, part: &Part) -> bool {
+        if !part.attempts.may_ask() {
+            return false;
+        }
+        let budget = self.budgets.entry(part.service).or_default();
+        let ignored = self.mutant == Some(Mutant::BudgetIgnored);
+        !part.attempts.next_is_extra() || ignored || budget.take(&EXTRA_LOAD, now, self.brokers)
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        request: &mut Request,
+        place: usize,
+        choice: Choice,
+        actions: &mut Vec<Action>,
+    ) {
+        let measured =
+            self.latencies.get(&request.kind).and_then(|known| known.quantile(HEDGE_QUANTILE));
+        let part = &mut request.parts[place];
+        part.attempts.asked(now, choice.leaf.clone());
+        part.began.insert(choice.leaf.clone(), now);
+        *self.in_use.entry(choice.leaf.clone()).or_insert(0) += 1;
+        if let Some(replicas) = self.replicas.get_mut(&part.service) {
+            replicas.begin(&choice.leaf);
+        }
+        let asked = part.attempts.tried().len();
+        let delay = hedge_delay(measured, TARGET);
+        actions.push(Action::Wake(delay, Timer::Hedge(number, place, asked)));
+        actions.push(Action::Send(AttemptKey { request: number, part: place, leaf: choice.leaf }));
+    }
+
+    /// The leaf asked last is late: another one may be asked as well.
+    fn hedge(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        request: &mut Request,
+        part: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let gate = self.gates.entry(request.kind).or_default();
+        let asked = &request.parts[part];
+        if asked.came.is_some() || !asked.attempts.may_hedge() || gate.is_limiting() {
+            return;
+        }
+        let replicas = self.replicas.get_mut(&asked.service);
+        if let (Some(replicas), Some(leaf)) = (replicas, asked.attempts.newest_open()) {
+            replicas.late(now, &self.replica_settings, leaf);
+        }
+        self.ask(now, number, request, part, true, actions);
+    }
+
+    /// Answers the request, or says when to look at it again.
+    fn advance(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        mut request: Request,
+        actions: &mut Vec<Action>,
+    ) {
+        let step = match &request.gathering {
+            Some(gathering) => gathering.step(now),
+            None if request.parts[0].came.is_some() || now >= request.deadline => {
+                GatherStep::Finish
+            }
+            None => GatherStep::WaitUntil(request.deadline),
+        };
+        let overdue = request.gathering.as_ref().is_some_and(|known| known.is_overdue(now));
+        match step {
+            GatherStep::Finish => self.finish(now, number, request, actions),
+            GatherStep::WaitUntil(at) => {
+                for part in 0..request.parts.len() {
+                    if overdue && !std::mem::replace(&mut request.parts[part].told_overdue, true) {
+                        self.hedge(now, number, &mut request, part, actions);
+                    }
+                }
+                if self.mutant != Some(Mutant::DeadlineUnheard) {
+                    actions.push(Action::Wake(at.since(now), Timer::Progress(number)));
+                }
+                self.requests.insert(number, request);
+            }
+        }
+    }
+
+    fn finish(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        mut request: Request,
+        actions: &mut Vec<Action>,
+    ) {
+        for part in 0..request.parts.len() {
+            self.give_up_attempts(now, number, &mut request, part, actions);
+        }
+        let ending = self.ending(now, &request);
+        let parts = request.gathering.as_ref().map(Gathering::in_time);
+        let in_time = now.since(request.received) <= TARGET;
+        let ended = match &ending {
+            Ending::Answered(_) if in_time => Ended::InTime,
+            _ => Ended::Late { parts },
+        };
+        let gate = self.gates.entry(request.kind).or_default();
+        gate.finish(now, &self.gate_settings, ended);
+        actions.push(Action::End(number, ending));
+    }
+
+    fn ending(&self, now: Timestamp, request: &Request) -> Ending {
+        let counts = |part: &&Part| {
+            part.came == Some(true)
+                || part.came.is_some() && self.mutant == Some(Mutant::FailedPartsCount)
+        };
+        let present = || -> BTreeSet<usize> {
+            request.parts.iter().filter(counts).map(|part| part.service).collect()
+        };
+        match &request.gathering {
+            Some(gathering) if gathering.reaches_least_share() => Ending::Answered(present()),
+            Some(_) if now >= request.deadline => Ending::TimedOut,
+            Some(_) => Ending::NotRun,
+            None => match request.parts[0].came {
+                Some(true) if request.parts[0].leaf_failed => Ending::LeafFailed,
+                Some(true) => Ending::Answered(present()),
+                Some(false) => self.not_answered(request.parts[0].attempts.no_reply()),
+                None => Ending::TimedOut,
+            },
+        }
+    }
+
+    fn not_answered(&self, no_reply: NoReply) -> Ending {
+        match no_reply {
+            NoReply::Unknown if self.mutant != Some(Mutant::UnknownSaidNotRun) => {
+                Ending::MayHaveRun
+            }
+            NoReply::Unknown | NoReply::NoLeaf | NoReply::Rejected => Ending::NotRun,
+        }
+    }
+
+    /// Closes the connections of a part's attempts that have not ended.
+    fn give_up_attempts(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        request: &mut Request,
+        place: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let part = &mut request.parts[place];
+        let silent = TARGET * SILENT_AFTER;
+        for (leaf, began) in std::mem::take(&mut part.began) {
+            let waited = now.since(began);
+            if let Some(replicas) = self.replicas.get_mut(&part.service) {
+                let settings = &self.replica_settings;
+                replicas.finish(now, settings, &leaf, Outcome::Abandoned(waited));
+                if waited >= silent {
+                    replicas.silent(now, settings, &leaf);
+                }
+            }
+            release(&mut self.in_use, &leaf);
+            actions.push(Action::Cancel(AttemptKey { request: number, part: place, leaf }));
+        }
+    }
+
+    fn observe(
+        &mut self,
+        now: Timestamp,
+        kind: RouteKind,
+        service: usize,
+        leaf: &LeafIdentity,
+        outcome: Result<u16, AttemptError>,
+        took: Duration,
+    ) {
+        release(&mut self.in_use, leaf);
+        let seen = match outcome {
+            Ok(_) => Outcome::Answered(took),
+            Err(AttemptError::Rejected) => Outcome::Rejected,
+            Err(_) => Outcome::Failed,
+        };
+        if let Some(replicas) = self.replicas.get_mut(&service) {
+            replicas.finish(now, &self.replica_settings, leaf, seen);
+        }
+        if outcome.is_ok() {
+            self.latencies.entry(kind).or_default().record(now, took);
+        }
+    }
+}
+
+fn release(in_use: &mut BTreeMap<LeafIdentity, usize>, leaf: &LeafIdentity) {
+    if let Some(used) = in_use.get_mut(leaf) {
+        *used = used.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/routes/scenario.rs
@@ -0,0 +1,166 @@
+//! Named scenarios: a load and the faults that it meets.
+
+use std::time::Duration;
+
+use gingerkeel_domain::time::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::check::{Violation, check};
+use super::fault::{Fault, LeafPlace, Mutant, TimedFault};
+use super::history::History;
+use super::leaf::LeafMode;
+use super::world::{Event, LEAVES, RouteWorld, SHARDS};
+use crate::fault_plan::{FaultPlan, at};
+use crate::trace::Trace;
+use crate::virtual_clock::{ClockError, Schedule, run};
+
+/// Time during which callers come.
+const ARRIVALS: Duration = Duration::from_secs(6);
+/// Time after the last caller until everything has an ending.
+const SETTLING: Duration = Duration::from_secs(2);
+
+/// A scenario.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    plan: FaultPlan<Fault>,
+}
+
+/// What a run gave.
+#[derive(Debug)]
+pub struct Outcome {
+    /// What callers and leaves saw.
+    pub history: History,
+    /// Hash over the trace.
+    pub trace_hash: u64,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+}
+
+fn any_leaf(random: &mut Pcg64) -> LeafPlace {
+    let service = random.random_range(0..=SHARDS);
+    LeafPlace { service, leaf: random.random_range(0..LEAVES) }
+}
+
+fn any_moment(random: &mut Pcg64) -> u64 {
+    random.random_range(500..3_000)
+}
+
+fn leaves_of(service: usize) -> impl Iterator<Item = LeafPlace> {
+    (0..LEAVES).map(move |leaf| LeafPlace { service, leaf })
+}
+
+/// The leaves behave so for a while.
+fn for_a_while(
+    random: &mut Pcg64,
+    leaves: impl Iterator<Item = LeafPlace>,
+    mode: LeafMode,
+) -> Vec<TimedFault> {
+    let (from, to) = (any_moment(random), random.random_range(3_500..5_000));
+    let faults = leaves.flat_map(|leaf| {
+        [at(from, Fault::Mode(leaf, mode)), at(to, Fault::Mode(leaf, LeafMode::Sound))]
+    });
+    faults.collect()
+}
+
+/// Each leaf behaves so for a while with this chance.
+fn here_and_there(random: &mut Pcg64, share: f64, mode: LeafMode) -> Vec<TimedFault> {
+    let places: Vec<LeafPlace> =
+        super::world::places().filter(|_| random.random_bool(share)).collect();
+    for_a_while(random, places.into_iter(), mode)
+}
+
+impl Scenario {
+    fn new(name: &'static str, draw: crate::fault_plan::DrawFaults<Fault>) -> Self {
+        Self { plan: FaultPlan::new(name, draw) }
+    }
+
+    /// All scenarios.
+    pub fn all() -> Vec<Self> {
+        vec![
+            Self::new("routes-calm", |_random| Vec::new()),
+            Self::new("routes-slow-leaf", |random| {
+                let leaf = any_leaf(random);
+                vec![at(any_moment(random), Fault::Slow(leaf, 10.0))]
+            }),
+            Self::new("routes-slow-everywhere", |random| {
+                let moment = any_moment(random);
+                let slow = super::world::places().filter(|_| random.random_bool(0.3));
+                slow.map(|leaf| at(moment, Fault::Slow(leaf, 10.0))).collect()
+            }),
+            Self::new("routes-leaf-down", |random| {
+                let leaf = any_leaf(random);
+                for_a_while(random, std::iter::once(leaf), LeafMode::Down)
+            }),
+            Self::new("routes-leaf-dark", |random| {
+                let leaf = any_leaf(random);
+                for_a_while(random, std::iter::once(leaf), LeafMode::Dark)
+            }),
+            Self::new("routes-shard-dark", |random| {
+                let shard = random.random_range(0..SHARDS);
+                for_a_while(random, leaves_of(shard), LeafMode::Dark)
+            }),
+            Self::new("routes-single-service-down", |random| {
+                for_a_while(random, leaves_of(SHARDS), LeafMode::Down)
+            }),
+            Self::new("routes-answers-lost", |random| {
+                here_and_there(random, 0.3, LeafMode::LosesAnswers)
+            }),
+            Self::new("routes-failures", |random| here_and_there(random, 0.4, LeafMode::Fails)),
+            Self::new("routes-refusals", |random| here_and_there(random, 0.4, LeafMode::Refuses)),
+            Self::new("routes-leaving", |random| {
+                let moment = any_moment(random);
+                let leaf = random.random_range(0..LEAVES);
+                let places = (0..=SHARDS).map(|service| LeafPlace { service, leaf });
+                places.map(|place| at(moment, Fault::Leaving(place))).collect()
+            }),
+            Self::new("routes-burst", |random| {
+                let moment = any_moment(random);
+                vec![at(moment, Fault::Load(14.0)), at(moment + 1_500, Fault::Load(1.0))]
+            }),
+        ]
+    }
+
+    /// The scenario of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::all().into_iter().find(|scenario| scenario.name() == name)
+    }
+
+    /// Name, as the command line takes it; a pair has both names.
+    pub fn name(&self) -> String {
+        self.plan.name()
+    }
+
+    /// This scenario with the faults of another one too.
+    pub fn with(&self, other: &Self) -> Self {
+        Self { plan: self.plan.with(&other.plan) }
+    }
+
+    /// The faults of a run with this seed.
+    pub fn faults(&self, seed: u64) -> Vec<TimedFault> {
+        self.plan.faults(seed)
+    }
+}
+
+/// Runs faults and checks what came of it.
+///
+/// # Errors
+/// A [`ClockError`] when the code under simulation panics.
+pub fn run_scenario(
+    seed: u64,
+    faults: &[TimedFault],
+    mutant: Option<Mutant>,
+    print_trace: bool,
+) -> Result<Outcome, ClockError> {
+    let random = Pcg64::seed_from_u64(seed);
+    let arrivals_end = Timestamp::ZERO.after(ARRIVALS);
+    let mut world = RouteWorld::new(random, arrivals_end, mutant, Trace::new(print_trace));
+    let mut start = Schedule::default();
+    world.start(&mut start);
+    for fault in faults {
+        start.after(fault.at, Event::Fault(fault.fault));
+    }
+    let world = run(world, start, ARRIVALS + SETTLING)?;
+    let violations = check(&world.history);
+    Ok(Outcome { trace_hash: world.trace.hash(), history: world.history, violations })
+}
--- /dev/null
+++ b/crates/simulation/src/routes/world.rs
@@ -0,0 +1,351 @@
+//! The world of the serving of routes: who does what on which event.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
+use gingerkeel_domain::forwarding::{AttemptError, Distance};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use gingerkeel_domain::time::Timestamp;
+use rand::Rng;
+use rand_pcg::Pcg64;
+
+use super::broker::{Action, AttemptKey, BrokerModel, TIMEOUT, Timer};
+use super::fault::{Fault, LeafPlace, Mutant};
+use super::history::{ArrivalRecord, Ending, History, RequestNumber, RequestRecord};
+use super::leaf::{Arrival, AttemptNumber, LeafMode, LeafModel, SLOTS};
+use super::request::RouteKind;
+use crate::trace::Trace;
+use crate::virtual_clock::{Schedule, World};
+
+/// Brokers.
+pub const BROKERS: usize = 3;
+/// Shards; the service after them is asked for single requests.
+pub const SHARDS: usize = 6;
+/// Leaves of each service.
+pub const LEAVES: usize = 3;
+/// Share of the requests that ask all shards.
+const GATHERED_SHARE: f64 = 0.7;
+/// Time between two callers.
+const BETWEEN_CALLERS: Duration = Duration::from_millis(4);
+/// Delay of a message to or from a leaf.
+const NETWORK_DELAY: std::ops::Range<Duration> =
+    Duration::from_micros(300)..Duration::from_micros(1_500);
+/// Time from a change of the list of leaves until a broker has it.
+pub const LIST_DELAY: Duration = Duration::from_millis(400);
+/// How long a leaf pauses, and how often.
+const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(2_500)];
+
+/// What happens.
+#[derive(Debug)]
+pub enum Event {
+    /// The next caller comes.
+    CallerComes,
+    /// A request reaches a leaf.
+    AtLeaf(AttemptNumber),
+    /// The close of a connection reaches a leaf.
+    CancelAtLeaf(AttemptNumber),
+    /// A leaf has done a request.
+    Done(LeafPlace, AttemptNumber),
+    /// A leaf pauses for a moment.
+    Pause(LeafPlace),
+    /// News of an attempt reaches its broker.
+    EndAtBroker(AttemptNumber, Result<u16, AttemptError>),
+    /// A timer of a broker is due.
+    Timer(usize, Timer),
+    /// The list of leaves reaches a broker.
+    ListAtBroker(usize, LeafPlace),
+    /// A fault comes.
+    Fault(Fault),
+}
+
+/// An attempt and whose it is.
+#[derive(Debug, Clone)]
+struct Attempt {
+    broker: usize,
+    key: AttemptKey,
+    leaf: LeafPlace,
+}
+
+/// The world.
+pub struct RouteWorld {
+    brokers: Vec<BrokerModel>,
+    leaves: BTreeMap<LeafPlace, LeafModel>,
+    attempts: BTreeMap<AttemptNumber, Attempt>,
+    numbers: BTreeMap<(RequestNumber, usize, LeafIdentity), AttemptNumber>,
+    next_attempt: u64,
+    next_request: u64,
+    load: f64,
+    arrivals_end: Timestamp,
+    random: Pcg64,
+    mutant: Option<Mutant>,
+    /// What callers and leaves saw.
+    pub history: History,
+    /// What happened.
+    pub trace: Trace,
+}
+
+impl RouteWorld {
+    /// A world in which callers come until `arrivals_end`.
+    pub fn new(
+        mut random: Pcg64,
+        arrivals_end: Timestamp,
+        mutant: Option<Mutant>,
+        trace: Trace,
+    ) -> Self {
+        let brokers = (0..BROKERS).map(|_| BrokerModel::new(BROKERS, random.random(), mutant));
+        let mut world = Self {
+            brokers: brokers.collect(),
+            leaves: places().map(|place| (place, LeafModel::new())).collect(),
+            attempts: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            next_attempt: 0,
+            next_request: 0,
+            load: 1.0,
+            arrivals_end,
+            random,
+            mutant,
+            history: History::default(),
+            trace,
+        };
+        for broker in 0..BROKERS {
+            places().for_each(|place| world.list(broker, place));
+        }
+        world
+    }
+
+    /// The events with which a run begins.
+    pub fn start(&mut self, schedule: &mut Schedule<Event>) {
+        schedule.after(Duration::ZERO, Event::CallerComes);
+        for place in places() {
+            schedule.after(self.random.random_range(Duration::ZERO..PAUSE[1]), Event::Pause(place));
+        }
+    }
+
+    fn list(&mut self, broker: usize, place: LeafPlace) {
+        let leaving = self.history.leaving.contains_key(&place);
+        let unheard = self.mutant == Some(Mutant::LeavingUnheard);
+        let availability = match leaving && !unheard {
+            true => LeafAvailability::Leaving,
+            false => LeafAvailability::Ready,
+        };
+        let listed = ListedLeaf {
+            identity: identity(place),
+            service: ServiceName::new(format!("s{}", place.service)),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            zone: ZoneName::new(format!("z{}", place.leaf)),
+            slots: SLOTS as u32,
+            availability,
+        };
+        let distance = if place.leaf == broker { Distance::Zone } else { Distance::Region };
+        self.brokers[broker].list(place.service, &listed, distance);
+    }
+
+    fn caller_comes(&mut self, now: Timestamp, schedule: &mut Schedule<Event>) {
+        if now >= self.arrivals_end {
+            return;
+        }
+        let pause = -self.random.random_range(1e-9..1.0f64).ln() / self.load;
+        schedule.after(BETWEEN_CALLERS.mul_f64(pause), Event::CallerComes);
+        let gathered = self.random.random_bool(GATHERED_SHARE);
+        let kind = if gathered { RouteKind::Gathered } else { RouteKind::Once };
+        let services: Vec<usize> = if gathered { (0..SHARDS).collect() } else { vec![SHARDS] };
+        let number = RequestNumber(self.next_request);
+        self.next_request += 1;
+        let record = RequestRecord {
+            came: now,
+            deadline: now.after(TIMEOUT),
+            repeatable: gathered,
+            services: services.clone(),
+            endings: Vec::new(),
+        };
+        self.history.requests.insert(number, record);
+        let broker = self.random.random_range(0..BROKERS);
+        self.trace.record(now, format_args!("event=caller request={} broker={broker}", number.0));
+        let actions = self.brokers[broker].receive(now, number, kind, &services);
+        self.carry_out(now, broker, actions, schedule);
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Timestamp,
+        broker: usize,
+        actions: Vec<Action>,
+        schedule: &mut Schedule<Event>,
+    ) {
+        for action in actions {
+            match action {
+                Action::Send(key) => {
+                    let number = self.add_attempt(broker, key);
+                    schedule.after(self.delay(), Event::AtLeaf(number));
+                }
+                Action::Cancel(key) => {
+                    if let Some(number) = self.number(&key) {
+                        schedule.after(self.delay(), Event::CancelAtLeaf(number));
+                    }
+                }
+                Action::Wake(after, timer) => schedule.after(after, Event::Timer(broker, timer)),
+                Action::End(number, ending) => self.end(now, number, ending),
+            }
+        }
+    }
+
+    fn end(&mut self, now: Timestamp, number: RequestNumber, ending: Ending) {
+        self.trace.record(now, format_args!("event=end request={} ending={ending:?}", number.0));
+        if let Some(record) = self.history.requests.get_mut(&number) {
+            record.endings.push((now, ending));
+        }
+    }
+
+    fn add_attempt(&mut self, broker: usize, key: AttemptKey) -> AttemptNumber {
+        let number = AttemptNumber(self.next_attempt);
+        self.next_attempt += 1;
+        let leaf = place_of(&key.leaf);
+        self.numbers.insert((key.request, key.part, key.leaf.clone()), number);
+        self.attempts.insert(number, Attempt { broker, key, leaf });
+        number
+    }
+
+    fn number(&self, key: &AttemptKey) -> Option<AttemptNumber> {
+        self.numbers.get(&(key.request, key.part, key.leaf.clone())).copied()
+    }
+
+    fn delay(&mut self) -> Duration {
+        self.random.random_range(NETWORK_DELAY)
+    }
+
+    fn at_leaf(&mut self, now: Timestamp, number: AttemptNumber, schedule: &mut Schedule<Event>) {
+        let attempt = self.attempts[&number].clone();
+        let leaf = self.leaves.get_mut(&attempt.leaf).expect("a leaf that is listed");
+        let arrival = leaf.arrive(number);
+        let taken = arrival == Arrival::Taken;
+        let (request, leaf) = (attempt.key.request, attempt.leaf);
+        self.trace.record(now, format_args!("event=at_leaf request={} {leaf:?}", request.0));
+        if arrival != Arrival::NotConnected {
+            self.history.arrivals.push(ArrivalRecord { at: now, request, leaf, taken });
+        }
+        let error = match arrival {
+            Arrival::Taken => return self.start_work(now, leaf, schedule),
+            Arrival::Swallowed => return,
+            Arrival::Refused => AttemptError::Rejected,
+            Arrival::NotConnected => AttemptError::NotConnected,
+        };
+        schedule.after(self.delay(), Event::EndAtBroker(number, Err(error)));
+    }
+
+    fn start_work(&mut self, now: Timestamp, place: LeafPlace, schedule: &mut Schedule<Event>) {
+        let leaf = self.leaves.get_mut(&place).expect("a leaf that is listed");
+        for (number, span) in leaf.start(now, &mut self.random) {
+            schedule.after(span, Event::Done(place, number));
+        }
+    }
+
+    fn done(
+        &mut self,
+        now: Timestamp,
+        place: LeafPlace,
+        number: AttemptNumber,
+        schedule: &mut Schedule<Event>,
+    ) {
+        let leaf = self.leaves.get_mut(&place).expect("a leaf that is listed");
+        if now < leaf.paused_until {
+            return schedule.after(leaf.paused_until.since(now), Event::Done(place, number));
+        }
+        if !leaf.finish(number) {
+            return;
+        }
+        let outcome = match leaf.mode {
+            LeafMode::LosesAnswers => Err(AttemptError::Lost),
+            LeafMode::Fails => Ok(500),
+            _ => Ok(200),
+        };
+        let run = (self.attempts[&number].key.request, place.service);
+        *self.history.runs.entry(run).or_insert(0) += 1;
+        schedule.after(self.delay(), Event::EndAtBroker(number, outcome));
+        self.start_work(now, place, schedule);
+    }
+
+    fn cancel(&mut self, now: Timestamp, number: AttemptNumber, schedule: &mut Schedule<Event>) {
+        let place = self.attempts[&number].leaf;
+        self.leaves.get_mut(&place).expect("a leaf that is listed").cancel(number);
+        self.start_work(now, place, schedule);
+    }
+
+    fn end_at_broker(
+        &mut self,
+        now: Timestamp,
+        number: AttemptNumber,
+        outcome: Result<u16, AttemptError>,
+        schedule: &mut Schedule<Event>,
+    ) {
+        let attempt = self.attempts[&number].clone();
+        if outcome == Ok(200) {
+            self.history.good_replies.insert((attempt.key.request, attempt.leaf.service));
+        }
+        let actions = self.brokers[attempt.broker].attempt_ended(now, &attempt.key, outcome);
+        self.carry_out(now, attempt.broker, actions, schedule);
+    }
+
+    fn fault(&mut self, now: Timestamp, fault: Fault, schedule: &mut Schedule<Event>) {
+        self.trace.record(now, format_args!("event=fault {fault:?}"));
+        match fault {
+            Fault::Load(load) => self.load = load,
+            Fault::Mode(place, mode) => self.with_leaf(place, |leaf| leaf.mode = mode),
+            Fault::Slow(place, factor) => self.with_leaf(place, |leaf| leaf.slow_factor = factor),
+            Fault::Leaving(place) => {
+                self.history.leaving.entry(place).or_insert(now);
+                for broker in 0..BROKERS {
+                    let delay = self.random.random_range(Duration::ZERO..LIST_DELAY);
+                    schedule.after(delay, Event::ListAtBroker(broker, place));
+                }
+            }
+        }
+    }
+
+    fn with_leaf(&mut self, place: LeafPlace, change: impl FnOnce(&mut LeafModel)) {
+        if let Some(leaf) = self.leaves.get_mut(&place) {
+            change(leaf);
+        }
+    }
+}
+
+impl World for RouteWorld {
+    type Event = Event;
+
+    fn handle(&mut self, now: Timestamp, event: Event, schedule: &mut Schedule<Event>) {
+        match event {
+            Event::CallerComes => self.caller_comes(now, schedule),
+            Event::AtLeaf(number) => self.at_leaf(now, number, schedule),
+            Event::CancelAtLeaf(number) => self.cancel(now, number, schedule),
+            Event::Done(place, number) => self.done(now, place, number, schedule),
+            Event::Pause(place) => {
+                self.with_leaf(place, |leaf| leaf.paused_until = now.after(PAUSE[0]));
+                schedule.after(PAUSE[1], Event::Pause(place));
+            }
+            Event::EndAtBroker(number, outcome) => {
+                self.end_at_broker(now, number, outcome, schedule);
+            }
+            Event::Timer(broker, timer) => {
+                let actions = self.brokers[broker].wake(now, timer);
+                self.carry_out(now, broker, actions, schedule);
+            }
+            Event::ListAtBroker(broker, place) => self.list(broker, place),
+            Event::Fault(fault) => self.fault(now, fault, schedule),
+        }
+    }
+}
+
+/// All leaves.
+pub fn places() -> impl Iterator<Item = LeafPlace> {
+    (0..=SHARDS).flat_map(|service| (0..LEAVES).map(move |leaf| LeafPlace { service, leaf }))
+}
+
+fn identity(place: LeafPlace) -> LeafIdentity {
+    LeafIdentity::new(format!("{}-{}", place.service, place.leaf))
+}
+
+fn place_of(identity: &LeafIdentity) -> LeafPlace {
+    let found = places().find(|place| self::identity(*place) == *identity);
+    found.expect("an identity that this world made")
+}
--- a/crates/simulation/src/suite.rs
+++ b/crates/simulation/src/suite.rs
@@ -1,13 +1,15 @@
-//! The scenarios of both tiers behind one face, for the command line.
+//! The scenarios of all tiers behind one face, for the command line.
 
 use crate::virtual_clock::ClockError;
-use crate::{control, serving};
+use crate::{control, routes, serving};
 
 /// A scenario of one of the tiers.
 #[derive(Debug, Clone)]
 pub enum Scenario {
     /// Of brokers and leaves.
     Serving(serving::Scenario),
+    /// Of brokers that serve routes, and leaves.
+    Routes(routes::Scenario),
     /// Of control machines, brokers that follow them, and operators.
     Control(control::Scenario),
 }
@@ -26,7 +28,8 @@
     pub fn all() -> Vec<Self> {
         let serving = serving::Scenario::all().into_iter().map(Self::Serving);
         let control = control::Scenario::all().into_iter().map(Self::Control);
-        serving.chain(control).collect()
+        let routes = routes::Scenario::all().into_iter().map(Self::Routes);
+        serving.chain(routes).chain(control).collect()
     }
 
     /// The scenario of this name.
@@ -38,6 +41,7 @@
     pub fn name(&self) -> String {
         match self {
             Self::Serving(scenario) => scenario.name(),
+            Self::Routes(scenario) => scenario.name(),
             Self::Control(scenario) => scenario.name(),
         }
     }
@@ -54,6 +58,7 @@
     pub fn with(&self, other: &Self) -> Option<Self> {
         match (self, other) {
             (Self::Serving(one), Self::Serving(other)) => Some(Self::Serving(one.with(other))),
+            (Self::Routes(one), Self::Routes(other)) => Some(Self::Routes(one.with(other))),
             (Self::Control(one), Self::Control(other)) => Some(Self::Control(one.with(other))),
             _ => None,
         }
@@ -71,6 +76,11 @@
                 let outcome = serving::run_scenario(seed, load, &faults, None, print_trace)?;
                 Ok(report(outcome.trace_hash, &outcome.violations))
             }
+            Self::Routes(scenario) => {
+                let faults = scenario.faults(seed);
+                let outcome = routes::run_scenario(seed, &faults, None, print_trace)?;
+                Ok(report(outcome.trace_hash, &outcome.violations))
+            }
             Self::Control(scenario) => {
                 let faults = scenario.faults(seed);
                 let interval = scenario.change_interval;
