--- a/crates/simulation/src/control/scenario.rs
+++ b/crates/simulation/src/control/scenario.rs
@@ -45,15 +45,7 @@
 }
 
 /// What a run gave.
-#[derive(Debug)]
-pub struct Outcome {
-    /// What was seen.
-    pub history: History,
-    /// Hash over the trace.
-    pub trace_hash: u64,
-    /// Broken promises.
-    pub violations: Vec<Violation>,
-}
+pub type Outcome = crate::outcome::Outcome<History, Violation>;
 
 fn any_machine(random: &mut Pcg64) -> MachineIndex {
     MachineIndex(random.random_range(0..MACHINES))
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod fault_plan;
+pub mod outcome;
 pub mod routes;
 pub mod serving;
 pub mod suite;
--- a/crates/simulation/src/routes/scenario.rs
+++ b/crates/simulation/src/routes/scenario.rs
@@ -27,15 +27,7 @@
 }
 
 /// What a run gave.
-#[derive(Debug)]
-pub struct Outcome {
-    /// What callers and leaves saw.
-    pub history: History,
-    /// Hash over the trace.
-    pub trace_hash: u64,
-    /// Broken promises.
-    pub violations: Vec<Violation>,
-}
+pub type Outcome = crate::outcome::Outcome<History, Violation>;
 
 fn any_leaf(random: &mut Pcg64) -> LeafPlace {
     let service = random.random_range(0..=SHARDS);
--- a/crates/simulation/src/suite.rs
+++ b/crates/simulation/src/suite.rs
@@ -1,5 +1,6 @@
 //! The scenarios of all tiers behind one face, for the command line.
 
+use crate::outcome::Outcome;
 use crate::virtual_clock::ClockError;
 use crate::{control, routes, serving};
 
@@ -74,24 +75,24 @@
                 let faults = scenario.faults(seed);
                 let load = scenario.load;
                 let outcome = serving::run_scenario(seed, load, &faults, None, print_trace)?;
-                Ok(report(outcome.trace_hash, &outcome.violations))
+                Ok(report(&outcome))
             }
             Self::Routes(scenario) => {
                 let faults = scenario.faults(seed);
                 let outcome = routes::run_scenario(seed, &faults, None, print_trace)?;
-                Ok(report(outcome.trace_hash, &outcome.violations))
+                Ok(report(&outcome))
             }
             Self::Control(scenario) => {
                 let faults = scenario.faults(seed);
                 let interval = scenario.change_interval;
                 let outcome = control::run_scenario(seed, interval, &faults, None, print_trace)?;
-                Ok(report(outcome.trace_hash, &outcome.violations))
+                Ok(report(&outcome))
             }
         }
     }
 }
 
-fn report(trace_hash: u64, violations: &[impl std::fmt::Debug]) -> Report {
-    let violations = violations.iter().map(|violation| format!("{violation:?}")).collect();
-    Report { trace_hash, violations }
+fn report<H, V: std::fmt::Debug>(outcome: &Outcome<H, V>) -> Report {
+    let violations = outcome.violations.iter().map(|violation| format!("{violation:?}"));
+    Report { trace_hash: outcome.trace_hash, violations: violations.collect() }
 }
