--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -85,9 +85,9 @@
 impl Drop for Watch<'_> {
     fn drop(&mut self) {
         let given_up = || Outcome::Abandoned(self.started.elapsed());
-        self.state.finish(self.service, self.leaf, self.outcome.unwrap_or_else(given_up));
+        self.state.leaves.finish(self.service, self.leaf, self.outcome.unwrap_or_else(given_up));
         if self.holds_connection {
-            self.state.connection_closed(self.leaf);
+            self.state.leaves.connection_closed(self.leaf);
         }
     }
 }
@@ -105,7 +105,7 @@
     request: &ForwardedRequest,
 ) -> Result<LeafReply, AttemptError> {
     let started = Instant::now();
-    state.begin(service, &leaf.identity);
+    state.leaves.begin(service, &leaf.identity);
     let mut watch = Watch {
         state,
         service,
@@ -128,11 +128,12 @@
 }
 
 async fn connect(watch: &mut Watch<'_>, leaf: &ListedLeaf) -> Result<LeafConnection, AttemptError> {
-    if let Some(connection) = watch.state.take_idle(watch.leaf) {
+    if let Some(connection) = watch.state.leaves.take_idle(watch.leaf) {
         watch.holds_connection = true;
         return Ok(connection);
     }
-    if !watch.state.admit_connection(watch.service, leaf) {
+    let accepted = watch.state.accepted_connections(watch.service);
+    if !watch.state.leaves.admit_connection(accepted, leaf) {
         return Err(AttemptError::NoConnection);
     }
     watch.holds_connection = true;
@@ -173,7 +174,7 @@
     }
     if reusable {
         connection.keep_for(stated_keep(&head));
-        state.give_back(watch.leaf, connection);
+        state.leaves.give_back(watch.leaf, connection);
         watch.holds_connection = false;
     }
     if rejected {
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -76,7 +76,9 @@
         if !self.attempts.may_ask() {
             return Next::Nobody;
         }
-        let choice = match self.state.choose(self.service, self.attempts.tried()) {
+        let accepted = self.state.accepted_connections(self.service);
+        let leaves = &self.state.leaves;
+        let choice = match leaves.choose(self.service, accepted, self.attempts.tried()) {
             Selection::Ask(choice) => Some(choice),
             Selection::Wait { .. } if self.may_wait_for_connection(reason) => return Next::Wait,
             Selection::Wait { otherwise } => otherwise,
@@ -86,8 +88,8 @@
     }
 
     fn ask(&mut self, choice: &Choice, reason: AskReason) -> Option<ListedLeaf> {
-        let leaf = self.state.leaf(&choice.leaf)?;
-        if self.attempts.next_is_extra() && !self.state.take_extra(self.service) {
+        let leaf = self.state.leaves.leaf(&choice.leaf)?;
+        if self.attempts.next_is_extra() && !self.state.leaves.take_extra(self.service) {
             return None;
         }
         self.request.trail.asked(self.service, &leaf.identity, reason, choice.sound);
@@ -110,7 +112,7 @@
     /// The leaf that was asked last takes longer than expected; the ones before were late already.
     fn mark_newest_late(&self) {
         if let Some(leaf) = self.attempts.newest_open() {
-            self.state.late(self.service, leaf);
+            self.state.leaves.late(self.service, leaf);
         }
     }
 
@@ -153,7 +155,7 @@
     fn drop(&mut self) {
         let now = self.state.clock.now();
         for leaf in self.attempts.open_for(now, self.hedge_delay * SILENT_AFTER) {
-            self.state.silent(self.service, leaf);
+            self.state.leaves.silent(self.service, leaf);
         }
     }
 }
@@ -184,7 +186,7 @@
     let mut asking = Asking::new(state, route, service, request);
     let mut running = FuturesUnordered::new();
     let mut told_overdue = false;
-    state.earn(service);
+    state.leaves.earn(service);
     loop {
         if running.is_empty() {
             let reason = asking.reason();
--- /dev/null
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -0,0 +1,272 @@
+//! The leaves that a broker knows: the list in force, what was observed of each, the budget of extra
+//! requests of each service, and the connections.
+//!
+//! The state is borrowed between two waits only, never across one.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
+use gingerkeel_domain::forwarding::{
+    Connectivity, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, ReplicaSet,
+    ReplicaSettings, Selection, SharingBrokers, connection_share,
+};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use gingerkeel_domain::time::Timestamp;
+use gingerkeel_settings::RouteSettings;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tracing::{info, warn};
+
+use super::pool::{LeafConnection, LeafPool};
+use crate::clock::Clock;
+
+/// What is known of one service.
+#[derive(Default)]
+struct ServiceState {
+    replicas: ReplicaSet,
+    budget: ExtraLoadBudget,
+}
+
+#[derive(Default)]
+struct Leaves {
+    directory: LeafDirectory,
+    services: BTreeMap<ServiceName, ServiceState>,
+    pools: BTreeMap<LeafIdentity, LeafPool>,
+}
+
+/// The leaves that a broker knows.
+pub struct LeafRegistry {
+    clock: Clock,
+    /// The zone of this broker.
+    zone: String,
+    /// The region of each zone.
+    zone_regions: BTreeMap<String, String>,
+    extra: ExtraLoadSettings,
+    replica_settings: ReplicaSettings,
+    leaves: RefCell<Leaves>,
+    /// How many brokers there are in each zone.
+    brokers: RefCell<BTreeMap<ZoneName, usize>>,
+    random: RefCell<Pcg64>,
+}
+
+impl LeafRegistry {
+    /// No leaf is known yet.
+    pub fn new(clock: Clock, zone: String, settings: &RouteSettings, seed: u64) -> Self {
+        let extra = ExtraLoadSettings {
+            ratio: settings.extra_ratio,
+            window: Duration::from_millis(settings.extra_window_ms.into()),
+            slack: settings.extra_slack,
+        };
+        Self {
+            clock,
+            zone,
+            zone_regions: settings.zone_regions.clone(),
+            extra,
+            replica_settings: ReplicaSettings::default(),
+            leaves: RefCell::default(),
+            brokers: RefCell::default(),
+            random: RefCell::new(Pcg64::seed_from_u64(seed)),
+        }
+    }
+
+    /// Version of the list of leaves in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.leaves.borrow().directory.version().0
+    }
+
+    /// Whether a list of leaves is in force.
+    pub fn is_listed(&self) -> bool {
+        self.version() > 0
+    }
+
+    /// Takes a whole list of leaves over, unless it is older than the one in force.
+    pub fn replace_directory(&self, directory: LeafDirectory) {
+        let mut leaves = self.leaves.borrow_mut();
+        if directory.version() >= leaves.directory.version() {
+            leaves.directory = directory;
+            self.list(&mut leaves);
+        }
+    }
+
+    /// Takes a change of the list over.
+    pub fn change_directory(&self, delta: &DirectoryDelta) {
+        let mut leaves = self.leaves.borrow_mut();
+        if leaves.directory.apply(delta) {
+            self.list(&mut leaves);
+        } else if delta.base > leaves.directory.version() {
+            let held = leaves.directory.version().0;
+            warn!(event = "directory_gap", held, base = delta.base.0);
+        }
+    }
+
+    /// The zones of all brokers that share the leaves.
+    pub fn set_brokers(&self, zones: &[ZoneName]) {
+        let mut counts = BTreeMap::new();
+        for zone in zones {
+            *counts.entry(zone.clone()).or_insert(0) += 1;
+        }
+        *self.brokers.borrow_mut() = counts;
+    }
+
+    fn broker_count(&self) -> usize {
+        self.brokers.borrow().values().sum::<usize>().max(1)
+    }
+
+    fn list(&self, leaves: &mut Leaves) {
+        let Leaves { directory, services, pools } = leaves;
+        for leaf in directory.leaves().values() {
+            let service = services.entry(leaf.service.clone()).or_default();
+            service.replicas.list(leaf, self.distance(leaf));
+        }
+        for service in services.values_mut() {
+            service.replicas.retain(|identity| directory.leaves().contains_key(identity));
+        }
+        pools.retain(|identity, _| directory.leaves().contains_key(identity));
+        let version = directory.version().0;
+        info!(event = "directory_in_force", version, leaves = directory.leaves().len());
+    }
+
+    fn distance(&self, leaf: &ListedLeaf) -> Distance {
+        if self.is_in_zone(leaf) {
+            return Distance::Zone;
+        }
+        let own = self.zone_regions.get(&self.zone);
+        let same_region = own.is_some() && own == self.zone_regions.get(leaf.zone.as_str());
+        if same_region { Distance::Region } else { Distance::Far }
+    }
+
+    fn draw(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// Chooses a leaf of a service other than those tried. Each leaf of it accepts so many connections
+    /// from all brokers together.
+    pub fn choose(
+        &self,
+        service: &ServiceName,
+        accepted: usize,
+        tried: &[LeafIdentity],
+    ) -> Selection {
+        let leaves = self.leaves.borrow();
+        let Some(state) = leaves.services.get(service) else {
+            return Selection::Nobody;
+        };
+        let connectivity = |leaf: &LeafIdentity| match leaves.directory.leaves().get(leaf) {
+            Some(leaf) => self.connectivity(&leaves, accepted, leaf),
+            None => Connectivity::Exhausted,
+        };
+        let settings = &self.replica_settings;
+        state.replicas.choose(self.clock.now(), settings, tried, connectivity, || self.draw())
+    }
+
+    fn connectivity(&self, leaves: &Leaves, accepted: usize, leaf: &ListedLeaf) -> Connectivity {
+        let Some(pool) = leaves.pools.get(&leaf.identity) else {
+            return Connectivity::Openable;
+        };
+        if pool.has_idle() {
+            Connectivity::Idle
+        } else if pool.has_room(self.connection_limit(accepted, leaf)) {
+            Connectivity::Openable
+        } else {
+            Connectivity::Exhausted
+        }
+    }
+
+    /// A leaf as the directory lists it.
+    pub fn leaf(&self, identity: &LeafIdentity) -> Option<ListedLeaf> {
+        self.leaves.borrow().directory.leaves().get(identity).cloned()
+    }
+
+    /// A request for a service begins: it may be sent to one leaf.
+    pub fn earn(&self, service: &ServiceName) {
+        let now = self.clock.now();
+        let mut leaves = self.leaves.borrow_mut();
+        let state = leaves.services.entry(service.clone()).or_default();
+        state.budget.earn(&self.extra, now);
+    }
+
+    /// Takes one extra request out of the budget of a service; false when there is no room.
+    pub fn take_extra(&self, service: &ServiceName) -> bool {
+        let (now, brokers) = (self.clock.now(), self.broker_count());
+        let mut leaves = self.leaves.borrow_mut();
+        let state = leaves.services.get_mut(service);
+        state.is_some_and(|state| state.budget.take(&self.extra, now, brokers))
+    }
+
+    /// An attempt begins.
+    pub fn begin(&self, service: &ServiceName, leaf: &LeafIdentity) {
+        self.with_replicas(service, |replicas, _, _| replicas.begin(leaf));
+    }
+
+    /// An attempt has waited longer than expected.
+    pub fn late(&self, service: &ServiceName, leaf: &LeafIdentity) {
+        self.with_replicas(service, |replicas, now, settings| replicas.late(now, settings, leaf));
+    }
+
+    /// An attempt got no answer at all.
+    pub fn silent(&self, service: &ServiceName, leaf: &LeafIdentity) {
+        self.with_replicas(service, |replicas, now, settings| replicas.silent(now, settings, leaf));
+    }
+
+    /// An attempt has ended.
+    pub fn finish(&self, service: &ServiceName, leaf: &LeafIdentity, outcome: Outcome) {
+        self.with_replicas(service, |replicas, now, settings| {
+            replicas.finish(now, settings, leaf, outcome);
+        });
+    }
+
+    fn with_replicas(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut ReplicaSet, Timestamp, &ReplicaSettings),
+    ) {
+        let now = self.clock.now();
+        if let Some(state) = self.leaves.borrow_mut().services.get_mut(service) {
+            change(&mut state.replicas, now, &self.replica_settings);
+        }
+    }
+
+    /// An idle connection to a leaf.
+    pub fn take_idle(&self, leaf: &LeafIdentity) -> Option<LeafConnection> {
+        self.leaves.borrow_mut().pools.get_mut(leaf)?.take_idle()
+    }
+
+    /// Counts a connection that is about to be opened, unless this broker has its share of those
+    /// that the leaf accepts.
+    pub fn admit_connection(&self, accepted: usize, leaf: &ListedLeaf) -> bool {
+        let limit = self.connection_limit(accepted, leaf);
+        self.leaves.borrow_mut().pools.entry(leaf.identity.clone()).or_default().admit(limit)
+    }
+
+    /// How many connections to a leaf this broker may have.
+    fn connection_limit(&self, accepted: usize, leaf: &ListedLeaf) -> usize {
+        let in_zone = self.brokers.borrow().get(&leaf.zone).copied().unwrap_or(0);
+        let brokers = SharingBrokers { in_zone, elsewhere: self.broker_count() - in_zone };
+        connection_share(accepted, brokers, self.is_in_zone(leaf))
+    }
+
+    fn is_in_zone(&self, leaf: &ListedLeaf) -> bool {
+        leaf.zone.as_str() == self.zone
+    }
+
+    /// A connection to a leaf is closed.
+    pub fn connection_closed(&self, leaf: &LeafIdentity) {
+        if let Some(pool) = self.leaves.borrow_mut().pools.get_mut(leaf) {
+            pool.closed();
+        }
+    }
+
+    /// A connection to a leaf is idle again. That to a leaf which is gone is closed.
+    pub fn give_back(&self, leaf: &LeafIdentity, connection: LeafConnection) {
+        if let Some(pool) = self.leaves.borrow_mut().pools.get_mut(leaf) {
+            pool.give_back(connection);
+        }
+    }
+
+    /// Closes idle connections whose time is over.
+    pub fn close_expired(&self) {
+        self.leaves.borrow_mut().pools.values_mut().for_each(LeafPool::close_expired);
+    }
+}
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod dialect;
 mod gather;
+mod leaf_registry;
 mod pool;
 mod readiness;
 mod respond;
@@ -158,10 +159,10 @@
     while let Some(update) = updates.recv().await {
         match update {
             RouteUpdate::Routes(configuration) => state.replace_routes(configuration),
-            RouteUpdate::WholeDirectory(directory) => state.replace_directory(directory),
-            RouteUpdate::DirectoryChange(delta) => state.change_directory(&delta),
+            RouteUpdate::WholeDirectory(directory) => state.leaves.replace_directory(directory),
+            RouteUpdate::DirectoryChange(delta) => state.leaves.change_directory(&delta),
             RouteUpdate::FreshUntil(until) => state.set_fresh_until(until),
-            RouteUpdate::Brokers(zones) => state.set_brokers(&zones),
+            RouteUpdate::Brokers(zones) => state.leaves.set_brokers(&zones),
         }
     }
 }
@@ -169,6 +170,6 @@
 async fn keep_up(state: Rc<RouteState>) {
     loop {
         sleep(UPKEEP_INTERVAL).await;
-        state.close_expired();
+        state.leaves.close_expired();
     }
 }
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -97,7 +97,7 @@
     fn render(&self, state: &RouteState) -> String {
         let version = state.table().map_or(0, |table| table.version().0);
         self.routes_version.set(version as i64);
-        self.directory_version.set(state.directory_version() as i64);
+        self.directory_version.set(state.leaves.version() as i64);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -62,7 +62,7 @@
     state: &RouteState,
     request: &ForwardedRequest,
 ) -> Result<Found, (Refusal, &'static str)> {
-    let Some(table) = state.table().filter(|_| state.has_leaves()) else {
+    let Some(table) = state.table().filter(|_| state.leaves.is_listed()) else {
         let refusal = Refusal::NotRun { retry_after: state.start_left() };
         return Err((refusal, "nothing_known_yet"));
     };
@@ -187,7 +187,7 @@
         let end = RequestEnd {
             route: self.route.map_or("", |route| route.name.as_str()),
             routes_version: self.routes_version,
-            directory_version: self.state.directory_version(),
+            directory_version: self.state.leaves.version(),
             outcome: self.outcome,
             status: self.status,
             parts: self.parts,
