--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -10,6 +10,7 @@
     FollowerSettings, FollowerState, LeaseGrant, OverloadReporter,
 };
 use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName, ZoneName};
+use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
 use gingerkeel_domain::routes::RouteConfiguration;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
@@ -87,6 +88,7 @@
         last_reports: inputs.last_reports,
         last_report: None,
         controls: inputs.controls,
+        slow_leaves: inputs.slow_leaves,
         settings,
         run,
         clock,
@@ -120,6 +122,8 @@
     pub last_reports: Rx<LastReport>,
     /// The addresses of control processes, when the settings have changed.
     pub controls: Rx<Vec<SocketAddr>>,
+    /// Leaves that were slow, to be reported.
+    pub slow_leaves: Rx<Vec<LeafObservation>>,
 }
 
 /// What ends with the process: its last totals, to be reported before it does.
@@ -134,6 +138,7 @@
 enum News {
     Message(Result<FeedMessage, LinkError>),
     LastReport(LastReport),
+    SlowLeaves(Vec<LeafObservation>),
     TimerElapsed,
 }
 
@@ -147,6 +152,8 @@
     DirectoryChange(DirectoryDelta),
     /// What is held was confirmed, and counts until then.
     FreshUntil(Timestamp),
+    /// Leaves that many brokers find slow.
+    LeafWarnings(Vec<LeafWarning>),
     /// The zones of all brokers that share the leaves, one for each broker.
     Brokers(Vec<ZoneName>),
 }
@@ -160,6 +167,7 @@
     last_reports: Rx<LastReport>,
     last_report: Option<LastReport>,
     controls: Rx<Vec<SocketAddr>>,
+    slow_leaves: Rx<Vec<LeafObservation>>,
     settings: BrokerSettings,
     run: BrokerRun,
     clock: Clock,
@@ -232,6 +240,10 @@
                     self.last_report = Some(report);
                     self.hurry_last_report();
                 }
+                News::SlowLeaves(observations) => {
+                    let observations = encode_document(&observations)?.into();
+                    send(writer, &SubscriberMessage::SlowLeaves { observations }).await?;
+                }
                 News::TimerElapsed => self.tell(FollowerEvent::TimerElapsed, &mut effects),
             }
         }
@@ -245,7 +257,8 @@
                 Some(message) => News::Message(message.map_err(LinkError::from)),
                 None => News::Message(Err(LinkError::Closed)),
             },
-            report = next_last_report(&mut self.last_reports) => News::LastReport(report),
+            report = next_of(&mut self.last_reports) => News::LastReport(report),
+            observations = next_of(&mut self.slow_leaves) => News::SlowLeaves(observations),
             _ = sleep(self.clock.until(due)) => News::TimerElapsed,
         }
     }
@@ -306,6 +319,8 @@
             })?,
             FeedMessage::DirectoryChange { delta } => self
                 .send_routes(|| decode_document(&delta.bytes).map(RouteUpdate::DirectoryChange))?,
+            FeedMessage::LeafWarnings { warnings } => self
+                .send_routes(|| decode_document(&warnings.bytes).map(RouteUpdate::LeafWarnings))?,
             FeedMessage::Controls { .. } if !self.settings.learn_controls => {}
             FeedMessage::Controls { addresses } => {
                 self.learned_controls = decode_document(&addresses.bytes)?;
@@ -424,10 +439,10 @@
     }
 }
 
-async fn next_last_report(reports: &mut Rx<LastReport>) -> LastReport {
-    match reports.recv().await {
-        Some(report) => report,
-        // Whoever could ask for one has ended.
+/// The next message of a channel; waits for ever once nobody can send one.
+async fn next_of<T>(messages: &mut Rx<T>) -> T {
+    match messages.recv().await {
+        Some(message) => message,
         None => std::future::pending().await,
     }
 }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -65,17 +65,18 @@
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
     let clock = Clock::start();
+    let (reports, slow_leaves) = local_sync::mpsc::unbounded::channel();
     let (routes, updates) = match settings.routes.clone() {
         Some(routes) => {
             let dialect = Dialect::default();
-            let started = RouteServer::start(&settings, routes, dialect, clock, &stop)?;
+            let started = RouteServer::start(&settings, routes, dialect, clock, &stop, reports)?;
             (Some(started.0), Some(started.1))
         }
         None => (None, None),
     };
     let run = BrokerRun(rand::rng().random());
     let (last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    let inputs = FeedInputs { last_reports, controls };
+    let inputs = FeedInputs { last_reports, controls, slow_leaves };
     let feed = feed::follow(settings.clone(), run, clock, engine.clone(), inputs, updates);
     monoio::spawn(feed);
     let totals = Engine::new(&settings, run, clock, engine).run(messages).await;
--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -13,6 +13,7 @@
     BodyDecoder, BodyFraming, HttpReader, ReadError, RequestHead, ResponseHead, response_framing,
 };
 
+use super::dialect::Dialect;
 use super::pool::LeafConnection;
 use super::state::RouteState;
 use super::trail::Trail;
@@ -21,6 +22,10 @@
 const HEAD_LIMIT: usize = 32 * 1024;
 /// Bytes of a reply that are held before they are handed on; a longer reply is streamed.
 const HELD_BYTES: usize = 64 * 1024;
+/// Bytes that a usual head of a caller needs as leaves get it.
+const FORWARDED_HEAD_BYTES: usize = 256;
+/// Bytes that the fields need which differ from leaf to leaf, with the end of the head.
+const OWN_FIELD_BYTES: usize = 128;
 /// Replies to other requests that are passed over on one connection.
 const STRAY_REPLIES: usize = 2;
 
@@ -30,6 +35,8 @@
     pub head: RequestHead,
     /// Its whole body.
     pub body: Bytes,
+    /// The head as leaves get it, but for what differs from one to another and its end.
+    pub forwarded_head: Vec<u8>,
     /// Its id, as the caller sent it.
     pub id: Vec<u8>,
     /// When it was received.
@@ -174,7 +181,7 @@
     request: &ForwardedRequest,
 ) -> Result<LeafReply, AttemptError> {
     let state = watch.state;
-    let bytes = compose(state, leaf, request);
+    let bytes = compose(&state.dialect, leaf, request);
     let method = request.head.method.as_str();
     let id_name = state.dialect.request_id;
     let reading =
@@ -264,36 +271,42 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
-fn compose(state: &RouteState, leaf: &ListedLeaf, request: &ForwardedRequest) -> Vec<u8> {
-    let head = &request.head;
-    let mut bytes = Vec::with_capacity(512 + request.body.len());
+/// What is the same in the requests to all leaves: the start line and the caller's own fields.
+pub fn forwarded_head(dialect: &Dialect, head: &RequestHead, body: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(FORWARDED_HEAD_BYTES);
     bytes.extend_from_slice(head.method.as_bytes());
     bytes.push(b' ');
     bytes.extend_from_slice(head.target.as_bytes());
     bytes.extend_from_slice(b" HTTP/1.1\r\n");
     for (name, value) in head.headers.iter() {
-        if !is_replaced(state, name) && !head.headers.is_hop_by_hop(name) {
+        if !is_replaced(dialect, name) && !head.headers.is_hop_by_hop(name) {
             add_field(&mut bytes, name, value);
         }
     }
+    let has_length = head.headers.get("content-length").is_some();
+    if !body.is_empty() || has_length || head.headers.get("transfer-encoding").is_some() {
+        add_field(&mut bytes, b"Content-Length", body.len().to_string().as_bytes());
+    }
+    bytes
+}
+
+fn compose(dialect: &Dialect, leaf: &ListedLeaf, request: &ForwardedRequest) -> Vec<u8> {
+    let length = request.forwarded_head.len() + OWN_FIELD_BYTES + request.body.len();
+    let mut bytes = Vec::with_capacity(length);
+    bytes.extend_from_slice(&request.forwarded_head);
     let left = request.deadline.saturating_duration_since(Instant::now());
     let left = left.as_millis().to_string();
-    add_field(&mut bytes, state.dialect.deadline.as_bytes(), left.as_bytes());
+    add_field(&mut bytes, dialect.deadline.as_bytes(), left.as_bytes());
     let identity = leaf.identity.as_str().as_bytes();
-    add_field(&mut bytes, state.dialect.expected_leaf.as_bytes(), identity);
-    let has_length = head.headers.get("content-length").is_some();
-    if !request.body.is_empty() || has_length || head.headers.get("transfer-encoding").is_some() {
-        let length = request.body.len().to_string();
-        add_field(&mut bytes, b"Content-Length", length.as_bytes());
-    }
+    add_field(&mut bytes, dialect.expected_leaf.as_bytes(), identity);
     bytes.extend_from_slice(b"\r\n");
     bytes.extend_from_slice(&request.body);
     bytes
 }
 
 /// Whether the broker sets the field itself.
-fn is_replaced(state: &RouteState, name: &[u8]) -> bool {
-    let own = [state.dialect.deadline, state.dialect.expected_leaf, "content-length", "expect"];
+fn is_replaced(dialect: &Dialect, name: &[u8]) -> bool {
+    let own = [dialect.deadline, dialect.expected_leaf, "content-length", "expect"];
     own.iter().any(|field| name.eq_ignore_ascii_case(field.as_bytes()))
 }
 
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
     AfterAttempt, AttemptError, Choice, NoReply, RequestAttempts, Selection, hedge_delay,
@@ -15,8 +13,9 @@
 use monoio::time::sleep;
 
 use super::attempt::{ForwardedRequest, LeafReply, attempt};
+use super::running::Running;
 use super::state::RouteState;
-use super::trail::AskReason;
+use super::trail::{AskReason, TrailEntry};
 use crate::stop::StopSignal;
 
 /// Share of replies of a part that are waited for before another leaf is asked as well.
@@ -39,7 +38,7 @@
 /// What is done next for a request that no leaf owes a reply.
 enum Next {
     /// This leaf is asked.
-    Ask(ListedLeaf),
+    Ask(ListedLeaf, TrailEntry),
     /// Leaves are looked at again after this time.
     Wait(Duration),
     /// No leaf may be asked.
@@ -72,6 +71,13 @@
     }
 }
 
+/// An attempt that has ended.
+struct EndedAttempt {
+    leaf: LeafIdentity,
+    entry: TrailEntry,
+    outcome: Result<LeafReply, AttemptError>,
+}
+
 /// One request at the leaves of one service.
 struct Asking<'request> {
     state: &'request Rc<RouteState>,
@@ -123,7 +129,7 @@
             Selection::Nobody => None,
         };
         match choice.and_then(|choice| self.ask(&choice, reason)) {
-            Some(leaf) => Next::Ask(leaf),
+            Some((leaf, entry)) => Next::Ask(leaf, entry),
             None if self.may_wait_for_leaves(reason) => {
                 self.attempts.forget_refusals();
                 Next::Wait(REFUSAL_WAIT)
@@ -132,15 +138,15 @@
         }
     }
 
-    fn ask(&mut self, choice: &Choice, reason: AskReason) -> Option<ListedLeaf> {
+    fn ask(&mut self, choice: &Choice, reason: AskReason) -> Option<(ListedLeaf, TrailEntry)> {
         let leaf = self.state.leaves.leaf(&choice.leaf)?;
         if self.attempts.next_is_extra() && !self.state.leaves.take_extra(self.service) {
             return None;
         }
-        self.request.trail.asked(self.service, &leaf.identity, reason, choice.sound);
-        self.state.metrics.leaf_asked(reason.as_str());
+        let entry = self.request.trail.asked(self.service, &leaf.identity, reason, choice.sound);
+        self.state.metrics.leaf_asked(reason);
         self.attempts.asked(self.state.clock.now(), leaf.identity.clone());
-        Some(leaf)
+        Some((leaf, entry))
     }
 
     /// Why the next leaf is asked when none owes a reply.
@@ -183,14 +189,11 @@
     }
 
     /// An attempt has ended; gives the outcome of the request when that settles it.
-    fn settle(
-        &mut self,
-        leaf: &LeafIdentity,
-        outcome: Result<LeafReply, AttemptError>,
-    ) -> Option<Result<LeafReply, NoReply>> {
+    fn settle(&mut self, ended: EndedAttempt) -> Option<Result<LeafReply, NoReply>> {
+        let EndedAttempt { leaf, entry, outcome } = ended;
         let status = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
-        self.request.trail.ended(leaf, status);
-        match (self.attempts.ended(leaf, status), outcome) {
+        self.request.trail.ended(entry, status);
+        match (self.attempts.ended(&leaf, status), outcome) {
             (AfterAttempt::Reply, Ok(reply)) => return Some(Ok(reply)),
             (AfterAttempt::NoReply(no_reply), _) => return Some(Err(no_reply)),
             (AfterAttempt::AskAnother { keep_reply: true }, Ok(reply)) => {
@@ -255,14 +258,16 @@
     parts: &Parts,
 ) -> Result<LeafReply, NoReply> {
     let mut asking = Asking::new(state, route, service, request, parts);
-    let mut running = FuturesUnordered::new();
+    let mut running = Running::new();
     let mut told_overdue = false;
     state.leaves.earn(service);
     loop {
         if running.is_empty() {
             let reason = asking.reason();
             match asking.next(reason) {
-                Next::Ask(leaf) => running.push(run(state, route, service, leaf, request)),
+                Next::Ask(leaf, entry) => {
+                    running.push(run(state, route, service, leaf, entry, request));
+                }
                 Next::Wait(pause) => {
                     sleep(pause).await;
                     continue;
@@ -271,17 +276,14 @@
             }
         }
         monoio::select! {
-            ended = running.next() => {
-                let settled = ended.and_then(|(leaf, outcome)| asking.settle(&leaf, outcome));
-                if let Some(settled) = settled {
-                    return settled;
-                }
-            }
+            ended = running.next() => if let Some(settled) = asking.settle(ended) {
+                return settled;
+            },
             () = hedge_due(&asking, told_overdue) => {
                 told_overdue = parts.overdue.is_given();
                 asking.mark_newest_late();
-                if let Next::Ask(leaf) = asking.next(AskReason::Hedge) {
-                    running.push(run(state, route, service, leaf, request));
+                if let Next::Ask(leaf, entry) = asking.next(AskReason::Hedge) {
+                    running.push(run(state, route, service, leaf, entry, request));
                 }
             }
         }
@@ -308,8 +310,9 @@
     route: &Route,
     service: &ServiceName,
     leaf: ListedLeaf,
+    entry: TrailEntry,
     request: &ForwardedRequest,
-) -> (LeafIdentity, Result<LeafReply, AttemptError>) {
+) -> EndedAttempt {
     let outcome = attempt(state, route, service, &leaf, request).await;
-    (leaf.identity, outcome)
+    EndedAttempt { leaf: leaf.identity, entry, outcome }
 }
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -16,7 +16,8 @@
 use monoio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-use super::attempt::{ForwardedRequest, LeafReply};
+use super::attempt::{ForwardedRequest, LeafReply, forwarded_head};
+use super::record::Record;
 use super::respond::{Refusal, RelayFraming, relayed_head};
 use super::serving::{Served, serve};
 use super::state::RouteState;
@@ -158,9 +159,10 @@
         let body = self.read_body(&head, limits).await?;
         let keep_alive = head.keeps_alive() && !self.state.is_stopping();
         let request = self.understand(head, body, received);
-        let served = self.serve_while_connected(request).await?;
+        let (served, record) = self.serve_while_connected(request).await?;
         let keep_alive = keep_alive && !self.state.is_stopping();
         self.answer(served, keep_alive).await?;
+        drop(record);
         if keep_alive { Ok(()) } else { Err(End::Closed) }
     }
 
@@ -211,12 +213,17 @@
         let time = stated.map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let deadline = received + time.min(DEFAULT_DEADLINE * 10);
         let id = head.headers.get(dialect.request_id).unwrap_or_default().to_vec();
-        ForwardedRequest { head, body, id, received, deadline, trail: Trail::new(received) }
+        let forwarded_head = forwarded_head(dialect, &head, &body);
+        let trail = Trail::new(received);
+        ForwardedRequest { head, body, forwarded_head, id, received, deadline, trail }
     }
 
     /// Serves a request unless its caller leaves before, or a planned stop is about to end; then
     /// everything for it is cancelled.
-    async fn serve_while_connected(&mut self, request: ForwardedRequest) -> Result<Served, End> {
+    async fn serve_while_connected(
+        &mut self,
+        request: ForwardedRequest,
+    ) -> Result<(Served, Option<Record>), End> {
         let (state, stop) = (self.state.clone(), self.stop.clone());
         let mut serving = std::pin::pin!(serve(&state, request));
         let mut ending = std::pin::pin!(stop_reaches(&state, &stop, PlannedStop::answers_by));
@@ -224,14 +231,14 @@
             if self.reader.buffered() > READ_AHEAD_BYTES {
                 return monoio::select! {
                     biased;
-                    served = &mut serving => Ok(served),
-                    () = &mut ending => Ok(Served::Refused(Refusal::TimedOut)),
+                    (served, record) = &mut serving => Ok((served, Some(record))),
+                    () = &mut ending => Ok((Served::Refused(Refusal::TimedOut), None)),
                 };
             }
             monoio::select! {
                 biased;
-                served = &mut serving => return Ok(served),
-                () = &mut ending => return Ok(Served::Refused(Refusal::TimedOut)),
+                (served, record) = &mut serving => return Ok((served, Some(record))),
+                () = &mut ending => return Ok((Served::Refused(Refusal::TimedOut), None)),
                 count = self.reader.fill() => match count {
                     Ok(count) if count > 0 => {}
                     _ => return Err(End::Closed),
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -13,6 +13,7 @@
     ReplicaSettings, Selection, SharingBrokers, connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::RouteSettings;
 use rand::{Rng, SeedableRng};
@@ -48,6 +49,8 @@
     leaves: RefCell<Leaves>,
     /// How many brokers there are in each zone.
     brokers: RefCell<BTreeMap<ZoneName, usize>>,
+    /// What is to be reported of leaves.
+    observations: RefCell<ObservationLog>,
     random: RefCell<Pcg64>,
 }
 
@@ -67,6 +70,7 @@
             replica_settings: ReplicaSettings::default(),
             leaves: RefCell::default(),
             brokers: RefCell::default(),
+            observations: RefCell::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
         }
     }
@@ -195,6 +199,37 @@
         state.is_some_and(|state| state.budget.take(&self.extra, now, brokers))
     }
 
+    /// In a request that began then, a leaf was slow or not as measured by the other leaves of the
+    /// request. Leaves of other regions are not reported: distance may be the cause.
+    pub fn observe(&self, leaf: &LeafIdentity, began: Timestamp, slow: bool) {
+        let leaves = self.leaves.borrow();
+        let listed = leaves.directory.leaves().get(leaf);
+        if listed.is_some_and(|leaf| self.distance(leaf) != Distance::Far) {
+            self.observations.borrow_mut().observe(self.clock.now(), leaf, began, slow);
+        }
+    }
+
+    /// The leaves that were slow since this was asked last.
+    pub fn take_slow(&self) -> Vec<LeafObservation> {
+        self.observations.borrow_mut().take(self.clock.now())
+    }
+
+    /// Many brokers find these leaves slow.
+    pub fn warn(&self, warnings: &[LeafWarning]) {
+        let now = self.clock.now();
+        let mut leaves = self.leaves.borrow_mut();
+        let Leaves { directory, services, .. } = &mut *leaves;
+        for warning in warnings {
+            let listed = directory.leaves().get(&warning.leaf);
+            if let Some(service) = listed.and_then(|leaf| services.get_mut(&leaf.service)) {
+                let until = now.after(Duration::from_millis(warning.for_ms.into()));
+                service.replicas.warn(&warning.leaf, until);
+            }
+        }
+        let named: Vec<&str> = warnings.iter().map(|warning| warning.leaf.as_str()).collect();
+        info!(event = "leaves_avoided", count = named.len(), leaves = named.join(","));
+    }
+
     /// An attempt begins.
     pub fn begin(&self, service: &ServiceName, leaf: &LeafIdentity) {
         self.with_replicas(service, |replicas, _, _| replicas.begin(leaf));
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -9,8 +9,10 @@
 mod leaf_registry;
 mod pool;
 mod readiness;
+mod record;
 mod respond;
 mod route_metrics;
+mod running;
 mod serving;
 mod state;
 mod trail;
@@ -22,6 +24,7 @@
 use std::time::Duration;
 
 use gingerkeel_domain::identifiers::BrokerRun;
+use gingerkeel_domain::leaf_warnings::LeafObservation;
 use gingerkeel_settings::{BrokerSettings, RouteSettings, SettingsSource};
 use gingerkeel_transport::listen;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
@@ -41,6 +44,8 @@
 
 /// Time between two looks at idle connections.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two reports of slow leaves: what they tell is of use for some seconds.
+const SLOW_LEAVES_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two looks at whether a planned stop is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -58,8 +63,9 @@
     let controls = reload::start(source, &settings)?;
     let requested = signals::stop_requested()?;
     let (stop, clock) = (StopSignal::new(), Clock::start());
-    let (server, updates) = RouteServer::start(&settings, routes, dialect, clock, &stop)?;
-    follow(settings.clone(), clock, controls, updates);
+    let (reports, slow_leaves) = unbounded::channel();
+    let (server, updates) = RouteServer::start(&settings, routes, dialect, clock, &stop, reports)?;
+    follow(settings.clone(), clock, controls, slow_leaves, updates);
     requested.await;
     stop.give();
     server.finish().await;
@@ -75,7 +81,7 @@
 
 impl RouteServer {
     /// Listens for callers, who are served once the news of routes and leaves have come over the
-    /// channel that is given back.
+    /// channel that is given back. Leaves that are slow go to `reports`.
     ///
     /// # Errors
     /// An [`io::Error`] when an address cannot be bound.
@@ -85,6 +91,7 @@
         dialect: Dialect,
         clock: Clock,
         stop: &StopSignal,
+        reports: Tx<Vec<LeafObservation>>,
     ) -> io::Result<(Self, Tx<RouteUpdate>)> {
         let listener = listen(routes.listen)?;
         let readiness = routes.readiness.map(listen).transpose()?;
@@ -108,6 +115,7 @@
         let open = server.open_connections();
         monoio::spawn(server.run(listener));
         monoio::spawn(keep_up(state.clone()));
+        monoio::spawn(report_slow_leaves(state.clone(), reports));
         let (updates, received) = unbounded::channel();
         monoio::spawn(apply_updates(received, state.clone()));
         Ok((Self { state, open }, updates))
@@ -134,6 +142,7 @@
     settings: BrokerSettings,
     clock: Clock,
     controls: Rx<Vec<SocketAddr>>,
+    slow_leaves: Rx<Vec<LeafObservation>>,
     updates: Tx<RouteUpdate>,
 ) {
     let run = BrokerRun(rand::rng().random());
@@ -144,7 +153,7 @@
     monoio::spawn(async move {
         // Kept so that the feed does not take it for the end of the process.
         let _last_report = last_report;
-        let inputs = FeedInputs { last_reports, controls };
+        let inputs = FeedInputs { last_reports, controls, slow_leaves };
         feed::follow(settings, run, clock, engine, inputs, Some(updates)).await;
     });
 }
@@ -156,12 +165,31 @@
             RouteUpdate::WholeDirectory(directory) => state.leaves.replace_directory(directory),
             RouteUpdate::DirectoryChange(delta) => state.leaves.change_directory(&delta),
             RouteUpdate::FreshUntil(until) => state.set_fresh_until(until),
+            RouteUpdate::LeafWarnings(warnings) => {
+                state.metrics.warned(warnings.len());
+                state.leaves.warn(&warnings);
+            }
             RouteUpdate::Brokers(zones) => state.leaves.set_brokers(&zones),
         }
         state.note_known();
     }
 }
 
+/// Reports the leaves that were slow, for as long as somebody takes the reports.
+async fn report_slow_leaves(state: Rc<RouteState>, reports: Tx<Vec<LeafObservation>>) {
+    loop {
+        sleep(SLOW_LEAVES_INTERVAL).await;
+        let observations = state.leaves.take_slow();
+        if observations.is_empty() {
+            continue;
+        }
+        state.metrics.reported(observations.len());
+        if reports.send(observations).is_err() {
+            return;
+        }
+    }
+}
+
 async fn keep_up(state: Rc<RouteState>) {
     loop {
         sleep(UPKEEP_INTERVAL).await;
--- /dev/null
+++ b/crates/broker/src/routes/record.rs
@@ -0,0 +1,160 @@
+//! What is recorded of a request: for admission once its outcome is known, for metrics and logs once
+//! it was answered.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gingerkeel_domain::forwarding::Ended;
+use gingerkeel_domain::routes::{Route, RouteVersion};
+
+use super::attempt::ForwardedRequest;
+use super::respond::Refusal;
+use super::serving::Served;
+use super::state::RouteState;
+use super::trail::RequestEnd;
+
+/// A request that was admitted and holds its place.
+struct Admitted {
+    at: Instant,
+    /// Whether it could not be in time any more by then.
+    was_late: bool,
+}
+
+/// What is recorded of a request when it ends, however it ends. Dropping it writes the metrics and
+/// the log lines.
+pub struct Record {
+    state: Rc<RouteState>,
+    request: ForwardedRequest,
+    route: Option<Arc<Route>>,
+    routes_version: RouteVersion,
+    /// None before and after it holds a place in admission.
+    admitted: Option<Admitted>,
+    outcome: &'static str,
+    status: u16,
+    parts: Option<(usize, usize)>,
+    retry_after: Option<Duration>,
+    /// When its outcome was known.
+    ended: Option<Instant>,
+}
+
+impl Record {
+    /// Nothing was decided yet.
+    pub fn new(state: Rc<RouteState>, request: ForwardedRequest) -> Self {
+        let routes_version = state.table().map_or(RouteVersion(0), |table| table.version());
+        Self {
+            state,
+            request,
+            route: None,
+            routes_version,
+            admitted: None,
+            outcome: "caller_left",
+            status: 0,
+            parts: None,
+            retry_after: None,
+            ended: None,
+        }
+    }
+
+    /// The request.
+    pub fn request(&self) -> &ForwardedRequest {
+        &self.request
+    }
+
+    /// Its route is known.
+    pub fn found(&mut self, route: &Arc<Route>) {
+        self.route = Some(route.clone());
+    }
+
+    /// It was admitted, too late to be answered in time or not.
+    pub fn admitted(&mut self, was_late: bool) {
+        self.admitted = Some(Admitted { at: Instant::now(), was_late });
+    }
+
+    /// It is refused, for a reason in one word.
+    pub fn refuse(&mut self, refusal: Refusal, reason: &'static str) -> Served {
+        self.end(&Served::Refused(refusal));
+        self.outcome = reason;
+        Served::Refused(refusal)
+    }
+
+    /// Its outcome is known; it gives its place in admission up.
+    pub fn end(&mut self, served: &Served) {
+        match served {
+            Served::Merged(answer) => {
+                let present = answer.attestations.len();
+                self.parts = Some((present, present + answer.missing));
+                self.outcome = if answer.missing > 0 { "answered_partly" } else { "answered" };
+                self.status = 200;
+            }
+            Served::Relayed(reply) => {
+                self.outcome = if reply.head.status < 500 { "answered" } else { "leaf_failed" };
+                self.status = reply.head.status;
+            }
+            Served::Refused(refusal) => {
+                self.outcome = refusal.outcome();
+                self.status = refusal.status();
+                if let Refusal::NotRun { retry_after } = refusal {
+                    self.retry_after = Some(*retry_after);
+                }
+            }
+        }
+        self.ended = Some(Instant::now());
+        self.leave_admission();
+    }
+
+    fn leave_admission(&mut self) {
+        if let (Some(route), Some(admitted)) = (&self.route, self.admitted.take()) {
+            self.state.admission.finish(route, self.how_it_ended(route, &admitted));
+        }
+    }
+
+    /// What its end says of the leaves: they do not answer for its wait where it was late already when it
+    /// was admitted.
+    fn how_it_ended(&self, route: &Route, admitted: &Admitted) -> Ended {
+        let since = if admitted.was_late { admitted.at } else { self.request.received };
+        match self.status {
+            0 => Ended::GivenUp,
+            200..=499 if is_in_time(route, since.elapsed()) => Ended::InTime,
+            _ => Ended::Late { parts: self.request.trail.parts_in_time() },
+        }
+    }
+
+    /// From the arrival of the request until its outcome was known, or until its caller left.
+    fn held(&self) -> Duration {
+        let ended = self.ended.unwrap_or_else(Instant::now);
+        ended.saturating_duration_since(self.request.received)
+    }
+}
+
+/// Whether the target latency of the route has not passed.
+fn is_in_time(route: &Route, held: Duration) -> bool {
+    held <= Duration::from_millis(route.target_latency_ms)
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        self.leave_admission();
+        let missing = self.parts.map_or(0, |(present, whole)| whole - present);
+        let held = self.held();
+        self.state.metrics.request_ended(self.outcome, held, missing);
+        let in_time = self.route.as_ref().is_some_and(|route| is_in_time(route, held));
+        let end = RequestEnd {
+            route: self.route.as_ref().map_or("", |route| route.name.as_str()),
+            routes_version: self.routes_version,
+            directory_version: self.state.leaves.version(),
+            outcome: self.outcome,
+            status: self.status,
+            held,
+            parts: self.parts,
+            retry_after_ms: self.retry_after.map(|span| span.as_millis() as u64),
+            ordinary: (200..=499).contains(&self.status) && in_time && missing == 0,
+        };
+        for judgement in self.request.trail.judgements() {
+            let began = self.state.clock.at(judgement.began);
+            self.state.leaves.observe(&judgement.leaf, began, judgement.slow);
+        }
+        let sample = self.state.settings.log_sample;
+        self.request.trail.write(&self.request.id, &end, sample);
+    }
+}
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -17,6 +17,7 @@
 use tracing::warn;
 
 use super::state::RouteState;
+use super::trail::AskReason;
 
 /// Path of the metrics.
 const PATH: &str = "/metrics";
@@ -46,6 +47,8 @@
     seconds: Histogram,
     missing_parts: Counter,
     leaf_requests: Family<ReasonLabels, Counter>,
+    slow_leaves: Counter,
+    leaf_warnings: Counter,
     routes_version: Gauge,
     directory_version: Gauge,
 }
@@ -58,6 +61,8 @@
             seconds: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
             missing_parts: Counter::default(),
             leaf_requests: Family::default(),
+            slow_leaves: Counter::default(),
+            leaf_warnings: Counter::default(),
             routes_version: Gauge::default(),
             directory_version: Gauge::default(),
         };
@@ -76,6 +81,10 @@
         registry.register("missing_parts", help, self.missing_parts.clone());
         let help = "Requests to leaves, by why they were sent";
         registry.register("leaf_requests", help, self.leaf_requests.clone());
+        let help = "Leaves that were reported to control as slow";
+        registry.register("slow_leaves", help, self.slow_leaves.clone());
+        let help = "Warnings of leaves that other brokers find slow";
+        registry.register("leaf_warnings", help, self.leaf_warnings.clone());
         let help = "Version of the configuration of routes in force";
         registry.register("routes_version", help, self.routes_version.clone());
         let help = "Version of the list of leaves in force";
@@ -89,8 +98,19 @@
         self.missing_parts.inc_by(missing as u64);
     }
 
+    /// So many slow leaves were reported.
+    pub fn reported(&self, leaves: usize) {
+        self.slow_leaves.inc_by(leaves as u64);
+    }
+
+    /// So many warnings of leaves came.
+    pub fn warned(&self, warnings: usize) {
+        self.leaf_warnings.inc_by(warnings as u64);
+    }
+
     /// A leaf is asked.
-    pub fn leaf_asked(&self, reason: &'static str) {
+    pub fn leaf_asked(&self, reason: AskReason) {
+        let reason = reason.as_str();
         self.leaf_requests.get_or_create(&ReasonLabels { reason }).inc();
     }
 
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -5,7 +5,7 @@
 //! every process samples the same ones.
 
 use std::cell::{Cell, RefCell};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gingerkeel_domain::forwarding::AttemptError;
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
@@ -15,6 +15,18 @@
 
 /// Most attempts of one request that are kept.
 const ATTEMPT_LIMIT: usize = 256;
+/// Attempts of a request that are all written; of more, only those that tell something: a request to
+/// ninety shards would else write a hundred lines, nearly all of them alike.
+const ALWAYS_WRITTEN: usize = 16;
+/// Median times of the attempts of a request beyond which one of them is not usual.
+const USUAL_FACTOR: u32 = 2;
+/// Attempts of a request from which on their median tells what is slow.
+const LEAST_JUDGED: usize = 5;
+/// Median times of the attempts of a request after which a leaf counts as slow in it: beyond what the
+/// load of a moment does, and less than a slow disk or a pause.
+const SLOW_FACTOR: u32 = 3;
+/// The outcome of an attempt whose leaf answered.
+const ANSWERED: &str = "answered";
 
 /// Why a leaf was asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,10 +61,24 @@
 }
 
 struct Ended {
-    took_ms: u64,
+    took: Duration,
     outcome: &'static str,
 }
 
+/// An attempt in the trail of its request.
+#[derive(Debug, Clone, Copy)]
+pub struct TrailEntry(usize);
+
+/// How a leaf did in one request.
+pub struct Judgement {
+    /// The leaf.
+    pub leaf: LeafIdentity,
+    /// When it was asked.
+    pub began: Instant,
+    /// Whether it took far longer than the leaves of the other shards.
+    pub slow: bool,
+}
+
 /// What a request ended with.
 pub struct RequestEnd<'end> {
     /// Name of the route; empty when none matched.
@@ -65,6 +91,8 @@
     pub outcome: &'static str,
     /// The status that the caller gets; 0 when the caller left.
     pub status: u16,
+    /// From its arrival until its outcome was known.
+    pub held: Duration,
     /// Parts that are in, and all parts.
     pub parts: Option<(usize, usize)>,
     /// When the caller is to come back, in milliseconds.
@@ -104,8 +132,9 @@
         leaf: &LeafIdentity,
         reason: AskReason,
         sound: bool,
-    ) {
+    ) -> TrailEntry {
         let mut attempts = self.attempts.borrow_mut();
+        let entry = TrailEntry(attempts.len());
         if attempts.len() < ATTEMPT_LIMIT {
             attempts.push(Attempt {
                 service: service.clone(),
@@ -116,16 +145,30 @@
                 ended: None,
             });
         }
+        entry
     }
 
     /// A leaf replied with a status, or failed.
-    pub fn ended(&self, leaf: &LeafIdentity, outcome: Result<u16, AttemptError>) {
-        let mut attempts = self.attempts.borrow_mut();
-        let open = |attempt: &&mut Attempt| attempt.ended.is_none() && &attempt.leaf == leaf;
-        if let Some(attempt) = attempts.iter_mut().find(open) {
-            let took_ms = attempt.began.elapsed().as_millis() as u64;
-            attempt.ended = Some(Ended { took_ms, outcome: outcome_name(outcome) });
+    pub fn ended(&self, entry: TrailEntry, outcome: Result<u16, AttemptError>) {
+        // One beyond the limit is not kept.
+        if let Some(attempt) = self.attempts.borrow_mut().get_mut(entry.0) {
+            let took = attempt.began.elapsed();
+            attempt.ended = Some(Ended { took, outcome: outcome_name(outcome) });
+        }
+    }
+
+    /// What the attempts of a request to many shards say of the leaves that were asked first: when each
+    /// was asked, and whether it took far longer than the others. Nothing where few were asked.
+    pub fn judgements(&self) -> Vec<Judgement> {
+        let attempts = self.attempts.borrow();
+        if attempts.len() < LEAST_JUDGED {
+            return Vec::new();
         }
+        let Some(median) = median_time(&attempts) else {
+            return Vec::new();
+        };
+        let first = attempts.iter().filter(|attempt| attempt.reason == AskReason::First);
+        first.filter_map(|attempt| attempt.judge(median * SLOW_FACTOR)).collect()
     }
 
     /// Writes the lines of a request that has ended, unless it is an ordinary one that is not in
@@ -136,6 +179,7 @@
             return;
         }
         let request = String::from_utf8_lossy(id);
+        let attempts = self.attempts.borrow();
         let (parts_in, parts) = end.parts.or(self.parts_in_time()).unwrap_or((0, 0));
         info!(
             event = "request_ended",
@@ -143,35 +187,81 @@
             route = end.route,
             outcome = end.outcome,
             status = end.status,
-            held_ms = self.received.elapsed().as_millis() as u64,
+            held_ms = end.held.as_millis() as u64,
             parts_in,
             parts,
+            attempts = attempts.len(),
             retry_after_ms = end.retry_after_ms,
             routes_version = end.routes_version.0,
             directory_version = end.directory_version
         );
-        for attempt in self.attempts.borrow().iter() {
-            let at_ms = attempt.began.duration_since(self.received).as_millis() as u64;
-            let given_up = || attempt.began.elapsed().as_millis() as u64;
-            let ended = attempt.ended.as_ref();
-            info!(
-                event = "leaf_asked",
-                %request,
-                service = %attempt.service,
-                leaf = %attempt.leaf,
-                reason = attempt.reason.as_str(),
-                sound = attempt.sound,
-                at_ms,
-                took_ms = ended.map_or_else(given_up, |ended| ended.took_ms),
-                outcome = ended.map_or("given_up", |ended| ended.outcome)
-            );
+        let usual = usual_time(&attempts);
+        for attempt in attempts.iter().filter(|attempt| sampled || !attempt.is_usual(usual)) {
+            attempt.write(&request, self.received);
+        }
+    }
+}
+
+impl Attempt {
+    /// Whether the leaf was slow; none when it could not show it.
+    fn judge(&self, slow_after: Duration) -> Option<Judgement> {
+        let took = self.ended.as_ref().map_or_else(|| self.began.elapsed(), |ended| ended.took);
+        let judgement = |slow| Judgement { leaf: self.leaf.clone(), began: self.began, slow };
+        match self.ended.as_ref().map(|ended| ended.outcome) {
+            _ if took > slow_after => Some(judgement(true)),
+            Some(ANSWERED) => Some(judgement(false)),
+            _ => None,
         }
     }
+
+    /// Whether a sound leaf, asked first, answered about as soon as the leaves of the other parts:
+    /// such an attempt explains nothing.
+    fn is_usual(&self, usual: Option<Duration>) -> bool {
+        let answered = |ended: &Ended| ended.outcome == ANSWERED && Some(ended.took) <= usual;
+        self.reason == AskReason::First && self.sound && self.ended.as_ref().is_some_and(answered)
+    }
+
+    fn write(&self, request: &str, received: Instant) {
+        let given_up = || self.began.elapsed();
+        let ended = self.ended.as_ref();
+        info!(
+            event = "leaf_asked",
+            %request,
+            service = %self.service,
+            leaf = %self.leaf,
+            reason = self.reason.as_str(),
+            sound = self.sound,
+            at_ms = self.began.duration_since(received).as_millis() as u64,
+            took_ms = ended.map_or_else(given_up, |ended| ended.took).as_millis() as u64,
+            outcome = ended.map_or("given_up", |ended| ended.outcome)
+        );
+    }
+}
+
+/// What an attempt may take that is left out of the lines of a request to many shards; none where
+/// there are too few attempts to leave one out.
+fn usual_time(attempts: &[Attempt]) -> Option<Duration> {
+    if attempts.len() <= ALWAYS_WRITTEN {
+        return None;
+    }
+    median_time(attempts).map(|median| median * USUAL_FACTOR)
+}
+
+/// The median time of the attempts that were answered.
+fn median_time(attempts: &[Attempt]) -> Option<Duration> {
+    let ended = attempts.iter().filter_map(|attempt| attempt.ended.as_ref());
+    let answered = ended.filter(|ended| ended.outcome == ANSWERED);
+    let mut times: Vec<Duration> = answered.map(|ended| ended.took).collect();
+    if times.is_empty() {
+        return None;
+    }
+    let middle = times.len() / 2;
+    Some(*times.select_nth_unstable(middle).1)
 }
 
 fn outcome_name(outcome: Result<u16, AttemptError>) -> &'static str {
     match outcome {
-        Ok(200..=299) => "answered",
+        Ok(200..=299) => ANSWERED,
         Ok(_) => "answered_failure",
         Err(AttemptError::NoConnection) => "no_connection_to_spare",
         Err(AttemptError::NotAccepted) => "not_accepted",
--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -10,6 +10,7 @@
 };
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision};
+use gingerkeel_domain::leaf_warnings::LeafObservation;
 use gingerkeel_domain::routes::AcceptedRoutes;
 use gingerkeel_protocol::FeedMessage;
 use gingerkeel_statement::{StatementReply, Subject};
@@ -82,6 +83,13 @@
         /// The report.
         report: OverloadReport,
     },
+    /// The broker saw leaves that were slow.
+    SawSlowLeaves {
+        /// The connection.
+        connection: ConnectionId,
+        /// What it saw.
+        observations: Vec<LeafObservation>,
+    },
     /// The connection is lost.
     Closed {
         /// The connection.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -18,6 +18,7 @@
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use tracing::{debug, error, info};
 
+use crate::clock::Clock;
 use crate::leaf_polling::PollPlan;
 use crate::replication::{StateMachineMessage, StateSnapshot};
 use crate::replication_client::ReplicationClient;
@@ -47,6 +48,7 @@
     reads: Reads,
     subscribers: Subscribers,
     membership: Membership,
+    clock: Clock,
     polling: Tx<PollPlan>,
     /// Whether something was applied that brokers were not told of.
     changed: bool,
@@ -70,6 +72,7 @@
         reads: Reads::default(),
         subscribers: Subscribers::default(),
         membership: Membership::new(identity),
+        clock: Clock::start(),
         polling,
         changed: false,
     };
@@ -292,7 +295,9 @@
     fn feed_event(&mut self, event: FeedEvent) {
         match event {
             FeedEvent::Subscribed { connection, subscriber, revision, feed } => {
-                self.subscribers.subscribe(&self.state, connection, subscriber, revision, feed)
+                let now = self.clock.now();
+                self.subscribers.subscribe(&self.state, connection, subscriber, revision, feed);
+                self.subscribers.send_current_warnings(now, connection);
             }
             FeedEvent::Renewed { connection, ticket, in_force } => {
                 self.subscribers.in_force(connection, in_force);
@@ -310,6 +315,9 @@
                 let report = self.subscribers.overload_report(connection, report);
                 self.membership.overloaded(report);
             }
+            FeedEvent::SawSlowLeaves { connection, observations } => {
+                self.subscribers.saw_slow_leaves(self.clock.now(), connection, &observations)
+            }
             FeedEvent::Closed { connection } => self.subscribers.closed(connection),
         }
     }
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -12,8 +12,10 @@
 use gingerkeel_domain::directory::{DirectoryDelta, DirectoryVersion};
 use gingerkeel_domain::feed::BrokerList;
 use gingerkeel_domain::identifiers::{BrokerName, Revision, ServiceName};
+use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, WarningFold};
 use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::routing::subset::BrokerEntry;
+use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
     Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, ShortText, encode_document,
 };
@@ -50,6 +52,7 @@
     thresholds: BTreeMap<ServiceName, u8>,
     controls: Vec<SocketAddr>,
     copies: Copies,
+    warnings: WarningFold,
 }
 
 impl Subscribers {
@@ -223,6 +226,36 @@
         Some(BrokerOverload { broker, report })
     }
 
+    /// A broker saw slow leaves: all brokers that feed here are warned of those that many find slow.
+    pub fn saw_slow_leaves(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        observations: &[LeafObservation],
+    ) {
+        let Some(reporter) = self.connections.get(&connection) else {
+            return;
+        };
+        let warnings = self.warnings.report(now, &reporter.identity.broker, observations);
+        for warning in &warnings {
+            info!(event = "leaf_warning", leaf = %warning.leaf, for_ms = warning.for_ms);
+        }
+        if warnings.is_empty() {
+            return;
+        }
+        for follower in self.connections.values() {
+            follower.send_warnings(&warnings);
+        }
+    }
+
+    /// Tells a broker that has just come of the warnings that last.
+    pub fn send_current_warnings(&self, now: Timestamp, connection: ConnectionId) {
+        let current = self.warnings.current(now);
+        if let Some(follower) = self.connections.get(&connection).filter(|_| !current.is_empty()) {
+            follower.send_warnings(&current);
+        }
+    }
+
     /// Tells brokers that feed here what became of their reports.
     pub fn acknowledge_charges(&self, reports: &[ChargeReport], receipts: &[ChargeReceipt]) {
         for (report, receipt) in reports.iter().zip(receipts) {
@@ -294,6 +327,10 @@
         self.send(FeedMessage::Threshold { service, lowest_admitted });
     }
 
+    fn send_warnings(&self, warnings: &[LeafWarning]) {
+        self.send_document(&warnings, |warnings| FeedMessage::LeafWarnings { warnings });
+    }
+
     fn send_document(
         &self,
         document: &impl Serialize,
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -115,6 +115,10 @@
             let report = decode_document(&report.bytes)?;
             Ok(FeedEvent::Overloaded { connection, report })
         }
+        SubscriberMessage::SlowLeaves { observations } => {
+            let observations = decode_document(&observations.bytes)?;
+            Ok(FeedEvent::SawSlowLeaves { connection, observations })
+        }
         SubscriberMessage::Subscribe { .. } => {
             Err(ProtocolError::Malformed("second subscription".into()))
         }
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -3,7 +3,6 @@
 //! One task owns the core. Other tasks ask it by [`ReplicationMessage`]; it tells the task of the
 //! state machine what to apply by [`StateMachineMessage`].
 
-mod clock;
 mod error;
 mod membership;
 mod messages;
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -21,7 +21,6 @@
 use tracing::{error, info, warn};
 
 use super::ReplicationOptions;
-use super::clock::Clock;
 use super::error::{ChangeError, ProposeError};
 use super::membership::{FirstStep, PlannedMembers};
 use super::messages::{
@@ -29,6 +28,7 @@
 };
 use super::peers::{Directory, Links};
 use super::requests::{ChangeReply, PendingRequests, ProposeReply, ReadReply};
+use crate::clock::Clock;
 use crate::storage::{OpenedStorage, Writer, WriterEvent, WriterMessage};
 
 /// Time that a leader has to answer.
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -7,7 +7,8 @@
 use gingerkeel_domain::admission::{ADMIT_ALL, ClassPressure, OverloadReport};
 use gingerkeel_domain::cluster::{ChargeCounter, ChargeKey, HISTORY_LIMIT};
 use gingerkeel_domain::feed::{BrokerList, BrokerListDelta};
-use gingerkeel_domain::identifiers::{CallerName, ClassName, ServiceName};
+use gingerkeel_domain::identifiers::{CallerName, ClassName, LeafIdentity, ServiceName};
+use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
 use gingerkeel_protocol::{
     Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, SubscriberMessage, decode_document,
     encode_document,
@@ -227,3 +228,37 @@
     let lowest_admitted = threshold_while_renewing(&mut second);
     assert_eq!(lowest_admitted, ADMIT_ALL, "nobody reports any more");
 }
+
+/// What a broker reports of a leaf that was slow in requests that began so long ago.
+fn slow_leaf(ms_ago: &[u32]) -> SubscriberMessage {
+    let leaf = LeafIdentity::new("x");
+    let seen = vec![LeafObservation { leaf, slow_ms_ago: ms_ago.to_vec(), sound: 0 }];
+    SubscriberMessage::SlowLeaves { observations: encode_document(&seen).unwrap().into() }
+}
+
+fn next_warnings(broker: &mut HollowBroker) -> Vec<LeafWarning> {
+    broker.receive_until(|message| match message {
+        FeedMessage::LeafWarnings { warnings } => Some(decode_document(&warnings.bytes).unwrap()),
+        _ => None,
+    })
+}
+
+#[test]
+fn all_brokers_are_warned_of_a_leaf_that_two_find_slow() {
+    let control = Control::start("control-1");
+    let mut brokers = ["b1", "b2", "b3"].map(|name| HollowBroker::subscribe(&control, name, 1, 0));
+    // All of them are subscribed before any of them reports, and the process runs for longer than the
+    // requests that are reported.
+    for broker in &mut brokers {
+        broker.renew(1, 0);
+    }
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    brokers[0].send(&slow_leaf(&[900, 500]));
+    brokers[1].send(&slow_leaf(&[0]));
+    for broker in &mut brokers {
+        let warnings = next_warnings(broker);
+        assert_eq!(warnings, [LeafWarning { leaf: LeafIdentity::new("x"), for_ms: 1_000 }]);
+    }
+    let mut late = HollowBroker::subscribe(&control, "b4", 1, 0);
+    assert!(next_warnings(&mut late)[0].for_ms <= 1_000, "one that comes meanwhile is told");
+}
--- a/crates/domain/src/forwarding/replica.rs
+++ b/crates/domain/src/forwarding/replica.rs
@@ -57,6 +57,8 @@
     ejections: u32,
     ejected_until: Timestamp,
     rejected_until: Timestamp,
+    /// Until when other brokers' word says that the leaf is slow.
+    pub(super) warned_until: Timestamp,
 }
 
 impl Replica {
@@ -74,6 +76,7 @@
             ejections: 0,
             ejected_until: Timestamp::ZERO,
             rejected_until: Timestamp::ZERO,
+            warned_until: Timestamp::ZERO,
         }
     }
 
@@ -90,7 +93,7 @@
     /// the time is over, one attempt at a time finds out whether it answers again.
     pub(super) fn is_suspect(&self, now: Timestamp) -> bool {
         let late = self.late > 0 && (now < self.suspect_until || self.in_flight > 0);
-        late || now < self.rejected_until
+        late || now < self.rejected_until || now < self.warned_until
     }
 
     pub(super) fn finish(
@@ -118,6 +121,7 @@
         // A leaf that answers far too late is not sound again.
         if latency.as_secs_f64() <= ordinary * SLOW_FACTOR {
             self.late = 0;
+            self.warned_until = Timestamp::ZERO;
         }
         self.failures = 0;
         self.ejections = 0;
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -209,6 +209,14 @@
         }
     }
 
+    /// Many brokers find a leaf slow: it is asked last until then, unless it answers this broker as
+    /// ever.
+    pub fn warn(&mut self, leaf: &LeafIdentity, until: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.warned_until = until;
+        }
+    }
+
     /// An attempt at a leaf has ended.
     pub fn finish(
         &mut self,
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod forwarding;
 mod hash;
 pub mod identifiers;
+pub mod leaf_warnings;
 pub mod metering;
 pub mod query;
 pub mod request_key;
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -49,6 +49,12 @@
         /// The counters by key, as a document.
         counters: Document,
     },
+    /// Leaves that were slow in the broker's requests.
+    #[brw(magic = 6u8)]
+    SlowLeaves {
+        /// What it saw of each, as a document.
+        observations: Document,
+    },
     /// Load and refusals of one service since the last such report.
     #[brw(magic = 5u8)]
     Overload {
@@ -151,6 +157,12 @@
         /// The addresses as a document.
         addresses: Document,
     },
+    /// Leaves that many brokers find slow; a hint.
+    #[brw(magic = 14u8)]
+    LeafWarnings {
+        /// The warnings as a document.
+        warnings: Document,
+    },
     /// The run that was reported is settled: the broker counts on in a new one.
     #[brw(magic = 8u8)]
     RunSettled {
--- a/crates/transport/src/http1/head.rs
+++ b/crates/transport/src/http1/head.rs
@@ -1,6 +1,9 @@
 //! Heads of requests and responses.
 
-use bytes::{Bytes, BytesMut};
+use std::mem::MaybeUninit;
+use std::ops::Range;
+
+use bytes::{Buf, Bytes, BytesMut};
 use quick_error::quick_error;
 
 /// Most headers of one head.
@@ -25,24 +28,34 @@
     }
 }
 
-/// A header field.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Where a header field lies in the text of its head.
+#[derive(Debug, Clone)]
 struct Field {
-    name: Bytes,
-    value: Bytes,
+    name: Range<usize>,
+    value: Range<usize>,
 }
 
 /// The header fields of a message, in their order.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default)]
 pub struct Headers {
+    /// The whole head, start line included.
+    text: Bytes,
     fields: Vec<Field>,
 }
 
+impl PartialEq for Headers {
+    fn eq(&self, other: &Self) -> bool {
+        self.iter().eq(other.iter())
+    }
+}
+
+impl Eq for Headers {}
+
 impl Headers {
     /// The first value of a field, without regard to case.
     pub fn get(&self, name: &str) -> Option<&[u8]> {
-        let same = |field: &&Field| field.name.eq_ignore_ascii_case(name.as_bytes());
-        self.fields.iter().find(same).map(|field| &field.value[..])
+        let same = |(field, _): &(&[u8], &[u8])| field.eq_ignore_ascii_case(name.as_bytes());
+        self.iter().find(same).map(|(_, value)| value)
     }
 
     /// The first value of a field as text.
@@ -52,13 +65,14 @@
 
     /// All values of a field, without regard to case.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
-        let same = |field: &&Field| field.name.eq_ignore_ascii_case(name.as_bytes());
-        self.fields.iter().filter(same).map(|field| &field.value[..])
+        let same = |(field, _): &(&[u8], &[u8])| field.eq_ignore_ascii_case(name.as_bytes());
+        self.iter().filter(same).map(|(_, value)| value)
     }
 
     /// All fields, as name and value.
     pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
-        self.fields.iter().map(|field| (&field.name[..], &field.value[..]))
+        let text = &self.text;
+        self.fields.iter().map(|field| (&text[field.name.clone()], &text[field.value.clone()]))
     }
 
     /// Whether a field that lists words names this one.
@@ -146,9 +160,9 @@
     buffer: &mut BytesMut,
     limit: usize,
 ) -> Result<Option<RequestHead>, HeadFault> {
-    let mut fields = [httparse::EMPTY_HEADER; HEADER_LIMIT];
-    let mut parsed = httparse::Request::new(&mut fields);
-    let length = match parsed.parse(buffer) {
+    let mut fields = [const { MaybeUninit::uninit() }; HEADER_LIMIT];
+    let mut parsed = httparse::Request::new(&mut []);
+    let length = match parsed.parse_with_uninit_headers(buffer, &mut fields) {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => return incomplete(buffer.len(), limit),
         Err(error) => return Err(fault(error, limit)),
@@ -158,7 +172,7 @@
     let target = parsed.path.unwrap_or_default().to_owned();
     let is_http_10 = parsed.version == Some(0);
     let places = places(buffer, parsed.headers);
-    let headers = take_headers(buffer, length, &places);
+    let headers = take_headers(buffer, length, places);
     Ok(Some(RequestHead { method, target, is_http_10, headers }))
 }
 
@@ -170,9 +184,10 @@
     buffer: &mut BytesMut,
     limit: usize,
 ) -> Result<Option<ResponseHead>, HeadFault> {
-    let mut fields = [httparse::EMPTY_HEADER; HEADER_LIMIT];
-    let mut parsed = httparse::Response::new(&mut fields);
-    let length = match parsed.parse(buffer) {
+    let mut fields = [const { MaybeUninit::uninit() }; HEADER_LIMIT];
+    let mut parsed = httparse::Response::new(&mut []);
+    let config = httparse::ParserConfig::default();
+    let length = match config.parse_response_with_uninit_headers(&mut parsed, buffer, &mut fields) {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => return incomplete(buffer.len(), limit),
         Err(error) => return Err(fault(error, limit)),
@@ -181,7 +196,7 @@
     let status = parsed.code.unwrap_or_default();
     let is_http_10 = parsed.version == Some(0);
     let places = places(buffer, parsed.headers);
-    let headers = take_headers(buffer, length, &places);
+    let headers = take_headers(buffer, length, places);
     Ok(Some(ResponseHead { status, is_http_10, headers }))
 }
 
@@ -201,33 +216,24 @@
     }
 }
 
-/// Where a field lies in the buffer.
-struct Place {
-    name: std::ops::Range<usize>,
-    value: std::ops::Range<usize>,
-}
-
-fn places(buffer: &[u8], fields: &[httparse::Header<'_>]) -> Vec<Place> {
+/// Where the fields lie in the buffer that they were parsed from.
+fn places(buffer: &[u8], fields: &[httparse::Header<'_>]) -> Vec<Field> {
     let start = buffer.as_ptr() as usize;
     let range = |bytes: &[u8]| {
         let from = (bytes.as_ptr() as usize).saturating_sub(start);
         // An empty value may lie anywhere.
         if bytes.is_empty() { 0..0 } else { from..from + bytes.len() }
     };
-    let place = |field: &httparse::Header<'_>| Place {
+    let place = |field: &httparse::Header<'_>| Field {
         name: range(field.name.as_bytes()),
         value: range(field.value),
     };
     fields.iter().map(place).collect()
 }
 
-fn take_headers(buffer: &mut BytesMut, length: usize, places: &[Place]) -> Headers {
+fn take_headers(buffer: &mut BytesMut, length: usize, fields: Vec<Field>) -> Headers {
     // A copy of its own, so that the buffer's memory is not held by a head that lives on.
-    let head = Bytes::copy_from_slice(&buffer[..length]);
-    let _ = buffer.split_to(length);
-    let field = |place: &Place| Field {
-        name: head.slice(place.name.clone()),
-        value: head.slice(place.value.clone()),
-    };
-    Headers { fields: places.iter().map(field).collect() }
+    let text = Bytes::copy_from_slice(&buffer[..length]);
+    buffer.advance(length);
+    Headers { text, fields }
 }
--- a/crates/transport/src/http1/reader.rs
+++ b/crates/transport/src/http1/reader.rs
@@ -1,5 +1,6 @@
 //! The reading half of a connection, with what has arrived and was not taken.
 
+use std::cell::RefCell;
 use std::io;
 
 use bytes::{Bytes, BytesMut};
@@ -12,6 +13,29 @@
 
 /// Bytes that are read at once.
 const READ_BYTES: usize = 4 * 1024;
+/// Buffers for reading that a thread keeps: as many as a scatter to tens of leaves uses at once, and few
+/// enough that they do not show in the memory of a process (128 KiB).
+const KEPT_BUFFERS: usize = 32;
+
+thread_local! {
+    /// Buffers for reading that are not in use. A read of a few hundred bytes would else spend more
+    /// time on the allocation of its buffer than on the socket.
+    static BUFFERS: RefCell<Vec<Vec<u8>>> = const { RefCell::new(Vec::new()) };
+}
+
+fn take_buffer() -> Vec<u8> {
+    let kept = BUFFERS.with_borrow_mut(Vec::pop);
+    kept.unwrap_or_else(|| Vec::with_capacity(READ_BYTES))
+}
+
+fn keep_buffer(mut buffer: Vec<u8>) {
+    BUFFERS.with_borrow_mut(|buffers| {
+        if buffers.len() < KEPT_BUFFERS {
+            buffer.clear();
+            buffers.push(buffer);
+        }
+    });
+}
 
 quick_error! {
     /// Why a message was not read; the connection is of no further use.
@@ -63,10 +87,12 @@
     /// # Errors
     /// An [`io::Error`] of the socket.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let (result, read) = self.half.read(Vec::with_capacity(READ_BYTES)).await;
-        let count = result?;
-        self.buffer.extend_from_slice(&read[..count]);
-        Ok(count)
+        let (result, read) = self.half.read(take_buffer()).await;
+        if let Ok(count) = result {
+            self.buffer.extend_from_slice(&read[..count]);
+        }
+        keep_buffer(read);
+        result
     }
 
     /// Reads the head of a request; none when the peer closed the connection before it.
