Finish answers earlier by what this broker's answers take to leave

Change: each broker observes the time from the moment of an answer to its last byte (mean and deviation as RFC 6298 smooths them) and leaves that much more, between answer_margin_ms and the new longest_answer_margin_ms. Ruled out: a bigger constant, which would be wrong where brokers are idle. Test: domain delivery (8).";

--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -162,7 +162,9 @@
         let (served, record) = self.serve_while_connected(request).await?;
         let keep_alive = keep_alive && !self.state.is_stopping();
         self.answer(served, keep_alive).await?;
-        drop(record);
+        if let Some(record) = record {
+            record.delivered();
+        }
         if keep_alive { Ok(()) } else { Err(End::Closed) }
     }
 
--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::FuturesUnordered;
 use gingerkeel_domain::forwarding::{GatherStep, GatherTimes, Gathering, GreatestRecords, NoReply};
 use gingerkeel_domain::routes::{Route, ShardSet};
+use gingerkeel_domain::time::Timestamp;
 use monoio::time::sleep;
 
 use super::attempt::{ForwardedRequest, LeafReply};
@@ -19,6 +20,10 @@
 
 /// The parts of one answer that are in.
 struct Gathered {
+    /// When the answer leaves with the parts that are in.
+    soft: Timestamp,
+    /// Whether it had not enough parts by then.
+    waited_on: bool,
     gathering: Gathering,
     attestations: Vec<Vec<u8>>,
     records: GreatestRecords,
@@ -31,12 +36,14 @@
         shards: &ShardSet,
         request: &ForwardedRequest,
     ) -> Self {
-        let margin = Duration::from_millis(state.settings.answer_margin_ms.into());
-        let target = Duration::from_millis(route.target_latency_ms).saturating_sub(margin);
+        let target = Duration::from_millis(route.target_latency_ms);
         let received = state.clock.at(request.received);
         let deadline = state.clock.at(request.deadline);
-        let times = GatherTimes { received, soft: received.after(target).min(deadline), deadline };
+        let soft = state.soft_moment(received, target);
+        let times = GatherTimes { received, soft: soft.min(deadline), deadline };
         Self {
+            soft,
+            waited_on: false,
             gathering: Gathering::new(shards.services.len(), shards.least_share, times),
             attestations: Vec::new(),
             records: GreatestRecords::new(shards.greatest as usize),
@@ -52,7 +59,7 @@
         }
     }
 
-    fn finish(self, request: &ForwardedRequest) -> Result<MergedAnswer, Refusal> {
+    fn finish(self, now: Timestamp, request: &ForwardedRequest) -> Result<MergedAnswer, Refusal> {
         if !self.gathering.reaches_least_share() {
             // A repeatable request may be sent again, whatever has run of it.
             let over = Instant::now() >= request.deadline;
@@ -63,7 +70,9 @@
         }
         let missing = self.gathering.missing();
         let records = self.records.into_bytes();
-        Ok(MergedAnswer { attestations: self.attestations, missing, records })
+        // A timer that was late is a part of what the answer took.
+        let due = if self.waited_on { now } else { now.min(self.soft) };
+        Ok(MergedAnswer { attestations: self.attestations, missing, records, due })
     }
 }
 
@@ -99,6 +108,7 @@
         let GatherStep::WaitUntil(wake) = gathered.gathering.step(now) else {
             break;
         };
+        gathered.waited_on |= now >= gathered.soft;
         if gathered.gathering.is_overdue(now) && !parts.overdue.is_given() {
             parts.overdue.give();
         }
@@ -109,6 +119,7 @@
             _ = sleep(state.clock.until(wake)) => {}
         }
     }
+    let now = state.clock.now();
     drop(running);
-    gathered.finish(request)
+    gathered.finish(now, request)
 }
--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -7,6 +7,7 @@
 
 use gingerkeel_domain::forwarding::Ended;
 use gingerkeel_domain::routes::{Route, RouteVersion};
+use gingerkeel_domain::time::Timestamp;
 
 use super::attempt::ForwardedRequest;
 use super::respond::Refusal;
@@ -34,6 +35,8 @@
     status: u16,
     parts: Option<(usize, usize)>,
     retry_after: Option<Duration>,
+    /// When a merged answer was complete enough to leave.
+    due: Option<Timestamp>,
     /// When its outcome was known.
     ended: Option<Instant>,
 }
@@ -52,6 +55,7 @@
             status: 0,
             parts: None,
             retry_after: None,
+            due: None,
             ended: None,
         }
     }
@@ -84,6 +88,7 @@
             Served::Merged(answer) => {
                 let present = answer.attestations.len();
                 self.parts = Some((present, present + answer.missing));
+                self.due = Some(answer.due);
                 self.outcome = if answer.missing > 0 { "answered_partly" } else { "answered" };
                 self.status = 200;
             }
@@ -103,6 +108,13 @@
         self.leave_admission();
     }
 
+    /// Its answer was written whole.
+    pub fn delivered(&self) {
+        if let Some(due) = self.due {
+            self.state.delivered(self.state.clock.now().since(due));
+        }
+    }
+
     fn leave_admission(&mut self) {
         if let (Some(route), Some(admitted)) = (&self.route, self.admitted.take()) {
             self.state.admission.finish(route, self.how_it_ended(route, &admitted));
--- a/crates/broker/src/routes/respond.rs
+++ b/crates/broker/src/routes/respond.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gingerkeel_domain::time::Timestamp;
 use gingerkeel_transport::http1::BodyFraming;
 
 use super::attempt::{LeafReply, add_field};
@@ -93,6 +94,8 @@
     pub missing: usize,
     /// The records.
     pub records: Vec<u8>,
+    /// When it was complete enough to leave.
+    pub due: Timestamp,
 }
 
 impl MergedAnswer {
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::forwarding::{Candidate, PlannedStop, SplitTurns};
+use gingerkeel_domain::forwarding::{
+    AnswerMargin, Candidate, DeliveryTime, PlannedStop, SplitTurns,
+};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable, WeightedService};
 use gingerkeel_domain::tail::LatencyWindow;
@@ -62,6 +64,8 @@
     stop: Cell<Option<PlannedStop>>,
     /// Given once a configuration and a list of leaves are in force.
     known: StopSignal,
+    /// What merged answers of this broker take to leave.
+    delivery: Cell<DeliveryTime>,
     random: RefCell<Pcg64>,
 }
 
@@ -89,6 +93,7 @@
             fresh_until: Cell::new(Timestamp::ZERO),
             stop: Cell::new(None),
             known: StopSignal::new(),
+            delivery: Cell::default(),
             random: RefCell::new(random),
         }
     }
@@ -241,6 +246,23 @@
         }
     }
 
+    /// A merged answer took this long to leave.
+    pub fn delivered(&self, took: Duration) {
+        let mut delivery = self.delivery.get();
+        delivery.observe(took);
+        self.delivery.set(delivery);
+    }
+
+    /// When an answer is finished that should be with its caller `target` after its request was
+    /// received.
+    pub fn soft_moment(&self, received: Timestamp, target: Duration) -> Timestamp {
+        let margin = AnswerMargin {
+            least: Duration::from_millis(self.settings.answer_margin_ms.into()),
+            most: Duration::from_millis(self.settings.longest_answer_margin_ms.into()),
+        };
+        margin.soft_moment(received, target, &self.delivery.get())
+    }
+
     /// The latency that this share of the answers of a route keeps to, if enough are known.
     pub fn latency(&self, route: &Route, quantile: f64) -> Option<Duration> {
         self.latencies.borrow().get(&route.name)?.quantile(quantile)
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod connection_allowance;
 mod connection_share;
+mod delivery;
 mod extra_load;
 mod gathering;
 mod greatest;
@@ -16,6 +17,7 @@
 pub use attempts::{AfterAttempt, AttemptError, NoReply, RequestAttempts, hedge_delay};
 pub use connection_allowance::ConnectionAllowance;
 pub use connection_share::{SharingBrokers, connection_share};
+pub use delivery::{AnswerMargin, DeliveryTime};
 pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings};
 pub use gathering::{GatherStep, GatherTimes, Gathering};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
--- /dev/null
+++ b/crates/domain/tests/delivery.rs
@@ -0,0 +1,49 @@
+//! How much earlier an answer is finished for the time that it takes to leave.
+
+use std::time::Duration;
+
+use gingerkeel_domain::forwarding::{AnswerMargin, DeliveryTime};
+use gingerkeel_domain::time::Timestamp;
+use rstest::rstest;
+
+const TARGET: Duration = Duration::from_millis(120);
+
+fn margin() -> AnswerMargin {
+    AnswerMargin { least: Duration::from_millis(15), most: Duration::from_millis(60) }
+}
+
+/// When an answer is finished, in milliseconds, after answers that took so many.
+fn finished_at(took_ms: &[u64]) -> u64 {
+    let mut delivery = DeliveryTime::default();
+    took_ms.iter().for_each(|took| delivery.observe(Duration::from_millis(*took)));
+    margin().soft_moment(Timestamp::ZERO, TARGET, &delivery).as_micros() / 1_000
+}
+
+#[rstest]
+#[case::nothing_known(&[], 105)]
+#[case::at_once(&[0, 0, 0], 105)]
+#[case::the_first_counts_twice(&[4], 97)]
+#[case::slow(&[20], 65)]
+#[case::no_more_than_the_most(&[500, 500], 60)]
+fn an_answer_is_finished_earlier_by_what_answers_take(#[case] took: &[u64], #[case] at: u64) {
+    assert_eq!(finished_at(took), at);
+}
+
+#[test]
+fn steady_times_leave_no_room_for_deviation() {
+    assert_eq!(finished_at(&[10; 100]), 95);
+}
+
+#[test]
+fn one_late_answer_is_forgotten_again() {
+    let mut took = vec![100];
+    took.extend([2; 60]);
+    assert_eq!(finished_at(&took), 102);
+}
+
+#[test]
+fn a_target_shorter_than_the_margin_is_met_at_once() {
+    let delivery = DeliveryTime::default();
+    let received = Timestamp::from_micros(5_000_000);
+    assert_eq!(margin().soft_moment(received, Duration::from_millis(10), &delivery), received);
+}
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -82,9 +82,13 @@
     /// Extra leaf requests of all brokers together beyond the share.
     #[serde(default)]
     pub extra_slack: f64,
-    /// Milliseconds before the target latency at which an answer with parts missing leaves.
+    /// Milliseconds before the target latency at which an answer with parts missing leaves at the
+    /// latest: what the way to the caller takes.
     #[serde(default = "default_answer_margin_ms")]
     pub answer_margin_ms: u32,
+    /// The same at the earliest, where this broker is observed to take long for its answers.
+    #[serde(default = "default_longest_answer_margin_ms")]
+    pub longest_answer_margin_ms: u32,
     /// What is done with requests while no control process confirms the configuration.
     #[serde(default)]
     pub out_of_touch: OutOfTouchSetting,
@@ -149,6 +153,10 @@
     15
 }
 
+fn default_longest_answer_margin_ms() -> u32 {
+    60
+}
+
 fn default_start_wait_ms() -> u32 {
     1_000
 }
@@ -233,6 +241,10 @@
         let accepted = self.answer_margin_ms <= 10_000;
         let remedy = "use milliseconds up to 10000";
         check.field("routes.answer_margin_ms", self.answer_margin_ms, accepted, remedy)?;
+        let longest = self.longest_answer_margin_ms;
+        let accepted = (self.answer_margin_ms..=10_000).contains(&longest);
+        let remedy = "use milliseconds from routes.answer_margin_ms to 10000";
+        check.field("routes.longest_answer_margin_ms", longest, accepted, remedy)?;
         let accepted = self.start_ms <= 600_000;
         let remedy = "use milliseconds up to 600000";
         check.field("routes.start_ms", self.start_ms, accepted, remedy)?;
