Hedge only to leaves that are sound, and call slow what takes four medians

And of 145 first warnings in 18 calm seconds most came of a stop and one long request beside it: 3 medians of a request are within its tail.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -128,6 +128,8 @@
             Selection::Wait { otherwise } => otherwise,
             Selection::Nobody => None,
         };
+        // A hedge to a leaf that is late itself is hardly ever the first to answer.
+        let choice = choice.filter(|choice| choice.sound || reason != AskReason::Hedge);
         match choice.and_then(|choice| self.ask(&choice, reason)) {
             Some((leaf, entry)) => Next::Ask(leaf, entry),
             None if self.may_wait_for_leaves(reason) => {
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -24,7 +24,7 @@
 const LEAST_JUDGED: usize = 5;
 /// Median times of the attempts of a request after which a leaf counts as slow in it: beyond what the
 /// load of a moment does, and less than a slow disk or a pause.
-const SLOW_FACTOR: u32 = 3;
+const SLOW_FACTOR: u32 = 4;
 /// The outcome of an attempt whose leaf answered.
 const ANSWERED: &str = "answered";
 
