Drop reports of slow leaves that waited for a link, and keep one at most

By reading: reports went through an unbounded channel. A broker out of touch with control collected four a second, and sent them on its next link with ages that counted from when they were made. The channel holds one now, who reports waits, and one older than half a second is dropped. No test that fails without it: the control scripts of the tests accept at once.

--- a/crates/broker/src/catalog_follower.rs
+++ b/crates/broker/src/catalog_follower.rs
@@ -19,7 +19,7 @@
     let (engine, mut messages) = local_sync::mpsc::unbounded::channel();
     let (_last_report, last_reports) = local_sync::mpsc::unbounded::channel();
     let (_controls, controls) = local_sync::mpsc::unbounded::channel();
-    let (_slow_leaves, slow_leaves) = local_sync::mpsc::unbounded::channel();
+    let (_slow_leaves, slow_leaves) = feed::slow_leaves();
     let inputs = FeedInputs { last_reports, controls, slow_leaves };
     monoio::spawn(feed::follow(settings, run, Clock::start(), engine, inputs, None));
     let mut in_force = Arc::default();
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -18,6 +18,7 @@
     decode_document, encode_document, encode_frame, unpack_document,
 };
 use gingerkeel_settings::BrokerSettings;
+use local_sync::mpsc::bounded;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use local_sync::oneshot;
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
@@ -40,6 +41,9 @@
 /// Time between two reports of charges and of overload: what a killed broker may not have reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which a report of slow leaves may wait for a link: the ages in it are off by the wait.
+const SLOW_LEAVES_LIFE: Duration = Duration::from_millis(500);
+
 /// Time that the engine has to tell its totals; it ends with the process.
 const ENGINE_LIMIT: Duration = Duration::from_millis(500);
 
@@ -123,7 +127,21 @@
     /// The addresses of control processes, when the settings have changed.
     pub controls: Rx<Vec<SocketAddr>>,
     /// Leaves that were slow, to be reported.
-    pub slow_leaves: Rx<Vec<LeafObservation>>,
+    pub slow_leaves: bounded::Rx<SlowLeaves>,
+}
+
+/// Leaves that were slow.
+pub struct SlowLeaves {
+    /// When this was told: ages count from then.
+    pub at: Timestamp,
+    /// What was seen of each.
+    pub observations: Vec<LeafObservation>,
+}
+
+/// The way on which the feed is told of slow leaves. It holds one report; who tells waits while nobody
+/// takes it.
+pub fn slow_leaves() -> (bounded::Tx<SlowLeaves>, bounded::Rx<SlowLeaves>) {
+    bounded::channel(1)
 }
 
 /// What ends with the process: its last totals, to be reported before it does.
@@ -138,7 +156,7 @@
 enum News {
     Message(Result<FeedMessage, LinkError>),
     LastReport(LastReport),
-    SlowLeaves(Vec<LeafObservation>),
+    SlowLeaves(SlowLeaves),
     TimerElapsed,
 }
 
@@ -167,7 +185,7 @@
     last_reports: Rx<LastReport>,
     last_report: Option<LastReport>,
     controls: Rx<Vec<SocketAddr>>,
-    slow_leaves: Rx<Vec<LeafObservation>>,
+    slow_leaves: bounded::Rx<SlowLeaves>,
     settings: BrokerSettings,
     run: BrokerRun,
     clock: Clock,
@@ -240,10 +258,7 @@
                     self.last_report = Some(report);
                     self.hurry_last_report();
                 }
-                News::SlowLeaves(observations) => {
-                    let observations = encode_document(&observations)?.into();
-                    send(writer, &SubscriberMessage::SlowLeaves { observations }).await?;
-                }
+                News::SlowLeaves(report) => self.report_slow_leaves(writer, &report).await?,
                 News::TimerElapsed => self.tell(FollowerEvent::TimerElapsed, &mut effects),
             }
         }
@@ -257,8 +272,11 @@
                 Some(message) => News::Message(message.map_err(LinkError::from)),
                 None => News::Message(Err(LinkError::Closed)),
             },
-            report = next_of(&mut self.last_reports) => News::LastReport(report),
-            observations = next_of(&mut self.slow_leaves) => News::SlowLeaves(observations),
+            report = next_last_report(&mut self.last_reports) => News::LastReport(report),
+            report = self.slow_leaves.recv() => match report {
+                Some(report) => News::SlowLeaves(report),
+                None => std::future::pending().await,
+            },
             _ = sleep(self.clock.until(due)) => News::TimerElapsed,
         }
     }
@@ -392,6 +410,19 @@
         send(writer, &SubscriberMessage::Charges { sequence, run, counters }).await
     }
 
+    /// Sends what was seen of slow leaves, unless it has waited for a link too long to be of use.
+    async fn report_slow_leaves(
+        &mut self,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+        report: &SlowLeaves,
+    ) -> Result<(), LinkError> {
+        if self.clock.now().since(report.at) > SLOW_LEAVES_LIFE {
+            return Ok(());
+        }
+        let observations = encode_document(&report.observations)?.into();
+        send(writer, &SubscriberMessage::SlowLeaves { observations }).await
+    }
+
     /// Sends what there is to say of overload.
     async fn report_overload(
         &mut self,
@@ -439,10 +470,10 @@
     }
 }
 
-/// The next message of a channel; waits for ever once nobody can send one.
-async fn next_of<T>(messages: &mut Rx<T>) -> T {
-    match messages.recv().await {
-        Some(message) => message,
+async fn next_last_report(reports: &mut Rx<LastReport>) -> LastReport {
+    match reports.recv().await {
+        Some(report) => report,
+        // Whoever could ask for one has ended.
         None => std::future::pending().await,
     }
 }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -65,7 +65,7 @@
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
     let clock = Clock::start();
-    let (reports, slow_leaves) = local_sync::mpsc::unbounded::channel();
+    let (reports, slow_leaves) = feed::slow_leaves();
     let (routes, updates) = match settings.routes.clone() {
         Some(routes) => {
             let dialect = Dialect::default();
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -24,9 +24,9 @@
 use std::time::Duration;
 
 use gingerkeel_domain::identifiers::BrokerRun;
-use gingerkeel_domain::leaf_warnings::LeafObservation;
 use gingerkeel_settings::{BrokerSettings, RouteSettings, SettingsSource};
 use gingerkeel_transport::listen;
+use local_sync::mpsc::bounded;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use monoio::time::sleep;
 use rand::Rng;
@@ -35,7 +35,7 @@
 pub use dialect::Dialect;
 
 use crate::clock::Clock;
-use crate::feed::{self, FeedInputs, RouteUpdate};
+use crate::feed::{self, FeedInputs, RouteUpdate, SlowLeaves};
 use crate::reload;
 use crate::signals;
 use crate::stop::StopSignal;
@@ -63,7 +63,7 @@
     let controls = reload::start(source, &settings)?;
     let requested = signals::stop_requested()?;
     let (stop, clock) = (StopSignal::new(), Clock::start());
-    let (reports, slow_leaves) = unbounded::channel();
+    let (reports, slow_leaves) = feed::slow_leaves();
     let (server, updates) = RouteServer::start(&settings, routes, dialect, clock, &stop, reports)?;
     follow(settings.clone(), clock, controls, slow_leaves, updates);
     requested.await;
@@ -91,7 +91,7 @@
         dialect: Dialect,
         clock: Clock,
         stop: &StopSignal,
-        reports: Tx<Vec<LeafObservation>>,
+        reports: bounded::Tx<SlowLeaves>,
     ) -> io::Result<(Self, Tx<RouteUpdate>)> {
         let listener = listen(routes.listen)?;
         let readiness = routes.readiness.map(listen).transpose()?;
@@ -142,7 +142,7 @@
     settings: BrokerSettings,
     clock: Clock,
     controls: Rx<Vec<SocketAddr>>,
-    slow_leaves: Rx<Vec<LeafObservation>>,
+    slow_leaves: bounded::Rx<SlowLeaves>,
     updates: Tx<RouteUpdate>,
 ) {
     let run = BrokerRun(rand::rng().random());
@@ -176,7 +176,7 @@
 }
 
 /// Reports the leaves that were slow, for as long as somebody takes the reports.
-async fn report_slow_leaves(state: Rc<RouteState>, reports: Tx<Vec<LeafObservation>>) {
+async fn report_slow_leaves(state: Rc<RouteState>, reports: bounded::Tx<SlowLeaves>) {
     loop {
         sleep(SLOW_LEAVES_INTERVAL).await;
         let observations = state.leaves.take_slow();
@@ -184,7 +184,8 @@
             continue;
         }
         state.metrics.reported(observations.len());
-        if reports.send(observations).is_err() {
+        let report = SlowLeaves { at: state.clock.now(), observations };
+        if reports.send(report).await.is_err() {
             return;
         }
     }
