--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -1,7 +1,6 @@
 //! The broker: it admits callers' queries, scatters them to leaves, gathers and answers.
 
 mod callers;
-pub mod catalog_follower;
 mod clock;
 mod control_dial;
 mod engine;
--- a/crates/rehearsal/src/bench/broker.rs
+++ b/crates/rehearsal/src/bench/broker.rs
@@ -1,4 +1,4 @@
-//! One broker under steps of load against hollow leaves.
+//! One broker under steps of load against stand-in leaves.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -27,7 +27,7 @@
 const WARM_UP_SECONDS: f64 = 2.0;
 /// Replicas of each shard.
 const REPLICAS: u32 = 2;
-/// Processes that share the hollow leaves.
+/// Processes that share the stand-in leaves.
 const LEAF_PROCESSES: usize = 4;
 
 /// Flags of the measurement of one broker.
@@ -127,7 +127,7 @@
     Ok(())
 }
 
-/// One broker, one class that waits for every shard, and hollow leaves with room to spare.
+/// One broker, one class that waits for every shard, and stand-in leaves with room to spare.
 fn topology(fan_out: u32, service_ms: f64) -> Topology {
     let class = ClassTopology {
         name: "measured".into(),
@@ -164,7 +164,7 @@
         policy: PolicyTopology::Standard,
         connections_per_leaf: None,
         seed: 1,
-        hollow: None,
+        listed: None,
         services: vec![service],
     }
 }
--- a/crates/rehearsal/src/fleet/topology.rs
+++ b/crates/rehearsal/src/fleet/topology.rs
@@ -50,7 +50,7 @@
     pub seed: u64,
     /// Leaves that are in the catalog only.
     #[serde(default)]
-    pub hollow: Option<HollowTopology>,
+    pub listed: Option<CatalogLeaves>,
     /// The services.
     pub services: Vec<ServiceTopology>,
 }
@@ -58,7 +58,7 @@
 /// A service whose leaves are in the catalog only, so that it has the planned size.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct HollowTopology {
+pub struct CatalogLeaves {
     /// Leaves, evenly over the shards and zones.
     pub leaves: u32,
     /// Shards.
--- a/crates/rehearsal/src/leaf/emulator.rs
+++ b/crates/rehearsal/src/leaf/emulator.rs
@@ -61,7 +61,7 @@
     started: u64,
 }
 
-/// Where the leaves of a process write what they do; hollow leaves do not.
+/// Where the leaves of a process write what they do; stand-in leaves do not.
 pub type Journal = Option<Rc<RefCell<RecordWriter<JournalEntry>>>>;
 
 /// One stand-in leaf.
--- a/crates/rehearsal/src/leaf/settings.rs
+++ b/crates/rehearsal/src/leaf/settings.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeafProcessSettings {
-    /// File to which each request that runs is appended; none for hollow leaves.
+    /// File to which each request that runs is appended; none for stand-in leaves.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub journal: Option<PathBuf>,
     /// Seed of service times and of the choice of disturbed replies.
