Keep requests within the regions that their route allows

Part of Route now (RegionPolicy), and one eligibility check in the choice of a leaf that first requests, hedges, retries and gathered parts go through. What no allowed leaf can serve is refused at once, with the reason on its line and when to come back. Ruled out: a check in the broker's attempt alone, since waiting lines would wait for leaves that may never be asked.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -6,7 +6,8 @@
 
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
-    AfterAttempt, AttemptError, Choice, NoReply, RequestAttempts, Selection, hedge_delay,
+    AfterAttempt, AttemptError, Choice, NoReply, NobodyReason, RequestAttempts, Selection,
+    hedge_delay,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
@@ -90,6 +91,8 @@
     attempts: RequestAttempts,
     /// The reply of a leaf that failed, for want of a better one.
     failure: Option<LeafReply>,
+    /// Why no leaf was chosen when one was looked for last.
+    nobody: Option<NobodyReason>,
 }
 
 impl<'request> Asking<'request> {
@@ -109,6 +112,7 @@
             began: Instant::now(),
             attempts: RequestAttempts::new(route.repeatable, route.attempts),
             failure: None,
+            nobody: None,
         }
     }
 
@@ -118,15 +122,20 @@
         if !self.attempts.may_ask() {
             return Next::Nobody;
         }
+        self.nobody = None;
         let accepted = self.state.accepted_connections(self.service);
         let leaves = &self.state.leaves;
-        let choice = match leaves.choose(self.service, accepted, self.attempts.tried()) {
+        let choice = match leaves.choose(self.route, self.service, accepted, self.attempts.tried())
+        {
             Selection::Ask(choice) => Some(choice),
             Selection::Wait { .. } if self.may_wait_for_connection(reason) => {
                 return Next::Wait(CONNECTION_WAIT);
             }
             Selection::Wait { otherwise } => otherwise,
-            Selection::Nobody => None,
+            Selection::Nobody(reason) => {
+                self.nobody = Some(reason);
+                None
+            }
         };
         // A hedge to a leaf that is late itself is hardly ever the first to answer.
         let choice = choice.filter(|choice| choice.sound || reason != AskReason::Hedge);
@@ -179,7 +188,8 @@
     }
 
     /// Whether it is worth waiting until a leaf can be asked: the answer cannot do without this part, no
-    /// other outcome than a refusal is in sight, and there is time to be served yet.
+    /// other outcome than a refusal is in sight, a leaf may be there in time, and there is time to
+    /// be served yet.
     fn may_wait_for_leaves(&self, reason: AskReason) -> bool {
         let whole = self.request.deadline.saturating_duration_since(self.request.received);
         let waited = self.request.received.elapsed();
@@ -187,6 +197,7 @@
             && !self.state.admission.is_overrun(self.route)
             && self.parts.spare.get() == 0
             && self.failure.is_none()
+            && !self.nobody.is_some_and(NobodyReason::is_lasting)
             && waited <= whole.mul_f64(REFUSAL_WAIT_SHARE)
     }
 
@@ -208,6 +219,9 @@
 
     /// The outcome when no further leaf can be asked.
     fn give_up(&mut self) -> Result<LeafReply, NoReply> {
+        if let Some(reason) = self.nobody {
+            self.request.trail.nobody(reason);
+        }
         self.failure.take().ok_or(self.attempts.no_reply())
     }
 }
--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -13,6 +13,7 @@
 use super::attempt::{ForwardedRequest, LeafReply};
 use super::attempts::{Parts, ask};
 use super::respond::{MergedAnswer, Refusal};
+use super::serving::not_run;
 use super::state::RouteState;
 
 /// When a caller is asked to come back after too many shards could not be asked.
@@ -65,7 +66,7 @@
             let over = Instant::now() >= request.deadline;
             return Err(match over {
                 true => Refusal::TimedOut,
-                false => Refusal::NotRun { retry_after: RETRY_AFTER },
+                false => not_run(request, RETRY_AFTER),
             });
         }
         let missing = self.gathering.missing();
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -9,11 +9,12 @@
 
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::forwarding::{
-    Connectivity, Distance, ExtraLoadBudget, ExtraLoadSettings, Outcome, ReplicaSet,
-    ReplicaSettings, Selection, SharingBrokers, connection_share,
+    Connectivity, Distance, Exclusion, ExtraLoadBudget, ExtraLoadSettings, NobodyReason, Outcome,
+    ReplicaSet, ReplicaSettings, Selection, SharingBrokers, connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
+use gingerkeel_domain::routes::Route;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::RouteSettings;
 use rand::{Rng, SeedableRng};
@@ -137,32 +138,52 @@
             return Distance::Zone;
         }
         let own = self.zone_regions.get(&self.zone);
-        let same_region = own.is_some() && own == self.zone_regions.get(leaf.zone.as_str());
+        let same_region = own.is_some() && own.map(String::as_str) == self.region(leaf);
         if same_region { Distance::Region } else { Distance::Far }
     }
 
+    /// The region in which a leaf runs, where the settings name it.
+    fn region(&self, leaf: &ListedLeaf) -> Option<&str> {
+        self.zone_regions.get(leaf.zone.as_str()).map(String::as_str)
+    }
+
     fn draw(&self) -> f64 {
         self.random.borrow_mut().random()
     }
 
-    /// Chooses a leaf of a service other than those tried. Each leaf of it accepts so many connections
-    /// from all brokers together.
+    /// Chooses a leaf of a service for a request of a route, other than those tried. Each leaf of
+    /// the service accepts so many connections from all brokers together.
     pub fn choose(
         &self,
+        route: &Route,
         service: &ServiceName,
         accepted: usize,
         tried: &[LeafIdentity],
     ) -> Selection {
         let leaves = self.leaves.borrow();
         let Some(state) = leaves.services.get(service) else {
-            return Selection::Nobody;
+            return Selection::Nobody(NobodyReason::NoneListed);
         };
-        let connectivity = |leaf: &LeafIdentity| match leaves.directory.leaves().get(leaf) {
-            Some(leaf) => self.connectivity(&leaves, accepted, leaf),
-            None => Connectivity::Exhausted,
+        let reach = |leaf: &LeafIdentity| match leaves.directory.leaves().get(leaf) {
+            Some(leaf) => self.reach(&leaves, route, accepted, leaf),
+            None => Ok(Connectivity::Exhausted),
         };
         let settings = &self.replica_settings;
-        state.replicas.choose(self.clock.now(), settings, tried, connectivity, || self.draw())
+        state.replicas.choose(self.clock.now(), settings, tried, reach, || self.draw())
+    }
+
+    /// By what a leaf is reached, or why requests of the route may not go there.
+    fn reach(
+        &self,
+        leaves: &Leaves,
+        route: &Route,
+        accepted: usize,
+        leaf: &ListedLeaf,
+    ) -> Result<Connectivity, Exclusion> {
+        if !route.allowed_regions.allows(self.region(leaf)) {
+            return Err(Exclusion::RegionNotAllowed);
+        }
+        Ok(self.connectivity(leaves, accepted, leaf))
     }
 
     fn connectivity(&self, leaves: &Leaves, accepted: usize, leaf: &ListedLeaf) -> Connectivity {
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::forwarding::NoReply;
+use gingerkeel_domain::forwarding::{NoReply, NobodyReason};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Destination, Route, RouteLookup, RouteTable};
 use monoio::time::timeout;
@@ -18,6 +18,9 @@
 
 /// When a caller is asked to come back after no leaf took its request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// When a caller is asked to come back whose request no leaf may serve as routes and leaves are: about as
+/// long as an operator's change or news of leaves take to be in force.
+const LASTING_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// When a caller is asked to come back while no control process is in touch.
 const OUT_OF_TOUCH_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -111,9 +114,16 @@
     match timeout(left, ask(state, route, service, request, &Parts::new(state, route, 0))).await {
         Ok(Ok(reply)) => Served::Relayed(Box::new(reply)),
         Ok(Err(NoReply::NoLeaf | NoReply::Rejected)) => {
-            Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER })
+            Served::Refused(not_run(request, BUSY_RETRY_AFTER))
         }
         Ok(Err(NoReply::Unknown)) => Served::Refused(Refusal::NoReply),
         Err(_) => Served::Refused(Refusal::TimedOut),
     }
 }
+
+/// The refusal of a request that no leaf could be asked for: it is to come back after the usual
+/// time, or later where the reason lasts.
+pub(super) fn not_run(request: &ForwardedRequest, usual: Duration) -> Refusal {
+    let lasts = request.trail.nobody_reason().is_some_and(NobodyReason::is_lasting);
+    Refusal::NotRun { retry_after: if lasts { LASTING_RETRY_AFTER } else { usual } }
+}
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -7,7 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::forwarding::AttemptError;
+use gingerkeel_domain::forwarding::{AttemptError, NobodyReason};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::RouteVersion;
 use tracing::info;
@@ -107,12 +107,19 @@
     attempts: RefCell<Vec<Attempt>>,
     /// Parts that came within the target latency, and all parts, of a request to many shards.
     parts_in_time: Cell<Option<(usize, usize)>>,
+    /// Why no leaf of a service could be asked; of several services, of the last.
+    nobody: Cell<Option<NobodyReason>>,
 }
 
 impl Trail {
     /// Nothing was decided yet.
     pub fn new(received: Instant) -> Self {
-        Self { received, attempts: RefCell::default(), parts_in_time: Cell::default() }
+        Self {
+            received,
+            attempts: RefCell::default(),
+            parts_in_time: Cell::default(),
+            nobody: Cell::default(),
+        }
     }
 
     /// Of a request to many shards, `present` of `whole` parts came within the target latency.
@@ -125,6 +132,16 @@
         self.parts_in_time.get()
     }
 
+    /// No leaf of a service could be asked, or could be by the end of the request's time.
+    pub fn nobody(&self, reason: NobodyReason) {
+        self.nobody.set(Some(reason));
+    }
+
+    /// What [`Self::nobody`] was told last; none before.
+    pub fn nobody_reason(&self) -> Option<NobodyReason> {
+        self.nobody.get()
+    }
+
     /// A leaf is asked.
     pub fn asked(
         &self,
@@ -191,6 +208,7 @@
             parts_in,
             parts,
             attempts = attempts.len(),
+            no_leaf = self.nobody.get().map(NobodyReason::as_str),
             retry_after_ms = end.retry_after_ms,
             routes_version = end.routes_version.0,
             directory_version = end.directory_version
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -8,9 +8,9 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::identifiers::LeafIdentity;
+use gingerkeel_domain::identifiers::{LeafIdentity, RegionName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
-use gingerkeel_domain::routes::{Destination, PartsPerMillion};
+use gingerkeel_domain::routes::{Destination, PartsPerMillion, RegionPolicy};
 use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
 use rstest::rstest;
 use rustix::process::Signal;
@@ -591,3 +591,41 @@
     let leaves: Vec<&str> = reported.iter().map(|seen| seen.leaf.as_str()).collect();
     assert_eq!(leaves, ["s6-0"]);
 }
+
+/// The broker's zone is in region `south`; the region of the second leaf's zone is not known.
+#[test]
+fn requests_stay_in_the_regions_of_their_route_also_when_they_are_sent_again() {
+    let near = ScriptedLeaf::for_all(|_| Act::Send(rejection()));
+    let elsewhere = honest("stamp", b"body");
+    let mut routes = configuration(0);
+    for route in &mut routes.routes {
+        route.allowed_regions = RegionPolicy::only([RegionName::new("south")]);
+    }
+    let leaves = directory(&[near.address, elsewhere.address], &[]);
+    let broker = RoutedBroker::start_with(&routes, &leaves);
+    assert_eq!(broker.get("/one/").status, 503);
+    assert!(!near.requests().is_empty());
+    assert_eq!(elsewhere.requests().len(), 0);
+}
+
+#[test]
+fn a_request_that_no_allowed_leaf_can_serve_is_refused_at_once_with_its_reason() {
+    let leaf = honest("stamp", b"body");
+    let mut routes = configuration(1);
+    for route in &mut routes.routes {
+        route.allowed_regions = RegionPolicy::only([RegionName::new("north")]);
+    }
+    let leaves = directory(&[leaf.address], &[&[leaf.address]]);
+    let broker = RoutedBroker::start_with(&routes, &leaves);
+    for path in ["/one/", "/once/", "/all/"] {
+        let began = Instant::now();
+        let answer = broker.get(path);
+        assert_eq!(answer.status, 503, "{path}");
+        let after: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+        assert!(after >= 1.0, "the reason lasts: {after}");
+        assert!(began.elapsed() < Duration::from_millis(500), "refused at once");
+    }
+    assert_eq!(leaf.requests().len(), 0);
+    let told = || broker.broker.log().matches("no_leaf=region_not_allowed").count() >= 3;
+    wait_until("the reason is logged", told);
+}
--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -5,8 +5,8 @@
 use gingerkeel_domain::directory::{LeafAvailability, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::routes::{
-    BackEndService, CallerLimits, Destination, PartsPerMillion, Route, RouteConfiguration,
-    RouteVersion, ShardSet,
+    BackEndService, CallerLimits, Destination, PartsPerMillion, RegionPolicy, Route,
+    RouteConfiguration, RouteVersion, ShardSet,
 };
 use gingerkeel_protocol::{FeedMessage, pack_document};
 
@@ -130,6 +130,7 @@
         priority: 0,
         attempts: 2,
         destination,
+        allowed_regions: RegionPolicy::default(),
     }
 }
 
--- a/crates/control/src/tables/routes.rs
+++ b/crates/control/src/tables/routes.rs
@@ -1,7 +1,8 @@
 //! Tables of routes and of the directory of leaves.
 
 use gingerkeel_domain::directory::{LeafAvailability, LeafDirectory, ListedLeaf};
-use gingerkeel_domain::routes::{Destination, Route, RouteState};
+use gingerkeel_domain::identifiers::RegionName;
+use gingerkeel_domain::routes::{Destination, RegionPolicy, Route, RouteState};
 use gingerkeel_statement::StatementReply;
 
 use super::table;
@@ -22,6 +23,7 @@
         "priority",
         "attempts",
         "destination",
+        "regions",
         "version",
     ];
     table(&columns, rows)
@@ -38,10 +40,19 @@
         route.priority.to_string(),
         route.attempts.to_string(),
         destination(&route.destination),
+        regions(&route.allowed_regions),
         version.to_string(),
     ]
 }
 
+fn regions(policy: &RegionPolicy) -> String {
+    if !policy.is_restricted() {
+        return "all".to_owned();
+    }
+    let regions: Vec<&str> = policy.regions().map(RegionName::as_str).collect();
+    regions.join(", ")
+}
+
 fn destination(destination: &Destination) -> String {
     match destination {
         Destination::Service(service) => service.to_string(),
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{
-    BackEndService, CallerLimits, Destination, Route, RouteConfiguration, RouteVersion,
+    BackEndService, CallerLimits, Destination, RegionPolicy, Route, RouteConfiguration,
+    RouteVersion,
 };
 use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, block_on};
 use http::{Method, Uri};
@@ -171,6 +172,7 @@
             priority: 0,
             attempts: 1,
             destination: Destination::Service(service.clone()),
+            allowed_regions: RegionPolicy::default(),
         }],
         services: vec![BackEndService {
             name: service,
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -4,6 +4,7 @@
 mod connection_allowance;
 mod connection_share;
 mod delivery;
+mod eligibility;
 mod extra_load;
 mod gathering;
 mod greatest;
@@ -18,6 +19,7 @@
 pub use connection_allowance::ConnectionAllowance;
 pub use connection_share::{SharingBrokers, connection_share};
 pub use delivery::{AnswerMargin, DeliveryTime};
+pub use eligibility::{Exclusion, NobodyReason};
 pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings};
 pub use gathering::{GatherStep, GatherTimes, Gathering};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::eligibility::{Exclusion, Exclusions, NobodyReason};
 use super::replica::{Distance, Outcome, Replica};
 use crate::directory::{LeafAvailability, ListedLeaf};
 use crate::identifiers::LeafIdentity;
@@ -77,7 +78,6 @@
 enum Tier {
     Sound,
     Suspect,
-    Ejected,
 }
 
 /// What a request to a leaf would be sent over.
@@ -111,13 +111,7 @@
         otherwise: Option<Choice>,
     },
     /// No leaf can be asked.
-    Nobody,
-}
-
-impl From<Option<Choice>> for Selection {
-    fn from(choice: Option<Choice>) -> Self {
-        choice.map_or(Self::Nobody, Self::Ask)
-    }
+    Nobody(NobodyReason),
 }
 
 /// A leaf with what speaks for it, the less the better.
@@ -152,24 +146,28 @@
         self.replicas.is_empty()
     }
 
-    /// Chooses a leaf other than those of `tried`. A leaf that is left out for its failures is
-    /// not chosen; `variation` gives numbers from 0 to 1.
+    /// Chooses a leaf other than those of `tried`. `reach` tells by what a leaf is reached, or why
+    /// the request may not go there; `variation` gives numbers from 0 to 1.
     pub fn choose(
         &self,
         now: Timestamp,
         settings: &ReplicaSettings,
         tried: &[LeafIdentity],
-        connectivity: impl Fn(&LeafIdentity) -> Connectivity,
+        reach: impl Fn(&LeafIdentity) -> Result<Connectivity, Exclusion>,
         mut variation: impl FnMut() -> f64,
     ) -> Selection {
         let ordinary = self.ordinary(settings);
         let (mut best, mut exhausted): (Option<Candidate>, Option<Candidate>) = (None, None);
+        let mut left_out = Exclusions::default();
         for (identity, replica) in &self.replicas {
+            let connectivity = match eligible(identity, replica, now, tried, &reach) {
+                Ok(connectivity) => connectivity,
+                Err(reason) => {
+                    left_out.add(reason);
+                    continue;
+                }
+            };
             let tier = tier(replica, now);
-            if replica.leaving || tier == Tier::Ejected || tried.contains(identity) {
-                continue;
-            }
-            let connectivity = connectivity(identity);
             let cost = replica.expected_cost(now, settings, ordinary)
                 + replica.connection_cost(settings, ordinary, connectivity);
             let candidate = (tier, cost * (1.0 + COST_VARIATION * variation()), identity);
@@ -178,13 +176,13 @@
                 Connectivity::Idle | Connectivity::Openable => keep_better(&mut best, candidate),
             }
         }
-        let otherwise = best.map(Choice::from);
         match (best, exhausted) {
+            (None, None) => Selection::Nobody(left_out.reason()),
+            (Some(best), None) => Selection::Ask(Choice::from(best)),
             (Some(best), Some(exhausted)) if !is_better(exhausted, best) => {
-                Selection::from(otherwise)
+                Selection::Ask(Choice::from(best))
             }
-            (_, Some(_)) => Selection::Wait { otherwise },
-            (_, None) => Selection::from(otherwise),
+            (best, Some(_)) => Selection::Wait { otherwise: best.map(Choice::from) },
         }
     }
 
@@ -256,12 +254,27 @@
     }
 }
 
-fn tier(replica: &Replica, now: Timestamp) -> Tier {
+/// By what a leaf is reached, or why it may not be asked.
+fn eligible(
+    identity: &LeafIdentity,
+    replica: &Replica,
+    now: Timestamp,
+    tried: &[LeafIdentity],
+    reach: impl Fn(&LeafIdentity) -> Result<Connectivity, Exclusion>,
+) -> Result<Connectivity, NobodyReason> {
+    if replica.leaving {
+        return Err(NobodyReason::Excluded(Exclusion::Leaving));
+    }
+    if tried.contains(identity) {
+        return Err(NobodyReason::AllTried);
+    }
+    let connectivity = reach(identity).map_err(NobodyReason::Excluded)?;
     if replica.is_ejected(now) {
-        Tier::Ejected
-    } else if replica.is_suspect(now) {
-        Tier::Suspect
-    } else {
-        Tier::Sound
+        return Err(NobodyReason::Excluded(Exclusion::Ejected));
     }
+    Ok(connectivity)
+}
+
+fn tier(replica: &Replica, now: Timestamp) -> Tier {
+    if replica.is_suspect(now) { Tier::Suspect } else { Tier::Sound }
 }
--- a/crates/domain/src/routes/configuration.rs
+++ b/crates/domain/src/routes/configuration.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::error::RouteError;
+use super::region_policy::RegionPolicy;
 use crate::identifiers::ServiceName;
 
 /// Version of a configuration, given by operators; the highest counts.
@@ -61,6 +62,9 @@
     pub attempts: u32,
     /// Who answers.
     pub destination: Destination,
+    /// Where its requests may be served.
+    #[serde(default)]
+    pub allowed_regions: RegionPolicy,
 }
 
 /// Who answers the requests of a route.
--- a/crates/domain/src/routes/mod.rs
+++ b/crates/domain/src/routes/mod.rs
@@ -6,6 +6,7 @@
 mod accepted;
 mod configuration;
 mod error;
+mod region_policy;
 mod table;
 
 pub use accepted::{AcceptedRoutes, ReplaceOutcome, RouteState};
@@ -14,4 +15,5 @@
     RouteVersion, ShardSet, WeightedService,
 };
 pub use error::RouteError;
+pub use region_policy::RegionPolicy;
 pub use table::{RouteLookup, RouteTable};
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -4,9 +4,9 @@
 
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::forwarding::{
-    Connectivity, Distance, ExtraLoadBudget, ExtraLoadSettings, GreatestRecords, Outcome,
-    RECORD_BYTES, ReplicaSet, ReplicaSettings, Selection, SharingBrokers, SplitTurns,
-    connection_share,
+    Connectivity, Distance, Exclusion, ExtraLoadBudget, ExtraLoadSettings, GreatestRecords,
+    NobodyReason, Outcome, RECORD_BYTES, ReplicaSet, ReplicaSettings, Selection, SharingBrokers,
+    SplitTurns, connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::routes::WeightedService;
@@ -51,13 +51,13 @@
     tried: &[LeafIdentity],
     connectivity: impl Fn(&LeafIdentity) -> Connectivity,
 ) -> Selection {
-    set.choose(now, &ReplicaSettings::default(), tried, connectivity, || 0.0)
+    set.choose(now, &ReplicaSettings::default(), tried, |leaf| Ok(connectivity(leaf)), || 0.0)
 }
 
 fn asked(selection: &Selection) -> Option<String> {
     match selection {
         Selection::Ask(choice) => Some(choice.leaf.as_str().to_owned()),
-        Selection::Wait { .. } | Selection::Nobody => None,
+        Selection::Wait { .. } | Selection::Nobody(_) => None,
     }
 }
 
@@ -122,7 +122,9 @@
 fn the_more_connections_to_a_near_leaf_are_in_use_the_sooner_one_is_free() {
     let settings = ReplicaSettings { far_cost: Duration::from_millis(25), ..Default::default() };
     let mut set = three_leaves();
-    let select = |set: &ReplicaSet| set.choose(at(0), &settings, &[], only("far-1"), || 0.0);
+    let select = |set: &ReplicaSet| {
+        set.choose(at(0), &settings, &[], |leaf| Ok(only("far-1")(leaf)), || 0.0)
+    };
     set.begin(&identity("near"));
     assert_eq!(asked(&select(&set)).as_deref(), Some("far-1"));
     set.begin(&identity("near"));
@@ -383,3 +385,40 @@
     merged.add(&[1; 16]);
     assert_eq!(merged.into_bytes(), vec![7; 48]);
 }
+
+/// Leaves of other regions than the one of `near` are not allowed.
+fn only_near(leaf: &LeafIdentity) -> Result<Connectivity, Exclusion> {
+    match leaf.as_str() {
+        "near" => Ok(Connectivity::Idle),
+        _ => Err(Exclusion::RegionNotAllowed),
+    }
+}
+
+#[test]
+fn a_leaf_that_may_not_be_asked_is_not_chosen_even_as_the_last() {
+    let set = three_leaves();
+    let choose = |tried: &[LeafIdentity]| {
+        set.choose(at(0), &ReplicaSettings::default(), tried, only_near, || 0.0)
+    };
+    assert_eq!(asked(&choose(&[])).as_deref(), Some("near"));
+    // The near leaf was tried: the others stay excluded, and it may be asked again later.
+    assert_eq!(choose(&[identity("near")]), Selection::Nobody(NobodyReason::AllTried));
+}
+
+#[test]
+fn why_nobody_can_be_asked_names_what_may_end_first() {
+    let mut set = ReplicaSet::default();
+    let choose = |set: &ReplicaSet, reach: fn(&LeafIdentity) -> Result<Connectivity, Exclusion>| {
+        set.choose(at(0), &ReplicaSettings::default(), &[], reach, || 0.0)
+    };
+    let forbidden = |_: &LeafIdentity| Err(Exclusion::RegionNotAllowed);
+    assert_eq!(choose(&set, forbidden), Selection::Nobody(NobodyReason::NoneListed));
+    set.list(&leaf("elsewhere"), Distance::Far);
+    let reason = NobodyReason::Excluded(Exclusion::RegionNotAllowed);
+    assert_eq!(choose(&set, forbidden), Selection::Nobody(reason));
+    assert!(reason.is_lasting());
+    set.list(&ListedLeaf { availability: LeafAvailability::Leaving, ..leaf("a") }, Distance::Zone);
+    let reason = NobodyReason::Excluded(Exclusion::Leaving);
+    assert_eq!(choose(&set, forbidden), Selection::Nobody(reason));
+    assert!(!reason.is_lasting());
+}
--- a/crates/domain/tests/leaf_warnings.rs
+++ b/crates/domain/tests/leaf_warnings.rs
@@ -152,7 +152,7 @@
 
 fn chosen(set: &ReplicaSet, now: u64) -> String {
     let settings = ReplicaSettings::default();
-    match set.choose(at(now), &settings, &[], |_| Connectivity::Idle, || 0.0) {
+    match set.choose(at(now), &settings, &[], |_| Ok(Connectivity::Idle), || 0.0) {
         Selection::Ask(choice) => choice.leaf.to_string(),
         other => format!("{other:?}"),
     }
--- a/crates/domain/tests/routes.rs
+++ b/crates/domain/tests/routes.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use gingerkeel_domain::identifiers::ServiceName;
+use gingerkeel_domain::identifiers::{RegionName, ServiceName};
 use gingerkeel_domain::routes::{
-    AcceptedRoutes, BackEndService, CallerLimits, Destination, PartsPerMillion, ReplaceOutcome,
-    Route, RouteConfiguration, RouteError, RouteLookup, RouteState, RouteTable, RouteVersion,
-    ShardSet, WeightedService,
+    AcceptedRoutes, BackEndService, CallerLimits, Destination, PartsPerMillion, RegionPolicy,
+    ReplaceOutcome, Route, RouteConfiguration, RouteError, RouteLookup, RouteState, RouteTable,
+    RouteVersion, ShardSet, WeightedService,
 };
 use rstest::rstest;
 
@@ -29,6 +29,7 @@
         priority: 0,
         attempts: 2,
         destination: Destination::Service(ServiceName::new("a")),
+        allowed_regions: RegionPolicy::default(),
     }
 }
 
@@ -185,3 +186,19 @@
 ) {
     assert_eq!(PartsPerMillion(share).reached_by(part, whole), expected);
 }
+
+#[rstest]
+#[case::no_policy(&[], Some("north"), true)]
+#[case::no_policy_and_unknown_region(&[], None, true)]
+#[case::allowed(&["north", "south"], Some("south"), true)]
+#[case::another_region(&["north"], Some("south"), false)]
+#[case::unknown_region(&["north"], None, false)]
+fn a_region_policy_allows_the_regions_it_names(
+    #[case] named: &[&str],
+    #[case] region: Option<&str>,
+    #[case] allowed: bool,
+) {
+    let policy = RegionPolicy::only(named.iter().map(RegionName::new));
+    assert_eq!(policy.allows(region), allowed);
+    assert_eq!(policy.is_restricted(), !named.is_empty());
+}
--- a/crates/rehearsal/src/soak/parties.rs
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -8,8 +8,8 @@
 
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{
-    BackEndService, CallerLimits, Destination, PartsPerMillion, Route, RouteConfiguration,
-    RouteVersion, ShardSet,
+    BackEndService, CallerLimits, Destination, PartsPerMillion, RegionPolicy, Route,
+    RouteConfiguration, RouteVersion, ShardSet,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -68,6 +68,7 @@
         priority: 0,
         attempts: 2,
         destination,
+        allowed_regions: RegionPolicy::default(),
     };
     let service = |name: &&str| BackEndService {
         name: ServiceName::new(name),
--- a/crates/simulation/src/routes/broker.rs
+++ b/crates/simulation/src/routes/broker.rs
@@ -6,9 +6,9 @@
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
     Admitted, AfterAttempt, AttemptError, Candidate, Choice, Connectivity, Distance, Ended,
-    ExtraLoadBudget, ExtraLoadSettings, GatherStep, GatherTimes, Gathering, NoReply, Outcome,
-    OverloadGate, OverloadGateSettings, ReplicaSet, ReplicaSettings, RequestAttempts, Selection,
-    TicketNumber, hedge_delay,
+    ExtraLoadBudget, ExtraLoadSettings, GatherStep, GatherTimes, Gathering, NoReply, NobodyReason,
+    Outcome, OverloadGate, OverloadGateSettings, ReplicaSet, ReplicaSettings, RequestAttempts,
+    Selection, TicketNumber, hedge_delay,
 };
 use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::routes::PartsPerMillion;
@@ -357,7 +357,7 @@
                 return;
             }
             Selection::Wait { otherwise } => otherwise,
-            Selection::Nobody => None,
+            Selection::Nobody(_) => None,
         };
         let asked = choice.filter(|_| self.may_ask(now, &request.parts[part]));
         match asked {
@@ -379,16 +379,16 @@
 
     fn select(&mut self, now: Timestamp, part: &Part) -> Selection {
         let in_use = &self.in_use;
-        let connectivity = |leaf: &LeafIdentity| {
+        let reach = |leaf: &LeafIdentity| {
             let used = in_use.get(leaf).copied().unwrap_or(0);
-            if used < CONNECTIONS { Connectivity::Idle } else { Connectivity::Exhausted }
+            Ok(if used < CONNECTIONS { Connectivity::Idle } else { Connectivity::Exhausted })
         };
         let random = &mut self.random;
         let Some(replicas) = self.replicas.get(&part.service) else {
-            return Selection::Nobody;
+            return Selection::Nobody(NobodyReason::NoneListed);
         };
         let tried = part.attempts.tried();
-        replicas.choose(now, &self.replica_settings, tried, connectivity, || random.random())
+        replicas.choose(now, &self.replica_settings, tried, reach, || random.random())
     }
 
     fn may_ask(&mut self, now: Timestamp, part: &Part) -> bool {
