Share the slack of extra requests among all brokers that may be serving

Cause, by reading: a broker that is cut off goes on taking its share of the slack, while those in touch forget it with its lease and divide the slack by fewer; a broker that starts anew took the whole share of a window again, and before its first list of brokers the slack of all. Control now keeps brokers whose lease is over for an hour and tells them to all; there is no slack before the list of brokers or within the first window of a process. The list of brokers goes out before the list of leaves. Another cause is left: arrivals at leaves that got the address of another shard's leaf.

--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -7,9 +7,9 @@
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory};
 use gingerkeel_domain::feed::{
     BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
-    FollowerSettings, FollowerState, LeaseGrant, OverloadReporter,
+    FollowerSettings, FollowerState, KnownBroker, LeaseGrant, OverloadReporter,
 };
-use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName, ZoneName};
+use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
 use gingerkeel_domain::routes::RouteConfiguration;
 use gingerkeel_domain::time::Timestamp;
@@ -172,8 +172,8 @@
     FreshUntil(Timestamp),
     /// Leaves that many brokers find slow.
     LeafWarnings(Vec<LeafWarning>),
-    /// The zones of all brokers that share the leaves, one for each broker.
-    Brokers(Vec<ZoneName>),
+    /// All brokers that share the leaves.
+    Brokers(Vec<KnownBroker>),
 }
 
 struct Link {
@@ -314,11 +314,8 @@
             }
             FeedMessage::Brokers { delta } => {
                 self.brokers.apply(decode_document(&delta.bytes)?);
-                let brokers = self.brokers.entries();
-                let zones = brokers.iter().map(|broker| broker.placement.zone.clone());
-                let zones = zones.collect();
-                self.send_routes(|| Ok(RouteUpdate::Brokers(zones)))?;
-                self.send_engine(EngineMessage::BrokersChanged(self.brokers.entries()));
+                self.send_routes(|| Ok(RouteUpdate::Brokers(self.brokers.all())))?;
+                self.send_engine(EngineMessage::BrokersChanged(self.brokers.live()));
             }
             FeedMessage::Leaving { leaves } => {
                 let leaves = leaves.into_iter().map(LeafId).collect();
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -3,14 +3,15 @@
 //!
 //! The state is borrowed between two waits only, never across one.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
+use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
     Connectivity, Distance, Exclusion, ExtraLoadBudget, ExtraLoadSettings, NobodyReason, Outcome,
-    ReplicaSet, ReplicaSettings, Selection, SharingBrokers, connection_share,
+    ReplicaSet, ReplicaSettings, Selection, SharingBrokers, SlackShare, connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
@@ -48,8 +49,11 @@
     extra: ExtraLoadSettings,
     replica_settings: ReplicaSettings,
     leaves: RefCell<Leaves>,
-    /// How many brokers there are in each zone.
+    /// How many live brokers there are in each zone.
     brokers: RefCell<BTreeMap<ZoneName, usize>>,
+    /// How many brokers share the slack of extra requests, those included that may be cut off; 0
+    /// while that is not known.
+    sharing: Cell<usize>,
     /// What is to be reported of leaves.
     observations: RefCell<ObservationLog>,
     random: RefCell<Pcg64>,
@@ -71,6 +75,7 @@
             replica_settings: ReplicaSettings::default(),
             leaves: RefCell::default(),
             brokers: RefCell::default(),
+            sharing: Cell::new(0),
             observations: RefCell::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
         }
@@ -106,13 +111,14 @@
         }
     }
 
-    /// The zones of all brokers that share the leaves.
-    pub fn set_brokers(&self, zones: &[ZoneName]) {
+    /// The brokers that share the leaves.
+    pub fn set_brokers(&self, brokers: &[KnownBroker]) {
         let mut counts = BTreeMap::new();
-        for zone in zones {
-            *counts.entry(zone.clone()).or_insert(0) += 1;
+        for broker in brokers.iter().filter(|broker| broker.live) {
+            *counts.entry(broker.entry.placement.zone.clone()).or_insert(0) += 1;
         }
         *self.brokers.borrow_mut() = counts;
+        self.sharing.set(brokers.len());
     }
 
     fn broker_count(&self) -> usize {
@@ -214,10 +220,12 @@
 
     /// Takes one extra request out of the budget of a service; false when there is no room.
     pub fn take_extra(&self, service: &ServiceName) -> bool {
-        let (now, brokers) = (self.clock.now(), self.broker_count());
+        let now = self.clock.now();
+        // The clock starts with the process.
+        let slack = SlackShare::of(&self.extra, self.sharing.get(), now.since(Timestamp::ZERO));
         let mut leaves = self.leaves.borrow_mut();
         let state = leaves.services.get_mut(service);
-        state.is_some_and(|state| state.budget.take(&self.extra, now, brokers))
+        state.is_some_and(|state| state.budget.take(&self.extra, now, slack))
     }
 
     /// In a request that began then, a leaf was slow or not as measured by the other leaves of the
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use gingerkeel_domain::admission::{ADMIT_ALL, OverloadReport};
-use gingerkeel_domain::catalog::{Catalog, MemberState};
+use gingerkeel_domain::catalog::{Catalog, MemberState, Placement};
 use gingerkeel_domain::cluster::{
     BrokerOverload, ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, ClusterState,
 };
 use gingerkeel_domain::directory::{DirectoryDelta, DirectoryVersion};
-use gingerkeel_domain::feed::BrokerList;
+use gingerkeel_domain::feed::{BrokerList, KnownBroker};
 use gingerkeel_domain::identifiers::{BrokerName, Revision, ServiceName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, WarningFold};
 use gingerkeel_domain::routes::RouteVersion;
@@ -86,10 +86,11 @@
         if revision == Revision(0) || !follower.send_changes(state) {
             follower.send_catalog(state.catalog());
         }
+        // Before the leaves: who shares them bounds what may be sent to them.
+        follower.send_document(&broker_list(state).whole(), |delta| FeedMessage::Brokers { delta });
         follower.send_copies(state, &mut self.copies);
         let controls = feed_addresses(state);
         follower.send_document(&controls, |addresses| FeedMessage::Controls { addresses });
-        follower.send_document(&self.brokers.whole(), |delta| FeedMessage::Brokers { delta });
         follower.send(leaving(state));
         // A broker that comes from another control process may still hold one that has ended.
         let thresholds = lowest_admitted(state);
@@ -157,11 +158,7 @@
     /// Sends what changed among the brokers, once for all that came and went since.
     pub fn publish_members(&mut self, state: &ClusterState) {
         self.publish_controls(state);
-        let members = state.members().brokers().iter();
-        let newer = BrokerList::new(members.map(|(name, broker)| BrokerEntry {
-            name: name.clone(),
-            placement: broker.placement.clone(),
-        }));
+        let newer = broker_list(state);
         let Some(delta) = self.brokers.delta_to(&newer) else {
             return;
         };
@@ -348,6 +345,18 @@
     }
 }
 
+/// All brokers that may be serving as the replicated state knows them.
+fn broker_list(state: &ClusterState) -> BrokerList {
+    let known = |name: &BrokerName, placement: &Placement, live| KnownBroker {
+        entry: BrokerEntry { name: name.clone(), placement: placement.clone() },
+        live,
+    };
+    let members = state.members();
+    let live = members.brokers().iter().map(|(name, broker)| known(name, &broker.placement, true));
+    let gone = members.departed().iter().map(|(name, gone)| known(name, &gone.placement, false));
+    BrokerList::new(gone.chain(live))
+}
+
 fn feed_addresses(state: &ClusterState) -> Vec<SocketAddr> {
     state.members().controls().values().map(|control| control.renewal.feed).collect()
 }
--- a/crates/domain/src/cluster/members.rs
+++ b/crates/domain/src/cluster/members.rs
@@ -13,6 +13,10 @@
 /// How long a control process counts as live after its last renewal; renewed every second or two.
 pub const CONTROL_LEASE: Duration = Duration::from_secs(10);
 
+/// How long a broker that is gone counts among those that may still be serving: a broker that is only
+/// cut off goes on with what it has, and cuts between regions last for minutes.
+pub const DEPARTED_RETENTION: Duration = Duration::from_secs(3_600);
+
 /// A control process says that it is there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlRenewal {
@@ -73,7 +77,16 @@
     pub lease_until: WallTime,
 }
 
-/// All control processes and brokers that hold a lease.
+/// A broker whose lease is over. It may be cut off and still serve its callers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartedBroker {
+    /// Where it ran.
+    pub placement: Placement,
+    /// When it is forgotten.
+    pub until: WallTime,
+}
+
+/// All control processes and brokers that hold a lease, and the brokers that held one lately.
 ///
 /// A broker's lease is that of the control process that feeds it: 1,600 brokers cost the log no
 /// renewals of their own.
@@ -81,6 +94,7 @@
 pub struct Members {
     controls: BTreeMap<ControlName, ControlRecord>,
     brokers: BTreeMap<BrokerName, BrokerRecord>,
+    departed: BTreeMap<BrokerName, DepartedBroker>,
 }
 
 impl Members {
@@ -94,6 +108,11 @@
         &self.brokers
     }
 
+    /// Brokers that are gone and may still be serving, by name.
+    pub fn departed(&self) -> &BTreeMap<BrokerName, DepartedBroker> {
+        &self.departed
+    }
+
     /// The revision that every live broker has in force; `accepted` when there is none.
     pub fn in_force_everywhere(&self, accepted: Revision) -> Revision {
         self.brokers.values().map(|broker| broker.in_force).min().unwrap_or(accepted)
@@ -140,12 +159,13 @@
                     in_force: known.max(*in_force),
                     lease_until: now.after(CONTROL_LEASE),
                 };
+                self.departed.remove(broker);
                 self.brokers.insert(broker.clone(), record);
             }
             BrokerChange::Left { broker, run } => {
                 let left = |known: &BrokerRecord| known.run == *run && known.control == *control;
                 if self.brokers.get(broker).is_some_and(left) {
-                    self.brokers.remove(broker);
+                    self.depart(now, broker);
                 }
             }
         }
@@ -153,14 +173,24 @@
 
     pub(super) fn expire(&mut self, now: WallTime) {
         self.controls.retain(|_, control| control.lease_until > now);
-        self.brokers.retain(|_, broker| broker.lease_until > now);
+        let over = |(_, broker): &(&BrokerName, &BrokerRecord)| broker.lease_until <= now;
+        let gone: Vec<BrokerName> =
+            self.brokers.iter().filter(over).map(|(name, _)| name.clone()).collect();
+        gone.iter().for_each(|broker| self.depart(now, broker));
+        self.departed.retain(|_, broker| broker.until > now);
     }
 
-    pub(super) fn forget_removed(&mut self, change: &Change) {
+    fn depart(&mut self, now: WallTime, broker: &BrokerName) {
+        if let Some(record) = self.brokers.remove(broker) {
+            let until = now.after(DEPARTED_RETENTION);
+            let departed = DepartedBroker { placement: record.placement, until };
+            self.departed.insert(broker.clone(), departed);
+        }
+    }
+
+    pub(super) fn forget_removed(&mut self, now: WallTime, change: &Change) {
         match change {
-            Change::RemoveBroker(broker) => {
-                self.brokers.remove(broker);
-            }
+            Change::RemoveBroker(broker) => self.depart(now, broker),
             Change::RemoveControl(control) => {
                 self.controls.remove(control);
             }
--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -34,7 +34,8 @@
 pub use history::{AcceptedChange, HISTORY_LIMIT, History, Target};
 pub use leaf_health::{LeafHealth, LeafHealthChange, LeafHints};
 pub use members::{
-    BrokerChange, BrokerRecord, CONTROL_LEASE, ControlRecord, ControlRenewal, Members,
+    BrokerChange, BrokerRecord, CONTROL_LEASE, ControlRecord, ControlRenewal, DEPARTED_RETENTION,
+    DepartedBroker, Members,
 };
 pub use overload::{BrokerOverload, OverloadFold, OverloadSettings};
 pub use polling::polled_by;
@@ -205,7 +206,7 @@
             session: request.id.session.clone(),
             change: request.change.clone(),
         });
-        self.members.forget_removed(&request.change);
+        self.members.forget_removed(self.now, &request.change);
         self.leaf_hints.forget_removed(&request.change);
         Ok(revision)
     }
--- a/crates/domain/src/feed/mod.rs
+++ b/crates/domain/src/feed/mod.rs
@@ -7,7 +7,7 @@
 mod overload_reporter;
 
 pub use back_off::BackOff;
-pub use brokers::{BrokerList, BrokerListDelta};
+pub use brokers::{BrokerList, BrokerListDelta, KnownBroker};
 pub use charge_reporter::{ChargeReporter, ChargeTotals, RunReport};
 pub use follower::{
     FeedFault, FollowerEffect, FollowerEvent, FollowerSettings, FollowerState, LeaseGrant,
--- a/crates/domain/src/forwarding/extra_load.rs
+++ b/crates/domain/src/forwarding/extra_load.rs
@@ -2,7 +2,8 @@
 //!
 //! All brokers together may send a share of the requests of a service again, and a few more, in
 //! every window. Each broker keeps to the share of its own requests and to its part of the rest,
-//! so that the sum holds without a word between them. A window that has moved on a little may hold
+//! so that the sum holds without a word between them, also while some of them are cut off from the
+//! others or have just been started again. A window that has moved on a little may hold
 //! fewer requests than those that allowed its extra ones: settings belong somewhat below a bound that
 //! has to be kept.
 
@@ -25,6 +26,23 @@
     pub slack: f64,
 }
 
+/// What one broker may take of the slack.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct SlackShare(f64);
+
+impl SlackShare {
+    /// The share of one of `brokers`: all that may be serving, those that are cut off included,
+    /// because they go on taking their shares. Nothing while their number is not known (0), and
+    /// nothing until the process is older than a window: whatever ran under its name before may
+    /// have taken the share of that window.
+    pub fn of(settings: &ExtraLoadSettings, brokers: usize, age: Duration) -> Self {
+        if brokers == 0 || age < settings.window {
+            return Self::default();
+        }
+        Self(settings.slack / brokers as f64)
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Part {
     number: u64,
@@ -44,16 +62,20 @@
         self.current(settings, now).requests += 1;
     }
 
-    /// Takes one extra request; false when there is no room. `brokers` share the slack.
-    pub fn take(&mut self, settings: &ExtraLoadSettings, now: Timestamp, brokers: usize) -> bool {
+    /// Takes one extra request; false when there is no room.
+    pub fn take(
+        &mut self,
+        settings: &ExtraLoadSettings,
+        now: Timestamp,
+        slack: SlackShare,
+    ) -> bool {
         self.current(settings, now);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let extra: u32 = self.parts.iter().map(|part| part.extra).sum();
         // The oldest part lies outside the window in part: its requests do not count in full.
         let oldest = self.parts.front().filter(|_| self.parts.len() > WINDOW_PARTS as usize);
         let counted = requests - oldest.map_or(0, |part| part.requests);
-        let slack = settings.slack / brokers.max(1) as f64;
-        let allowed = settings.ratio * f64::from(counted) + slack;
+        let allowed = settings.ratio * f64::from(counted) + slack.0;
         if f64::from(extra + 1) > allowed {
             return false;
         }
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -20,7 +20,7 @@
 pub use connection_share::{SharingBrokers, connection_share};
 pub use delivery::{AnswerMargin, DeliveryTime};
 pub use eligibility::{Exclusion, NobodyReason};
-pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings};
+pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings, SlackShare};
 pub use gathering::{GatherStep, GatherTimes, Gathering};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
 pub use overload::{Admitted, Ended, OverloadGate, OverloadGateSettings};
--- a/crates/domain/tests/cluster.rs
+++ b/crates/domain/tests/cluster.rs
@@ -7,8 +7,9 @@
 use gingerkeel_domain::cluster::{
     BrokerChange, CONTROL_LEASE, ChangeOutcome, ChangeRefusal, ChangeRequest, ChargeCounter,
     ChargeKey, ChargeReceipt, ChargeReport, ClusterState, Command, CommandBody, CommandId,
-    CommandOutcome, ControlRenewal, HISTORY_LIMIT, LeafHealth, LeafHealthChange, LogIndex,
-    OUTCOMES_PER_SESSION, RUN_RETENTION, SESSION_LIMIT, SESSION_RETENTION, Threshold, WallTime,
+    CommandOutcome, ControlRenewal, DEPARTED_RETENTION, HISTORY_LIMIT, LeafHealth,
+    LeafHealthChange, LogIndex, OUTCOMES_PER_SESSION, RUN_RETENTION, SESSION_LIMIT,
+    SESSION_RETENTION, Threshold, WallTime,
 };
 use gingerkeel_domain::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, LeafId, RegionName, Revision, ServiceName,
@@ -304,6 +305,30 @@
     assert!(cluster.state.members().controls().is_empty());
 }
 
+/// A broker that is cut off is live no more, and goes on taking its share of what all may take.
+#[test]
+fn brokers_that_are_gone_count_among_those_that_may_be_serving_until_they_are_forgotten() {
+    let mut cluster = Cluster::new();
+    let departed = |cluster: &Cluster| cluster.state.members().departed().len();
+    cluster.report("c1", follows("cut-off", 7, 0));
+    cluster.report("c1", follows("stopped", 8, 0));
+    let left = BrokerChange::Left { broker: BrokerName::new("stopped"), run: 8 };
+    cluster.report("c1", left);
+    assert_eq!((cluster.state.members().brokers().len(), departed(&cluster)), (1, 1));
+    cluster.pass(CONTROL_LEASE);
+    assert_eq!((cluster.state.members().brokers().len(), departed(&cluster)), (0, 2));
+    cluster.report("c1", follows("stopped", 9, 0));
+    assert_eq!((cluster.state.members().brokers().len(), departed(&cluster)), (1, 1));
+    for _ in 0..DEPARTED_RETENTION.as_secs() / 10 {
+        assert_eq!(departed(&cluster), 1);
+        cluster.report("c1", follows("stopped", 9, 0));
+        cluster.pass(CONTROL_LEASE - Duration::from_secs(1));
+        cluster.pass(Duration::from_secs(1));
+        cluster.report("c1", follows("stopped", 9, 0));
+    }
+    assert_eq!(departed(&cluster), 0);
+}
+
 #[test]
 fn control_process_that_restarted_keeps_no_brokers_alive() {
     let mut cluster = Cluster::new();
--- a/crates/domain/tests/follower.rs
+++ b/crates/domain/tests/follower.rs
@@ -6,7 +6,7 @@
 use gingerkeel_domain::catalog::{CallerAccount, Catalog, Change, Placement};
 use gingerkeel_domain::feed::{
     BackOff, BrokerList, FeedFault, FollowerEffect, FollowerEvent, FollowerSettings, FollowerState,
-    LeaseGrant,
+    KnownBroker, LeaseGrant,
 };
 use gingerkeel_domain::identifiers::{BrokerName, CallerName, RegionName, Revision, ZoneName};
 use gingerkeel_domain::routing::subset::BrokerEntry;
@@ -195,12 +195,11 @@
 }
 
 fn broker_list(members: &BTreeSet<(u8, u8)>) -> BrokerList {
-    BrokerList::new(members.iter().map(|(name, zone)| BrokerEntry {
-        name: BrokerName::new(format!("b{name}")),
-        placement: Placement {
-            region: RegionName::new("south"),
-            zone: ZoneName::new(format!("z{zone}")),
-        },
+    BrokerList::new(members.iter().map(|(name, zone)| {
+        let placement =
+            Placement { region: RegionName::new("south"), zone: ZoneName::new(format!("z{zone}")) };
+        let entry = BrokerEntry { name: BrokerName::new(format!("b{name}")), placement };
+        KnownBroker { entry, live: name % 2 == 0 }
     }))
 }
 
--- a/crates/simulation/src/routes/broker.rs
+++ b/crates/simulation/src/routes/broker.rs
@@ -8,7 +8,7 @@
     Admitted, AfterAttempt, AttemptError, Candidate, Choice, Connectivity, Distance, Ended,
     ExtraLoadBudget, ExtraLoadSettings, GatherStep, GatherTimes, Gathering, NoReply, NobodyReason,
     Outcome, OverloadGate, OverloadGateSettings, ReplicaSet, ReplicaSettings, RequestAttempts,
-    Selection, TicketNumber, hedge_delay,
+    Selection, SlackShare, TicketNumber, hedge_delay,
 };
 use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::routes::PartsPerMillion;
@@ -112,7 +112,7 @@
     /// Requests that wait for admission.
     waiting: BTreeMap<(RouteKind, TicketNumber), Waiting>,
     in_use: BTreeMap<LeafIdentity, usize>,
-    brokers: usize,
+    slack: SlackShare,
     replica_settings: ReplicaSettings,
     gate_settings: OverloadGateSettings,
     random: Pcg64,
@@ -130,7 +130,8 @@
             requests: BTreeMap::new(),
             waiting: BTreeMap::new(),
             in_use: BTreeMap::new(),
-            brokers,
+            // Each was there before the first request.
+            slack: SlackShare::of(&EXTRA_LOAD, brokers, EXTRA_LOAD.window),
             replica_settings: ReplicaSettings::default(),
             gate_settings: OverloadGateSettings::default(),
             random: Pcg64::seed_from_u64(seed),
@@ -397,7 +398,7 @@
         }
         let budget = self.budgets.entry(part.service).or_default();
         let ignored = self.mutant == Some(Mutant::BudgetIgnored);
-        !part.attempts.next_is_extra() || ignored || budget.take(&EXTRA_LOAD, now, self.brokers)
+        !part.attempts.next_is_extra() || ignored || budget.take(&EXTRA_LOAD, now, self.slack)
     }
 
     fn send(
