Leave out a leaf whose address another one has, until the list says otherwise

Cause: a 421 counted like the refusal of a full leaf, and paused the leaf for 100 ms. Where lists are stale, each request asked the ended leaf again; the request then arrived at a leaf of another shard, which had the address, as one beyond its first there. Now 421 has an outcome of its own: the leaf has ended (its successor has another identity), and is excluded until the list gives it another address or drops it. A request that only such leaves could serve is refused at once.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -13,6 +13,8 @@
     BodyDecoder, BodyFraming, HttpReader, ReadError, RequestHead, ResponseHead, response_framing,
 };
 
+use http::StatusCode;
+
 use super::dialect::Dialect;
 use super::pool::LeafConnection;
 use super::state::RouteState;
@@ -141,6 +143,7 @@
     watch.outcome = Some(match &outcome {
         Ok(_) => Outcome::Answered(watch.started.elapsed()),
         Err(AttemptError::Rejected) => Outcome::Rejected,
+        Err(AttemptError::AnotherLeaf) => Outcome::AddressTaken,
         Err(AttemptError::Lost) => watch.reset(),
         Err(_) => Outcome::Failed,
     });
@@ -192,7 +195,8 @@
     let mut decoder = BodyDecoder::new(framing);
     let body = read_body(&mut connection.reader, &mut decoder).await?;
     let not_executed = head.headers.get(state.dialect.not_executed).is_some();
-    let rejected = not_executed || head.status == 421;
+    let another_leaf = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let rejected = not_executed || another_leaf;
     let reusable = whole
         && head.keeps_alive()
         && framing != BodyFraming::UntilClose
@@ -203,11 +207,15 @@
         let head_only = method == "HEAD";
         return Ok(LeafReply { leaf, head, head_only, framing, body, rest: Some(rest) });
     }
-    if reusable {
+    if reusable && !another_leaf {
         connection.keep_for(stated_keep(&head));
         state.leaves.give_back(watch.leaf, connection);
         watch.holds_connection = false;
     }
+    if another_leaf {
+        // Nothing else is asked of whoever it is under the name of this leaf.
+        return Err(AttemptError::AnotherLeaf);
+    }
     if rejected {
         return Err(AttemptError::Rejected);
     }
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -285,6 +285,7 @@
         Err(AttemptError::NotAccepted) => "not_accepted",
         Err(AttemptError::NotConnected) => "not_connected",
         Err(AttemptError::Rejected) => "rejected",
+        Err(AttemptError::AnotherLeaf) => "another_leaf",
         Err(AttemptError::Lost) => "connection_lost",
         Err(AttemptError::Unusable) => "unusable_reply",
     }
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -629,3 +629,14 @@
     let told = || broker.broker.log().matches("no_leaf=region_not_allowed").count() >= 3;
     wait_until("the reason is logged", told);
 }
+
+#[test]
+fn a_leaf_whose_address_another_one_has_is_asked_once() {
+    let stranger = ScriptedLeaf::for_all(|_| Act::Send(response(421, "", b"")));
+    let leaf = honest("stamp", b"body");
+    let broker = RoutedBroker::start(&[stranger.address, leaf.address], &[]);
+    for _ in 0..5 {
+        assert_eq!(broker.get("/once/").status, 200);
+    }
+    assert_eq!(stranger.requests().len(), 1);
+}
--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -2,13 +2,16 @@
 
 use std::net::SocketAddr;
 
+use gingerkeel_domain::catalog::Placement;
 use gingerkeel_domain::directory::{LeafAvailability, LeafDirectory, ListedLeaf};
-use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use gingerkeel_domain::feed::{BrokerList, KnownBroker};
+use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, RegionName, ServiceName, ZoneName};
 use gingerkeel_domain::routes::{
     BackEndService, CallerLimits, Destination, PartsPerMillion, RegionPolicy, Route,
     RouteConfiguration, RouteVersion, ShardSet,
 };
-use gingerkeel_protocol::{FeedMessage, pack_document};
+use gingerkeel_domain::routing::subset::BrokerEntry;
+use gingerkeel_protocol::{FeedMessage, encode_document, pack_document};
 
 use super::broker::Broker;
 use super::caller::{Caller, Response};
@@ -48,7 +51,7 @@
         );
         let settings = format!(
             "[routes]\nlisten = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\n\
-                        extra_ratio = 1.0\nextra_slack = 100.0\nstop_ms = 2000\n\
+                        extra_ratio = 1.0\nextra_slack = 100.0\nextra_window_ms = 100\nstop_ms = 2000\n\
                         zone_regions = {{ a = \"south\" }}\n{further_settings}"
         );
         let broker = Broker::start_on(control, &settings);
@@ -89,11 +92,20 @@
 /// What a control process tells of these.
 pub fn news(configuration: &RouteConfiguration, directory: &LeafDirectory) -> Vec<FeedMessage> {
     vec![
+        FeedMessage::Brokers { delta: only_broker() },
         FeedMessage::Routes { configuration: document(configuration) },
         FeedMessage::WholeDirectory { directory: document(directory) },
     ]
 }
 
+/// A list of one broker, as a document.
+fn only_broker() -> gingerkeel_protocol::Document {
+    let placement = Placement { region: RegionName::new("south"), zone: ZoneName::new("a") };
+    let entry = BrokerEntry { name: BrokerName::new("only"), placement };
+    let list = BrokerList::new([KnownBroker { entry, live: true }]);
+    encode_document(&list.whole()).expect("a document").into()
+}
+
 /// A request to host `h`.
 pub fn request(path: &str, deadline: &str) -> String {
     format!(
--- a/crates/domain/src/forwarding/attempts.rs
+++ b/crates/domain/src/forwarding/attempts.rs
@@ -36,6 +36,10 @@
         Rejected {
             display("the leaf refused the request: send it again later")
         }
+        /// Another leaf has the address; it did not run the request.
+        AnotherLeaf {
+            display("another leaf has the address: wait for a newer list of leaves")
+        }
         /// The connection failed after the request was sent; it may have run.
         Lost {
             display("the connection was lost: check whether the request has run")
@@ -197,7 +201,7 @@
         if error.certainly_not_run() {
             self.may_have_run -= 1;
             self.refused.push(leaf.clone());
-            if self.no_reply == NoReply::NoLeaf && error == AttemptError::Rejected {
+            if self.no_reply == NoReply::NoLeaf && error.arrived() {
                 self.no_reply = NoReply::Rejected;
             }
             return AfterAttempt::AskAnother { keep_reply: false };
--- a/crates/domain/src/forwarding/replica.rs
+++ b/crates/domain/src/forwarding/replica.rs
@@ -1,8 +1,10 @@
 //! What a broker has observed of one leaf.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::replica_set::{Connectivity, ReplicaSettings};
+use crate::directory::{LeafAvailability, ListedLeaf};
 use crate::time::Timestamp;
 
 /// Weight of the newest latency in the smoothed one.
@@ -35,6 +37,8 @@
     Answered(Duration),
     /// The leaf said that it did not run the request.
     Rejected,
+    /// Another leaf answered at its address.
+    AddressTaken,
     /// The connection failed, or the answer was not usable.
     Failed,
     /// The attempt was given up after this time, before an outcome came.
@@ -47,6 +51,11 @@
     pub(super) distance: Distance,
     pub(super) slots: u32,
     pub(super) leaving: bool,
+    /// Where the list says that it is.
+    address: SocketAddr,
+    /// Whether another leaf answered there. A leaf that has ended does not come back: its successor has
+    /// another identity.
+    address_taken: bool,
     pub(super) in_flight: u32,
     latency: Option<f64>,
     observed: Timestamp,
@@ -62,11 +71,13 @@
 }
 
 impl Replica {
-    pub(super) fn new(distance: Distance, slots: u32, leaving: bool) -> Self {
+    pub(super) fn new(leaf: &ListedLeaf, distance: Distance) -> Self {
         Self {
             distance,
-            slots: slots.max(1),
-            leaving,
+            slots: leaf.slots.max(1),
+            leaving: leaf.availability == LeafAvailability::Leaving,
+            address: leaf.address,
+            address_taken: false,
             in_flight: 0,
             latency: None,
             observed: Timestamp::ZERO,
@@ -80,6 +91,22 @@
         }
     }
 
+    /// Takes over what the list says of the leaf.
+    pub(super) fn list(&mut self, leaf: &ListedLeaf, distance: Distance) {
+        self.slots = leaf.slots.max(1);
+        self.leaving = leaf.availability == LeafAvailability::Leaving;
+        self.distance = distance;
+        if self.address != leaf.address {
+            self.address = leaf.address;
+            self.address_taken = false;
+        }
+    }
+
+    /// Whether another leaf has its address.
+    pub(super) fn is_address_taken(&self) -> bool {
+        self.address_taken
+    }
+
     /// Whether the leaf is left out for its failures.
     pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
         if self.failures < FAILURES_TO_EJECT {
@@ -110,6 +137,7 @@
                 self.late = 0;
                 self.rejected_until = now.after(settings.rejection_pause);
             }
+            Outcome::AddressTaken => self.address_taken = true,
             Outcome::Failed => self.failed(now, settings),
             Outcome::Abandoned(waited) => self.abandoned(now, settings, ordinary, waited),
         }
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -5,7 +5,7 @@
 
 use super::eligibility::{Exclusion, Exclusions, NobodyReason};
 use super::replica::{Distance, Outcome, Replica};
-use crate::directory::{LeafAvailability, ListedLeaf};
+use crate::directory::ListedLeaf;
 use crate::identifiers::LeafIdentity;
 use crate::time::Timestamp;
 
@@ -128,12 +128,8 @@
 impl ReplicaSet {
     /// Takes over what the directory says of a leaf.
     pub fn list(&mut self, leaf: &ListedLeaf, distance: Distance) {
-        let leaving = leaf.availability == LeafAvailability::Leaving;
         let replica = self.replicas.entry(leaf.identity.clone());
-        let replica = replica.or_insert_with(|| Replica::new(distance, leaf.slots, leaving));
-        replica.slots = leaf.slots.max(1);
-        replica.leaving = leaving;
-        replica.distance = distance;
+        replica.or_insert_with(|| Replica::new(leaf, distance)).list(leaf, distance);
     }
 
     /// Forgets the leaves that `keep` does not name.
@@ -265,6 +261,9 @@
     if replica.leaving {
         return Err(NobodyReason::Excluded(Exclusion::Leaving));
     }
+    if replica.is_address_taken() {
+        return Err(NobodyReason::Excluded(Exclusion::AddressTaken));
+    }
     if tried.contains(identity) {
         return Err(NobodyReason::AllTried);
     }
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -458,3 +458,24 @@
     assert_eq!(choose(&set, forbidden), Selection::Nobody(reason));
     assert!(!reason.is_lasting());
 }
+
+/// A leaf at whose address another one answers has ended; it is not asked again, and not waited for,
+/// until the list names another address.
+#[test]
+fn a_leaf_whose_address_another_one_has_is_left_out_until_the_list_says_otherwise() {
+    let mut set = ReplicaSet::default();
+    set.list(&leaf("gone"), Distance::Zone);
+    set.begin(&identity("gone"));
+    set.finish(at(0), &ReplicaSettings::default(), &identity("gone"), Outcome::AddressTaken);
+    let reason = NobodyReason::Excluded(Exclusion::AddressTaken);
+    for later in [1, 1_000, 60_000] {
+        set.list(&leaf("gone"), Distance::Zone);
+        assert_eq!(select(&set, at(later), &[], |_| Connectivity::Idle), Selection::Nobody(reason));
+    }
+    assert!(reason.is_lasting());
+    set.list(&leaf("successor"), Distance::Far);
+    assert_eq!(chosen(&set, at(60_000), &[]).as_deref(), Some("successor"));
+    let moved = ListedLeaf { address: ([127, 0, 0, 1], 2).into(), ..leaf("gone") };
+    set.list(&moved, Distance::Zone);
+    assert_eq!(chosen(&set, at(60_000), &[]).as_deref(), Some("gone"));
+}
--- a/crates/domain/tests/request_attempts.rs
+++ b/crates/domain/tests/request_attempts.rs
@@ -38,6 +38,7 @@
 #[case::not_connected(Err(AttemptError::NotConnected), ANOTHER, ANOTHER, false)]
 #[case::not_accepted(Err(AttemptError::NotAccepted), ANOTHER, ANOTHER, false)]
 #[case::rejected(Err(AttemptError::Rejected), ANOTHER, ANOTHER, true)]
+#[case::another_leaf(Err(AttemptError::AnotherLeaf), ANOTHER, ANOTHER, true)]
 #[case::lost(Err(AttemptError::Lost), ANOTHER, MAY_HAVE_RUN, true)]
 #[case::unusable(Err(AttemptError::Unusable), ANOTHER, MAY_HAVE_RUN, true)]
 fn the_end_of_an_attempt_decides_what_follows(
@@ -55,6 +56,7 @@
 /// Whether the leaf may be asked once more after what came of the first attempt.
 #[rstest]
 #[case::rejected(AttemptError::Rejected, true)]
+#[case::another_leaf(AttemptError::AnotherLeaf, true)]
 #[case::not_connected(AttemptError::NotConnected, true)]
 #[case::not_accepted(AttemptError::NotAccepted, true)]
 #[case::lost(AttemptError::Lost, false)]
--- a/crates/simulation/src/routes/broker.rs
+++ b/crates/simulation/src/routes/broker.rs
@@ -569,6 +569,7 @@
         let seen = match outcome {
             Ok(_) => Outcome::Answered(took),
             Err(AttemptError::Rejected) => Outcome::Rejected,
+            Err(AttemptError::AnotherLeaf) => Outcome::AddressTaken,
             Err(_) => Outcome::Failed,
         };
         if let Some(replicas) = self.replicas.get_mut(&service) {
