--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -1,5 +1,6 @@
 //! The broker's link to a control process: its catalog, its freshness lease and its peers.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,7 +10,7 @@
     BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
     FollowerSettings, FollowerState, KnownBroker, LeaseGrant, OverloadReporter,
 };
-use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName};
+use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
 use gingerkeel_domain::routes::RouteConfiguration;
 use gingerkeel_domain::time::Timestamp;
@@ -172,6 +173,8 @@
     FreshUntil(Timestamp),
     /// Leaves that many brokers find slow.
     LeafWarnings(Vec<LeafWarning>),
+    /// The zones whose leaves get no new work, all of them.
+    Evacuated(BTreeSet<ZoneName>),
     /// All brokers that share the leaves.
     Brokers(Vec<KnownBroker>),
 }
@@ -372,6 +375,8 @@
                 }
                 FollowerEffect::PutInForce(catalog) => {
                     let revision = catalog.revision().0;
+                    let evacuated = catalog.evacuated().clone();
+                    self.send_routes(|| Ok(RouteUpdate::Evacuated(evacuated)))?;
                     self.send_engine(EngineMessage::CatalogChanged(catalog));
                     info!(event = "catalog_applied", revision);
                     send(writer, &SubscriberMessage::InForce { revision }).await?
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -4,7 +4,7 @@
 //! The state is borrowed between two waits only, never across one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
@@ -49,6 +49,8 @@
     extra: ExtraLoadSettings,
     replica_settings: ReplicaSettings,
     leaves: RefCell<Leaves>,
+    /// Zones whose leaves get no new work.
+    evacuated: RefCell<BTreeSet<ZoneName>>,
     /// How many live brokers there are in each zone.
     brokers: RefCell<BTreeMap<ZoneName, usize>>,
     /// How many brokers share the slack of extra requests, those included that may be cut off; 0
@@ -74,6 +76,7 @@
             extra,
             replica_settings: ReplicaSettings::default(),
             leaves: RefCell::default(),
+            evacuated: RefCell::default(),
             brokers: RefCell::default(),
             sharing: Cell::new(0),
             observations: RefCell::default(),
@@ -121,6 +124,22 @@
         self.sharing.set(brokers.len());
     }
 
+    /// Leaves of these zones get no new work; those of all other zones do.
+    pub fn evacuate(&self, zones: BTreeSet<ZoneName>) {
+        let before = self.evacuated.replace(zones);
+        let evacuated = self.evacuated.borrow();
+        if before == *evacuated {
+            return;
+        }
+        let named: Vec<&str> = evacuated.iter().map(ZoneName::as_str).collect();
+        info!(event = "zones_evacuated", count = named.len(), zones = named.join(","));
+    }
+
+    /// How many zones are evacuated.
+    pub fn evacuated_zones(&self) -> usize {
+        self.evacuated.borrow().len()
+    }
+
     fn broker_count(&self) -> usize {
         self.brokers.borrow().values().sum::<usize>().max(1)
     }
@@ -189,6 +208,9 @@
         if !route.allowed_regions.allows(self.region(leaf)) {
             return Err(Exclusion::RegionNotAllowed);
         }
+        if self.evacuated.borrow().contains(&leaf.zone) {
+            return Err(Exclusion::ZoneEvacuated);
+        }
         Ok(self.connectivity(leaves, accepted, leaf))
     }
 
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -51,6 +51,7 @@
     leaf_warnings: Counter,
     routes_version: Gauge,
     directory_version: Gauge,
+    evacuated_zones: Gauge,
 }
 
 impl Default for RouteMetrics {
@@ -65,6 +66,7 @@
             leaf_warnings: Counter::default(),
             routes_version: Gauge::default(),
             directory_version: Gauge::default(),
+            evacuated_zones: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -89,6 +91,8 @@
         registry.register("routes_version", help, self.routes_version.clone());
         let help = "Version of the list of leaves in force";
         registry.register("directory_version", help, self.directory_version.clone());
+        let help = "Zones that are evacuated";
+        registry.register("evacuated_zones", help, self.evacuated_zones.clone());
     }
 
     /// A request has ended.
@@ -118,6 +122,7 @@
         let version = state.table().map_or(0, |table| table.version().0);
         self.routes_version.set(version as i64);
         self.directory_version.set(state.leaves.version() as i64);
+        self.evacuated_zones.set(state.leaves.evacuated_zones() as i64);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -640,3 +640,21 @@
     }
     assert_eq!(stranger.requests().len(), 1);
 }
+
+/// The first leaf of each service is in zone `a`, the second in `b`.
+#[test]
+fn leaves_of_an_evacuated_zone_get_nothing_from_the_first_request_on() {
+    let (near, other) = (honest("near", b"near"), honest("other", b"other"));
+    let leaves = directory(&[near.address, other.address], &[&[near.address]]);
+    let news = news(&configuration(1), &leaves);
+    let script = ControlScript { evacuated: vec!["a"], news, ..ControlScript::default() };
+    let broker = RoutedBroker::start_on(script, "");
+    for _ in 0..3 {
+        assert_eq!(broker.get("/one/").body, "other");
+    }
+    let began = Instant::now();
+    assert_eq!(broker.get("/all/").status, 503, "the only leaf of the shard is in the zone");
+    assert!(began.elapsed() < Duration::from_millis(500), "refused at once");
+    assert_eq!(near.requests().len(), 0);
+    wait_until("the reason is logged", || broker.broker.log().contains("no_leaf=zone_evacuated"));
+}
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -35,6 +35,8 @@
     pub lease_milliseconds: u32,
     /// Whether leases are granted after the first one.
     pub renews: bool,
+    /// Zones that the catalog names as evacuated.
+    pub evacuated: Vec<&'static str>,
     /// What brokers are told besides.
     pub news: Vec<FeedMessage>,
     /// With which lease they are told, one a second; 0 for when they subscribe.
@@ -48,6 +50,7 @@
             lowest_admitted: ADMIT_ALL,
             lease_milliseconds: LEASE_MILLISECONDS,
             renews: true,
+            evacuated: Vec::new(),
             news: Vec::new(),
             news_with_lease: 0,
         }
--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use gingerkeel_domain::catalog::Placement;
+use gingerkeel_domain::catalog::{Change, Placement};
 use gingerkeel_domain::directory::{LeafAvailability, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::feed::{BrokerList, KnownBroker};
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, RegionName, ServiceName, ZoneName};
@@ -45,10 +45,12 @@
     /// Starts one whose control process follows a script.
     pub fn start_on(script: ControlScript, further_settings: &str) -> Self {
         let ready = !script.news.is_empty() && script.news_with_lease == 0;
-        let control = ScriptedControl::serve_with(
-            &super::control::catalog(&[&[super::deaf_address()]]),
-            script,
-        );
+        let mut catalog = super::control::catalog(&[&[super::deaf_address()]]);
+        for zone in &script.evacuated {
+            let change = Change::EvacuateZone(ZoneName::new(zone));
+            catalog.apply(&change).expect("a zone");
+        }
+        let control = ScriptedControl::serve_with(&catalog, script);
         let settings = format!(
             "[routes]\nlisten = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\n\
                         extra_ratio = 1.0\nextra_slack = 100.0\nextra_window_ms = 100\nstop_ms = 2000\n\
--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -9,7 +9,7 @@
     ChangeOutcome, ChangeRequest, ChargeCounter, ChargeKey, LeafHealth, LogIndex,
 };
 use gingerkeel_domain::directory::ListedLeaf;
-use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision};
+use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision, ZoneName};
 use gingerkeel_domain::leaf_warnings::LeafObservation;
 use gingerkeel_domain::routes::AcceptedRoutes;
 use gingerkeel_protocol::FeedMessage;
@@ -36,6 +36,17 @@
     pub placement: Placement,
 }
 
+/// What this process knows of a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ZoneView {
+    /// The revision of the catalog that says so.
+    pub revision: Revision,
+    /// Whether the zone is evacuated.
+    pub evacuated: bool,
+    /// Whether a broker, a leaf or an evacuation names it.
+    pub named: bool,
+}
+
 /// What happened on a broker's connection.
 pub enum FeedEvent {
     /// The broker opened its feed.
@@ -136,6 +147,13 @@
         /// Why.
         error: ProposeError,
     },
+    /// A look at what is known here of a zone.
+    ReadZone {
+        /// The zone.
+        zone: ZoneName,
+        /// Where it goes.
+        reply: oneshot::Sender<ZoneView>,
+    },
     /// Read the configuration of routes.
     ReadRoutes {
         /// Where it goes.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -14,6 +14,7 @@
 use gingerkeel_domain::cluster::{
     ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandOutcome, LogIndex,
 };
+use gingerkeel_domain::identifiers::ZoneName;
 use gingerkeel_protocol::{decode_document, encode_document, unpack_document};
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use tracing::{debug, error, info};
@@ -26,7 +27,7 @@
 
 use membership::Membership;
 pub use membership::OwnIdentity;
-pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity};
+pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity, ZoneView};
 use reads::{PendingRead, Reads};
 use subscribers::Subscribers;
 use waiting::{ChangeReply, WaitingChanges};
@@ -138,6 +139,10 @@
             ClusterMessage::ReadRoutes { reply } => {
                 self.start_read(vec![PendingRead::Routes { reply }])
             }
+            ClusterMessage::ReadZone { zone, reply } => {
+                // Whoever asked may have given up.
+                let _ = reply.send(self.view_zone(&zone));
+            }
             ClusterMessage::DirectoryRead(listed) => self.directory_read(&listed),
             ClusterMessage::ReadConfirmed { reads, outcome } => {
                 self.publish();
@@ -240,6 +245,15 @@
         });
     }
 
+    fn view_zone(&self, zone: &ZoneName) -> ZoneView {
+        let catalog = self.state.catalog();
+        ZoneView {
+            revision: catalog.revision(),
+            evacuated: catalog.evacuated().contains(zone),
+            named: tables::named_zones(&self.state).contains(zone),
+        }
+    }
+
     fn propose_again(&self, request: ChangeRequest) {
         let replication = self.replication.clone();
         monoio::spawn(async move {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod native_directory;
 mod native_routes;
 mod operators;
+mod places;
 pub mod ports;
 mod reload;
 pub mod replication;
@@ -17,6 +18,7 @@
 mod route_operators;
 pub mod storage;
 mod tables;
+mod zone_orders;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,6 +37,7 @@
 use crate::cluster_task::OwnIdentity;
 use crate::native_directory::NativeDirectory;
 use crate::native_routes::NativeRoutes;
+use crate::places::KnownPlaces;
 use crate::ports::{DirectoryInterface, RouteInterface};
 use crate::replication::ReplicationOptions;
 use crate::replication_client::ReplicationClient;
@@ -93,6 +96,7 @@
         operators: settings.operators,
         feed: settings.feed,
     };
+    let places = Rc::new(KnownPlaces::new(&settings.zone_regions));
     let (cluster, messages) = unbounded::channel();
     let state_machine = cluster_task::state_machine(cluster.clone());
     let log = replication::start(&settings, ReplicationOptions::of(&settings), state_machine)?;
@@ -103,12 +107,17 @@
         monoio::spawn(directory_polling::run(directory, interface, replication, cluster));
     }
     if let (Some(address), Some(interface)) = (settings.routes, interfaces.routes) {
-        monoio::spawn(route_operators::serve(bind(address)?, interface, cluster.clone()));
+        monoio::spawn(route_operators::serve(
+            bind(address)?,
+            interface,
+            places.clone(),
+            cluster.clone(),
+        ));
     }
     cluster_task::start(identity, replication, polling, cluster.clone(), messages);
     monoio::spawn(leaf_polling::run(plans, cluster.clone()));
     monoio::spawn(feed::serve(feed, cluster.clone()));
-    operators::serve(operators, cluster).await;
+    operators::serve(operators, places, cluster).await;
     Ok(())
 }
 
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -1,5 +1,6 @@
 //! Operators' HTTP interface: `POST /v1/statements` with a text of statements.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,8 @@
 use tracing::{debug, warn};
 
 use crate::cluster_task::ClusterMessage;
+use crate::places::KnownPlaces;
+use crate::zone_orders::{ZoneOrderError, check_zone};
 
 /// Longest name of a session, in bytes.
 const SESSION_NAME_LIMIT: usize = 64;
@@ -27,11 +30,11 @@
 const STATEMENT_LIMIT: Duration = Duration::from_secs(5);
 
 /// Accepts operators' connections for ever.
-pub async fn serve(listener: TcpListener, cluster: Tx<ClusterMessage>) {
+pub async fn serve(listener: TcpListener, places: Rc<KnownPlaces>, cluster: Tx<ClusterMessage>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(converse(stream, cluster.clone()));
+                monoio::spawn(converse(stream, places.clone(), cluster.clone()));
             }
             Err(error) => {
                 warn!(event = "accept_failed", listener = "operators", %error);
@@ -41,9 +44,9 @@
     }
 }
 
-async fn converse(stream: TcpStream, cluster: Tx<ClusterMessage>) {
+async fn converse(stream: TcpStream, places: Rc<KnownPlaces>, cluster: Tx<ClusterMessage>) {
     let mut connection = ServerConnection::new(stream, Limits::default());
-    if let Err(error) = answer_requests(&mut connection, &cluster).await {
+    if let Err(error) = answer_requests(&mut connection, &places, &cluster).await {
         debug!(event = "operator_connection_ended", %error);
         // The peer may be gone; then there is nobody to tell.
         let _ = connection.respond(plain(StatusCode::BAD_REQUEST, &error.to_string())).await;
@@ -52,16 +55,21 @@
 
 async fn answer_requests(
     connection: &mut ServerConnection,
+    places: &KnownPlaces,
     cluster: &Tx<ClusterMessage>,
 ) -> Result<(), TransportError> {
     while let Some(request) = connection.next_request().await? {
-        let response = answer(request, cluster).await;
+        let response = answer(request, places, cluster).await;
         connection.respond(response).await?;
     }
     Ok(())
 }
 
-async fn answer(request: HttpRequest, cluster: &Tx<ClusterMessage>) -> HttpResponse {
+async fn answer(
+    request: HttpRequest,
+    places: &KnownPlaces,
+    cluster: &Tx<ClusterMessage>,
+) -> HttpResponse {
     if request.method() != Method::POST || request.uri().path() != STATEMENTS_PATH {
         return plain(StatusCode::NOT_FOUND, "unknown path: POST statements to /v1/statements");
     }
@@ -76,7 +84,7 @@
         return plain(StatusCode::BAD_REQUEST, "the text is not UTF-8: send statements as UTF-8");
     };
     let replies = match parse(&text) {
-        Ok(statements) => execute_all(statements, first, cluster).await,
+        Ok(statements) => execute_all(statements, first, places, cluster).await,
         Err(error) => {
             let error = error.to_string();
             StatementReplies { replies: vec![StatementReply::Refused { error }] }
@@ -117,6 +125,7 @@
 async fn execute_all(
     statements: Vec<Statement>,
     first: CommandId,
+    places: &KnownPlaces,
     cluster: &Tx<ClusterMessage>,
 ) -> StatementReplies {
     let mut replies = StatementReplies::default();
@@ -125,7 +134,10 @@
         let reply = match statement {
             Statement::Show(subject) => look(subject, cluster).await,
             Statement::Change { change, based_on } => {
-                let reply = execute_change(change, based_on, id.clone(), cluster).await;
+                let reply = match check(&change, places, cluster).await {
+                    Ok(()) => execute_change(change, based_on, id.clone(), cluster).await,
+                    Err(error) => StatementReply::Refused { error: error.to_string() },
+                };
                 id.sequence = id.sequence.saturating_add(1);
                 reply
             }
@@ -150,6 +162,18 @@
     StatementReply::Unknown { error }
 }
 
+/// Refuses what only this process can tell from a slip of the pen: a zone that nobody knows.
+async fn check(
+    change: &Change,
+    places: &KnownPlaces,
+    cluster: &Tx<ClusterMessage>,
+) -> Result<(), ZoneOrderError> {
+    match change {
+        Change::EvacuateZone(zone) => check_zone(zone, places, cluster).await,
+        _ => Ok(()),
+    }
+}
+
 async fn execute_change(
     change: Change,
     based_on: Option<Revision>,
--- a/crates/control/src/ports.rs
+++ b/crates/control/src/ports.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::identifiers::ZoneName;
 use gingerkeel_domain::routes::{AcceptedRoutes, RouteVersion};
 use gingerkeel_transport::{HttpRequest, HttpResponse};
 use quick_error::quick_error;
@@ -25,6 +26,10 @@
     Replace(Box<AcceptedRoutes>),
     /// Read it.
     Read,
+    /// Evacuate a zone.
+    Evacuate(ZoneName),
+    /// Take the evacuation of a zone back.
+    Restore(ZoneName),
     /// Something that there is not.
     Unknown,
 }
@@ -37,6 +42,8 @@
     Current(&'answer AcceptedRoutes),
     /// There is no configuration yet.
     Empty,
+    /// The order about a zone is accepted.
+    ZoneOrdered,
     /// The call is not valid and has changed nothing.
     Invalid(String),
     /// The outcome is not known, or the newest state is not: ask again.
@@ -45,7 +52,7 @@
     Unknown,
 }
 
-/// The operators' calls about routes.
+/// The operators' calls about routes and zones.
 pub trait RouteInterface {
     /// Understands a call.
     ///
--- a/crates/control/src/route_operators.rs
+++ b/crates/control/src/route_operators.rs
@@ -1,9 +1,10 @@
-//! The operators' calls about routes.
+//! The operators' calls about routes and zones.
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use gingerkeel_domain::identifiers::ZoneName;
 use gingerkeel_domain::routes::AcceptedRoutes;
 use gingerkeel_transport::{HttpRequest, HttpResponse, Limits, ServerConnection, TransportError};
 use local_sync::mpsc::unbounded::Tx;
@@ -13,7 +14,9 @@
 use tracing::{debug, info, warn};
 
 use crate::cluster_task::ClusterMessage;
+use crate::places::KnownPlaces;
 use crate::ports::{RouteAnswer, RouteCall, RouteInterface};
+use crate::zone_orders::{ZoneOrder, ZoneOrderError, carry_out, check_zone};
 
 /// Time that a call has; then its outcome is unknown.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
@@ -22,12 +25,13 @@
 pub async fn serve(
     listener: TcpListener,
     interface: Rc<dyn RouteInterface>,
+    places: Rc<KnownPlaces>,
     cluster: Tx<ClusterMessage>,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(converse(stream, interface.clone(), cluster.clone()));
+                monoio::spawn(converse(stream, interface.clone(), places.clone(), cluster.clone()));
             }
             Err(error) => {
                 warn!(event = "accept_failed", listener = "routes", %error);
@@ -40,10 +44,13 @@
 async fn converse(
     stream: TcpStream,
     interface: Rc<dyn RouteInterface>,
+    places: Rc<KnownPlaces>,
     cluster: Tx<ClusterMessage>,
 ) {
     let mut connection = ServerConnection::new(stream, Limits::default());
-    if let Err(error) = answer_requests(&mut connection, interface.as_ref(), &cluster).await {
+    if let Err(error) =
+        answer_requests(&mut connection, interface.as_ref(), &places, &cluster).await
+    {
         debug!(event = "operator_connection_ended", %error);
         let answer = interface.answer(RouteAnswer::Invalid(error.to_string()));
         // The peer may be gone; then there is nobody to tell.
@@ -54,10 +61,11 @@
 async fn answer_requests(
     connection: &mut ServerConnection,
     interface: &dyn RouteInterface,
+    places: &KnownPlaces,
     cluster: &Tx<ClusterMessage>,
 ) -> Result<(), TransportError> {
     while let Some(request) = connection.next_request().await? {
-        let response = respond(&request, interface, cluster).await;
+        let response = respond(&request, interface, places, cluster).await;
         connection.respond(response).await?;
     }
     Ok(())
@@ -66,10 +74,18 @@
 async fn respond(
     request: &HttpRequest,
     interface: &dyn RouteInterface,
+    places: &KnownPlaces,
     cluster: &Tx<ClusterMessage>,
 ) -> HttpResponse {
     match interface.understand(request) {
-        Ok(RouteCall::Replace(routes)) => replace(*routes, interface, cluster).await,
+        Ok(RouteCall::Replace(routes)) => replace(*routes, interface, places, cluster).await,
+        Ok(RouteCall::Evacuate(zone)) => match check_zone(&zone, places, cluster).await {
+            Ok(()) => order(ZoneOrder { zone, evacuate: true }, interface, cluster).await,
+            Err(error) => zone_refused(&zone, &error, interface),
+        },
+        Ok(RouteCall::Restore(zone)) => {
+            order(ZoneOrder { zone, evacuate: false }, interface, cluster).await
+        }
         Ok(RouteCall::Read) => read(interface, cluster).await,
         Ok(RouteCall::Unknown) => interface.answer(RouteAnswer::Unknown),
         Err(error) => {
@@ -82,10 +98,12 @@
 async fn replace(
     routes: AcceptedRoutes,
     interface: &dyn RouteInterface,
+    places: &KnownPlaces,
     cluster: &Tx<ClusterMessage>,
 ) -> HttpResponse {
     let version = routes.configuration.version.0;
-    if let Err(error) = routes.configuration.validate() {
+    let valid = routes.configuration.validate();
+    if let Err(error) = valid.and_then(|()| places.check_regions(&routes.configuration)) {
         info!(event = "routes_refused", version, %error);
         return interface.answer(RouteAnswer::Invalid(error.to_string()));
     }
@@ -105,6 +123,32 @@
     interface.answer(RouteAnswer::Unavailable(error))
 }
 
+async fn order(
+    order: ZoneOrder,
+    interface: &dyn RouteInterface,
+    cluster: &Tx<ClusterMessage>,
+) -> HttpResponse {
+    match carry_out(&order, cluster).await {
+        Ok(()) => {
+            info!(event = "zone_ordered", zone = %order.zone, evacuate = order.evacuate);
+            interface.answer(RouteAnswer::ZoneOrdered)
+        }
+        Err(error) => zone_refused(&order.zone, &error, interface),
+    }
+}
+
+fn zone_refused(
+    zone: &ZoneName,
+    error: &ZoneOrderError,
+    interface: &dyn RouteInterface,
+) -> HttpResponse {
+    info!(event = "zone_order_not_acknowledged", %zone, %error);
+    interface.answer(match error {
+        ZoneOrderError::UnknownZone(_) => RouteAnswer::Invalid(error.to_string()),
+        _ => RouteAnswer::Unavailable(error.to_string()),
+    })
+}
+
 async fn read(interface: &dyn RouteInterface, cluster: &Tx<ClusterMessage>) -> HttpResponse {
     let (reply, receiver) = oneshot::channel();
     // The cluster task lives as long as the process.
--- a/crates/control/src/storage/identity.rs
+++ b/crates/control/src/storage/identity.rs
@@ -12,7 +12,7 @@
 use super::io::StorageIo;
 
 /// Version of the files' format.
-pub const FORMAT_VERSION: u16 = 2;
+pub const FORMAT_VERSION: u16 = 3;
 /// First bytes of the file, then the version.
 const MAGIC: &[u8; 8] = b"gkeelctl";
 const FILE: &str = "identity";
--- a/crates/control/src/tables/mod.rs
+++ b/crates/control/src/tables/mod.rs
@@ -3,6 +3,9 @@
 mod catalog;
 mod cluster;
 mod routes;
+mod zones;
+
+pub use zones::named as named_zones;
 
 use gingerkeel_domain::cluster::ClusterState;
 use gingerkeel_statement::{StatementReply, Subject};
@@ -24,6 +27,7 @@
         Subject::Changes => cluster::changes(state),
         Subject::Routes => routes::routes(state.routes()),
         Subject::Directory => routes::directory(state.directory()),
+        Subject::Zones => zones::zones(state),
     }
 }
 
--- a/crates/control/src/tables/routes.rs
+++ b/crates/control/src/tables/routes.rs
@@ -23,8 +23,8 @@
         "priority",
         "attempts",
         "destination",
-        "regions",
         "version",
+        "regions",
     ];
     table(&columns, rows)
 }
@@ -40,8 +40,8 @@
         route.priority.to_string(),
         route.attempts.to_string(),
         destination(&route.destination),
-        regions(&route.allowed_regions),
         version.to_string(),
+        regions(&route.allowed_regions),
     ]
 }
 
--- /dev/null
+++ b/crates/control/src/zone_orders.rs
@@ -0,0 +1,168 @@
+//! Orders that evacuate a zone or restore it, as operators of routes give them: without a session, and
+//! sent again, also to another process, when no answer came.
+//!
+//! An order that was held up on its way must not undo a later one. So it names the revision that this
+//! process held when it came, and is carried out only if no other order of the zone was accepted
+//! since. While it is young its sender still waits for it here, and it is made anew against the
+//! newest revision; later only its outcome is told.
+
+use std::time::{Duration, Instant};
+
+use gingerkeel_domain::catalog::Change;
+use gingerkeel_domain::cluster::{ChangeOutcome, ChangeRefusal, ChangeRequest, CommandId};
+use gingerkeel_domain::consensus;
+use gingerkeel_domain::identifiers::{Revision, SessionName, ZoneName};
+use local_sync::mpsc::unbounded::Tx;
+use local_sync::oneshot;
+use monoio::time::{sleep, timeout};
+use quick_error::quick_error;
+use rand::Rng;
+
+use crate::cluster_task::{ClusterMessage, ZoneView};
+use crate::places::KnownPlaces;
+use crate::replication::ProposeError;
+
+/// Time for which the sender of an order is sure to wait for it here; the users' operators turn to
+/// another process after a second.
+const YOUNG: Duration = Duration::from_millis(800);
+/// Time that an order has; then its outcome is unknown.
+const ORDER_LIMIT: Duration = Duration::from_secs(5);
+/// Time until an order is proposed again while there is no leader.
+const LEADER_WAIT: Duration = Duration::from_millis(100);
+/// Beginning of the names of the sessions of orders.
+const SESSION_PREFIX: &str = "zone-order";
+
+quick_error! {
+    /// Why an order was not acknowledged.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum ZoneOrderError {
+        /// No zone of this name is known.
+        UnknownZone(zone: ZoneName) {
+            display("zone {zone} is not known: list zones with SHOW ZONES")
+        }
+        /// The catalog refuses the change.
+        Refused(refusal: ChangeRefusal) {
+            display("{refusal}")
+        }
+        /// An order that came later was accepted first; this one changed nothing.
+        Overtaken(zone: ZoneName) {
+            display("a later order of zone {zone} was accepted first: look at it, then order again")
+        }
+        /// It is not known whether the order was accepted.
+        Unknown {
+            display("the outcome is unknown: send the order again")
+        }
+    }
+}
+
+/// What an operator wants of a zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneOrder {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Whether its leaves are to get no new work.
+    pub evacuate: bool,
+}
+
+impl ZoneOrder {
+    fn change(&self) -> Change {
+        match self.evacuate {
+            true => Change::EvacuateZone(self.zone.clone()),
+            false => Change::RestoreZone(self.zone.clone()),
+        }
+    }
+}
+
+/// Checks that a zone which is to be evacuated is known to the settings or to the replicated state.
+///
+/// # Errors
+/// [`ZoneOrderError::UnknownZone`], with the remedy.
+pub async fn check_zone(
+    zone: &ZoneName,
+    places: &KnownPlaces,
+    cluster: &Tx<ClusterMessage>,
+) -> Result<(), ZoneOrderError> {
+    if places.has_zone(zone) || view(zone, cluster).await?.named {
+        return Ok(());
+    }
+    Err(ZoneOrderError::UnknownZone(zone.clone()))
+}
+
+/// Carries an order out; it is durable once this gives no error.
+///
+/// # Errors
+/// A [`ZoneOrderError`]; only an unknown zone and a refusal are final.
+pub async fn carry_out(
+    order: &ZoneOrder,
+    cluster: &Tx<ClusterMessage>,
+) -> Result<(), ZoneOrderError> {
+    match timeout(ORDER_LIMIT, propose_until_settled(order, cluster)).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(ZoneOrderError::Unknown),
+    }
+}
+
+async fn propose_until_settled(
+    order: &ZoneOrder,
+    cluster: &Tx<ClusterMessage>,
+) -> Result<(), ZoneOrderError> {
+    let came = Instant::now();
+    loop {
+        let based_on = view(&order.zone, cluster).await?.revision;
+        let refusal = match propose(order, based_on, cluster).await? {
+            ChangeOutcome::Accepted { .. } => return Ok(()),
+            ChangeOutcome::Refused(refusal) => refusal,
+        };
+        if !is_about_revisions(&refusal) {
+            return Err(ZoneOrderError::Refused(refusal));
+        }
+        if view(&order.zone, cluster).await?.evacuated == order.evacuate {
+            return Ok(());
+        }
+        if came.elapsed() >= YOUNG {
+            return Err(ZoneOrderError::Overtaken(order.zone.clone()));
+        }
+    }
+}
+
+/// Proposes the order against one revision, again and again while there is no leader.
+async fn propose(
+    order: &ZoneOrder,
+    based_on: Revision,
+    cluster: &Tx<ClusterMessage>,
+) -> Result<ChangeOutcome, ZoneOrderError> {
+    let session = format!("{SESSION_PREFIX}-{:016x}", rand::rng().random::<u64>());
+    let id = CommandId { session: SessionName::new(session), sequence: 1 };
+    let request = ChangeRequest { id, based_on: Some(based_on), change: order.change() };
+    loop {
+        let (reply, receiver) = oneshot::channel();
+        // The cluster task lives as long as the process.
+        let _ = cluster.send(ClusterMessage::Change { request: request.clone(), reply });
+        match receiver.await.map_err(|_| ZoneOrderError::Unknown)? {
+            Ok(outcome) => return Ok(outcome),
+            Err(ProposeError::Refused(consensus::ProposeError::NoLeader)) => {
+                sleep(LEADER_WAIT).await;
+            }
+            // The same command again has the same outcome, whether this one was taken or not.
+            Err(ProposeError::Dropped) => {}
+            Err(_) => return Err(ZoneOrderError::Unknown),
+        }
+    }
+}
+
+/// Whether another change came between, or the revision can't be compared with.
+fn is_about_revisions(refusal: &ChangeRefusal) -> bool {
+    matches!(
+        refusal,
+        ChangeRefusal::Conflict(..)
+            | ChangeRefusal::RevisionAhead(..)
+            | ChangeRefusal::RevisionForgotten(..)
+    )
+}
+
+async fn view(zone: &ZoneName, cluster: &Tx<ClusterMessage>) -> Result<ZoneView, ZoneOrderError> {
+    let (reply, receiver) = oneshot::channel();
+    // The cluster task lives as long as the process.
+    let _ = cluster.send(ClusterMessage::ReadZone { zone: zone.clone(), reply });
+    receiver.await.map_err(|_| ZoneOrderError::Unknown)
+}
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -71,15 +71,15 @@
     let mut list = BrokerList::default();
     let mut second = None;
     for expected in [1, 2] {
-        while list.entries().len() != expected {
+        while list.live().len() != expected {
             list.apply(first.receive_until(broker_delta));
         }
         second.get_or_insert_with(|| HollowBroker::subscribe(&control, "b2", 2, 0));
     }
-    let names: Vec<String> = list.entries().iter().map(|entry| entry.name.to_string()).collect();
+    let names: Vec<String> = list.live().iter().map(|entry| entry.name.to_string()).collect();
     assert_eq!(names, ["b1", "b2"]);
     drop(second);
-    while list.entries().len() != 1 {
+    while list.live().len() != 1 {
         first.renew(1, 0);
         list.apply(first.receive_until(broker_delta));
     }
--- a/crates/control/tests/operators.rs
+++ b/crates/control/tests/operators.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
+use gingerkeel_protocol::SubscriberMessage;
 use gingerkeel_statement::StatementReply;
 use rstest::rstest;
-use support::Control;
+use support::{Control, HollowBroker, wait_until};
 
 const DEFINE: &str = "DEFINE CALLER portal BUDGET 10 BURST 20";
 
@@ -90,3 +91,21 @@
     assert_eq!(status, 400);
     assert!(refused(&replies).contains("split it"), "{replies:?}");
 }
+
+#[test]
+fn a_zone_that_nobody_knows_is_not_evacuated_and_others_are_shown_with_who_lacks_the_order() {
+    let control = Control::start("control-1");
+    let (status, replies) = control.post("EVACUATE ZONE palremo", None);
+    assert_eq!(status, 400);
+    assert!(refused(&replies).contains("SHOW ZONES"), "{replies:?}");
+    let mut broker = HollowBroker::subscribe(&control, "b1", 1, 0);
+    wait_until(|| !control.rows("SHOW ZONES").is_empty());
+    let zone = control.rows("SHOW ZONES")[0][0].clone();
+    let revision = control.change(&format!("EVACUATE ZONE {zone}"));
+    assert_eq!(control.rows("SHOW ZONES")[0][..], [&zone, "evacuated", "1", "0", "1"]);
+    broker.send(&SubscriberMessage::InForce { revision });
+    wait_until(|| control.rows("SHOW ZONES")[0][4] == "0");
+    let revision = control.change(&format!("RESTORE ZONE {zone}"));
+    assert_eq!(control.rows("SHOW ZONES")[0][1], "in service");
+    assert_eq!(revision, 2);
+}
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Stdio};
 
 use bytes::Bytes;
-use gingerkeel_domain::identifiers::ServiceName;
+use gingerkeel_domain::identifiers::{RegionName, ServiceName};
 use gingerkeel_domain::routes::{
     BackEndService, CallerLimits, Destination, RegionPolicy, Route, RouteConfiguration,
     RouteVersion,
@@ -76,7 +76,7 @@
         let text = format!(
             "name = \"control-{index}\"\noperators = \"{host}:{statements}\"\n\
              feed = \"{host}:{feed}\"\nroutes = \"{host}:{routes}\"\ndata_folder = {data:?}\n\
-             election_ms = 300\n[seeds]\nown = \"{host}:{peers}\"\nseeds = [{}]\nform = {form}\n\
+             election_ms = 300\nzone_regions = {{ hall-a = \"south\" }}\n[seeds]\nown = \"{host}:{peers}\"\nseeds = [{}]\nform = {form}\n\
              replace_after_ms = 1500\n",
             seeds.join(", ")
         );
@@ -123,10 +123,31 @@
     }
 
     fn call(&self, index: usize, method: Method, body: Vec<u8>) -> Option<(u16, Bytes)> {
+        self.call_at(index, "/v1/routes", method, body)
+    }
+
+    /// Orders a zone evacuated (`PUT`) or restored (`DELETE`); gives the status.
+    fn order_zone(&self, index: usize, method: Method, zone: &str) -> Option<u16> {
+        let path = format!("/v1/evacuations/{zone}");
+        self.call_at(index, &path, method, Vec::new()).map(|(status, _)| status)
+    }
+
+    fn zone_state(&self, index: usize) -> Option<String> {
+        let rows = self.statements(index).rows("SHOW ZONES");
+        rows.first().map(|row| row[1].clone())
+    }
+
+    fn call_at(
+        &self,
+        index: usize,
+        path: &str,
+        method: Method,
+        body: Vec<u8>,
+    ) -> Option<(u16, Bytes)> {
         let address = self.machines[index].routes;
         let mut request = HttpRequest::new(Bytes::from(body));
         *request.method_mut() = method;
-        *request.uri_mut() = Uri::from_static("/v1/routes");
+        *request.uri_mut() = path.parse::<Uri>().unwrap();
         let exchanging = async move {
             let mut connection = ClientConnection::connect(address, Limits::default()).await?;
             connection.exchange(request).await
@@ -282,3 +303,43 @@
     std::thread::sleep(std::time::Duration::from_secs(2));
     assert_ne!(cluster.replace(stranger, 9), Some(200), "{}", cluster.machines[stranger].host);
 }
+
+#[test]
+fn an_evacuation_is_durable_once_acknowledged_and_taken_back_by_any_process() {
+    let mut cluster = Cluster::start();
+    cluster.wait_accepted(0, 1);
+    let unknown = cluster.order_zone(1, Method::PUT, "hall-x");
+    assert_eq!(unknown, Some(400));
+    // Sent again to another process, as when the answer was lost.
+    assert_eq!(cluster.order_zone(1, Method::PUT, "hall-a"), Some(200));
+    assert_eq!(cluster.order_zone(2, Method::PUT, "hall-a"), Some(200));
+    (0..SEEDS).for_each(|index| cluster.kill(index));
+    (0..SEEDS).for_each(|index| cluster.run(index));
+    for index in 0..SEEDS {
+        wait_until(|| cluster.statements(index).is_ready());
+        wait_until(|| cluster.zone_state(index).as_deref() == Some("evacuated"));
+    }
+    // Without a leader at first: the order waits for one.
+    cluster.kill(0);
+    assert_eq!(cluster.order_zone(1, Method::DELETE, "hall-a"), Some(200));
+    wait_until(|| cluster.zone_state(2).is_none());
+    assert_eq!(cluster.order_zone(2, Method::DELETE, "hall-a"), Some(200));
+}
+
+#[test]
+fn a_route_that_allows_a_region_which_no_zone_has_is_refused() {
+    let cluster = Cluster::start();
+    cluster.wait_accepted(0, 1);
+    let allowing = |version, region: &str| {
+        let mut configuration = configuration(version);
+        configuration.routes[0].allowed_regions = RegionPolicy::only([RegionName::new(region)]);
+        serde_json::to_vec(&configuration).unwrap()
+    };
+    let (status, text) = cluster.call(0, Method::PUT, allowing(2, "norht")).unwrap();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    assert_eq!(status, 400, "{text}");
+    assert!(text.contains("name some of south"), "{text}");
+    wait_until(|| {
+        cluster.call(0, Method::PUT, allowing(3, "south")).map(|(status, _)| status) == Some(200)
+    });
+}
--- a/crates/domain/src/catalog/change.rs
+++ b/crates/domain/src/catalog/change.rs
@@ -5,6 +5,7 @@
 use super::{CallerAccount, ClassPolicy, ControlMember, Leaf, LeafState, MemberState};
 use crate::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, IndexVersion, LeafId, ServiceName, ShardId,
+    ZoneName,
 };
 
 /// One change; applied whole or not at all.
@@ -110,4 +111,8 @@
     },
     /// Removes a control process.
     RemoveControl(ControlName),
+    /// Evacuates a zone: its leaves get no new work until the zone is restored.
+    EvacuateZone(ZoneName),
+    /// Takes the evacuation of a zone back.
+    RestoreZone(ZoneName),
 }
--- a/crates/domain/src/catalog/error.rs
+++ b/crates/domain/src/catalog/error.rs
@@ -63,6 +63,10 @@
         UnknownControl(control: ControlName) {
             display("control process {control} is not known: list them with SHOW CONTROLS, or ADD CONTROL first")
         }
+        /// No further zone can be evacuated.
+        TooManyEvacuations(limit: u64) {
+            display("{limit} zones are evacuated: list them with SHOW ZONES, and RESTORE ZONE those that serve again")
+        }
         /// Too small or large a number.
         BadNumber(field: String, value: u64, remedy: String) {
             display("{field} {value} is not usable: {remedy}")
--- a/crates/domain/src/catalog/mod.rs
+++ b/crates/domain/src/catalog/mod.rs
@@ -7,14 +7,14 @@
 mod member;
 mod service;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, IndexVersion, LeafId, PartitionEpoch, Revision,
-    ServiceName, ShardId,
+    ServiceName, ShardId, ZoneName,
 };
 
 pub use change::Change;
@@ -36,6 +36,7 @@
     callers: BTreeMap<CallerName, CallerAccount>,
     brokers: BTreeMap<BrokerName, MemberState>,
     controls: BTreeMap<ControlName, ControlMember>,
+    evacuated: BTreeSet<ZoneName>,
 }
 
 impl Catalog {
@@ -74,6 +75,11 @@
         &self.controls
     }
 
+    /// Zones whose leaves get no new work.
+    pub fn evacuated(&self) -> &BTreeSet<ZoneName> {
+        &self.evacuated
+    }
+
     /// Applies `change` and moves to the next revision.
     ///
     /// # Errors
@@ -111,6 +117,11 @@
             Change::RemoveControl(control) => {
                 self.control_mut(control)?.state = MemberState::Removed
             }
+            Change::EvacuateZone(zone) => self.evacuate(zone)?,
+            // The same order may come twice, and after its opposite: it says what is wanted now.
+            Change::RestoreZone(zone) => {
+                self.evacuated.remove(zone);
+            }
         }
         self.revision.0 += 1;
         Ok(self.revision)
@@ -220,6 +231,14 @@
             .ok_or_else(|| CatalogError::UnknownControl(name.clone()))
     }
 
+    fn evacuate(&mut self, zone: &ZoneName) -> Result<(), CatalogError> {
+        if self.evacuated.len() >= EVACUATION_LIMIT && !self.evacuated.contains(zone) {
+            return Err(CatalogError::TooManyEvacuations(EVACUATION_LIMIT as u64));
+        }
+        self.evacuated.insert(zone.clone());
+        Ok(())
+    }
+
     fn assign_shard(
         &mut self,
         service: &ServiceName,
@@ -265,6 +284,9 @@
     CatalogError::BadNumber(field.to_owned(), value.into(), remedy.to_owned())
 }
 
+/// Zones that may be evacuated at the same time: far more than there are, and few enough to hold.
+const EVACUATION_LIMIT: usize = 1_024;
+
 /// Shards that a service may have.
 const SHARD_LIMIT: u32 = 4096;
 
--- a/crates/domain/src/cluster/history.rs
+++ b/crates/domain/src/cluster/history.rs
@@ -9,7 +9,7 @@
 use crate::catalog::Change;
 use crate::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, LeafId, Revision, ServiceName, SessionName,
-    ShardId,
+    ShardId, ZoneName,
 };
 
 /// Changes that are kept: more than a day of them at the size to design for.
@@ -47,6 +47,8 @@
     Broker(BrokerName),
     /// A control process.
     Control(ControlName),
+    /// A zone.
+    Zone(ZoneName),
 }
 
 impl Target {
@@ -78,6 +80,7 @@
             Change::SetControlState { control, .. } | Change::RemoveControl(control) => {
                 Self::Control(control.clone())
             }
+            Change::EvacuateZone(zone) | Change::RestoreZone(zone) => Self::Zone(zone.clone()),
         }
     }
 
@@ -108,6 +111,7 @@
             Self::Caller(caller) => write!(formatter, "caller {caller}"),
             Self::Broker(broker) => write!(formatter, "broker {broker}"),
             Self::Control(control) => write!(formatter, "control process {control}"),
+            Self::Zone(zone) => write!(formatter, "zone {zone}"),
         }
     }
 }
@@ -166,6 +170,12 @@
         }
     }
 
+    /// The revision of the last change of `target`; none where none is kept.
+    pub fn last_change(&self, target: &Target) -> Option<Revision> {
+        let same = |accepted: &&AcceptedChange| Target::of(&accepted.change) == *target;
+        self.newest_first().find(same).map(|accepted| accepted.revision)
+    }
+
     pub(super) fn push(&mut self, change: AcceptedChange) {
         self.changes.push_back(change);
         if self.changes.len() > HISTORY_LIMIT {
--- a/crates/domain/src/forwarding/eligibility.rs
+++ b/crates/domain/src/forwarding/eligibility.rs
@@ -8,6 +8,8 @@
     Leaving,
     /// It runs in a region that the route does not allow.
     RegionNotAllowed,
+    /// Its zone is evacuated.
+    ZoneEvacuated,
     /// Another leaf has its address: it has ended, and the list will say so.
     AddressTaken,
     /// It is left out for its failures.
@@ -19,7 +21,7 @@
     /// such a leaf only delays the refusal.
     pub fn is_lasting(self) -> bool {
         match self {
-            Self::RegionNotAllowed | Self::AddressTaken => true,
+            Self::RegionNotAllowed | Self::ZoneEvacuated | Self::AddressTaken => true,
             // The list may name a successor at any moment.
             Self::Leaving | Self::Ejected => false,
         }
@@ -30,6 +32,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::RegionNotAllowed => "region_not_allowed",
+            Self::ZoneEvacuated => "zone_evacuated",
             Self::AddressTaken => "address_taken",
             Self::Ejected => "ejected",
         }
--- a/crates/domain/src/routes/error.rs
+++ b/crates/domain/src/routes/error.rs
@@ -2,7 +2,7 @@
 
 use quick_error::quick_error;
 
-use crate::identifiers::ServiceName;
+use crate::identifiers::{RegionName, ServiceName};
 
 quick_error! {
     /// A fault of a configuration; nothing of the configuration was taken.
@@ -24,6 +24,10 @@
         NoWeight(route: String) {
             display("the weights of route {route} add up to 0: give at least one service a weight")
         }
+        /// A route allows a region that no zone has.
+        UnknownRegion(route: String, region: RegionName, known: String) {
+            display("route {route} allows region {region}, which no zone has: name some of {known}, or none for all")
+        }
         /// A route has no time.
         NoTimeout(route: String) {
             display("route {route} has a time-out of 0: give it at least one millisecond")
--- a/crates/domain/src/routing/mod.rs
+++ b/crates/domain/src/routing/mod.rs
@@ -13,7 +13,7 @@
 use rand_core::RngCore;
 
 use crate::catalog::{Catalog, Leaf, LeafMap, LeafState};
-use crate::identifiers::{LeafId, PartitionEpoch, ServiceName};
+use crate::identifiers::{LeafId, PartitionEpoch, ServiceName, ZoneName};
 use crate::time::Timestamp;
 use layout::{Layout, LeafChanges};
 use subset::{BrokerEntry, Subsetting};
@@ -120,6 +120,7 @@
             }
         }
         self.entries = catalog.leaves().clone();
+        self.evacuate(now, catalog.evacuated());
         self.lay_out(catalog, &changes.moved);
         if self.policy == RoutingPolicy::Measured {
             self.probe_round.get_or_insert(now.after(PROBE_ROUND));
@@ -141,6 +142,18 @@
         view.drain.operator = leaf.state == LeafState::Draining;
     }
 
+    /// Leaves of evacuated zones get no new work. They may be cold when their zone is restored.
+    fn evacuate(&mut self, now: Timestamp, evacuated: &BTreeSet<ZoneName>) {
+        for (id, view) in &mut self.leaves {
+            let leaf = self.entries.get(id);
+            let is_out = leaf.is_some_and(|leaf| evacuated.contains(&leaf.placement.zone));
+            if view.drain.zone && !is_out {
+                view.cool(now);
+            }
+            view.drain.zone = is_out;
+        }
+    }
+
     /// When [`Self::due_probes`] is to be asked next.
     pub fn next_probe_round(&self) -> Option<Timestamp> {
         self.probe_round
--- a/crates/domain/src/routing/view.rs
+++ b/crates/domain/src/routing/view.rs
@@ -36,12 +36,14 @@
     pub leaf: bool,
     /// The platform, on its list of leaving machines.
     pub platform: bool,
+    /// The operator, for the whole zone.
+    pub zone: bool,
 }
 
 impl DrainSources {
     /// Whether any source says so; the first to arrive wins.
     pub fn any(self) -> bool {
-        self.operator || self.leaf || self.platform
+        self.operator || self.leaf || self.platform || self.zone
     }
 }
 
--- a/crates/domain/tests/replica_choice.rs
+++ b/crates/domain/tests/replica_choice.rs
@@ -5,7 +5,7 @@
 use gingerkeel_domain::catalog::{AnswerPolicy, Catalog, Change, LeafState};
 use gingerkeel_domain::dispatch::LeafCompletion;
 use gingerkeel_domain::dispatch::{Event, SchedulingPolicy};
-use gingerkeel_domain::identifiers::LeafId;
+use gingerkeel_domain::identifiers::{LeafId, ZoneName};
 use gingerkeel_domain::query::{LeafFailure, LeafReply, NotRunReason};
 use rstest::rstest;
 use support::*;
@@ -338,3 +338,20 @@
     }
     assert!(!asked(&mut harness, 30).contains(&DRAINED));
 }
+
+#[test]
+fn leaves_of_an_evacuated_zone_get_no_new_work_until_it_is_restored() {
+    let mut catalog = spread_catalog();
+    let east = Change::AddLeaf(leaf(3, placement("south", "east")));
+    change(&mut catalog, east);
+    assign(&mut catalog, &[&[1, 3]]);
+    let mut harness = Harness::with_catalog(catalog, SchedulingPolicy::Standard);
+    let zone = ZoneName::new("b");
+    harness.reconfigure(|catalog| change(catalog, Change::EvacuateZone(zone.clone())));
+    assert_eq!(asked(&mut harness, 3), [LeafId(3); 3]);
+    harness.reconfigure(|catalog| change(catalog, Change::EvacuateZone(ZoneName::new("east"))));
+    let refused = harness.submit(true);
+    assert!(sends(&refused).is_empty(), "no leaf is left: {refused:?}");
+    harness.reconfigure(|catalog| change(catalog, Change::RestoreZone(zone.clone())));
+    assert_eq!(asked(&mut harness, 3), [LeafId(1); 3]);
+}
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -1,6 +1,6 @@
 //! Settings of a control process.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 
@@ -41,6 +41,10 @@
     /// How the control processes find each other without a list of them; `peers` stays empty then.
     #[serde(default)]
     pub seeds: Option<SeedSettings>,
+    /// Region of each zone, by which regions of routes and zones of orders are checked; without any
+    /// they are not.
+    #[serde(default)]
+    pub zone_regions: BTreeMap<String, String>,
     /// The outside list of leaves that this cluster follows; none when operators name the leaves.
     #[serde(default)]
     pub directory: Option<DirectorySettings>,
--- a/crates/statement/src/parse.rs
+++ b/crates/statement/src/parse.rs
@@ -1,7 +1,9 @@
 //! From text to statements.
 
 use gingerkeel_domain::catalog::{CallerAccount, Change, LeafState, MemberState};
-use gingerkeel_domain::identifiers::{CallerName, IndexVersion, Revision, ServiceName, ShardId};
+use gingerkeel_domain::identifiers::{
+    CallerName, IndexVersion, Revision, ServiceName, ShardId, ZoneName,
+};
 use pest::Parser;
 use pest::error::{ErrorVariant, LineColLocation};
 use pest::iterators::Pair;
@@ -98,6 +100,7 @@
         Rule::kw_changes => Subject::Changes,
         Rule::kw_routes => Subject::Routes,
         Rule::kw_directory => Subject::Directory,
+        Rule::kw_zones => Subject::Zones,
         Rule::classes => Subject::Classes(fields.optional_name()?.map(ServiceName::new)),
         Rule::shards => Subject::Shards(fields.optional_name()?.map(ServiceName::new)),
         Rule::versions => Subject::Versions(fields.optional_name()?.map(ServiceName::new)),
@@ -152,7 +155,7 @@
     })
 }
 
-/// Changes of brokers and control processes.
+/// Changes of brokers, control processes and zones.
 fn member_change(rule: Rule, mut fields: Fields<'_>) -> Result<Change, StatementError> {
     Ok(match rule {
         Rule::add_broker => Change::AddBroker { broker: fields.broker()? },
@@ -171,6 +174,8 @@
             Change::SetControlState { control: fields.control()?, state: MemberState::Active }
         }
         Rule::remove_control => Change::RemoveControl(fields.control()?),
+        Rule::evacuate_zone => Change::EvacuateZone(ZoneName::new(fields.name()?)),
+        Rule::restore_zone => Change::RestoreZone(ZoneName::new(fields.name()?)),
         other => unreachable!("{other:?} is not a change of the grammar"),
     })
 }
--- a/crates/statement/src/print.rs
+++ b/crates/statement/src/print.rs
@@ -42,6 +42,7 @@
             Self::Changes => out.write_str("CHANGES"),
             Self::Routes => out.write_str("ROUTES"),
             Self::Directory => out.write_str("DIRECTORY"),
+            Self::Zones => out.write_str("ZONES"),
         }
     }
 }
@@ -100,6 +101,8 @@
             write!(out, "{} CONTROL {control}", verb(*state))
         }
         Change::RemoveControl(control) => write!(out, "REMOVE CONTROL {control}"),
+        Change::EvacuateZone(zone) => write!(out, "EVACUATE ZONE {zone}"),
+        Change::RestoreZone(zone) => write!(out, "RESTORE ZONE {zone}"),
     }
 }
 
--- a/crates/statement/src/statement.rs
+++ b/crates/statement/src/statement.rs
@@ -28,6 +28,8 @@
     Routes,
     /// Leaves of the outside directory.
     Directory,
+    /// Zones, whether they are evacuated, and who has that in force.
+    Zones,
     /// The state of the cluster in short.
     Status,
     /// The revision accepted, that in force everywhere, and the brokers that lag.
--- a/crates/statement/tests/parse.rs
+++ b/crates/statement/tests/parse.rs
@@ -2,7 +2,7 @@
 
 use gingerkeel_domain::catalog::{Change, LeafState, MemberState};
 use gingerkeel_domain::identifiers::{
-    BrokerName, ClassName, LeafId, Revision, ServiceName, ShardId,
+    BrokerName, ClassName, LeafId, Revision, ServiceName, ShardId, ZoneName,
 };
 use gingerkeel_statement::{Statement, StatementError, Subject, TEXT_LIMIT, parse};
 use rstest::rstest;
@@ -35,6 +35,12 @@
 #[case("SHOW CHARGES", Statement::Show(Subject::Charges(None)))]
 #[case("SHOW REVISION", Statement::Show(Subject::Revision))]
 #[case("show routes", Statement::Show(Subject::Routes))]
+#[case("SHOW ZONES", Statement::Show(Subject::Zones))]
+#[case(
+    "evacuate zone pa-hall-a",
+    Statement::change(Change::EvacuateZone(ZoneName::new("pa-hall-a")))
+)]
+#[case("RESTORE ZONE b;", Statement::change(Change::RestoreZone(ZoneName::new("b"))))]
 #[case("SHOW DIRECTORY;", Statement::Show(Subject::Directory))]
 #[case(
     "SET PRICE OF urgent OF console TO 12",
--- a/crates/statement/tests/properties.rs
+++ b/crates/statement/tests/properties.rs
@@ -138,6 +138,8 @@
         (control_name(), member_state())
             .prop_map(|(control, state)| Change::SetControlState { control, state }),
         control_name().prop_map(Change::RemoveControl),
+        name().prop_map(|zone| Change::EvacuateZone(ZoneName::new(zone))),
+        name().prop_map(|zone| Change::RestoreZone(ZoneName::new(zone))),
     ]
 }
 
