Send a cold leaf no more than it takes, from all brokers together

The rate is cut into whole requests a second, which go to brokers in an order that all compute alike; a broker with none sends none. A cold leaf without room is excluded for the moment by the same eligibility check.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -161,8 +161,8 @@
         watch.holds_connection = true;
         return Ok(connection);
     }
-    let accepted = watch.state.accepted_connections(watch.service);
-    if !watch.state.leaves.admit_connection(accepted, leaf) {
+    let limits = watch.state.service_limits(watch.service);
+    if !watch.state.leaves.admit_connection(limits.connections, leaf) {
         return Err(AttemptError::NoConnection);
     }
     watch.holds_connection = true;
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -123,10 +123,9 @@
             return Next::Nobody;
         }
         self.nobody = None;
-        let accepted = self.state.accepted_connections(self.service);
+        let limits = self.state.service_limits(self.service);
         let leaves = &self.state.leaves;
-        let choice = match leaves.choose(self.route, self.service, accepted, self.attempts.tried())
-        {
+        let choice = match leaves.choose(self.route, self.service, limits, self.attempts.tried()) {
             Selection::Ask(choice) => Some(choice),
             Selection::Wait { .. } if self.may_wait_for_connection(reason) => {
                 return Next::Wait(CONNECTION_WAIT);
@@ -154,6 +153,7 @@
         if self.attempts.next_is_extra() && !self.state.leaves.take_extra(self.service) {
             return None;
         }
+        self.state.leaves.sent(&leaf, self.state.service_limits(self.service));
         let entry = self.request.trail.asked(self.service, &leaf.identity, reason, choice.sound);
         self.state.metrics.leaf_asked(reason);
         self.attempts.asked(self.state.clock.now(), leaf.identity.clone());
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -3,21 +3,22 @@
 //!
 //! The state is borrowed between two waits only, never across one.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
-    Connectivity, Distance, Exclusion, ExtraLoadBudget, ExtraLoadSettings, NobodyReason, Outcome,
-    ReplicaSet, ReplicaSettings, Selection, SharingBrokers, SlackShare, connection_share,
+    ColdLeaves, ColdShare, ColdStart, Connectivity, Distance, Exclusion, ExtraLoadBudget,
+    ExtraLoadSettings, Nearness, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection,
+    SharingBrokers, SlackShare, connection_share,
 };
-use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
 use gingerkeel_domain::routes::Route;
 use gingerkeel_domain::time::Timestamp;
-use gingerkeel_settings::RouteSettings;
+use gingerkeel_settings::{BrokerSettings, RouteSettings};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use tracing::{info, warn};
@@ -25,6 +26,22 @@
 use super::pool::{LeafConnection, LeafPool};
 use crate::clock::Clock;
 
+/// What the leaves of a service bear from all brokers together.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceLimits {
+    /// Connections to each leaf.
+    pub connections: usize,
+    /// How leaves start.
+    pub cold_start: ColdStart,
+}
+
+impl Default for ServiceLimits {
+    /// Nothing is known to limit them.
+    fn default() -> Self {
+        Self { connections: usize::MAX, cold_start: ColdStart::default() }
+    }
+}
+
 /// What is known of one service.
 #[derive(Default)]
 struct ServiceState {
@@ -37,11 +54,14 @@
     directory: LeafDirectory,
     services: BTreeMap<ServiceName, ServiceState>,
     pools: BTreeMap<LeafIdentity, LeafPool>,
+    cold: ColdLeaves,
 }
 
 /// The leaves that a broker knows.
 pub struct LeafRegistry {
     clock: Clock,
+    /// The name of this broker.
+    name: BrokerName,
     /// The zone of this broker.
     zone: String,
     /// The region of each zone.
@@ -53,9 +73,9 @@
     evacuated: RefCell<BTreeSet<ZoneName>>,
     /// How many live brokers there are in each zone.
     brokers: RefCell<BTreeMap<ZoneName, usize>>,
-    /// How many brokers share the slack of extra requests, those included that may be cut off; 0
-    /// while that is not known.
-    sharing: Cell<usize>,
+    /// The brokers that share what leaves bear, those included that may be cut off; none while they are
+    /// not known.
+    sharing: RefCell<Vec<KnownBroker>>,
     /// What is to be reported of leaves.
     observations: RefCell<ObservationLog>,
     random: RefCell<Pcg64>,
@@ -63,7 +83,7 @@
 
 impl LeafRegistry {
     /// No leaf is known yet.
-    pub fn new(clock: Clock, zone: String, settings: &RouteSettings, seed: u64) -> Self {
+    pub fn new(clock: Clock, broker: &BrokerSettings, settings: &RouteSettings, seed: u64) -> Self {
         let extra = ExtraLoadSettings {
             ratio: settings.extra_ratio,
             window: Duration::from_millis(settings.extra_window_ms.into()),
@@ -71,14 +91,15 @@
         };
         Self {
             clock,
-            zone,
+            name: BrokerName::new(&broker.name),
+            zone: broker.zone.clone(),
             zone_regions: settings.zone_regions.clone(),
             extra,
             replica_settings: ReplicaSettings::default(),
             leaves: RefCell::default(),
             evacuated: RefCell::default(),
             brokers: RefCell::default(),
-            sharing: Cell::new(0),
+            sharing: RefCell::default(),
             observations: RefCell::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
         }
@@ -99,7 +120,8 @@
         let mut leaves = self.leaves.borrow_mut();
         if directory.version() >= leaves.directory.version() {
             leaves.directory = directory;
-            self.list(&mut leaves);
+            let all: Vec<ListedLeaf> = leaves.directory.leaves().values().cloned().collect();
+            self.list(&mut leaves, &all);
         }
     }
 
@@ -107,7 +129,7 @@
     pub fn change_directory(&self, delta: &DirectoryDelta) {
         let mut leaves = self.leaves.borrow_mut();
         if leaves.directory.apply(delta) {
-            self.list(&mut leaves);
+            self.list(&mut leaves, &delta.changed);
         } else if delta.base > leaves.directory.version() {
             let held = leaves.directory.version().0;
             warn!(event = "directory_gap", held, base = delta.base.0);
@@ -115,26 +137,48 @@
     }
 
     /// The brokers that share the leaves.
-    pub fn set_brokers(&self, brokers: &[KnownBroker]) {
+    pub fn set_brokers(&self, brokers: Vec<KnownBroker>) {
         let mut counts = BTreeMap::new();
         for broker in brokers.iter().filter(|broker| broker.live) {
             *counts.entry(broker.entry.placement.zone.clone()).or_insert(0) += 1;
         }
         *self.brokers.borrow_mut() = counts;
-        self.sharing.set(brokers.len());
+        *self.sharing.borrow_mut() = brokers;
     }
 
-    /// Leaves of these zones get no new work; those of all other zones do.
-    pub fn evacuate(&self, zones: BTreeSet<ZoneName>) {
+    /// Leaves of these zones get no new work; those of all other zones do. `cold_start` tells how the
+    /// leaves of a service start.
+    pub fn evacuate(
+        &self,
+        zones: BTreeSet<ZoneName>,
+        cold_start: impl Fn(&ServiceName) -> ColdStart,
+    ) {
         let before = self.evacuated.replace(zones);
         let evacuated = self.evacuated.borrow();
         if before == *evacuated {
             return;
         }
+        self.chill_restored(before.difference(&evacuated), cold_start);
         let named: Vec<&str> = evacuated.iter().map(ZoneName::as_str).collect();
         info!(event = "zones_evacuated", count = named.len(), zones = named.join(","));
     }
 
+    /// Leaves of zones that are restored may have turned cold, and the list lags: they count as cold
+    /// for as long as a leaf does after its start.
+    fn chill_restored<'zones>(
+        &self,
+        zones: impl Iterator<Item = &'zones ZoneName>,
+        cold_start: impl Fn(&ServiceName) -> ColdStart,
+    ) {
+        let restored: BTreeSet<&ZoneName> = zones.collect();
+        let now = self.clock.now();
+        let mut leaves = self.leaves.borrow_mut();
+        let Leaves { directory, cold, .. } = &mut *leaves;
+        for leaf in directory.leaves().values().filter(|leaf| restored.contains(&leaf.zone)) {
+            cold.chill(&leaf.identity, now.after(cold_start(&leaf.service).span()));
+        }
+    }
+
     /// How many zones are evacuated.
     pub fn evacuated_zones(&self) -> usize {
         self.evacuated.borrow().len()
@@ -144,9 +188,15 @@
         self.brokers.borrow().values().sum::<usize>().max(1)
     }
 
-    fn list(&self, leaves: &mut Leaves) {
-        let Leaves { directory, services, pools } = leaves;
-        for leaf in directory.leaves().values() {
+    /// Takes over what the list in force says of the leaves that are new or changed.
+    fn list(&self, leaves: &mut Leaves, changed: &[ListedLeaf]) {
+        let now = self.clock.now();
+        let Leaves { directory, services, pools, cold } = leaves;
+        cold.forget_warm(now);
+        for leaf in changed {
+            if leaf.cold_ms > 0 {
+                cold.chill(&leaf.identity, now.after(Duration::from_millis(leaf.cold_ms)));
+            }
             let service = services.entry(leaf.service.clone()).or_default();
             service.replicas.list(leaf, self.distance(leaf));
         }
@@ -172,17 +222,21 @@
         self.zone_regions.get(leaf.zone.as_str()).map(String::as_str)
     }
 
+    /// How long the process has run: its clock starts with it.
+    fn age(&self) -> Duration {
+        self.clock.now().since(Timestamp::ZERO)
+    }
+
     fn draw(&self) -> f64 {
         self.random.borrow_mut().random()
     }
 
-    /// Chooses a leaf of a service for a request of a route, other than those tried. Each leaf of
-    /// the service accepts so many connections from all brokers together.
+    /// Chooses a leaf of a service for a request of a route, other than those tried.
     pub fn choose(
         &self,
         route: &Route,
         service: &ServiceName,
-        accepted: usize,
+        limits: ServiceLimits,
         tried: &[LeafIdentity],
     ) -> Selection {
         let leaves = self.leaves.borrow();
@@ -190,7 +244,7 @@
             return Selection::Nobody(NobodyReason::NoneListed);
         };
         let reach = |leaf: &LeafIdentity| match leaves.directory.leaves().get(leaf) {
-            Some(leaf) => self.reach(&leaves, route, accepted, leaf),
+            Some(leaf) => self.reach(&leaves, route, limits, leaf),
             None => Ok(Connectivity::Exhausted),
         };
         let settings = &self.replica_settings;
@@ -202,7 +256,7 @@
         &self,
         leaves: &Leaves,
         route: &Route,
-        accepted: usize,
+        limits: ServiceLimits,
         leaf: &ListedLeaf,
     ) -> Result<Connectivity, Exclusion> {
         if !route.allowed_regions.allows(self.region(leaf)) {
@@ -211,7 +265,53 @@
         if self.evacuated.borrow().contains(&leaf.zone) {
             return Err(Exclusion::ZoneEvacuated);
         }
-        Ok(self.connectivity(leaves, accepted, leaf))
+        if !self.has_room_while_cold(leaves, limits, leaf) {
+            return Err(Exclusion::ColdRateSpent);
+        }
+        Ok(self.connectivity(leaves, limits.connections, leaf))
+    }
+
+    /// Whether a leaf is warm, or this broker may send it a request while it is cold.
+    fn has_room_while_cold(
+        &self,
+        leaves: &Leaves,
+        limits: ServiceLimits,
+        leaf: &ListedLeaf,
+    ) -> bool {
+        let now = self.clock.now();
+        !limits.cold_start.is_limited()
+            || !leaves.cold.is_cold(now, &leaf.identity)
+            || leaves.cold.has_room(now, &leaf.identity, self.cold_share(limits, leaf))
+    }
+
+    fn cold_share(&self, limits: ServiceLimits, leaf: &ListedLeaf) -> ColdShare {
+        let nearness = |broker: &KnownBroker| {
+            let placement = &broker.entry.placement;
+            if placement.zone == leaf.zone {
+                Nearness::Zone
+            } else if self.region(leaf) == Some(placement.region.as_str()) {
+                Nearness::Region
+            } else {
+                Nearness::Elsewhere
+            }
+        };
+        let brokers = self.sharing.borrow();
+        let start = limits.cold_start;
+        ColdShare::of(start, &leaf.identity, &self.name, self.age(), &brokers, nearness)
+    }
+
+    /// A request is about to be sent to a leaf.
+    pub fn sent(&self, leaf: &ListedLeaf, limits: ServiceLimits) {
+        let now = self.clock.now();
+        if self.leaves.borrow().cold.is_cold(now, &leaf.identity) {
+            let share = self.cold_share(limits, leaf);
+            self.leaves.borrow_mut().cold.sent(now, &leaf.identity, share);
+        }
+    }
+
+    /// How many leaves are cold.
+    pub fn cold_leaves(&self) -> usize {
+        self.leaves.borrow().cold.count(self.clock.now())
     }
 
     fn connectivity(&self, leaves: &Leaves, accepted: usize, leaf: &ListedLeaf) -> Connectivity {
@@ -243,8 +343,7 @@
     /// Takes one extra request out of the budget of a service; false when there is no room.
     pub fn take_extra(&self, service: &ServiceName) -> bool {
         let now = self.clock.now();
-        // The clock starts with the process.
-        let slack = SlackShare::of(&self.extra, self.sharing.get(), now.since(Timestamp::ZERO));
+        let slack = SlackShare::of(&self.extra, self.sharing.borrow().len(), self.age());
         let mut leaves = self.leaves.borrow_mut();
         let state = leaves.services.get_mut(service);
         state.is_some_and(|state| state.budget.take(&self.extra, now, slack))
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -169,8 +169,8 @@
                 state.metrics.warned(warnings.len());
                 state.leaves.warn(&warnings);
             }
-            RouteUpdate::Evacuated(zones) => state.leaves.evacuate(zones),
-            RouteUpdate::Brokers(brokers) => state.leaves.set_brokers(&brokers),
+            RouteUpdate::Evacuated(zones) => state.evacuate(zones),
+            RouteUpdate::Brokers(brokers) => state.leaves.set_brokers(brokers),
         }
         state.note_known();
     }
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -52,6 +52,7 @@
     routes_version: Gauge,
     directory_version: Gauge,
     evacuated_zones: Gauge,
+    cold_leaves: Gauge,
 }
 
 impl Default for RouteMetrics {
@@ -67,6 +68,7 @@
             routes_version: Gauge::default(),
             directory_version: Gauge::default(),
             evacuated_zones: Gauge::default(),
+            cold_leaves: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -93,6 +95,8 @@
         registry.register("directory_version", help, self.directory_version.clone());
         let help = "Zones that are evacuated";
         registry.register("evacuated_zones", help, self.evacuated_zones.clone());
+        let help = "Leaves that are cold";
+        registry.register("cold_leaves", help, self.cold_leaves.clone());
     }
 
     /// A request has ended.
@@ -123,6 +127,7 @@
         self.routes_version.set(version as i64);
         self.directory_version.set(state.leaves.version() as i64);
         self.evacuated_zones.set(state.leaves.evacuated_zones() as i64);
+        self.cold_leaves.set(state.leaves.cold_leaves() as i64);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -4,14 +4,14 @@
 //! All tasks run on one thread. The state is borrowed between two waits only, never across one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use gingerkeel_domain::forwarding::{
     AnswerMargin, Candidate, DeliveryTime, PlannedStop, SplitTurns,
 };
-use gingerkeel_domain::identifiers::ServiceName;
+use gingerkeel_domain::identifiers::{ServiceName, ZoneName};
 use gingerkeel_domain::routes::{Route, RouteConfiguration, RouteTable, WeightedService};
 use gingerkeel_domain::tail::LatencyWindow;
 use gingerkeel_domain::time::Timestamp;
@@ -24,7 +24,7 @@
 use super::admission::Admission;
 use super::attempt::ForwardedRequest;
 use super::dialect::Dialect;
-use super::leaf_registry::LeafRegistry;
+use super::leaf_registry::{LeafRegistry, ServiceLimits};
 use super::route_metrics::RouteMetrics;
 use crate::clock::Clock;
 use crate::stop::StopSignal;
@@ -79,7 +79,7 @@
     ) -> Self {
         let seed = broker.seed.unwrap_or_else(|| rand::rng().random());
         let mut random = Pcg64::seed_from_u64(seed);
-        let leaves = LeafRegistry::new(clock, broker.zone, &settings, random.random());
+        let leaves = LeafRegistry::new(clock, &broker, &settings, random.random());
         Self {
             dialect,
             settings,
@@ -196,6 +196,11 @@
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
     }
 
+    /// Leaves of these zones get no new work; those of all others do.
+    pub fn evacuate(&self, zones: BTreeSet<ZoneName>) {
+        self.leaves.evacuate(zones, |service| self.service_limits(service).cold_start);
+    }
+
     /// The service of a split whose turn it is.
     pub fn next_of_split(&self, route: &Route, parts: &[WeightedService]) -> Option<ServiceName> {
         let mut splits = self.splits.borrow_mut();
@@ -209,11 +214,14 @@
         self.clock.now()
     }
 
-    /// How many connections each leaf of a service accepts from all brokers together.
-    pub fn accepted_connections(&self, service: &ServiceName) -> usize {
+    /// What the leaves of a service bear from all brokers together.
+    pub fn service_limits(&self, service: &ServiceName) -> ServiceLimits {
         let table = self.table.borrow();
         let known = table.as_ref().and_then(|table| table.service(service));
-        known.map_or(usize::MAX, |service| service.connection_limit as usize)
+        known.map_or_else(ServiceLimits::default, |service| ServiceLimits {
+            connections: service.connection_limit as usize,
+            cold_start: service.cold_start,
+        })
     }
 
     /// What admission has to know of a request.
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use gingerkeel_domain::directory::LeafDirectory;
+use gingerkeel_domain::forwarding::ColdStart;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -658,3 +660,29 @@
     assert_eq!(near.requests().len(), 0);
     wait_until("the reason is logged", || broker.broker.log().contains("no_leaf=zone_evacuated"));
 }
+
+/// Two requests a second may go to a cold leaf from all brokers together, and there is one broker.
+#[test]
+fn a_cold_leaf_gets_no_more_than_it_takes_and_the_others_carry_the_rest() {
+    let (cold, warm) = (honest("cold", b"cold"), honest("warm", b"warm"));
+    let mut routes = configuration(0);
+    for service in &mut routes.services {
+        service.cold_start = ColdStart { span_ms: 2_000, requests_per_1000_s: 2_000 };
+    }
+    let leaves = directory(&[cold.address, warm.address], &[]);
+    let mut leaves: Vec<_> = leaves.leaves().values().cloned().collect();
+    leaves[0].cold_ms = 60_000;
+    let mut listed = LeafDirectory::default();
+    listed.apply(&listed.delta_to(&leaves).expect("a first list"));
+    let broker = RoutedBroker::start_with(&routes, &listed);
+    let began = Instant::now();
+    let mut asked = 0;
+    while began.elapsed() < Duration::from_millis(2_500) {
+        assert_eq!(broker.get("/one/").status, 200);
+        asked += 1;
+        sleep(Duration::from_millis(10));
+    }
+    let taken = cold.requests().len();
+    assert!((1..=6).contains(&taken), "{taken} requests in 2.5 s");
+    assert_eq!(warm.requests().len(), asked - taken);
+}
--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -1,5 +1,6 @@
 //! A broker that serves routes, between a scripted control process and scripted leaves.
 
+use gingerkeel_domain::forwarding::ColdStart;
 use std::net::SocketAddr;
 
 use gingerkeel_domain::catalog::{Change, Placement};
@@ -103,7 +104,7 @@
 /// A list of one broker, as a document.
 fn only_broker() -> gingerkeel_protocol::Document {
     let placement = Placement { region: RegionName::new("south"), zone: ZoneName::new("a") };
-    let entry = BrokerEntry { name: BrokerName::new("only"), placement };
+    let entry = BrokerEntry { name: BrokerName::new("broker"), placement };
     let list = BrokerList::new([KnownBroker { entry, live: true }]);
     encode_document(&list.whole()).expect("a document").into()
 }
@@ -163,8 +164,12 @@
         };
         routes.push(route("all", true, Destination::Shards(set)));
     }
-    let service =
-        |name| BackEndService { name, health_path: "/health".to_owned(), connection_limit: 16 };
+    let service = |name| BackEndService {
+        name,
+        health_path: "/health".to_owned(),
+        connection_limit: 16,
+        cold_start: ColdStart::default(),
+    };
     RouteConfiguration {
         version: RouteVersion(1),
         routes,
@@ -189,6 +194,7 @@
                 zone: ZoneName::new(if number == 0 { "a" } else { "b" }),
                 slots: 4,
                 availability: LeafAvailability::Ready,
+                cold_ms: 0,
             });
         }
     };
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use gingerkeel_domain::forwarding::ColdStart;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -199,6 +200,7 @@
             name: service,
             health_path: "/health".to_owned(),
             connection_limit: 4,
+            cold_start: ColdStart::default(),
         }],
         limits: CallerLimits::default(),
     }
--- a/crates/domain/src/directory/mod.rs
+++ b/crates/domain/src/directory/mod.rs
@@ -38,6 +38,19 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub availability: LeafAvailability,
+    /// How long it stays cold from when this entry was made, in milliseconds; 0 when it is warm.
+    #[serde(default)]
+    pub cold_ms: u64,
+}
+
+impl ListedLeaf {
+    /// Whether `newer` says something else of the leaf. A leaf that stays cold for less long than it
+    /// was to is no news: the time has passed.
+    fn differs_from(&self, newer: &Self) -> bool {
+        let cools = newer.cold_ms > self.cold_ms || (newer.cold_ms == 0) != (self.cold_ms == 0);
+        let same_but_cold = Self { cold_ms: newer.cold_ms, ..self.clone() } == *newer;
+        cools || !same_but_cold
+    }
 }
 
 /// All leaves that are known.
@@ -72,8 +85,10 @@
     /// What takes this list to `listed`; none when they are the same. The very first list is a
     /// delta even when it is empty.
     pub fn delta_to(&self, listed: &[ListedLeaf]) -> Option<DirectoryDelta> {
-        let known = |leaf: &&ListedLeaf| self.leaves.get(&leaf.identity) != Some(leaf);
-        let changed: Vec<ListedLeaf> = listed.iter().filter(known).cloned().collect();
+        let news = |leaf: &&ListedLeaf| {
+            self.leaves.get(&leaf.identity).is_none_or(|known| known.differs_from(leaf))
+        };
+        let changed: Vec<ListedLeaf> = listed.iter().filter(news).cloned().collect();
         let present: BTreeSet<&LeafIdentity> = listed.iter().map(|leaf| &leaf.identity).collect();
         let gone = self.leaves.keys().filter(|identity| !present.contains(identity));
         let gone: Vec<LeafIdentity> = gone.cloned().collect();
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -1,6 +1,7 @@
 //! Forwarding of a request to leaves: whom to ask, how often, and what to answer.
 
 mod attempts;
+mod cold_leaves;
 mod connection_allowance;
 mod connection_share;
 mod delivery;
@@ -16,6 +17,7 @@
 mod waiting_line;
 
 pub use attempts::{AfterAttempt, AttemptError, NoReply, RequestAttempts, hedge_delay};
+pub use cold_leaves::{ColdLeaves, ColdShare, ColdStart, Nearness};
 pub use connection_allowance::ConnectionAllowance;
 pub use connection_share::{SharingBrokers, connection_share};
 pub use delivery::{AnswerMargin, DeliveryTime};
--- a/crates/domain/src/routes/configuration.rs
+++ b/crates/domain/src/routes/configuration.rs
@@ -6,6 +6,7 @@
 
 use super::error::RouteError;
 use super::region_policy::RegionPolicy;
+use crate::forwarding::ColdStart;
 use crate::identifiers::ServiceName;
 
 /// Version of a configuration, given by operators; the highest counts.
@@ -107,6 +108,9 @@
     pub health_path: String,
     /// Connections that each leaf accepts from all brokers together.
     pub connection_limit: u32,
+    /// How its leaves start.
+    #[serde(default)]
+    pub cold_start: ColdStart,
 }
 
 /// What callers may send, and how long they may take.
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -26,6 +26,7 @@
         zone: ZoneName::new("z"),
         slots: 4,
         availability: LeafAvailability::Ready,
+        cold_ms: 0,
     }
 }
 
--- a/crates/domain/tests/leaf_directory.rs
+++ b/crates/domain/tests/leaf_directory.rs
@@ -2,6 +2,7 @@
 
 use gingerkeel_domain::directory::{DirectoryVersion, LeafAvailability, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use rstest::rstest;
 
 fn leaf(identity: &str, port: u16) -> ListedLeaf {
     ListedLeaf {
@@ -11,6 +12,7 @@
         zone: ZoneName::new("z"),
         slots: 4,
         availability: LeafAvailability::Ready,
+        cold_ms: 0,
     }
 }
 
@@ -56,3 +58,20 @@
     assert_eq!(directory.leaves().len(), 2);
     assert_eq!(directory.version(), DirectoryVersion(2));
 }
+
+/// What the list said of a leaf's warm-up, what it says now, and whether that is news.
+#[rstest]
+#[case::warm_still(0, 0, false)]
+#[case::turned_cold(0, 2_500, true)]
+#[case::time_has_passed(2_500, 1_100, false)]
+#[case::turned_cold_again(1_100, 2_900, true)]
+#[case::warm_now(1_100, 0, true)]
+fn only_a_leaf_that_turns_cold_or_warm_is_news(
+    #[case] before: u64,
+    #[case] now: u64,
+    #[case] news: bool,
+) {
+    let cold = |cold_ms| ListedLeaf { cold_ms, ..leaf("a", 1) };
+    let directory = listing(&[cold(before)]);
+    assert_eq!(directory.delta_to(&[cold(now)]).is_some(), news);
+}
--- a/crates/domain/tests/leaf_warnings.rs
+++ b/crates/domain/tests/leaf_warnings.rs
@@ -144,6 +144,7 @@
             zone: ZoneName::new("a"),
             slots: 4,
             availability: LeafAvailability::Ready,
+            cold_ms: 0,
         };
         set.list(&listed, distance);
     }
--- a/crates/domain/tests/routes.rs
+++ b/crates/domain/tests/routes.rs
@@ -1,5 +1,6 @@
 //! Configurations of routes: validation, versions and the choice of a route.
 
+use gingerkeel_domain::forwarding::ColdStart;
 use std::sync::Arc;
 
 use gingerkeel_domain::identifiers::{RegionName, ServiceName};
@@ -15,6 +16,7 @@
         name: ServiceName::new(name),
         health_path: "/health".to_owned(),
         connection_limit: 10,
+        cold_start: ColdStart::default(),
     }
 }
 
--- a/crates/rehearsal/src/soak/leaves.rs
+++ b/crates/rehearsal/src/soak/leaves.rs
@@ -115,6 +115,7 @@
             zone: ZoneName::new(zone),
             slots: 8,
             availability: LeafAvailability::Ready,
+            cold_ms: 0,
         };
         let of_thread = (mode.clone(), journal.clone());
         let service = service.to_owned();
--- a/crates/rehearsal/src/soak/parties.rs
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -1,5 +1,6 @@
 //! Callers and an operator, each a thread.
 
+use gingerkeel_domain::forwarding::ColdStart;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -74,6 +75,7 @@
         name: ServiceName::new(name),
         health_path: "/health".to_owned(),
         connection_limit: 32,
+        cold_start: ColdStart::default(),
     };
     RouteConfiguration {
         version: RouteVersion(version),
--- a/crates/simulation/src/routes/world.rs
+++ b/crates/simulation/src/routes/world.rs
@@ -137,6 +137,7 @@
             zone: ZoneName::new(format!("z{}", place.leaf)),
             slots: SLOTS as u32,
             availability,
+            cold_ms: 0,
         };
         let distance = if place.leaf == broker { Distance::Zone } else { Distance::Region };
         self.brokers[broker].list(place.service, &listed, distance);
