Plan connections by who uses a leaf, and keep the second leaf's ready where opening one is dear

Cause: a part whose near leaf pauses needs a leaf of another region, mostly over a new connection. With regions 30 ms apart that is 120 ms, the whole target. Shares of connections went by zone, so that brokers of the region but another zone had one each, and what all were granted was more than a leaf accepts.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -167,7 +167,12 @@
     }
     watch.holds_connection = true;
     watch.is_new = true;
-    LeafConnection::connect(leaf.address).await.map_err(|error| {
+    let began = Instant::now();
+    let connected = LeafConnection::connect(leaf.address).await;
+    if connected.is_ok() {
+        watch.state.leaves.opened(leaf, began.elapsed());
+    }
+    connected.map_err(|error| {
         let (outcome, error) = match error.kind() {
             ErrorKind::ConnectionReset => (watch.reset(), AttemptError::NotAccepted),
             _ => (Outcome::Failed, AttemptError::NotConnected),
@@ -208,7 +213,9 @@
         return Ok(LeafReply { leaf, head, head_only, framing, body, rest: Some(rest) });
     }
     if reusable && !another_leaf {
-        connection.keep_for(stated_keep(&head));
+        let stated = stated_keep(&head);
+        state.leaves.note_stated_keep(watch.service, stated);
+        connection.keep_for(stated);
         state.leaves.give_back(watch.leaf, connection);
         watch.holds_connection = false;
     }
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -5,14 +5,15 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
-use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory, ListedLeaf};
+use gingerkeel_domain::directory::{DirectoryDelta, LeafAvailability, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
-    ColdLeaves, ColdShare, ColdStart, Connectivity, Distance, Exclusion, ExtraLoadBudget,
-    ExtraLoadSettings, Nearness, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection,
-    SharingBrokers, SlackShare, connection_share,
+    BrokerCensus, ColdLeaves, ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance,
+    Exclusion, ExtraLoadBudget, ExtraLoadSettings, Nearness, NobodyReason, Outcome, PlanningBroker,
+    ReplicaSet, ReplicaSettings, Selection, SlackShare,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
@@ -26,6 +27,16 @@
 use super::pool::{LeafConnection, LeafPool};
 use crate::clock::Clock;
 
+/// Weight of the newest time in the smoothed time of opening a connection.
+const OPENING_SMOOTHING: f64 = 0.2;
+/// Part of the target latency from which on opening a connection is dear: a hedge leaves after about a
+/// third of the target, and what is left has room for the way to the leaf and back once more.
+const DEAR_OPENING: f64 = 0.3;
+/// Age of the process from which connections are kept ready.
+const READY_AFTER: Duration = Duration::from_secs(5);
+/// Time for which no connection is kept ready to a leaf that took none.
+const CONNECT_PAUSE: Duration = Duration::from_secs(2);
+
 /// What the leaves of a service bear from all brokers together.
 #[derive(Debug, Clone, Copy)]
 pub struct ServiceLimits {
@@ -47,6 +58,8 @@
 struct ServiceState {
     replicas: ReplicaSet,
     budget: ExtraLoadBudget,
+    /// How long leaves of the service say that they keep idle connections.
+    stated_keep: Option<Duration>,
 }
 
 #[derive(Default)]
@@ -63,7 +76,7 @@
     /// The name of this broker.
     name: BrokerName,
     /// The zone of this broker.
-    zone: String,
+    zone: ZoneName,
     /// The region of each zone.
     zone_regions: BTreeMap<String, String>,
     extra: ExtraLoadSettings,
@@ -71,8 +84,15 @@
     leaves: RefCell<Leaves>,
     /// Zones whose leaves get no new work.
     evacuated: RefCell<BTreeSet<ZoneName>>,
-    /// How many live brokers there are in each zone.
-    brokers: RefCell<BTreeMap<ZoneName, usize>>,
+    /// The live brokers.
+    census: RefCell<BrokerCensus>,
+    /// Plans of connections by service, with the connections accepted for which each was made;
+    /// forgotten with every change of brokers, leaves or evacuations.
+    plans: RefCell<BTreeMap<ServiceName, (usize, Rc<ConnectionPlan>)>>,
+    /// What opening a connection takes, in seconds, smoothed; by distance.
+    opening: RefCell<BTreeMap<Distance, f64>>,
+    /// Leaves to which no connection is kept ready until then, since they took none.
+    connect_after: RefCell<BTreeMap<LeafIdentity, Timestamp>>,
     /// The brokers that share what leaves bear, those included that may be cut off; none while they are
     /// not known.
     sharing: RefCell<Vec<KnownBroker>>,
@@ -92,13 +112,16 @@
         Self {
             clock,
             name: BrokerName::new(&broker.name),
-            zone: broker.zone.clone(),
+            zone: ZoneName::new(&broker.zone),
             zone_regions: settings.zone_regions.clone(),
             extra,
             replica_settings: ReplicaSettings::default(),
             leaves: RefCell::default(),
             evacuated: RefCell::default(),
-            brokers: RefCell::default(),
+            census: RefCell::default(),
+            plans: RefCell::default(),
+            opening: RefCell::default(),
+            connect_after: RefCell::default(),
             sharing: RefCell::default(),
             observations: RefCell::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
@@ -138,11 +161,10 @@
 
     /// The brokers that share the leaves.
     pub fn set_brokers(&self, brokers: Vec<KnownBroker>) {
-        let mut counts = BTreeMap::new();
-        for broker in brokers.iter().filter(|broker| broker.live) {
-            *counts.entry(broker.entry.placement.zone.clone()).or_insert(0) += 1;
-        }
-        *self.brokers.borrow_mut() = counts;
+        let live = brokers.iter().filter(|broker| broker.live).map(|broker| &broker.entry);
+        let placed = live.map(|entry| (entry.placement.zone.clone(), entry.name.clone()));
+        *self.census.borrow_mut() = BrokerCensus::new(placed);
+        self.plans.borrow_mut().clear();
         *self.sharing.borrow_mut() = brokers;
     }
 
@@ -158,6 +180,7 @@
         if before == *evacuated {
             return;
         }
+        self.plans.borrow_mut().clear();
         self.chill_restored(before.difference(&evacuated), cold_start);
         let named: Vec<&str> = evacuated.iter().map(ZoneName::as_str).collect();
         info!(event = "zones_evacuated", count = named.len(), zones = named.join(","));
@@ -184,13 +207,10 @@
         self.evacuated.borrow().len()
     }
 
-    fn broker_count(&self) -> usize {
-        self.brokers.borrow().values().sum::<usize>().max(1)
-    }
-
     /// Takes over what the list in force says of the leaves that are new or changed.
     fn list(&self, leaves: &mut Leaves, changed: &[ListedLeaf]) {
         let now = self.clock.now();
+        self.plans.borrow_mut().clear();
         let Leaves { directory, services, pools, cold } = leaves;
         cold.forget_warm(now);
         for leaf in changed {
@@ -212,7 +232,7 @@
         if self.is_in_zone(leaf) {
             return Distance::Zone;
         }
-        let own = self.zone_regions.get(&self.zone);
+        let own = self.zone_regions.get(self.zone.as_str());
         let same_region = own.is_some() && own.map(String::as_str) == self.region(leaf);
         if same_region { Distance::Region } else { Distance::Far }
     }
@@ -320,7 +340,7 @@
         };
         if pool.has_idle() {
             Connectivity::Idle
-        } else if pool.has_room(self.connection_limit(accepted, leaf)) {
+        } else if pool.has_room(self.plan(leaves, &leaf.service, accepted).share(&leaf.identity)) {
             Connectivity::Openable
         } else {
             Connectivity::Exhausted
@@ -421,19 +441,98 @@
     /// Counts a connection that is about to be opened, unless this broker has its share of those
     /// that the leaf accepts.
     pub fn admit_connection(&self, accepted: usize, leaf: &ListedLeaf) -> bool {
-        let limit = self.connection_limit(accepted, leaf);
+        let plan = self.plan(&self.leaves.borrow(), &leaf.service, accepted);
+        let limit = plan.share(&leaf.identity);
         self.leaves.borrow_mut().pools.entry(leaf.identity.clone()).or_default().admit(limit)
     }
 
-    /// How many connections to a leaf this broker may have.
-    fn connection_limit(&self, accepted: usize, leaf: &ListedLeaf) -> usize {
-        let in_zone = self.brokers.borrow().get(&leaf.zone).copied().unwrap_or(0);
-        let brokers = SharingBrokers { in_zone, elsewhere: self.broker_count() - in_zone };
-        connection_share(accepted, brokers, self.is_in_zone(leaf))
+    /// The connections to leaves of a service that take new work.
+    fn plan(&self, leaves: &Leaves, service: &ServiceName, accepted: usize) -> Rc<ConnectionPlan> {
+        if let Some((of, plan)) = self.plans.borrow().get(service) {
+            if *of == accepted {
+                return plan.clone();
+            }
+        }
+        let evacuated = self.evacuated.borrow();
+        let usable = |leaf: &&ListedLeaf| {
+            leaf.availability == LeafAvailability::Ready && !evacuated.contains(&leaf.zone)
+        };
+        let identities = leaves.services.get(service).into_iter();
+        let listed = identities.flat_map(|state| state.replicas.identities());
+        let listed = listed.filter_map(|identity| leaves.directory.leaves().get(identity));
+        let placed = listed.filter(usable).map(|leaf| (leaf.identity.clone(), leaf.zone.clone()));
+        let placed: Vec<_> = placed.collect();
+        let broker = PlanningBroker { name: &self.name, zone: &self.zone };
+        let census = self.census.borrow();
+        let plan =
+            ConnectionPlan::new(service, &placed, accepted, broker, &census, &self.zone_regions);
+        let plan = Rc::new(plan);
+        self.plans.borrow_mut().insert(service.clone(), (accepted, plan.clone()));
+        plan
+    }
+
+    /// A connection to a leaf was opened in this time.
+    pub fn opened(&self, leaf: &ListedLeaf, took: Duration) {
+        let took = took.as_secs_f64();
+        let mut opening = self.opening.borrow_mut();
+        let known = opening.entry(self.distance(leaf)).or_insert(took);
+        *known += OPENING_SMOOTHING * (took - *known);
+    }
+
+    /// Whether connections are kept ready for requests with this target latency: where opening one is
+    /// observed to take a large part of it. Idle connections have a price, too: leaves hold those of a
+    /// broker that lost its power, and have none to spare for its successor. So a process that has just
+    /// started keeps none ready either.
+    pub fn keeps_ready(&self, target: Duration) -> bool {
+        let dear = target.as_secs_f64() * DEAR_OPENING;
+        self.age() >= READY_AFTER && self.opening.borrow().values().any(|took| *took >= dear)
+    }
+
+    /// Leaves of a service to which a connection is to be kept ready and none is open, the nearest
+    /// first. Those that are left out for a reason of their own are left alone.
+    pub fn without_connection(
+        &self,
+        service: &ServiceName,
+        limits: ServiceLimits,
+    ) -> Vec<ListedLeaf> {
+        let now = self.clock.now();
+        let leaves = self.leaves.borrow();
+        let Some(state) = leaves.services.get(service) else {
+            return Vec::new();
+        };
+        let later = self.connect_after.borrow();
+        let wanted = |identity: &&LeafIdentity| {
+            let open = leaves.pools.get(*identity).is_some_and(LeafPool::is_open);
+            let waits = later.get(*identity).is_some_and(|until| now < *until);
+            !open && !waits && state.replicas.is_in_service(identity, now)
+        };
+        let plan = self.plan(&leaves, service, limits.connections);
+        let identities = plan.ready().iter().filter(wanted);
+        identities.filter_map(|leaf| leaves.directory.leaves().get(leaf)).cloned().collect()
+    }
+
+    /// A leaf took no connection: none is kept ready to it for a while.
+    pub fn connect_later(&self, leaf: &LeafIdentity) {
+        let now = self.clock.now();
+        let mut later = self.connect_after.borrow_mut();
+        later.retain(|_, until| now < *until);
+        later.insert(leaf.clone(), now.after(CONNECT_PAUSE));
+    }
+
+    /// How long leaves of a service say that they keep idle connections.
+    pub fn stated_keep(&self, service: &ServiceName) -> Option<Duration> {
+        self.leaves.borrow().services.get(service)?.stated_keep
+    }
+
+    /// A leaf of a service says how long it keeps idle connections.
+    pub fn note_stated_keep(&self, service: &ServiceName, stated: Option<Duration>) {
+        if let Some(state) = self.leaves.borrow_mut().services.get_mut(service) {
+            state.stated_keep = stated.or(state.stated_keep);
+        }
     }
 
     fn is_in_zone(&self, leaf: &ListedLeaf) -> bool {
-        leaf.zone.as_str() == self.zone
+        leaf.zone == self.zone
     }
 
     /// A leaf answered on a new connection.
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -14,6 +14,7 @@
 mod route_metrics;
 mod running;
 mod serving;
+mod standby;
 mod state;
 mod trail;
 
@@ -115,6 +116,7 @@
         let open = server.open_connections();
         monoio::spawn(server.run(listener));
         monoio::spawn(keep_up(state.clone()));
+        monoio::spawn(standby::keep_ready(state.clone()));
         monoio::spawn(report_slow_leaves(state.clone(), reports));
         let (updates, received) = unbounded::channel();
         monoio::spawn(apply_updates(received, state.clone()));
--- a/crates/broker/src/routes/pool.rs
+++ b/crates/broker/src/routes/pool.rs
@@ -99,6 +99,11 @@
         self.idle.iter().any(|connection| now < connection.keep_until)
     }
 
+    /// Whether any connection is open.
+    pub fn is_open(&self) -> bool {
+        self.open > 0
+    }
+
     /// Whether another connection may be opened where `limit` may be open, and the leaf is observed to
     /// accept it.
     pub fn has_room(&self, limit: usize) -> bool {
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -3,6 +3,7 @@
 //!
 //! All tasks run on one thread. The state is borrowed between two waits only, never across one.
 
+use gingerkeel_domain::directory::ListedLeaf;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -224,6 +225,22 @@
         })
     }
 
+    /// Up to `most` leaves of shards to which a connection is to be kept ready and none is open, each
+    /// with its service.
+    pub fn leaves_without_connection(&self, most: usize) -> Vec<(ServiceName, ListedLeaf)> {
+        let Some(table) = self.table() else {
+            return Vec::new();
+        };
+        let kept = |target: &Duration| self.leaves.keeps_ready(*target);
+        let shards = table.shards().iter().filter(|(_, target)| kept(target));
+        let leaves = shards.map(|(service, _)| service).flat_map(|service| {
+            let limits = self.service_limits(service);
+            let leaves = self.leaves.without_connection(service, limits);
+            leaves.into_iter().map(|leaf| (service.clone(), leaf))
+        });
+        leaves.take(most).collect()
+    }
+
     /// What admission has to know of a request.
     pub fn candidate(
         &self,
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -3,7 +3,7 @@
 mod attempts;
 mod cold_leaves;
 mod connection_allowance;
-mod connection_share;
+mod connection_plan;
 mod delivery;
 mod eligibility;
 mod extra_load;
@@ -19,7 +19,7 @@
 pub use attempts::{AfterAttempt, AttemptError, NoReply, RequestAttempts, hedge_delay};
 pub use cold_leaves::{ColdLeaves, ColdShare, ColdStart, Nearness};
 pub use connection_allowance::ConnectionAllowance;
-pub use connection_share::{SharingBrokers, connection_share};
+pub use connection_plan::{BrokerCensus, ConnectionPlan, PlanningBroker};
 pub use delivery::{AnswerMargin, DeliveryTime};
 pub use eligibility::{Exclusion, NobodyReason};
 pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings, SlackShare};
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -137,6 +137,17 @@
         self.replicas.retain(|identity, _| keep(identity));
     }
 
+    /// The leaves that are known.
+    pub fn identities(&self) -> impl Iterator<Item = &LeafIdentity> {
+        self.replicas.keys()
+    }
+
+    /// Whether a leaf is there and not left out for its failures.
+    pub fn is_in_service(&self, leaf: &LeafIdentity, now: Timestamp) -> bool {
+        let replica = self.replicas.get(leaf);
+        replica.is_some_and(|replica| !replica.is_address_taken() && !replica.is_ejected(now))
+    }
+
     /// Whether no leaf is known.
     pub fn is_empty(&self) -> bool {
         self.replicas.is_empty()
--- a/crates/domain/src/routes/table.rs
+++ b/crates/domain/src/routes/table.rs
@@ -2,8 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
-use super::configuration::{BackEndService, CallerLimits, Route, RouteConfiguration, RouteVersion};
+use super::configuration::{
+    BackEndService, CallerLimits, Destination, Route, RouteConfiguration, RouteVersion,
+};
 use crate::identifiers::ServiceName;
 
 /// A configuration, indexed by host.
@@ -16,6 +19,8 @@
     hosts: BTreeMap<String, Vec<Arc<Route>>>,
     /// Priorities of the routes to each destination.
     priorities: BTreeMap<ServiceName, BTreeSet<u32>>,
+    /// Services that are asked for a part of gathered answers, with the shortest target latency.
+    shards: BTreeMap<ServiceName, Duration>,
 }
 
 /// What a request matches.
@@ -32,7 +37,15 @@
     pub fn new(configuration: RouteConfiguration) -> Self {
         let mut hosts: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
         let mut priorities: BTreeMap<ServiceName, BTreeSet<u32>> = BTreeMap::new();
+        let mut shards = BTreeMap::new();
         for route in configuration.routes {
+            if let Destination::Shards(set) = &route.destination {
+                let target = Duration::from_millis(route.target_latency_ms);
+                for service in &set.services {
+                    let shortest = shards.entry(service.clone()).or_insert(target);
+                    *shortest = target.min(*shortest);
+                }
+            }
             if let Some(service) = route.destination.representative() {
                 priorities.entry(service.clone()).or_default().insert(route.priority);
             }
@@ -48,6 +61,7 @@
             services: services.map(|service| (service.name.clone(), service)).collect(),
             hosts,
             priorities,
+            shards,
         }
     }
 
@@ -66,6 +80,11 @@
         self.services.get(name)
     }
 
+    /// Services that are asked for a part of gathered answers, with the shortest target latency.
+    pub fn shards(&self) -> &BTreeMap<ServiceName, Duration> {
+        &self.shards
+    }
+
     /// How many priorities above that of the route its destination serves.
     pub fn rank(&self, route: &Route) -> u32 {
         let service = route.destination.representative();
--- /dev/null
+++ b/crates/domain/tests/connection_plan.rs
@@ -0,0 +1,132 @@
+//! Which connections brokers open to the leaves of a service, and how they add up.
+
+use std::collections::BTreeMap;
+
+use gingerkeel_domain::forwarding::{BrokerCensus, ConnectionPlan, PlanningBroker};
+use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// Six zones, two in each of three regions.
+fn regions() -> BTreeMap<String, String> {
+    (0..6).map(|zone| (format!("z{zone}"), format!("r{}", zone % 3))).collect()
+}
+
+fn zone(number: usize) -> ZoneName {
+    ZoneName::new(format!("z{number}"))
+}
+
+/// So many brokers in each zone, by name.
+fn brokers(counts: &[usize]) -> Vec<(ZoneName, BrokerName)> {
+    let of_zone = |(number, count): (usize, &usize)| {
+        (0..*count)
+            .map(move |broker| (zone(number), BrokerName::new(format!("b{number}-{broker}"))))
+    };
+    counts.iter().enumerate().flat_map(of_zone).collect()
+}
+
+/// A leaf in each of these zones.
+fn leaves(zones: &[usize]) -> Vec<(LeafIdentity, ZoneName)> {
+    let leaf =
+        |(index, number): (usize, &usize)| (LeafIdentity::new(format!("l{index}")), zone(*number));
+    zones.iter().enumerate().map(leaf).collect()
+}
+
+fn plans(counts: &[usize], leaf_zones: &[usize], accepted: usize) -> Vec<ConnectionPlan> {
+    let (all, leaves) = (brokers(counts), leaves(leaf_zones));
+    let census = BrokerCensus::new(all.clone());
+    let service = ServiceName::new("s");
+    let plan = |(zone, name): &(ZoneName, BrokerName)| {
+        let broker = PlanningBroker { name, zone };
+        ConnectionPlan::new(&service, &leaves, accepted, broker, &census, &regions())
+    };
+    all.iter().map(plan).collect()
+}
+
+#[test]
+fn the_nearest_leaf_and_the_one_to_turn_to_are_kept_ready() {
+    let plans = plans(&[10, 10, 10, 10, 10, 11], &[0, 1, 2], 62);
+    let ready: Vec<Vec<&str>> =
+        plans.iter().map(|plan| plan.ready().iter().map(LeafIdentity::as_str).collect()).collect();
+    assert!(ready.iter().all(|ready| ready.len() == 2));
+    // Zones 0 and 3 are in the region of the first leaf; half of their brokers turn to each other one.
+    let of_region: Vec<_> = ready
+        .iter()
+        .enumerate()
+        .filter(|(at, _)| (0..10).contains(at) || (30..40).contains(at))
+        .collect();
+    assert!(of_region.iter().all(|(_, ready)| ready[0] == "l0"));
+    assert_eq!(of_region.iter().filter(|(_, ready)| ready[1] == "l1").count(), 10);
+}
+
+/// Leaves accept 62 of 61 brokers: two for each of the twenty that are near, one for each of the
+/// twenty or so that turn to it.
+#[test]
+fn what_a_leaf_accepts_is_enough_for_all_who_use_it() {
+    let plans = plans(&[11, 12, 8, 10, 10, 10], &[0, 1, 2], 62);
+    let of =
+        |plan: &ConnectionPlan, at: usize| plan.ready().get(at).map_or(0, |leaf| plan.share(leaf));
+    assert!(plans.iter().all(|plan| of(plan, 0) >= 1 && of(plan, 1) == 1));
+}
+
+#[rstest]
+#[case::several_near(&[0, 0, 1], 0)]
+#[case::only_one(&[3], 1)]
+#[case::none(&[], 0)]
+fn without_a_single_nearest_leaf_and_another_there_is_no_standby(
+    #[case] leaf_zones: &[usize],
+    #[case] ready: usize,
+) {
+    let plans = plans(&[2], leaf_zones, 10);
+    assert!(plans.iter().all(|plan| plan.ready().len() == ready), "{plans:?}");
+}
+
+#[test]
+fn a_broker_that_knows_no_others_takes_what_it_needs() {
+    let service = ServiceName::new("s");
+    let (name, own) = (BrokerName::new("b"), zone(0));
+    let broker = PlanningBroker { name: &name, zone: &own };
+    let census = BrokerCensus::default();
+    let plan = ConnectionPlan::new(&service, &leaves(&[0, 1]), 40, broker, &census, &regions());
+    assert_eq!(plan.share(&LeafIdentity::new("l0")), 40);
+    assert_eq!(plan.share(&LeafIdentity::new("unlisted")), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// The connections that are kept ready or opened to the nearest leaves add up to no more than a
+    /// leaf accepts, at any number of brokers and over zones without leaves, as soon as it accepts one for
+    /// each broker that has no nearer leaf; and no primary broker is left without any.
+    #[test]
+    fn shares_add_up(
+        counts in prop::collection::vec(0usize..70, 6),
+        leaf_zones in prop::collection::vec(0usize..6, 1..7),
+        accepted in 10usize..2_000,
+    ) {
+        let plans = plans(&counts, &leaf_zones, accepted);
+        let all = brokers(&counts);
+        for (leaf, leaf_zone) in leaves(&leaf_zones) {
+            let near = |zone: &ZoneName| {
+                let far = |other: &ZoneName| match zone == other {
+                    true => 0,
+                    false if regions().get(zone.as_str()) == regions().get(other.as_str()) => 1,
+                    false => 2,
+                };
+                leaf_zones.iter().all(|other| far(&leaf_zone) <= far(&self::zone(*other)))
+            };
+            let primary = |at: &usize| near(&all[*at].0);
+            let primaries = (0..all.len()).filter(primary).count();
+            let given: usize = (0..all.len())
+                .filter(|at| primary(at) || plans[*at].ready().contains(&leaf))
+                .map(|at| plans[at].share(&leaf))
+                .sum();
+            let least = (0..all.len()).filter(primary).map(|at| plans[at].share(&leaf)).min();
+            prop_assert!(least.is_none_or(|least| least >= 1));
+            let standby = (0..all.len()).filter(|at| !primary(at) && plans[*at].ready().contains(&leaf));
+            if accepted >= primaries || standby.count() > 0 {
+                prop_assert!(given <= accepted, "{given} of {accepted} to {leaf}");
+            }
+        }
+    }
+}
