Count and log what leaves say of their load

A leaf's word of what runs, waits and how long work takes there is decoded once, kept with its age, counted and written on the lines of requests.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -196,6 +196,10 @@
         async |reader: &mut HttpReader| read_head(reader, method, id_name, &request.id).await;
     let (head, whole) =
         connection.exchange(bytes, reading).await.map_err(|_| AttemptError::Lost)?;
+    if let Some(report) = head.headers.text(state.dialect.load).and_then(state.dialect.read_load) {
+        state.metrics.load_reported(report);
+        state.leaves.reported(watch.service, watch.leaf, report);
+    }
     let framing = response_framing(method, &head).map_err(|_| AttemptError::Unusable)?;
     let mut decoder = BodyDecoder::new(framing);
     let body = read_body(&mut connection.reader, &mut decoder).await?;
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -154,7 +154,9 @@
             return None;
         }
         self.state.leaves.sent(&leaf, self.state.service_limits(self.service));
-        let entry = self.request.trail.asked(self.service, &leaf.identity, reason, choice.sound);
+        let load = self.state.leaves.load(self.service, &leaf.identity);
+        let trail = &self.request.trail;
+        let entry = trail.asked(self.service, &leaf.identity, reason, choice.sound, load);
         self.state.metrics.leaf_asked(reason);
         self.attempts.asked(self.state.clock.now(), leaf.identity.clone());
         Some((leaf, entry))
--- a/crates/broker/src/routes/dialect.rs
+++ b/crates/broker/src/routes/dialect.rs
@@ -1,5 +1,7 @@
 //! Names of the header fields that callers, leaves and a broker exchange besides HTTP's own.
 
+use gingerkeel_domain::forwarding::{LoadReport, USUAL_PACE};
+
 /// Names of header fields, in lower case.
 #[derive(Debug, Clone)]
 pub struct Dialect {
@@ -15,6 +17,10 @@
     pub part_attestations: &'static str,
     /// How many shards are missing from a gathered answer.
     pub missing_parts: &'static str,
+    /// A leaf's word of its load.
+    pub load: &'static str,
+    /// Understands that word; none where it is not as agreed.
+    pub read_load: fn(&str) -> Option<LoadReport>,
     /// Marks an answer of a leaf that did not run the request.
     pub not_executed: &'static str,
     /// Path on which readiness is asked for.
@@ -30,8 +36,20 @@
             attestation: "gingerkeel-attestation",
             part_attestations: "gingerkeel-part-attestations",
             missing_parts: "gingerkeel-missing-parts",
+            load: "gingerkeel-load",
+            read_load,
             not_executed: "gingerkeel-not-executed",
             readiness_path: "/ready",
         }
     }
 }
+
+/// Reads the product's own form of a leaf's load: `running,waiting,slots` or `running,waiting,slots,pace`, the pace in percent of the usual time
+/// that work takes on the leaf's machine.
+pub fn read_load(text: &str) -> Option<LoadReport> {
+    let mut figures = text.split(',').map(|figure| figure.trim().parse().ok());
+    let mut next = || figures.next().flatten();
+    let (running, waiting, slots) = (next()?, next()?, next()?);
+    let pace_percent = figures.next().map_or(Some(USUAL_PACE), |pace| pace)?;
+    Some(LoadReport { running, waiting, slots, pace_percent })
+}
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -12,8 +12,8 @@
 use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
     BrokerCensus, ColdLeaves, ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance,
-    Exclusion, ExtraLoadBudget, ExtraLoadSettings, Nearness, NobodyReason, Outcome, PlanningBroker,
-    ReplicaSet, ReplicaSettings, Selection, SlackShare,
+    Exclusion, ExtraLoadBudget, ExtraLoadSettings, LoadReport, Nearness, NobodyReason, Outcome,
+    PlanningBroker, ReplicaSet, ReplicaSettings, Selection, SlackShare,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
@@ -415,6 +415,17 @@
         self.with_replicas(service, |replicas, now, settings| replicas.silent(now, settings, leaf));
     }
 
+    /// A leaf said on an answer how loaded it is.
+    pub fn reported(&self, service: &ServiceName, leaf: &LeafIdentity, report: LoadReport) {
+        self.with_replicas(service, |replicas, now, _| replicas.reported(now, leaf, report));
+    }
+
+    /// The load that a leaf reported lately.
+    pub fn load(&self, service: &ServiceName, leaf: &LeafIdentity) -> Option<LoadReport> {
+        let leaves = self.leaves.borrow();
+        leaves.services.get(service)?.replicas.load(self.clock.now(), leaf)
+    }
+
     /// An attempt has ended.
     pub fn finish(&self, service: &ServiceName, leaf: &LeafIdentity, outcome: Outcome) {
         self.with_replicas(service, |replicas, now, settings| {
@@ -448,10 +459,10 @@
 
     /// The connections to leaves of a service that take new work.
     fn plan(&self, leaves: &Leaves, service: &ServiceName, accepted: usize) -> Rc<ConnectionPlan> {
-        if let Some((of, plan)) = self.plans.borrow().get(service) {
-            if *of == accepted {
-                return plan.clone();
-            }
+        if let Some((of, plan)) = self.plans.borrow().get(service)
+            && *of == accepted
+        {
+            return plan.clone();
         }
         let evacuated = self.evacuated.borrow();
         let usable = |leaf: &&ListedLeaf| {
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -33,7 +33,7 @@
 use rand::Rng;
 use tracing::{info, warn};
 
-pub use dialect::Dialect;
+pub use dialect::{Dialect, read_load};
 
 use crate::clock::Clock;
 use crate::feed::{self, FeedInputs, RouteUpdate, SlowLeaves};
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latencies of the serving of routes, in bounded memory.
 
+use gingerkeel_domain::forwarding::{LoadReport, USUAL_PACE};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,6 +41,12 @@
     reason: &'static str,
 }
 
+/// What leaves say of their load.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LoadLabels {
+    load: &'static str,
+}
+
 /// Metrics of the serving of routes.
 pub struct RouteMetrics {
     registry: Registry,
@@ -53,6 +60,7 @@
     directory_version: Gauge,
     evacuated_zones: Gauge,
     cold_leaves: Gauge,
+    load_reports: Family<LoadLabels, Counter>,
 }
 
 impl Default for RouteMetrics {
@@ -69,6 +77,7 @@
             directory_version: Gauge::default(),
             evacuated_zones: Gauge::default(),
             cold_leaves: Gauge::default(),
+            load_reports: Family::default(),
         };
         metrics.register();
         metrics
@@ -97,6 +106,8 @@
         registry.register("evacuated_zones", help, self.evacuated_zones.clone());
         let help = "Leaves that are cold";
         registry.register("cold_leaves", help, self.cold_leaves.clone());
+        let help = "Reports of leaves about their load, by what they say";
+        registry.register("load_reports", help, self.load_reports.clone());
     }
 
     /// A request has ended.
@@ -116,6 +127,16 @@
         self.leaf_warnings.inc_by(warnings as u64);
     }
 
+    /// A leaf said how loaded it is.
+    pub fn load_reported(&self, report: LoadReport) {
+        let load = match report {
+            LoadReport { waiting: 1.., .. } => "queued",
+            LoadReport { pace_percent, .. } if pace_percent > USUAL_PACE => "disturbed",
+            _ => "usual",
+        };
+        self.load_reports.get_or_create(&LoadLabels { load }).inc();
+    }
+
     /// A leaf is asked.
     pub fn leaf_asked(&self, reason: AskReason) {
         let reason = reason.as_str();
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -7,7 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::forwarding::{AttemptError, NobodyReason};
+use gingerkeel_domain::forwarding::{AttemptError, LoadReport, NobodyReason};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::RouteVersion;
 use tracing::info;
@@ -56,6 +56,8 @@
     reason: AskReason,
     /// Whether the leaf had answered as expected lately.
     sound: bool,
+    /// The load that it had reported lately.
+    load: Option<LoadReport>,
     began: Instant,
     ended: Option<Ended>,
 }
@@ -149,6 +151,7 @@
         leaf: &LeafIdentity,
         reason: AskReason,
         sound: bool,
+        load: Option<LoadReport>,
     ) -> TrailEntry {
         let mut attempts = self.attempts.borrow_mut();
         let entry = TrailEntry(attempts.len());
@@ -158,6 +161,7 @@
                 leaf: leaf.clone(),
                 reason,
                 sound,
+                load,
                 began: Instant::now(),
                 ended: None,
             });
@@ -249,6 +253,8 @@
             leaf = %self.leaf,
             reason = self.reason.as_str(),
             sound = self.sound,
+            reported_waiting = self.load.map(|load| load.waiting),
+            reported_pace = self.load.map(|load| load.pace_percent),
             at_ms = self.began.duration_since(received).as_millis() as u64,
             took_ms = ended.map_or_else(given_up, |ended| ended.took).as_millis() as u64,
             outcome = ended.map_or("given_up", |ended| ended.outcome)
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -686,3 +686,40 @@
     assert!((1..=6).contains(&taken), "{taken} requests in 2.5 s");
     assert_eq!(warm.requests().len(), asked - taken);
 }
+
+#[test]
+fn what_a_leaf_says_of_its_load_is_counted_and_logged_with_the_next_request() {
+    let leaf = ScriptedLeaf::for_all(|request| {
+        let id = request.header("gingerkeel-request-id");
+        let fields = format!(
+            "gingerkeel-request-id: {id}\r\ngingerkeel-attestation: a\r\ngingerkeel-load: 4, 3,4,250\r\n"
+        );
+        Act::Send(response(200, &fields, b""))
+    });
+    let news = news(&configuration(0), &directory(&[leaf.address], &[]));
+    let script = ControlScript { news, ..ControlScript::default() };
+    let broker = RoutedBroker::start_on(script, "log_sample = 1\n");
+    assert_eq!(broker.get("/one/").status, 200);
+    assert_eq!(broker.get("/one/").status, 200);
+    let told = "reported_waiting=3 reported_pace=250";
+    wait_until("the load is on the line", || broker.broker.log().contains(told));
+}
+
+#[rstest]
+#[case::as_agreed("1,2,4", Some((1, 2, 4, 100)))]
+#[case::with_pace(" 1, 2,4 ,400", Some((1, 2, 4, 400)))]
+#[case::too_few("1,2", None)]
+#[case::no_numbers("a,b,c", None)]
+#[case::bad_pace("1,2,4,fast", None)]
+#[case::negative("1,-2,4", None)]
+#[case::empty("", None)]
+fn a_load_that_is_not_as_agreed_says_nothing(
+    #[case] text: &str,
+    #[case] expected: Option<(u32, u32, u32, u32)>,
+) {
+    let report = gingerkeel_broker::routes::read_load(text);
+    let figures = |load: gingerkeel_domain::forwarding::LoadReport| {
+        (load.running, load.waiting, load.slots, load.pace_percent)
+    };
+    assert_eq!(report.map(figures), expected);
+}
--- a/crates/domain/src/forwarding/replica.rs
+++ b/crates/domain/src/forwarding/replica.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::load_report::ObservedLoad;
 use super::replica_set::{Connectivity, ReplicaSettings};
 use crate::directory::{LeafAvailability, ListedLeaf};
 use crate::time::Timestamp;
@@ -59,6 +60,7 @@
     pub(super) in_flight: u32,
     latency: Option<f64>,
     observed: Timestamp,
+    pub(super) load: ObservedLoad,
     /// Attempts that have waited longer than expected since the last answer.
     late: u32,
     suspect_until: Timestamp,
@@ -81,6 +83,7 @@
             in_flight: 0,
             latency: None,
             observed: Timestamp::ZERO,
+            load: ObservedLoad::default(),
             late: 0,
             suspect_until: Timestamp::ZERO,
             failures: 0,
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::eligibility::{Exclusion, Exclusions, NobodyReason};
+use super::load_report::LoadReport;
 use super::replica::{Distance, Outcome, Replica};
 use crate::directory::ListedLeaf;
 use crate::identifiers::LeafIdentity;
@@ -222,6 +223,18 @@
         }
     }
 
+    /// A leaf said on an answer how loaded it is.
+    pub fn reported(&mut self, now: Timestamp, leaf: &LeafIdentity, report: LoadReport) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.load.observe(now, report);
+        }
+    }
+
+    /// The load that a leaf reported lately.
+    pub fn load(&self, now: Timestamp, leaf: &LeafIdentity) -> Option<LoadReport> {
+        self.replicas.get(leaf)?.load.current(now)
+    }
+
     /// An attempt at a leaf has ended.
     pub fn finish(
         &mut self,
