Spread a weighted split over brokers with few requests each

Cause, found by a test of 300 brokers: smooth weighted turns begin with the greatest part, whatever the start; a part of a tenth got 0 of 600 requests of 300 brokers with two each (0.1 off its share), as after every change of the configuration, which begins the turns anew. Ruled out: drawing the first turn by weight and going on as before, whose next turns are all the greatest part's.

--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -207,7 +207,7 @@
         let mut splits = self.splits.borrow_mut();
         let turns = splits
             .entry(route.name.clone())
-            .or_insert_with(|| SplitTurns::starting_at(parts, self.random.borrow_mut().random()));
+            .or_insert_with(|| SplitTurns::starting_at(self.random.borrow_mut().random()));
         turns.next(parts).map(|part| part.service.clone())
     }
 
--- a/crates/domain/src/forwarding/split.rs
+++ b/crates/domain/src/forwarding/split.rs
@@ -1,26 +1,26 @@
 //! Choice of a service out of a weighted split.
+//!
+//! Each broker walks round a circle on which every part has an arc as long as its weight, from a
+//! random start and by the golden ratio of the circle at a time. So each turn of a broker falls to each
+//! part with the probability of its weight, and the turns of one broker are spread as evenly as can be:
+//! shares are right for many brokers with a request each as well as for one with many. Taking the part
+//! that has earned most gave a part of a tenth nothing of the first two requests of each broker.
 
 use crate::routes::WeightedService;
 
-/// Takes the parts of a split in turns, in proportion to their weights: after any number of turns
-/// each part is off its share by less than one turn for each other part.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// The golden ratio of the circle, whose whole is 2 to the 64th.
+const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Where a broker stands on the circle.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SplitTurns {
-    /// What each part has earned by its weight and not spent by its turns.
-    credits: Vec<i128>,
+    position: u64,
 }
 
 impl SplitTurns {
-    /// Turns that begin at another place for each `start`, so that brokers with few requests do
-    /// not all begin with the same part.
-    pub fn starting_at(parts: &[WeightedService], start: u64) -> Self {
-        let total = total(parts);
-        let offset = i128::from(start % total.max(1));
-        let count = parts.len() as i128;
-        let credit = |number: usize| (offset * (number as i128 + 1)) % i128::from(total.max(1));
-        let credits: Vec<i128> = (0..parts.len()).map(credit).collect();
-        let mean = credits.iter().sum::<i128>() / count.max(1);
-        Self { credits: credits.into_iter().map(|credit| credit - mean).collect() }
+    /// Turns that begin at another place for each `start`.
+    pub fn starting_at(start: u64) -> Self {
+        Self { position: start }
     }
 
     /// The part whose turn it is; none when no part has a weight.
@@ -28,21 +28,13 @@
         &mut self,
         parts: &'parts [WeightedService],
     ) -> Option<&'parts WeightedService> {
-        let total = total(parts);
-        if total == 0 {
-            return None;
-        }
-        self.credits.resize(parts.len(), 0);
-        for (credit, part) in self.credits.iter_mut().zip(parts) {
-            *credit += i128::from(part.weight);
-        }
-        let weighted = (0..parts.len()).filter(|number| parts[*number].weight > 0);
-        let chosen = weighted.max_by_key(|number| self.credits[*number])?;
-        self.credits[chosen] -= i128::from(total);
-        parts.get(chosen)
+        let total: u128 = parts.iter().map(|part| u128::from(part.weight)).sum();
+        let place = (u128::from(self.position) * total) >> u64::BITS;
+        self.position = self.position.wrapping_add(STEP);
+        let mut end = 0;
+        parts.iter().find(|part| {
+            end += u128::from(part.weight);
+            place < end
+        })
     }
 }
-
-fn total(parts: &[WeightedService]) -> u64 {
-    parts.iter().map(|part| part.weight).sum()
-}
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -1,5 +1,7 @@
 //! Forwarding: choice of leaves, the budget of extra requests, merging and splits.
 
+use rand_core::RngCore;
+use rand_pcg::Pcg64;
 use std::time::Duration;
 
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
@@ -374,7 +376,7 @@
         };
         let parts: Vec<WeightedService> = weights.iter().enumerate().map(part).collect();
         let total: u64 = weights.iter().sum();
-        let mut split = SplitTurns::starting_at(&parts, start);
+        let mut split = SplitTurns::starting_at(start);
         let mut taken = vec![0u64; parts.len()];
         for _ in 0..turns {
             let chosen = split.next(&parts).map(|part| part.service.clone());
@@ -458,3 +460,33 @@
     set.list(&moved, Distance::Zone);
     assert_eq!(chosen(&set, at(60_000), &[]).as_deref(), Some("gone"));
 }
+
+/// 300 brokers with a few requests each, as when a split has just been changed: each part's share of
+/// all requests is near its weight's, from the first request on.
+#[rstest]
+fn a_split_over_many_brokers_with_few_requests_each_follows_the_weights(
+    #[values(&[1, 1], &[9, 1], &[5, 3, 2], &[97, 2, 1], &[1, 0, 3])] weights: &[u64],
+    #[values(1, 2, 3, 7)] requests: usize,
+) {
+    const BROKERS: usize = 300;
+    let weighted = |(number, weight): (usize, &u64)| WeightedService {
+        service: ServiceName::new(format!("part-{number}")),
+        weight: weight * 1_000_000,
+    };
+    let parts: Vec<WeightedService> = weights.iter().enumerate().map(weighted).collect();
+    let mut random = Pcg64::new(7, 7);
+    let mut taken = vec![0usize; parts.len()];
+    for _ in 0..BROKERS {
+        let mut turns = SplitTurns::starting_at(random.next_u64());
+        for _ in 0..requests {
+            let chosen = turns.next(&parts).expect("a part").service.clone();
+            taken[parts.iter().position(|part| part.service == chosen).expect("a known part")] += 1;
+        }
+    }
+    let total: u64 = weights.iter().sum();
+    for (taken, weight) in taken.iter().zip(weights) {
+        let share = *taken as f64 / (BROKERS * requests) as f64;
+        let wanted = *weight as f64 / total as f64;
+        assert!((share - wanted).abs() < 0.08, "{taken} for {weight} of {total}");
+    }
+}
