Read the list of leaves when a process begins to lead and when a configuration needs it

Now it reads within 0.1 s of leading, and a configuration that names a service without a leaf hurries the next reading; two readings are 0.3 s apart at least, since each call has a price. A table of turns found that a process that stopped leading was not noticed; mended with it.

--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -20,6 +20,7 @@
 use tracing::{debug, error, info};
 
 use crate::clock::Clock;
+use crate::directory_polling::ReadAtOnce;
 use crate::leaf_polling::PollPlan;
 use crate::replication::{StateMachineMessage, StateSnapshot};
 use crate::replication_client::ReplicationClient;
@@ -39,6 +40,14 @@
 /// Messages that are handled before brokers are told what changed.
 const MESSAGE_BATCH: usize = 256;
 
+/// Other tasks of the process that are told what they have to do.
+pub struct Outlets {
+    /// The leaves to poll.
+    pub polling: Tx<PollPlan>,
+    /// That the outside list of leaves is to be read.
+    pub read_directory: Tx<ReadAtOnce>,
+}
+
 /// The state of the task.
 pub struct ClusterTask {
     state: ClusterState,
@@ -50,7 +59,7 @@
     subscribers: Subscribers,
     membership: Membership,
     clock: Clock,
-    polling: Tx<PollPlan>,
+    outlets: Outlets,
     /// Whether something was applied that brokers were not told of.
     changed: bool,
 }
@@ -59,7 +68,7 @@
 pub fn start(
     identity: OwnIdentity,
     replication: ReplicationClient,
-    polling: Tx<PollPlan>,
+    outlets: Outlets,
     own_messages: Tx<ClusterMessage>,
     messages: Rx<ClusterMessage>,
 ) {
@@ -74,7 +83,7 @@
         subscribers: Subscribers::default(),
         membership: Membership::new(identity),
         clock: Clock::start(),
-        polling,
+        outlets,
         changed: false,
     };
     monoio::spawn(task.run(messages));
@@ -207,6 +216,10 @@
                 let version = routes.configuration.version.0;
                 info!(event = "routes_replaced", version, ?outcome);
                 self.waiting_routes.accepted(self.state.routes().version());
+                if routes.names_unlisted(self.state.directory()) {
+                    // Without an outside list nobody listens.
+                    let _ = self.outlets.read_directory.send(ReadAtOnce);
+                }
             }
             (CommandBody::ReportDirectory(delta), _) => {
                 let version = self.state.directory().version().0;
@@ -345,7 +358,7 @@
         self.subscribers.publish_members(&self.state);
         if let Some(plan) = self.membership.poll_plan(&self.state) {
             // The polling task lives as long as the process.
-            let _ = self.polling.send(plan);
+            let _ = self.outlets.polling.send(plan);
         }
         let followers = self.subscribers.followers();
         let commands = self.membership.reports(&self.state, followers);
--- a/crates/control/src/directory_polling.rs
+++ b/crates/control/src/directory_polling.rs
@@ -13,7 +13,7 @@
 use gingerkeel_settings::DirectorySettings;
 use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, TransportError};
 use http::{HeaderValue, StatusCode, Uri, header};
-use local_sync::mpsc::unbounded::Tx;
+use local_sync::mpsc::unbounded::{Rx, Tx};
 use monoio::time::{sleep, timeout};
 use quick_error::quick_error;
 use tracing::{info, warn};
@@ -22,6 +22,12 @@
 use crate::ports::{DirectoryInterface, InterfaceError};
 use crate::replication_client::ReplicationClient;
 
+/// Time between two looks at whether this process has begun to lead: until the new leader has read the
+/// list, brokers work by what the former one read.
+const ROLE_CHECK: Duration = Duration::from_millis(100);
+/// Time between two readings where one is hurried: each call has its price, and configurations may come in
+/// quick succession.
+const LEAST_WAIT: Duration = Duration::from_millis(300);
 /// Time that the directory has to answer one call.
 const CALL_LIMIT: Duration = Duration::from_millis(1500);
 /// Most pages of one list.
@@ -60,19 +66,64 @@
     }
 }
 
+/// The list is to be read at once: something is known that it must tell of.
+pub struct ReadAtOnce;
+
+/// When the list is read next.
+struct Turns {
+    interval: Duration,
+    leads: bool,
+    /// Whether it is to be read before the interval is over.
+    hurried: bool,
+    last: Option<Instant>,
+}
+
+impl Turns {
+    fn new(interval: Duration) -> Self {
+        Self { interval, leads: false, hurried: false, last: None }
+    }
+
+    /// The list is to be read before the interval is over.
+    fn hurry(&mut self) {
+        self.hurried = true;
+    }
+
+    /// Whether it is time to read, in a process that leads or does not: it has just begun to lead, was
+    /// hurried, or the interval is over.
+    fn is_due(&mut self, now: Instant, leads: bool) -> bool {
+        let led = std::mem::replace(&mut self.leads, leads);
+        let began = leads && !led;
+        self.hurried |= began;
+        let wait = if self.hurried { self.interval.min(LEAST_WAIT) } else { self.interval };
+        let over = self.last.is_none_or(|last| now.duration_since(last) >= wait);
+        let due = leads && (began || over);
+        if due {
+            self.hurried = false;
+            self.last = Some(now);
+        }
+        due
+    }
+}
+
 /// Reads the list for ever, while this process leads.
 pub async fn run(
     settings: DirectorySettings,
     interface: Rc<dyn DirectoryInterface>,
     replication: ReplicationClient,
     cluster: Tx<ClusterMessage>,
+    mut requests: Rx<ReadAtOnce>,
 ) {
     let interval = Duration::from_millis(settings.poll_interval_ms.into());
+    let mut turns = Turns::new(interval);
     let mut reader = DirectoryReader { address: settings.address, interface, connection: None };
     let mut failing = false;
     loop {
-        let started = Instant::now();
-        if replication.role().await == Some(RoleName::Leader) {
+        sleep(ROLE_CHECK.min(interval)).await;
+        let leads = replication.role().await == Some(RoleName::Leader);
+        while requests.try_recv().is_ok() {
+            turns.hurry();
+        }
+        if turns.is_due(Instant::now(), leads) {
             match reader.read().await {
                 Ok(listed) => {
                     if std::mem::take(&mut failing) {
@@ -88,10 +139,9 @@
                     }
                 }
             }
-        } else {
+        } else if !leads {
             reader.connection = None;
         }
-        sleep(interval.saturating_sub(started.elapsed())).await;
     }
 }
 
@@ -144,3 +194,6 @@
         Ok(response.into_body())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -34,7 +34,7 @@
 
 pub use error::ControlError;
 
-use crate::cluster_task::OwnIdentity;
+use crate::cluster_task::{Outlets, OwnIdentity};
 use crate::native_directory::NativeDirectory;
 use crate::native_routes::NativeRoutes;
 use crate::places::KnownPlaces;
@@ -100,11 +100,18 @@
     let (cluster, messages) = unbounded::channel();
     let state_machine = cluster_task::state_machine(cluster.clone());
     let log = replication::start(&settings, ReplicationOptions::of(&settings), state_machine)?;
+    let (read_directory, directory_requests) = unbounded::channel();
     let (polling, plans) = leaf_polling::channel();
     let replication = ReplicationClient::new(log);
     if let (Some(directory), Some(interface)) = (settings.directory.clone(), interfaces.directory) {
         let (replication, cluster) = (replication.clone(), cluster.clone());
-        monoio::spawn(directory_polling::run(directory, interface, replication, cluster));
+        monoio::spawn(directory_polling::run(
+            directory,
+            interface,
+            replication,
+            cluster,
+            directory_requests,
+        ));
     }
     if let (Some(address), Some(interface)) = (settings.routes, interfaces.routes) {
         monoio::spawn(route_operators::serve(
@@ -114,7 +121,8 @@
             cluster.clone(),
         ));
     }
-    cluster_task::start(identity, replication, polling, cluster.clone(), messages);
+    let outlets = Outlets { polling, read_directory };
+    cluster_task::start(identity, replication, outlets, cluster.clone(), messages);
     monoio::spawn(leaf_polling::run(plans, cluster.clone()));
     monoio::spawn(feed::serve(feed, cluster.clone()));
     operators::serve(operators, places, cluster).await;
--- a/crates/domain/src/routes/accepted.rs
+++ b/crates/domain/src/routes/accepted.rs
@@ -1,10 +1,13 @@
 //! The configuration of routes as control processes agree on it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use super::configuration::{RouteConfiguration, RouteVersion};
+use crate::directory::LeafDirectory;
+use crate::identifiers::ServiceName;
 
 /// A configuration with the operator's own text of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +18,17 @@
     pub document: Vec<u8>,
 }
 
+impl AcceptedRoutes {
+    /// Whether a route names a service of which a list has no leaf.
+    pub fn names_unlisted(&self, directory: &LeafDirectory) -> bool {
+        let listed: BTreeSet<&ServiceName> =
+            directory.leaves().values().map(|leaf| &leaf.service).collect();
+        let routes = self.configuration.routes.iter();
+        let named = routes.flat_map(|route| route.destination.services());
+        named.into_iter().any(|service| !listed.contains(service))
+    }
+}
+
 /// What became of a replacement; both are acknowledged to the operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplaceOutcome {
