--- a/crates/rehearsal/src/soak/leaves.rs
+++ b/crates/rehearsal/src/soak/leaves.rs
@@ -50,10 +50,12 @@
     LeafMode::Garbles,
 ];
 
-/// How often each request ran, over all leaves.
+/// How often each request ran, and what came to each zone, over all leaves.
 #[derive(Debug, Default)]
 pub struct Journal {
     runs: Mutex<BTreeMap<String, u32>>,
+    /// Requests that came to the leaves of each zone.
+    arrivals: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Journal {
@@ -62,6 +64,16 @@
         *lock(&self.runs).entry(key(service, id)).or_insert(0) += 1;
     }
 
+    /// A request came to a leaf of a zone.
+    pub fn arrived(&self, zone: &str) {
+        *lock(&self.arrivals).entry(zone.to_owned()).or_insert(0) += 1;
+    }
+
+    /// How many requests came to the leaves of a zone.
+    pub fn arrivals_in(&self, zone: &str) -> u64 {
+        lock(&self.arrivals).get(zone).copied().unwrap_or(0)
+    }
+
     /// How often the request ran at a service.
     pub fn runs(&self, service: &str, id: &str) -> u32 {
         lock(&self.runs).get(&key(service, id)).copied().unwrap_or(0)
@@ -84,6 +96,13 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
+/// Which leaf it is.
+struct Place {
+    service: String,
+    identity: String,
+    zone: String,
+}
+
 /// A stand-in leaf; its threads end with the process.
 pub struct StandInLeaf {
     /// How the directory lists it.
@@ -118,12 +137,16 @@
             cold_ms: 0,
         };
         let of_thread = (mode.clone(), journal.clone());
-        let service = service.to_owned();
+        let (service, zone) = (service.to_owned(), zone.to_owned());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (mode, journal) = of_thread.clone();
-                let (service, identity) = (service.clone(), identity.clone());
-                thread::spawn(move || converse(stream, &service, &identity, &mode, &journal));
+                let place = Place {
+                    service: service.clone(),
+                    identity: identity.clone(),
+                    zone: zone.clone(),
+                };
+                thread::spawn(move || converse(stream, &place, &mode, &journal));
             }
         });
         Ok(Self { listed, link, mode })
@@ -163,11 +186,11 @@
 
 fn converse(
     mut stream: TcpStream,
-    service: &str,
-    identity: &str,
+    place: &Place,
     mode: &Mutex<LeafMode>,
     journal: &Journal,
 ) -> Option<()> {
+    let Place { service, identity, zone } = place;
     loop {
         let head = read_head(&mut stream)?;
         let mode = *lock(mode);
@@ -176,6 +199,7 @@
             return None;
         }
         let expected = header(&head, "gingerkeel-leaf");
+        journal.arrived(zone);
         if mode == LeafMode::Rejects || expected.is_some_and(|expected| expected != identity) {
             let status = if mode == LeafMode::Rejects { 503 } else { 421 };
             write_response(&mut stream, status, "gingerkeel-not-executed: 1\r\n", b"")?;
--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! them to their promises by what callers, leaves and the operator see.
 
 mod answer;
+mod evacuation;
 mod faults;
 mod fleet;
 mod http;
@@ -120,8 +121,11 @@
     threads.push(thread::spawn(move || operate(&operator, seed)));
     let mut random = Pcg64::seed_from_u64(seed);
     let end = Instant::now() + Duration::from_secs(seconds);
+    let of_zones = scene.clone();
+    threads.push(thread::spawn(move || evacuation::order_by_turns(&of_zones, seed, end)));
     let caused = faults::cause(&mut fleet, &leaves, &scene.record, &mut random, end);
     thread::sleep(QUIET_AT_THE_END);
+    evacuation::check(&scene, &journal);
     scene.stop.store(true, Ordering::Relaxed);
     for thread in threads {
         if thread.join().is_err() {
--- a/crates/rehearsal/src/soak/record.rs
+++ b/crates/rehearsal/src/soak/record.rs
@@ -35,6 +35,8 @@
     pub acknowledged: u64,
     /// Reads of the configuration.
     pub read: u64,
+    /// Orders about a zone acknowledged.
+    pub zone_orders: u64,
 }
 
 /// What was seen.
--- a/crates/rehearsal/src/soak/tests.rs
+++ b/crates/rehearsal/src/soak/tests.rs
@@ -9,6 +9,7 @@
 use super::answer::{
     GREATEST, SHARDS, SINGLE, attestation, fault_of_merged, fault_of_single, records,
 };
+use super::evacuation::{ZONE, fault_of_evacuated};
 use super::http::Response;
 use super::leaves::Journal;
 use super::parties::{Scene, judge};
@@ -116,3 +117,14 @@
     super::parties::judge_read(&scene, 0, 0, &other);
     assert!(scene.record.lock().violations[1].contains("other content"));
 }
+
+#[test]
+fn a_request_to_an_evacuated_zone_is_found() {
+    let journal = Journal::default();
+    journal.arrived("a");
+    let before = journal.arrivals_in(ZONE);
+    assert_eq!(fault_of_evacuated(before, journal.arrivals_in(ZONE)), None);
+    journal.arrived(ZONE);
+    let fault = fault_of_evacuated(before, journal.arrivals_in(ZONE)).expect("a fault");
+    assert!(fault.contains("1 requests came to the evacuated zone"), "{fault}");
+}
