Keep decisions about connections in a file of their own, and split two test files

Plans, observed opening times and pauses move to connection_book.rs; tests of which leaves are asked to leaf_choice.rs, those of orders about zones to zone_orders.rs, with the harness of the replicated state in support/. Nothing else changes.

--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -11,9 +11,9 @@
 use gingerkeel_domain::directory::{DirectoryDelta, LeafAvailability, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
-    BrokerCensus, ColdLeaves, ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance,
-    Exclusion, ExtraLoadBudget, ExtraLoadSettings, LoadReport, Nearness, NobodyReason, Outcome,
-    PlanningBroker, ReplicaSet, ReplicaSettings, Selection, SlackShare,
+    ColdLeaves, ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance, Exclusion,
+    ExtraLoadBudget, ExtraLoadSettings, LoadReport, Nearness, NobodyReason, Outcome, ReplicaSet,
+    ReplicaSettings, Selection, SlackShare,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
@@ -24,19 +24,10 @@
 use rand_pcg::Pcg64;
 use tracing::{info, warn};
 
+use super::connection_book::ConnectionBook;
 use super::pool::{LeafConnection, LeafPool};
 use crate::clock::Clock;
 
-/// Weight of the newest time in the smoothed time of opening a connection.
-const OPENING_SMOOTHING: f64 = 0.2;
-/// Part of the target latency from which on opening a connection is dear: a hedge leaves after about a
-/// third of the target, and what is left has room for the way to the leaf and back once more.
-const DEAR_OPENING: f64 = 0.3;
-/// Age of the process from which connections are kept ready.
-const READY_AFTER: Duration = Duration::from_secs(5);
-/// Time for which no connection is kept ready to a leaf that took none.
-const CONNECT_PAUSE: Duration = Duration::from_secs(2);
-
 /// What the leaves of a service bear from all brokers together.
 #[derive(Debug, Clone, Copy)]
 pub struct ServiceLimits {
@@ -84,15 +75,7 @@
     leaves: RefCell<Leaves>,
     /// Zones whose leaves get no new work.
     evacuated: RefCell<BTreeSet<ZoneName>>,
-    /// The live brokers.
-    census: RefCell<BrokerCensus>,
-    /// Plans of connections by service, with the connections accepted for which each was made;
-    /// forgotten with every change of brokers, leaves or evacuations.
-    plans: RefCell<BTreeMap<ServiceName, (usize, Rc<ConnectionPlan>)>>,
-    /// What opening a connection takes, in seconds, smoothed; by distance.
-    opening: RefCell<BTreeMap<Distance, f64>>,
-    /// Leaves to which no connection is kept ready until then, since they took none.
-    connect_after: RefCell<BTreeMap<LeafIdentity, Timestamp>>,
+    connections: ConnectionBook,
     /// The brokers that share what leaves bear, those included that may be cut off; none while they are
     /// not known.
     sharing: RefCell<Vec<KnownBroker>>,
@@ -109,19 +92,18 @@
             window: Duration::from_millis(settings.extra_window_ms.into()),
             slack: settings.extra_slack,
         };
+        let (name, zone) = (BrokerName::new(&broker.name), ZoneName::new(&broker.zone));
+        let zone_regions = settings.zone_regions.clone();
         Self {
             clock,
-            name: BrokerName::new(&broker.name),
-            zone: ZoneName::new(&broker.zone),
-            zone_regions: settings.zone_regions.clone(),
+            connections: ConnectionBook::new(name.clone(), zone.clone(), zone_regions.clone()),
+            name,
+            zone,
+            zone_regions,
             extra,
             replica_settings: ReplicaSettings::default(),
             leaves: RefCell::default(),
             evacuated: RefCell::default(),
-            census: RefCell::default(),
-            plans: RefCell::default(),
-            opening: RefCell::default(),
-            connect_after: RefCell::default(),
             sharing: RefCell::default(),
             observations: RefCell::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
@@ -161,10 +143,7 @@
 
     /// The brokers that share the leaves.
     pub fn set_brokers(&self, brokers: Vec<KnownBroker>) {
-        let live = brokers.iter().filter(|broker| broker.live).map(|broker| &broker.entry);
-        let placed = live.map(|entry| (entry.placement.zone.clone(), entry.name.clone()));
-        *self.census.borrow_mut() = BrokerCensus::new(placed);
-        self.plans.borrow_mut().clear();
+        self.connections.set_brokers(&brokers);
         *self.sharing.borrow_mut() = brokers;
     }
 
@@ -180,7 +159,7 @@
         if before == *evacuated {
             return;
         }
-        self.plans.borrow_mut().clear();
+        self.connections.forget_plans();
         self.chill_restored(before.difference(&evacuated), cold_start);
         let named: Vec<&str> = evacuated.iter().map(ZoneName::as_str).collect();
         info!(event = "zones_evacuated", count = named.len(), zones = named.join(","));
@@ -210,7 +189,7 @@
     /// Takes over what the list in force says of the leaves that are new or changed.
     fn list(&self, leaves: &mut Leaves, changed: &[ListedLeaf]) {
         let now = self.clock.now();
-        self.plans.borrow_mut().clear();
+        self.connections.forget_plans();
         let Leaves { directory, services, pools, cold } = leaves;
         cold.forget_warm(now);
         for leaf in changed {
@@ -459,44 +438,29 @@
 
     /// The connections to leaves of a service that take new work.
     fn plan(&self, leaves: &Leaves, service: &ServiceName, accepted: usize) -> Rc<ConnectionPlan> {
-        if let Some((of, plan)) = self.plans.borrow().get(service)
-            && *of == accepted
-        {
-            return plan.clone();
-        }
+        self.connections.plan(service, accepted, || self.places(leaves, service))
+    }
+
+    /// The leaves of a service that take new work, with their zones.
+    fn places(&self, leaves: &Leaves, service: &ServiceName) -> Vec<(LeafIdentity, ZoneName)> {
         let evacuated = self.evacuated.borrow();
         let usable = |leaf: &&ListedLeaf| {
             leaf.availability == LeafAvailability::Ready && !evacuated.contains(&leaf.zone)
         };
-        let identities = leaves.services.get(service).into_iter();
-        let listed = identities.flat_map(|state| state.replicas.identities());
-        let listed = listed.filter_map(|identity| leaves.directory.leaves().get(identity));
-        let placed = listed.filter(usable).map(|leaf| (leaf.identity.clone(), leaf.zone.clone()));
-        let placed: Vec<_> = placed.collect();
-        let broker = PlanningBroker { name: &self.name, zone: &self.zone };
-        let census = self.census.borrow();
-        let plan =
-            ConnectionPlan::new(service, &placed, accepted, broker, &census, &self.zone_regions);
-        let plan = Rc::new(plan);
-        self.plans.borrow_mut().insert(service.clone(), (accepted, plan.clone()));
-        plan
+        let known = leaves.services.get(service).into_iter();
+        let known = known.flat_map(|state| state.replicas.identities());
+        let listed = known.filter_map(|identity| leaves.directory.leaves().get(identity));
+        listed.filter(usable).map(|leaf| (leaf.identity.clone(), leaf.zone.clone())).collect()
     }
 
     /// A connection to a leaf was opened in this time.
     pub fn opened(&self, leaf: &ListedLeaf, took: Duration) {
-        let took = took.as_secs_f64();
-        let mut opening = self.opening.borrow_mut();
-        let known = opening.entry(self.distance(leaf)).or_insert(took);
-        *known += OPENING_SMOOTHING * (took - *known);
+        self.connections.opened(self.distance(leaf), took);
     }
 
-    /// Whether connections are kept ready for requests with this target latency: where opening one is
-    /// observed to take a large part of it. Idle connections have a price, too: leaves hold those of a
-    /// broker that lost its power, and have none to spare for its successor. So a process that has just
-    /// started keeps none ready either.
+    /// Whether connections are kept ready for requests with this target latency.
     pub fn keeps_ready(&self, target: Duration) -> bool {
-        let dear = target.as_secs_f64() * DEAR_OPENING;
-        self.age() >= READY_AFTER && self.opening.borrow().values().any(|took| *took >= dear)
+        self.connections.keeps_ready(self.age(), target)
     }
 
     /// Leaves of a service to which a connection is to be kept ready and none is open, the nearest
@@ -511,10 +475,9 @@
         let Some(state) = leaves.services.get(service) else {
             return Vec::new();
         };
-        let later = self.connect_after.borrow();
         let wanted = |identity: &&LeafIdentity| {
             let open = leaves.pools.get(*identity).is_some_and(LeafPool::is_open);
-            let waits = later.get(*identity).is_some_and(|until| now < *until);
+            let waits = self.connections.refrains(now, identity);
             !open && !waits && state.replicas.is_in_service(identity, now)
         };
         let plan = self.plan(&leaves, service, limits.connections);
@@ -524,10 +487,7 @@
 
     /// A leaf took no connection: none is kept ready to it for a while.
     pub fn connect_later(&self, leaf: &LeafIdentity) {
-        let now = self.clock.now();
-        let mut later = self.connect_after.borrow_mut();
-        later.retain(|_, until| now < *until);
-        later.insert(leaf.clone(), now.after(CONNECT_PAUSE));
+        self.connections.refrain(self.clock.now(), leaf);
     }
 
     /// How long leaves of a service say that they keep idle connections.
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod attempts;
 mod callers;
+mod connection_book;
 mod dialect;
 mod gather;
 mod leaf_registry;
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -2,17 +2,15 @@
 
 mod support;
 
-use gingerkeel_domain::directory::LeafDirectory;
-use gingerkeel_domain::forwarding::ColdStart;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::identifiers::{LeafIdentity, RegionName};
+use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
-use gingerkeel_domain::routes::{Destination, PartsPerMillion, RegionPolicy};
+use gingerkeel_domain::routes::{Destination, PartsPerMillion};
 use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
 use rstest::rstest;
 use rustix::process::Signal;
@@ -593,133 +591,3 @@
     let leaves: Vec<&str> = reported.iter().map(|seen| seen.leaf.as_str()).collect();
     assert_eq!(leaves, ["s6-0"]);
 }
-
-/// The broker's zone is in region `south`; the region of the second leaf's zone is not known.
-#[test]
-fn requests_stay_in_the_regions_of_their_route_also_when_they_are_sent_again() {
-    let near = ScriptedLeaf::for_all(|_| Act::Send(rejection()));
-    let elsewhere = honest("stamp", b"body");
-    let mut routes = configuration(0);
-    for route in &mut routes.routes {
-        route.allowed_regions = RegionPolicy::only([RegionName::new("south")]);
-    }
-    let leaves = directory(&[near.address, elsewhere.address], &[]);
-    let broker = RoutedBroker::start_with(&routes, &leaves);
-    assert_eq!(broker.get("/one/").status, 503);
-    assert!(!near.requests().is_empty());
-    assert_eq!(elsewhere.requests().len(), 0);
-}
-
-#[test]
-fn a_request_that_no_allowed_leaf_can_serve_is_refused_at_once_with_its_reason() {
-    let leaf = honest("stamp", b"body");
-    let mut routes = configuration(1);
-    for route in &mut routes.routes {
-        route.allowed_regions = RegionPolicy::only([RegionName::new("north")]);
-    }
-    let leaves = directory(&[leaf.address], &[&[leaf.address]]);
-    let broker = RoutedBroker::start_with(&routes, &leaves);
-    for path in ["/one/", "/once/", "/all/"] {
-        let began = Instant::now();
-        let answer = broker.get(path);
-        assert_eq!(answer.status, 503, "{path}");
-        let after: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
-        assert!(after >= 1.0, "the reason lasts: {after}");
-        assert!(began.elapsed() < Duration::from_millis(500), "refused at once");
-    }
-    assert_eq!(leaf.requests().len(), 0);
-    let told = || broker.broker.log().matches("no_leaf=region_not_allowed").count() >= 3;
-    wait_until("the reason is logged", told);
-}
-
-#[test]
-fn a_leaf_whose_address_another_one_has_is_asked_once() {
-    let stranger = ScriptedLeaf::for_all(|_| Act::Send(response(421, "", b"")));
-    let leaf = honest("stamp", b"body");
-    let broker = RoutedBroker::start(&[stranger.address, leaf.address], &[]);
-    for _ in 0..5 {
-        assert_eq!(broker.get("/once/").status, 200);
-    }
-    assert_eq!(stranger.requests().len(), 1);
-}
-
-/// The first leaf of each service is in zone `a`, the second in `b`.
-#[test]
-fn leaves_of_an_evacuated_zone_get_nothing_from_the_first_request_on() {
-    let (near, other) = (honest("near", b"near"), honest("other", b"other"));
-    let leaves = directory(&[near.address, other.address], &[&[near.address]]);
-    let news = news(&configuration(1), &leaves);
-    let script = ControlScript { evacuated: vec!["a"], news, ..ControlScript::default() };
-    let broker = RoutedBroker::start_on(script, "");
-    for _ in 0..3 {
-        assert_eq!(broker.get("/one/").body, "other");
-    }
-    let began = Instant::now();
-    assert_eq!(broker.get("/all/").status, 503, "the only leaf of the shard is in the zone");
-    assert!(began.elapsed() < Duration::from_millis(500), "refused at once");
-    assert_eq!(near.requests().len(), 0);
-    wait_until("the reason is logged", || broker.broker.log().contains("no_leaf=zone_evacuated"));
-}
-
-/// Two requests a second may go to a cold leaf from all brokers together, and there is one broker.
-#[test]
-fn a_cold_leaf_gets_no_more_than_it_takes_and_the_others_carry_the_rest() {
-    let (cold, warm) = (honest("cold", b"cold"), honest("warm", b"warm"));
-    let mut routes = configuration(0);
-    for service in &mut routes.services {
-        service.cold_start = ColdStart { span_ms: 2_000, requests_per_1000_s: 2_000 };
-    }
-    let leaves = directory(&[cold.address, warm.address], &[]);
-    let mut leaves: Vec<_> = leaves.leaves().values().cloned().collect();
-    leaves[0].cold_ms = 60_000;
-    let mut listed = LeafDirectory::default();
-    listed.apply(&listed.delta_to(&leaves).expect("a first list"));
-    let broker = RoutedBroker::start_with(&routes, &listed);
-    let began = Instant::now();
-    let mut asked = 0;
-    while began.elapsed() < Duration::from_millis(2_500) {
-        assert_eq!(broker.get("/one/").status, 200);
-        asked += 1;
-        sleep(Duration::from_millis(10));
-    }
-    let taken = cold.requests().len();
-    assert!((1..=6).contains(&taken), "{taken} requests in 2.5 s");
-    assert_eq!(warm.requests().len(), asked - taken);
-}
-
-#[test]
-fn what_a_leaf_says_of_its_load_is_counted_and_logged_with_the_next_request() {
-    let leaf = ScriptedLeaf::for_all(|request| {
-        let id = request.header("gingerkeel-request-id");
-        let fields = format!(
-            "gingerkeel-request-id: {id}\r\ngingerkeel-attestation: a\r\ngingerkeel-load: 4, 3,4,250\r\n"
-        );
-        Act::Send(response(200, &fields, b""))
-    });
-    let news = news(&configuration(0), &directory(&[leaf.address], &[]));
-    let script = ControlScript { news, ..ControlScript::default() };
-    let broker = RoutedBroker::start_on(script, "log_sample = 1\n");
-    assert_eq!(broker.get("/one/").status, 200);
-    assert_eq!(broker.get("/one/").status, 200);
-    let told = "reported_waiting=3 reported_pace=250";
-    wait_until("the load is on the line", || broker.broker.log().contains(told));
-}
-
-#[rstest]
-#[case::as_agreed("1,2,4", Some((1, 2, 4, 100)))]
-#[case::with_pace(" 1, 2,4 ,400", Some((1, 2, 4, 400)))]
-#[case::too_few("1,2", None)]
-#[case::no_numbers("a,b,c", None)]
-#[case::bad_pace("1,2,4,fast", None)]
-#[case::negative("1,-2,4", None)]
-#[case::empty("", None)]
-fn a_load_that_is_not_as_agreed_says_nothing(
-    #[case] text: &str,
-    #[case] expected: Option<(u32, u32, u32, u32)>,
-) {
-    let report = gingerkeel_broker::routes::read_load(text);
-    let figures = |load: gingerkeel_domain::forwarding::LoadReport| {
-        (load.running, load.waiting, load.slots, load.pace_percent)
-    };
-    assert_eq!(report.map(figures), expected);
-}
--- a/crates/domain/tests/cluster.rs
+++ b/crates/domain/tests/cluster.rs
@@ -1,15 +1,16 @@
 //! The rules of the replicated state, one table each.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use gingerkeel_domain::catalog::{CallerAccount, Catalog, Change, MemberState, Placement};
 use gingerkeel_domain::cluster::{
-    BrokerChange, CONTROL_LEASE, ChangeOutcome, ChangeRefusal, ChangeRequest, ChargeCounter,
-    ChargeKey, ChargeReceipt, ChargeReport, ClusterState, Command, CommandBody, CommandId,
-    CommandOutcome, ControlRenewal, DEPARTED_RETENTION, HISTORY_LIMIT, LeafHealth,
-    LeafHealthChange, LogIndex, OUTCOMES_PER_SESSION, RUN_RETENTION, SESSION_LIMIT,
-    SESSION_RETENTION, Target, Threshold, WallTime,
+    BrokerChange, CONTROL_LEASE, ChangeRefusal, ChargeCounter, ChargeKey, ChargeReceipt,
+    ChargeReport, ClusterState, Command, CommandBody, CommandOutcome, DEPARTED_RETENTION,
+    HISTORY_LIMIT, LeafHealth, LeafHealthChange, LogIndex, OUTCOMES_PER_SESSION, RUN_RETENTION,
+    SESSION_LIMIT, SESSION_RETENTION, Threshold,
 };
 use gingerkeel_domain::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, LeafId, RegionName, Revision, ServiceName,
@@ -17,75 +18,7 @@
 };
 use proptest::prelude::*;
 use rstest::rstest;
-
-const START: WallTime = WallTime(1_700_000_000_000);
-
-/// A state with a log position and a clock of its own.
-struct Cluster {
-    state: ClusterState,
-    index: u64,
-    now: WallTime,
-}
-
-impl Cluster {
-    fn new() -> Self {
-        Self { state: ClusterState::default(), index: 0, now: START }
-    }
-
-    fn apply(&mut self, body: CommandBody) -> CommandOutcome {
-        self.index += 1;
-        self.state.apply(LogIndex(self.index), &Command { at: self.now, body })
-    }
-
-    fn request(&mut self, request: ChangeRequest) -> ChangeOutcome {
-        match self.apply(CommandBody::Change(request)) {
-            CommandOutcome::Change(outcome) => outcome,
-            other => panic!("not the outcome of a change: {other:?}"),
-        }
-    }
-
-    fn change(&mut self, session: &str, sequence: u64, change: Change) -> ChangeOutcome {
-        self.request(request(session, sequence, None, change))
-    }
-
-    /// Lets time pass in steps that the replicated clock follows.
-    fn pass(&mut self, span: Duration) {
-        let end = self.now.after(span);
-        while self.now < end {
-            self.now = self.now.after(Duration::from_secs(10)).min(end);
-            self.apply(CommandBody::SetThreshold {
-                service: ServiceName::new("none"),
-                threshold: None,
-            });
-        }
-    }
-
-    fn renew(&mut self, control: &str, run: u64) {
-        self.apply(CommandBody::RenewControl(ControlRenewal {
-            control: ControlName::new(control),
-            run,
-            operators: "10.0.0.1:7001".parse().unwrap(),
-            feed: "10.0.0.1:7002".parse().unwrap(),
-        }));
-    }
-
-    fn report(&mut self, control: &str, change: BrokerChange) {
-        let control = ControlName::new(control);
-        self.apply(CommandBody::ReportBrokers { control, changes: vec![change] });
-    }
-
-    fn charge(&mut self, report: ChargeReport) -> ChargeReceipt {
-        match self.apply(CommandBody::ReportCharges(vec![report])) {
-            CommandOutcome::Charges(receipts) => receipts[0],
-            other => panic!("not the outcome of charges: {other:?}"),
-        }
-    }
-}
-
-fn request(session: &str, sequence: u64, based_on: Option<u64>, change: Change) -> ChangeRequest {
-    let id = CommandId { session: SessionName::new(session), sequence };
-    ChangeRequest { id, based_on: based_on.map(Revision), change }
-}
+use support::cluster::{Cluster, START, accepted, refusal, request};
 
 fn caller(name: &str, budget: u64) -> Change {
     let account = CallerAccount { budget_per_second: budget, burst: budget };
@@ -118,20 +51,6 @@
     }
 }
 
-fn accepted(outcome: ChangeOutcome) -> u64 {
-    match outcome {
-        ChangeOutcome::Accepted { revision, .. } => revision.0,
-        ChangeOutcome::Refused(refusal) => panic!("refused: {refusal}"),
-    }
-}
-
-fn refusal(outcome: ChangeOutcome) -> ChangeRefusal {
-    match outcome {
-        ChangeOutcome::Refused(refusal) => refusal,
-        accepted => panic!("accepted: {accepted:?}"),
-    }
-}
-
 fn through_snapshot(state: &ClusterState) -> ClusterState {
     let bytes = postcard::to_allocvec(state).unwrap();
     postcard::from_bytes(&bytes).unwrap()
@@ -553,61 +472,3 @@
         prop_assert_eq!(replica, cluster.state);
     }
 }
-
-fn evacuate() -> Change {
-    Change::EvacuateZone(ZoneName::new("palermo"))
-}
-
-fn restore() -> Change {
-    Change::RestoreZone(ZoneName::new("palermo"))
-}
-
-/// Orders about one zone, each made against a revision, and whether the zone is evacuated in the end.
-#[rstest]
-#[case::once(&[(evacuate(), 0, true)], true)]
-#[case::the_same_twice(&[(evacuate(), 0, true), (evacuate(), 1, true)], true)]
-#[case::taken_back(&[(evacuate(), 0, true), (restore(), 1, true)], false)]
-#[case::taken_back_unasked(&[(restore(), 0, true)], false)]
-#[case::again(&[(evacuate(), 0, true), (restore(), 1, true), (evacuate(), 2, true)], true)]
-#[case::raced_by_its_end(&[(restore(), 0, true), (evacuate(), 0, false)], false)]
-#[case::raced_by_its_beginning(&[(evacuate(), 0, true), (restore(), 0, false)], true)]
-#[case::held_up_until_after_its_end(
-    &[(evacuate(), 0, true), (restore(), 1, true), (evacuate(), 0, false)],
-    false
-)]
-fn of_orders_about_a_zone_none_undoes_a_later_one(
-    #[case] orders: &[(Change, u64, bool)],
-    #[case] evacuated: bool,
-) {
-    let mut cluster = Cluster::new();
-    for (number, (change, based_on, taken)) in orders.iter().enumerate() {
-        let session = format!("operator-{number}");
-        let outcome = cluster.request(request(&session, 1, Some(*based_on), change.clone()));
-        assert_eq!(matches!(outcome, ChangeOutcome::Accepted { .. }), *taken, "{outcome:?}");
-    }
-    let zones = cluster.state.catalog().evacuated();
-    assert_eq!(zones.contains(&ZoneName::new("palermo")), evacuated);
-}
-
-#[test]
-fn an_order_about_another_zone_is_no_rival() {
-    let mut cluster = Cluster::new();
-    accepted(cluster.request(request("anna", 1, Some(0), evacuate())));
-    let other = Change::EvacuateZone(ZoneName::new("catania"));
-    accepted(cluster.request(request("ben", 1, Some(0), other)));
-    assert_eq!(cluster.state.catalog().evacuated().len(), 2);
-    let order = cluster.state.history().last_change(&Target::Zone(ZoneName::new("palermo")));
-    assert_eq!(order, Some(Revision(1)));
-}
-
-#[test]
-fn evacuated_zones_are_bounded() {
-    let mut cluster = Cluster::new();
-    for number in 0..1_024 {
-        let zone = ZoneName::new(format!("zone-{number}"));
-        accepted(cluster.change("anna", number + 1, Change::EvacuateZone(zone)));
-    }
-    let refused = cluster.change("anna", 2_000, evacuate());
-    assert!(refusal(refused).to_string().contains("RESTORE ZONE"));
-    accepted(cluster.change("anna", 2_001, Change::EvacuateZone(ZoneName::new("zone-7"))));
-}
--- a/crates/domain/tests/support/mod.rs
+++ b/crates/domain/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A dispatcher with a small catalog, driven by hand.
 #![allow(dead_code)]
 
+pub mod cluster;
+
 use std::sync::Arc;
 use std::time::Duration;
 
