Race for a zone in the simulation, by turns with the leaf

Operators on both sides of a cut evacuate and restore one zone at the same moment, each against the revision it was told last; the checks of conflicts, of what is in force and of what never reverts judge it as any change, with their mutants. A race is now won once for each revision and target, where it was each revision: two targets may be changed against the same one. An order that met a leader which lost its office waits before it is proposed again.

--- a/crates/control/src/zone_orders.rs
+++ b/crates/control/src/zone_orders.rs
@@ -27,7 +27,7 @@
 const YOUNG: Duration = Duration::from_millis(800);
 /// Time that an order has; then its outcome is unknown.
 const ORDER_LIMIT: Duration = Duration::from_secs(5);
-/// Time until an order is proposed again while there is no leader.
+/// Time until an order is proposed again that met no leader, or one that lost its office.
 const LEADER_WAIT: Duration = Duration::from_millis(100);
 /// Beginning of the names of the sessions of orders.
 const SESSION_PREFIX: &str = "zone-order";
@@ -140,11 +140,10 @@
         let _ = cluster.send(ClusterMessage::Change { request: request.clone(), reply });
         match receiver.await.map_err(|_| ZoneOrderError::Unknown)? {
             Ok(outcome) => return Ok(outcome),
-            Err(ProposeError::Refused(consensus::ProposeError::NoLeader)) => {
-                sleep(LEADER_WAIT).await;
-            }
             // The same command again has the same outcome, whether this one was taken or not.
-            Err(ProposeError::Dropped) => {}
+            Err(
+                ProposeError::Refused(consensus::ProposeError::NoLeader) | ProposeError::Dropped,
+            ) => sleep(LEADER_WAIT).await,
             Err(_) => return Err(ZoneOrderError::Unknown),
         }
     }
--- a/crates/simulation/src/control/check.rs
+++ b/crates/simulation/src/control/check.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use gingerkeel_domain::catalog::Change;
-use gingerkeel_domain::cluster::{ChangeOutcome, ChangeRefusal, CommandId};
+use gingerkeel_domain::cluster::{ChangeOutcome, ChangeRefusal, CommandId, Target};
 use gingerkeel_domain::consensus::LogIndex;
 use gingerkeel_domain::identifiers::Revision;
 use gingerkeel_domain::time::Timestamp;
@@ -150,14 +150,14 @@
     }
 }
 
-/// Changes that were made against a revision all concern the leaf that is raced for.
+/// Changes that were made against a revision concern the leaf or the zone that is raced for.
 fn check_races(history: &History, violations: &mut Vec<Violation>) {
-    let mut winners: BTreeMap<Revision, &CommandId> = BTreeMap::new();
+    let mut winners: BTreeMap<(Revision, Target), &CommandId> = BTreeMap::new();
     for (id, record) in &history.commands {
         let (Some(based_on), Some(_)) = (record.request.based_on, accepted_revision(record)) else {
             continue;
         };
-        if winners.insert(based_on, id).is_some() {
+        if winners.insert((based_on, Target::of(&record.request.change)), id).is_some() {
             violations.push(Violation::ConflictAccepted(id.clone()));
         }
     }
--- a/crates/simulation/src/control/operator.rs
+++ b/crates/simulation/src/control/operator.rs
@@ -1,8 +1,8 @@
 //! Operators: commands, resends and races.
 
-use gingerkeel_domain::catalog::{CallerAccount, Change, Leaf, LeafState};
+use gingerkeel_domain::catalog::{CallerAccount, Change, Leaf};
 use gingerkeel_domain::cluster::{ChangeOutcome, ChangeRequest, CommandId};
-use gingerkeel_domain::identifiers::{CallerName, LeafId, Revision, SessionName};
+use gingerkeel_domain::identifiers::{CallerName, Revision, SessionName};
 
 use super::machine::MachineIndex;
 
@@ -48,9 +48,9 @@
         self.request(None, Change::AddLeaf(leaf))
     }
 
-    /// A change of the leaf that all operators race for, made against the revision last told.
-    pub fn racing_change(&mut self, leaf: LeafId, state: LeafState) -> ChangeRequest {
-        self.request(Some(self.known), Change::SetLeafState { leaf, state })
+    /// A change of what all operators race for, made against the revision last told.
+    pub fn racing_change(&mut self, change: Change) -> ChangeRequest {
+        self.request(Some(self.known), change)
     }
 
     /// The outcome of a command came.
--- a/crates/simulation/src/control/operators.rs
+++ b/crates/simulation/src/control/operators.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use gingerkeel_domain::catalog::{Leaf, LeafState, Placement};
+use gingerkeel_domain::catalog::{Change, Leaf, LeafState, Placement};
 use gingerkeel_domain::cluster::ChangeRequest;
 use gingerkeel_domain::identifiers::{LeafId, RegionName, ZoneName};
 use gingerkeel_domain::time::Timestamp;
@@ -23,6 +23,20 @@
 const RACE_LOOKUP: Duration = Duration::from_millis(300);
 /// The leaf that operators race for.
 const RACED_LEAF: LeafId = LeafId(1);
+/// The zone that operators race for.
+const RACED_ZONE: &str = "raced";
+
+/// Drains the leaf, or takes it back.
+fn leaf_order(drain: bool) -> Change {
+    let state = if drain { LeafState::Draining } else { LeafState::Active };
+    Change::SetLeafState { leaf: RACED_LEAF, state }
+}
+
+/// Evacuates the zone, or restores it.
+fn zone_order(evacuate: bool) -> Change {
+    let zone = ZoneName::new(RACED_ZONE);
+    if evacuate { Change::EvacuateZone(zone) } else { Change::RestoreZone(zone) }
+}
 
 impl ControlWorld {
     /// The first operator adds the leaf that all race for.
@@ -63,13 +77,16 @@
 
     pub(super) fn race(&mut self, schedule: &mut Schedule<Event>) {
         schedule.after(RACE_INTERVAL, Event::RaceLookup);
+        // By turns for the leaf and for a zone.
+        self.races += 1;
+        let zones = self.races.is_multiple_of(2);
         for operator in (0..self.operators.len()).map(OperatorIndex) {
             if self.operators[operator.0].outstanding.is_some() {
                 continue;
             }
-            let state =
-                if operator.0.is_multiple_of(2) { LeafState::Draining } else { LeafState::Active };
-            let request = self.operators[operator.0].racing_change(RACED_LEAF, state);
+            let wanted = operator.0.is_multiple_of(2);
+            let change = if zones { zone_order(wanted) } else { leaf_order(wanted) };
+            let request = self.operators[operator.0].racing_change(change);
             self.submit(operator, request, schedule);
         }
     }
--- a/crates/simulation/src/control/scenario.rs
+++ b/crates/simulation/src/control/scenario.rs
@@ -262,6 +262,7 @@
         operators,
         change_interval,
         changes_end: Timestamp::ZERO.after(ACTIVE),
+        races: 0,
         network: Network::default(),
         history: History::default(),
         trace: Trace::new(print_trace),
--- a/crates/simulation/src/control/world.rs
+++ b/crates/simulation/src/control/world.rs
@@ -76,6 +76,8 @@
     pub change_interval: Duration,
     /// No operator begins a change after this time.
     pub changes_end: Timestamp,
+    /// Races so far.
+    pub races: u64,
     /// The network.
     pub network: Network,
     /// What was seen.
