Find the users of leaves once for a plan, and a broker's share of a cold leaf once

Cause, by reading at the planned size: a plan of connections looked through all leaves for each zone and each leaf, and the share of a cold leaf through all brokers with each request; with 1,600 brokers and a restored zone that is some 10 looks at 1,600 names for each query. Both are found once now and forgotten when brokers, leaves or rates change. Same shares by the tests of both.

--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -79,6 +79,9 @@
     /// The brokers that share what leaves bear, those included that may be cut off; none while they are
     /// not known.
     sharing: RefCell<Vec<KnownBroker>>,
+    /// Shares of cold leaves, forgotten with every change of brokers, leaves or rates: to find one takes a
+    /// look at all brokers.
+    cold_shares: RefCell<BTreeMap<LeafIdentity, ColdShare>>,
     /// What is to be reported of leaves.
     observations: RefCell<ObservationLog>,
     random: RefCell<Pcg64>,
@@ -105,6 +108,7 @@
             leaves: RefCell::default(),
             evacuated: RefCell::default(),
             sharing: RefCell::default(),
+            cold_shares: RefCell::default(),
             observations: RefCell::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
         }
@@ -144,6 +148,7 @@
     /// The brokers that share the leaves.
     pub fn set_brokers(&self, brokers: Vec<KnownBroker>) {
         self.connections.set_brokers(&brokers);
+        self.forget_cold_shares();
         *self.sharing.borrow_mut() = brokers;
     }
 
@@ -190,6 +195,7 @@
     fn list(&self, leaves: &mut Leaves, changed: &[ListedLeaf]) {
         let now = self.clock.now();
         self.connections.forget_plans();
+        self.forget_cold_shares();
         let Leaves { directory, services, pools, cold } = leaves;
         cold.forget_warm(now);
         for leaf in changed {
@@ -283,7 +289,25 @@
             || leaves.cold.has_room(now, &leaf.identity, self.cold_share(limits, leaf))
     }
 
+    /// Services may state other rates for cold leaves.
+    pub fn forget_cold_shares(&self) {
+        self.cold_shares.borrow_mut().clear();
+    }
+
+    /// What this broker may send to a cold leaf.
     fn cold_share(&self, limits: ServiceLimits, leaf: &ListedLeaf) -> ColdShare {
+        if let Some(known) = self.cold_shares.borrow().get(&leaf.identity) {
+            return *known;
+        }
+        let share = self.new_cold_share(limits, leaf);
+        // Nothing is known yet of a broker that has just started; it is not to stay so.
+        if share != ColdShare::NOTHING || self.age() >= ColdShare::LEAST_AGE {
+            self.cold_shares.borrow_mut().insert(leaf.identity.clone(), share);
+        }
+        share
+    }
+
+    fn new_cold_share(&self, limits: ServiceLimits, leaf: &ListedLeaf) -> ColdShare {
         let nearness = |broker: &KnownBroker| {
             let placement = &broker.entry.placement;
             if placement.zone == leaf.zone {
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -194,6 +194,7 @@
             routes
         );
         self.splits.borrow_mut().clear();
+        self.leaves.forget_cold_shares();
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
     }
 
--- a/crates/domain/src/forwarding/cold_leaves.rs
+++ b/crates/domain/src/forwarding/cold_leaves.rs
@@ -21,9 +21,6 @@
 /// Part by which the time between two requests is longer than the rate says, so that no window of a
 /// second holds one more at its edge.
 const SPACING: f64 = 1.02;
-/// Age of a process from which it takes part: whatever ran under its name before may have sent in the
-/// last second.
-const LEAST_AGE: Duration = Duration::from_millis(1_100);
 
 /// How the leaves of a service start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,6 +63,9 @@
 impl ColdShare {
     /// Nothing.
     pub const NOTHING: Self = Self { interval: None };
+    /// Age of a process from which it takes part: whatever ran under its name before may have sent in
+    /// the last second.
+    pub const LEAST_AGE: Duration = Duration::from_millis(1_100);
 
     /// The share of `own` among all `brokers` that may be serving. Nothing while `own` is not among
     /// them, or its process is so young that another one may have sent under its name.
@@ -78,7 +78,7 @@
         nearness: impl Fn(&KnownBroker) -> Nearness,
     ) -> Self {
         let known = brokers.iter().find(|broker| &broker.entry.name == own);
-        let Some(known) = known.filter(|_| age >= LEAST_AGE) else {
+        let Some(known) = known.filter(|_| age >= Self::LEAST_AGE) else {
             return Self::NOTHING;
         };
         let place = |broker: &KnownBroker| {
--- a/crates/domain/src/forwarding/connection_plan.rs
+++ b/crates/domain/src/forwarding/connection_plan.rs
@@ -79,9 +79,9 @@
         census: &BrokerCensus,
         regions: &BTreeMap<String, String>,
     ) -> Self {
-        let users = Users { leaves, census, regions };
+        let users = Users::new(leaves, census, regions);
         let rank = census.rank(broker.zone, broker.name, service);
-        let own = users.choices(broker.zone);
+        let own = choices(broker.zone, leaves, regions);
         let standby = own.standby_of(rank);
         let share = |leaf: usize| {
             if own.primary.contains(&leaf) {
@@ -136,57 +136,70 @@
     }
 }
 
-/// Who uses the leaves of one service.
-struct Users<'plan> {
-    leaves: &'plan [(LeafIdentity, ZoneName)],
-    census: &'plan BrokerCensus,
-    regions: &'plan BTreeMap<String, String>,
+/// What the brokers of a zone choose.
+fn choices(
+    zone: &ZoneName,
+    leaves: &[(LeafIdentity, ZoneName)],
+    regions: &BTreeMap<String, String>,
+) -> Choices {
+    let distances: Vec<u8> = leaves.iter().map(|(_, leaf)| distance(zone, leaf, regions)).collect();
+    let at = |distance: Option<u8>| -> Vec<usize> {
+        let matching = |index: &usize| Some(distances[*index]) == distance;
+        (0..distances.len()).filter(matching).collect()
+    };
+    let nearest = distances.iter().min().copied();
+    let next = distances.iter().filter(|distance| Some(**distance) > nearest).min().copied();
+    match at(nearest) {
+        // No leaf is nearer than the others: the zone's brokers are spread over all of them.
+        all if next.is_none() => Choices { primary: all, next: Vec::new() },
+        primary => Choices { primary, next: at(next) },
+    }
 }
 
-impl Users<'_> {
-    /// 0 in the same zone, 1 in the same region, 2 elsewhere.
-    fn distance(&self, from: &ZoneName, to: &ZoneName) -> u8 {
-        let region = |zone: &ZoneName| self.regions.get(zone.as_str());
-        match from == to {
-            true => 0,
-            false if region(from).is_some() && region(from) == region(to) => 1,
-            false => 2,
-        }
-    }
-
-    fn choices(&self, zone: &ZoneName) -> Choices {
-        let distances: Vec<u8> =
-            self.leaves.iter().map(|(_, leaf)| self.distance(zone, leaf)).collect();
-        let at = |distance: Option<u8>| -> Vec<usize> {
-            let matching = |index: &usize| Some(distances[*index]) == distance;
-            (0..distances.len()).filter(matching).collect()
-        };
-        let nearest = distances.iter().min().copied();
-        let next = distances.iter().filter(|distance| Some(**distance) > nearest).min().copied();
-        match at(nearest) {
-            // No leaf is nearer than the others: the zone's brokers are spread over all of them.
-            all if next.is_none() => Choices { primary: all, next: Vec::new() },
-            primary => Choices { primary, next: at(next) },
-        }
+/// 0 in the same zone, 1 in the same region, 2 elsewhere.
+fn distance(from: &ZoneName, to: &ZoneName, regions: &BTreeMap<String, String>) -> u8 {
+    let region = |zone: &ZoneName| regions.get(zone.as_str());
+    match from == to {
+        true => 0,
+        false if region(from).is_some() && region(from) == region(to) => 1,
+        false => 2,
     }
+}
 
-    fn primary_users(&self, leaf: usize) -> usize {
-        let zones = self.census.zones.iter();
-        let uses = |zone: &ZoneName| self.choices(zone).primary.contains(&leaf);
-        zones.filter(|(zone, _)| uses(zone)).map(|(_, brokers)| brokers.len()).sum()
-    }
+/// How many brokers use the leaves of one service, by the index of the leaf.
+struct Users {
+    primary: Vec<usize>,
+    standby: Vec<usize>,
+    /// All brokers.
+    total: usize,
+}
 
-    fn standby_users(&self, leaf: usize) -> usize {
-        let zones = self.census.zones.iter();
-        zones.map(|(zone, brokers)| self.choices(zone).standby_brokers(leaf, brokers.len())).sum()
+impl Users {
+    fn new(
+        leaves: &[(LeafIdentity, ZoneName)],
+        census: &BrokerCensus,
+        regions: &BTreeMap<String, String>,
+    ) -> Self {
+        let nobody = vec![0; leaves.len()];
+        let mut users = Self { primary: nobody.clone(), standby: nobody, total: census.total() };
+        for (zone, brokers) in &census.zones {
+            let choices = choices(zone, leaves, regions);
+            for leaf in &choices.primary {
+                users.primary[*leaf] += brokers.len();
+            }
+            for leaf in &choices.next {
+                users.standby[*leaf] += choices.standby_brokers(*leaf, brokers.len());
+            }
+        }
+        users
     }
 
     fn primary_share(&self, leaf: usize, accepted: usize) -> usize {
-        if self.census.total() == 0 {
+        if self.total == 0 {
             return accepted;
         }
-        let (primary, standby) = (self.primary_users(leaf).max(1), self.standby_users(leaf));
-        let others = self.census.total().saturating_sub(primary + standby);
+        let (primary, standby) = (self.primary[leaf].max(1), self.standby[leaf]);
+        let others = self.total.saturating_sub(primary + standby);
         let left = accepted.saturating_sub(standby);
         let beside_others = left.saturating_sub(others * ON_DEMAND) / primary;
         if beside_others >= LEAST_BESIDE_OTHERS { beside_others } else { (left / primary).max(1) }
@@ -195,6 +208,6 @@
     /// Whether a leaf accepts one connection of each broker that has it as the nearest or as the one
     /// to turn to. Where it does not, an idle connection would keep out somebody's request.
     fn have_room(&self, leaf: usize, accepted: usize) -> bool {
-        self.primary_users(leaf) + self.standby_users(leaf) <= accepted
+        self.primary[leaf] + self.standby[leaf] <= accepted
     }
 }
