Tell that a leaf is cold only where that limits what it gets; share connections by zone again

Where a new index starts, 405 leaves turn warm together some 3 s later, just as the configuration names them; that was a change of the list of 40 KB for each of 291 brokers. The leader now drops it where no service limits its cold leaves. Opening times follow their least, so that a busy moment is not taken for a long way.

--- a/crates/broker/src/routes/connection_book.rs
+++ b/crates/broker/src/routes/connection_book.rs
@@ -7,12 +7,15 @@
 use std::time::Duration;
 
 use gingerkeel_domain::feed::KnownBroker;
-use gingerkeel_domain::forwarding::{BrokerCensus, ConnectionPlan, Distance, PlanningBroker};
+use gingerkeel_domain::forwarding::{
+    BrokerCensus, ConnectionPlan, Distance, PlanningBroker, SharingBrokers, connection_share,
+};
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::time::Timestamp;
 
-/// Weight of the newest time in the smoothed time of opening a connection.
-const OPENING_SMOOTHING: f64 = 0.2;
+/// How fast the time of opening a connection follows longer ones: what a busy moment adds at either end is
+/// not the way there. A shorter one counts at once.
+const OPENING_RISE: f64 = 0.02;
 /// Part of the target latency from which on opening a connection is dear: a hedge leaves after about a
 /// third of the target, and what is left has room for the way to the leaf and back once more. With regions
 /// 30 ms apart and targets of 120 ms, connections kept ready raised the answers in time from 0.69 to 0.88
@@ -38,7 +41,7 @@
     census: RefCell<BrokerCensus>,
     /// Forgotten with every change of brokers, leaves or evacuations.
     plans: RefCell<BTreeMap<ServiceName, Planned>>,
-    /// What opening a connection takes, in seconds, smoothed; by distance.
+    /// What opening a connection takes at least, in seconds; by distance.
     opening: RefCell<BTreeMap<Distance, f64>>,
     /// Leaves to which no connection is kept ready until then.
     refrain_until: RefCell<BTreeMap<LeafIdentity, Timestamp>>,
@@ -66,12 +69,25 @@
         self.forget_plans();
     }
 
-    /// The leaves, or those that take new work, have changed.
+    /// Which leaves take new work has changed anywhere.
     pub fn forget_plans(&self) {
         self.plans.borrow_mut().clear();
     }
 
-    /// The connections to the leaves of a service, each of which accepts `accepted`. `leaves` gives those
+    /// The leaves of a service have changed.
+    pub fn forget_plan(&self, service: &ServiceName) {
+        self.plans.borrow_mut().remove(service);
+    }
+
+    /// How many connections this broker may open to a leaf of a zone that accepts `accepted` from all.
+    pub fn share(&self, accepted: usize, leaf_zone: &ZoneName) -> usize {
+        let census = self.census.borrow();
+        let in_zone = census.in_zone(leaf_zone);
+        let brokers = SharingBrokers { in_zone, elsewhere: census.total().max(1) - in_zone };
+        connection_share(accepted, brokers, *leaf_zone == self.zone)
+    }
+
+    /// What is kept ready of the leaves of a service, each of which accepts `accepted` connections. `leaves` gives those
     /// that take new work with their zones, when a plan has to be made.
     pub fn plan(
         &self,
@@ -98,7 +114,7 @@
         let took = took.as_secs_f64();
         let mut opening = self.opening.borrow_mut();
         let known = opening.entry(distance).or_insert(took);
-        *known += OPENING_SMOOTHING * (took - *known);
+        *known = took.min(*known + OPENING_RISE * (took - *known));
     }
 
     /// Whether a process of this age keeps connections ready for requests with this target latency:
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -194,19 +194,23 @@
     /// Takes over what the list in force says of the leaves that are new or changed.
     fn list(&self, leaves: &mut Leaves, changed: &[ListedLeaf]) {
         let now = self.clock.now();
-        self.connections.forget_plans();
         self.forget_cold_shares();
         let Leaves { directory, services, pools, cold } = leaves;
         cold.forget_warm(now);
         for leaf in changed {
+            self.connections.forget_plan(&leaf.service);
             if leaf.cold_ms > 0 {
                 cold.chill(&leaf.identity, now.after(Duration::from_millis(leaf.cold_ms)));
             }
             let service = services.entry(leaf.service.clone()).or_default();
             service.replicas.list(leaf, self.distance(leaf));
         }
-        for service in services.values_mut() {
-            service.replicas.retain(|identity| directory.leaves().contains_key(identity));
+        for (name, service) in services.iter_mut() {
+            let listed = |identity: &LeafIdentity| directory.leaves().contains_key(identity);
+            if !service.replicas.identities().all(listed) {
+                service.replicas.retain(listed);
+                self.connections.forget_plan(name);
+            }
         }
         pools.retain(|identity, _| directory.leaves().contains_key(identity));
         let version = directory.version().0;
@@ -343,7 +347,7 @@
         };
         if pool.has_idle() {
             Connectivity::Idle
-        } else if pool.has_room(self.plan(leaves, &leaf.service, accepted).share(&leaf.identity)) {
+        } else if pool.has_room(self.connections.share(accepted, &leaf.zone)) {
             Connectivity::Openable
         } else {
             Connectivity::Exhausted
@@ -455,12 +459,11 @@
     /// Counts a connection that is about to be opened, unless this broker has its share of those
     /// that the leaf accepts.
     pub fn admit_connection(&self, accepted: usize, leaf: &ListedLeaf) -> bool {
-        let plan = self.plan(&self.leaves.borrow(), &leaf.service, accepted);
-        let limit = plan.share(&leaf.identity);
+        let limit = self.connections.share(accepted, &leaf.zone);
         self.leaves.borrow_mut().pools.entry(leaf.identity.clone()).or_default().admit(limit)
     }
 
-    /// The connections to leaves of a service that take new work.
+    /// Which connections to leaves of a service are kept ready.
     fn plan(&self, leaves: &Leaves, service: &ServiceName, accepted: usize) -> Rc<ConnectionPlan> {
         self.connections.plan(service, accepted, || self.places(leaves, service))
     }
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -152,7 +152,7 @@
                 // Whoever asked may have given up.
                 let _ = reply.send(self.view_zone(&zone));
             }
-            ClusterMessage::DirectoryRead(listed) => self.directory_read(&listed),
+            ClusterMessage::DirectoryRead(listed) => self.directory_read(listed),
             ClusterMessage::ReadConfirmed { reads, outcome } => {
                 self.publish();
                 self.reads.confirmed(reads, outcome);
--- a/crates/control/src/cluster_task/routes.rs
+++ b/crates/control/src/cluster_task/routes.rs
@@ -47,8 +47,9 @@
     }
 
     /// The list of leaves was read: what differs from the replicated list is proposed.
-    pub(super) fn directory_read(&mut self, listed: &[ListedLeaf]) {
-        let Some(delta) = self.state.directory().delta_to(listed) else {
+    pub(super) fn directory_read(&mut self, mut listed: Vec<ListedLeaf>) {
+        self.state.routes().drop_idle_warm_ups(&mut listed);
+        let Some(delta) = self.state.directory().delta_to(&listed) else {
             return;
         };
         let (changed, gone) = (delta.changed.len(), delta.gone.len());
--- a/crates/domain/src/forwarding/connection_plan.rs
+++ b/crates/domain/src/forwarding/connection_plan.rs
@@ -1,25 +1,17 @@
-//! Which connections to the leaves of one service a broker opens, and which it keeps ready.
+//! Which connections to the leaves of one service a broker keeps ready.
 //!
 //! A leaf accepts so many connections from all brokers together. It is *primary* for the brokers that
 //! have no nearer leaf of the service, and *standby* for those that turn to it first when theirs is
-//! late. Every broker that knows the same brokers and leaves comes to shares that add up to no more
-//! than the leaf accepts, without a word between them: one connection for each standby broker, and
-//! what is left for the primary ones alike. A broker that has other leaves to ask first may open one
-//! to any leaf; such connections come and go, and are bounded by what the leaf is observed to accept.
+//! late. Every broker that knows the same brokers and leaves comes to connections that add up to no
+//! more than the leaf accepts, without a word between them.
 
 use std::collections::BTreeMap;
 
 use crate::hash::hash;
 use crate::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 
-/// Salt of the hash that orders the brokers of a zone, so that each service has another order.
-const ORDER_SALT: u64 = 0x706c_616e;
-/// Connections to a leaf that is not a nearest one.
-const ON_DEMAND: usize = 1;
-/// Connections of a primary broker from which on the others' are set aside as well: requests of one
-/// broker that overlap need a second one more often than others need any.
-const LEAST_BESIDE_OTHERS: usize = 2;
-
+/// Salt of the hash of a service by which standbys are turned round.
+const TURN_SALT: u64 = 0x706c_616e;
 /// The live brokers by zone.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct BrokerCensus {
@@ -36,19 +28,20 @@
         Self { zones }
     }
 
-    fn total(&self) -> usize {
+    /// How many there are in a zone.
+    pub fn in_zone(&self, zone: &ZoneName) -> usize {
+        self.zones.get(zone).map_or(0, Vec::len)
+    }
+
+    /// How many there are.
+    pub fn total(&self) -> usize {
         self.zones.values().map(Vec::len).sum()
     }
 
-    /// Place of a broker among those of its zone, in the order of a service.
-    fn rank(&self, zone: &ZoneName, own: &BrokerName, service: &ServiceName) -> usize {
-        let key = |name: &BrokerName| {
-            let text = format!("{}/{}", service.as_str(), name.as_str());
-            (hash(text.as_bytes(), ORDER_SALT), name.as_str().to_owned())
-        };
-        let own_key = key(own);
-        let others = self.zones.get(zone).into_iter().flatten();
-        others.filter(|name| key(name) < own_key).count()
+    /// Place of a broker among those of its zone.
+    fn place(&self, zone: &ZoneName, own: &BrokerName) -> usize {
+        let brokers = self.zones.get(zone).into_iter().flatten();
+        brokers.take_while(|name| *name != own).count()
     }
 }
 
@@ -61,10 +54,9 @@
     pub zone: &'broker ZoneName,
 }
 
-/// What one broker opens to the leaves of one service.
+/// What one broker keeps ready of the leaves of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ConnectionPlan {
-    shares: BTreeMap<LeafIdentity, usize>,
     ready: Vec<LeafIdentity>,
 }
 
@@ -79,27 +71,14 @@
         census: &BrokerCensus,
         regions: &BTreeMap<String, String>,
     ) -> Self {
-        let users = Users::new(leaves, census, regions);
-        let rank = census.rank(broker.zone, broker.name, service);
-        let own = choices(broker.zone, leaves, regions);
-        let standby = own.standby_of(rank);
-        let share = |leaf: usize| {
-            if own.primary.contains(&leaf) {
-                users.primary_share(leaf, accepted)
-            } else {
-                ON_DEMAND
-            }
-        };
-        let shares = (0..leaves.len()).map(|leaf| (leaves[leaf].0.clone(), share(leaf))).collect();
+        let layout = Layout { leaves, regions, turn: hash(service.as_str().as_bytes(), TURN_SALT) };
+        let users = Users::new(&layout, census);
+        let own = layout.choices(broker.zone);
+        let standby = own.standby_of(census.place(broker.zone, broker.name));
         let first = (own.primary.len() == 1).then(|| own.primary.first().copied()).flatten();
         let ready = first.into_iter().chain(standby);
         let ready = ready.filter(|leaf| users.have_room(*leaf, accepted));
-        Self { ready: ready.map(|leaf| leaves[leaf].0.clone()).collect(), shares }
-    }
-
-    /// How many connections to a leaf may be open.
-    pub fn share(&self, leaf: &LeafIdentity) -> usize {
-        self.shares.get(leaf).copied().unwrap_or(ON_DEMAND)
+        Self { ready: ready.map(|leaf| leaves[leaf].0.clone()).collect() }
     }
 
     /// Leaves to which a connection is kept ready: the only nearest one, and the one to turn to
@@ -118,12 +97,12 @@
 }
 
 impl Choices {
-    fn standby_of(&self, rank: usize) -> Option<usize> {
+    fn standby_of(&self, place: usize) -> Option<usize> {
         // With several nearest leaves, one of them is the one to turn to.
         if self.primary.len() > 1 || self.next.is_empty() {
             return None;
         }
-        Some(self.next[rank % self.next.len()])
+        Some(self.next[place % self.next.len()])
     }
 
     /// How many of `brokers` of the zone have a leaf as their standby.
@@ -136,33 +115,41 @@
     }
 }
 
-/// What the brokers of a zone choose.
-fn choices(
-    zone: &ZoneName,
-    leaves: &[(LeafIdentity, ZoneName)],
-    regions: &BTreeMap<String, String>,
-) -> Choices {
-    let distances: Vec<u8> = leaves.iter().map(|(_, leaf)| distance(zone, leaf, regions)).collect();
-    let at = |distance: Option<u8>| -> Vec<usize> {
-        let matching = |index: &usize| Some(distances[*index]) == distance;
-        (0..distances.len()).filter(matching).collect()
-    };
-    let nearest = distances.iter().min().copied();
-    let next = distances.iter().filter(|distance| Some(**distance) > nearest).min().copied();
-    match at(nearest) {
+/// The leaves of one service and where they are.
+struct Layout<'plan> {
+    leaves: &'plan [(LeafIdentity, ZoneName)],
+    regions: &'plan BTreeMap<String, String>,
+    /// Turns the next nearest leaves round, so that a broker has other standbys for other services.
+    turn: u64,
+}
+
+impl Layout<'_> {
+    /// What the brokers of a zone choose.
+    fn choices(&self, zone: &ZoneName) -> Choices {
+        let distances: Vec<u8> =
+            self.leaves.iter().map(|(_, leaf)| self.distance(zone, leaf)).collect();
+        let at = |distance: Option<u8>| -> Vec<usize> {
+            let matching = |index: &usize| Some(distances[*index]) == distance;
+            (0..distances.len()).filter(matching).collect()
+        };
+        let nearest = distances.iter().min().copied();
+        let next = distances.iter().filter(|distance| Some(**distance) > nearest).min().copied();
+        let primary = at(nearest);
         // No leaf is nearer than the others: the zone's brokers are spread over all of them.
-        all if next.is_none() => Choices { primary: all, next: Vec::new() },
-        primary => Choices { primary, next: at(next) },
+        let mut next = if next.is_none() { Vec::new() } else { at(next) };
+        let turn = self.turn as usize % next.len().max(1);
+        next.rotate_left(turn);
+        Choices { primary, next }
     }
-}
 
-/// 0 in the same zone, 1 in the same region, 2 elsewhere.
-fn distance(from: &ZoneName, to: &ZoneName, regions: &BTreeMap<String, String>) -> u8 {
-    let region = |zone: &ZoneName| regions.get(zone.as_str());
-    match from == to {
-        true => 0,
-        false if region(from).is_some() && region(from) == region(to) => 1,
-        false => 2,
+    /// 0 in the same zone, 1 in the same region, 2 elsewhere.
+    fn distance(&self, from: &ZoneName, to: &ZoneName) -> u8 {
+        let region = |zone: &ZoneName| self.regions.get(zone.as_str());
+        match from == to {
+            true => 0,
+            false if region(from).is_some() && region(from) == region(to) => 1,
+            false => 2,
+        }
     }
 }
 
@@ -170,20 +157,14 @@
 struct Users {
     primary: Vec<usize>,
     standby: Vec<usize>,
-    /// All brokers.
-    total: usize,
 }
 
 impl Users {
-    fn new(
-        leaves: &[(LeafIdentity, ZoneName)],
-        census: &BrokerCensus,
-        regions: &BTreeMap<String, String>,
-    ) -> Self {
-        let nobody = vec![0; leaves.len()];
-        let mut users = Self { primary: nobody.clone(), standby: nobody, total: census.total() };
+    fn new(layout: &Layout<'_>, census: &BrokerCensus) -> Self {
+        let nobody = vec![0; layout.leaves.len()];
+        let mut users = Self { primary: nobody.clone(), standby: nobody };
         for (zone, brokers) in &census.zones {
-            let choices = choices(zone, leaves, regions);
+            let choices = layout.choices(zone);
             for leaf in &choices.primary {
                 users.primary[*leaf] += brokers.len();
             }
@@ -194,17 +175,6 @@
         users
     }
 
-    fn primary_share(&self, leaf: usize, accepted: usize) -> usize {
-        if self.total == 0 {
-            return accepted;
-        }
-        let (primary, standby) = (self.primary[leaf].max(1), self.standby[leaf]);
-        let others = self.total.saturating_sub(primary + standby);
-        let left = accepted.saturating_sub(standby);
-        let beside_others = left.saturating_sub(others * ON_DEMAND) / primary;
-        if beside_others >= LEAST_BESIDE_OTHERS { beside_others } else { (left / primary).max(1) }
-    }
-
     /// Whether a leaf accepts one connection of each broker that has it as the nearest or as the one
     /// to turn to. Where it does not, an idle connection would keep out somebody's request.
     fn have_room(&self, leaf: usize, accepted: usize) -> bool {
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -4,6 +4,7 @@
 mod cold_leaves;
 mod connection_allowance;
 mod connection_plan;
+mod connection_share;
 mod delivery;
 mod eligibility;
 mod extra_load;
@@ -21,6 +22,7 @@
 pub use cold_leaves::{ColdLeaves, ColdShare, ColdStart, Nearness};
 pub use connection_allowance::ConnectionAllowance;
 pub use connection_plan::{BrokerCensus, ConnectionPlan, PlanningBroker};
+pub use connection_share::{SharingBrokers, connection_share};
 pub use delivery::{AnswerMargin, DeliveryTime};
 pub use eligibility::{Exclusion, NobodyReason};
 pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings, SlackShare};
--- a/crates/domain/src/routes/accepted.rs
+++ b/crates/domain/src/routes/accepted.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::configuration::{RouteConfiguration, RouteVersion};
-use crate::directory::LeafDirectory;
+use crate::directory::{LeafDirectory, ListedLeaf};
 use crate::identifiers::ServiceName;
 
 /// A configuration with the operator's own text of it.
@@ -57,6 +57,21 @@
         self.current.as_ref().map_or(RouteVersion(0), |routes| routes.configuration.version)
     }
 
+    /// Takes out of a list that leaves are cold where their service does not limit what cold leaves get:
+    /// nothing follows from it, and hundreds of leaves that turn warm together are a large change of the
+    /// list for every broker. Over 291 brokers it cost 0.04 of the credit on a simulated day whose index was cut
+    /// anew.
+    pub fn drop_idle_warm_ups(&self, listed: &mut [ListedLeaf]) {
+        let services = self.current.iter().flat_map(|routes| &routes.configuration.services);
+        let limited: BTreeSet<&ServiceName> = services
+            .filter(|service| service.cold_start.is_limited())
+            .map(|service| &service.name)
+            .collect();
+        for leaf in listed.iter_mut().filter(|leaf| !limited.contains(&leaf.service)) {
+            leaf.cold_ms = 0;
+        }
+    }
+
     /// Replaces the configuration by one of a higher version.
     pub fn replace(&mut self, newer: &Arc<AcceptedRoutes>) -> ReplaceOutcome {
         if self.current.is_some() && newer.configuration.version <= self.version() {
--- a/crates/domain/tests/routes.rs
+++ b/crates/domain/tests/routes.rs
@@ -1,9 +1,10 @@
 //! Configurations of routes: validation, versions and the choice of a route.
 
+use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::forwarding::ColdStart;
 use std::sync::Arc;
 
-use gingerkeel_domain::identifiers::{RegionName, ServiceName};
+use gingerkeel_domain::identifiers::{LeafIdentity, RegionName, ServiceName, ZoneName};
 use gingerkeel_domain::routes::{
     AcceptedRoutes, BackEndService, CallerLimits, Destination, PartsPerMillion, RegionPolicy,
     ReplaceOutcome, Route, RouteConfiguration, RouteError, RouteLookup, RouteState, RouteTable,
@@ -204,3 +205,27 @@
     assert_eq!(policy.allows(region), allowed);
     assert_eq!(policy.is_restricted(), !named.is_empty());
 }
+
+#[test]
+fn that_a_leaf_is_cold_is_told_only_where_its_service_limits_cold_leaves() {
+    let mut sent = configuration(1, vec![route("r", "h", "/")]);
+    sent.services[0].cold_start = ColdStart { span_ms: 3_000, requests_per_1000_s: 5_000 };
+    let mut state = RouteState::default();
+    let listed = |service: &str| ListedLeaf {
+        identity: LeafIdentity::new(service),
+        service: ServiceName::new(service),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: ZoneName::new("z"),
+        slots: 4,
+        availability: LeafAvailability::Ready,
+        cold_ms: 2_000,
+    };
+    let told = |state: &RouteState| {
+        let mut leaves = ["a", "b", "unnamed"].map(listed);
+        state.drop_idle_warm_ups(&mut leaves);
+        leaves.map(|leaf| leaf.cold_ms)
+    };
+    assert_eq!(told(&state), [0, 0, 0]);
+    state.replace(&accepted(sent, ""));
+    assert_eq!(told(&state), [2_000, 0, 0]);
+}
