Give leases of the reload tests' control process longer than their renewals

Cause: the scripted control process granted leases of 1,000 ms, counted from when they were asked for, and a broker asks each 1,000 ms; from the end of one lease to the next grant the broker is out of touch and refuses, as it should. On an idle machine that gap is a millisecond, beside load it was met. Ruled out: the settings, which the broker had refused as the test wants. The script that renews has the default lease now; the one that stops renewing keeps the short one, for which the test needs it. Not weaker: what is asserted is unchanged.

--- a/crates/broker/tests/reload.rs
+++ b/crates/broker/tests/reload.rs
@@ -17,7 +17,10 @@
     let mut configuration = configuration(0);
     configuration.version = RouteVersion(version);
     let news = news(&configuration, &directory(&[leaf.address], &[]));
-    ControlScript { news, lease_milliseconds: 1_000, renews, ..ControlScript::default() }
+    let default = ControlScript::default();
+    // One that renews no more is left soon; one that does has a lease that outlasts its renewals.
+    let lease_milliseconds = if renews { default.lease_milliseconds } else { 1_000 };
+    ControlScript { news, lease_milliseconds, renews, ..default }
 }
 
 fn in_force(broker: &RoutedBroker, version: u64) -> bool {
