Tell how far zones are apart in one place

Same zone, same region or elsewhere was worked out three times: by the registry, by the plan of connections as bare numbers, and as Nearness beside Distance for cold leaves. Distance::between serves the first two, and cold leaves take a Distance; the region of a broker there is still the one that it states. A sent request no longer finds the share of a cold leaf, a look at all brokers, where its service does not limit cold leaves. The leaf that answers everything stood in two test files; it is in their support now. No decision and no assertion changes. Ruled out for now: the two clocks of broker and control, which want a crate to live in.

--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -12,7 +12,7 @@
 use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
     ColdLeaves, ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance, Exclusion,
-    ExtraLoadBudget, ExtraLoadSettings, LoadReport, Nearness, NobodyReason, Outcome, ReplicaSet,
+    ExtraLoadBudget, ExtraLoadSettings, LoadReport, NobodyReason, Outcome, ReplicaSet,
     ReplicaSettings, Selection, SlackShare,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
@@ -218,12 +218,7 @@
     }
 
     fn distance(&self, leaf: &ListedLeaf) -> Distance {
-        if self.is_in_zone(leaf) {
-            return Distance::Zone;
-        }
-        let own = self.zone_regions.get(self.zone.as_str());
-        let same_region = own.is_some() && own.map(String::as_str) == self.region(leaf);
-        if same_region { Distance::Region } else { Distance::Far }
+        Distance::between(&self.zone, &leaf.zone, &self.zone_regions)
     }
 
     /// The region in which a leaf runs, where the settings name it.
@@ -312,25 +307,26 @@
     }
 
     fn new_cold_share(&self, limits: ServiceLimits, leaf: &ListedLeaf) -> ColdShare {
-        let nearness = |broker: &KnownBroker| {
+        let distance = |broker: &KnownBroker| {
             let placement = &broker.entry.placement;
             if placement.zone == leaf.zone {
-                Nearness::Zone
+                Distance::Zone
             } else if self.region(leaf) == Some(placement.region.as_str()) {
-                Nearness::Region
+                Distance::Region
             } else {
-                Nearness::Elsewhere
+                Distance::Far
             }
         };
         let brokers = self.sharing.borrow();
         let start = limits.cold_start;
-        ColdShare::of(start, &leaf.identity, &self.name, self.age(), &brokers, nearness)
+        ColdShare::of(start, &leaf.identity, &self.name, self.age(), &brokers, distance)
     }
 
     /// A request is about to be sent to a leaf.
     pub fn sent(&self, leaf: &ListedLeaf, limits: ServiceLimits) {
         let now = self.clock.now();
-        if self.leaves.borrow().cold.is_cold(now, &leaf.identity) {
+        let limited = limits.cold_start.is_limited();
+        if limited && self.leaves.borrow().cold.is_cold(now, &leaf.identity) {
             let share = self.cold_share(limits, leaf);
             self.leaves.borrow_mut().cold.sent(now, &leaf.identity, share);
         }
@@ -529,10 +525,6 @@
         }
     }
 
-    fn is_in_zone(&self, leaf: &ListedLeaf) -> bool {
-        leaf.zone == self.zone
-    }
-
     /// A leaf answered on a new connection.
     pub fn connection_accepted(&self, leaf: &LeafIdentity) {
         if let Some(pool) = self.leaves.borrow_mut().pools.get_mut(leaf) {
--- a/crates/broker/tests/leaf_choice.rs
+++ b/crates/broker/tests/leaf_choice.rs
@@ -12,14 +12,9 @@
 use rstest::rstest;
 use support::control::ControlScript;
 use support::leaf::{Act, ScriptedLeaf, response};
-use support::routed::{RoutedBroker, configuration, directory, news, rejection, reply};
+use support::routed::{RoutedBroker, configuration, directory, honest, news, rejection};
 use support::wait_until;
 
-/// A leaf that answers every request with `body` under its own attestation.
-fn honest(attestation: &'static str, body: &'static [u8]) -> ScriptedLeaf {
-    ScriptedLeaf::for_all(move |request| Act::Send(reply(request, attestation, body)))
-}
-
 /// The broker's zone is in region `south`; the region of the second leaf's zone is not known.
 #[test]
 fn requests_stay_in_the_regions_of_their_route_also_when_they_are_sent_again() {
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -17,14 +17,11 @@
 use support::caller::Caller;
 use support::control::ControlScript;
 use support::leaf::{Act, ScriptedLeaf, response};
-use support::routed::{RoutedBroker, configuration, directory, news, rejection, reply, request};
+use support::routed::{
+    RoutedBroker, configuration, directory, honest, news, rejection, reply, request,
+};
 use support::{deaf_address, wait_until};
 
-/// A leaf that answers every request with `body` under its own attestation.
-fn honest(attestation: &'static str, body: &'static [u8]) -> ScriptedLeaf {
-    ScriptedLeaf::for_all(move |request| Act::Send(reply(request, attestation, body)))
-}
-
 /// A leaf that does this with its first request and answers the others.
 fn first(act: impl Fn(&support::leaf::LeafRequest) -> Act + Send + Sync + 'static) -> ScriptedLeaf {
     let count = AtomicUsize::new(0);
--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -17,7 +17,7 @@
 use super::broker::Broker;
 use super::caller::{Caller, Response};
 use super::control::{ControlScript, ScriptedControl};
-use super::leaf::{LeafRequest, response};
+use super::leaf::{Act, LeafRequest, ScriptedLeaf, response};
 use super::wait_until;
 
 /// Services of the configuration: `single` and the shards `s0`, `s1` and so on.
@@ -125,6 +125,11 @@
     response(200, &headers, body)
 }
 
+/// A leaf that answers every request with `body` under its own attestation.
+pub fn honest(attestation: &'static str, body: &'static [u8]) -> ScriptedLeaf {
+    ScriptedLeaf::for_all(move |request| Act::Send(reply(request, attestation, body)))
+}
+
 /// A leaf's word that it did not run the request.
 pub fn rejection() -> Vec<u8> {
     response(503, "gingerkeel-not-executed: 1\r\n", b"full")
--- a/crates/domain/src/forwarding/cold_leaves.rs
+++ b/crates/domain/src/forwarding/cold_leaves.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::replica::Distance;
 use crate::feed::KnownBroker;
 use crate::hash::hash;
 use crate::identifiers::{BrokerName, LeafIdentity};
@@ -43,17 +44,6 @@
     }
 }
 
-/// How near a broker is to a leaf, for its place in the order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Nearness {
-    /// In its zone.
-    Zone,
-    /// In its region.
-    Region,
-    /// Elsewhere.
-    Elsewhere,
-}
-
 /// What one broker may send to one cold leaf: a request each so often, or none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ColdShare {
@@ -67,7 +57,7 @@
     /// the last second.
     pub const LEAST_AGE: Duration = Duration::from_millis(1_100);
 
-    /// The share of `own` among all `brokers` that may be serving. Nothing while `own` is not among
+    /// The share of `own` among all `brokers` that may be serving; `distance` is theirs from the leaf. Nothing while `own` is not among
     /// them, or its process is so young that another one may have sent under its name.
     pub fn of(
         start: ColdStart,
@@ -75,7 +65,7 @@
         own: &BrokerName,
         age: Duration,
         brokers: &[KnownBroker],
-        nearness: impl Fn(&KnownBroker) -> Nearness,
+        distance: impl Fn(&KnownBroker) -> Distance,
     ) -> Self {
         let known = brokers.iter().find(|broker| &broker.entry.name == own);
         let Some(known) = known.filter(|_| age >= Self::LEAST_AGE) else {
@@ -84,7 +74,7 @@
         let place = |broker: &KnownBroker| {
             let name = broker.entry.name.as_str();
             let key = format!("{}/{name}", leaf.as_str());
-            (nearness(broker), hash(key.as_bytes(), ORDER_SALT), name.to_owned())
+            (distance(broker), hash(key.as_bytes(), ORDER_SALT), name.to_owned())
         };
         let own_place = place(known);
         let rank = brokers.iter().filter(|broker| place(broker) < own_place).count();
--- a/crates/domain/src/forwarding/connection_plan.rs
+++ b/crates/domain/src/forwarding/connection_plan.rs
@@ -7,11 +7,13 @@
 
 use std::collections::BTreeMap;
 
+use super::replica::Distance;
 use crate::hash::hash;
 use crate::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 
 /// Salt of the hash of a service by which standbys are turned round.
 const TURN_SALT: u64 = 0x706c_616e;
+
 /// The live brokers by zone.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct BrokerCensus {
@@ -126,9 +128,9 @@
 impl Layout<'_> {
     /// What the brokers of a zone choose.
     fn choices(&self, zone: &ZoneName) -> Choices {
-        let distances: Vec<u8> =
-            self.leaves.iter().map(|(_, leaf)| self.distance(zone, leaf)).collect();
-        let at = |distance: Option<u8>| -> Vec<usize> {
+        let between = |leaf: &ZoneName| Distance::between(zone, leaf, self.regions);
+        let distances: Vec<Distance> = self.leaves.iter().map(|(_, leaf)| between(leaf)).collect();
+        let at = |distance: Option<Distance>| -> Vec<usize> {
             let matching = |index: &usize| Some(distances[*index]) == distance;
             (0..distances.len()).filter(matching).collect()
         };
@@ -141,16 +143,6 @@
         next.rotate_left(turn);
         Choices { primary, next }
     }
-
-    /// 0 in the same zone, 1 in the same region, 2 elsewhere.
-    fn distance(&self, from: &ZoneName, to: &ZoneName) -> u8 {
-        let region = |zone: &ZoneName| self.regions.get(zone.as_str());
-        match from == to {
-            true => 0,
-            false if region(from).is_some() && region(from) == region(to) => 1,
-            false => 2,
-        }
-    }
 }
 
 /// How many brokers use the leaves of one service, by the index of the leaf.
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -19,7 +19,7 @@
 mod waiting_line;
 
 pub use attempts::{AfterAttempt, AttemptError, NoReply, RequestAttempts, hedge_delay};
-pub use cold_leaves::{ColdLeaves, ColdShare, ColdStart, Nearness};
+pub use cold_leaves::{ColdLeaves, ColdShare, ColdStart};
 pub use connection_allowance::ConnectionAllowance;
 pub use connection_plan::{BrokerCensus, ConnectionPlan, PlanningBroker};
 pub use connection_share::{SharingBrokers, connection_share};
--- a/crates/domain/src/forwarding/replica.rs
+++ b/crates/domain/src/forwarding/replica.rs
@@ -1,11 +1,13 @@
 //! What a broker has observed of one leaf.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::load_report::ObservedLoad;
 use super::replica_set::{Connectivity, ReplicaSettings};
 use crate::directory::{LeafAvailability, ListedLeaf};
+use crate::identifiers::ZoneName;
 use crate::time::Timestamp;
 
 /// Weight of the newest latency in the smoothed one.
@@ -31,6 +33,18 @@
     Far,
 }
 
+impl Distance {
+    /// How far one zone is from another; `regions` gives the region of each zone.
+    pub fn between(from: &ZoneName, to: &ZoneName, regions: &BTreeMap<String, String>) -> Self {
+        let region = |zone: &ZoneName| regions.get(zone.as_str());
+        match from == to {
+            true => Self::Zone,
+            false if region(from).is_some() && region(from) == region(to) => Self::Region,
+            false => Self::Far,
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/domain/tests/cold_leaves.rs
+++ b/crates/domain/tests/cold_leaves.rs
@@ -4,7 +4,7 @@
 
 use gingerkeel_domain::catalog::Placement;
 use gingerkeel_domain::feed::KnownBroker;
-use gingerkeel_domain::forwarding::{ColdLeaves, ColdShare, ColdStart, Nearness};
+use gingerkeel_domain::forwarding::{ColdLeaves, ColdShare, ColdStart, Distance};
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, RegionName, ZoneName};
 use gingerkeel_domain::routing::subset::BrokerEntry;
 use gingerkeel_domain::time::Timestamp;
@@ -29,11 +29,11 @@
     (0..count).map(broker).collect()
 }
 
-fn nearness(broker: &KnownBroker) -> Nearness {
+fn distance(broker: &KnownBroker) -> Distance {
     match broker.entry.placement.zone.as_str() {
-        "z0" => Nearness::Zone,
-        "z1" => Nearness::Region,
-        _ => Nearness::Elsewhere,
+        "z0" => Distance::Zone,
+        "z1" => Distance::Region,
+        _ => Distance::Far,
     }
 }
 
@@ -50,7 +50,7 @@
 }
 
 fn share(start: ColdStart, broker: &KnownBroker, known: &[KnownBroker]) -> ColdShare {
-    ColdShare::of(start, &leaf(), &broker.entry.name, OLD, known, nearness)
+    ColdShare::of(start, &leaf(), &broker.entry.name, OLD, known, distance)
 }
 
 /// Moments at which brokers send that always have a request for the leaf; each knows the brokers of its
@@ -130,7 +130,7 @@
     let chosen_for = |leaf: usize| {
         let leaf = LeafIdentity::new(format!("leaf-{leaf}"));
         let share = |broker: &&KnownBroker| {
-            let share = ColdShare::of(start(5.0), &leaf, &broker.entry.name, OLD, &all, nearness);
+            let share = ColdShare::of(start(5.0), &leaf, &broker.entry.name, OLD, &all, distance);
             share != ColdShare::NOTHING
         };
         all.iter().filter(share).map(|broker| broker.entry.name.clone()).collect::<Vec<_>>()
@@ -146,7 +146,7 @@
     let all = brokers(3);
     let own = &all[0].entry.name;
     let share =
-        |age, known: &[KnownBroker]| ColdShare::of(start(20.0), &leaf(), own, age, known, nearness);
+        |age, known: &[KnownBroker]| ColdShare::of(start(20.0), &leaf(), own, age, known, distance);
     assert_eq!(share(OLD, &[]), ColdShare::NOTHING);
     assert_eq!(share(OLD, &all[1..]), ColdShare::NOTHING);
     assert_eq!(share(Duration::from_secs(1), &all), ColdShare::NOTHING);
