--- a/crates/broker/tests/support/leaf.rs
+++ b/crates/broker/tests/support/leaf.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -71,11 +72,12 @@
 
 type Script = dyn Fn(&LeafRequest) -> Act + Send + Sync;
 
-/// A scripted leaf; its threads end with the test.
+/// A scripted leaf; its threads end with the test, or before it by [`ScriptedLeaf::end`].
 pub struct ScriptedLeaf {
     /// Where it listens.
     pub address: SocketAddr,
     journal: Arc<Mutex<Vec<LeafRequest>>>,
+    listening: Listening,
 }
 
 impl ScriptedLeaf {
@@ -89,16 +91,29 @@
         let journal: Arc<Mutex<Vec<LeafRequest>>> = Arc::default();
         let script: Arc<Script> = Arc::new(script);
         let entries = journal.clone();
-        let address = listen(move |stream| serve(stream, &entries, script.as_ref()));
-        Self { address, journal }
+        let listening = listen(free_port(), move |stream| serve(stream, &entries, script.as_ref()));
+        Self { address: listening.address, journal, listening }
     }
 
     /// A leaf that follows the script for every request, whatever its method.
     pub fn for_all(script: impl Fn(&LeafRequest) -> Act + Send + Sync + 'static) -> Self {
+        Self::for_all_at(free_port(), script)
+    }
+
+    /// The same at an address that a leaf had which has ended.
+    pub fn for_all_at(
+        address: SocketAddr,
+        script: impl Fn(&LeafRequest) -> Act + Send + Sync + 'static,
+    ) -> Self {
         let journal: Arc<Mutex<Vec<LeafRequest>>> = Arc::default();
         let entries = journal.clone();
-        let address = listen(move |stream| converse(stream, &entries, &script));
-        Self { address, journal }
+        let listening = listen(address, move |stream| converse(stream, &entries, &script));
+        Self { address: listening.address, journal, listening }
+    }
+
+    /// The leaf ends: its connections close, and its address takes no new ones.
+    pub fn end(&self) {
+        self.listening.end();
     }
 
     /// All requests, in the order of arrival.
@@ -110,7 +125,7 @@
     pub fn resetting_after(limit: usize) -> Self {
         let journal: Arc<Mutex<Vec<LeafRequest>>> = Arc::default();
         let entries = journal.clone();
-        let address = listen(move |mut stream| {
+        let listening = listen(free_port(), move |mut stream| {
             let mut body = vec![0; limit];
             if stream.read_exact(&mut body).is_ok() {
                 let request = LeafRequest { head: "POST ".into(), body };
@@ -119,7 +134,7 @@
             // Closes with a reset although more bytes are on their way.
             let _ = set_socket_linger(&stream, Some(std::time::Duration::ZERO));
         });
-        Self { address, journal }
+        Self { address: listening.address, journal, listening }
     }
 
     /// Requests to run something, in the order of arrival.
@@ -142,17 +157,48 @@
     }
 }
 
-fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+/// A listener and the connections that it took.
+struct Listening {
+    address: SocketAddr,
+    ended: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Listening {
+    fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts, which closes the listener.
+        let _ = TcpStream::connect(self.address);
+        wait_until("nobody listens", || TcpStream::connect(self.address).is_err());
+        for stream in self.open.lock().expect("no thread panicked").iter() {
+            // It may be closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+fn free_port() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn listen(at: SocketAddr, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> Listening {
+    let listener = TcpListener::bind(at).expect("a free port");
     let address = listener.local_addr().expect("a bound address");
+    let (ended, open) = (Arc::new(AtomicBool::new(false)), Arc::default());
+    let listening = Listening { address, ended: Arc::clone(&ended), open: Arc::clone(&open) };
     let serve = Arc::new(serve);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if ended.load(Ordering::SeqCst) {
+                return;
+            }
+            let kept = stream.try_clone().expect("a second handle");
+            open.lock().expect("no thread panicked").push(kept);
             let serve = serve.clone();
             thread::spawn(move || serve(stream));
         }
     });
-    address
+    listening
 }
 
 fn serve(stream: TcpStream, journal: &Mutex<Vec<LeafRequest>>, script: &Script) {
--- a/crates/simulation/src/routes/leaf.rs
+++ b/crates/simulation/src/routes/leaf.rs
@@ -32,6 +32,8 @@
     Fails,
     /// It refuses requests without running them.
     Refuses,
+    /// It has ended, and a leaf of this service has its address.
+    AddressTaken(usize),
 }
 
 /// Number of an attempt, over all brokers.
@@ -49,6 +51,8 @@
     NotConnected,
     /// Nothing comes back.
     Swallowed,
+    /// It arrives at a leaf of this service, which refuses it.
+    Misdirected(usize),
 }
 
 /// One leaf.
@@ -82,6 +86,7 @@
             LeafMode::Down => return Arrival::NotConnected,
             LeafMode::Dark => return Arrival::Swallowed,
             LeafMode::Refuses => return Arrival::Refused,
+            LeafMode::AddressTaken(service) => return Arrival::Misdirected(service),
             LeafMode::Sound | LeafMode::LosesAnswers | LeafMode::Fails => {}
         }
         if self.waiting.len() >= QUEUE_LIMIT {
--- a/crates/simulation/src/routes/mod.rs
+++ b/crates/simulation/src/routes/mod.rs
@@ -15,4 +15,5 @@
 pub use check::{Violation, check};
 pub use fault::{Fault, Mutant, TimedFault};
 pub use history::{Ending, History};
+pub use leaf::LeafMode;
 pub use scenario::{Outcome, Scenario, run_scenario};
--- a/crates/simulation/src/routes/scenario.rs
+++ b/crates/simulation/src/routes/scenario.rs
@@ -20,6 +20,10 @@
 /// Time after the last caller until everything has an ending.
 const SETTLING: Duration = Duration::from_secs(2);
 
+/// Time after the end of a leaf, in milliseconds, from which on another one may have its address: the window
+/// of the budget is a fifth of the usual one, and so is this.
+const ADDRESS_REUSE_MS: u64 = 400;
+
 /// A scenario.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -62,6 +66,28 @@
     for_a_while(random, places.into_iter(), mode)
 }
 
+/// Two leaves of each shard but one end, and leaves of that one get their addresses while the list goes on
+/// naming them. They refuse connections or are silent until then. All leaves of the shard that gets the
+/// addresses are slow, so that brokers spend what extra requests they may send there.
+fn addresses_taken(random: &mut Pcg64) -> Vec<TimedFault> {
+    let receiver = random.random_range(0..SHARDS);
+    let survivor = random.random_range(0..LEAVES);
+    let ends = any_moment(random);
+    let slow = leaves_of(receiver).map(|leaf| at(ends - 500, Fault::Slow(leaf, 6.0)));
+    let mut faults: Vec<TimedFault> = slow.collect();
+    let ended = super::world::places().filter(|place| {
+        place.service < SHARDS && place.service != receiver && place.leaf != survivor
+    });
+    for place in ended {
+        let moment = ends + random.random_range(0..100);
+        let mode = if random.random_bool(0.5) { LeafMode::Down } else { LeafMode::Dark };
+        faults.push(at(moment, Fault::Mode(place, mode)));
+        let taken = LeafMode::AddressTaken(receiver);
+        faults.push(at(moment + ADDRESS_REUSE_MS, Fault::Mode(place, taken)));
+    }
+    faults
+}
+
 impl Scenario {
     fn new(name: &'static str, draw: crate::fault_plan::DrawFaults<Fault>) -> Self {
         Self { plan: FaultPlan::new(name, draw) }
@@ -113,6 +139,11 @@
         ]
     }
 
+    /// Leaves end, and leaves of another service get their addresses.
+    pub fn addresses_taken() -> Self {
+        Self::new("routes-addresses-taken", addresses_taken)
+    }
+
     /// The scenario of this name.
     pub fn named(name: &str) -> Option<Self> {
         Self::all().into_iter().find(|scenario| scenario.name() == name)
--- a/crates/simulation/src/routes/world.rs
+++ b/crates/simulation/src/routes/world.rs
@@ -25,6 +25,8 @@
 pub const SHARDS: usize = 6;
 /// Leaves of each service.
 pub const LEAVES: usize = 3;
+/// Place of a leaf that no broker was told of, among the leaves of its service.
+const NEW_LEAF: usize = LEAVES;
 /// Share of the requests that ask all shards.
 const GATHERED_SHARE: f64 = 0.7;
 /// Time between two callers.
@@ -223,14 +225,19 @@
         let taken = arrival == Arrival::Taken;
         let (request, leaf) = (attempt.key.request, attempt.leaf);
         self.trace.record(now, format_args!("event=at_leaf request={} {leaf:?}", request.0));
+        let reached = match arrival {
+            Arrival::Misdirected(service) => LeafPlace { service, leaf: NEW_LEAF },
+            _ => leaf,
+        };
         if arrival != Arrival::NotConnected {
-            self.history.arrivals.push(ArrivalRecord { at: now, request, leaf, taken });
+            self.history.arrivals.push(ArrivalRecord { at: now, request, leaf: reached, taken });
         }
         let error = match arrival {
             Arrival::Taken => return self.start_work(now, leaf, schedule),
             Arrival::Swallowed => return,
             Arrival::Refused => AttemptError::Rejected,
-            Arrival::NotConnected => AttemptError::NotConnected,
+            Arrival::NotConnected => AttemptError::ConnectionRefused,
+            Arrival::Misdirected(_) => AttemptError::AnotherLeaf,
         };
         schedule.after(self.delay(), Event::EndAtBroker(number, Err(error)));
     }
