--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -174,8 +174,13 @@
     }
     connected.map_err(|error| {
         let (outcome, error) = match error.kind() {
-            ErrorKind::ConnectionReset => (watch.reset(), AttemptError::NotAccepted),
-            ErrorKind::ConnectionRefused => (Outcome::Failed, AttemptError::ConnectionRefused),
+            ErrorKind::ConnectionReset => {
+                watch.state.leaves.took_connection(leaf);
+                (watch.reset(), AttemptError::NotAccepted)
+            }
+            ErrorKind::ConnectionRefused => {
+                (Outcome::ConnectionRefused, AttemptError::ConnectionRefused)
+            }
             _ => (Outcome::Failed, AttemptError::NotConnected),
         };
         watch.outcome = Some(outcome);
--- /dev/null
+++ b/crates/broker/src/routes/known_leaves/tests.rs
@@ -0,0 +1,59 @@
+//! Which service pays for a request that arrived at another leaf than the one that was meant.
+
+use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
+use gingerkeel_domain::forwarding::SlackShare;
+use gingerkeel_domain::identifiers::ZoneName;
+
+use super::*;
+
+const EXTRA: ExtraLoadSettings =
+    ExtraLoadSettings { ratio: 1.0, window: Duration::from_secs(10), slack: 0.0 };
+
+fn leaf(name: &str, service: &str, port: u16) -> ListedLeaf {
+    ListedLeaf {
+        identity: LeafIdentity::new(name),
+        service: ServiceName::new(service),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: ZoneName::new("z"),
+        slots: 1,
+        availability: LeafAvailability::Ready,
+        cold_ms: 0,
+    }
+}
+
+/// Leaves as listed; each of their services had three requests.
+fn known(listed: &[ListedLeaf]) -> Leaves {
+    let mut leaves = Leaves::default();
+    let delta = leaves.directory.delta_to(listed).expect("a first list");
+    leaves.directory.apply(&delta);
+    for leaf in listed {
+        let service = leaves.services.entry(leaf.service.clone()).or_default();
+        (0..3).for_each(|_| service.budget.earn(&EXTRA, Timestamp::ZERO));
+    }
+    leaves
+}
+
+/// Extra requests that a service may still send.
+fn left(leaves: &mut Leaves, service: &str) -> usize {
+    let state = leaves.services.get_mut(&ServiceName::new(service)).expect("a service");
+    let slack = SlackShare::default();
+    (0..9).filter(|_| state.budget.take(&EXTRA, Timestamp::ZERO, slack)).count()
+}
+
+#[test]
+fn the_service_of_the_leaf_that_has_the_address_pays() {
+    let (ended, newer) = (leaf("ended", "meant", 1), leaf("newer", "other", 1));
+    let mut leaves = known(&[ended.clone(), newer, leaf("third", "third", 2)]);
+    leaves.cover_misdirected(Timestamp::ZERO, &EXTRA, &ended.identity);
+    let services = ["meant", "other", "third"];
+    assert_eq!(services.map(|service| left(&mut leaves, service)), [3, 2, 3]);
+}
+
+#[test]
+fn while_the_list_names_no_other_leaf_there_the_request_is_kept() {
+    let ended = leaf("ended", "meant", 1);
+    let mut leaves = known(std::slice::from_ref(&ended));
+    leaves.cover_misdirected(Timestamp::ZERO, &EXTRA, &ended.identity);
+    assert_eq!(left(&mut leaves, "meant"), 3);
+    assert_eq!(leaves.misdirected.take(Timestamp::ZERO, EXTRA.window, ended.address), 1);
+}
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -11,9 +11,8 @@
 use gingerkeel_domain::directory::{DirectoryDelta, LeafAvailability, LeafDirectory, ListedLeaf};
 use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
-    ColdLeaves, ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance, Exclusion,
-    ExtraLoadBudget, ExtraLoadSettings, LoadReport, NobodyReason, Outcome, ReplicaSet,
-    ReplicaSettings, Selection, SlackShare,
+    ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance, Exclusion, ExtraLoadSettings,
+    LoadReport, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection, SlackShare,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
@@ -25,42 +24,10 @@
 use tracing::{info, warn};
 
 use super::connection_book::ConnectionBook;
+use super::known_leaves::{Leaves, ServiceLimits};
 use super::pool::{LeafConnection, LeafPool};
 use crate::clock::Clock;
 
-/// What the leaves of a service bear from all brokers together.
-#[derive(Debug, Clone, Copy)]
-pub struct ServiceLimits {
-    /// Connections to each leaf.
-    pub connections: usize,
-    /// How leaves start.
-    pub cold_start: ColdStart,
-}
-
-impl Default for ServiceLimits {
-    /// Nothing is known to limit them.
-    fn default() -> Self {
-        Self { connections: usize::MAX, cold_start: ColdStart::default() }
-    }
-}
-
-/// What is known of one service.
-#[derive(Default)]
-struct ServiceState {
-    replicas: ReplicaSet,
-    budget: ExtraLoadBudget,
-    /// How long leaves of the service say that they keep idle connections.
-    stated_keep: Option<Duration>,
-}
-
-#[derive(Default)]
-struct Leaves {
-    directory: LeafDirectory,
-    services: BTreeMap<ServiceName, ServiceState>,
-    pools: BTreeMap<LeafIdentity, LeafPool>,
-    cold: ColdLeaves,
-}
-
 /// The leaves that a broker knows.
 pub struct LeafRegistry {
     clock: Clock,
@@ -104,7 +71,11 @@
             zone,
             zone_regions,
             extra,
-            replica_settings: ReplicaSettings::default(),
+            replica_settings: ReplicaSettings {
+                address_reuse: Duration::from_millis(settings.address_reuse_ms.into()),
+                list_lag: Duration::from_millis(settings.list_lag_ms.into()),
+                ..ReplicaSettings::default()
+            },
             leaves: RefCell::default(),
             evacuated: RefCell::default(),
             sharing: RefCell::default(),
@@ -195,7 +166,7 @@
     fn list(&self, leaves: &mut Leaves, changed: &[ListedLeaf]) {
         let now = self.clock.now();
         self.forget_cold_shares();
-        let Leaves { directory, services, pools, cold } = leaves;
+        let Leaves { directory, services, pools, cold, misdirected } = leaves;
         cold.forget_warm(now);
         for leaf in changed {
             self.connections.forget_plan(&leaf.service);
@@ -203,7 +174,12 @@
                 cold.chill(&leaf.identity, now.after(Duration::from_millis(leaf.cold_ms)));
             }
             let service = services.entry(leaf.service.clone()).or_default();
-            service.replicas.list(leaf, self.distance(leaf));
+            if !service.replicas.list(now, leaf, self.distance(leaf)) {
+                continue;
+            }
+            for _ in 0..misdirected.take(now, self.extra.window, leaf.address) {
+                service.budget.cover(&self.extra, now);
+            }
         }
         for (name, service) in services.iter_mut() {
             let listed = |identity: &LeafIdentity| directory.leaves().contains_key(identity);
@@ -431,6 +407,10 @@
 
     /// An attempt has ended.
     pub fn finish(&self, service: &ServiceName, leaf: &LeafIdentity, outcome: Outcome) {
+        if outcome == Outcome::AddressTaken {
+            let now = self.clock.now();
+            self.leaves.borrow_mut().cover_misdirected(now, &self.extra, leaf);
+        }
         self.with_replicas(service, |replicas, now, settings| {
             replicas.finish(now, settings, leaf, outcome);
         });
@@ -479,6 +459,39 @@
     /// A connection to a leaf was opened in this time.
     pub fn opened(&self, leaf: &ListedLeaf, took: Duration) {
         self.connections.opened(self.distance(leaf), took);
+        self.took_connection(leaf);
+    }
+
+    /// Somebody took a connection at a leaf's address.
+    pub fn took_connection(&self, leaf: &ListedLeaf) {
+        self.with_replicas(&leaf.service, |replicas, now, settings| {
+            replicas.took_connection(now, settings, &leaf.identity);
+        });
+    }
+
+    /// Nobody listens at a leaf's address.
+    pub fn refused_connection(&self, leaf: &ListedLeaf) {
+        self.with_replicas(&leaf.service, |replicas, _, _| {
+            replicas.refused_connection(&leaf.identity);
+        });
+    }
+
+    /// Logs the leaves that are presumed to have ended from now on; gives those to which a connection is to be
+    /// opened, to learn whether they are there.
+    pub fn look_after_missing(&self) -> Vec<ListedLeaf> {
+        let now = self.clock.now();
+        let mut leaves = self.leaves.borrow_mut();
+        let Leaves { directory, services, .. } = &mut *leaves;
+        let mut to_check = Vec::new();
+        for (name, service) in services.iter_mut() {
+            let missing = service.replicas.look_after_missing(now, &self.replica_settings);
+            for leaf in missing.presumed_ended {
+                info!(event = "leaf_presumed_ended", service = %name, %leaf);
+            }
+            let listed = missing.to_check.iter().filter_map(|leaf| directory.leaves().get(leaf));
+            to_check.extend(listed.cloned());
+        }
+        to_check
     }
 
     /// Whether connections are kept ready for requests with this target latency.
@@ -501,7 +514,7 @@
         let wanted = |identity: &&LeafIdentity| {
             let open = leaves.pools.get(*identity).is_some_and(LeafPool::is_open);
             let waits = self.connections.refrains(now, identity);
-            !open && !waits && state.replicas.is_in_service(identity, now)
+            !open && !waits && state.replicas.is_in_service(identity, now, &self.replica_settings)
         };
         let plan = self.plan(&leaves, service, limits.connections);
         let identities = plan.ready().iter().filter(wanted);
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -7,6 +7,8 @@
 mod connection_book;
 mod dialect;
 mod gather;
+mod known_leaves;
+mod leaf_checks;
 mod leaf_registry;
 mod pool;
 mod readiness;
@@ -118,6 +120,7 @@
         monoio::spawn(server.run(listener));
         monoio::spawn(keep_up(state.clone()));
         monoio::spawn(standby::keep_ready(state.clone()));
+        monoio::spawn(leaf_checks::run(state.clone()));
         monoio::spawn(report_slow_leaves(state.clone(), reports));
         let (updates, received) = unbounded::channel();
         monoio::spawn(apply_updates(received, state.clone()));
--- a/crates/broker/tests/settings.rs
+++ b/crates/broker/tests/settings.rs
@@ -61,6 +61,20 @@
     assert_refused(&output, expected);
 }
 
+/// A field of the serving of routes, and what the error has to name.
+#[rstest]
+#[case::reuse("address_reuse_ms = 0", &["field routes.address_reuse_ms", "`0`", "from 1 to 600000"])]
+#[case::lag("list_lag_ms = 1000", &["field routes.list_lag_ms", "`1000`", "from routes.address_reuse_ms"])]
+#[case::ratio("extra_ratio = 1.5", &["field routes.extra_ratio", "`1.5`", "a share from 0 to 1"])]
+fn a_wrong_field_of_routes_is_named_with_its_value_and_the_remedy(
+    #[case] line: &str,
+    #[case] expected: &[&str],
+) {
+    let text = format!("{VALID}[routes]\nlisten = \"127.0.0.1:0\"\n{line}\n");
+    let output = run(&text.replace("LISTEN", &free_address().to_string()), &[]);
+    assert_refused(&output, expected);
+}
+
 #[rstest]
 fn a_missing_field_is_named(#[values("name", "region", "zone", "listen", "control")] field: &str) {
     let others = VALID.lines().filter(|line| !line.starts_with(&format!("{field} =")));
--- a/crates/broker/tests/support/leaf.rs
+++ b/crates/broker/tests/support/leaf.rs
@@ -1,5 +1,6 @@
 //! A leaf that replies as a test scripts it, byte for byte.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -161,7 +162,26 @@
 struct Listening {
     address: SocketAddr,
     ended: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    open: Arc<Mutex<OpenConnections>>,
+}
+
+/// Second handles of connections that are being served: one that is left over would hold its connection open.
+#[derive(Default)]
+struct OpenConnections {
+    next: u64,
+    streams: BTreeMap<u64, TcpStream>,
+}
+
+impl OpenConnections {
+    fn add(&mut self, stream: TcpStream) -> u64 {
+        self.next += 1;
+        self.streams.insert(self.next, stream);
+        self.next
+    }
+
+    fn remove(&mut self, number: u64) {
+        self.streams.remove(&number);
+    }
 }
 
 impl Listening {
@@ -170,7 +190,7 @@
         // Wakes the thread that accepts, which closes the listener.
         let _ = TcpStream::connect(self.address);
         wait_until("nobody listens", || TcpStream::connect(self.address).is_err());
-        for stream in self.open.lock().expect("no thread panicked").iter() {
+        for stream in self.open.lock().expect("no thread panicked").streams.values() {
             // It may be closed already.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -184,7 +204,8 @@
 fn listen(at: SocketAddr, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> Listening {
     let listener = TcpListener::bind(at).expect("a free port");
     let address = listener.local_addr().expect("a bound address");
-    let (ended, open) = (Arc::new(AtomicBool::new(false)), Arc::default());
+    let ended = Arc::new(AtomicBool::new(false));
+    let open: Arc<Mutex<OpenConnections>> = Arc::default();
     let listening = Listening { address, ended: Arc::clone(&ended), open: Arc::clone(&open) };
     let serve = Arc::new(serve);
     thread::spawn(move || {
@@ -192,10 +213,13 @@
             if ended.load(Ordering::SeqCst) {
                 return;
             }
-            let kept = stream.try_clone().expect("a second handle");
-            open.lock().expect("no thread panicked").push(kept);
-            let serve = serve.clone();
-            thread::spawn(move || serve(stream));
+            let (serve, open) = (serve.clone(), open.clone());
+            thread::spawn(move || {
+                let kept = stream.try_clone().expect("a second handle");
+                let number = open.lock().expect("no thread panicked").add(kept);
+                serve(stream);
+                open.lock().expect("no thread panicked").remove(number);
+            });
         }
     });
     listening
--- a/crates/domain/src/forwarding/eligibility.rs
+++ b/crates/domain/src/forwarding/eligibility.rs
@@ -12,6 +12,8 @@
     ZoneEvacuated,
     /// Another leaf has its address: it has ended, and the list will say so.
     AddressTaken,
+    /// It replied before, and has most likely ended; another one may have its address.
+    PresumedEnded,
     /// It is cold, and this broker has sent what it may for now.
     ColdRateSpent,
     /// It is left out for its failures.
@@ -25,7 +27,7 @@
         match self {
             Self::RegionNotAllowed | Self::ZoneEvacuated | Self::AddressTaken => true,
             // The list may name a successor at any moment.
-            Self::Leaving | Self::ColdRateSpent | Self::Ejected => false,
+            Self::Leaving | Self::PresumedEnded | Self::ColdRateSpent | Self::Ejected => false,
         }
     }
 
@@ -36,6 +38,7 @@
             Self::RegionNotAllowed => "region_not_allowed",
             Self::ZoneEvacuated => "zone_evacuated",
             Self::AddressTaken => "address_taken",
+            Self::PresumedEnded => "presumed_ended",
             Self::ColdRateSpent => "cold_rate_spent",
             Self::Ejected => "ejected",
         }
--- a/crates/domain/src/forwarding/extra_load.rs
+++ b/crates/domain/src/forwarding/extra_load.rs
@@ -83,6 +83,11 @@
         true
     }
 
+    /// Counts an extra request that was not known to be one when it was sent, whether there is room or not.
+    pub fn cover(&mut self, settings: &ExtraLoadSettings, now: Timestamp) {
+        self.current(settings, now).extra += 1;
+    }
+
     /// The part of the present time; parts that lie outside the window are forgotten.
     fn current(&mut self, settings: &ExtraLoadSettings, now: Timestamp) -> &mut Part {
         let length = (settings.window / WINDOW_PARTS).as_micros().max(1) as u64;
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -11,10 +11,12 @@
 mod gathering;
 mod greatest;
 mod load_report;
+mod misdirected;
 mod overload;
 mod planned_stop;
 mod replica;
 mod replica_set;
+mod signs_of_life;
 mod split;
 mod waiting_line;
 
@@ -29,9 +31,12 @@
 pub use gathering::{GatherStep, GatherTimes, Gathering};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
 pub use load_report::{LoadReport, ObservedLoad, USUAL_PACE};
+pub use misdirected::MisdirectedRequests;
 pub use overload::{Admitted, Ended, OverloadGate, OverloadGateSettings};
 pub use planned_stop::PlannedStop;
 pub use replica::{Distance, Outcome};
-pub use replica_set::{Choice, Connectivity, ReplicaSet, ReplicaSettings, Selection};
+pub use replica_set::{
+    Choice, Connectivity, MissingLeaves, ReplicaSet, ReplicaSettings, Selection,
+};
 pub use split::SplitTurns;
 pub use waiting_line::{Candidate, TicketNumber, WaitingLine};
--- a/crates/domain/src/forwarding/replica.rs
+++ b/crates/domain/src/forwarding/replica.rs
@@ -6,6 +6,7 @@
 
 use super::load_report::ObservedLoad;
 use super::replica_set::{Connectivity, ReplicaSettings};
+use super::signs_of_life::SignsOfLife;
 use crate::directory::{LeafAvailability, ListedLeaf};
 use crate::identifiers::ZoneName;
 use crate::time::Timestamp;
@@ -54,6 +55,8 @@
     Rejected,
     /// Another leaf answered at its address.
     AddressTaken,
+    /// Nobody listens at its address.
+    ConnectionRefused,
     /// The connection failed, or the answer was not usable.
     Failed,
     /// The attempt was given up after this time, before an outcome came.
@@ -71,6 +74,7 @@
     /// Whether another leaf answered there. A leaf that has ended does not come back: its successor has
     /// another identity.
     address_taken: bool,
+    pub(super) life: SignsOfLife,
     pub(super) in_flight: u32,
     latency: Option<f64>,
     observed: Timestamp,
@@ -87,13 +91,14 @@
 }
 
 impl Replica {
-    pub(super) fn new(leaf: &ListedLeaf, distance: Distance) -> Self {
+    pub(super) fn new(now: Timestamp, leaf: &ListedLeaf, distance: Distance) -> Self {
         Self {
             distance,
             slots: leaf.slots.max(1),
             leaving: leaf.availability == LeafAvailability::Leaving,
             address: leaf.address,
             address_taken: false,
+            life: SignsOfLife::listed(now),
             in_flight: 0,
             latency: None,
             observed: Timestamp::ZERO,
@@ -109,13 +114,14 @@
     }
 
     /// Takes over what the list says of the leaf.
-    pub(super) fn list(&mut self, leaf: &ListedLeaf, distance: Distance) {
+    pub(super) fn list(&mut self, now: Timestamp, leaf: &ListedLeaf, distance: Distance) {
         self.slots = leaf.slots.max(1);
         self.leaving = leaf.availability == LeafAvailability::Leaving;
         self.distance = distance;
         if self.address != leaf.address {
             self.address = leaf.address;
             self.address_taken = false;
+            self.life = SignsOfLife::listed(now);
         }
     }
 
@@ -124,6 +130,17 @@
         self.address_taken
     }
 
+    /// Whether the leaf has most likely ended, and another one may have its address.
+    pub(super) fn is_presumed_ended(&self, now: Timestamp, settings: &ReplicaSettings) -> bool {
+        self.life.is_presumed_ended(now, settings)
+    }
+
+    /// Whether the leaf is there and stays, as far as is known, and is not left out for its failures.
+    pub(super) fn is_there(&self, now: Timestamp, settings: &ReplicaSettings) -> bool {
+        let gone = self.leaving || self.address_taken || self.is_presumed_ended(now, settings);
+        !gone && !self.is_ejected(now)
+    }
+
     /// Whether the leaf is left out for its failures.
     pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
         if self.failures < FAILURES_TO_EJECT {
@@ -151,10 +168,15 @@
         match outcome {
             Outcome::Answered(latency) => self.answered(now, ordinary, latency),
             Outcome::Rejected => {
+                self.life.replied(now);
                 self.late = 0;
                 self.rejected_until = now.after(settings.rejection_pause);
             }
             Outcome::AddressTaken => self.address_taken = true,
+            Outcome::ConnectionRefused => {
+                self.life.refused_connection();
+                self.failed(now, settings);
+            }
             Outcome::Failed => self.failed(now, settings),
             Outcome::Abandoned(waited) => self.abandoned(now, settings, ordinary, waited),
         }
@@ -170,6 +192,7 @@
         }
         self.failures = 0;
         self.ejections = 0;
+        self.life.replied(now);
     }
 
     /// The leaf takes at least as long as was waited: that counts where it is news.
@@ -193,6 +216,7 @@
 
     fn failed(&mut self, now: Timestamp, settings: &ReplicaSettings) {
         self.failures += 1;
+        self.life.missed(now, settings);
         if self.failures >= FAILURES_TO_EJECT {
             let span = settings.ejection * 2u32.pow(self.ejections.min(EJECTION_DOUBLINGS));
             self.ejected_until = now.after(span);
@@ -210,6 +234,7 @@
         self.suspect_until =
             self.suspect_until.max(now.after(settings.suspicion * (1 << doublings)));
         self.late += 1;
+        self.life.missed(now, settings);
     }
 
     /// An attempt got no answer at all.
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -1,11 +1,12 @@
 //! The leaves of one service as one broker sees them, and the choice of one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::eligibility::{Exclusion, Exclusions, NobodyReason};
 use super::load_report::LoadReport;
 use super::replica::{Distance, Outcome, Replica};
+use super::signs_of_life::LifeStep;
 use crate::directory::ListedLeaf;
 use crate::identifiers::LeafIdentity;
 use crate::time::Timestamp;
@@ -17,6 +18,12 @@
 /// Most that one answer counts, in ordinary latencies: a few slow leaves do not make it ordinary.
 const LARGEST_SAMPLE: f64 = 3.0;
 
+/// Time after the end of a leaf from which on another one may have its address, where settings say
+/// nothing else: platforms that hand addresses out anew do so after seconds.
+const DEFAULT_ADDRESS_REUSE: Duration = Duration::from_secs(2);
+/// The same of how long the list names a leaf that has ended: twice the five seconds that were seen.
+const DEFAULT_LIST_LAG: Duration = Duration::from_secs(10);
+
 /// Bounds of the choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReplicaSettings {
@@ -38,6 +45,10 @@
     pub suspicion: Duration,
     /// Time for which a leaf that refused work is asked last.
     pub rejection_pause: Duration,
+    /// Time after the end of a leaf from which on another one may have its address.
+    pub address_reuse: Duration,
+    /// Longest time for which the list goes on naming a leaf that has ended.
+    pub list_lag: Duration,
 }
 
 impl Default for ReplicaSettings {
@@ -52,6 +63,8 @@
             ejection: Duration::from_millis(500),
             suspicion: Duration::from_millis(300),
             rejection_pause: Duration::from_millis(100),
+            address_reuse: DEFAULT_ADDRESS_REUSE,
+            list_lag: DEFAULT_LIST_LAG,
         }
     }
 }
@@ -118,19 +131,32 @@
 /// A leaf with what speaks for it, the less the better.
 type Candidate<'set> = (Tier, f64, &'set LeafIdentity);
 
+/// Leaves that have missed, by what to do about them.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct MissingLeaves {
+    /// A connection is to be opened to each, to learn whether it is there.
+    pub to_check: Vec<LeafIdentity>,
+    /// They are presumed to have ended from now on.
+    pub presumed_ended: Vec<LeafIdentity>,
+}
+
 /// The leaves of one service.
 #[derive(Debug, Default)]
 pub struct ReplicaSet {
     replicas: BTreeMap<LeafIdentity, Replica>,
+    /// Those of them that have missed and may have given no sign of life since.
+    missing: BTreeSet<LeafIdentity>,
     /// What an answer of this service ordinarily takes, in seconds; none before the first.
     ordinary: Option<f64>,
 }
 
 impl ReplicaSet {
-    /// Takes over what the directory says of a leaf.
-    pub fn list(&mut self, leaf: &ListedLeaf, distance: Distance) {
+    /// Takes over what the directory says of a leaf; gives whether it is new.
+    pub fn list(&mut self, now: Timestamp, leaf: &ListedLeaf, distance: Distance) -> bool {
+        let known = self.replicas.len();
         let replica = self.replicas.entry(leaf.identity.clone());
-        replica.or_insert_with(|| Replica::new(leaf, distance)).list(leaf, distance);
+        replica.or_insert_with(|| Replica::new(now, leaf, distance)).list(now, leaf, distance);
+        self.replicas.len() > known
     }
 
     /// Forgets the leaves that `keep` does not name.
@@ -143,10 +169,14 @@
         self.replicas.keys()
     }
 
-    /// Whether a leaf is there and not left out for its failures.
-    pub fn is_in_service(&self, leaf: &LeafIdentity, now: Timestamp) -> bool {
-        let replica = self.replicas.get(leaf);
-        replica.is_some_and(|replica| !replica.is_address_taken() && !replica.is_ejected(now))
+    /// Whether a leaf is there, as far as is known, and not left out for its failures.
+    pub fn is_in_service(
+        &self,
+        leaf: &LeafIdentity,
+        now: Timestamp,
+        settings: &ReplicaSettings,
+    ) -> bool {
+        self.replicas.get(leaf).is_some_and(|replica| replica.is_there(now, settings))
     }
 
     /// Whether no leaf is known.
@@ -167,8 +197,15 @@
         let ordinary = self.ordinary(settings);
         let (mut best, mut exhausted): (Option<Candidate>, Option<Candidate>) = (None, None);
         let mut left_out = Exclusions::default();
+        // Where all leaves of a service seem to have ended, the cause may be this broker's own link.
+        let any_there = self.replicas.values().any(|replica| replica.is_there(now, settings));
         for (identity, replica) in &self.replicas {
+            let presumed_ended = any_there && replica.is_presumed_ended(now, settings);
             let connectivity = match eligible(identity, replica, now, tried, &reach) {
+                Ok(_) if presumed_ended => {
+                    left_out.add(NobodyReason::Excluded(Exclusion::PresumedEnded));
+                    continue;
+                }
                 Ok(connectivity) => connectivity,
                 Err(reason) => {
                     left_out.add(reason);
@@ -201,10 +238,51 @@
         }
     }
 
+    /// Somebody took a connection at a leaf's address.
+    pub fn took_connection(
+        &mut self,
+        now: Timestamp,
+        settings: &ReplicaSettings,
+        leaf: &LeafIdentity,
+    ) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.life.took_connection(now, settings);
+        }
+    }
+
+    /// Nobody listens at a leaf's address.
+    pub fn refused_connection(&mut self, leaf: &LeafIdentity) {
+        if let Some(replica) = self.replicas.get_mut(leaf) {
+            replica.life.refused_connection();
+        }
+    }
+
+    /// What to do about the leaves that have missed.
+    pub fn look_after_missing(
+        &mut self,
+        now: Timestamp,
+        settings: &ReplicaSettings,
+    ) -> MissingLeaves {
+        let mut found = MissingLeaves::default();
+        let replicas = &mut self.replicas;
+        self.missing.retain(|leaf| {
+            let replica = replicas.get_mut(leaf).filter(|replica| !replica.is_address_taken());
+            let step = replica.map_or(LifeStep::Settled, |known| known.life.step(now, settings));
+            match step {
+                LifeStep::Check => found.to_check.push(leaf.clone()),
+                LifeStep::PresumedEnded => found.presumed_ended.push(leaf.clone()),
+                LifeStep::Settled | LifeStep::Wait => {}
+            }
+            step != LifeStep::Settled
+        });
+        found
+    }
+
     /// An attempt has waited longer than expected.
     pub fn late(&mut self, now: Timestamp, settings: &ReplicaSettings, leaf: &LeafIdentity) {
         if let Some(replica) = self.replicas.get_mut(leaf) {
             replica.mark_late(now, settings);
+            self.missing.insert(leaf.clone());
         }
     }
 
@@ -212,6 +290,7 @@
     pub fn silent(&mut self, now: Timestamp, settings: &ReplicaSettings, leaf: &LeafIdentity) {
         if let Some(replica) = self.replicas.get_mut(leaf) {
             replica.mark_silent(now, settings);
+            self.missing.insert(leaf.clone());
         }
     }
 
@@ -250,6 +329,9 @@
         }
         if let Some(replica) = self.replicas.get_mut(leaf) {
             replica.finish(now, settings, ordinary, outcome);
+            if matches!(outcome, Outcome::Failed | Outcome::ConnectionRefused) {
+                self.missing.insert(leaf.clone());
+            }
         }
     }
 
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -39,9 +39,9 @@
 /// One leaf in the own zone, two far away.
 fn three_leaves() -> ReplicaSet {
     let mut set = ReplicaSet::default();
-    set.list(&leaf("near"), Distance::Zone);
-    set.list(&leaf("far-1"), Distance::Far);
-    set.list(&leaf("far-2"), Distance::Far);
+    set.list(at(0), &leaf("near"), Distance::Zone);
+    set.list(at(0), &leaf("far-1"), Distance::Far);
+    set.list(at(0), &leaf("far-2"), Distance::Far);
     set
 }
 
@@ -145,6 +145,7 @@
 fn a_leaving_leaf_gets_no_new_work() {
     let mut set = three_leaves();
     set.list(
+        at(0),
         &ListedLeaf { availability: LeafAvailability::Leaving, ..leaf("near") },
         Distance::Zone,
     );
@@ -214,7 +215,7 @@
 fn a_failing_leaf_is_left_out_and_comes_back() {
     let settings = ReplicaSettings::default();
     let mut set = ReplicaSet::default();
-    set.list(&leaf("only"), Distance::Zone);
+    set.list(at(0), &leaf("only"), Distance::Zone);
     for _ in 0..2 {
         set.begin(&identity("only"));
         set.finish(at(0), &settings, &identity("only"), Outcome::Failed);
@@ -452,11 +453,15 @@
     };
     let forbidden = |_: &LeafIdentity| Err(Exclusion::RegionNotAllowed);
     assert_eq!(choose(&set, forbidden), Selection::Nobody(NobodyReason::NoneListed));
-    set.list(&leaf("elsewhere"), Distance::Far);
+    set.list(at(0), &leaf("elsewhere"), Distance::Far);
     let reason = NobodyReason::Excluded(Exclusion::RegionNotAllowed);
     assert_eq!(choose(&set, forbidden), Selection::Nobody(reason));
     assert!(reason.is_lasting());
-    set.list(&ListedLeaf { availability: LeafAvailability::Leaving, ..leaf("a") }, Distance::Zone);
+    set.list(
+        at(0),
+        &ListedLeaf { availability: LeafAvailability::Leaving, ..leaf("a") },
+        Distance::Zone,
+    );
     let reason = NobodyReason::Excluded(Exclusion::Leaving);
     assert_eq!(choose(&set, forbidden), Selection::Nobody(reason));
     assert!(!reason.is_lasting());
@@ -467,19 +472,19 @@
 #[test]
 fn a_leaf_whose_address_another_one_has_is_left_out_until_the_list_says_otherwise() {
     let mut set = ReplicaSet::default();
-    set.list(&leaf("gone"), Distance::Zone);
+    set.list(at(0), &leaf("gone"), Distance::Zone);
     set.begin(&identity("gone"));
     set.finish(at(0), &ReplicaSettings::default(), &identity("gone"), Outcome::AddressTaken);
     let reason = NobodyReason::Excluded(Exclusion::AddressTaken);
     for later in [1, 1_000, 60_000] {
-        set.list(&leaf("gone"), Distance::Zone);
+        set.list(at(0), &leaf("gone"), Distance::Zone);
         assert_eq!(select(&set, at(later), &[], |_| Connectivity::Idle), Selection::Nobody(reason));
     }
     assert!(reason.is_lasting());
-    set.list(&leaf("successor"), Distance::Far);
+    set.list(at(0), &leaf("successor"), Distance::Far);
     assert_eq!(chosen(&set, at(60_000), &[]).as_deref(), Some("successor"));
     let moved = ListedLeaf { address: ([127, 0, 0, 1], 2).into(), ..leaf("gone") };
-    set.list(&moved, Distance::Zone);
+    set.list(at(0), &moved, Distance::Zone);
     assert_eq!(chosen(&set, at(60_000), &[]).as_deref(), Some("gone"));
 }
 
--- a/crates/domain/tests/leaf_warnings.rs
+++ b/crates/domain/tests/leaf_warnings.rs
@@ -146,7 +146,7 @@
             availability: LeafAvailability::Ready,
             cold_ms: 0,
         };
-        set.list(&listed, distance);
+        set.list(at(0), &listed, distance);
     }
     set
 }
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -82,6 +82,12 @@
     /// Extra leaf requests of all brokers together beyond the share.
     #[serde(default)]
     pub extra_slack: f64,
+    /// Milliseconds after the end of a leaf from which on another one may have its address.
+    #[serde(default = "default_address_reuse_ms")]
+    pub address_reuse_ms: u32,
+    /// Milliseconds for which the list of leaves goes on naming one that has ended, at most.
+    #[serde(default = "default_list_lag_ms")]
+    pub list_lag_ms: u32,
     /// Milliseconds before the target latency at which an answer with parts missing leaves at the
     /// latest: what the way to the caller takes.
     #[serde(default = "default_answer_margin_ms")]
@@ -149,6 +155,14 @@
     10_000
 }
 
+fn default_address_reuse_ms() -> u32 {
+    2_000
+}
+
+fn default_list_lag_ms() -> u32 {
+    10_000
+}
+
 fn default_answer_margin_ms() -> u32 {
     15
 }
@@ -238,6 +252,12 @@
         check.field("routes.extra_window_ms", self.extra_window_ms, accepted, remedy)?;
         let accepted = self.extra_slack >= 0.0 && self.extra_slack.is_finite();
         check.field("routes.extra_slack", self.extra_slack, accepted, "use a number from 0")?;
+        let accepted = (1..=600_000).contains(&self.address_reuse_ms);
+        let remedy = "use milliseconds from 1 to 600000";
+        check.field("routes.address_reuse_ms", self.address_reuse_ms, accepted, remedy)?;
+        let accepted = (self.address_reuse_ms..=600_000).contains(&self.list_lag_ms);
+        let remedy = "use milliseconds from routes.address_reuse_ms to 600000";
+        check.field("routes.list_lag_ms", self.list_lag_ms, accepted, remedy)?;
         let accepted = self.answer_margin_ms <= 10_000;
         let remedy = "use milliseconds up to 10000";
         check.field("routes.answer_margin_ms", self.answer_margin_ms, accepted, remedy)?;
--- a/crates/simulation/src/routes/broker.rs
+++ b/crates/simulation/src/routes/broker.rs
@@ -1,99 +1,32 @@
 //! A broker in simulation: the aggregates of forwarding, driven by events instead of tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
     Admitted, AfterAttempt, AttemptError, Candidate, Choice, Connectivity, Distance, Ended,
-    ExtraLoadBudget, ExtraLoadSettings, GatherStep, GatherTimes, Gathering, NoReply, NobodyReason,
-    Outcome, OverloadGate, OverloadGateSettings, ReplicaSet, ReplicaSettings, RequestAttempts,
-    Selection, SlackShare, TicketNumber, hedge_delay,
+    ExtraLoadBudget, GatherStep, GatherTimes, Gathering, MisdirectedRequests, NoReply,
+    NobodyReason, Outcome, OverloadGate, OverloadGateSettings, ReplicaSet, ReplicaSettings,
+    RequestAttempts, Selection, SlackShare, TicketNumber, hedge_delay,
 };
 use gingerkeel_domain::identifiers::LeafIdentity;
-use gingerkeel_domain::routes::PartsPerMillion;
 use gingerkeel_domain::tail::LatencyWindow;
 use gingerkeel_domain::time::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+use super::action::{Action, AttemptKey, Timer};
+use super::bounds::{
+    ADDRESS_REUSE, ADMISSION_WAIT, ATTEMPTS, CONNECTION_WAIT, CONNECTION_WAIT_LIMIT, CONNECTIONS,
+    EXTRA_LOAD, HEDGE_QUANTILE, LEAST_SHARE, REFUSAL_WAIT, REFUSAL_WAIT_END, SILENT_AFTER, TARGET,
+    TIMEOUT,
+};
 use super::fault::Mutant;
 use super::history::{Ending, RequestNumber};
 use super::request::{Part, Request, RouteKind};
 
-/// Time that a request is held at most.
-pub const TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time within which an answer is worth all.
-pub const TARGET: Duration = Duration::from_millis(120);
-/// Least share of the parts.
-pub const LEAST_SHARE: PartsPerMillion = PartsPerMillion(750_000);
-/// Leaves that one request may run on, at each service.
-pub const ATTEMPTS: u32 = 2;
-/// Extra requests that all brokers may send in a window, as a share of requests.
-pub const EXTRA_RATIO: f64 = 0.2;
-/// Extra requests beyond that.
-pub const EXTRA_SLACK: f64 = 12.0;
-/// The budget of brokers. It stays below the bound, as the requests of a window that has moved on
-/// may be fewer than those that allowed its extra ones.
-pub const EXTRA_LOAD: ExtraLoadSettings = ExtraLoadSettings {
-    ratio: 0.95 * EXTRA_RATIO,
-    window: Duration::from_secs(2),
-    slack: 0.7 * EXTRA_SLACK,
-};
-/// Connections of a broker to one leaf.
-const CONNECTIONS: usize = 8;
-/// Share of replies that are waited for before another leaf is asked as well.
-const HEDGE_QUANTILE: f64 = 0.95;
-/// Silence, in hedge delays, after which a leaf that owes a reply is failing.
-const SILENT_AFTER: u32 = 3;
-/// Time until leaves are looked at again to which there was no connection to spare.
-const CONNECTION_WAIT: Duration = Duration::from_millis(4);
-/// Time for which a request waits for a connection at most.
-const CONNECTION_WAIT_LIMIT: Duration = TARGET;
-/// Time until leaves are asked again that refused, or of which none could be asked.
-const REFUSAL_WAIT: Duration = Duration::from_millis(20);
-/// Time before the deadline from which on they are not waited for any more.
-const REFUSAL_WAIT_END: Duration = Duration::from_millis(300);
-/// Time for which a request waits for admission at most.
-const ADMISSION_WAIT: Duration = Duration::from_millis(450);
-
-/// An attempt of a broker.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AttemptKey {
-    /// The request.
-    pub request: RequestNumber,
-    /// Place of the part.
-    pub part: usize,
-    /// The leaf.
-    pub leaf: LeafIdentity,
-}
-
-/// Something that a broker waits for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Timer {
-    /// Whether an answer is complete enough.
-    Progress(RequestNumber),
-    /// Whether another leaf is asked as well, after so many were.
-    Hedge(RequestNumber, usize, usize),
-    /// Whether a connection is free.
-    Connection(RequestNumber, usize),
-    /// Whether a request still waits for admission.
-    Admission(RouteKind, TicketNumber),
-}
-
-/// What a broker does.
-#[derive(Debug)]
-pub enum Action {
-    /// It sends a request to a leaf.
-    Send(AttemptKey),
-    /// It closes the connection of an attempt.
-    Cancel(AttemptKey),
-    /// It wants to be told after this time.
-    Wake(Duration, Timer),
-    /// It answers a caller.
-    End(RequestNumber, Ending),
-}
-
 /// A request that waits for admission.
 #[derive(Debug, Clone)]
 struct Waiting {
@@ -112,6 +45,9 @@
     /// Requests that wait for admission.
     waiting: BTreeMap<(RouteKind, TicketNumber), Waiting>,
     in_use: BTreeMap<LeafIdentity, usize>,
+    misdirected: MisdirectedRequests,
+    /// The services of the leaves that are known to have addresses of others.
+    holders: BTreeMap<SocketAddr, usize>,
     slack: SlackShare,
     replica_settings: ReplicaSettings,
     gate_settings: OverloadGateSettings,
@@ -130,9 +66,11 @@
             requests: BTreeMap::new(),
             waiting: BTreeMap::new(),
             in_use: BTreeMap::new(),
+            misdirected: MisdirectedRequests::default(),
+            holders: BTreeMap::new(),
             // Each was there before the first request.
             slack: SlackShare::of(&EXTRA_LOAD, brokers, EXTRA_LOAD.window),
-            replica_settings: ReplicaSettings::default(),
+            replica_settings: replica_settings(mutant),
             gate_settings: OverloadGateSettings::default(),
             random: Pcg64::seed_from_u64(seed),
             mutant,
@@ -140,8 +78,45 @@
     }
 
     /// The list of leaves tells of one.
-    pub fn list(&mut self, service: usize, leaf: &ListedLeaf, distance: Distance) {
-        self.replicas.entry(service).or_default().list(leaf, distance);
+    pub fn list(&mut self, now: Timestamp, service: usize, leaf: &ListedLeaf, distance: Distance) {
+        self.replicas.entry(service).or_default().list(now, leaf, distance);
+    }
+
+    /// The leaves to which a connection is opened now, to learn whether they are there.
+    pub fn leaves_to_check(&mut self, now: Timestamp) -> Vec<LeafIdentity> {
+        let settings = &self.replica_settings;
+        let replicas = self.replicas.values_mut();
+        replicas.flat_map(|known| known.look_after_missing(now, settings).to_check).collect()
+    }
+
+    /// What came of such a connection.
+    pub fn checked(&mut self, now: Timestamp, service: usize, leaf: &LeafIdentity, taken: bool) {
+        let settings = &self.replica_settings;
+        match self.replicas.get_mut(&service) {
+            Some(replicas) if taken => replicas.took_connection(now, settings, leaf),
+            Some(replicas) => replicas.refused_connection(leaf),
+            None => {}
+        }
+    }
+
+    /// The list of leaves tells of a new leaf of a service, at the address of an ended one that it still
+    /// names.
+    pub fn list_at_taken_address(&mut self, now: Timestamp, address: SocketAddr, service: usize) {
+        self.holders.insert(address, service);
+        let uncovered = self.misdirected.take(now, EXTRA_LOAD.window, address);
+        let budget = self.budgets.entry(service).or_default();
+        (0..uncovered).for_each(|_| budget.cover(&EXTRA_LOAD, now));
+    }
+
+    /// A request arrived at a leaf that has the address of another one.
+    pub fn cover_misdirected(&mut self, now: Timestamp, address: SocketAddr) {
+        if self.mutant == Some(Mutant::EndedLeavesUnnoticed) {
+            return;
+        }
+        match self.holders.get(&address) {
+            Some(service) => self.budgets.entry(*service).or_default().cover(&EXTRA_LOAD, now),
+            None => self.misdirected.arrived(now, address),
+        }
     }
 
     /// A caller's request comes.
@@ -360,6 +335,8 @@
             Selection::Wait { otherwise } => otherwise,
             Selection::Nobody(_) => None,
         };
+        // A hedge to a leaf that is late itself is hardly ever the first to answer.
+        let choice = choice.filter(|choice| choice.sound || !hedge);
         let asked = choice.filter(|_| self.may_ask(now, &request.parts[part]));
         match asked {
             Some(choice) => self.send(now, number, request, part, choice, actions),
@@ -410,8 +387,7 @@
         choice: Choice,
         actions: &mut Vec<Action>,
     ) {
-        let measured =
-            self.latencies.get(&request.kind).and_then(|known| known.quantile(HEDGE_QUANTILE));
+        let delay = self.hedge_delay(request.kind);
         let part = &mut request.parts[place];
         part.attempts.asked(now, choice.leaf.clone());
         part.began.insert(choice.leaf.clone(), now);
@@ -420,11 +396,16 @@
             replicas.begin(&choice.leaf);
         }
         let asked = part.attempts.tried().len();
-        let delay = hedge_delay(measured, TARGET);
         actions.push(Action::Wake(delay, Timer::Hedge(number, place, asked)));
         actions.push(Action::Send(AttemptKey { request: number, part: place, leaf: choice.leaf }));
     }
 
+    /// When another leaf is asked as well.
+    fn hedge_delay(&self, kind: RouteKind) -> Duration {
+        let latencies = self.latencies.get(&kind);
+        hedge_delay(latencies.and_then(|known| known.quantile(HEDGE_QUANTILE)), TARGET)
+    }
+
     /// The leaf asked last is late: another one may be asked as well.
     fn hedge(
         &mut self,
@@ -540,8 +521,8 @@
         place: usize,
         actions: &mut Vec<Action>,
     ) {
+        let silent = self.hedge_delay(request.kind) * SILENT_AFTER;
         let part = &mut request.parts[place];
-        let silent = TARGET * SILENT_AFTER;
         for (leaf, began) in std::mem::take(&mut part.began) {
             let waited = now.since(began);
             if let Some(replicas) = self.replicas.get_mut(&part.service) {
@@ -570,6 +551,7 @@
             Ok(_) => Outcome::Answered(took),
             Err(AttemptError::Rejected) => Outcome::Rejected,
             Err(AttemptError::AnotherLeaf) => Outcome::AddressTaken,
+            Err(AttemptError::ConnectionRefused) => Outcome::ConnectionRefused,
             Err(_) => Outcome::Failed,
         };
         if let Some(replicas) = self.replicas.get_mut(&service) {
@@ -581,6 +563,15 @@
     }
 }
 
+fn replica_settings(mutant: Option<Mutant>) -> ReplicaSettings {
+    let usual = ReplicaSettings { address_reuse: ADDRESS_REUSE, ..ReplicaSettings::default() };
+    match mutant {
+        // The list is taken to name none that has ended.
+        Some(Mutant::EndedLeavesUnnoticed) => ReplicaSettings { list_lag: Duration::ZERO, ..usual },
+        _ => usual,
+    }
+}
+
 fn release(in_use: &mut BTreeMap<LeafIdentity, usize>, leaf: &LeafIdentity) {
     if let Some(used) = in_use.get_mut(leaf) {
         *used = used.saturating_sub(1);
--- a/crates/simulation/src/routes/check.rs
+++ b/crates/simulation/src/routes/check.rs
@@ -5,7 +5,7 @@
 
 use gingerkeel_domain::time::Timestamp;
 
-use super::broker::{ATTEMPTS, EXTRA_LOAD, EXTRA_RATIO, EXTRA_SLACK, LEAST_SHARE};
+use super::bounds::{ATTEMPTS, EXTRA_LOAD, EXTRA_RATIO, EXTRA_SLACK, LEAST_SHARE};
 use super::fault::LeafPlace;
 use super::history::{Ending, History, RequestNumber, RequestRecord};
 use super::world::LIST_DELAY;
--- a/crates/simulation/src/routes/fault.rs
+++ b/crates/simulation/src/routes/fault.rs
@@ -40,6 +40,9 @@
     FailedPartsCount,
     /// A request that may have run is said not to have.
     UnknownSaidNotRun,
+    /// An ended leaf is not told from a slow one, and what arrived at whoever has its address is not taken out of
+    /// a budget.
+    EndedLeavesUnnoticed,
     /// A request is held on past its deadline.
     DeadlineUnheard,
 }
--- a/crates/simulation/src/routes/leaf.rs
+++ b/crates/simulation/src/routes/leaf.rs
@@ -80,6 +80,19 @@
         }
     }
 
+    /// Whether a connection without a request is taken; none where nothing comes back.
+    pub fn takes_connection(&self) -> Option<bool> {
+        match self.mode {
+            LeafMode::Dark => None,
+            LeafMode::Down => Some(false),
+            LeafMode::Sound
+            | LeafMode::LosesAnswers
+            | LeafMode::Fails
+            | LeafMode::Refuses
+            | LeafMode::AddressTaken(_) => Some(true),
+        }
+    }
+
     /// A request arrives.
     pub fn arrive(&mut self, attempt: AttemptNumber) -> Arrival {
         match self.mode {
--- a/crates/simulation/src/routes/mod.rs
+++ b/crates/simulation/src/routes/mod.rs
@@ -3,6 +3,8 @@
 //! The brokers' choice of leaves, budget of extra requests, admission, attempts and gathering are
 //! the aggregates that the broker itself runs; connections and waiting are modelled here.
 
+mod action;
+mod bounds;
 mod broker;
 mod check;
 mod fault;
--- a/crates/simulation/src/routes/scenario.rs
+++ b/crates/simulation/src/routes/scenario.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+use super::bounds::ADDRESS_REUSE;
 use super::check::{Violation, check};
 use super::fault::{Fault, LeafPlace, Mutant, TimedFault};
 use super::history::History;
@@ -20,10 +21,6 @@
 /// Time after the last caller until everything has an ending.
 const SETTLING: Duration = Duration::from_secs(2);
 
-/// Time after the end of a leaf, in milliseconds, from which on another one may have its address: the window
-/// of the budget is a fifth of the usual one, and so is this.
-const ADDRESS_REUSE_MS: u64 = 400;
-
 /// A scenario.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -83,7 +80,7 @@
         let mode = if random.random_bool(0.5) { LeafMode::Down } else { LeafMode::Dark };
         faults.push(at(moment, Fault::Mode(place, mode)));
         let taken = LeafMode::AddressTaken(receiver);
-        faults.push(at(moment + ADDRESS_REUSE_MS, Fault::Mode(place, taken)));
+        faults.push(at(moment + ADDRESS_REUSE.as_millis() as u64, Fault::Mode(place, taken)));
     }
     faults
 }
@@ -132,6 +129,7 @@
                 let places = (0..=SHARDS).map(|service| LeafPlace { service, leaf });
                 places.map(|place| at(moment, Fault::Leaving(place))).collect()
             }),
+            Self::addresses_taken(),
             Self::new("routes-burst", |random| {
                 let moment = any_moment(random);
                 vec![at(moment, Fault::Load(14.0)), at(moment + 1_500, Fault::Load(1.0))]
--- a/crates/simulation/src/routes/world.rs
+++ b/crates/simulation/src/routes/world.rs
@@ -11,7 +11,9 @@
 use rand::Rng;
 use rand_pcg::Pcg64;
 
-use super::broker::{Action, AttemptKey, BrokerModel, TIMEOUT, Timer};
+use super::action::{Action, AttemptKey, Timer};
+use super::bounds::TIMEOUT;
+use super::broker::BrokerModel;
 use super::fault::{Fault, LeafPlace, Mutant};
 use super::history::{ArrivalRecord, Ending, History, RequestNumber, RequestRecord};
 use super::leaf::{Arrival, AttemptNumber, LeafMode, LeafModel, SLOTS};
@@ -36,6 +38,8 @@
     Duration::from_micros(300)..Duration::from_micros(1_500);
 /// Time from a change of the list of leaves until a broker has it.
 pub const LIST_DELAY: Duration = Duration::from_millis(400);
+/// Time between two looks of a broker at which leaves have missed.
+const CHECK_ROUND: Duration = Duration::from_millis(200);
 /// How long a leaf pauses, and how often.
 const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(2_500)];
 
@@ -58,6 +62,12 @@
     Timer(usize, Timer),
     /// The list of leaves reaches a broker.
     ListAtBroker(usize, LeafPlace),
+    /// The list names to a broker a leaf of this service at the address of an ended one.
+    TakenAddressAtBroker(usize, LeafPlace, usize),
+    /// A broker looks at which leaves have missed.
+    Check(usize),
+    /// A broker hears whether a leaf took its connection.
+    CheckedAtBroker(usize, LeafPlace, bool),
     /// A fault comes.
     Fault(Fault),
 }
@@ -112,20 +122,33 @@
             trace,
         };
         for broker in 0..BROKERS {
-            places().for_each(|place| world.list(broker, place));
+            places().for_each(|place| world.list(Timestamp::ZERO, broker, place));
         }
         world
     }
 
     /// The events with which a run begins.
     pub fn start(&mut self, schedule: &mut Schedule<Event>) {
+        (0..BROKERS).for_each(|broker| schedule.after(CHECK_ROUND, Event::Check(broker)));
         schedule.after(Duration::ZERO, Event::CallerComes);
         for place in places() {
             schedule.after(self.random.random_range(Duration::ZERO..PAUSE[1]), Event::Pause(place));
         }
     }
 
-    fn list(&mut self, broker: usize, place: LeafPlace) {
+    /// Connections without a request, to leaves that have missed.
+    fn check_leaves(&mut self, now: Timestamp, broker: usize, schedule: &mut Schedule<Event>) {
+        schedule.after(CHECK_ROUND, Event::Check(broker));
+        for leaf in self.brokers[broker].leaves_to_check(now) {
+            let place = place_of(&leaf);
+            if let Some(taken) = self.leaves[&place].takes_connection() {
+                let there_and_back = self.delay() + self.delay();
+                schedule.after(there_and_back, Event::CheckedAtBroker(broker, place, taken));
+            }
+        }
+    }
+
+    fn list(&mut self, now: Timestamp, broker: usize, place: LeafPlace) {
         let leaving = self.history.leaving.contains_key(&place);
         let unheard = self.mutant == Some(Mutant::LeavingUnheard);
         let availability = match leaving && !unheard {
@@ -135,14 +158,14 @@
         let listed = ListedLeaf {
             identity: identity(place),
             service: ServiceName::new(format!("s{}", place.service)),
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            address: address(place),
             zone: ZoneName::new(format!("z{}", place.leaf)),
             slots: SLOTS as u32,
             availability,
             cold_ms: 0,
         };
         let distance = if place.leaf == broker { Distance::Zone } else { Distance::Region };
-        self.brokers[broker].list(place.service, &listed, distance);
+        self.brokers[broker].list(now, place.service, &listed, distance);
     }
 
     fn caller_comes(&mut self, now: Timestamp, schedule: &mut Schedule<Event>) {
@@ -288,6 +311,9 @@
         schedule: &mut Schedule<Event>,
     ) {
         let attempt = self.attempts[&number].clone();
+        if outcome == Err(AttemptError::AnotherLeaf) {
+            self.brokers[attempt.broker].cover_misdirected(now, address(attempt.leaf));
+        }
         if outcome == Ok(200) {
             self.history.good_replies.insert((attempt.key.request, attempt.leaf.service));
         }
@@ -299,18 +325,30 @@
         self.trace.record(now, format_args!("event=fault {fault:?}"));
         match fault {
             Fault::Load(load) => self.load = load,
-            Fault::Mode(place, mode) => self.with_leaf(place, |leaf| leaf.mode = mode),
+            Fault::Mode(place, mode) => {
+                self.with_leaf(place, |leaf| leaf.mode = mode);
+                if let LeafMode::AddressTaken(service) = mode {
+                    self.tell_brokers(schedule, |broker| {
+                        Event::TakenAddressAtBroker(broker, place, service)
+                    });
+                }
+            }
             Fault::Slow(place, factor) => self.with_leaf(place, |leaf| leaf.slow_factor = factor),
             Fault::Leaving(place) => {
                 self.history.leaving.entry(place).or_insert(now);
-                for broker in 0..BROKERS {
-                    let delay = self.random.random_range(Duration::ZERO..LIST_DELAY);
-                    schedule.after(delay, Event::ListAtBroker(broker, place));
-                }
+                self.tell_brokers(schedule, |broker| Event::ListAtBroker(broker, place));
             }
         }
     }
 
+    /// Each broker hears of a change of the list some time after it.
+    fn tell_brokers(&mut self, schedule: &mut Schedule<Event>, news: impl Fn(usize) -> Event) {
+        for broker in 0..BROKERS {
+            let delay = self.random.random_range(Duration::ZERO..LIST_DELAY);
+            schedule.after(delay, news(broker));
+        }
+    }
+
     fn with_leaf(&mut self, place: LeafPlace, change: impl FnOnce(&mut LeafModel)) {
         if let Some(leaf) = self.leaves.get_mut(&place) {
             change(leaf);
@@ -338,7 +376,14 @@
                 let actions = self.brokers[broker].wake(now, timer);
                 self.carry_out(now, broker, actions, schedule);
             }
-            Event::ListAtBroker(broker, place) => self.list(broker, place),
+            Event::ListAtBroker(broker, place) => self.list(now, broker, place),
+            Event::TakenAddressAtBroker(broker, place, service) => {
+                self.brokers[broker].list_at_taken_address(now, address(place), service);
+            }
+            Event::Check(broker) => self.check_leaves(now, broker, schedule),
+            Event::CheckedAtBroker(broker, place, taken) => {
+                self.brokers[broker].checked(now, place.service, &identity(place), taken);
+            }
             Event::Fault(fault) => self.fault(now, fault, schedule),
         }
     }
@@ -353,6 +398,11 @@
     LeafIdentity::new(format!("{}-{}", place.service, place.leaf))
 }
 
+fn address(place: LeafPlace) -> SocketAddr {
+    let port = 1 + place.service * LEAVES + place.leaf;
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port as u16))
+}
+
 fn place_of(identity: &LeafIdentity) -> LeafPlace {
     let found = places().find(|place| self::identity(*place) == *identity);
     found.expect("an identity that this world made")
--- a/crates/simulation/tests/routes.rs
+++ b/crates/simulation/tests/routes.rs
@@ -29,6 +29,7 @@
         "routes-failures",
         "routes-refusals",
         "routes-leaving",
+        "routes-addresses-taken",
         "routes-burst"
     )]
     name: &str,
@@ -120,11 +121,13 @@
 
 /// A rule that is switched off breaks its promise in some seed of the scenario that needs it.
 #[rstest]
-#[case::budget(Mutant::BudgetIgnored, "routes-slow-everywhere", "over budget")]
+#[case::budget_of_retries(Mutant::BudgetIgnored, "routes-failures", "over budget")]
+#[case::budget_of_hedges(Mutant::BudgetIgnored, "routes-addresses-taken", "over budget")]
 #[case::at_most_once(Mutant::EveryRequestRepeatable, "routes-answers-lost", "too many runs")]
 #[case::leaving(Mutant::LeavingUnheard, "routes-leaving", "work for leaving")]
 #[case::coverage(Mutant::FailedPartsCount, "routes-failures", "false part")]
 #[case::not_run(Mutant::UnknownSaidNotRun, "routes-answers-lost", "not run was run")]
+#[case::ended_leaves(Mutant::EndedLeavesUnnoticed, "routes-addresses-taken", "over budget")]
 #[case::deadline(Mutant::DeadlineUnheard, "routes-shard-dark", "not one ending")]
 fn rule_switched_off_breaks_its_promise(
     #[case] mutant: Mutant,
