Tell ports of the seeds' test apart by process

Cause: hosts of its clusters take the last byte of an address, by which test processes are told apart; two processes whose numbers differ in that byte only shared hosts and ports. It does not explain the one failure of a_machine_that_lost_its_disk_joins_again_and_forms_no_cluster, which ran alone.

--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -20,6 +20,8 @@
 
 /// Processes by which the others are found.
 const SEEDS: usize = 3;
+/// Ports that one test process may use of each host.
+const PORTS_OF_A_PROCESS: u16 = 16;
 
 /// A machine: a host of its own, a data folder and a process.
 struct Machine {
@@ -53,8 +55,7 @@
         let addresses = free_addresses(SEEDS + 3);
         let hosts: Vec<Ipv4Addr> =
             (0..SEEDS as u8 + 3).map(|last| host(addresses[0], last)).collect();
-        let ports =
-            [addresses[0].port(), addresses[1].port(), addresses[2].port(), addresses[3].port()];
+        let ports = [0, 1, 2, 3].map(|place: usize| port(addresses[place]));
         let folder = tempfile::tempdir().unwrap();
         Self { folder, machines: Vec::new(), ports, hosts }
     }
@@ -180,6 +181,15 @@
     Ipv4Addr::new(first, second, third, 1 + last)
 }
 
+/// The hosts of a cluster take the place of the last byte of an address, which tells test processes apart that
+/// run at the same time: their ports do so instead.
+fn port(address: SocketAddr) -> u16 {
+    let SocketAddr::V4(host) = address else {
+        panic!("an IPv4 address");
+    };
+    address.port() + PORTS_OF_A_PROCESS * u16::from(host.ip().octets()[3])
+}
+
 fn configuration(version: u64) -> RouteConfiguration {
     let service = ServiceName::new("s");
     RouteConfiguration {
