Reproduce a lost acknowledgement: a disk lost right after it forms a second cluster; the test fails at times

The first process forms the cluster and acknowledges 18 ms later; killed and started with an empty disk 3 ms after that, it is told by both others that they have no log, and forms a second cluster at the same term. The process that held the entry follows it. Cause: whether a process has a log is noted by its maintenance, each 250 ms. Ruled out: shared hosts and ports of test processes (mended before, and told apart in these runs).

--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -6,6 +6,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use gingerkeel_domain::identifiers::{RegionName, ServiceName};
@@ -20,6 +23,11 @@
 
 /// Processes by which the others are found.
 const SEEDS: usize = 3;
+/// Clusters in a row whose first process loses its disk: without the rule about one in 24 lost what it had acknowledged.
+const CLUSTERS_THAT_LOSE_A_DISK: usize = 6;
+/// Time between two calls of those that do not wait for each other, and how many there are at most.
+const BETWEEN_CALLS: Duration = Duration::from_millis(5);
+const MOST_CALLS: usize = 2_000;
 /// Ports that one test process may use of each host.
 const PORTS_OF_A_PROCESS: u16 = 16;
 
@@ -146,16 +154,7 @@
         method: Method,
         body: Vec<u8>,
     ) -> Option<(u16, Bytes)> {
-        let address = self.machines[index].routes;
-        let mut request = HttpRequest::new(Bytes::from(body));
-        *request.method_mut() = method;
-        *request.uri_mut() = path.parse::<Uri>().unwrap();
-        let exchanging = async move {
-            let mut connection = ClientConnection::connect(address, Limits::default()).await?;
-            connection.exchange(request).await
-        };
-        let response = block_on(exchanging).unwrap().ok()?;
-        Some((response.status().as_u16(), response.into_body()))
+        call(self.machines[index].routes, path, method, body)
     }
 
     /// Waits until a process takes a newer configuration.
@@ -172,6 +171,38 @@
     }
 }
 
+/// Sends a configuration again and again, before the one sent last is answered, until one is acknowledged: the first one
+/// that is sent once there is a leader is acknowledged within milliseconds.
+fn put_until_acknowledged(routes: SocketAddr, version: u64) {
+    let body = serde_json::to_vec(&configuration(version)).unwrap();
+    let (sender, statuses) = mpsc::channel();
+    for _ in 0..MOST_CALLS {
+        let (sender, body) = (sender.clone(), body.clone());
+        thread::spawn(move || {
+            let status = call(routes, "/v1/routes", Method::PUT, body).map(|(status, _)| status);
+            // The test may have its answer.
+            let _ = sender.send(status);
+        });
+        let answered = statuses.recv_timeout(BETWEEN_CALLS);
+        if answered == Ok(Some(200)) || statuses.try_iter().any(|status| status == Some(200)) {
+            return;
+        }
+    }
+    panic!("nothing was acknowledged in time");
+}
+
+fn call(address: SocketAddr, path: &str, method: Method, body: Vec<u8>) -> Option<(u16, Bytes)> {
+    let mut request = HttpRequest::new(Bytes::from(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse::<Uri>().unwrap();
+    let exchanging = async move {
+        let mut connection = ClientConnection::connect(address, Limits::default()).await?;
+        connection.exchange(request).await
+    };
+    let response = block_on(exchanging).unwrap().ok()?;
+    Some((response.status().as_u16(), response.into_body()))
+}
+
 /// A host beside that of the address, so that all machines use the same ports.
 fn host(address: SocketAddr, last: u8) -> Ipv4Addr {
     let SocketAddr::V4(address) = address else {
@@ -306,6 +337,30 @@
     wait_until(|| cluster.version(0) == Some(7));
 }
 
+/// Symptom: an acknowledged configuration was gone after the disk of the process that had formed the cluster was lost within
+/// 20 ms of the acknowledgement; that process formed a second cluster, and the others followed it.
+///
+/// Sequence: two of three processes hold the configuration, which is acknowledged. The first of them comes back with an
+/// empty disk and asks both others whether they have a log. The one that has says that it has none; the third really
+/// has none yet.
+///
+/// Cause: whether a process has a log was noted by its maintenance, some time after the first entry was written
+/// and acknowledged.
+///
+/// What settled it: `cluster_formed` twice in the lines of the first process, 20 ms apart, and at the second one
+/// `role_changed` to a leader of the same term with another identity.
+#[test]
+fn a_disk_lost_right_after_the_first_acknowledgement_loses_nothing() {
+    for _ in 0..CLUSTERS_THAT_LOSE_A_DISK {
+        let mut cluster = Cluster::start();
+        put_until_acknowledged(cluster.machines[0].routes, 7);
+        cluster.kill(0);
+        std::fs::remove_dir_all(&cluster.machines[0].data).unwrap();
+        cluster.run(0);
+        wait_until(|| cluster.version(0) == Some(7));
+    }
+}
+
 #[test]
 fn a_seed_that_may_not_form_waits_for_the_others() {
     let mut cluster = Cluster::start();
