Say that there is a log before any entry of it is acknowledged

Cause: a process told its peers that it has a log from its maintenance on, up to 250 ms after the first entry. One that lost its disk in that time was told by all that they have none, formed a second cluster, and what had been acknowledged was gone. The class: a fact that others decide by is copied by a timer. Now it is noted before what the log asks for is done, so before any entry is written or confirmed: of the quorum that holds an entry at least one other than the one that lost its disk says so.

--- a/crates/control/src/replication/peers/directory.rs
+++ b/crates/control/src/replication/peers/directory.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether the log of this process is known to hold entries.
+    pub fn is_formed(&self) -> bool {
+        self.formed.get()
+    }
+
     /// The log of this process holds entries.
     pub fn set_formed(&self) {
         self.formed.set(true);
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -263,8 +263,17 @@
         }
     }
 
+    /// Peers are told that there is a log before any of its entries is acknowledged: one that has lost its disk
+    /// forms a second cluster when all others say that they have none.
+    fn note_log(&self) {
+        if !self.directory.is_formed() && self.node.status().last.index > LogIndex(0) {
+            self.directory.set_formed();
+        }
+    }
+
     /// Does what the core asks for.
     fn drive(&mut self, events: &Tx<TaskEvent>) {
+        self.note_log();
         while let Some(ready) = self.node.ready() {
             if let Some(write) = ready.write {
                 // A writer that failed has said so by an event.
@@ -351,7 +360,6 @@
     fn maintain(&mut self, now: Timestamp) {
         self.keep_links();
         if self.node.status().last.index > LogIndex(0) {
-            self.directory.set_formed();
             self.replace_lost_folders(now);
             self.grow(now);
             self.return_if_removed(now);
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use gingerkeel_domain::identifiers::{RegionName, ServiceName};
@@ -286,7 +286,7 @@
     cluster.run(1);
     let early = cluster.add(true);
     // Long enough to connect to the seeds that run; the cluster waits for the last one.
-    std::thread::sleep(std::time::Duration::from_secs(2));
+    thread::sleep(Duration::from_secs(2));
     cluster.run(2);
     cluster.wait_accepted(early, 4);
     wait_until(|| cluster.version(early) == Some(4));
@@ -302,7 +302,7 @@
     // Once the lost one is taken out, the two others may lose one more and still be a quorum. Until
     // then a call waits in vain, and the killed process is needed again.
     wait_until(|| {
-        std::thread::sleep(std::time::Duration::from_secs(4));
+        thread::sleep(Duration::from_secs(4));
         cluster.kill(1);
         let accepted = cluster.replace(successor, 3) == Some(200);
         if !accepted {
@@ -367,7 +367,7 @@
     cluster.wait_accepted(0, 1);
     (0..SEEDS).for_each(|index| cluster.kill(index));
     let stranger = cluster.add(false);
-    std::thread::sleep(std::time::Duration::from_secs(2));
+    thread::sleep(Duration::from_secs(2));
     assert_ne!(cluster.replace(stranger, 9), Some(200), "{}", cluster.machines[stranger].host);
 }
 
