--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -201,11 +201,8 @@
         let any_there = self.replicas.values().any(|replica| replica.is_there(now, settings));
         for (identity, replica) in &self.replicas {
             let presumed_ended = any_there && replica.is_presumed_ended(now, settings);
-            let connectivity = match eligible(identity, replica, now, tried, &reach) {
-                Ok(_) if presumed_ended => {
-                    left_out.add(NobodyReason::Excluded(Exclusion::PresumedEnded));
-                    continue;
-                }
+            let eligible = eligible(identity, replica, now, presumed_ended, tried, &reach);
+            let connectivity = match eligible {
                 Ok(connectivity) => connectivity,
                 Err(reason) => {
                     left_out.add(reason);
@@ -361,6 +358,7 @@
     identity: &LeafIdentity,
     replica: &Replica,
     now: Timestamp,
+    presumed_ended: bool,
     tried: &[LeafIdentity],
     reach: impl Fn(&LeafIdentity) -> Result<Connectivity, Exclusion>,
 ) -> Result<Connectivity, NobodyReason> {
@@ -377,6 +375,9 @@
     if replica.is_ejected(now) {
         return Err(NobodyReason::Excluded(Exclusion::Ejected));
     }
+    if presumed_ended {
+        return Err(NobodyReason::Excluded(Exclusion::PresumedEnded));
+    }
     Ok(connectivity)
 }
 
