Agree on the types of tenants and of the use of quotas

Tenants, key digests and quotas of a configuration, and the messages by which brokers and control processes tell each other what tenants use.

--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -151,6 +151,7 @@
         attempts: 2,
         destination,
         allowed_regions: RegionPolicy::default(),
+        public: false,
     }
 }
 
@@ -180,6 +181,7 @@
         routes,
         services: names.into_iter().chain([ServiceName::new(SINGLE)]).map(service).collect(),
         limits: CallerLimits { head_bytes: 2_048, body_bytes: 1_000, ..CallerLimits::default() },
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -236,6 +236,7 @@
             attempts: 1,
             destination: Destination::Service(service.clone()),
             allowed_regions: RegionPolicy::default(),
+            public: false,
         }],
         services: vec![BackEndService {
             name: service,
@@ -244,6 +245,7 @@
             cold_start: ColdStart::default(),
         }],
         limits: CallerLimits::default(),
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/domain/src/identifiers.rs
+++ b/crates/domain/src/identifiers.rs
@@ -72,6 +72,10 @@
     /// Name of a caller's account.
     CallerName
 );
+name_type!(
+    /// Name of a tenant: callers who share keys, a priority and a quota.
+    TenantName
+);
 name_type!(
     /// Name of a broker process, unique in the cluster.
     BrokerName
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod leaf_warnings;
 pub mod metering;
 pub mod query;
+pub mod quota;
 pub mod request_key;
 pub mod routes;
 pub mod routing;
--- a/crates/domain/src/routes/configuration.rs
+++ b/crates/domain/src/routes/configuration.rs
@@ -6,6 +6,7 @@
 
 use super::error::RouteError;
 use super::region_policy::RegionPolicy;
+use super::tenant::Tenant;
 use crate::forwarding::ColdStart;
 use crate::identifiers::ServiceName;
 
@@ -40,6 +41,9 @@
     pub services: Vec<BackEndService>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// Who may call; where none is named, everybody may.
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
 }
 
 /// Requests of one host below one path.
@@ -66,6 +70,9 @@
     /// Where its requests may be served.
     #[serde(default)]
     pub allowed_regions: RegionPolicy,
+    /// Whether its requests need no key, also where tenants are named.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// Who answers the requests of a route.
--- a/crates/domain/src/routes/mod.rs
+++ b/crates/domain/src/routes/mod.rs
@@ -8,6 +8,7 @@
 mod error;
 mod region_policy;
 mod table;
+mod tenant;
 
 pub use accepted::{AcceptedRoutes, ReplaceOutcome, RouteState};
 pub use configuration::{
@@ -17,3 +18,4 @@
 pub use error::RouteError;
 pub use region_policy::RegionPolicy;
 pub use table::{RouteLookup, RouteTable};
+pub use tenant::{KeyDigest, Tenant, TenantQuota};
--- a/crates/domain/tests/routes.rs
+++ b/crates/domain/tests/routes.rs
@@ -33,6 +33,7 @@
         attempts: 2,
         destination: Destination::Service(ServiceName::new("a")),
         allowed_regions: RegionPolicy::default(),
+        public: false,
     }
 }
 
@@ -42,6 +43,7 @@
         routes,
         services: vec![service("a"), service("b")],
         limits: CallerLimits::default(),
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/rehearsal/src/soak/parties.rs
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -70,6 +70,7 @@
         attempts: 2,
         destination,
         allowed_regions: RegionPolicy::default(),
+        public: false,
     };
     let service = |name: &&str| BackEndService {
         name: ServiceName::new(name),
@@ -87,6 +88,7 @@
         ],
         services: SHARDS.iter().chain(&[SINGLE]).map(service).collect(),
         limits: CallerLimits::default(),
+        tenants: Vec::new(),
     }
 }
 
