Ask to come back, instead of refusing for good, while no zone is known

Ruled out: waiting for the first broker (an order may come before any does). Now 503 where neither settings nor state name any zone; where some are named, an unknown one is refused as before. Test an_evacuation_that_comes_before_any_zone_is_known_may_come_again: 400 before, 503 then 200 now. Statements keep their answer.

--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -45,6 +45,8 @@
     pub evacuated: bool,
     /// Whether a broker, a leaf or an evacuation names it.
     pub named: bool,
+    /// Whether a broker, a leaf or an evacuation names any zone.
+    pub names_any: bool,
 }
 
 /// What happened on a broker's connection.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -260,10 +260,12 @@
 
     fn view_zone(&self, zone: &ZoneName) -> ZoneView {
         let catalog = self.state.catalog();
+        let named = tables::named_zones(&self.state);
         ZoneView {
             revision: catalog.revision(),
             evacuated: catalog.evacuated().contains(zone),
-            named: tables::named_zones(&self.state).contains(zone),
+            named: named.contains(zone),
+            names_any: !named.is_empty(),
         }
     }
 
--- a/crates/control/src/places.rs
+++ b/crates/control/src/places.rs
@@ -19,6 +19,11 @@
         Self { zones: zones.collect() }
     }
 
+    /// Whether the settings name no zone at all.
+    pub fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
     /// Whether the settings name a zone.
     pub fn has_zone(&self, zone: &ZoneName) -> bool {
         self.zones.contains_key(zone)
@@ -29,7 +34,7 @@
     /// # Errors
     /// [`RouteError::UnknownRegion`] names the route, the region and those that there are.
     pub fn check_regions(&self, configuration: &RouteConfiguration) -> Result<(), RouteError> {
-        if self.zones.is_empty() {
+        if self.is_empty() {
             return Ok(());
         }
         for route in &configuration.routes {
--- a/crates/control/src/zone_orders.rs
+++ b/crates/control/src/zone_orders.rs
@@ -40,6 +40,10 @@
         UnknownZone(zone: ZoneName) {
             display("zone {zone} is not known: list zones with SHOW ZONES")
         }
+        /// No zone is known at all, as right after a start.
+        NoZoneYet(zone: ZoneName) {
+            display("no zone is known yet, {zone} neither: list zones with SHOW ZONES, and order again once there are some")
+        }
         /// The catalog refuses the change.
         Refused(refusal: ChangeRefusal) {
             display("{refusal}")
@@ -76,16 +80,25 @@
 /// Checks that a zone which is to be evacuated is known to the settings or to the replicated state.
 ///
 /// # Errors
-/// [`ZoneOrderError::UnknownZone`], with the remedy.
+/// [`ZoneOrderError::UnknownZone`], or [`ZoneOrderError::NoZoneYet`] where there is nothing yet by which to
+/// tell a zone from a slip of the pen: a process that has just started would else refuse a proper order
+/// for good.
 pub async fn check_zone(
     zone: &ZoneName,
     places: &KnownPlaces,
     cluster: &Tx<ClusterMessage>,
 ) -> Result<(), ZoneOrderError> {
-    if places.has_zone(zone) || view(zone, cluster).await?.named {
+    if places.has_zone(zone) {
         return Ok(());
     }
-    Err(ZoneOrderError::UnknownZone(zone.clone()))
+    let view = view(zone, cluster).await?;
+    match view.named {
+        true => Ok(()),
+        false if places.is_empty() && !view.names_any => {
+            Err(ZoneOrderError::NoZoneYet(zone.clone()))
+        }
+        false => Err(ZoneOrderError::UnknownZone(zone.clone())),
+    }
 }
 
 /// Carries an order out; it is durable once this gives no error.
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -18,7 +18,7 @@
 };
 use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, block_on};
 use http::{Method, Uri};
-use support::{Control, free_addresses, wait_until};
+use support::{Control, HollowBroker, free_addresses, wait_until};
 use tempfile::TempDir;
 
 /// Processes by which the others are found.
@@ -68,6 +68,20 @@
         Self { folder, machines: Vec::new(), ports, hosts }
     }
 
+    /// Starts the seeds with settings that name no zone.
+    fn start_without_zones() -> Self {
+        let mut cluster = Self::prepare();
+        for _ in 0..SEEDS {
+            let index = cluster.prepare_machine(true);
+            let settings = &cluster.machines[index].settings;
+            let text = std::fs::read_to_string(settings).unwrap();
+            let zones = text.lines().find(|line| line.starts_with("zone_regions")).unwrap();
+            std::fs::write(settings, text.replace(zones, "")).unwrap();
+            cluster.run(index);
+        }
+        cluster
+    }
+
     /// Starts one more machine on a host of its own, with an empty disk.
     fn add(&mut self, form: bool) -> usize {
         let index = self.prepare_machine(form);
@@ -395,6 +409,17 @@
     assert_eq!(cluster.order_zone(2, Method::DELETE, "hall-a"), Some(200));
 }
 
+#[test]
+fn an_evacuation_that_comes_before_any_zone_is_known_may_come_again() {
+    let cluster = Cluster::start_without_zones();
+    cluster.wait_accepted(0, 1);
+    assert_eq!(cluster.order_zone(1, Method::PUT, "palermo"), Some(503));
+    let _broker = HollowBroker::subscribe(&cluster.statements(1), "b1", 1, 0);
+    wait_until(|| cluster.zone_state(1).is_some());
+    assert_eq!(cluster.order_zone(1, Method::PUT, "palermo"), Some(200));
+    assert_eq!(cluster.order_zone(1, Method::PUT, "hall-x"), Some(400));
+}
+
 #[test]
 fn a_route_that_allows_a_region_which_no_zone_has_is_refused() {
     let cluster = Cluster::start();
