Warn of leaves that lose a part of their answers

Cause: half of the leaves of 36 shards reset 0.4 of their answers for 4 s. Ruled out: the budget of extra requests (84 extra a shard in 4 s are needed, 508 allowed) and the number of attempts (the route's). Now failures are reported beside slowness, from all regions, and folded by a rule of their own; a failing leaf is asked last.

--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -15,7 +15,7 @@
     LoadReport, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection, SlackShare,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
-use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
+use gingerkeel_domain::leaf_warnings::{Conduct, LeafObservation, LeafWarning, ObservationLog};
 use gingerkeel_domain::routes::Route;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::{BrokerSettings, RouteSettings};
@@ -348,22 +348,24 @@
         state.is_some_and(|state| state.budget.take(&self.extra, now, slack))
     }
 
-    /// In a request that began then, a leaf was slow or not as measured by the other leaves of the
-    /// request. Leaves of other regions are not reported: distance may be the cause.
-    pub fn observe(&self, leaf: &LeafIdentity, began: Timestamp, slow: bool) {
+    /// In a request that began then, a leaf did so as measured by the other leaves of the request. That one of
+    /// another region is slow is not reported: distance may be the cause.
+    pub fn observe(&self, leaf: &LeafIdentity, began: Timestamp, conduct: Conduct) {
         let leaves = self.leaves.borrow();
-        let listed = leaves.directory.leaves().get(leaf);
-        if listed.is_some_and(|leaf| self.distance(leaf) != Distance::Far) {
-            self.observations.borrow_mut().observe(self.clock.now(), leaf, began, slow);
+        let Some(listed) = leaves.directory.leaves().get(leaf) else {
+            return;
+        };
+        if conduct == Conduct::Failed || self.distance(listed) != Distance::Far {
+            self.observations.borrow_mut().observe(self.clock.now(), leaf, began, conduct);
         }
     }
 
-    /// The leaves that were slow since this was asked last.
+    /// The leaves that were slow or failed since this was asked last.
     pub fn take_slow(&self) -> Vec<LeafObservation> {
         self.observations.borrow_mut().take(self.clock.now())
     }
 
-    /// Many brokers find these leaves slow.
+    /// Many brokers find these leaves slow or failing.
     pub fn warn(&self, warnings: &[LeafWarning]) {
         let now = self.clock.now();
         let mut leaves = self.leaves.borrow_mut();
@@ -372,7 +374,7 @@
             let listed = directory.leaves().get(&warning.leaf);
             if let Some(service) = listed.and_then(|leaf| services.get_mut(&leaf.service)) {
                 let until = now.after(Duration::from_millis(warning.for_ms.into()));
-                service.replicas.warn(&warning.leaf, until);
+                service.replicas.warn(&warning.leaf, warning.cause, until);
             }
         }
         let named: Vec<&str> = warnings.iter().map(|warning| warning.leaf.as_str()).collect();
--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -164,7 +164,7 @@
         };
         for judgement in self.request.trail.judgements() {
             let began = self.state.clock.at(judgement.began);
-            self.state.leaves.observe(&judgement.leaf, began, judgement.slow);
+            self.state.leaves.observe(&judgement.leaf, began, judgement.conduct);
         }
         let sample = self.state.settings.log_sample;
         self.request.trail.write(&self.request.id, &end, sample);
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -9,6 +9,7 @@
 
 use gingerkeel_domain::forwarding::{AttemptError, LoadReport, NobodyReason};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
+use gingerkeel_domain::leaf_warnings::Conduct;
 use gingerkeel_domain::routes::RouteVersion;
 use tracing::info;
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,6 +28,14 @@
 const SLOW_FACTOR: u32 = 4;
 /// The outcome of an attempt whose leaf answered.
 const ANSWERED: &str = "answered";
+/// The outcome of one whose leaf answered with a failure of its own.
+const ANSWERED_FAILURE: &str = "answered_failure";
+/// The outcome of one whose connection ended under the request.
+const LOST: &str = "connection_lost";
+/// The outcome of one whose reply was no whole answer.
+const UNUSABLE: &str = "unusable_reply";
+/// Outcomes of requests that a leaf took and did not answer.
+const FAILED: [&str; 3] = [ANSWERED_FAILURE, LOST, UNUSABLE];
 
 /// Why a leaf was asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,8 +86,8 @@
     pub leaf: LeafIdentity,
     /// When it was asked.
     pub began: Instant,
-    /// Whether it took far longer than the leaves of the other shards.
-    pub slow: bool,
+    /// What it did.
+    pub conduct: Conduct,
 }
 
 /// What a request ended with.
@@ -178,18 +187,14 @@
         }
     }
 
-    /// What the attempts of a request to many shards say of the leaves that were asked first: when each
-    /// was asked, and whether it took far longer than the others. Nothing where few were asked.
+    /// What the attempts say of the leaves that were asked: which failed, and of those asked first for a
+    /// request to many shards also which took far longer than the others. Where few were asked, nobody
+    /// is slow or sound.
     pub fn judgements(&self) -> Vec<Judgement> {
         let attempts = self.attempts.borrow();
-        if attempts.len() < LEAST_JUDGED {
-            return Vec::new();
-        }
-        let Some(median) = median_time(&attempts) else {
-            return Vec::new();
-        };
-        let first = attempts.iter().filter(|attempt| attempt.reason == AskReason::First);
-        first.filter_map(|attempt| attempt.judge(median * SLOW_FACTOR)).collect()
+        let judged = attempts.len() >= LEAST_JUDGED;
+        let slow_after = median_time(&attempts).filter(|_| judged).map(|time| time * SLOW_FACTOR);
+        attempts.iter().filter_map(|attempt| attempt.judge(slow_after)).collect()
     }
 
     /// Writes the lines of a request that has ended, unless it is an ordinary one that is not in
@@ -225,13 +230,22 @@
 }
 
 impl Attempt {
-    /// Whether the leaf was slow; none when it could not show it.
-    fn judge(&self, slow_after: Duration) -> Option<Judgement> {
+    /// How the leaf did; none when it could not show it.
+    fn judge(&self, slow_after: Option<Duration>) -> Option<Judgement> {
+        let conduct = self.conduct(slow_after)?;
+        Some(Judgement { leaf: self.leaf.clone(), began: self.began, conduct })
+    }
+
+    fn conduct(&self, slow_after: Option<Duration>) -> Option<Conduct> {
+        let outcome = self.ended.as_ref().map(|ended| ended.outcome);
+        if outcome.is_some_and(|outcome| FAILED.contains(&outcome)) {
+            return Some(Conduct::Failed);
+        }
+        let slow_after = slow_after.filter(|_| self.reason == AskReason::First)?;
         let took = self.ended.as_ref().map_or_else(|| self.began.elapsed(), |ended| ended.took);
-        let judgement = |slow| Judgement { leaf: self.leaf.clone(), began: self.began, slow };
-        match self.ended.as_ref().map(|ended| ended.outcome) {
-            _ if took > slow_after => Some(judgement(true)),
-            Some(ANSWERED) => Some(judgement(false)),
+        match outcome {
+            _ if took > slow_after => Some(Conduct::Slow),
+            Some(ANSWERED) => Some(Conduct::Sound),
             _ => None,
         }
     }
@@ -287,14 +301,14 @@
 pub fn outcome_name(outcome: Result<u16, AttemptError>) -> &'static str {
     match outcome {
         Ok(200..=299) => ANSWERED,
-        Ok(_) => "answered_failure",
+        Ok(_) => ANSWERED_FAILURE,
         Err(AttemptError::NoConnection) => "no_connection_to_spare",
         Err(AttemptError::NotAccepted) => "not_accepted",
         Err(AttemptError::ConnectionRefused) => "connection_refused",
         Err(AttemptError::NotConnected) => "not_connected",
         Err(AttemptError::Rejected) => "rejected",
         Err(AttemptError::AnotherLeaf) => "another_leaf",
-        Err(AttemptError::Lost) => "connection_lost",
-        Err(AttemptError::Unusable) => "unusable_reply",
+        Err(AttemptError::Lost) => LOST,
+        Err(AttemptError::Unusable) => UNUSABLE,
     }
 }
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use gingerkeel_domain::identifiers::LeafIdentity;
-use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
+use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, WarningCause};
 use gingerkeel_domain::routes::{Destination, PartsPerMillion};
 use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
 use rstest::rstest;
@@ -541,7 +541,11 @@
     let (near, other) = (honest("near", b"near"), honest("other", b"other"));
     let (configuration, directory) =
         (configuration(0), directory(&[near.address, other.address], &[]));
-    let warnings = [LeafWarning { leaf: LeafIdentity::new("single-0"), for_ms: 60_000 }];
+    let warnings = [LeafWarning {
+        leaf: LeafIdentity::new("single-0"),
+        cause: WarningCause::Slow,
+        for_ms: 60_000,
+    }];
     let warnings = encode_document(&warnings.to_vec()).expect("a document").into();
     let mut news = news(&configuration, &directory);
     news.push(FeedMessage::LeafWarnings { warnings });
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -223,7 +223,7 @@
         Some(BrokerOverload { broker, report })
     }
 
-    /// A broker saw slow leaves: all brokers that feed here are warned of those that many find slow.
+    /// A broker saw slow or failing leaves: all brokers that feed here are warned of those that many find so.
     pub fn saw_slow_leaves(
         &mut self,
         now: Timestamp,
@@ -235,7 +235,7 @@
         };
         let warnings = self.warnings.report(now, &reporter.identity.broker, observations);
         for warning in &warnings {
-            info!(event = "leaf_warning", leaf = %warning.leaf, for_ms = warning.for_ms);
+            info!(event = "leaf_warning", leaf = %warning.leaf, cause = ?warning.cause, for_ms = warning.for_ms);
         }
         if warnings.is_empty() {
             return;
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -8,7 +8,7 @@
 use gingerkeel_domain::cluster::{ChargeCounter, ChargeKey, HISTORY_LIMIT};
 use gingerkeel_domain::feed::{BrokerList, BrokerListDelta};
 use gingerkeel_domain::identifiers::{CallerName, ClassName, LeafIdentity, ServiceName};
-use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
+use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, WarningCause};
 use gingerkeel_protocol::{
     Document, FeedMessage, FeedRefusal, PROTOCOL_VERSION, SubscriberMessage, decode_document,
     encode_document,
@@ -232,7 +232,12 @@
 /// What a broker reports of a leaf that was slow in requests that began so long ago.
 fn slow_leaf(ms_ago: &[u32]) -> SubscriberMessage {
     let leaf = LeafIdentity::new("x");
-    let seen = vec![LeafObservation { leaf, slow_ms_ago: ms_ago.to_vec(), sound: 0 }];
+    let seen = vec![LeafObservation {
+        leaf,
+        slow_ms_ago: ms_ago.to_vec(),
+        failed_ms_ago: Vec::new(),
+        sound: 0,
+    }];
     SubscriberMessage::SlowLeaves { observations: encode_document(&seen).unwrap().into() }
 }
 
@@ -257,7 +262,14 @@
     brokers[1].send(&slow_leaf(&[0]));
     for broker in &mut brokers {
         let warnings = next_warnings(broker);
-        assert_eq!(warnings, [LeafWarning { leaf: LeafIdentity::new("x"), for_ms: 1_000 }]);
+        assert_eq!(
+            warnings,
+            [LeafWarning {
+                leaf: LeafIdentity::new("x"),
+                cause: WarningCause::Slow,
+                for_ms: 1_000,
+            }]
+        );
     }
     let mut late = HollowBroker::subscribe(&control, "b4", 1, 0);
     assert!(next_warnings(&mut late)[0].for_ms <= 1_000, "one that comes meanwhile is told");
--- a/crates/domain/src/forwarding/replica.rs
+++ b/crates/domain/src/forwarding/replica.rs
@@ -87,7 +87,9 @@
     ejected_until: Timestamp,
     rejected_until: Timestamp,
     /// Until when other brokers' word says that the leaf is slow.
-    pub(super) warned_until: Timestamp,
+    pub(super) slow_until: Timestamp,
+    /// Until when other brokers' word says that the leaf loses answers.
+    pub(super) failing_until: Timestamp,
 }
 
 impl Replica {
@@ -109,7 +111,8 @@
             ejections: 0,
             ejected_until: Timestamp::ZERO,
             rejected_until: Timestamp::ZERO,
-            warned_until: Timestamp::ZERO,
+            slow_until: Timestamp::ZERO,
+            failing_until: Timestamp::ZERO,
         }
     }
 
@@ -154,7 +157,8 @@
     /// the time is over, one attempt at a time finds out whether it answers again.
     pub(super) fn is_suspect(&self, now: Timestamp) -> bool {
         let late = self.late > 0 && (now < self.suspect_until || self.in_flight > 0);
-        late || now < self.rejected_until || now < self.warned_until
+        let warned_of = now < self.slow_until || now < self.failing_until;
+        late || now < self.rejected_until || warned_of
     }
 
     pub(super) fn finish(
@@ -188,7 +192,7 @@
         // A leaf that answers far too late is not sound again.
         if latency.as_secs_f64() <= ordinary * SLOW_FACTOR {
             self.late = 0;
-            self.warned_until = Timestamp::ZERO;
+            self.slow_until = Timestamp::ZERO;
         }
         self.failures = 0;
         self.ejections = 0;
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -9,6 +9,7 @@
 use super::signs_of_life::LifeStep;
 use crate::directory::ListedLeaf;
 use crate::identifiers::LeafIdentity;
+use crate::leaf_warnings::WarningCause;
 use crate::time::Timestamp;
 
 /// Share by which costs are varied at random, so that brokers do not all choose alike.
@@ -291,11 +292,15 @@
         }
     }
 
-    /// Many brokers find a leaf slow: it is asked last until then, unless it answers this broker as
-    /// ever.
-    pub fn warn(&mut self, leaf: &LeafIdentity, until: Timestamp) {
-        if let Some(replica) = self.replicas.get_mut(leaf) {
-            replica.warned_until = until;
+    /// Many brokers find a leaf slow or failing: it is asked last until then. An ordinary answer to this
+    /// broker shows that it is not slow any more.
+    pub fn warn(&mut self, leaf: &LeafIdentity, cause: WarningCause, until: Timestamp) {
+        let Some(replica) = self.replicas.get_mut(leaf) else {
+            return;
+        };
+        match cause {
+            WarningCause::Slow => replica.slow_until = until,
+            WarningCause::Failing => replica.failing_until = until,
         }
     }
 
--- a/crates/domain/src/leaf_warnings/fold.rs
+++ b/crates/domain/src/leaf_warnings/fold.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use super::{LeafObservation, LeafWarning};
+use super::{LeafObservation, LeafWarning, WarningCause};
 use crate::identifiers::{BrokerName, LeafIdentity};
 use crate::time::Timestamp;
 
@@ -26,24 +26,38 @@
 /// Time from the end of a warning in which one slow request is enough for the next: the leaf has most
 /// likely not recovered.
 const RELAPSE: Duration = Duration::from_secs(2);
-/// Slow requests that are kept of one leaf.
+/// Failed requests that it takes: one may be a connection that ended just then, two a leaf that was restarted.
+const FAILED_REQUESTS: usize = 3;
+/// Sound answers for each failed request up to which a leaf is warned of. A request to dozens of shards can do
+/// without one or two: where a leaf loses one answer in ten, asking another one first is worth its way.
+const SOUND_PER_FAILED: usize = 9;
+/// Slow requests, and failed ones, that are kept of one leaf.
 const KEPT_REQUESTS: usize = 64;
 
-/// A slow request that a broker reported.
+/// A slow or failed request that a broker reported.
 #[derive(Debug, Clone)]
-struct SlowRequest {
+struct ReportedRequest {
     began: Timestamp,
     broker: BrokerName,
 }
 
+/// A warning that was given.
+#[derive(Debug, Clone, Copy)]
+struct GivenWarning {
+    cause: WarningCause,
+    ends: Timestamp,
+    life: Duration,
+}
+
 /// What is known of one leaf.
 #[derive(Debug, Default)]
 struct Reported {
-    slow: VecDeque<SlowRequest>,
+    slow: VecDeque<ReportedRequest>,
+    failed: VecDeque<ReportedRequest>,
     /// Sound answers that each broker reported last, and when.
     sound: BTreeMap<BrokerName, (Timestamp, u32)>,
-    /// When the newest warning ends, and how long it lasts.
-    warning: Option<(Timestamp, Duration)>,
+    /// The newest warning.
+    warning: Option<GivenWarning>,
 }
 
 /// The reports of all brokers that a control process feeds.
@@ -65,8 +79,8 @@
         for observation in observations {
             let leaf = self.leaves.entry(observation.leaf.clone()).or_default();
             leaf.take(now, broker, observation);
-            if let Some(life) = leaf.warn(now) {
-                warnings.push(warning(&observation.leaf, life));
+            if let Some(given) = leaf.warn(now) {
+                warnings.push(warning(now, &observation.leaf, given));
             }
         }
         warnings
@@ -75,8 +89,8 @@
     /// The warnings that last, for a broker that has just come.
     pub fn current(&self, now: Timestamp) -> Vec<LeafWarning> {
         let lasting = self.leaves.iter().filter_map(|(leaf, reported)| {
-            let (ends, _) = reported.warning.filter(|(ends, _)| *ends > now)?;
-            Some(warning(leaf, ends.since(now)))
+            let given = reported.warning.filter(|given| given.ends > now)?;
+            Some(warning(now, leaf, given))
         });
         lasting.collect()
     }
@@ -84,64 +98,101 @@
     fn forget(&mut self, now: Timestamp) {
         self.leaves.retain(|_, reported| {
             reported.forget(now);
-            !reported.slow.is_empty() || reported.warning.is_some()
+            !reported.slow.is_empty() || !reported.failed.is_empty() || reported.warning.is_some()
         });
     }
 }
 
 impl Reported {
     fn take(&mut self, now: Timestamp, broker: &BrokerName, observation: &LeafObservation) {
-        for ago in &observation.slow_ms_ago {
-            let began = before(now, Duration::from_millis((*ago).into()));
-            self.slow.push_back(SlowRequest { began, broker: broker.clone() });
-        }
-        while self.slow.len() > KEPT_REQUESTS {
-            self.slow.pop_front();
-        }
+        keep(&mut self.slow, now, broker, &observation.slow_ms_ago);
+        keep(&mut self.failed, now, broker, &observation.failed_ms_ago);
         self.sound.insert(broker.clone(), (now, observation.sound));
         self.forget(now);
     }
 
     fn forget(&mut self, now: Timestamp) {
         self.slow.retain(|request| now.since(request.began) < REPORT_LIFE);
+        self.failed.retain(|request| now.since(request.began) < REPORT_LIFE);
         self.sound.retain(|_, (at, _)| now.since(*at) < REPORT_LIFE);
         // A warning is remembered until nothing follows from it any more.
-        self.warning = self.warning.filter(|(ends, _)| now < ends.after(RELAPSE));
+        self.warning = self.warning.filter(|given| now < given.ends.after(RELAPSE));
     }
 
-    /// How long to warn of the leaf now; none when there is no cause, or a warning lasts.
-    fn warn(&mut self, now: Timestamp) -> Option<Duration> {
-        let life = match self.warning {
-            Some((ends, _)) if now < ends => return None,
-            // Requests that began before its end were on their way when it came.
-            Some((ends, former)) if self.slow.iter().any(|request| request.began >= ends) => {
-                (former * 2).min(LONGEST_LIFE)
+    /// What to warn of now; none when there is no cause, or a warning lasts.
+    fn warn(&mut self, now: Timestamp) -> Option<GivenWarning> {
+        let (cause, life) = match self.warning {
+            Some(given) if now < given.ends => return None,
+            Some(given) if self.relapsed(given) => {
+                (given.cause, (given.life * 2).min(LONGEST_LIFE))
             }
-            _ if self.is_slow() => FIRST_LIFE,
+            _ if self.is_failing() => (WarningCause::Failing, FIRST_LIFE),
+            _ if self.is_slow() => (WarningCause::Slow, FIRST_LIFE),
             _ => return None,
         };
         self.slow.clear();
-        self.warning = Some((now.after(life), life));
-        Some(life)
+        self.failed.clear();
+        self.warning = Some(GivenWarning { cause, ends: now.after(life), life });
+        self.warning
+    }
+
+    /// Whether the leaf goes on as it was warned of. Requests that began before the end of the warning were on
+    /// their way when it came.
+    fn relapsed(&self, given: GivenWarning) -> bool {
+        let requests = match given.cause {
+            WarningCause::Slow => &self.slow,
+            WarningCause::Failing => &self.failed,
+        };
+        requests.iter().any(|request| request.began >= given.ends)
+    }
+
+    /// Whether enough brokers had enough requests fail, beside the sound answers that they got.
+    fn is_failing(&self) -> bool {
+        self.failed.len() >= FAILED_REQUESTS
+            && reporters(&self.failed) >= REPORTERS
+            && self.sound() <= self.failed.len() * SOUND_PER_FAILED
     }
 
     /// Whether enough brokers found the leaf slow, for long enough, and not more of them sound.
     fn is_slow(&self) -> bool {
-        let brokers: BTreeSet<&BrokerName> =
-            self.slow.iter().map(|request| &request.broker).collect();
         let first = self.slow.iter().map(|request| request.began).min();
         let last = self.slow.iter().map(|request| request.began).max();
         let spread = first.zip(last).map_or(Duration::ZERO, |(first, last)| last.since(first));
-        let sound: u32 = self.sound.values().map(|(_, count)| count).sum();
-        brokers.len() >= REPORTERS
+        reporters(&self.slow) >= REPORTERS
             && self.slow.len() >= SLOW_REQUESTS
             && spread >= LEAST_SPREAD
-            && self.slow.len() >= sound as usize
+            && self.slow.len() >= self.sound()
     }
+
+    /// Sound answers that its reporters had lately.
+    fn sound(&self) -> usize {
+        self.sound.values().map(|(_, count)| *count as usize).sum()
+    }
+}
+
+fn keep(
+    kept: &mut VecDeque<ReportedRequest>,
+    now: Timestamp,
+    broker: &BrokerName,
+    began_ms_ago: &[u32],
+) {
+    for ago in began_ms_ago {
+        let began = before(now, Duration::from_millis((*ago).into()));
+        kept.push_back(ReportedRequest { began, broker: broker.clone() });
+    }
+    while kept.len() > KEPT_REQUESTS {
+        kept.pop_front();
+    }
+}
+
+fn reporters(requests: &VecDeque<ReportedRequest>) -> usize {
+    let brokers: BTreeSet<&BrokerName> = requests.iter().map(|request| &request.broker).collect();
+    brokers.len()
 }
 
-fn warning(leaf: &LeafIdentity, life: Duration) -> LeafWarning {
-    LeafWarning { leaf: leaf.clone(), for_ms: life.as_millis() as u32 }
+fn warning(now: Timestamp, leaf: &LeafIdentity, given: GivenWarning) -> LeafWarning {
+    let for_ms = given.ends.since(now).as_millis() as u32;
+    LeafWarning { leaf: leaf.clone(), cause: given.cause, for_ms }
 }
 
 fn before(now: Timestamp, span: Duration) -> Timestamp {
--- a/crates/domain/src/leaf_warnings/observation_log.rs
+++ b/crates/domain/src/leaf_warnings/observation_log.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::LeafObservation;
+use super::{Conduct, LeafObservation};
 use crate::identifiers::LeafIdentity;
 use crate::time::Timestamp;
 
@@ -11,18 +11,27 @@
 const SOUND_SPAN: Duration = Duration::from_secs(1);
 /// Most leaves of one report. A request to a hundred shards of which a fifth are slow fills a third.
 const REPORT_LEAVES: usize = 64;
-/// Most slow requests that are told of one leaf: more do not change what is made of them.
-const SLOW_REQUESTS: usize = 8;
+/// Most slow requests, and most failed ones, that are told of one leaf: more do not change what is made of
+/// them.
+const TOLD_REQUESTS: usize = 8;
 
 /// What was seen of one leaf.
 #[derive(Debug, Default)]
 struct Seen {
     /// When the requests began in which it was slow, since the last report.
     slow: Vec<Timestamp>,
+    /// The same of those that it failed.
+    failed: Vec<Timestamp>,
     /// Sound answers of the present span and of the former one.
     sound: [u32; 2],
 }
 
+impl Seen {
+    fn has_news(&self) -> bool {
+        !self.slow.is_empty() || !self.failed.is_empty()
+    }
+}
+
 /// Turns what a broker sees into reports.
 #[derive(Debug, Default)]
 pub struct ObservationLog {
@@ -31,8 +40,14 @@
 }
 
 impl ObservationLog {
-    /// A leaf was slow, or not, in a request that began then.
-    pub fn observe(&mut self, now: Timestamp, leaf: &LeafIdentity, began: Timestamp, slow: bool) {
+    /// A leaf did so in a request that began then.
+    pub fn observe(
+        &mut self,
+        now: Timestamp,
+        leaf: &LeafIdentity,
+        began: Timestamp,
+        conduct: Conduct,
+    ) {
         self.rotate(now);
         if !self.leaves.contains_key(leaf) {
             self.leaves.insert(leaf.clone(), Seen::default());
@@ -40,23 +55,31 @@
         let Some(seen) = self.leaves.get_mut(leaf) else {
             return;
         };
-        match slow {
-            true if seen.slow.len() < SLOW_REQUESTS => seen.slow.push(began),
-            true => {}
-            false => seen.sound[0] += 1,
+        let told = match conduct {
+            Conduct::Sound => {
+                seen.sound[0] += 1;
+                return;
+            }
+            Conduct::Slow => &mut seen.slow,
+            Conduct::Failed => &mut seen.failed,
+        };
+        if told.len() < TOLD_REQUESTS {
+            told.push(began);
         }
     }
 
-    /// What there is to report: the leaves that were slow since the last report.
+    /// What there is to report: the leaves that were slow or failed since the last report.
     pub fn take(&mut self, now: Timestamp) -> Vec<LeafObservation> {
         self.rotate(now);
-        let slow = self.leaves.iter_mut().filter(|(_, seen)| !seen.slow.is_empty());
-        let report = slow.take(REPORT_LEAVES).map(|(leaf, seen)| {
-            let began = std::mem::take(&mut seen.slow);
-            let ago = |began: Timestamp| now.since(began).as_millis() as u32;
+        let noted = self.leaves.iter_mut().filter(|(_, seen)| seen.has_news());
+        let ago = |began: Timestamp| now.since(began).as_millis() as u32;
+        let report = noted.take(REPORT_LEAVES).map(|(leaf, seen)| {
+            let slow = std::mem::take(&mut seen.slow);
+            let failed = std::mem::take(&mut seen.failed);
             LeafObservation {
                 leaf: leaf.clone(),
-                slow_ms_ago: began.into_iter().map(ago).collect(),
+                slow_ms_ago: slow.into_iter().map(ago).collect(),
+                failed_ms_ago: failed.into_iter().map(ago).collect(),
                 sound: seen.sound.iter().sum(),
             }
         });
@@ -74,6 +97,6 @@
             let [present, _] = seen.sound;
             seen.sound = if spans == 1 { [0, present] } else { [0, 0] };
         }
-        self.leaves.retain(|_, seen| !seen.slow.is_empty() || seen.sound != [0, 0]);
+        self.leaves.retain(|_, seen| seen.has_news() || seen.sound != [0, 0]);
     }
 }
--- a/crates/domain/tests/leaf_warnings.rs
+++ b/crates/domain/tests/leaf_warnings.rs
@@ -7,7 +7,9 @@
     Connectivity, Distance, Outcome, ReplicaSet, ReplicaSettings, Selection,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
-use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog, WarningFold};
+use gingerkeel_domain::leaf_warnings::{
+    Conduct, LeafObservation, LeafWarning, ObservationLog, WarningCause, WarningFold,
+};
 use gingerkeel_domain::time::Timestamp;
 use rstest::rstest;
 
@@ -20,7 +22,16 @@
 }
 
 fn slow(name: &str, ms_ago: &[u32], sound: u32) -> LeafObservation {
-    LeafObservation { leaf: leaf(name), slow_ms_ago: ms_ago.to_vec(), sound }
+    LeafObservation {
+        leaf: leaf(name),
+        slow_ms_ago: ms_ago.to_vec(),
+        failed_ms_ago: Vec::new(),
+        sound,
+    }
+}
+
+fn slowness(for_ms: u32) -> LeafWarning {
+    LeafWarning { leaf: leaf("x"), cause: WarningCause::Slow, for_ms }
 }
 
 /// The warnings after these reports of one leaf: when, by which broker, what.
@@ -39,7 +50,7 @@
 #[test]
 fn a_leaf_that_several_brokers_find_slow_for_a_while_is_warned_of() {
     let warned = warnings(&mut WarningFold::default(), &slow_leaf(10_000));
-    assert_eq!(warned, [LeafWarning { leaf: leaf("x"), for_ms: 1_000 }]);
+    assert_eq!(warned, [slowness(1_000)]);
 }
 
 #[rstest]
@@ -101,21 +112,21 @@
     let mut fold = WarningFold::default();
     warnings(&mut fold, &slow_leaf(10_000));
     let current = fold.current(at(10_400));
-    assert_eq!(current, [LeafWarning { leaf: leaf("x"), for_ms: 600 }]);
+    assert_eq!(current, [slowness(600)]);
     assert_eq!(fold.current(at(11_000)), []);
 }
 
 #[test]
 fn a_report_tells_each_slow_request_once_with_the_sound_answers_of_the_last_seconds() {
     let mut log = ObservationLog::default();
-    log.observe(at(1_000), &leaf("x"), at(980), false);
-    log.observe(at(1_100), &leaf("x"), at(1_000), true);
-    log.observe(at(1_100), &leaf("y"), at(1_000), false);
+    log.observe(at(1_000), &leaf("x"), at(980), Conduct::Sound);
+    log.observe(at(1_100), &leaf("x"), at(1_000), Conduct::Slow);
+    log.observe(at(1_100), &leaf("y"), at(1_000), Conduct::Sound);
     assert_eq!(log.take(at(1_200)), [slow("x", &[200], 1)]);
     assert_eq!(log.take(at(1_300)), []);
-    log.observe(at(2_200), &leaf("x"), at(2_150), true);
+    log.observe(at(2_200), &leaf("x"), at(2_150), Conduct::Slow);
     assert_eq!(log.take(at(2_200)), [slow("x", &[50], 1)], "the second before counts as well");
-    log.observe(at(4_500), &leaf("x"), at(4_400), true);
+    log.observe(at(4_500), &leaf("x"), at(4_400), Conduct::Slow);
     assert_eq!(log.take(at(4_500)), [slow("x", &[100], 0)], "what is older does not");
 }
 
@@ -124,7 +135,7 @@
     let mut log = ObservationLog::default();
     for number in 0..200 {
         for _ in 0..20 {
-            log.observe(at(1_000), &leaf(&format!("leaf-{number}")), at(900), true);
+            log.observe(at(1_000), &leaf(&format!("leaf-{number}")), at(900), Conduct::Slow);
         }
     }
     let report = log.take(at(1_000));
@@ -162,7 +173,7 @@
 #[test]
 fn a_leaf_is_asked_last_while_a_warning_lasts() {
     let mut set = near_and_far();
-    set.warn(&leaf("near"), at(2_000));
+    set.warn(&leaf("near"), WarningCause::Slow, at(2_000));
     assert_eq!(chosen(&set, 1_000), "far");
     assert_eq!(chosen(&set, 2_000), "near");
 }
@@ -170,8 +181,8 @@
 #[test]
 fn a_leaf_that_others_warn_of_is_asked_where_there_is_no_other() {
     let mut set = near_and_far();
-    set.warn(&leaf("near"), at(2_000));
-    set.warn(&leaf("far"), at(2_000));
+    set.warn(&leaf("near"), WarningCause::Slow, at(2_000));
+    set.warn(&leaf("far"), WarningCause::Slow, at(2_000));
     assert_eq!(chosen(&set, 1_000), "near");
 }
 
@@ -183,9 +194,184 @@
     #[case] expected: &str,
 ) {
     let mut set = near_and_far();
-    set.warn(&leaf("near"), at(4_000));
+    set.warn(&leaf("near"), WarningCause::Slow, at(4_000));
     set.begin(&leaf("near"));
     let outcome = Outcome::Answered(Duration::from_millis(took_ms));
     set.finish(at(1_000), &ReplicaSettings::default(), &leaf("near"), outcome);
     assert_eq!(chosen(&set, 1_001), expected);
 }
+
+fn failed(name: &str, ms_ago: &[u32], sound: u32) -> LeafObservation {
+    let failed_ms_ago = ms_ago.to_vec();
+    LeafObservation { leaf: leaf(name), slow_ms_ago: Vec::new(), failed_ms_ago, sound }
+}
+
+/// What is told of leaf x after these reports of it, each by another broker.
+fn causes(reports: &[LeafObservation]) -> Vec<WarningCause> {
+    let mut fold = WarningFold::default();
+    let names = ["b1", "b2", "b3", "b4"];
+    let reports: Vec<_> = names.into_iter().zip(reports).collect();
+    let warned = reports.into_iter().flat_map(|(broker, seen)| {
+        fold.report(at(10_000), &BrokerName::new(broker), std::slice::from_ref(seen))
+    });
+    warned.map(|warning| warning.cause).collect()
+}
+
+#[rstest]
+#[case::by_several_brokers(&[failed("x", &[900, 10], 0), failed("x", &[300], 0)], &[WarningCause::Failing])]
+#[case::at_one_moment(&[failed("x", &[10, 10], 0), failed("x", &[10], 0)], &[WarningCause::Failing])]
+#[case::one_answer_in_ten(&[failed("x", &[10, 10], 20), failed("x", &[10], 7)], &[WarningCause::Failing])]
+#[case::fewer(&[failed("x", &[10, 10], 20), failed("x", &[10], 8)], &[])]
+#[case::one_broker_alone(&[failed("x", &[900, 600, 300, 10], 0)], &[])]
+#[case::two_requests(&[failed("x", &[10], 0), failed("x", &[10], 0)], &[])]
+#[case::long_ago(&[failed("x", &[2_100, 2_050], 0), failed("x", &[10], 0)], &[])]
+fn a_leaf_that_loses_answers_is_warned_of(
+    #[case] reports: &[LeafObservation],
+    #[case] expected: &[WarningCause],
+) {
+    assert_eq!(causes(reports), expected);
+}
+
+#[test]
+fn a_failing_leaf_that_fails_again_is_warned_of_for_longer() {
+    let mut fold = WarningFold::default();
+    let first = [(10_000, "b1", failed("x", &[10, 20], 0)), (10_000, "b2", failed("x", &[30], 0))];
+    assert_eq!(warnings(&mut fold, &first)[0].for_ms, 1_000);
+    let slow_again = warnings(&mut fold, &[(11_050, "b3", slow("x", &[0], 0))]);
+    assert_eq!(slow_again, [], "that it is slow in one request says nothing of its answers");
+    let again = warnings(&mut fold, &[(11_100, "b3", failed("x", &[0], 5))]);
+    assert_eq!(again[0].for_ms, 2_000);
+}
+
+#[test]
+fn an_answer_does_not_show_that_a_leaf_loses_none() {
+    let mut set = near_and_far();
+    set.warn(&leaf("near"), WarningCause::Failing, at(4_000));
+    set.begin(&leaf("near"));
+    let outcome = Outcome::Answered(Duration::from_millis(30));
+    set.finish(at(1_000), &ReplicaSettings::default(), &leaf("near"), outcome);
+    assert_eq!(chosen(&set, 1_001), "far");
+    assert_eq!(chosen(&set, 4_000), "near");
+}
+
+/// A hundred brokers that each send one request a second to 36 shards of three leaves, of which every second
+/// leaf loses 2 of 5 answers: how many of the requests of four seconds get 35 parts, with two tries each.
+#[rstest]
+#[case::by_what_each_sees_itself(false)]
+#[case::with_warnings(true)]
+fn half_of_the_leaves_lose_answers(#[case] warned: bool) {
+    let share = fleet::share_of_whole_answers(warned);
+    match warned {
+        false => assert!(share < 0.85, "{share}"),
+        true => assert!(share > 0.95, "{share}"),
+    }
+}
+
+mod fleet {
+    use std::collections::BTreeMap;
+
+    use rand_pcg::Pcg64;
+    use rand_pcg::rand_core::{RngCore, SeedableRng};
+
+    use super::*;
+
+    const BROKERS: u64 = 100;
+    const SHARDS: usize = 36;
+    const SECONDS: u64 = 4;
+    /// Time until a report has come and its warning is at the brokers.
+    const DELAY_MS: u64 = 250;
+
+    struct Broker {
+        name: BrokerName,
+        shards: Vec<ReplicaSet>,
+        log: ObservationLog,
+    }
+
+    fn replica(shard: usize, number: usize) -> LeafIdentity {
+        leaf(&format!("{shard}-{number}"))
+    }
+
+    fn loses(leaf: &LeafIdentity, chance: f64) -> bool {
+        // Every second leaf: 0-1, 1-0, 1-2, 2-1 and so on.
+        let (shard, number) = leaf.as_str().split_once('-').unwrap();
+        let place = shard.parse::<usize>().unwrap() * 3 + number.parse::<usize>().unwrap();
+        place % 2 == 1 && chance < 0.4
+    }
+
+    fn broker(number: u64) -> Broker {
+        let shards = (0..SHARDS).map(|shard| {
+            let mut set = ReplicaSet::default();
+            for replica_number in 0..3 {
+                let listed = ListedLeaf {
+                    identity: replica(shard, replica_number),
+                    service: ServiceName::new("s"),
+                    address: ([127, 0, 0, 1], 80).into(),
+                    zone: ZoneName::new("a"),
+                    slots: 4,
+                    availability: LeafAvailability::Ready,
+                    cold_ms: 0,
+                };
+                let distance = if replica_number == 0 { Distance::Zone } else { Distance::Far };
+                set.list(at(0), &listed, distance);
+            }
+            set
+        });
+        let name = BrokerName::new(format!("b{number}"));
+        Broker { name, shards: shards.collect(), log: ObservationLog::default() }
+    }
+
+    /// Whether 35 parts of one request came.
+    fn request(broker: &mut Broker, now: u64, draw: &mut impl FnMut() -> f64) -> bool {
+        let settings = ReplicaSettings::default();
+        let mut present = 0;
+        for shard in &mut broker.shards {
+            let mut tried = Vec::new();
+            for _ in 0..2 {
+                let reach = |_: &LeafIdentity| Ok(Connectivity::Idle);
+                let choice = shard.choose(at(now), &settings, &tried, reach, &mut *draw);
+                let Selection::Ask(choice) = choice else { break };
+                shard.begin(&choice.leaf);
+                let lost = loses(&choice.leaf, draw());
+                let outcome = match lost {
+                    true => Outcome::Failed,
+                    false => Outcome::Answered(Duration::from_millis(30)),
+                };
+                shard.finish(at(now), &settings, &choice.leaf, outcome);
+                let conduct = if lost { Conduct::Failed } else { Conduct::Sound };
+                broker.log.observe(at(now), &choice.leaf, at(now), conduct);
+                tried.push(choice.leaf);
+                if !lost {
+                    present += 1;
+                    break;
+                }
+            }
+        }
+        present >= SHARDS - 1
+    }
+
+    pub fn share_of_whole_answers(warned: bool) -> f64 {
+        let mut random = Pcg64::seed_from_u64(7);
+        let mut draw = || (random.next_u32() as f64) / f64::from(u32::MAX);
+        let mut brokers: Vec<Broker> = (0..BROKERS).map(broker).collect();
+        let mut fold = WarningFold::default();
+        let mut due: BTreeMap<u64, Vec<LeafWarning>> = BTreeMap::new();
+        let (mut whole, mut all) = (0, 0);
+        for now in (1_000..1_000 + SECONDS * 1_000).step_by(10) {
+            let number = (now / 10 % BROKERS) as usize;
+            all += 1;
+            whole += u32::from(request(&mut brokers[number], now, &mut draw));
+            let report = brokers[number].log.take(at(now));
+            let warnings = fold.report(at(now), &brokers[number].name, &report);
+            due.entry(now + DELAY_MS).or_default().extend(warnings);
+            for warning in due.remove(&now).unwrap_or_default().iter().filter(|_| warned) {
+                let (shard, _) = warning.leaf.as_str().split_once('-').unwrap();
+                let shard: usize = shard.parse().unwrap();
+                let until = at(now).after(Duration::from_millis(warning.for_ms.into()));
+                for broker in &mut brokers {
+                    broker.shards[shard].warn(&warning.leaf, warning.cause, until);
+                }
+            }
+        }
+        f64::from(whole) / f64::from(all)
+    }
+}
