Name the tenant of each request by the key that its caller shows

Cause: the configuration knew no tenants, so that a caller's key went on to leaves, no tenant was named to them, and requests with keys that nobody holds were run.

A configuration that names tenants has them checked as a whole (one name, one holder of each key, a name that fits into a header field), and brokers index them by digest. Where tenants are named and a route is not public, a request has to show one known key: otherwise it is refused with 401, after the look-up of its route (404 stays) and never before a configuration is known (503 stays). A body is not read then, and the connection ends with the refusal, or the body would be taken for the next request. On public routes a key is not needed; one that is shown has to be known all the same.

Leaves get the tenant's name from the broker, in every kind of attempt, since the head that all attempts share is written once it is known who calls; the caller's own fields of that name and its credentials are dropped. A tenant's priority goes before the route's in the rank of a request, and a leaf has to lie in a region that route and tenant both allow.

Ruled out: authentication when the request is parsed (a process that has just started would refuse what it could serve a moment later, and open connections would keep an old answer).

The test of the broker's fields names no tenant and stays as it was.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -2,19 +2,21 @@
 
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{AttemptError, Outcome};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
-use gingerkeel_domain::routes::Route;
+use gingerkeel_domain::routes::{Route, Tenant};
 use gingerkeel_transport::http1::{
     BodyDecoder, BodyFraming, HttpReader, ReadError, RequestHead, ResponseHead, response_framing,
 };
 
 use http::StatusCode;
 
+use super::authentication::{AUTHORIZATION, CallerIdentity};
 use super::dialect::Dialect;
 use super::pool::LeafConnection;
 use super::state::RouteState;
@@ -37,7 +39,10 @@
     pub head: RequestHead,
     /// Its whole body.
     pub body: Bytes,
-    /// The head as leaves get it, but for what differs from one to another and its end.
+    /// The tenant that sent it, where that is known.
+    pub tenant: Option<Arc<Tenant>>,
+    /// The head as leaves get it, but for what differs from one to another and its end; empty until it is
+    /// known who calls.
     pub forwarded_head: Vec<u8>,
     /// Its id, as the caller sent it.
     pub id: Vec<u8>,
@@ -49,6 +54,14 @@
     pub trail: Trail,
 }
 
+impl ForwardedRequest {
+    /// It is known who sent it, and with it what leaves get.
+    pub fn identify(&mut self, dialect: &Dialect, caller: &CallerIdentity) {
+        self.tenant = caller.tenant().cloned();
+        self.forwarded_head = forwarded_head(dialect, &self.head, &self.body, caller);
+    }
+}
+
 /// The rest of a reply that is streamed.
 pub struct ReplyStream {
     connection: LeafConnection,
@@ -296,18 +309,27 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// What is the same in the requests to all leaves: the start line and the caller's own fields.
-pub fn forwarded_head(dialect: &Dialect, head: &RequestHead, body: &[u8]) -> Vec<u8> {
+/// What is the same in the requests to all leaves: the start line, the caller's own fields and who calls.
+fn forwarded_head(
+    dialect: &Dialect,
+    head: &RequestHead,
+    body: &[u8],
+    caller: &CallerIdentity,
+) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(FORWARDED_HEAD_BYTES);
     bytes.extend_from_slice(head.method.as_bytes());
     bytes.push(b' ');
     bytes.extend_from_slice(head.target.as_bytes());
     bytes.extend_from_slice(b" HTTP/1.1\r\n");
     for (name, value) in head.headers.iter() {
-        if !is_replaced(dialect, name) && !head.headers.is_hop_by_hop(name) {
+        let dropped = is_replaced(dialect, name) || is_identity(dialect, caller, name);
+        if !dropped && !head.headers.is_hop_by_hop(name) {
             add_field(&mut bytes, name, value);
         }
     }
+    if let Some(tenant) = caller.tenant() {
+        add_field(&mut bytes, dialect.tenant.as_bytes(), tenant.name.as_str().as_bytes());
+    }
     let has_length = head.headers.get("content-length").is_some();
     if !body.is_empty() || has_length || head.headers.get("transfer-encoding").is_some() {
         add_field(&mut bytes, b"Content-Length", body.len().to_string().as_bytes());
@@ -335,6 +357,12 @@
     own.iter().any(|field| name.eq_ignore_ascii_case(field.as_bytes()))
 }
 
+/// Whether a field of the caller's says who calls, which leaves learn from the broker alone.
+fn is_identity(dialect: &Dialect, caller: &CallerIdentity, name: &[u8]) -> bool {
+    let own = [dialect.tenant, AUTHORIZATION];
+    caller.is_checked() && own.iter().any(|field| name.eq_ignore_ascii_case(field.as_bytes()))
+}
+
 pub(super) fn add_field(bytes: &mut Vec<u8>, name: &[u8], value: &[u8]) {
     bytes.extend_from_slice(name);
     bytes.extend_from_slice(b": ");
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -125,7 +125,9 @@
         self.nobody = None;
         let limits = self.state.service_limits(self.service);
         let leaves = &self.state.leaves;
-        let choice = match leaves.choose(self.route, self.service, limits, self.attempts.tried()) {
+        let tenant = self.request.tenant.as_deref();
+        let tried = self.attempts.tried();
+        let choice = match leaves.choose(self.route, tenant, self.service, limits, tried) {
             Selection::Ask(choice) => Some(choice),
             Selection::Wait { .. } if self.may_wait_for_connection(reason) => {
                 return Next::Wait(CONNECTION_WAIT);
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -16,10 +16,10 @@
 use monoio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-use super::attempt::{ForwardedRequest, LeafReply, forwarded_head};
+use super::attempt::{ForwardedRequest, LeafReply};
 use super::record::Record;
 use super::respond::{Refusal, RelayFraming, relayed_head};
-use super::serving::{Served, serve};
+use super::serving::{Served, lacks_key, refuse_unread, serve};
 use super::state::RouteState;
 use super::trail::Trail;
 use crate::stop::StopSignal;
@@ -127,7 +127,7 @@
                 Ok(()) => {}
                 Err(End::Closed) => break,
                 Err(End::Refused(refusal)) => {
-                    let written = self.write(refusal.to_bytes(false)).await;
+                    let written = self.refuse(refusal, false).await;
                     // The caller may be gone.
                     let _ = self.writer.shutdown().await;
                     if written.is_ok() {
@@ -156,6 +156,9 @@
             Ok(Ok(None)) => return Err(End::Closed),
             Ok(Err(error)) => return Err(fault(&error)),
         };
+        if has_body(&head) && lacks_key(&self.state, &head) {
+            return Err(self.refuse_unread(head, received));
+        }
         let body = self.read_body(&head, limits).await?;
         let keep_alive = head.keeps_alive() && !self.state.is_stopping();
         let request = self.understand(head, body, received);
@@ -168,6 +171,13 @@
         if keep_alive { Ok(()) } else { Err(End::Closed) }
     }
 
+    /// Refuses a request whose body is not worth reading. The connection ends with it, or the body would
+    /// be taken for the next request.
+    fn refuse_unread(&self, head: RequestHead, received: Instant) -> End {
+        let request = self.understand(head, Bytes::new(), received);
+        End::Refused(refuse_unread(&self.state, request))
+    }
+
     /// Waits for the first byte of a request. A planned stop ends the wait: soon, unless the caller
     /// has come only since.
     async fn wait_for_request(&mut self) -> Result<(), End> {
@@ -215,9 +225,16 @@
         let time = stated.map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let deadline = received + time.min(DEFAULT_DEADLINE * 10);
         let id = head.headers.get(dialect.request_id).unwrap_or_default().to_vec();
-        let forwarded_head = forwarded_head(dialect, &head, &body);
-        let trail = Trail::new(received);
-        ForwardedRequest { head, body, forwarded_head, id, received, deadline, trail }
+        ForwardedRequest {
+            head,
+            body,
+            tenant: None,
+            forwarded_head: Vec::new(),
+            id,
+            received,
+            deadline,
+            trail: Trail::new(received),
+        }
     }
 
     /// Serves a request unless its caller leaves before, or a planned stop is about to end; then
@@ -255,7 +272,7 @@
                 let bytes = answer.to_bytes(&self.state.dialect, keep_alive);
                 self.write(bytes).await
             }
-            Served::Refused(refusal) => self.write(refusal.to_bytes(keep_alive)).await,
+            Served::Refused(refusal) => self.refuse(refusal, keep_alive).await,
             Served::Relayed(reply) => self.relay(*reply, keep_alive).await,
         }
     }
@@ -287,6 +304,11 @@
         }
     }
 
+    async fn refuse(&mut self, refusal: Refusal, keep_alive: bool) -> Result<(), End> {
+        let bytes = refusal.to_bytes(&self.state.dialect, keep_alive);
+        self.write(bytes).await
+    }
+
     async fn write(&mut self, bytes: Vec<u8>) -> Result<(), End> {
         match timeout(WRITE_LIMIT, self.writer.write_all(bytes)).await {
             Ok((Ok(_), _)) => Ok(()),
@@ -295,6 +317,11 @@
     }
 }
 
+/// Whether a body follows a head. One that is framed wrongly is refused by whoever reads it.
+fn has_body(head: &RequestHead) -> bool {
+    request_framing(&head.headers).is_ok_and(|framing| framing != BodyFraming::None)
+}
+
 /// Ends once a planned stop has come to this moment of its times.
 async fn stop_reaches(
     state: &RouteState,
--- a/crates/broker/src/routes/dialect.rs
+++ b/crates/broker/src/routes/dialect.rs
@@ -23,6 +23,10 @@
     pub read_load: fn(&str) -> Option<LoadReport>,
     /// Marks an answer of a leaf that did not run the request.
     pub not_executed: &'static str,
+    /// Name of the tenant that sent a request, for leaves.
+    pub tenant: &'static str,
+    /// Name of the scheme by which callers show their key.
+    pub key_scheme: &'static str,
     /// Path on which readiness is asked for.
     pub readiness_path: &'static str,
 }
@@ -39,6 +43,8 @@
             load: "gingerkeel-load",
             read_load,
             not_executed: "gingerkeel-not-executed",
+            tenant: "gingerkeel-tenant",
+            key_scheme: "Bearer",
             readiness_path: "/ready",
         }
     }
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -16,7 +16,7 @@
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, ObservationLog};
-use gingerkeel_domain::routes::Route;
+use gingerkeel_domain::routes::{Route, Tenant};
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::{BrokerSettings, RouteSettings};
 use rand::{Rng, SeedableRng};
@@ -211,10 +211,11 @@
         self.random.borrow_mut().random()
     }
 
-    /// Chooses a leaf of a service for a request of a route, other than those tried.
+    /// Chooses a leaf of a service for a request of a route and a tenant, other than those tried.
     pub fn choose(
         &self,
         route: &Route,
+        tenant: Option<&Tenant>,
         service: &ServiceName,
         limits: ServiceLimits,
         tried: &[LeafIdentity],
@@ -224,22 +225,23 @@
             return Selection::Nobody(NobodyReason::NoneListed);
         };
         let reach = |leaf: &LeafIdentity| match leaves.directory.leaves().get(leaf) {
-            Some(leaf) => self.reach(&leaves, route, limits, leaf),
+            Some(leaf) => self.reach(&leaves, route, tenant, limits, leaf),
             None => Ok(Connectivity::Exhausted),
         };
         let settings = &self.replica_settings;
         state.replicas.choose(self.clock.now(), settings, tried, reach, || self.draw())
     }
 
-    /// By what a leaf is reached, or why requests of the route may not go there.
+    /// By what a leaf is reached, or why requests of the route and the tenant may not go there.
     fn reach(
         &self,
         leaves: &Leaves,
         route: &Route,
+        tenant: Option<&Tenant>,
         limits: ServiceLimits,
         leaf: &ListedLeaf,
     ) -> Result<Connectivity, Exclusion> {
-        if !route.allowed_regions.allows(self.region(leaf)) {
+        if !route.allows_region(tenant, self.region(leaf)) {
             return Err(Exclusion::RegionNotAllowed);
         }
         if self.evacuated.borrow().contains(&leaf.zone) {
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt;
 mod attempts;
+mod authentication;
 mod callers;
 mod connection_book;
 mod dialect;
--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -153,6 +153,7 @@
         let in_time = self.route.as_ref().is_some_and(|route| is_in_time(route, held));
         let end = RequestEnd {
             route: self.route.as_ref().map_or("", |route| route.name.as_str()),
+            tenant: self.request.tenant.as_ref().map(|tenant| tenant.name.as_str()),
             routes_version: self.routes_version,
             directory_version: self.state.leaves.version(),
             outcome: self.outcome,
--- a/crates/broker/src/routes/respond.rs
+++ b/crates/broker/src/routes/respond.rs
@@ -21,6 +21,8 @@
     HeadTooLarge,
     /// No route matches.
     NoRoute,
+    /// The request shows no key of a tenant.
+    Unauthorized,
     /// The request has not run; the caller may come back.
     NotRun {
         /// When.
@@ -38,6 +40,7 @@
         match self {
             Self::Malformed => "malformed",
             Self::NoRoute => "no_route",
+            Self::Unauthorized => "unauthorized",
             Self::Slow => "too_slow",
             Self::BodyTooLarge => "body_too_large",
             Self::HeadTooLarge => "head_too_large",
@@ -51,6 +54,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::Malformed => 400,
+            Self::Unauthorized => 401,
             Self::NoRoute => 404,
             Self::Slow => 408,
             Self::BodyTooLarge => 413,
@@ -65,6 +69,9 @@
         match self {
             Self::Malformed => "not a valid request: check what was sent\n",
             Self::NoRoute => "no route matches the host and path: check both\n",
+            Self::Unauthorized => {
+                "the request shows no key that is known: send one key that is in force\n"
+            }
             Self::Slow => "the request did not arrive in time: send it faster\n",
             Self::BodyTooLarge => "the body is too large: send a shorter one\n",
             Self::HeadTooLarge => "the head is too large: send fewer or shorter fields\n",
@@ -75,11 +82,17 @@
     }
 
     /// The whole answer.
-    pub fn to_bytes(self, keep_alive: bool) -> Vec<u8> {
+    pub fn to_bytes(self, dialect: &Dialect, keep_alive: bool) -> Vec<u8> {
         let mut bytes = status_line(self.status());
-        if let Self::NotRun { retry_after } = self {
-            let seconds = format!("{:.3}", retry_after.as_secs_f64());
-            add_field(&mut bytes, b"Retry-After", seconds.as_bytes());
+        match self {
+            Self::NotRun { retry_after } => {
+                let seconds = format!("{:.3}", retry_after.as_secs_f64());
+                add_field(&mut bytes, b"Retry-After", seconds.as_bytes());
+            }
+            Self::Unauthorized => {
+                add_field(&mut bytes, b"WWW-Authenticate", dialect.key_scheme.as_bytes());
+            }
+            _ => {}
         }
         add_field(&mut bytes, b"Content-Type", b"text/plain");
         finish(bytes, self.text().as_bytes(), keep_alive)
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -7,10 +7,12 @@
 use gingerkeel_domain::forwarding::{NoReply, NobodyReason};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Destination, Route, RouteLookup, RouteTable};
+use gingerkeel_transport::http1::RequestHead;
 use monoio::time::timeout;
 
 use super::attempt::{ForwardedRequest, LeafReply};
 use super::attempts::{Parts, ask};
+use super::authentication::{CallerIdentity, UnknownKey, authenticate};
 use super::gather::gather;
 use super::record::Record;
 use super::respond::{MergedAnswer, Refusal};
@@ -40,9 +42,10 @@
 /// take longer than the answer.
 pub async fn serve(state: &Rc<RouteState>, mut request: ForwardedRequest) -> (Served, Record) {
     state.wait_until_known(request.deadline).await;
-    let found = find_route(state, &request);
-    if let Ok((_, route)) = &found {
-        let timeout_at = request.received + Duration::from_millis(route.timeout_ms);
+    let found = find_route(state, &request.head);
+    if let Ok(found) = &found {
+        request.identify(&state.dialect, &found.caller);
+        let timeout_at = request.received + Duration::from_millis(found.route.timeout_ms);
         request.deadline = request.deadline.min(timeout_at);
     }
     if let Some(stop) = state.planned_stop() {
@@ -50,9 +53,9 @@
         request.deadline = request.deadline.min(Instant::now() + left);
     }
     let mut record = Record::new(state.clone(), request);
-    let (table, route) = match found {
+    let Found { table, route, .. } = match found {
         Ok(found) => found,
-        Err((refusal, reason)) => return (record.refuse(refusal, reason), record),
+        Err(refused) => return (record.refuse(refused.refusal, refused.reason), record),
     };
     record.found(&route);
     if !state.takes(&route) {
@@ -69,25 +72,48 @@
     (served, record)
 }
 
-type Found = (Rc<RouteTable>, Arc<Route>);
+/// Whether a request is refused for want of a key. Its head tells, so that its body need not be read.
+pub fn lacks_key(state: &RouteState, head: &RequestHead) -> bool {
+    find_route(state, head).is_err_and(|refused| refused.refusal == Refusal::Unauthorized)
+}
 
-fn find_route(
-    state: &RouteState,
-    request: &ForwardedRequest,
-) -> Result<Found, (Refusal, &'static str)> {
+/// Refuses a request that [`lacks_key`].
+pub fn refuse_unread(state: &Rc<RouteState>, request: ForwardedRequest) -> Refusal {
+    let refusal = Refusal::Unauthorized;
+    Record::new(state.clone(), request).refuse(refusal, refusal.outcome());
+    refusal
+}
+
+/// A request that is refused by its head, for a reason in one word.
+struct RefusedByHead {
+    refusal: Refusal,
+    reason: &'static str,
+}
+
+/// Where a request goes, and whose it is.
+struct Found {
+    table: Rc<RouteTable>,
+    route: Arc<Route>,
+    caller: CallerIdentity,
+}
+
+fn find_route(state: &RouteState, head: &RequestHead) -> Result<Found, RefusedByHead> {
+    let refused = |refusal, reason| RefusedByHead { refusal, reason };
     let Some(table) = state.table().filter(|_| state.leaves.is_listed()) else {
         let refusal = Refusal::NotRun { retry_after: state.start_left() };
-        return Err((refusal, "nothing_known_yet"));
+        return Err(refused(refusal, "nothing_known_yet"));
     };
     if state.is_out_of_date() {
         let refusal = Refusal::NotRun { retry_after: OUT_OF_TOUCH_RETRY_AFTER };
-        return Err((refusal, "out_of_touch"));
-    }
-    let host = request.head.headers.text("host").unwrap_or_default();
-    match table.find(host, request.head.path()) {
-        RouteLookup::Found(route) => Ok((table, route)),
-        RouteLookup::NotFound => Err((Refusal::NoRoute, "no_route")),
+        return Err(refused(refusal, "out_of_touch"));
     }
+    let host = head.headers.text("host").unwrap_or_default();
+    let RouteLookup::Found(route) = table.find(host, head.path()) else {
+        return Err(refused(Refusal::NoRoute, "no_route"));
+    };
+    let caller = authenticate(&state.dialect, table.keys(), &route, head)
+        .map_err(|UnknownKey| refused(Refusal::Unauthorized, "unauthorized"))?;
+    Ok(Found { table, route, caller })
 }
 
 async fn serve_route(state: &Rc<RouteState>, route: &Route, request: &ForwardedRequest) -> Served {
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -255,7 +255,7 @@
         let usual = self.latency(route, USUAL_QUANTILE).unwrap_or_default();
         let time = request.deadline.saturating_duration_since(request.received);
         Candidate {
-            rank: table.rank(route),
+            rank: table.rank(route, request.tenant.as_deref()),
             in_time_until: received.after(target.saturating_sub(usual)),
             give_up_at: received.after(time.mul_f64(WAIT_SHARE)),
         }
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -85,6 +85,8 @@
 pub struct RequestEnd<'end> {
     /// Name of the route; empty when none matched.
     pub route: &'end str,
+    /// Name of the tenant; none where it is not known.
+    pub tenant: Option<&'end str>,
     /// Version of the configuration by which it was handled.
     pub routes_version: RouteVersion,
     /// Version of the list of leaves.
@@ -206,6 +208,7 @@
             event = "request_ended",
             %request,
             route = end.route,
+            tenant = end.tenant,
             outcome = end.outcome,
             status = end.status,
             held_ms = end.held.as_millis() as u64,
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -1,5 +1,6 @@
 //! A scripted control process that serves one catalog, and the catalogs that tests use.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -41,6 +42,8 @@
     pub news: Vec<FeedMessage>,
     /// With which lease they are told, one a second; 0 for when they subscribe.
     pub news_with_lease: u64,
+    /// What brokers are told later, by the lease with which they are.
+    pub later_news: BTreeMap<u64, Vec<FeedMessage>>,
 }
 
 impl Default for ControlScript {
@@ -53,6 +56,7 @@
             evacuated: Vec::new(),
             news: Vec::new(),
             news_with_lease: 0,
+            later_news: BTreeMap::new(),
         }
     }
 }
@@ -163,7 +167,11 @@
 }
 
 fn news_with(script: &ControlScript, lease: u64) -> Vec<FeedMessage> {
-    if script.news_with_lease == lease { script.news.clone() } else { Vec::new() }
+    let mut news = script.later_news.get(&lease).cloned().unwrap_or_default();
+    if script.news_with_lease == lease {
+        news.extend(script.news.clone());
+    }
+    news
 }
 
 /// A catalog with service `tickets`, whose shard `s` is held by the leaves `shards[s]`. Its
--- a/crates/domain/src/routes/configuration.rs
+++ b/crates/domain/src/routes/configuration.rs
@@ -1,14 +1,14 @@
 //! A configuration of routes and its validation.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use super::error::RouteError;
 use super::region_policy::RegionPolicy;
-use super::tenant::Tenant;
+use super::tenant::{KeyDigest, Tenant};
 use crate::forwarding::ColdStart;
-use crate::identifiers::ServiceName;
+use crate::identifiers::{ServiceName, TenantName};
 
 /// Version of a configuration, given by operators; the highest counts.
 #[derive(
@@ -187,11 +187,36 @@
                 ));
             }
         }
+        self.validate_tenants()
+    }
+
+    fn validate_tenants(&self) -> Result<(), RouteError> {
+        let mut names = BTreeSet::new();
+        let mut holders: BTreeMap<KeyDigest, &TenantName> = BTreeMap::new();
+        for tenant in &self.tenants {
+            if !tenant.has_usable_name() {
+                return Err(RouteError::BadTenantName(tenant.name.clone()));
+            }
+            if !names.insert(&tenant.name) {
+                return Err(RouteError::TenantTwice(tenant.name.clone()));
+            }
+            for key in &tenant.keys {
+                if let Some(other) = holders.insert(*key, &tenant.name) {
+                    return Err(RouteError::KeyOfTwo(other.clone(), tenant.name.clone()));
+                }
+            }
+        }
         Ok(())
     }
 }
 
 impl Route {
+    /// Whether requests of a tenant may be served in a region: its policy and the route's both bind.
+    pub fn allows_region(&self, tenant: Option<&Tenant>, region: Option<&str>) -> bool {
+        self.allowed_regions.allows(region)
+            && tenant.is_none_or(|tenant| tenant.allowed_regions.allows(region))
+    }
+
     fn validate(&self, services: &BTreeSet<&ServiceName>) -> Result<(), RouteError> {
         let name = || self.name.clone();
         if self.timeout_ms == 0 {
--- a/crates/domain/src/routes/error.rs
+++ b/crates/domain/src/routes/error.rs
@@ -2,7 +2,7 @@
 
 use quick_error::quick_error;
 
-use crate::identifiers::{RegionName, ServiceName};
+use crate::identifiers::{RegionName, ServiceName, TenantName};
 
 quick_error! {
     /// A fault of a configuration; nothing of the configuration was taken.
@@ -28,6 +28,22 @@
         UnknownRegion(route: String, region: RegionName, known: String) {
             display("route {route} allows region {region}, which no zone has: name some of {known}, or none for all")
         }
+        /// A tenant allows a region that no zone has.
+        UnknownTenantRegion(tenant: TenantName, region: RegionName, known: String) {
+            display("tenant {tenant} allows region {region}, which no zone has: name some of {known}, or none for all")
+        }
+        /// A tenant has no name, or one that cannot be sent in a header field.
+        BadTenantName(tenant: TenantName) {
+            display("the tenant name `{}` cannot be sent to leaves: give each tenant a name without control characters or space around it", tenant.as_str().escape_debug())
+        }
+        /// Two tenants have one name.
+        TenantTwice(tenant: TenantName) {
+            display("tenant {tenant} is defined twice: define it once, with all its keys")
+        }
+        /// Two tenants hold one key.
+        KeyOfTwo(one: TenantName, other: TenantName) {
+            display("tenants {one} and {other} hold the same key: give each tenant keys of its own")
+        }
         /// A route has no time.
         NoTimeout(route: String) {
             display("route {route} has a time-out of 0: give it at least one millisecond")
--- /dev/null
+++ b/crates/domain/src/routes/key_index.rs
@@ -0,0 +1,56 @@
+//! Whose key it is.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::tenant::{KeyDigest, Tenant};
+
+/// The tenants of a configuration by their keys.
+#[derive(Debug, Default)]
+pub struct KeyIndex {
+    tenants: Vec<Arc<Tenant>>,
+    /// What tenants say of their priority.
+    priorities: BTreeSet<Option<u32>>,
+    buckets: BTreeMap<u64, Vec<(KeyDigest, Arc<Tenant>)>>,
+}
+
+impl KeyIndex {
+    /// Indexes the tenants of a valid configuration: no key is of two of them.
+    pub fn new(tenants: Vec<Tenant>) -> Self {
+        let mut index = Self::default();
+        for tenant in tenants {
+            index.add(Arc::new(tenant));
+        }
+        index
+    }
+
+    fn add(&mut self, tenant: Arc<Tenant>) {
+        for key in &tenant.keys {
+            let bucket = self.buckets.entry(key.bucket()).or_default();
+            bucket.push((*key, tenant.clone()));
+        }
+        self.priorities.insert(tenant.priority);
+        self.tenants.push(tenant);
+    }
+
+    /// Whether callers have to show a key.
+    pub fn is_required(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
+    /// The tenants, in the order of the configuration.
+    pub fn tenants(&self) -> &[Arc<Tenant>] {
+        &self.tenants
+    }
+
+    /// The priorities that tenants have of their own; none of those that have their route's.
+    pub fn priorities(&self) -> &BTreeSet<Option<u32>> {
+        &self.priorities
+    }
+
+    /// The tenant that holds a key.
+    pub fn holder(&self, key: &KeyDigest) -> Option<&Arc<Tenant>> {
+        let bucket = self.buckets.get(&key.bucket())?;
+        bucket.iter().find(|(held, _)| held.matches(key)).map(|(_, tenant)| tenant)
+    }
+}
--- a/crates/domain/src/routes/mod.rs
+++ b/crates/domain/src/routes/mod.rs
@@ -6,6 +6,7 @@
 mod accepted;
 mod configuration;
 mod error;
+mod key_index;
 mod region_policy;
 mod table;
 mod tenant;
@@ -16,6 +17,7 @@
     RouteVersion, ShardSet, WeightedService,
 };
 pub use error::RouteError;
+pub use key_index::KeyIndex;
 pub use region_policy::RegionPolicy;
 pub use table::{RouteLookup, RouteTable};
 pub use tenant::{KeyDigest, Tenant, TenantQuota};
--- a/crates/domain/src/routes/table.rs
+++ b/crates/domain/src/routes/table.rs
@@ -7,6 +7,8 @@
 use super::configuration::{
     BackEndService, CallerLimits, Destination, Route, RouteConfiguration, RouteVersion,
 };
+use super::key_index::KeyIndex;
+use super::tenant::Tenant;
 use crate::identifiers::ServiceName;
 
 /// A configuration, indexed by host.
@@ -17,7 +19,9 @@
     services: BTreeMap<ServiceName, BackEndService>,
     /// Routes of a host, those of longer prefixes first.
     hosts: BTreeMap<String, Vec<Arc<Route>>>,
-    /// Priorities of the routes to each destination.
+    /// Who may call.
+    keys: KeyIndex,
+    /// Priorities of the requests to each destination.
     priorities: BTreeMap<ServiceName, BTreeSet<u32>>,
     /// Services that are asked for a part of gathered answers, with the shortest target latency.
     shards: BTreeMap<ServiceName, Duration>,
@@ -35,6 +39,7 @@
 impl RouteTable {
     /// Indexes a valid configuration.
     pub fn new(configuration: RouteConfiguration) -> Self {
+        let keys = KeyIndex::new(configuration.tenants);
         let mut hosts: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
         let mut priorities: BTreeMap<ServiceName, BTreeSet<u32>> = BTreeMap::new();
         let mut shards = BTreeMap::new();
@@ -47,7 +52,7 @@
                 }
             }
             if let Some(service) = route.destination.representative() {
-                priorities.entry(service.clone()).or_default().insert(route.priority);
+                priorities.entry(service.clone()).or_default().extend(of_requests(&route, &keys));
             }
             hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
         }
@@ -60,6 +65,7 @@
             limits: configuration.limits,
             services: services.map(|service| (service.name.clone(), service)).collect(),
             hosts,
+            keys,
             priorities,
             shards,
         }
@@ -85,11 +91,17 @@
         &self.shards
     }
 
-    /// How many priorities above that of the route its destination serves.
-    pub fn rank(&self, route: &Route) -> u32 {
+    /// Who may call, by their keys.
+    pub fn keys(&self) -> &KeyIndex {
+        &self.keys
+    }
+
+    /// How many priorities above that of a request the destination of its route serves.
+    pub fn rank(&self, route: &Route, tenant: Option<&Tenant>) -> u32 {
         let service = route.destination.representative();
         let known = service.and_then(|service| self.priorities.get(service));
-        known.map_or(0, |known| known.range(..route.priority).count() as u32)
+        let own = priority(route, tenant);
+        known.map_or(0, |known| known.range(..own).count() as u32)
     }
 
     /// The route of the longest prefix that begins `path`. The host may carry a port.
@@ -102,3 +114,15 @@
         matching.map_or(RouteLookup::NotFound, |route| RouteLookup::Found(route.clone()))
     }
 }
+
+/// The priority of a request: its tenant's goes before its route's.
+fn priority(route: &Route, tenant: Option<&Tenant>) -> u32 {
+    tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority)
+}
+
+/// The priorities that requests of a route may have.
+fn of_requests(route: &Route, keys: &KeyIndex) -> BTreeSet<u32> {
+    let without_tenant = (route.public || !keys.is_required()).then_some(route.priority);
+    let of_tenants = keys.priorities().iter().map(|own| own.unwrap_or(route.priority));
+    of_tenants.chain(without_tenant).collect()
+}
--- a/crates/domain/src/routes/tenant.rs
+++ b/crates/domain/src/routes/tenant.rs
@@ -23,6 +23,14 @@
         Self(Sha256::digest(key).into())
     }
 
+    /// Digests of the same bucket differ hardly ever: by it a digest is looked up, so that how long the
+    /// look-up takes tells nothing of the rest.
+    pub(super) fn bucket(&self) -> u64 {
+        let mut first = [0; size_of::<u64>()];
+        first.copy_from_slice(&self.0[..size_of::<u64>()]);
+        u64::from_be_bytes(first)
+    }
+
     /// Whether both are of the same key; takes as long whether or not they are.
     pub fn matches(&self, other: &Self) -> bool {
         self.0.ct_eq(&other.0).into()
@@ -54,6 +62,14 @@
     pub allowed_regions: RegionPolicy,
 }
 
+impl Tenant {
+    /// Whether leaves can be told the name in a header field as it is.
+    pub fn has_usable_name(&self) -> bool {
+        let name = self.name.as_str();
+        !name.is_empty() && name.trim() == name && !name.contains(char::is_control)
+    }
+}
+
 /// How many requests a tenant may send, over all brokers together.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TenantQuota {
--- a/crates/domain/tests/routes.rs
+++ b/crates/domain/tests/routes.rs
@@ -173,7 +173,8 @@
         (prioritized("x", "/a/", 1), prioritized("y", "/b/", 7), prioritized("z", "/c/", 7));
     let routes = vec![low.clone(), high.clone(), same.clone(), alone.clone()];
     let table = RouteTable::new(configuration(1, routes));
-    let ranks: Vec<u32> = [&high, &low, &same, &alone].map(|route| table.rank(route)).to_vec();
+    let ranks: Vec<u32> =
+        [&high, &low, &same, &alone].map(|route| table.rank(route, None)).to_vec();
     assert_eq!(ranks, [0, 1, 1, 0]);
 }
 
