Take tenants in the product's own interface, and show them

Cause: only the platform's reader knew tenants; the product's own would have asked operators for digests, regions of tenants were not checked, and nothing showed them.

The own interface takes keys in the clear and turns them into digests; brokers are fed the configuration without the operator's document, as a test of what a hollow broker gets shows. Both readers say where a document cannot be read instead of quoting it. Regions of tenants are checked as those of routes are. SHOW TENANTS tells name, number of keys, priority, quota, regions; SHOW ROUTES which routes are public. An empty key is refused.

Tests: control/tests/tenants.rs, statement/tests/parse.rs and properties.rs (the new look-up).

--- a/crates/control/src/native_routes.rs
+++ b/crates/control/src/native_routes.rs
@@ -1,12 +1,15 @@
 //! The product's own interface of routes: `PUT` and `GET` of `/v1/routes`, as JSON, and `PUT` and
 //! `DELETE` of `/v1/evacuations/ZONE`.
 
+mod document;
+
 use bytes::Bytes;
 use gingerkeel_domain::identifiers::ZoneName;
-use gingerkeel_domain::routes::{AcceptedRoutes, RouteConfiguration};
+use gingerkeel_domain::routes::AcceptedRoutes;
 use gingerkeel_transport::{HttpRequest, HttpResponse, json_answer, text_answer};
 use http::{Method, StatusCode};
 
+use self::document::ConfigurationDocument;
 use crate::ports::{InterfaceError, RouteAnswer, RouteCall, RouteInterface};
 
 /// Path of the configuration.
@@ -62,8 +65,7 @@
 }
 
 fn read(body: &Bytes) -> Result<AcceptedRoutes, InterfaceError> {
-    let configuration: RouteConfiguration = serde_json::from_slice(body).map_err(|error| {
-        InterfaceError::Malformed(format!("the configuration is not readable: {error}"))
-    })?;
-    Ok(AcceptedRoutes { configuration, document: body.to_vec() })
+    let document: ConfigurationDocument = serde_json::from_slice(body)
+        .map_err(|error| InterfaceError::unreadable("configuration", &error))?;
+    Ok(AcceptedRoutes { configuration: document.configuration()?, document: body.to_vec() })
 }
--- a/crates/control/src/places.rs
+++ b/crates/control/src/places.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use gingerkeel_domain::identifiers::{RegionName, ZoneName};
-use gingerkeel_domain::routes::{RouteConfiguration, RouteError};
+use gingerkeel_domain::routes::{RegionPolicy, RouteConfiguration, RouteError};
 
 /// Zones with their regions. Where the settings name none, nothing is known of places.
 #[derive(Debug, Clone, Default)]
@@ -24,27 +24,42 @@
         self.zones.contains_key(zone)
     }
 
-    /// Checks that a route names only regions that there are.
+    /// Checks that routes and tenants name only regions that there are.
     ///
     /// # Errors
-    /// [`RouteError::UnknownRegion`] names the route, the region and those that there are.
+    /// [`RouteError::UnknownRegion`] or [`RouteError::UnknownTenantRegion`] names the route or the tenant, the
+    /// region and those that there are.
     pub fn check_regions(&self, configuration: &RouteConfiguration) -> Result<(), RouteError> {
         if self.zones.is_empty() {
             return Ok(());
         }
         for route in &configuration.routes {
-            let known = |region: &&RegionName| self.zones.values().any(|known| known == *region);
-            if let Some(region) = route.allowed_regions.regions().find(|region| !known(region)) {
-                return Err(self.unknown_region(&route.name, region));
+            if let Some(region) = self.unknown_region(&route.allowed_regions) {
+                let (name, known) = (route.name.clone(), self.known_regions());
+                return Err(RouteError::UnknownRegion(name, region.clone(), known));
+            }
+        }
+        for tenant in &configuration.tenants {
+            if let Some(region) = self.unknown_region(&tenant.allowed_regions) {
+                let (name, known) = (tenant.name.clone(), self.known_regions());
+                return Err(RouteError::UnknownTenantRegion(name, region.clone(), known));
             }
         }
         Ok(())
     }
 
-    fn unknown_region(&self, route: &str, region: &RegionName) -> RouteError {
+    fn unknown_region<'policy>(
+        &self,
+        policy: &'policy RegionPolicy,
+    ) -> Option<&'policy RegionName> {
+        let is_known = |region: &RegionName| self.zones.values().any(|known| known == region);
+        policy.regions().find(|region| !is_known(region))
+    }
+
+    fn known_regions(&self) -> String {
         let mut known: Vec<&str> = self.zones.values().map(RegionName::as_str).collect();
         known.sort_unstable();
         known.dedup();
-        RouteError::UnknownRegion(route.to_owned(), region.clone(), known.join(", "))
+        known.join(", ")
     }
 }
--- a/crates/control/src/ports.rs
+++ b/crates/control/src/ports.rs
@@ -8,6 +8,7 @@
 use gingerkeel_domain::routes::{AcceptedRoutes, RouteVersion};
 use gingerkeel_transport::{HttpRequest, HttpResponse};
 use quick_error::quick_error;
+use serde_json::error::Category;
 
 quick_error! {
     /// A message that cannot be understood.
@@ -20,6 +21,21 @@
     }
 }
 
+impl InterfaceError {
+    /// A document that cannot be read. The parser's own words may quote the document, and with it a key.
+    pub fn unreadable(document: &str, error: &serde_json::Error) -> Self {
+        let fault = match error.classify() {
+            Category::Io | Category::Syntax => "it is no valid JSON",
+            Category::Eof => "it ends too early",
+            Category::Data => "a field is missing or has a value of another kind",
+        };
+        let (line, column) = (error.line(), error.column());
+        Self::Malformed(format!(
+            "the {document} is not readable: {fault}: see line {line}, column {column}"
+        ))
+    }
+}
+
 /// What an operator wants.
 pub enum RouteCall {
     /// Replace the configuration of routes.
--- a/crates/control/src/tables/mod.rs
+++ b/crates/control/src/tables/mod.rs
@@ -3,6 +3,7 @@
 mod catalog;
 mod cluster;
 mod routes;
+mod tenants;
 mod zones;
 
 pub use zones::named as named_zones;
@@ -26,6 +27,7 @@
         Subject::Revision => cluster::revision(state),
         Subject::Changes => cluster::changes(state),
         Subject::Routes => routes::routes(state.routes()),
+        Subject::Tenants => tenants::tenants(state.routes()),
         Subject::Directory => routes::directory(state.directory()),
         Subject::Zones => zones::zones(state),
     }
--- a/crates/control/src/tables/routes.rs
+++ b/crates/control/src/tables/routes.rs
@@ -25,6 +25,7 @@
         "destination",
         "version",
         "regions",
+        "public",
     ];
     table(&columns, rows)
 }
@@ -42,10 +43,12 @@
         destination(&route.destination),
         version.to_string(),
         regions(&route.allowed_regions),
+        if route.public { "yes" } else { "no" }.to_owned(),
     ]
 }
 
-fn regions(policy: &RegionPolicy) -> String {
+/// The regions that a policy allows.
+pub fn regions(policy: &RegionPolicy) -> String {
     if !policy.is_restricted() {
         return "all".to_owned();
     }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::Path;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -36,30 +37,66 @@
 pub struct Control {
     pub operators: SocketAddr,
     pub feed: SocketAddr,
-    _folder: Option<TempDir>,
+    /// Where operators send routes.
+    pub routes: Option<SocketAddr>,
+    folder: Option<TempDir>,
 }
 
 impl Control {
     /// Starts one on free addresses; it ends with the test.
     pub fn start(name: &str) -> Self {
-        let addresses = free_addresses(2);
-        let [operators, feed] = [addresses[0], addresses[1]];
-        let folder = tempfile::tempdir().unwrap();
+        Self::start_in(name, tempfile::tempdir().unwrap(), "")
+    }
+
+    /// Starts one on a data folder, with further settings.
+    pub fn start_in(name: &str, folder: TempDir, further_settings: &str) -> Self {
+        let addresses = free_addresses(3);
+        let [operators, feed, routes] = [addresses[0], addresses[1], addresses[2]];
         let text = format!(
-            "name = \"{name}\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\ndata_folder = {:?}",
+            "name = \"{name}\"\noperators = \"{operators}\"\nfeed = \"{feed}\"\nroutes = \"{routes}\"\n\
+             data_folder = {:?}\n{further_settings}",
             folder.path()
         );
         let settings: ControlSettings = gingerkeel_settings::parse("test", &text).unwrap();
         thread::spawn(move || block_on(gingerkeel_control::run(settings, None)).unwrap().unwrap());
         wait_until(|| TcpStream::connect(operators).is_ok() && TcpStream::connect(feed).is_ok());
-        let control = Self { operators, feed, _folder: Some(folder) };
+        let control = Self { operators, feed, routes: Some(routes), folder: Some(folder) };
         wait_until(|| control.post("SHOW STATUS", None).0 == 200);
         control
     }
 
     /// One that runs elsewhere.
     pub fn at(operators: SocketAddr, feed: SocketAddr) -> Self {
-        Self { operators, feed, _folder: None }
+        Self { operators, feed, routes: None, folder: None }
+    }
+
+    /// Its data folder.
+    pub fn folder(&self) -> &Path {
+        self.folder.as_ref().expect("a folder of its own").path()
+    }
+
+    /// Sends a document of routes; the status and the answer.
+    pub fn put_routes(&self, document: &str) -> (u16, String) {
+        self.call_routes(Method::PUT, document)
+    }
+
+    /// Reads the routes back; the status and the document.
+    pub fn read_routes(&self) -> (u16, String) {
+        self.call_routes(Method::GET, "")
+    }
+
+    fn call_routes(&self, method: Method, body: &str) -> (u16, String) {
+        let routes = self.routes.expect("an address for routes");
+        let mut request = HttpRequest::new(Bytes::copy_from_slice(body.as_bytes()));
+        *request.method_mut() = method;
+        *request.uri_mut() = Uri::from_static("/v1/routes");
+        let exchanging = async move {
+            let mut connection = ClientConnection::connect(routes, Limits::default()).await?;
+            connection.exchange(request).await
+        };
+        let response = block_on(exchanging).unwrap().expect("the process answers");
+        let text = String::from_utf8_lossy(response.body()).into_owned();
+        (response.status().as_u16(), text)
     }
 
     /// Whether it answers look-ups.
--- a/crates/domain/src/routes/tenant.rs
+++ b/crates/domain/src/routes/tenant.rs
@@ -23,6 +23,13 @@
         Self(Sha256::digest(key).into())
     }
 
+    /// The digest of a key as an operator writes it; none of an empty one. Callers' keys come without space
+    /// around them, so that one is left out here as well.
+    pub fn of_text(key: &str) -> Option<Self> {
+        let key = key.trim();
+        (!key.is_empty()).then(|| Self::of(key.as_bytes()))
+    }
+
     /// Digests of the same bucket differ hardly ever: by it a digest is looked up, so that how long the
     /// look-up takes tells nothing of the rest.
     pub(super) fn bucket(&self) -> u64 {
--- a/crates/statement/src/parse.rs
+++ b/crates/statement/src/parse.rs
@@ -99,6 +99,7 @@
         Rule::kw_revision => Subject::Revision,
         Rule::kw_changes => Subject::Changes,
         Rule::kw_routes => Subject::Routes,
+        Rule::kw_tenants => Subject::Tenants,
         Rule::kw_directory => Subject::Directory,
         Rule::kw_zones => Subject::Zones,
         Rule::classes => Subject::Classes(fields.optional_name()?.map(ServiceName::new)),
--- a/crates/statement/src/print.rs
+++ b/crates/statement/src/print.rs
@@ -41,6 +41,7 @@
             Self::Revision => out.write_str("REVISION"),
             Self::Changes => out.write_str("CHANGES"),
             Self::Routes => out.write_str("ROUTES"),
+            Self::Tenants => out.write_str("TENANTS"),
             Self::Directory => out.write_str("DIRECTORY"),
             Self::Zones => out.write_str("ZONES"),
         }
--- a/crates/statement/src/statement.rs
+++ b/crates/statement/src/statement.rs
@@ -26,6 +26,8 @@
     Versions(Option<ServiceName>),
     /// Routes of the configuration accepted.
     Routes,
+    /// Tenants of the configuration accepted.
+    Tenants,
     /// Leaves of the outside directory.
     Directory,
     /// Zones, whether they are evacuated, and who has that in force.
--- a/crates/statement/tests/parse.rs
+++ b/crates/statement/tests/parse.rs
@@ -41,6 +41,7 @@
     Statement::change(Change::EvacuateZone(ZoneName::new("pa-hall-a")))
 )]
 #[case("RESTORE ZONE b;", Statement::change(Change::RestoreZone(ZoneName::new("b"))))]
+#[case("show tenants", Statement::Show(Subject::Tenants))]
 #[case("SHOW DIRECTORY;", Statement::Show(Subject::Directory))]
 #[case(
     "SET PRICE OF urgent OF console TO 12",
--- a/crates/statement/tests/properties.rs
+++ b/crates/statement/tests/properties.rs
@@ -165,6 +165,7 @@
         Just(Subject::Revision),
         Just(Subject::Changes),
         Just(Subject::Routes),
+        Just(Subject::Tenants),
         Just(Subject::Directory),
         optional_service().prop_map(Subject::Classes),
         optional_service().prop_map(Subject::Shards),
