Read data folders of the format before tenants, and close them to others

Cause: documents of the log do not describe themselves; with tenants in the configuration of routes, folders of the former release could not be read. And the operator's document holds keys in the clear, in files that everybody could read.

The command that replaces routes in the former layout keeps its number and is read by its former types (cluster/former.rs); the present one has a new number. Only the identity file is rewritten, before anything else, so that a former release refuses the folder.

Folders are 0700 and files 0600, also those that a former release left open. AcceptedRoutes prints no document.

--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -5,6 +5,7 @@
 mod message;
 mod reads;
 mod routes;
+mod state_document;
 mod subscribers;
 mod waiting;
 mod waiting_routes;
@@ -15,7 +16,7 @@
     ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandOutcome, LogIndex,
 };
 use gingerkeel_domain::identifiers::ZoneName;
-use gingerkeel_protocol::{decode_document, encode_document, unpack_document};
+use gingerkeel_protocol::unpack_document;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use tracing::{debug, error, info};
 
@@ -30,6 +31,7 @@
 pub use membership::OwnIdentity;
 pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity, ZoneView};
 use reads::{PendingRead, Reads};
+use state_document::{decode_state, encode_state};
 use subscribers::Subscribers;
 use waiting::{ChangeReply, WaitingChanges};
 use waiting_routes::WaitingReplacements;
@@ -177,7 +179,7 @@
         match message {
             StateMachineMessage::Apply { index, command } => self.apply(index, &command),
             StateMachineMessage::Restore { index, snapshot } => self.restore(index, &snapshot),
-            StateMachineMessage::TakeSnapshot { reply } => match encode_document(&self.state) {
+            StateMachineMessage::TakeSnapshot { reply } => match encode_state(&self.state) {
                 Ok(bytes) => {
                     let snapshot = StateSnapshot { index: self.state.applied(), bytes };
                     // The log may have changed its mind.
@@ -212,14 +214,10 @@
             (CommandBody::ReportCharges(reports), CommandOutcome::Charges(receipts)) => {
                 self.subscribers.acknowledge_charges(reports, &receipts)
             }
-            (CommandBody::ReplaceRoutes(routes), CommandOutcome::Routes(outcome)) => {
-                let version = routes.configuration.version.0;
+            (body, CommandOutcome::Routes(outcome)) => {
+                let version = body.routes_version().map(|version| version.0);
                 info!(event = "routes_replaced", version, ?outcome);
-                self.waiting_routes.accepted(self.state.routes().version());
-                if routes.names_unlisted(self.state.directory()) {
-                    // Without an outside list nobody listens.
-                    let _ = self.outlets.read_directory.send(ReadAtOnce);
-                }
+                self.routes_replaced();
             }
             (CommandBody::ReportDirectory(delta), _) => {
                 let version = self.state.directory().version().0;
@@ -231,7 +229,7 @@
     }
 
     fn restore(&mut self, index: LogIndex, snapshot: &[u8]) {
-        match decode_document::<ClusterState>(snapshot) {
+        match decode_state(snapshot) {
             Ok(state) if state.applied() >= self.state.applied() => {
                 info!(event = "snapshot_restored", index = index.0);
                 self.state = state;
--- a/crates/control/src/cluster_task/routes.rs
+++ b/crates/control/src/cluster_task/routes.rs
@@ -9,6 +9,7 @@
 
 use super::waiting_routes::RoutesReply;
 use super::{ClusterMessage, ClusterTask};
+use crate::directory_polling::ReadAtOnce;
 
 impl ClusterTask {
     /// Replaces the configuration. One that is overtaken already is acknowledged at once, since
@@ -39,6 +40,16 @@
         });
     }
 
+    /// A replacement was applied.
+    pub(super) fn routes_replaced(&mut self) {
+        self.waiting_routes.accepted(self.state.routes().version());
+        let routes = self.state.routes().current();
+        if routes.is_some_and(|routes| routes.names_unlisted(self.state.directory())) {
+            // Without an outside list nobody listens.
+            let _ = self.outlets.read_directory.send(ReadAtOnce);
+        }
+    }
+
     /// Proposes again what got no outcome in time.
     pub(super) fn propose_routes_again(&mut self) {
         for routes in self.waiting_routes.round() {
--- a/crates/control/src/storage/files.rs
+++ b/crates/control/src/storage/files.rs
@@ -1,14 +1,24 @@
 //! Names of files, and replacing a file as a whole.
 
-use std::fs::{self, File};
+use std::fs::{self, DirBuilder, File, OpenOptions, Permissions};
+use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 
+use tracing::warn;
+
 use super::error::StorageError;
 use super::io::{StorageIo, write_all};
 
 /// Name of a file that is being written.
 const TEMPORARY: &str = "temporary";
 
+/// Access to a data folder.
+const FOLDER_MODE: u32 = 0o700;
+/// Access to its files.
+const FILE_MODE: u32 = 0o600;
+/// The bits of a mode that give access.
+const PERMISSIONS: u32 = 0o777;
+
 /// A file whose name ends in a number.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct NumberedFile {
@@ -41,6 +51,39 @@
     Ok(files)
 }
 
+/// Makes a folder and what is in it accessible to its user alone: the configuration of routes holds the keys
+/// of callers. A folder that a former release made is open to others.
+pub(super) fn restrict(folder: &Path) -> Result<(), StorageError> {
+    let unusable = |error| StorageError::unusable(folder, error);
+    DirBuilder::new().recursive(true).mode(FOLDER_MODE).create(folder).map_err(unusable)?;
+    restrict_to(folder, FOLDER_MODE);
+    for entry in fs::read_dir(folder).map_err(unusable)? {
+        let path = entry.map_err(unusable)?.path();
+        if path.is_file() {
+            restrict_to(&path, FILE_MODE);
+        }
+    }
+    Ok(())
+}
+
+fn restrict_to(path: &Path, mode: u32) {
+    let restricted = fs::metadata(path).and_then(|metadata| {
+        let is_open = metadata.permissions().mode() & !mode & PERMISSIONS != 0;
+        if is_open { fs::set_permissions(path, Permissions::from_mode(mode)) } else { Ok(()) }
+    });
+    if let Err(error) = restricted {
+        // The process may have access without owning the file; the operator has to decide.
+        warn!(event = "data_open_to_others", path = %path.display(), %error);
+    }
+}
+
+/// How files of a data folder are opened for writing: a new one is accessible to its user alone.
+pub(super) fn private_file() -> OpenOptions {
+    let mut options = OpenOptions::new();
+    options.write(true).create(true).mode(FILE_MODE);
+    options
+}
+
 /// Writes a file under a temporary name, syncs it, and gives it its name.
 pub(super) fn replace_file(
     io: &mut dyn StorageIo,
@@ -50,7 +93,7 @@
 ) -> Result<(), StorageError> {
     let temporary = folder.join(TEMPORARY);
     let unusable = |error| StorageError::unusable(path, error);
-    let mut file = File::create(&temporary).map_err(unusable)?;
+    let mut file = private_file().truncate(true).open(&temporary).map_err(unusable)?;
     write_all(io, &mut file, bytes).map_err(unusable)?;
     io.sync(&file).map_err(unusable)?;
     fs::rename(&temporary, path).map_err(unusable)?;
--- a/crates/control/src/storage/identity.rs
+++ b/crates/control/src/storage/identity.rs
@@ -6,13 +6,16 @@
 use gingerkeel_domain::consensus::{Incarnation, MemberId, NodeNumber};
 use gingerkeel_protocol::{decode_document, encode_document};
 use serde::{Deserialize, Serialize};
+use tracing::info;
 
 use super::error::StorageError;
 use super::files::{replace_file, with_checksum, without_checksum};
 use super::io::StorageIo;
 
 /// Version of the files' format.
-pub const FORMAT_VERSION: u16 = 3;
+pub const FORMAT_VERSION: u16 = 4;
+/// Version whose documents are read as well; a folder of it is one of the present version once it was opened.
+const FORMER_VERSION: u16 = 3;
 /// First bytes of the file, then the version.
 const MAGIC: &[u8; 8] = b"gkeelctl";
 const FILE: &str = "identity";
@@ -42,7 +45,15 @@
 ) -> Result<MemberId, StorageError> {
     let path = folder.join(FILE);
     match fs::read(&path) {
-        Ok(bytes) => check(&path, &bytes, owner),
+        Ok(bytes) => {
+            let (version, document) = check(&path, &bytes, owner)?;
+            if version == FORMER_VERSION {
+                // Before anything else is written: releases of the former version could not read it.
+                write(io, folder, &document)?;
+                info!(event = "folder_taken_over", format = version, now = FORMAT_VERSION);
+            }
+            Ok(document.member)
+        }
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => create(io, folder, owner),
         Err(error) => Err(StorageError::unusable(&path, error)),
     }
@@ -53,24 +64,36 @@
     folder: &Path,
     owner: &FolderOwner,
 ) -> Result<MemberId, StorageError> {
-    let path = folder.join(FILE);
     let member = MemberId { node: owner.node, incarnation: owner.new_incarnation };
-    let document = IdentityDocument { cluster: owner.cluster.clone(), member };
-    let document = encode_document(&document)
+    write(io, folder, &IdentityDocument { cluster: owner.cluster.clone(), member })?;
+    Ok(member)
+}
+
+fn write(
+    io: &mut dyn StorageIo,
+    folder: &Path,
+    document: &IdentityDocument,
+) -> Result<(), StorageError> {
+    let path = folder.join(FILE);
+    let document = encode_document(document)
         .map_err(|_| StorageError::Damaged(path.clone(), 0, "the identity cannot be written"))?;
     let mut bytes = MAGIC.to_vec();
     bytes.extend_from_slice(&FORMAT_VERSION.to_be_bytes());
     bytes.extend_from_slice(&with_checksum(&document));
-    replace_file(io, folder, &path, &bytes)?;
-    Ok(member)
+    replace_file(io, folder, &path, &bytes)
 }
 
-fn check(path: &Path, bytes: &[u8], owner: &FolderOwner) -> Result<MemberId, StorageError> {
+/// The version of the files, and whose they are.
+fn check(
+    path: &Path,
+    bytes: &[u8],
+    owner: &FolderOwner,
+) -> Result<(u16, IdentityDocument), StorageError> {
     let damaged = |reason| StorageError::Damaged(path.to_owned(), 0, reason);
     let rest = bytes.strip_prefix(MAGIC).ok_or(damaged("not an identity file"))?;
     let (version, rest) = rest.split_first_chunk::<2>().ok_or(damaged("no format version"))?;
     let version = u16::from_be_bytes(*version);
-    if version != FORMAT_VERSION {
+    if version != FORMAT_VERSION && version != FORMER_VERSION {
         return Err(StorageError::OtherFormat(path.to_owned(), version, FORMAT_VERSION));
     }
     let document = without_checksum(rest).ok_or(damaged("wrong checksum"))?;
@@ -84,5 +107,5 @@
     if found != expected {
         return Err(StorageError::OtherNode(path.to_owned(), found.0, expected.0));
     }
-    Ok(document.member)
+    Ok((version, document))
 }
--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -1,6 +1,6 @@
 //! The data folder while it is in use.
 
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 
 use gingerkeel_domain::consensus::{
@@ -10,7 +10,7 @@
 use rustix::io::Errno;
 
 use super::error::StorageError;
-use super::files::{NumberedFile, sync_folder};
+use super::files::{NumberedFile, private_file, restrict, sync_folder};
 use super::identity::{self, FolderOwner};
 use super::io::{StorageIo, write_all};
 use super::record::{LoggedWrite, Record};
@@ -62,7 +62,7 @@
         owner: &FolderOwner,
         mut io: Box<dyn StorageIo>,
     ) -> Result<OpenedStorage, StorageError> {
-        fs::create_dir_all(folder).map_err(|error| StorageError::unusable(folder, error))?;
+        restrict(folder)?;
         let lock = lock(folder)?;
         let identity = identity::establish(io.as_mut(), folder, owner)?;
         let snapshot = snapshot_file::read_latest(folder)?;
@@ -186,8 +186,7 @@
         let file = NumberedFile::new(&self.folder, PREFIX, self.next_sequence);
         let unusable = |error| StorageError::unusable(&file.path, error);
         // A file of this name is empty: it was begun and nothing was synced to it.
-        let handle =
-            OpenOptions::new().create(true).append(true).open(&file.path).map_err(unusable)?;
+        let handle = private_file().append(true).open(&file.path).map_err(unusable)?;
         handle.set_len(0).map_err(unusable)?;
         sync_folder(self.io.as_mut(), &self.folder)?;
         self.closed.retain(|segment| segment.file != file);
@@ -206,12 +205,7 @@
 fn lock(folder: &Path) -> Result<File, StorageError> {
     let path = folder.join(LOCK_FILE);
     let unusable = |error| StorageError::unusable(&path, error);
-    let file = OpenOptions::new()
-        .create(true)
-        .truncate(false)
-        .write(true)
-        .open(&path)
-        .map_err(unusable)?;
+    let file = private_file().truncate(false).open(&path).map_err(unusable)?;
     match flock(&file, FlockOperation::NonBlockingLockExclusive) {
         Ok(()) => Ok(file),
         Err(Errno::WOULDBLOCK) => Err(StorageError::InUse(folder.to_owned())),
--- /dev/null
+++ b/crates/control/tests/former_format.rs
@@ -0,0 +1,72 @@
+//! A data folder that a release wrote which knew no tenants: `data/format-3`, with a snapshot and a log after it.
+//!
+//! The release took versions 1 to 999 of the routes, of which its snapshot has one, and version 2000 last.
+
+mod support;
+
+use std::fs;
+use std::path::Path;
+
+use gingerkeel_control::storage::{DiskIo, FORMAT_VERSION, FolderOwner, Storage};
+use gingerkeel_domain::consensus::{Incarnation, LogIndex, NodeNumber};
+use support::Control;
+use tempfile::TempDir;
+
+/// The document of version 2000.
+const DOCUMENT: &str = include_str!("data/format-3-routes.json");
+/// Where the identity file has its format version.
+const VERSION_AT: std::ops::Range<usize> = 8..10;
+
+fn former_folder() -> TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    let data = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data/format-3");
+    for entry in fs::read_dir(data).unwrap() {
+        let path = entry.unwrap().path();
+        fs::copy(&path, folder.path().join(path.file_name().unwrap())).unwrap();
+    }
+    folder
+}
+
+fn format_version(folder: &Path) -> u16 {
+    let identity = fs::read(folder.join("identity")).unwrap();
+    u16::from_be_bytes(identity[VERSION_AT].try_into().unwrap())
+}
+
+#[test]
+fn it_is_opened_and_is_of_the_present_format_from_then_on() {
+    let folder = former_folder();
+    assert_eq!(format_version(folder.path()), FORMAT_VERSION - 1);
+    let owner = FolderOwner {
+        cluster: "gingerkeel".into(),
+        node: NodeNumber(1),
+        new_incarnation: Incarnation(7),
+    };
+    let open =
+        || Storage::open(folder.path(), &owner, Box::new(DiskIo)).map(|opened| opened.recovered);
+    let first = open().expect("it opens");
+    let snapshot = first.snapshot.clone().expect("a snapshot");
+    assert_eq!(snapshot.metadata.position.index, LogIndex(1_000));
+    assert!(!first.entries.is_empty());
+    assert_eq!(format_version(folder.path()), FORMAT_VERSION);
+    assert_eq!(open().expect("it opens again"), first);
+}
+
+#[test]
+fn its_routes_are_served_and_replaced() {
+    let control = Control::start_in("c1", former_folder(), "");
+    assert_eq!(control.read_routes(), (200, DOCUMENT.to_owned()));
+    let shown = control.rows("SHOW ROUTES");
+    assert_eq!((shown[0][0].as_str(), shown[0][4].as_str()), ("search", "2900"));
+    assert_eq!((shown[0][10].as_str(), shown[0][11].as_str()), ("south", "no"));
+    assert!(control.rows("SHOW TENANTS").is_empty());
+    assert_eq!(control.rows("SHOW CALLERS")[0][0], "portal", "what its snapshot holds");
+    let overtaken = DOCUMENT.replace("\"version\": 2000", "\"version\": 1999");
+    assert_eq!(control.put_routes(&overtaken), (200, "{\"accepted\":2000}".to_owned()));
+    let newer = DOCUMENT.replacen(
+        "\"version\": 2000",
+        "\"version\": 2001, \"tenants\": [{\"name\": \"kiosk\", \"keys\": [\"k-1\"]}]",
+        1,
+    );
+    assert_eq!(control.put_routes(&newer), (200, "{\"accepted\":2001}".to_owned()));
+    assert_eq!(control.rows("SHOW TENANTS")[0][0], "kiosk");
+}
--- a/crates/domain/src/cluster/command.rs
+++ b/crates/domain/src/cluster/command.rs
@@ -7,13 +7,13 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    BrokerChange, BrokerOverload, ChargeReceipt, ChargeReport, ControlRenewal, LeafHealthChange,
-    Threshold, WallTime,
+    BrokerChange, BrokerOverload, ChargeReceipt, ChargeReport, ControlRenewal,
+    FormerAcceptedRoutes, LeafHealthChange, Threshold, WallTime,
 };
 use crate::catalog::{CatalogError, Change};
 use crate::directory::DirectoryDelta;
 use crate::identifiers::{ControlName, Revision, ServiceName, SessionName};
-use crate::routes::{AcceptedRoutes, ReplaceOutcome};
+use crate::routes::{AcceptedRoutes, ReplaceOutcome, RouteVersion};
 
 /// One command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,10 +56,24 @@
         /// The threshold; none admits every class.
         threshold: Option<Threshold>,
     },
-    /// An operator replaces the configuration of routes.
-    ReplaceRoutes(Arc<AcceptedRoutes>),
+    /// An operator replaced the configuration of routes, in the layout of releases that knew no tenants: it
+    /// is read from logs, and not proposed any more.
+    ReplaceFormerRoutes(Arc<FormerAcceptedRoutes>),
     /// The poller tells what changed in the list of leaves.
     ReportDirectory(DirectoryDelta),
+    /// An operator replaces the configuration of routes.
+    ReplaceRoutes(Arc<AcceptedRoutes>),
+}
+
+impl CommandBody {
+    /// The version of a configuration of routes that replaces the one in force.
+    pub fn routes_version(&self) -> Option<RouteVersion> {
+        match self {
+            Self::ReplaceFormerRoutes(former) => Some(former.version()),
+            Self::ReplaceRoutes(routes) => Some(routes.configuration.version),
+            _ => None,
+        }
+    }
 }
 
 /// Identifies an operator's command over all resends.
--- /dev/null
+++ b/crates/domain/src/cluster/former.rs
@@ -0,0 +1,128 @@
+//! The configuration of routes as releases laid it out that knew no tenants.
+//!
+//! Documents of the log do not describe themselves, so that what was written by other types has to be
+//! read by them. Nothing is written by these any more.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Charges, ClusterState, History, LeafHints, LogIndex, Members, OverloadFold, Sessions,
+    Thresholds, WallTime,
+};
+use crate::catalog::Catalog;
+use crate::directory::LeafDirectory;
+use crate::routes::{
+    AcceptedRoutes, BackEndService, CallerLimits, Destination, RegionPolicy, Route,
+    RouteConfiguration, RouteState, RouteVersion,
+};
+
+/// A configuration with the operator's own text of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormerAcceptedRoutes {
+    configuration: FormerConfiguration,
+    document: Vec<u8>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct FormerConfiguration {
+    version: RouteVersion,
+    routes: Vec<FormerRoute>,
+    services: Vec<BackEndService>,
+    limits: CallerLimits,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct FormerRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    repeatable: bool,
+    timeout_ms: u64,
+    target_latency_ms: u64,
+    priority: u32,
+    attempts: u32,
+    destination: Destination,
+    allowed_regions: RegionPolicy,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct FormerRouteState {
+    current: Option<FormerAcceptedRoutes>,
+}
+
+/// The state of the control tier.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FormerClusterState {
+    applied: LogIndex,
+    now: WallTime,
+    catalog: Catalog,
+    history: History,
+    sessions: Sessions,
+    members: Members,
+    leaf_hints: LeafHints,
+    charges: Charges,
+    thresholds: Thresholds,
+    overload: OverloadFold,
+    routes: FormerRouteState,
+    directory: LeafDirectory,
+}
+
+impl FormerAcceptedRoutes {
+    /// Its version.
+    pub fn version(&self) -> RouteVersion {
+        self.configuration.version
+    }
+}
+
+impl From<FormerRoute> for Route {
+    fn from(former: FormerRoute) -> Self {
+        Self {
+            name: former.name,
+            host: former.host,
+            path_prefix: former.path_prefix,
+            repeatable: former.repeatable,
+            timeout_ms: former.timeout_ms,
+            target_latency_ms: former.target_latency_ms,
+            priority: former.priority,
+            attempts: former.attempts,
+            destination: former.destination,
+            allowed_regions: former.allowed_regions,
+            public: false,
+        }
+    }
+}
+
+impl From<FormerAcceptedRoutes> for AcceptedRoutes {
+    fn from(former: FormerAcceptedRoutes) -> Self {
+        let configuration = RouteConfiguration {
+            version: former.configuration.version,
+            routes: former.configuration.routes.into_iter().map(Route::from).collect(),
+            services: former.configuration.services,
+            limits: former.configuration.limits,
+            tenants: Vec::new(),
+        };
+        Self { configuration, document: former.document }
+    }
+}
+
+impl From<FormerClusterState> for ClusterState {
+    fn from(former: FormerClusterState) -> Self {
+        let current = former.routes.current.map(|routes| Arc::new(routes.into()));
+        Self {
+            applied: former.applied,
+            now: former.now,
+            catalog: former.catalog,
+            history: former.history,
+            sessions: former.sessions,
+            members: former.members,
+            leaf_hints: former.leaf_hints,
+            charges: former.charges,
+            thresholds: former.thresholds,
+            overload: former.overload,
+            routes: RouteState::of(current),
+            directory: former.directory,
+        }
+    }
+}
--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -6,6 +6,7 @@
 
 mod charges;
 mod command;
+mod former;
 mod history;
 mod leaf_health;
 mod members;
@@ -15,12 +16,14 @@
 mod thresholds;
 mod wall_time;
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Catalog, CatalogError, Change};
 use crate::directory::LeafDirectory;
 use crate::identifiers::Revision;
-use crate::routes::RouteState;
+use crate::routes::{AcceptedRoutes, RouteState};
 
 pub use crate::consensus::LogIndex;
 
@@ -31,6 +34,7 @@
 pub use command::{
     ChangeOutcome, ChangeRefusal, ChangeRequest, Command, CommandBody, CommandId, CommandOutcome,
 };
+pub use former::{FormerAcceptedRoutes, FormerClusterState};
 pub use history::{AcceptedChange, HISTORY_LIMIT, History, Target};
 pub use leaf_health::{LeafHealth, LeafHealthChange, LeafHints};
 pub use members::{
@@ -150,6 +154,10 @@
                 self.thresholds.set(service.clone(), *threshold);
                 CommandOutcome::Recorded
             }
+            CommandBody::ReplaceFormerRoutes(former) => {
+                let routes = AcceptedRoutes::from((**former).clone());
+                CommandOutcome::Routes(self.routes.replace(&Arc::new(routes)))
+            }
             CommandBody::ReplaceRoutes(routes) => {
                 CommandOutcome::Routes(self.routes.replace(routes))
             }
--- a/crates/domain/src/routes/accepted.rs
+++ b/crates/domain/src/routes/accepted.rs
@@ -1,6 +1,7 @@
 //! The configuration of routes as control processes agree on it.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -10,7 +11,7 @@
 use crate::identifiers::ServiceName;
 
 /// A configuration with the operator's own text of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AcceptedRoutes {
     /// The configuration.
     pub configuration: RouteConfiguration,
@@ -18,6 +19,17 @@
     pub document: Vec<u8>,
 }
 
+impl fmt::Debug for AcceptedRoutes {
+    /// Without the document, which tells the keys of tenants.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("AcceptedRoutes")
+            .field("configuration", &self.configuration)
+            .field("document_bytes", &self.document.len())
+            .finish()
+    }
+}
+
 impl AcceptedRoutes {
     /// Whether a route names a service of which a list has no leaf.
     pub fn names_unlisted(&self, directory: &LeafDirectory) -> bool {
@@ -47,6 +59,11 @@
 }
 
 impl RouteState {
+    /// With this configuration accepted, or none.
+    pub(crate) fn of(current: Option<Arc<AcceptedRoutes>>) -> Self {
+        Self { current }
+    }
+
     /// The configuration, if one was accepted.
     pub fn current(&self) -> Option<&Arc<AcceptedRoutes>> {
         self.current.as_ref()
