Judge by one account whether a request has run

A gathered answer short of its least share was said not to have run although shards had run it (503 with a time to come back); a request to one leaf was judged by another rule. ExecutionEvidence now judges alone, over all parts, retries, hedges and cancelled attempts, from what was sent and heard. Short answers of which a part ran are 502 at once. RequestAttempts decides no more about it.

The simulation's check of "not run" now holds for repeatable requests too.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -1,12 +1,13 @@
 //! One attempt: a request to one leaf, and its reply.
 
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use gingerkeel_domain::directory::ListedLeaf;
-use gingerkeel_domain::forwarding::{AttemptError, Outcome};
+use gingerkeel_domain::forwarding::{AttemptError, ExecutionEvidence, Outcome};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::Route;
 use gingerkeel_transport::http1::{
@@ -47,6 +48,16 @@
     pub deadline: Instant,
     /// What was decided about it.
     pub trail: Trail,
+    /// What all attempts tell of whether it has run.
+    pub evidence: Cell<ExecutionEvidence>,
+}
+
+impl ForwardedRequest {
+    fn note(&self, change: impl FnOnce(&mut ExecutionEvidence)) {
+        let mut evidence = self.evidence.get();
+        change(&mut evidence);
+        self.evidence.set(evidence);
+    }
 }
 
 /// The rest of a reply that is streamed.
@@ -139,7 +150,10 @@
         outcome: None,
     };
     let connection = connect(&mut watch, leaf).await?;
+    request.note(ExecutionEvidence::sent);
     let outcome = exchange(&mut watch, connection, leaf, request).await;
+    let status = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
+    request.note(|evidence| evidence.heard(status));
     watch.outcome = Some(match &outcome {
         Ok(_) => Outcome::Answered(watch.started.elapsed()),
         Err(AttemptError::Rejected) => Outcome::Rejected,
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -6,8 +6,7 @@
 
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
-    AfterAttempt, AttemptError, Choice, NoReply, NobodyReason, RequestAttempts, Selection,
-    hedge_delay,
+    AfterAttempt, AttemptError, Choice, NobodyReason, RequestAttempts, Selection, hedge_delay,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
@@ -204,14 +203,14 @@
     }
 
     /// An attempt has ended; gives the outcome of the request when that settles it.
-    fn settle(&mut self, ended: EndedAttempt) -> Option<Result<LeafReply, NoReply>> {
+    fn settle(&mut self, ended: EndedAttempt) -> Option<Option<LeafReply>> {
         let EndedAttempt { leaf, entry, outcome } = ended;
         let status = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
         self.request.trail.ended(entry, status);
         self.state.metrics.attempt_ended(outcome_name(status));
         match (self.attempts.ended(&leaf, status), outcome) {
-            (AfterAttempt::Reply, Ok(reply)) => return Some(Ok(reply)),
-            (AfterAttempt::NoReply(no_reply), _) => return Some(Err(no_reply)),
+            (AfterAttempt::Reply, Ok(reply)) => return Some(Some(reply)),
+            (AfterAttempt::NoReply, _) => return Some(None),
             (AfterAttempt::AskAnother { keep_reply: true }, Ok(reply)) => {
                 self.failure = Some(reply);
             }
@@ -221,11 +220,11 @@
     }
 
     /// The outcome when no further leaf can be asked.
-    fn give_up(&mut self) -> Result<LeafReply, NoReply> {
+    fn give_up(&mut self) -> Option<LeafReply> {
         if let Some(reason) = self.nobody {
             self.request.trail.nobody(reason);
         }
-        self.failure.take().ok_or(self.attempts.no_reply())
+        self.failure.take()
     }
 }
 
@@ -251,19 +250,17 @@
 
 /// Asks leaves of a service until one replies. Another leaf is asked as well once the measured
 /// latency of the route says that the first is late, or the other `parts` do. The failure of a leaf that
-/// ran a repeatable request is the reply only when no other leaf can be asked.
-///
-/// # Errors
-/// A [`NoReply`] that tells whether the request may have run.
+/// ran a repeatable request is the reply only when no other leaf can be asked. Without a reply, the request's
+/// evidence tells whether it may have run.
 pub async fn ask(
     state: &Rc<RouteState>,
     route: &Route,
     service: &ServiceName,
     request: &ForwardedRequest,
     parts: &Parts,
-) -> Result<LeafReply, NoReply> {
+) -> Option<LeafReply> {
     let outcome = ask_until_settled(state, route, service, request, parts).await;
-    if outcome.is_err() {
+    if outcome.is_none() {
         parts.gave_up();
     }
     outcome
@@ -275,7 +272,7 @@
     service: &ServiceName,
     request: &ForwardedRequest,
     parts: &Parts,
-) -> Result<LeafReply, NoReply> {
+) -> Option<LeafReply> {
     let mut asking = Asking::new(state, route, service, request, parts);
     let mut running = Running::new();
     let mut told_overdue = false;
--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -5,7 +5,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use gingerkeel_domain::forwarding::{GatherStep, GatherTimes, Gathering, GreatestRecords, NoReply};
+use gingerkeel_domain::forwarding::{GatherStep, GatherTimes, Gathering, GreatestRecords};
 use gingerkeel_domain::routes::{Route, ShardSet};
 use gingerkeel_domain::time::Timestamp;
 use monoio::time::sleep;
@@ -13,7 +13,7 @@
 use super::attempt::{ForwardedRequest, LeafReply};
 use super::attempts::{Parts, ask};
 use super::respond::{MergedAnswer, Refusal};
-use super::serving::not_run;
+use super::serving::unanswered;
 use super::state::RouteState;
 
 /// When a caller is asked to come back after too many shards could not be asked.
@@ -51,8 +51,8 @@
         }
     }
 
-    fn take(&mut self, state: &RouteState, outcome: Result<LeafReply, NoReply>) {
-        let attested = outcome.ok().and_then(|reply| Some((attestation(state, &reply)?, reply)));
+    fn take(&mut self, state: &RouteState, outcome: Option<LeafReply>) {
+        let attested = outcome.and_then(|reply| Some((attestation(state, &reply)?, reply)));
         self.gathering.part(state.clock.now(), attested.is_some());
         if let Some((attestation, reply)) = attested {
             self.attestations.push(attestation);
@@ -62,12 +62,8 @@
 
     fn finish(self, now: Timestamp, request: &ForwardedRequest) -> Result<MergedAnswer, Refusal> {
         if !self.gathering.reaches_least_share() {
-            // A repeatable request may be sent again, whatever has run of it.
-            let over = Instant::now() >= request.deadline;
-            return Err(match over {
-                true => Refusal::TimedOut,
-                false => not_run(request, RETRY_AFTER),
-            });
+            let time_is_over = Instant::now() >= request.deadline;
+            return Err(unanswered(request, time_is_over, RETRY_AFTER));
         }
         let missing = self.gathering.missing();
         let records = self.records.into_bytes();
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::forwarding::{NoReply, NobodyReason};
+use gingerkeel_domain::forwarding::{NobodyReason, RequestFailure};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Destination, Route, RouteLookup, RouteTable};
 use monoio::time::timeout;
@@ -112,18 +112,25 @@
 ) -> Served {
     let left = request.deadline.saturating_duration_since(Instant::now());
     match timeout(left, ask(state, route, service, request, &Parts::new(state, route, 0))).await {
-        Ok(Ok(reply)) => Served::Relayed(Box::new(reply)),
-        Ok(Err(NoReply::NoLeaf | NoReply::Rejected)) => {
-            Served::Refused(not_run(request, BUSY_RETRY_AFTER))
-        }
-        Ok(Err(NoReply::Unknown)) => Served::Refused(Refusal::NoReply),
-        Err(_) => Served::Refused(Refusal::TimedOut),
+        Ok(Some(reply)) => Served::Relayed(Box::new(reply)),
+        Ok(None) => Served::Refused(unanswered(request, false, BUSY_RETRY_AFTER)),
+        Err(_) => Served::Refused(unanswered(request, true, BUSY_RETRY_AFTER)),
     }
 }
 
-/// The refusal of a request that no leaf could be asked for: it is to come back after the usual
+/// What a caller is told whose request gets no answer. One that has not run is to come back after the usual
 /// time, or later where the reason lasts.
-pub(super) fn not_run(request: &ForwardedRequest, usual: Duration) -> Refusal {
-    let lasts = request.trail.nobody_reason().is_some_and(NobodyReason::is_lasting);
-    Refusal::NotRun { retry_after: if lasts { LASTING_RETRY_AFTER } else { usual } }
+pub(super) fn unanswered(
+    request: &ForwardedRequest,
+    time_is_over: bool,
+    usual: Duration,
+) -> Refusal {
+    match request.evidence.get().failure(time_is_over) {
+        RequestFailure::NotRun => {
+            let lasts = request.trail.nobody_reason().is_some_and(NobodyReason::is_lasting);
+            Refusal::NotRun { retry_after: if lasts { LASTING_RETRY_AFTER } else { usual } }
+        }
+        RequestFailure::TimedOut => Refusal::TimedOut,
+        RequestFailure::NoAnswer => Refusal::NoReply,
+    }
 }
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -312,14 +312,29 @@
     assert_eq!(answer.header("gingerkeel-missing-parts"), Some("1"));
 }
 
-#[test]
-fn below_the_least_share_there_is_no_answer() {
-    let good = honest("good", b"0123456789abcdef");
+/// Two of three shards give no part. Only where the third did not run the request either is it "not run".
+#[rstest]
+#[case::one_ran_it(Some(honest("good", b"0123456789abcdef")), 502)]
+#[case::one_failed(Some(failing(500)), 502)]
+#[case::one_rejected_it(Some(ScriptedLeaf::for_all(|_| Act::Send(rejection()))), 503)]
+#[case::none_was_reached(None, 503)]
+fn below_the_least_share_the_caller_is_told_whether_shards_ran_it(
+    #[case] third: Option<ScriptedLeaf>,
+    #[case] status: u16,
+) {
     let deaf = [deaf_address()];
-    let broker = RoutedBroker::start(&[], &[&[good.address], &deaf, &deaf]);
+    let third = [third.as_ref().map_or_else(deaf_address, |leaf| leaf.address)];
+    let broker = RoutedBroker::start(&[], &[&third, &deaf, &deaf]);
     let answer = broker.get("/all/");
-    assert_eq!(answer.status, 503);
-    assert!(answer.header("retry-after").is_some());
+    assert_eq!(answer.status, status);
+    assert_eq!(answer.header("retry-after").is_some(), status == 503);
+}
+
+fn failing(status: u16) -> ScriptedLeaf {
+    ScriptedLeaf::for_all(move |request| {
+        let id = request.header("gingerkeel-request-id");
+        Act::Send(response(status, &format!("gingerkeel-request-id: {id}\r\n"), b""))
+    })
 }
 
 #[test]
--- a/crates/domain/src/forwarding/attempts.rs
+++ b/crates/domain/src/forwarding/attempts.rs
@@ -1,5 +1,6 @@
-//! The attempts at one request at the leaves of one service: how many there may be, and what their
-//! ends say about the request.
+//! The attempts at one request at the leaves of one service: how many there may be, and whether another
+//! one follows. Whether the request has run is judged over all services, by
+//! [`ExecutionEvidence`](super::ExecutionEvidence).
 
 use std::time::Duration;
 
@@ -73,24 +74,13 @@
     }
 }
 
-/// Why no leaf of a service replied.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoReply {
-    /// No leaf can be asked now; the request has not run.
-    NoLeaf,
-    /// Every leaf that was asked refused; the request has not run.
-    Rejected,
-    /// The request may have run.
-    Unknown,
-}
-
 /// What the end of an attempt means for its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AfterAttempt {
     /// The reply is the outcome.
     Reply,
     /// There is no reply, and no other leaf may be asked.
-    NoReply(NoReply),
+    NoReply,
     /// Another leaf may be asked.
     AskAnother {
         /// Whether the reply tells of a failure and is the outcome if no other one comes.
@@ -114,7 +104,6 @@
     may_have_run: u32,
     /// Leaves at which the request arrived, whether they ran it or not.
     arrived: u32,
-    no_reply: NoReply,
 }
 
 impl RequestAttempts {
@@ -130,7 +119,6 @@
             refused: Vec::new(),
             may_have_run: 0,
             arrived: 0,
-            no_reply: NoReply::NoLeaf,
         }
     }
 
@@ -197,7 +185,6 @@
             return AfterAttempt::Reply;
         }
         self.arrived += 1;
-        self.no_reply = NoReply::Unknown;
         AfterAttempt::AskAnother { keep_reply: true }
     }
 
@@ -211,15 +198,11 @@
         if error.certainly_not_run() {
             self.may_have_run -= 1;
             self.refused.push(leaf.clone());
-            if self.no_reply == NoReply::NoLeaf && error.arrived() {
-                self.no_reply = NoReply::Rejected;
-            }
             return AfterAttempt::AskAnother { keep_reply: false };
         }
-        self.no_reply = NoReply::Unknown;
         match self.repeatable {
             true => AfterAttempt::AskAnother { keep_reply: false },
-            false => AfterAttempt::NoReply(NoReply::Unknown),
+            false => AfterAttempt::NoReply,
         }
     }
 
@@ -228,11 +211,6 @@
         let refused = std::mem::take(&mut self.refused);
         self.tried.retain(|tried| !refused.contains(tried));
     }
-
-    /// What there is to say when no other leaf can be asked and no reply was kept.
-    pub fn no_reply(&self) -> NoReply {
-        self.no_reply
-    }
 }
 
 /// When another leaf is asked as well: once the first is late by the `measured` latency of its route,
--- a/crates/domain/tests/request_attempts.rs
+++ b/crates/domain/tests/request_attempts.rs
@@ -2,16 +2,14 @@
 
 use std::time::Duration;
 
-use gingerkeel_domain::forwarding::{
-    AfterAttempt, AttemptError, NoReply, RequestAttempts, hedge_delay,
-};
+use gingerkeel_domain::forwarding::{AfterAttempt, AttemptError, RequestAttempts, hedge_delay};
 use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::time::Timestamp;
 use rstest::rstest;
 
 const ANOTHER: AfterAttempt = AfterAttempt::AskAnother { keep_reply: false };
 const ANOTHER_THAN_THIS: AfterAttempt = AfterAttempt::AskAnother { keep_reply: true };
-const MAY_HAVE_RUN: AfterAttempt = AfterAttempt::NoReply(NoReply::Unknown);
+const MAY_HAVE_RUN: AfterAttempt = AfterAttempt::NoReply;
 
 fn leaf(name: &str) -> LeafIdentity {
     LeafIdentity::new(name)
@@ -90,7 +88,6 @@
         assert!(!attempts.may_ask());
         attempts.ended(&leaf(name), Err(AttemptError::Rejected));
     }
-    assert_eq!(attempts.no_reply(), NoReply::Rejected);
     assert_eq!(attempts.tried().len(), 3);
 }
 
@@ -99,17 +96,6 @@
     let mut attempts = one_asked(true);
     attempts.ended(&leaf("a"), Err(AttemptError::NoConnection));
     assert!(attempts.tried().is_empty() && attempts.is_first());
-    assert_eq!(attempts.no_reply(), NoReply::NoLeaf);
-}
-
-/// Once a run is possible, no later refusal makes it certain that there was none.
-#[test]
-fn a_request_that_may_have_run_stays_one() {
-    let mut attempts = one_asked(true);
-    attempts.ended(&leaf("a"), Err(AttemptError::Lost));
-    attempts.asked(at(1), leaf("b"));
-    attempts.ended(&leaf("b"), Err(AttemptError::Rejected));
-    assert_eq!(attempts.no_reply(), NoReply::Unknown);
 }
 
 #[test]
--- a/crates/simulation/src/routes/broker.rs
+++ b/crates/simulation/src/routes/broker.rs
@@ -7,9 +7,9 @@
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
     Admitted, AfterAttempt, AttemptError, Candidate, Choice, Connectivity, Distance, Ended,
-    ExtraLoadBudget, GatherStep, GatherTimes, Gathering, MisdirectedRequests, NoReply,
+    ExecutionEvidence, ExtraLoadBudget, GatherStep, GatherTimes, Gathering, MisdirectedRequests,
     NobodyReason, Outcome, OverloadGate, OverloadGateSettings, ReplicaSet, ReplicaSettings,
-    RequestAttempts, Selection, SlackShare, TicketNumber, hedge_delay,
+    RequestAttempts, RequestFailure, Selection, SlackShare, TicketNumber, hedge_delay,
 };
 use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::tail::LatencyWindow;
@@ -210,6 +210,7 @@
             deadline,
             gathering: (kind == RouteKind::Gathered).then(gathering),
             parts: services.iter().map(part).collect(),
+            evidence: ExecutionEvidence::default(),
         };
         for (part, service) in services.iter().enumerate() {
             self.budgets.entry(*service).or_default().earn(&EXTRA_LOAD, now);
@@ -233,6 +234,7 @@
         if let Some(began) = part.began.remove(&key.leaf) {
             let (service, took) = (part.service, now.since(began));
             let after = part.attempts.ended(&key.leaf, outcome);
+            request.evidence.heard(outcome);
             part.leaf_failed = outcome.is_ok_and(|status| status >= 500);
             self.observe(now, request.kind, service, &key.leaf, outcome, took);
             self.settle(now, key, &mut request, after, &mut actions);
@@ -287,7 +289,7 @@
             AfterAttempt::Reply => {
                 self.part_came(now, key.request, request, key.part, true, actions)
             }
-            AfterAttempt::NoReply(_) => {
+            AfterAttempt::NoReply => {
                 self.part_came(now, key.request, request, key.part, false, actions);
             }
             AfterAttempt::AskAnother { .. } if none_open => {
@@ -390,6 +392,7 @@
         let delay = self.hedge_delay(request.kind);
         let part = &mut request.parts[place];
         part.attempts.asked(now, choice.leaf.clone());
+        request.evidence.sent();
         part.began.insert(choice.leaf.clone(), now);
         *self.in_use.entry(choice.leaf.clone()).or_insert(0) += 1;
         if let Some(replicas) = self.replicas.get_mut(&part.service) {
@@ -492,23 +495,22 @@
         };
         match &request.gathering {
             Some(gathering) if gathering.reaches_least_share() => Ending::Answered(present()),
-            Some(_) if now >= request.deadline => Ending::TimedOut,
-            Some(_) => Ending::NotRun,
+            Some(_) => self.not_answered(now, request),
             None => match request.parts[0].came {
                 Some(true) if request.parts[0].leaf_failed => Ending::LeafFailed,
                 Some(true) => Ending::Answered(present()),
-                Some(false) => self.not_answered(request.parts[0].attempts.no_reply()),
-                None => Ending::TimedOut,
+                Some(false) | None => self.not_answered(now, request),
             },
         }
     }
 
-    fn not_answered(&self, no_reply: NoReply) -> Ending {
-        match no_reply {
-            NoReply::Unknown if self.mutant != Some(Mutant::UnknownSaidNotRun) => {
+    fn not_answered(&self, now: Timestamp, request: &Request) -> Ending {
+        match request.evidence.failure(now >= request.deadline) {
+            RequestFailure::NoAnswer if self.mutant != Some(Mutant::UnknownSaidNotRun) => {
                 Ending::MayHaveRun
             }
-            NoReply::Unknown | NoReply::NoLeaf | NoReply::Rejected => Ending::NotRun,
+            RequestFailure::NoAnswer | RequestFailure::NotRun => Ending::NotRun,
+            RequestFailure::TimedOut => Ending::TimedOut,
         }
     }
 
--- a/crates/simulation/src/routes/check.rs
+++ b/crates/simulation/src/routes/check.rs
@@ -70,12 +70,12 @@
                 violations.push(Violation::BelowLeastShare(number));
             }
         }
-        Ending::NotRun if !record.repeatable => {
+        Ending::NotRun => {
             if history.arrivals.iter().any(|arrival| arrival.request == number && arrival.taken) {
                 violations.push(Violation::NotRunWasRun(number));
             }
         }
-        Ending::NotRun | Ending::LeafFailed | Ending::MayHaveRun | Ending::TimedOut => {}
+        Ending::LeafFailed | Ending::MayHaveRun | Ending::TimedOut => {}
     }
 }
 
--- a/crates/simulation/src/routes/request.rs
+++ b/crates/simulation/src/routes/request.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use gingerkeel_domain::forwarding::{Gathering, RequestAttempts};
+use gingerkeel_domain::forwarding::{ExecutionEvidence, Gathering, RequestAttempts};
 use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::time::Timestamp;
 
@@ -45,4 +45,6 @@
     pub gathering: Option<Gathering>,
     /// Its parts.
     pub parts: Vec<Part>,
+    /// What the attempts at all parts tell of whether it has run.
+    pub evidence: ExecutionEvidence,
 }
