Share by weight among tenants where leaves run short

Load: callers compete for too little room, and one tenant sends many times its usual. Admission served the newest first and refused everybody alike in a rush, so that a tenant that sends twenty times its usual left the others a quarter of their answers.

Each gate counts, for each priority by itself, what tenants ask for and what begins, and finds the greatest share by weight up to which all get what they ask for. Requests of tenants within it go first among those that wait and are not refused at once in a rush. Weights are quotas. Without tenants, and where all ask alike, nothing changes.

--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -258,6 +258,7 @@
             rank: table.rank(route, request.tenant.as_deref()),
             in_time_until: received.after(target.saturating_sub(usual)),
             give_up_at: received.after(time.mul_f64(WAIT_SHARE)),
+            tenant: request.tenant.as_deref().map(|tenant| table.sharing(tenant)),
         }
     }
 
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -18,6 +18,7 @@
 mod replica_set;
 mod signs_of_life;
 mod split;
+mod tenant_shares;
 mod waiting_line;
 
 pub use attempts::{AfterAttempt, AttemptError, NoReply, RequestAttempts, hedge_delay};
@@ -39,4 +40,5 @@
     Choice, Connectivity, MissingLeaves, ReplicaSet, ReplicaSettings, Selection,
 };
 pub use split::SplitTurns;
+pub use tenant_shares::{SharingTenant, TenantShares};
 pub use waiting_line::{Candidate, TicketNumber, WaitingLine};
--- a/crates/domain/src/forwarding/overload.rs
+++ b/crates/domain/src/forwarding/overload.rs
@@ -209,12 +209,14 @@
         candidate: Candidate,
     ) -> Admitted {
         self.round.arrived += 1;
+        self.line.came(now, &candidate);
         if self.may_begin(settings, candidate.rank) {
-            self.begin();
+            self.begin(&candidate);
             return Admitted::Yes;
         }
         let expected = now.after(self.expected_wait(now, candidate.rank));
-        if self.is_overrun() || expected >= candidate.give_up_at {
+        let waits_in_vain = self.is_overrun() || expected >= candidate.give_up_at;
+        if waits_in_vain && !self.line.goes_first(&candidate) {
             return Admitted::No(self.retry_after(now, settings));
         }
         Admitted::Waits(self.line.join(candidate))
@@ -230,7 +232,7 @@
         let begins = |rank| may_begin(in_flight, limit, settings, rank);
         let (ticket, candidate) = self.line.take(now, begins)?;
         self.round.late_begun += u32::from(now >= candidate.in_time_until);
-        self.begin();
+        self.begin(&candidate);
         self.admitted.insert(ticket);
         Some(ticket)
     }
@@ -284,7 +286,8 @@
         may_begin(self.in_flight, self.limit, settings, rank)
     }
 
-    fn begin(&mut self) {
+    fn begin(&mut self, candidate: &Candidate) {
+        self.line.begun(candidate);
         self.in_flight += 1;
         self.round.most = self.round.most.max(self.in_flight);
     }
--- a/crates/domain/src/forwarding/waiting_line.rs
+++ b/crates/domain/src/forwarding/waiting_line.rs
@@ -1,12 +1,14 @@
 //! The order in which requests that wait for admission are served.
 //!
 //! Higher priority goes first. Among equals, those that can still be answered in time go before those
-//! that cannot, the newest first: while more come than can be served, the oldest first would make all
-//! of them late. Late ones get what is left over, the oldest first.
+//! that cannot, tenants that ask for no more than their share before the others, and then the newest
+//! first: while more come than can be served, the oldest first would make all of them late. Late ones get
+//! what is left over, the oldest first.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use super::tenant_shares::{SharingTenant, TenantShares};
 use crate::time::Timestamp;
 
 /// Number of a request that waits.
@@ -22,19 +24,38 @@
     pub in_time_until: Timestamp,
     /// It is given up when it has not begun by then.
     pub give_up_at: Timestamp,
+    /// Whose it is, where that is known.
+    pub tenant: Option<SharingTenant>,
 }
 
 /// The order among requests; the least one is next.
-type Order = (u32, bool, Reverse<TicketNumber>, TicketNumber);
+type Order = (u32, bool, bool, Reverse<TicketNumber>, TicketNumber);
 
 /// Requests that wait.
 #[derive(Debug, Default)]
 pub struct WaitingLine {
     next: u64,
     waiting: BTreeMap<TicketNumber, Candidate>,
+    shares: TenantShares,
 }
 
 impl WaitingLine {
+    /// A request comes, whether it is to wait or not.
+    pub fn came(&mut self, now: Timestamp, candidate: &Candidate) {
+        self.shares.arrived(now, candidate.rank, candidate.tenant);
+    }
+
+    /// A request begins, whether it has waited or not.
+    pub fn begun(&mut self, candidate: &Candidate) {
+        self.shares.begun(candidate.rank);
+    }
+
+    /// Whether a request goes before those that make the rush: its tenant is known and asks for no more than
+    /// its share of what its priority gets.
+    pub fn goes_first(&self, candidate: &Candidate) -> bool {
+        candidate.tenant.is_some() && !self.shares.is_beyond(candidate.rank, candidate.tenant)
+    }
+
     /// A request joins.
     pub fn join(&mut self, candidate: Candidate) -> TicketNumber {
         let ticket = TicketNumber(self.next);
@@ -72,7 +93,7 @@
     pub fn take_hopeless(&mut self, now: Timestamp, late_per_second: f64) -> Vec<TicketNumber> {
         let is_late = |(_, candidate): &(&TicketNumber, &Candidate)| now >= candidate.in_time_until;
         let mut late: Vec<_> = self.waiting.iter().filter(is_late).collect();
-        late.sort_by_key(|waiting| order(now, *waiting));
+        late.sort_by_key(|waiting| self.order(now, *waiting));
         let mut kept = 0.0;
         let mut hopeless = Vec::new();
         for (ticket, candidate) in late {
@@ -97,20 +118,17 @@
     ) -> Option<(TicketNumber, Candidate)> {
         let mut waiting = self.waiting.iter().filter(|(_, candidate)| may_begin(candidate.rank));
         let first = waiting.next()?;
-        let best =
-            waiting.fold(
-                first,
-                |best, other| {
-                    if order(now, other) < order(now, best) { other } else { best }
-                },
-            );
+        let best = waiting.fold(first, |best, other| {
+            if self.order(now, other) < self.order(now, best) { other } else { best }
+        });
         let ticket = *best.0;
         self.waiting.remove_entry(&ticket)
     }
-}
 
-fn order(now: Timestamp, (ticket, candidate): (&TicketNumber, &Candidate)) -> Order {
-    let late = now >= candidate.in_time_until;
-    let newest = if late { TicketNumber(0) } else { *ticket };
-    (candidate.rank, late, Reverse(newest), *ticket)
+    fn order(&self, now: Timestamp, (ticket, candidate): (&TicketNumber, &Candidate)) -> Order {
+        let late = now >= candidate.in_time_until;
+        let newest = if late { TicketNumber(0) } else { *ticket };
+        let after_others = !self.goes_first(candidate);
+        (candidate.rank, late, after_others, Reverse(newest), *ticket)
+    }
 }
--- a/crates/domain/src/routes/key_index.rs
+++ b/crates/domain/src/routes/key_index.rs
@@ -11,6 +11,8 @@
     tenants: Vec<Arc<Tenant>>,
     /// What tenants say of their priority.
     priorities: BTreeSet<Option<u32>>,
+    /// Requests in a thousand seconds; 0 where nobody has a limit.
+    largest_quota: u64,
     buckets: BTreeMap<u64, Vec<(KeyDigest, Arc<Tenant>)>>,
 }
 
@@ -30,6 +32,7 @@
             bucket.push((*key, tenant.clone()));
         }
         self.priorities.insert(tenant.priority);
+        self.largest_quota = self.largest_quota.max(tenant.quota.requests_per_1000_s);
         self.tenants.push(tenant);
     }
 
@@ -48,6 +51,11 @@
         &self.priorities
     }
 
+    /// The largest quota of a tenant, in requests in a thousand seconds; 0 where nobody has a limit.
+    pub fn largest_quota(&self) -> u64 {
+        self.largest_quota
+    }
+
     /// The tenant that holds a key.
     pub fn holder(&self, key: &KeyDigest) -> Option<&Arc<Tenant>> {
         let bucket = self.buckets.get(&key.bucket())?;
--- a/crates/domain/src/routes/table.rs
+++ b/crates/domain/src/routes/table.rs
@@ -9,6 +9,7 @@
 };
 use super::key_index::KeyIndex;
 use super::tenant::Tenant;
+use crate::forwarding::SharingTenant;
 use crate::identifiers::ServiceName;
 
 /// A configuration, indexed by host.
@@ -104,6 +105,16 @@
         known.map_or(0, |known| known.range(..own).count() as u32)
     }
 
+    /// The weight by which a tenant shares with others where leaves run short: what it may send. One that may
+    /// send as much as it wants has the weight of the largest quota.
+    pub fn sharing(&self, tenant: &Tenant) -> SharingTenant {
+        let weight = match tenant.quota.is_limited() {
+            true => tenant.quota.requests_per_1000_s,
+            false => self.keys.largest_quota(),
+        };
+        SharingTenant::new(&tenant.name, weight)
+    }
+
     /// The route of the longest prefix that begins `path`. The host may carry a port.
     pub fn find(&self, host: &str, path: &str) -> RouteLookup {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/domain/tests/overload_gate.rs
+++ b/crates/domain/tests/overload_gate.rs
@@ -23,7 +23,7 @@
 
 /// A request that may wait until `give_up_at`.
 fn candidate(rank: u32, now: u64, give_up_at: u64) -> Candidate {
-    Candidate { rank, in_time_until: at(now + 50), give_up_at: at(give_up_at) }
+    Candidate { rank, in_time_until: at(now + 50), give_up_at: at(give_up_at), tenant: None }
 }
 
 /// A request that may not wait.
@@ -33,7 +33,7 @@
     settings: &OverloadGateSettings,
     rank: u32,
 ) -> Admitted {
-    gate.enter(now, settings, Candidate { rank, in_time_until: now, give_up_at: now })
+    gate.enter(now, settings, Candidate { rank, in_time_until: now, give_up_at: now, tenant: None })
 }
 
 /// Leaves that work on `capacity` requests at once, each for 50 ms; callers ask `per_tick` times
@@ -259,8 +259,12 @@
     assert_eq!(admit(&mut gate, at(0), &settings, 0), Admitted::Yes);
     let mut tickets = Vec::new();
     for (rank, in_time_until) in requests {
-        let candidate =
-            Candidate { rank: *rank, in_time_until: at(*in_time_until), give_up_at: at(1_000) };
+        let candidate = Candidate {
+            rank: *rank,
+            in_time_until: at(*in_time_until),
+            give_up_at: at(1_000),
+            tenant: None,
+        };
         let Admitted::Waits(ticket) = gate.enter(at(0), &settings, candidate) else {
             panic!("it has to wait");
         };
--- /dev/null
+++ b/crates/domain/tests/tenant_shares.rs
@@ -0,0 +1,297 @@
+//! Tenants that compete for too little room: who is served, within a priority.
+
+use std::collections::BTreeMap;
+
+use gingerkeel_domain::forwarding::{
+    Admitted, Candidate, Ended, OverloadGate, OverloadGateSettings, SharingTenant, TicketNumber,
+    WaitingLine,
+};
+use gingerkeel_domain::identifiers::TenantName;
+use gingerkeel_domain::time::Timestamp;
+use rand_pcg::Pcg64;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use rstest::rstest;
+
+/// Milliseconds between two steps of a replay.
+const STEP: u64 = 10;
+/// Milliseconds that a leaf works on a request.
+const WORK: u64 = 200;
+/// Milliseconds within which an answer is in time.
+const TARGET: u64 = 600;
+/// Milliseconds that a request waits for admission at most.
+const PATIENCE: u64 = 1_500;
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_micros(milliseconds * 1_000)
+}
+
+fn tenant(number: usize, weight: u64) -> SharingTenant {
+    SharingTenant::new(&TenantName::new(format!("tenant-{number}")), weight)
+}
+
+#[derive(Clone, Copy)]
+struct Request {
+    came: u64,
+    admitted: u64,
+    broker: usize,
+    tenant: usize,
+}
+
+/// Brokers with a gate each in front of leaves that they share, and what became of each tenant's requests.
+struct Replay {
+    /// Requests a second of each tenant, and its weight.
+    tenants: Vec<(f64, u64)>,
+    /// Whether gates are told whose a request is.
+    named: bool,
+    slots: usize,
+    gates: Vec<OverloadGate>,
+    waiting: BTreeMap<(usize, TicketNumber), Request>,
+    queue: Vec<Request>,
+    running: Vec<(u64, Request)>,
+    came: Vec<u32>,
+    in_time: Vec<u32>,
+    random: Pcg64,
+}
+
+impl Replay {
+    fn new(brokers: usize, slots: usize, tenants: Vec<(f64, u64)>, named: bool) -> Self {
+        let settings = OverloadGateSettings::default();
+        Self {
+            named,
+            slots,
+            gates: (0..brokers).map(|_| OverloadGate::new(&settings)).collect(),
+            waiting: BTreeMap::new(),
+            queue: Vec::new(),
+            running: Vec::new(),
+            came: vec![0; tenants.len()],
+            in_time: vec![0; tenants.len()],
+            tenants,
+            random: Pcg64::seed_from_u64(11),
+        }
+    }
+
+    /// Plays some seconds, and counts what came in them anew.
+    fn play(&mut self, from_s: u64, to_s: u64) {
+        self.came.fill(0);
+        self.in_time.fill(0);
+        for now in (from_s * 1_000..to_s * 1_000).step_by(STEP as usize) {
+            self.end(now);
+            (0..self.gates.len()).for_each(|broker| self.admit(now, broker));
+            for tenant in 0..self.tenants.len() {
+                let expected = self.tenants[tenant].0 * STEP as f64 / 1_000.0;
+                for _ in 0..(expected + self.draw()) as usize {
+                    self.arrive(now, tenant);
+                }
+            }
+            self.give_up(now);
+            (0..self.gates.len()).for_each(|broker| self.admit(now, broker));
+            while self.running.len() < self.slots && !self.queue.is_empty() {
+                let request = self.queue.remove(0);
+                self.running.push((now + WORK, request));
+            }
+        }
+    }
+
+    fn draw(&mut self) -> f64 {
+        f64::from(self.random.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    }
+
+    fn arrive(&mut self, now: u64, number: usize) {
+        self.came[number] += 1;
+        let broker = (self.draw() * self.gates.len() as f64) as usize;
+        let candidate = Candidate {
+            rank: 0,
+            in_time_until: at(now + TARGET - WORK),
+            give_up_at: at(now + PATIENCE),
+            tenant: self.named.then(|| tenant(number, self.tenants[number].1)),
+        };
+        let request = Request { came: now, admitted: now, broker, tenant: number };
+        match self.gates[broker].enter(at(now), &OverloadGateSettings::default(), candidate) {
+            Admitted::Yes => self.queue.push(request),
+            Admitted::Waits(ticket) => {
+                self.waiting.insert((broker, ticket), request);
+            }
+            Admitted::No(_) => {}
+        }
+    }
+
+    fn admit(&mut self, now: u64, broker: usize) {
+        let gate = &mut self.gates[broker];
+        while let Some(ticket) = gate.next(at(now), &OverloadGateSettings::default()) {
+            gate.begun(ticket);
+            let request = self.waiting.remove(&(broker, ticket)).expect("one that waits");
+            self.queue.push(Request { admitted: now, ..request });
+        }
+        for ticket in gate.hopeless(at(now)) {
+            self.waiting.remove(&(broker, ticket));
+        }
+    }
+
+    fn give_up(&mut self, now: u64) {
+        let over = |request: &Request| request.came + PATIENCE <= now;
+        let over: Vec<_> =
+            self.waiting.iter().filter(|(_, request)| over(request)).map(|(key, _)| *key).collect();
+        for (broker, ticket) in over {
+            self.waiting.remove(&(broker, ticket));
+            self.gates[broker].leave(at(now), &OverloadGateSettings::default(), ticket);
+        }
+    }
+
+    fn end(&mut self, now: u64) {
+        let ended: Vec<_> = self.running.extract_if(.., |(end, _)| *end <= now).collect();
+        let expired = self.queue.extract_if(.., |request| request.came + PATIENCE <= now);
+        for request in expired {
+            let late = Ended::Late { parts: None };
+            self.gates[request.broker].finish(at(now), &OverloadGateSettings::default(), late);
+        }
+        for (_, request) in ended {
+            self.in_time[request.tenant] += u32::from(now - request.came <= TARGET);
+            let was_late = request.admitted - request.came > TARGET - WORK;
+            let since = if was_late { request.admitted } else { request.came };
+            let ended = match now - since <= TARGET {
+                true => Ended::InTime,
+                false => Ended::Late { parts: None },
+            };
+            self.gates[request.broker].finish(at(now), &OverloadGateSettings::default(), ended);
+        }
+    }
+
+    /// Share of the requests of some tenants that were answered in time.
+    fn share_in_time(&self, tenants: std::ops::Range<usize>) -> f64 {
+        let came: u32 = self.came[tenants.clone()].iter().sum();
+        let in_time: u32 = self.in_time[tenants].iter().sum();
+        f64::from(in_time) / f64::from(came.max(1))
+    }
+}
+
+/// Twenty small tenants and a large one, of which leaves bear all; then the large one sends twenty times its
+/// usual. Each broker sees 24 requests a second before, and may send 30 to leaves.
+fn hot(brokers: usize, named: bool) -> Replay {
+    let many = brokers as f64;
+    let mut tenants = vec![(many, 1); 20];
+    tenants.push((4.0 * many, 4));
+    let mut replay = Replay::new(brokers, 6 * brokers, tenants, named);
+    replay.play(0, 20);
+    replay.tenants[20].0 *= 20.0;
+    replay.play(20, 50);
+    replay
+}
+
+/// The large tenant's share of what leaves bear, by weight, is 10 of 30 requests a second.
+#[rstest]
+#[case::one_broker(1, 0.65)]
+#[case::brokers_that_share_leaves(4, 0.5)]
+fn one_that_sends_twenty_times_its_usual_gets_what_the_others_leave(
+    #[case] brokers: usize,
+    #[case] least: f64,
+) {
+    let (before, replay) = (hot(brokers, false), hot(brokers, true));
+    let small = [&before, &replay].map(|replay| replay.share_in_time(0..20));
+    assert!(small[0] < 0.3 && small[1] > least, "{small:?}");
+    let large = replay.share_in_time(20..21);
+    assert!(large > 0.08, "it keeps its share: {large}");
+    for number in 0..20 {
+        let share = replay.share_in_time(number..number + 1);
+        assert!(share > small[1] / 2.0, "tenant {number} has {share} of {small:?}");
+    }
+}
+
+#[rstest]
+fn where_all_send_five_times_their_usual_as_many_are_in_time_as_without_shares(
+    #[values(1, 4)] brokers: usize,
+) {
+    let in_time = [false, true].map(|named| {
+        let many = brokers as f64;
+        let mut replay = Replay::new(brokers, 6 * brokers, vec![(many, 1); 20], named);
+        replay.play(0, 20);
+        replay.tenants.iter_mut().for_each(|tenant| tenant.0 *= 5.0);
+        replay.play(20, 30);
+        replay.share_in_time(0..20)
+    });
+    assert!((in_time[0] - in_time[1]).abs() < 0.02, "{in_time:?}");
+}
+
+#[test]
+fn once_it_sends_its_usual_again_everybody_is_served() {
+    let mut replay = hot(1, true);
+    replay.tenants[20].0 /= 20.0;
+    replay.play(50, 60);
+    replay.play(60, 80);
+    let in_time = [replay.share_in_time(0..20), replay.share_in_time(20..21)];
+    assert!(in_time.iter().all(|share| *share > 0.98), "{in_time:?}");
+}
+
+/// A request that may wait for a second.
+fn waiting(rank: u32, tenant: Option<SharingTenant>) -> Candidate {
+    Candidate { rank, in_time_until: at(100_000), give_up_at: at(101_000), tenant }
+}
+
+/// A broker to which a large tenant sends ten requests a second, of which one and a half begin, and twenty
+/// small ones together one in a second.
+fn busy_line(until_s: u64) -> WaitingLine {
+    let mut line = WaitingLine::default();
+    let (large, other) =
+        (waiting(0, Some(tenant(20, 10))), |number| waiting(0, Some(tenant(number, 1))));
+    for tenth in 0..until_s * 10 {
+        let now = at(tenth * 100);
+        line.came(now, &large);
+        if tenth % 10 == 0 {
+            let small = other((tenth / 10 % 20) as usize);
+            line.came(now, &small);
+            line.begun(&small);
+        }
+        if [0, 7, 13].contains(&(tenth % 20)) {
+            line.begun(&large);
+        }
+    }
+    line
+}
+
+#[rstest]
+#[case::after_a_second(1)]
+#[case::after_three(3)]
+#[case::after_half_a_minute(30)]
+fn at_a_request_a_second_a_rare_one_goes_before_a_queue(#[case] seconds: u64) {
+    let mut line = busy_line(seconds);
+    let now = at(seconds * 1_000);
+    let (rare, large) = (waiting(0, Some(tenant(7, 1))), waiting(0, Some(tenant(20, 10))));
+    line.came(now, &rare);
+    let ticket = line.join(rare);
+    for _ in 0..50 {
+        line.came(now, &large);
+        line.join(large);
+    }
+    assert!(line.goes_first(&rare) && !line.goes_first(&large));
+    assert_eq!(line.take(now, |_| true).map(|(first, _)| first), Some(ticket));
+}
+
+#[test]
+fn each_priority_has_shares_of_its_own() {
+    let line = busy_line(10);
+    let lower = waiting(1, Some(tenant(20, 10)));
+    assert!(line.goes_first(&lower), "nobody went without there");
+    assert!(!line.goes_first(&waiting(0, None)), "whose tenant is not known waits as before");
+}
+
+#[test]
+fn where_nothing_begins_nobody_is_held_in_vain() {
+    let mut line = WaitingLine::default();
+    let request = |number| waiting(2, Some(tenant(number, 1)));
+    for step in 0..40 {
+        line.came(at(step * 100), &request((step % 4) as usize));
+    }
+    assert!((0..4).all(|number| !line.goes_first(&request(number))));
+}
+
+#[test]
+fn a_tenant_that_has_come_to_rest_is_forgiven() {
+    let mut line = busy_line(10);
+    let (large, small) = (waiting(0, Some(tenant(20, 10))), waiting(0, Some(tenant(1, 1))));
+    assert!(!line.goes_first(&large));
+    for second in 10..60 {
+        line.came(at(second * 1_000), &small);
+        line.begun(&small);
+    }
+    line.came(at(60_000), &large);
+    assert!(line.goes_first(&large));
+}
--- a/crates/domain/tests/waiting_line.rs
+++ b/crates/domain/tests/waiting_line.rs
@@ -9,7 +9,7 @@
 }
 
 fn candidate(rank: u32, in_time_until: u64) -> Candidate {
-    Candidate { rank, in_time_until: at(in_time_until), give_up_at: at(1_000) }
+    Candidate { rank, in_time_until: at(in_time_until), give_up_at: at(1_000), tenant: None }
 }
 
 /// Five late requests have half a second left, one can still be in time.
--- a/crates/simulation/src/routes/broker.rs
+++ b/crates/simulation/src/routes/broker.rs
@@ -133,6 +133,7 @@
             rank: 0,
             in_time_until: now.after(TARGET / 2),
             give_up_at: now.after(ADMISSION_WAIT),
+            tenant: None,
         };
         let settings = self.gate_settings;
         match self.gate(kind).enter(now, &settings, candidate) {
