Add frames for the use of quotas

Brokers report use, control processes tell each other totals and brokers levels. The frame between control processes names its sender, since the replicated members know whom a broker is fed by by name.

--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -55,6 +55,12 @@
         /// What it saw of each, as a document.
         observations: Document,
     },
+    /// What tenants used of their quotas since the last such report.
+    #[brw(magic = 7u8)]
+    Usage {
+        /// The report as a document.
+        report: Document,
+    },
     /// Load and refusals of one service since the last such report.
     #[brw(magic = 5u8)]
     Overload {
@@ -163,6 +169,12 @@
         /// The warnings as a document.
         warnings: Document,
     },
+    /// How much of tenants' quotas is left, and which report of this broker that contains.
+    #[brw(magic = 15u8)]
+    Usage {
+        /// The levels as a document.
+        usage: Document,
+    },
     /// The run that was reported is settled: the broker counts on in a new one.
     #[brw(magic = 8u8)]
     RunSettled {
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -5,6 +5,8 @@
 
 use binrw::binrw;
 
+use crate::text::{Document, ShortText};
+
 /// Longest name of a cluster, in bytes.
 const CLUSTER_NAME_LIMIT: usize = 255;
 
@@ -90,4 +92,13 @@
         #[br(count = length)]
         document: Vec<u8>,
     },
+    /// What tenants used at the brokers that the sender feeds. It is no part of the log: the newest is
+    /// all that counts, and a lost one is made good by the next.
+    #[brw(magic = 7u8)]
+    Usage {
+        /// Name of the sender, by which the replicated state knows whom it feeds.
+        control: ShortText,
+        /// The totals as a document.
+        usage: Document,
+    },
 }
--- a/crates/protocol/tests/feed.rs
+++ b/crates/protocol/tests/feed.rs
@@ -45,6 +45,7 @@
             SubscriberMessage::Charges { sequence, run, counters }
         }),
         document().prop_map(|report| SubscriberMessage::Overload { report }),
+        document().prop_map(|report| SubscriberMessage::Usage { report }),
     ]
 }
 
@@ -69,6 +70,7 @@
             lowest_admitted
         }),
         any::<(u64, u64)>().prop_map(|(run, sequence)| FeedMessage::RunSettled { run, sequence }),
+        document().prop_map(|usage| FeedMessage::Usage { usage }),
     ]
 }
 
@@ -109,7 +111,7 @@
 
     #[test]
     fn arbitrary_bodies_are_decoded_or_refused(
-        tag in 0..10u8,
+        tag in 0..17u8,
         mut body in prop::collection::vec(any::<u8>(), 0..120),
     ) {
         body.insert(0, tag);
--- a/crates/protocol/tests/peer.rs
+++ b/crates/protocol/tests/peer.rs
@@ -1,7 +1,9 @@
 //! Frames between control processes: each comes back as it was, and nothing else is taken for one.
 
 use bytes::BytesMut;
-use gingerkeel_protocol::{FrameCodec, PeerFrame, PeerIdentity, PeerRefusal, encode_frame};
+use gingerkeel_protocol::{
+    Document, FrameCodec, PeerFrame, PeerIdentity, PeerRefusal, ShortText, encode_frame,
+};
 use monoio_codec::{Decoded, Decoder};
 use rstest::rstest;
 
@@ -30,6 +32,10 @@
 #[case::probe(PeerFrame::Probe)]
 #[case::probe_reply(PeerFrame::ProbeReply { identity: IDENTITY })]
 #[case::consensus(PeerFrame::Consensus { document: vec![1, 2, 3] })]
+#[case::usage(PeerFrame::Usage {
+    control: ShortText::new("control-1"),
+    usage: Document::from(vec![4, 5]),
+})]
 fn a_frame_comes_back(#[case] frame: PeerFrame) {
     let bytes = encode_frame(&frame).expect("a frame");
     assert_eq!(decode(&bytes), Some(frame));
@@ -43,6 +49,7 @@
 #[case::unknown_reason(&[0, 0, 0, 2, 3, 77])]
 #[case::bytes_after(&[0, 0, 0, 2, 4, 0])]
 #[case::length_beyond_the_frame(&[0, 0, 0, 6, 6, 0, 0, 0, 9, 1])]
+#[case::name_beyond_the_frame(&[0, 0, 0, 3, 7, 9, 97])]
 fn other_bytes_are_no_frame(#[case] bytes: &[u8]) {
     assert_eq!(decode(bytes), None);
 }
