--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -11,6 +11,7 @@
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision, ZoneName};
 use gingerkeel_domain::leaf_warnings::LeafObservation;
+use gingerkeel_domain::quota::UsageReport;
 use gingerkeel_domain::routes::AcceptedRoutes;
 use gingerkeel_protocol::FeedMessage;
 use gingerkeel_statement::{StatementReply, Subject};
@@ -101,10 +102,19 @@
         /// What it saw.
         observations: Vec<LeafObservation>,
     },
+    /// The broker reported what tenants used of their quotas.
+    UsedQuotas {
+        /// The connection.
+        connection: ConnectionId,
+        /// The report.
+        report: UsageReport,
+    },
     /// The connection is lost.
     Closed {
         /// The connection.
         connection: ConnectionId,
+        /// Whether the broker closed it, which says that it has ended or turned elsewhere.
+        by_broker: bool,
     },
 }
 
@@ -188,4 +198,6 @@
     ReportsTaken,
     /// Time for a round of reports and deltas.
     Round,
+    /// Time for a round of the use of quotas.
+    UsageRound,
 }
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -6,6 +6,7 @@
 mod reads;
 mod routes;
 mod subscribers;
+mod usage;
 mod waiting;
 mod waiting_routes;
 
@@ -31,6 +32,7 @@
 pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity, ZoneView};
 use reads::{PendingRead, Reads};
 use subscribers::Subscribers;
+use usage::QuotaUse;
 use waiting::{ChangeReply, WaitingChanges};
 use waiting_routes::WaitingReplacements;
 
@@ -57,6 +59,7 @@
     waiting_routes: WaitingReplacements,
     reads: Reads,
     subscribers: Subscribers,
+    quota_use: QuotaUse,
     membership: Membership,
     clock: Clock,
     outlets: Outlets,
@@ -73,6 +76,8 @@
     messages: Rx<ClusterMessage>,
 ) {
     monoio::spawn(send_rounds(own_messages.clone()));
+    monoio::spawn(usage::send_rounds(own_messages.clone()));
+    let quota_use = QuotaUse::new(identity.name.clone(), identity.run);
     let task = ClusterTask {
         state: ClusterState::default(),
         replication,
@@ -81,6 +86,7 @@
         waiting_routes: WaitingReplacements::default(),
         reads: Reads::default(),
         subscribers: Subscribers::default(),
+        quota_use,
         membership: Membership::new(identity),
         clock: Clock::start(),
         outlets,
@@ -126,6 +132,7 @@
     /// that waited for it: a lease counts for what was sent before it.
     fn publish(&mut self) {
         if std::mem::take(&mut self.changed) {
+            self.quota_use.follow_quotas(self.clock.now(), &self.state);
             self.subscribers.publish(&self.state);
             self.serve_reads();
         }
@@ -170,6 +177,7 @@
             }
             ClusterMessage::ReportsTaken => self.membership.reports_taken(),
             ClusterMessage::Round => self.round(),
+            ClusterMessage::UsageRound => self.usage_round(),
         }
     }
 
@@ -185,6 +193,9 @@
                 }
                 Err(error) => error!(event = "snapshot_not_encoded", %error),
             },
+            StateMachineMessage::PeerUsed(used) => {
+                self.quota_use.peer_used(self.clock.now(), &used)
+            }
         }
     }
 
@@ -325,6 +336,7 @@
                 let now = self.clock.now();
                 self.subscribers.subscribe(&self.state, connection, subscriber, revision, feed);
                 self.subscribers.send_current_warnings(now, connection);
+                self.subscribers.send_current_usage(now, connection, &self.quota_use);
             }
             FeedEvent::Renewed { connection, ticket, in_force } => {
                 self.subscribers.in_force(connection, in_force);
@@ -345,7 +357,17 @@
             FeedEvent::SawSlowLeaves { connection, observations } => {
                 self.subscribers.saw_slow_leaves(self.clock.now(), connection, &observations)
             }
-            FeedEvent::Closed { connection } => self.subscribers.closed(connection),
+            FeedEvent::UsedQuotas { connection, report } => {
+                if let Some(follower) = self.subscribers.follower(connection) {
+                    let broker = &follower.identity;
+                    self.quota_use.broker_used(self.clock.now(), broker, &report);
+                }
+            }
+            FeedEvent::Closed { connection, by_broker } => {
+                if let Some(gone) = self.subscribers.closed(connection) {
+                    self.quota_use.broker_left(self.clock.now(), &gone.broker, by_broker);
+                }
+            }
         }
     }
 
@@ -356,6 +378,7 @@
         }
         self.propose_routes_again();
         self.subscribers.publish_members(&self.state);
+        self.quota_use.follow_members(self.clock.now(), &self.state);
         if let Some(plan) = self.membership.poll_plan(&self.state) {
             // The polling task lives as long as the process.
             let _ = self.outlets.polling.send(plan);
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -13,6 +13,7 @@
 use gingerkeel_domain::feed::{BrokerList, KnownBroker};
 use gingerkeel_domain::identifiers::{BrokerName, Revision, ServiceName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning, WarningFold};
+use gingerkeel_domain::quota::FleetUsage;
 use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::routing::subset::BrokerEntry;
 use gingerkeel_domain::time::Timestamp;
@@ -25,12 +26,17 @@
 
 use super::copies::Copies;
 use super::reads::LeaseTicket;
+use super::usage::QuotaUse;
 use super::{ConnectionId, SubscriberIdentity};
 
 /// How long a broker may rely on its catalog after it asked. With it, an accepted change is in
 /// force at every broker that serves within this time.
 const FRESHNESS_LEASE: Duration = Duration::from_secs(4);
 
+/// Time after which a broker hears of the use of quotas though nothing changed: one that hears nothing
+/// for longer takes itself for cut off, and limits tenants by its share alone.
+const USAGE_SIGN_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A broker that follows the catalog here.
 pub struct Follower {
     /// Who it is.
@@ -40,9 +46,18 @@
     sent: Revision,
     routes_sent: Option<RouteVersion>,
     directory_sent: DirectoryVersion,
+    usage_sent: UsageSent,
     feed: Tx<FeedMessage>,
 }
 
+/// What a broker was last told of the use of quotas.
+#[derive(Debug, Default)]
+struct UsageSent {
+    at: Timestamp,
+    /// The report of its own that was acknowledged.
+    heard: u64,
+}
+
 /// All brokers that this process feeds.
 #[derive(Default)]
 pub struct Subscribers {
@@ -80,6 +95,7 @@
             sent: revision,
             routes_sent: None,
             directory_sent: DirectoryVersion(0),
+            usage_sent: UsageSent::default(),
             feed,
         };
         // A broker that is ahead of this process waits: the lease tells it what is accepted.
@@ -253,6 +269,36 @@
         }
     }
 
+    /// Tells brokers that feed here of the use of quotas. A broker hears at once of tenants that come near
+    /// their quotas and of its own reports, and otherwise as a sign of life.
+    pub fn publish_usage(&mut self, now: Timestamp, quota_use: &QuotaUse) {
+        for follower in self.connections.values_mut() {
+            let heard = quota_use.heard(&follower.identity);
+            let is_due = now.since(follower.usage_sent.at) >= USAGE_SIGN_INTERVAL;
+            if !quota_use.levels().is_empty() || heard != follower.usage_sent.heard || is_due {
+                follower.send_usage(now, quota_use);
+            }
+        }
+    }
+
+    /// Tells a broker that has just come how the quotas stand.
+    pub fn send_current_usage(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        quota_use: &QuotaUse,
+    ) {
+        let follower = self.connections.get_mut(&connection);
+        if let Some(follower) = follower.filter(|_| quota_use.can_tell(now)) {
+            follower.send_usage(now, quota_use);
+        }
+    }
+
+    /// The broker of a connection; none when it is not known any more.
+    pub fn follower(&self, connection: ConnectionId) -> Option<&Follower> {
+        self.connections.get(&connection)
+    }
+
     /// Tells brokers that feed here what became of their reports.
     pub fn acknowledge_charges(&self, reports: &[ChargeReport], receipts: &[ChargeReceipt]) {
         for (report, receipt) in reports.iter().zip(receipts) {
@@ -268,11 +314,11 @@
         }
     }
 
-    /// A connection is lost.
-    pub fn closed(&mut self, connection: ConnectionId) {
-        if let Some(follower) = self.connections.remove(&connection) {
-            info!(event = "broker_gone", broker = %follower.identity.broker);
-        }
+    /// A connection is lost. Gives the broker, unless it has come on another one.
+    pub fn closed(&mut self, connection: ConnectionId) -> Option<SubscriberIdentity> {
+        let follower = self.connections.remove(&connection)?;
+        info!(event = "broker_gone", broker = %follower.identity.broker);
+        Some(follower.identity)
     }
 
     /// All brokers that are fed here.
@@ -328,6 +374,13 @@
         self.send_document(&warnings, |warnings| FeedMessage::LeafWarnings { warnings });
     }
 
+    fn send_usage(&mut self, now: Timestamp, quota_use: &QuotaUse) {
+        let heard = quota_use.heard(&self.identity);
+        let usage = FleetUsage { heard, levels: quota_use.levels().to_vec() };
+        self.send_document(&usage, |usage| FeedMessage::Usage { usage });
+        self.usage_sent = UsageSent { at: now, heard };
+    }
+
     fn send_document(
         &self,
         document: &impl Serialize,
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -119,6 +119,10 @@
             let observations = decode_document(&observations.bytes)?;
             Ok(FeedEvent::SawSlowLeaves { connection, observations })
         }
+        SubscriberMessage::Usage { report } => {
+            let report = decode_document(&report.bytes)?;
+            Ok(FeedEvent::UsedQuotas { connection, report })
+        }
         SubscriberMessage::Subscribe { .. } => {
             Err(ProtocolError::Malformed("second subscription".into()))
         }
--- a/crates/control/src/feed/mod.rs
+++ b/crates/control/src/feed/mod.rs
@@ -2,7 +2,9 @@
 
 mod connection;
 
-use gingerkeel_protocol::FeedMessage;
+use std::io::ErrorKind;
+
+use gingerkeel_protocol::{FeedMessage, ProtocolError};
 use local_sync::mpsc::unbounded::{self, Tx};
 use monoio::io::Splitable;
 use monoio::net::{TcpListener, TcpStream};
@@ -35,9 +37,16 @@
     let reader = FramedRead::new(read_half, ());
     let (feed, messages) = unbounded::channel::<FeedMessage>();
     monoio::spawn(connection::write_messages(write_half, messages));
-    if let Err(error) = connection::follow(reader, connection, &cluster, feed).await {
+    let ended = connection::follow(reader, connection, &cluster, feed).await;
+    let by_broker = ended.as_ref().err().is_none_or(is_reset);
+    if let Err(error) = ended {
         info!(event = "feed_ended", connection = connection.0, %error);
     }
     // The cluster task lives as long as the process.
-    let _ = cluster.send(ClusterMessage::Feed(FeedEvent::Closed { connection }));
+    let _ = cluster.send(ClusterMessage::Feed(FeedEvent::Closed { connection, by_broker }));
+}
+
+/// Whether the broker's machine says that nobody holds the connection any more.
+fn is_reset(error: &ProtocolError) -> bool {
+    matches!(error, ProtocolError::Socket(error) if error.kind() == ErrorKind::ConnectionReset)
 }
--- a/crates/control/src/replication/messages.rs
+++ b/crates/control/src/replication/messages.rs
@@ -1,6 +1,8 @@
 //! Messages to and from the task that owns the log.
 
 use gingerkeel_domain::consensus::{Envelope, LogIndex, MemberChange, MemberId, RoleName, Term};
+use gingerkeel_domain::identifiers::ControlName;
+use gingerkeel_domain::quota::PeerUsage;
 use local_sync::oneshot;
 
 use super::error::{ChangeError, ProposeError, ReadError};
@@ -32,6 +34,8 @@
         /// Where the answer goes.
         reply: oneshot::Sender<ReplicationStatus>,
     },
+    /// Tell all other control processes what tenants used; no part of the log.
+    TellUsage(PeerUsage),
 }
 
 /// A message to the task of the state machine.
@@ -56,6 +60,17 @@
         /// Where it goes.
         reply: oneshot::Sender<StateSnapshot>,
     },
+    /// Another control process told what tenants used; no part of the log.
+    PeerUsed(PeerUse),
+}
+
+/// What tenants used at the brokers of another control process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerUse {
+    /// The other control process.
+    pub control: ControlName,
+    /// What it told.
+    pub usage: PeerUsage,
 }
 
 /// The state machine's state.
@@ -107,6 +122,8 @@
     RequestsEnded,
     /// A message of a peer.
     Received(Envelope),
+    /// A peer told what tenants used.
+    PeerUsed(MemberId, PeerUse),
     /// A peer said who it is.
     PeerKnown,
     /// The writer has events.
--- a/crates/control/src/replication/peers/incoming.rs
+++ b/crates/control/src/replication/peers/incoming.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use gingerkeel_domain::consensus::{Envelope, MemberId};
+use gingerkeel_domain::identifiers::ControlName;
 use gingerkeel_protocol::{
-    FrameCodec, PeerFrame, PeerRefusal, ProtocolError, decode_document, encode_frame,
+    Document, FrameCodec, PeerFrame, PeerRefusal, ProtocolError, ShortText, decode_document,
+    encode_frame,
 };
 use local_sync::mpsc::unbounded::Tx;
 use monoio::io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
@@ -14,7 +16,7 @@
 use tracing::{info, warn};
 
 use super::directory::{Directory, member};
-use crate::replication::messages::TaskEvent;
+use crate::replication::messages::{PeerUse, TaskEvent};
 
 /// Time that a process has to say who it is, and between two messages after that.
 const SILENCE_LIMIT: Duration = Duration::from_secs(10);
@@ -76,12 +78,24 @@
                     return Ok(());
                 }
             }
+            PeerFrame::Usage { control, usage } => {
+                let used = understand_usage(&control, &usage)?;
+                if events.send(TaskEvent::PeerUsed(peer, used)).is_err() {
+                    return Ok(());
+                }
+            }
             _ => return Err(ProtocolError::Malformed("message out of order".into())),
         }
     }
     Ok(())
 }
 
+fn understand_usage(control: &ShortText, usage: &Document) -> Result<PeerUse, ProtocolError> {
+    let name = control.text().map(ControlName::new);
+    let control = name.ok_or_else(|| ProtocolError::Malformed("a sender without a name".into()))?;
+    Ok(PeerUse { control, usage: decode_document(&usage.bytes)? })
+}
+
 /// Takes the greeting; gives the peer if it is welcome.
 async fn welcome(
     reader: &mut Reader,
--- a/crates/control/src/replication/peers/mod.rs
+++ b/crates/control/src/replication/peers/mod.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod incoming;
 mod outgoing;
+mod usage_outbox;
 
 pub(super) use directory::{Directory, member};
 pub(super) use incoming::serve;
--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -1,13 +1,14 @@
 //! Connections to peers, one each, kept up for ever.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use gingerkeel_domain::consensus::{Envelope, NodeNumber};
-use gingerkeel_protocol::{FrameCodec, PeerFrame, ProtocolError, encode_document};
+use gingerkeel_domain::quota::PeerUsage;
+use gingerkeel_protocol::{FrameCodec, PeerFrame, ProtocolError, ShortText, encode_document};
 use gingerkeel_settings::ControlSettings;
 use local_sync::mpsc::TryRecvError;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
@@ -19,6 +20,7 @@
 
 use super::directory::Directory;
 use super::incoming::{explain, send};
+use super::usage_outbox::UsageOutbox;
 use crate::replication::messages::TaskEvent;
 
 /// Pause between attempts to connect.
@@ -41,13 +43,35 @@
     /// Port of all peers when their number is their address.
     common_port: Option<u16>,
     own: NodeNumber,
+    own_name: ShortText,
     directory: Directory,
     events: Tx<TaskEvent>,
 }
 
 struct Link {
-    queue: Tx<Envelope>,
+    queue: Tx<Queued>,
     queued: Rc<Cell<usize>>,
+    usage: Rc<RefCell<UsageOutbox>>,
+}
+
+/// What the task of a link is woken for.
+enum Queued {
+    /// A message of the log.
+    Log(Envelope),
+    /// There is something in the outbox of usage.
+    Usage,
+}
+
+/// What a link does next.
+enum Step {
+    /// Sends a message of the log.
+    Log(Envelope),
+    /// Sends what tenants used.
+    Usage(PeerUsage),
+    /// Looks for signs of life only.
+    Idle,
+    /// Ends: the link was dropped.
+    End,
 }
 
 impl Links {
@@ -60,6 +84,7 @@
             links: BTreeMap::new(),
             common_port: settings.seeds.as_ref().map(|seeds| seeds.own.port()),
             own: NodeNumber(settings.node_number()),
+            own_name: ShortText::new(&settings.name),
             directory: directory.clone(),
             events: events.clone(),
         };
@@ -87,15 +112,18 @@
     fn open(&mut self, node: NodeNumber, address: SocketAddr) {
         let (queue, receiver) = unbounded::channel();
         let queued = Rc::new(Cell::new(0));
+        let usage: Rc<RefCell<UsageOutbox>> = Rc::default();
         let task = LinkTask {
             address,
+            own_name: self.own_name.clone(),
             queue: receiver,
             queued: queued.clone(),
+            usage: usage.clone(),
             directory: self.directory.clone(),
             events: self.events.clone(),
         };
         monoio::spawn(task.run());
-        self.links.insert(node, Link { queue, queued });
+        self.links.insert(node, Link { queue, queued, usage });
     }
 
     /// Sends a message, unless too many wait already.
@@ -104,16 +132,28 @@
             return;
         };
         let queued = link.queued.get();
-        if queued < QUEUE_LIMIT && link.queue.send(envelope).is_ok() {
+        if queued < QUEUE_LIMIT && link.queue.send(Queued::Log(envelope)).is_ok() {
             link.queued.set(queued + 1);
         }
     }
+
+    /// Sends what tenants used to all peers, together with what a peer was not sent yet.
+    pub fn tell_usage(&self, usage: &PeerUsage) {
+        for link in self.links.values() {
+            if link.usage.borrow_mut().put(usage) {
+                // A link that ended takes nothing any more.
+                let _ = link.queue.send(Queued::Usage);
+            }
+        }
+    }
 }
 
 struct LinkTask {
     address: SocketAddr,
-    queue: Rx<Envelope>,
+    own_name: ShortText,
+    queue: Rx<Queued>,
     queued: Rc<Cell<usize>>,
+    usage: Rc<RefCell<UsageOutbox>>,
     directory: Directory,
     events: Tx<TaskEvent>,
 }
@@ -181,13 +221,19 @@
         monoio::spawn(listen(reader, heard.clone(), self.directory.clone()));
         let mut probed = Instant::now();
         loop {
-            if let Ok(message) = timeout(PROBE_INTERVAL, self.queue.recv()).await {
-                let Some(envelope) = message else {
-                    return Ok(());
-                };
-                self.queued.set(self.queued.get().saturating_sub(1));
-                let document = encode_document(&envelope)?;
-                step(send(&mut writer, &PeerFrame::Consensus { document })).await??;
+            match self.next_step().await {
+                Step::Log(envelope) => {
+                    self.queued.set(self.queued.get().saturating_sub(1));
+                    let document = encode_document(&envelope)?;
+                    step(send(&mut writer, &PeerFrame::Consensus { document })).await??;
+                }
+                Step::Usage(usage) => {
+                    let usage = encode_document(&usage)?.into();
+                    let control = self.own_name.clone();
+                    step(send(&mut writer, &PeerFrame::Usage { control, usage })).await??;
+                }
+                Step::Idle => {}
+                Step::End => return Ok(()),
             }
             if heard.get().is_none_or(|heard| heard.elapsed() > SILENCE_LIMIT) {
                 return Err(ProtocolError::Silent("it sends nothing"));
@@ -199,7 +245,28 @@
         }
     }
 
-    /// What waited for a connection that is gone is of no use on the next. True when the link
+    /// Messages of the log go first: what tenants used is sent while none of them waits.
+    async fn next_step(&mut self) -> Step {
+        loop {
+            match self.queue.try_recv() {
+                Ok(Queued::Log(envelope)) => return Step::Log(envelope),
+                Ok(Queued::Usage) => continue,
+                Err(TryRecvError::Disconnected) => return Step::End,
+                Err(TryRecvError::Empty) => {}
+            }
+            if let Some(usage) = self.usage.borrow_mut().take() {
+                return Step::Usage(usage);
+            }
+            match timeout(PROBE_INTERVAL, self.queue.recv()).await {
+                Ok(Some(Queued::Log(envelope))) => return Step::Log(envelope),
+                Ok(Some(Queued::Usage)) => {}
+                Ok(None) => return Step::End,
+                Err(_) => return Step::Idle,
+            }
+        }
+    }
+
+    /// Messages that waited for a connection that is gone are of no use on the next. True when the link
     /// itself was dropped.
     fn drop_queue(&mut self) -> bool {
         let ended = loop {
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -24,7 +24,7 @@
 use super::error::{ChangeError, ProposeError};
 use super::membership::{FirstStep, PlannedMembers};
 use super::messages::{
-    MemberStatus, ReplicationMessage, ReplicationStatus, StateMachineMessage, TaskEvent,
+    MemberStatus, PeerUse, ReplicationMessage, ReplicationStatus, StateMachineMessage, TaskEvent,
 };
 use super::peers::{Directory, Links};
 use super::requests::{ChangeReply, PendingRequests, ProposeReply, ReadReply};
@@ -144,6 +144,7 @@
             TaskEvent::Request(request) => self.handle_request(request),
             TaskEvent::RequestsEnded => self.ended = true,
             TaskEvent::Received(envelope) => self.handle_envelope(envelope),
+            TaskEvent::PeerUsed(peer, used) => self.pass_usage_on(peer, used),
             TaskEvent::PeerKnown => self.maintenance_due = self.clock.now(),
             TaskEvent::WriterWoke => self.handle_writer(),
             TaskEvent::Snapshot(snapshot) => {
@@ -158,6 +159,13 @@
         }
     }
 
+    fn pass_usage_on(&self, peer: MemberId, used: PeerUse) {
+        if !self.directory.is_superseded(peer) {
+            // The state machine lives as long as the process.
+            let _ = self.state_machine.send(StateMachineMessage::PeerUsed(used));
+        }
+    }
+
     fn handle_request(&mut self, request: ReplicationMessage) {
         match request {
             ReplicationMessage::Propose { command, reply } => self.propose(command, reply),
@@ -169,6 +177,7 @@
                 // The asker may have given up.
                 let _ = reply.send(self.status());
             }
+            ReplicationMessage::TellUsage(usage) => self.links.tell_usage(&usage),
         }
     }
 
--- a/crates/control/src/replication_client.rs
+++ b/crates/control/src/replication_client.rs
@@ -4,6 +4,7 @@
 
 use gingerkeel_domain::cluster::{Command, CommandBody, LogIndex};
 use gingerkeel_domain::consensus::RoleName;
+use gingerkeel_domain::quota::PeerUsage;
 use gingerkeel_protocol::pack_document;
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
@@ -50,6 +51,13 @@
         }
     }
 
+    /// Has the other control processes told what tenants used. What cannot be told is contained in what is
+    /// told later.
+    pub fn tell_usage(&self, usage: PeerUsage) {
+        // The log ends with the process.
+        let _ = self.log.send(ReplicationMessage::TellUsage(usage));
+    }
+
     /// The role of this process in the cluster; none while the log ends.
     pub async fn role(&self) -> Option<RoleName> {
         let (reply, receiver) = oneshot::channel();
