Limit tenants by equal shares

Signatures of the meter of brokers and the fold of control processes, with the simplest rule: each broker limits by its equal share of quota and tolerance, whatever others have left.

--- a/crates/domain/src/quota/mod.rs
+++ b/crates/domain/src/quota/mod.rs
@@ -7,6 +7,11 @@
 //! share that it had.
 //! Why so, and what else was weighed: `docs/design/quotas.md`.
 
+mod bucket;
+mod fold;
+mod meter;
 mod usage;
 
+pub use fold::UsageFold;
+pub use meter::{QuotaMeter, QuotaSettings, QuotaVerdict, TenantStanding};
 pub use usage::{FleetUsage, PeerUsage, TenantLevel, TenantTotal, TenantUse, UsageReport};
