--- a/crates/control/src/cluster_task/usage.rs
+++ b/crates/control/src/cluster_task/usage.rs
@@ -3,12 +3,13 @@
 //! Nothing of it is replicated. It has rounds of its own, shorter than those of reports to the log: what
 //! tenants send within a round can be too much once.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use gingerkeel_domain::cluster::ClusterState;
-use gingerkeel_domain::identifiers::{BrokerName, ControlName, TenantName};
+use gingerkeel_domain::identifiers::{BrokerName, ControlName};
 use gingerkeel_domain::quota::{PeerUsage, TenantLevel, UsageFold, UsageReport};
-use gingerkeel_domain::routes::{RouteVersion, TenantQuota};
+use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::time::Timestamp;
 use local_sync::mpsc::unbounded::Tx;
 
@@ -23,6 +24,8 @@
 pub struct QuotaUse {
     own_name: ControlName,
     fold: UsageFold,
+    /// Numbers by which the fold knows control processes.
+    controls: BTreeMap<ControlName, u32>,
     /// The version of the configuration whose quotas count.
     version: Option<RouteVersion>,
     /// Whether any tenant has a quota.
@@ -37,6 +40,7 @@
         Self {
             own_name,
             fold: UsageFold::new(run),
+            controls: BTreeMap::new(),
             version: None,
             has_quotas: false,
             levels: Vec::new(),
@@ -63,11 +67,20 @@
     pub fn follow_members(&mut self, now: Timestamp, state: &ClusterState) {
         let members = state.members();
         let serving = members.brokers().len() + members.departed().len();
-        let fed_by = members.brokers().iter();
-        let fed_by = fed_by.map(|(broker, record)| (broker.clone(), record.control.clone()));
-        self.fold.members(now, serving, fed_by);
-        let controls = members.controls().keys().filter(|control| **control != self.own_name);
-        self.fold.set_peers(now, controls.cloned());
+        let brokers = members.brokers().iter();
+        let fed_by: Vec<(BrokerName, u32)> = brokers
+            .map(|(broker, record)| (broker.clone(), self.number(&record.control)))
+            .collect();
+        self.fold.members(now, serving, fed_by.into_iter());
+        let others = members.controls().keys().filter(|control| **control != self.own_name);
+        let others: Vec<ControlName> = others.cloned().collect();
+        let others: Vec<u32> = others.iter().map(|control| self.number(control)).collect();
+        self.fold.set_peers(now, others.into_iter());
+    }
+
+    fn number(&mut self, control: &ControlName) -> u32 {
+        let next = self.controls.len() as u32;
+        *self.controls.entry(control.clone()).or_insert(next)
     }
 
     /// A broker that is fed here reported.
@@ -77,7 +90,7 @@
         broker: &SubscriberIdentity,
         report: &UsageReport,
     ) {
-        self.fold.report(now, &broker.broker, broker.run, report);
+        self.fold.report(now, &broker.broker, report);
     }
 
     /// The link to a broker is lost, or its side closed it.
@@ -91,7 +104,8 @@
 
     /// Another control process told its totals.
     pub fn peer_used(&mut self, now: Timestamp, used: &PeerUse) {
-        self.fold.peer(now, &used.control, &used.usage);
+        let control = self.number(&used.control);
+        self.fold.peer(now, control, &used.usage);
     }
 
     /// What the other control processes are to be told.
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -22,7 +22,8 @@
 
 pub use error::{ChangeError, ProposeError, ReadError, StartError};
 pub use messages::{
-    MemberStatus, PeerUse, ReplicationMessage, ReplicationStatus, StateMachineMessage, StateSnapshot,
+    MemberStatus, PeerUse, ReplicationMessage, ReplicationStatus, StateMachineMessage,
+    StateSnapshot,
 };
 
 use messages::TaskEvent;
