--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -11,7 +11,8 @@
     FollowerSettings, FollowerState, KnownBroker, LeaseGrant, OverloadReporter,
 };
 use gingerkeel_domain::identifiers::{BrokerRun, LeafId, Revision, ServiceName, ZoneName};
-use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
+use gingerkeel_domain::leaf_warnings::LeafWarning;
+use gingerkeel_domain::quota::FleetUsage;
 use gingerkeel_domain::routes::RouteConfiguration;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_protocol::{
@@ -19,7 +20,6 @@
     decode_document, encode_document, encode_frame, unpack_document,
 };
 use gingerkeel_settings::BrokerSettings;
-use local_sync::mpsc::bounded;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use local_sync::oneshot;
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
@@ -33,6 +33,7 @@
 use crate::clock::Clock;
 use crate::control_dial::dial;
 use crate::engine::EngineMessage;
+use crate::route_reports::{LinkNumber, LinkedUsage, RouteReports, SlowLeaves};
 
 /// Bound of the first pause before another control process is asked.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -93,7 +94,8 @@
         last_reports: inputs.last_reports,
         last_report: None,
         controls: inputs.controls,
-        slow_leaves: inputs.slow_leaves,
+        route_reports: inputs.route_reports,
+        number: LinkNumber::default(),
         settings,
         run,
         clock,
@@ -112,6 +114,7 @@
         let fresh_before = link.follower.is_fresh(clock.now());
         let Err(error) = link.follow_one(stream).await;
         link.tell(FollowerEvent::Disconnected, &mut Vec::new());
+        link.tell_routes(RouteUpdate::LinkDown);
         warn!(event = "control_link_lost", %control, %error);
         if fresh_before || link.follower.is_fresh(clock.now()) {
             back_off.succeeded();
@@ -127,22 +130,8 @@
     pub last_reports: Rx<LastReport>,
     /// The addresses of control processes, when the settings have changed.
     pub controls: Rx<Vec<SocketAddr>>,
-    /// Leaves that were slow, to be reported.
-    pub slow_leaves: bounded::Rx<SlowLeaves>,
-}
-
-/// Leaves that were slow.
-pub struct SlowLeaves {
-    /// When this was told: ages count from then.
-    pub at: Timestamp,
-    /// What was seen of each.
-    pub observations: Vec<LeafObservation>,
-}
-
-/// The way on which the feed is told of slow leaves. It holds one report; who tells waits while nobody
-/// takes it.
-pub fn slow_leaves() -> (bounded::Tx<SlowLeaves>, bounded::Rx<SlowLeaves>) {
-    bounded::channel(1)
+    /// What the serving of routes has to report.
+    pub route_reports: RouteReports,
 }
 
 /// What ends with the process: its last totals, to be reported before it does.
@@ -158,6 +147,7 @@
     Message(Result<FeedMessage, LinkError>),
     LastReport(LastReport),
     SlowLeaves(SlowLeaves),
+    Usage(LinkedUsage),
     TimerElapsed,
 }
 
@@ -173,6 +163,12 @@
     FreshUntil(Timestamp),
     /// Leaves that many brokers find slow.
     LeafWarnings(Vec<LeafWarning>),
+    /// A link to a control process is up.
+    LinkUp(LinkNumber),
+    /// It is lost.
+    LinkDown,
+    /// How the quotas of tenants stand over all brokers.
+    Usage(FleetUsage),
     /// The zones whose leaves get no new work, all of them.
     Evacuated(BTreeSet<ZoneName>),
     /// All brokers that share the leaves.
@@ -188,7 +184,9 @@
     last_reports: Rx<LastReport>,
     last_report: Option<LastReport>,
     controls: Rx<Vec<SocketAddr>>,
-    slow_leaves: bounded::Rx<SlowLeaves>,
+    route_reports: RouteReports,
+    /// Number of the link that is up, or was last.
+    number: LinkNumber,
     settings: BrokerSettings,
     run: BrokerRun,
     clock: Clock,
@@ -218,11 +216,17 @@
         &self,
         update: impl FnOnce() -> Result<RouteUpdate, ProtocolError>,
     ) -> Result<(), LinkError> {
+        if self.routes.is_some() {
+            self.tell_routes(update()?);
+        }
+        Ok(())
+    }
+
+    fn tell_routes(&self, update: RouteUpdate) {
         if let Some(routes) = &self.routes {
             // The task that serves routes lives as long as the process.
-            let _ = routes.send(update()?);
+            let _ = routes.send(update);
         }
-        Ok(())
     }
 
     async fn follow_one(
@@ -247,6 +251,8 @@
     ) -> Result<std::convert::Infallible, LinkError> {
         let mut effects = Vec::new();
         self.tell(FollowerEvent::Connected, &mut effects);
+        self.number.0 += 1;
+        self.tell_routes(RouteUpdate::LinkUp(self.number));
         // What the last link left without a receipt is sent at once.
         self.reports_due = self.clock.now();
         loop {
@@ -262,6 +268,7 @@
                     self.hurry_last_report();
                 }
                 News::SlowLeaves(report) => self.report_slow_leaves(writer, &report).await?,
+                News::Usage(usage) => self.report_usage(writer, &usage).await?,
                 News::TimerElapsed => self.tell(FollowerEvent::TimerElapsed, &mut effects),
             }
         }
@@ -276,10 +283,14 @@
                 None => News::Message(Err(LinkError::Closed)),
             },
             report = next_last_report(&mut self.last_reports) => News::LastReport(report),
-            report = self.slow_leaves.recv() => match report {
+            report = self.route_reports.slow_leaves.recv() => match report {
                 Some(report) => News::SlowLeaves(report),
                 None => std::future::pending().await,
             },
+            usage = self.route_reports.usage.recv() => match usage {
+                Some(usage) => News::Usage(usage),
+                None => std::future::pending().await,
+            },
             _ = sleep(self.clock.until(due)) => News::TimerElapsed,
         }
     }
@@ -339,6 +350,9 @@
                 .send_routes(|| decode_document(&delta.bytes).map(RouteUpdate::DirectoryChange))?,
             FeedMessage::LeafWarnings { warnings } => self
                 .send_routes(|| decode_document(&warnings.bytes).map(RouteUpdate::LeafWarnings))?,
+            FeedMessage::Usage { usage } => {
+                self.send_routes(|| decode_document(&usage.bytes).map(RouteUpdate::Usage))?
+            }
             FeedMessage::Controls { .. } if !self.settings.learn_controls => {}
             FeedMessage::Controls { addresses } => {
                 self.learned_controls = decode_document(&addresses.bytes)?;
@@ -425,6 +439,19 @@
         send(writer, &SubscriberMessage::SlowLeaves { observations }).await
     }
 
+    /// Sends what tenants used, unless it was meant for a link that is lost.
+    async fn report_usage(
+        &mut self,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+        usage: &LinkedUsage,
+    ) -> Result<(), LinkError> {
+        if usage.link != self.number {
+            return Ok(());
+        }
+        let report = encode_document(&usage.report)?.into();
+        send(writer, &SubscriberMessage::Usage { report }).await
+    }
+
     /// Sends what there is to say of overload.
     async fn report_overload(
         &mut self,
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -8,6 +8,7 @@
 mod leaves;
 mod metrics;
 mod reload;
+mod route_reports;
 pub mod routes;
 mod signals;
 mod stop;
@@ -64,18 +65,18 @@
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
     let clock = Clock::start();
-    let (reports, slow_leaves) = feed::slow_leaves();
+    let (reporters, route_reports) = route_reports::channels();
     let (routes, updates) = match settings.routes.clone() {
         Some(routes) => {
             let dialect = Dialect::default();
-            let started = RouteServer::start(&settings, routes, dialect, clock, &stop, reports)?;
+            let started = RouteServer::start(&settings, routes, dialect, clock, &stop, reporters)?;
             (Some(started.0), Some(started.1))
         }
         None => (None, None),
     };
     let run = BrokerRun(rand::rng().random());
     let (last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    let inputs = FeedInputs { last_reports, controls, slow_leaves };
+    let inputs = FeedInputs { last_reports, controls, route_reports };
     let feed = feed::follow(settings.clone(), run, clock, engine.clone(), inputs, updates);
     monoio::spawn(feed);
     let totals = Engine::new(&settings, run, clock, engine).run(messages).await;
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -11,6 +11,7 @@
 mod leaf_checks;
 mod leaf_registry;
 mod pool;
+mod quota;
 mod readiness;
 mod record;
 mod respond;
@@ -39,8 +40,9 @@
 pub use dialect::{Dialect, read_load};
 
 use crate::clock::Clock;
-use crate::feed::{self, FeedInputs, RouteUpdate, SlowLeaves};
+use crate::feed::{self, FeedInputs, RouteUpdate};
 use crate::reload;
+use crate::route_reports::{self, LinkedUsage, RouteReporters, RouteReports, SlowLeaves};
 use crate::signals;
 use crate::stop::StopSignal;
 use callers::CallerServer;
@@ -50,6 +52,9 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two reports of slow leaves: what they tell is of use for some seconds.
 const SLOW_LEAVES_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two reports of what tenants used: a killed broker takes what it did not report with it,
+/// and what all brokers admit within it can be too much once.
+const USAGE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks at whether a planned stop is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -67,9 +72,10 @@
     let controls = reload::start(source, &settings)?;
     let requested = signals::stop_requested()?;
     let (stop, clock) = (StopSignal::new(), Clock::start());
-    let (reports, slow_leaves) = feed::slow_leaves();
-    let (server, updates) = RouteServer::start(&settings, routes, dialect, clock, &stop, reports)?;
-    follow(settings.clone(), clock, controls, slow_leaves, updates);
+    let (reporters, reports) = route_reports::channels();
+    let (server, updates) =
+        RouteServer::start(&settings, routes, dialect, clock, &stop, reporters)?;
+    follow(settings.clone(), clock, controls, reports, updates);
     requested.await;
     stop.give();
     server.finish().await;
@@ -85,7 +91,7 @@
 
 impl RouteServer {
     /// Listens for callers, who are served once the news of routes and leaves have come over the
-    /// channel that is given back. Leaves that are slow go to `reports`.
+    /// channel that is given back. What control is to hear of goes to `reporters`.
     ///
     /// # Errors
     /// An [`io::Error`] when an address cannot be bound.
@@ -95,7 +101,7 @@
         dialect: Dialect,
         clock: Clock,
         stop: &StopSignal,
-        reports: bounded::Tx<SlowLeaves>,
+        reporters: RouteReporters,
     ) -> io::Result<(Self, Tx<RouteUpdate>)> {
         let listener = listen(routes.listen)?;
         let readiness = routes.readiness.map(listen).transpose()?;
@@ -121,7 +127,8 @@
         monoio::spawn(keep_up(state.clone()));
         monoio::spawn(standby::keep_ready(state.clone()));
         monoio::spawn(leaf_checks::run(state.clone()));
-        monoio::spawn(report_slow_leaves(state.clone(), reports));
+        monoio::spawn(report_slow_leaves(state.clone(), reporters.slow_leaves));
+        monoio::spawn(report_usage(state.clone(), reporters.usage));
         let (updates, received) = unbounded::channel();
         monoio::spawn(apply_updates(received, state.clone()));
         Ok((Self { state, open }, updates))
@@ -148,7 +155,7 @@
     settings: BrokerSettings,
     clock: Clock,
     controls: Rx<Vec<SocketAddr>>,
-    slow_leaves: bounded::Rx<SlowLeaves>,
+    route_reports: RouteReports,
     updates: Tx<RouteUpdate>,
 ) {
     let run = BrokerRun(rand::rng().random());
@@ -159,7 +166,7 @@
     monoio::spawn(async move {
         // Kept so that the feed does not take it for the end of the process.
         let _last_report = last_report;
-        let inputs = FeedInputs { last_reports, controls, slow_leaves };
+        let inputs = FeedInputs { last_reports, controls, route_reports };
         feed::follow(settings, run, clock, engine, inputs, Some(updates)).await;
     });
 }
@@ -176,7 +183,13 @@
                 state.leaves.warn(&warnings);
             }
             RouteUpdate::Evacuated(zones) => state.evacuate(zones),
-            RouteUpdate::Brokers(brokers) => state.leaves.set_brokers(brokers),
+            RouteUpdate::Brokers(brokers) => {
+                state.quotas.set_brokers(brokers.len());
+                state.leaves.set_brokers(brokers);
+            }
+            RouteUpdate::LinkUp(link) => state.quotas.link_up(link),
+            RouteUpdate::LinkDown => state.quotas.link_down(),
+            RouteUpdate::Usage(usage) => state.quotas.told(&usage),
         }
         state.note_known();
     }
@@ -198,6 +211,19 @@
     }
 }
 
+/// Reports what tenants used of their quotas, for as long as somebody takes the reports.
+async fn report_usage(state: Rc<RouteState>, reports: bounded::Tx<LinkedUsage>) {
+    loop {
+        sleep(USAGE_INTERVAL).await;
+        state.quotas.note_relief();
+        if let Some(report) = state.quotas.report()
+            && reports.send(report).await.is_err()
+        {
+            return;
+        }
+    }
+}
+
 async fn keep_up(state: Rc<RouteState>) {
     loop {
         sleep(UPKEEP_INTERVAL).await;
--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -29,6 +29,8 @@
     request: ForwardedRequest,
     route: Option<Arc<Route>>,
     routes_version: RouteVersion,
+    /// Whether it was counted against the quota of its tenant.
+    counted: bool,
     /// None before and after it holds a place in admission.
     admitted: Option<Admitted>,
     outcome: &'static str,
@@ -50,6 +52,7 @@
             request,
             route: None,
             routes_version,
+            counted: false,
             admitted: None,
             outcome: "caller_left",
             status: 0,
@@ -70,6 +73,28 @@
         self.route = Some(route.clone());
     }
 
+    /// Counts it against the quota of its tenant.
+    ///
+    /// # Errors
+    /// When its caller may come back: it is beyond the quota.
+    pub fn count(&mut self) -> Result<(), Duration> {
+        if let Some(tenant) = &self.request.tenant {
+            self.state.quotas.admit(&tenant.name)?;
+            self.counted = true;
+        }
+        Ok(())
+    }
+
+    /// A request that no leaf was asked for does not count against the quota of its tenant.
+    fn uncount(&self) {
+        if let Some(tenant) = &self.request.tenant
+            && self.counted
+            && !self.request.trail.was_asked()
+        {
+            self.state.quotas.give_back(&tenant.name);
+        }
+    }
+
     /// It was admitted, too late to be answered in time or not.
     pub fn admitted(&mut self, was_late: bool) {
         self.admitted = Some(Admitted { at: Instant::now(), was_late });
@@ -99,7 +124,9 @@
             Served::Refused(refusal) => {
                 self.outcome = refusal.outcome();
                 self.status = refusal.status();
-                if let Refusal::NotRun { retry_after } = refusal {
+                if let Refusal::NotRun { retry_after } | Refusal::OverQuota { retry_after } =
+                    refusal
+                {
                     self.retry_after = Some(*retry_after);
                 }
             }
@@ -147,6 +174,7 @@
 impl Drop for Record {
     fn drop(&mut self) {
         self.leave_admission();
+        self.uncount();
         let missing = self.parts.map_or(0, |(present, whole)| whole - present);
         let held = self.held();
         self.state.metrics.request_ended(self.outcome, held, missing);
--- a/crates/broker/src/routes/respond.rs
+++ b/crates/broker/src/routes/respond.rs
@@ -26,6 +26,11 @@
         /// When.
         retry_after: Duration,
     },
+    /// Its tenant has used its quota up; the request has not run.
+    OverQuota {
+        /// When the quota has room again.
+        retry_after: Duration,
+    },
     /// No leaf gave a usable reply; the request may have run.
     NoReply,
     /// The time of the request is over; it may have run.
@@ -43,6 +48,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::NoReply => "no_usable_reply",
             Self::NotRun { .. } => "no_leaf_took_it",
+            Self::OverQuota { .. } => "over_quota",
             Self::TimedOut => "timed_out",
         }
     }
@@ -54,6 +60,7 @@
             Self::NoRoute => 404,
             Self::Slow => 408,
             Self::BodyTooLarge => 413,
+            Self::OverQuota { .. } => 429,
             Self::HeadTooLarge => 431,
             Self::NoReply => 502,
             Self::NotRun { .. } => 503,
@@ -70,6 +77,7 @@
             Self::HeadTooLarge => "the head is too large: send fewer or shorter fields\n",
             Self::NoReply => "no usable reply came; the request may have run\n",
             Self::NotRun { .. } => "the request has not run: send it again later\n",
+            Self::OverQuota { .. } => "beyond the quota; the request has not run: send fewer\n",
             Self::TimedOut => "the time of the request is over; it may have run\n",
         }
     }
@@ -77,7 +85,7 @@
     /// The whole answer.
     pub fn to_bytes(self, keep_alive: bool) -> Vec<u8> {
         let mut bytes = status_line(self.status());
-        if let Self::NotRun { retry_after } = self {
+        if let Self::NotRun { retry_after } | Self::OverQuota { retry_after } = self {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             add_field(&mut bytes, b"Retry-After", seconds.as_bytes());
         }
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -59,6 +59,10 @@
         let refusal = Refusal::NotRun { retry_after: BUSY_RETRY_AFTER };
         return (record.refuse(refusal, "stopping"), record);
     }
+    if let Err(retry_after) = record.count() {
+        let refusal = Refusal::OverQuota { retry_after };
+        return (record.refuse(refusal, refusal.outcome()), record);
+    }
     let candidate = state.candidate(&table, &route, record.request());
     if let Err(retry_after) = state.admission.enter(&route, candidate).await {
         return (record.refuse(Refusal::NotRun { retry_after }, "leaves_overloaded"), record);
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -27,6 +27,7 @@
 use super::dialect::Dialect;
 use super::known_leaves::ServiceLimits;
 use super::leaf_registry::LeafRegistry;
+use super::quota::Quotas;
 use super::route_metrics::RouteMetrics;
 use crate::clock::Clock;
 use crate::stop::StopSignal;
@@ -56,6 +57,8 @@
     pub metrics: RouteMetrics,
     /// The leaves.
     pub leaves: LeafRegistry,
+    /// Quotas of tenants.
+    pub quotas: Quotas,
     /// Admission of requests.
     pub admission: Admission,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -82,10 +85,12 @@
         let seed = broker.seed.unwrap_or_else(|| rand::rng().random());
         let mut random = Pcg64::seed_from_u64(seed);
         let leaves = LeafRegistry::new(clock, &broker, &settings, random.random());
+        let quotas = Quotas::new(clock, &settings, random.random());
         Self {
             dialect,
             settings,
             clock,
+            quotas,
             metrics: RouteMetrics::default(),
             leaves,
             admission: Admission::new(clock),
@@ -196,6 +201,7 @@
         );
         self.splits.borrow_mut().clear();
         self.leaves.forget_cold_shares();
+        self.quotas.configure(&configuration.tenants);
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
     }
 
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -144,6 +144,11 @@
         self.nobody.get()
     }
 
+    /// Whether any leaf was asked.
+    pub fn was_asked(&self) -> bool {
+        !self.attempts.borrow().is_empty()
+    }
+
     /// A leaf is asked.
     pub fn asked(
         &self,
--- a/crates/domain/src/quota/mod.rs
+++ b/crates/domain/src/quota/mod.rs
@@ -9,9 +9,11 @@
 
 mod bucket;
 mod fold;
+mod limited;
 mod meter;
 mod usage;
 
 pub use fold::UsageFold;
+pub use limited::{LimitedTenants, Relief};
 pub use meter::{QuotaMeter, QuotaSettings, QuotaVerdict, TenantStanding};
 pub use usage::{FleetUsage, PeerUsage, TenantLevel, TenantTotal, TenantUse, UsageReport};
--- /dev/null
+++ b/crates/domain/tests/limited_tenants.rs
@@ -0,0 +1,35 @@
+//! Which tenants are told of as limited: once when it begins and once when it ends, however often a tenant
+//! is refused.
+
+use std::time::Duration;
+
+use gingerkeel_domain::identifiers::TenantName;
+use gingerkeel_domain::quota::{LimitedTenants, Relief};
+use gingerkeel_domain::time::Timestamp;
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_micros(milliseconds * 1_000)
+}
+
+#[test]
+fn tenant_refused_a_thousand_times_is_told_of_twice() {
+    let (mut limited, tenant) = (LimitedTenants::default(), TenantName::new("t"));
+    let begun = (0..1_000).filter(|turn| limited.refused(at(turn * 10), &tenant)).count();
+    assert_eq!(begun, 1);
+    assert_eq!(limited.relieved(at(14_989)), []);
+    let lasted = Duration::from_millis(9_990);
+    assert_eq!(limited.relieved(at(14_990)), [Relief { tenant, refused: 1_000, lasted }]);
+    assert_eq!(limited.relieved(at(20_000)), []);
+}
+
+#[test]
+fn tenants_are_told_of_each_for_itself() {
+    let mut limited = LimitedTenants::default();
+    let [first, second] = ["a", "b"].map(TenantName::new);
+    assert!(limited.refused(at(0), &first));
+    assert!(limited.refused(at(3_000), &second));
+    let relieved: Vec<TenantName> =
+        limited.relieved(at(6_000)).into_iter().map(|relief| relief.tenant).collect();
+    assert_eq!(relieved, [first.clone()]);
+    assert!(limited.refused(at(6_000), &first), "it is limited anew");
+}
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -111,6 +111,15 @@
     /// Milliseconds that a planned stop may take.
     #[serde(default = "default_stop_ms")]
     pub stop_ms: u32,
+    /// Milliseconds of the window in which the use of a tenant's quota is counted.
+    #[serde(default = "default_quota_window_ms")]
+    pub quota_window_ms: u32,
+    /// Share by which the requests of a tenant at all brokers together may exceed its quota in a window.
+    #[serde(default = "default_quota_overshoot")]
+    pub quota_overshoot: f64,
+    /// Requests by which they may exceed it besides.
+    #[serde(default = "default_quota_slack")]
+    pub quota_slack: f64,
 }
 
 /// What a broker does with requests of routes while no control process confirms what it has.
@@ -179,6 +188,21 @@
     6_000
 }
 
+/// Some times as long as news of the use of quotas take, so that a window shows the rate and not a moment.
+fn default_quota_window_ms() -> u32 {
+    5_000
+}
+
+/// What a tenant that sends several times its quota gets too much while the news of it are under way.
+fn default_quota_overshoot() -> f64 {
+    0.1
+}
+
+/// A request or two at each of some brokers that have not heard of the others.
+fn default_quota_slack() -> f64 {
+    10.0
+}
+
 fn default_caller_connections() -> u32 {
     4096
 }
@@ -273,6 +297,14 @@
         check.field("routes.start_wait_ms", self.start_wait_ms, accepted, remedy)?;
         let accepted = (100..=600_000).contains(&self.stop_ms);
         let remedy = "use milliseconds from 100 to 600000";
-        check.field("routes.stop_ms", self.stop_ms, accepted, remedy)
+        check.field("routes.stop_ms", self.stop_ms, accepted, remedy)?;
+        let accepted = (100..=600_000).contains(&self.quota_window_ms);
+        let remedy = "use milliseconds from 100 to 600000";
+        check.field("routes.quota_window_ms", self.quota_window_ms, accepted, remedy)?;
+        let accepted = (0.0..=10.0).contains(&self.quota_overshoot);
+        let remedy = "use a share from 0 to 10";
+        check.field("routes.quota_overshoot", self.quota_overshoot, accepted, remedy)?;
+        let accepted = self.quota_slack >= 0.0 && self.quota_slack.is_finite();
+        check.field("routes.quota_slack", self.quota_slack, accepted, "use a number from 0")
     }
 }
