--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -20,6 +20,7 @@
 mod serving;
 mod standby;
 mod state;
+mod tenant_metrics;
 mod trail;
 
 use std::cell::Cell;
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -18,6 +18,7 @@
 use tracing::warn;
 
 use super::state::RouteState;
+use super::tenant_metrics::TenantMetrics;
 use super::trail::AskReason;
 
 /// Path of the metrics.
@@ -62,6 +63,7 @@
     evacuated_zones: Gauge,
     cold_leaves: Gauge,
     load_reports: Family<LoadLabels, Counter>,
+    tenants: TenantMetrics,
 }
 
 impl Default for RouteMetrics {
@@ -80,6 +82,7 @@
             evacuated_zones: Gauge::default(),
             cold_leaves: Gauge::default(),
             load_reports: Family::default(),
+            tenants: TenantMetrics::default(),
         };
         metrics.register();
         metrics
@@ -112,6 +115,7 @@
         registry.register("cold_leaves", help, self.cold_leaves.clone());
         let help = "Reports of leaves about their load, by what they say";
         registry.register("load_reports", help, self.load_reports.clone());
+        self.tenants.register(registry);
     }
 
     /// A request has ended.
@@ -158,6 +162,7 @@
         self.directory_version.set(state.leaves.version() as i64);
         self.evacuated_zones.set(state.leaves.evacuated_zones() as i64);
         self.cold_leaves.set(state.leaves.cold_leaves() as i64);
+        self.tenants.set(&state.quotas.counts());
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/broker/tests/settings.rs
+++ b/crates/broker/tests/settings.rs
@@ -65,6 +65,9 @@
 #[rstest]
 #[case::reuse("address_reuse_ms = 0", &["field routes.address_reuse_ms", "`0`", "from 1 to 600000"])]
 #[case::lag("list_lag_ms = 1000", &["field routes.list_lag_ms", "`1000`", "from routes.address_reuse_ms"])]
+#[case::quota_window("quota_window_ms = 50", &["field routes.quota_window_ms", "`50`", "from 100 to 600000"])]
+#[case::quota_overshoot("quota_overshoot = -0.1", &["field routes.quota_overshoot", "`-0.1`", "a share from 0"])]
+#[case::quota_slack("quota_slack = nan", &["field routes.quota_slack", "`NaN`", "a number from 0"])]
 #[case::ratio("extra_ratio = 1.5", &["field routes.extra_ratio", "`1.5`", "a share from 0 to 1"])]
 fn a_wrong_field_of_routes_is_named_with_its_value_and_the_remedy(
     #[case] line: &str,
