--- /dev/null
+++ b/crates/broker/tests/quotas.rs
@@ -0,0 +1,176 @@
+//! Quotas of tenants at a broker: what is refused, what counts, and what control hears and says of it.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use gingerkeel_domain::identifiers::TenantName;
+use gingerkeel_domain::quota::{FleetUsage, TenantLevel, UsageReport};
+use gingerkeel_domain::routes::{KeyDigest, RegionPolicy, RouteConfiguration, Tenant, TenantQuota};
+use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
+use support::caller::Response;
+use support::control::ControlScript;
+use support::leaf::{Act, ScriptedLeaf};
+use support::routed::{RoutedBroker, configuration, directory, honest, news, rejection, reply};
+use support::wait_until;
+
+/// The key of the tenant `kiosk`.
+const KEY: &str = "k-3f9c81d2";
+/// No tolerance: what is refused is then known to the request.
+const EXACT: &str = "quota_overshoot = 0.0\nquota_slack = 0.0\n";
+/// Seconds in which a tenant may send one request once its burst is used up: longer than any test.
+const REFILL_SECONDS: u64 = 1_000;
+
+/// The usual routes for the tenant `kiosk`, which may send `burst` requests and then next to none.
+fn limited(shards: usize, burst: u64) -> RouteConfiguration {
+    let mut configuration = configuration(shards);
+    configuration.tenants = vec![Tenant {
+        name: TenantName::new("kiosk"),
+        keys: [KeyDigest::of(KEY.as_bytes())].into(),
+        priority: None,
+        quota: TenantQuota {
+            requests_per_1000_s: 1_000 / REFILL_SECONDS,
+            burst_thousandths: burst * 1_000,
+        },
+        allowed_regions: RegionPolicy::default(),
+    }];
+    configuration
+}
+
+fn start(configuration: &RouteConfiguration, single: &[&ScriptedLeaf]) -> RoutedBroker {
+    let addresses: Vec<SocketAddr> = single.iter().map(|leaf| leaf.address).collect();
+    start_on(news(configuration, &directory(&addresses, &[])), false)
+}
+
+fn start_on(news: Vec<FeedMessage>, closes_on_usage: bool) -> RoutedBroker {
+    let script = ControlScript { news, closes_on_usage, ..ControlScript::default() };
+    RoutedBroker::start_on(script, EXACT)
+}
+
+/// Sends one request of the tenant.
+fn get(broker: &RoutedBroker, path: &str) -> Response {
+    let mut caller = broker.caller();
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: h\r\ngingerkeel-request-id: r1\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+    );
+    caller.send(request.as_bytes());
+    caller.receive().expect("an answer")
+}
+
+fn statuses(broker: &RoutedBroker, path: &str, requests: usize) -> Vec<u16> {
+    (0..requests).map(|_| get(broker, path).status).collect()
+}
+
+/// Word that the quota is used up, or far from it, while many requests come at all brokers.
+fn told(level: i64) -> FeedMessage {
+    let levels = vec![TenantLevel {
+        tenant: TenantName::new("kiosk"),
+        level_thousandths: level * 1_000,
+        arrivals_per_1000_s: 1_000_000,
+    }];
+    let usage = encode_document(&FleetUsage { heard: 0, levels }).expect("a document");
+    FeedMessage::Usage { usage: usage.into() }
+}
+
+/// Arrivals and admissions of the tenant in each report so far.
+fn reported(broker: &RoutedBroker) -> Vec<(u32, u32)> {
+    let received = broker.broker.control.received();
+    let reports = received.iter().filter_map(|message| match message {
+        SubscriberMessage::Usage { report } => {
+            let report: UsageReport = decode_document(&report.bytes).expect("a document");
+            Some(report.uses.first().map_or((0, 0), |tenant| (tenant.arrived, tenant.admitted)))
+        }
+        _ => None,
+    });
+    reports.collect()
+}
+
+#[test]
+fn a_request_beyond_the_quota_is_refused_at_once_and_reaches_no_leaf() {
+    let leaf = honest("stamp", b"body");
+    let broker = start(&limited(0, 3), &[&leaf]);
+    assert_eq!(statuses(&broker, "/one/", 3), [200; 3]);
+    let sent = Instant::now();
+    let refusal = get(&broker, "/one/");
+    assert!(sent.elapsed() < Duration::from_secs(1), "it waits for nothing");
+    assert_eq!(refusal.status, 429);
+    let retry_after = refusal.header("retry-after").and_then(|value| value.parse::<f64>().ok());
+    assert!(retry_after.is_some_and(|seconds| seconds > 0.0), "{retry_after:?}");
+    assert_eq!(leaf.requests().len(), 3);
+    let log = || broker.broker.log();
+    wait_until("it is logged", || log().contains("outcome=over_quota status=429"));
+    assert_eq!(statuses(&broker, "/one/", 5), [429; 5]);
+    assert_eq!(log().matches("event=tenant_limited tenant=kiosk").count(), 1);
+}
+
+#[test]
+fn a_request_to_many_shards_counts_once() {
+    let leaves: Vec<ScriptedLeaf> = (0..8).map(|_| honest("stamp", b"")).collect();
+    let addresses: Vec<[SocketAddr; 1]> = leaves.iter().map(|leaf| [leaf.address]).collect();
+    let shards: Vec<&[SocketAddr]> = addresses.iter().map(|address| &address[..]).collect();
+    let broker = start_on(news(&limited(8, 2), &directory(&[], &shards)), false);
+    assert_eq!(statuses(&broker, "/all/", 3), [200, 200, 429]);
+}
+
+#[test]
+fn retries_do_not_count() {
+    let tries = AtomicUsize::new(0);
+    let leaf = ScriptedLeaf::for_all(move |request| {
+        let is_first = tries.fetch_add(1, Ordering::Relaxed).is_multiple_of(2);
+        Act::Send(if is_first { rejection() } else { reply(request, "stamp", b"body") })
+    });
+    let broker = start(&limited(0, 2), &[&leaf, &leaf]);
+    assert_eq!(statuses(&broker, "/one/", 3), [200, 200, 429]);
+}
+
+#[test]
+fn a_request_that_no_leaf_was_asked_for_does_not_count() {
+    let leaf = honest("stamp", b"");
+    let shards: &[&[SocketAddr]] = &[&[leaf.address]];
+    let broker = start_on(news(&limited(1, 1), &directory(&[], shards)), false);
+    assert_eq!(statuses(&broker, "/one/", 3), [503; 3]);
+    assert_eq!(statuses(&broker, "/all/", 2), [200, 429]);
+}
+
+#[test]
+fn a_tenant_without_a_limit_is_never_refused() {
+    let leaf = honest("stamp", b"body");
+    let mut configuration = limited(0, 1);
+    configuration.tenants[0].quota = TenantQuota::default();
+    let broker = start(&configuration, &[&leaf]);
+    assert_eq!(statuses(&broker, "/one/", 20), [200; 20]);
+}
+
+#[test]
+fn news_that_the_quota_is_used_up_elsewhere_refuse_here() {
+    let leaf = honest("stamp", b"body");
+    let mut news = news(&limited(0, 20), &directory(&[leaf.address], &[]));
+    news.push(told(-100));
+    let broker = start_on(news, false);
+    assert_eq!(statuses(&broker, "/one/", 5), [429; 5]);
+    assert!(leaf.requests().is_empty());
+}
+
+#[test]
+fn control_hears_what_came_and_what_was_admitted() {
+    let leaf = honest("stamp", b"body");
+    let broker = start(&limited(0, 2), &[&leaf]);
+    statuses(&broker, "/one/", 5);
+    wait_until("all is reported", || {
+        let reports = reported(&broker);
+        let sum = |pick: fn(&(u32, u32)) -> u32| reports.iter().map(pick).sum::<u32>();
+        (sum(|report| report.0), sum(|report| report.1)) == (5, 2)
+    });
+}
+
+#[test]
+fn what_a_lost_link_may_not_have_brought_is_reported_on_the_next() {
+    let leaf = honest("stamp", b"body");
+    let news = news(&limited(0, 2), &directory(&[leaf.address], &[]));
+    let broker = start_on(news, true);
+    statuses(&broker, "/one/", 2);
+    wait_until("two links brought it", || reported(&broker).len() >= 2);
+    assert_eq!(reported(&broker)[0].1, reported(&broker)[1].1);
+}
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -41,6 +41,8 @@
     pub news: Vec<FeedMessage>,
     /// With which lease they are told, one a second; 0 for when they subscribe.
     pub news_with_lease: u64,
+    /// Whether a link ends with the first report of what tenants used.
+    pub closes_on_usage: bool,
 }
 
 impl Default for ControlScript {
@@ -53,6 +55,7 @@
             evacuated: Vec::new(),
             news: Vec::new(),
             news_with_lease: 0,
+            closes_on_usage: false,
         }
     }
 }
@@ -121,6 +124,9 @@
         received.extend_from_slice(&buffer[..count]);
         while let Ok(Decoded::Some(message)) = codec.decode(&mut received) {
             journal.lock().expect("no thread panicked").push(message.clone());
+            if script.closes_on_usage && matches!(message, SubscriberMessage::Usage { .. }) {
+                return None;
+            }
             for reply in replies(catalog, script, &message) {
                 let frame = encode_frame(&reply).expect("a small frame");
                 stream.write_all(&frame).ok()?;
