--- /dev/null
+++ b/crates/control/tests/quotas.rs
@@ -0,0 +1,137 @@
+//! The use of quotas between control processes and to the brokers that each of them feeds.
+
+mod support;
+
+use gingerkeel_domain::identifiers::TenantName;
+use gingerkeel_domain::quota::{FleetUsage, TenantLevel, TenantUse, UsageReport};
+use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
+use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, block_on};
+use http::{Method, Uri};
+use support::cluster::Cluster;
+use support::{HollowBroker, wait_until};
+
+/// Control processes; without one of two nothing is accepted, and quotas hold all the same.
+const PROCESSES: usize = 2;
+/// The tenant that has a quota.
+const TENANT: &str = "kiosk";
+
+/// Has a cluster accept that the tenant may send so many requests a second and as many at once.
+fn replace(cluster: &Cluster, version: u64, per_second: u64) {
+    let configuration = serde_json::json!({
+        "version": version,
+        "routes": [],
+        "services": [],
+        "limits": { "head_bytes": 8192, "body_bytes": 65536, "head_time_ms": 5000, "idle_time_ms": 5000 },
+        "tenants": [{
+            "name": TENANT,
+            "keys": [],
+            "quota": {
+                "requests_per_1000_s": per_second * 1_000,
+                "burst_thousandths": per_second * 1_000,
+            },
+        }],
+    });
+    let body = configuration.to_string();
+    wait_until(|| put(cluster, body.clone()) == Some(200));
+}
+
+fn put(cluster: &Cluster, body: String) -> Option<u16> {
+    let routes = cluster.members[0].routes;
+    let mut request = HttpRequest::new(body.into());
+    *request.method_mut() = Method::PUT;
+    *request.uri_mut() = Uri::from_static("/v1/routes");
+    let exchanging = async move {
+        let mut connection = ClientConnection::connect(routes, Limits::default()).await?;
+        connection.exchange(request).await
+    };
+    block_on(exchanging).ok()?.ok().map(|response| response.status().as_u16())
+}
+
+fn report(sequence: u64, requests: u32) -> SubscriberMessage {
+    let used = TenantUse { tenant: TenantName::new(TENANT), arrived: requests, admitted: requests };
+    let report = encode_document(&UsageReport { sequence, uses: vec![used] }).unwrap();
+    SubscriberMessage::Usage { report: report.into() }
+}
+
+/// The next word of the use of quotas that `select` takes.
+fn told<T>(broker: &mut HollowBroker, select: impl Fn(&FleetUsage) -> Option<T>) -> T {
+    broker.receive_until(|message| match message {
+        FeedMessage::Usage { usage } => select(&decode_document(&usage.bytes).unwrap()),
+        _ => None,
+    })
+}
+
+fn level_below(usage: &FleetUsage, level: i64) -> Option<()> {
+    let is_low = |told: &TenantLevel| {
+        told.tenant.as_str() == TENANT && told.level_thousandths < level * 1_000
+    };
+    usage.levels.iter().any(is_low).then_some(())
+}
+
+#[test]
+fn what_one_broker_used_is_told_to_the_brokers_of_the_other_control_process() {
+    let cluster = Cluster::start(PROCESSES);
+    replace(&cluster, 1, 10);
+    let [first, second] = [0, 1].map(|index: usize| &cluster.members[index].control);
+    let mut here = HollowBroker::subscribe(first, "b1", 1, 0);
+    let mut there = HollowBroker::subscribe(second, "b2", 2, 0);
+    told(&mut here, |_| Some(()));
+    told(&mut there, |_| Some(()));
+    here.send(&report(1, 500));
+    told(&mut here, |usage| (usage.heard == 1).then_some(()));
+    told(&mut there, |usage| level_below(usage, 0));
+    let mut newcomer = HollowBroker::subscribe(second, "b3", 3, 0);
+    let first_word = told(&mut newcomer, |usage| Some(usage.clone()));
+    assert!(level_below(&first_word, 0).is_some(), "{first_word:?}");
+}
+
+#[test]
+fn what_brokers_used_is_known_without_the_control_process_that_heard_it() {
+    let mut cluster = Cluster::start(PROCESSES);
+    replace(&cluster, 1, 10);
+    let mut here = HollowBroker::subscribe(&cluster.members[0].control, "b1", 1, 0);
+    let mut there = HollowBroker::subscribe(&cluster.members[1].control, "b2", 2, 0);
+    told(&mut here, |_| Some(()));
+    here.send(&report(1, 5_000));
+    told(&mut there, |usage| level_below(usage, -1_000));
+    cluster.kill(0);
+    let mut moved = HollowBroker::subscribe(&cluster.members[1].control, "b1", 1, 0);
+    told(&mut moved, |usage| level_below(usage, -1_000));
+    told(&mut there, |usage| level_below(usage, -1_000));
+}
+
+#[test]
+fn a_control_process_that_starts_anew_learns_what_was_used() {
+    let mut cluster = Cluster::start(PROCESSES);
+    replace(&cluster, 1, 10);
+    let mut here = HollowBroker::subscribe(&cluster.members[0].control, "b1", 1, 0);
+    told(&mut here, |_| Some(()));
+    cluster.kill(1);
+    here.send(&report(1, 5_000));
+    told(&mut here, |usage| level_below(usage, -1_000));
+    cluster.restart(1);
+    wait_until(|| cluster.members[1].control.is_ready());
+    let mut there = HollowBroker::subscribe(&cluster.members[1].control, "b2", 2, 0);
+    told(&mut there, |usage| level_below(usage, -1_000));
+}
+
+#[test]
+fn a_quota_that_is_taken_away_is_not_told_of_any_more() {
+    let cluster = Cluster::start(PROCESSES);
+    replace(&cluster, 1, 10);
+    let mut broker = HollowBroker::subscribe(&cluster.members[0].control, "b1", 1, 0);
+    told(&mut broker, |_| Some(()));
+    broker.send(&report(1, 500));
+    told(&mut broker, |usage| level_below(usage, 0));
+    replace(&cluster, 2, 0);
+    wait_until(|| {
+        let mut newcomer = HollowBroker::subscribe(&cluster.members[0].control, "b2", 2, 0);
+        newcomer.send(&SubscriberMessage::Renew { ticket: 1, in_force: 0 });
+        let first = newcomer.receive_until(|message| match message {
+            FeedMessage::Usage { .. } => Some(true),
+            FeedMessage::Lease { .. } => Some(false),
+            _ => None,
+        });
+        !first
+    });
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A control process in a thread, operators who post statements, and hollow brokers.
 #![allow(dead_code)]
 
+pub mod cluster;
+
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU8, Ordering};
