--- /dev/null
+++ b/crates/domain/tests/quota_fleet/mod.rs
@@ -0,0 +1,495 @@
+//! Meters and folds on a time that is moved by hand, with messages that take their time.
+#![allow(dead_code)]
+
+mod ledger;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use gingerkeel_domain::identifiers::{BrokerName, TenantName};
+use gingerkeel_domain::quota::{
+    FleetUsage, PeerUsage, QuotaMeter, QuotaSettings, QuotaVerdict, UsageFold, UsageReport,
+};
+use gingerkeel_domain::routes::TenantQuota;
+use gingerkeel_domain::time::Timestamp;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64;
+
+pub use ledger::Ledger;
+
+/// How operators count in all of these tests.
+pub const SETTINGS: QuotaSettings =
+    QuotaSettings { window: Duration::from_secs(5), overshoot: 0.1, slack: 20.0 };
+
+/// Time between two reports of a broker, and between two rounds of a control process.
+const ROUND_MS: u64 = 100;
+/// Way of a message, one way, up to two regions.
+const WAY_MS: std::ops::Range<u64> = 1..15;
+/// Time after which a link counts as lost that carries nothing, and after which a new one stands.
+const LINK_TIME_OUT_MS: u64 = 3_000;
+const RECONNECT_MS: u64 = 500;
+/// Time between two looks at the replicated list of members.
+const MEMBERS_ROUND_MS: u64 = 500;
+
+/// How the requests of a tenant are spread over the brokers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Spread {
+    /// All come to the first broker.
+    One,
+    /// The n-th broker gets the n-th part of what the first one gets.
+    Zipf,
+    /// All brokers get alike.
+    Even,
+}
+
+/// Requests of one tenant, each independent of the others.
+#[derive(Debug, Clone)]
+pub struct Load {
+    pub tenant: &'static str,
+    pub per_second: f64,
+    pub spread: Spread,
+    pub from_ms: u64,
+    pub until_ms: u64,
+}
+
+/// Quota of so many requests a second, with a burst.
+pub fn quota(per_second: f64, burst: f64) -> TenantQuota {
+    TenantQuota {
+        requests_per_1000_s: (per_second * 1_000.0) as u64,
+        burst_thousandths: (burst * 1_000.0) as u64,
+    }
+}
+
+struct Broker {
+    meter: QuotaMeter,
+    /// The control process that feeds it.
+    control: Option<usize>,
+    /// When it was without one since, and may turn to one.
+    lost_ms: u64,
+    frozen_until_ms: u64,
+    /// Number of its link, so that messages of a former one are not taken.
+    link: u64,
+    last_heard_ms: u64,
+}
+
+struct Control {
+    fold: UsageFold,
+    alive: bool,
+    run: u64,
+    last_heard_ms: BTreeMap<usize, u64>,
+}
+
+enum Message {
+    Report { broker: usize, link: u64, report: UsageReport },
+    Levels { broker: usize, link: u64, usage: FleetUsage },
+    Peer { from: usize, to: usize, usage: PeerUsage },
+}
+
+/// What happens to messages between processes, beside cuts.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Unreliable {
+    /// Share of the messages between control processes that are lost: their queues are bounded.
+    pub lost: f64,
+    /// Share of the messages that take long.
+    pub late: f64,
+    /// Time that those take besides.
+    pub late_ms: u64,
+}
+
+/// Brokers and control processes that limit tenants together.
+pub struct Fleet {
+    now_ms: u64,
+    brokers: Vec<Broker>,
+    controls: Vec<Control>,
+    messages: BTreeMap<(u64, u64), Message>,
+    sent: u64,
+    quotas: BTreeMap<TenantName, TenantQuota>,
+    ledgers: BTreeMap<TenantName, Ledger>,
+    loads: Vec<Load>,
+    random: Pcg64,
+    /// Brokers and control processes that are cut off from one another, by part.
+    broker_part: BTreeMap<usize, u8>,
+    control_part: BTreeMap<usize, u8>,
+    pub unreliable: Unreliable,
+}
+
+impl Fleet {
+    /// A fleet in which all processes have just started.
+    pub fn new(brokers: usize, controls: usize, quotas: &[(&str, TenantQuota)]) -> Self {
+        let quotas: BTreeMap<TenantName, TenantQuota> =
+            quotas.iter().map(|(name, quota)| (TenantName::new(name), *quota)).collect();
+        let ledgers = quotas.iter().map(|(name, quota)| (name.clone(), Ledger::new(*quota)));
+        let mut fleet = Self {
+            now_ms: 0,
+            brokers: Vec::new(),
+            controls: Vec::new(),
+            messages: BTreeMap::new(),
+            sent: 0,
+            ledgers: ledgers.collect(),
+            quotas,
+            loads: Vec::new(),
+            random: Pcg64::seed_from_u64(11),
+            broker_part: BTreeMap::new(),
+            control_part: BTreeMap::new(),
+            unreliable: Unreliable::default(),
+        };
+        fleet.controls = (0..controls).map(|number| fleet.new_control(number, 1)).collect();
+        for number in 0..brokers {
+            let mut broker = fleet.new_broker(brokers);
+            broker.control = Some(number % controls);
+            fleet.brokers.push(broker);
+        }
+        fleet
+    }
+
+    /// All draws from this seed on.
+    pub fn seed(&mut self, seed: u64) {
+        self.random = Pcg64::seed_from_u64(seed);
+    }
+
+    pub fn load(&mut self, load: Load) {
+        self.loads.push(load);
+    }
+
+    pub fn ledger(&self, tenant: &str) -> &Ledger {
+        &self.ledgers[&TenantName::new(tenant)]
+    }
+
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Time passes, a millisecond a step.
+    pub fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.deliver();
+            self.send_requests();
+            self.rounds();
+            self.now_ms += 1;
+        }
+    }
+
+    /// Cuts these brokers off from all control processes.
+    pub fn cut_brokers(&mut self, brokers: impl Iterator<Item = usize>) {
+        brokers.for_each(|broker| {
+            self.broker_part.insert(broker, 9);
+        });
+    }
+
+    /// Cuts off the last control processes, with as large a part of the brokers.
+    pub fn cut_in_two(&mut self, controls: usize) {
+        let (all, brokers) = (self.controls.len(), self.brokers.len());
+        (all - controls..all).for_each(|control| {
+            self.control_part.insert(control, 1);
+        });
+        let side = |broker: &usize| broker % all >= all - controls;
+        (0..brokers).filter(side).for_each(|broker| {
+            self.broker_part.insert(broker, 1);
+        });
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&mut self) {
+        self.broker_part.clear();
+        self.control_part.clear();
+    }
+
+    /// A control process ends at once; its brokers see their connections closed.
+    pub fn kill_control(&mut self, control: usize) {
+        self.controls[control].alive = false;
+        for number in 0..self.brokers.len() {
+            if self.brokers[number].control == Some(control) {
+                self.lose_link(number);
+            }
+        }
+    }
+
+    /// A control process starts, without any knowledge.
+    pub fn start_control(&mut self, control: usize) {
+        let run = self.controls[control].run + 1;
+        self.controls[control] = self.new_control(control, run);
+    }
+
+    /// A broker's process stands still.
+    pub fn freeze(&mut self, broker: usize, for_ms: u64) {
+        self.brokers[broker].frozen_until_ms = self.now_ms + for_ms;
+    }
+
+    /// A broker's process is replaced by a new one.
+    pub fn restart_broker(&mut self, broker: usize) {
+        if let Some(control) = self.brokers[broker].control {
+            let name = broker_name(broker);
+            self.controls[control].fold.broker_stopped(at(self.now_ms), &name);
+        }
+        let mut new = self.new_broker(self.brokers.len());
+        new.link = self.brokers[broker].link + 1;
+        self.brokers[broker] = new;
+    }
+
+    /// Every process gets another quota of a tenant.
+    pub fn change_quota(&mut self, tenant: &str, quota: TenantQuota) {
+        let tenant = TenantName::new(tenant);
+        self.quotas.insert(tenant.clone(), quota);
+        self.ledgers.get_mut(&tenant).expect("a known tenant").change(self.now_ms, quota);
+        let now = at(self.now_ms);
+        for broker in &mut self.brokers {
+            broker.meter.configure(now, listed(&self.quotas));
+        }
+        for control in self.controls.iter_mut().filter(|control| control.alive) {
+            control.fold.configure(now, listed(&self.quotas));
+        }
+    }
+
+    fn new_broker(&self, brokers: usize) -> Broker {
+        let mut meter = QuotaMeter::new(SETTINGS);
+        meter.set_brokers(brokers);
+        meter.configure(at(self.now_ms), listed(&self.quotas));
+        Broker {
+            meter,
+            control: None,
+            lost_ms: self.now_ms,
+            frozen_until_ms: 0,
+            link: 0,
+            last_heard_ms: self.now_ms,
+        }
+    }
+
+    fn new_control(&self, number: usize, run: u64) -> Control {
+        let now = at(self.now_ms);
+        let mut fold = UsageFold::new(run * 1_000 + number as u64);
+        fold.configure(now, listed(&self.quotas));
+        Control { fold, alive: true, run, last_heard_ms: BTreeMap::new() }
+    }
+
+    fn send_requests(&mut self) {
+        for index in 0..self.loads.len() {
+            let load = self.loads[index].clone();
+            if self.now_ms < load.from_ms || self.now_ms >= load.until_ms {
+                continue;
+            }
+            // A Poisson process: the count of one step by Knuth's product of draws.
+            let bound = (-load.per_second / 1_000.0).exp();
+            let mut product = self.draw();
+            while product > bound {
+                let broker = self.pick(load.spread);
+                self.arrive(broker, load.tenant);
+                product *= self.draw();
+            }
+        }
+    }
+
+    fn arrive(&mut self, broker: usize, tenant: &str) {
+        // What comes to a broker that stands still comes elsewhere instead.
+        let broker = match self.brokers[broker].frozen_until_ms > self.now_ms {
+            true => (broker + 1) % self.brokers.len(),
+            false => broker,
+        };
+        let tenant = TenantName::new(tenant);
+        let draw = self.draw();
+        let verdict = self.brokers[broker].meter.arrive(at(self.now_ms), &tenant, draw);
+        let admitted = verdict == QuotaVerdict::Within;
+        self.ledgers.get_mut(&tenant).expect("a known tenant").record(self.now_ms, admitted);
+    }
+
+    fn pick(&mut self, spread: Spread) -> usize {
+        let brokers = self.brokers.len();
+        let draw = self.draw();
+        match spread {
+            Spread::One => 0,
+            Spread::Even => (draw * brokers as f64) as usize,
+            // The inverse of the harmonic numbers, near enough.
+            Spread::Zipf => (((brokers as f64 + 1.0).powf(draw) - 1.0) as usize).min(brokers - 1),
+        }
+    }
+
+    fn draw(&mut self) -> f64 {
+        (self.random.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    fn rounds(&mut self) {
+        for number in 0..self.brokers.len() {
+            if (self.now_ms + number as u64 * 37).is_multiple_of(ROUND_MS) {
+                self.broker_round(number);
+            }
+        }
+        for number in 0..self.controls.len() {
+            let due = (self.now_ms + number as u64 * 31).is_multiple_of(ROUND_MS);
+            if due && self.controls[number].alive {
+                self.control_round(number);
+            }
+        }
+    }
+
+    fn broker_round(&mut self, number: usize) {
+        let now_ms = self.now_ms;
+        if self.brokers[number].frozen_until_ms > now_ms {
+            return;
+        }
+        let Some(control) = self.brokers[number].control else {
+            return self.reconnect(number);
+        };
+        if now_ms > self.brokers[number].last_heard_ms + LINK_TIME_OUT_MS {
+            return self.lose_link(number);
+        }
+        let broker = &mut self.brokers[number];
+        let link = broker.link;
+        if let Some(report) = broker.meter.report(at(now_ms))
+            && self.reaches(number, control)
+        {
+            self.send(Message::Report { broker: number, link, report });
+        }
+    }
+
+    fn control_round(&mut self, number: usize) {
+        let now = at(self.now_ms);
+        if self.now_ms % MEMBERS_ROUND_MS < ROUND_MS && !self.control_part.contains_key(&number) {
+            self.tell_members(number);
+        }
+        self.notice_lost_brokers(number);
+        if let Some(usage) = self.controls[number].fold.for_peers(now) {
+            for to in (0..self.controls.len()).filter(|to| *to != number) {
+                self.send(Message::Peer { from: number, to, usage: usage.clone() });
+            }
+        }
+        if !self.controls[number].fold.is_informed(now) {
+            return;
+        }
+        let levels = self.controls[number].fold.for_brokers(now);
+        for broker in 0..self.brokers.len() {
+            if self.brokers[broker].control == Some(number) && self.reaches(broker, number) {
+                let heard = self.controls[number].fold.heard(&broker_name(broker));
+                let usage = FleetUsage { heard, levels: levels.clone() };
+                let link = self.brokers[broker].link;
+                self.send(Message::Levels { broker, link, usage });
+            }
+        }
+    }
+
+    /// The replicated list of members, which lags by up to half a second.
+    fn tell_members(&mut self, number: usize) {
+        let fed = self.brokers.iter().enumerate().filter_map(|(broker, state)| {
+            Some((broker_name(broker), u32::try_from(state.control?).ok()?))
+        });
+        let fed: Vec<(BrokerName, u32)> = fed.collect();
+        let peers = (0..self.controls.len()).filter(|peer| *peer != number);
+        let peers: Vec<u32> = peers.map(|peer| peer as u32).collect();
+        let now = at(self.now_ms);
+        let fold = &mut self.controls[number].fold;
+        fold.set_peers(now, peers.into_iter());
+        fold.members(now, self.brokers.len(), fed.into_iter());
+    }
+
+    fn notice_lost_brokers(&mut self, number: usize) {
+        let now_ms = self.now_ms;
+        let control = &mut self.controls[number];
+        let silent = |(_, heard): &(&usize, &u64)| **heard + LINK_TIME_OUT_MS < now_ms;
+        let lost: BTreeSet<usize> =
+            control.last_heard_ms.iter().filter(silent).map(|(broker, _)| *broker).collect();
+        for broker in lost {
+            control.last_heard_ms.remove(&broker);
+            control.fold.broker_gone(at(now_ms), &broker_name(broker));
+        }
+    }
+
+    fn lose_link(&mut self, number: usize) {
+        let broker = &mut self.brokers[number];
+        if let Some(control) = broker.control.take() {
+            self.controls[control].last_heard_ms.remove(&number);
+        }
+        broker.link += 1;
+        broker.lost_ms = self.now_ms;
+        broker.meter.link_lost(at(self.now_ms));
+    }
+
+    fn reconnect(&mut self, number: usize) {
+        if self.now_ms < self.brokers[number].lost_ms + RECONNECT_MS {
+            return;
+        }
+        let count = self.controls.len();
+        let next = (0..count).map(|step| (number + step) % count);
+        let mut alive = next.filter(|control| self.controls[*control].alive);
+        let found = alive.find(|control| self.reaches(number, *control));
+        if found.is_some() {
+            self.brokers[number].control = found;
+            self.brokers[number].last_heard_ms = self.now_ms;
+        }
+    }
+
+    fn reaches(&self, broker: usize, control: usize) -> bool {
+        let part = self.broker_part.get(&broker).copied().unwrap_or(0);
+        part == self.control_part.get(&control).copied().unwrap_or(0)
+    }
+
+    fn send(&mut self, message: Message) {
+        let between_controls = matches!(message, Message::Peer { .. });
+        if between_controls && self.draw() < self.unreliable.lost {
+            return;
+        }
+        let span = (WAY_MS.end - WAY_MS.start) as f64;
+        let mut way = WAY_MS.start + (self.draw() * span) as u64;
+        if self.draw() < self.unreliable.late {
+            way += self.unreliable.late_ms;
+        }
+        self.sent += 1;
+        self.messages.insert((self.now_ms + way, self.sent), message);
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now_ms {
+                return;
+            }
+            let message = entry.remove();
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = at(self.now_ms);
+        match message {
+            Message::Report { broker, link, report } => {
+                let Some(control) = self.brokers[broker].control else {
+                    return;
+                };
+                if self.brokers[broker].link == link && self.reaches(broker, control) {
+                    let control = &mut self.controls[control];
+                    control.last_heard_ms.insert(broker, self.now_ms);
+                    control.fold.report(now, &broker_name(broker), &report);
+                }
+            }
+            Message::Levels { broker, link, usage } => {
+                let Some(control) = self.brokers[broker].control else {
+                    return;
+                };
+                let reached = self.reaches(broker, control);
+                let broker = &mut self.brokers[broker];
+                if broker.link == link && reached && broker.frozen_until_ms <= self.now_ms {
+                    broker.last_heard_ms = self.now_ms;
+                    broker.meter.told(now, &usage);
+                }
+            }
+            Message::Peer { from, to, usage } => {
+                let part = |control: usize| self.control_part.get(&control);
+                let passes = part(from) == part(to);
+                if passes && self.controls[to].alive && self.controls[from].alive {
+                    self.controls[to].fold.peer(now, from as u32, &usage);
+                }
+            }
+        }
+    }
+}
+
+/// Milliseconds after the start.
+pub fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_micros(milliseconds * 1_000)
+}
+
+fn broker_name(number: usize) -> BrokerName {
+    BrokerName::new(format!("broker-{number}"))
+}
+
+fn listed(
+    quotas: &BTreeMap<TenantName, TenantQuota>,
+) -> impl Iterator<Item = (TenantName, TenantQuota)> {
+    quotas.iter().map(|(name, quota)| (name.clone(), *quota))
+}
