Admit the fraction of a tenant's requests that fits the level of all brokers

Now a broker reports what it counted, control processes add it up, keep one bucket a tenant and tell its level; a broker admits what is there in a second over what comes in it. Without news it goes on with its share of the flow; control presumes the same of whom it does not hear.

--- a/crates/domain/src/quota/bucket.rs
+++ b/crates/domain/src/quota/bucket.rs
@@ -4,8 +4,16 @@
 
 use crate::time::Timestamp;
 
-/// Longest advice on when to come back.
-const LONGEST_WAIT: Duration = Duration::from_secs(60);
+/// Time in which a debt of that size is paid back, besides the capacity and [`FIXED_DEBT`]. A longer debt would come
+/// from counts that are wrong (told twice), and would shut a tenant out.
+const LONGEST_DEBT: Duration = Duration::from_secs(10);
+/// Requests of debt that are kept at any rate: as many as operators tolerate beyond small quotas.
+const FIXED_DEBT: f64 = 100.0;
+
+/// The debt that a bucket keeps at most.
+pub(super) fn deepest_debt(rate: f64, capacity: f64) -> f64 {
+    rate * LONGEST_DEBT.as_secs_f64() + capacity + FIXED_DEBT
+}
 
 /// Requests that a quota has left: refilled by its rate up to its capacity, and below nothing where
 /// more were taken than it had.
@@ -18,8 +26,8 @@
 }
 
 impl Bucket {
-    pub(super) fn full(now: Timestamp, rate: f64, capacity: f64) -> Self {
-        Self { rate, capacity, level: capacity, refilled: now }
+    pub(super) fn new(now: Timestamp, rate: f64, capacity: f64, level: f64) -> Self {
+        Self { rate, capacity, level: level.min(capacity), refilled: now }
     }
 
     /// Changes rate and capacity; a level above the capacity is cut to it.
@@ -27,18 +35,15 @@
         self.refill(now);
         self.rate = rate;
         self.capacity = capacity;
-        self.level = self.level.min(capacity);
+        let deepest = deepest_debt(rate, capacity);
+        self.level = self.level.min(capacity).max(-deepest);
     }
 
-    /// Takes `requests`, whether or not the bucket has them.
+    /// Takes `requests`, whether or not the bucket has them; gives them back when negative.
     pub(super) fn take(&mut self, now: Timestamp, requests: f64) {
         self.refill(now);
-        self.level -= requests;
-    }
-
-    /// The level as of the last change.
-    pub(super) fn level(&self) -> f64 {
-        self.level
+        let deepest = deepest_debt(self.rate, self.capacity);
+        self.level = (self.level - requests).min(self.capacity).max(-deepest);
     }
 
     pub(super) fn level_at(&mut self, now: Timestamp) -> f64 {
@@ -46,10 +51,8 @@
         self.level
     }
 
-    /// Time from the last change until the bucket holds `requests`.
-    pub(super) fn time_until(&self, requests: f64) -> Duration {
-        let missing = (requests - self.level).max(0.0);
-        Duration::try_from_secs_f64(missing / self.rate).unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT)
+    pub(super) fn capacity(&self) -> f64 {
+        self.capacity
     }
 
     fn refill(&mut self, now: Timestamp) {
--- /dev/null
+++ b/crates/domain/src/quota/fleet_tenant.rs
@@ -0,0 +1,120 @@
+//! One tenant over all brokers, as a control process knows it.
+
+use std::time::Duration;
+
+use super::admission::Room;
+use super::bucket::Bucket;
+use super::metered::TOLD_PART;
+use super::rate::DecayedRate;
+use super::share::FLOW_MEMORY;
+use super::usage::TenantLevel;
+use crate::identifiers::TenantName;
+use crate::routes::TenantQuota;
+use crate::time::Timestamp;
+
+/// Time in which arrivals are averaged for what brokers are told: reports come each 100 ms, and a tenant that
+/// suddenly sends many times its quota is to be known after two or three of them.
+const ARRIVAL_MEMORY: Duration = Duration::from_millis(300);
+/// Part of the burst above which the level is worth no word, while little arrives.
+const AMPLE_PART: f64 = 0.75;
+/// What arrives, over what the quota has room for, above which brokers are told: before they have to refuse,
+/// so that they know their shares by then.
+const CLOSE: f64 = 0.5;
+/// Time after which a tenant is told of again while nothing presses, so that what brokers
+/// know of it does not run out.
+const TOLD_AGAIN: Duration = Duration::from_secs(1);
+/// Bounds of how pressing a tenant is: one of which nearly all is refused must not keep others from
+/// being told.
+const MOST_PRESSING: f64 = 10.0;
+const THOUSAND: f64 = 1_000.0;
+
+/// The use of one quota by all brokers.
+#[derive(Debug)]
+pub(super) struct FleetTenant {
+    quota: TenantQuota,
+    bucket: Bucket,
+    arrivals: DecayedRate,
+    flow: DecayedRate,
+    /// When brokers were last told of it, while it was worth a word.
+    told: Option<Timestamp>,
+}
+
+impl FleetTenant {
+    /// A tenant that nobody has used yet, or, at a process that was not `informed` of what others use,
+    /// one that may have used its burst.
+    pub(super) fn new(now: Timestamp, quota: TenantQuota, informed: bool) -> Self {
+        let (rate, burst) = (quota.per_second(), quota.burst());
+        let level = if informed { burst } else { 0.0 };
+        Self {
+            quota,
+            bucket: Bucket::new(now, rate, burst, level),
+            arrivals: DecayedRate::new(ARRIVAL_MEMORY),
+            flow: DecayedRate::new(FLOW_MEMORY),
+            told: None,
+        }
+    }
+
+    pub(super) fn configure(&mut self, now: Timestamp, quota: TenantQuota) {
+        self.quota = quota;
+        self.bucket.configure(now, quota.per_second(), quota.burst());
+    }
+
+    pub(super) fn per_second(&self) -> f64 {
+        self.quota.per_second()
+    }
+
+    /// Counts requests that arrived, and takes what was used of the quota.
+    pub(super) fn count(&mut self, now: Timestamp, arrived: f64, taken: f64) {
+        self.arrivals.add(now, arrived);
+        self.flow.add(now, arrived);
+        self.bucket.take(now, taken);
+    }
+
+    pub(super) fn take(&mut self, now: Timestamp, requests: f64) {
+        self.bucket.take(now, requests);
+    }
+
+    /// Requests that came to all brokers in the memory of flows.
+    pub(super) fn remembered_arrivals(&self, now: Timestamp) -> f64 {
+        self.flow.sum_at(now)
+    }
+
+    /// How pressing it is to tell brokers of it; none when there is nothing to tell.
+    pub(super) fn urgency(&mut self, now: Timestamp) -> Option<f64> {
+        let room = self.room(now);
+        if !self.is_near(now, &room) {
+            // Relief is told once.
+            return self.told.map(|_| 1.0);
+        }
+        let waited = self.told.map_or(TOLD_AGAIN, |told| now.since(told)).as_secs_f64();
+        let pressing = (1.0 / room.fraction().max(0.01)).min(MOST_PRESSING);
+        Some(pressing * (1.0 + waited / TOLD_AGAIN.as_secs_f64()).powi(4))
+    }
+
+    /// What brokers are told now.
+    pub(super) fn tell(&mut self, now: Timestamp, tenant: TenantName) -> TenantLevel {
+        let room = self.room(now);
+        self.told = self.is_near(now, &room).then_some(now);
+        TenantLevel {
+            tenant,
+            level_thousandths: (room.level * THOUSAND) as i64,
+            arrivals_per_1000_s: (room.arrivals * THOUSAND) as u64,
+        }
+    }
+
+    fn room(&mut self, now: Timestamp) -> Room {
+        Room {
+            rate: self.quota.per_second(),
+            level: self.bucket.level_at(now),
+            arrivals: self.arrivals.per_second(now),
+            price: 1.0,
+        }
+    }
+
+    fn is_near(&self, now: Timestamp, room: &Room) -> bool {
+        let lasting = self.flow.per_second(now) > room.rate * TOLD_PART;
+        let used = room.level < self.bucket.capacity() * AMPLE_PART;
+        let close = room.arrivals * CLOSE > room.rate + room.level;
+        lasting || used || close
+    }
+}
--- a/crates/domain/src/quota/fold.rs
+++ b/crates/domain/src/quota/fold.rs
@@ -1,23 +1,72 @@
 //! How much of the quotas all brokers use together, as a control process knows it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
+use super::fleet_tenant::FleetTenant;
+use super::peers::{OwnTotals, PeerTotals};
+use super::source::Source;
 use super::usage::{PeerUsage, TenantLevel, UsageReport};
 use crate::identifiers::{BrokerName, TenantName};
 use crate::routes::TenantQuota;
 use crate::time::Timestamp;
 
+/// Time for which a control process that started listens at least before it tells levels: its brokers come
+/// and report, and it takes two reports to know how much arrives.
+const LISTENS_AT_LEAST: Duration = Duration::from_millis(500);
+/// Time after which it tells levels though it has not heard of all the others: they may be down, and its
+/// brokers go on by shares meanwhile, which refuses requests within a quota.
+const LISTENS_AT_MOST: Duration = Duration::from_millis(1_500);
+/// Time between two rounds after which the process itself stood still: what it did not hear is no sign of
+/// others.
+const STOOD_STILL: Duration = Duration::from_secs(1);
+/// Most tenants of a message to brokers: with names of 10 bytes 6 KB/s to each broker, half of
+/// what control may cost one. The most pressing come first, and each one's turn comes.
+const MOST_LEVELS: usize = 32;
+
+/// A broker or another control process, by name or machine number.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum SourceId {
+    Broker(BrokerName),
+    Control(u32),
+}
+
 /// The use of quotas at one control process.
+///
+/// Load it answers: hundreds of brokers that each see a small part of a tenant's requests, and tenants by
+/// the thousand of which few come near their quotas.
 #[derive(Debug)]
 pub struct UsageFold {
-    run: u64,
+    own: OwnTotals,
+    tenants: BTreeMap<TenantName, FleetTenant>,
+    sources: BTreeMap<SourceId, Source>,
+    /// The last report that was taken of each broker with a link.
     heard: BTreeMap<BrokerName, u64>,
+    peers: BTreeMap<u32, PeerTotals>,
+    /// Control processes that should be heard.
+    expected: BTreeSet<u32>,
+    /// Brokers and the control process that feeds each, by the replicated list.
+    fed_by: BTreeMap<BrokerName, u32>,
+    serving: usize,
+    started: Option<Timestamp>,
+    looked: Option<Timestamp>,
 }
 
 impl UsageFold {
     /// A control process that has just started; `run` is drawn for each start.
     pub fn new(run: u64) -> Self {
-        Self { run, heard: BTreeMap::new() }
+        Self {
+            own: OwnTotals::new(run),
+            tenants: BTreeMap::new(),
+            sources: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            expected: BTreeSet::new(),
+            fed_by: BTreeMap::new(),
+            serving: 1,
+            started: None,
+            looked: None,
+        }
     }
 
     /// Takes over the whole list of tenants. One that stays keeps its counts.
@@ -26,31 +75,69 @@
         now: Timestamp,
         tenants: impl Iterator<Item = (TenantName, TenantQuota)>,
     ) {
-        let _ = (now, tenants);
+        let informed = self.is_informed(now);
+        self.started.get_or_insert(now);
+        let mut former = std::mem::take(&mut self.tenants);
+        for (name, quota) in tenants.filter(|(_, quota)| quota.is_limited()) {
+            let tenant = former.remove(&name);
+            let mut tenant = tenant.unwrap_or_else(|| FleetTenant::new(now, quota, informed));
+            tenant.configure(now, quota);
+            self.tenants.insert(name, tenant);
+        }
     }
 
     /// A broker that this process feeds reports.
     pub fn report(&mut self, now: Timestamp, broker: &BrokerName, report: &UsageReport) {
-        let _ = now;
+        let heard = self.heard(broker);
+        // A report that comes twice counts once; a process that restarted begins with the first one.
+        let restarted = report.sequence == 1 && heard > 1;
+        if report.sequence <= heard && !restarted {
+            return;
+        }
         self.heard.insert(broker.clone(), report.sequence);
+        let source = source_of(&mut self.sources, now, SourceId::Broker(broker.clone()));
+        source.hear(now);
+        for used in &report.uses {
+            self.own.add(&used.tenant, used.arrived, used.admitted);
+            if let Some(tenant) = self.tenants.get_mut(&used.tenant) {
+                let (arrived, admitted) = (f64::from(used.arrived), f64::from(used.admitted));
+                let taken = source.count(now, &used.tenant, arrived, admitted);
+                tenant.count(now, arrived, taken);
+            }
+        }
     }
 
     /// The control process on machine `control` tells its totals.
     pub fn peer(&mut self, now: Timestamp, control: u32, usage: &PeerUsage) {
-        let _ = (now, control, usage);
+        let totals = self.peers.entry(control);
+        let totals = totals.or_insert_with(|| PeerTotals::new(now, usage.run));
+        totals.enter(usage.run);
+        let source = source_of(&mut self.sources, now, SourceId::Control(control));
+        source.hear(now);
+        for total in &usage.totals {
+            let grown = totals.grow(now, total);
+            if let Some(tenant) = self.tenants.get_mut(&total.tenant) {
+                let matters = source.matters_of(&total.tenant);
+                let arrived = grown.arrived as f64 * matters;
+                let admitted = grown.admitted as f64 * matters;
+                let taken = source.count(now, &total.tenant, arrived, admitted);
+                tenant.count(now, arrived, taken);
+            }
+        }
     }
 
     /// The link to a broker is lost without a word (a time-out): it may be serving, and is presumed to
     /// go on.
     pub fn broker_gone(&mut self, now: Timestamp, broker: &BrokerName) {
-        let _ = now;
         self.heard.remove(broker);
+        self.presume_silent(now, &SourceId::Broker(broker.clone()));
     }
 
     /// A broker has ended or turned to another control process: it said so, or its side closed the
     /// connection. Nothing is presumed of it.
     pub fn broker_stopped(&mut self, now: Timestamp, broker: &BrokerName) {
-        self.broker_gone(now, broker);
+        self.heard.remove(broker);
+        self.drop_source(now, &SourceId::Broker(broker.clone()));
     }
 
     /// The brokers of the replicated list of members, each with the machine number of the control process
@@ -63,27 +150,41 @@
         serving: usize,
         fed_by: impl Iterator<Item = (BrokerName, u32)>,
     ) {
-        let _ = (now, serving, fed_by);
+        self.serving = serving.max(1);
+        self.fed_by = fed_by.collect();
+        self.settle_moved(now);
     }
 
     /// The other control processes, by machine number; called whenever they have changed.
     pub fn set_peers(&mut self, now: Timestamp, controls: impl Iterator<Item = u32>) {
-        let _ = (now, controls);
+        self.started.get_or_insert(now);
+        self.expected = controls.collect();
     }
 
     /// What the other control processes are to be told, each 100 ms; an empty message tells them that
     /// this process is there.
     pub fn for_peers(&mut self, now: Timestamp) -> Option<PeerUsage> {
-        let _ = (now, self.run);
-        None
+        self.look(now);
+        Some(self.own.message())
     }
 
     /// What the brokers that this process feeds are to be told, each 100 ms, the most pressing first.
     /// An empty list is sent as well: a broker that hears nothing takes itself for cut off. Nothing is
     /// sent to brokers before [`Self::is_informed`].
     pub fn for_brokers(&mut self, now: Timestamp) -> Vec<TenantLevel> {
-        let _ = now;
-        Vec::new()
+        self.look(now);
+        let due = self.tenants.iter_mut().filter_map(|(name, tenant)| {
+            let urgency = tenant.urgency(now)?;
+            Some((urgency, name.clone()))
+        });
+        let mut due: Vec<(f64, TenantName)> = due.collect();
+        due.sort_by(|(one, a), (other, b)| other.total_cmp(one).then_with(|| a.cmp(b)));
+        due.truncate(MOST_LEVELS);
+        let level = |(_, name): (f64, TenantName)| {
+            let tenant = self.tenants.get_mut(&name)?;
+            Some(tenant.tell(now, name))
+        };
+        due.into_iter().filter_map(level).collect()
     }
 
     /// The last report of `broker` that is contained; 0 for none.
@@ -93,7 +194,117 @@
 
     /// Whether this process knows enough of the other brokers to tell levels.
     pub fn is_informed(&self, now: Timestamp) -> bool {
-        let _ = now;
-        true
+        let listened = self.started.map_or(Duration::ZERO, |started| now.since(started));
+        let all_heard = self.expected.iter().all(|control| self.peers.contains_key(control));
+        listened >= LISTENS_AT_MOST || (listened >= LISTENS_AT_LEAST && all_heard)
+    }
+
+    /// Notices who has fallen silent, and takes from the quotas what they are presumed to use.
+    fn look(&mut self, now: Timestamp) {
+        let passed = self.looked.map_or(Duration::ZERO, |looked| now.since(looked));
+        self.looked = Some(now);
+        if passed >= STOOD_STILL {
+            return self.resume(now);
+        }
+        let fallen =
+            |(id, source): (&SourceId, &Source)| source.has_fallen_silent(now).then(|| id.clone());
+        let silent: Vec<SourceId> = self.sources.iter().filter_map(fallen).collect();
+        silent.iter().for_each(|id| self.presume_silent(now, id));
+        for source in self.sources.values_mut() {
+            if source.is_silent() {
+                presume(&mut self.tenants, source, now, passed, self.serving);
+            } else {
+                source.forget(now);
+            }
+        }
+    }
+
+    /// This process stood still itself: it listens first, as after a start.
+    fn resume(&mut self, now: Timestamp) {
+        self.started = Some(now);
+        let heard = self.sources.values_mut().filter(|source| !source.is_silent());
+        heard.for_each(|source| source.hear(now));
+    }
+
+    fn presume_silent(&mut self, now: Timestamp, id: &SourceId) {
+        let brokers = self.brokers_behind(id);
+        let tenants = &self.tenants;
+        let fleet = |name: &TenantName| {
+            tenants.get(name).map_or(0.0, |tenant| tenant.remembered_arrivals(now))
+        };
+        let Some(source) = self.sources.get_mut(id).filter(|source| !source.is_silent()) else {
+            return;
+        };
+        source.fall_silent(now, brokers, self.serving, fleet);
+        let span = source.silence(now);
+        presume(&mut self.tenants, source, now, span, self.serving);
+    }
+
+    fn brokers_behind(&self, id: &SourceId) -> BTreeSet<BrokerName> {
+        match id {
+            SourceId::Broker(broker) => BTreeSet::from([broker.clone()]),
+            SourceId::Control(control) => {
+                let fed = self.fed_by.iter().filter(|(_, by)| *by == control);
+                fed.map(|(broker, _)| broker.clone()).collect()
+            }
+        }
+    }
+
+    /// Nothing more is presumed of brokers that were cut off here and are fed elsewhere now.
+    fn settle_moved(&mut self, now: Timestamp) {
+        let (heard, fed_by, peers) = (&self.heard, &self.fed_by, &self.sources);
+        let is_heard = |control: &u32| {
+            peers.get(&SourceId::Control(*control)).is_some_and(|source| !source.is_silent())
+        };
+        let moved: BTreeSet<BrokerName> = fed_by
+            .iter()
+            .filter(|(broker, control)| heard.contains_key(*broker) || is_heard(control))
+            .map(|(broker, _)| broker.clone())
+            .collect();
+        let mut ended = Vec::new();
+        for (id, source) in self.sources.iter_mut().filter(|(_, source)| source.is_silent()) {
+            source.leave_out(|broker| moved.contains(broker));
+            if matches!(id, SourceId::Broker(broker) if moved.contains(broker)) {
+                ended.push(id.clone());
+            }
+        }
+        ended.iter().for_each(|id| self.drop_source(now, id));
+    }
+
+    fn drop_source(&mut self, now: Timestamp, id: &SourceId) {
+        let Some(mut source) = self.sources.remove(id) else {
+            return;
+        };
+        for (name, presumed) in source.take_presumed(now) {
+            if let Some(tenant) = self.tenants.get_mut(&name) {
+                tenant.take(now, -presumed);
+            }
+        }
+    }
+}
+
+fn source_of(
+    sources: &mut BTreeMap<SourceId, Source>,
+    now: Timestamp,
+    id: SourceId,
+) -> &mut Source {
+    sources.entry(id).or_insert_with(|| Source::new(now))
+}
+
+/// Takes from the quotas what `source` is presumed to have used in `span`.
+fn presume(
+    tenants: &mut BTreeMap<TenantName, FleetTenant>,
+    source: &mut Source,
+    now: Timestamp,
+    span: Duration,
+    serving: usize,
+) {
+    let shares: Vec<_> = source.presume(now, serving).collect();
+    for presumed in shares {
+        if let Some(tenant) = tenants.get_mut(&presumed.tenant) {
+            let requests = presumed.share * tenant.per_second() * span.as_secs_f64();
+            tenant.take(now, requests);
+            source.note_presumed(&presumed.tenant, requests);
+        }
     }
 }
--- a/crates/domain/src/quota/meter.rs
+++ b/crates/domain/src/quota/meter.rs
@@ -3,12 +3,18 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::bucket::Bucket;
+use super::counts::Counts;
+use super::metered::Metered;
 use super::usage::{FleetUsage, TenantUse, UsageReport};
 use crate::identifiers::TenantName;
 use crate::routes::TenantQuota;
 use crate::time::Timestamp;
 
+/// Time without a word of control after which a broker takes itself for cut off. Control sends each 100 ms;
+/// until then the last levels are good enough, and a process that is short of a core for some rounds
+/// keeps them.
+const NEWS_LIFE: Duration = Duration::from_secs(1);
+
 /// How operators count the use of quotas, and by how much the sum may exceed one.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaSettings {
@@ -46,28 +52,32 @@
 }
 
 /// Admits tenants' requests at one broker.
+///
+/// Load it answers: tenants whose callers come to any of hundreds of brokers, with less than one request
+/// a second at each, and one that sends many times its quota.
 #[derive(Debug)]
 pub struct QuotaMeter {
     settings: QuotaSettings,
     brokers: usize,
     tenants: BTreeMap<TenantName, Metered>,
-    sequence: u64,
-}
-
-#[derive(Debug)]
-struct Metered {
-    quota: TenantQuota,
-    bucket: Bucket,
-    arrived: u64,
-    refused: u64,
-    /// Counted since the last report.
-    fresh: TenantUse,
+    counts: Counts,
+    /// When control last told anything, or the first tenants were known.
+    news_at: Option<Timestamp>,
+    /// Whether control told anything within [`NEWS_LIFE`], at the last request.
+    in_touch: bool,
 }
 
 impl QuotaMeter {
     /// A broker that knows of no tenant.
     pub fn new(settings: QuotaSettings) -> Self {
-        Self { settings, brokers: 1, tenants: BTreeMap::new(), sequence: 0 }
+        Self {
+            counts: Counts::new(settings.window),
+            settings,
+            brokers: 1,
+            tenants: BTreeMap::new(),
+            news_at: None,
+            in_touch: false,
+        }
     }
 
     /// Takes over the whole list of tenants. One that stays keeps its counts.
@@ -76,11 +86,11 @@
         now: Timestamp,
         tenants: impl Iterator<Item = (TenantName, TenantQuota)>,
     ) {
+        self.news_at.get_or_insert(now);
         let mut former = std::mem::take(&mut self.tenants);
         for (tenant, quota) in tenants.filter(|(_, quota)| quota.is_limited()) {
-            let metered = former.remove(&tenant);
-            let mut metered = metered.unwrap_or_else(|| Metered::new(now, &tenant, quota));
-            metered.quota = quota;
+            let mut metered = former.remove(&tenant).unwrap_or_else(|| Metered::new(quota));
+            metered.configure(quota);
             self.tenants.insert(tenant, metered);
         }
     }
@@ -92,91 +102,68 @@
 
     /// A request of `tenant` has come; `draw` is a random number from 0 to below 1.
     pub fn arrive(&mut self, now: Timestamp, tenant: &TenantName, draw: f64) -> QuotaVerdict {
-        let _ = draw;
-        let share = 1.0 / self.brokers as f64;
+        let without_news = self.without_news(now);
         let Some(metered) = self.tenants.get_mut(tenant) else {
             return QuotaVerdict::Within;
         };
-        metered.divide(now, &self.settings, share);
-        metered.arrive(now)
+        let room = match without_news {
+            None => metered.room(now, &self.settings),
+            Some(span) => metered.lone_room(now, &self.settings, span, self.brokers),
+        };
+        let verdict = metered.decide(now, &room, draw);
+        let dropped = self.counts.count(now, tenant, verdict == QuotaVerdict::Within);
+        if let Some(metered) = self.tenants.get_mut(tenant) {
+            metered.heard(dropped);
+        }
+        verdict
     }
 
     /// The report that is due, if any; asked for each 100 ms while there is a link. A report of nothing is
     /// due now and then: it tells that this broker is there.
     pub fn report(&mut self, now: Timestamp) -> Option<UsageReport> {
-        let _ = now;
-        let uses: Vec<TenantUse> =
-            self.tenants.values_mut().filter_map(Metered::take_fresh).collect();
-        if uses.is_empty() {
-            return None;
-        }
-        self.sequence += 1;
-        Some(UsageReport { sequence: self.sequence, uses })
+        self.counts.report(now)
     }
 
     /// The link to the control process is lost: reports that were not acknowledged may be, too.
     pub fn link_lost(&mut self, now: Timestamp) {
-        let _ = now;
+        let dropped = self.counts.take_back(now);
+        self.forget(dropped);
     }
 
     /// The control process tells how the quotas of all brokers stand.
     pub fn told(&mut self, now: Timestamp, usage: &FleetUsage) {
-        let _ = (now, usage);
+        if !self.in_touch {
+            self.tenants.values_mut().for_each(Metered::end_part);
+        }
+        self.news_at = Some(now);
+        self.in_touch = true;
+        let heard = self.counts.acknowledge(usage.heard);
+        self.forget(heard);
+        for level in &usage.levels {
+            if let Some(metered) = self.tenants.get_mut(&level.tenant) {
+                metered.told(now, level);
+            }
+        }
     }
 
     /// What was counted of each tenant that has a quota, by name.
     pub fn standing(&self) -> impl Iterator<Item = TenantStanding<'_>> {
-        self.tenants.iter().map(|(tenant, metered)| TenantStanding {
-            tenant,
-            arrived: metered.arrived,
-            refused: metered.refused,
-            level: metered.bucket.level(),
-        })
+        self.tenants.iter().map(|(tenant, metered)| metered.standing(tenant))
     }
-}
-
-impl QuotaSettings {
-    /// Requests by which the count in a window may exceed the quota.
-    pub fn spared(&self, quota: TenantQuota) -> f64 {
-        let allowed = quota.per_second() * self.window.as_secs_f64() + quota.burst();
-        allowed * self.overshoot + self.slack
-    }
-}
 
-impl Metered {
-    fn new(now: Timestamp, tenant: &TenantName, quota: TenantQuota) -> Self {
-        Self {
-            quota,
-            bucket: Bucket::full(now, quota.per_second(), quota.burst()),
-            arrived: 0,
-            refused: 0,
-            fresh: TenantUse { tenant: tenant.clone(), arrived: 0, admitted: 0 },
+    /// These requests are contained in what is told, or too old to matter.
+    fn forget(&mut self, uses: Vec<TenantUse>) {
+        for used in uses {
+            if let Some(metered) = self.tenants.get_mut(&used.tenant) {
+                metered.heard(used.admitted);
+            }
         }
     }
 
-    /// Takes this broker's equal share of the quota and of the tolerance.
-    fn divide(&mut self, now: Timestamp, settings: &QuotaSettings, share: f64) {
-        let capacity = (self.quota.burst() + settings.spared(self.quota)) * share;
-        self.bucket.configure(now, self.quota.per_second() * share, capacity.max(1.0));
-    }
-
-    fn arrive(&mut self, now: Timestamp) -> QuotaVerdict {
-        self.arrived += 1;
-        self.fresh.arrived += 1;
-        if self.bucket.level_at(now) < 1.0 {
-            self.refused += 1;
-            return QuotaVerdict::Beyond { retry_after: self.bucket.time_until(1.0) };
-        }
-        self.bucket.take(now, 1.0);
-        self.fresh.admitted += 1;
-        QuotaVerdict::Within
-    }
-
-    fn take_fresh(&mut self) -> Option<TenantUse> {
-        if self.fresh.arrived == 0 {
-            return None;
-        }
-        let nothing = TenantUse { tenant: self.fresh.tenant.clone(), arrived: 0, admitted: 0 };
-        Some(std::mem::replace(&mut self.fresh, nothing))
+    /// For how long there were no news; none while they come.
+    fn without_news(&mut self, now: Timestamp) -> Option<Duration> {
+        let span = self.news_at.map_or(Duration::ZERO, |at| now.since(at));
+        self.in_touch = self.in_touch && span < NEWS_LIFE;
+        (!self.in_touch).then_some(span)
     }
 }
--- a/crates/domain/src/quota/mod.rs
+++ b/crates/domain/src/quota/mod.rs
@@ -7,9 +7,17 @@
 //! share that it had.
 //! Why so, and what else was weighed: `docs/design/quotas.md`.
 
+mod admission;
 mod bucket;
+mod counts;
+mod fleet_tenant;
 mod fold;
 mod meter;
+mod metered;
+mod peers;
+mod rate;
+mod share;
+mod source;
 mod usage;
 
 pub use fold::UsageFold;
