--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -181,6 +181,7 @@
         let in_time = self.route.as_ref().is_some_and(|route| is_in_time(route, held));
         let end = RequestEnd {
             route: self.route.as_ref().map_or("", |route| route.name.as_str()),
+            tenant: self.request.tenant.as_ref().map(|tenant| tenant.name.as_str()),
             routes_version: self.routes_version,
             directory_version: self.state.leaves.version(),
             outcome: self.outcome,
@@ -188,7 +189,10 @@
             held,
             parts: self.parts,
             retry_after_ms: self.retry_after.map(|span| span.as_millis() as u64),
-            ordinary: (200..=499).contains(&self.status) && in_time && missing == 0,
+            ordinary: (200..=499).contains(&self.status)
+                && self.retry_after.is_none()
+                && in_time
+                && missing == 0,
         };
         for judgement in self.request.trail.judgements() {
             let began = self.state.clock.at(judgement.began);
--- a/crates/domain/src/quota/counts.rs
+++ b/crates/domain/src/quota/counts.rs
@@ -57,6 +57,16 @@
         dropped
     }
 
+    /// An admitted request does not count after all. False when it is reported already.
+    pub(super) fn give_back(&mut self, tenant: &TenantName) -> bool {
+        let count = self.fresh.get_mut(tenant).filter(|count| count.admitted > 0);
+        if let Some(count) = count {
+            count.admitted -= 1;
+            return true;
+        }
+        false
+    }
+
     /// The report that is due, if any.
     pub(super) fn report(&mut self, now: Timestamp) -> Option<UsageReport> {
         let quiet = self.reported.is_some_and(|at| now.since(at) < SIGN_OF_LIFE);
--- a/crates/domain/src/quota/meter.rs
+++ b/crates/domain/src/quota/meter.rs
@@ -118,6 +118,18 @@
         verdict
     }
 
+    /// A request of `tenant` that was admitted lately has not run and will not: it does not count, unless it
+    /// is reported already. What was reported stays counted, since places that are given back late would all
+    /// be used within one window once leaves are free again.
+    pub fn give_back(&mut self, now: Timestamp, tenant: &TenantName) {
+        if !self.counts.give_back(tenant) {
+            return;
+        }
+        if let Some(metered) = self.tenants.get_mut(tenant) {
+            metered.give_back(now);
+        }
+    }
+
     /// The report that is due, if any; asked for each 100 ms while there is a link. A report of nothing is
     /// due now and then: it tells that this broker is there.
     pub fn report(&mut self, now: Timestamp) -> Option<UsageReport> {
--- /dev/null
+++ b/crates/domain/tests/quota_give_back.rs
@@ -0,0 +1,81 @@
+//! Requests that a quota admitted and that did not run.
+
+use std::time::Duration;
+
+use gingerkeel_domain::identifiers::TenantName;
+use gingerkeel_domain::quota::{FleetUsage, QuotaMeter, QuotaSettings, QuotaVerdict};
+use gingerkeel_domain::routes::TenantQuota;
+use gingerkeel_domain::time::Timestamp;
+use rstest::rstest;
+
+/// No tolerance, so that the burst alone decides.
+const EXACT: QuotaSettings =
+    QuotaSettings { window: Duration::from_secs(5), overshoot: 0.0, slack: 0.0 };
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_micros(milliseconds * 1_000)
+}
+
+/// A broker whose tenant may send three requests, and then next to none.
+fn meter(tenant: &TenantName) -> QuotaMeter {
+    let mut meter = QuotaMeter::new(EXACT);
+    let quota = TenantQuota { requests_per_1000_s: 1, burst_thousandths: 3_000 };
+    meter.configure(at(0), [(tenant.clone(), quota)].into_iter());
+    meter
+}
+
+/// Whether a request is admitted that comes while a third of the requests fit.
+fn is_admitted(meter: &mut QuotaMeter, now: Timestamp, tenant: &TenantName) -> bool {
+    meter.arrive(now, tenant, 0.3) == QuotaVerdict::Within
+}
+
+/// Of ten requests within some seconds, how many are admitted where each of them is given back or none is.
+fn admitted_of_ten(in_touch: bool, gives_back: bool) -> usize {
+    let tenant = TenantName::new("t");
+    let mut meter = meter(&tenant);
+    let admitted = (0..10).filter(|turn| {
+        let now = at(turn * 450);
+        if in_touch {
+            meter.told(now, &FleetUsage::default());
+        }
+        let admitted = is_admitted(&mut meter, now, &tenant);
+        if gives_back {
+            meter.give_back(now, &tenant);
+        }
+        admitted
+    });
+    admitted.count()
+}
+
+#[rstest]
+#[case::while_control_tells(true)]
+#[case::without_news(false)]
+fn a_request_that_did_not_run_leaves_its_place_to_another(#[case] in_touch: bool) {
+    assert_eq!(admitted_of_ten(in_touch, true), 10);
+    assert!(admitted_of_ten(in_touch, false) <= 4);
+}
+
+#[test]
+fn what_did_not_run_is_not_reported_and_what_was_reported_stays_counted() {
+    let tenant = TenantName::new("t");
+    let mut meter = meter(&tenant);
+    meter.told(at(0), &FleetUsage::default());
+    assert!(is_admitted(&mut meter, at(0), &tenant));
+    assert!(is_admitted(&mut meter, at(1), &tenant));
+    meter.give_back(at(2), &tenant);
+    let report = meter.report(at(100)).expect("a report");
+    assert_eq!((report.uses[0].arrived, report.uses[0].admitted), (2, 1));
+    let level = |meter: &QuotaMeter| meter.standing().next().map(|standing| standing.level);
+    assert_eq!(level(&meter), Some(2.0));
+    meter.give_back(at(101), &tenant);
+    assert_eq!(level(&meter), Some(2.0));
+}
+
+#[test]
+fn places_that_nobody_took_cannot_be_given_back() {
+    let tenant = TenantName::new("t");
+    let mut meter = meter(&tenant);
+    (0..100).for_each(|_| meter.give_back(at(0), &tenant));
+    let level = meter.standing().next().map(|standing| standing.level);
+    assert_eq!(level, Some(3.0));
+}
