--- a/crates/rehearsal/src/soak/fleet.rs
+++ b/crates/rehearsal/src/soak/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::http::exchange;
+use super::tenants::TOLERANCE;
 use crate::error::RehearsalError;
 use crate::fleet::{Binaries, ManagedProcess, Signal, free_addresses};
 use crate::relay::Relay;
@@ -176,7 +177,11 @@
                 "name = \"{name}\"\nregion = \"r\"\nzone = \"{zone}\"\nlisten = \"{listen}\"\n\
                  control = [{control}]\ncontrol_pause_ms = 200\n[routes]\nlisten = \"{routes}\"\n\
                  readiness = \"{readiness}\"\nextra_ratio = 0.2\nextra_slack = 50.0\n\
-                 out_of_touch = \"serve\"\nstop_ms = {STOP_MILLISECONDS}\n"
+                 out_of_touch = \"serve\"\nstop_ms = {STOP_MILLISECONDS}\n\
+                 quota_window_ms = {}\nquota_overshoot = {:?}\nquota_slack = {:?}\n",
+                TOLERANCE.window.as_millis(),
+                TOLERANCE.overshoot,
+                TOLERANCE.slack
             );
             feeds.push(links);
             brokers.push(Node::new(name, programs.broker(), folder, &text)?);
--- a/crates/rehearsal/src/soak/leaves.rs
+++ b/crates/rehearsal/src/soak/leaves.rs
@@ -5,12 +5,13 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 
 use super::answer::{attestation, records};
+use super::tenants::{GREEDY, fault_of_identity, tenant_of};
 use crate::error::RehearsalError;
 use crate::relay::Relay;
 
@@ -56,6 +57,10 @@
     runs: Mutex<BTreeMap<String, u32>>,
     /// Requests that came to the leaves of each zone.
     arrivals: Mutex<BTreeMap<String, u64>>,
+    /// When each request of the greedy tenant first came to a leaf.
+    greedy: Mutex<BTreeMap<String, Instant>>,
+    /// What leaves learnt of callers and should not have.
+    identity_faults: Mutex<Vec<String>>,
 }
 
 impl Journal {
@@ -69,6 +74,27 @@
         *lock(&self.arrivals).entry(zone.to_owned()).or_insert(0) += 1;
     }
 
+    /// A leaf learnt of a caller by a request whose id is `id`.
+    pub fn told(&self, head: &str, id: &str) {
+        let told = header(head, "gingerkeel-tenant");
+        lock(&self.identity_faults).extend(fault_of_identity(head, told, id));
+        if tenant_of(id) == Some(GREEDY) {
+            lock(&self.greedy).entry(id.to_owned()).or_insert_with(Instant::now);
+        }
+    }
+
+    /// What leaves learnt of callers and should not have.
+    pub fn identity_faults(&self) -> Vec<String> {
+        lock(&self.identity_faults).clone()
+    }
+
+    /// When the requests of the greedy tenant came to leaves, in order.
+    pub fn greedy_arrivals(&self) -> Vec<Instant> {
+        let mut arrivals: Vec<Instant> = lock(&self.greedy).values().copied().collect();
+        arrivals.sort_unstable();
+        arrivals
+    }
+
     /// How many requests came to the leaves of a zone.
     pub fn arrivals_in(&self, zone: &str) -> u64 {
         lock(&self.arrivals).get(zone).copied().unwrap_or(0)
@@ -200,6 +226,7 @@
         }
         let expected = header(&head, "gingerkeel-leaf");
         journal.arrived(zone);
+        journal.told(&head, &id);
         if mode == LeafMode::Rejects || expected.is_some_and(|expected| expected != identity) {
             let status = if mode == LeafMode::Rejects { 503 } else { 421 };
             write_response(&mut stream, status, "gingerkeel-not-executed: 1\r\n", b"")?;
--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod leaves;
 mod parties;
 mod record;
+mod tenants;
 #[cfg(test)]
 mod tests;
 
@@ -170,6 +171,33 @@
     }
     check_refusals(record, journal);
     check_cuts(record, fleet);
+    check_tenants(scene, journal);
+}
+
+/// What leaves learnt of callers, what the greedy tenant got, and keys that were taken away.
+fn check_tenants(scene: &Scene, journal: &Journal) {
+    let acknowledged = scene.record.lock().acknowledged;
+    let revoked = tenants::revoked_key(acknowledged);
+    let brokers = scene.callers.iter().enumerate();
+    let served = brokers.filter_map(|(number, broker)| {
+        let status = status_of_key(*broker, revoked.as_deref()?)?;
+        tenants::fault_of_revoked(status, number)
+    });
+    let served: Vec<String> = served.collect();
+    let mut seen = scene.record.lock();
+    seen.violations.extend(served);
+    seen.violations.extend(journal.identity_faults());
+    seen.violations.extend(tenants::fault_of_quota(&journal.greedy_arrivals()));
+}
+
+/// The status that a request with a key gets; none without an answer.
+fn status_of_key(broker: std::net::SocketAddr, key: &str) -> Option<u16> {
+    let request = format!(
+        "GET /one/x HTTP/1.1\r\nhost: soak\r\ngingerkeel-request-id: probe\r\n\
+         authorization: Bearer {key}\r\nconnection: close\r\n\r\n"
+    );
+    let response = http::exchange(broker, request.as_bytes(), Duration::from_secs(5));
+    response.ok().map(|response| response.status)
 }
 
 /// Whether a broker has the route of this version or of a later one, which has replaced it.
--- a/crates/rehearsal/src/soak/parties.rs
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -14,11 +14,15 @@
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
+use serde_json::Value;
 
 use super::answer::{GREATEST, LEAST_SHARE, SHARDS, SINGLE, fault_of_merged, fault_of_single};
 use super::http::{NoResponse, Response, exchange};
 use super::record::{Cut, Record, Seen};
+use super::tenants::{self, GREEDY, PASSING, STEADY};
 
+/// Who the callers are, by turns.
+const TENANTS: [&str; 3] = [STEADY, GREEDY, PASSING];
 /// Pause between two requests of a caller.
 const CALLER_PAUSE: Duration = Duration::from_millis(5);
 /// Time that a caller waits; more than any request may be held.
@@ -59,7 +63,7 @@
         greatest: GREATEST as u32,
         least_share: PartsPerMillion(LEAST_SHARE),
     });
-    let route = |name: &str, repeatable, destination| Route {
+    let route = |name: &str, repeatable, public, destination| Route {
         name: name.to_owned(),
         host: "soak".to_owned(),
         path_prefix: format!("/{name}/"),
@@ -70,7 +74,7 @@
         attempts: 2,
         destination,
         allowed_regions: RegionPolicy::default(),
-        public: false,
+        public,
     };
     let service = |name: &&str| BackEndService {
         name: ServiceName::new(name),
@@ -81,10 +85,10 @@
     RouteConfiguration {
         version: RouteVersion(version),
         routes: vec![
-            route("all", true, shards),
-            route("one", true, single()),
-            route("once", false, single()),
-            route(&format!("v{version}"), true, single()),
+            route("all", true, false, shards),
+            route("one", true, false, single()),
+            route("once", false, false, single()),
+            route(&format!("v{version}"), true, true, single()),
         ],
         services: SHARDS.iter().chain(&[SINGLE]).map(service).collect(),
         limits: CallerLimits::default(),
@@ -92,6 +96,13 @@
     }
 }
 
+/// The configuration of a version as an operator writes it, with the keys of its tenants.
+pub fn document(version: u64) -> Value {
+    let mut document = serde_json::to_value(configuration(version)).unwrap_or_default();
+    document["tenants"] = tenants::document(version);
+    document
+}
+
 /// Sends one request after the other until the run is over.
 pub fn call(scene: &Scene, number: usize, seed: u64) {
     let mut random = Pcg64::seed_from_u64(seed ^ (number as u64 + 1));
@@ -99,7 +110,8 @@
     while !scene.is_over() {
         sequence += 1;
         let path = ["all", "all", "one", "once"][random.random_range(0..4usize)];
-        let id = format!("c{number}-{sequence}-{path}");
+        let tenant = TENANTS[number % TENANTS.len()];
+        let id = format!("c{number}-{tenant}-{sequence}-{path}");
         let broker = random.random_range(0..scene.callers.len());
         call_once(scene, broker, path, &id);
         sleep(CALLER_PAUSE);
@@ -107,8 +119,11 @@
 }
 
 fn call_once(scene: &Scene, broker: usize, path: &str, id: &str) {
+    let acknowledged = scene.record.lock().acknowledged;
+    let key = tenants::key(tenants::tenant_of(id).unwrap_or_default(), acknowledged);
     let request = format!(
         "GET /{path}/x HTTP/1.1\r\nhost: soak\r\ngingerkeel-request-id: {id}\r\n\
+         gingerkeel-tenant: forged\r\nauthorization: Bearer {key}\r\n\
          gingerkeel-deadline-ms: 4000\r\nconnection: close\r\n\r\n"
     );
     let sent = Instant::now();
@@ -138,8 +153,17 @@
             seen.counts.partial += u64::from(!whole);
             seen.violations.extend(judged(response, id));
         }
-        503 => {
-            seen.counts.not_run += 1;
+        // The keys of the passing tenant may be older or newer than what the broker has.
+        401 if tenants::tenant_of(id) == Some(PASSING) => seen.counts.unauthorized += 1,
+        401 => {
+            seen.violations.push(format!("{id} was refused though its key was never taken away"))
+        }
+        429 if tenants::tenant_of(id) != Some(GREEDY) => {
+            seen.violations.push(format!("{id} was refused though its tenant keeps to its quota"));
+        }
+        429 | 503 => {
+            seen.counts.not_run += u64::from(response.status == 503);
+            seen.counts.over_quota += u64::from(response.status == 429);
             if response.header("retry-after").is_none() {
                 seen.violations.push(format!("the refusal of {id} does not say when to come back"));
             }
@@ -170,7 +194,7 @@
 /// Sends the next version.
 pub fn replace(scene: &Scene, control: usize) {
     let version = scene.sent_version.fetch_add(1, Ordering::Relaxed) + 1;
-    let body = serde_json::to_string(&configuration(version)).unwrap_or_default();
+    let body = document(version).to_string();
     let request = format!(
         "PUT /v1/routes HTTP/1.1\r\nhost: soak\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
@@ -195,14 +219,13 @@
     if response.status != 200 {
         return None;
     }
-    let read: RouteConfiguration = serde_json::from_slice(&response.body).ok()?;
-    judge_read(scene, control, acknowledged, &read);
-    Some(read.version.0)
+    let read: Value = serde_json::from_slice(&response.body).ok()?;
+    judge_read(scene, control, acknowledged, &read)
 }
 
-/// Judges a configuration that was read from a control process after `acknowledged` was.
-pub fn judge_read(scene: &Scene, control: usize, acknowledged: u64, read: &RouteConfiguration) {
-    let version = read.version.0;
+/// Judges a configuration that was read from a control process after `acknowledged` was; gives its version.
+pub fn judge_read(scene: &Scene, control: usize, acknowledged: u64, read: &Value) -> Option<u64> {
+    let version = read["version"].as_u64()?;
     let mut seen = scene.record.lock();
     seen.counts.read += 1;
     if version < acknowledged {
@@ -210,7 +233,8 @@
             format!("control-{control} gave {version} after {acknowledged} was acknowledged");
         seen.violations.push(text);
     }
-    if *read != configuration(version) {
+    if *read != document(version) {
         seen.violations.push(format!("version {version} was read with other content"));
     }
+    Some(version)
 }
--- a/crates/rehearsal/src/soak/record.rs
+++ b/crates/rehearsal/src/soak/record.rs
@@ -27,6 +27,10 @@
     pub partial: u64,
     /// Refusals that promise that nothing ran.
     pub not_run: u64,
+    /// Refusals of requests beyond a quota.
+    pub over_quota: u64,
+    /// Refusals of keys that are not held any more, or not yet.
+    pub unauthorized: u64,
     /// Failures that promise nothing.
     pub failed: u64,
     /// Connections that ended, or did not come up.
--- a/crates/rehearsal/src/soak/tests.rs
+++ b/crates/rehearsal/src/soak/tests.rs
@@ -14,6 +14,7 @@
 use super::leaves::Journal;
 use super::parties::{Scene, judge};
 use super::record::{Cut, Record};
+use super::tenants::{GREEDY, fault_of_quota, fault_of_revoked, revoked_key};
 use super::{check_refusals, cut_without_fault};
 use gingerkeel_domain::forwarding::GreatestRecords;
 
@@ -67,6 +68,8 @@
 #[rstest]
 #[case::no_word_when_to_come_back(503, "come back")]
 #[case::a_route_that_was_never_removed(404, "never removed")]
+#[case::a_key_that_was_never_taken_away(401, "never taken away")]
+#[case::within_the_quota(429, "keeps to its quota")]
 fn a_doctored_refusal_is_found(#[case] status: u16, #[case] text: &str) {
     let record = Record::default();
     judge(&mut record.lock(), &Response::doctored(status, "", b""), "once", "x-once");
@@ -88,6 +91,66 @@
     assert_eq!(journal.repeated(SINGLE).len(), 1);
 }
 
+#[test]
+fn a_run_after_a_refusal_for_a_quota_is_found() {
+    let (journal, record) = (Journal::default(), Record::default());
+    let id = format!("c1-{GREEDY}-1-once");
+    judge(&mut record.lock(), &Response::doctored(429, "retry-after: 1\r\n", b""), "once", &id);
+    check_refusals(&record, &journal);
+    assert!(record.lock().violations.is_empty());
+    journal.ran(SINGLE, &id);
+    check_refusals(&record, &journal);
+    assert!(record.lock().violations[0].contains("refused as not run, and ran"));
+}
+
+#[rstest]
+#[case::the_key(
+    "authorization: Bearer soak-key-steady\r\ngingerkeel-tenant: steady",
+    "got the key"
+)]
+#[case::another_tenant("gingerkeel-tenant: greedy", "told of")]
+#[case::forged("gingerkeel-tenant: forged", "told of")]
+#[case::nobody("x-other: 1", "told of")]
+fn a_leaf_that_learns_the_wrong_thing_is_found(#[case] fields: &str, #[case] text: &str) {
+    let journal = Journal::default();
+    journal.told("GET / HTTP/1.1\r\ngingerkeel-tenant: steady\r\n\r\n", "c0-steady-1-one");
+    assert!(journal.identity_faults().is_empty());
+    journal.told(&format!("GET / HTTP/1.1\r\n{fields}\r\n\r\n"), "c0-steady-2-one");
+    let faults = journal.identity_faults();
+    assert!(faults.len() == 1 && faults[0].contains(text), "{faults:?}");
+}
+
+/// 152 requests are tolerated in five seconds: 20 a second and 20 at once, a tenth of that, and 20 more.
+#[rstest]
+#[case::all_at_once(152, 0, None)]
+#[case::one_more(153, 0, Some("153 requests"))]
+#[case::evenly(2_000, 33, None)]
+#[case::slightly_too_fast(2_000, 32, Some("157 requests"))]
+fn a_tenant_beyond_its_quota_is_found(
+    #[case] requests: u32,
+    #[case] apart_ms: u64,
+    #[case] expected: Option<&str>,
+) {
+    let began = Instant::now();
+    let moment = |number: u32| began + Duration::from_millis(apart_ms) * number;
+    let fault = fault_of_quota(&(0..requests).map(moment).collect::<Vec<_>>());
+    match (fault, expected) {
+        (None, None) => {}
+        (Some(fault), Some(text)) => assert!(fault.contains(text), "{fault}"),
+        (fault, expected) => panic!("{fault:?} where {expected:?} was expected"),
+    }
+}
+
+#[test]
+fn a_key_that_was_taken_away_and_is_served_is_found() {
+    assert_eq!(fault_of_revoked(401, 0), None);
+    assert!(fault_of_revoked(200, 0).is_some_and(|fault| fault.contains("taken away")));
+    let document = super::parties::document(7).to_string();
+    let revoked = revoked_key(7).expect("a key");
+    assert!(!document.contains(&format!("\"{revoked}\"")), "{document}");
+    assert!(super::parties::document(6).to_string().contains(&format!("\"{revoked}\"")));
+}
+
 #[test]
 fn a_cut_without_a_fault_is_found() {
     let now = Instant::now();
@@ -106,14 +169,14 @@
         sent_version: Arc::new(AtomicU64::new(0)),
     };
     let read = |version, known| {
-        super::parties::judge_read(&scene, 0, known, &super::parties::configuration(version))
+        super::parties::judge_read(&scene, 0, known, &super::parties::document(version));
     };
     read(7, 7);
     assert!(scene.record.lock().violations.is_empty());
     read(6, 7);
     assert!(scene.record.lock().violations[0].contains("gave 6 after 7"));
-    let mut other = super::parties::configuration(8);
-    other.routes.pop();
+    let mut other = super::parties::document(8);
+    other["routes"] = serde_json::json!([]);
     super::parties::judge_read(&scene, 0, 0, &other);
     assert!(scene.record.lock().violations[1].contains("other content"));
 }
