Keep quotas while brokers or control processes are cut off, killed or stand still

Without news a broker sees too few requests of most tenants to hold them to a share: usual ones are admitted, and charged.

--- a/crates/domain/src/quota/bucket.rs
+++ b/crates/domain/src/quota/bucket.rs
@@ -39,11 +39,19 @@
         self.level = self.level.min(capacity).max(-deepest);
     }
 
-    /// Takes `requests`, whether or not the bucket has them; gives them back when negative.
+    /// Takes `requests`, whether or not the bucket has them.
     pub(super) fn take(&mut self, now: Timestamp, requests: f64) {
         self.refill(now);
         let deepest = deepest_debt(self.rate, self.capacity);
-        self.level = (self.level - requests).min(self.capacity).max(-deepest);
+        self.level = (self.level - requests).max(-deepest);
+    }
+
+    /// Gives requests back that were taken without need, as far as there is room; gives how many.
+    pub(super) fn give_back(&mut self, now: Timestamp, requests: f64) -> f64 {
+        self.refill(now);
+        let given = requests.min(self.capacity - self.level).max(0.0);
+        self.level += given;
+        given
     }
 
     pub(super) fn level_at(&mut self, now: Timestamp) -> f64 {
--- a/crates/domain/src/quota/counts.rs
+++ b/crates/domain/src/quota/counts.rs
@@ -11,6 +11,10 @@
 /// or to stand still.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(500);
 
+/// Longest time of which arrivals are reported. Control takes them for what comes now: those of the time without a
+/// link would look like many times the load, and would have requests within the quota refused.
+const ARRIVALS_OF: Duration = Duration::from_millis(300);
+
 /// Requests of one tenant.
 #[derive(Debug, Clone, Copy)]
 struct Count {
@@ -20,6 +24,18 @@
     admitted: u32,
 }
 
+impl Count {
+    /// Requests of the usual time between two reports or a little more, where these were counted for longer.
+    fn recently_arrived(&self, now: Timestamp) -> u32 {
+        let counted = now.since(self.since);
+        if counted <= ARRIVALS_OF {
+            return self.arrived;
+        }
+        let part = ARRIVALS_OF.as_secs_f64() / counted.as_secs_f64();
+        (f64::from(self.arrived) * part).ceil() as u32
+    }
+}
+
 /// Counts that are to be reported, and reports that are on their way.
 #[derive(Debug)]
 pub(super) struct Counts {
@@ -68,7 +84,7 @@
         let fresh = std::mem::take(&mut self.fresh).into_iter();
         let uses = fresh.map(|(tenant, count)| TenantUse {
             tenant,
-            arrived: count.arrived,
+            arrived: count.recently_arrived(now),
             admitted: count.admitted,
         });
         let report = UsageReport { sequence: self.sequence, uses: uses.collect() };
--- a/crates/domain/src/quota/fleet_tenant.rs
+++ b/crates/domain/src/quota/fleet_tenant.rs
@@ -6,7 +6,7 @@
 use super::bucket::Bucket;
 use super::metered::TOLD_PART;
 use super::rate::DecayedRate;
-use super::share::FLOW_MEMORY;
+use super::share::{FLOW_MEMORY, LEAST_FLOW_TIME};
 use super::usage::TenantLevel;
 use crate::identifiers::TenantName;
 use crate::routes::TenantQuota;
@@ -74,9 +74,14 @@
         self.bucket.take(now, requests);
     }
 
-    /// Requests that came to all brokers in the memory of flows.
-    pub(super) fn remembered_arrivals(&self, now: Timestamp) -> f64 {
-        self.flow.sum_at(now)
+    /// Gives requests back that were only presumed, as far as there is room; gives how many.
+    pub(super) fn give_back(&mut self, now: Timestamp, requests: f64) -> f64 {
+        self.bucket.give_back(now, requests)
+    }
+
+    /// Requests that came to all brokers in the memory of flows, and the rate from which on brokers are told.
+    pub(super) fn flow(&self, now: Timestamp) -> (f64, f64) {
+        (self.flow.sum_at(now), self.quota.per_second() * TOLD_PART)
     }
 
     /// How pressing it is to tell brokers of it; none when there is nothing to tell.
@@ -112,7 +117,8 @@
     }
 
     fn is_near(&self, now: Timestamp, room: &Room) -> bool {
-        let lasting = self.flow.per_second(now) > room.rate * TOLD_PART;
+        let usual = self.flow.per_second_seen(now, LEAST_FLOW_TIME);
+        let lasting = usual > room.rate * TOLD_PART;
         let used = room.level < self.bucket.capacity() * AMPLE_PART;
         let close = room.arrivals * CLOSE > room.rate + room.level;
         lasting || used || close
--- a/crates/domain/src/quota/fold.rs
+++ b/crates/domain/src/quota/fold.rs
@@ -5,8 +5,9 @@
 
 use super::fleet_tenant::FleetTenant;
 use super::peers::{OwnTotals, PeerTotals};
-use super::source::Source;
+use super::source::{Presumed, Source};
 use super::usage::{PeerUsage, TenantLevel, UsageReport};
+use crate::cluster::DEPARTED_RETENTION;
 use crate::identifiers::{BrokerName, TenantName};
 use crate::routes::TenantQuota;
 use crate::time::Timestamp;
@@ -98,12 +99,15 @@
         let source = source_of(&mut self.sources, now, SourceId::Broker(broker.clone()));
         source.hear(now);
         for used in &report.uses {
-            self.own.add(&used.tenant, used.arrived, used.admitted);
-            if let Some(tenant) = self.tenants.get_mut(&used.tenant) {
-                let (arrived, admitted) = (f64::from(used.arrived), f64::from(used.admitted));
-                let taken = source.count(now, &used.tenant, arrived, admitted);
-                tenant.count(now, arrived, taken);
-            }
+            let (arrived, admitted) = (f64::from(used.arrived), f64::from(used.admitted));
+            let presumed = source.count(now, &used.tenant, arrived);
+            let Some(tenant) = self.tenants.get_mut(&used.tenant) else {
+                continue;
+            };
+            // What was presumed is given back first: a bucket that is full keeps none of it.
+            let given_back = tenant.give_back(now, presumed);
+            tenant.count(now, arrived, admitted);
+            self.own.add(&used.tenant, used.arrived, admitted - given_back);
         }
     }
 
@@ -116,12 +120,12 @@
         source.hear(now);
         for total in &usage.totals {
             let grown = totals.grow(now, total);
+            let matters = source.matters_of(&total.tenant);
+            let (arrived, admitted) = (grown.arrived * matters, grown.admitted * matters);
+            let presumed = source.count(now, &total.tenant, arrived);
             if let Some(tenant) = self.tenants.get_mut(&total.tenant) {
-                let matters = source.matters_of(&total.tenant);
-                let arrived = grown.arrived as f64 * matters;
-                let admitted = grown.admitted as f64 * matters;
-                let taken = source.count(now, &total.tenant, arrived, admitted);
-                tenant.count(now, arrived, taken);
+                tenant.give_back(now, presumed);
+                tenant.count(now, arrived, admitted);
             }
         }
     }
@@ -206,17 +210,15 @@
         if passed >= STOOD_STILL {
             return self.resume(now);
         }
+        self.sources.retain(|_, source| source.silence(now) < DEPARTED_RETENTION);
         let fallen =
             |(id, source): (&SourceId, &Source)| source.has_fallen_silent(now).then(|| id.clone());
-        let silent: Vec<SourceId> = self.sources.iter().filter_map(fallen).collect();
-        silent.iter().for_each(|id| self.presume_silent(now, id));
-        for source in self.sources.values_mut() {
-            if source.is_silent() {
-                presume(&mut self.tenants, source, now, passed, self.serving);
-            } else {
-                source.forget(now);
-            }
-        }
+        let fallen: Vec<SourceId> = self.sources.iter().filter_map(fallen).collect();
+        fallen.iter().for_each(|id| self.presume_silent(now, id));
+        let silent = self.sources.iter().filter(|(_, source)| source.is_silent());
+        let silent: Vec<SourceId> = silent.map(|(id, _)| id.clone()).collect();
+        silent.iter().for_each(|id| self.presume(now, id, passed));
+        self.sources.values_mut().for_each(|source| source.forget(now));
     }
 
     /// This process stood still itself: it listens first, as after a start.
@@ -229,15 +231,35 @@
     fn presume_silent(&mut self, now: Timestamp, id: &SourceId) {
         let brokers = self.brokers_behind(id);
         let tenants = &self.tenants;
-        let fleet = |name: &TenantName| {
-            tenants.get(name).map_or(0.0, |tenant| tenant.remembered_arrivals(now))
-        };
+        let fleet =
+            |name: &TenantName| tenants.get(name).map_or((0.0, 1.0), |tenant| tenant.flow(now));
         let Some(source) = self.sources.get_mut(id).filter(|source| !source.is_silent()) else {
             return;
         };
         source.fall_silent(now, brokers, self.serving, fleet);
         let span = source.silence(now);
-        presume(&mut self.tenants, source, now, span, self.serving);
+        self.presume(now, id, span);
+    }
+
+    /// Takes from the quotas what a silent source is presumed to have used in `span`. What brokers of this
+    /// process are presumed to use is told to the others, who do not know of the silence; each of them
+    /// notices that of a control process.
+    fn presume(&mut self, now: Timestamp, id: &SourceId, span: Duration) {
+        let Some(source) = self.sources.get_mut(id) else {
+            return;
+        };
+        let presumed: Vec<Presumed> = source.presume(now, self.serving).collect();
+        for Presumed { tenant: name, share } in presumed {
+            let Some(tenant) = self.tenants.get_mut(&name) else {
+                continue;
+            };
+            let requests = share * tenant.per_second() * span.as_secs_f64();
+            tenant.take(now, requests);
+            source.note_presumed(&name, requests);
+            if matches!(id, SourceId::Broker(_)) {
+                self.own.add(&name, 0, requests);
+            }
+        }
     }
 
     fn brokers_behind(&self, id: &SourceId) -> BTreeSet<BrokerName> {
@@ -252,15 +274,12 @@
 
     /// Nothing more is presumed of brokers that were cut off here and are fed elsewhere now.
     fn settle_moved(&mut self, now: Timestamp) {
-        let (heard, fed_by, peers) = (&self.heard, &self.fed_by, &self.sources);
-        let is_heard = |control: &u32| {
-            peers.get(&SourceId::Control(*control)).is_some_and(|source| !source.is_silent())
-        };
-        let moved: BTreeSet<BrokerName> = fed_by
-            .iter()
-            .filter(|(broker, control)| heard.contains_key(*broker) || is_heard(control))
-            .map(|(broker, _)| broker.clone())
-            .collect();
+        let sources = &self.sources;
+        let is_heard = |id: SourceId| sources.get(&id).is_some_and(|source| !source.is_silent());
+        let fed = self.fed_by.iter().filter(|(broker, control)| {
+            is_heard(SourceId::Control(**control)) || is_heard(SourceId::Broker((*broker).clone()))
+        });
+        let moved: BTreeSet<BrokerName> = fed.map(|(broker, _)| broker.clone()).collect();
         let mut ended = Vec::new();
         for (id, source) in self.sources.iter_mut().filter(|(_, source)| source.is_silent()) {
             source.leave_out(|broker| moved.contains(broker));
@@ -276,8 +295,12 @@
             return;
         };
         for (name, presumed) in source.take_presumed(now) {
-            if let Some(tenant) = self.tenants.get_mut(&name) {
-                tenant.take(now, -presumed);
+            let Some(tenant) = self.tenants.get_mut(&name) else {
+                continue;
+            };
+            let given_back = tenant.give_back(now, presumed);
+            if matches!(id, SourceId::Broker(_)) {
+                self.own.add(&name, 0, -given_back);
             }
         }
     }
@@ -290,21 +313,3 @@
 ) -> &mut Source {
     sources.entry(id).or_insert_with(|| Source::new(now))
 }
-
-/// Takes from the quotas what `source` is presumed to have used in `span`.
-fn presume(
-    tenants: &mut BTreeMap<TenantName, FleetTenant>,
-    source: &mut Source,
-    now: Timestamp,
-    span: Duration,
-    serving: usize,
-) {
-    let shares: Vec<_> = source.presume(now, serving).collect();
-    for presumed in shares {
-        if let Some(tenant) = tenants.get_mut(&presumed.tenant) {
-            let requests = presumed.share * tenant.per_second() * span.as_secs_f64();
-            tenant.take(now, requests);
-            source.note_presumed(&presumed.tenant, requests);
-        }
-    }
-}
--- a/crates/domain/src/quota/meter.rs
+++ b/crates/domain/src/quota/meter.rs
@@ -13,7 +13,7 @@
 /// Time without a word of control after which a broker takes itself for cut off. Control sends each 100 ms;
 /// until then the last levels are good enough, and a process that is short of a core for some rounds
 /// keeps them.
-const NEWS_LIFE: Duration = Duration::from_secs(1);
+pub(super) const NEWS_LIFE: Duration = Duration::from_secs(1);
 
 /// How operators count the use of quotas, and by how much the sum may exceed one.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/domain/src/quota/metered.rs
+++ b/crates/domain/src/quota/metered.rs
@@ -4,9 +4,9 @@
 
 use super::admission::Room;
 use super::bucket::Bucket;
-use super::meter::{QuotaSettings, QuotaVerdict, TenantStanding};
+use super::meter::{NEWS_LIFE, QuotaSettings, QuotaVerdict, TenantStanding};
 use super::rate::DecayedRate;
-use super::share::{FLOW_MEMORY, aged_share, equal_share, flow_share};
+use super::share::{FLOW_MEMORY, Flow, LEAST_FLOW_TIME, aged_share};
 use super::usage::TenantLevel;
 use crate::identifiers::TenantName;
 use crate::routes::TenantQuota;
@@ -18,12 +18,17 @@
 /// Time in which it averages what comes to it while there are no news: longer, since from few requests of
 /// its own it has to tell the sum.
 const LONE_ARRIVAL_MEMORY: Duration = Duration::from_secs(3);
+/// Standard deviations by which the requests that come without news may exceed the usual ones before
+/// the tenant is held to its share: a share of one request a second has no room for chance.
+const DEVIATIONS: f64 = 2.5;
 /// Time for which a level counts that was told. Control processes repeat the levels of tenants near their
 /// quotas more often than that, and tell relief once.
 const TOLD_LIFE: Duration = Duration::from_secs(2);
 /// Part of a quota above which control processes tell of a tenant
 /// ([`super::fold`]); nobody is told of one that stays below it.
 pub(super) const TOLD_PART: f64 = 0.7;
+/// Seconds below which what was told of a tenant says little of its rate.
+const LEAST_TOLD_TIME: f64 = 1.0;
 /// Thousandths of a whole.
 const THOUSAND: f64 = 1_000.0;
 
@@ -41,6 +46,9 @@
 struct Part {
     share: f64,
     bucket: Bucket,
+    /// Requests that come here in [`LONE_ARRIVAL_MEMORY`] at most while the tenant goes on as it did; none
+    /// for one that was limited.
+    usual: f64,
 }
 
 /// Counts and knowledge of one tenant.
@@ -57,6 +65,8 @@
     flow: DecayedRate,
     told_flow: DecayedRate,
     fleet_flow: DecayedRate,
+    /// Seconds for which control told of it.
+    told_time: DecayedRate,
     since_told: f64,
     told: Option<Told>,
     part: Option<Part>,
@@ -74,6 +84,7 @@
             flow: DecayedRate::new(FLOW_MEMORY),
             told_flow: DecayedRate::new(FLOW_MEMORY),
             fleet_flow: DecayedRate::new(FLOW_MEMORY),
+            told_time: DecayedRate::new(FLOW_MEMORY),
             since_told: 0.0,
             told: None,
             part: None,
@@ -93,14 +104,19 @@
 
     /// What there is for the next request while news come.
     pub(super) fn room(&self, now: Timestamp, settings: &QuotaSettings) -> Room {
-        let burst = self.quota.burst();
-        let told = self.told.filter(|told| now.since(told.at) < TOLD_LIFE);
-        let level = told.map_or(burst, |told| told.level);
-        let arrivals = told.map_or(0.0, |told| told.arrivals);
+        let told = self.told_room(now, settings);
+        let own = self.arrivals.per_second(now);
+        Room { level: told.level - self.unheard, arrivals: told.arrivals.max(own), ..told }
+    }
+
+    /// What there was for all brokers as control told it last, `at` that time.
+    fn told_room(&self, at: Timestamp, settings: &QuotaSettings) -> Room {
+        let told = self.told.filter(|told| at.since(told.at) < TOLD_LIFE);
+        let level = told.map_or(self.quota.burst(), |told| told.level);
         Room {
             rate: self.quota.per_second(),
-            level: level + settings.additional_burst(self.quota) - self.unheard,
-            arrivals: arrivals.max(self.arrivals.per_second(now)),
+            level: level + settings.additional_burst(self.quota),
+            arrivals: told.map_or(0.0, |told| told.arrivals),
             price: 1.0,
         }
     }
@@ -116,22 +132,51 @@
     ) -> Room {
         let rate = self.quota.per_second();
         let capacity = self.quota.burst() + settings.additional_burst(self.quota);
-        let mut part = self.part.unwrap_or_else(|| {
-            let share = self.share(now, brokers);
-            let level = self.room(now, settings).level + rate * without_news.as_secs_f64();
-            // The requests that were not heard of are this broker's own, not its share of all.
-            let level = (level + self.unheard).min(capacity) * share - self.unheard;
-            let bucket = Bucket::new(now, rate * share, capacity * share, level);
-            Part { share, bucket }
-        });
+        let known = self.part;
+        let mut part = known.unwrap_or_else(|| self.part_at(now, settings, without_news, brokers));
         let share = aged_share(part.share, without_news, brokers);
         part.bucket.configure(now, rate * share, capacity * share);
         let level = part.bucket.level_at(now);
         self.part = Some(part);
-        let arrivals = self.lone_arrivals.per_second(now);
+        if self.lone_arrivals.sum_at(now) + 1.0 <= part.usual {
+            return Room { rate: rate * share, level: 0.0, arrivals: 0.0, price: 0.0 };
+        }
+        let arrivals = self.lone_rate(now);
         Room { rate: rate * share, level, arrivals, price: share }
     }
 
+    /// Requests a second that come here, from few: what comes in a moment counts where it is surely more.
+    fn lone_rate(&self, now: Timestamp) -> f64 {
+        let moment = self.arrivals.sum_at(now);
+        let surely = (moment - DEVIATIONS * moment.sqrt()) / ARRIVAL_MEMORY.as_secs_f64();
+        self.lone_arrivals.per_second(now).max(surely)
+    }
+
+    /// The part of the quota that falls to this broker as the news end.
+    fn part_at(
+        &self,
+        now: Timestamp,
+        settings: &QuotaSettings,
+        without_news: Duration,
+        brokers: usize,
+    ) -> Part {
+        let rate = self.quota.per_second();
+        let capacity = self.quota.burst() + settings.additional_burst(self.quota);
+        let share = self.share(now, brokers);
+        // A process that stood still comes here long after the news ended; others went on meanwhile.
+        let news_at = now.before(without_news);
+        let told = self.told_room(news_at, settings);
+        let refilled = rate * without_news.min(NEWS_LIFE).as_secs_f64();
+        // The requests that were not heard of are this broker's own, not its share of all.
+        let level = (told.level + refilled).min(capacity) * share - self.unheard;
+        let bucket = Bucket::new(now, rate * share, capacity * share, level);
+        let was_limited = told.fraction() < 1.0;
+        let usual_rate = self.flow.per_second_seen(now, LEAST_FLOW_TIME);
+        let expected = usual_rate * LONE_ARRIVAL_MEMORY.as_secs_f64();
+        let usual = if was_limited { 0.0 } else { expected + DEVIATIONS * expected.sqrt() };
+        Part { share, bucket, usual }
+    }
+
     /// Counts a request that has come, and decides by `draw`.
     pub(super) fn decide(&mut self, now: Timestamp, room: &Room, draw: f64) -> QuotaVerdict {
         self.arrived += 1;
@@ -161,6 +206,7 @@
             let passed = now.since(before.at).as_secs_f64();
             self.fleet_flow.add(now, arrivals * passed);
             self.told_flow.add(now, self.since_told);
+            self.told_time.add(now, passed);
         }
         self.since_told = 0.0;
         let level = (level.level_thousandths as f64 / THOUSAND).min(self.quota.burst());
@@ -184,12 +230,15 @@
 
     /// This broker's share of the tenant's quota by the flows at the last news.
     fn share(&self, now: Timestamp, brokers: usize) -> f64 {
-        let fleet = self.fleet_flow.sum_at(now);
-        if fleet > 0.0 && self.told.is_some_and(|told| now.since(told.at) < FLOW_MEMORY) {
-            return flow_share(self.told_flow.sum_at(now), fleet, brokers);
-        }
-        // All brokers together had less than the told part; what is left is shared equally.
-        let own = self.flow.per_second(now) / self.quota.per_second();
-        own.min(TOLD_PART) + (1.0 - TOLD_PART) * equal_share(brokers)
+        let seen_by_all = self.fleet_flow.sum_at(now);
+        // Control tells of the tenant now and then; the average of a moment is not that of all the time.
+        let told_rate = seen_by_all / self.told_time.sum_at(now).max(LEAST_TOLD_TIME);
+        let flow = Flow {
+            seen: self.told_flow.sum_at(now),
+            seen_by_all,
+            rate: self.flow.per_second_seen(now, LEAST_FLOW_TIME),
+            rate_of_all: told_rate.max(self.quota.per_second() * TOLD_PART),
+        };
+        flow.share(brokers)
     }
 }
--- a/crates/domain/src/quota/peers.rs
+++ b/crates/domain/src/quota/peers.rs
@@ -19,9 +19,16 @@
 
 /// Requests of a tenant, all in all.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Total {
-    pub(super) arrived: u64,
-    pub(super) admitted: u64,
+struct Total {
+    arrived: u64,
+    admitted: u64,
+}
+
+/// Requests by which a total has grown.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Growth {
+    pub(super) arrived: f64,
+    pub(super) admitted: f64,
 }
 
 /// The totals that another control process told.
@@ -47,14 +54,14 @@
     }
 
     /// By how much the total has grown. Messages that overtook each other make it grow once.
-    pub(super) fn grow(&mut self, now: Timestamp, told: &TenantTotal) -> Total {
+    pub(super) fn grow(&mut self, now: Timestamp, told: &TenantTotal) -> Growth {
         let told_total = Total { arrived: told.arrived, admitted: told.admitted };
         let young = self.first.is_some_and(|first| now.since(first) < FIRST_TOTALS);
         let unknown = if young { told_total } else { Total::default() };
         let known = self.totals.entry(told.tenant.clone()).or_insert(unknown);
-        let grown = Total {
-            arrived: told.arrived.saturating_sub(known.arrived),
-            admitted: told.admitted.saturating_sub(known.admitted),
+        let grown = Growth {
+            arrived: told.arrived.saturating_sub(known.arrived) as f64,
+            admitted: told.admitted.saturating_sub(known.admitted) as f64,
         };
         known.arrived = known.arrived.max(told.arrived);
         known.admitted = known.admitted.max(told.admitted);
@@ -62,11 +69,22 @@
     }
 }
 
+/// What this process counted of a tenant.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counted {
+    arrived: u64,
+    /// What was admitted, with what silent brokers are presumed to have admitted. It falls when one of them
+    /// turns out to have admitted less.
+    admitted: f64,
+    /// The most that was told of it: totals only grow.
+    told: u64,
+}
+
 /// Totals of the brokers that this process feeds.
 #[derive(Debug)]
 pub(super) struct OwnTotals {
     run: u64,
-    totals: BTreeMap<TenantName, Total>,
+    totals: BTreeMap<TenantName, Counted>,
     changed: BTreeSet<TenantName>,
     /// The last tenant that was told in turn.
     told_last: Option<TenantName>,
@@ -77,10 +95,12 @@
         Self { run, totals: BTreeMap::new(), changed: BTreeSet::new(), told_last: None }
     }
 
-    pub(super) fn add(&mut self, tenant: &TenantName, arrived: u32, admitted: u32) {
-        let total = self.totals.entry(tenant.clone()).or_default();
-        total.arrived += u64::from(arrived);
-        total.admitted += u64::from(admitted);
+    /// Counts requests; `admitted` is negative where too much had been presumed.
+    pub(super) fn add(&mut self, tenant: &TenantName, arrived: u32, admitted: f64) {
+        let counted = self.totals.entry(tenant.clone()).or_default();
+        counted.arrived += u64::from(arrived);
+        counted.admitted += admitted;
+        counted.told = counted.told.max(counted.admitted as u64);
         self.changed.insert(tenant.clone());
     }
 
@@ -90,8 +110,8 @@
         let mut told: BTreeSet<TenantName> = changed.into_iter().collect();
         told.extend(self.next_in_turn());
         let total = |tenant: TenantName| {
-            let total = self.totals.get(&tenant).copied().unwrap_or_default();
-            TenantTotal { tenant, arrived: total.arrived, admitted: total.admitted }
+            let counted = self.totals.get(&tenant).copied().unwrap_or_default();
+            TenantTotal { tenant, arrived: counted.arrived, admitted: counted.told }
         };
         PeerUsage { run: self.run, totals: told.into_iter().map(total).collect() }
     }
--- a/crates/domain/src/quota/source.rs
+++ b/crates/domain/src/quota/source.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::rate::DecayedRate;
-use super::share::{FLOW_MEMORY, aged_share, flow_share};
+use super::share::{FLOW_MEMORY, Flow, LEAST_FLOW_TIME, aged_share};
 use crate::identifiers::{BrokerName, TenantName};
 use crate::time::Timestamp;
 
@@ -84,13 +84,13 @@
     }
 
     /// It is presumed to be cut off, with these brokers behind it. `fleet` gives the requests of a tenant at
-    /// all brokers in the memory of flows.
+    /// all brokers in the memory of flows, and the rate from which on brokers are told of it.
     pub(super) fn fall_silent(
         &mut self,
         now: Timestamp,
         brokers: BTreeSet<BrokerName>,
         serving: usize,
-        fleet: impl Fn(&TenantName) -> f64,
+        fleet: impl Fn(&TenantName) -> (f64, f64),
     ) {
         let heard = self.heard;
         self.silent = true;
@@ -102,7 +102,14 @@
         for (tenant, contribution) in &mut self.contributions {
             // As each of its brokers reckons, of its part of the flow.
             let own = contribution.flow.sum_at(heard) / behind;
-            contribution.share = flow_share(own, fleet(tenant), serving) * behind;
+            let (fleet, least) = fleet(tenant);
+            let flow = Flow {
+                seen: own,
+                seen_by_all: fleet,
+                rate: contribution.flow.per_second_seen(heard, LEAST_FLOW_TIME) / behind,
+                rate_of_all: least.max(fleet / FLOW_MEMORY.as_secs_f64()),
+            };
+            contribution.share = flow.share(serving) * behind;
             contribution.unheard = true;
         }
     }
@@ -112,20 +119,14 @@
         self.missing = self.brokers.iter().filter(|broker| !is_elsewhere(broker)).count();
     }
 
-    /// Counts what a broker told of a tenant; gives what that takes from the quota. After a silence a broker
-    /// tells only what still matters.
-    pub(super) fn count(
-        &mut self,
-        now: Timestamp,
-        tenant: &TenantName,
-        arrived: f64,
-        admitted: f64,
-    ) -> f64 {
+    /// Counts requests of a tenant that the source told of; gives what had been presumed of it, which is to be
+    /// given back.
+    pub(super) fn count(&mut self, now: Timestamp, tenant: &TenantName, arrived: f64) -> f64 {
         let matters = self.matters();
         let contribution = self.contribution(tenant);
         contribution.flow.add(now, arrived);
         contribution.unheard = false;
-        admitted - std::mem::take(&mut contribution.presumed) * matters
+        std::mem::take(&mut contribution.presumed) * matters
     }
 
     /// The part of a growing total of a tenant that still matters: all of it, but after a silence.
--- a/crates/domain/src/quota/usage.rs
+++ b/crates/domain/src/quota/usage.rs
@@ -9,9 +9,10 @@
 pub struct TenantUse {
     /// The tenant.
     pub tenant: TenantName,
-    /// Requests that came with its keys.
+    /// Requests that came with its keys; where the report is of a longer time than usual (a link was lost), as
+    /// many as come in 0.3 s.
     pub arrived: u32,
-    /// Those of them that its quota admitted.
+    /// All requests that its quota admitted since the last report.
     pub admitted: u32,
 }
 
--- a/crates/domain/src/time.rs
+++ b/crates/domain/src/time.rs
@@ -29,6 +29,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// This timestamp moved back by `span`, at most to the origin.
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// This timestamp moved forward by `span`, saturating at the far end.
     pub fn after(self, span: Duration) -> Self {
         let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
--- a/crates/domain/tests/quota_fleet/mod.rs
+++ b/crates/domain/tests/quota_fleet/mod.rs
@@ -393,9 +393,7 @@
 
     fn lose_link(&mut self, number: usize) {
         let broker = &mut self.brokers[number];
-        if let Some(control) = broker.control.take() {
-            self.controls[control].last_heard_ms.remove(&number);
-        }
+        broker.control = None;
         broker.link += 1;
         broker.lost_ms = self.now_ms;
         broker.meter.link_lost(at(self.now_ms));
