--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -234,6 +234,7 @@
             received,
             deadline,
             trail: Trail::new(received),
+            evidence: Cell::default(),
         }
     }
 
--- a/crates/broker/src/routes/quota.rs
+++ b/crates/broker/src/routes/quota.rs
@@ -11,11 +11,12 @@
 };
 use gingerkeel_domain::routes::Tenant;
 use gingerkeel_settings::RouteSettings;
+use gingerkeel_transport::Clock;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use tracing::info;
 
-use crate::clock::Clock;
+
 use crate::route_reports::{LinkNumber, LinkedUsage};
 
 /// What tenants with a quota sent to this broker.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -5,6 +5,7 @@
 mod message;
 mod reads;
 mod routes;
+mod state_document;
 mod subscribers;
 mod usage;
 mod waiting;
@@ -16,11 +17,11 @@
     ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandOutcome, LogIndex,
 };
 use gingerkeel_domain::identifiers::ZoneName;
-use gingerkeel_protocol::{decode_document, encode_document, unpack_document};
+use gingerkeel_protocol::unpack_document;
+use gingerkeel_transport::Clock;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use tracing::{debug, error, info};
 
-use crate::clock::Clock;
 use crate::directory_polling::ReadAtOnce;
 use crate::leaf_polling::PollPlan;
 use crate::replication::{StateMachineMessage, StateSnapshot};
@@ -31,6 +32,7 @@
 pub use membership::OwnIdentity;
 pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity, ZoneView};
 use reads::{PendingRead, Reads};
+use state_document::{decode_state, encode_state};
 use subscribers::Subscribers;
 use usage::QuotaUse;
 use waiting::{ChangeReply, WaitingChanges};
@@ -185,7 +187,7 @@
         match message {
             StateMachineMessage::Apply { index, command } => self.apply(index, &command),
             StateMachineMessage::Restore { index, snapshot } => self.restore(index, &snapshot),
-            StateMachineMessage::TakeSnapshot { reply } => match encode_document(&self.state) {
+            StateMachineMessage::TakeSnapshot { reply } => match encode_state(&self.state) {
                 Ok(bytes) => {
                     let snapshot = StateSnapshot { index: self.state.applied(), bytes };
                     // The log may have changed its mind.
@@ -223,14 +225,10 @@
             (CommandBody::ReportCharges(reports), CommandOutcome::Charges(receipts)) => {
                 self.subscribers.acknowledge_charges(reports, &receipts)
             }
-            (CommandBody::ReplaceRoutes(routes), CommandOutcome::Routes(outcome)) => {
-                let version = routes.configuration.version.0;
+            (body, CommandOutcome::Routes(outcome)) => {
+                let version = body.routes_version().map(|version| version.0);
                 info!(event = "routes_replaced", version, ?outcome);
-                self.waiting_routes.accepted(self.state.routes().version());
-                if routes.names_unlisted(self.state.directory()) {
-                    // Without an outside list nobody listens.
-                    let _ = self.outlets.read_directory.send(ReadAtOnce);
-                }
+                self.routes_replaced();
             }
             (CommandBody::ReportDirectory(delta), _) => {
                 let version = self.state.directory().version().0;
@@ -242,7 +240,7 @@
     }
 
     fn restore(&mut self, index: LogIndex, snapshot: &[u8]) {
-        match decode_document::<ClusterState>(snapshot) {
+        match decode_state(snapshot) {
             Ok(state) if state.applied() >= self.state.applied() => {
                 info!(event = "snapshot_restored", index = index.0);
                 self.state = state;
@@ -271,10 +269,12 @@
 
     fn view_zone(&self, zone: &ZoneName) -> ZoneView {
         let catalog = self.state.catalog();
+        let named = tables::named_zones(&self.state);
         ZoneView {
             revision: catalog.revision(),
             evacuated: catalog.evacuated().contains(zone),
-            named: tables::named_zones(&self.state).contains(zone),
+            named: named.contains(zone),
+            names_any: !named.is_empty(),
         }
     }
 
