Name control processes and runs of brokers to the fold of quotas as the replicated members do

Asked for by the links: members know control processes by name, and a broker that restarts begins its sequence anew.

--- a/crates/domain/src/quota/fold.rs
+++ b/crates/domain/src/quota/fold.rs
@@ -8,7 +8,7 @@
 use super::source::{Presumed, Source};
 use super::usage::{PeerUsage, TenantLevel, UsageReport};
 use crate::cluster::DEPARTED_RETENTION;
-use crate::identifiers::{BrokerName, TenantName};
+use crate::identifiers::{BrokerName, BrokerRun, ControlName, TenantName};
 use crate::routes::TenantQuota;
 use crate::time::Timestamp;
 
@@ -25,11 +25,18 @@
 /// what control may cost one. The most pressing come first, and each one's turn comes.
 const MOST_LEVELS: usize = 32;
 
-/// A broker or another control process, by name or machine number.
+/// A broker or another control process.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum SourceId {
     Broker(BrokerName),
-    Control(u32),
+    Control(ControlName),
+}
+
+/// The last report that was taken of a broker.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    run: BrokerRun,
+    sequence: u64,
 }
 
 /// The use of quotas at one control process.
@@ -42,12 +49,12 @@
     tenants: BTreeMap<TenantName, FleetTenant>,
     sources: BTreeMap<SourceId, Source>,
     /// The last report that was taken of each broker with a link.
-    heard: BTreeMap<BrokerName, u64>,
-    peers: BTreeMap<u32, PeerTotals>,
+    heard: BTreeMap<BrokerName, Heard>,
+    peers: BTreeMap<ControlName, PeerTotals>,
     /// Control processes that should be heard.
-    expected: BTreeSet<u32>,
+    expected: BTreeSet<ControlName>,
     /// Brokers and the control process that feeds each, by the replicated list.
-    fed_by: BTreeMap<BrokerName, u32>,
+    fed_by: BTreeMap<BrokerName, ControlName>,
     serving: usize,
     started: Option<Timestamp>,
     looked: Option<Timestamp>,
@@ -87,15 +94,20 @@
         }
     }
 
-    /// A broker that this process feeds reports.
-    pub fn report(&mut self, now: Timestamp, broker: &BrokerName, report: &UsageReport) {
-        let heard = self.heard(broker);
-        // A report that comes twice counts once; a process that restarted begins with the first one.
-        let restarted = report.sequence == 1 && heard > 1;
-        if report.sequence <= heard && !restarted {
+    /// A broker that this process feeds reports, in this run of its process. A report that comes twice counts
+    /// once.
+    pub fn report(
+        &mut self,
+        now: Timestamp,
+        broker: &BrokerName,
+        run: BrokerRun,
+        report: &UsageReport,
+    ) {
+        let known = self.heard.get(broker).filter(|known| known.run == run);
+        if known.is_some_and(|known| report.sequence <= known.sequence) {
             return;
         }
-        self.heard.insert(broker.clone(), report.sequence);
+        self.heard.insert(broker.clone(), Heard { run, sequence: report.sequence });
         let source = source_of(&mut self.sources, now, SourceId::Broker(broker.clone()));
         source.hear(now);
         for used in &report.uses {
@@ -111,12 +123,12 @@
         }
     }
 
-    /// The control process on machine `control` tells its totals.
-    pub fn peer(&mut self, now: Timestamp, control: u32, usage: &PeerUsage) {
-        let totals = self.peers.entry(control);
+    /// Another control process tells its totals.
+    pub fn peer(&mut self, now: Timestamp, control: &ControlName, usage: &PeerUsage) {
+        let totals = self.peers.entry(control.clone());
         let totals = totals.or_insert_with(|| PeerTotals::new(now, usage.run));
         totals.enter(usage.run);
-        let source = source_of(&mut self.sources, now, SourceId::Control(control));
+        let source = source_of(&mut self.sources, now, SourceId::Control(control.clone()));
         source.hear(now);
         for total in &usage.totals {
             let grown = totals.grow(now, total);
@@ -144,25 +156,30 @@
         self.drop_source(now, &SourceId::Broker(broker.clone()));
     }
 
-    /// The brokers of the replicated list of members, each with the machine number of the control process
-    /// that feeds it; called whenever the list has changed.
+    /// The brokers of the replicated list of members, each with the control process that feeds it; called whenever the list has changed.
     ///
     /// `serving` is the number of brokers alive and of those that left lately and may be cut off.
     pub fn members(
         &mut self,
         now: Timestamp,
         serving: usize,
-        fed_by: impl Iterator<Item = (BrokerName, u32)>,
+        fed_by: impl Iterator<Item = (BrokerName, ControlName)>,
     ) {
         self.serving = serving.max(1);
         self.fed_by = fed_by.collect();
         self.settle_moved(now);
     }
 
-    /// The other control processes, by machine number; called whenever they have changed.
-    pub fn set_peers(&mut self, now: Timestamp, controls: impl Iterator<Item = u32>) {
+    /// The other control processes; called whenever they have changed.
+    pub fn set_peers(&mut self, now: Timestamp, controls: impl Iterator<Item = ControlName>) {
         self.started.get_or_insert(now);
         self.expected = controls.collect();
+        let (expected, sources) = (&self.expected, &self.sources);
+        let is_heard = |control: &ControlName| {
+            let source = sources.get(&SourceId::Control(control.clone()));
+            source.is_some_and(|source| !source.is_silent())
+        };
+        self.peers.retain(|control, _| expected.contains(control) || is_heard(control));
     }
 
     /// What the other control processes are to be told, each 100 ms; an empty message tells them that
@@ -193,7 +210,7 @@
 
     /// The last report of `broker` that is contained; 0 for none.
     pub fn heard(&self, broker: &BrokerName) -> u64 {
-        self.heard.get(broker).copied().unwrap_or(0)
+        self.heard.get(broker).map_or(0, |heard| heard.sequence)
     }
 
     /// Whether this process knows enough of the other brokers to tell levels.
@@ -277,7 +294,8 @@
         let sources = &self.sources;
         let is_heard = |id: SourceId| sources.get(&id).is_some_and(|source| !source.is_silent());
         let fed = self.fed_by.iter().filter(|(broker, control)| {
-            is_heard(SourceId::Control(**control)) || is_heard(SourceId::Broker((*broker).clone()))
+            is_heard(SourceId::Control((*control).clone()))
+                || is_heard(SourceId::Broker((*broker).clone()))
         });
         let moved: BTreeSet<BrokerName> = fed.map(|(broker, _)| broker.clone()).collect();
         let mut ended = Vec::new();
--- a/crates/domain/tests/quota_fleet/mod.rs
+++ b/crates/domain/tests/quota_fleet/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use gingerkeel_domain::identifiers::{BrokerName, TenantName};
+use gingerkeel_domain::identifiers::{BrokerName, BrokerRun, ControlName, TenantName};
 use gingerkeel_domain::quota::{
     FleetUsage, PeerUsage, QuotaMeter, QuotaSettings, QuotaVerdict, UsageFold, UsageReport,
 };
@@ -67,6 +67,8 @@
     /// When it was without one since, and may turn to one.
     lost_ms: u64,
     frozen_until_ms: u64,
+    /// Number of the run of its process.
+    run: u64,
     /// Number of its link, so that messages of a former one are not taken.
     link: u64,
     last_heard_ms: u64,
@@ -222,6 +224,7 @@
             self.controls[control].fold.broker_stopped(at(self.now_ms), &name);
         }
         let mut new = self.new_broker(self.brokers.len());
+        new.run = self.brokers[broker].run + 1;
         new.link = self.brokers[broker].link + 1;
         self.brokers[broker] = new;
     }
@@ -249,6 +252,7 @@
             control: None,
             lost_ms: self.now_ms,
             frozen_until_ms: 0,
+            run: 1,
             link: 0,
             last_heard_ms: self.now_ms,
         }
@@ -368,11 +372,11 @@
     /// The replicated list of members, which lags by up to half a second.
     fn tell_members(&mut self, number: usize) {
         let fed = self.brokers.iter().enumerate().filter_map(|(broker, state)| {
-            Some((broker_name(broker), u32::try_from(state.control?).ok()?))
+            Some((broker_name(broker), control_name(state.control?)))
         });
-        let fed: Vec<(BrokerName, u32)> = fed.collect();
+        let fed: Vec<(BrokerName, ControlName)> = fed.collect();
         let peers = (0..self.controls.len()).filter(|peer| *peer != number);
-        let peers: Vec<u32> = peers.map(|peer| peer as u32).collect();
+        let peers: Vec<ControlName> = peers.map(control_name).collect();
         let now = at(self.now_ms);
         let fold = &mut self.controls[number].fold;
         fold.set_peers(now, peers.into_iter());
@@ -449,10 +453,11 @@
                 let Some(control) = self.brokers[broker].control else {
                     return;
                 };
+                let run = self.brokers[broker].run;
                 if self.brokers[broker].link == link && self.reaches(broker, control) {
                     let control = &mut self.controls[control];
                     control.last_heard_ms.insert(broker, self.now_ms);
-                    control.fold.report(now, &broker_name(broker), &report);
+                    control.fold.report(now, &broker_name(broker), BrokerRun(run), &report);
                 }
             }
             Message::Levels { broker, link, usage } => {
@@ -470,7 +475,7 @@
                 let part = |control: usize| self.control_part.get(&control);
                 let passes = part(from) == part(to);
                 if passes && self.controls[to].alive && self.controls[from].alive {
-                    self.controls[to].fold.peer(now, from as u32, &usage);
+                    self.controls[to].fold.peer(now, &control_name(from), &usage);
                 }
             }
         }
@@ -486,6 +491,10 @@
     BrokerName::new(format!("broker-{number}"))
 }
 
+fn control_name(number: usize) -> ControlName {
+    ControlName::new(format!("control-{number}"))
+}
+
 fn listed(
     quotas: &BTreeMap<TenantName, TenantQuota>,
 ) -> impl Iterator<Item = (TenantName, TenantQuota)> {
