--- a/crates/domain/src/quota/counts.rs
+++ b/crates/domain/src/quota/counts.rs
@@ -15,24 +15,54 @@
 /// link would look like many times the load, and would have requests within the quota refused.
 const ARRIVALS_OF: Duration = Duration::from_millis(300);
 
-/// Requests of one tenant.
+/// Time that one slot of a count spans: what is too old to matter is dropped in such steps.
+const SLOT: Duration = Duration::from_secs(1);
+
+/// Requests of one tenant in one slot of time.
 #[derive(Debug, Clone, Copy)]
-struct Count {
-    /// When the first of them came.
-    since: Timestamp,
+struct Slot {
+    began: Timestamp,
     arrived: u32,
     admitted: u32,
 }
 
+/// Requests of one tenant that were not reported, the oldest slot first.
+#[derive(Debug, Default)]
+struct Count {
+    slots: VecDeque<Slot>,
+}
+
 impl Count {
-    /// Requests of the usual time between two reports or a little more, where these were counted for longer.
-    fn recently_arrived(&self, now: Timestamp) -> u32 {
-        let counted = now.since(self.since);
-        if counted <= ARRIVALS_OF {
-            return self.arrived;
+    fn add(&mut self, at: Timestamp, arrived: u32, admitted: u32) {
+        let slot = self.slots.back_mut().filter(|slot| at.since(slot.began) < SLOT);
+        match slot {
+            Some(slot) => {
+                slot.arrived += arrived;
+                slot.admitted += admitted;
+            }
+            None => self.slots.push_back(Slot { began: at, arrived, admitted }),
+        }
+    }
+
+    /// Drops what is older than `life`; gives how many admitted requests that were.
+    fn drop_old(&mut self, now: Timestamp, life: Duration) -> u32 {
+        let mut dropped = 0;
+        while let Some(slot) = self.slots.front().filter(|slot| now.since(slot.began) > life) {
+            dropped += slot.admitted;
+            self.slots.pop_front();
         }
+        dropped
+    }
+
+    /// What is reported. Of a time longer than usual, as many arrivals as in the usual one.
+    fn as_use(&self, now: Timestamp, tenant: TenantName) -> TenantUse {
+        let arrived: u32 = self.slots.iter().map(|slot| slot.arrived).sum();
+        let admitted = self.slots.iter().map(|slot| slot.admitted).sum();
+        let began = self.slots.front().map_or(now, |slot| slot.began);
+        let counted = now.since(began).max(ARRIVALS_OF);
         let part = ARRIVALS_OF.as_secs_f64() / counted.as_secs_f64();
-        (f64::from(self.arrived) * part).ceil() as u32
+        let arrived = (f64::from(arrived) * part).ceil() as u32;
+        TenantUse { tenant, arrived, admitted }
     }
 }
 
@@ -61,16 +91,9 @@
 
     /// Counts a request; gives how many admitted ones have become too old to be reported.
     pub(super) fn count(&mut self, now: Timestamp, tenant: &TenantName, admitted: bool) -> u32 {
-        let fresh = Count { since: now, arrived: 0, admitted: 0 };
-        let count = self.fresh.entry(tenant.clone()).or_insert(fresh);
-        let mut dropped = 0;
-        if now.since(count.since) > self.life {
-            dropped = count.admitted;
-            *count = fresh;
-        }
-        count.arrived += 1;
-        count.admitted += u32::from(admitted);
-        dropped
+        let count = self.fresh.entry(tenant.clone()).or_default();
+        count.add(now, 1, u32::from(admitted));
+        count.drop_old(now, self.life)
     }
 
     /// The report that is due, if any.
@@ -82,11 +105,7 @@
         self.reported = Some(now);
         self.sequence += 1;
         let fresh = std::mem::take(&mut self.fresh).into_iter();
-        let uses = fresh.map(|(tenant, count)| TenantUse {
-            tenant,
-            arrived: count.recently_arrived(now),
-            admitted: count.admitted,
-        });
+        let uses = fresh.map(|(tenant, count)| count.as_use(now, tenant));
         let report = UsageReport { sequence: self.sequence, uses: uses.collect() };
         self.on_the_way.push_back((now, report.clone()));
         Some(report)
@@ -106,21 +125,21 @@
     pub(super) fn take_back(&mut self, now: Timestamp) -> Vec<TenantUse> {
         self.reported = None;
         let mut dropped = Vec::new();
-        for (since, report) in std::mem::take(&mut self.on_the_way) {
-            if now.since(since) > self.life {
+        let mut later = std::mem::take(&mut self.fresh);
+        for (sent, report) in std::mem::take(&mut self.on_the_way) {
+            if now.since(sent) > self.life {
                 dropped.extend(report.uses);
                 continue;
             }
-            report.uses.into_iter().for_each(|used| self.add(since, used));
+            for used in report.uses {
+                let count = self.fresh.entry(used.tenant).or_default();
+                count.add(sent, used.arrived, used.admitted);
+            }
+        }
+        for (tenant, count) in &mut later {
+            let all = self.fresh.entry(tenant.clone()).or_default();
+            all.slots.append(&mut count.slots);
         }
         dropped
     }
-
-    fn add(&mut self, since: Timestamp, used: TenantUse) {
-        let fresh = Count { since, arrived: 0, admitted: 0 };
-        let count = self.fresh.entry(used.tenant).or_insert(fresh);
-        count.since = count.since.min(since);
-        count.arrived += used.arrived;
-        count.admitted += used.admitted;
-    }
 }
--- a/crates/domain/src/quota/fleet_tenant.rs
+++ b/crates/domain/src/quota/fleet_tenant.rs
@@ -84,6 +84,14 @@
         (self.flow.sum_at(now), self.quota.per_second() * TOLD_PART)
     }
 
+    /// Keeps `share` of the burst for brokers that are not heard; gives what that takes from the level.
+    pub(super) fn reserve(&mut self, now: Timestamp, share: f64) -> f64 {
+        let left = self.quota.burst() * (1.0 - share.clamp(0.0, 1.0));
+        let taken = (self.bucket.level_at(now) - left).max(0.0);
+        self.bucket.take(now, taken);
+        taken
+    }
+
     /// How pressing it is to tell brokers of it; none when there is nothing to tell.
     pub(super) fn urgency(&mut self, now: Timestamp) -> Option<f64> {
         let room = self.room(now);
--- a/crates/domain/src/quota/fold.rs
+++ b/crates/domain/src/quota/fold.rs
@@ -39,6 +39,13 @@
     sequence: u64,
 }
 
+/// The share of a quota that silent brokers have: of those that this process fed, and of all.
+#[derive(Debug, Clone, Copy, Default)]
+struct SilentShares {
+    fed_here: f64,
+    all: f64,
+}
+
 /// The use of quotas at one control process.
 ///
 /// Load it answers: hundreds of brokers that each see a small part of a tenant's requests, and tenants by
@@ -235,9 +242,38 @@
         let silent = self.sources.iter().filter(|(_, source)| source.is_silent());
         let silent: Vec<SourceId> = silent.map(|(id, _)| id.clone()).collect();
         silent.iter().for_each(|id| self.presume(now, id, passed));
+        self.reserve_bursts(now, &silent);
         self.sources.values_mut().for_each(|source| source.forget(now));
     }
 
+    /// Keeps the part of each burst that silent brokers may use at once. Those that this process fed are unknown to
+    /// the others, which learn of it by its totals.
+    fn reserve_bursts(&mut self, now: Timestamp, silent: &[SourceId]) {
+        let mut shares: BTreeMap<TenantName, SilentShares> = BTreeMap::new();
+        for id in silent {
+            let Some(source) = self.sources.get_mut(id) else {
+                continue;
+            };
+            for Presumed { tenant, share } in source.presume(now, self.serving) {
+                let known = shares.entry(tenant).or_default();
+                known.all += share;
+                if matches!(id, SourceId::Broker(_)) {
+                    known.fed_here += share;
+                }
+            }
+        }
+        for (name, share) in shares {
+            let Some(tenant) = self.tenants.get_mut(&name) else {
+                continue;
+            };
+            let told = tenant.reserve(now, share.fed_here);
+            tenant.reserve(now, share.all);
+            if told > 0.0 {
+                self.own.add(&name, 0, told);
+            }
+        }
+    }
+
     /// This process stood still itself: it listens first, as after a start.
     fn resume(&mut self, now: Timestamp) {
         self.started = Some(now);
