--- a/crates/broker/src/routes/quota.rs
+++ b/crates/broker/src/routes/quota.rs
@@ -16,7 +16,6 @@
 use rand_pcg::Pcg64;
 use tracing::info;
 
-
 use crate::route_reports::{LinkNumber, LinkedUsage};
 
 /// What tenants with a quota sent to this broker.
--- a/crates/control/src/cluster_task/usage.rs
+++ b/crates/control/src/cluster_task/usage.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use gingerkeel_domain::cluster::ClusterState;
-use gingerkeel_domain::identifiers::{BrokerName, ControlName};
+use gingerkeel_domain::identifiers::{BrokerName, BrokerRun, ControlName};
 use gingerkeel_domain::quota::{PeerUsage, TenantLevel, UsageFold, UsageReport};
 use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::time::Timestamp;
@@ -24,8 +24,8 @@
 pub struct QuotaUse {
     own_name: ControlName,
     fold: UsageFold,
-    /// Numbers by which the fold knows control processes.
-    controls: BTreeMap<ControlName, u32>,
+    /// The run of each broker that reported last.
+    runs: BTreeMap<BrokerName, BrokerRun>,
     /// The version of the configuration whose quotas count.
     version: Option<RouteVersion>,
     /// Whether any tenant has a quota.
@@ -40,7 +40,7 @@
         Self {
             own_name,
             fold: UsageFold::new(run),
-            controls: BTreeMap::new(),
+            runs: BTreeMap::new(),
             version: None,
             has_quotas: false,
             levels: Vec::new(),
@@ -68,19 +68,10 @@
         let members = state.members();
         let serving = members.brokers().len() + members.departed().len();
         let brokers = members.brokers().iter();
-        let fed_by: Vec<(BrokerName, u32)> = brokers
-            .map(|(broker, record)| (broker.clone(), self.number(&record.control)))
-            .collect();
-        self.fold.members(now, serving, fed_by.into_iter());
+        let fed_by = brokers.map(|(broker, record)| (broker.clone(), record.control.clone()));
+        self.fold.members(now, serving, fed_by);
         let others = members.controls().keys().filter(|control| **control != self.own_name);
-        let others: Vec<ControlName> = others.cloned().collect();
-        let others: Vec<u32> = others.iter().map(|control| self.number(control)).collect();
-        self.fold.set_peers(now, others.into_iter());
-    }
-
-    fn number(&mut self, control: &ControlName) -> u32 {
-        let next = self.controls.len() as u32;
-        *self.controls.entry(control.clone()).or_insert(next)
+        self.fold.set_peers(now, others.cloned());
     }
 
     /// A broker that is fed here reported.
@@ -90,11 +81,14 @@
         broker: &SubscriberIdentity,
         report: &UsageReport,
     ) {
-        self.fold.report(now, &broker.broker, report);
+        let run = BrokerRun(broker.run);
+        self.runs.insert(broker.broker.clone(), run);
+        self.fold.report(now, &broker.broker, run, report);
     }
 
     /// The link to a broker is lost, or its side closed it.
     pub fn broker_left(&mut self, now: Timestamp, broker: &BrokerName, closed_by_it: bool) {
+        self.runs.remove(broker);
         if closed_by_it {
             self.fold.broker_stopped(now, broker);
         } else {
@@ -104,8 +98,7 @@
 
     /// Another control process told its totals.
     pub fn peer_used(&mut self, now: Timestamp, used: &PeerUse) {
-        let control = self.number(&used.control);
-        self.fold.peer(now, control, &used.usage);
+        self.fold.peer(now, &used.control, &used.usage);
     }
 
     /// What the other control processes are to be told.
@@ -128,9 +121,10 @@
         self.has_quotas && self.fold.is_informed(now)
     }
 
-    /// The last report of a broker that is contained in what is told.
+    /// The last report of a broker's run that is contained in what is told; 0 for none.
     pub fn heard(&self, broker: &SubscriberIdentity) -> u64 {
-        self.fold.heard(&broker.broker)
+        let reported = self.runs.get(&broker.broker) == Some(&BrokerRun(broker.run));
+        if reported { self.fold.heard(&broker.broker) } else { 0 }
     }
 }
 
--- a/crates/domain/src/quota/counts.rs
+++ b/crates/domain/src/quota/counts.rs
@@ -98,9 +98,10 @@
 
     /// An admitted request does not count after all. False when it is reported already.
     pub(super) fn give_back(&mut self, tenant: &TenantName) -> bool {
-        let count = self.fresh.get_mut(tenant).filter(|count| count.admitted > 0);
-        if let Some(count) = count {
-            count.admitted -= 1;
+        let slots = self.fresh.get_mut(tenant).map(|count| count.slots.iter_mut().rev());
+        let slot = slots.and_then(|mut slots| slots.find(|slot| slot.admitted > 0));
+        if let Some(slot) = slot {
+            slot.admitted -= 1;
             return true;
         }
         false
--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -8,6 +8,8 @@
 mod http;
 mod leaves;
 mod parties;
+#[cfg(test)]
+mod quota_tests;
 mod record;
 mod tenants;
 #[cfg(test)]
@@ -28,7 +30,7 @@
 use crate::error::RehearsalError;
 use crate::fleet::{end_processes_on_interrupt, wait_until};
 use answer::{SHARDS, SINGLE};
-use fleet::SoakFleet;
+use fleet::{SOAK_SIZE, SoakFleet};
 use leaves::{Journal, StandInLeaf, serve_directory};
 use parties::{Scene, call, operate, read, replace};
 use record::{Counts, Cut, Record};
@@ -97,21 +99,8 @@
     info!(event = "soak_started", seed, seconds);
     let journal = Arc::new(Journal::default());
     let leaves = start_leaves(&journal)?;
-    let mut fleet = SoakFleet::start(folder, serve_directory(&leaves)?)?;
-    let scene = Scene {
-        callers: fleet.callers.clone(),
-        operators: fleet.operators.clone(),
-        record: Arc::new(Record::default()),
-        stop: Arc::new(AtomicBool::new(false)),
-        sent_version: Arc::new(AtomicU64::new(0)),
-    };
-    let ready = wait_until(REST_LIMIT, || {
-        replace(&scene, 0);
-        fleet.readiness.iter().all(|address| SoakFleet::is_ready(*address))
-    });
-    if !ready {
-        return Err(RehearsalError::NotReady("the fleet of the soak".to_owned()));
-    }
+    let mut fleet = SoakFleet::start(folder, serve_directory(&leaves)?, SOAK_SIZE)?;
+    let scene = set_scene(&fleet)?;
     let mut threads: Vec<_> = (0..CALLERS)
         .map(|number| {
             let scene = scene.clone();
@@ -139,6 +128,25 @@
     Ok(SoakSummary { seed, seconds, counts: seen.counts, violations: seen.violations.clone() })
 }
 
+/// What the parties of a run share, once a configuration is in force at all brokers.
+fn set_scene(fleet: &SoakFleet) -> Result<Scene, RehearsalError> {
+    let scene = Scene {
+        callers: fleet.callers.clone(),
+        operators: fleet.operators.clone(),
+        record: Arc::new(Record::default()),
+        stop: Arc::new(AtomicBool::new(false)),
+        sent_version: Arc::new(AtomicU64::new(0)),
+    };
+    let ready = wait_until(REST_LIMIT, || {
+        replace(&scene, 0);
+        fleet.readiness.iter().all(|address| SoakFleet::is_ready(*address))
+    });
+    if !ready {
+        return Err(RehearsalError::NotReady("the fleet of the soak".to_owned()));
+    }
+    Ok(scene)
+}
+
 fn start_leaves(journal: &Arc<Journal>) -> Result<Vec<StandInLeaf>, RehearsalError> {
     let mut leaves = Vec::new();
     for service in SHARDS.iter().chain(&[SINGLE]) {
--- a/crates/rehearsal/src/soak/parties.rs
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -118,7 +118,8 @@
     }
 }
 
-fn call_once(scene: &Scene, broker: usize, path: &str, id: &str) {
+/// Sends one request to a broker and judges what comes.
+pub fn call_once(scene: &Scene, broker: usize, path: &str, id: &str) {
     let acknowledged = scene.record.lock().acknowledged;
     let key = tenants::key(tenants::tenant_of(id).unwrap_or_default(), acknowledged);
     let request = format!(
