--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -8,7 +8,10 @@
 mod http;
 mod leaves;
 mod parties;
+#[cfg(test)]
+mod quota_tests;
 mod record;
+mod tenants;
 #[cfg(test)]
 mod tests;
 
@@ -27,7 +30,7 @@
 use crate::error::RehearsalError;
 use crate::fleet::{end_processes_on_interrupt, wait_until};
 use answer::{SHARDS, SINGLE};
-use fleet::SoakFleet;
+use fleet::{SOAK_SIZE, SoakFleet};
 use leaves::{Journal, StandInLeaf, serve_directory};
 use parties::{Scene, call, operate, read, replace};
 use record::{Counts, Cut, Record};
@@ -96,21 +99,8 @@
     info!(event = "soak_started", seed, seconds);
     let journal = Arc::new(Journal::default());
     let leaves = start_leaves(&journal)?;
-    let mut fleet = SoakFleet::start(folder, serve_directory(&leaves)?)?;
-    let scene = Scene {
-        callers: fleet.callers.clone(),
-        operators: fleet.operators.clone(),
-        record: Arc::new(Record::default()),
-        stop: Arc::new(AtomicBool::new(false)),
-        sent_version: Arc::new(AtomicU64::new(0)),
-    };
-    let ready = wait_until(REST_LIMIT, || {
-        replace(&scene, 0);
-        fleet.readiness.iter().all(|address| SoakFleet::is_ready(*address))
-    });
-    if !ready {
-        return Err(RehearsalError::NotReady("the fleet of the soak".to_owned()));
-    }
+    let mut fleet = SoakFleet::start(folder, serve_directory(&leaves)?, SOAK_SIZE)?;
+    let scene = set_scene(&fleet)?;
     let mut threads: Vec<_> = (0..CALLERS)
         .map(|number| {
             let scene = scene.clone();
@@ -138,6 +128,25 @@
     Ok(SoakSummary { seed, seconds, counts: seen.counts, violations: seen.violations.clone() })
 }
 
+/// What the parties of a run share, once a configuration is in force at all brokers.
+fn set_scene(fleet: &SoakFleet) -> Result<Scene, RehearsalError> {
+    let scene = Scene {
+        callers: fleet.callers.clone(),
+        operators: fleet.operators.clone(),
+        record: Arc::new(Record::default()),
+        stop: Arc::new(AtomicBool::new(false)),
+        sent_version: Arc::new(AtomicU64::new(0)),
+    };
+    let ready = wait_until(REST_LIMIT, || {
+        replace(&scene, 0);
+        fleet.readiness.iter().all(|address| SoakFleet::is_ready(*address))
+    });
+    if !ready {
+        return Err(RehearsalError::NotReady("the fleet of the soak".to_owned()));
+    }
+    Ok(scene)
+}
+
 fn start_leaves(journal: &Arc<Journal>) -> Result<Vec<StandInLeaf>, RehearsalError> {
     let mut leaves = Vec::new();
     for service in SHARDS.iter().chain(&[SINGLE]) {
@@ -170,6 +179,33 @@
     }
     check_refusals(record, journal);
     check_cuts(record, fleet);
+    check_tenants(scene, journal);
+}
+
+/// What leaves learnt of callers, what the greedy tenant got, and keys that were taken away.
+fn check_tenants(scene: &Scene, journal: &Journal) {
+    let acknowledged = scene.record.lock().acknowledged;
+    let revoked = tenants::revoked_key(acknowledged);
+    let brokers = scene.callers.iter().enumerate();
+    let served = brokers.filter_map(|(number, broker)| {
+        let status = status_of_key(*broker, revoked.as_deref()?)?;
+        tenants::fault_of_revoked(status, number)
+    });
+    let served: Vec<String> = served.collect();
+    let mut seen = scene.record.lock();
+    seen.violations.extend(served);
+    seen.violations.extend(journal.identity_faults());
+    seen.violations.extend(tenants::fault_of_quota(&journal.greedy_arrivals()));
+}
+
+/// The status that a request with a key gets; none without an answer.
+fn status_of_key(broker: std::net::SocketAddr, key: &str) -> Option<u16> {
+    let request = format!(
+        "GET /one/x HTTP/1.1\r\nhost: soak\r\ngingerkeel-request-id: probe\r\n\
+         authorization: Bearer {key}\r\nconnection: close\r\n\r\n"
+    );
+    let response = http::exchange(broker, request.as_bytes(), Duration::from_secs(5));
+    response.ok().map(|response| response.status)
 }
 
 /// Whether a broker has the route of this version or of a later one, which has replaced it.
