Judge the requests under which leaves end

Cause: nothing kept which requests were under way at leaves that ended. A request that crashes every leaf which runs it went on to the next leaf by retries, hedges, parts, its caller's tries and other brokers, and took one leaf of each shard at once.

CrashSuspects tells it from the requests beside it: all of them are suspected and go to one leaf at a time, a reply clears a request, and a second end under it alone, after the first was known, refuses it for 30 s, doubled up to 5 minutes. CanaryGate counts at how many leaves one request may be, CanaryRoom whether a route has time to ask few leaves first, FindingFold what brokers tell each other.

Tests: domain/tests/crash_suspects.rs, 35 cases.

--- /dev/null
+++ b/crates/domain/src/crash_suspects/canary_gate.rs
@@ -0,0 +1,131 @@
+//! How many leaves one request may be under way at, until one of them has replied.
+
+/// Leaves that a request goes to first where any request may crash leaves. One of them is often slow or stopped for a
+/// moment; that two are is rare.
+const CANARIES: usize = 2;
+
+/// How carefully a request is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Caution {
+    /// To all leaves at once that it needs.
+    None,
+    /// To few leaves first.
+    Canary,
+    /// To one leaf at a time.
+    OneAtATime,
+}
+
+/// Whether the request may be sent to one more leaf.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Permission {
+    /// Now.
+    Send,
+    /// Perhaps, once a leaf has replied or ended.
+    Wait,
+    /// Never again.
+    Never,
+}
+
+/// Decides for all parts, retries and hedges of one request whether it may be sent to one more leaf. As soon as a
+/// leaf has ended under it and none has replied, it goes to one leaf at a time.
+#[derive(Debug)]
+pub struct CanaryGate {
+    caution: Caution,
+    /// Leaves that it may go to first, while the caution is that of a canary.
+    canaries: usize,
+    /// Leaves that it is under way at.
+    open: usize,
+    /// Whether it was under way at two leaves or more since it was last under way at none.
+    crowded: bool,
+    /// Leaves that ended under it.
+    ended: u32,
+    replied: bool,
+    refused: bool,
+}
+
+impl CanaryGate {
+    /// It was sent to nobody yet.
+    pub fn new(caution: Caution) -> Self {
+        Self {
+            caution,
+            canaries: CANARIES,
+            open: 0,
+            crowded: false,
+            ended: 0,
+            replied: false,
+            refused: false,
+        }
+    }
+
+    /// At how many leaves it may be under way now; none for any number.
+    pub fn most_open(&self) -> Option<usize> {
+        match self.caution {
+            _ if self.replied => None,
+            Caution::None => None,
+            Caution::Canary => Some(self.canaries),
+            Caution::OneAtATime => Some(1),
+        }
+    }
+
+    /// How many leaves more it may go to now; none for any number.
+    pub fn room(&self) -> Option<usize> {
+        Some(self.most_open()?.saturating_sub(self.open))
+    }
+
+    /// Whether it may be sent to one more leaf.
+    pub fn permission(&self) -> Permission {
+        match self.room() {
+            _ if self.refused => Permission::Never,
+            Some(0) => Permission::Wait,
+            _ => Permission::Send,
+        }
+    }
+
+    /// The leaves that it went to first have had the time that leaves usually need: it goes to one more. All at
+    /// once would do most harm where leaves crash slowly.
+    pub fn canaries_are_late(&mut self) {
+        self.canaries += 1;
+    }
+
+    /// It is sent to one more leaf.
+    pub fn sent(&mut self) {
+        self.open += 1;
+        self.crowded |= self.open > 1;
+    }
+
+    /// An attempt is over, and a leaf has replied that may have run it.
+    pub fn replied(&mut self) {
+        self.over();
+        self.replied = true;
+    }
+
+    /// An attempt is over that tells nothing of the request.
+    pub fn over(&mut self) {
+        self.open = self.open.saturating_sub(1);
+        self.crowded &= self.open > 0;
+    }
+
+    /// An attempt is over because its leaf has ended; gives whether the request was under way there alone.
+    pub fn leaf_ended(&mut self) -> bool {
+        let alone = !self.crowded;
+        self.ended += 1;
+        self.caution = Caution::OneAtATime;
+        self.over();
+        alone
+    }
+
+    /// It is to be sent to nobody any more.
+    pub fn refuse(&mut self) {
+        self.refused = !self.replied;
+    }
+
+    /// Leaves that ended under it.
+    pub fn ended(&self) -> u32 {
+        self.ended
+    }
+
+    /// Whether leaves have ended under it, and none has replied.
+    pub fn is_suspected(&self) -> bool {
+        self.ended > 0 && !self.replied
+    }
+}
--- /dev/null
+++ b/crates/domain/src/crash_suspects/mod.rs
@@ -0,0 +1,67 @@
+//! Requests under which leaves crash.
+//!
+//! A request that crashes every leaf which runs it takes one leaf of each shard with it, and its retries the
+//! rest. All leaves that end do so with requests under way, most of them innocent ones. So a broker keeps, by a
+//! digest of the request, under which requests leaves have ended that nobody has answered since: they are
+//! *suspected*. A suspected request goes to one leaf alone, as a canary. An answer clears it; if that leaf ends
+//! too, the request is *refused* for a while, everywhere: brokers tell each other by way of the control process
+//! that feeds them. Nothing of it is replicated or kept on disk, and each entry ends by itself.
+//! Why so, and what else was weighed: `docs/design/crashing-requests.md`.
+
+mod canary_gate;
+mod canary_room;
+mod fold;
+mod suspects;
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+pub use canary_gate::{CanaryGate, Caution, Permission};
+pub use canary_room::CanaryRoom;
+pub use fold::FindingFold;
+pub use suspects::{CrashSuspects, LeafEnd, Treatment};
+
+/// Digest of what leaves see of a request that is the same in all its tries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestDigest(pub u64);
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+/// What is held of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Leaves have ended under it: it is sent to one leaf first.
+    Suspected,
+    /// A leaf ended under it alone, after another one: it is sent to nobody.
+    Refused,
+}
+
+impl Verdict {
+    /// In one word, as logs say it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Suspected => "suspected",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+/// What a broker found of a request, as brokers tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFinding {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Name of its route.
+    pub route: String,
+    /// Leaves that have ended under it, as far as is known.
+    pub leaves: u32,
+    /// What is held of it.
+    pub verdict: Verdict,
+    /// For how many milliseconds from now.
+    pub for_ms: u32,
+}
--- /dev/null
+++ b/crates/domain/src/crash_suspects/suspects.rs
@@ -0,0 +1,279 @@
+//! What one broker holds of the requests under which leaves have ended.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{CrashFinding, RequestDigest, Verdict};
+use crate::identifiers::LeafIdentity;
+use crate::time::Timestamp;
+
+/// Requests that are kept: far more than are under way at a broker when all leaves end at once.
+const MOST_SUSPECTS: usize = 1024;
+/// Leaves that are kept of one request, to count each once.
+const KEPT_LEAVES: usize = 128;
+/// Time for which a request stays suspected after its last leaf has ended, or after a refusal: a crashed leaf
+/// needs seconds to minutes to be back, and callers come again within that.
+const SUSPICION_LIFE: Duration = Duration::from_secs(60);
+/// Ends from which on others are told: one leaf may end for any reason.
+const LEAVES_TO_TELL: u32 = 2;
+/// Ends from which on a request is refused, the last of them while it was under way at that leaf alone.
+const LEAVES_TO_REFUSE: u32 = 2;
+/// Time of the first refusal: several times what a leaf needs to be back and warm, as its end costs one leaf in each
+/// group of brokers if the verdict was right. A wrong one costs the callers of one request that long.
+const FIRST_REFUSAL: Duration = Duration::from_secs(30);
+/// Longest refusal: an operator has the time to mend leaves while one leaf is lost in five minutes.
+const LONGEST_REFUSAL: Duration = Duration::from_secs(300);
+/// Most by which a refusal lasts longer at brokers that were told of it, as a share: with it, the tries that hundreds
+/// of brokers let through lie further apart than a try and its news take.
+const LONGER_AT_OTHERS: f64 = 0.5;
+/// Leaves that a broker saw end under requests of a route, none of which is known to crash them, from which on all
+/// requests of the route go to one leaf first: the one that does may come here next.
+const UNEXPLAINED_FOR_CANARIES: usize = 2;
+/// Time for which such an end counts: callers come again within that, and others find out which request it is.
+const UNEXPLAINED_LIFE: Duration = Duration::from_secs(10);
+/// Different refused requests of a route from which on all its requests go to one leaf first: whatever they have in
+/// common crashes leaves, and the next one is not known by its digest.
+const REFUSED_FOR_CANARIES: usize = 2;
+
+/// How a request is to be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Treatment {
+    /// As ever.
+    Usual,
+    /// Requests of its route have crashed leaves lately: to one leaf first.
+    Canary,
+    /// Leaves have ended under it: to one leaf first, and to no second one while that owes a reply.
+    Suspected,
+    /// To nobody until then.
+    Refused {
+        /// When one try is let through.
+        until: Timestamp,
+    },
+}
+
+/// A leaf ended while a request was under way at it.
+#[derive(Debug, Clone, Copy)]
+pub struct LeafEnd<'end> {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Name of its route.
+    pub route: &'end str,
+    /// The leaf.
+    pub leaf: &'end LeafIdentity,
+    /// When the request was sent to it.
+    pub sent: Timestamp,
+    /// Whether the request was under way at no other leaf meanwhile.
+    pub alone: bool,
+}
+
+/// What is held of one request.
+#[derive(Debug)]
+struct Suspect {
+    route: String,
+    /// Leaves that this broker saw end under it.
+    seen: BTreeSet<LeafIdentity>,
+    /// Leaves that ended under it, as far as is known.
+    leaves: u32,
+    /// Since when it is known that a leaf has ended under it.
+    since: Timestamp,
+    /// When the newest refusal ends, and how long it lasts.
+    refusal: Option<(Timestamp, Duration)>,
+    /// Whether others were told that it is suspected, or have told so.
+    told: bool,
+    forgotten_at: Timestamp,
+}
+
+/// The requests under which leaves have ended.
+#[derive(Debug, Default)]
+pub struct CrashSuspects {
+    suspects: BTreeMap<RequestDigest, Suspect>,
+    /// Leaves that ended under requests of a route, and when, since a request of the route was refused last.
+    unexplained: BTreeMap<String, BTreeMap<LeafIdentity, Timestamp>>,
+}
+
+impl CrashSuspects {
+    /// Whether nothing is held of any request.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty() && self.unexplained.is_empty()
+    }
+
+    /// How a request of a route is to be sent.
+    pub fn treatment(&self, now: Timestamp, route: &str, digest: RequestDigest) -> Treatment {
+        match self.suspects.get(&digest).filter(|suspect| now < suspect.forgotten_at) {
+            Some(suspect) => match suspect.refused_until(now) {
+                Some(until) => Treatment::Refused { until },
+                None => Treatment::Suspected,
+            },
+            None if self.sends_canaries(now, route) => Treatment::Canary,
+            None => Treatment::Usual,
+        }
+    }
+
+    /// Whether so many requests of a route have crashed leaves that all of them go to one leaf first.
+    fn sends_canaries(&self, now: Timestamp, route: &str) -> bool {
+        let lately = |at: &&Timestamp| now.since(**at) < UNEXPLAINED_LIFE;
+        let ends = self.unexplained.get(route).into_iter().flat_map(BTreeMap::values);
+        if ends.filter(lately).take(UNEXPLAINED_FOR_CANARIES).count() >= UNEXPLAINED_FOR_CANARIES {
+            return true;
+        }
+        let refused = |suspect: &&Suspect| {
+            suspect.refusal.is_some() && now < suspect.forgotten_at && suspect.route == route
+        };
+        self.suspects.values().filter(refused).take(REFUSED_FOR_CANARIES).count()
+            >= REFUSED_FOR_CANARIES
+    }
+
+    /// Whether a request is to be sent to nobody.
+    pub fn is_refused(&self, now: Timestamp, digest: RequestDigest) -> bool {
+        self.suspects.get(&digest).is_some_and(|suspect| suspect.refused_until(now).is_some())
+    }
+
+    /// Forgets what has ended; gives the routes whose requests all go to one leaf first.
+    pub fn canary_routes(&mut self, now: Timestamp) -> BTreeSet<String> {
+        self.forget(now);
+        let suspected = self.suspects.values().map(|suspect| suspect.route.as_str());
+        let routes = suspected.chain(self.unexplained.keys().map(String::as_str));
+        routes.filter(|route| self.sends_canaries(now, route)).map(str::to_owned).collect()
+    }
+
+    /// A leaf has ended under a request. Gives what others are to be told.
+    pub fn leaf_ended(&mut self, now: Timestamp, end: LeafEnd<'_>) -> Option<CrashFinding> {
+        self.forget(now);
+        self.make_room(end.digest);
+        let suspect =
+            self.suspects.entry(end.digest).or_insert_with(|| Suspect::new(end.route, now));
+        suspect.add(now, end.leaf);
+        if suspect.refused_until(now).is_some() {
+            return None;
+        }
+        let ends = self.unexplained.entry(end.route.to_owned()).or_default();
+        if ends.len() < KEPT_LEAVES {
+            ends.insert(end.leaf.clone(), now);
+        }
+        // What was sent before the first end says nothing more: leaves that end together do so with the
+        // same requests under way.
+        let is_canary = end.alone && end.sent >= suspect.since;
+        if is_canary && suspect.leaves >= LEAVES_TO_REFUSE {
+            let life = suspect.refuse(now);
+            self.unexplained.remove(end.route);
+            return Some(suspect.finding(end.digest, Verdict::Refused, life));
+        }
+        if suspect.leaves >= LEAVES_TO_TELL && !std::mem::replace(&mut suspect.told, true) {
+            return Some(suspect.finding(end.digest, Verdict::Suspected, SUSPICION_LIFE));
+        }
+        None
+    }
+
+    /// A leaf has replied to a request, which has thus not crashed it. Gives whether it was suspected.
+    pub fn replied(&mut self, digest: RequestDigest) -> bool {
+        self.suspects.remove(&digest).is_some()
+    }
+
+    /// Another broker's finding; gives whether it is news.
+    /// The `draw` from 0 to 1 spreads the moments at which brokers let one try through, so that the first one
+    /// tells the others before they do.
+    pub fn told(&mut self, now: Timestamp, finding: &CrashFinding, draw: f64) -> bool {
+        self.forget(now);
+        self.make_room(finding.digest);
+        let life = Duration::from_millis(finding.for_ms.into());
+        let suspect = self.suspects.entry(finding.digest);
+        let suspect = suspect.or_insert_with(|| Suspect::new(&finding.route, now));
+        suspect.leaves = suspect.leaves.max(finding.leaves);
+        let was_told = std::mem::replace(&mut suspect.told, true);
+        match finding.verdict {
+            Verdict::Suspected => {
+                suspect.forgotten_at = suspect.forgotten_at.max(now.after(life));
+                !was_told
+            }
+            Verdict::Refused => {
+                let is_news = suspect.refused_by_others(now, life, draw);
+                self.unexplained.remove(&finding.route);
+                is_news
+            }
+        }
+    }
+
+    /// Forgets what has ended.
+    fn forget(&mut self, now: Timestamp) {
+        self.suspects.retain(|_, suspect| now < suspect.forgotten_at);
+        self.unexplained.retain(|_, ends| {
+            ends.retain(|_, at| now.since(*at) < UNEXPLAINED_LIFE);
+            !ends.is_empty()
+        });
+    }
+
+    /// Drops what is forgotten soonest where there is no room for one more.
+    fn make_room(&mut self, digest: RequestDigest) {
+        if self.suspects.len() < MOST_SUSPECTS || self.suspects.contains_key(&digest) {
+            return;
+        }
+        let soonest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.forgotten_at);
+        if let Some(digest) = soonest.map(|(digest, _)| *digest) {
+            self.suspects.remove(&digest);
+        }
+    }
+}
+
+impl Suspect {
+    fn new(route: &str, now: Timestamp) -> Self {
+        Self {
+            route: route.to_owned(),
+            seen: BTreeSet::new(),
+            leaves: 0,
+            since: now,
+            refusal: None,
+            told: false,
+            forgotten_at: now.after(SUSPICION_LIFE),
+        }
+    }
+
+    /// A leaf has ended under it.
+    fn add(&mut self, now: Timestamp, leaf: &LeafIdentity) {
+        self.forgotten_at = self.forgotten_at.max(now.after(SUSPICION_LIFE));
+        if self.seen.contains(leaf) {
+            return;
+        }
+        if self.seen.len() < KEPT_LEAVES {
+            self.seen.insert(leaf.clone());
+        }
+        self.leaves = self.leaves.saturating_add(1);
+    }
+
+    fn refused_until(&self, now: Timestamp) -> Option<Timestamp> {
+        self.refusal.map(|(until, _)| until).filter(|until| now < *until)
+    }
+
+    /// Refuses it: each time for twice as long as the time before.
+    fn refuse(&mut self, now: Timestamp) -> Duration {
+        let doubled = |(_, life): (Timestamp, Duration)| (life * 2).min(LONGEST_REFUSAL);
+        let life = self.refusal.map_or(FIRST_REFUSAL, doubled);
+        self.refuse_for(life, now.after(life));
+        life
+    }
+
+    /// Gives whether it was not refused for about as long already.
+    fn refused_by_others(&mut self, now: Timestamp, life: Duration, draw: f64) -> bool {
+        let is_news = self.refused_until(now).is_none_or(|until| until < now.after(life / 2));
+        if is_news {
+            let life = life.min(LONGEST_REFUSAL);
+            self.refuse_for(life, now.after(life.mul_f64(1.0 + LONGER_AT_OTHERS * draw)));
+        }
+        is_news
+    }
+
+    fn refuse_for(&mut self, life: Duration, until: Timestamp) {
+        self.refusal = Some((until, life));
+        self.told = true;
+        self.forgotten_at = self.forgotten_at.max(until.after(SUSPICION_LIFE));
+    }
+
+    fn finding(&self, digest: RequestDigest, verdict: Verdict, life: Duration) -> CrashFinding {
+        CrashFinding {
+            digest,
+            route: self.route.clone(),
+            leaves: self.leaves,
+            verdict,
+            for_ms: life.as_millis() as u32,
+        }
+    }
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod cluster;
 pub mod consensus;
+pub mod crash_suspects;
 pub mod directory;
 pub mod dispatch;
 pub mod feed;
--- /dev/null
+++ b/crates/domain/tests/crash_suspects.rs
@@ -0,0 +1,347 @@
+//! Which requests are kept from leaves because leaves crash under them.
+
+use std::time::Duration;
+
+use gingerkeel_domain::crash_suspects::{
+    CanaryGate, CanaryRoom, Caution, CrashFinding, CrashSuspects, FindingFold, LeafEnd, Permission,
+    RequestDigest, Treatment, Verdict,
+};
+use gingerkeel_domain::identifiers::LeafIdentity;
+use gingerkeel_domain::time::Timestamp;
+use rstest::rstest;
+
+const ROUTE: &str = "all";
+const CRASHING: RequestDigest = RequestDigest(1);
+const HARMLESS: RequestDigest = RequestDigest(2);
+const FIRST_REFUSAL: Duration = Duration::from_secs(30);
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_micros(milliseconds * 1_000)
+}
+
+fn treatment(suspects: &CrashSuspects, now: u64, digest: RequestDigest) -> Treatment {
+    suspects.treatment(at(now), ROUTE, digest)
+}
+
+/// A leaf ended at `now` under a request that was sent to it at `sent`.
+fn end(
+    suspects: &mut CrashSuspects,
+    now: u64,
+    digest: RequestDigest,
+    leaf: &str,
+    sent: u64,
+    alone: bool,
+) -> Option<CrashFinding> {
+    let leaf = LeafIdentity::new(leaf);
+    let end = LeafEnd { digest, route: ROUTE, leaf: &leaf, sent: at(sent), alone };
+    suspects.leaf_ended(at(now), end)
+}
+
+/// A request that has crashed a leaf of each of these, and was then sent to one leaf alone, which crashed too.
+fn refused(now: u64) -> (CrashSuspects, CrashFinding) {
+    let mut suspects = CrashSuspects::default();
+    end(&mut suspects, now, CRASHING, "a", now - 20, false);
+    let found = end(&mut suspects, now + 30, CRASHING, "b", now + 5, true);
+    (suspects, found.expect("a finding"))
+}
+
+fn finding(verdict: Verdict, for_ms: u32) -> CrashFinding {
+    CrashFinding { digest: CRASHING, route: ROUTE.to_owned(), leaves: 2, verdict, for_ms }
+}
+
+#[test]
+fn nothing_is_held_of_a_request_under_which_no_leaf_ended() {
+    let suspects = CrashSuspects::default();
+    assert!(suspects.is_empty());
+    assert_eq!(treatment(&suspects, 0, CRASHING), Treatment::Usual);
+}
+
+#[test]
+fn a_request_is_refused_once_a_second_leaf_has_ended_under_it_alone() {
+    let (suspects, found) = refused(1_000);
+    assert_eq!((found.verdict, found.leaves, found.for_ms), (Verdict::Refused, 2, 30_000));
+    let until = at(1_030).after(FIRST_REFUSAL);
+    assert_eq!(treatment(&suspects, 1_040, CRASHING), Treatment::Refused { until });
+    assert!(suspects.is_refused(at(1_040), CRASHING));
+    assert_eq!(treatment(&suspects, 1_040, HARMLESS), Treatment::Usual);
+}
+
+/// The second end of each is not enough.
+#[rstest]
+#[case::under_way_elsewhere_too("b", 1_005, false)]
+#[case::sent_before_the_first_ended("b", 995, true)]
+#[case::the_same_leaf("a", 1_005, true)]
+fn a_request_is_only_suspected(#[case] leaf: &str, #[case] sent: u64, #[case] alone: bool) {
+    let mut suspects = CrashSuspects::default();
+    end(&mut suspects, 1_000, CRASHING, "a", 980, true);
+    end(&mut suspects, 1_030, CRASHING, leaf, sent, alone);
+    assert_eq!(treatment(&suspects, 1_040, CRASHING), Treatment::Suspected);
+}
+
+#[test]
+fn requests_beside_a_crashing_one_are_suspected_and_cleared_by_an_answer() {
+    let mut suspects = CrashSuspects::default();
+    // All leaves of a wave end at nearly the same time, with both requests under way.
+    for (number, leaf) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let now = 1_000 + number as u64;
+        end(&mut suspects, now, CRASHING, leaf, 980, false);
+        end(&mut suspects, now, HARMLESS, leaf, 990, false);
+    }
+    assert_eq!(treatment(&suspects, 1_010, HARMLESS), Treatment::Suspected);
+    assert!(suspects.replied(HARMLESS));
+    assert_ne!(treatment(&suspects, 1_040, HARMLESS), Treatment::Suspected);
+    let found = end(&mut suspects, 1_050, CRASHING, "e", 1_010, true).expect("a finding");
+    assert_eq!((found.verdict, found.leaves), (Verdict::Refused, 5));
+    assert_eq!(treatment(&suspects, 1_060, HARMLESS), Treatment::Usual);
+}
+
+#[test]
+fn leaves_that_end_together_convict_nobody() {
+    let mut suspects = CrashSuspects::default();
+    for number in 0..200 {
+        let leaf = format!("leaf-{}", number % 10);
+        let digest = RequestDigest(number / 4);
+        assert_eq!(
+            end(&mut suspects, 1_000 + number / 50, digest, &leaf, 990, true)
+                .map(|found| found.verdict),
+            None.or((number % 4 == 1).then_some(Verdict::Suspected)),
+            "{number}"
+        );
+    }
+    assert!((0..50).all(|digest| !suspects.is_refused(at(1_010), RequestDigest(digest))));
+}
+
+#[test]
+fn others_are_told_once_of_a_suspicion_and_only_after_two_leaves() {
+    let mut suspects = CrashSuspects::default();
+    assert_eq!(end(&mut suspects, 1_000, CRASHING, "a", 980, false), None);
+    let told = end(&mut suspects, 1_001, CRASHING, "b", 980, false).expect("a finding");
+    assert_eq!((told.verdict, told.leaves), (Verdict::Suspected, 2));
+    assert_eq!(end(&mut suspects, 1_002, CRASHING, "c", 980, false), None);
+}
+
+#[test]
+fn after_its_refusal_a_request_is_tried_at_one_leaf_and_heals_by_an_answer() {
+    let (mut suspects, _) = refused(1_000);
+    let after = 1_030 + FIRST_REFUSAL.as_millis() as u64;
+    assert_eq!(treatment(&suspects, after, CRASHING), Treatment::Suspected);
+    assert!(suspects.replied(CRASHING));
+    assert_eq!(treatment(&suspects, after + 1, CRASHING), Treatment::Usual);
+}
+
+#[test]
+fn each_refusal_in_a_row_lasts_twice_as_long_and_five_minutes_at_most() {
+    let (mut suspects, first) = refused(1_000);
+    let (mut now, mut life) = (1_030, first.for_ms);
+    for number in 0..8 {
+        now += u64::from(life) + 100;
+        let leaf = format!("later-{number}");
+        let found = end(&mut suspects, now, CRASHING, &leaf, now - 50, true).expect("a finding");
+        assert_eq!(found.for_ms, (life * 2).min(300_000));
+        life = found.for_ms;
+    }
+    assert_eq!(life, 300_000);
+}
+
+#[test]
+fn a_suspicion_ends_by_itself() {
+    let mut suspects = CrashSuspects::default();
+    end(&mut suspects, 1_000, CRASHING, "a", 980, false);
+    assert_eq!(treatment(&suspects, 60_999, CRASHING), Treatment::Suspected);
+    assert_eq!(treatment(&suspects, 61_000, CRASHING), Treatment::Usual);
+    suspects.canary_routes(at(61_000));
+    assert!(suspects.is_empty());
+}
+
+#[test]
+fn what_others_found_counts_until_its_end() {
+    let mut suspects = CrashSuspects::default();
+    assert!(suspects.told(at(1_000), &finding(Verdict::Suspected, 60_000), 0.0));
+    assert_eq!(treatment(&suspects, 1_001, CRASHING), Treatment::Suspected);
+    assert!(suspects.told(at(1_100), &finding(Verdict::Refused, 10_000), 0.0));
+    assert!(suspects.is_refused(at(11_099), CRASHING));
+    assert!(!suspects.told(at(1_110), &finding(Verdict::Refused, 10_000), 0.0), "no news");
+    assert_eq!(treatment(&suspects, 11_100, CRASHING), Treatment::Suspected);
+}
+
+#[test]
+fn one_leaf_more_is_enough_where_others_suspect_a_request() {
+    let mut suspects = CrashSuspects::default();
+    suspects.told(at(1_000), &finding(Verdict::Suspected, 60_000), 0.0);
+    let found = end(&mut suspects, 1_100, CRASHING, "z", 1_050, true).expect("a finding");
+    assert_eq!((found.verdict, found.leaves), (Verdict::Refused, 3));
+}
+
+/// Three hundred brokers are told of a refusal, and callers try on at ten a second.
+#[test]
+fn the_tries_after_a_refusal_lie_apart() {
+    let refusal = finding(Verdict::Refused, 10_000);
+    let ends: Vec<u64> = (0..300)
+        .map(|broker| {
+            let mut suspects = CrashSuspects::default();
+            suspects.told(at(0), &refusal, f64::from(broker) / 300.0);
+            (10_000..=15_000).find(|now| !suspects.is_refused(at(*now), CRASHING)).expect("an end")
+        })
+        .collect();
+    let within_news = ends.iter().filter(|end| **end < 10_100).count();
+    assert!(within_news <= 7, "{within_news} brokers let a try through within 100 ms");
+}
+
+#[rstest]
+#[case::one_refused_request(1, false)]
+#[case::two(2, true)]
+fn a_route_of_which_several_requests_crash_leaves_sends_canaries(
+    #[case] requests: u64,
+    #[case] canaries: bool,
+) {
+    let mut suspects = CrashSuspects::default();
+    for number in 0..requests {
+        let digest = RequestDigest(100 + number);
+        end(&mut suspects, 1_000, digest, "a", 980, false);
+        end(&mut suspects, 1_030, digest, "b", 1_010, true).expect("a refusal");
+    }
+    let expected = if canaries { Treatment::Canary } else { Treatment::Usual };
+    assert_eq!(treatment(&suspects, 1_040, HARMLESS), expected);
+    assert_eq!(suspects.treatment(at(1_040), "other", HARMLESS), Treatment::Usual);
+    assert_eq!(suspects.canary_routes(at(1_040)).contains(ROUTE), canaries);
+    assert!(suspects.canary_routes(at(92_000)).is_empty(), "it ends by itself");
+}
+
+#[test]
+fn ends_that_nothing_explains_yet_make_a_route_send_canaries() {
+    let mut suspects = CrashSuspects::default();
+    end(&mut suspects, 1_000, HARMLESS, "a", 980, false);
+    end(&mut suspects, 1_001, HARMLESS, "b", 980, false);
+    suspects.replied(HARMLESS);
+    assert_eq!(treatment(&suspects, 1_100, CRASHING), Treatment::Canary);
+    suspects.told(at(1_200), &finding(Verdict::Refused, 10_000), 0.0);
+    assert_eq!(treatment(&suspects, 1_201, HARMLESS), Treatment::Usual, "it is known which one");
+}
+
+#[test]
+fn no_more_than_a_thousand_requests_are_kept() {
+    let mut suspects = CrashSuspects::default();
+    for number in 0..2_000 {
+        end(&mut suspects, 1_000 + number, RequestDigest(number), "a", 900, true);
+    }
+    assert_eq!(treatment(&suspects, 3_000, RequestDigest(0)), Treatment::Usual);
+    assert_eq!(treatment(&suspects, 3_000, RequestDigest(1_999)), Treatment::Suspected);
+}
+
+/// To how many leaves a gate lets a request go before any has replied or ended.
+fn first_leaves(gate: &mut CanaryGate) -> usize {
+    let mut sent = 0;
+    while sent < 100 && gate.permission() == Permission::Send {
+        gate.sent();
+        sent += 1;
+    }
+    sent
+}
+
+#[rstest]
+#[case::no_caution(Caution::None, 100)]
+#[case::canaries(Caution::Canary, 2)]
+#[case::suspected(Caution::OneAtATime, 1)]
+fn a_request_goes_to_so_many_leaves_first(#[case] caution: Caution, #[case] leaves: usize) {
+    let mut gate = CanaryGate::new(caution);
+    assert_eq!(first_leaves(&mut gate), leaves);
+    gate.replied();
+    assert_eq!(gate.permission(), Permission::Send, "the first reply lets all others go");
+    assert_eq!(gate.most_open(), None);
+}
+
+#[test]
+fn late_canaries_let_one_more_go() {
+    let mut gate = CanaryGate::new(Caution::Canary);
+    first_leaves(&mut gate);
+    gate.canaries_are_late();
+    assert_eq!(first_leaves(&mut gate), 1);
+    let mut suspected = CanaryGate::new(Caution::OneAtATime);
+    first_leaves(&mut suspected);
+    suspected.canaries_are_late();
+    assert_eq!(suspected.permission(), Permission::Wait);
+}
+
+#[test]
+fn after_an_end_a_request_goes_to_one_leaf_at_a_time() {
+    let mut gate = CanaryGate::new(Caution::None);
+    (0..10).for_each(|_| gate.sent());
+    assert!(!gate.leaf_ended(), "it was under way at nine others");
+    assert_eq!(gate.permission(), Permission::Wait);
+    (0..9).for_each(|_| assert!(!gate.leaf_ended()));
+    assert_eq!(gate.permission(), Permission::Send);
+    gate.sent();
+    assert_eq!(gate.permission(), Permission::Wait);
+    assert!(gate.leaf_ended(), "it was under way there alone");
+    assert!(gate.is_suspected());
+    gate.refuse();
+    assert_eq!(gate.permission(), Permission::Never);
+}
+
+#[rstest]
+#[case::refused_by_its_leaf(false)]
+#[case::replied(true)]
+fn an_attempt_that_tells_nothing_lets_the_next_one_go(#[case] replied: bool) {
+    let mut gate = CanaryGate::new(Caution::OneAtATime);
+    gate.sent();
+    if replied {
+        gate.replied()
+    } else {
+        gate.over()
+    }
+    assert_eq!(gate.permission(), Permission::Send);
+    assert_eq!(gate.most_open().is_none(), replied);
+    gate.refuse();
+    let refused = gate.permission() == Permission::Never;
+    assert_eq!(refused, !replied, "a request that was answered is not refused halfway");
+}
+
+#[test]
+fn findings_are_passed_on_once() {
+    let mut fold = FindingFold::default();
+    let suspected = finding(Verdict::Suspected, 60_000);
+    assert_eq!(fold.report(at(0), vec![suspected.clone()]).len(), 1);
+    assert_eq!(fold.report(at(10), vec![suspected.clone()]), []);
+    let refusal = finding(Verdict::Refused, 10_000);
+    assert_eq!(fold.report(at(20), vec![refusal.clone()])[0].verdict, Verdict::Refused);
+    assert_eq!(fold.report(at(30), vec![refusal.clone(), suspected]), []);
+    let longer = finding(Verdict::Refused, 20_000);
+    assert_eq!(fold.report(at(10_000), vec![longer.clone()]), [longer]);
+}
+
+#[test]
+fn nobody_is_told_of_a_single_leaf() {
+    let mut fold = FindingFold::default();
+    let one = CrashFinding { leaves: 1, ..finding(Verdict::Refused, 10_000) };
+    assert_eq!(fold.report(at(0), vec![one]), []);
+}
+
+#[test]
+fn a_broker_that_comes_later_is_told_what_lasts() {
+    let mut fold = FindingFold::default();
+    fold.report(at(0), vec![finding(Verdict::Refused, 10_000)]);
+    assert_eq!(fold.current(at(4_000)), [finding(Verdict::Refused, 6_000)]);
+    assert_eq!(fold.current(at(10_000)), []);
+}
+
+#[rstest]
+#[case::nothing_known(400, &[], true)]
+#[case::nothing_known_of_a_hurried_route(120, &[], false)]
+#[case::quick(400, &[100], true)]
+#[case::slow(400, &[300], false)]
+#[case::one_in_three_waits_for_a_stopped_leaf(
+    400,
+    &[150, 160, 390, 140, 390, 150, 170, 150, 390, 160, 140, 390],
+    true
+)]
+#[case::most_wait_for_a_stopped_leaf(120, &[106, 40, 106, 106, 105, 40, 106, 106, 106], false)]
+#[case::quick_again(400, &[390, 100, 100, 100, 100, 100, 100], true)]
+fn few_leaves_are_asked_first_where_there_is_time(
+    #[case] target_ms: u64,
+    #[case] took_ms: &[u64],
+    #[case] enough: bool,
+) {
+    let mut room = CanaryRoom::default();
+    took_ms.iter().for_each(|took| room.observe(Duration::from_millis(*took)));
+    assert_eq!(room.is_enough(Duration::from_millis(target_ms)), enough);
+}
