Keep requests that crash leaves from further leaves

Brokers ask at once whether a leaf that lost a connection is still there; if nobody listens, the requests under way there are suspected. Requests to many shards go to two leaves first where their route leaves time for it. A request under which leaves ended gets 502; one that is refused before anything ran gets 503 and the end of the refusal.

Tests: broker/tests/crashing_requests.rs, control/tests/feed.rs.

--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use gingerkeel_domain::crash_suspects::CrashFinding;
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory};
 use gingerkeel_domain::feed::{
     BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
@@ -94,6 +95,7 @@
         last_report: None,
         controls: inputs.controls,
         slow_leaves: inputs.slow_leaves,
+        found_crashes: inputs.found_crashes,
         settings,
         run,
         clock,
@@ -129,6 +131,25 @@
     pub controls: Rx<Vec<SocketAddr>>,
     /// Leaves that were slow, to be reported.
     pub slow_leaves: bounded::Rx<SlowLeaves>,
+    /// Requests under which leaves have ended, to be reported.
+    pub found_crashes: Rx<FoundCrash>,
+}
+
+/// A request under which leaves have ended.
+pub struct FoundCrash {
+    /// When this was told: the time of the finding counts from then.
+    pub at: Timestamp,
+    /// What was found.
+    pub finding: CrashFinding,
+}
+
+impl FoundCrash {
+    /// The finding as it is now; none when its time is over.
+    fn current(self, now: Timestamp) -> Option<CrashFinding> {
+        let passed = now.since(self.at).as_millis() as u32;
+        let for_ms = self.finding.for_ms.checked_sub(passed).filter(|left| *left > 0)?;
+        Some(CrashFinding { for_ms, ..self.finding })
+    }
 }
 
 /// Leaves that were slow.
@@ -158,6 +179,7 @@
     Message(Result<FeedMessage, LinkError>),
     LastReport(LastReport),
     SlowLeaves(SlowLeaves),
+    FoundCrash(FoundCrash),
     TimerElapsed,
 }
 
@@ -173,6 +195,8 @@
     FreshUntil(Timestamp),
     /// Leaves that many brokers find slow.
     LeafWarnings(Vec<LeafWarning>),
+    /// Requests under which leaves have ended, as other brokers found.
+    CrashFindings(Vec<CrashFinding>),
     /// The zones whose leaves get no new work, all of them.
     Evacuated(BTreeSet<ZoneName>),
     /// All brokers that share the leaves.
@@ -189,6 +213,7 @@
     last_report: Option<LastReport>,
     controls: Rx<Vec<SocketAddr>>,
     slow_leaves: bounded::Rx<SlowLeaves>,
+    found_crashes: Rx<FoundCrash>,
     settings: BrokerSettings,
     run: BrokerRun,
     clock: Clock,
@@ -262,6 +287,7 @@
                     self.hurry_last_report();
                 }
                 News::SlowLeaves(report) => self.report_slow_leaves(writer, &report).await?,
+                News::FoundCrash(found) => self.report_crash(writer, found).await?,
                 News::TimerElapsed => self.tell(FollowerEvent::TimerElapsed, &mut effects),
             }
         }
@@ -280,6 +306,11 @@
                 Some(report) => News::SlowLeaves(report),
                 None => std::future::pending().await,
             },
+            found = self.found_crashes.recv() => match found {
+                Some(found) => News::FoundCrash(found),
+                // Nothing serves routes in this process.
+                None => std::future::pending().await,
+            },
             _ = sleep(self.clock.until(due)) => News::TimerElapsed,
         }
     }
@@ -339,6 +370,8 @@
                 .send_routes(|| decode_document(&delta.bytes).map(RouteUpdate::DirectoryChange))?,
             FeedMessage::LeafWarnings { warnings } => self
                 .send_routes(|| decode_document(&warnings.bytes).map(RouteUpdate::LeafWarnings))?,
+            FeedMessage::CrashFindings { findings } => self
+                .send_routes(|| decode_document(&findings.bytes).map(RouteUpdate::CrashFindings))?,
             FeedMessage::Controls { .. } if !self.settings.learn_controls => {}
             FeedMessage::Controls { addresses } => {
                 self.learned_controls = decode_document(&addresses.bytes)?;
@@ -425,6 +458,19 @@
         send(writer, &SubscriberMessage::SlowLeaves { observations }).await
     }
 
+    /// Sends what was found of a request, at once: each try of it may cost leaves.
+    async fn report_crash(
+        &mut self,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+        found: FoundCrash,
+    ) -> Result<(), LinkError> {
+        let Some(finding) = found.current(self.clock.now()) else {
+            return Ok(());
+        };
+        let findings = encode_document(&vec![finding])?.into();
+        send(writer, &SubscriberMessage::CrashFindings { findings }).await
+    }
+
     /// Sends what there is to say of overload.
     async fn report_overload(
         &mut self,
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -29,7 +29,7 @@
 use crate::clock::Clock;
 use crate::engine::{Engine, EngineMessage};
 use crate::feed::{FeedInputs, LastReport};
-use crate::routes::{Dialect, RouteServer};
+use crate::routes::{Dialect, RouteReports, RouteServer};
 use crate::stop::StopSignal;
 
 /// Time that a planned stop waits for the receipt of the last charges.
@@ -64,7 +64,9 @@
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
     let clock = Clock::start();
-    let (reports, slow_leaves) = feed::slow_leaves();
+    let (slow_leaf_reports, slow_leaves) = feed::slow_leaves();
+    let (crash_reports, found_crashes) = local_sync::mpsc::unbounded::channel();
+    let reports = RouteReports { slow_leaves: slow_leaf_reports, found_crashes: crash_reports };
     let (routes, updates) = match settings.routes.clone() {
         Some(routes) => {
             let dialect = Dialect::default();
@@ -75,7 +77,7 @@
     };
     let run = BrokerRun(rand::rng().random());
     let (last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    let inputs = FeedInputs { last_reports, controls, slow_leaves };
+    let inputs = FeedInputs { last_reports, controls, slow_leaves, found_crashes };
     let feed = feed::follow(settings.clone(), run, clock, engine.clone(), inputs, updates);
     monoio::spawn(feed);
     let totals = Engine::new(&settings, run, clock, engine).run(messages).await;
--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -1,10 +1,12 @@
 //! One attempt: a request to one leaf, and its reply.
 
+use std::cell::OnceCell;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use gingerkeel_domain::crash_suspects::RequestDigest;
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{AttemptError, Outcome};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
@@ -15,6 +17,7 @@
 
 use http::StatusCode;
 
+use super::crash_watch::digest;
 use super::dialect::Dialect;
 use super::pool::LeafConnection;
 use super::state::RouteState;
@@ -47,6 +50,17 @@
     pub deadline: Instant,
     /// What was decided about it.
     pub trail: Trail,
+    /// What is the same in all its tries, once somebody has asked.
+    pub digest: OnceCell<RequestDigest>,
+}
+
+impl ForwardedRequest {
+    /// What is the same in all its tries.
+    pub fn digest(&self) -> RequestDigest {
+        let host = self.head.headers.text("host").unwrap_or_default();
+        let (method, target) = (&self.head.method, &self.head.target);
+        *self.digest.get_or_init(|| digest(method, host, target, &self.body))
+    }
 }
 
 /// The rest of a reply that is streamed.
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -1,9 +1,10 @@
 //! Attempts at the leaves of one service until one replies: retries and hedges.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use gingerkeel_domain::crash_suspects::{CanaryGate, Caution, Permission};
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
     AfterAttempt, AttemptError, Choice, NoReply, NobodyReason, RequestAttempts, Selection,
@@ -11,9 +12,12 @@
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
+use gingerkeel_domain::time::Timestamp;
 use monoio::time::sleep;
 
 use super::attempt::{ForwardedRequest, LeafReply, attempt};
+use super::crash_watch::EndedLeaf;
+use super::leaf_checks::{LeafFate, fate_of};
 use super::running::Running;
 use super::state::RouteState;
 use super::trail::{AskReason, TrailEntry, outcome_name};
@@ -31,6 +35,9 @@
 /// Part of the target latency for which a request waits for a connection at most, where a late leaf
 /// could be asked at once.
 const CONNECTION_WAIT_SHARE: f64 = 0.2;
+/// Time until a part looks again whether the leaf that was asked for another one has replied or ended; a leaf
+/// needs some milliseconds for either.
+pub const CANARY_WAIT: Duration = Duration::from_millis(4);
 /// Time until leaves are asked again that refused, or of which none could be asked.
 const REFUSAL_WAIT: Duration = Duration::from_millis(20);
 /// Part of the time of a request after which leaves that cannot be asked are not waited for any more.
@@ -54,18 +61,58 @@
     hedge_delay: Duration,
     /// How many more parts the answer can do without.
     spare: Cell<usize>,
+    /// At how many leaves the request may be under way.
+    gate: RefCell<CanaryGate>,
+    /// How many parts have asked no leaf yet.
+    unasked: Cell<usize>,
 }
 
 impl Parts {
     /// Parts of a request of this route, of which so many can be done without.
-    pub fn new(state: &RouteState, route: &Route, spare: usize) -> Self {
+    pub fn new(state: &RouteState, route: &Route, spare: usize, caution: Caution) -> Self {
         Self {
             overdue: StopSignal::new(),
             hedge_delay: delay_of_hedges(state, route),
             spare: Cell::new(spare),
+            gate: RefCell::new(CanaryGate::new(caution)),
+            unasked: Cell::new(0),
         }
     }
 
+    /// For how many more parts leaves may be asked now; none for all of them.
+    pub fn room(&self) -> Option<usize> {
+        self.gate.borrow().room()
+    }
+
+    /// So many parts have asked no leaf yet, and do once there is room.
+    pub fn set_unasked(&self, parts: usize) {
+        self.unasked.set(parts);
+    }
+
+    /// Whether the request may be sent to one more leaf. While leaves end under it, those of other shards are
+    /// asked before a second one of the same: a shard has few.
+    fn permission(&self, reason: AskReason) -> Permission {
+        let gate = self.gate.borrow();
+        match gate.permission() {
+            Permission::Send
+                if gate.is_suspected() && reason != AskReason::First && self.unasked.get() > 0 =>
+            {
+                Permission::Wait
+            }
+            permission => permission,
+        }
+    }
+
+    /// The leaves that were asked first take longer than usual.
+    pub fn canaries_are_late(&self) {
+        self.gate.borrow_mut().canaries_are_late();
+    }
+
+    /// Whether leaves have ended under the request, and none has replied.
+    pub fn is_suspected(&self) -> bool {
+        self.gate.borrow().is_suspected()
+    }
+
     /// The answer has to do without one more.
     fn gave_up(&self) {
         self.spare.set(self.spare.get().saturating_sub(1));
@@ -77,6 +124,10 @@
     leaf: LeafIdentity,
     entry: TrailEntry,
     outcome: Result<LeafReply, AttemptError>,
+    /// When the request was sent to it.
+    sent: Timestamp,
+    /// Whether the leaf has ended, where it lost the connection.
+    fate: LeafFate,
 }
 
 /// One request at the leaves of one service.
@@ -122,6 +173,14 @@
         if !self.attempts.may_ask() {
             return Next::Nobody;
         }
+        if self.parts.is_suspected() && self.state.crashes.is_refused(self.request) {
+            self.parts.gate.borrow_mut().refuse();
+        }
+        match self.parts.permission(reason) {
+            Permission::Send => {}
+            Permission::Wait => return Next::Wait(CANARY_WAIT),
+            Permission::Never => return Next::Nobody,
+        }
         self.nobody = None;
         let limits = self.state.service_limits(self.service);
         let leaves = &self.state.leaves;
@@ -159,6 +218,7 @@
         let entry = trail.asked(self.service, &leaf.identity, reason, choice.sound, load);
         self.state.metrics.leaf_asked(reason);
         self.attempts.asked(self.state.clock.now(), leaf.identity.clone());
+        self.parts.gate.borrow_mut().sent();
         Some((leaf, entry))
     }
 
@@ -205,7 +265,8 @@
 
     /// An attempt has ended; gives the outcome of the request when that settles it.
     fn settle(&mut self, ended: EndedAttempt) -> Option<Result<LeafReply, NoReply>> {
-        let EndedAttempt { leaf, entry, outcome } = ended;
+        self.tell_gate(&ended);
+        let EndedAttempt { leaf, entry, outcome, .. } = ended;
         let status = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
         self.request.trail.ended(entry, status);
         self.state.metrics.attempt_ended(outcome_name(status));
@@ -220,6 +281,24 @@
         None
     }
 
+    /// What the end of an attempt says of whether the request crashes leaves.
+    fn tell_gate(&self, ended: &EndedAttempt) {
+        let mut gate = self.parts.gate.borrow_mut();
+        if ended.outcome.is_ok() {
+            gate.replied();
+            self.state.crashes.replied(self.request);
+        } else if ended.fate.has_ended(gate.most_open() == Some(1)) {
+            let alone = gate.leaf_ended();
+            let (service, leaf, sent) = (self.service, &ended.leaf, ended.sent);
+            let end = EndedLeaf { service, leaf, sent, alone };
+            let metrics = &self.state.metrics;
+            self.state.crashes.leaf_ended(metrics, self.route, self.request, &end);
+            self.request.trail.leaf_ended();
+        } else {
+            gate.over();
+        }
+    }
+
     /// The outcome when no further leaf can be asked.
     fn give_up(&mut self) -> Result<LeafReply, NoReply> {
         if let Some(reason) = self.nobody {
@@ -332,6 +411,11 @@
     entry: TrailEntry,
     request: &ForwardedRequest,
 ) -> EndedAttempt {
+    let sent = state.clock.now();
     let outcome = attempt(state, route, service, &leaf, request).await;
-    EndedAttempt { leaf: leaf.identity, entry, outcome }
+    let fate = match outcome {
+        Err(AttemptError::Lost) => fate_of(state, &leaf).await,
+        _ => LeafFate::There,
+    };
+    EndedAttempt { leaf: leaf.identity, entry, outcome, sent, fate }
 }
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -1,6 +1,6 @@
 //! Callers' connections.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -217,7 +217,8 @@
         let id = head.headers.get(dialect.request_id).unwrap_or_default().to_vec();
         let forwarded_head = forwarded_head(dialect, &head, &body);
         let trail = Trail::new(received);
-        ForwardedRequest { head, body, forwarded_head, id, received, deadline, trail }
+        let digest = OnceCell::new();
+        ForwardedRequest { head, body, forwarded_head, id, received, deadline, trail, digest }
     }
 
     /// Serves a request unless its caller leaves before, or a planned stop is about to end; then
--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -5,13 +5,15 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use gingerkeel_domain::crash_suspects::Caution;
 use gingerkeel_domain::forwarding::{GatherStep, GatherTimes, Gathering, GreatestRecords, NoReply};
+use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Route, ShardSet};
 use gingerkeel_domain::time::Timestamp;
 use monoio::time::sleep;
 
 use super::attempt::{ForwardedRequest, LeafReply};
-use super::attempts::{Parts, ask};
+use super::attempts::{CANARY_WAIT, Parts, ask};
 use super::respond::{MergedAnswer, Refusal};
 use super::serving::not_run;
 use super::state::RouteState;
@@ -19,6 +21,11 @@
 /// When a caller is asked to come back after too many shards could not be asked.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Share of replies of a part that come sooner than the other parts wait for those that are asked first.
+const CANARY_QUANTILE: f64 = 0.98;
+/// Part of the target latency for which they wait at most: the other parts need the rest of it.
+const LONGEST_CANARY_SHARE: f64 = 0.4;
+
 /// The parts of one answer that are in.
 struct Gathered {
     /// When the answer leaves with the parts that are in.
@@ -60,12 +67,19 @@
         }
     }
 
-    fn finish(self, now: Timestamp, request: &ForwardedRequest) -> Result<MergedAnswer, Refusal> {
+    fn finish(
+        self,
+        now: Timestamp,
+        request: &ForwardedRequest,
+        is_suspected: bool,
+    ) -> Result<MergedAnswer, Refusal> {
         if !self.gathering.reaches_least_share() {
             // A repeatable request may be sent again, whatever has run of it.
             let over = Instant::now() >= request.deadline;
             return Err(match over {
                 true => Refusal::TimedOut,
+                // It has run, and coming back soon would cost further leaves.
+                false if is_suspected => Refusal::NoReply,
                 false => not_run(request, RETRY_AFTER),
             });
         }
@@ -77,6 +91,19 @@
     }
 }
 
+/// How long the leaves that are asked first may take until one more is asked as well.
+fn canary_time(state: &RouteState, route: &Route) -> Duration {
+    let longest = Duration::from_millis(route.target_latency_ms).mul_f64(LONGEST_CANARY_SHARE);
+    state.latency(route, CANARY_QUANTILE).map_or(longest, |usual| usual.min(longest))
+}
+
+/// All services, beginning with the one that the `draw` from 0 to 1 falls on: requests that go to few leaves
+/// first spread over the shards.
+fn in_turn(services: &[ServiceName], draw: f64) -> impl ExactSizeIterator<Item = &ServiceName> {
+    let first = (draw * services.len() as f64) as usize;
+    (0..services.len()).map(move |place| &services[(first + place) % services.len()])
+}
+
 /// The attestation of a reply that is a part: a whole one that tells of success.
 fn attestation(state: &RouteState, reply: &LeafReply) -> Option<Vec<u8>> {
     let whole = (200..=299).contains(&reply.head.status) && reply.rest.is_none();
@@ -95,20 +122,40 @@
     route: &Route,
     shards: &ShardSet,
     request: &ForwardedRequest,
+    caution: Caution,
 ) -> Result<MergedAnswer, Refusal> {
     let mut gathered = Gathered::new(state, route, shards, request);
-    let parts = Parts::new(state, route, gathered.gathering.spare());
+    let parts = Parts::new(state, route, gathered.gathering.spare(), caution);
     let mut running = FuturesUnordered::new();
-    for service in &shards.services {
-        running.push(ask(state, route, service, request, &parts));
-    }
+    let mut waiting = in_turn(&shards.services, state.draw());
+    // When all leaves were asked, or those that were left of them.
+    let mut all_asked = None;
+    let canary_time = canary_time(state, route);
+    let mut canaries_until = state.clock.now().after(canary_time);
+    let ask_for = |service| ask(state, route, service, request, &parts);
     loop {
+        // A request that may crash leaves goes to few of them first.
         let now = state.clock.now();
+        if now >= canaries_until && parts.room().is_some() {
+            parts.canaries_are_late();
+            canaries_until = now.after(canary_time);
+        }
+        if parts.room().is_none() {
+            all_asked.get_or_insert(now);
+        }
+        let more = waiting.by_ref().take(parts.room().unwrap_or(usize::MAX));
+        running.extend(more.map(ask_for));
+        parts.set_unasked(waiting.len());
         let (in_time, whole) = gathered.gathering.in_time();
         request.trail.gathered(in_time, whole);
         let GatherStep::WaitUntil(wake) = gathered.gathering.step(now) else {
             break;
         };
+        let wake = match parts.room() {
+            None => wake,
+            Some(_) if parts.is_suspected() => wake.min(now.after(CANARY_WAIT)),
+            Some(_) => wake.min(canaries_until),
+        };
         gathered.waited_on |= now >= gathered.soft;
         if gathered.gathering.is_overdue(now) && !parts.overdue.is_given() {
             parts.overdue.give();
@@ -122,5 +169,8 @@
     }
     let now = state.clock.now();
     drop(running);
-    gathered.finish(now, request)
+    if let Some(asked) = all_asked.filter(|_| gathered.gathering.reaches_least_share()) {
+        state.crashes.gathered(route, now.since(asked));
+    }
+    gathered.finish(now, request, parts.is_suspected())
 }
--- a/crates/broker/src/routes/leaf_checks.rs
+++ b/crates/broker/src/routes/leaf_checks.rs
@@ -18,6 +18,10 @@
 /// Time that a leaf has to take the connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
+/// Time that a leaf which lost a connection has to take another one or refuse it, before its requests go on
+/// elsewhere: several times the way to another region and back.
+const FATE_LIMIT: Duration = Duration::from_millis(200);
+
 /// Checks leaves that have missed, for ever.
 pub async fn run(state: Rc<RouteState>) {
     loop {
@@ -26,23 +30,55 @@
             continue;
         }
         for leaf in state.leaves.look_after_missing() {
-            monoio::spawn(check(state.clone(), leaf));
+            let state = state.clone();
+            monoio::spawn(async move { check(&state, leaf).await });
         }
     }
 }
 
+/// What became of a leaf that lost a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeafFate {
+    /// It takes another connection, or has as many as it accepts.
+    There,
+    /// Nobody listens at its address.
+    Ended,
+    /// Nothing was heard in time.
+    Unknown,
+}
+
+impl LeafFate {
+    /// Whether the leaf counts as ended: in doubt where the request that was under way is `suspected` already.
+    pub fn has_ended(self, suspected: bool) -> bool {
+        self == Self::Ended || suspected && self == Self::Unknown
+    }
+}
+
+/// Finds out what became of a leaf that lost a connection.
+pub async fn fate_of(state: &RouteState, leaf: &ListedLeaf) -> LeafFate {
+    match timeout(FATE_LIMIT, check(state, leaf.clone())).await {
+        Ok(fate) => fate,
+        Err(_) => LeafFate::Unknown,
+    }
+}
+
 /// Opens a connection and closes it.
-async fn check(state: Rc<RouteState>, leaf: ListedLeaf) {
+async fn check(state: &RouteState, leaf: ListedLeaf) -> LeafFate {
     match timeout(CONNECT_LIMIT, LeafConnection::connect(leaf.address)).await {
-        Ok(Ok(_)) => state.leaves.took_connection(&leaf),
+        Ok(Ok(_)) => {
+            state.leaves.took_connection(&leaf);
+            LeafFate::There
+        }
         // It has as many as it accepts.
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionReset => {
             state.leaves.took_connection(&leaf);
+            LeafFate::There
         }
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             state.leaves.refused_connection(&leaf);
+            LeafFate::Ended
         }
         // Silence is no sign of anything.
-        Ok(Err(_)) | Err(_) => {}
+        Ok(Err(_)) | Err(_) => LeafFate::Unknown,
     }
 }
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod callers;
 mod connection_book;
+mod crash_watch;
 mod dialect;
 mod gather;
 mod known_leaves;
@@ -23,7 +24,6 @@
 
 use std::cell::Cell;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,7 +39,7 @@
 pub use dialect::{Dialect, read_load};
 
 use crate::clock::Clock;
-use crate::feed::{self, FeedInputs, RouteUpdate, SlowLeaves};
+use crate::feed::{self, FeedInputs, FoundCrash, LastReport, RouteUpdate, SlowLeaves};
 use crate::reload;
 use crate::signals;
 use crate::stop::StopSignal;
@@ -67,9 +67,13 @@
     let controls = reload::start(source, &settings)?;
     let requested = signals::stop_requested()?;
     let (stop, clock) = (StopSignal::new(), Clock::start());
-    let (reports, slow_leaves) = feed::slow_leaves();
+    let (slow_leaf_reports, slow_leaves) = feed::slow_leaves();
+    let (crash_reports, found_crashes) = unbounded::channel();
+    let reports = RouteReports { slow_leaves: slow_leaf_reports, found_crashes: crash_reports };
     let (server, updates) = RouteServer::start(&settings, routes, dialect, clock, &stop, reports)?;
-    follow(settings.clone(), clock, controls, slow_leaves, updates);
+    let (last_report, last_reports) = unbounded::channel();
+    let inputs = FeedInputs { last_reports, controls, slow_leaves, found_crashes };
+    follow(settings.clone(), clock, last_report, inputs, updates);
     requested.await;
     stop.give();
     server.finish().await;
@@ -77,6 +81,14 @@
     Ok(())
 }
 
+/// The ways on which what is seen of leaves goes to control.
+pub struct RouteReports {
+    /// Leaves that are slow.
+    pub slow_leaves: bounded::Tx<SlowLeaves>,
+    /// Requests under which leaves have ended.
+    pub found_crashes: Tx<FoundCrash>,
+}
+
 /// The serving of routes in this process.
 pub struct RouteServer {
     state: Rc<RouteState>,
@@ -85,7 +97,7 @@
 
 impl RouteServer {
     /// Listens for callers, who are served once the news of routes and leaves have come over the
-    /// channel that is given back. Leaves that are slow go to `reports`.
+    /// channel that is given back. What is seen of leaves goes to `reports`.
     ///
     /// # Errors
     /// An [`io::Error`] when an address cannot be bound.
@@ -95,7 +107,7 @@
         dialect: Dialect,
         clock: Clock,
         stop: &StopSignal,
-        reports: bounded::Tx<SlowLeaves>,
+        reports: RouteReports,
     ) -> io::Result<(Self, Tx<RouteUpdate>)> {
         let listener = listen(routes.listen)?;
         let readiness = routes.readiness.map(listen).transpose()?;
@@ -108,7 +120,13 @@
             }
             None => info!(event = "routes_started", name = settings.name, routes = %address),
         }
-        let state = Rc::new(RouteState::new(settings.clone(), routes, dialect, clock));
+        let state = Rc::new(RouteState::new(
+            settings.clone(),
+            routes,
+            dialect,
+            clock,
+            reports.found_crashes,
+        ));
         if let Some(listener) = readiness {
             monoio::spawn(readiness::serve(listener, state.clone()));
         }
@@ -121,7 +139,7 @@
         monoio::spawn(keep_up(state.clone()));
         monoio::spawn(standby::keep_ready(state.clone()));
         monoio::spawn(leaf_checks::run(state.clone()));
-        monoio::spawn(report_slow_leaves(state.clone(), reports));
+        monoio::spawn(report_slow_leaves(state.clone(), reports.slow_leaves));
         let (updates, received) = unbounded::channel();
         monoio::spawn(apply_updates(received, state.clone()));
         Ok((Self { state, open }, updates))
@@ -147,19 +165,17 @@
 fn follow(
     settings: BrokerSettings,
     clock: Clock,
-    controls: Rx<Vec<SocketAddr>>,
-    slow_leaves: bounded::Rx<SlowLeaves>,
+    last_report: Tx<LastReport>,
+    inputs: FeedInputs,
     updates: Tx<RouteUpdate>,
 ) {
     let run = BrokerRun(rand::rng().random());
     let (engine, mut messages) = unbounded::channel();
     // Without queries there is nothing to charge for and nothing to report.
     monoio::spawn(async move { while messages.recv().await.is_some() {} });
-    let (last_report, last_reports) = unbounded::channel();
     monoio::spawn(async move {
         // Kept so that the feed does not take it for the end of the process.
         let _last_report = last_report;
-        let inputs = FeedInputs { last_reports, controls, slow_leaves };
         feed::follow(settings, run, clock, engine, inputs, Some(updates)).await;
     });
 }
@@ -175,6 +191,7 @@
                 state.metrics.warned(warnings.len());
                 state.leaves.warn(&warnings);
             }
+            RouteUpdate::CrashFindings(findings) => state.crashes.told(&findings, || state.draw()),
             RouteUpdate::Evacuated(zones) => state.evacuate(zones),
             RouteUpdate::Brokers(brokers) => state.leaves.set_brokers(brokers),
         }
@@ -202,5 +219,6 @@
     loop {
         sleep(UPKEEP_INTERVAL).await;
         state.leaves.close_expired();
+        state.crashes.look_at_routes();
     }
 }
--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -127,6 +127,8 @@
         let since = if admitted.was_late { admitted.at } else { self.request.received };
         match self.status {
             0 => Ended::GivenUp,
+            // It says nothing of the load of the leaves.
+            500.. if self.request.trail.leaves_ended() > 0 => Ended::GivenUp,
             200..=499 if is_in_time(route, since.elapsed()) => Ended::InTime,
             _ => Ended::Late { parts: self.request.trail.parts_in_time() },
         }
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -47,6 +47,12 @@
     load: &'static str,
 }
 
+/// A route of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteLabels {
+    route: String,
+}
+
 /// Metrics of the serving of routes.
 pub struct RouteMetrics {
     registry: Registry,
@@ -57,6 +63,9 @@
     leaf_attempts: Family<OutcomeLabels, Counter>,
     slow_leaves: Counter,
     leaf_warnings: Counter,
+    leaves_ended_under_requests: Family<RouteLabels, Counter>,
+    requests_kept_from_leaves: Family<RouteLabels, Counter>,
+    canary_routes: Gauge,
     routes_version: Gauge,
     directory_version: Gauge,
     evacuated_zones: Gauge,
@@ -75,6 +84,9 @@
             leaf_attempts: Family::default(),
             slow_leaves: Counter::default(),
             leaf_warnings: Counter::default(),
+            leaves_ended_under_requests: Family::default(),
+            requests_kept_from_leaves: Family::default(),
+            canary_routes: Gauge::default(),
             routes_version: Gauge::default(),
             directory_version: Gauge::default(),
             evacuated_zones: Gauge::default(),
@@ -102,6 +114,15 @@
         registry.register("slow_leaves", help, self.slow_leaves.clone());
         let help = "Warnings of leaves that other brokers find slow";
         registry.register("leaf_warnings", help, self.leaf_warnings.clone());
+        let help = "Leaves that ended while a request of the route was under way at them";
+        let ended = self.leaves_ended_under_requests.clone();
+        registry.register("leaves_ended_under_requests", help, ended);
+        let help = "Requests that were refused because leaves had ended under their like";
+        let kept = self.requests_kept_from_leaves.clone();
+        registry.register("requests_kept_from_leaves", help, kept);
+        let help =
+            "Routes whose requests go to few leaves first because leaves have ended under them";
+        registry.register("canary_routes", help, self.canary_routes.clone());
         let help = "Version of the configuration of routes in force";
         registry.register("routes_version", help, self.routes_version.clone());
         let help = "Version of the list of leaves in force";
@@ -131,6 +152,18 @@
         self.leaf_warnings.inc_by(warnings as u64);
     }
 
+    /// A leaf ended while a request of this route was under way at it.
+    pub fn leaf_ended(&self, route: &str) {
+        let labels = RouteLabels { route: route.to_owned() };
+        self.leaves_ended_under_requests.get_or_create(&labels).inc();
+    }
+
+    /// A request was refused because leaves had ended under its like.
+    pub fn kept_from_leaves(&self, route: &str) {
+        let labels = RouteLabels { route: route.to_owned() };
+        self.requests_kept_from_leaves.get_or_create(&labels).inc();
+    }
+
     /// A leaf said how loaded it is.
     pub fn load_reported(&self, report: LoadReport) {
         let load = match report {
@@ -157,6 +190,7 @@
         self.routes_version.set(version as i64);
         self.directory_version.set(state.leaves.version() as i64);
         self.evacuated_zones.set(state.leaves.evacuated_zones() as i64);
+        self.canary_routes.set(state.crashes.canary_routes() as i64);
         self.cold_leaves.set(state.leaves.cold_leaves() as i64);
         let mut text = String::new();
         // Writing to a string does not fail.
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use gingerkeel_domain::crash_suspects::Caution;
 use gingerkeel_domain::forwarding::{NoReply, NobodyReason};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Destination, Route, RouteLookup, RouteTable};
@@ -59,16 +60,35 @@
         let refusal = Refusal::NotRun { retry_after: BUSY_RETRY_AFTER };
         return (record.refuse(refusal, "stopping"), record);
     }
+    if let Err(left) = state.crashes.caution(&route, record.request(), Caution::None) {
+        return (kept_from_leaves(state, &route, &mut record, left), record);
+    }
     let candidate = state.candidate(&table, &route, record.request());
     if let Err(retry_after) = state.admission.enter(&route, candidate).await {
         return (record.refuse(Refusal::NotRun { retry_after }, "leaves_overloaded"), record);
     }
     record.admitted(state.clock.now() >= candidate.in_time_until);
-    let served = serve_route(state, &route, record.request()).await;
+    // What others found while it waited counts, too.
+    let usual = state.crashes.usual_caution(&route);
+    let served = match state.crashes.caution(&route, record.request(), usual) {
+        Ok(caution) => serve_route(state, &route, record.request(), caution).await,
+        Err(left) => return (kept_from_leaves(state, &route, &mut record, left), record),
+    };
     record.end(&served);
     (served, record)
 }
 
+/// Refuses a request whose like has crashed leaves: it comes back when one try is let through.
+fn kept_from_leaves(
+    state: &RouteState,
+    route: &Route,
+    record: &mut Record,
+    left: Duration,
+) -> Served {
+    state.metrics.kept_from_leaves(&route.name);
+    record.refuse(Refusal::NotRun { retry_after: left }, "crashes_leaves")
+}
+
 type Found = (Rc<RouteTable>, Arc<Route>);
 
 fn find_route(
@@ -90,15 +110,20 @@
     }
 }
 
-async fn serve_route(state: &Rc<RouteState>, route: &Route, request: &ForwardedRequest) -> Served {
+async fn serve_route(
+    state: &Rc<RouteState>,
+    route: &Route,
+    request: &ForwardedRequest,
+    caution: Caution,
+) -> Served {
     match &route.destination {
-        Destination::Shards(shards) => match gather(state, route, shards, request).await {
+        Destination::Shards(shards) => match gather(state, route, shards, request, caution).await {
             Ok(answer) => Served::Merged(answer),
             Err(refusal) => Served::Refused(refusal),
         },
-        Destination::Service(service) => forward(state, route, service, request).await,
+        Destination::Service(service) => forward(state, route, service, request, caution).await,
         Destination::Split(parts) => match state.next_of_split(route, parts) {
-            Some(service) => forward(state, route, &service, request).await,
+            Some(service) => forward(state, route, &service, request, caution).await,
             None => Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER }),
         },
     }
@@ -109,9 +134,11 @@
     route: &Route,
     service: &ServiceName,
     request: &ForwardedRequest,
+    caution: Caution,
 ) -> Served {
     let left = request.deadline.saturating_duration_since(Instant::now());
-    match timeout(left, ask(state, route, service, request, &Parts::new(state, route, 0))).await {
+    let parts = Parts::new(state, route, 0, caution);
+    match timeout(left, ask(state, route, service, request, &parts)).await {
         Ok(Ok(reply)) => Served::Relayed(Box::new(reply)),
         Ok(Err(NoReply::NoLeaf | NoReply::Rejected)) => {
             Served::Refused(not_run(request, BUSY_RETRY_AFTER))
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -17,6 +17,7 @@
 use gingerkeel_domain::tail::LatencyWindow;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::{BrokerSettings, OutOfTouchSetting, RouteSettings};
+use local_sync::mpsc::unbounded::Tx;
 use monoio::time::timeout;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -24,11 +25,13 @@
 
 use super::admission::Admission;
 use super::attempt::ForwardedRequest;
+use super::crash_watch::CrashWatch;
 use super::dialect::Dialect;
 use super::known_leaves::ServiceLimits;
 use super::leaf_registry::LeafRegistry;
 use super::route_metrics::RouteMetrics;
 use crate::clock::Clock;
+use crate::feed::FoundCrash;
 use crate::stop::StopSignal;
 
 /// Least time after which a caller is asked to come back while nothing is known yet.
@@ -58,6 +61,8 @@
     pub leaves: LeafRegistry,
     /// Admission of requests.
     pub admission: Admission,
+    /// Requests that crash leaves.
+    pub crashes: CrashWatch,
     table: RefCell<Option<Rc<RouteTable>>>,
     latencies: RefCell<BTreeMap<String, LatencyWindow>>,
     /// Turns of each route that splits its requests.
@@ -78,6 +83,7 @@
         settings: RouteSettings,
         dialect: Dialect,
         clock: Clock,
+        found_crashes: Tx<FoundCrash>,
     ) -> Self {
         let seed = broker.seed.unwrap_or_else(|| rand::rng().random());
         let mut random = Pcg64::seed_from_u64(seed);
@@ -89,6 +95,7 @@
             metrics: RouteMetrics::default(),
             leaves,
             admission: Admission::new(clock),
+            crashes: CrashWatch::new(clock, found_crashes),
             table: RefCell::default(),
             latencies: RefCell::default(),
             splits: RefCell::default(),
@@ -213,6 +220,11 @@
         turns.next(parts).map(|part| part.service.clone())
     }
 
+    /// A number from 0 to 1.
+    pub fn draw(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
     fn now(&self) -> Timestamp {
         self.clock.now()
     }
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -109,6 +109,8 @@
     attempts: RefCell<Vec<Attempt>>,
     /// Parts that came within the target latency, and all parts, of a request to many shards.
     parts_in_time: Cell<Option<(usize, usize)>>,
+    /// Leaves that ended under it.
+    leaves_ended: Cell<u32>,
     /// Why no leaf of a service could be asked; of several services, of the last.
     nobody: Cell<Option<NobodyReason>>,
 }
@@ -120,6 +122,7 @@
             received,
             attempts: RefCell::default(),
             parts_in_time: Cell::default(),
+            leaves_ended: Cell::default(),
             nobody: Cell::default(),
         }
     }
@@ -134,6 +137,16 @@
         self.parts_in_time.get()
     }
 
+    /// A leaf has ended under the request.
+    pub fn leaf_ended(&self) {
+        self.leaves_ended.set(self.leaves_ended.get() + 1);
+    }
+
+    /// How many leaves have ended under the request.
+    pub fn leaves_ended(&self) -> u32 {
+        self.leaves_ended.get()
+    }
+
     /// No leaf of a service could be asked, or could be by the end of the request's time.
     pub fn nobody(&self, reason: NobodyReason) {
         self.nobody.set(Some(reason));
@@ -212,6 +225,7 @@
             parts_in,
             parts,
             attempts = attempts.len(),
+            leaves_ended = (self.leaves_ended() > 0).then_some(self.leaves_ended()),
             no_leaf = self.nobody.get().map(NobodyReason::as_str),
             retry_after_ms = end.retry_after_ms,
             routes_version = end.routes_version.0,
--- /dev/null
+++ b/crates/broker/tests/crashing_requests.rs
@@ -0,0 +1,150 @@
+//! Requests under which leaves end: they cost few leaves, and the callers of other requests are served.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::sync_channel;
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+use gingerkeel_domain::crash_suspects::{CrashFinding, Verdict};
+use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
+use support::control::ControlScript;
+use support::leaf::{Act, ScriptedLeaf};
+use support::routed::{RoutedBroker, configuration, directory, honest, news, reply};
+use support::wait_until;
+
+/// What paths of requests hold that crash leaves.
+const CRASHING: &str = "crashing";
+/// Leaves that one request may cost: two that are asked first, and one more that proves it.
+const MOST_ENDED: usize = 3;
+
+/// A leaf that ends under a crashing request, and answers all others after a moment.
+fn crashing(attestation: &'static str) -> Arc<ScriptedLeaf> {
+    let (crash, crashes) = sync_channel(16);
+    let leaf = Arc::new(ScriptedLeaf::for_all(move |request| {
+        sleep(Duration::from_millis(5));
+        if !request.head.contains(CRASHING) {
+            return Act::Send(reply(request, attestation, &[b'x'; 16]));
+        }
+        // The leaf may be ending already.
+        let _ = crash.try_send(());
+        Act::KeepSilent
+    }));
+    let ending = leaf.clone();
+    spawn(move || {
+        if crashes.recv().is_ok() {
+            ending.end();
+        }
+    });
+    leaf
+}
+
+/// Leaves that were sent a crashing request.
+fn hit(leaves: &[Arc<ScriptedLeaf>]) -> usize {
+    let is_hit = |leaf: &&Arc<ScriptedLeaf>| {
+        leaf.requests().iter().any(|request| request.head.contains(CRASHING))
+    };
+    leaves.iter().filter(is_hit).count()
+}
+
+/// The findings that a broker reported.
+fn findings(broker: &RoutedBroker) -> Vec<CrashFinding> {
+    let received = broker.broker.control.received();
+    let reports = received.iter().filter_map(|message| match message {
+        SubscriberMessage::CrashFindings { findings } => {
+            let findings: Vec<CrashFinding> = decode_document(&findings.bytes).expect("a document");
+            Some(findings)
+        }
+        _ => None,
+    });
+    reports.flatten().collect()
+}
+
+/// Waits until a broker has reported that a request is refused.
+fn reported_refusal(broker: &RoutedBroker) -> CrashFinding {
+    let refusal = || findings(broker).into_iter().find(|found| found.verdict == Verdict::Refused);
+    wait_until("the refusal is reported", || refusal().is_some());
+    refusal().expect("a refusal")
+}
+
+#[test]
+fn a_gathered_request_costs_few_leaves_and_is_then_refused() {
+    let leaves: Vec<Arc<ScriptedLeaf>> = (0..16).map(|_| crashing("part")).collect();
+    let addresses: Vec<[SocketAddr; 2]> =
+        leaves.chunks(2).map(|pair| [pair[0].address, pair[1].address]).collect();
+    let shards: Vec<&[SocketAddr]> = addresses.iter().map(|pair| &pair[..]).collect();
+    let broker = RoutedBroker::start(&[], &shards);
+    assert_eq!(broker.get("/all/before").status, 200);
+    assert_eq!(broker.get("/all/crashing").status, 502, "it may have run");
+    let lost = hit(&leaves);
+    assert!(lost <= MOST_ENDED, "{lost} leaves ended");
+
+    let again = broker.get("/all/crashing");
+    assert_eq!(again.status, 503, "nothing of it has run");
+    let after: f64 = again.header("retry-after").expect("a time").parse().expect("seconds");
+    assert!((20.0..=30.0).contains(&after), "{after} s");
+    assert_eq!(hit(&leaves), lost);
+    assert_eq!(broker.get("/all/other").status, 200, "other requests are served");
+
+    let found = reported_refusal(&broker);
+    assert_eq!((found.route.as_str(), found.for_ms), ("all", 30_000));
+    let log = broker.broker.log();
+    assert!(log.contains("event=leaf_ended_under_request request=r1 route=all"), "{log}");
+    assert!(!log.contains(CRASHING), "a path may tell of a caller");
+}
+
+#[test]
+fn a_request_to_one_leaf_costs_no_more_than_its_attempts() {
+    let leaves: Vec<Arc<ScriptedLeaf>> = (0..4).map(|_| crashing("leaf")).collect();
+    let addresses: Vec<SocketAddr> = leaves.iter().map(|leaf| leaf.address).collect();
+    let broker = RoutedBroker::start(&addresses, &[]);
+    assert_eq!(broker.get("/one/crashing").status, 502);
+    for _ in 0..3 {
+        assert_eq!(broker.get("/one/crashing").status, 503);
+    }
+    assert_eq!(hit(&leaves), 2);
+    assert_eq!(broker.get("/one/other").status, 200);
+}
+
+#[test]
+fn a_request_that_may_run_once_is_sent_to_one_leaf_a_try() {
+    let leaves: Vec<Arc<ScriptedLeaf>> = (0..4).map(|_| crashing("leaf")).collect();
+    let addresses: Vec<SocketAddr> = leaves.iter().map(|leaf| leaf.address).collect();
+    let broker = RoutedBroker::start(&addresses, &[]);
+    assert_eq!(broker.get("/once/crashing").status, 502);
+    assert_eq!(broker.get("/once/crashing").status, 502);
+    assert_eq!(broker.get("/once/crashing").status, 503);
+    assert_eq!(hit(&leaves), 2);
+}
+
+/// The leaf closes connections and goes on: nothing speaks against the request.
+#[test]
+fn a_lost_connection_alone_speaks_against_no_request() {
+    let careless = ScriptedLeaf::for_all(|_| Act::SendAndClose(Vec::new()));
+    let broker = RoutedBroker::start(&[careless.address], &[]);
+    for _ in 0..4 {
+        assert_eq!(broker.get("/once/").status, 502);
+    }
+    assert_eq!(findings(&broker), []);
+    assert!(!broker.broker.log().contains("event=leaf_ended_under_request"));
+}
+
+#[test]
+fn what_one_broker_found_keeps_the_leaves_of_another() {
+    let lost: Vec<Arc<ScriptedLeaf>> = (0..2).map(|_| crashing("leaf")).collect();
+    let first = RoutedBroker::start(&[lost[0].address, lost[1].address], &[]);
+    assert_eq!(first.get("/one/crashing").status, 502);
+    let found = vec![reported_refusal(&first)];
+
+    let kept = honest("kept", b"body");
+    let mut news = news(&configuration(0), &directory(&[kept.address], &[]));
+    let findings = encode_document(&found).expect("a document").into();
+    news.push(FeedMessage::CrashFindings { findings });
+    let second = RoutedBroker::start_on(ControlScript { news, ..ControlScript::default() }, "");
+    wait_until("it is told", || second.broker.log().contains("source=told"));
+    assert_eq!(second.get("/one/crashing").status, 503);
+    assert_eq!(second.get("/one/other").status, 200);
+    assert_eq!(kept.requests().len(), 1);
+}
--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -8,6 +8,7 @@
 use gingerkeel_domain::cluster::{
     ChangeOutcome, ChangeRequest, ChargeCounter, ChargeKey, LeafHealth, LogIndex,
 };
+use gingerkeel_domain::crash_suspects::CrashFinding;
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision, ZoneName};
 use gingerkeel_domain::leaf_warnings::LeafObservation;
@@ -101,6 +102,13 @@
         /// What it saw.
         observations: Vec<LeafObservation>,
     },
+    /// The broker found requests under which leaves have ended.
+    FoundCrashes {
+        /// The connection.
+        connection: ConnectionId,
+        /// What it found.
+        findings: Vec<CrashFinding>,
+    },
     /// The connection is lost.
     Closed {
         /// The connection.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -324,7 +324,7 @@
             FeedEvent::Subscribed { connection, subscriber, revision, feed } => {
                 let now = self.clock.now();
                 self.subscribers.subscribe(&self.state, connection, subscriber, revision, feed);
-                self.subscribers.send_current_warnings(now, connection);
+                self.subscribers.send_current_hints(now, connection);
             }
             FeedEvent::Renewed { connection, ticket, in_force } => {
                 self.subscribers.in_force(connection, in_force);
@@ -345,6 +345,9 @@
             FeedEvent::SawSlowLeaves { connection, observations } => {
                 self.subscribers.saw_slow_leaves(self.clock.now(), connection, &observations)
             }
+            FeedEvent::FoundCrashes { connection, findings } => {
+                self.subscribers.found_crashes(self.clock.now(), connection, findings)
+            }
             FeedEvent::Closed { connection } => self.subscribers.closed(connection),
         }
     }
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -9,6 +9,7 @@
 use gingerkeel_domain::cluster::{
     BrokerOverload, ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, ClusterState,
 };
+use gingerkeel_domain::crash_suspects::{CrashFinding, FindingFold};
 use gingerkeel_domain::directory::{DirectoryDelta, DirectoryVersion};
 use gingerkeel_domain::feed::{BrokerList, KnownBroker};
 use gingerkeel_domain::identifiers::{BrokerName, Revision, ServiceName};
@@ -53,6 +54,7 @@
     controls: Vec<SocketAddr>,
     copies: Copies,
     warnings: WarningFold,
+    findings: FindingFold,
 }
 
 impl Subscribers {
@@ -245,11 +247,48 @@
         }
     }
 
-    /// Tells a broker that has just come of the warnings that last.
-    pub fn send_current_warnings(&self, now: Timestamp, connection: ConnectionId) {
-        let current = self.warnings.current(now);
-        if let Some(follower) = self.connections.get(&connection).filter(|_| !current.is_empty()) {
-            follower.send_warnings(&current);
+    /// A broker found requests under which leaves have ended: all brokers that feed here are told.
+    pub fn found_crashes(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        findings: Vec<CrashFinding>,
+    ) {
+        let Some(reporter) = self.connections.get(&connection) else {
+            return;
+        };
+        let news = self.findings.report(now, findings);
+        for finding in &news {
+            info!(
+                event = "crash_finding",
+                broker = %reporter.identity.broker,
+                route = finding.route,
+                digest = %finding.digest,
+                leaves = finding.leaves,
+                verdict = finding.verdict.as_str(),
+                for_ms = finding.for_ms
+            );
+        }
+        if news.is_empty() {
+            return;
+        }
+        for follower in self.connections.values() {
+            follower.send_findings(&news);
+        }
+    }
+
+    /// Tells a broker that has just come of the warnings and findings that last.
+    pub fn send_current_hints(&self, now: Timestamp, connection: ConnectionId) {
+        let Some(follower) = self.connections.get(&connection) else {
+            return;
+        };
+        let warnings = self.warnings.current(now);
+        if !warnings.is_empty() {
+            follower.send_warnings(&warnings);
+        }
+        let findings = self.findings.current(now);
+        if !findings.is_empty() {
+            follower.send_findings(&findings);
         }
     }
 
@@ -328,6 +367,10 @@
         self.send_document(&warnings, |warnings| FeedMessage::LeafWarnings { warnings });
     }
 
+    fn send_findings(&self, findings: &[CrashFinding]) {
+        self.send_document(&findings, |findings| FeedMessage::CrashFindings { findings });
+    }
+
     fn send_document(
         &self,
         document: &impl Serialize,
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -119,6 +119,10 @@
             let observations = decode_document(&observations.bytes)?;
             Ok(FeedEvent::SawSlowLeaves { connection, observations })
         }
+        SubscriberMessage::CrashFindings { findings } => {
+            let findings = decode_document(&findings.bytes)?;
+            Ok(FeedEvent::FoundCrashes { connection, findings })
+        }
         SubscriberMessage::Subscribe { .. } => {
             Err(ProtocolError::Malformed("second subscription".into()))
         }
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -6,6 +6,7 @@
 
 use gingerkeel_domain::admission::{ADMIT_ALL, ClassPressure, OverloadReport};
 use gingerkeel_domain::cluster::{ChargeCounter, ChargeKey, HISTORY_LIMIT};
+use gingerkeel_domain::crash_suspects::{CrashFinding, RequestDigest, Verdict};
 use gingerkeel_domain::feed::{BrokerList, BrokerListDelta};
 use gingerkeel_domain::identifiers::{CallerName, ClassName, LeafIdentity, ServiceName};
 use gingerkeel_domain::leaf_warnings::{LeafObservation, LeafWarning};
@@ -262,3 +263,36 @@
     let mut late = HollowBroker::subscribe(&control, "b4", 1, 0);
     assert!(next_warnings(&mut late)[0].for_ms <= 1_000, "one that comes meanwhile is told");
 }
+
+fn crash(leaves: u32, verdict: Verdict) -> CrashFinding {
+    let route = "search".to_owned();
+    CrashFinding { digest: RequestDigest(7), route, leaves, verdict, for_ms: 10_000 }
+}
+
+fn next_findings(broker: &mut HollowBroker) -> Vec<CrashFinding> {
+    broker.receive_until(|message| match message {
+        FeedMessage::CrashFindings { findings } => Some(decode_document(&findings.bytes).unwrap()),
+        _ => None,
+    })
+}
+
+#[test]
+fn all_brokers_are_told_of_a_request_that_crashes_leaves() {
+    let control = Control::start("control-1");
+    let mut brokers = ["b1", "b2"].map(|name| HollowBroker::subscribe(&control, name, 1, 0));
+    for broker in &mut brokers {
+        broker.renew(1, 0);
+    }
+    // One leaf alone proves nothing, and is not passed on.
+    for found in [crash(1, Verdict::Suspected), crash(3, Verdict::Refused)] {
+        let findings = encode_document(&vec![found]).unwrap().into();
+        brokers[0].send(&SubscriberMessage::CrashFindings { findings });
+    }
+    for broker in &mut brokers {
+        assert_eq!(next_findings(broker), [crash(3, Verdict::Refused)]);
+    }
+    let mut late = HollowBroker::subscribe(&control, "b3", 1, 0);
+    let told = next_findings(&mut late).remove(0);
+    assert_eq!((told.verdict, told.leaves), (Verdict::Refused, 3));
+    assert!(told.for_ms <= 10_000, "for what is left of it");
+}
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -55,6 +55,12 @@
         /// What it saw of each, as a document.
         observations: Document,
     },
+    /// Requests under which leaves have ended.
+    #[brw(magic = 20u8)]
+    CrashFindings {
+        /// What the broker found, as a document.
+        findings: Document,
+    },
     /// Load and refusals of one service since the last such report.
     #[brw(magic = 5u8)]
     Overload {
@@ -163,6 +169,12 @@
         /// The warnings as a document.
         warnings: Document,
     },
+    /// Requests under which leaves have ended, as other brokers found; a hint.
+    #[brw(magic = 20u8)]
+    CrashFindings {
+        /// The findings as a document.
+        findings: Document,
+    },
     /// The run that was reported is settled: the broker counts on in a new one.
     #[brw(magic = 8u8)]
     RunSettled {
