Let one request in a hundred crash the leaves of the soak

A leaf that runs one refuses connections for 700 ms, as one that ended and came back; the relay in front of it gives its address up meanwhile.

--- a/crates/rehearsal/src/relay/mod.rs
+++ b/crates/rehearsal/src/relay/mod.rs
@@ -15,6 +15,7 @@
     AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
 };
 use monoio::net::{TcpListener, TcpStream};
+use monoio::time::sleep;
 use rustix::net::connect_unspec;
 use tracing::warn;
 
@@ -24,6 +25,8 @@
 use crate::error::RehearsalError;
 use link::LinkState;
 
+/// Time between two looks at whether connections are refused no longer.
+const REFUSAL_LOOK: Duration = Duration::from_millis(5);
 /// Bytes that are read at once.
 const BUFFER_BYTES: usize = 64 * 1024;
 
@@ -47,11 +50,14 @@
 #[derive(Debug, Default)]
 struct Connections {
     cut: bool,
+    /// Whether nobody listens at the relay's address.
+    refusing: bool,
     next: u64,
     open: BTreeMap<u64, std::net::TcpStream>,
 }
 
 /// A relay on a thread of its own, which runs as long as the process.
+#[derive(Clone)]
 pub struct Relay {
     address: SocketAddr,
     shared: Arc<Shared>,
@@ -119,6 +125,14 @@
         }
     }
 
+    /// Closes all connections, and refuses new ones as if the target had ended, until [`Self::heal`].
+    pub fn refuse(&self) {
+        self.shared.connections().refusing = true;
+        // Wakes the task that accepts, which closes the listener; without it, the next connection does.
+        let _ = std::net::TcpStream::connect(self.address);
+        self.cut();
+    }
+
     /// Disturbs the link until [`Self::heal`].
     pub fn disturb(&self, fault: LinkFault) {
         let (to_target, from_target) = (&self.shared.to_target.link, &self.shared.from_target.link);
@@ -151,7 +165,10 @@
 
     /// Ends a cut and every other fault.
     pub fn heal(&self) {
-        self.shared.connections().cut = false;
+        let mut connections = self.shared.connections();
+        connections.cut = false;
+        connections.refusing = false;
+        drop(connections);
         self.shared.to_target.link.set(Duration::ZERO, false);
         self.shared.from_target.link.set(Duration::ZERO, false);
     }
@@ -174,6 +191,10 @@
         Some(number)
     }
 
+    fn is_refusing(&self) -> bool {
+        self.connections().refusing
+    }
+
     fn is_cut(&self) -> bool {
         self.connections().cut
     }
@@ -188,10 +209,21 @@
     target: SocketAddr,
     shared: Arc<Shared>,
 ) -> std::io::Result<()> {
-    let listener = TcpListener::from_std(listener)?;
+    let address = listener.local_addr()?;
+    let mut listener = TcpListener::from_std(listener)?;
     loop {
         let (stream, _) = listener.accept().await?;
-        monoio::spawn(relay(stream, target, shared.clone()));
+        if !shared.is_refusing() {
+            monoio::spawn(relay(stream, target, shared.clone()));
+            continue;
+        }
+        drop((listener, stream));
+        while shared.is_refusing() {
+            sleep(REFUSAL_LOOK).await;
+        }
+        let again = std::net::TcpListener::bind(address)?;
+        again.set_nonblocking(true)?;
+        listener = TcpListener::from_std(again)?;
     }
 }
 
--- a/crates/rehearsal/src/soak/leaves.rs
+++ b/crates/rehearsal/src/soak/leaves.rs
@@ -21,6 +21,11 @@
 /// What a request takes at a slow leaf.
 const SLOW: Duration = Duration::from_millis(300);
 
+/// What paths hold of requests that crash every leaf which runs them.
+pub const CRASHING: &str = "crash";
+/// Time until a crashed leaf is back.
+const CRASH_SPAN: Duration = Duration::from_millis(700);
+
 /// What a leaf does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeafMode {
@@ -101,6 +106,8 @@
     service: String,
     identity: String,
     zone: String,
+    /// Over which it is reached: refuses connections while the leaf is down.
+    link: Relay,
 }
 
 /// A stand-in leaf; its threads end with the process.
@@ -136,15 +143,16 @@
             availability: LeafAvailability::Ready,
             cold_ms: 0,
         };
-        let of_thread = (mode.clone(), journal.clone());
+        let of_thread = (mode.clone(), journal.clone(), link.clone());
         let (service, zone) = (service.to_owned(), zone.to_owned());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (mode, journal) = of_thread.clone();
+                let (mode, journal, link) = of_thread.clone();
                 let place = Place {
                     service: service.clone(),
                     identity: identity.clone(),
                     zone: zone.clone(),
+                    link,
                 };
                 thread::spawn(move || converse(stream, &place, &mode, &journal));
             }
@@ -190,7 +198,7 @@
     mode: &Mutex<LeafMode>,
     journal: &Journal,
 ) -> Option<()> {
-    let Place { service, identity, zone } = place;
+    let Place { service, identity, zone, link } = place;
     loop {
         let head = read_head(&mut stream)?;
         let mode = *lock(mode);
@@ -206,6 +214,11 @@
             continue;
         }
         journal.ran(service, &id);
+        if head.lines().next().is_some_and(|line| line.contains(CRASHING)) {
+            thread::sleep(ORDINARY);
+            crash(link);
+            return None;
+        }
         match mode {
             LeafMode::LosesAnswers => return None,
             LeafMode::Silent => {
@@ -226,6 +239,13 @@
     }
 }
 
+/// The leaf ends, and is back after a while.
+fn crash(link: &Relay) {
+    link.refuse();
+    thread::sleep(CRASH_SPAN);
+    link.heal();
+}
+
 fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     let mut byte = [0; 512];
--- a/crates/rehearsal/src/soak/parties.rs
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -17,8 +17,11 @@
 
 use super::answer::{GREATEST, LEAST_SHARE, SHARDS, SINGLE, fault_of_merged, fault_of_single};
 use super::http::{NoResponse, Response, exchange};
+use super::leaves::CRASHING;
 use super::record::{Cut, Record, Seen};
 
+/// Share of the requests that crash every leaf which runs them.
+const CRASHING_SHARE: f64 = 0.01;
 /// Pause between two requests of a caller.
 const CALLER_PAUSE: Duration = Duration::from_millis(5);
 /// Time that a caller waits; more than any request may be held.
@@ -101,14 +104,15 @@
         let path = ["all", "all", "one", "once"][random.random_range(0..4usize)];
         let id = format!("c{number}-{sequence}-{path}");
         let broker = random.random_range(0..scene.callers.len());
-        call_once(scene, broker, path, &id);
+        let crashes = random.random_bool(CRASHING_SHARE);
+        call_once(scene, broker, path, if crashes { CRASHING } else { "x" }, &id);
         sleep(CALLER_PAUSE);
     }
 }
 
-fn call_once(scene: &Scene, broker: usize, path: &str, id: &str) {
+fn call_once(scene: &Scene, broker: usize, path: &str, rest: &str, id: &str) {
     let request = format!(
-        "GET /{path}/x HTTP/1.1\r\nhost: soak\r\ngingerkeel-request-id: {id}\r\n\
+        "GET /{path}/{rest} HTTP/1.1\r\nhost: soak\r\ngingerkeel-request-id: {id}\r\n\
          gingerkeel-deadline-ms: 4000\r\nconnection: close\r\n\r\n"
     );
     let sent = Instant::now();
--- a/crates/rehearsal/tests/relay.rs
+++ b/crates/rehearsal/tests/relay.rs
@@ -146,3 +146,21 @@
     assert_eq!((bytes.of(7), bytes.of(2), bytes.of(0)), (7, 9, 0));
     assert_eq!(bytes.of(7) + bytes.of(2) + 4, FRAMES.len() as u64, "an empty frame has no kind");
 }
+
+#[test]
+fn a_relay_that_refuses_takes_no_connections_until_it_heals() {
+    let relay = echo();
+    let mut stream = connected(&relay);
+    relay.refuse();
+    assert_eq!(stream.read(&mut [0]).unwrap_or(0), 0, "open connections end");
+    let begun = Instant::now();
+    while TcpStream::connect(relay.address()).is_ok() {
+        assert!(begun.elapsed() < Duration::from_secs(5), "connections are still taken");
+    }
+    relay.heal();
+    let begun = Instant::now();
+    while TcpStream::connect(relay.address()).is_err() {
+        assert!(begun.elapsed() < Duration::from_secs(5), "no connection is taken");
+    }
+    connected(&relay);
+}
