--- a/crates/broker/src/routes/crash_watch.rs
+++ b/crates/broker/src/routes/crash_watch.rs
@@ -10,14 +10,14 @@
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
 use gingerkeel_domain::time::Timestamp;
+use gingerkeel_transport::Clock;
 use local_sync::mpsc::unbounded::Tx;
 use tracing::{info, warn};
 use xxhash_rust::xxh3::Xxh3;
 
 use super::attempt::ForwardedRequest;
 use super::route_metrics::RouteMetrics;
-use crate::clock::Clock;
-use crate::feed::FoundCrash;
+use crate::route_reports::FoundCrash;
 
 /// A leaf that ended while a request was under way at it.
 pub struct EndedLeaf<'end> {
--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use gingerkeel_domain::crash_suspects::Caution;
-use gingerkeel_domain::forwarding::{GatherStep, GatherTimes, Gathering, GreatestRecords, NoReply};
+use gingerkeel_domain::forwarding::{GatherStep, GatherTimes, Gathering, GreatestRecords};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Route, ShardSet};
 use gingerkeel_domain::time::Timestamp;
@@ -15,7 +15,7 @@
 use super::attempt::{ForwardedRequest, LeafReply};
 use super::attempts::{CANARY_WAIT, Parts, ask};
 use super::respond::{MergedAnswer, Refusal};
-use super::serving::not_run;
+use super::serving::unanswered;
 use super::state::RouteState;
 
 /// When a caller is asked to come back after too many shards could not be asked.
@@ -58,8 +58,8 @@
         }
     }
 
-    fn take(&mut self, state: &RouteState, outcome: Result<LeafReply, NoReply>) {
-        let attested = outcome.ok().and_then(|reply| Some((attestation(state, &reply)?, reply)));
+    fn take(&mut self, state: &RouteState, outcome: Option<LeafReply>) {
+        let attested = outcome.and_then(|reply| Some((attestation(state, &reply)?, reply)));
         self.gathering.part(state.clock.now(), attested.is_some());
         if let Some((attestation, reply)) = attested {
             self.attestations.push(attestation);
@@ -74,13 +74,11 @@
         is_suspected: bool,
     ) -> Result<MergedAnswer, Refusal> {
         if !self.gathering.reaches_least_share() {
-            // A repeatable request may be sent again, whatever has run of it.
-            let over = Instant::now() >= request.deadline;
-            return Err(match over {
-                true => Refusal::TimedOut,
+            let time_is_over = Instant::now() >= request.deadline;
+            return Err(match unanswered(request, time_is_over, RETRY_AFTER) {
                 // It has run, and coming back soon would cost further leaves.
-                false if is_suspected => Refusal::NoReply,
-                false => not_run(request, RETRY_AFTER),
+                Refusal::NotRun { .. } if is_suspected => Refusal::NoReply,
+                refusal => refusal,
             });
         }
         let missing = self.gathering.missing();
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt;
 mod attempts;
+mod authentication;
 mod callers;
 mod connection_book;
 mod crash_watch;
@@ -12,6 +13,7 @@
 mod leaf_checks;
 mod leaf_registry;
 mod pool;
+mod quota;
 mod readiness;
 mod record;
 mod respond;
@@ -20,16 +22,18 @@
 mod serving;
 mod standby;
 mod state;
+mod tenant_metrics;
 mod trail;
 
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use gingerkeel_domain::identifiers::BrokerRun;
 use gingerkeel_settings::{BrokerSettings, RouteSettings, SettingsSource};
-use gingerkeel_transport::listen;
+use gingerkeel_transport::{Clock, listen};
 use local_sync::mpsc::bounded;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use monoio::time::sleep;
@@ -38,9 +42,9 @@
 
 pub use dialect::{Dialect, read_load};
 
-use crate::clock::Clock;
-use crate::feed::{self, FeedInputs, FoundCrash, LastReport, RouteUpdate, SlowLeaves};
+use crate::feed::{self, FeedInputs, RouteUpdate};
 use crate::reload;
+use crate::route_reports::{self, LinkedUsage, RouteReporters, RouteReports, SlowLeaves};
 use crate::signals;
 use crate::stop::StopSignal;
 use callers::CallerServer;
@@ -50,6 +54,9 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two reports of slow leaves: what they tell is of use for some seconds.
 const SLOW_LEAVES_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two reports of what tenants used: a killed broker takes what it did not report with it,
+/// and what all brokers admit within it can be too much once.
+const USAGE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks at whether a planned stop is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -67,13 +74,10 @@
     let controls = reload::start(source, &settings)?;
     let requested = signals::stop_requested()?;
     let (stop, clock) = (StopSignal::new(), Clock::start());
-    let (slow_leaf_reports, slow_leaves) = feed::slow_leaves();
-    let (crash_reports, found_crashes) = unbounded::channel();
-    let reports = RouteReports { slow_leaves: slow_leaf_reports, found_crashes: crash_reports };
-    let (server, updates) = RouteServer::start(&settings, routes, dialect, clock, &stop, reports)?;
-    let (last_report, last_reports) = unbounded::channel();
-    let inputs = FeedInputs { last_reports, controls, slow_leaves, found_crashes };
-    follow(settings.clone(), clock, last_report, inputs, updates);
+    let (reporters, reports) = route_reports::channels();
+    let (server, updates) =
+        RouteServer::start(&settings, routes, dialect, clock, &stop, reporters)?;
+    follow(settings.clone(), clock, controls, reports, updates);
     requested.await;
     stop.give();
     server.finish().await;
@@ -81,14 +85,6 @@
     Ok(())
 }
 
-/// The ways on which what is seen of leaves goes to control.
-pub struct RouteReports {
-    /// Leaves that are slow.
-    pub slow_leaves: bounded::Tx<SlowLeaves>,
-    /// Requests under which leaves have ended.
-    pub found_crashes: Tx<FoundCrash>,
-}
-
 /// The serving of routes in this process.
 pub struct RouteServer {
     state: Rc<RouteState>,
@@ -97,7 +93,7 @@
 
 impl RouteServer {
     /// Listens for callers, who are served once the news of routes and leaves have come over the
-    /// channel that is given back. What is seen of leaves goes to `reports`.
+    /// channel that is given back. What control is to hear of goes to `reporters`.
     ///
     /// # Errors
     /// An [`io::Error`] when an address cannot be bound.
@@ -107,7 +103,7 @@
         dialect: Dialect,
         clock: Clock,
         stop: &StopSignal,
-        reports: RouteReports,
+        reporters: RouteReporters,
     ) -> io::Result<(Self, Tx<RouteUpdate>)> {
         let listener = listen(routes.listen)?;
         let readiness = routes.readiness.map(listen).transpose()?;
@@ -125,7 +121,7 @@
             routes,
             dialect,
             clock,
-            reports.found_crashes,
+            reporters.found_crashes,
         ));
         if let Some(listener) = readiness {
             monoio::spawn(readiness::serve(listener, state.clone()));
@@ -139,7 +135,8 @@
         monoio::spawn(keep_up(state.clone()));
         monoio::spawn(standby::keep_ready(state.clone()));
         monoio::spawn(leaf_checks::run(state.clone()));
-        monoio::spawn(report_slow_leaves(state.clone(), reports.slow_leaves));
+        monoio::spawn(report_slow_leaves(state.clone(), reporters.slow_leaves));
+        monoio::spawn(report_usage(state.clone(), reporters.usage));
         let (updates, received) = unbounded::channel();
         monoio::spawn(apply_updates(received, state.clone()));
         Ok((Self { state, open }, updates))
@@ -165,17 +162,19 @@
 fn follow(
     settings: BrokerSettings,
     clock: Clock,
-    last_report: Tx<LastReport>,
-    inputs: FeedInputs,
+    controls: Rx<Vec<SocketAddr>>,
+    route_reports: RouteReports,
     updates: Tx<RouteUpdate>,
 ) {
     let run = BrokerRun(rand::rng().random());
     let (engine, mut messages) = unbounded::channel();
     // Without queries there is nothing to charge for and nothing to report.
     monoio::spawn(async move { while messages.recv().await.is_some() {} });
+    let (last_report, last_reports) = unbounded::channel();
     monoio::spawn(async move {
         // Kept so that the feed does not take it for the end of the process.
         let _last_report = last_report;
+        let inputs = FeedInputs { last_reports, controls, route_reports };
         feed::follow(settings, run, clock, engine, inputs, Some(updates)).await;
     });
 }
@@ -193,7 +192,13 @@
             }
             RouteUpdate::CrashFindings(findings) => state.crashes.told(&findings, || state.draw()),
             RouteUpdate::Evacuated(zones) => state.evacuate(zones),
-            RouteUpdate::Brokers(brokers) => state.leaves.set_brokers(brokers),
+            RouteUpdate::Brokers(brokers) => {
+                state.quotas.set_brokers(brokers.len());
+                state.leaves.set_brokers(brokers);
+            }
+            RouteUpdate::LinkUp(link) => state.quotas.link_up(link),
+            RouteUpdate::LinkDown => state.quotas.link_down(),
+            RouteUpdate::Usage(usage) => state.quotas.told(&usage),
         }
         state.note_known();
     }
@@ -215,6 +220,19 @@
     }
 }
 
+/// Reports what tenants used of their quotas, for as long as somebody takes the reports.
+async fn report_usage(state: Rc<RouteState>, reports: bounded::Tx<LinkedUsage>) {
+    loop {
+        sleep(USAGE_INTERVAL).await;
+        state.quotas.note_relief();
+        if let Some(report) = state.quotas.report()
+            && reports.send(report).await.is_err()
+        {
+            return;
+        }
+    }
+}
+
 async fn keep_up(state: Rc<RouteState>) {
     loop {
         sleep(UPKEEP_INTERVAL).await;
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -18,6 +18,7 @@
 use tracing::warn;
 
 use super::state::RouteState;
+use super::tenant_metrics::TenantMetrics;
 use super::trail::AskReason;
 
 /// Path of the metrics.
@@ -71,6 +72,7 @@
     evacuated_zones: Gauge,
     cold_leaves: Gauge,
     load_reports: Family<LoadLabels, Counter>,
+    tenants: TenantMetrics,
 }
 
 impl Default for RouteMetrics {
@@ -92,6 +94,7 @@
             evacuated_zones: Gauge::default(),
             cold_leaves: Gauge::default(),
             load_reports: Family::default(),
+            tenants: TenantMetrics::default(),
         };
         metrics.register();
         metrics
@@ -133,6 +136,7 @@
         registry.register("cold_leaves", help, self.cold_leaves.clone());
         let help = "Reports of leaves about their load, by what they say";
         registry.register("load_reports", help, self.load_reports.clone());
+        self.tenants.register(registry);
     }
 
     /// A request has ended.
@@ -192,6 +196,7 @@
         self.evacuated_zones.set(state.leaves.evacuated_zones() as i64);
         self.canary_routes.set(state.crashes.canary_routes() as i64);
         self.cold_leaves.set(state.leaves.cold_leaves() as i64);
+        self.tenants.set(&state.quotas.counts());
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -12,6 +12,7 @@
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision, ZoneName};
 use gingerkeel_domain::leaf_warnings::LeafObservation;
+use gingerkeel_domain::quota::UsageReport;
 use gingerkeel_domain::routes::AcceptedRoutes;
 use gingerkeel_protocol::FeedMessage;
 use gingerkeel_statement::{StatementReply, Subject};
@@ -46,6 +47,8 @@
     pub evacuated: bool,
     /// Whether a broker, a leaf or an evacuation names it.
     pub named: bool,
+    /// Whether a broker, a leaf or an evacuation names any zone.
+    pub names_any: bool,
 }
 
 /// What happened on a broker's connection.
@@ -109,10 +112,19 @@
         /// What it found.
         findings: Vec<CrashFinding>,
     },
+    /// The broker reported what tenants used of their quotas.
+    UsedQuotas {
+        /// The connection.
+        connection: ConnectionId,
+        /// The report.
+        report: UsageReport,
+    },
     /// The connection is lost.
     Closed {
         /// The connection.
         connection: ConnectionId,
+        /// Whether the broker closed it, which says that it has ended or turned elsewhere.
+        by_broker: bool,
     },
 }
 
@@ -196,4 +208,6 @@
     ReportsTaken,
     /// Time for a round of reports and deltas.
     Round,
+    /// Time for a round of the use of quotas.
+    UsageRound,
 }
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -5,7 +5,9 @@
 mod message;
 mod reads;
 mod routes;
+mod state_document;
 mod subscribers;
+mod usage;
 mod waiting;
 mod waiting_routes;
 
@@ -15,11 +17,11 @@
     ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandOutcome, LogIndex,
 };
 use gingerkeel_domain::identifiers::ZoneName;
-use gingerkeel_protocol::{decode_document, encode_document, unpack_document};
+use gingerkeel_protocol::unpack_document;
+use gingerkeel_transport::Clock;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
 use tracing::{debug, error, info};
 
-use crate::clock::Clock;
 use crate::directory_polling::ReadAtOnce;
 use crate::leaf_polling::PollPlan;
 use crate::replication::{StateMachineMessage, StateSnapshot};
@@ -30,7 +32,9 @@
 pub use membership::OwnIdentity;
 pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity, ZoneView};
 use reads::{PendingRead, Reads};
+use state_document::{decode_state, encode_state};
 use subscribers::Subscribers;
+use usage::QuotaUse;
 use waiting::{ChangeReply, WaitingChanges};
 use waiting_routes::WaitingReplacements;
 
@@ -57,6 +61,7 @@
     waiting_routes: WaitingReplacements,
     reads: Reads,
     subscribers: Subscribers,
+    quota_use: QuotaUse,
     membership: Membership,
     clock: Clock,
     outlets: Outlets,
@@ -73,6 +78,8 @@
     messages: Rx<ClusterMessage>,
 ) {
     monoio::spawn(send_rounds(own_messages.clone()));
+    monoio::spawn(usage::send_rounds(own_messages.clone()));
+    let quota_use = QuotaUse::new(identity.name.clone(), identity.run);
     let task = ClusterTask {
         state: ClusterState::default(),
         replication,
@@ -81,6 +88,7 @@
         waiting_routes: WaitingReplacements::default(),
         reads: Reads::default(),
         subscribers: Subscribers::default(),
+        quota_use,
         membership: Membership::new(identity),
         clock: Clock::start(),
         outlets,
@@ -126,6 +134,7 @@
     /// that waited for it: a lease counts for what was sent before it.
     fn publish(&mut self) {
         if std::mem::take(&mut self.changed) {
+            self.quota_use.follow_quotas(self.clock.now(), &self.state);
             self.subscribers.publish(&self.state);
             self.serve_reads();
         }
@@ -170,6 +179,7 @@
             }
             ClusterMessage::ReportsTaken => self.membership.reports_taken(),
             ClusterMessage::Round => self.round(),
+            ClusterMessage::UsageRound => self.usage_round(),
         }
     }
 
@@ -177,7 +187,7 @@
         match message {
             StateMachineMessage::Apply { index, command } => self.apply(index, &command),
             StateMachineMessage::Restore { index, snapshot } => self.restore(index, &snapshot),
-            StateMachineMessage::TakeSnapshot { reply } => match encode_document(&self.state) {
+            StateMachineMessage::TakeSnapshot { reply } => match encode_state(&self.state) {
                 Ok(bytes) => {
                     let snapshot = StateSnapshot { index: self.state.applied(), bytes };
                     // The log may have changed its mind.
@@ -185,6 +195,9 @@
                 }
                 Err(error) => error!(event = "snapshot_not_encoded", %error),
             },
+            StateMachineMessage::PeerUsed(used) => {
+                self.quota_use.peer_used(self.clock.now(), &used)
+            }
         }
     }
 
@@ -212,14 +225,10 @@
             (CommandBody::ReportCharges(reports), CommandOutcome::Charges(receipts)) => {
                 self.subscribers.acknowledge_charges(reports, &receipts)
             }
-            (CommandBody::ReplaceRoutes(routes), CommandOutcome::Routes(outcome)) => {
-                let version = routes.configuration.version.0;
+            (body, CommandOutcome::Routes(outcome)) => {
+                let version = body.routes_version().map(|version| version.0);
                 info!(event = "routes_replaced", version, ?outcome);
-                self.waiting_routes.accepted(self.state.routes().version());
-                if routes.names_unlisted(self.state.directory()) {
-                    // Without an outside list nobody listens.
-                    let _ = self.outlets.read_directory.send(ReadAtOnce);
-                }
+                self.routes_replaced();
             }
             (CommandBody::ReportDirectory(delta), _) => {
                 let version = self.state.directory().version().0;
@@ -231,7 +240,7 @@
     }
 
     fn restore(&mut self, index: LogIndex, snapshot: &[u8]) {
-        match decode_document::<ClusterState>(snapshot) {
+        match decode_state(snapshot) {
             Ok(state) if state.applied() >= self.state.applied() => {
                 info!(event = "snapshot_restored", index = index.0);
                 self.state = state;
@@ -260,10 +269,12 @@
 
     fn view_zone(&self, zone: &ZoneName) -> ZoneView {
         let catalog = self.state.catalog();
+        let named = tables::named_zones(&self.state);
         ZoneView {
             revision: catalog.revision(),
             evacuated: catalog.evacuated().contains(zone),
-            named: tables::named_zones(&self.state).contains(zone),
+            named: named.contains(zone),
+            names_any: !named.is_empty(),
         }
     }
 
@@ -325,6 +336,7 @@
                 let now = self.clock.now();
                 self.subscribers.subscribe(&self.state, connection, subscriber, revision, feed);
                 self.subscribers.send_current_hints(now, connection);
+                self.subscribers.send_current_usage(now, connection, &self.quota_use);
             }
             FeedEvent::Renewed { connection, ticket, in_force } => {
                 self.subscribers.in_force(connection, in_force);
@@ -348,7 +360,17 @@
             FeedEvent::FoundCrashes { connection, findings } => {
                 self.subscribers.found_crashes(self.clock.now(), connection, findings)
             }
-            FeedEvent::Closed { connection } => self.subscribers.closed(connection),
+            FeedEvent::UsedQuotas { connection, report } => {
+                if let Some(follower) = self.subscribers.follower(connection) {
+                    let broker = &follower.identity;
+                    self.quota_use.broker_used(self.clock.now(), broker, &report);
+                }
+            }
+            FeedEvent::Closed { connection, by_broker } => {
+                if let Some(gone) = self.subscribers.closed(connection) {
+                    self.quota_use.broker_left(self.clock.now(), &gone.broker, by_broker);
+                }
+            }
         }
     }
 
@@ -359,6 +381,7 @@
         }
         self.propose_routes_again();
         self.subscribers.publish_members(&self.state);
+        self.quota_use.follow_members(self.clock.now(), &self.state);
         if let Some(plan) = self.membership.poll_plan(&self.state) {
             // The polling task lives as long as the process.
             let _ = self.outlets.polling.send(plan);
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -123,6 +123,10 @@
             let findings = decode_document(&findings.bytes)?;
             Ok(FeedEvent::FoundCrashes { connection, findings })
         }
+        SubscriberMessage::Usage { report } => {
+            let report = decode_document(&report.bytes)?;
+            Ok(FeedEvent::UsedQuotas { connection, report })
+        }
         SubscriberMessage::Subscribe { .. } => {
             Err(ProtocolError::Malformed("second subscription".into()))
         }
