--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use gingerkeel_domain::crash_suspects::CrashFinding;
 use gingerkeel_domain::directory::{DirectoryDelta, LeafDirectory};
 use gingerkeel_domain::feed::{
     BackOff, BrokerList, ChargeReporter, ChargeTotals, FeedFault, FollowerEffect, FollowerEvent,
@@ -33,7 +34,7 @@
 
 use crate::control_dial::dial;
 use crate::engine::EngineMessage;
-use crate::route_reports::{LinkNumber, LinkedUsage, RouteReports, SlowLeaves};
+use crate::route_reports::{FoundCrash, LinkNumber, LinkedUsage, RouteReports, SlowLeaves};
 
 /// Bound of the first pause before another control process is asked.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -147,6 +148,7 @@
     Message(Result<FeedMessage, LinkError>),
     LastReport(LastReport),
     SlowLeaves(SlowLeaves),
+    FoundCrash(FoundCrash),
     Usage(LinkedUsage),
     TimerElapsed,
 }
@@ -163,6 +165,8 @@
     FreshUntil(Timestamp),
     /// Leaves that many brokers find slow.
     LeafWarnings(Vec<LeafWarning>),
+    /// Requests under which leaves have ended, as other brokers found.
+    CrashFindings(Vec<CrashFinding>),
     /// A link to a control process is up.
     LinkUp(LinkNumber),
     /// It is lost.
@@ -268,6 +272,7 @@
                     self.hurry_last_report();
                 }
                 News::SlowLeaves(report) => self.report_slow_leaves(writer, &report).await?,
+                News::FoundCrash(found) => self.report_crash(writer, found).await?,
                 News::Usage(usage) => self.report_usage(writer, &usage).await?,
                 News::TimerElapsed => self.tell(FollowerEvent::TimerElapsed, &mut effects),
             }
@@ -287,6 +292,11 @@
                 Some(report) => News::SlowLeaves(report),
                 None => std::future::pending().await,
             },
+            found = self.route_reports.found_crashes.recv() => match found {
+                Some(found) => News::FoundCrash(found),
+                // Nothing serves routes in this process.
+                None => std::future::pending().await,
+            },
             usage = self.route_reports.usage.recv() => match usage {
                 Some(usage) => News::Usage(usage),
                 None => std::future::pending().await,
@@ -350,6 +360,8 @@
                 .send_routes(|| decode_document(&delta.bytes).map(RouteUpdate::DirectoryChange))?,
             FeedMessage::LeafWarnings { warnings } => self
                 .send_routes(|| decode_document(&warnings.bytes).map(RouteUpdate::LeafWarnings))?,
+            FeedMessage::CrashFindings { findings } => self
+                .send_routes(|| decode_document(&findings.bytes).map(RouteUpdate::CrashFindings))?,
             FeedMessage::Usage { usage } => {
                 self.send_routes(|| decode_document(&usage.bytes).map(RouteUpdate::Usage))?
             }
@@ -439,6 +451,19 @@
         send(writer, &SubscriberMessage::SlowLeaves { observations }).await
     }
 
+    /// Sends what was found of a request, at once: each try of it may cost leaves.
+    async fn report_crash(
+        &mut self,
+        writer: &mut OwnedWriteHalf<TcpStream>,
+        found: FoundCrash,
+    ) -> Result<(), LinkError> {
+        let Some(finding) = found.current(self.clock.now()) else {
+            return Ok(());
+        };
+        let findings = encode_document(&vec![finding])?.into();
+        send(writer, &SubscriberMessage::CrashFindings { findings }).await
+    }
+
     /// Sends what tenants used, unless it was meant for a link that is lost.
     async fn report_usage(
         &mut self,
--- a/crates/broker/src/route_reports.rs
+++ b/crates/broker/src/route_reports.rs
@@ -1,11 +1,13 @@
 //! What the serving of routes reports to the control process, on its way to the feed.
 //!
-//! Each way holds one report; who reports waits while nobody takes it.
+//! Each way holds one report; who reports waits while nobody takes it. Requests that crash leaves do not wait: there are few, and each try
+//! of one may cost leaves.
 
+use gingerkeel_domain::crash_suspects::CrashFinding;
 use gingerkeel_domain::leaf_warnings::LeafObservation;
 use gingerkeel_domain::quota::UsageReport;
 use gingerkeel_domain::time::Timestamp;
-use local_sync::mpsc::bounded;
+use local_sync::mpsc::{bounded, unbounded};
 
 /// Reports that wait for the feed.
 const WAITING_REPORTS: usize = 1;
@@ -18,6 +20,23 @@
     pub observations: Vec<LeafObservation>,
 }
 
+/// A request under which leaves have ended.
+pub struct FoundCrash {
+    /// When this was told: the time of the finding counts from then.
+    pub at: Timestamp,
+    /// What was found.
+    pub finding: CrashFinding,
+}
+
+impl FoundCrash {
+    /// The finding as it is now; none when its time is over.
+    pub fn current(self, now: Timestamp) -> Option<CrashFinding> {
+        let passed = now.since(self.at).as_millis() as u32;
+        let for_ms = self.finding.for_ms.checked_sub(passed).filter(|left| *left > 0)?;
+        Some(CrashFinding { for_ms, ..self.finding })
+    }
+}
+
 /// Number of a link to a control process within this run.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LinkNumber(pub u64);
@@ -35,6 +54,8 @@
 pub struct RouteReporters {
     /// Leaves that were slow.
     pub slow_leaves: bounded::Tx<SlowLeaves>,
+    /// Requests under which leaves have ended.
+    pub found_crashes: unbounded::Tx<FoundCrash>,
     /// What tenants used of their quotas.
     pub usage: bounded::Tx<LinkedUsage>,
 }
@@ -43,6 +64,8 @@
 pub struct RouteReports {
     /// Leaves that were slow.
     pub slow_leaves: bounded::Rx<SlowLeaves>,
+    /// Requests under which leaves have ended.
+    pub found_crashes: unbounded::Rx<FoundCrash>,
     /// What tenants used of their quotas.
     pub usage: bounded::Rx<LinkedUsage>,
 }
@@ -51,6 +74,11 @@
 pub fn channels() -> (RouteReporters, RouteReports) {
     let (slow_leaves_sender, slow_leaves) = bounded::channel(WAITING_REPORTS);
     let (usage_sender, usage) = bounded::channel(WAITING_REPORTS);
-    let reporters = RouteReporters { slow_leaves: slow_leaves_sender, usage: usage_sender };
-    (reporters, RouteReports { slow_leaves, usage })
+    let (crashes_sender, found_crashes) = unbounded::channel();
+    let reporters = RouteReporters {
+        slow_leaves: slow_leaves_sender,
+        found_crashes: crashes_sender,
+        usage: usage_sender,
+    };
+    (reporters, RouteReports { slow_leaves, found_crashes, usage })
 }
--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -1,12 +1,13 @@
 //! One attempt: a request to one leaf, and its reply.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use gingerkeel_domain::crash_suspects::RequestDigest;
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{AttemptError, ExecutionEvidence, Outcome};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
@@ -18,6 +19,7 @@
 use http::StatusCode;
 
 use super::authentication::{AUTHORIZATION, CallerIdentity};
+use super::crash_watch::digest;
 use super::dialect::Dialect;
 use super::pool::LeafConnection;
 use super::state::RouteState;
@@ -55,6 +57,8 @@
     pub trail: Trail,
     /// What all attempts tell of whether it has run.
     pub evidence: Cell<ExecutionEvidence>,
+    /// What is the same in all its tries, once somebody has asked.
+    pub digest: OnceCell<RequestDigest>,
 }
 
 impl ForwardedRequest {
@@ -63,9 +67,14 @@
         change(&mut evidence);
         self.evidence.set(evidence);
     }
-}
 
-impl ForwardedRequest {
+    /// What is the same in all its tries.
+    pub fn digest(&self) -> RequestDigest {
+        let host = self.head.headers.text("host").unwrap_or_default();
+        let (method, target) = (&self.head.method, &self.head.target);
+        *self.digest.get_or_init(|| digest(method, host, target, &self.body))
+    }
+
     /// It is known who sent it, and with it what leaves get.
     pub fn identify(&mut self, dialect: &Dialect, caller: &CallerIdentity) {
         self.tenant = caller.tenant().cloned();
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -1,6 +1,6 @@
 //! Callers' connections.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -235,6 +235,7 @@
             deadline,
             trail: Trail::new(received),
             evidence: Cell::default(),
+            digest: OnceCell::new(),
         }
     }
 
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -6,6 +6,7 @@
 mod authentication;
 mod callers;
 mod connection_book;
+mod crash_watch;
 mod dialect;
 mod gather;
 mod known_leaves;
@@ -115,7 +116,13 @@
             }
             None => info!(event = "routes_started", name = settings.name, routes = %address),
         }
-        let state = Rc::new(RouteState::new(settings.clone(), routes, dialect, clock));
+        let state = Rc::new(RouteState::new(
+            settings.clone(),
+            routes,
+            dialect,
+            clock,
+            reporters.found_crashes,
+        ));
         if let Some(listener) = readiness {
             monoio::spawn(readiness::serve(listener, state.clone()));
         }
@@ -183,6 +190,7 @@
                 state.metrics.warned(warnings.len());
                 state.leaves.warn(&warnings);
             }
+            RouteUpdate::CrashFindings(findings) => state.crashes.told(&findings, || state.draw()),
             RouteUpdate::Evacuated(zones) => state.evacuate(zones),
             RouteUpdate::Brokers(brokers) => {
                 state.quotas.set_brokers(brokers.len());
@@ -229,5 +237,6 @@
     loop {
         sleep(UPKEEP_INTERVAL).await;
         state.leaves.close_expired();
+        state.crashes.look_at_routes();
     }
 }
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -335,7 +335,7 @@
             FeedEvent::Subscribed { connection, subscriber, revision, feed } => {
                 let now = self.clock.now();
                 self.subscribers.subscribe(&self.state, connection, subscriber, revision, feed);
-                self.subscribers.send_current_warnings(now, connection);
+                self.subscribers.send_current_hints(now, connection);
                 self.subscribers.send_current_usage(now, connection, &self.quota_use);
             }
             FeedEvent::Renewed { connection, ticket, in_force } => {
@@ -357,6 +357,9 @@
             FeedEvent::SawSlowLeaves { connection, observations } => {
                 self.subscribers.saw_slow_leaves(self.clock.now(), connection, &observations)
             }
+            FeedEvent::FoundCrashes { connection, findings } => {
+                self.subscribers.found_crashes(self.clock.now(), connection, findings)
+            }
             FeedEvent::UsedQuotas { connection, report } => {
                 if let Some(follower) = self.subscribers.follower(connection) {
                     let broker = &follower.identity;
--- a/crates/rehearsal/src/soak/parties.rs
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -18,9 +18,14 @@
 
 use super::answer::{GREATEST, LEAST_SHARE, SHARDS, SINGLE, fault_of_merged, fault_of_single};
 use super::http::{NoResponse, Response, exchange};
+use super::leaves::CRASHING;
 use super::record::{Cut, Record, Seen};
 use super::tenants::{self, GREEDY, PASSING, STEADY};
 
+/// Rest of the path of ordinary requests.
+const ORDINARY: &str = "x";
+/// Share of the requests that crash every leaf which runs them.
+const CRASHING_SHARE: f64 = 0.01;
 /// Who the callers are, by turns.
 const TENANTS: [&str; 3] = [STEADY, GREEDY, PASSING];
 /// Pause between two requests of a caller.
@@ -113,17 +118,26 @@
         let tenant = TENANTS[number % TENANTS.len()];
         let id = format!("c{number}-{tenant}-{sequence}-{path}");
         let broker = random.random_range(0..scene.callers.len());
-        call_once(scene, broker, path, &id);
+        let crashes = random.random_bool(CRASHING_SHARE);
+        match crashes {
+            true => call_below(scene, broker, path, CRASHING, &id),
+            false => call_once(scene, broker, path, &id),
+        }
         sleep(CALLER_PAUSE);
     }
 }
 
 /// Sends one request to a broker and judges what comes.
 pub fn call_once(scene: &Scene, broker: usize, path: &str, id: &str) {
+    call_below(scene, broker, path, ORDINARY, id);
+}
+
+/// The same with this rest of the path.
+fn call_below(scene: &Scene, broker: usize, path: &str, rest: &str, id: &str) {
     let acknowledged = scene.record.lock().acknowledged;
     let key = tenants::key(tenants::tenant_of(id).unwrap_or_default(), acknowledged);
     let request = format!(
-        "GET /{path}/x HTTP/1.1\r\nhost: soak\r\ngingerkeel-request-id: {id}\r\n\
+        "GET /{path}/{rest} HTTP/1.1\r\nhost: soak\r\ngingerkeel-request-id: {id}\r\n\
          gingerkeel-tenant: forged\r\nauthorization: Bearer {key}\r\n\
          gingerkeel-deadline-ms: 4000\r\nconnection: close\r\n\r\n"
     );
