--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -1,13 +1,13 @@
 //! The broker: it admits callers' queries, scatters them to leaves, gathers and answers.
 
 mod callers;
-mod clock;
 mod control_dial;
 mod engine;
 mod feed;
 mod leaves;
 mod metrics;
 mod reload;
+mod route_reports;
 pub mod routes;
 mod signals;
 mod stop;
@@ -18,7 +18,7 @@
 use gingerkeel_domain::feed::ChargeTotals;
 use gingerkeel_domain::identifiers::BrokerRun;
 use gingerkeel_settings::{BrokerSettings, SettingsSource};
-use gingerkeel_transport::listen;
+use gingerkeel_transport::{Clock, listen};
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 use monoio::time::timeout;
@@ -26,7 +26,6 @@
 use tracing::{info, warn};
 
 use crate::callers::CallerServer;
-use crate::clock::Clock;
 use crate::engine::{Engine, EngineMessage};
 use crate::feed::{FeedInputs, LastReport};
 use crate::routes::{Dialect, RouteServer};
@@ -64,18 +63,18 @@
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
     let clock = Clock::start();
-    let (reports, slow_leaves) = feed::slow_leaves();
+    let (reporters, route_reports) = route_reports::channels();
     let (routes, updates) = match settings.routes.clone() {
         Some(routes) => {
             let dialect = Dialect::default();
-            let started = RouteServer::start(&settings, routes, dialect, clock, &stop, reports)?;
+            let started = RouteServer::start(&settings, routes, dialect, clock, &stop, reporters)?;
             (Some(started.0), Some(started.1))
         }
         None => (None, None),
     };
     let run = BrokerRun(rand::rng().random());
     let (last_report, last_reports) = local_sync::mpsc::unbounded::channel();
-    let inputs = FeedInputs { last_reports, controls, slow_leaves };
+    let inputs = FeedInputs { last_reports, controls, route_reports };
     let feed = feed::follow(settings.clone(), run, clock, engine.clone(), inputs, updates);
     monoio::spawn(feed);
     let totals = Engine::new(&settings, run, clock, engine).run(messages).await;
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -1,19 +1,22 @@
 //! Attempts at the leaves of one service until one replies: retries and hedges.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use gingerkeel_domain::crash_suspects::{CanaryGate, Caution, Permission};
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
-    AfterAttempt, AttemptError, Choice, NoReply, NobodyReason, RequestAttempts, Selection,
-    hedge_delay,
+    AfterAttempt, AttemptError, Choice, NobodyReason, RequestAttempts, Selection, hedge_delay,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
+use gingerkeel_domain::time::Timestamp;
 use monoio::time::sleep;
 
 use super::attempt::{ForwardedRequest, LeafReply, attempt};
+use super::crash_watch::EndedLeaf;
+use super::leaf_checks::{LeafFate, fate_of};
 use super::running::Running;
 use super::state::RouteState;
 use super::trail::{AskReason, TrailEntry, outcome_name};
@@ -31,6 +34,9 @@
 /// Part of the target latency for which a request waits for a connection at most, where a late leaf
 /// could be asked at once.
 const CONNECTION_WAIT_SHARE: f64 = 0.2;
+/// Time until a part looks again whether the leaf that was asked for another one has replied or ended; a leaf
+/// needs some milliseconds for either.
+pub const CANARY_WAIT: Duration = Duration::from_millis(4);
 /// Time until leaves are asked again that refused, or of which none could be asked.
 const REFUSAL_WAIT: Duration = Duration::from_millis(20);
 /// Part of the time of a request after which leaves that cannot be asked are not waited for any more.
@@ -54,18 +60,58 @@
     hedge_delay: Duration,
     /// How many more parts the answer can do without.
     spare: Cell<usize>,
+    /// At how many leaves the request may be under way.
+    gate: RefCell<CanaryGate>,
+    /// How many parts have asked no leaf yet.
+    unasked: Cell<usize>,
 }
 
 impl Parts {
     /// Parts of a request of this route, of which so many can be done without.
-    pub fn new(state: &RouteState, route: &Route, spare: usize) -> Self {
+    pub fn new(state: &RouteState, route: &Route, spare: usize, caution: Caution) -> Self {
         Self {
             overdue: StopSignal::new(),
             hedge_delay: delay_of_hedges(state, route),
             spare: Cell::new(spare),
+            gate: RefCell::new(CanaryGate::new(caution)),
+            unasked: Cell::new(0),
         }
     }
 
+    /// For how many more parts leaves may be asked now; none for all of them.
+    pub fn room(&self) -> Option<usize> {
+        self.gate.borrow().room()
+    }
+
+    /// So many parts have asked no leaf yet, and do once there is room.
+    pub fn set_unasked(&self, parts: usize) {
+        self.unasked.set(parts);
+    }
+
+    /// Whether the request may be sent to one more leaf. While leaves end under it, those of other shards are
+    /// asked before a second one of the same: a shard has few.
+    fn permission(&self, reason: AskReason) -> Permission {
+        let gate = self.gate.borrow();
+        match gate.permission() {
+            Permission::Send
+                if gate.is_suspected() && reason != AskReason::First && self.unasked.get() > 0 =>
+            {
+                Permission::Wait
+            }
+            permission => permission,
+        }
+    }
+
+    /// The leaves that were asked first take longer than usual.
+    pub fn canaries_are_late(&self) {
+        self.gate.borrow_mut().canaries_are_late();
+    }
+
+    /// Whether leaves have ended under the request, and none has replied.
+    pub fn is_suspected(&self) -> bool {
+        self.gate.borrow().is_suspected()
+    }
+
     /// The answer has to do without one more.
     fn gave_up(&self) {
         self.spare.set(self.spare.get().saturating_sub(1));
@@ -77,6 +123,10 @@
     leaf: LeafIdentity,
     entry: TrailEntry,
     outcome: Result<LeafReply, AttemptError>,
+    /// When the request was sent to it.
+    sent: Timestamp,
+    /// Whether the leaf has ended, where it lost the connection.
+    fate: LeafFate,
 }
 
 /// One request at the leaves of one service.
@@ -122,10 +172,20 @@
         if !self.attempts.may_ask() {
             return Next::Nobody;
         }
+        if self.parts.is_suspected() && self.state.crashes.is_refused(self.request) {
+            self.parts.gate.borrow_mut().refuse();
+        }
+        match self.parts.permission(reason) {
+            Permission::Send => {}
+            Permission::Wait => return Next::Wait(CANARY_WAIT),
+            Permission::Never => return Next::Nobody,
+        }
         self.nobody = None;
         let limits = self.state.service_limits(self.service);
         let leaves = &self.state.leaves;
-        let choice = match leaves.choose(self.route, self.service, limits, self.attempts.tried()) {
+        let tenant = self.request.tenant.as_deref();
+        let tried = self.attempts.tried();
+        let choice = match leaves.choose(self.route, tenant, self.service, limits, tried) {
             Selection::Ask(choice) => Some(choice),
             Selection::Wait { .. } if self.may_wait_for_connection(reason) => {
                 return Next::Wait(CONNECTION_WAIT);
@@ -159,6 +219,7 @@
         let entry = trail.asked(self.service, &leaf.identity, reason, choice.sound, load);
         self.state.metrics.leaf_asked(reason);
         self.attempts.asked(self.state.clock.now(), leaf.identity.clone());
+        self.parts.gate.borrow_mut().sent();
         Some((leaf, entry))
     }
 
@@ -204,14 +265,15 @@
     }
 
     /// An attempt has ended; gives the outcome of the request when that settles it.
-    fn settle(&mut self, ended: EndedAttempt) -> Option<Result<LeafReply, NoReply>> {
-        let EndedAttempt { leaf, entry, outcome } = ended;
+    fn settle(&mut self, ended: EndedAttempt) -> Option<Option<LeafReply>> {
+        self.tell_gate(&ended);
+        let EndedAttempt { leaf, entry, outcome, .. } = ended;
         let status = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
         self.request.trail.ended(entry, status);
         self.state.metrics.attempt_ended(outcome_name(status));
         match (self.attempts.ended(&leaf, status), outcome) {
-            (AfterAttempt::Reply, Ok(reply)) => return Some(Ok(reply)),
-            (AfterAttempt::NoReply(no_reply), _) => return Some(Err(no_reply)),
+            (AfterAttempt::Reply, Ok(reply)) => return Some(Some(reply)),
+            (AfterAttempt::NoReply, _) => return Some(None),
             (AfterAttempt::AskAnother { keep_reply: true }, Ok(reply)) => {
                 self.failure = Some(reply);
             }
@@ -220,12 +282,30 @@
         None
     }
 
+    /// What the end of an attempt says of whether the request crashes leaves.
+    fn tell_gate(&self, ended: &EndedAttempt) {
+        let mut gate = self.parts.gate.borrow_mut();
+        if ended.outcome.is_ok() {
+            gate.replied();
+            self.state.crashes.replied(self.request);
+        } else if ended.fate.has_ended(gate.most_open() == Some(1)) {
+            let alone = gate.leaf_ended();
+            let (service, leaf, sent) = (self.service, &ended.leaf, ended.sent);
+            let end = EndedLeaf { service, leaf, sent, alone };
+            let metrics = &self.state.metrics;
+            self.state.crashes.leaf_ended(metrics, self.route, self.request, &end);
+            self.request.trail.leaf_ended();
+        } else {
+            gate.over();
+        }
+    }
+
     /// The outcome when no further leaf can be asked.
-    fn give_up(&mut self) -> Result<LeafReply, NoReply> {
+    fn give_up(&mut self) -> Option<LeafReply> {
         if let Some(reason) = self.nobody {
             self.request.trail.nobody(reason);
         }
-        self.failure.take().ok_or(self.attempts.no_reply())
+        self.failure.take()
     }
 }
 
@@ -251,19 +331,17 @@
 
 /// Asks leaves of a service until one replies. Another leaf is asked as well once the measured
 /// latency of the route says that the first is late, or the other `parts` do. The failure of a leaf that
-/// ran a repeatable request is the reply only when no other leaf can be asked.
-///
-/// # Errors
-/// A [`NoReply`] that tells whether the request may have run.
+/// ran a repeatable request is the reply only when no other leaf can be asked. Without a reply, the request's
+/// evidence tells whether it may have run.
 pub async fn ask(
     state: &Rc<RouteState>,
     route: &Route,
     service: &ServiceName,
     request: &ForwardedRequest,
     parts: &Parts,
-) -> Result<LeafReply, NoReply> {
+) -> Option<LeafReply> {
     let outcome = ask_until_settled(state, route, service, request, parts).await;
-    if outcome.is_err() {
+    if outcome.is_none() {
         parts.gave_up();
     }
     outcome
@@ -275,7 +353,7 @@
     service: &ServiceName,
     request: &ForwardedRequest,
     parts: &Parts,
-) -> Result<LeafReply, NoReply> {
+) -> Option<LeafReply> {
     let mut asking = Asking::new(state, route, service, request, parts);
     let mut running = Running::new();
     let mut told_overdue = false;
@@ -332,6 +410,11 @@
     entry: TrailEntry,
     request: &ForwardedRequest,
 ) -> EndedAttempt {
+    let sent = state.clock.now();
     let outcome = attempt(state, route, service, &leaf, request).await;
-    EndedAttempt { leaf: leaf.identity, entry, outcome }
+    let fate = match outcome {
+        Err(AttemptError::Lost) => fate_of(state, &leaf).await,
+        _ => LeafFate::There,
+    };
+    EndedAttempt { leaf: leaf.identity, entry, outcome, sent, fate }
 }
--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -29,6 +29,8 @@
     request: ForwardedRequest,
     route: Option<Arc<Route>>,
     routes_version: RouteVersion,
+    /// Whether it was counted against the quota of its tenant.
+    counted: bool,
     /// None before and after it holds a place in admission.
     admitted: Option<Admitted>,
     outcome: &'static str,
@@ -50,6 +52,7 @@
             request,
             route: None,
             routes_version,
+            counted: false,
             admitted: None,
             outcome: "caller_left",
             status: 0,
@@ -70,6 +73,28 @@
         self.route = Some(route.clone());
     }
 
+    /// Counts it against the quota of its tenant.
+    ///
+    /// # Errors
+    /// When its caller may come back: it is beyond the quota.
+    pub fn count(&mut self) -> Result<(), Duration> {
+        if let Some(tenant) = &self.request.tenant {
+            self.state.quotas.admit(&tenant.name)?;
+            self.counted = true;
+        }
+        Ok(())
+    }
+
+    /// A request that no leaf was asked for does not count against the quota of its tenant.
+    fn uncount(&self) {
+        if let Some(tenant) = &self.request.tenant
+            && self.counted
+            && !self.request.trail.was_asked()
+        {
+            self.state.quotas.give_back(&tenant.name);
+        }
+    }
+
     /// It was admitted, too late to be answered in time or not.
     pub fn admitted(&mut self, was_late: bool) {
         self.admitted = Some(Admitted { at: Instant::now(), was_late });
@@ -99,7 +124,9 @@
             Served::Refused(refusal) => {
                 self.outcome = refusal.outcome();
                 self.status = refusal.status();
-                if let Refusal::NotRun { retry_after } = refusal {
+                if let Refusal::NotRun { retry_after } | Refusal::OverQuota { retry_after } =
+                    refusal
+                {
                     self.retry_after = Some(*retry_after);
                 }
             }
@@ -127,6 +154,8 @@
         let since = if admitted.was_late { admitted.at } else { self.request.received };
         match self.status {
             0 => Ended::GivenUp,
+            // It says nothing of the load of the leaves.
+            500.. if self.request.trail.leaves_ended() > 0 => Ended::GivenUp,
             200..=499 if is_in_time(route, since.elapsed()) => Ended::InTime,
             _ => Ended::Late { parts: self.request.trail.parts_in_time() },
         }
@@ -147,12 +176,14 @@
 impl Drop for Record {
     fn drop(&mut self) {
         self.leave_admission();
+        self.uncount();
         let missing = self.parts.map_or(0, |(present, whole)| whole - present);
         let held = self.held();
         self.state.metrics.request_ended(self.outcome, held, missing);
         let in_time = self.route.as_ref().is_some_and(|route| is_in_time(route, held));
         let end = RequestEnd {
             route: self.route.as_ref().map_or("", |route| route.name.as_str()),
+            tenant: self.request.tenant.as_ref().map(|tenant| tenant.name.as_str()),
             routes_version: self.routes_version,
             directory_version: self.state.leaves.version(),
             outcome: self.outcome,
@@ -160,11 +191,14 @@
             held,
             parts: self.parts,
             retry_after_ms: self.retry_after.map(|span| span.as_millis() as u64),
-            ordinary: (200..=499).contains(&self.status) && in_time && missing == 0,
+            ordinary: (200..=499).contains(&self.status)
+                && self.retry_after.is_none()
+                && in_time
+                && missing == 0,
         };
         for judgement in self.request.trail.judgements() {
             let began = self.state.clock.at(judgement.began);
-            self.state.leaves.observe(&judgement.leaf, began, judgement.slow);
+            self.state.leaves.observe(&judgement.leaf, began, judgement.conduct);
         }
         let sample = self.state.settings.log_sample;
         self.request.trail.write(&self.request.id, &end, sample);
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -4,13 +4,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::forwarding::{NoReply, NobodyReason};
+use gingerkeel_domain::crash_suspects::Caution;
+use gingerkeel_domain::forwarding::{NobodyReason, RequestFailure};
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::{Destination, Route, RouteLookup, RouteTable};
+use gingerkeel_transport::http1::RequestHead;
 use monoio::time::timeout;
 
 use super::attempt::{ForwardedRequest, LeafReply};
 use super::attempts::{Parts, ask};
+use super::authentication::{CallerIdentity, UnknownKey, authenticate};
 use super::gather::gather;
 use super::record::Record;
 use super::respond::{MergedAnswer, Refusal};
@@ -40,9 +43,10 @@
 /// take longer than the answer.
 pub async fn serve(state: &Rc<RouteState>, mut request: ForwardedRequest) -> (Served, Record) {
     state.wait_until_known(request.deadline).await;
-    let found = find_route(state, &request);
-    if let Ok((_, route)) = &found {
-        let timeout_at = request.received + Duration::from_millis(route.timeout_ms);
+    let found = find_route(state, &request.head);
+    if let Ok(found) = &found {
+        request.identify(&state.dialect, &found.caller);
+        let timeout_at = request.received + Duration::from_millis(found.route.timeout_ms);
         request.deadline = request.deadline.min(timeout_at);
     }
     if let Some(stop) = state.planned_stop() {
@@ -50,55 +54,106 @@
         request.deadline = request.deadline.min(Instant::now() + left);
     }
     let mut record = Record::new(state.clone(), request);
-    let (table, route) = match found {
+    let Found { table, route, .. } = match found {
         Ok(found) => found,
-        Err((refusal, reason)) => return (record.refuse(refusal, reason), record),
+        Err(refused) => return (record.refuse(refused.refusal, refused.reason), record),
     };
     record.found(&route);
     if !state.takes(&route) {
         let refusal = Refusal::NotRun { retry_after: BUSY_RETRY_AFTER };
         return (record.refuse(refusal, "stopping"), record);
     }
+    if let Err(left) = state.crashes.caution(&route, record.request(), Caution::None) {
+        return (kept_from_leaves(state, &route, &mut record, left), record);
+    }
+    if let Err(retry_after) = record.count() {
+        let refusal = Refusal::OverQuota { retry_after };
+        return (record.refuse(refusal, refusal.outcome()), record);
+    }
     let candidate = state.candidate(&table, &route, record.request());
     if let Err(retry_after) = state.admission.enter(&route, candidate).await {
         return (record.refuse(Refusal::NotRun { retry_after }, "leaves_overloaded"), record);
     }
     record.admitted(state.clock.now() >= candidate.in_time_until);
-    let served = serve_route(state, &route, record.request()).await;
+    // What others found while it waited counts, too.
+    let usual = state.crashes.usual_caution(&route);
+    let served = match state.crashes.caution(&route, record.request(), usual) {
+        Ok(caution) => serve_route(state, &route, record.request(), caution).await,
+        Err(left) => return (kept_from_leaves(state, &route, &mut record, left), record),
+    };
     record.end(&served);
     (served, record)
 }
 
-type Found = (Rc<RouteTable>, Arc<Route>);
-
-fn find_route(
+/// Refuses a request whose like has crashed leaves: it comes back when one try is let through.
+fn kept_from_leaves(
     state: &RouteState,
-    request: &ForwardedRequest,
-) -> Result<Found, (Refusal, &'static str)> {
+    route: &Route,
+    record: &mut Record,
+    left: Duration,
+) -> Served {
+    state.metrics.kept_from_leaves(&route.name);
+    record.refuse(Refusal::NotRun { retry_after: left }, "crashes_leaves")
+}
+
+/// Whether a request is refused for want of a key. Its head tells, so that its body need not be read.
+pub fn lacks_key(state: &RouteState, head: &RequestHead) -> bool {
+    find_route(state, head).is_err_and(|refused| refused.refusal == Refusal::Unauthorized)
+}
+
+/// Refuses a request that [`lacks_key`].
+pub fn refuse_unread(state: &Rc<RouteState>, request: ForwardedRequest) -> Refusal {
+    let refusal = Refusal::Unauthorized;
+    Record::new(state.clone(), request).refuse(refusal, refusal.outcome());
+    refusal
+}
+
+/// A request that is refused by its head, for a reason in one word.
+struct RefusedByHead {
+    refusal: Refusal,
+    reason: &'static str,
+}
+
+/// Where a request goes, and whose it is.
+struct Found {
+    table: Rc<RouteTable>,
+    route: Arc<Route>,
+    caller: CallerIdentity,
+}
+
+fn find_route(state: &RouteState, head: &RequestHead) -> Result<Found, RefusedByHead> {
+    let refused = |refusal, reason| RefusedByHead { refusal, reason };
     let Some(table) = state.table().filter(|_| state.leaves.is_listed()) else {
         let refusal = Refusal::NotRun { retry_after: state.start_left() };
-        return Err((refusal, "nothing_known_yet"));
+        return Err(refused(refusal, "nothing_known_yet"));
     };
     if state.is_out_of_date() {
         let refusal = Refusal::NotRun { retry_after: OUT_OF_TOUCH_RETRY_AFTER };
-        return Err((refusal, "out_of_touch"));
-    }
-    let host = request.head.headers.text("host").unwrap_or_default();
-    match table.find(host, request.head.path()) {
-        RouteLookup::Found(route) => Ok((table, route)),
-        RouteLookup::NotFound => Err((Refusal::NoRoute, "no_route")),
+        return Err(refused(refusal, "out_of_touch"));
     }
+    let host = head.headers.text("host").unwrap_or_default();
+    let RouteLookup::Found(route) = table.find(host, head.path()) else {
+        return Err(refused(Refusal::NoRoute, "no_route"));
+    };
+    let caller = authenticate(&state.dialect, table.keys(), &route, head)
+        .map_err(|UnknownKey| refused(Refusal::Unauthorized, "unauthorized"))?;
+    Ok(Found { table, route, caller })
 }
 
-async fn serve_route(state: &Rc<RouteState>, route: &Route, request: &ForwardedRequest) -> Served {
+async fn serve_route(
+    state: &Rc<RouteState>,
+    route: &Route,
+    request: &ForwardedRequest,
+    caution: Caution,
+) -> Served {
     match &route.destination {
-        Destination::Shards(shards) => match gather(state, route, shards, request).await {
+        Destination::Shards(shards) => match gather(state, route, shards, request, caution).await {
             Ok(answer) => Served::Merged(answer),
             Err(refusal) => Served::Refused(refusal),
         },
-        Destination::Service(service) => forward(state, route, service, request).await,
+        Destination::Service(service) => forward(state, route, service, request, caution).await,
         Destination::Split(parts) => match state.next_of_split(route, parts) {
-            Some(service) => forward(state, route, &service, request).await,
+            Some(service) => forward(state, route, &service, request, caution).await,
             None => Served::Refused(Refusal::NotRun { retry_after: BUSY_RETRY_AFTER }),
         },
     }
@@ -109,21 +164,30 @@
     route: &Route,
     service: &ServiceName,
     request: &ForwardedRequest,
+    caution: Caution,
 ) -> Served {
     let left = request.deadline.saturating_duration_since(Instant::now());
-    match timeout(left, ask(state, route, service, request, &Parts::new(state, route, 0))).await {
-        Ok(Ok(reply)) => Served::Relayed(Box::new(reply)),
-        Ok(Err(NoReply::NoLeaf | NoReply::Rejected)) => {
-            Served::Refused(not_run(request, BUSY_RETRY_AFTER))
-        }
-        Ok(Err(NoReply::Unknown)) => Served::Refused(Refusal::NoReply),
-        Err(_) => Served::Refused(Refusal::TimedOut),
+    let parts = Parts::new(state, route, 0, caution);
+    match timeout(left, ask(state, route, service, request, &parts)).await {
+        Ok(Some(reply)) => Served::Relayed(Box::new(reply)),
+        Ok(None) => Served::Refused(unanswered(request, false, BUSY_RETRY_AFTER)),
+        Err(_) => Served::Refused(unanswered(request, true, BUSY_RETRY_AFTER)),
     }
 }
 
-/// The refusal of a request that no leaf could be asked for: it is to come back after the usual
+/// What a caller is told whose request gets no answer. One that has not run is to come back after the usual
 /// time, or later where the reason lasts.
-pub(super) fn not_run(request: &ForwardedRequest, usual: Duration) -> Refusal {
-    let lasts = request.trail.nobody_reason().is_some_and(NobodyReason::is_lasting);
-    Refusal::NotRun { retry_after: if lasts { LASTING_RETRY_AFTER } else { usual } }
+pub(super) fn unanswered(
+    request: &ForwardedRequest,
+    time_is_over: bool,
+    usual: Duration,
+) -> Refusal {
+    match request.evidence.get().failure(time_is_over) {
+        RequestFailure::NotRun => {
+            let lasts = request.trail.nobody_reason().is_some_and(NobodyReason::is_lasting);
+            Refusal::NotRun { retry_after: if lasts { LASTING_RETRY_AFTER } else { usual } }
+        }
+        RequestFailure::TimedOut => Refusal::TimedOut,
+        RequestFailure::NoAnswer => Refusal::NoReply,
+    }
 }
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -17,6 +17,8 @@
 use gingerkeel_domain::tail::LatencyWindow;
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::{BrokerSettings, OutOfTouchSetting, RouteSettings};
+use gingerkeel_transport::Clock;
+use local_sync::mpsc::unbounded::Tx;
 use monoio::time::timeout;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -24,11 +26,13 @@
 
 use super::admission::Admission;
 use super::attempt::ForwardedRequest;
+use super::crash_watch::CrashWatch;
 use super::dialect::Dialect;
 use super::known_leaves::ServiceLimits;
 use super::leaf_registry::LeafRegistry;
+use super::quota::Quotas;
 use super::route_metrics::RouteMetrics;
-use crate::clock::Clock;
+use crate::route_reports::FoundCrash;
 use crate::stop::StopSignal;
 
 /// Least time after which a caller is asked to come back while nothing is known yet.
@@ -56,8 +60,12 @@
     pub metrics: RouteMetrics,
     /// The leaves.
     pub leaves: LeafRegistry,
+    /// Quotas of tenants.
+    pub quotas: Quotas,
     /// Admission of requests.
     pub admission: Admission,
+    /// Requests that crash leaves.
+    pub crashes: CrashWatch,
     table: RefCell<Option<Rc<RouteTable>>>,
     latencies: RefCell<BTreeMap<String, LatencyWindow>>,
     /// Turns of each route that splits its requests.
@@ -78,17 +86,21 @@
         settings: RouteSettings,
         dialect: Dialect,
         clock: Clock,
+        found_crashes: Tx<FoundCrash>,
     ) -> Self {
         let seed = broker.seed.unwrap_or_else(|| rand::rng().random());
         let mut random = Pcg64::seed_from_u64(seed);
         let leaves = LeafRegistry::new(clock, &broker, &settings, random.random());
+        let quotas = Quotas::new(clock, &settings, random.random());
         Self {
             dialect,
             settings,
             clock,
+            quotas,
             metrics: RouteMetrics::default(),
             leaves,
             admission: Admission::new(clock),
+            crashes: CrashWatch::new(clock, found_crashes),
             table: RefCell::default(),
             latencies: RefCell::default(),
             splits: RefCell::default(),
@@ -196,6 +208,7 @@
         );
         self.splits.borrow_mut().clear();
         self.leaves.forget_cold_shares();
+        self.quotas.configure(&configuration.tenants);
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
     }
 
@@ -213,6 +226,11 @@
         turns.next(parts).map(|part| part.service.clone())
     }
 
+    /// A number from 0 to 1.
+    pub fn draw(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
     fn now(&self) -> Timestamp {
         self.clock.now()
     }
@@ -255,9 +273,10 @@
         let usual = self.latency(route, USUAL_QUANTILE).unwrap_or_default();
         let time = request.deadline.saturating_duration_since(request.received);
         Candidate {
-            rank: table.rank(route),
+            rank: table.rank(route, request.tenant.as_deref()),
             in_time_until: received.after(target.saturating_sub(usual)),
             give_up_at: received.after(time.mul_f64(WAIT_SHARE)),
+            tenant: request.tenant.as_deref().map(|tenant| table.sharing(tenant)),
         }
     }
 
--- a/crates/control/src/replication_client.rs
+++ b/crates/control/src/replication_client.rs
@@ -4,14 +4,15 @@
 
 use gingerkeel_domain::cluster::{Command, CommandBody, LogIndex};
 use gingerkeel_domain::consensus::RoleName;
+use gingerkeel_domain::quota::PeerUsage;
 use gingerkeel_protocol::pack_document;
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 use monoio::time::timeout;
 use tracing::error;
 
-use crate::clock::wall_time;
 use crate::replication::{ProposeError, ReadError, ReplicationMessage};
+use crate::wall_clock::wall_time;
 
 /// Time that the log has to take a command.
 const PROPOSE_LIMIT: Duration = Duration::from_secs(3);
@@ -50,6 +51,13 @@
         }
     }
 
+    /// Has the other control processes told what tenants used. What cannot be told is contained in what is
+    /// told later.
+    pub fn tell_usage(&self, usage: PeerUsage) {
+        // The log ends with the process.
+        let _ = self.log.send(ReplicationMessage::TellUsage(usage));
+    }
+
     /// The role of this process in the cluster; none while the log ends.
     pub async fn role(&self) -> Option<RoleName> {
         let (reply, receiver) = oneshot::channel();
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -7,6 +7,7 @@
 mod connection_share;
 mod delivery;
 mod eligibility;
+mod execution;
 mod extra_load;
 mod gathering;
 mod greatest;
@@ -18,15 +19,17 @@
 mod replica_set;
 mod signs_of_life;
 mod split;
+mod tenant_shares;
 mod waiting_line;
 
-pub use attempts::{AfterAttempt, AttemptError, NoReply, RequestAttempts, hedge_delay};
+pub use attempts::{AfterAttempt, AttemptError, RequestAttempts, hedge_delay};
 pub use cold_leaves::{ColdLeaves, ColdShare, ColdStart};
 pub use connection_allowance::ConnectionAllowance;
 pub use connection_plan::{BrokerCensus, ConnectionPlan, PlanningBroker};
 pub use connection_share::{SharingBrokers, connection_share};
 pub use delivery::{AnswerMargin, DeliveryTime};
 pub use eligibility::{Exclusion, NobodyReason};
+pub use execution::{ExecutionEvidence, RequestFailure};
 pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings, SlackShare};
 pub use gathering::{GatherStep, GatherTimes, Gathering};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
@@ -39,4 +42,5 @@
     Choice, Connectivity, MissingLeaves, ReplicaSet, ReplicaSettings, Selection,
 };
 pub use split::SplitTurns;
+pub use tenant_shares::{SharingTenant, TenantShares};
 pub use waiting_line::{Candidate, TicketNumber, WaitingLine};
--- a/crates/domain/src/quota/counts.rs
+++ b/crates/domain/src/quota/counts.rs
@@ -96,6 +96,17 @@
         count.drop_old(now, self.life)
     }
 
+    /// An admitted request does not count after all. False when it is reported already.
+    pub(super) fn give_back(&mut self, tenant: &TenantName) -> bool {
+        let slots = self.fresh.get_mut(tenant).map(|count| count.slots.iter_mut().rev());
+        let slot = slots.and_then(|mut slots| slots.find(|slot| slot.admitted > 0));
+        if let Some(slot) = slot {
+            slot.admitted -= 1;
+            return true;
+        }
+        false
+    }
+
     /// The report that is due, if any.
     pub(super) fn report(&mut self, now: Timestamp) -> Option<UsageReport> {
         let quiet = self.reported.is_some_and(|at| now.since(at) < SIGN_OF_LIFE);
--- a/crates/domain/src/quota/metered.rs
+++ b/crates/domain/src/quota/metered.rs
@@ -214,6 +214,14 @@
         self.unheard = (self.unheard - f64::from(admitted)).max(0.0);
     }
 
+    /// A request that was admitted and that nobody was told of did not run.
+    pub(super) fn give_back(&mut self, now: Timestamp) {
+        self.heard(1);
+        if let Some(part) = &mut self.part {
+            part.bucket.take(now, -1.0);
+        }
+    }
+
     pub(super) fn told(&mut self, now: Timestamp, level: &TenantLevel) {
         let arrivals = level.arrivals_per_1000_s as f64 / THOUSAND;
         if let Some(before) = self.told.filter(|before| now.since(before.at) < TOLD_LIFE) {
--- a/crates/domain/src/quota/mod.rs
+++ b/crates/domain/src/quota/mod.rs
@@ -12,6 +12,7 @@
 mod counts;
 mod fleet_tenant;
 mod fold;
+mod limited;
 mod meter;
 mod metered;
 mod peers;
@@ -21,5 +22,6 @@
 mod usage;
 
 pub use fold::UsageFold;
+pub use limited::{LimitedTenants, Relief};
 pub use meter::{QuotaMeter, QuotaSettings, QuotaVerdict, TenantStanding};
 pub use usage::{FleetUsage, PeerUsage, TenantLevel, TenantTotal, TenantUse, UsageReport};
--- a/crates/rehearsal/src/soak/leaves.rs
+++ b/crates/rehearsal/src/soak/leaves.rs
@@ -5,12 +5,13 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 
 use super::answer::{attestation, records};
+use super::tenants::{GREEDY, fault_of_identity, tenant_of};
 use crate::error::RehearsalError;
 use crate::relay::Relay;
 
@@ -21,6 +22,11 @@
 /// What a request takes at a slow leaf.
 const SLOW: Duration = Duration::from_millis(300);
 
+/// What paths hold of requests that crash every leaf which runs them.
+pub const CRASHING: &str = "crash";
+/// Time until a crashed leaf is back.
+const CRASH_SPAN: Duration = Duration::from_millis(700);
+
 /// What a leaf does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeafMode {
@@ -56,6 +62,10 @@
     runs: Mutex<BTreeMap<String, u32>>,
     /// Requests that came to the leaves of each zone.
     arrivals: Mutex<BTreeMap<String, u64>>,
+    /// When each request of the greedy tenant first came to a leaf.
+    greedy: Mutex<BTreeMap<String, Instant>>,
+    /// What leaves learnt of callers and should not have.
+    identity_faults: Mutex<Vec<String>>,
 }
 
 impl Journal {
@@ -69,6 +79,27 @@
         *lock(&self.arrivals).entry(zone.to_owned()).or_insert(0) += 1;
     }
 
+    /// A leaf learnt of a caller by a request whose id is `id`.
+    pub fn told(&self, head: &str, id: &str) {
+        let told = header(head, "gingerkeel-tenant");
+        lock(&self.identity_faults).extend(fault_of_identity(head, told, id));
+        if tenant_of(id) == Some(GREEDY) {
+            lock(&self.greedy).entry(id.to_owned()).or_insert_with(Instant::now);
+        }
+    }
+
+    /// What leaves learnt of callers and should not have.
+    pub fn identity_faults(&self) -> Vec<String> {
+        lock(&self.identity_faults).clone()
+    }
+
+    /// When the requests of the greedy tenant came to leaves, in order.
+    pub fn greedy_arrivals(&self) -> Vec<Instant> {
+        let mut arrivals: Vec<Instant> = lock(&self.greedy).values().copied().collect();
+        arrivals.sort_unstable();
+        arrivals
+    }
+
     /// How many requests came to the leaves of a zone.
     pub fn arrivals_in(&self, zone: &str) -> u64 {
         lock(&self.arrivals).get(zone).copied().unwrap_or(0)
@@ -101,6 +132,8 @@
     service: String,
     identity: String,
     zone: String,
+    /// Over which it is reached: refuses connections while the leaf is down.
+    link: Relay,
 }
 
 /// A stand-in leaf; its threads end with the process.
@@ -136,15 +169,16 @@
             availability: LeafAvailability::Ready,
             cold_ms: 0,
         };
-        let of_thread = (mode.clone(), journal.clone());
+        let of_thread = (mode.clone(), journal.clone(), link.clone());
         let (service, zone) = (service.to_owned(), zone.to_owned());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (mode, journal) = of_thread.clone();
+                let (mode, journal, link) = of_thread.clone();
                 let place = Place {
                     service: service.clone(),
                     identity: identity.clone(),
                     zone: zone.clone(),
+                    link,
                 };
                 thread::spawn(move || converse(stream, &place, &mode, &journal));
             }
@@ -190,7 +224,7 @@
     mode: &Mutex<LeafMode>,
     journal: &Journal,
 ) -> Option<()> {
-    let Place { service, identity, zone } = place;
+    let Place { service, identity, zone, link } = place;
     loop {
         let head = read_head(&mut stream)?;
         let mode = *lock(mode);
@@ -200,12 +234,18 @@
         }
         let expected = header(&head, "gingerkeel-leaf");
         journal.arrived(zone);
+        journal.told(&head, &id);
         if mode == LeafMode::Rejects || expected.is_some_and(|expected| expected != identity) {
             let status = if mode == LeafMode::Rejects { 503 } else { 421 };
             write_response(&mut stream, status, "gingerkeel-not-executed: 1\r\n", b"")?;
             continue;
         }
         journal.ran(service, &id);
+        if head.lines().next().is_some_and(|line| line.contains(CRASHING)) {
+            thread::sleep(ORDINARY);
+            crash(link);
+            return None;
+        }
         match mode {
             LeafMode::LosesAnswers => return None,
             LeafMode::Silent => {
@@ -226,6 +266,13 @@
     }
 }
 
+/// The leaf ends, and is back after a while.
+fn crash(link: &Relay) {
+    link.refuse();
+    thread::sleep(CRASH_SPAN);
+    link.heal();
+}
+
 fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     let mut byte = [0; 512];
