--- a/crates/rehearsal/src/soak/tenants.rs
+++ b/crates/rehearsal/src/soak/tenants.rs
@@ -75,10 +75,13 @@
     let most = allowed * (1.0 + TOLERANCE.overshoot) + TOLERANCE.slack;
     let in_window = arrivals.iter().enumerate().map(|(first, began)| {
         let rest = &arrivals[first..];
-        rest.partition_point(|moment| moment.duration_since(*began) < TOLERANCE.window)
+        let count = rest.partition_point(|moment| moment.duration_since(*began) < TOLERANCE.window);
+        (count, began.duration_since(arrivals[0]).as_millis())
     });
-    let worst = in_window.max().unwrap_or(0);
-    (worst as f64 > most).then(|| format!("{worst} requests of {GREEDY} in a window of {most}"))
+    let (worst, after_ms) = in_window.max().unwrap_or_default();
+    (worst as f64 > most).then(|| {
+        format!("{worst} requests of {GREEDY} in a window of {most}, {after_ms} ms after the first")
+    })
 }
 
 /// What is wrong with the status that a key got which was taken away, if anything.
