--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -16,7 +16,7 @@
 use gingerkeel_domain::cluster::{
     ChangeOutcome, ChangeRequest, ClusterState, Command, CommandBody, CommandOutcome, LogIndex,
 };
-use gingerkeel_domain::identifiers::ZoneName;
+use gingerkeel_domain::identifiers::{TenantName, ZoneName};
 use gingerkeel_protocol::unpack_document;
 use gingerkeel_transport::Clock;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
@@ -317,7 +317,8 @@
             match read {
                 PendingRead::Look { subject, reply } => {
                     // The operator may have hung up.
-                    let _ = reply.send(Ok(tables::show(&self.state, &subject)));
+                    let use_of = |tenant: &TenantName| self.quota_use.level(tenant).cloned();
+                    let _ = reply.send(Ok(tables::show(&self.state, &use_of, &subject)));
                 }
                 PendingRead::Routes { reply } => {
                     // The operator may have hung up.
--- a/crates/control/src/cluster_task/usage.rs
+++ b/crates/control/src/cluster_task/usage.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use gingerkeel_domain::cluster::ClusterState;
-use gingerkeel_domain::identifiers::{BrokerName, BrokerRun, ControlName};
+use gingerkeel_domain::identifiers::{BrokerName, BrokerRun, ControlName, TenantName};
 use gingerkeel_domain::quota::{PeerUsage, TenantLevel, UsageFold, UsageReport};
 use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::time::Timestamp;
@@ -20,6 +20,10 @@
 /// about two of them.
 const USAGE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which operators are shown what brokers were told of a tenant: they are told again within a second
+/// while it is near its quota.
+const SHOWN_FOR: Duration = Duration::from_secs(2);
+
 /// What this process knows of the use of quotas.
 pub struct QuotaUse {
     own_name: ControlName,
@@ -32,6 +36,8 @@
     has_quotas: bool,
     /// What brokers were told with the last round.
     levels: Vec<TenantLevel>,
+    /// What they were told last of each tenant, and when.
+    told: BTreeMap<TenantName, (Timestamp, TenantLevel)>,
 }
 
 impl QuotaUse {
@@ -44,6 +50,7 @@
             version: None,
             has_quotas: false,
             levels: Vec::new(),
+            told: BTreeMap::new(),
         }
     }
 
@@ -109,6 +116,15 @@
     /// Takes stock of what brokers are to be told until the next round.
     pub fn begin_round(&mut self, now: Timestamp) {
         self.levels = self.fold.for_brokers(now);
+        self.told.retain(|_, (at, _)| now.since(*at) < SHOWN_FOR);
+        for level in &self.levels {
+            self.told.insert(level.tenant.clone(), (now, level.clone()));
+        }
+    }
+
+    /// How the quota of a tenant stands; none while it is far from used up.
+    pub fn level(&self, tenant: &TenantName) -> Option<&TenantLevel> {
+        self.told.get(tenant).map(|(_, level)| level)
     }
 
     /// What brokers are told.
--- a/crates/control/src/tables/mod.rs
+++ b/crates/control/src/tables/mod.rs
@@ -9,10 +9,15 @@
 pub use zones::named as named_zones;
 
 use gingerkeel_domain::cluster::ClusterState;
+use gingerkeel_domain::identifiers::TenantName;
+use gingerkeel_domain::quota::TenantLevel;
 use gingerkeel_statement::{StatementReply, Subject};
 
+/// How the quota of a tenant stands; none while it is far from used up.
+pub type UseOfQuota<'state> = &'state dyn Fn(&TenantName) -> Option<TenantLevel>;
+
 /// The table of a look-up.
-pub fn show(state: &ClusterState, subject: &Subject) -> StatementReply {
+pub fn show(state: &ClusterState, use_of: UseOfQuota<'_>, subject: &Subject) -> StatementReply {
     match subject {
         Subject::Services => catalog::services(state.catalog()),
         Subject::Classes(service) => catalog::classes(state.catalog(), service.as_ref()),
@@ -27,7 +32,7 @@
         Subject::Revision => cluster::revision(state),
         Subject::Changes => cluster::changes(state),
         Subject::Routes => routes::routes(state.routes()),
-        Subject::Tenants => tenants::tenants(state.routes()),
+        Subject::Tenants => tenants::tenants(state.routes(), use_of),
         Subject::Directory => routes::directory(state.directory()),
         Subject::Zones => zones::zones(state),
     }
--- a/crates/control/src/tables/tenants.rs
+++ b/crates/control/src/tables/tenants.rs
@@ -1,24 +1,39 @@
 //! Table of tenants.
 
+use gingerkeel_domain::quota::TenantLevel;
 use gingerkeel_domain::routes::{RouteState, Tenant, TenantQuota};
 use gingerkeel_statement::StatementReply;
 
 use super::routes::regions;
-use super::table;
+use super::{UseOfQuota, table};
 
-/// Tenants of the configuration accepted, a row each. Of keys it tells how many there are.
-pub fn tenants(state: &RouteState) -> StatementReply {
+/// Thousandths of a whole.
+const THOUSAND: f64 = 1_000.0;
+
+/// Tenants of the configuration accepted, a row each. Of keys it tells how many there are; of the use of
+/// quotas what this process told its brokers lately.
+pub fn tenants(state: &RouteState, use_of: UseOfQuota<'_>) -> StatementReply {
     let accepted = state.current();
     let version = state.version().0;
     let tenants = accepted.map(|accepted| &accepted.configuration.tenants[..]).unwrap_or_default();
-    let rows = tenants.iter().map(|tenant| row(tenant, version)).collect();
-    let columns =
-        ["tenant", "keys", "priority", "requests a second", "burst", "regions", "version"];
+    let rows = tenants.iter().map(|tenant| row(tenant, use_of, version)).collect();
+    let columns = [
+        "tenant",
+        "keys",
+        "priority",
+        "requests a second",
+        "burst",
+        "regions",
+        "version",
+        "left",
+        "arrivals a second",
+    ];
     table(&columns, rows)
 }
 
-fn row(tenant: &Tenant, version: u64) -> Vec<String> {
+fn row(tenant: &Tenant, use_of: UseOfQuota<'_>, version: u64) -> Vec<String> {
     let [rate, burst] = quota(tenant.quota);
+    let [left, arrivals] = use_of(&tenant.name).map(|level| used(&level)).unwrap_or_default();
     vec![
         tenant.name.to_string(),
         tenant.keys.len().to_string(),
@@ -27,9 +42,18 @@
         burst,
         regions(&tenant.allowed_regions),
         version.to_string(),
+        left,
+        arrivals,
     ]
 }
 
+/// Requests that are left, negative for a debt, and those that come to all brokers.
+fn used(level: &TenantLevel) -> [String; 2] {
+    let left = level.level_thousandths as f64 / THOUSAND;
+    let arrivals = level.arrivals_per_1000_s as f64 / THOUSAND;
+    [format!("{left:.1}"), format!("{arrivals:.1}")]
+}
+
 fn quota(quota: TenantQuota) -> [String; 2] {
     match quota.is_limited() {
         true => [quota.per_second().to_string(), quota.burst().to_string()],
--- a/crates/control/tests/quotas.rs
+++ b/crates/control/tests/quotas.rs
@@ -125,6 +125,22 @@
     told(&mut there, |usage| level_below(usage, -1_000));
 }
 
+#[test]
+fn operators_see_what_is_left_of_a_quota_at_each_control_process() {
+    let cluster = Cluster::start(PROCESSES);
+    replace(&cluster, 1, 1);
+    let mut broker = HollowBroker::subscribe(&cluster.members[0].control, "b1", 1, 0);
+    sleep(STARTED);
+    broker.send(&report(1, 2_000));
+    for member in &cluster.members {
+        wait_until(|| {
+            let rows = member.control.rows("SHOW TENANTS");
+            let left = rows.first().and_then(|row| row[7].parse::<f64>().ok());
+            left.is_some_and(|left| left < -900.0)
+        });
+    }
+}
+
 #[test]
 fn a_quota_that_is_taken_away_is_not_told_of_any_more() {
     let cluster = Cluster::start(PROCESSES);
