Count only what goes before a request as ahead of it

Cause: a request of a tenant within its share was let wait whatever was ahead of it, also behind more of higher priority than could be served in its time.

The expected wait counts those of higher priority and, of its own, those that go before it; a request that would wait in vain is refused at once, whoever it is of.

Test: tenant_shares.rs only_what_is_served_before_a_request_is_ahead_of_it.

--- a/crates/domain/src/forwarding/overload.rs
+++ b/crates/domain/src/forwarding/overload.rs
@@ -214,9 +214,9 @@
             self.begin(&candidate);
             return Admitted::Yes;
         }
-        let expected = now.after(self.expected_wait(now, candidate.rank));
-        let waits_in_vain = self.is_overrun() || expected >= candidate.give_up_at;
-        if waits_in_vain && !self.line.goes_first(&candidate) {
+        let expected = now.after(self.expected_wait(now, &candidate));
+        let makes_the_rush = self.is_overrun() && !self.line.goes_first(&candidate);
+        if makes_the_rush || expected >= candidate.give_up_at {
             return Admitted::No(self.retry_after(now, settings));
         }
         Admitted::Waits(self.line.join(candidate))
@@ -292,10 +292,10 @@
         self.round.most = self.round.most.max(self.in_flight);
     }
 
-    /// How long a request of this rank waits that comes now, as the last round tells.
-    fn expected_wait(&self, now: Timestamp, rank: u32) -> Duration {
+    /// How long a request waits that comes now, as the last round tells.
+    fn expected_wait(&self, now: Timestamp, candidate: &Candidate) -> Duration {
         let (ended, length) = self.last_round;
-        let ahead = self.line.ahead(now, rank) as u32;
+        let ahead = self.line.ahead(now, candidate) as u32;
         if ended == 0 { Duration::ZERO } else { length * ahead / ended }
     }
 
--- a/crates/domain/src/forwarding/waiting_line.rs
+++ b/crates/domain/src/forwarding/waiting_line.rs
@@ -79,11 +79,15 @@
         self.waiting.is_empty()
     }
 
-    /// How many that can still be in time are served before a request of this rank that comes now,
-    /// or with it.
-    pub fn ahead(&self, now: Timestamp, rank: u32) -> usize {
-        let ahead = |candidate: &&Candidate| {
-            candidate.rank < rank || candidate.rank == rank && now < candidate.in_time_until
+    /// How many are served before a request that comes now, or with it: those of higher priority, and of its
+    /// own those that can still be in time, but for tenants that it goes before.
+    pub fn ahead(&self, now: Timestamp, newcomer: &Candidate) -> usize {
+        let goes_first = self.goes_first(newcomer);
+        let goes_along = |waiting: &Candidate| {
+            now < waiting.in_time_until && (!goes_first || self.goes_first(waiting))
+        };
+        let ahead = |waiting: &&Candidate| {
+            waiting.rank < newcomer.rank || waiting.rank == newcomer.rank && goes_along(waiting)
         };
         self.waiting.values().filter(ahead).count()
     }
--- a/crates/domain/tests/tenant_shares.rs
+++ b/crates/domain/tests/tenant_shares.rs
@@ -221,6 +221,9 @@
     assert!(in_time.iter().all(|share| *share > 0.98), "{in_time:?}");
 }
 
+/// The rank of what competes.
+const RANK: u32 = 1;
+
 /// A request that may wait for a second.
 fn waiting(rank: u32, tenant: Option<SharingTenant>) -> Candidate {
     Candidate { rank, in_time_until: at(100_000), give_up_at: at(101_000), tenant }
@@ -231,7 +234,7 @@
 fn busy_line(until_s: u64) -> WaitingLine {
     let mut line = WaitingLine::default();
     let (large, other) =
-        (waiting(0, Some(tenant(20, 10))), |number| waiting(0, Some(tenant(number, 1))));
+        (waiting(RANK, Some(tenant(20, 10))), |number| waiting(RANK, Some(tenant(number, 1))));
     for tenth in 0..until_s * 10 {
         let now = at(tenth * 100);
         line.came(now, &large);
@@ -254,7 +257,7 @@
 fn at_a_request_a_second_a_rare_one_goes_before_a_queue(#[case] seconds: u64) {
     let mut line = busy_line(seconds);
     let now = at(seconds * 1_000);
-    let (rare, large) = (waiting(0, Some(tenant(7, 1))), waiting(0, Some(tenant(20, 10))));
+    let (rare, large) = (waiting(RANK, Some(tenant(7, 1))), waiting(RANK, Some(tenant(20, 10))));
     line.came(now, &rare);
     let ticket = line.join(rare);
     for _ in 0..50 {
@@ -268,15 +271,15 @@
 #[test]
 fn each_priority_has_shares_of_its_own() {
     let line = busy_line(10);
-    let lower = waiting(1, Some(tenant(20, 10)));
+    let lower = waiting(RANK + 1, Some(tenant(20, 10)));
     assert!(line.goes_first(&lower), "nobody went without there");
-    assert!(!line.goes_first(&waiting(0, None)), "whose tenant is not known waits as before");
+    assert!(!line.goes_first(&waiting(RANK, None)), "whose tenant is not known waits as before");
 }
 
 #[test]
 fn where_nothing_begins_nobody_is_held_in_vain() {
     let mut line = WaitingLine::default();
-    let request = |number| waiting(2, Some(tenant(number, 1)));
+    let request = |number| waiting(RANK, Some(tenant(number, 1)));
     for step in 0..40 {
         line.came(at(step * 100), &request((step % 4) as usize));
     }
@@ -286,7 +289,7 @@
 #[test]
 fn a_tenant_that_has_come_to_rest_is_forgiven() {
     let mut line = busy_line(10);
-    let (large, small) = (waiting(0, Some(tenant(20, 10))), waiting(0, Some(tenant(1, 1))));
+    let (large, small) = (waiting(RANK, Some(tenant(20, 10))), waiting(RANK, Some(tenant(1, 1))));
     assert!(!line.goes_first(&large));
     for second in 10..60 {
         line.came(at(second * 1_000), &small);
@@ -295,3 +298,22 @@
     line.came(at(60_000), &large);
     assert!(line.goes_first(&large));
 }
+
+/// Ten of the large tenant wait, two small ones, and three of higher priority.
+#[rstest]
+#[case::within_its_share(Some(tenant(7, 1)), 5)]
+#[case::beyond_it(Some(tenant(20, 10)), 15)]
+#[case::not_known(None, 15)]
+fn only_what_is_served_before_a_request_is_ahead_of_it(
+    #[case] newcomer: Option<SharingTenant>,
+    #[case] ahead: usize,
+) {
+    let mut line = busy_line(10);
+    let (large, small) = (Some(tenant(20, 10)), Some(tenant(3, 1)));
+    for (count, rank, tenant) in [(10, RANK, large), (2, RANK, small), (3, RANK - 1, None)] {
+        (0..count).for_each(|_| {
+            line.join(waiting(rank, tenant));
+        });
+    }
+    assert_eq!(line.ahead(at(10_000), &waiting(RANK, newcomer)), ahead);
+}
