--- a/crates/domain/src/quota/mod.rs
+++ b/crates/domain/src/quota/mod.rs
@@ -7,6 +7,21 @@
 //! share that it had.
 //! Why so, and what else was weighed: `docs/design/quotas.md`.
 
+mod admission;
+mod bucket;
+mod counts;
+mod fleet_tenant;
+mod fold;
+mod limited;
+mod meter;
+mod metered;
+mod peers;
+mod rate;
+mod share;
+mod source;
 mod usage;
 
+pub use fold::UsageFold;
+pub use limited::{LimitedTenants, Relief};
+pub use meter::{QuotaMeter, QuotaSettings, QuotaVerdict, TenantStanding};
 pub use usage::{FleetUsage, PeerUsage, TenantLevel, TenantTotal, TenantUse, UsageReport};
