Judge room at a destination by what leaves say to each part

RoomWatch hears from the first attempt at each part whether its leaf had room: more refusals than the retry budget covers, or most parts slower than half the target, lower the limit within 200 ms. LoadLimit goes below one: a broker pauses between requests. The first limit is twice the equal share of the leaves' slots; no words between brokers, nothing of the log.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -6,7 +6,8 @@
 
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
-    AfterAttempt, AttemptError, Choice, NobodyReason, RequestAttempts, Selection, hedge_delay,
+    AfterAttempt, AttemptError, Choice, NobodyReason, RequestAttempts, RoomFound, Selection,
+    hedge_delay,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
@@ -92,6 +93,8 @@
     failure: Option<LeafReply>,
     /// Why no leaf was chosen when one was looked for last.
     nobody: Option<NobodyReason>,
+    /// Whether admission was told whether a leaf had room.
+    told_of_room: bool,
 }
 
 impl<'request> Asking<'request> {
@@ -112,6 +115,21 @@
             attempts: RequestAttempts::new(route.repeatable, route.attempts),
             failure: None,
             nobody: None,
+            told_of_room: false,
+        }
+    }
+
+    /// What the first leaf shows that has answered now, or is given up now.
+    fn room_found(&self) -> RoomFound {
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        RoomFound::after(self.began.elapsed(), target)
+    }
+
+    /// Tells admission, once, whether the request has found a leaf with room for it.
+    fn tell_of_room(&mut self, found: RoomFound) {
+        if !std::mem::replace(&mut self.told_of_room, true) {
+            let slots = || self.state.leaves.share_of_slots(&self.route.destination.services());
+            self.state.admission.looked_for_room(self.route, found, slots);
         }
     }
 
@@ -139,14 +157,20 @@
         let choice = choice.filter(|choice| choice.sound || reason != AskReason::Hedge);
         match choice.and_then(|choice| self.ask(&choice, reason)) {
             Some((leaf, entry)) => Next::Ask(leaf, entry),
-            None if self.may_wait_for_leaves(reason) => {
-                self.attempts.forget_refusals();
-                Next::Wait(REFUSAL_WAIT)
-            }
-            None => Next::Nobody,
+            None => self.wait_for_leaves(reason),
         }
     }
 
+    /// What follows where no leaf can be asked now. A request that was admitted is carried through: its other
+    /// parts have been worked on.
+    fn wait_for_leaves(&mut self, reason: AskReason) -> Next {
+        if !self.may_wait_for_leaves(reason) {
+            return Next::Nobody;
+        }
+        self.attempts.forget_refusals();
+        Next::Wait(REFUSAL_WAIT)
+    }
+
     fn ask(&mut self, choice: &Choice, reason: AskReason) -> Option<(ListedLeaf, TrailEntry)> {
         let leaf = self.state.leaves.leaf(&choice.leaf)?;
         if self.attempts.next_is_extra() && !self.state.leaves.take_extra(self.service) {
@@ -208,6 +232,11 @@
         let status = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
         self.request.trail.ended(entry, status);
         self.state.metrics.attempt_ended(outcome_name(status));
+        match status {
+            Ok(_) => self.tell_of_room(self.room_found()),
+            Err(error) if error.tells_of_no_room() => self.tell_of_room(RoomFound::NoRoom),
+            Err(_) => {}
+        }
         match (self.attempts.ended(&leaf, status), outcome) {
             (AfterAttempt::Reply, Ok(reply)) => return Some(Some(reply)),
             (AfterAttempt::NoReply, _) => return Some(None),
@@ -232,6 +261,10 @@
     /// Leaves that owe a reply for long when the request is given up are failing.
     fn drop(&mut self) {
         let now = self.state.clock.now();
+        let found = self.room_found();
+        if found == RoomFound::LateRoom {
+            self.tell_of_room(found);
+        }
         for leaf in self.attempts.open_for(now, self.parts.hedge_delay * SILENT_AFTER) {
             self.state.leaves.silent(self.service, leaf);
         }
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -82,13 +82,14 @@
         let seed = broker.seed.unwrap_or_else(|| rand::rng().random());
         let mut random = Pcg64::seed_from_u64(seed);
         let leaves = LeafRegistry::new(clock, &broker, &settings, random.random());
+        let admission = Admission::new(clock, settings.extra_ratio);
         Self {
             dialect,
             settings,
             clock,
             metrics: RouteMetrics::default(),
             leaves,
-            admission: Admission::new(clock),
+            admission,
             table: RefCell::default(),
             latencies: RefCell::default(),
             splits: RefCell::default(),
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -25,8 +25,15 @@
 /// Median times of the attempts of a request after which a leaf counts as slow in it: beyond what the
 /// load of a moment does, and less than a slow disk or a pause.
 const SLOW_FACTOR: u32 = 4;
+/// Part of the attempts of a request that leaves refuse for want of room where leaves in general run short,
+/// and not a few of them.
+const NO_ROOM_SHARE: f64 = 0.25;
 /// The outcome of an attempt whose leaf answered.
 const ANSWERED: &str = "answered";
+/// The outcome of an attempt that its leaf refused.
+const REJECTED: &str = "rejected";
+/// The outcome of an attempt for which the leaf took no connection.
+const NOT_ACCEPTED: &str = "not_accepted";
 
 /// Why a leaf was asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -178,6 +185,13 @@
         }
     }
 
+    /// Whether leaves refused a good part of the attempts for want of room.
+    pub fn lacked_room(&self) -> bool {
+        let attempts = self.attempts.borrow();
+        let refused = attempts.iter().filter(|attempt| attempt.was_refused()).count();
+        refused > 0 && refused as f64 >= attempts.len() as f64 * NO_ROOM_SHARE
+    }
+
     /// What the attempts of a request to many shards say of the leaves that were asked first: when each
     /// was asked, and whether it took far longer than the others. Nothing where few were asked.
     pub fn judgements(&self) -> Vec<Judgement> {
@@ -225,6 +239,10 @@
 }
 
 impl Attempt {
+    fn was_refused(&self) -> bool {
+        self.ended.as_ref().is_some_and(|ended| [REJECTED, NOT_ACCEPTED].contains(&ended.outcome))
+    }
+
     /// Whether the leaf was slow; none when it could not show it.
     fn judge(&self, slow_after: Duration) -> Option<Judgement> {
         let took = self.ended.as_ref().map_or_else(|| self.began.elapsed(), |ended| ended.took);
@@ -289,10 +307,10 @@
         Ok(200..=299) => ANSWERED,
         Ok(_) => "answered_failure",
         Err(AttemptError::NoConnection) => "no_connection_to_spare",
-        Err(AttemptError::NotAccepted) => "not_accepted",
+        Err(AttemptError::NotAccepted) => NOT_ACCEPTED,
         Err(AttemptError::ConnectionRefused) => "connection_refused",
         Err(AttemptError::NotConnected) => "not_connected",
-        Err(AttemptError::Rejected) => "rejected",
+        Err(AttemptError::Rejected) => REJECTED,
         Err(AttemptError::AnotherLeaf) => "another_leaf",
         Err(AttemptError::Lost) => "connection_lost",
         Err(AttemptError::Unusable) => "unusable_reply",
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -11,12 +11,15 @@
 mod extra_load;
 mod gathering;
 mod greatest;
+
+mod load_limit;
 mod load_report;
 mod misdirected;
 mod overload;
 mod planned_stop;
 mod replica;
 mod replica_set;
+mod room;
 mod signs_of_life;
 mod split;
 mod waiting_line;
@@ -40,5 +43,6 @@
 pub use replica_set::{
     Choice, Connectivity, MissingLeaves, ReplicaSet, ReplicaSettings, Selection,
 };
+pub use room::RoomFound;
 pub use split::SplitTurns;
 pub use waiting_line::{Candidate, TicketNumber, WaitingLine};
