--- a/crates/domain/src/forwarding/overload.rs
+++ b/crates/domain/src/forwarding/overload.rs
@@ -4,7 +4,8 @@
 //! under way are limited: the limit falls while it stays so and rises slowly when it is over. A request
 //! to many shards of which only a few were late does not count. Requests beyond the limit wait, within
 //! bounds of their own: they have not run, and served late they are worth more than refused. One that
-//! would wait in vain is refused at once.
+//! would wait in vain is refused at once. Limits follow the room that leaves are heard to have, too: a broker of a
+//! large fleet has too few requests to judge by how these end.
 //!
 //! At the start nothing is known of the leaves, and many callers may come at once: the limit begins
 //! low and rises with each request that is answered in time, until the first ones are late.
