--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -55,6 +55,12 @@
         /// What it saw of each, as a document.
         observations: Document,
     },
+    /// Requests under which leaves have ended.
+    #[brw(magic = 20u8)]
+    CrashFindings {
+        /// What the broker found, as a document.
+        findings: Document,
+    },
     /// What tenants used of their quotas since the last such report.
     #[brw(magic = 7u8)]
     Usage {
@@ -169,6 +175,12 @@
         /// The warnings as a document.
         warnings: Document,
     },
+    /// Requests under which leaves have ended, as other brokers found; a hint.
+    #[brw(magic = 20u8)]
+    CrashFindings {
+        /// The findings as a document.
+        findings: Document,
+    },
     /// How much of tenants' quotas is left, and which report of this broker that contains.
     #[brw(magic = 15u8)]
     Usage {
