Leave a part's wait for canaries out of what it says of room

With canary requests most parts of a request wait until two leaves have answered. That wait was counted as slowness of the leaves and could limit admission while they had room. Time counts from when a leaf may first be looked for. No test of its own yet.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -146,6 +146,8 @@
     nobody: Option<NobodyReason>,
     /// Whether admission was told whether a leaf had room.
     told_of_room: bool,
+    /// When a leaf was looked for first; none while the request waits for others to show that it is safe.
+    looking_since: Option<Instant>,
 }
 
 impl<'request> Asking<'request> {
@@ -167,13 +169,15 @@
             failure: None,
             nobody: None,
             told_of_room: false,
+            looking_since: None,
         }
     }
 
     /// What the first leaf shows that has answered now, or is given up now.
     fn room_found(&self) -> RoomFound {
         let target = Duration::from_millis(self.route.target_latency_ms);
-        RoomFound::after(self.began.elapsed(), target)
+        let looked = self.looking_since.map_or(Duration::ZERO, |since| since.elapsed());
+        RoomFound::after(looked, target)
     }
 
     /// Tells admission, once, whether the request has found a leaf with room for it.
@@ -198,6 +202,7 @@
             Permission::Wait => return Next::Wait(CANARY_WAIT),
             Permission::Never => return Next::Nobody,
         }
+        self.looking_since.get_or_insert_with(Instant::now);
         self.nobody = None;
         let limits = self.state.service_limits(self.service);
         let leaves = &self.state.leaves;
