--- a/crates/broker/src/routes/admission.rs
+++ b/crates/broker/src/routes/admission.rs
@@ -7,20 +7,15 @@
 use std::time::Duration;
 
 use gingerkeel_domain::forwarding::{
-    Admitted, Candidate, Ended, OverloadGate, OverloadGateSettings, RoomFound, TicketNumber,
+    Admitted, Candidate, Ended, OverloadGate, OverloadGateSettings, TicketNumber,
 };
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::routes::Route;
 use gingerkeel_transport::Clock;
 use local_sync::oneshot;
-use monoio::time::{sleep, timeout};
+use monoio::time::timeout;
 use tracing::info;
 
-/// Least and longest time until a request that waits looks whether a pause is over: others end and begin
-/// meanwhile.
-const SHORTEST_LOOK: Duration = Duration::from_millis(2);
-const LONGEST_LOOK: Duration = Duration::from_millis(50);
-
 /// The gate of one destination, and whom to tell of an admission.
 struct Entrance {
     gate: OverloadGate,
@@ -36,11 +31,9 @@
 }
 
 impl Admission {
-    /// Nothing is limited but by what is not known yet. Retries may be this share of the requests.
-    pub fn new(clock: Clock, retry_ratio: f64) -> Self {
-        let covered_refusals = retry_ratio;
-        let settings = OverloadGateSettings { covered_refusals, ..OverloadGateSettings::default() };
-        Self { clock, settings, entrances: RefCell::default() }
+    /// Nothing is limited but by what is not known yet.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, settings: OverloadGateSettings::default(), entrances: RefCell::default() }
     }
 
     /// Waits until a request of a route may begin; [`Admission::finish`] has to follow when it may.
@@ -57,17 +50,7 @@
             Admitted::Waits(ticket) => (ticket, self.expect(service, ticket)),
         };
         let mut wait = Wait { admission: self, service, ticket, is_over: false };
-        let mut admitted = std::pin::pin!(admitted);
-        let outcome = timeout(self.clock.until(candidate.give_up_at), async {
-            loop {
-                monoio::select! {
-                    biased;
-                    outcome = &mut admitted => return outcome,
-                    () = self.pause_over(service, candidate.rank) => self.admit_more(service),
-                }
-            }
-        });
-        match outcome.await {
+        match timeout(self.clock.until(candidate.give_up_at), admitted).await {
             Ok(Ok(())) => {
                 wait.is_over = true;
                 self.begun(service, ticket);
@@ -77,23 +60,6 @@
         }
     }
 
-    /// Ends when a pause between requests does that one of this rank waits for; it is looked for now and then.
-    async fn pause_over(&self, service: &ServiceName, rank: u32) {
-        let ends = {
-            let entrances = self.entrances.borrow();
-            let gate = entrances.get(service).map(|entrance| &entrance.gate);
-            gate.and_then(|gate| gate.pause_ends(&self.settings, rank))
-        };
-        let left = ends.map_or(LONGEST_LOOK, |at| self.clock.until(at));
-        sleep(left.clamp(SHORTEST_LOOK, LONGEST_LOOK)).await;
-    }
-
-    fn admit_more(&self, service: &ServiceName) {
-        if let Some(entrance) = self.entrances.borrow_mut().get_mut(service) {
-            self.admit_next(entrance);
-        }
-    }
-
     fn join(&self, service: &ServiceName, candidate: Candidate) -> Admitted {
         let mut entrances = self.entrances.borrow_mut();
         let new = || Entrance { gate: OverloadGate::new(&self.settings), waiting: BTreeMap::new() };
@@ -134,9 +100,14 @@
         let Some(entrance) = service.and_then(|service| entrances.get_mut(service)) else {
             return;
         };
-        let limiting = entrance.gate.is_limiting();
-        entrance.gate.finish(self.clock.now(), &self.settings, ended);
-        log_change(route, &entrance.gate, limiting);
+        let gate = &mut entrance.gate;
+        let limiting = gate.is_limiting();
+        gate.finish(self.clock.now(), &self.settings, ended);
+        if gate.is_limiting() != limiting {
+            let (limited, in_flight, waiting) = (!limiting, gate.in_flight(), gate.waiting());
+            let route = &route.name;
+            info!(event = "admission_changed", route, limited, in_flight, waiting);
+        }
         self.admit_next(entrance);
     }
 
@@ -153,24 +124,6 @@
         }
     }
 
-    /// A request of a route, or a part of one, has found a leaf with room for it, or none.
-    pub fn looked_for_room(
-        &self,
-        route: &Route,
-        found: RoomFound,
-        slots: impl FnOnce() -> Option<f64>,
-    ) {
-        let mut entrances = self.entrances.borrow_mut();
-        let service = route.destination.representative();
-        let Some(entrance) = service.and_then(|service| entrances.get_mut(service)) else {
-            return;
-        };
-        let limiting = entrance.gate.is_limiting();
-        entrance.gate.looked_for_room(self.clock.now(), &self.settings, found, slots);
-        log_change(route, &entrance.gate, limiting);
-        self.admit_next(entrance);
-    }
-
     /// Whether leaves of a route run short of capacity while more requests come than end.
     pub fn is_overrun(&self, route: &Route) -> bool {
         let entrances = self.entrances.borrow();
@@ -180,16 +133,6 @@
     }
 }
 
-/// Writes that requests are limited from now on, or not any more.
-fn log_change(route: &Route, gate: &OverloadGate, was_limiting: bool) {
-    let limited = gate.is_limiting();
-    if limited != was_limiting {
-        let (in_flight, waiting) = (gate.in_flight(), gate.waiting());
-        let (route, limit) = (&route.name, gate.limit());
-        info!(event = "admission_changed", route, limited, limit, in_flight, waiting);
-    }
-}
-
 /// A request that waits. When its caller leaves, it does as well.
 struct Wait<'admission> {
     admission: &'admission Admission,
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -7,8 +7,7 @@
 use gingerkeel_domain::crash_suspects::{CanaryGate, Caution, Permission};
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
-    AfterAttempt, AttemptError, Choice, NobodyReason, RequestAttempts, RoomFound, Selection,
-    hedge_delay,
+    AfterAttempt, AttemptError, Choice, NobodyReason, RequestAttempts, Selection, hedge_delay,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
@@ -144,10 +143,6 @@
     failure: Option<LeafReply>,
     /// Why no leaf was chosen when one was looked for last.
     nobody: Option<NobodyReason>,
-    /// Whether admission was told whether a leaf had room.
-    told_of_room: bool,
-    /// When a leaf was looked for first; none while the request waits for others to show that it is safe.
-    looking_since: Option<Instant>,
 }
 
 impl<'request> Asking<'request> {
@@ -168,23 +163,6 @@
             attempts: RequestAttempts::new(route.repeatable, route.attempts),
             failure: None,
             nobody: None,
-            told_of_room: false,
-            looking_since: None,
-        }
-    }
-
-    /// What the first leaf shows that has answered now, or is given up now.
-    fn room_found(&self) -> RoomFound {
-        let target = Duration::from_millis(self.route.target_latency_ms);
-        let looked = self.looking_since.map_or(Duration::ZERO, |since| since.elapsed());
-        RoomFound::after(looked, target)
-    }
-
-    /// Tells admission, once, whether the request has found a leaf with room for it.
-    fn tell_of_room(&mut self, found: RoomFound) {
-        if !std::mem::replace(&mut self.told_of_room, true) {
-            let slots = || self.state.leaves.share_of_slots(&self.route.destination.services());
-            self.state.admission.looked_for_room(self.route, found, slots);
         }
     }
 
@@ -202,7 +180,6 @@
             Permission::Wait => return Next::Wait(CANARY_WAIT),
             Permission::Never => return Next::Nobody,
         }
-        self.looking_since.get_or_insert_with(Instant::now);
         self.nobody = None;
         let limits = self.state.service_limits(self.service);
         let leaves = &self.state.leaves;
@@ -223,18 +200,12 @@
         let choice = choice.filter(|choice| choice.sound || reason != AskReason::Hedge);
         match choice.and_then(|choice| self.ask(&choice, reason)) {
             Some((leaf, entry)) => Next::Ask(leaf, entry),
-            None => self.wait_for_leaves(reason),
-        }
-    }
-
-    /// What follows where no leaf can be asked now. A request that was admitted is carried through: its other
-    /// parts have been worked on.
-    fn wait_for_leaves(&mut self, reason: AskReason) -> Next {
-        if !self.may_wait_for_leaves(reason) {
-            return Next::Nobody;
+            None if self.may_wait_for_leaves(reason) => {
+                self.attempts.forget_refusals();
+                Next::Wait(REFUSAL_WAIT)
+            }
+            None => Next::Nobody,
         }
-        self.attempts.forget_refusals();
-        Next::Wait(REFUSAL_WAIT)
     }
 
     fn ask(&mut self, choice: &Choice, reason: AskReason) -> Option<(ListedLeaf, TrailEntry)> {
@@ -300,11 +271,6 @@
         let status = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
         self.request.trail.ended(entry, status);
         self.state.metrics.attempt_ended(outcome_name(status));
-        match status {
-            Ok(_) => self.tell_of_room(self.room_found()),
-            Err(error) if error.tells_of_no_room() => self.tell_of_room(RoomFound::NoRoom),
-            Err(_) => {}
-        }
         match (self.attempts.ended(&leaf, status), outcome) {
             (AfterAttempt::Reply, Ok(reply)) => return Some(Some(reply)),
             (AfterAttempt::NoReply, _) => return Some(None),
@@ -347,10 +313,6 @@
     /// Leaves that owe a reply for long when the request is given up are failing.
     fn drop(&mut self) {
         let now = self.state.clock.now();
-        let found = self.room_found();
-        if found == RoomFound::LateRoom {
-            self.tell_of_room(found);
-        }
         for leaf in self.attempts.open_for(now, self.parts.hedge_delay * SILENT_AFTER) {
             self.state.leaves.silent(self.service, leaf);
         }
--- a/crates/broker/src/routes/connection_book.rs
+++ b/crates/broker/src/routes/connection_book.rs
@@ -79,11 +79,6 @@
         self.plans.borrow_mut().remove(service);
     }
 
-    /// How many brokers are live.
-    pub fn brokers(&self) -> usize {
-        self.census.borrow().total()
-    }
-
     /// How many connections this broker may open to a leaf of a zone that accepts `accepted` from all.
     pub fn share(&self, accepted: usize, leaf_zone: &ZoneName) -> usize {
         let census = self.census.borrow();
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -409,16 +409,6 @@
         leaves.services.get(service)?.replicas.load(self.clock.now(), leaf)
     }
 
-    /// This broker's equal share in the slots of the service that has the fewest; none while leaves or brokers are
-    /// not known.
-    pub fn share_of_slots(&self, services: &[&ServiceName]) -> Option<f64> {
-        let leaves = self.leaves.borrow();
-        let slots = services.iter().filter_map(|service| leaves.services.get(*service));
-        let slots = slots.map(|known| known.replicas.slots()).filter(|slots| *slots > 0).min()?;
-        let brokers = self.connections.brokers();
-        (brokers > 0).then(|| f64::from(slots) / brokers as f64)
-    }
-
     /// An attempt has ended.
     pub fn finish(&self, service: &ServiceName, leaf: &LeafIdentity, outcome: Outcome) {
         if outcome == Outcome::AddressTaken {
--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -157,7 +157,6 @@
             // It says nothing of the load of the leaves.
             500.. if self.request.trail.leaves_ended() > 0 => Ended::GivenUp,
             200..=499 if is_in_time(route, since.elapsed()) => Ended::InTime,
-            500..=599 if self.request.trail.lacked_room() => Ended::NoRoom,
             _ => Ended::Late { parts: self.request.trail.parts_in_time() },
         }
     }
--- a/crates/broker/src/routes/state.rs
+++ b/crates/broker/src/routes/state.rs
@@ -92,7 +92,6 @@
         let mut random = Pcg64::seed_from_u64(seed);
         let leaves = LeafRegistry::new(clock, &broker, &settings, random.random());
         let quotas = Quotas::new(clock, &settings, random.random());
-        let admission = Admission::new(clock, settings.extra_ratio);
         Self {
             dialect,
             settings,
@@ -100,7 +99,7 @@
             quotas,
             metrics: RouteMetrics::default(),
             leaves,
-            admission,
+            admission: Admission::new(clock),
             crashes: CrashWatch::new(clock, found_crashes),
             table: RefCell::default(),
             latencies: RefCell::default(),
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -26,9 +26,6 @@
 /// Median times of the attempts of a request after which a leaf counts as slow in it: beyond what the
 /// load of a moment does, and less than a slow disk or a pause.
 const SLOW_FACTOR: u32 = 4;
-/// Part of the attempts of a request that leaves refuse for want of room where leaves in general run short,
-/// and not a few of them.
-const NO_ROOM_SHARE: f64 = 0.25;
 /// The outcome of an attempt whose leaf answered.
 const ANSWERED: &str = "answered";
 /// The outcome of one whose leaf answered with a failure of its own.
@@ -39,10 +36,6 @@
 const UNUSABLE: &str = "unusable_reply";
 /// Outcomes of requests that a leaf took and did not answer.
 const FAILED: [&str; 3] = [ANSWERED_FAILURE, LOST, UNUSABLE];
-/// The outcome of an attempt that its leaf refused.
-const REJECTED: &str = "rejected";
-/// The outcome of an attempt for which the leaf took no connection.
-const NOT_ACCEPTED: &str = "not_accepted";
 
 /// Why a leaf was asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -214,13 +207,6 @@
         }
     }
 
-    /// Whether leaves refused a good part of the attempts for want of room.
-    pub fn lacked_room(&self) -> bool {
-        let attempts = self.attempts.borrow();
-        let refused = attempts.iter().filter(|attempt| attempt.was_refused()).count();
-        refused > 0 && refused as f64 >= attempts.len() as f64 * NO_ROOM_SHARE
-    }
-
     /// What the attempts say of the leaves that were asked: which failed, and of those asked first for a
     /// request to many shards also which took far longer than the others. Where few were asked, nobody
     /// is slow or sound.
@@ -266,10 +252,6 @@
 }
 
 impl Attempt {
-    fn was_refused(&self) -> bool {
-        self.ended.as_ref().is_some_and(|ended| [REJECTED, NOT_ACCEPTED].contains(&ended.outcome))
-    }
-
     /// How the leaf did; none when it could not show it.
     fn judge(&self, slow_after: Option<Duration>) -> Option<Judgement> {
         let conduct = self.conduct(slow_after)?;
@@ -343,10 +325,10 @@
         Ok(200..=299) => ANSWERED,
         Ok(_) => ANSWERED_FAILURE,
         Err(AttemptError::NoConnection) => "no_connection_to_spare",
-        Err(AttemptError::NotAccepted) => NOT_ACCEPTED,
+        Err(AttemptError::NotAccepted) => "not_accepted",
         Err(AttemptError::ConnectionRefused) => "connection_refused",
         Err(AttemptError::NotConnected) => "not_connected",
-        Err(AttemptError::Rejected) => REJECTED,
+        Err(AttemptError::Rejected) => "rejected",
         Err(AttemptError::AnotherLeaf) => "another_leaf",
         Err(AttemptError::Lost) => LOST,
         Err(AttemptError::Unusable) => UNUSABLE,
--- a/crates/domain/src/crash_suspects/canary_room.rs
+++ b/crates/domain/src/crash_suspects/canary_room.rs
@@ -7,7 +7,7 @@
 const STEP: f64 = 0.1;
 /// Most that half of the answers of a route may take, as a part of its target latency: the leaves that are asked first
 /// need less than half as long again.
-const MOST_TAKEN: f64 = 0.6;
+const MOST_TAKEN: f64 = 0.5;
 /// Least target latency that leaves time while nothing is known of the route: twice what a leaf in another region
 /// needs, the way included.
 const LEAST_UNMEASURED_TARGET: Duration = Duration::from_millis(200);
--- a/crates/domain/src/forwarding/attempts.rs
+++ b/crates/domain/src/forwarding/attempts.rs
@@ -62,11 +62,6 @@
         !matches!(self, Self::Lost | Self::Unusable)
     }
 
-    /// Whether the leaf had no room for the request.
-    pub fn tells_of_no_room(self) -> bool {
-        matches!(self, Self::Rejected | Self::NotAccepted)
-    }
-
     /// Whether the leaf counts the request as one that arrived.
     pub fn arrived(self) -> bool {
         match self {
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -11,15 +11,12 @@
 mod extra_load;
 mod gathering;
 mod greatest;
-
-mod load_limit;
 mod load_report;
 mod misdirected;
 mod overload;
 mod planned_stop;
 mod replica;
 mod replica_set;
-mod room;
 mod signs_of_life;
 mod split;
 mod tenant_shares;
@@ -44,7 +41,6 @@
 pub use replica_set::{
     Choice, Connectivity, MissingLeaves, ReplicaSet, ReplicaSettings, Selection,
 };
-pub use room::RoomFound;
 pub use split::SplitTurns;
 pub use tenant_shares::{SharingTenant, TenantShares};
 pub use waiting_line::{Candidate, TicketNumber, WaitingLine};
--- a/crates/domain/src/forwarding/overload.rs
+++ b/crates/domain/src/forwarding/overload.rs
@@ -4,8 +4,7 @@
 //! under way are limited: the limit falls while it stays so and rises slowly when it is over. A request
 //! to many shards of which only a few were late does not count. Requests beyond the limit wait, within
 //! bounds of their own: they have not run, and served late they are worth more than refused. One that
-//! would wait in vain is refused at once. Limits follow the room that leaves are heard to have, too: a broker of a
-//! large fleet has too few requests to judge by how these end.
+//! would wait in vain is refused at once.
 //!
 //! At the start nothing is known of the leaves, and many callers may come at once: the limit begins
 //! low and rises with each request that is answered in time, until the first ones are late.
@@ -13,15 +12,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::load_limit::{Limit, Pauses, raised};
-use super::room::{RoomFound, RoomVerdict, RoomWatch};
 use super::waiting_line::{Candidate, TicketNumber, WaitingLine};
 use crate::time::Timestamp;
 
 /// Rounds from which on a rush is taken for one that lasts.
 const RUSH_ROUNDS: u32 = 3;
-/// Requests under way for each slot of the leaves that keep it busy: one that is worked on and one that waits.
-const REQUESTS_PER_SLOT: f64 = 2.0;
 
 /// Bounds of admission.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -33,16 +28,12 @@
     /// Share of the parts of a late request that came in time from which on it tells of the shards
     /// that were late, and not of a lack of capacity.
     pub few_late_parts: f64,
-    /// Share of refusals by leaves that retries cover. Where leaves refuse more they run short.
-    pub covered_refusals: f64,
     /// Requests that a round needs to be judged.
     pub least_samples: u32,
     /// Factor of the limit after a bad round.
     pub decrease: f64,
     /// Factor of the limit after a good round.
     pub increase: f64,
-    /// The same of a low limit, of which a twentieth would be too little to find out soon that there is room again.
-    pub increase_below_one: f64,
     /// Least limit.
     pub least_limit: f64,
     /// Part of the limit that each lower rank may not use.
@@ -62,12 +53,10 @@
             round: Duration::from_millis(200),
             bad_share: 0.2,
             few_late_parts: 0.75,
-            covered_refusals: 0.2,
             least_samples: 8,
             decrease: 0.8,
             increase: 1.05,
-            increase_below_one: 1.5,
-            least_limit: 0.05,
+            least_limit: 2.0,
             reserve: 0.3,
             rush: 1.25,
             first_limit: 4.0,
@@ -98,8 +87,6 @@
         /// Parts that came within the target latency, and all parts, of a request to many shards.
         parts: Option<(usize, usize)>,
     },
-    /// It was not answered, and leaves refused a good part of it for want of room.
-    NoRoom,
     /// Its caller gave it up.
     GivenUp,
 }
@@ -111,7 +98,7 @@
     fn tells_of_shortage(self, settings: &OverloadGateSettings) -> Option<bool> {
         match self {
             Self::InTime => Some(false),
-            Self::Late { parts: None } | Self::NoRoom => Some(true),
+            Self::Late { parts: None } => Some(true),
             Self::Late { parts: Some((in_time, whole)) } => {
                 Some((in_time as f64) < whole as f64 * settings.few_late_parts)
             }
@@ -125,12 +112,8 @@
 pub struct OverloadGate {
     in_flight: u32,
     limit: Limit,
-    pauses: Pauses,
     limited_since: Timestamp,
     round: Round,
-    room: RoomWatch,
-    /// Most requests under way since room was judged last.
-    room_most: u32,
     /// Recent rounds in which clearly more came than ended while leaves ran short, less those in which
     /// that was not so.
     rush_rounds: u32,
@@ -170,17 +153,25 @@
     }
 }
 
+/// How many requests may be under way.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Limit {
+    /// As many as come.
+    None,
+    /// So many, and more with each that is in time: nothing is known yet.
+    Rising(f64),
+    /// So many, since leaves run short.
+    Short(f64),
+}
+
 impl OverloadGate {
     /// Nothing is known yet.
     pub fn new(settings: &OverloadGateSettings) -> Self {
         Self {
             in_flight: 0,
             limit: Limit::Rising(settings.first_limit),
-            pauses: Pauses::default(),
             limited_since: Timestamp::ZERO,
             round: Round::default(),
-            room: RoomWatch::default(),
-            room_most: 0,
             rush_rounds: 0,
             line: WaitingLine::default(),
             admitted: BTreeSet::new(),
@@ -200,41 +191,6 @@
         self.rush_rounds >= RUSH_ROUNDS
     }
 
-    /// How many requests of the highest rank may be under way on average; none where it is not limited.
-    pub fn limit(&self) -> Option<f64> {
-        match self.limit {
-            Limit::None => None,
-            Limit::Rising(limit) | Limit::Short(limit) => Some(limit),
-        }
-    }
-
-    /// A request, or a part of one, has found a leaf with room for it, or none. `slots` gives the equal share of this
-    /// broker in the slots of the leaves, where that is known: the first limit is what keeps these busy, and from
-    /// there on it follows what is seen.
-    pub fn looked_for_room(
-        &mut self,
-        now: Timestamp,
-        settings: &OverloadGateSettings,
-        found: RoomFound,
-        slots: impl FnOnce() -> Option<f64>,
-    ) {
-        match self.room.observe(now, settings.covered_refusals, found) {
-            Some(RoomVerdict::Lacking { factor }) => {
-                let was_limiting = self.is_limiting();
-                self.limit = self.lowered(now, settings, factor);
-                if let (false, Some(slots)) = (was_limiting, slots()) {
-                    self.limit = self.limit.at_most(slots * REQUESTS_PER_SLOT, settings);
-                }
-                self.room_most = self.in_flight;
-            }
-            Some(RoomVerdict::Enough) => {
-                self.limit = self.limit.raised_below_one(settings);
-                self.room_most = self.in_flight;
-            }
-            None => {}
-        }
-    }
-
     /// Requests under way.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
@@ -254,11 +210,11 @@
     ) -> Admitted {
         self.round.arrived += 1;
         self.line.came(now, &candidate);
-        if self.may_begin(now, settings, candidate.rank) {
-            self.begin(now, &candidate);
+        if self.may_begin(settings, candidate.rank) {
+            self.begin(&candidate);
             return Admitted::Yes;
         }
-        let expected = now.after(self.expected_wait(now, settings, &candidate));
+        let expected = now.after(self.expected_wait(now, &candidate));
         let makes_the_rush = self.is_overrun() && !self.line.goes_first(&candidate);
         if makes_the_rush || expected >= candidate.give_up_at {
             return Admitted::No(self.retry_after(now, settings));
@@ -272,22 +228,15 @@
         now: Timestamp,
         settings: &OverloadGateSettings,
     ) -> Option<TicketNumber> {
-        let (in_flight, limit, pauses) = (self.in_flight, self.limit, self.pauses);
-        let begins = |rank| may_begin(now, in_flight, limit, &pauses, settings, rank);
+        let (in_flight, limit) = (self.in_flight, self.limit);
+        let begins = |rank| may_begin(in_flight, limit, settings, rank);
         let (ticket, candidate) = self.line.take(now, begins)?;
         self.round.late_begun += u32::from(now >= candidate.in_time_until);
-        self.begin(now, &candidate);
+        self.begin(&candidate);
         self.admitted.insert(ticket);
         Some(ticket)
     }
 
-    /// When a request of this rank may be admitted without another one ending: at the end of a pause; none where it
-    /// is not a pause that it waits for.
-    pub fn pause_ends(&self, settings: &OverloadGateSettings, rank: u32) -> Option<Timestamp> {
-        let limit = self.limit.of_rank(settings, rank).filter(|limit| *limit < 1.0)?;
-        (self.in_flight == 0).then(|| self.pauses.over_at(limit))
-    }
-
     /// A request that waited knows that it is admitted.
     pub fn begun(&mut self, ticket: TicketNumber) {
         self.admitted.remove(&ticket);
@@ -320,7 +269,6 @@
     pub fn finish(&mut self, now: Timestamp, settings: &OverloadGateSettings, ended: Ended) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.round.ended += 1;
-        self.pauses.ended(now, ended == Ended::InTime);
         match ended.tells_of_shortage(settings) {
             Some(true) => self.round.bad += 1,
             Some(false) => self.round.good += 1,
@@ -334,32 +282,21 @@
         }
     }
 
-    fn may_begin(&self, now: Timestamp, settings: &OverloadGateSettings, rank: u32) -> bool {
-        may_begin(now, self.in_flight, self.limit, &self.pauses, settings, rank)
+    fn may_begin(&self, settings: &OverloadGateSettings, rank: u32) -> bool {
+        may_begin(self.in_flight, self.limit, settings, rank)
     }
 
-    fn begin(&mut self, now: Timestamp, candidate: &Candidate) {
+    fn begin(&mut self, candidate: &Candidate) {
         self.line.begun(candidate);
         self.in_flight += 1;
-        self.room_most = self.room_most.max(self.in_flight);
-        self.pauses.begun(now);
         self.round.most = self.round.most.max(self.in_flight);
     }
 
-    /// How long a request waits that comes now, as its limit or the last round tells.
-    fn expected_wait(
-        &self,
-        now: Timestamp,
-        settings: &OverloadGateSettings,
-        candidate: &Candidate,
-    ) -> Duration {
+    /// How long a request waits that comes now, as the last round tells.
+    fn expected_wait(&self, now: Timestamp, candidate: &Candidate) -> Duration {
         let (ended, length) = self.last_round;
         let ahead = self.line.ahead(now, candidate) as u32;
-        match self.limit.of_rank(settings, candidate.rank) {
-            Some(limit) if limit < 1.0 => self.pauses.interval(limit) * ahead,
-            _ if ended == 0 => Duration::ZERO,
-            _ => length * ahead / ended,
-        }
+        if ended == 0 { Duration::ZERO } else { length * ahead / ended }
     }
 
     /// When a refused caller may come back: after as long as it has lasted already, within bounds, since
@@ -378,10 +315,13 @@
         let is_bad = f64::from(self.round.bad) > f64::from(samples) * settings.bad_share
             && samples >= settings.least_samples;
         self.limit = match (self.limit, is_bad) {
-            (_, true) => self.lowered(now, settings, settings.decrease),
-            (Limit::Short(_), false) if self.room.is_lacking() => self.limit,
+            (Limit::None | Limit::Rising(_), true) => {
+                self.limited_since = now;
+                Limit::Short(self.lowered(f64::from(self.round.most), settings))
+            }
+            (Limit::Short(limit), true) => Limit::Short(self.lowered(limit, settings)),
             (Limit::Short(limit), false) => {
-                let raised = raised(limit, settings);
+                let raised = (limit * settings.increase).max(limit + 1.0);
                 self.unless_none(raised, Limit::Short(raised))
             }
             (Limit::Rising(limit), false) => self.unless_none(limit, self.limit),
@@ -396,13 +336,6 @@
         self.round = Round { began: now, most: self.in_flight, ..Round::default() };
     }
 
-    fn lowered(&mut self, now: Timestamp, settings: &OverloadGateSettings, factor: f64) -> Limit {
-        if !self.is_limiting() {
-            self.limited_since = now;
-        }
-        self.limit.lowered(self.round.most.max(self.room_most), factor, settings)
-    }
-
     fn judge_late(&mut self, length: Duration) {
         let rate = f64::from(self.round.late_begun) / length.as_secs_f64().max(f64::EPSILON);
         self.late_per_second = match self.is_limiting() {
@@ -418,19 +351,19 @@
     fn unless_none(&self, limit: f64, otherwise: Limit) -> Limit {
         if f64::from(self.round.most) * 2.0 > limit { otherwise } else { Limit::None }
     }
-}
 
-fn may_begin(
-    now: Timestamp,
-    in_flight: u32,
-    limit: Limit,
-    pauses: &Pauses,
-    settings: &OverloadGateSettings,
-    rank: u32,
-) -> bool {
-    match limit.of_rank(settings, rank) {
-        None => true,
-        Some(allowed) if allowed >= 1.0 => f64::from(in_flight) < allowed,
-        Some(allowed) => in_flight == 0 && now >= pauses.over_at(allowed),
+    fn lowered(&self, limit: f64, settings: &OverloadGateSettings) -> f64 {
+        let used = limit.min(f64::from(self.round.most.max(1)));
+        (used * settings.decrease).max(settings.least_limit)
     }
 }
+
+fn may_begin(in_flight: u32, limit: Limit, settings: &OverloadGateSettings, rank: u32) -> bool {
+    let (Limit::Rising(limit) | Limit::Short(limit)) = limit else {
+        return true;
+    };
+    let rank = i32::try_from(rank).unwrap_or(i32::MAX);
+    let share = (1.0 - settings.reserve).powi(rank);
+    let allowed = (limit * share).max(if rank == 0 { 1.0 } else { 0.0 });
+    f64::from(in_flight) < allowed
+}
--- a/crates/domain/src/forwarding/replica_set.rs
+++ b/crates/domain/src/forwarding/replica_set.rs
@@ -311,12 +311,6 @@
         }
     }
 
-    /// The slots of all leaves that take new work.
-    pub fn slots(&self) -> u32 {
-        let taking = self.replicas.values().filter(|replica| !replica.leaving);
-        taking.map(|replica| replica.slots).sum()
-    }
-
     /// The load that a leaf reported lately.
     pub fn load(&self, now: Timestamp, leaf: &LeafIdentity) -> Option<LoadReport> {
         self.replicas.get(leaf)?.load.current(now)
