Say what newcomers stumbled on: names, reasons, leftovers of what was taken out

Quotas: Balance, ShareWithoutNews, never_heard, silence_limit and others say what they hold; reasons instead of test figures in comments; what control sends, and when. Heads of requests and configurations of the former layout print no values.

--- a/crates/broker/src/routes/gather.rs
+++ b/crates/broker/src/routes/gather.rs
@@ -23,7 +23,8 @@
 
 /// Share of replies of a part that come sooner than the other parts wait for those that are asked first.
 const CANARY_QUANTILE: f64 = 0.98;
-/// Part of the target latency for which they wait at most: the other parts need the rest of it.
+/// Part of the target latency for which they wait at most: the other parts need up to half of it, where few leaves are
+/// asked first, and merging the rest.
 const LONGEST_CANARY_SHARE: f64 = 0.4;
 
 /// The parts of one answer that are in.
--- a/crates/control/src/cluster_task/usage.rs
+++ b/crates/control/src/cluster_task/usage.rs
@@ -110,7 +110,8 @@
 
     /// What the other control processes are to be told.
     pub fn for_peers(&mut self, now: Timestamp) -> Option<PeerUsage> {
-        self.fold.for_peers(now).filter(|_| self.has_quotas)
+        let usage = self.fold.for_peers(now);
+        self.has_quotas.then_some(usage)
     }
 
     /// Takes stock of what brokers are to be told until the next round.
--- a/crates/domain/src/cluster/former.rs
+++ b/crates/domain/src/cluster/former.rs
@@ -3,6 +3,7 @@
 //! Documents of the log do not describe themselves, so that what was written by other types has to be
 //! read by them. Nothing is written by these any more.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -19,12 +20,23 @@
 };
 
 /// A configuration with the operator's own text of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FormerAcceptedRoutes {
     configuration: FormerConfiguration,
     document: Vec<u8>,
 }
 
+impl fmt::Debug for FormerAcceptedRoutes {
+    /// Without the document, which may tell keys.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("FormerAcceptedRoutes")
+            .field("configuration", &self.configuration)
+            .field("document_bytes", &self.document.len())
+            .finish()
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct FormerConfiguration {
     version: RouteVersion,
--- a/crates/domain/src/crash_suspects/suspects.rs
+++ b/crates/domain/src/crash_suspects/suspects.rs
@@ -27,11 +27,11 @@
 /// of brokers let through lie further apart than a try and its news take.
 const LONGER_AT_OTHERS: f64 = 0.5;
 /// Leaves that a broker saw end under requests of a route, none of which is known to crash them, from which on all
-/// requests of the route go to one leaf first: the one that does may come here next.
+/// requests of the route go to few leaves first: the one that does may come here next.
 const UNEXPLAINED_FOR_CANARIES: usize = 2;
 /// Time for which such an end counts: callers come again within that, and others find out which request it is.
 const UNEXPLAINED_LIFE: Duration = Duration::from_secs(10);
-/// Different refused requests of a route from which on all its requests go to one leaf first: whatever they have in
+/// Different refused requests of a route from which on all its requests go to few leaves first: whatever they have in
 /// common crashes leaves, and the next one is not known by its digest.
 const REFUSED_FOR_CANARIES: usize = 2;
 
@@ -40,9 +40,9 @@
 pub enum Treatment {
     /// As ever.
     Usual,
-    /// Requests of its route have crashed leaves lately: to one leaf first.
+    /// Requests of its route have crashed leaves lately: to few leaves first.
     Canary,
-    /// Leaves have ended under it: to one leaf first, and to no second one while that owes a reply.
+    /// Leaves have ended under it: to one leaf at a time.
     Suspected,
     /// To nobody until then.
     Refused {
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Whether so many requests of a route have crashed leaves that all of them go to one leaf first.
+    /// Whether so many requests of a route have crashed leaves that all of them go to few leaves first.
     fn sends_canaries(&self, now: Timestamp, route: &str) -> bool {
         let lately = |at: &&Timestamp| now.since(**at) < UNEXPLAINED_LIFE;
         let ends = self.unexplained.get(route).into_iter().flat_map(BTreeMap::values);
@@ -128,7 +128,7 @@
         self.suspects.get(&digest).is_some_and(|suspect| suspect.refused_until(now).is_some())
     }
 
-    /// Forgets what has ended; gives the routes whose requests all go to one leaf first.
+    /// Forgets what has ended; gives the routes whose requests all go to few leaves first.
     pub fn canary_routes(&mut self, now: Timestamp) -> BTreeSet<String> {
         self.forget(now);
         let suspected = self.suspects.values().map(|suspect| suspect.route.as_str());
--- a/crates/domain/src/quota/admission.rs
+++ b/crates/domain/src/quota/admission.rs
@@ -10,7 +10,7 @@
 /// the broker, one or two of control processes, ways between regions); brokers that all act on them
 /// swing around the quota when this is less than twice that, and a longer time refuses callers before a burst is used.
 pub(super) const HORIZON: Duration = Duration::from_secs(1);
-/// Part of the tolerance that is handed out as additional burst, so that requests within a quota are
+/// ShareWithoutNews of the tolerance that is handed out as additional burst, so that requests within a quota are
 /// not refused for the age of the news. The rest is for what is admitted too much meanwhile, also by two
 /// parts of a fleet that do not hear each other.
 const HANDED_OUT: f64 = 0.25;
@@ -44,7 +44,7 @@
 
 /// What there is for a tenant, and what comes.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Room {
+pub(super) struct Balance {
     /// Requests a second by which the level is refilled.
     pub(super) rate: f64,
     /// Requests that may come at once.
@@ -55,7 +55,7 @@
     pub(super) price: f64,
 }
 
-impl Room {
+impl Balance {
     /// The fraction of the requests that fits: what is there in one horizon over what comes in it.
     pub(super) fn fraction(&self) -> f64 {
         let horizon = HORIZON.as_secs_f64();
--- a/crates/domain/src/quota/fleet_tenant.rs
+++ b/crates/domain/src/quota/fleet_tenant.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::admission::{HORIZON, Room};
+use super::admission::{Balance, HORIZON};
 use super::bucket::Bucket;
 use super::metered::TOLD_PART;
 use super::rate::DecayedRate;
@@ -15,7 +15,7 @@
 /// Time in which arrivals are averaged for what brokers are told: reports come each 100 ms, and a tenant that
 /// suddenly sends many times its quota is to be known after two or three of them.
 const ARRIVAL_MEMORY: Duration = Duration::from_millis(300);
-/// Part of the burst above which the level is worth no word, while little arrives.
+/// ShareWithoutNews of the burst above which the level is worth no word, while little arrives.
 const AMPLE_PART: f64 = 0.75;
 /// What arrives, over what the quota has room for, above which brokers are told: before they have to refuse,
 /// so that they know their shares by then.
@@ -99,33 +99,33 @@
 
     /// How pressing it is to tell brokers of it; none when there is nothing to tell.
     pub(super) fn urgency(&mut self, now: Timestamp) -> Option<f64> {
-        let room = self.room(now);
-        if !self.is_near(now, &room) {
+        let balance = self.balance(now);
+        if !self.is_near(now, &balance) {
             // Relief is told once.
             return self.told.map(|_| 1.0);
         }
         // A tenant that brokers know nothing of comes before all that they know of.
         let waited = self.told.map_or(TOLD_AGAIN * 2, |told| now.since(told)).as_secs_f64();
-        let pressing = (1.0 / room.fraction().max(0.01)).min(MOST_PRESSING);
+        let pressing = (1.0 / balance.fraction().max(0.01)).min(MOST_PRESSING);
         Some(pressing * (1.0 + waited / TOLD_AGAIN.as_secs_f64()).powi(4))
     }
 
     /// What brokers are told now.
     pub(super) fn tell(&mut self, now: Timestamp, tenant: TenantName) -> TenantLevel {
-        let room = self.room(now);
-        self.told = self.is_near(now, &room).then_some(now);
+        let balance = self.balance(now);
+        self.told = self.is_near(now, &balance).then_some(now);
         TenantLevel {
             tenant,
-            level_thousandths: (room.level * THOUSAND) as i64,
-            arrivals_per_1000_s: (room.arrivals * THOUSAND) as u64,
+            level_thousandths: (balance.level * THOUSAND) as i64,
+            arrivals_per_1000_s: (balance.arrivals * THOUSAND) as u64,
         }
     }
 
-    fn room(&mut self, now: Timestamp) -> Room {
+    fn balance(&mut self, now: Timestamp) -> Balance {
         // Brokers reckon with the whole rate; the level that they are told lacks what silent ones have of it.
         let rate = self.quota.per_second();
         let of_silent = rate * self.silent_share * HORIZON.as_secs_f64();
-        Room {
+        Balance {
             rate,
             level: self.bucket.level_at(now) - of_silent,
             arrivals: self.arrivals.per_second(now),
@@ -133,11 +133,11 @@
         }
     }
 
-    fn is_near(&self, now: Timestamp, room: &Room) -> bool {
+    fn is_near(&self, now: Timestamp, balance: &Balance) -> bool {
         let usual = self.flow.per_second_seen(now, LEAST_FLOW_TIME);
-        let lasting = usual > room.rate * TOLD_PART;
-        let used = room.level < self.bucket.capacity() * AMPLE_PART;
-        let close = room.arrivals * CLOSE > room.rate + room.level;
+        let lasting = usual > balance.rate * TOLD_PART;
+        let used = balance.level < self.bucket.capacity() * AMPLE_PART;
+        let close = balance.arrivals * CLOSE > balance.rate + balance.level;
         lasting || used || close
     }
 }
--- a/crates/domain/src/quota/fold.rs
+++ b/crates/domain/src/quota/fold.rs
@@ -140,7 +140,7 @@
         source.hear(now);
         for total in &usage.totals {
             let grown = totals.grow(now, total);
-            let matters = source.matters_of(&total.tenant);
+            let matters = source.unrefilled_part_of(&total.tenant);
             let (arrived, admitted) = (grown.arrived * matters, grown.admitted * matters);
             let presumed = source.count(now, &total.tenant, arrived);
             if let Some(tenant) = self.tenants.get_mut(&total.tenant) {
@@ -195,14 +195,14 @@
 
     /// What the other control processes are to be told, each 100 ms; an empty message tells them that
     /// this process is there.
-    pub fn for_peers(&mut self, now: Timestamp) -> Option<PeerUsage> {
+    pub fn for_peers(&mut self, now: Timestamp) -> PeerUsage {
         self.look(now);
-        Some(self.own.message())
+        self.own.message()
     }
 
-    /// What the brokers that this process feeds are to be told, each 100 ms, the most pressing first.
-    /// An empty list is sent as well: a broker that hears nothing takes itself for cut off. Nothing is
-    /// sent to brokers before [`Self::is_informed`].
+    /// What the brokers that this process feeds are to be told, asked for each 100 ms, the most pressing first.
+    /// An empty list is sent as well, now and then: a broker that hears nothing takes itself for cut off. Nothing
+    /// is sent to brokers before [`Self::is_informed`].
     pub fn for_brokers(&mut self, now: Timestamp) -> Vec<TenantLevel> {
         self.look(now);
         let due = self.tenants.iter_mut().filter_map(|(name, tenant)| {
@@ -392,9 +392,9 @@
     now: Timestamp,
     id: SourceId,
 ) -> &mut Source {
-    let patience = match id {
+    let silence_limit = match id {
         SourceId::Broker(_) => SILENCE_OF_BROKER,
         SourceId::Control(_) => SILENCE_OF_CONTROL,
     };
-    sources.entry(id).or_insert_with(|| Source::new(now, patience))
+    sources.entry(id).or_insert_with(|| Source::new(now, silence_limit))
 }
--- a/crates/domain/src/quota/meter.rs
+++ b/crates/domain/src/quota/meter.rs
@@ -10,7 +10,8 @@
 use crate::routes::TenantQuota;
 use crate::time::Timestamp;
 
-/// Time without a word of control after which a broker takes itself for cut off. Control sends each 100 ms;
+/// Time without a word of control after which a broker takes itself for cut off. Control sends each 100 ms while
+/// there is news, and each 500 ms at least;
 /// until then the last levels are good enough, and a process that is short of a core for some rounds
 /// keeps them.
 pub(super) const NEWS_LIFE: Duration = Duration::from_secs(1);
@@ -106,11 +107,11 @@
         let Some(metered) = self.tenants.get_mut(tenant) else {
             return QuotaVerdict::Within;
         };
-        let room = match without_news {
-            None => metered.room(now, &self.settings),
-            Some(span) => metered.lone_room(now, &self.settings, span, self.brokers),
+        let balance = match without_news {
+            None => metered.balance(now, &self.settings),
+            Some(span) => metered.balance_without_news(now, &self.settings, span, self.brokers),
         };
-        let verdict = metered.decide(now, &room, draw);
+        let verdict = metered.decide(now, &balance, draw);
         let dropped = self.counts.count(now, tenant, verdict == QuotaVerdict::Within);
         if let Some(metered) = self.tenants.get_mut(tenant) {
             metered.heard(dropped);
--- a/crates/domain/src/quota/metered.rs
+++ b/crates/domain/src/quota/metered.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::admission::Room;
+use super::admission::Balance;
 use super::bucket::Bucket;
 use super::meter::{NEWS_LIFE, QuotaSettings, QuotaVerdict, TenantStanding};
 use super::rate::{DecayedRate, LaggedRate};
@@ -17,19 +17,19 @@
 const ARRIVAL_MEMORY: Duration = Duration::from_millis(300);
 /// Time in which it averages what comes to it while there are no news: longer, since from few requests of
 /// its own it has to tell the sum.
-const LONE_ARRIVAL_MEMORY: Duration = Duration::from_secs(3);
+const SLOW_ARRIVAL_MEMORY: Duration = Duration::from_secs(3);
 /// Standard deviations by which the requests that come without news may exceed the usual ones before
 /// the tenant is held to its share: a share of one request a second has no room for chance.
 const DEVIATIONS: f64 = 3.0;
 /// Time for which a level counts that was told. Control processes repeat the levels of tenants near their
 /// quotas more often than that, and tell relief once.
 const TOLD_LIFE: Duration = Duration::from_secs(2);
-/// Part of a quota above which control processes tell of a tenant
+/// ShareWithoutNews of a quota above which control processes tell of a tenant
 /// ([`super::fold`]); nobody is told of one that stays below it.
 pub(super) const TOLD_PART: f64 = 0.7;
 /// Time of which requests are no part of the flows yet: at the start of a time without news, flows of before are
-/// reckoned with. By the flow of the last second, brokers took 1.4 times the quota together of a tenant that had turned
-/// hot a second before.
+/// reckoned with. A tenant may have turned hot within the last second; counted at once, each broker's share would
+/// grow by its own rush, and all shares together would exceed the quota.
 const FLOW_LAG: Duration = Duration::from_secs(2);
 /// Seconds below which what was told of a tenant says little of its rate.
 const LEAST_TOLD_TIME: f64 = 1.0;
@@ -47,10 +47,10 @@
 
 /// A part of the quota that is used without news.
 #[derive(Debug, Clone, Copy)]
-struct Part {
+struct ShareWithoutNews {
     share: f64,
     bucket: Bucket,
-    /// Requests that come here in [`LONE_ARRIVAL_MEMORY`] at most while the tenant goes on as it did; none
+    /// Requests that come here in [`SLOW_ARRIVAL_MEMORY`] at most while the tenant goes on as it did; none
     /// for one that was limited.
     usual: f64,
 }
@@ -64,7 +64,7 @@
     /// Requests that were admitted here and are not contained in what was told.
     unheard: f64,
     arrivals: DecayedRate,
-    lone_arrivals: DecayedRate,
+    slow_arrivals: DecayedRate,
     /// Requests that were admitted here: usual ones, also of a tenant that was beyond its quota lately.
     admitted_flow: LaggedRate,
     /// Arrivals here, and here and everywhere while control told of the tenant.
@@ -73,11 +73,11 @@
     fleet_flow: DecayedRate,
     /// Seconds for which control told of it.
     told_time: DecayedRate,
-    /// Requests a second here at the last but one news: what is told is as old, and averaged alike. Against its
-    /// present ones brokers took 1.8 times the quota together after a sudden rush.
+    /// Requests a second here at the last but one news: what is told is as old, and averaged alike. With its
+    /// present rate, a sudden rush would count here before it counts in the sum.
     own_rate: f64,
     told: Option<Told>,
-    part: Option<Part>,
+    part: Option<ShareWithoutNews>,
 }
 
 impl Metered {
@@ -88,7 +88,7 @@
             refused: 0,
             unheard: 0.0,
             arrivals: DecayedRate::new(now, ARRIVAL_MEMORY),
-            lone_arrivals: DecayedRate::new(now, LONE_ARRIVAL_MEMORY),
+            slow_arrivals: DecayedRate::new(now, SLOW_ARRIVAL_MEMORY),
             admitted_flow: LaggedRate::new(now, FLOW_MEMORY, FLOW_LAG),
             flow: LaggedRate::new(now, FLOW_MEMORY, FLOW_LAG),
             told_flow: DecayedRate::new(now, FLOW_MEMORY),
@@ -112,19 +112,19 @@
     }
 
     /// What there is for the next request while news come.
-    pub(super) fn room(&self, now: Timestamp, settings: &QuotaSettings) -> Room {
+    pub(super) fn balance(&self, now: Timestamp, settings: &QuotaSettings) -> Balance {
         let told = self.told_room(now, settings);
         let own = self.arrivals.per_second(now);
         let age = self.told.map_or(Duration::ZERO, |told| now.since(told.at));
         let used = self.unheard.max(told.drained_in(age));
-        Room { level: told.level - used, arrivals: told.arrivals.max(own), ..told }
+        Balance { level: told.level - used, arrivals: told.arrivals.max(own), ..told }
     }
 
     /// What there was for all brokers as control told it last, `at` that time.
-    fn told_room(&self, at: Timestamp, settings: &QuotaSettings) -> Room {
+    fn told_room(&self, at: Timestamp, settings: &QuotaSettings) -> Balance {
         let told = self.told.filter(|told| at.since(told.at) < TOLD_LIFE);
         let level = told.map_or(self.quota.burst(), |told| told.level);
-        Room {
+        Balance {
             rate: self.quota.per_second(),
             level: level + settings.additional_burst(self.quota),
             arrivals: told.map_or(0.0, |told| told.arrivals),
@@ -134,13 +134,13 @@
 
     /// What there is for the next request after `without_news`, at one of `brokers`. Amounts are of this
     /// broker's part: a request takes its share of one, so that it is one at all brokers together.
-    pub(super) fn lone_room(
+    pub(super) fn balance_without_news(
         &mut self,
         now: Timestamp,
         settings: &QuotaSettings,
         without_news: Duration,
         brokers: usize,
-    ) -> Room {
+    ) -> Balance {
         let rate = self.quota.per_second();
         let additional = settings.additional_burst_without_news(self.quota);
         let capacity = self.quota.burst() + additional;
@@ -150,18 +150,18 @@
         part.bucket.configure(now, rate * share, capacity * share);
         let level = part.bucket.level_at(now);
         self.part = Some(part);
-        if self.lone_arrivals.sum_at(now) + 1.0 <= part.usual {
-            return Room { rate: rate * share, level: 0.0, arrivals: 0.0, price: 0.0 };
+        if self.slow_arrivals.sum_at(now) + 1.0 <= part.usual {
+            return Balance { rate: rate * share, level: 0.0, arrivals: 0.0, price: 0.0 };
         }
         let arrivals = self.lone_rate(now);
-        Room { rate: rate * share, level, arrivals, price: share }
+        Balance { rate: rate * share, level, arrivals, price: share }
     }
 
     /// Requests a second that come here, from few: what comes in a moment counts where it is surely more.
     fn lone_rate(&self, now: Timestamp) -> f64 {
         let moment = self.arrivals.sum_at(now);
         let surely = (moment - DEVIATIONS * moment.sqrt()) / ARRIVAL_MEMORY.as_secs_f64();
-        self.lone_arrivals.per_second(now).max(surely)
+        self.slow_arrivals.per_second(now).max(surely)
     }
 
     /// The part of the quota that falls to this broker as the news end.
@@ -171,7 +171,7 @@
         settings: &QuotaSettings,
         without_news: Duration,
         brokers: usize,
-    ) -> Part {
+    ) -> ShareWithoutNews {
         let rate = self.quota.per_second();
         let additional = settings.additional_burst_without_news(self.quota);
         let capacity = self.quota.burst() + additional;
@@ -186,20 +186,20 @@
         let bucket = Bucket::new(now, rate * share, capacity * share, level);
         let was_limited = told.fraction() < 1.0;
         let usual_rate = self.admitted_flow.per_second_seen(now, LEAST_FLOW_TIME);
-        let expected = usual_rate * LONE_ARRIVAL_MEMORY.as_secs_f64();
+        let expected = usual_rate * SLOW_ARRIVAL_MEMORY.as_secs_f64();
         let usual = if was_limited { 0.0 } else { expected + DEVIATIONS * expected.sqrt() };
-        Part { share, bucket, usual }
+        ShareWithoutNews { share, bucket, usual }
     }
 
     /// Counts a request that has come, and decides by `draw`.
-    pub(super) fn decide(&mut self, now: Timestamp, room: &Room, draw: f64) -> QuotaVerdict {
+    pub(super) fn decide(&mut self, now: Timestamp, balance: &Balance, draw: f64) -> QuotaVerdict {
         self.arrived += 1;
         self.arrivals.add(now, 1.0);
-        self.lone_arrivals.add(now, 1.0);
+        self.slow_arrivals.add(now, 1.0);
         self.flow.add(now, 1.0);
-        if draw >= room.fraction() {
+        if draw >= balance.fraction() {
             self.refused += 1;
-            return QuotaVerdict::Beyond { retry_after: room.retry_after(draw) };
+            return QuotaVerdict::Beyond { retry_after: balance.retry_after(draw) };
         }
         self.unheard += 1.0;
         self.admitted_flow.add(now, 1.0);
--- a/crates/domain/src/quota/share.rs
+++ b/crates/domain/src/quota/share.rs
@@ -13,7 +13,7 @@
 /// connections and nothing is presumed of it; a broker that is silent for minutes is cut off or on a lost
 /// machine, and what is known of its callers gets old.
 const SHARE_MEMORY: Duration = Duration::from_secs(600);
-/// Part of a quota that is shared equally whatever the flows are, so that callers who turn to another
+/// ShareWithoutNews of a quota that is shared equally whatever the flows are, so that callers who turn to another
 /// broker while news are missing find something there.
 const EQUAL_PART: f64 = 0.1;
 /// Requests seen at all brokers for which what was seen counts as much as the share by rates.
--- a/crates/domain/src/quota/source.rs
+++ b/crates/domain/src/quota/source.rs
@@ -13,8 +13,9 @@
 /// The same of a control process, which tells something each 0.1 s. Until then both sides of a cut use the
 /// whole quota.
 pub(super) const SILENCE_OF_CONTROL: Duration = Duration::from_millis(600);
-/// What was used longer ago does not matter any more when a source is heard again: a quota has refilled since.
-const MATTERS: Duration = Duration::from_secs(5);
+/// Silence beyond which less than all of what was used in it still counts when a source is heard again: a quota of the
+/// usual window of five seconds has refilled since.
+const REFILL_SPAN: Duration = Duration::from_secs(5);
 /// Requests a second below which a flow is forgotten: a broker's few requests a minute change no share.
 const LEAST_FLOW: f64 = 0.02;
 
@@ -43,10 +44,10 @@
 pub(super) struct Source {
     heard: Timestamp,
     /// Time without a word after which it is presumed to be cut off.
-    patience: Duration,
+    silence_limit: Duration,
     silent: bool,
     /// Nothing was ever heard of it: its brokers are presumed to use equal shares of all quotas.
-    stranger: bool,
+    never_heard: bool,
     contributions: BTreeMap<TenantName, Contribution>,
     /// Brokers behind it when it fell silent, and those of them that have not come back elsewhere.
     brokers: BTreeSet<BrokerName>,
@@ -57,12 +58,12 @@
 
 impl Source {
     /// A source that is to be heard from now on.
-    pub(super) fn new(now: Timestamp, patience: Duration) -> Self {
+    pub(super) fn new(now: Timestamp, silence_limit: Duration) -> Self {
         Self {
             heard: now,
-            patience,
+            silence_limit,
             silent: false,
-            stranger: true,
+            never_heard: true,
             contributions: BTreeMap::new(),
             brokers: BTreeSet::new(),
             missing: 0,
@@ -75,7 +76,7 @@
     }
 
     pub(super) fn has_fallen_silent(&self, now: Timestamp) -> bool {
-        !self.silent && now.since(self.heard) >= self.patience
+        !self.silent && now.since(self.heard) >= self.silence_limit
     }
 
     /// For how long it has not been heard.
@@ -90,12 +91,12 @@
             self.silent = false;
         }
         self.heard = self.heard.max(now);
-        self.stranger = false;
+        self.never_heard = false;
     }
 
     /// The share of every quota that its brokers are presumed to use of whom nothing was ever heard.
     pub(super) fn unknown_share(&self, serving: usize) -> f64 {
-        if self.stranger { self.missing as f64 / serving as f64 } else { 0.0 }
+        if self.never_heard { self.missing as f64 / serving as f64 } else { 0.0 }
     }
 
     /// It is presumed to be cut off, with these brokers behind it. `fleet` gives the requests of a tenant at
@@ -137,7 +138,7 @@
     /// Counts requests of a tenant that the source told of; gives what had been presumed of it, which is to be
     /// given back.
     pub(super) fn count(&mut self, now: Timestamp, tenant: &TenantName, arrived: f64) -> f64 {
-        let matters = self.matters();
+        let matters = self.unrefilled_part();
         let contribution = self.contribution(now, tenant);
         contribution.flow.add(now, arrived);
         contribution.unheard = false;
@@ -145,9 +146,9 @@
     }
 
     /// The part of a growing total of a tenant that still matters: all of it, but after a silence.
-    pub(super) fn matters_of(&self, tenant: &TenantName) -> f64 {
+    pub(super) fn unrefilled_part_of(&self, tenant: &TenantName) -> f64 {
         let unheard = self.contributions.get(tenant).is_none_or(|known| known.unheard);
-        if unheard { self.matters() } else { 1.0 }
+        if unheard { self.unrefilled_part() } else { 1.0 }
     }
 
     /// What it is presumed to use, with `serving` brokers in all.
@@ -173,7 +174,7 @@
     /// What was presumed of it lately, by tenant: it is told by others now.
     pub(super) fn take_presumed(&mut self, now: Timestamp) -> Vec<(TenantName, f64)> {
         self.silence = now.since(self.heard);
-        let matters = self.matters();
+        let matters = self.unrefilled_part();
         let presumed = |(tenant, contribution): (&TenantName, &mut Contribution)| {
             (tenant.clone(), std::mem::take(&mut contribution.presumed) * matters)
         };
@@ -188,9 +189,9 @@
     }
 
     /// The part of what was used during the last silence that still matters.
-    fn matters(&self) -> f64 {
+    fn unrefilled_part(&self) -> f64 {
         let silence = self.silence.as_secs_f64();
-        (MATTERS.as_secs_f64() / silence.max(MATTERS.as_secs_f64())).min(1.0)
+        (REFILL_SPAN.as_secs_f64() / silence.max(REFILL_SPAN.as_secs_f64())).min(1.0)
     }
 
     fn contribution(&mut self, now: Timestamp, tenant: &TenantName) -> &mut Contribution {
--- a/crates/domain/src/quota/usage.rs
+++ b/crates/domain/src/quota/usage.rs
@@ -30,7 +30,7 @@
 pub struct PeerUsage {
     /// Number of the sender's run, drawn at its start: totals of another run start at nothing.
     pub run: u64,
-    /// Totals of the run, of the tenants whose totals changed since the last such message.
+    /// Totals of the run: of tenants whose totals changed, and of a tenth of all in turn.
     pub totals: Vec<TenantTotal>,
 }
 
@@ -62,6 +62,7 @@
 pub struct FleetUsage {
     /// The last report of this broker that is contained; 0 for none.
     pub heard: u64,
-    /// Tenants that use more than a part of their quotas, and those that did in the message before.
+    /// The most pressing tenants near their quotas, and once each that has come away from it. One that is left
+    /// out stands as it was told before.
     pub levels: Vec<TenantLevel>,
 }
--- a/crates/domain/src/routes/key_index.rs
+++ b/crates/domain/src/routes/key_index.rs
@@ -46,7 +46,7 @@
         &self.tenants
     }
 
-    /// The priorities that tenants have of their own; none of those that have their route's.
+    /// The priorities of the tenants; it holds `None` if some tenant has that of its route.
     pub fn priorities(&self) -> &BTreeSet<Option<u32>> {
         &self.priorities
     }
--- a/crates/domain/tests/quota_fleet/mod.rs
+++ b/crates/domain/tests/quota_fleet/mod.rs
@@ -366,10 +366,9 @@
             self.tell_members(number);
         }
         self.notice_lost_brokers(number);
-        if let Some(usage) = self.controls[number].fold.for_peers(now) {
-            for to in (0..self.controls.len()).filter(|to| *to != number) {
-                self.send(Message::Peer { from: number, to, usage: usage.clone() });
-            }
+        let usage = self.controls[number].fold.for_peers(now);
+        for to in (0..self.controls.len()).filter(|to| *to != number) {
+            self.send(Message::Peer { from: number, to, usage: usage.clone() });
         }
         if !self.controls[number].fold.is_informed(now) {
             return;
--- a/crates/settings/src/broker.rs
+++ b/crates/settings/src/broker.rs
@@ -188,7 +188,8 @@
     6_000
 }
 
-/// Some times as long as news of the use of quotas take, so that a window shows the rate and not a moment.
+/// Fifty rounds of 100 ms in which brokers tell what tenants use, so that what is admitted before news come is a small
+/// part of a window.
 fn default_quota_window_ms() -> u32 {
     5_000
 }
@@ -198,7 +199,7 @@
     0.1
 }
 
-/// A request or two at each of some brokers that have not heard of the others.
+/// Two requests at each of five brokers that have not heard of the others.
 fn default_quota_slack() -> f64 {
     10.0
 }
--- a/crates/transport/src/http1/head.rs
+++ b/crates/transport/src/http1/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and responses.
 
+use std::fmt;
+
 use std::mem::MaybeUninit;
 use std::ops::Range;
 
@@ -36,13 +38,20 @@
 }
 
 /// The header fields of a message, in their order.
-#[derive(Debug, Clone, Default)]
+#[derive(Clone, Default)]
 pub struct Headers {
     /// The whole head, start line included.
     text: Bytes,
     fields: Vec<Field>,
 }
 
+impl fmt::Debug for Headers {
+    /// Without values: a caller's key may be one of them.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Headers").field("fields", &self.fields.len()).finish()
+    }
+}
+
 impl PartialEq for Headers {
     fn eq(&self, other: &Self) -> bool {
         self.iter().eq(other.iter())
