--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -212,3 +212,8 @@
     directory.apply(&delta);
     directory
 }
+
+/// Records of these bytes, sixteen of each.
+pub fn records(records: &[u8]) -> Vec<u8> {
+    records.iter().flat_map(|byte| [*byte; 16]).collect()
+}
