Tell when the budget of extra requests is spent, and by whom

Cause: nothing told how much of a service's budget of extra requests each broker had used, nor how old its process was, so that the hypotheses on extra requests beyond what is allowed could not be told apart. Now each broker writes extra_load_spent once a window and service (first, extra and refused requests since its start, brokers that share the slack, age of the process), and counts gingerkeel_routes_extra_requests_refused_total. The budget is kept in a module of its own (extra_load); its rules are as they were.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -211,6 +211,7 @@
     fn ask(&mut self, choice: &Choice, reason: AskReason) -> Option<(ListedLeaf, TrailEntry)> {
         let leaf = self.state.leaves.leaf(&choice.leaf)?;
         if self.attempts.next_is_extra() && !self.state.leaves.take_extra(self.service) {
+            self.state.metrics.extra_refused();
             return None;
         }
         self.state.leaves.sent(&leaf, self.state.service_limits(self.service));
--- a/crates/broker/src/routes/known_leaves.rs
+++ b/crates/broker/src/routes/known_leaves.rs
@@ -5,11 +5,12 @@
 
 use gingerkeel_domain::directory::LeafDirectory;
 use gingerkeel_domain::forwarding::{
-    ColdLeaves, ColdStart, ExtraLoadBudget, ExtraLoadSettings, MisdirectedRequests, ReplicaSet,
+    ColdLeaves, ColdStart, ExtraLoadSettings, MisdirectedRequests, ReplicaSet,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::time::Timestamp;
 
+use super::extra_load::ExtraLoad;
 use super::pool::LeafPool;
 
 /// What the leaves of a service bear from all brokers together.
@@ -32,7 +33,7 @@
 #[derive(Default)]
 pub(super) struct ServiceState {
     pub(super) replicas: ReplicaSet,
-    pub(super) budget: ExtraLoadBudget,
+    pub(super) extra: ExtraLoad,
     /// How long leaves of the service say that they keep idle connections.
     pub(super) stated_keep: Option<Duration>,
 }
@@ -62,7 +63,7 @@
         let mut leaves = self.directory.leaves().values();
         let holder = leaves.find(|leaf| leaf.address == address && leaf.identity != *ended);
         match holder.and_then(|leaf| self.services.get_mut(&leaf.service)) {
-            Some(service) => service.budget.cover(extra, now),
+            Some(service) => service.extra.cover(extra, now),
             None => self.misdirected.arrived(now, address),
         }
     }
--- a/crates/broker/src/routes/known_leaves/tests.rs
+++ b/crates/broker/src/routes/known_leaves/tests.rs
@@ -1,9 +1,9 @@
 //! Which service pays for a request that arrived at another leaf than the one that was meant.
 
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
-use gingerkeel_domain::forwarding::SlackShare;
 use gingerkeel_domain::identifiers::ZoneName;
 
+use super::super::extra_load::SlackHolder;
 use super::*;
 
 const EXTRA: ExtraLoadSettings =
@@ -28,16 +28,17 @@
     leaves.directory.apply(&delta);
     for leaf in listed {
         let service = leaves.services.entry(leaf.service.clone()).or_default();
-        (0..3).for_each(|_| service.budget.earn(&EXTRA, Timestamp::ZERO));
+        (0..3).for_each(|_| service.extra.earn(&EXTRA, Timestamp::ZERO));
     }
     leaves
 }
 
 /// Extra requests that a service may still send.
 fn left(leaves: &mut Leaves, service: &str) -> usize {
-    let state = leaves.services.get_mut(&ServiceName::new(service)).expect("a service");
-    let slack = SlackShare::default();
-    (0..9).filter(|_| state.budget.take(&EXTRA, Timestamp::ZERO, slack)).count()
+    let service = ServiceName::new(service);
+    let state = leaves.services.get_mut(&service).expect("a service");
+    let holder = SlackHolder { brokers: 1, age: EXTRA.window };
+    (0..9).filter(|_| state.extra.take(&EXTRA, Timestamp::ZERO, &service, holder)).count()
 }
 
 #[test]
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -12,7 +12,7 @@
 use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
     ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance, Exclusion, ExtraLoadSettings,
-    LoadReport, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection, SlackShare,
+    LoadReport, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{Conduct, LeafObservation, LeafWarning, ObservationLog};
@@ -25,6 +25,7 @@
 use tracing::{info, warn};
 
 use super::connection_book::ConnectionBook;
+use super::extra_load::SlackHolder;
 use super::known_leaves::{Leaves, ServiceLimits};
 use super::pool::{LeafConnection, LeafPool};
 
@@ -178,7 +179,7 @@
                 continue;
             }
             for _ in 0..misdirected.take(now, self.extra.window, leaf.address) {
-                service.budget.cover(&self.extra, now);
+                service.extra.cover(&self.extra, now);
             }
         }
         for (name, service) in services.iter_mut() {
@@ -338,16 +339,16 @@
         let now = self.clock.now();
         let mut leaves = self.leaves.borrow_mut();
         let state = leaves.services.entry(service.clone()).or_default();
-        state.budget.earn(&self.extra, now);
+        state.extra.earn(&self.extra, now);
     }
 
     /// Takes one extra request out of the budget of a service; false when there is no room.
     pub fn take_extra(&self, service: &ServiceName) -> bool {
         let now = self.clock.now();
-        let slack = SlackShare::of(&self.extra, self.sharing.borrow().len(), self.age());
+        let holder = SlackHolder { brokers: self.sharing.borrow().len(), age: self.age() };
         let mut leaves = self.leaves.borrow_mut();
         let state = leaves.services.get_mut(service);
-        state.is_some_and(|state| state.budget.take(&self.extra, now, slack))
+        state.is_some_and(|state| state.extra.take(&self.extra, now, service, holder))
     }
 
     /// In a request that began then, a leaf did so as measured by the other leaves of the request. That one of
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -8,6 +8,7 @@
 mod connection_book;
 mod crash_watch;
 mod dialect;
+mod extra_load;
 mod gather;
 mod known_leaves;
 mod leaf_checks;
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -62,6 +62,7 @@
     missing_parts: Counter,
     leaf_requests: Family<ReasonLabels, Counter>,
     leaf_attempts: Family<OutcomeLabels, Counter>,
+    extra_refused: Counter,
     slow_leaves: Counter,
     leaf_warnings: Counter,
     leaves_ended_under_requests: Family<RouteLabels, Counter>,
@@ -84,6 +85,7 @@
             missing_parts: Counter::default(),
             leaf_requests: Family::default(),
             leaf_attempts: Family::default(),
+            extra_refused: Counter::default(),
             slow_leaves: Counter::default(),
             leaf_warnings: Counter::default(),
             leaves_ended_under_requests: Family::default(),
@@ -113,6 +115,9 @@
         registry.register("leaf_requests", help, self.leaf_requests.clone());
         let help = "Attempts at leaves that have ended, by outcome";
         registry.register("leaf_attempts", help, self.leaf_attempts.clone());
+        let help =
+            "Hedges and retries that were not sent because the budget of their service was spent";
+        registry.register("extra_requests_refused", help, self.extra_refused.clone());
         let help = "Leaves that were reported to control as slow";
         registry.register("slow_leaves", help, self.slow_leaves.clone());
         let help = "Warnings of leaves that other brokers find slow";
@@ -184,6 +189,11 @@
         self.leaf_requests.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// The budget of a service had no room for a hedge or a retry.
+    pub fn extra_refused(&self) {
+        self.extra_refused.inc();
+    }
+
     /// An attempt at a leaf has ended so.
     pub fn attempt_ended(&self, outcome: &'static str) {
         self.leaf_attempts.get_or_create(&OutcomeLabels { outcome }).inc();
