Save up no more extra requests than the slack has

Cause: a broker might send a share of its requests of the last ten seconds again, so what it had earned before a window was spent in it; a process that followed a killed one, or other brokers to which the callers went, earned for the same window once more. Now a broker earns its share with each request, half of its part of the slack with time, saves up the other half at most, and begins with nothing. What a window holds was earned in it or saved up before it, whoever ends and wherever callers go. The rule on young processes goes: nothing depends on the age of a process any more.

Moved: the tests of the budget to a file of their own; the bound of the drawn schedules counts the very window now, not a part more. The tests of misdirected requests give the broker a slack that holds the same number of extra requests as before.

--- a/crates/broker/src/routes/extra_load/tests.rs
+++ b/crates/broker/src/routes/extra_load/tests.rs
@@ -1,37 +1,33 @@
-//! When it is told that the budget of a service is spent.
+//! What is counted of extra requests, and when it is told that a budget is spent.
+
+use gingerkeel_domain::forwarding::ExtraLoadSettings;
 
 use super::*;
 
-const SETTINGS: ExtraLoadSettings =
-    ExtraLoadSettings { ratio: 0.5, window: Duration::from_secs(10), slack: 0.0 };
+const WINDOW: Duration = Duration::from_secs(10);
 
 fn at(seconds: u64) -> Timestamp {
     Timestamp::from_micros(seconds * 1_000_000)
 }
 
-fn take(load: &mut ExtraLoad, seconds: u64) -> bool {
-    let holder = SlackHolder { brokers: 1, age: Duration::from_secs(seconds) };
-    load.take(&SETTINGS, at(seconds), &ServiceName::new("s"), holder)
-}
-
 #[test]
 fn a_spent_budget_is_told_once_a_window() {
     let mut load = ExtraLoad::default();
-    assert!(!take(&mut load, 0));
-    assert_eq!(load.logged, Some(at(0)));
-    assert!(!take(&mut load, 9));
-    assert_eq!(load.logged, Some(at(0)), "within the window of the first line");
-    assert!(!take(&mut load, 10));
-    assert_eq!(load.logged, Some(at(10)));
+    assert!(load.tell_spent(at(0), WINDOW).is_some());
+    assert_eq!(load.tell_spent(at(9), WINDOW), None, "within the window of the first");
+    assert!(load.tell_spent(at(10), WINDOW).is_some());
+    assert_eq!(load.tell_spent(at(19), WINDOW), None);
 }
 
 #[test]
 fn totals_count_what_was_sent_and_what_was_refused() {
+    let settings = ExtraLoadSettings { ratio: 0.5, window: WINDOW, slack: 0.0 };
+    let share = ExtraLoadShare::of(&settings, 1);
     let mut load = ExtraLoad::default();
-    (0..2).for_each(|_| load.earn(&SETTINGS, at(0)));
-    assert!(take(&mut load, 0));
-    assert!(!take(&mut load, 0));
-    load.cover(&SETTINGS, at(0));
-    let Totals { first, extra, refused } = load.totals;
-    assert_eq!((first, extra, refused), (2, 2, 1));
+    (0..2).for_each(|_| load.earn(&share, at(0)));
+    assert!(load.take(&share, at(0)));
+    assert!(!load.take(&share, at(0)));
+    load.cover(&share, at(0));
+    let told = load.tell_spent(at(0), WINDOW);
+    assert_eq!(told, Some(ExtraLoadTotals { first: 2, extra: 2, refused: 1 }));
 }
--- a/crates/broker/src/routes/known_leaves.rs
+++ b/crates/broker/src/routes/known_leaves.rs
@@ -5,7 +5,7 @@
 
 use gingerkeel_domain::directory::LeafDirectory;
 use gingerkeel_domain::forwarding::{
-    ColdLeaves, ColdStart, ExtraLoadSettings, MisdirectedRequests, ReplicaSet,
+    ColdLeaves, ColdStart, ExtraLoadShare, MisdirectedRequests, ReplicaSet,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::time::Timestamp;
@@ -54,7 +54,7 @@
     pub(super) fn cover_misdirected(
         &mut self,
         now: Timestamp,
-        extra: &ExtraLoadSettings,
+        share: &ExtraLoadShare,
         ended: &LeafIdentity,
     ) {
         let Some(address) = self.directory.leaves().get(ended).map(|leaf| leaf.address) else {
@@ -63,7 +63,7 @@
         let mut leaves = self.directory.leaves().values();
         let holder = leaves.find(|leaf| leaf.address == address && leaf.identity != *ended);
         match holder.and_then(|leaf| self.services.get_mut(&leaf.service)) {
-            Some(service) => service.extra.cover(extra, now),
+            Some(service) => service.extra.cover(share, now),
             None => self.misdirected.arrived(now, address),
         }
     }
--- a/crates/broker/src/routes/known_leaves/tests.rs
+++ b/crates/broker/src/routes/known_leaves/tests.rs
@@ -3,11 +3,16 @@
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::identifiers::ZoneName;
 
-use super::super::extra_load::SlackHolder;
 use super::*;
+use gingerkeel_domain::forwarding::ExtraLoadSettings;
 
 const EXTRA: ExtraLoadSettings =
-    ExtraLoadSettings { ratio: 1.0, window: Duration::from_secs(10), slack: 0.0 };
+    ExtraLoadSettings { ratio: 1.0, window: Duration::from_secs(10), slack: 6.0 };
+
+/// The share of the only broker: it saves up three extra requests, one for each of three requests.
+fn share() -> ExtraLoadShare {
+    ExtraLoadShare::of(&EXTRA, 1)
+}
 
 fn leaf(name: &str, service: &str, port: u16) -> ListedLeaf {
     ListedLeaf {
@@ -28,7 +33,7 @@
     leaves.directory.apply(&delta);
     for leaf in listed {
         let service = leaves.services.entry(leaf.service.clone()).or_default();
-        (0..3).for_each(|_| service.extra.earn(&EXTRA, Timestamp::ZERO));
+        (0..3).for_each(|_| service.extra.earn(&share(), Timestamp::ZERO));
     }
     leaves
 }
@@ -37,15 +42,14 @@
 fn left(leaves: &mut Leaves, service: &str) -> usize {
     let service = ServiceName::new(service);
     let state = leaves.services.get_mut(&service).expect("a service");
-    let holder = SlackHolder { brokers: 1, age: EXTRA.window };
-    (0..9).filter(|_| state.extra.take(&EXTRA, Timestamp::ZERO, &service, holder)).count()
+    (0..9).filter(|_| state.extra.take(&share(), Timestamp::ZERO)).count()
 }
 
 #[test]
 fn the_service_of_the_leaf_that_has_the_address_pays() {
     let (ended, newer) = (leaf("ended", "meant", 1), leaf("newer", "other", 1));
     let mut leaves = known(&[ended.clone(), newer, leaf("third", "third", 2)]);
-    leaves.cover_misdirected(Timestamp::ZERO, &EXTRA, &ended.identity);
+    leaves.cover_misdirected(Timestamp::ZERO, &share(), &ended.identity);
     let services = ["meant", "other", "third"];
     assert_eq!(services.map(|service| left(&mut leaves, service)), [3, 2, 3]);
 }
@@ -54,7 +58,7 @@
 fn while_the_list_names_no_other_leaf_there_the_request_is_kept() {
     let ended = leaf("ended", "meant", 1);
     let mut leaves = known(std::slice::from_ref(&ended));
-    leaves.cover_misdirected(Timestamp::ZERO, &EXTRA, &ended.identity);
+    leaves.cover_misdirected(Timestamp::ZERO, &share(), &ended.identity);
     assert_eq!(left(&mut leaves, "meant"), 3);
     assert_eq!(leaves.misdirected.take(Timestamp::ZERO, EXTRA.window, ended.address), 1);
 }
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -12,7 +12,7 @@
 use gingerkeel_domain::feed::KnownBroker;
 use gingerkeel_domain::forwarding::{
     ColdShare, ColdStart, ConnectionPlan, Connectivity, Distance, Exclusion, ExtraLoadSettings,
-    LoadReport, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection,
+    ExtraLoadShare, LoadReport, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection,
 };
 use gingerkeel_domain::identifiers::{BrokerName, LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::leaf_warnings::{Conduct, LeafObservation, LeafWarning, ObservationLog};
@@ -25,7 +25,7 @@
 use tracing::{info, warn};
 
 use super::connection_book::ConnectionBook;
-use super::extra_load::SlackHolder;
+use super::extra_load::ExtraLoadTotals;
 use super::known_leaves::{Leaves, ServiceLimits};
 use super::pool::{LeafConnection, LeafPool};
 
@@ -167,6 +167,7 @@
     fn list(&self, leaves: &mut Leaves, changed: &[ListedLeaf]) {
         let now = self.clock.now();
         self.forget_cold_shares();
+        let share = self.extra_share();
         let Leaves { directory, services, pools, cold, misdirected } = leaves;
         cold.forget_warm(now);
         for leaf in changed {
@@ -179,7 +180,7 @@
                 continue;
             }
             for _ in 0..misdirected.take(now, self.extra.window, leaf.address) {
-                service.extra.cover(&self.extra, now);
+                service.extra.cover(&share, now);
             }
         }
         for (name, service) in services.iter_mut() {
@@ -339,16 +340,36 @@
         let now = self.clock.now();
         let mut leaves = self.leaves.borrow_mut();
         let state = leaves.services.entry(service.clone()).or_default();
-        state.extra.earn(&self.extra, now);
+        state.extra.earn(&self.extra_share(), now);
     }
 
     /// Takes one extra request out of the budget of a service; false when there is no room.
     pub fn take_extra(&self, service: &ServiceName) -> bool {
         let now = self.clock.now();
-        let holder = SlackHolder { brokers: self.sharing.borrow().len(), age: self.age() };
+        let share = self.extra_share();
         let mut leaves = self.leaves.borrow_mut();
-        let state = leaves.services.get_mut(service);
-        state.is_some_and(|state| state.extra.take(&self.extra, now, service, holder))
+        let Some(state) = leaves.services.get_mut(service) else {
+            return false;
+        };
+        let taken = state.extra.take(&share, now);
+        if !taken && let Some(totals) = state.extra.tell_spent(now, self.extra.window) {
+            self.log_spent(service, totals);
+        }
+        taken
+    }
+
+    /// What this broker may send of the extra requests of any one service.
+    fn extra_share(&self) -> ExtraLoadShare {
+        ExtraLoadShare::of(&self.extra, self.sharing.borrow().len())
+    }
+
+    /// The totals of all brokers, and their difference from one line to the next, tell whose requests added up to
+    /// too many.
+    fn log_spent(&self, service: &ServiceName, totals: ExtraLoadTotals) {
+        let ExtraLoadTotals { first, extra, refused } = totals;
+        let brokers = self.sharing.borrow().len();
+        let age_ms = self.age().as_millis() as u64;
+        info!(event = "extra_load_spent", %service, first, extra, refused, brokers, age_ms);
     }
 
     /// In a request that began then, a leaf did so as measured by the other leaves of the request. That one of
@@ -414,7 +435,8 @@
     pub fn finish(&self, service: &ServiceName, leaf: &LeafIdentity, outcome: Outcome) {
         if outcome == Outcome::AddressTaken {
             let now = self.clock.now();
-            self.leaves.borrow_mut().cover_misdirected(now, &self.extra, leaf);
+            let share = self.extra_share();
+            self.leaves.borrow_mut().cover_misdirected(now, &share, leaf);
         }
         self.with_replicas(service, |replicas, now, settings| {
             replicas.finish(now, settings, leaf, outcome);
--- a/crates/domain/src/forwarding/extra_load.rs
+++ b/crates/domain/src/forwarding/extra_load.rs
@@ -1,19 +1,23 @@
 //! The budget of extra requests: hedges and retries of one service.
 //!
-//! All brokers together may send a share of the requests of a service again, and a few more, in
-//! every window. Each broker keeps to the share of its own requests and to its part of the rest,
-//! so that the sum holds without a word between them, also while some of them are cut off from the
-//! others or have just been started again. A window that has moved on a little may hold
-//! fewer requests than those that allowed its extra ones: settings belong somewhat below a bound that
-//! has to be kept.
+//! All brokers together may send a share of the requests of a service again, and a few more, the slack, in every
+//! window. Each broker earns its share with each of its requests, and some of its part of the slack with time;
+//! the rest of that part is all that it saves up. It begins with nothing saved. So whatever is sent in a window was
+//! earned in that window or saved up before it, and the sum holds without a word between brokers: also where
+//! processes are killed and begin anew, and where callers move from one broker to another.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::time::Timestamp;
 
-/// Parts into which a window is cut; one more is counted, so that no window is cut short.
-const WINDOW_PARTS: u32 = 10;
+/// Part of a broker's slack that it saves up; the rest comes with time. More is there at once when leaves turn
+/// slow, less in each second that they stay so.
+const SAVED_PART: f64 = 0.5;
+/// Extra requests that a broker saves up at least, as it could never send one otherwise. Where the slack is smaller
+/// than the number of brokers, each may so exceed its part by one.
+const LEAST_SAVED: f64 = 1.0;
+/// Tolerance for the rounding of what is added up.
+const ROUNDING: f64 = 1e-9;
 
 /// Bounds of extra requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -26,80 +30,65 @@
     pub slack: f64,
 }
 
-/// What one broker may take of the slack.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct SlackShare(f64);
+/// What one broker may send.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ExtraLoadShare {
+    /// Extra requests that it earns with a request.
+    per_request: f64,
+    /// Extra requests that it earns in a second.
+    per_second: f64,
+    /// Extra requests that it saves up at most.
+    saved: f64,
+}
 
-impl SlackShare {
+impl ExtraLoadShare {
     /// The share of one of `brokers`: all that may be serving, those that are cut off included,
-    /// because they go on taking their shares. Nothing while their number is not known (0), and
-    /// nothing until the process is older than a window: whatever ran under its name before may
-    /// have taken the share of that window.
-    pub fn of(settings: &ExtraLoadSettings, brokers: usize, age: Duration) -> Self {
-        if brokers == 0 || age < settings.window {
-            return Self::default();
-        }
-        Self(settings.slack / brokers as f64)
+    /// because they go on taking their shares. No slack but the least while their number is not known (0).
+    pub fn of(settings: &ExtraLoadSettings, brokers: usize) -> Self {
+        let slack = if brokers == 0 { 0.0 } else { settings.slack / brokers as f64 };
+        let saved = (slack * SAVED_PART).max(LEAST_SAVED);
+        let with_time = (slack - saved).max(0.0);
+        let per_second = with_time / settings.window.as_secs_f64();
+        Self { per_request: settings.ratio, per_second, saved }
     }
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct Part {
-    number: u64,
-    requests: u32,
-    extra: u32,
-}
-
 /// The budget of one service at one broker.
 #[derive(Debug, Default)]
 pub struct ExtraLoadBudget {
-    parts: VecDeque<Part>,
+    /// Extra requests that may be sent; below 0 where some were sent that had to be.
+    level: f64,
+    /// Until when what comes with time was added.
+    refilled: Option<Timestamp>,
 }
 
 impl ExtraLoadBudget {
     /// A request was sent for the first time.
-    pub fn earn(&mut self, settings: &ExtraLoadSettings, now: Timestamp) {
-        self.current(settings, now).requests += 1;
+    pub fn earn(&mut self, share: &ExtraLoadShare, now: Timestamp) {
+        self.add(share, now, share.per_request);
     }
 
     /// Takes one extra request; false when there is no room.
-    pub fn take(
-        &mut self,
-        settings: &ExtraLoadSettings,
-        now: Timestamp,
-        slack: SlackShare,
-    ) -> bool {
-        self.current(settings, now);
-        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
-        let extra: u32 = self.parts.iter().map(|part| part.extra).sum();
-        // The oldest part lies outside the window in part: its requests do not count in full.
-        let oldest = self.parts.front().filter(|_| self.parts.len() > WINDOW_PARTS as usize);
-        let counted = requests - oldest.map_or(0, |part| part.requests);
-        let allowed = settings.ratio * f64::from(counted) + slack.0;
-        if f64::from(extra + 1) > allowed {
+    pub fn take(&mut self, share: &ExtraLoadShare, now: Timestamp) -> bool {
+        self.add(share, now, 0.0);
+        if self.level + ROUNDING < 1.0 {
             return false;
         }
-        self.current(settings, now).extra += 1;
+        self.level -= 1.0;
         true
     }
 
     /// Counts an extra request that was not known to be one when it was sent, whether there is room or not.
-    pub fn cover(&mut self, settings: &ExtraLoadSettings, now: Timestamp) {
-        self.current(settings, now).extra += 1;
+    pub fn cover(&mut self, share: &ExtraLoadShare, now: Timestamp) {
+        self.add(share, now, 0.0);
+        self.level -= 1.0;
     }
 
-    /// The part of the present time; parts that lie outside the window are forgotten.
-    fn current(&mut self, settings: &ExtraLoadSettings, now: Timestamp) -> &mut Part {
-        let length = (settings.window / WINDOW_PARTS).as_micros().max(1) as u64;
-        let number = now.as_micros() / length;
-        let oldest = number.saturating_sub(u64::from(WINDOW_PARTS));
-        while self.parts.front().is_some_and(|part| part.number < oldest) {
-            self.parts.pop_front();
-        }
-        if self.parts.back().is_none_or(|part| part.number != number) {
-            self.parts.push_back(Part { number, ..Part::default() });
-        }
-        let newest = self.parts.len() - 1;
-        &mut self.parts[newest]
+    /// Adds what was earned, and what has come with time.
+    fn add(&mut self, share: &ExtraLoadShare, now: Timestamp, earned: f64) {
+        let passed = self.refilled.map_or(Duration::ZERO, |refilled| now.since(refilled));
+        let gained = earned + share.per_second * passed.as_secs_f64();
+        self.level = (self.level + gained).min(share.saved);
+        self.refilled = Some(now);
     }
 }
--- a/crates/domain/src/forwarding/mod.rs
+++ b/crates/domain/src/forwarding/mod.rs
@@ -30,7 +30,7 @@
 pub use delivery::{AnswerMargin, DeliveryTime};
 pub use eligibility::{Exclusion, NobodyReason};
 pub use execution::{ExecutionEvidence, RequestFailure};
-pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings, SlackShare};
+pub use extra_load::{ExtraLoadBudget, ExtraLoadSettings, ExtraLoadShare};
 pub use gathering::{GatherStep, GatherTimes, Gathering};
 pub use greatest::{GreatestRecords, RECORD_BYTES};
 pub use load_report::{LoadReport, ObservedLoad, USUAL_PACE};
--- a/crates/domain/tests/ended_leaves.rs
+++ b/crates/domain/tests/ended_leaves.rs
@@ -8,15 +8,16 @@
 
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::forwarding::{
-    Connectivity, Distance, Exclusion, ExtraLoadBudget, ExtraLoadSettings, MisdirectedRequests,
-    NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection, SlackShare,
+    Connectivity, Distance, Exclusion, ExtraLoadBudget, ExtraLoadSettings, ExtraLoadShare,
+    MisdirectedRequests, NobodyReason, Outcome, ReplicaSet, ReplicaSettings, Selection,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::time::Timestamp;
 use rstest::rstest;
 
 const WINDOW: Duration = Duration::from_secs(10);
-const BUDGET: ExtraLoadSettings = ExtraLoadSettings { ratio: 0.5, window: WINDOW, slack: 0.0 };
+/// One broker may save up two extra requests, as many as it earns with four requests.
+const BUDGET: ExtraLoadSettings = ExtraLoadSettings { ratio: 0.5, window: WINDOW, slack: 4.0 };
 
 fn at(milliseconds: u64) -> Timestamp {
     Timestamp::from_micros(milliseconds * 1_000)
@@ -195,14 +196,14 @@
 #[case::as_much_as_there_is(4, 2)]
 #[case::no_room(4, 3)]
 fn what_was_misdirected_is_taken_out_of_the_budget(#[case] requests: u32, #[case] covered: u32) {
+    let share = ExtraLoadShare::of(&BUDGET, 1);
     let mut budget = ExtraLoadBudget::default();
-    (0..requests).for_each(|_| budget.earn(&BUDGET, at(0)));
-    (0..covered).for_each(|_| budget.cover(&BUDGET, at(0)));
-    let taken = (0..10).filter(|_| budget.take(&BUDGET, at(0), SlackShare::default())).count();
+    (0..requests).for_each(|_| budget.earn(&share, at(0)));
+    (0..covered).for_each(|_| budget.cover(&share, at(0)));
+    let taken = (0..10).filter(|_| budget.take(&share, at(0))).count();
     assert_eq!(taken as u32, (requests / 2).saturating_sub(covered));
     // What was beyond the budget is owed by the requests that follow.
-    (0..requests).for_each(|_| budget.earn(&BUDGET, at(0)));
-    let taken_later =
-        (0..10).filter(|_| budget.take(&BUDGET, at(0), SlackShare::default())).count();
+    (0..requests).for_each(|_| budget.earn(&share, at(0)));
+    let taken_later = (0..10).filter(|_| budget.take(&share, at(0))).count();
     assert_eq!((taken + taken_later) as u32, requests - covered);
 }
--- /dev/null
+++ b/crates/domain/tests/extra_load.rs
@@ -0,0 +1,87 @@
+//! The budget of extra requests at one broker.
+
+use std::time::Duration;
+
+use gingerkeel_domain::forwarding::{ExtraLoadBudget, ExtraLoadSettings, ExtraLoadShare};
+use gingerkeel_domain::time::Timestamp;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SETTINGS: ExtraLoadSettings =
+    ExtraLoadSettings { ratio: 0.2, window: Duration::from_secs(10), slack: 12.0 };
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_micros(milliseconds * 1_000)
+}
+
+fn taken(budget: &mut ExtraLoadBudget, share: &ExtraLoadShare, now: u64) -> usize {
+    (0..100).filter(|_| budget.take(share, at(now))).count()
+}
+
+#[test]
+fn a_new_budget_holds_nothing() {
+    let share = ExtraLoadShare::of(&SETTINGS, 1);
+    assert_eq!(taken(&mut ExtraLoadBudget::default(), &share, 20_000), 0);
+}
+
+/// Half of a broker's part of the slack is saved up, and no more however many requests come.
+#[rstest]
+#[case::alone(1, 6)]
+#[case::one_of_three(3, 2)]
+#[case::one_of_many(100, 1)]
+#[case::nobody_has_told_how_many_there_are(0, 1)]
+fn a_part_of_the_slack_is_saved_up(#[case] brokers: usize, #[case] saved: usize) {
+    let share = ExtraLoadShare::of(&SETTINGS, brokers);
+    let mut budget = ExtraLoadBudget::default();
+    (0..1_000).for_each(|_| budget.earn(&share, at(0)));
+    assert_eq!(taken(&mut budget, &share, 0), saved);
+}
+
+#[test]
+fn five_requests_earn_an_extra_one() {
+    let share = ExtraLoadShare::of(&SETTINGS, 3);
+    let mut budget = ExtraLoadBudget::default();
+    for _ in 0..3 {
+        (0..4).for_each(|_| budget.earn(&share, at(0)));
+        assert_eq!(taken(&mut budget, &share, 0), 0);
+        budget.earn(&share, at(0));
+        assert_eq!(taken(&mut budget, &share, 0), 1);
+    }
+}
+
+#[test]
+fn the_rest_of_the_slack_comes_with_time() {
+    let share = ExtraLoadShare::of(&SETTINGS, 1);
+    let mut budget = ExtraLoadBudget::default();
+    let in_a_window: usize =
+        (0..=10_000).step_by(100).map(|now| taken(&mut budget, &share, now)).sum();
+    assert_eq!(in_a_window, 6);
+}
+
+proptest! {
+    /// However requests and extra ones come, no window holds more extra requests than the ratio of the requests
+    /// of that window, and the slack.
+    #[test]
+    fn no_window_holds_more_extra_requests_than_allowed(
+        steps in prop::collection::vec((0u64..400, 0u8..4), 1..400),
+    ) {
+        let share = ExtraLoadShare::of(&SETTINGS, 1);
+        let mut budget = ExtraLoadBudget::default();
+        let (mut now, mut requests, mut extra) = (0, Vec::new(), Vec::new());
+        for (pause, kind) in steps {
+            now += pause;
+            if kind == 0 {
+                budget.earn(&share, at(now));
+                requests.push(now);
+            } else if budget.take(&share, at(now)) {
+                extra.push(now);
+            }
+        }
+        for end in &extra {
+            let inside = |time: &&u64| **time + 10_000 > *end && **time <= *end;
+            let counted = extra.iter().filter(inside).count() as f64;
+            let drawn = requests.iter().filter(inside).count();
+            prop_assert!(counted <= 0.2 * drawn as f64 + 12.0, "{counted} of {drawn}");
+        }
+    }
+}
--- a/crates/domain/tests/extra_load_fleet.rs
+++ b/crates/domain/tests/extra_load_fleet.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use gingerkeel_domain::forwarding::{ExtraLoadBudget, ExtraLoadSettings, SlackShare};
+use gingerkeel_domain::forwarding::{ExtraLoadBudget, ExtraLoadSettings, ExtraLoadShare};
 use gingerkeel_domain::time::Timestamp;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -37,7 +37,6 @@
 struct Fleet {
     settings: ExtraLoadSettings,
     budgets: Vec<ExtraLoadBudget>,
-    born: Vec<u64>,
     requests: Vec<u64>,
     extra: Vec<u64>,
 }
@@ -47,25 +46,22 @@
         Self {
             settings,
             budgets: (0..brokers).map(|_| ExtraLoadBudget::default()).collect(),
-            born: vec![0; brokers],
             requests: Vec::new(),
             extra: Vec::new(),
         }
     }
 
     /// A broker is killed, and started again at once.
-    fn restart(&mut self, now: u64, broker: usize) {
+    fn restart(&mut self, broker: usize) {
         self.budgets[broker] = ExtraLoadBudget::default();
-        self.born[broker] = now;
     }
 
     fn request(&mut self, now: u64, broker: usize, wanted: usize) {
-        let age = Duration::from_millis(now - self.born[broker]);
-        let slack = SlackShare::of(&self.settings, self.budgets.len(), age);
+        let share = ExtraLoadShare::of(&self.settings, self.budgets.len());
         let budget = &mut self.budgets[broker];
-        budget.earn(&self.settings, at(now));
+        budget.earn(&share, at(now));
         self.requests.push(now);
-        let taken = (0..wanted).filter(|_| budget.take(&self.settings, at(now), slack));
+        let taken = (0..wanted).filter(|_| budget.take(&share, at(now)));
         self.extra.extend(taken.map(|_| now));
     }
 
@@ -128,7 +124,7 @@
     for now in (0..END).step_by(20) {
         for broker in 0..BROKERS {
             if event.restarts(now, broker) {
-                fleet.restart(now, broker);
+                fleet.restart(broker);
             }
             // The brokers' requests come out of step.
             if now % PAUSE == 20 * (broker as u64 % 20) {
@@ -140,6 +136,25 @@
     fleet.check(&BOUND);
 }
 
+/// Brokers that always ask for more than they may, while some are killed and started anew.
+#[rstest]
+#[case::none_is_killed(&[])]
+#[case::all_are_killed_twice_within_a_window(&[12_000, 15_000])]
+#[case::all_are_killed_each_third_of_a_window(&[11_000, 14_400, 17_800, 21_200, 24_600])]
+fn brokers_that_start_anew_do_not_add_to_what_all_may_take(#[case] kills: &[u64]) {
+    let settings = ExtraLoadSettings { slack: 9.0, ..BOUND };
+    let mut fleet = Fleet::new(settings, 3);
+    for now in (0..40_000).step_by(100) {
+        for broker in 0..3 {
+            if kills.contains(&now) {
+                fleet.restart(broker);
+            }
+            fleet.request(now, broker, 10);
+        }
+    }
+    fleet.check(&settings);
+}
+
 /// A step of a drawn schedule: what one broker does after a pause of some milliseconds.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -174,7 +189,7 @@
             now += pause;
             match step {
                 Step::Request(wanted) => fleet.request(now, broker, wanted),
-                Step::Restart => fleet.restart(now, broker),
+                Step::Restart => fleet.restart(broker),
             }
         }
         fleet.check(&settings);
--- a/crates/domain/tests/forwarding.rs
+++ b/crates/domain/tests/forwarding.rs
@@ -1,4 +1,4 @@
-//! Forwarding: choice of leaves, the budget of extra requests, merging and splits.
+//! Forwarding: choice of leaves, merging and splits.
 
 use rand_core::RngCore;
 use rand_pcg::Pcg64;
@@ -6,9 +6,8 @@
 
 use gingerkeel_domain::directory::{LeafAvailability, ListedLeaf};
 use gingerkeel_domain::forwarding::{
-    Connectivity, Distance, Exclusion, ExtraLoadBudget, ExtraLoadSettings, GreatestRecords,
-    NobodyReason, Outcome, RECORD_BYTES, ReplicaSet, ReplicaSettings, Selection, SharingBrokers,
-    SlackShare, SplitTurns, connection_share,
+    Connectivity, Distance, Exclusion, GreatestRecords, NobodyReason, Outcome, RECORD_BYTES,
+    ReplicaSet, ReplicaSettings, Selection, SharingBrokers, SplitTurns, connection_share,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
 use gingerkeel_domain::routes::WeightedService;
@@ -270,54 +269,6 @@
     assert!(set.is_empty());
 }
 
-const BUDGET: ExtraLoadSettings =
-    ExtraLoadSettings { ratio: 0.2, window: Duration::from_secs(10), slack: 9.0 };
-
-#[test]
-fn the_slack_is_shared_by_the_brokers() {
-    let taken = |brokers: usize, age: Duration| {
-        let mut budget = ExtraLoadBudget::default();
-        let slack = SlackShare::of(&BUDGET, brokers, age);
-        (0..100).filter(|_| budget.take(&BUDGET, at(0), slack)).count()
-    };
-    assert_eq!(taken(1, BUDGET.window), 9);
-    assert_eq!(taken(3, BUDGET.window), 3);
-    assert_eq!(taken(100, BUDGET.window), 0);
-    assert_eq!(taken(0, BUDGET.window), 0, "nobody has told how many there are");
-    assert_eq!(taken(3, BUDGET.window - Duration::from_millis(1)), 0, "just started");
-}
-
-/// Brokers that always ask for more than they may, while some are killed and started anew.
-#[rstest]
-#[case::none_is_killed(&[])]
-#[case::all_are_killed_twice_within_a_window(&[12_000, 15_000])]
-#[case::all_are_killed_each_third_of_a_window(&[11_000, 14_400, 17_800, 21_200, 24_600])]
-fn brokers_that_start_anew_do_not_add_to_what_all_may_take(#[case] kills: &[u64]) {
-    const BROKERS: usize = 3;
-    let mut budgets: Vec<ExtraLoadBudget> = Vec::new();
-    let mut born = 0;
-    let (mut requests, mut extra) = (Vec::new(), Vec::new());
-    for now in (0..40_000).step_by(100) {
-        if now == 0 || kills.contains(&now) {
-            born = now;
-            budgets = (0..BROKERS).map(|_| ExtraLoadBudget::default()).collect();
-        }
-        let age = Duration::from_millis(now - born);
-        for budget in &mut budgets {
-            budget.earn(&BUDGET, at(now));
-            requests.push(now);
-            let slack = SlackShare::of(&BUDGET, BROKERS, age);
-            extra.extend((0..10).filter(|_| budget.take(&BUDGET, at(now), slack)).map(|_| now));
-        }
-    }
-    for end in &extra {
-        let in_window = |time: &&u64| **time + 10_000 > *end && **time <= *end;
-        let allowed = 0.2 * requests.iter().filter(in_window).count() as f64 + 9.0;
-        let counted = extra.iter().filter(in_window).count();
-        assert!(counted as f64 <= allowed, "{counted} of {allowed} until {end}");
-    }
-}
-
 proptest! {
     /// The shares of all brokers add up to no more than a leaf accepts, when it accepts enough for
     /// everybody's least share.
@@ -341,36 +292,6 @@
         }
     }
 
-    /// However requests and extra ones come, no window of the stated length holds more extra
-    /// ones than the ratio of the requests of that window, with the window before as the rule
-    /// allows, and the slack.
-    #[test]
-    fn no_window_holds_more_extra_requests_than_allowed(
-        steps in prop::collection::vec((0u64..400, 0u8..4), 1..400),
-    ) {
-        let mut budget = ExtraLoadBudget::default();
-        let slack = SlackShare::of(&BUDGET, 1, BUDGET.window);
-        let (mut now, mut requests, mut extra) = (0, Vec::new(), Vec::new());
-        for (pause, kind) in steps {
-            now += pause;
-            if kind == 0 {
-                budget.earn(&BUDGET, at(now));
-                requests.push(now);
-            } else if budget.take(&BUDGET, at(now), slack) {
-                extra.push(now);
-            }
-        }
-        for end in &extra {
-            let start = end.saturating_sub(10_000);
-            let inside = |time: &&u64| **time > start && *time <= end;
-            let counted = extra.iter().filter(inside).count() as f64;
-            // Parts of the window are counted whole, so one part more may be drawn on.
-            let from = end.saturating_sub(11_000);
-            let drawn = requests.iter().filter(|time| **time >= from && *time <= end).count();
-            prop_assert!(counted <= 0.2 * drawn as f64 + 9.0, "{counted} of {drawn}");
-        }
-    }
-
     #[test]
     fn merging_gives_the_greatest_records_whatever_the_parts(
         parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..6),
--- a/crates/simulation/src/routes/broker.rs
+++ b/crates/simulation/src/routes/broker.rs
@@ -7,9 +7,9 @@
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
     Admitted, AfterAttempt, AttemptError, Candidate, Choice, Connectivity, Distance, Ended,
-    ExecutionEvidence, ExtraLoadBudget, GatherStep, GatherTimes, Gathering, MisdirectedRequests,
-    NobodyReason, Outcome, OverloadGate, OverloadGateSettings, ReplicaSet, ReplicaSettings,
-    RequestAttempts, RequestFailure, Selection, SlackShare, TicketNumber, hedge_delay,
+    ExecutionEvidence, ExtraLoadBudget, ExtraLoadShare, GatherStep, GatherTimes, Gathering,
+    MisdirectedRequests, NobodyReason, Outcome, OverloadGate, OverloadGateSettings, ReplicaSet,
+    ReplicaSettings, RequestAttempts, RequestFailure, Selection, TicketNumber, hedge_delay,
 };
 use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::tail::LatencyWindow;
@@ -48,7 +48,7 @@
     misdirected: MisdirectedRequests,
     /// The services of the leaves that are known to have addresses of others.
     holders: BTreeMap<SocketAddr, usize>,
-    slack: SlackShare,
+    extra_share: ExtraLoadShare,
     replica_settings: ReplicaSettings,
     gate_settings: OverloadGateSettings,
     random: Pcg64,
@@ -68,8 +68,7 @@
             in_use: BTreeMap::new(),
             misdirected: MisdirectedRequests::default(),
             holders: BTreeMap::new(),
-            // Each was there before the first request.
-            slack: SlackShare::of(&EXTRA_LOAD, brokers, EXTRA_LOAD.window),
+            extra_share: ExtraLoadShare::of(&EXTRA_LOAD, brokers),
             replica_settings: replica_settings(mutant),
             gate_settings: OverloadGateSettings::default(),
             random: Pcg64::seed_from_u64(seed),
@@ -105,7 +104,7 @@
         self.holders.insert(address, service);
         let uncovered = self.misdirected.take(now, EXTRA_LOAD.window, address);
         let budget = self.budgets.entry(service).or_default();
-        (0..uncovered).for_each(|_| budget.cover(&EXTRA_LOAD, now));
+        (0..uncovered).for_each(|_| budget.cover(&self.extra_share, now));
     }
 
     /// A request arrived at a leaf that has the address of another one.
@@ -114,7 +113,9 @@
             return;
         }
         match self.holders.get(&address) {
-            Some(service) => self.budgets.entry(*service).or_default().cover(&EXTRA_LOAD, now),
+            Some(service) => {
+                self.budgets.entry(*service).or_default().cover(&self.extra_share, now)
+            }
             None => self.misdirected.arrived(now, address),
         }
     }
@@ -214,7 +215,7 @@
             evidence: ExecutionEvidence::default(),
         };
         for (part, service) in services.iter().enumerate() {
-            self.budgets.entry(*service).or_default().earn(&EXTRA_LOAD, now);
+            self.budgets.entry(*service).or_default().earn(&self.extra_share, now);
             self.ask(now, number, &mut request, part, false, actions);
         }
         self.advance(now, number, request, actions);
@@ -378,7 +379,7 @@
         }
         let budget = self.budgets.entry(part.service).or_default();
         let ignored = self.mutant == Some(Mutant::BudgetIgnored);
-        !part.attempts.next_is_extra() || ignored || budget.take(&EXTRA_LOAD, now, self.slack)
+        !part.attempts.next_is_extra() || ignored || budget.take(&self.extra_share, now)
     }
 
     fn send(
