Start a process with few retries of queries

Cause: the budget of retries began full, with 50 a service, so that each start of a killed process brought 50 more. It begins with 5 now, what a query of 53 shards earns, and saves up to 50 as before.

Left as they are, and why: callers' accounts begin full (a refused caller would pay for a restart of ours); quotas presume what a silent broker may have spent; shares of cold leaves follow the clock and wait out a second.

--- a/crates/domain/src/tail/budget.rs
+++ b/crates/domain/src/tail/budget.rs
@@ -9,9 +9,9 @@
 }
 
 impl SendBudget {
-    /// A full bucket of `burst` tokens that earns `share` of a token per primary send.
-    pub fn new(share: f64, burst: f64) -> Self {
-        Self { share, burst, tokens: burst }
+    /// A bucket of `start` tokens, and `burst` at most, that earns `share` of a token per primary send.
+    pub fn new(share: f64, burst: f64, start: f64) -> Self {
+        Self { share, burst, tokens: start }
     }
 
     /// A primary request was sent.
--- a/crates/domain/src/tail/mod.rs
+++ b/crates/domain/src/tail/mod.rs
@@ -3,7 +3,7 @@
 //! One [`TailControl`] per service. A hedge is a second request for a shard whose first reply is
 //! late; a retry is another request after a failure. Hedges stay within their share of the primary
 //! sends in every window of these. Retries are paid from a token bucket that earns a share of a
-//! token with each primary send; it is full at the start, as a query that fails then needs its
+//! token with each primary send, and holds a few at the start, as a query that fails then needs its
 //! retry too. Both stop while the leaves shed.
 
 mod budget;
@@ -46,6 +46,9 @@
 const HEDGE_WINDOW: usize = 1000;
 /// Retries that may be sent at once after a quiet time.
 const RETRY_BURST: f64 = 50.0;
+/// Retries that a new process may send before it has earned any: as many as a query of 53 shards earns. A process that
+/// is started again and again brings no more with each start.
+const RETRIES_AT_START: f64 = 5.0;
 
 /// Extra sends of one service on one broker.
 #[derive(Debug)]
@@ -64,7 +67,7 @@
             settings,
             latencies: LatencyWindow::default(),
             hedges: SlidingBudget::new(settings.hedge_share, HEDGE_WINDOW),
-            retries: SendBudget::new(settings.retry_share, RETRY_BURST),
+            retries: SendBudget::new(settings.retry_share, RETRY_BURST, RETRIES_AT_START),
             shedding: SheddingDetector::default(),
         }
     }
--- a/crates/domain/tests/tail.rs
+++ b/crates/domain/tests/tail.rs
@@ -266,7 +266,7 @@
 
 #[test]
 fn a_budget_earns_its_share() {
-    let mut budget = SendBudget::new(0.05, 2.0);
+    let mut budget = SendBudget::new(0.05, 2.0, 2.0);
     assert!(budget.take() && budget.take() && !budget.take());
     for _ in 0..21 {
         budget.earn();
