Read each entry of the list of leaves by itself

Cause: a page of the list was read as one document, so that a missing field, a value of another kind or bytes that are no text in one entry made the list of all leaves stand still, and any unknown state counted as ready. Each entry is read by itself now; one that names no usable leaf is left out and counted by fault (directory_entries_left_out, once until the numbers change). A page that is no whole document is searched for entries that are.

What is left out has not ended: a known leaf that an unusable entry names, or that is missing when more entries than before name none, stays listed as it was for 10 s (DirectoryReading, HeldLeaves). An address given twice is no contradiction: lists go on naming a leaf that has ended beside the one that has its address.

--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -9,7 +9,7 @@
     ChangeOutcome, ChangeRequest, ChargeCounter, ChargeKey, LeafHealth, LogIndex,
 };
 use gingerkeel_domain::crash_suspects::CrashFinding;
-use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::directory::DirectoryReading;
 use gingerkeel_domain::identifiers::{BrokerName, LeafId, Revision, ZoneName};
 use gingerkeel_domain::leaf_warnings::LeafObservation;
 use gingerkeel_domain::quota::UsageReport;
@@ -180,7 +180,7 @@
         reply: oneshot::Sender<Result<Option<Arc<AcceptedRoutes>>, ReadError>>,
     },
     /// The whole list of leaves was read.
-    DirectoryRead(Vec<ListedLeaf>),
+    DirectoryRead(DirectoryReading),
     /// A quorum confirmed reads, or not.
     ReadConfirmed {
         /// The reads.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -1,6 +1,7 @@
 //! The task that owns the replicated state of this process and serves reads from it.
 
 mod copies;
+mod listed_leaves;
 mod membership;
 mod message;
 mod reads;
@@ -28,6 +29,7 @@
 use crate::replication_client::ReplicationClient;
 use crate::tables;
 
+use listed_leaves::ListedLeaves;
 use membership::Membership;
 pub use membership::OwnIdentity;
 pub use message::{ClusterMessage, ConnectionId, FeedEvent, SubscriberIdentity, ZoneView};
@@ -63,6 +65,7 @@
     subscribers: Subscribers,
     quota_use: QuotaUse,
     membership: Membership,
+    listed_leaves: ListedLeaves,
     clock: Clock,
     outlets: Outlets,
     /// Whether something was applied that brokers were not told of.
@@ -90,6 +93,7 @@
         subscribers: Subscribers::default(),
         quota_use,
         membership: Membership::new(identity),
+        listed_leaves: ListedLeaves::default(),
         clock: Clock::start(),
         outlets,
         changed: false,
--- a/crates/control/src/cluster_task/routes.rs
+++ b/crates/control/src/cluster_task/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gingerkeel_domain::cluster::CommandBody;
-use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::directory::DirectoryReading;
 use gingerkeel_domain::routes::AcceptedRoutes;
 use tracing::info;
 
@@ -58,7 +58,9 @@
     }
 
     /// The list of leaves was read: what differs from the replicated list is proposed.
-    pub(super) fn directory_read(&mut self, mut listed: Vec<ListedLeaf>) {
+    pub(super) fn directory_read(&mut self, reading: DirectoryReading) {
+        let (now, known) = (self.clock.now(), self.state.directory());
+        let mut listed = self.listed_leaves.read(now, known, reading);
         self.state.routes().drop_idle_warm_ups(&mut listed);
         let Some(delta) = self.state.directory().delta_to(&listed) else {
             return;
--- a/crates/control/src/directory_polling.rs
+++ b/crates/control/src/directory_polling.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::consensus::RoleName;
-use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::directory::DirectoryReading;
 use gingerkeel_settings::DirectorySettings;
 use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, TransportError};
 use http::{HeaderValue, StatusCode, Uri, header};
@@ -127,7 +127,7 @@
             match reader.read().await {
                 Ok(listed) => {
                     if std::mem::take(&mut failing) {
-                        info!(event = "directory_regained", leaves = listed.len());
+                        info!(event = "directory_regained", leaves = listed.leaves().len());
                     }
                     // The cluster task lives as long as the process.
                     let _ = cluster.send(ClusterMessage::DirectoryRead(listed));
@@ -152,17 +152,18 @@
 }
 
 impl DirectoryReader {
-    async fn read(&mut self) -> Result<Vec<ListedLeaf>, PollError> {
-        let mut leaves = Vec::new();
+    async fn read(&mut self) -> Result<DirectoryReading, PollError> {
+        let mut reading = DirectoryReading::default();
         let mut page: Option<String> = None;
         for _ in 0..PAGE_LIMIT {
             let body = timeout(CALL_LIMIT, self.call(page.as_deref()));
             let body = body.await.map_err(|_| PollError::Silent)??;
             let read = self.interface.understand(&body)?;
-            leaves.extend(read.leaves);
+            read.leaves.into_iter().for_each(|leaf| reading.add(leaf));
+            read.left_out.into_iter().for_each(|entry| reading.leave_out(entry));
             match read.next {
                 Some(next) => page = Some(next),
-                None => return Ok(leaves),
+                None => return Ok(reading),
             }
         }
         Err(PollError::TooLong)
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod cluster_task;
 mod directory_polling;
+pub mod entries;
 mod error;
 mod feed;
 mod leaf_polling;
--- a/crates/control/src/native_directory.rs
+++ b/crates/control/src/native_directory.rs
@@ -1,10 +1,9 @@
 //! The product's own form of a directory of leaves: `GET /v1/leaves`, as JSON.
 
 use bytes::Bytes;
-use serde::Deserialize;
-
-use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::directory::{EntryFault, ListedLeaf};
 
+use crate::entries::{DirectoryEntry, PageFields, read_page};
 use crate::ports::{DirectoryInterface, DirectoryPage, InterfaceError};
 
 /// Path of the list.
@@ -14,11 +13,14 @@
 #[derive(Debug, Default)]
 pub struct NativeDirectory;
 
-#[derive(Deserialize)]
-struct Page {
-    leaves: Vec<ListedLeaf>,
-    #[serde(default)]
-    next: Option<String>,
+const FIELDS: PageFields = PageFields { entries: "leaves", next: "next" };
+
+impl DirectoryEntry for ListedLeaf {
+    const IDENTITY: &'static str = "identity";
+
+    fn into_leaf(self) -> Result<ListedLeaf, EntryFault> {
+        if self.identity.as_str().is_empty() { Err(EntryFault::Malformed) } else { Ok(self) }
+    }
 }
 
 impl DirectoryInterface for NativeDirectory {
@@ -30,9 +32,7 @@
     }
 
     fn understand(&self, body: &Bytes) -> Result<DirectoryPage, InterfaceError> {
-        let page: Page = serde_json::from_slice(body).map_err(|error| {
-            InterfaceError::Malformed(format!("the list of leaves is not readable: {error}"))
-        })?;
-        Ok(DirectoryPage { leaves: page.leaves, next: page.next })
+        read_page::<ListedLeaf>(body, FIELDS)
+            .map_err(|error| InterfaceError::unreadable("list of leaves", &error))
     }
 }
--- a/crates/control/src/ports.rs
+++ b/crates/control/src/ports.rs
@@ -3,7 +3,7 @@
 //! The process decides; an implementation of these traits only translates.
 
 use bytes::Bytes;
-use gingerkeel_domain::directory::ListedLeaf;
+use gingerkeel_domain::directory::{LeftOutEntry, ListedLeaf};
 use gingerkeel_domain::identifiers::ZoneName;
 use gingerkeel_domain::routes::{AcceptedRoutes, RouteVersion};
 use gingerkeel_transport::{HttpRequest, HttpResponse};
@@ -84,6 +84,8 @@
 pub struct DirectoryPage {
     /// The leaves of the page.
     pub leaves: Vec<ListedLeaf>,
+    /// Its entries that name no usable leaf.
+    pub left_out: Vec<LeftOutEntry>,
     /// Name of the next page; none on the last.
     pub next: Option<String>,
 }
--- a/crates/domain/src/directory/mod.rs
+++ b/crates/domain/src/directory/mod.rs
@@ -3,6 +3,8 @@
 //! A leaf is told apart by its identity, never by its address: addresses are given to other
 //! leaves soon after one has ended. The list is replicated as deltas.
 
+mod reading;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -10,6 +12,8 @@
 
 use crate::identifiers::{LeafIdentity, ServiceName, ZoneName};
 
+pub use reading::{DirectoryReading, EntryFault, HELD_FOR, HeldLeaves, LeftOutEntry};
+
 /// Version of the list within a cluster; grows with each delta.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct DirectoryVersion(pub u64);
--- /dev/null
+++ b/crates/domain/tests/directory_reading.rs
@@ -0,0 +1,135 @@
+//! Readings of the list of leaves with entries that name no usable leaf.
+
+use std::time::Duration;
+
+use gingerkeel_domain::directory::{
+    DirectoryReading, EntryFault, HELD_FOR, HeldLeaves, LeafAvailability, LeafDirectory,
+    LeftOutEntry, ListedLeaf,
+};
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName, ZoneName};
+use gingerkeel_domain::time::Timestamp;
+use rstest::rstest;
+
+fn leaf(identity: &str, port: u16) -> ListedLeaf {
+    ListedLeaf {
+        identity: LeafIdentity::new(identity),
+        service: ServiceName::new("s"),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: ZoneName::new("z"),
+        slots: 4,
+        availability: LeafAvailability::Ready,
+        cold_ms: 0,
+    }
+}
+
+fn left_out(leaf: Option<&str>) -> LeftOutEntry {
+    LeftOutEntry { leaf: leaf.map(LeafIdentity::new), fault: EntryFault::Malformed }
+}
+
+/// A reading of these leaves, and of entries that name no usable leaf.
+fn reading(leaves: &[&str], unusable: &[Option<&str>]) -> DirectoryReading {
+    let mut reading = DirectoryReading::default();
+    leaves.iter().for_each(|name| reading.add(leaf(name, 1)));
+    unusable.iter().for_each(|name| reading.leave_out(left_out(*name)));
+    reading
+}
+
+fn known(leaves: &[&str]) -> LeafDirectory {
+    let listed: Vec<ListedLeaf> = leaves.iter().map(|name| leaf(name, 1)).collect();
+    let mut directory = LeafDirectory::default();
+    let delta = directory.delta_to(&listed).expect("a first list");
+    assert!(directory.apply(&delta));
+    directory
+}
+
+fn names(listed: &[ListedLeaf]) -> Vec<&str> {
+    let mut names: Vec<&str> = listed.iter().map(|leaf| leaf.identity.as_str()).collect();
+    names.sort_unstable();
+    names
+}
+
+fn at(span: Duration) -> Timestamp {
+    Timestamp::ZERO.after(span)
+}
+
+/// What is listed of the known leaves `a` and `b` after a reading.
+#[rstest]
+#[case::all_are_there(&["a", "b"], &[], &["a", "b"])]
+#[case::one_has_ended(&["a"], &[], &["a"])]
+#[case::its_entry_cannot_be_used(&["a"], &[Some("b")], &["a", "b"])]
+#[case::an_entry_names_none(&["a"], &[None], &["a", "b"])]
+#[case::an_entry_names_another(&["a"], &[Some("c")], &["a"])]
+#[case::a_new_leaf_is_not_held(&["a", "b"], &[Some("c"), None], &["a", "b"])]
+fn what_is_left_out_has_not_ended(
+    #[case] leaves: &[&str],
+    #[case] unusable: &[Option<&str>],
+    #[case] expected: &[&str],
+) {
+    let mut held = HeldLeaves::default();
+    let listed = held.listed(Timestamp::ZERO, &known(&["a", "b"]), reading(leaves, unusable));
+    assert_eq!(names(&listed), expected);
+}
+
+#[test]
+fn a_leaf_is_held_for_a_while_only() {
+    let mut held = HeldLeaves::default();
+    let directory = known(&["a", "b"]);
+    let unusable = || reading(&["a"], &[Some("b")]);
+    assert_eq!(held.listed(at(Duration::ZERO), &directory, unusable()).len(), 2);
+    let almost = at(HELD_FOR - Duration::from_millis(1));
+    assert_eq!(held.listed(almost, &directory, unusable()).len(), 2);
+    assert_eq!(names(&held.listed(at(HELD_FOR), &directory, unusable())), ["a"]);
+}
+
+#[test]
+fn a_leaf_that_can_be_read_again_is_held_anew_the_next_time() {
+    let mut held = HeldLeaves::default();
+    let directory = known(&["a", "b"]);
+    held.listed(Timestamp::ZERO, &directory, reading(&["a"], &[Some("b")]));
+    held.listed(at(HELD_FOR / 2), &directory, reading(&["a", "b"], &[]));
+    assert_eq!(held.count(), 0);
+    let listed = held.listed(at(HELD_FOR), &directory, reading(&["a"], &[Some("b")]));
+    assert_eq!(names(&listed), ["a", "b"]);
+}
+
+/// Entries that always name none say nothing of a leaf that goes later.
+#[test]
+fn a_leaf_that_ends_beside_a_lasting_unusable_entry_is_gone_at_once() {
+    let mut held = HeldLeaves::default();
+    let directory = known(&["a", "b"]);
+    assert_eq!(held.listed(at(Duration::ZERO), &directory, reading(&["a", "b"], &[None])).len(), 2);
+    let listed = held.listed(at(Duration::from_secs(1)), &directory, reading(&["a"], &[None]));
+    assert_eq!(names(&listed), ["a"]);
+}
+
+#[test]
+fn an_identity_with_two_addresses_names_no_leaf() {
+    let mut reading = reading(&["a", "b"], &[]);
+    reading.add(leaf("b", 2));
+    reading.add(leaf("b", 1));
+    let faults: Vec<_> = reading.faults().into_iter().collect();
+    assert_eq!(faults, [(EntryFault::Contradicted, 1)]);
+    let listed = HeldLeaves::default().listed(Timestamp::ZERO, &LeafDirectory::default(), reading);
+    assert_eq!(names(&listed), ["a"]);
+}
+
+/// The pages of a list are read one after another.
+#[test]
+fn a_leaf_that_comes_twice_and_is_leaving_the_second_time_is_leaving() {
+    let mut reading = reading(&["a"], &[]);
+    reading.add(ListedLeaf { availability: LeafAvailability::Leaving, ..leaf("a", 1) });
+    let listed = HeldLeaves::default().listed(Timestamp::ZERO, &LeafDirectory::default(), reading);
+    assert_eq!(listed.len(), 1);
+    assert_eq!(listed[0].availability, LeafAvailability::Leaving);
+}
+
+/// An address may have been given to another leaf while the list still names the one that has ended.
+#[test]
+fn two_leaves_at_one_address_are_both_listed() {
+    let listed = HeldLeaves::default().listed(
+        Timestamp::ZERO,
+        &LeafDirectory::default(),
+        reading(&["a", "b"], &[]),
+    );
+    assert_eq!(names(&listed), ["a", "b"]);
+}
