--- a/crates/broker/src/routes/known_leaves/tests.rs
+++ b/crates/broker/src/routes/known_leaves/tests.rs
@@ -7,7 +7,7 @@
 use gingerkeel_domain::forwarding::ExtraLoadSettings;
 
 const EXTRA: ExtraLoadSettings =
-    ExtraLoadSettings { ratio: 1.0, window: Duration::from_secs(10), slack: 6.0 };
+    ExtraLoadSettings { ratio: 1.0, window: Duration::from_secs(10), slack: 3.0 };
 
 /// The share of the only broker: it saves up three extra requests, one for each of three requests.
 fn share() -> ExtraLoadShare {
--- a/crates/domain/src/forwarding/extra_load.rs
+++ b/crates/domain/src/forwarding/extra_load.rs
@@ -1,18 +1,14 @@
 //! The budget of extra requests: hedges and retries of one service.
 //!
 //! All brokers together may send a share of the requests of a service again, and a few more, the slack, in every
-//! window. Each broker earns its share with each of its requests, and some of its part of the slack with time;
-//! the rest of that part is all that it saves up. It begins with nothing saved. So whatever is sent in a window was
-//! earned in that window or saved up before it, and the sum holds without a word between brokers: also where
-//! processes are killed and begin anew, and where callers move from one broker to another.
+//! window. Each broker earns its share with each of its requests, and saves up no more than its part of the slack. So
+//! whatever is sent in a window was earned in that window or saved up before it, and the sum holds without a word
+//! between brokers: also where processes are killed and begin anew, and where callers move from one broker to another.
 
 use std::time::Duration;
 
 use crate::time::Timestamp;
 
-/// Part of a broker's slack that it saves up; the rest comes with time. More is there at once when leaves turn
-/// slow, less in each second that they stay so.
-const SAVED_PART: f64 = 0.5;
 /// Extra requests that a broker saves up at least, as it could never send one otherwise. Where the slack is smaller
 /// than the number of brokers, each may so exceed its part by one.
 const LEAST_SAVED: f64 = 1.0;
@@ -35,10 +31,10 @@
 pub struct ExtraLoadShare {
     /// Extra requests that it earns with a request.
     per_request: f64,
-    /// Extra requests that it earns in a second.
-    per_second: f64,
     /// Extra requests that it saves up at most.
     saved: f64,
+    /// The window.
+    window: Duration,
 }
 
 impl ExtraLoadShare {
@@ -46,20 +42,16 @@
     /// because they go on taking their shares. No slack but the least while their number is not known (0).
     pub fn of(settings: &ExtraLoadSettings, brokers: usize) -> Self {
         let slack = if brokers == 0 { 0.0 } else { settings.slack / brokers as f64 };
-        let saved = (slack * SAVED_PART).max(LEAST_SAVED);
-        let with_time = (slack - saved).max(0.0);
-        let per_second = with_time / settings.window.as_secs_f64();
-        Self { per_request: settings.ratio, per_second, saved }
+        let saved = slack.max(LEAST_SAVED);
+        Self { per_request: settings.ratio, saved, window: settings.window }
     }
 }
 
-/// The budget of one service at one broker.
+/// The budget of one service at one broker. Its times count from the start of the process.
 #[derive(Debug, Default)]
 pub struct ExtraLoadBudget {
-    /// Extra requests that may be sent; below 0 where some were sent that had to be.
-    level: f64,
-    /// Until when what comes with time was added.
-    refilled: Option<Timestamp>,
+    /// Extra requests that may be sent, below 0 where some were sent that had to be; none before the first use.
+    level: Option<f64>,
 }
 
 impl ExtraLoadBudget {
@@ -70,25 +62,30 @@
 
     /// Takes one extra request; false when there is no room.
     pub fn take(&mut self, share: &ExtraLoadShare, now: Timestamp) -> bool {
-        self.add(share, now, 0.0);
-        if self.level + ROUNDING < 1.0 {
-            return false;
+        let has_room = self.add(share, now, 0.0) + ROUNDING >= 1.0;
+        if has_room {
+            self.add(share, now, -1.0);
         }
-        self.level -= 1.0;
-        true
+        has_room
     }
 
     /// Counts an extra request that was not known to be one when it was sent, whether there is room or not.
     pub fn cover(&mut self, share: &ExtraLoadShare, now: Timestamp) {
-        self.add(share, now, 0.0);
-        self.level -= 1.0;
+        self.add(share, now, -1.0);
+    }
+
+    /// Adds to the level, within what may be saved up, and gives it.
+    fn add(&mut self, share: &ExtraLoadShare, now: Timestamp, gained: f64) -> f64 {
+        let level = self.level.unwrap_or_else(|| Self::first_level(share, now)).min(share.saved);
+        let level = (level + gained).min(share.saved);
+        self.level = Some(level);
+        level
     }
 
-    /// Adds what was earned, and what has come with time.
-    fn add(&mut self, share: &ExtraLoadShare, now: Timestamp, earned: f64) {
-        let passed = self.refilled.map_or(Duration::ZERO, |refilled| now.since(refilled));
-        let gained = earned + share.per_second * passed.as_secs_f64();
-        self.level = (self.level + gained).min(share.saved);
-        self.refilled = Some(now);
+    /// What is there before anything was sent: all that may be saved up, or nothing while a process that ran under the
+    /// same name before may have sent that within the window.
+    fn first_level(share: &ExtraLoadShare, now: Timestamp) -> f64 {
+        let is_young = now.since(Timestamp::ZERO) < share.window;
+        if is_young { 0.0 } else { share.saved }
     }
 }
