Take each start of a leaf for a leaf of its own

A leaf may start again under its name, and then knows nothing of before. Its start is a part of its identity now, so that everything that is kept by identity ends with the earlier start: observations, suspicion, ejection, load reports, warnings, evidence of its end, its leaving mark, its cold share, connections. Leaves are asked by their name.

Of two starts the later one holds; an earlier one that is listed late changes nothing for 10 s. Ways for a start before the last one: never believed (a leaf whose machine's clock was set back would be left out for ever), believed at once (a lagging page brings an ended start back), believed after 10 s, longer than lists lag (kept). A start in the future is believed like any other: it is compared with starts of the same name only.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -367,8 +367,8 @@
     let left = request.deadline.saturating_duration_since(Instant::now());
     let left = left.as_millis().to_string();
     add_field(&mut bytes, dialect.deadline.as_bytes(), left.as_bytes());
-    let identity = leaf.identity.as_str().as_bytes();
-    add_field(&mut bytes, dialect.expected_leaf.as_bytes(), identity);
+    let name = leaf.identity.name().as_bytes();
+    add_field(&mut bytes, dialect.expected_leaf.as_bytes(), name);
     bytes.extend_from_slice(b"\r\n");
     bytes.extend_from_slice(&request.body);
     bytes
--- a/crates/control/src/entries.rs
+++ b/crates/control/src/entries.rs
@@ -94,7 +94,7 @@
     let mut fields: BTreeMap<String, &RawValue> = serde_json::from_str(text).ok()?;
     let identity: String = serde_json::from_str(fields.remove(E::IDENTITY)?.get()).ok()?;
     let is_sound = !identity.is_empty() && !identity.contains(NO_TEXT);
-    is_sound.then(|| LeafIdentity::new(identity))
+    is_sound.then(|| LeafIdentity::of_run(&identity, None))
 }
 
 /// Finds the usable entries of a page that is no whole document: each place at which an object begins is looked at. What
--- a/crates/control/src/native_directory.rs
+++ b/crates/control/src/native_directory.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::directory::{EntryFault, ListedLeaf};
+use gingerkeel_domain::identifiers::LeafIdentity;
 
 use crate::entries::{DirectoryEntry, PageFields, read_page};
 use crate::ports::{DirectoryInterface, DirectoryPage, InterfaceError};
@@ -19,7 +20,12 @@
     const IDENTITY: &'static str = "identity";
 
     fn into_leaf(self) -> Result<ListedLeaf, EntryFault> {
-        if self.identity.as_str().is_empty() { Err(EntryFault::Malformed) } else { Ok(self) }
+        if self.identity.as_str().is_empty() {
+            return Err(EntryFault::Malformed);
+        }
+        // The product's own directory gives each start an identity of its own.
+        let identity = LeafIdentity::of_run(self.identity.as_str(), None);
+        Ok(ListedLeaf { identity, ..self })
     }
 }
 
--- a/crates/domain/src/directory/mod.rs
+++ b/crates/domain/src/directory/mod.rs
@@ -1,9 +1,11 @@
 //! The list of leaves, as an outside directory gives it.
 //!
 //! A leaf is told apart by its identity, never by its address: addresses are given to other
-//! leaves soon after one has ended. The list is replicated as deltas.
+//! leaves soon after one has ended. Its start is a part of its identity: one that starts again under
+//! its name knows nothing of before. The list is replicated as deltas.
 
 mod reading;
+mod start;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -13,6 +15,7 @@
 use crate::identifiers::{LeafIdentity, ServiceName, ZoneName};
 
 pub use reading::{DirectoryReading, EntryFault, HELD_FOR, HeldLeaves, LeftOutEntry};
+pub use start::LeafStart;
 
 /// Version of the list within a cluster; grows with each delta.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/domain/src/directory/reading.rs
+++ b/crates/domain/src/directory/reading.rs
@@ -1,8 +1,11 @@
 //! One reading of the outside list of leaves, whose entries others may write, too.
 //!
 //! An entry that names no usable leaf is left out, and the others hold. What is left out has not ended: a leaf that
-//! was known, and may be the one whose entry cannot be used, stays as it was for a while.
+//! was known, and may be the one whose entry cannot be used, stays as it was for a while. So does a leaf of which an
+//! earlier start is listed: lists lag. Where the earlier start stays listed, the clock of the leaf's machine was set
+//! back between the two.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -10,7 +13,7 @@
 use crate::identifiers::LeafIdentity;
 use crate::time::Timestamp;
 
-/// How long a leaf stays listed whose entry cannot be used any more. Lists go on naming leaves that have ended for
+/// How long a leaf stays listed as it is known while its entry cannot be used, or tells of an earlier start. Lists go on naming leaves that have ended for
 /// some seconds, so that brokers bear a leaf that is listed too long; one that is dropped too early serves nobody.
 pub const HELD_FOR: Duration = Duration::from_secs(10);
 
@@ -51,39 +54,47 @@
 /// All entries of the list, as they were read.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct DirectoryReading {
-    leaves: BTreeMap<LeafIdentity, ListedLeaf>,
+    /// The newest start of each leaf, by name.
+    leaves: BTreeMap<String, ListedLeaf>,
     left_out: Vec<LeftOutEntry>,
 }
 
 impl DirectoryReading {
     /// Adds an entry. Pages are read one after another, so that a leaf may come twice; where its state has changed in
-    /// between, the later one holds. Entries that tell of different leaves under one identity are all left out.
+    /// between, the later one holds. Of two starts the later one holds. Entries that tell of different leaves under one
+    /// identity are all left out.
     pub fn add(&mut self, entry: ListedLeaf) {
-        if self.is_left_out(&entry.identity) {
+        let name = entry.identity.name().to_owned();
+        if self.is_left_out(&name) {
             return;
         }
-        let contradicts = |known: &ListedLeaf| {
-            (known.address, &known.service, &known.zone)
-                != (entry.address, &entry.service, &entry.zone)
-        };
-        if self.leaves.get(&entry.identity).is_some_and(contradicts) {
-            let fault = EntryFault::Contradicted;
-            self.leave_out(LeftOutEntry { leaf: Some(entry.identity), fault });
-        } else {
-            self.leaves.insert(entry.identity.clone(), entry);
+        let order = self.leaves.get(&name).map(|known| {
+            let is_same = (known.address, &known.service, &known.zone)
+                == (entry.address, &entry.service, &entry.zone);
+            (entry.identity.start().cmp(&known.identity.start()), is_same)
+        });
+        match order {
+            Some((Ordering::Less, _)) => {}
+            Some((Ordering::Equal, false)) => {
+                let fault = EntryFault::Contradicted;
+                self.leave_out(LeftOutEntry { leaf: Some(entry.identity), fault });
+            }
+            _ => {
+                self.leaves.insert(name, entry);
+            }
         }
     }
 
     /// Adds an entry that names no usable leaf. One that names a leaf which was read contradicts it.
     pub fn leave_out(&mut self, entry: LeftOutEntry) {
         if let Some(leaf) = &entry.leaf {
-            self.leaves.remove(leaf);
+            self.leaves.remove(leaf.name());
         }
         self.left_out.push(entry);
     }
 
-    /// The leaves that may be used, by identity.
-    pub fn leaves(&self) -> &BTreeMap<LeafIdentity, ListedLeaf> {
+    /// The leaves that may be used, by name.
+    pub fn leaves(&self) -> &BTreeMap<String, ListedLeaf> {
         &self.leaves
     }
 
@@ -106,12 +117,14 @@
         self.left_out.iter().filter(|entry| entry.leaf.is_none()).count()
     }
 
-    fn is_left_out(&self, leaf: &LeafIdentity) -> bool {
-        self.left_out.iter().any(|entry| entry.leaf.as_ref() == Some(leaf))
+    fn is_left_out(&self, name: &str) -> bool {
+        let mut named = self.left_out.iter().filter_map(|entry| entry.leaf.as_ref());
+        named.any(|leaf| leaf.name() == name)
     }
 }
 
-/// Leaves that are known and whose entries may be among those that were left out.
+/// Leaves that are listed as they are known, though the list does not tell of them so: their entries may be among those
+/// that were left out, or an earlier start of them is listed.
 #[derive(Debug, Default)]
 pub struct HeldLeaves {
     /// Since when each is held.
@@ -127,32 +140,29 @@
         &mut self,
         now: Timestamp,
         known: &LeafDirectory,
-        reading: DirectoryReading,
+        mut reading: DirectoryReading,
     ) -> Vec<ListedLeaf> {
         let nameless = reading.nameless();
         let more_nameless = nameless > self.nameless;
         self.nameless = nameless;
-        let mut held = BTreeMap::new();
-        let mut listed = Vec::new();
+        let before = std::mem::take(&mut self.held);
         for (identity, leaf) in known.leaves() {
-            if reading.leaves.contains_key(identity) {
-                continue;
-            }
-            let since = self.held.get(identity).copied();
-            let is_named = reading.is_left_out(identity);
+            let since = before.get(identity).copied();
             let may_be_nameless = if since.is_some() { nameless > 0 } else { more_nameless };
-            if !is_named && !may_be_nameless {
+            let is_held = match reading.leaves.get(identity.name()) {
+                Some(entry) => entry.identity.start() < identity.start(),
+                None => may_be_nameless || reading.is_left_out(identity.name()),
+            };
+            if !is_held {
                 continue;
             }
             let since = since.unwrap_or(now);
-            held.insert(identity.clone(), since);
+            self.held.insert(identity.clone(), since);
             if now.since(since) < HELD_FOR {
-                listed.push(leaf.clone());
+                reading.leaves.insert(identity.name().to_owned(), leaf.clone());
             }
         }
-        self.held = held;
-        listed.extend(reading.leaves.into_values());
-        listed
+        reading.leaves.into_values().collect()
     }
 
     /// How many leaves are held.
--- a/crates/domain/src/identifiers.rs
+++ b/crates/domain/src/identifiers.rs
@@ -89,7 +89,8 @@
     SessionName
 );
 name_type!(
-    /// Identity of one run of a leaf, never used again by another one.
+    /// Identity of one run of a leaf, never used again by another one: the name that the leaf goes by, and when it
+    /// started where it tells that. A leaf that starts again under its name has another identity.
     LeafIdentity
 );
 name_type!(
