--- a/crates/rehearsal/src/soak/fleet.rs
+++ b/crates/rehearsal/src/soak/fleet.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use super::extra_load::KEPT;
 use super::http::exchange;
 use super::tenants::TOLERANCE;
 use crate::error::RehearsalError;
@@ -194,9 +195,12 @@
             let text = format!(
                 "name = \"{name}\"\nregion = \"r\"\nzone = \"{zone}\"\nlisten = \"{listen}\"\n\
                  control = [{control}]\ncontrol_pause_ms = 200\n[routes]\nlisten = \"{routes}\"\n\
-                 readiness = \"{readiness}\"\nextra_ratio = 0.2\nextra_slack = 50.0\n\
+                 readiness = \"{readiness}\"\nextra_ratio = {:?}\nextra_window_ms = {}\nextra_slack = {:?}\n\
                  out_of_touch = \"serve\"\nstop_ms = {STOP_MILLISECONDS}\n\
                  quota_window_ms = {}\nquota_overshoot = {:?}\nquota_slack = {:?}\n",
+                KEPT.ratio,
+                KEPT.window.as_millis(),
+                KEPT.slack,
                 TOLERANCE.window.as_millis(),
                 TOLERANCE.overshoot,
                 TOLERANCE.slack
--- a/crates/rehearsal/src/soak/leaves.rs
+++ b/crates/rehearsal/src/soak/leaves.rs
@@ -56,12 +56,25 @@
     LeafMode::Garbles,
 ];
 
+/// A request that came to a leaf.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When.
+    pub at: Instant,
+    /// The service of the leaf.
+    pub service: String,
+    /// The request.
+    pub id: String,
+}
+
 /// How often each request ran, and what came to each zone, over all leaves.
 #[derive(Debug, Default)]
 pub struct Journal {
     runs: Mutex<BTreeMap<String, u32>>,
     /// Requests that came to the leaves of each zone.
     arrivals: Mutex<BTreeMap<String, u64>>,
+    /// All requests that came, in order, whether they ran or not.
+    requests: Mutex<Vec<Arrival>>,
     /// When each request of the greedy tenant first came to a leaf.
     greedy: Mutex<BTreeMap<String, Instant>>,
     /// What leaves learnt of callers and should not have.
@@ -74,8 +87,10 @@
         *lock(&self.runs).entry(key(service, id)).or_insert(0) += 1;
     }
 
-    /// A request came to a leaf of a zone.
-    pub fn arrived(&self, zone: &str) {
+    /// A request came to a leaf of a service, in a zone.
+    pub fn arrived(&self, zone: &str, service: &str, id: &str) {
+        let (service, id) = (service.to_owned(), id.to_owned());
+        lock(&self.requests).push(Arrival { at: Instant::now(), service, id });
         *lock(&self.arrivals).entry(zone.to_owned()).or_insert(0) += 1;
     }
 
@@ -88,6 +103,11 @@
         }
     }
 
+    /// All requests that came to leaves, in order.
+    pub fn all_arrivals(&self) -> Vec<Arrival> {
+        lock(&self.requests).clone()
+    }
+
     /// What leaves learnt of callers and should not have.
     pub fn identity_faults(&self) -> Vec<String> {
         lock(&self.identity_faults).clone()
@@ -233,7 +253,7 @@
             return None;
         }
         let expected = header(&head, "gingerkeel-leaf");
-        journal.arrived(zone);
+        journal.arrived(zone, service, &id);
         journal.told(&head, &id);
         if mode == LeafMode::Rejects || expected.is_some_and(|expected| expected != identity) {
             let status = if mode == LeafMode::Rejects { 503 } else { 421 };
--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 mod evacuation;
+mod extra_load;
 mod faults;
 mod fleet;
 mod http;
@@ -161,6 +162,9 @@
 /// The promises that can be judged only once all is quiet.
 fn check_at_rest(scene: &Scene, fleet: &SoakFleet, journal: &Journal) {
     let record = &scene.record;
+    // Before the checks send requests of their own.
+    let beyond = extra_load::faults(&record.lock().sent, &journal.all_arrivals());
+    record.lock().violations.extend(beyond);
     let acknowledged = record.lock().acknowledged;
     let read_back = wait_until(REST_LIMIT, || {
         (0..scene.operators.len()).all(|control| read(scene, control).is_some())
--- a/crates/rehearsal/src/soak/parties.rs
+++ b/crates/rehearsal/src/soak/parties.rs
@@ -17,6 +17,7 @@
 use serde_json::Value;
 
 use super::answer::{GREATEST, LEAST_SHARE, SHARDS, SINGLE, fault_of_merged, fault_of_single};
+use super::extra_load::SentRequest;
 use super::http::{NoResponse, Response, exchange};
 use super::leaves::CRASHING;
 use super::record::{Cut, Record, Seen};
@@ -142,6 +143,7 @@
          gingerkeel-deadline-ms: 4000\r\nconnection: close\r\n\r\n"
     );
     let sent = Instant::now();
+    scene.record.lock().sent.push(SentRequest::new(sent, path));
     let outcome = exchange(scene.callers[broker], request.as_bytes(), CALLER_LIMIT);
     let mut seen = scene.record.lock();
     seen.counts.sent += 1;
--- a/crates/rehearsal/src/soak/record.rs
+++ b/crates/rehearsal/src/soak/record.rs
@@ -3,6 +3,8 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Instant;
 
+use super::extra_load::SentRequest;
+
 /// A connection that ended without an answer.
 #[derive(Debug, Clone)]
 pub struct Cut {
@@ -48,6 +50,8 @@
 pub struct Seen {
     /// Counts.
     pub counts: Counts,
+    /// When requests were sent, and where to.
+    pub sent: Vec<SentRequest>,
     /// Not-repeatable requests that were refused as not run.
     pub refused_once: Vec<String>,
     /// Connections that ended without an answer.
--- a/crates/rehearsal/src/soak/tests.rs
+++ b/crates/rehearsal/src/soak/tests.rs
@@ -10,8 +10,9 @@
     GREATEST, SHARDS, SINGLE, attestation, fault_of_merged, fault_of_single, records,
 };
 use super::evacuation::{ZONE, fault_of_evacuated};
+use super::extra_load::{self, SentRequest};
 use super::http::Response;
-use super::leaves::Journal;
+use super::leaves::{Arrival, Journal};
 use super::parties::{Scene, judge};
 use super::record::{Cut, Record};
 use super::tenants::{GREEDY, fault_of_quota, fault_of_revoked, revoked_key};
@@ -184,10 +185,34 @@
 #[test]
 fn a_request_to_an_evacuated_zone_is_found() {
     let journal = Journal::default();
-    journal.arrived("a");
+    journal.arrived("a", SINGLE, "x");
     let before = journal.arrivals_in(ZONE);
     assert_eq!(fault_of_evacuated(before, journal.arrivals_in(ZONE)), None);
-    journal.arrived(ZONE);
+    journal.arrived(ZONE, SINGLE, "y");
     let fault = fault_of_evacuated(before, journal.arrivals_in(ZONE)).expect("a fault");
     assert!(fault.contains("1 requests came to the evacuated zone"), "{fault}");
 }
+
+/// Five requests to all shards, and so many more arrivals of the first of them at one shard.
+#[rstest]
+#[case::as_many_as_are_allowed(13, 0)]
+#[case::one_more(14, 1)]
+fn requests_beyond_the_first_are_counted(#[case] extra: usize, #[case] faults: usize) {
+    let at = Instant::now();
+    let sent = [SentRequest::new(at, "all"); 5];
+    let arrival = Arrival { at, service: SHARDS[1].to_owned(), id: "x".to_owned() };
+    let arrivals = vec![arrival; 1 + extra];
+    assert_eq!(extra_load::faults(&sent, &arrivals).len(), faults);
+}
+
+#[test]
+fn requests_beyond_the_first_that_lie_apart_are_not_added_up() {
+    let at = Instant::now();
+    let arrival = |number: u32| Arrival {
+        at: at + extra_load::BOUND.window / 10 * number,
+        service: SINGLE.to_owned(),
+        id: "x".to_owned(),
+    };
+    let arrivals: Vec<Arrival> = (0..100).map(arrival).collect();
+    assert_eq!(extra_load::faults(&[], &arrivals), Vec::<String>::new());
+}
