Say what a reader stumbled on in the reading of the list

Names of left-out leaves are looked up in a set (13,000 leaves of which a tenth is unusable would be compared with each other), the log line has a function of its own, a method that nothing used is gone, and the tests of retries share one loop. Same cases, same outcomes.

--- a/crates/control/src/cluster_task/listed_leaves.rs
+++ b/crates/control/src/cluster_task/listed_leaves.rs
@@ -5,6 +5,7 @@
 use gingerkeel_domain::directory::{
     DirectoryReading, EntryFault, HeldLeaves, LeafDirectory, ListedLeaf,
 };
+use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::time::Timestamp;
 use tracing::{info, warn};
 
@@ -27,26 +28,31 @@
     ) -> Vec<ListedLeaf> {
         let faults = reading.faults();
         let named = reading.left_out().iter().find_map(|entry| entry.leaf.clone());
-        let leaves = reading.leaves().len();
+        let usable = reading.leaves().len();
         let listed = self.held.listed(now, known, reading);
         if faults != self.faults {
-            let count = |fault| faults.get(&fault).copied().unwrap_or(0);
-            let unreadable = count(EntryFault::Unreadable);
-            let malformed = count(EntryFault::Malformed);
-            let unknown_state = count(EntryFault::UnknownState);
-            let contradicted = count(EntryFault::Contradicted);
-            let held = self.held.count();
-            let leaf = named.as_ref().map_or("", |leaf| leaf.as_str());
-            if faults.is_empty() {
-                info!(event = "directory_entries_usable", leaves);
-            } else {
-                warn!(
-                    event = "directory_entries_left_out",
-                    leaves, unreadable, malformed, unknown_state, contradicted, held, leaf
-                );
-            }
             self.faults = faults;
+            self.tell(usable, named.as_ref());
         }
         listed
     }
+
+    /// Tells how many entries are left out, and of a leaf that one of them names.
+    fn tell(&self, leaves: usize, named: Option<&LeafIdentity>) {
+        if self.faults.is_empty() {
+            info!(event = "directory_entries_usable", leaves);
+            return;
+        }
+        let count = |fault| self.faults.get(&fault).copied().unwrap_or(0);
+        warn!(
+            event = "directory_entries_left_out",
+            leaves,
+            unreadable = count(EntryFault::Unreadable),
+            malformed = count(EntryFault::Malformed),
+            unknown_state = count(EntryFault::UnknownState),
+            contradicted = count(EntryFault::Contradicted),
+            held = self.held.count(),
+            leaf = named.map_or("", LeafIdentity::as_str)
+        );
+    }
 }
--- a/crates/control/src/entries.rs
+++ b/crates/control/src/entries.rs
@@ -97,8 +97,8 @@
     is_sound.then(|| LeafIdentity::of_run(&identity, None))
 }
 
-/// Finds the usable entries of a page that is no whole document: each place at which an object begins is looked at. What
-/// lies between two of them is one entry that names no leaf.
+/// Finds the usable entries of a page that is no whole document: each place at which an object begins is looked at. All
+/// else of the page counts as one entry that names no leaf.
 fn search_page<E: DirectoryEntry>(text: &str, fields: PageFields) -> Option<DirectoryPage> {
     let next = search_next(text, fields)?;
     let mut page = DirectoryPage { leaves: Vec::new(), left_out: Vec::new(), next };
--- a/crates/domain/src/directory/reading.rs
+++ b/crates/domain/src/directory/reading.rs
@@ -6,15 +6,16 @@
 //! back between the two.
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{LeafDirectory, ListedLeaf};
 use crate::identifiers::LeafIdentity;
 use crate::time::Timestamp;
 
-/// How long a leaf stays listed as it is known while its entry cannot be used, or tells of an earlier start. Lists go on naming leaves that have ended for
-/// some seconds, so that brokers bear a leaf that is listed too long; one that is dropped too early serves nobody.
+/// How long a leaf stays listed as it is known while its entry cannot be used, or tells of an earlier start. Lists
+/// go on naming leaves that have ended for some seconds, so that brokers bear a leaf that is listed too long; one that
+/// is dropped too early serves nobody.
 pub const HELD_FOR: Duration = Duration::from_secs(10);
 
 /// Why an entry was left out.
@@ -30,18 +31,6 @@
     Contradicted,
 }
 
-impl EntryFault {
-    /// The fault in one word, for logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Unreadable => "unreadable",
-            Self::Malformed => "malformed",
-            Self::UnknownState => "unknown_state",
-            Self::Contradicted => "contradicted",
-        }
-    }
-}
-
 /// An entry that names no usable leaf.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeftOutEntry {
@@ -57,6 +46,8 @@
     /// The newest start of each leaf, by name.
     leaves: BTreeMap<String, ListedLeaf>,
     left_out: Vec<LeftOutEntry>,
+    /// The names of the leaves that they name.
+    left_out_names: BTreeSet<String>,
 }
 
 impl DirectoryReading {
@@ -65,7 +56,7 @@
     /// identity are all left out.
     pub fn add(&mut self, entry: ListedLeaf) {
         let name = entry.identity.name().to_owned();
-        if self.is_left_out(&name) {
+        if self.left_out_names.contains(&name) {
             return;
         }
         let order = self.leaves.get(&name).map(|known| {
@@ -89,6 +80,7 @@
     pub fn leave_out(&mut self, entry: LeftOutEntry) {
         if let Some(leaf) = &entry.leaf {
             self.leaves.remove(leaf.name());
+            self.left_out_names.insert(leaf.name().to_owned());
         }
         self.left_out.push(entry);
     }
@@ -116,11 +108,6 @@
     fn nameless(&self) -> usize {
         self.left_out.iter().filter(|entry| entry.leaf.is_none()).count()
     }
-
-    fn is_left_out(&self, name: &str) -> bool {
-        let mut named = self.left_out.iter().filter_map(|entry| entry.leaf.as_ref());
-        named.any(|leaf| leaf.name() == name)
-    }
 }
 
 /// Leaves that are listed as they are known, though the list does not tell of them so: their entries may be among those
@@ -151,7 +138,7 @@
             let may_be_nameless = if since.is_some() { nameless > 0 } else { more_nameless };
             let is_held = match reading.leaves.get(identity.name()) {
                 Some(entry) => entry.identity.start() < identity.start(),
-                None => may_be_nameless || reading.is_left_out(identity.name()),
+                None => may_be_nameless || reading.left_out_names.contains(identity.name()),
             };
             if !is_held {
                 continue;
--- a/crates/domain/tests/tail.rs
+++ b/crates/domain/tests/tail.rs
@@ -101,18 +101,26 @@
     assert!(sends(&harness.wait(millis(500))).is_empty());
 }
 
+/// Fails every attempt of one query; gives its first sends and its retries.
+fn fail_query(harness: &mut Harness) -> (usize, usize) {
+    let mut open = sends(&harness.submit(true));
+    let (first, mut retries) = (open.len(), 0);
+    while let Some(sending) = open.pop() {
+        let more = sends(&harness.fail(sending, LeafFailure::Broken));
+        retries += more.len();
+        open.extend(more);
+    }
+    (first, retries)
+}
+
 #[test]
 fn retries_stay_within_their_share_of_primary_sends() {
     let mut harness = Harness::new(&[&[0, 1, 2, 3]]);
     let (mut primaries, mut retries) = (0, 0);
     for _ in 0..1000 {
-        let mut open = sends(&harness.submit(true));
-        primaries += open.len();
-        while let Some(sending) = open.pop() {
-            let more = sends(&harness.fail(sending, LeafFailure::Broken));
-            retries += more.len();
-            open.extend(more);
-        }
+        let (sent, sent_again) = fail_query(&mut harness);
+        primaries += sent;
+        retries += sent_again;
     }
     assert!(retries <= primaries / 10 + 50, "{retries} retries for {primaries} primary sends");
     assert!(retries > 100);
@@ -126,13 +134,9 @@
     for _ in 0..20 {
         let mut harness = Harness::new(&[&[0, 1, 2, 3]]);
         for _ in 0..10 {
-            let mut open = sends(&harness.submit(true));
-            primaries += open.len();
-            while let Some(sending) = open.pop() {
-                let more = sends(&harness.fail(sending, LeafFailure::Broken));
-                retries += more.len();
-                open.extend(more);
-            }
+            let (sent, sent_again) = fail_query(&mut harness);
+            primaries += sent;
+            retries += sent_again;
         }
     }
     assert!(retries <= primaries, "{retries} retries for {primaries} primary sends");
