Fill a budget that has rested for a window

Cause: the slack was there at the first use by a process older than a window only, so that a service with few requests had no retry for long after a restart. A budget from which nothing was sent for a window is full now. That is sound: a window holds what is saved up after it was filled, and what is earned in it.

--- a/crates/domain/src/forwarding/extra_load.rs
+++ b/crates/domain/src/forwarding/extra_load.rs
@@ -50,42 +50,38 @@
 /// The budget of one service at one broker. Its times count from the start of the process.
 #[derive(Debug, Default)]
 pub struct ExtraLoadBudget {
-    /// Extra requests that may be sent, below 0 where some were sent that had to be; none before the first use.
-    level: Option<f64>,
+    /// Extra requests that may be sent; below 0 where some were sent that had to be.
+    level: f64,
+    /// When the last extra request was sent, or the process began: whoever ran under its name before may have sent
+    /// some until then.
+    last_sent: Timestamp,
 }
 
 impl ExtraLoadBudget {
     /// A request was sent for the first time.
     pub fn earn(&mut self, share: &ExtraLoadShare, now: Timestamp) {
-        self.add(share, now, share.per_request);
+        self.level = (self.level(share, now) + share.per_request).min(share.saved);
     }
 
     /// Takes one extra request; false when there is no room.
     pub fn take(&mut self, share: &ExtraLoadShare, now: Timestamp) -> bool {
-        let has_room = self.add(share, now, 0.0) + ROUNDING >= 1.0;
+        let has_room = self.level(share, now) + ROUNDING >= 1.0;
         if has_room {
-            self.add(share, now, -1.0);
+            self.cover(share, now);
         }
         has_room
     }
 
     /// Counts an extra request that was not known to be one when it was sent, whether there is room or not.
     pub fn cover(&mut self, share: &ExtraLoadShare, now: Timestamp) {
-        self.add(share, now, -1.0);
+        self.level = self.level(share, now) - 1.0;
+        self.last_sent = now;
     }
 
-    /// Adds to the level, within what may be saved up, and gives it.
-    fn add(&mut self, share: &ExtraLoadShare, now: Timestamp, gained: f64) -> f64 {
-        let level = self.level.unwrap_or_else(|| Self::first_level(share, now)).min(share.saved);
-        let level = (level + gained).min(share.saved);
-        self.level = Some(level);
-        level
-    }
-
-    /// What is there before anything was sent: all that may be saved up, or nothing while a process that ran under the
-    /// same name before may have sent that within the window.
-    fn first_level(share: &ExtraLoadShare, now: Timestamp) -> f64 {
-        let is_young = now.since(Timestamp::ZERO) < share.window;
-        if is_young { 0.0 } else { share.saved }
+    /// What may be sent now: all that may be saved up where nothing was sent for a window, since no window then holds
+    /// more than that and what is earned in it. A service with few requests could have no retry for long otherwise.
+    fn level(&self, share: &ExtraLoadShare, now: Timestamp) -> f64 {
+        let has_rested = now.since(self.last_sent) >= share.window;
+        if has_rested { share.saved } else { self.level.min(share.saved) }
     }
 }
