Show that a request known to crash leaves is sent again after a restart and by other brokers

Three tests of what today's sources do not keep; each fails on them. A proof that a request crashes leaves lies in the memory of brokers and of the one control process that feeds them: brokers of other control processes are never told (control/tests/crashing_requests.rs), and after all processes lost power each group of brokers pays again (the same file, and the soak's crash_tests: 6 arrivals at leaves where the 2 before the loss had proved enough).

--- /dev/null
+++ b/crates/control/tests/crashing_requests.rs
@@ -0,0 +1,65 @@
+//! Requests that crash leaves: what one broker proves is known to the brokers of all control processes, and stays known.
+
+mod support;
+
+use gingerkeel_domain::crash_suspects::{CrashFinding, RequestDigest, Verdict};
+use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
+use support::HollowBroker;
+use support::cluster::Cluster;
+
+const PROCESSES: usize = 3;
+
+/// A broker's proof that a request crashes leaves.
+fn proof() -> CrashFinding {
+    CrashFinding {
+        digest: RequestDigest(7),
+        route: "search".to_owned(),
+        leaves: 3,
+        verdict: Verdict::Refused,
+        for_ms: 30_000,
+    }
+}
+
+fn report(broker: &mut HollowBroker, finding: CrashFinding) {
+    let findings = encode_document(&vec![finding]).unwrap().into();
+    broker.send(&SubscriberMessage::CrashFindings { findings });
+}
+
+/// Waits until a broker is told that the request is refused.
+fn is_told(broker: &mut HollowBroker) {
+    let told = broker.receive_until(|message| match message {
+        FeedMessage::CrashFindings { findings } => {
+            let findings: Vec<CrashFinding> = decode_document(&findings.bytes).unwrap();
+            findings.into_iter().find(|finding| finding.digest == RequestDigest(7))
+        }
+        _ => None,
+    });
+    assert_eq!(told.verdict, Verdict::Refused);
+}
+
+fn subscribe(cluster: &Cluster, control: usize, name: &str) -> HollowBroker {
+    HollowBroker::subscribe(&cluster.members[control].control, name, 1, 0)
+}
+
+#[test]
+fn a_crashing_request_is_not_unknown_to_brokers_of_other_control_processes() {
+    let cluster = Cluster::start(PROCESSES);
+    let mut others = [1, 2].map(|control| subscribe(&cluster, control, &format!("b{control}")));
+    let mut reporter = subscribe(&cluster, 0, "b0");
+    report(&mut reporter, proof());
+    others.iter_mut().for_each(is_told);
+}
+
+#[test]
+fn a_crashing_request_is_not_forgotten_when_all_control_processes_restart() {
+    let mut cluster = Cluster::start(PROCESSES);
+    let mut reporter = subscribe(&cluster, 0, "b0");
+    report(&mut reporter, proof());
+    is_told(&mut reporter);
+    // A change that is accepted after the proof is in the log after it.
+    cluster.command("EVACUATE ZONE z", "operator", 1, 0, usize::MAX);
+    (0..PROCESSES).for_each(|index| cluster.kill(index));
+    (0..PROCESSES).for_each(|index| cluster.restart(index));
+    support::wait_until(|| cluster.members.iter().all(|member| member.control.is_ready()));
+    is_told(&mut subscribe(&cluster, 1, "b1"));
+}
--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -2,6 +2,8 @@
 //! them to their promises by what callers, leaves and the operator see.
 
 mod answer;
+#[cfg(test)]
+mod crash_tests;
 mod evacuation;
 mod extra_load;
 mod faults;
