--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -168,6 +168,20 @@
     LeafWarnings(Vec<LeafWarning>),
     /// Requests under which leaves have ended, as other brokers found.
     CrashFindings(Vec<CrashFinding>),
+    /// Requests that the replicated state refuses, or does not any more.
+    RefusedRequests {
+        /// What it has of each.
+        findings: Vec<CrashFinding>,
+        /// Whether no others are refused.
+        is_whole: bool,
+    },
+    /// The answer to a question for a trial.
+    Trial {
+        /// Number of the question.
+        ticket: u64,
+        /// Whether the request may be sent to one leaf.
+        granted: bool,
+    },
     /// A link to a control process is up.
     LinkUp(LinkNumber),
     /// It is lost.
@@ -361,6 +375,13 @@
                 .send_routes(|| decode_document(&warnings.bytes).map(RouteUpdate::LeafWarnings))?,
             FeedMessage::CrashFindings { findings } => self
                 .send_routes(|| decode_document(&findings.bytes).map(RouteUpdate::CrashFindings))?,
+            FeedMessage::RefusedRequests { is_whole, findings } => self.send_routes(|| {
+                let findings = decode_document(&findings.bytes)?;
+                Ok(RouteUpdate::RefusedRequests { findings, is_whole })
+            })?,
+            FeedMessage::Trial { ticket, granted } => {
+                self.send_routes(|| Ok(RouteUpdate::Trial { ticket, granted }))?
+            }
             FeedMessage::Usage { usage } => {
                 self.send_routes(|| decode_document(&usage.bytes).map(RouteUpdate::Usage))?
             }
@@ -458,11 +479,21 @@
         writer: &mut OwnedWriteHalf<TcpStream>,
         found: FoundCrash,
     ) -> Result<(), LinkError> {
+        let trial = found.trial;
         let Some(finding) = found.current(self.clock.now()) else {
             return Ok(());
         };
-        let findings = encode_document(&vec![finding])?.into();
-        send(writer, &SubscriberMessage::CrashFindings { findings }).await
+        let message = match trial {
+            None => {
+                let findings = encode_document(&vec![finding])?.into();
+                SubscriberMessage::CrashFindings { findings }
+            }
+            Some(ticket) => {
+                let finding = encode_document(&finding)?.into();
+                SubscriberMessage::AskTrial { ticket, finding }
+            }
+        };
+        send(writer, &message).await
     }
 
     /// Sends what tenants used, unless it was meant for a link that is lost.
--- a/crates/broker/src/route_reports.rs
+++ b/crates/broker/src/route_reports.rs
@@ -27,6 +27,8 @@
     pub at: Timestamp,
     /// What was found.
     pub finding: CrashFinding,
+    /// Number of the question where the broker asks for a trial of the request.
+    pub trial: Option<u64>,
 }
 
 impl FoundCrash {
--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -19,7 +19,7 @@
 use http::StatusCode;
 
 use super::authentication::{AUTHORIZATION, CallerIdentity};
-use super::crash_watch::digest;
+use super::crash_watch::request_digest;
 use super::dialect::Dialect;
 use super::pool::LeafConnection;
 use super::state::RouteState;
@@ -72,7 +72,7 @@
     pub fn digest(&self) -> RequestDigest {
         let host = self.head.headers.text("host").unwrap_or_default();
         let (method, target) = (&self.head.method, &self.head.target);
-        *self.digest.get_or_init(|| digest(method, host, target, &self.body))
+        *self.digest.get_or_init(|| request_digest(method, host, target, &self.body))
     }
 
     /// It is known who sent it, and with it what leaves get.
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -178,7 +178,8 @@
         if !self.attempts.may_ask() {
             return Next::Nobody;
         }
-        if self.parts.is_suspected() && self.state.crashes.is_refused(self.request) {
+        let is_trial = self.parts.gate.borrow().is_trial();
+        if !is_trial && self.state.crashes.is_refused(self.request) {
             self.parts.gate.borrow_mut().refuse();
         }
         match self.parts.permission(reason) {
--- a/crates/broker/src/routes/crash_watch.rs
+++ b/crates/broker/src/routes/crash_watch.rs
@@ -5,13 +5,16 @@
 use std::time::Duration;
 
 use gingerkeel_domain::crash_suspects::{
-    CanaryRoom, Caution, CrashFinding, CrashSuspects, LeafEnd, RequestDigest, Treatment,
+    CanaryRoom, Caution, CrashFinding, CrashSuspects, LeafEnd, RequestDigest, Treatment, Verdict,
 };
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::routes::{Destination, Route};
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_transport::Clock;
 use local_sync::mpsc::unbounded::Tx;
+use local_sync::oneshot;
+use monoio::time::timeout;
+use rand::Rng;
 use tracing::{info, warn};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -19,6 +22,13 @@
 use super::route_metrics::RouteMetrics;
 use crate::route_reports::FoundCrash;
 
+/// Time that the control tier has to decide on a trial.
+const TRIAL_LIMIT: Duration = Duration::from_secs(1);
+/// When a caller is asked to come back after no trial was granted.
+const TRIAL_PAUSE: Duration = Duration::from_secs(30);
+/// Longest time after which a caller is asked to come back: an operator may have released the request by then.
+const LONGEST_WAIT: Duration = Duration::from_secs(300);
+
 /// A leaf that ended while a request was under way at it.
 pub struct EndedLeaf<'end> {
     /// Its service.
@@ -40,6 +50,8 @@
     /// Routes whose requests all go to few leaves first, however long they take.
     canary_routes: RefCell<BTreeSet<String>>,
     findings: Tx<FoundCrash>,
+    /// Requests that wait for a trial, by the number of the question.
+    trials: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
 }
 
 impl CrashWatch {
@@ -51,6 +63,7 @@
             rooms: RefCell::default(),
             canary_routes: RefCell::default(),
             findings,
+            trials: RefCell::default(),
         }
     }
 
@@ -81,32 +94,91 @@
         }
     }
 
-    /// How carefully a request is to be sent: as `usual`, unless leaves have ended under it or its like.
+    /// How long a request is refused, whatever else speaks for it; none where it may be sent, or a trial asked for.
+    pub fn refused_for(&self, route: &Route, request: &ForwardedRequest) -> Option<Duration> {
+        let now = self.clock.now();
+        match self.treatment(now, route, request) {
+            Treatment::Refused { until } => Some(until.since(now).min(LONGEST_WAIT)),
+            _ => None,
+        }
+    }
+
+    /// How carefully a request is to be sent: as `usual`, unless leaves have ended under it or its like. Where a trial is
+    /// due, it waits until the control tier has granted it or not.
     ///
     /// # Errors
     /// The time until it may be sent again, while it is refused.
-    pub fn caution(
+    pub async fn caution(
         &self,
         route: &Route,
         request: &ForwardedRequest,
         usual: Caution,
     ) -> Result<Caution, Duration> {
-        let suspects = self.suspects.borrow();
-        if suspects.is_empty() {
-            return Ok(usual);
-        }
         let now = self.clock.now();
-        match suspects.treatment(now, &route.name, request.digest()) {
+        match self.treatment(now, route, request) {
             Treatment::Usual => Ok(usual),
             Treatment::Canary => Ok(Caution::Canary),
             Treatment::Suspected => Ok(Caution::OneAtATime),
-            Treatment::Refused { until } => Err(until.since(now)),
+            Treatment::Refused { until } => Err(until.since(now).min(LONGEST_WAIT)),
+            Treatment::TrialDue if self.is_trial_granted(request).await => Ok(Caution::Trial),
+            Treatment::TrialDue => Err(self.refused_for(route, request).unwrap_or(TRIAL_PAUSE)),
+        }
+    }
+
+    fn treatment(&self, now: Timestamp, route: &Route, request: &ForwardedRequest) -> Treatment {
+        let suspects = self.suspects.borrow();
+        match suspects.is_empty() {
+            true => Treatment::Usual,
+            false => suspects.treatment(now, &route.name, request.digest()),
+        }
+    }
+
+    /// Asks the control tier for a trial.
+    async fn is_trial_granted(&self, request: &ForwardedRequest) -> bool {
+        let now = self.clock.now();
+        let Some(finding) = self.suspects.borrow().refusal(now, request.digest()) else {
+            return false;
+        };
+        // A report lasts as long as its finding, and the answer is waited for no longer.
+        let finding = CrashFinding { for_ms: TRIAL_LIMIT.as_millis() as u32, ..finding };
+        let ticket = rand::rng().random();
+        let (answer, answered) = oneshot::channel();
+        self.trials.borrow_mut().insert(ticket, answer);
+        // The feed lives as long as the process.
+        let _ = self.findings.send(FoundCrash { at: now, finding, trial: Some(ticket) });
+        let granted = timeout(TRIAL_LIMIT, answered).await;
+        self.trials.borrow_mut().remove(&ticket);
+        matches!(granted, Ok(Ok(true)))
+    }
+
+    /// The control tier has decided on a trial.
+    pub fn trial_answered(&self, ticket: u64, granted: bool) {
+        if let Some(waiting) = self.trials.borrow_mut().remove(&ticket) {
+            // The caller may have left.
+            let _ = waiting.send(granted);
+        }
+    }
+
+    /// The control tier has these in its replicated state.
+    pub fn recorded(&self, findings: &[CrashFinding], is_whole: bool) {
+        let now = self.clock.now();
+        if self.suspects.borrow_mut().recorded(now, findings, is_whole) {
+            findings.iter().for_each(|finding| log_finding(finding, "control"));
+        }
+    }
+
+    /// A link to a control process is up: it is told what may have been lost on another.
+    pub fn link_up(&self) {
+        let now = self.clock.now();
+        for finding in self.suspects.borrow().unrecorded(now) {
+            let _ = self.findings.send(FoundCrash { at: now, finding, trial: None });
         }
     }
 
     /// Whether a request is to be sent to nobody, as this or another broker found.
     pub fn is_refused(&self, request: &ForwardedRequest) -> bool {
-        self.suspects.borrow().is_refused(self.clock.now(), request.digest())
+        let suspects = self.suspects.borrow();
+        !suspects.is_empty() && suspects.is_refused(self.clock.now(), request.digest())
     }
 
     /// A leaf has ended under a request.
@@ -140,23 +212,28 @@
         if let Some(finding) = finding {
             log_finding(&finding, "own");
             // The feed lives as long as the process.
-            let _ = self.findings.send(FoundCrash { at: now, finding });
+            let _ = self.findings.send(FoundCrash { at: now, finding, trial: None });
         }
     }
 
     /// A leaf has replied to a request.
     pub fn replied(&self, request: &ForwardedRequest) {
         let mut suspects = self.suspects.borrow_mut();
-        if !suspects.is_empty() && suspects.replied(request.digest()) {
-            info!(event = "crash_suspicion_cleared", digest = %request.digest());
+        let Some(held) = suspects.replied(request.digest()) else {
+            return;
+        };
+        info!(event = "crash_suspicion_cleared", digest = %held.digest);
+        if held.verdict == Verdict::Cleared {
+            let now = self.clock.now();
+            let _ = self.findings.send(FoundCrash { at: now, finding: held, trial: None });
         }
     }
 
     /// Other brokers' findings.
-    pub fn told(&self, findings: &[CrashFinding], mut draw: impl FnMut() -> f64) {
+    pub fn told(&self, findings: &[CrashFinding]) {
         let now = self.clock.now();
         for finding in findings {
-            if self.suspects.borrow_mut().told(now, finding, draw()) {
+            if self.suspects.borrow_mut().told(now, finding) {
                 log_finding(finding, "told");
             }
         }
@@ -183,7 +260,7 @@
 }
 
 /// What is the same in all tries of a request, whoever sends it: neither its id nor its other fields.
-pub fn digest(method: &str, host: &str, target: &str, body: &[u8]) -> RequestDigest {
+pub fn request_digest(method: &str, host: &str, target: &str, body: &[u8]) -> RequestDigest {
     let mut hasher = Xxh3::new();
     for part in [method.as_bytes(), host.as_bytes(), target.as_bytes(), body] {
         hasher.update(&(part.len() as u64).to_be_bytes());
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -44,6 +44,7 @@
 use rand::Rng;
 use tracing::{info, warn};
 
+pub use crash_watch::request_digest;
 pub use dialect::{Dialect, read_load};
 
 use crate::feed::{self, FeedInputs, RouteUpdate};
@@ -197,14 +198,21 @@
                 state.metrics.warned(warnings.len());
                 state.leaves.warn(&warnings);
             }
-            RouteUpdate::CrashFindings(findings) => state.crashes.told(&findings, || state.draw()),
+            RouteUpdate::CrashFindings(findings) => state.crashes.told(&findings),
+            RouteUpdate::RefusedRequests { findings, is_whole } => {
+                state.crashes.recorded(&findings, is_whole)
+            }
+            RouteUpdate::Trial { ticket, granted } => state.crashes.trial_answered(ticket, granted),
             RouteUpdate::Evacuated(zones) => state.evacuate(zones),
             RouteUpdate::Rollouts(rollouts) => state.roll_out(rollouts),
             RouteUpdate::Brokers(brokers) => {
                 state.quotas.set_brokers(brokers.len());
                 state.leaves.set_brokers(brokers);
             }
-            RouteUpdate::LinkUp(link) => state.quotas.link_up(link),
+            RouteUpdate::LinkUp(link) => {
+                state.quotas.link_up(link);
+                state.crashes.link_up();
+            }
             RouteUpdate::LinkDown => state.quotas.link_down(),
             RouteUpdate::Usage(usage) => state.quotas.told(&usage),
         }
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -63,7 +63,7 @@
         let refusal = Refusal::NotRun { retry_after: BUSY_RETRY_AFTER };
         return (record.refuse(refusal, "stopping"), record);
     }
-    if let Err(left) = state.crashes.caution(&route, record.request(), Caution::None) {
+    if let Some(left) = state.crashes.refused_for(&route, record.request()) {
         return (kept_from_leaves(state, &route, &mut record, left), record);
     }
     if let Err(retry_after) = record.count() {
@@ -77,7 +77,8 @@
     record.admitted(state.clock.now() >= candidate.in_time_until);
     // What others found while it waited counts, too.
     let usual = state.crashes.usual_caution(&route);
-    let served = match state.crashes.caution(&route, record.request(), usual) {
+    let caution = state.crashes.caution(&route, record.request(), usual).await;
+    let served = match caution {
         Ok(caution) => serve_route(state, &route, record.request(), caution).await,
         Err(left) => return (kept_from_leaves(state, &route, &mut record, left), record),
     };
--- a/crates/broker/tests/crashing_requests.rs
+++ b/crates/broker/tests/crashing_requests.rs
@@ -8,8 +8,9 @@
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
-use gingerkeel_domain::crash_suspects::{CrashFinding, Verdict};
+use gingerkeel_domain::crash_suspects::{CrashFinding, RequestDigest, Verdict};
 use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
+use rstest::rstest;
 use support::control::ControlScript;
 use support::leaf::{Act, ScriptedLeaf};
 use support::routed::{RoutedBroker, configuration, directory, honest, news, reply};
@@ -148,3 +149,57 @@
     assert_eq!(second.get("/one/other").status, 200);
     assert_eq!(kept.requests().len(), 1);
 }
+
+/// What the control tier has of a request of which a trial is due.
+fn due(digest: RequestDigest) -> FeedMessage {
+    let route = "one".to_owned();
+    let finding = CrashFinding { digest, route, leaves: 3, verdict: Verdict::Refused, for_ms: 0 };
+    let findings = encode_document(&vec![finding]).expect("a document").into();
+    FeedMessage::RefusedRequests { is_whole: true, findings }
+}
+
+/// A broker of which the control tier refuses a request, over these leaves.
+fn refusing(path: &str, leaves: &[SocketAddr], grants_trials: Option<bool>) -> RoutedBroker {
+    let digest = gingerkeel_broker::routes::request_digest("GET", "h", path, b"");
+    let mut news = news(&configuration(0), &directory(leaves, &[]));
+    news.insert(0, due(digest));
+    let script = ControlScript { news, grants_trials, ..ControlScript::default() };
+    RoutedBroker::start_on(script, "")
+}
+
+#[rstest]
+#[case::denied(Some(false))]
+#[case::not_answered(None)]
+fn a_refused_request_is_not_sent_without_a_trial(#[case] grants_trials: Option<bool>) {
+    let leaf = honest("kept", b"body");
+    let broker = refusing("/one/crashing", &[leaf.address], grants_trials);
+    let refused = broker.get("/one/crashing");
+    assert_eq!(refused.status, 503);
+    let after: f64 = refused.header("retry-after").expect("a time").parse().expect("seconds");
+    assert!((1.0..=300.0).contains(&after), "{after} s");
+    assert_eq!(broker.get("/one/other").status, 200);
+    assert_eq!(leaf.requests().len(), 1);
+}
+
+#[test]
+fn a_trial_costs_one_leaf_where_the_request_crashes_it() {
+    let leaves: Vec<Arc<ScriptedLeaf>> = (0..3).map(|_| crashing("leaf")).collect();
+    let addresses: Vec<SocketAddr> = leaves.iter().map(|leaf| leaf.address).collect();
+    let broker = refusing("/one/crashing", &addresses, Some(true));
+    assert_eq!(broker.get("/one/crashing").status, 502);
+    assert_eq!(hit(&leaves), 1);
+    let refusal = reported_refusal(&broker);
+    assert!(refusal.leaves >= 4, "{refusal:?}");
+    assert_eq!(broker.get("/one/crashing").status, 503);
+    assert_eq!(hit(&leaves), 1);
+}
+
+#[test]
+fn a_trial_that_is_answered_is_told_to_the_control_tier() {
+    let leaf = honest("kept", b"body");
+    let broker = refusing("/one/harmless", &[leaf.address], Some(true));
+    assert_eq!(broker.get("/one/harmless").status, 200);
+    let cleared = || findings(&broker).into_iter().any(|found| found.verdict == Verdict::Cleared);
+    wait_until("that it is harmless is reported", cleared);
+    assert_eq!(broker.get("/one/harmless").status, 200);
+}
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -50,6 +50,8 @@
     pub closes_on_usage: bool,
     /// What brokers are told later, by the lease with which they are.
     pub later_news: BTreeMap<u64, Vec<FeedMessage>>,
+    /// Whether a broker that asks for a trial gets it; none for no answer.
+    pub grants_trials: Option<bool>,
 }
 
 impl Default for ControlScript {
@@ -66,6 +68,7 @@
             news_with_lease: 0,
             closes_on_usage: false,
             later_news: BTreeMap::new(),
+            grants_trials: None,
         }
     }
 }
@@ -155,6 +158,10 @@
         SubscriberMessage::Charges { sequence, run, .. } if script.receipts => {
             vec![FeedMessage::ChargesRecorded { run: *run, sequence: *sequence }]
         }
+        SubscriberMessage::AskTrial { ticket, .. } => {
+            let answer = |granted| FeedMessage::Trial { ticket: *ticket, granted };
+            script.grants_trials.map(answer).into_iter().collect()
+        }
         SubscriberMessage::Subscribe { .. } => {
             let bytes = encode_document(catalog).expect("a catalog is a document");
             let service = ShortText::new("tickets");
--- /dev/null
+++ b/crates/control/src/cluster_task/crashes.rs
@@ -0,0 +1,131 @@
+//! Requests that crash leaves: what brokers find goes to the log, and from there to all brokers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gingerkeel_domain::catalog::Change;
+use gingerkeel_domain::cluster::CommandBody;
+use gingerkeel_domain::crash_suspects::{CrashFinding, RequestDigest, Verdict};
+use gingerkeel_domain::time::Timestamp;
+use tracing::{debug, warn};
+
+use super::{ClusterTask, ConnectionId};
+
+/// Time for which a finding that the log did not take is proposed again.
+const PROPOSAL_LIFE: Duration = Duration::from_secs(60);
+/// Findings that wait for the log.
+const UNRECORDED_LIMIT: usize = 512;
+
+/// What brokers that are fed here found and the log does not have yet.
+#[derive(Default)]
+pub struct UnrecordedCrashes {
+    waiting: BTreeMap<RequestDigest, (Timestamp, CrashFinding)>,
+}
+
+impl UnrecordedCrashes {
+    fn add(&mut self, now: Timestamp, finding: CrashFinding) {
+        if self.waiting.len() < UNRECORDED_LIMIT {
+            self.waiting.insert(finding.digest, (now, finding));
+        }
+    }
+
+    /// What is to be proposed again.
+    fn due(&mut self, now: Timestamp) -> Vec<CrashFinding> {
+        self.waiting.retain(|_, (since, _)| now.since(*since) < PROPOSAL_LIFE);
+        self.waiting.values().map(|(_, finding)| finding.clone()).collect()
+    }
+}
+
+impl ClusterTask {
+    /// A broker found requests under which leaves have ended. The brokers that feed here are told at once, all others once
+    /// the log has it.
+    pub(super) fn found_crashes(&mut self, connection: ConnectionId, findings: Vec<CrashFinding>) {
+        let now = self.clock.now();
+        self.subscribers.tell_findings(now, Some(connection), findings.clone());
+        let lasting = findings.iter().filter(|finding| finding.verdict != Verdict::Suspected);
+        lasting.for_each(|finding| self.unrecorded_crashes.add(now, finding.clone()));
+        self.propose_crashes(findings);
+    }
+
+    /// Proposes what a leader did not take.
+    pub(super) fn propose_crashes_again(&mut self) {
+        let due = self.unrecorded_crashes.due(self.clock.now());
+        self.propose_crashes(due);
+    }
+
+    fn propose_crashes(&self, findings: Vec<CrashFinding>) {
+        if !findings.is_empty() {
+            self.propose_unanswered(CommandBody::ReportCrashes(findings));
+        }
+    }
+
+    /// A broker asks whether it may try a refused request at one leaf. Without an answer it refuses the request.
+    pub(super) fn asked_trial(&self, connection: ConnectionId, ticket: u64, finding: CrashFinding) {
+        if let Some(follower) = self.subscribers.follower(connection) {
+            let broker = follower.identity.broker.clone();
+            self.propose_unanswered(CommandBody::GrantTrial { broker, ticket, finding });
+        }
+    }
+
+    fn propose_unanswered(&self, command: CommandBody) {
+        let replication = self.replication.clone();
+        monoio::spawn(async move {
+            if let Err(error) = replication.propose(command).await {
+                debug!(event = "crash_command_not_taken", %error);
+            }
+        });
+    }
+
+    /// The replicated state has these findings.
+    pub(super) fn crashes_recorded(&mut self, findings: &[CrashFinding]) {
+        let (suspected, lasting): (Vec<CrashFinding>, Vec<CrashFinding>) =
+            findings.iter().cloned().partition(|finding| finding.verdict == Verdict::Suspected);
+        self.subscribers.tell_findings(self.clock.now(), None, suspected);
+        for finding in &lasting {
+            self.unrecorded_crashes.waiting.remove(&finding.digest);
+            self.log_verdict(finding);
+        }
+        self.tell_verdicts(lasting);
+    }
+
+    /// The replicated state has decided on a trial: brokers wait for the one after it.
+    pub(super) fn tell_trial(&self, finding: &CrashFinding) {
+        self.tell_verdicts(vec![finding.clone()]);
+    }
+
+    /// An operator's change may release a request.
+    pub(super) fn request_released(&mut self, change: &Change) {
+        if let Change::ReleaseRequest(digest) = change {
+            let cleared = cleared(*digest);
+            self.log_verdict(&cleared);
+            self.tell_verdicts(vec![cleared]);
+        }
+    }
+
+    /// Tells brokers what the replicated state has of these requests now.
+    fn tell_verdicts(&self, findings: Vec<CrashFinding>) {
+        let refused = self.state.refused_requests();
+        let current = findings.into_iter().map(|finding| {
+            let held = refused.finding(self.state.now(), finding.digest);
+            held.unwrap_or(CrashFinding { verdict: Verdict::Cleared, ..finding })
+        });
+        self.subscribers.tell_refused_requests(&current.collect::<Vec<_>>());
+    }
+
+    fn log_verdict(&self, finding: &CrashFinding) {
+        let trials = self.state.refused_requests().get(finding.digest).map(|held| held.trials);
+        warn!(
+            event = "crash_verdict",
+            route = finding.route,
+            digest = %finding.digest,
+            verdict = finding.verdict.as_str(),
+            leaves = finding.leaves,
+            trials
+        );
+    }
+}
+
+/// What brokers are told of a request that an operator released.
+fn cleared(digest: RequestDigest) -> CrashFinding {
+    CrashFinding { digest, route: String::new(), leaves: 0, verdict: Verdict::Cleared, for_ms: 0 }
+}
--- a/crates/control/src/cluster_task/message.rs
+++ b/crates/control/src/cluster_task/message.rs
@@ -114,6 +114,15 @@
         /// What it found.
         findings: Vec<CrashFinding>,
     },
+    /// The broker asks for a trial of a request that is refused.
+    AskedTrial {
+        /// The connection.
+        connection: ConnectionId,
+        /// Number of the question.
+        ticket: u64,
+        /// What it holds of the request.
+        finding: CrashFinding,
+    },
     /// The broker reported what tenants used of their quotas.
     UsedQuotas {
         /// The connection.
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -1,6 +1,7 @@
 //! The task that owns the replicated state of this process and serves reads from it.
 
 mod copies;
+mod crashes;
 mod listed_leaves;
 mod membership;
 mod message;
@@ -32,6 +33,7 @@
 use crate::rollout_orders::ServiceView;
 use crate::tables;
 
+use crashes::UnrecordedCrashes;
 use listed_leaves::ListedLeaves;
 use membership::Membership;
 pub use membership::OwnIdentity;
@@ -69,6 +71,7 @@
     subscribers: Subscribers,
     quota_use: QuotaUse,
     rollouts: RolloutWatch,
+    unrecorded_crashes: UnrecordedCrashes,
     membership: Membership,
     listed_leaves: ListedLeaves,
     clock: Clock,
@@ -98,6 +101,7 @@
         subscribers: Subscribers::default(),
         quota_use,
         rollouts: RolloutWatch::default(),
+        unrecorded_crashes: UnrecordedCrashes::default(),
         membership: Membership::new(identity),
         listed_leaves: ListedLeaves::default(),
         clock: Clock::start(),
@@ -239,6 +243,7 @@
             (CommandBody::Change(request), CommandOutcome::Change(outcome)) => {
                 if let ChangeOutcome::Accepted { revision, .. } = &outcome {
                     info!(event = "change_accepted", revision = revision.0, command = %request.id);
+                    self.request_released(&request.change);
                 }
                 self.waiting_changes.answer(request, &Ok(outcome));
             }
@@ -251,6 +256,15 @@
                 self.routes_replaced();
             }
             (_, CommandOutcome::Rollouts(steps)) => self.rollouts_advanced(&steps),
+            (CommandBody::ReportCrashes(findings), _) => self.crashes_recorded(findings),
+            (
+                CommandBody::GrantTrial { broker, ticket, finding },
+                CommandOutcome::Trial { granted },
+            ) => {
+                self.tell_trial(finding);
+                info!(event = "crash_trial", %broker, digest = %finding.digest, granted);
+                self.subscribers.answer_trial(broker, *ticket, granted);
+            }
             (CommandBody::ReportDirectory(delta), _) => {
                 // Orders that came before the list go before it: a roll-out keeps requests from leaves of its version.
                 self.subscribers.publish_catalog(&self.state);
@@ -401,7 +415,10 @@
                 self.subscribers.saw_slow_leaves(self.clock.now(), connection, &observations)
             }
             FeedEvent::FoundCrashes { connection, findings } => {
-                self.subscribers.found_crashes(self.clock.now(), connection, findings)
+                self.found_crashes(connection, findings)
+            }
+            FeedEvent::AskedTrial { connection, ticket, finding } => {
+                self.asked_trial(connection, ticket, finding)
             }
             FeedEvent::UsedQuotas { connection, report } => {
                 if let Some(follower) = self.subscribers.follower(connection) {
@@ -425,6 +442,7 @@
         }
         self.propose_routes_again();
         self.follow_rollouts();
+        self.propose_crashes_again();
         self.subscribers.publish_members(&self.state);
         self.quota_use.follow_members(self.clock.now(), &self.state);
         if let Some(plan) = self.membership.poll_plan(&self.state) {
--- a/crates/control/src/cluster_task/state_document.rs
+++ b/crates/control/src/cluster_task/state_document.rs
@@ -5,7 +5,11 @@
 use gingerkeel_protocol::{ProtocolError, decode_document, encode_document};
 
 /// First bytes of the present layout. The first one began with a number, and none is laid out so.
-const MARK: [u8; 11] = [0xfe; 11];
+const MARK: [u8; 11] = [0xfd; 11];
+/// First bytes of the layout of releases that kept no refused requests.
+const WITHOUT_REFUSED_MARK: [u8; 11] = [0xfe; 11];
+/// What the last field, which that layout lacks, is laid out as without a request in it.
+const NO_REFUSED: [u8; 1] = [0];
 /// First bytes of the layout of releases that knew tenants and no roll-outs.
 const FORMER_MARK: [u8; 11] = [0xff; 11];
 
@@ -18,7 +22,8 @@
     Ok([&MARK[..], &document].concat())
 }
 
-/// Reads a state back, also one in the layouts of releases that knew no roll-outs, or no tenants either.
+/// Reads a state back, also one in the layouts of releases that kept no refused requests, or knew no roll-outs, or no
+/// tenants either.
 ///
 /// # Errors
 /// [`ProtocolError::Document`] when the bytes are no such state.
@@ -26,6 +31,9 @@
     if let Some(document) = bytes.strip_prefix(&MARK) {
         return decode_document(document);
     }
+    if let Some(document) = bytes.strip_prefix(&WITHOUT_REFUSED_MARK) {
+        return decode_document(&[document, &NO_REFUSED].concat());
+    }
     match bytes.strip_prefix(&FORMER_MARK) {
         Some(document) => {
             decode_document::<FormerClusterState<RouteState>>(document).map(ClusterState::from)
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -110,6 +110,8 @@
         if let Some(delta) = packed(&broker_list(state).whole()) {
             follower.send(FeedMessage::Brokers { delta });
         }
+        // Before the routes, so that a broker does not serve without knowing them.
+        follower.send_refused_requests(&refused_requests(state), true);
         follower.send_copies(state, &mut self.copies);
         let controls = feed_addresses(state);
         follower.send_document(&controls, |addresses| FeedMessage::Controls { addresses });
@@ -302,21 +304,20 @@
         }
     }
 
-    /// A broker found requests under which leaves have ended: all brokers that feed here are told.
-    pub fn found_crashes(
+    /// Requests under which leaves have ended: the brokers that feed here are told of what is news. `reporter` is the
+    /// broker that found it, where that feeds here.
+    pub fn tell_findings(
         &mut self,
         now: Timestamp,
-        connection: ConnectionId,
+        reporter: Option<ConnectionId>,
         findings: Vec<CrashFinding>,
     ) {
-        let Some(reporter) = self.connections.get(&connection) else {
-            return;
-        };
+        let reporter = reporter.and_then(|connection| self.connections.get(&connection));
         let news = self.findings.report(now, findings);
         for finding in &news {
             info!(
                 event = "crash_finding",
-                broker = %reporter.identity.broker,
+                broker = reporter.map(|reporter| reporter.identity.broker.as_str()),
                 route = finding.route,
                 digest = %finding.digest,
                 leaves = finding.leaves,
@@ -332,6 +333,24 @@
         }
     }
 
+    /// Tells the brokers that feed here which requests the replicated state refuses, or does not any more.
+    pub fn tell_refused_requests(&self, findings: &[CrashFinding]) {
+        if findings.is_empty() {
+            return;
+        }
+        for follower in self.connections.values() {
+            follower.send_refused_requests(findings, false);
+        }
+    }
+
+    /// Tells a broker that feeds here whether it may try a refused request.
+    pub fn answer_trial(&self, broker: &BrokerName, ticket: u64, granted: bool) {
+        let follower = self.connections.values().find(|known| known.identity.broker == *broker);
+        if let Some(follower) = follower {
+            follower.send(FeedMessage::Trial { ticket, granted });
+        }
+    }
+
     /// Tells a broker that has just come of the warnings and findings that last.
     pub fn send_current_hints(&self, now: Timestamp, connection: ConnectionId) {
         let Some(follower) = self.connections.get(&connection) else {
@@ -456,6 +475,11 @@
         self.send_document(&findings, |findings| FeedMessage::CrashFindings { findings });
     }
 
+    fn send_refused_requests(&self, findings: &[CrashFinding], is_whole: bool) {
+        let message = |findings| FeedMessage::RefusedRequests { is_whole, findings };
+        self.send_document(&findings, message);
+    }
+
     fn send_usage(&mut self, now: Timestamp, quota_use: &QuotaUse) {
         let heard = quota_use.heard(&self.identity);
         let usage = FleetUsage { heard, levels: quota_use.levels().to_vec() };
@@ -492,6 +516,13 @@
     BrokerList::new(gone.chain(live))
 }
 
+/// What brokers are told of all requests that the replicated state refuses.
+fn refused_requests(state: &ClusterState) -> Vec<CrashFinding> {
+    let refused = state.refused_requests();
+    let findings = refused.all().filter_map(|(digest, _)| refused.finding(state.now(), digest));
+    findings.collect()
+}
+
 fn feed_addresses(state: &ClusterState) -> Vec<SocketAddr> {
     state.members().controls().values().map(|control| control.renewal.feed).collect()
 }
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -124,6 +124,10 @@
             let findings = decode_document(&findings.bytes)?;
             Ok(FeedEvent::FoundCrashes { connection, findings })
         }
+        SubscriberMessage::AskTrial { ticket, finding } => {
+            let finding = decode_document(&finding.bytes)?;
+            Ok(FeedEvent::AskedTrial { connection, ticket, finding })
+        }
         SubscriberMessage::Usage { report } => {
             let report = decode_document(&report.bytes)?;
             Ok(FeedEvent::UsedQuotas { connection, report })
--- a/crates/control/src/storage/identity.rs
+++ b/crates/control/src/storage/identity.rs
@@ -13,7 +13,7 @@
 use super::io::StorageIo;
 
 /// Version of the files' format.
-pub const FORMAT_VERSION: u16 = 5;
+pub const FORMAT_VERSION: u16 = 6;
 /// First version whose documents are read as well; a folder of it is one of the present version once it was opened.
 const FORMER_VERSION: u16 = 3;
 /// First bytes of the file, then the version.
--- a/crates/control/src/tables/mod.rs
+++ b/crates/control/src/tables/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalog;
 mod cluster;
+mod refused_requests;
 mod rollouts;
 mod routes;
 mod tenants;
@@ -37,6 +38,7 @@
         Subject::Directory => routes::directory(state.directory()),
         Subject::Zones => zones::zones(state),
         Subject::Rollouts => rollouts::rollouts(state),
+        Subject::RefusedRequests => refused_requests::refused_requests(state),
     }
 }
 
--- a/crates/control/tests/crashing_requests.rs
+++ b/crates/control/tests/crashing_requests.rs
@@ -28,7 +28,7 @@
 /// Waits until a broker is told that the request is refused.
 fn is_told(broker: &mut HollowBroker) {
     let told = broker.receive_until(|message| match message {
-        FeedMessage::CrashFindings { findings } => {
+        FeedMessage::CrashFindings { findings } | FeedMessage::RefusedRequests { findings, .. } => {
             let findings: Vec<CrashFinding> = decode_document(&findings.bytes).unwrap();
             findings.into_iter().find(|finding| finding.digest == RequestDigest(7))
         }
@@ -63,3 +63,52 @@
     support::wait_until(|| cluster.members.iter().all(|member| member.control.is_ready()));
     is_told(&mut subscribe(&cluster, 1, "b1"));
 }
+
+#[test]
+fn operators_see_refused_requests_and_release_them_everywhere() {
+    let cluster = Cluster::start(PROCESSES);
+    let mut brokers: Vec<HollowBroker> = (0..PROCESSES)
+        .map(|control| subscribe(&cluster, control, &format!("b{control}")))
+        .collect();
+    report(&mut brokers[0], proof());
+    brokers.iter_mut().for_each(is_told);
+    let control = &cluster.members[1].control;
+    let rows = || control.rows("SHOW REFUSED REQUESTS");
+    assert_eq!(rows()[0][..4], ["0000000000000007", "search", "3", "0"]);
+    let (status, _) = control.post("RELEASE REQUEST 0000000000000008", None);
+    assert_eq!(status, 400, "it is not refused");
+    control.change("RELEASE REQUEST 0000000000000007");
+    assert!(rows().is_empty());
+    for broker in &mut brokers {
+        let released = |finding: &CrashFinding| finding.verdict == Verdict::Cleared;
+        broker.receive_until(|message| match message {
+            FeedMessage::RefusedRequests { findings, .. } => {
+                let findings: Vec<CrashFinding> = decode_document(&findings.bytes).unwrap();
+                findings.iter().any(released).then_some(())
+            }
+            _ => None,
+        });
+    }
+}
+
+#[test]
+fn brokers_of_different_control_processes_get_one_trial_together() {
+    let cluster = Cluster::start(PROCESSES);
+    let mut brokers: Vec<HollowBroker> = (0..PROCESSES)
+        .map(|control| subscribe(&cluster, control, &format!("b{control}")))
+        .collect();
+    report(&mut brokers[0], CrashFinding { for_ms: 0, ..proof() });
+    brokers.iter_mut().for_each(is_told);
+    for broker in &mut brokers {
+        let finding = encode_document(&proof()).unwrap().into();
+        broker.send(&SubscriberMessage::AskTrial { ticket: 9, finding });
+    }
+    let answer = |broker: &mut HollowBroker| {
+        broker.receive_until(|message| match message {
+            FeedMessage::Trial { ticket: 9, granted } => Some(granted),
+            _ => None,
+        })
+    };
+    let granted = brokers.iter_mut().map(answer).filter(|granted| *granted).count();
+    assert_eq!(granted, 1);
+}
--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use gingerkeel_control::storage::{
-    DiskIo, FolderOwner, OpenedStorage, Storage, StorageError, StorageIo, Writer, WriterEvent,
-    WriterMessage,
+    DiskIo, FORMAT_VERSION, FolderOwner, OpenedStorage, Storage, StorageError, StorageIo, Writer,
+    WriterEvent, WriterMessage,
 };
 use gingerkeel_domain::consensus::{
     Configuration, Entry, HardState, Incarnation, LogIndex, LogPosition, MemberId, NodeNumber,
@@ -249,7 +249,11 @@
     let mut bytes = fs::read(&path).expect("readable");
     bytes[9] += 1;
     fs::write(&path, bytes).expect("writable");
-    assert!(matches!(open(folder.path()).err(), Some(StorageError::OtherFormat(_, 6, 5))));
+    let (found, own) = (FORMAT_VERSION + 1, FORMAT_VERSION);
+    let error = open(folder.path()).err();
+    assert!(
+        matches!(error, Some(StorageError::OtherFormat(_, version, known)) if (version, known) == (found, own))
+    );
 }
 
 #[test]
--- a/crates/domain/src/catalog/change.rs
+++ b/crates/domain/src/catalog/change.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CallerAccount, ClassPolicy, ControlMember, Leaf, LeafState, MemberState};
+use crate::crash_suspects::RequestDigest;
 use crate::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, IndexVersion, LeafId, ServiceName, ShardId,
     ZoneName,
@@ -120,4 +121,6 @@
     BeginRollout(RolloutOrder),
     /// A roll-out goes on to its next stage; control processes decide on it by themselves.
     AdvanceRollout(RolloutAdvance),
+    /// Releases a request that is refused because leaves crash under it.
+    ReleaseRequest(RequestDigest),
 }
--- a/crates/domain/src/catalog/error.rs
+++ b/crates/domain/src/catalog/error.rs
@@ -3,6 +3,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+use crate::crash_suspects::RequestDigest;
 use crate::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, IndexVersion, LeafId, ServiceName, ShardId,
 };
@@ -77,5 +78,9 @@
         BadNumber(field: String, value: u64, remedy: String) {
             display("{field} {value} is not usable: {remedy}")
         }
+        /// The request is not refused, or was released before.
+        RequestNotRefused(digest: RequestDigest) {
+            display("request {digest} is not refused: list those that are with SHOW REFUSED REQUESTS")
+        }
     }
 }
--- a/crates/domain/src/catalog/mod.rs
+++ b/crates/domain/src/catalog/mod.rs
@@ -135,6 +135,8 @@
                 self.rollouts.begin(order, Revision(self.revision.0 + 1))?
             }
             Change::AdvanceRollout(step) => self.rollouts.advance(step)?,
+            // It is kept beside the catalog, which brokers do not need it for.
+            Change::ReleaseRequest(_) => {}
         }
         self.revision.0 += 1;
         Ok(self.revision)
--- a/crates/domain/src/cluster/command.rs
+++ b/crates/domain/src/cluster/command.rs
@@ -11,8 +11,9 @@
     FormerAcceptedRoutes, LeafHealthChange, Threshold, WallTime,
 };
 use crate::catalog::{CatalogError, Change};
+use crate::crash_suspects::CrashFinding;
 use crate::directory::{DirectoryDelta, FormerDirectoryDelta};
-use crate::identifiers::{ControlName, Revision, ServiceName, SessionName};
+use crate::identifiers::{BrokerName, ControlName, Revision, ServiceName, SessionName};
 use crate::rollout::{RolloutAdvance, RolloutReport};
 use crate::routes::{AcceptedRoutes, ReplaceOutcome, RouteVersion};
 
@@ -71,6 +72,17 @@
     ReportRollouts(Vec<RolloutReport>),
     /// The leader finds that a roll-out is to go on.
     AdvanceRollout(RolloutAdvance),
+    /// A control process tells which requests crash leaves, or do not, as brokers found.
+    ReportCrashes(Vec<CrashFinding>),
+    /// A broker asks whether it may try a refused request at one leaf.
+    GrantTrial {
+        /// The broker.
+        broker: BrokerName,
+        /// Number of its question, which the answer repeats.
+        ticket: u64,
+        /// What it holds of the request.
+        finding: CrashFinding,
+    },
 }
 
 impl CommandBody {
@@ -123,6 +135,11 @@
     Charges(Vec<ChargeReceipt>),
     /// Of news of roll-outs: those that went on to another stage.
     Rollouts(Vec<RolloutAdvance>),
+    /// Of a trial that a broker asked for.
+    Trial {
+        /// Whether the broker may try the request.
+        granted: bool,
+    },
     /// Of a replacement of the routes.
     Routes(ReplaceOutcome),
 }
--- a/crates/domain/src/cluster/former.rs
+++ b/crates/domain/src/cluster/former.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Charges, ClusterState, History, LeafHints, LogIndex, Members, OverloadFold, RolloutEvidence,
-    Sessions, Thresholds, WallTime,
+    Charges, ClusterState, History, LeafHints, LogIndex, Members, OverloadFold, RefusedRequests,
+    RolloutEvidence, Sessions, Thresholds, WallTime,
 };
 use crate::catalog::FormerCatalog;
 use crate::directory::FormerLeafDirectory;
@@ -142,6 +142,7 @@
             routes: former.routes.into(),
             directory: former.directory.into(),
             rollout_evidence: RolloutEvidence::default(),
+            refused_requests: RefusedRequests::default(),
         }
     }
 }
--- a/crates/domain/src/cluster/history.rs
+++ b/crates/domain/src/cluster/history.rs
@@ -7,6 +7,7 @@
 
 use super::{ChangeRefusal, WallTime};
 use crate::catalog::Change;
+use crate::crash_suspects::RequestDigest;
 use crate::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, LeafId, Revision, ServiceName, SessionName,
     ShardId, ZoneName,
@@ -51,6 +52,8 @@
     Zone(ZoneName),
     /// The roll-out of a service.
     Rollout(ServiceName),
+    /// A request that is refused.
+    Request(RequestDigest),
 }
 
 impl Target {
@@ -85,6 +88,7 @@
             Change::EvacuateZone(zone) | Change::RestoreZone(zone) => Self::Zone(zone.clone()),
             Change::BeginRollout(order) => Self::Rollout(order.service.clone()),
             Change::AdvanceRollout(step) => Self::Rollout(step.service.clone()),
+            Change::ReleaseRequest(digest) => Self::Request(*digest),
         }
     }
 
@@ -116,6 +120,7 @@
             Self::Broker(broker) => write!(formatter, "broker {broker}"),
             Self::Control(control) => write!(formatter, "control process {control}"),
             Self::Zone(zone) => write!(formatter, "zone {zone}"),
+            Self::Request(digest) => write!(formatter, "request {digest}"),
             Self::Rollout(service) => write!(formatter, "the roll-out of service {service}"),
         }
     }
--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -12,6 +12,7 @@
 mod members;
 mod overload;
 mod polling;
+mod refused_requests;
 mod rollouts;
 mod sessions;
 mod thresholds;
@@ -22,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Catalog, CatalogError, Change};
+use crate::crash_suspects::{CrashFinding, Verdict};
 use crate::directory::{DirectoryDelta, LeafDirectory};
 use crate::identifiers::Revision;
 use crate::routes::{AcceptedRoutes, RouteState};
@@ -44,6 +46,7 @@
 };
 pub use overload::{BrokerOverload, OverloadFold, OverloadSettings};
 pub use polling::polled_by;
+pub use refused_requests::{RefusedRequest, RefusedRequests};
 pub use rollouts::RolloutEvidence;
 pub use sessions::{OUTCOMES_PER_SESSION, SESSION_LIMIT, SESSION_RETENTION, Sessions};
 pub use thresholds::{Threshold, Thresholds};
@@ -65,6 +68,8 @@
     routes: RouteState,
     directory: LeafDirectory,
     rollout_evidence: RolloutEvidence,
+    // The layout before this field ends without it.
+    refused_requests: RefusedRequests,
 }
 
 impl ClusterState {
@@ -123,6 +128,11 @@
         &self.rollout_evidence
     }
 
+    /// The requests that no broker sends to leaves.
+    pub fn refused_requests(&self) -> &RefusedRequests {
+        &self.refused_requests
+    }
+
     /// Applies the command at `index` of the log; one at or before the last is left out.
     pub fn apply(&mut self, index: LogIndex, command: &Command) -> CommandOutcome {
         if index <= self.applied {
@@ -179,6 +189,13 @@
             CommandBody::AdvanceRollout(step) => CommandOutcome::Rollouts(
                 self.advance_rollout(command.at, step).into_iter().collect(),
             ),
+            CommandBody::ReportCrashes(findings) => {
+                self.report_crashes(findings);
+                CommandOutcome::Recorded
+            }
+            CommandBody::GrantTrial { finding, .. } => {
+                CommandOutcome::Trial { granted: self.grant_trial(finding) }
+            }
             CommandBody::ReportDirectory(delta) => {
                 // One that was made against another list is made anew with the next poll.
                 self.directory.apply(delta);
@@ -194,6 +211,29 @@
         self.charges.settle(self.now);
         self.thresholds.expire(self.now);
         self.overload.expire(&OverloadSettings::default(), self.now);
+        self.refused_requests.expire(self.now);
+    }
+
+    fn report_crashes(&mut self, findings: &[CrashFinding]) {
+        for finding in findings {
+            match finding.verdict {
+                // Too short-lived to be kept here: brokers are told of it, and forget it by themselves.
+                Verdict::Suspected => {}
+                Verdict::Refused => self.refused_requests.refuse(self.now, finding),
+                Verdict::Cleared => {
+                    self.refused_requests.release(finding.digest);
+                }
+            }
+        }
+    }
+
+    /// Grants a trial of a request, also of one whose proof was lost on its way here.
+    fn grant_trial(&mut self, finding: &CrashFinding) -> bool {
+        if self.refused_requests.get(finding.digest).is_none() {
+            let due_now = CrashFinding { for_ms: 0, ..finding.clone() };
+            self.refused_requests.refuse(self.now, &due_now);
+        }
+        self.refused_requests.grant_trial(self.now, finding.digest)
     }
 
     /// A change, once for each session and sequence number.
@@ -224,8 +264,11 @@
         if let Some(based_on) = request.based_on {
             self.history.check(self.catalog.revision(), based_on, &request.change)?;
         }
-        self.check_member(&request.change).map_err(ChangeRefusal::Catalog)?;
+        self.check_named(&request.change).map_err(ChangeRefusal::Catalog)?;
         let revision = self.catalog.apply(&request.change).map_err(ChangeRefusal::Catalog)?;
+        if let Change::ReleaseRequest(digest) = &request.change {
+            self.refused_requests.release(*digest);
+        }
         self.history.push(AcceptedChange {
             revision,
             at,
@@ -237,6 +280,16 @@
         Ok(revision)
     }
 
+    /// What a change names has to exist, as far as the catalog does not know it by itself.
+    fn check_named(&self, change: &Change) -> Result<(), CatalogError> {
+        match change {
+            Change::ReleaseRequest(digest) if self.refused_requests.get(*digest).is_none() => {
+                Err(CatalogError::RequestNotRefused(*digest))
+            }
+            _ => self.check_member(change),
+        }
+    }
+
     /// A process joins by itself, so its first mention by operators must be one that is live.
     fn check_member(&self, change: &Change) -> Result<(), CatalogError> {
         match change {
--- a/crates/domain/src/crash_suspects/canary_gate.rs
+++ b/crates/domain/src/crash_suspects/canary_gate.rs
@@ -13,6 +13,8 @@
     Canary,
     /// To one leaf at a time.
     OneAtATime,
+    /// To one leaf at all, until it has replied.
+    Trial,
 }
 
 /// Whether the request may be sent to one more leaf.
@@ -35,6 +37,8 @@
     canaries: usize,
     /// Leaves that it is under way at.
     open: usize,
+    /// Whether it was sent to a leaf.
+    sent: bool,
     /// Whether it was under way at two leaves or more since it was last under way at none.
     crowded: bool,
     /// Leaves that ended under it.
@@ -50,6 +54,7 @@
             caution,
             canaries: CANARIES,
             open: 0,
+            sent: false,
             crowded: false,
             ended: 0,
             replied: false,
@@ -63,7 +68,7 @@
             _ if self.replied => None,
             Caution::None => None,
             Caution::Canary => Some(self.canaries),
-            Caution::OneAtATime => Some(1),
+            Caution::OneAtATime | Caution::Trial => Some(1),
         }
     }
 
@@ -76,6 +81,7 @@
     pub fn permission(&self) -> Permission {
         match self.room() {
             _ if self.refused => Permission::Never,
+            _ if self.is_trial() && self.sent && !self.replied => Permission::Never,
             Some(0) => Permission::Wait,
             _ => Permission::Send,
         }
@@ -87,8 +93,14 @@
         self.canaries += 1;
     }
 
+    /// Whether it is refused otherwise, and goes to one leaf at all until that has replied.
+    pub fn is_trial(&self) -> bool {
+        self.caution == Caution::Trial
+    }
+
     /// It is sent to one more leaf.
     pub fn sent(&mut self) {
+        self.sent = true;
         self.open += 1;
         self.crowded |= self.open > 1;
     }
@@ -109,7 +121,7 @@
     pub fn leaf_ended(&mut self) -> bool {
         let alone = !self.crowded;
         self.ended += 1;
-        self.caution = Caution::OneAtATime;
+        self.caution = self.caution.max(Caution::OneAtATime);
         self.over();
         alone
     }
--- a/crates/domain/src/crash_suspects/fold.rs
+++ b/crates/domain/src/crash_suspects/fold.rs
@@ -1,12 +1,10 @@
-//! The findings of the brokers that one control process feeds, to be passed on.
-//!
-//! Brokers that other control processes feed find out by themselves; a message between control processes would carry
-//! [`FindingFold::current`] to the others, whose [`FindingFold::report`] takes it as if a broker had sent it.
+//! Findings on their way to the brokers that one control process feeds: those of these brokers, and suspicions that
+//! came by the log.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{CrashFinding, RequestDigest};
+use super::{CrashFinding, RequestDigest, Verdict};
 use crate::time::Timestamp;
 
 /// Findings that are kept, as many as a broker keeps.
@@ -46,6 +44,9 @@
 
     /// Keeps a finding that says more than the one that is held.
     fn take(&mut self, now: Timestamp, finding: &CrashFinding) -> bool {
+        if finding.verdict == Verdict::Cleared {
+            return self.kept.remove(&finding.digest).is_some();
+        }
         if finding.leaves < LEAST_LEAVES {
             return false;
         }
--- a/crates/domain/src/crash_suspects/mod.rs
+++ b/crates/domain/src/crash_suspects/mod.rs
@@ -4,8 +4,9 @@
 //! rest. All leaves that end do so with requests under way, most of them innocent ones. So a broker keeps, by a
 //! digest of the request, under which requests leaves have ended that nobody has answered since: they are
 //! *suspected*. A suspected request goes to one leaf alone, as a canary. An answer clears it; if that leaf ends
-//! too, the request is *refused* for a while, everywhere: brokers tell each other by way of the control process
-//! that feeds them. Nothing of it is replicated or kept on disk, and each entry ends by itself.
+//! too, the request is *refused* by all brokers: the control tier keeps that in its replicated state, tells each
+//! broker, and grants a few trials at one leaf, one at a time, so that a wrong verdict heals. Suspicions are not
+//! replicated, and end by themselves.
 //! Why so, and what else was weighed: `docs/design/crashing-requests.md`.
 
 mod canary_gate;
@@ -14,6 +15,7 @@
 mod suspects;
 
 use std::fmt;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +24,9 @@
 pub use fold::FindingFold;
 pub use suspects::{CrashSuspects, LeafEnd, Treatment};
 
+/// Time for which a request stays refused of which nothing more is heard.
+pub const REFUSAL_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Digest of what leaves see of a request that is the same in all its tries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestDigest(pub u64);
@@ -39,6 +44,8 @@
     Suspected,
     /// A leaf ended under it alone, after another one: it is sent to nobody.
     Refused,
+    /// A leaf replied to it after it was refused, or an operator released it.
+    Cleared,
 }
 
 impl Verdict {
@@ -47,6 +54,7 @@
         match self {
             Self::Suspected => "suspected",
             Self::Refused => "refused",
+            Self::Cleared => "cleared",
         }
     }
 }
--- a/crates/domain/src/crash_suspects/suspects.rs
+++ b/crates/domain/src/crash_suspects/suspects.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::{CrashFinding, RequestDigest, Verdict};
+use super::{CrashFinding, REFUSAL_RETENTION, RequestDigest, Verdict};
 use crate::identifiers::LeafIdentity;
 use crate::time::Timestamp;
 
@@ -18,14 +18,11 @@
 const LEAVES_TO_TELL: u32 = 2;
 /// Ends from which on a request is refused, the last of them while it was under way at that leaf alone.
 const LEAVES_TO_REFUSE: u32 = 2;
-/// Time of the first refusal: several times what a leaf needs to be back and warm, as its end costs one leaf in each
-/// group of brokers if the verdict was right. A wrong one costs the callers of one request that long.
+/// Time until the first trial may be asked for: several times what a leaf needs to be back and warm. A wrong verdict
+/// costs the callers of one request that long.
 const FIRST_REFUSAL: Duration = Duration::from_secs(30);
-/// Longest refusal: an operator has the time to mend leaves while one leaf is lost in five minutes.
+/// Longest time until a broker asks again, and longest time until a caller is asked to come back.
 const LONGEST_REFUSAL: Duration = Duration::from_secs(300);
-/// Most by which a refusal lasts longer at brokers that were told of it, as a share: with it, the tries that hundreds
-/// of brokers let through lie further apart than a try and its news take.
-const LONGER_AT_OTHERS: f64 = 0.5;
 /// Leaves that a broker saw end under requests of a route, none of which is known to crash them, from which on all
 /// requests of the route go to few leaves first: the one that does may come here next.
 const UNEXPLAINED_FOR_CANARIES: usize = 2;
@@ -46,9 +43,11 @@
     Suspected,
     /// To nobody until then.
     Refused {
-        /// When one try is let through.
+        /// When a trial may be asked for.
         until: Timestamp,
     },
+    /// To nobody, unless a trial at one leaf is granted.
+    TrialDue,
 }
 
 /// A leaf ended while a request was under way at it.
@@ -76,8 +75,10 @@
     leaves: u32,
     /// Since when it is known that a leaf has ended under it.
     since: Timestamp,
-    /// When the newest refusal ends, and how long it lasts.
+    /// From when on a trial may be asked for, and how long that takes; none where it is not refused.
     refusal: Option<(Timestamp, Duration)>,
+    /// Whether the control tier has the refusal in its replicated state.
+    recorded: bool,
     /// Whether others were told that it is suspected, or have told so.
     told: bool,
     forgotten_at: Timestamp,
@@ -100,10 +101,11 @@
     /// How a request of a route is to be sent.
     pub fn treatment(&self, now: Timestamp, route: &str, digest: RequestDigest) -> Treatment {
         match self.suspects.get(&digest).filter(|suspect| now < suspect.forgotten_at) {
-            Some(suspect) => match suspect.refused_until(now) {
-                Some(until) => Treatment::Refused { until },
-                None => Treatment::Suspected,
-            },
+            Some(Suspect { refusal: Some((until, _)), .. }) if now < *until => {
+                Treatment::Refused { until: *until }
+            }
+            Some(Suspect { refusal: Some(_), .. }) => Treatment::TrialDue,
+            Some(_) => Treatment::Suspected,
             None if self.sends_canaries(now, route) => Treatment::Canary,
             None => Treatment::Usual,
         }
@@ -117,15 +119,30 @@
             return true;
         }
         let refused = |suspect: &&Suspect| {
-            suspect.refusal.is_some() && now < suspect.forgotten_at && suspect.route == route
+            let lately = |(until, _): (Timestamp, Duration)| now < until.after(SUSPICION_LIFE);
+            suspect.refusal.is_some_and(lately) && suspect.route == route
         };
         self.suspects.values().filter(refused).take(REFUSED_FOR_CANARIES).count()
             >= REFUSED_FOR_CANARIES
     }
 
-    /// Whether a request is to be sent to nobody.
+    /// Whether a request is to be sent to nobody, but for a trial that is granted.
     pub fn is_refused(&self, now: Timestamp, digest: RequestDigest) -> bool {
-        self.suspects.get(&digest).is_some_and(|suspect| suspect.refused_until(now).is_some())
+        let suspect = self.suspects.get(&digest).filter(|suspect| now < suspect.forgotten_at);
+        suspect.is_some_and(|suspect| suspect.refusal.is_some())
+    }
+
+    /// What is held of a refused request; none where it is not refused.
+    pub fn refusal(&self, now: Timestamp, digest: RequestDigest) -> Option<CrashFinding> {
+        let suspect = self.suspects.get(&digest)?;
+        let (until, _) = suspect.refusal?;
+        Some(suspect.finding(digest, Verdict::Refused, until.since(now)))
+    }
+
+    /// The refusals that the control tier does not have yet, as far as is known here.
+    pub fn unrecorded(&self, now: Timestamp) -> Vec<CrashFinding> {
+        let unrecorded = self.suspects.iter().filter(|(_, suspect)| !suspect.recorded);
+        unrecorded.filter_map(|(digest, _)| self.refusal(now, *digest)).collect()
     }
 
     /// Forgets what has ended; gives the routes whose requests all go to few leaves first.
@@ -164,15 +181,19 @@
         None
     }
 
-    /// A leaf has replied to a request, which has thus not crashed it. Gives whether it was suspected.
-    pub fn replied(&mut self, digest: RequestDigest) -> bool {
-        self.suspects.remove(&digest).is_some()
+    /// A leaf has replied to a request, which has thus not crashed it. Gives what was held of it: [`Verdict::Cleared`],
+    /// which others are to be told, where it was refused.
+    pub fn replied(&mut self, digest: RequestDigest) -> Option<CrashFinding> {
+        let suspect = self.suspects.remove(&digest)?;
+        let verdict = match suspect.refusal {
+            Some(_) => Verdict::Cleared,
+            None => Verdict::Suspected,
+        };
+        Some(suspect.finding(digest, verdict, SUSPICION_LIFE))
     }
 
     /// Another broker's finding; gives whether it is news.
-    /// The `draw` from 0 to 1 spreads the moments at which brokers let one try through, so that the first one
-    /// tells the others before they do.
-    pub fn told(&mut self, now: Timestamp, finding: &CrashFinding, draw: f64) -> bool {
+    pub fn told(&mut self, now: Timestamp, finding: &CrashFinding) -> bool {
         self.forget(now);
         self.make_room(finding.digest);
         let life = Duration::from_millis(finding.for_ms.into());
@@ -186,13 +207,35 @@
                 !was_told
             }
             Verdict::Refused => {
-                let is_news = suspect.refused_by_others(now, life, draw);
+                let is_news = suspect.refused_by_others(now, life);
                 self.unexplained.remove(&finding.route);
                 is_news
             }
+            Verdict::Cleared => self.suspects.remove(&finding.digest).is_some(),
         }
     }
 
+    /// The control tier has this in its replicated state, as all that it has if it `is_whole`; gives whether it is news.
+    pub fn recorded(&mut self, now: Timestamp, findings: &[CrashFinding], is_whole: bool) -> bool {
+        let mut is_news = false;
+        if is_whole {
+            let listed: BTreeSet<RequestDigest> =
+                findings.iter().map(|finding| finding.digest).collect();
+            let before = self.suspects.len();
+            self.suspects.retain(|digest, suspect| !suspect.recorded || listed.contains(digest));
+            is_news = self.suspects.len() < before;
+        }
+        for finding in findings {
+            is_news |= self.told(now, finding);
+            if let Some(suspect) = self.suspects.get_mut(&finding.digest) {
+                let life = Duration::from_millis(finding.for_ms.into());
+                suspect.refuse_for(now, life);
+                suspect.recorded = true;
+            }
+        }
+        is_news
+    }
+
     /// Forgets what has ended.
     fn forget(&mut self, now: Timestamp) {
         self.suspects.retain(|_, suspect| now < suspect.forgotten_at);
@@ -222,6 +265,7 @@
             leaves: 0,
             since: now,
             refusal: None,
+            recorded: false,
             told: false,
             forgotten_at: now.after(SUSPICION_LIFE),
         }
@@ -245,26 +289,27 @@
 
     /// Refuses it: each time for twice as long as the time before.
     fn refuse(&mut self, now: Timestamp) -> Duration {
-        let doubled = |(_, life): (Timestamp, Duration)| (life * 2).min(LONGEST_REFUSAL);
+        let doubled =
+            |(_, life): (Timestamp, Duration)| (life * 2).clamp(FIRST_REFUSAL, LONGEST_REFUSAL);
         let life = self.refusal.map_or(FIRST_REFUSAL, doubled);
-        self.refuse_for(life, now.after(life));
+        self.refuse_for(now, life);
+        self.recorded = false;
         life
     }
 
     /// Gives whether it was not refused for about as long already.
-    fn refused_by_others(&mut self, now: Timestamp, life: Duration, draw: f64) -> bool {
+    fn refused_by_others(&mut self, now: Timestamp, life: Duration) -> bool {
         let is_news = self.refused_until(now).is_none_or(|until| until < now.after(life / 2));
         if is_news {
-            let life = life.min(LONGEST_REFUSAL);
-            self.refuse_for(life, now.after(life.mul_f64(1.0 + LONGER_AT_OTHERS * draw)));
+            self.refuse_for(now, life);
         }
         is_news
     }
 
-    fn refuse_for(&mut self, life: Duration, until: Timestamp) {
-        self.refusal = Some((until, life));
+    fn refuse_for(&mut self, now: Timestamp, life: Duration) {
+        self.refusal = Some((now.after(life), life));
         self.told = true;
-        self.forgotten_at = self.forgotten_at.max(until.after(SUSPICION_LIFE));
+        self.forgotten_at = now.after(REFUSAL_RETENTION);
     }
 
     fn finding(&self, digest: RequestDigest, verdict: Verdict, life: Duration) -> CrashFinding {
@@ -273,7 +318,7 @@
             route: self.route.clone(),
             leaves: self.leaves,
             verdict,
-            for_ms: life.as_millis() as u32,
+            for_ms: u32::try_from(life.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/domain/tests/crash_suspects.rs
+++ b/crates/domain/tests/crash_suspects.rs
@@ -88,7 +88,7 @@
         end(&mut suspects, now, HARMLESS, leaf, 990, false);
     }
     assert_eq!(treatment(&suspects, 1_010, HARMLESS), Treatment::Suspected);
-    assert!(suspects.replied(HARMLESS));
+    assert_eq!(suspects.replied(HARMLESS).map(|held| held.verdict), Some(Verdict::Suspected));
     assert_ne!(treatment(&suspects, 1_040, HARMLESS), Treatment::Suspected);
     let found = end(&mut suspects, 1_050, CRASHING, "e", 1_010, true).expect("a finding");
     assert_eq!((found.verdict, found.leaves), (Verdict::Refused, 5));
@@ -121,14 +121,42 @@
 }
 
 #[test]
-fn after_its_refusal_a_request_is_tried_at_one_leaf_and_heals_by_an_answer() {
+fn a_refused_request_is_sent_to_nobody_without_a_trial_and_heals_by_an_answer() {
     let (mut suspects, _) = refused(1_000);
     let after = 1_030 + FIRST_REFUSAL.as_millis() as u64;
-    assert_eq!(treatment(&suspects, after, CRASHING), Treatment::Suspected);
-    assert!(suspects.replied(CRASHING));
+    for now in [after, after + 60_000, after + 20 * 3_600_000] {
+        assert_eq!(treatment(&suspects, now, CRASHING), Treatment::TrialDue);
+        assert!(suspects.is_refused(at(now), CRASHING));
+    }
+    let cleared = suspects.replied(CRASHING).expect("it was refused");
+    assert_eq!(cleared.verdict, Verdict::Cleared);
     assert_eq!(treatment(&suspects, after + 1, CRASHING), Treatment::Usual);
 }
 
+#[test]
+fn what_the_control_tier_has_goes_before_what_a_broker_holds() {
+    let (mut suspects, own) = refused(1_000);
+    assert_eq!(suspects.unrecorded(at(1_030)), [own]);
+    // It has not reached the control tier yet, so that its absence there says nothing.
+    suspects.recorded(at(1_040), &[], true);
+    assert!(suspects.is_refused(at(1_041), CRASHING));
+    assert!(suspects.recorded(at(1_050), &[finding(Verdict::Refused, 300_000)], false));
+    assert_eq!(suspects.unrecorded(at(1_050)), []);
+    let until = at(301_050);
+    assert_eq!(treatment(&suspects, 1_051, CRASHING), Treatment::Refused { until });
+    assert!(suspects.recorded(at(2_000), &[], true), "it was released while no link was up");
+    assert_eq!(treatment(&suspects, 2_001, CRASHING), Treatment::Usual);
+}
+
+#[test]
+fn a_released_request_goes_to_leaves_again() {
+    let mut suspects = CrashSuspects::default();
+    suspects.recorded(at(1_000), &[finding(Verdict::Refused, u32::MAX)], true);
+    assert!(suspects.is_refused(at(80_000_000), CRASHING));
+    assert!(suspects.recorded(at(80_000_001), &[finding(Verdict::Cleared, 0)], false));
+    assert_eq!(treatment(&suspects, 80_000_002, CRASHING), Treatment::Usual);
+}
+
 #[test]
 fn each_refusal_in_a_row_lasts_twice_as_long_and_five_minutes_at_most() {
     let (mut suspects, first) = refused(1_000);
@@ -143,6 +171,15 @@
     assert_eq!(life, 300_000);
 }
 
+/// What is left of a refusal when a broker is told of it may be next to nothing.
+#[test]
+fn the_refusal_after_a_trial_is_no_shorter_than_a_first_one() {
+    let mut suspects = CrashSuspects::default();
+    suspects.recorded(at(1_000), &[finding(Verdict::Refused, 0)], true);
+    let found = end(&mut suspects, 1_100, CRASHING, "z", 1_050, true).expect("a finding");
+    assert_eq!((found.verdict, found.for_ms), (Verdict::Refused, 30_000));
+}
+
 #[test]
 fn a_suspicion_ends_by_itself() {
     let mut suspects = CrashSuspects::default();
@@ -156,37 +193,22 @@
 #[test]
 fn what_others_found_counts_until_its_end() {
     let mut suspects = CrashSuspects::default();
-    assert!(suspects.told(at(1_000), &finding(Verdict::Suspected, 60_000), 0.0));
+    assert!(suspects.told(at(1_000), &finding(Verdict::Suspected, 60_000)));
     assert_eq!(treatment(&suspects, 1_001, CRASHING), Treatment::Suspected);
-    assert!(suspects.told(at(1_100), &finding(Verdict::Refused, 10_000), 0.0));
-    assert!(suspects.is_refused(at(11_099), CRASHING));
-    assert!(!suspects.told(at(1_110), &finding(Verdict::Refused, 10_000), 0.0), "no news");
-    assert_eq!(treatment(&suspects, 11_100, CRASHING), Treatment::Suspected);
+    assert!(suspects.told(at(1_100), &finding(Verdict::Refused, 10_000)));
+    assert!(matches!(treatment(&suspects, 11_099, CRASHING), Treatment::Refused { .. }));
+    assert!(!suspects.told(at(1_110), &finding(Verdict::Refused, 10_000)), "no news");
+    assert_eq!(treatment(&suspects, 11_100, CRASHING), Treatment::TrialDue);
 }
 
 #[test]
 fn one_leaf_more_is_enough_where_others_suspect_a_request() {
     let mut suspects = CrashSuspects::default();
-    suspects.told(at(1_000), &finding(Verdict::Suspected, 60_000), 0.0);
+    suspects.told(at(1_000), &finding(Verdict::Suspected, 60_000));
     let found = end(&mut suspects, 1_100, CRASHING, "z", 1_050, true).expect("a finding");
     assert_eq!((found.verdict, found.leaves), (Verdict::Refused, 3));
 }
 
-/// Three hundred brokers are told of a refusal, and callers try on at ten a second.
-#[test]
-fn the_tries_after_a_refusal_lie_apart() {
-    let refusal = finding(Verdict::Refused, 10_000);
-    let ends: Vec<u64> = (0..300)
-        .map(|broker| {
-            let mut suspects = CrashSuspects::default();
-            suspects.told(at(0), &refusal, f64::from(broker) / 300.0);
-            (10_000..=15_000).find(|now| !suspects.is_refused(at(*now), CRASHING)).expect("an end")
-        })
-        .collect();
-    let within_news = ends.iter().filter(|end| **end < 10_100).count();
-    assert!(within_news <= 7, "{within_news} brokers let a try through within 100 ms");
-}
-
 #[rstest]
 #[case::one_refused_request(1, false)]
 #[case::two(2, true)]
@@ -214,7 +236,7 @@
     end(&mut suspects, 1_001, HARMLESS, "b", 980, false);
     suspects.replied(HARMLESS);
     assert_eq!(treatment(&suspects, 1_100, CRASHING), Treatment::Canary);
-    suspects.told(at(1_200), &finding(Verdict::Refused, 10_000), 0.0);
+    suspects.told(at(1_200), &finding(Verdict::Refused, 10_000));
     assert_eq!(treatment(&suspects, 1_201, HARMLESS), Treatment::Usual, "it is known which one");
 }
 
@@ -250,6 +272,26 @@
     assert_eq!(gate.most_open(), None);
 }
 
+/// A leaf that refuses a trial may have counted it as one that reached it.
+#[rstest]
+#[case::refused(CanaryGate::over)]
+#[case::ended(|gate: &mut CanaryGate| assert!(gate.leaf_ended()))]
+fn a_trial_goes_to_one_leaf_at_all(#[case] outcome: fn(&mut CanaryGate)) {
+    let mut gate = CanaryGate::new(Caution::Trial);
+    assert_eq!(first_leaves(&mut gate), 1);
+    outcome(&mut gate);
+    gate.canaries_are_late();
+    assert_eq!(gate.permission(), Permission::Never);
+}
+
+#[test]
+fn a_trial_that_a_leaf_replied_to_goes_on() {
+    let mut gate = CanaryGate::new(Caution::Trial);
+    gate.sent();
+    gate.replied();
+    assert_eq!(first_leaves(&mut gate), 100);
+}
+
 #[test]
 fn late_canaries_let_one_more_go() {
     let mut gate = CanaryGate::new(Caution::Canary);
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -61,6 +61,14 @@
         /// What the broker found, as a document.
         findings: Document,
     },
+    /// The broker asks for a trial of a request that is refused.
+    #[brw(magic = 22u8)]
+    AskTrial {
+        /// Number of the question, which the answer repeats.
+        ticket: u64,
+        /// What it holds of the request, as a document.
+        finding: Document,
+    },
     /// What tenants used of their quotas since the last such report.
     #[brw(magic = 7u8)]
     Usage {
@@ -187,6 +195,26 @@
         /// The findings as a document.
         findings: Document,
     },
+    /// Requests that the replicated state refuses, or does not any more.
+    #[brw(magic = 22u8)]
+    RefusedRequests {
+        /// Whether no others are refused.
+        #[br(map = |byte: u8| byte != 0)]
+        #[bw(map = |whole: &bool| u8::from(*whole))]
+        is_whole: bool,
+        /// The findings as a document.
+        findings: Document,
+    },
+    /// The answer to a broker that asked for a trial.
+    #[brw(magic = 23u8)]
+    Trial {
+        /// Number of the question.
+        ticket: u64,
+        /// Whether the broker may send it to one leaf.
+        #[br(map = |byte: u8| byte != 0)]
+        #[bw(map = |granted: &bool| u8::from(*granted))]
+        granted: bool,
+    },
     /// How much of tenants' quotas is left, and which report of this broker that contains.
     #[brw(magic = 15u8)]
     Usage {
@@ -221,6 +249,8 @@
             Self::Controls { .. } => "controls",
             Self::LeafWarnings { .. } => "leaf_warnings",
             Self::CrashFindings { .. } => "crash_findings",
+            Self::RefusedRequests { .. } => "refused_requests",
+            Self::Trial { .. } => "trial",
             Self::Usage { .. } => "usage",
             Self::RunSettled { .. } => "run_settled",
         }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -18,4 +18,4 @@
 pub use text::{Document, ShortText};
 
 /// Version of the frames; both ends of a connection must speak the same.
-pub const PROTOCOL_VERSION: u16 = 10;
+pub const PROTOCOL_VERSION: u16 = 11;
--- a/crates/statement/src/fields.rs
+++ b/crates/statement/src/fields.rs
@@ -7,6 +7,7 @@
 use gingerkeel_domain::catalog::{
     AnswerPolicy, Change, ClassPolicy, ControlMember, Leaf, LeafState, MemberState, Placement,
 };
+use gingerkeel_domain::crash_suspects::RequestDigest;
 use gingerkeel_domain::identifiers::{
     BrokerName, ClassName, ControlName, LeafId, RegionName, ServiceName, SoftwareVersion, ZoneName,
 };
@@ -120,6 +121,15 @@
         }))
     }
 
+    /// The digest of a request.
+    pub fn digest(&mut self) -> Result<RequestDigest, StatementError> {
+        let pair = self.next();
+        let (line, column) = pair.line_col();
+        let text = pair.as_str();
+        let digest = u64::from_str_radix(text, 16).map(RequestDigest);
+        digest.map_err(|_| StatementError::OutOfRange(line, column, text.to_owned()))
+    }
+
     fn placement(&mut self) -> Result<Placement, StatementError> {
         Ok(Placement { region: RegionName::new(self.name()?), zone: ZoneName::new(self.name()?) })
     }
--- a/crates/statement/src/parse.rs
+++ b/crates/statement/src/parse.rs
@@ -103,6 +103,7 @@
         Rule::kw_directory => Subject::Directory,
         Rule::kw_zones => Subject::Zones,
         Rule::kw_rollouts => Subject::Rollouts,
+        Rule::refused_requests => Subject::RefusedRequests,
         Rule::classes => Subject::Classes(fields.optional_name()?.map(ServiceName::new)),
         Rule::shards => Subject::Shards(fields.optional_name()?.map(ServiceName::new)),
         Rule::versions => Subject::Versions(fields.optional_name()?.map(ServiceName::new)),
@@ -153,6 +154,7 @@
             Change::SetPrice { service: fields.service()?, class, price: fields.number()? }
         }
         Rule::roll_out => fields.rollout()?,
+        Rule::release_request => Change::ReleaseRequest(fields.digest()?),
         Rule::remove_caller => Change::RemoveCaller(CallerName::new(fields.name()?)),
         _ => return member_change(rule, fields),
     })
--- a/crates/statement/src/print.rs
+++ b/crates/statement/src/print.rs
@@ -45,6 +45,7 @@
             Self::Directory => out.write_str("DIRECTORY"),
             Self::Zones => out.write_str("ZONES"),
             Self::Rollouts => out.write_str("ROLLOUTS"),
+            Self::RefusedRequests => out.write_str("REFUSED REQUESTS"),
         }
     }
 }
@@ -109,6 +110,7 @@
             let (target, service, within) = (&order.target, &order.service, order.duration_ms);
             write!(out, "ROLL OUT VERSION {target} OF {service} WITHIN {within}ms")
         }
+        Change::ReleaseRequest(digest) => write!(out, "RELEASE REQUEST {digest}"),
         // Nothing that operators state: control processes decide it.
         Change::AdvanceRollout(step) => {
             write!(out, "-- roll-out of {} goes on: {}", step.service, step.stage.as_str())
--- a/crates/statement/src/statement.rs
+++ b/crates/statement/src/statement.rs
@@ -34,6 +34,8 @@
     Zones,
     /// Roll-outs, and the answers by which they were decided.
     Rollouts,
+    /// Requests that are refused because leaves crash under them.
+    RefusedRequests,
     /// The state of the cluster in short.
     Status,
     /// The revision accepted, that in force everywhere, and the brokers that lag.
--- a/crates/statement/tests/parse.rs
+++ b/crates/statement/tests/parse.rs
@@ -1,6 +1,7 @@
 //! Statements by example.
 
 use gingerkeel_domain::catalog::{Change, LeafState, MemberState};
+use gingerkeel_domain::crash_suspects::RequestDigest;
 use gingerkeel_domain::identifiers::{
     BrokerName, ClassName, LeafId, Revision, ServiceName, ShardId, SoftwareVersion, ZoneName,
 };
@@ -44,6 +45,11 @@
 #[case("RESTORE ZONE b;", Statement::change(Change::RestoreZone(ZoneName::new("b"))))]
 #[case("show tenants", Statement::Show(Subject::Tenants))]
 #[case("SHOW ROLLOUTS", Statement::Show(Subject::Rollouts))]
+#[case("show refused requests;", Statement::Show(Subject::RefusedRequests))]
+#[case(
+    "RELEASE REQUEST 00c0ffee00c0ffee",
+    Statement::change(Change::ReleaseRequest(RequestDigest(0x00c0_ffee_00c0_ffee)))
+)]
 #[case(
     "roll out version 2.4.1-rc1 of console within 90s",
     Statement::change(Change::BeginRollout(RolloutOrder {
--- a/crates/statement/tests/properties.rs
+++ b/crates/statement/tests/properties.rs
@@ -7,6 +7,7 @@
     AnswerPolicy, CallerAccount, Change, ClassPolicy, ControlMember, Leaf, LeafState, MemberState,
     Placement,
 };
+use gingerkeel_domain::crash_suspects::RequestDigest;
 use gingerkeel_domain::identifiers::{
     BrokerName, CallerName, ClassName, ControlName, IndexVersion, LeafId, RegionName, Revision,
     ServiceName, ShardId, SoftwareVersion, ZoneName,
@@ -141,6 +142,7 @@
         control_name().prop_map(Change::RemoveControl),
         name().prop_map(|zone| Change::EvacuateZone(ZoneName::new(zone))),
         name().prop_map(|zone| Change::RestoreZone(ZoneName::new(zone))),
+        any::<u64>().prop_map(|digest| Change::ReleaseRequest(RequestDigest(digest))),
         (name(), name(), any::<u32>()).prop_map(|(service, version, duration_ms)| {
             Change::BeginRollout(RolloutOrder {
                 service: ServiceName::new(service),
@@ -179,6 +181,7 @@
         Just(Subject::Directory),
         Just(Subject::Zones),
         Just(Subject::Rollouts),
+        Just(Subject::RefusedRequests),
         optional_service().prop_map(Subject::Classes),
         optional_service().prop_map(Subject::Shards),
         optional_service().prop_map(Subject::Versions),
