Clear a request that crashes leaves only by a reply that its leaf worked for

Any reply of a leaf cleared a request of all that was held against it, and let it go to all leaves at once: also a failure, a refusal without the field that says so, and an answer for a full queue, none of which show that the leaf has run it. A crashing request that met an overloaded leaf was unknown again, and cost further leaves; overload is what the ends themselves bring about.

Only a success, or a refusal of what was asked for, counts now. Found by reading; a_suspicion_is_not_cleared_by_a_failure_of_another_leaf failed before in both cases (crash_suspicion_cleared in the log). The class is evidence that is taken for more than it says; looked at besides: the ends of leaves (a lost connection counts only where nobody listens any more) and judgements for warnings, which tell failures apart already.

--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::crash_suspects::{CanaryGate, Caution, Permission};
+use gingerkeel_domain::crash_suspects::{CanaryGate, Caution, Permission, is_survived};
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
     AfterAttempt, AttemptError, Choice, NobodyReason, RequestAttempts, Selection, hedge_delay,
@@ -304,7 +304,7 @@
     /// What the end of an attempt says of whether the request crashes leaves.
     fn tell_gate(&self, ended: &EndedAttempt) {
         let mut gate = self.parts.gate.borrow_mut();
-        if ended.outcome.is_ok() {
+        if ended.outcome.as_ref().is_ok_and(|reply| is_survived(reply.head.status)) {
             gate.replied();
             self.state.crashes.replied(self.request);
         } else if ended.fate.has_ended(gate.most_open() == Some(1)) {
--- a/crates/broker/tests/crashing_requests.rs
+++ b/crates/broker/tests/crashing_requests.rs
@@ -12,7 +12,7 @@
 use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
 use rstest::rstest;
 use support::control::ControlScript;
-use support::leaf::{Act, ScriptedLeaf};
+use support::leaf::{Act, ScriptedLeaf, response};
 use support::routed::{RoutedBroker, configuration, directory, honest, news, reply};
 use support::wait_until;
 
@@ -203,3 +203,19 @@
     wait_until("that it is harmless is reported", cleared);
     assert_eq!(broker.get("/one/harmless").status, 200);
 }
+
+/// The leaf answers for its queue, say, and has not run the request.
+#[rstest]
+#[case::failure(500)]
+#[case::overload(503)]
+fn a_suspicion_is_not_cleared_by_a_failure_of_another_leaf(#[case] status: u16) {
+    let lost = crashing("leaf");
+    let failing =
+        ScriptedLeaf::for_all(move |_| Act::Send(response(status, "x-queue: full\r\n", b"")));
+    let broker = RoutedBroker::start(&[lost.address, failing.address], &[]);
+    assert_eq!(broker.get("/one/crashing").status, status);
+    wait_until("the end is seen", || {
+        broker.broker.log().contains("event=leaf_ended_under_request")
+    });
+    assert!(!broker.broker.log().contains("event=crash_suspicion_cleared"));
+}
--- a/crates/domain/src/crash_suspects/canary_gate.rs
+++ b/crates/domain/src/crash_suspects/canary_gate.rs
@@ -105,7 +105,7 @@
         self.crowded |= self.open > 1;
     }
 
-    /// An attempt is over, and a leaf has replied that may have run it.
+    /// An attempt is over, and a leaf has replied that has survived it.
     pub fn replied(&mut self) {
         self.over();
         self.replied = true;
--- a/crates/domain/src/crash_suspects/mod.rs
+++ b/crates/domain/src/crash_suspects/mod.rs
@@ -27,6 +27,12 @@
 /// Time for which a request stays refused of which nothing more is heard.
 pub const REFUSAL_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Whether a leaf that replies with this status has worked on the request and survived it. One that fails or refuses may
+/// have answered for its queue.
+pub fn is_survived(status: u16) -> bool {
+    (200..=499).contains(&status) && !matches!(status, 408 | 421 | 429)
+}
+
 /// Digest of what leaves see of a request that is the same in all its tries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestDigest(pub u64);
--- a/crates/domain/tests/crash_suspects.rs
+++ b/crates/domain/tests/crash_suspects.rs
@@ -4,7 +4,7 @@
 
 use gingerkeel_domain::crash_suspects::{
     CanaryGate, CanaryRoom, Caution, CrashFinding, CrashSuspects, FindingFold, LeafEnd, Permission,
-    RequestDigest, Treatment, Verdict,
+    RequestDigest, Treatment, Verdict, is_survived,
 };
 use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::time::Timestamp;
@@ -338,6 +338,18 @@
     assert_eq!(refused, !replied, "a request that was answered is not refused halfway");
 }
 
+#[rstest]
+#[case::answer(200, true)]
+#[case::nothing_there(404, true)]
+#[case::too_many(429, false)]
+#[case::another_leaf(421, false)]
+#[case::failure(500, false)]
+#[case::queue_is_full(503, false)]
+#[case::queue_took_too_long(504, false)]
+fn a_reply_shows_that_its_leaf_survived(#[case] status: u16, #[case] survived: bool) {
+    assert_eq!(is_survived(status), survived);
+}
+
 #[test]
 fn findings_are_passed_on_once() {
     let mut fold = FindingFold::default();
