Hold the end of a leaf against a request that was given up before

Whether a leaf had ended was looked at by the attempt itself. Where an answer was given up, or its caller left, the attempt went with it: the leaf that ran the request ended a moment later, and nothing was held against the request. That is so just while leaves come back after a wave of ends: others have their addresses, too many shards cannot be asked, and answers are given up at once.

Requests that were given up without a reply of any leaf are kept for a second; their leaves are looked at once, by a connection without a request, with those that have missed, and any attempt that finds nobody there counts as well.

the_end_of_a_leaf_is_not_missed_when_its_request_is_given_up failed before. Found by the hypothesis that the record's ends were lost with their requests. The class is an observation that dies with the request that made it; judgements of leaves by a request are written when it is dropped, and do not have it.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -215,6 +215,7 @@
                 (watch.reset(), AttemptError::NotAccepted)
             }
             ErrorKind::ConnectionRefused => {
+                watch.state.crashes.leaf_is_gone(&watch.state.metrics, &leaf.identity);
                 (Outcome::ConnectionRefused, AttemptError::ConnectionRefused)
             }
             _ => (Outcome::Failed, AttemptError::NotConnected),
--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -16,7 +16,7 @@
 use monoio::time::sleep;
 
 use super::attempt::{ForwardedRequest, LeafReply, attempt};
-use super::crash_watch::EndedLeaf;
+use super::crash_watch::UnderWay;
 use super::leaf_checks::{LeafFate, fate_of};
 use super::leaf_registry::Asker;
 use super::rollouts::{Conclusion, ObservedAttempt};
@@ -309,16 +309,26 @@
             self.state.crashes.replied(self.request);
         } else if ended.fate.has_ended(gate.most_open() == Some(1)) {
             let alone = gate.leaf_ended();
-            let (service, leaf, sent) = (self.service, &ended.leaf, ended.sent);
-            let end = EndedLeaf { service, leaf, sent, alone };
-            let metrics = &self.state.metrics;
-            self.state.crashes.leaf_ended(metrics, self.route, self.request, &end);
+            let end = self.under_way(&ended.leaf, ended.sent, alone);
+            self.state.crashes.leaf_ended(&self.state.metrics, &end);
             self.request.trail.leaf_ended();
         } else {
             gate.over();
         }
     }
 
+    fn under_way(&self, leaf: &LeafIdentity, sent: Timestamp, alone: bool) -> UnderWay {
+        UnderWay {
+            request: String::from_utf8_lossy(&self.request.id).into_owned(),
+            digest: self.request.digest(),
+            route: self.route.name.clone(),
+            service: self.service.clone(),
+            leaf: leaf.clone(),
+            sent,
+            alone,
+        }
+    }
+
     /// The outcome when no further leaf can be asked.
     fn give_up(&mut self) -> Option<LeafReply> {
         if let Some(reason) = self.nobody {
@@ -329,9 +339,16 @@
 }
 
 impl Drop for Asking<'_> {
-    /// Leaves that owe a reply for long when the request is given up are failing.
+    /// Leaves that owe a reply for long when the request is given up are failing. Any of them may end under it yet.
     fn drop(&mut self) {
         let now = self.state.clock.now();
+        let gate = self.parts.gate.borrow();
+        if !gate.is_answered() {
+            for (leaf, sent) in self.attempts.open() {
+                let under_way = self.under_way(leaf, sent, gate.is_alone());
+                self.state.crashes.given_up(under_way);
+            }
+        }
         for leaf in self.attempts.open_for(now, self.parts.hedge_delay * SILENT_AFTER) {
             self.state.leaves.silent(self.service, leaf);
         }
--- a/crates/broker/src/routes/crash_watch.rs
+++ b/crates/broker/src/routes/crash_watch.rs
@@ -1,7 +1,7 @@
 //! The requests under which leaves have ended, as this broker holds them, and what it tells others of them.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use gingerkeel_domain::crash_suspects::{
@@ -29,18 +29,39 @@
 /// Longest time after which a caller is asked to come back: an operator may have released the request by then.
 const LONGEST_WAIT: Duration = Duration::from_secs(300);
 
-/// A leaf that ended while a request was under way at it.
-pub struct EndedLeaf<'end> {
-    /// Its service.
-    pub service: &'end ServiceName,
+/// Time after a request was given up in which the end of its leaf is held against it: longer than a leaf works on most
+/// requests.
+const GIVEN_UP_LIFE: Duration = Duration::from_secs(1);
+/// Requests that are kept after they were given up.
+const MOST_GIVEN_UP: usize = 256;
+
+/// A request that was under way at a leaf.
+#[derive(Debug, Clone)]
+pub struct UnderWay {
+    /// The request's id, as logs give it.
+    pub request: String,
+    /// What is the same in all tries of the request.
+    pub digest: RequestDigest,
+    /// Name of its route.
+    pub route: String,
+    /// Service of the leaf.
+    pub service: ServiceName,
     /// The leaf.
-    pub leaf: &'end LeafIdentity,
+    pub leaf: LeafIdentity,
     /// When the request was sent to it.
     pub sent: Timestamp,
     /// Whether the request was under way at no other leaf meanwhile.
     pub alone: bool,
 }
 
+/// A request that was given up while it was under way, and when.
+struct GivenUp {
+    at: Timestamp,
+    /// Whether its leaf was looked at since.
+    is_checked: bool,
+    under_way: UnderWay,
+}
+
 /// Watches for requests that crash leaves.
 pub struct CrashWatch {
     clock: Clock,
@@ -50,6 +71,8 @@
     /// Routes whose requests all go to few leaves first, however long they take.
     canary_routes: RefCell<BTreeSet<String>>,
     findings: Tx<FoundCrash>,
+    /// Requests that were given up lately: their leaves may end under them all the same.
+    given_up: RefCell<VecDeque<GivenUp>>,
     /// Requests that wait for a trial, by the number of the question.
     trials: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
 }
@@ -63,6 +86,7 @@
             rooms: RefCell::default(),
             canary_routes: RefCell::default(),
             findings,
+            given_up: RefCell::default(),
             trials: RefCell::default(),
         }
     }
@@ -181,30 +205,56 @@
         !suspects.is_empty() && suspects.is_refused(self.clock.now(), request.digest())
     }
 
+    /// A request was given up while it was under way.
+    pub fn given_up(&self, under_way: UnderWay) {
+        let now = self.clock.now();
+        let mut given_up = self.given_up.borrow_mut();
+        given_up.retain(|earlier| now.since(earlier.at) < GIVEN_UP_LIFE);
+        if given_up.len() < MOST_GIVEN_UP {
+            given_up.push_back(GivenUp { at: now, is_checked: false, under_way });
+        }
+    }
+
+    /// Leaves to look at: requests were given up there of which no leaf has told anything.
+    pub fn take_unchecked(&self) -> BTreeSet<LeafIdentity> {
+        let mut given_up = self.given_up.borrow_mut();
+        let unchecked = given_up.iter_mut().filter(|given_up| !given_up.is_checked);
+        let leaf = |given_up: &mut GivenUp| {
+            given_up.is_checked = true;
+            given_up.under_way.leaf.clone()
+        };
+        unchecked.map(leaf).collect()
+    }
+
+    /// Nobody listens any more at the address of a leaf: it has ended under what was given up there lately.
+    pub fn leaf_is_gone(&self, metrics: &RouteMetrics, leaf: &LeafIdentity) {
+        let now = self.clock.now();
+        let all = std::mem::take(&mut *self.given_up.borrow_mut());
+        let (there, elsewhere): (VecDeque<GivenUp>, VecDeque<GivenUp>) =
+            all.into_iter().partition(|given_up| given_up.under_way.leaf == *leaf);
+        *self.given_up.borrow_mut() = elsewhere;
+        for given_up in there.iter().filter(|earlier| now.since(earlier.at) < GIVEN_UP_LIFE) {
+            self.leaf_ended(metrics, &given_up.under_way);
+        }
+    }
+
     /// A leaf has ended under a request.
-    pub fn leaf_ended(
-        &self,
-        metrics: &RouteMetrics,
-        route: &Route,
-        request: &ForwardedRequest,
-        end: &EndedLeaf<'_>,
-    ) {
+    pub fn leaf_ended(&self, metrics: &RouteMetrics, end: &UnderWay) {
         let now = self.clock.now();
-        let digest = request.digest();
-        metrics.leaf_ended(&route.name);
+        metrics.leaf_ended(&end.route);
         warn!(
             event = "leaf_ended_under_request",
-            request = %String::from_utf8_lossy(&request.id),
-            route = route.name,
-            digest = %digest,
+            request = end.request,
+            route = end.route,
+            digest = %end.digest,
             service = %end.service,
             leaf = %end.leaf,
             alone = end.alone
         );
         let end = LeafEnd {
-            digest,
-            route: &route.name,
-            leaf: end.leaf,
+            digest: end.digest,
+            route: &end.route,
+            leaf: &end.leaf,
             sent: end.sent,
             alone: end.alone,
         };
--- a/crates/broker/src/routes/leaf_checks.rs
+++ b/crates/broker/src/routes/leaf_checks.rs
@@ -1,4 +1,5 @@
-//! Connections without a request, by which a broker learns whether a leaf that has missed is there.
+//! Connections without a request, by which a broker learns whether a leaf is there that has missed, or at which a request
+//! was given up that no leaf has answered.
 //!
 //! Without them a request of a caller would find out, and might arrive at another leaf that has the address of an
 //! ended one.
@@ -22,14 +23,16 @@
 /// elsewhere: several times the way to another region and back.
 const FATE_LIMIT: Duration = Duration::from_millis(200);
 
-/// Checks leaves that have missed, for ever.
+/// Checks leaves that have missed or may have ended, for ever.
 pub async fn run(state: Rc<RouteState>) {
     loop {
         sleep(ROUND).await;
         if state.is_stopping() {
             continue;
         }
-        for leaf in state.leaves.look_after_missing() {
+        let given_up = state.crashes.take_unchecked();
+        let given_up = given_up.iter().filter_map(|identity| state.leaves.leaf(identity));
+        for leaf in state.leaves.look_after_missing().into_iter().chain(given_up) {
             let state = state.clone();
             monoio::spawn(async move { check(&state, leaf).await });
         }
@@ -76,6 +79,7 @@
         }
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             state.leaves.refused_connection(&leaf);
+            state.crashes.leaf_is_gone(&state.metrics, &leaf.identity);
             LeafFate::Ended
         }
         // Silence is no sign of anything.
--- a/crates/broker/tests/crashing_requests.rs
+++ b/crates/broker/tests/crashing_requests.rs
@@ -219,3 +219,22 @@
     });
     assert!(!broker.broker.log().contains("event=crash_suspicion_cleared"));
 }
+
+/// Other leaves have the addresses of the other shards, so that the answer is given up while the request is under way.
+#[test]
+fn the_end_of_a_leaf_is_not_missed_when_its_request_is_given_up() {
+    let lost: Vec<Arc<ScriptedLeaf>> = (0..2).map(|_| crashing("part")).collect();
+    let others: Vec<ScriptedLeaf> = (0..3)
+        .map(|_| ScriptedLeaf::for_all(|_| Act::Send(response(421, "", b"another leaf"))))
+        .collect();
+    let shard = [lost[0].address, lost[1].address];
+    let taken: Vec<[SocketAddr; 1]> = others.iter().map(|leaf| [leaf.address]).collect();
+    let mut shards: Vec<&[SocketAddr]> = vec![&shard];
+    shards.extend(taken.iter().map(|address| &address[..]));
+    let broker = RoutedBroker::start(&[], &shards);
+    assert_eq!(broker.get("/all/crashing").status, 502);
+    assert_eq!(hit(&lost), 1);
+    wait_until("the end is held against the request", || {
+        broker.broker.log().contains("event=leaf_ended_under_request request=r1")
+    });
+}
--- a/crates/domain/src/crash_suspects/canary_gate.rs
+++ b/crates/domain/src/crash_suspects/canary_gate.rs
@@ -131,6 +131,16 @@
         self.refused = !self.replied;
     }
 
+    /// Whether it has not been under way at two leaves or more since it was last under way at none.
+    pub fn is_alone(&self) -> bool {
+        !self.crowded
+    }
+
+    /// Whether a leaf has replied that has survived it.
+    pub fn is_answered(&self) -> bool {
+        self.replied
+    }
+
     /// Leaves that ended under it.
     pub fn ended(&self) -> u32 {
         self.ended
--- a/crates/domain/src/forwarding/attempts.rs
+++ b/crates/domain/src/forwarding/attempts.rs
@@ -153,6 +153,11 @@
         self.open.last().map(|(leaf, _)| leaf)
     }
 
+    /// Leaves that owe a reply, and since when.
+    pub fn open(&self) -> impl Iterator<Item = (&LeafIdentity, Timestamp)> {
+        self.open.iter().map(|(leaf, since)| (leaf, *since))
+    }
+
     /// Leaves that have owed a reply for at least this long.
     pub fn open_for(&self, now: Timestamp, span: Duration) -> impl Iterator<Item = &LeafIdentity> {
         let open = self.open.iter();
