Describe refused requests, and say in logs and metrics how a request was sent

request_ended says with which caution a request went to leaves; brokers log each trial that they ask for, and count refused requests.

--- a/crates/broker/src/routes/crash_watch.rs
+++ b/crates/broker/src/routes/crash_watch.rs
@@ -169,10 +169,16 @@
         let (answer, answered) = oneshot::channel();
         self.trials.borrow_mut().insert(ticket, answer);
         // The feed lives as long as the process.
-        let _ = self.findings.send(FoundCrash { at: now, finding, trial: Some(ticket) });
+        let _ = self.findings.send(FoundCrash {
+            at: now,
+            finding: finding.clone(),
+            trial: Some(ticket),
+        });
         let granted = timeout(TRIAL_LIMIT, answered).await;
         self.trials.borrow_mut().remove(&ticket);
-        matches!(granted, Ok(Ok(true)))
+        let granted = matches!(granted, Ok(Ok(true)));
+        info!(event = "crash_trial_asked", route = finding.route, digest = %finding.digest, granted);
+        granted
     }
 
     /// The control tier has decided on a trial.
@@ -303,6 +309,11 @@
         *known = current;
     }
 
+    /// How many requests are sent to nobody.
+    pub fn refused(&self) -> usize {
+        self.suspects.borrow().refused()
+    }
+
     /// How many routes send each request to few leaves first because leaves have ended under their requests.
     pub fn canary_routes(&self) -> usize {
         self.canary_routes.borrow().len()
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -67,6 +67,7 @@
     leaf_warnings: Counter,
     leaves_ended_under_requests: Family<RouteLabels, Counter>,
     requests_kept_from_leaves: Family<RouteLabels, Counter>,
+    refused_requests: Gauge,
     canary_routes: Gauge,
     routes_version: Gauge,
     directory_version: Gauge,
@@ -92,6 +93,7 @@
             leaf_warnings: Counter::default(),
             leaves_ended_under_requests: Family::default(),
             requests_kept_from_leaves: Family::default(),
+            refused_requests: Gauge::default(),
             canary_routes: Gauge::default(),
             routes_version: Gauge::default(),
             directory_version: Gauge::default(),
@@ -132,6 +134,8 @@
         let help = "Requests that were refused because leaves had ended under their like";
         let kept = self.requests_kept_from_leaves.clone();
         registry.register("requests_kept_from_leaves", help, kept);
+        let help = "Requests that are sent to no leaf because leaves have ended under them";
+        registry.register("refused_requests", help, self.refused_requests.clone());
         let help =
             "Routes whose requests go to few leaves first because leaves have ended under them";
         registry.register("canary_routes", help, self.canary_routes.clone());
@@ -218,6 +222,7 @@
         self.directory_version.set(state.leaves.version() as i64);
         self.evacuated_zones.set(state.leaves.evacuated_zones() as i64);
         self.rollouts.set(state.rollouts.under_way() as i64);
+        self.refused_requests.set(state.crashes.refused() as i64);
         self.canary_routes.set(state.crashes.canary_routes() as i64);
         self.cold_leaves.set(state.leaves.cold_leaves() as i64);
         self.tenants.set(&state.quotas.counts());
--- a/crates/broker/src/routes/serving.rs
+++ b/crates/broker/src/routes/serving.rs
@@ -79,7 +79,10 @@
     let usual = state.crashes.usual_caution(&route);
     let caution = state.crashes.caution(&route, record.request(), usual).await;
     let served = match caution {
-        Ok(caution) => serve_route(state, &route, record.request(), caution).await,
+        Ok(caution) => {
+            record.request().trail.sent_with(caution);
+            serve_route(state, &route, record.request(), caution).await
+        }
         Err(left) => return (kept_from_leaves(state, &route, &mut record, left), record),
     };
     record.end(&served);
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
+use gingerkeel_domain::crash_suspects::Caution;
 use gingerkeel_domain::forwarding::{AttemptError, LoadReport, NobodyReason};
 use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::leaf_warnings::Conduct;
@@ -122,6 +123,8 @@
     attempts: RefCell<Vec<Attempt>>,
     /// Parts that came within the target latency, and all parts, of a request to many shards.
     parts_in_time: Cell<Option<(usize, usize)>>,
+    /// How carefully it was sent; none where it was not.
+    caution: Cell<Option<Caution>>,
     /// Leaves that ended under it.
     leaves_ended: Cell<u32>,
     /// Why no leaf of a service could be asked; of several services, of the last.
@@ -135,6 +138,7 @@
             received,
             attempts: RefCell::default(),
             parts_in_time: Cell::default(),
+            caution: Cell::default(),
             leaves_ended: Cell::default(),
             nobody: Cell::default(),
         }
@@ -150,6 +154,11 @@
         self.parts_in_time.get()
     }
 
+    /// It goes to leaves with this caution.
+    pub fn sent_with(&self, caution: Caution) {
+        self.caution.set(Some(caution));
+    }
+
     /// A leaf has ended under the request.
     pub fn leaf_ended(&self) {
         self.leaves_ended.set(self.leaves_ended.get() + 1);
@@ -240,6 +249,7 @@
             parts_in,
             parts,
             attempts = attempts.len(),
+            caution = self.caution.get().map(Caution::as_str),
             leaves_ended = (self.leaves_ended() > 0).then_some(self.leaves_ended()),
             no_leaf = self.nobody.get().map(NobodyReason::as_str),
             retry_after_ms = end.retry_after_ms,
--- a/crates/domain/src/crash_suspects/canary_gate.rs
+++ b/crates/domain/src/crash_suspects/canary_gate.rs
@@ -17,6 +17,18 @@
     Trial,
 }
 
+impl Caution {
+    /// In a few words, as logs say it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Canary => "canaries",
+            Self::OneAtATime => "one_at_a_time",
+            Self::Trial => "trial",
+        }
+    }
+}
+
 /// Whether the request may be sent to one more leaf.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Permission {
--- a/crates/domain/src/crash_suspects/suspects.rs
+++ b/crates/domain/src/crash_suspects/suspects.rs
@@ -132,6 +132,11 @@
         suspect.is_some_and(|suspect| suspect.refusal.is_some())
     }
 
+    /// How many requests are refused.
+    pub fn refused(&self) -> usize {
+        self.suspects.values().filter(|suspect| suspect.refusal.is_some()).count()
+    }
+
     /// What is held of a refused request; none where it is not refused.
     pub fn refusal(&self, now: Timestamp, digest: RequestDigest) -> Option<CrashFinding> {
         let suspect = self.suspects.get(&digest)?;
