Keep a version that was taken back out while the next one is rolled out

Once another version was ordered, the one taken back before was no more than any other present version: its leaves ran on, failing, and got requests by every rule, those of the trial and those of moving.

Versions that were taken back are remembered for each service, 16 at most, until they are ordered again, and get no request. They are a part of the catalog, so that brokers have them with the stage. a_version_that_was_taken_back_does_not_pass_for_a_present_one fails in all three cases where nothing is remembered. Whether the failure of the soak had this cause alone is inferred: it was not traced when it happened.

Data folders of format 5 lay roll-outs out without it: tests/data/format-5 was written by that release, and is read with what its newest order took back. The state of former releases is one type by what differs; the test of the layout by hand gives way to the folder.

--- a/crates/broker/src/routes/rollouts.rs
+++ b/crates/broker/src/routes/rollouts.rs
@@ -10,7 +10,7 @@
 use gingerkeel_domain::identifiers::ServiceName;
 use gingerkeel_domain::rollout::{
     Evidence, GatheredEvidence, LatencyBucket, Rollout, RolloutReport, RolloutStage, Rollouts,
-    Standing, Stratum, Tally, VersionRule, VersionRules, rules,
+    Standing, Stratum, Tally, VersionRules,
 };
 use tracing::info;
 
@@ -54,9 +54,7 @@
 
     /// Which leaves of a service a request may go to.
     pub fn rules(&self, service: &ServiceName, standing: Standing) -> VersionRules {
-        let in_force = self.in_force.borrow();
-        let newest = in_force.get(service);
-        newest.map_or(VersionRules::only(VersionRule::Any), |rollout| rules(rollout, standing))
+        self.in_force.borrow().rules(service, standing)
     }
 
     /// Whether a leaf gets no request of this broker, as roll-outs are, for as long as they stay so.
@@ -65,6 +63,9 @@
         let Some(rollout) = in_force.get(&leaf.service) else {
             return false;
         };
+        if in_force.is_taken_back(&leaf.service, &leaf.version) {
+            return true;
+        }
         let is_target = leaf.version == rollout.order.target;
         match rollout.stage {
             RolloutStage::RolledBack(_) => is_target,
--- a/crates/control/src/cluster_task/state_document.rs
+++ b/crates/control/src/cluster_task/state_document.rs
@@ -1,15 +1,14 @@
 //! The replicated state as a document, in snapshots.
 
-use gingerkeel_domain::cluster::{ClusterState, FormerClusterState, FormerRouteState};
-use gingerkeel_domain::routes::RouteState;
+use gingerkeel_domain::cluster::{
+    ClusterState, StateWithoutRefusedRequests, StateWithoutRollouts, StateWithoutTenants,
+};
 use gingerkeel_protocol::{ProtocolError, decode_document, encode_document};
 
 /// First bytes of the present layout. The first one began with a number, and none is laid out so.
 const MARK: [u8; 11] = [0xfd; 11];
 /// First bytes of the layout of releases that kept no refused requests.
 const WITHOUT_REFUSED_MARK: [u8; 11] = [0xfe; 11];
-/// What the last field, which that layout lacks, is laid out as without a request in it.
-const NO_REFUSED: [u8; 1] = [0];
 /// First bytes of the layout of releases that knew tenants and no roll-outs.
 const FORMER_MARK: [u8; 11] = [0xff; 11];
 
@@ -32,15 +31,11 @@
         return decode_document(document);
     }
     if let Some(document) = bytes.strip_prefix(&WITHOUT_REFUSED_MARK) {
-        return decode_document(&[document, &NO_REFUSED].concat());
+        return decode_document::<StateWithoutRefusedRequests>(document).map(ClusterState::from);
     }
     match bytes.strip_prefix(&FORMER_MARK) {
-        Some(document) => {
-            decode_document::<FormerClusterState<RouteState>>(document).map(ClusterState::from)
-        }
-        None => {
-            decode_document::<FormerClusterState<FormerRouteState>>(bytes).map(ClusterState::from)
-        }
+        Some(document) => decode_document::<StateWithoutRollouts>(document).map(ClusterState::from),
+        None => decode_document::<StateWithoutTenants>(bytes).map(ClusterState::from),
     }
 }
 
--- a/crates/control/src/cluster_task/state_document/tests.rs
+++ b/crates/control/src/cluster_task/state_document/tests.rs
@@ -39,16 +39,6 @@
     assert_eq!(decode_state(&bytes).expect("a state"), state);
 }
 
-#[test]
-fn a_state_of_a_release_that_kept_no_refused_requests_is_read() {
-    let state = state();
-    let document = encode_document(&state).expect("a document");
-    let (last, former) = document.split_last().expect("bytes");
-    assert_eq!(*last, 0, "no request is refused");
-    let bytes = [&WITHOUT_REFUSED_MARK[..], former].concat();
-    assert_eq!(decode_state(&bytes).expect("a state"), state);
-}
-
 #[test]
 fn bytes_that_are_no_state_are_refused() {
     let bytes = encode_state(&state()).expect("a document");
--- a/crates/control/tests/former_format.rs
+++ b/crates/control/tests/former_format.rs
@@ -3,7 +3,9 @@
 //! `data/format-3` is of a release that knew no tenants. It took versions 1 to 999 of the routes, of which its snapshot
 //! has one, and version 2000 last. `data/format-4` is of a release that knew no versions of the software of leaves, and
 //! no roll-outs. It took version 4 of the routes, evacuated a zone and changed an account until its snapshot was due;
-//! of two leaves, its snapshot has one, and its log the other.
+//! of two leaves, its snapshot has one, and its log the other. `data/format-5` is of a release that kept no refused requests, and
+//! forgot a version that was taken back with the next order. It took version 4 of the routes, took v2 of a service back,
+//! changed an account until its snapshot was due, and took v3 back.
 
 mod support;
 
@@ -11,9 +13,12 @@
 use std::path::Path;
 
 use gingerkeel_control::storage::{DiskIo, FORMAT_VERSION, FolderOwner, Storage};
+use gingerkeel_domain::catalog::Catalog;
 use gingerkeel_domain::consensus::{Incarnation, LogIndex, NodeNumber};
+use gingerkeel_domain::identifiers::{ServiceName, SoftwareVersion};
+use gingerkeel_protocol::{FeedMessage, decode_document};
 use rstest::rstest;
-use support::Control;
+use support::{Control, HollowBroker};
 use tempfile::TempDir;
 
 /// The document of version 4.
@@ -42,6 +47,7 @@
 #[rstest]
 #[case(3)]
 #[case(4)]
+#[case(5)]
 fn it_is_opened_and_is_of_the_present_format_from_then_on(#[case] format: u16) {
     let folder = former_folder(format);
     assert_eq!(format_version(folder.path()), format);
@@ -94,3 +100,22 @@
     control.change("ROLL OUT VERSION v2 OF search WITHIN 60s");
     assert_eq!(control.rows("SHOW ROLLOUTS")[0][..3], ["search", "v2", "trial"]);
 }
+
+#[test]
+fn its_roll_outs_are_kept_with_the_versions_that_were_taken_back() {
+    let control = Control::start_in("c1", former_folder(5), "");
+    assert_eq!(control.read_routes(), (200, LATER_DOCUMENT.to_owned()));
+    assert_eq!(control.rows("SHOW CALLERS")[0][1], "1051");
+    assert_eq!(control.rows("SHOW ROLLOUTS")[0][..3], ["search", "v3", "rolled_back"]);
+    assert!(control.rows("SHOW REFUSED REQUESTS").is_empty());
+    let mut broker = HollowBroker::subscribe(&control, "b1", 1, 0);
+    let catalog: Catalog = broker.receive_until(|message| match message {
+        FeedMessage::FullCatalog { catalog } => decode_document(&catalog.bytes).ok(),
+        _ => None,
+    });
+    let service = ServiceName::new("search");
+    for version in ["v2", "v3"] {
+        let version = SoftwareVersion::new(version);
+        assert!(catalog.rollouts().is_taken_back(&service, &version), "{version}");
+    }
+}
--- a/crates/domain/src/catalog/former.rs
+++ b/crates/domain/src/catalog/former.rs
@@ -1,4 +1,4 @@
-//! The catalog as releases laid it out that knew no roll-outs.
+//! The catalog as former releases laid it out: with roll-outs as they had them, or without.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 
 /// The whole configuration at one revision.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct FormerCatalog {
+pub struct FormerCatalog<Former> {
     revision: Revision,
     services: BTreeMap<ServiceName, Arc<Service>>,
     leaves: LeafMap,
@@ -19,10 +19,21 @@
     brokers: BTreeMap<BrokerName, MemberState>,
     controls: BTreeMap<ControlName, ControlMember>,
     evacuated: BTreeSet<ZoneName>,
+    rollouts: Former,
 }
 
-impl From<FormerCatalog> for Catalog {
-    fn from(former: FormerCatalog) -> Self {
+/// The roll-outs of releases that knew none: nothing at all in a document.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct NoRollouts;
+
+impl From<NoRollouts> for Rollouts {
+    fn from(_: NoRollouts) -> Self {
+        Self::default()
+    }
+}
+
+impl<Former: Into<Rollouts>> From<FormerCatalog<Former>> for Catalog {
+    fn from(former: FormerCatalog<Former>) -> Self {
         Self {
             revision: former.revision,
             services: former.services,
@@ -31,7 +42,7 @@
             brokers: former.brokers,
             controls: former.controls,
             evacuated: former.evacuated,
-            rollouts: Rollouts::default(),
+            rollouts: former.rollouts.into(),
         }
     }
 }
--- a/crates/domain/src/catalog/mod.rs
+++ b/crates/domain/src/catalog/mod.rs
@@ -21,7 +21,7 @@
 
 pub use change::Change;
 pub use error::CatalogError;
-pub use former::FormerCatalog;
+pub use former::{FormerCatalog, NoRollouts};
 pub use leaf::{Leaf, LeafAddress, LeafState, Placement};
 pub use leaf_map::LeafMap;
 pub use member::{ControlMember, MemberState};
--- a/crates/domain/src/cluster/former.rs
+++ b/crates/domain/src/cluster/former.rs
@@ -1,4 +1,4 @@
-//! The replicated state as former releases laid it out: before roll-outs, and before tenants.
+//! The replicated state as former releases laid it out: before refused requests, before roll-outs, and before tenants.
 //!
 //! Documents of the log do not describe themselves, so that what was written by other types has to be
 //! read by them. Nothing is written by these any more.
@@ -12,8 +12,9 @@
     Charges, ClusterState, History, LeafHints, LogIndex, Members, OverloadFold, RefusedRequests,
     RolloutEvidence, Sessions, Thresholds, WallTime,
 };
-use crate::catalog::FormerCatalog;
-use crate::directory::FormerLeafDirectory;
+use crate::catalog::{FormerCatalog, NoRollouts};
+use crate::directory::{FormerLeafDirectory, LeafDirectory};
+use crate::rollout::{FormerRollouts, Rollouts};
 use crate::routes::{
     AcceptedRoutes, BackEndService, CallerLimits, Destination, RegionPolicy, Route,
     RouteConfiguration, RouteState, RouteVersion,
@@ -65,12 +66,23 @@
     current: Option<FormerAcceptedRoutes>,
 }
 
-/// The state of the control tier of releases that knew no roll-outs, with the routes as they laid them out.
+/// The state of the control tier of releases that knew no tenants.
+pub type StateWithoutTenants =
+    FormerClusterState<NoRollouts, FormerRouteState, FormerLeafDirectory, NoRollouts>;
+/// The state of the control tier of releases that knew no roll-outs.
+pub type StateWithoutRollouts =
+    FormerClusterState<NoRollouts, RouteState, FormerLeafDirectory, NoRollouts>;
+/// The state of the control tier of releases that kept no refused requests.
+pub type StateWithoutRefusedRequests =
+    FormerClusterState<FormerRollouts, RouteState, LeafDirectory, RolloutEvidence>;
+
+/// The state of the control tier of a former release, by how it laid out roll-outs, routes, the list of leaves and what
+/// was reported of roll-outs.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct FormerClusterState<Routes> {
+pub struct FormerClusterState<Rollouts, Routes, Directory, Evidence> {
     applied: LogIndex,
     now: WallTime,
-    catalog: FormerCatalog,
+    catalog: FormerCatalog<Rollouts>,
     history: History,
     sessions: Sessions,
     members: Members,
@@ -79,7 +91,8 @@
     thresholds: Thresholds,
     overload: OverloadFold,
     routes: Routes,
-    directory: FormerLeafDirectory,
+    directory: Directory,
+    rollout_evidence: Evidence,
 }
 
 impl FormerAcceptedRoutes {
@@ -126,8 +139,21 @@
     }
 }
 
-impl<Routes: Into<RouteState>> From<FormerClusterState<Routes>> for ClusterState {
-    fn from(former: FormerClusterState<Routes>) -> Self {
+impl From<NoRollouts> for RolloutEvidence {
+    fn from(_: NoRollouts) -> Self {
+        Self::default()
+    }
+}
+
+impl<Former, Routes, Directory, Evidence>
+    From<FormerClusterState<Former, Routes, Directory, Evidence>> for ClusterState
+where
+    Former: Into<Rollouts>,
+    Routes: Into<RouteState>,
+    Directory: Into<LeafDirectory>,
+    Evidence: Into<RolloutEvidence>,
+{
+    fn from(former: FormerClusterState<Former, Routes, Directory, Evidence>) -> Self {
         Self {
             applied: former.applied,
             now: former.now,
@@ -141,7 +167,7 @@
             overload: former.overload,
             routes: former.routes.into(),
             directory: former.directory.into(),
-            rollout_evidence: RolloutEvidence::default(),
+            rollout_evidence: former.rollout_evidence.into(),
             refused_requests: RefusedRequests::default(),
         }
     }
--- a/crates/domain/src/cluster/mod.rs
+++ b/crates/domain/src/cluster/mod.rs
@@ -37,7 +37,10 @@
 pub use command::{
     ChangeOutcome, ChangeRefusal, ChangeRequest, Command, CommandBody, CommandId, CommandOutcome,
 };
-pub use former::{FormerAcceptedRoutes, FormerClusterState, FormerRouteState};
+pub use former::{
+    FormerAcceptedRoutes, FormerClusterState, FormerRouteState, StateWithoutRefusedRequests,
+    StateWithoutRollouts, StateWithoutTenants,
+};
 pub use history::{AcceptedChange, HISTORY_LIMIT, History, Target};
 pub use leaf_health::{LeafHealth, LeafHealthChange, LeafHints};
 pub use members::{
@@ -68,7 +71,6 @@
     routes: RouteState,
     directory: LeafDirectory,
     rollout_evidence: RolloutEvidence,
-    // The layout before this field ends without it.
     refused_requests: RefusedRequests,
 }
 
--- a/crates/domain/src/rollout/mod.rs
+++ b/crates/domain/src/rollout/mod.rs
@@ -25,5 +25,5 @@
 pub use order::{ExposureLimit, RolloutOrder};
 pub use plan::{Progress, next_stage};
 pub use preference::{Standing, VersionRule, VersionRules, rules};
-pub use rollouts::{RolloutError, Rollouts};
+pub use rollouts::{FormerRollouts, RolloutError, Rollouts};
 pub use stage::{RollBackCause, Rollout, RolloutAdvance, RolloutStage};
--- a/crates/domain/src/rollout/preference.rs
+++ b/crates/domain/src/rollout/preference.rs
@@ -1,5 +1,7 @@
 //! Which versions a request may go to.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use super::stage::{Rollout, RolloutStage};
@@ -13,8 +15,8 @@
     Any,
     /// Those of this version.
     Only(SoftwareVersion),
-    /// Those of other versions.
-    AllBut(SoftwareVersion),
+    /// Those of other versions than these.
+    AllBut(BTreeSet<SoftwareVersion>),
 }
 
 impl VersionRule {
@@ -23,7 +25,7 @@
         match self {
             Self::Any => true,
             Self::Only(only) => version == only,
-            Self::AllBut(barred) => version != barred,
+            Self::AllBut(barred) => !barred.contains(version),
         }
     }
 }
@@ -60,15 +62,21 @@
     pub is_fresh: bool,
 }
 
-/// Which leaves of a service a request may go to while `rollout` is the newest of the service.
+/// Which leaves of a service a request may go to while `rollout` is the newest of the service, and these versions were
+/// taken back before it.
 ///
 /// In a trial the lot of each request decides, so that the share holds over all brokers together, however few
 /// requests each of them has. Hedges and retries go to present leaves: a request meets the version once at most, and
 /// has a sound leaf to turn to. A broker that does not know the newest word asks no leaf of a version on trial, which may
 /// have been taken back. One that has moved stays with the version: present leaves may have stopped meanwhile.
-pub fn rules(rollout: &Rollout, standing: Standing) -> VersionRules {
+pub fn rules(
+    rollout: &Rollout,
+    taken_back: &BTreeSet<SoftwareVersion>,
+    standing: Standing,
+) -> VersionRules {
     let target = || VersionRule::Only(rollout.order.target.clone());
-    let present = || VersionRule::AllBut(rollout.order.target.clone());
+    let barred = || taken_back.iter().chain([&rollout.order.target]).cloned().collect();
+    let present = || VersionRule::AllBut(barred());
     match rollout.stage {
         RolloutStage::Trial { share } if standing.is_first && standing.is_fresh => {
             match is_drawn(share, standing.lot) {
--- a/crates/domain/src/rollout/rollouts.rs
+++ b/crates/domain/src/rollout/rollouts.rs
@@ -1,17 +1,20 @@
 //! The newest roll-out of each service.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
 use super::order::{ExposureLimit, RolloutOrder};
+use super::preference::{Standing, VersionRule, VersionRules, rules};
 use super::stage::{Rollout, RolloutAdvance, RolloutStage};
 use crate::identifiers::{Revision, ServiceName, SoftwareVersion};
 use crate::routes::PartsPerMillion;
 
 /// Orders that are remembered to tell repeats of them: far more than operators give within the time of a repeat.
 const REMEMBERED_ORDERS: usize = 64;
+/// Versions of a service that are remembered as taken back: more than run beside each other.
+const TAKEN_BACK_LIMIT: usize = 16;
 /// Services of which a roll-out is kept.
 const ROLLOUT_LIMIT: usize = 4_096;
 
@@ -44,6 +47,28 @@
     by_service: BTreeMap<ServiceName, Rollout>,
     /// The last orders, oldest first.
     orders: VecDeque<RolloutOrder>,
+    /// Versions of a service that were taken back, and not ordered again since.
+    taken_back: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+}
+
+/// Roll-outs as releases laid them out that forgot a version which was taken back with the next order.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FormerRollouts {
+    by_service: BTreeMap<ServiceName, Rollout>,
+    orders: VecDeque<RolloutOrder>,
+}
+
+impl From<FormerRollouts> for Rollouts {
+    fn from(former: FormerRollouts) -> Self {
+        let mut rollouts = Self {
+            by_service: former.by_service,
+            orders: former.orders,
+            taken_back: BTreeMap::new(),
+        };
+        let ended: Vec<Rollout> = rollouts.by_service.values().cloned().collect();
+        ended.iter().for_each(|rollout| rollouts.note_end(rollout));
+        rollouts
+    }
 }
 
 impl Rollouts {
@@ -89,6 +114,9 @@
         let stage = RolloutStage::Trial { share: first_share(&order.limit) };
         let rollout = Rollout { order: order.clone(), begun: revision, stage };
         self.by_service.insert(order.service.clone(), rollout);
+        if let Some(versions) = self.taken_back.get_mut(&order.service) {
+            versions.remove(&order.target);
+        }
         self.orders.push_back(order.clone());
         if self.orders.len() > REMEMBERED_ORDERS {
             self.orders.pop_front();
@@ -103,9 +131,40 @@
     pub fn advance(&mut self, step: &RolloutAdvance) -> Result<(), RolloutError> {
         let rollout = self.by_service.get_mut(&step.service);
         let rollout = rollout.filter(|rollout| rollout.begun == step.begun);
-        match rollout.is_some_and(|rollout| rollout.advance(step.stage)) {
-            true => Ok(()),
-            false => Err(RolloutError::MovedOn(step.service.clone())),
+        let Some(rollout) = rollout else {
+            return Err(RolloutError::MovedOn(step.service.clone()));
+        };
+        if !rollout.advance(step.stage) {
+            return Err(RolloutError::MovedOn(step.service.clone()));
+        }
+        let rollout = rollout.clone();
+        self.note_end(&rollout);
+        Ok(())
+    }
+
+    /// Which leaves of a service a request may go to.
+    pub fn rules(&self, service: &ServiceName, standing: Standing) -> VersionRules {
+        let none = BTreeSet::new();
+        let taken_back = self.taken_back.get(service).unwrap_or(&none);
+        match self.by_service.get(service) {
+            Some(rollout) => rules(rollout, taken_back, standing),
+            None => VersionRules::only(VersionRule::Any),
+        }
+    }
+
+    /// Whether a version of a service was taken back, and not ordered again since.
+    pub fn is_taken_back(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        self.taken_back.get(service).is_some_and(|versions| versions.contains(version))
+    }
+
+    /// Remembers a version that was taken back: its leaves may run on while another one is ordered.
+    fn note_end(&mut self, rollout: &Rollout) {
+        if !matches!(rollout.stage, RolloutStage::RolledBack(_)) {
+            return;
+        }
+        let versions = self.taken_back.entry(rollout.order.service.clone()).or_default();
+        if versions.len() < TAKEN_BACK_LIMIT {
+            versions.insert(rollout.order.target.clone());
         }
     }
 }
--- a/crates/domain/tests/rollout_fleet.rs
+++ b/crates/domain/tests/rollout_fleet.rs
@@ -1,7 +1,7 @@
 //! A roll-out over a fleet of brokers on a virtual clock: how many requests reach a version, and what becomes of it, while
 //! brokers restart or are cut off and control processes are down. Mutants show that the checks see what they are there for.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use gingerkeel_domain::catalog::{Catalog, Change};
@@ -223,7 +223,8 @@
         let Some(rollout) = self.brokers[broker].rollout.clone() else {
             return;
         };
-        let to_target = matches!(rules(&rollout, standing).first, VersionRule::Only(_));
+        let to_target =
+            matches!(rules(&rollout, &BTreeSet::new(), standing).first, VersionRule::Only(_));
         let fails = to_target && now >= self.from && self.draw() < self.fails;
         if to_target {
             self.exposed += 1;
--- a/crates/domain/tests/rollouts.rs
+++ b/crates/domain/tests/rollouts.rs
@@ -1,5 +1,6 @@
 //! Orders of roll-outs, their stages, and which versions requests may go to.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use gingerkeel_domain::catalog::{Catalog, CatalogError, Change};
@@ -171,12 +172,12 @@
     let target = SoftwareVersion::new("v2");
     VersionRules {
         first: VersionRule::Only(target.clone()),
-        then: Some(VersionRule::AllBut(target)),
+        then: Some(VersionRule::AllBut([target].into())),
     }
 }
 
 fn present_only() -> VersionRules {
-    VersionRules::only(VersionRule::AllBut(SoftwareVersion::new("v2")))
+    VersionRules::only(VersionRule::AllBut([SoftwareVersion::new("v2")].into()))
 }
 
 #[rstest]
@@ -199,10 +200,48 @@
 ) {
     let catalog = after(stages);
     let newest = catalog.rollouts().get(&ServiceName::new("search")).expect("a roll-out");
-    assert_eq!(rules(newest, standing), expected);
+    assert_eq!(rules(newest, &BTreeSet::new(), standing), expected);
 }
 
 #[test]
 fn an_order_takes_the_time_that_it_says() {
     assert_eq!(order("v2").duration(), Duration::from_secs(12));
 }
+
+/// The rules for a request of a broker that knows the newest word, whose lot draws the target.
+fn rules_in(catalog: &Catalog) -> VersionRules {
+    let standing = Standing { is_first: true, lot: 0.0, is_fresh: true };
+    catalog.rollouts().rules(&ServiceName::new("search"), standing)
+}
+
+/// A leaf of the version that failed runs on while the next one is rolled out.
+#[rstest]
+#[case::trial(&[])]
+#[case::moving(&[WIDER, RolloutStage::Moving])]
+#[case::taken_back(&[FAILED])]
+fn a_version_that_was_taken_back_does_not_pass_for_a_present_one(#[case] stages: &[RolloutStage]) {
+    let mut catalog = after(&[FAILED]);
+    begin(&mut catalog, &order("v3")).expect("the next one");
+    for stage in stages {
+        advance(&mut catalog, *stage).expect("it goes on");
+    }
+    let rules = rules_in(&catalog);
+    let allows = |version| rules.in_order().any(|rule| rule.allows(&SoftwareVersion::new(version)));
+    assert!(!allows("v2"), "{rules:?}");
+    assert!(allows("v1"), "{rules:?}");
+}
+
+#[test]
+fn a_version_that_was_taken_back_may_be_ordered_again() {
+    let mut catalog = after(&[FAILED]);
+    begin(&mut catalog, &order("v3")).expect("another");
+    advance(&mut catalog, FAILED).expect("it goes on");
+    let again = RolloutOrder { ordered_at_ms: ORDERED + 3_600_000, ..order("v2") };
+    begin(&mut catalog, &again).expect("v2 once more");
+    advance(&mut catalog, WIDER).expect("it goes on");
+    let rules = rules_in(&catalog);
+    assert_eq!(rules.first, VersionRule::Only(SoftwareVersion::new("v2")));
+    let present = rules.then.expect("present leaves");
+    assert!(!present.allows(&SoftwareVersion::new("v3")));
+    assert!(present.allows(&SoftwareVersion::new("v1")));
+}
