--- a/crates/broker/src/routes/attempts.rs
+++ b/crates/broker/src/routes/attempts.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::crash_suspects::{CanaryGate, Caution, Permission, is_survived};
+use gingerkeel_domain::crash_suspects::{CanaryGate, Caution, Permission, UnderWay, is_survived};
 use gingerkeel_domain::directory::ListedLeaf;
 use gingerkeel_domain::forwarding::{
     AfterAttempt, AttemptError, Choice, NobodyReason, RequestAttempts, Selection, hedge_delay,
@@ -16,7 +16,6 @@
 use monoio::time::sleep;
 
 use super::attempt::{ForwardedRequest, LeafReply, attempt};
-use super::crash_watch::UnderWay;
 use super::leaf_checks::{LeafFate, fate_of};
 use super::leaf_registry::Asker;
 use super::rollouts::{Conclusion, ObservedAttempt};
--- a/crates/broker/src/routes/crash_watch.rs
+++ b/crates/broker/src/routes/crash_watch.rs
@@ -1,13 +1,14 @@
 //! The requests under which leaves have ended, as this broker holds them, and what it tells others of them.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use gingerkeel_domain::crash_suspects::{
-    CanaryRoom, Caution, CrashFinding, CrashSuspects, LeafEnd, RequestDigest, Treatment, Verdict,
+    CanaryRoom, Caution, CrashFinding, CrashSuspects, GivenUpRequests, LeafEnd, RequestDigest,
+    Treatment, UnderWay, Verdict,
 };
-use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
+use gingerkeel_domain::identifiers::LeafIdentity;
 use gingerkeel_domain::routes::{Destination, Route};
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_transport::Clock;
@@ -29,39 +30,6 @@
 /// Longest time after which a caller is asked to come back: an operator may have released the request by then.
 const LONGEST_WAIT: Duration = Duration::from_secs(300);
 
-/// Time after a request was given up in which the end of its leaf is held against it: longer than a leaf works on most
-/// requests.
-const GIVEN_UP_LIFE: Duration = Duration::from_secs(1);
-/// Requests that are kept after they were given up.
-const MOST_GIVEN_UP: usize = 256;
-
-/// A request that was under way at a leaf.
-#[derive(Debug, Clone)]
-pub struct UnderWay {
-    /// The request's id, as logs give it.
-    pub request: String,
-    /// What is the same in all tries of the request.
-    pub digest: RequestDigest,
-    /// Name of its route.
-    pub route: String,
-    /// Service of the leaf.
-    pub service: ServiceName,
-    /// The leaf.
-    pub leaf: LeafIdentity,
-    /// When the request was sent to it.
-    pub sent: Timestamp,
-    /// Whether the request was under way at no other leaf meanwhile.
-    pub alone: bool,
-}
-
-/// A request that was given up while it was under way, and when.
-struct GivenUp {
-    at: Timestamp,
-    /// Whether its leaf was looked at since.
-    is_checked: bool,
-    under_way: UnderWay,
-}
-
 /// Watches for requests that crash leaves.
 pub struct CrashWatch {
     clock: Clock,
@@ -72,7 +40,7 @@
     canary_routes: RefCell<BTreeSet<String>>,
     findings: Tx<FoundCrash>,
     /// Requests that were given up lately: their leaves may end under them all the same.
-    given_up: RefCell<VecDeque<GivenUp>>,
+    given_up: RefCell<GivenUpRequests>,
     /// Requests that wait for a trial, by the number of the question.
     trials: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
 }
@@ -213,35 +181,18 @@
 
     /// A request was given up while it was under way.
     pub fn given_up(&self, under_way: UnderWay) {
-        let now = self.clock.now();
-        let mut given_up = self.given_up.borrow_mut();
-        given_up.retain(|earlier| now.since(earlier.at) < GIVEN_UP_LIFE);
-        if given_up.len() < MOST_GIVEN_UP {
-            given_up.push_back(GivenUp { at: now, is_checked: false, under_way });
-        }
+        self.given_up.borrow_mut().add(self.clock.now(), under_way);
     }
 
     /// Leaves to look at: requests were given up there of which no leaf has told anything.
     pub fn take_unchecked(&self) -> BTreeSet<LeafIdentity> {
-        let mut given_up = self.given_up.borrow_mut();
-        let unchecked = given_up.iter_mut().filter(|given_up| !given_up.is_checked);
-        let leaf = |given_up: &mut GivenUp| {
-            given_up.is_checked = true;
-            given_up.under_way.leaf.clone()
-        };
-        unchecked.map(leaf).collect()
+        self.given_up.borrow_mut().take_unchecked()
     }
 
     /// Nobody listens any more at the address of a leaf: it has ended under what was given up there lately.
     pub fn leaf_is_gone(&self, metrics: &RouteMetrics, leaf: &LeafIdentity) {
-        let now = self.clock.now();
-        let all = std::mem::take(&mut *self.given_up.borrow_mut());
-        let (there, elsewhere): (VecDeque<GivenUp>, VecDeque<GivenUp>) =
-            all.into_iter().partition(|given_up| given_up.under_way.leaf == *leaf);
-        *self.given_up.borrow_mut() = elsewhere;
-        for given_up in there.iter().filter(|earlier| now.since(earlier.at) < GIVEN_UP_LIFE) {
-            self.leaf_ended(metrics, &given_up.under_way);
-        }
+        let ended = self.given_up.borrow_mut().take_at(self.clock.now(), leaf);
+        ended.iter().for_each(|under_way| self.leaf_ended(metrics, under_way));
     }
 
     /// A leaf has ended under a request.
--- a/crates/domain/src/crash_suspects/mod.rs
+++ b/crates/domain/src/crash_suspects/mod.rs
@@ -12,6 +12,7 @@
 mod canary_gate;
 mod canary_room;
 mod fold;
+mod given_up;
 mod suspects;
 
 use std::fmt;
@@ -22,6 +23,7 @@
 pub use canary_gate::{CanaryGate, Caution, Permission};
 pub use canary_room::CanaryRoom;
 pub use fold::FindingFold;
+pub use given_up::{GivenUpRequests, UnderWay};
 pub use suspects::{CrashSuspects, LeafEnd, Treatment};
 
 /// Time for which a request stays refused of which nothing more is heard.
--- a/crates/domain/tests/crash_suspects.rs
+++ b/crates/domain/tests/crash_suspects.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use gingerkeel_domain::crash_suspects::{
-    CanaryGate, CanaryRoom, Caution, CrashFinding, CrashSuspects, FindingFold, LeafEnd, Permission,
-    RequestDigest, Treatment, Verdict, is_survived,
+    CanaryGate, CanaryRoom, Caution, CrashFinding, CrashSuspects, FindingFold, GivenUpRequests,
+    LeafEnd, Permission, RequestDigest, Treatment, UnderWay, Verdict, is_survived,
 };
-use gingerkeel_domain::identifiers::LeafIdentity;
+use gingerkeel_domain::identifiers::{LeafIdentity, ServiceName};
 use gingerkeel_domain::time::Timestamp;
 use rstest::rstest;
 
@@ -400,3 +400,37 @@
     took_ms.iter().for_each(|took| room.observe(Duration::from_millis(*took)));
     assert_eq!(room.is_enough(Duration::from_millis(target_ms)), enough);
 }
+
+fn under_way(digest: RequestDigest, leaf: &str) -> UnderWay {
+    UnderWay {
+        request: "r1".to_owned(),
+        digest,
+        route: ROUTE.to_owned(),
+        service: ServiceName::new("s"),
+        leaf: LeafIdentity::new(leaf),
+        sent: at(900),
+        alone: true,
+    }
+}
+
+#[test]
+fn what_was_given_up_at_a_leaf_is_kept_for_a_second() {
+    let mut given_up = GivenUpRequests::default();
+    given_up.add(at(1_000), under_way(CRASHING, "a"));
+    given_up.add(at(1_100), under_way(HARMLESS, "b"));
+    let digests = |ended: Vec<UnderWay>| -> Vec<RequestDigest> {
+        ended.into_iter().map(|under_way| under_way.digest).collect()
+    };
+    assert_eq!(digests(given_up.take_at(at(1_999), &LeafIdentity::new("a"))), [CRASHING]);
+    assert_eq!(digests(given_up.take_at(at(1_999), &LeafIdentity::new("a"))), [], "once");
+    assert_eq!(digests(given_up.take_at(at(2_100), &LeafIdentity::new("b"))), []);
+}
+
+#[test]
+fn a_leaf_at_which_requests_were_given_up_is_looked_at_once() {
+    let mut given_up = GivenUpRequests::default();
+    (0..300).for_each(|_| given_up.add(at(1_000), under_way(CRASHING, "a")));
+    assert_eq!(given_up.take_unchecked().len(), 1);
+    assert!(given_up.take_unchecked().is_empty());
+    assert_eq!(given_up.take_at(at(1_001), &LeafIdentity::new("a")).len(), 256, "no more are kept");
+}
