Tell brokers of proofs in a log that no leader has confirmed yet

The soak's test of a loss of all power failed beside load: a leaf got the request once more (3 instead of 2). Its log tells why: a control process that starts again applies its log up to the last entry that it knows to be committed; that mark is written with the next entry, and the proof was the last one. Brokers had routes 0.3 s before a leader was found and the proof applied (05.149, 05.441), and sent the request at 05.166.

Commands beyond that mark are hints now: a proof among them is told to brokers that subscribe, before the routes. Nothing else of them counts before it is accepted.

a_crashing_request_is_not_unknown_before_a_leader_is_found fails without the hint. The class: what is committed and what a process knows to be committed. Looked at besides: a configuration behind the mark is told again as soon as there is a leader, and older ones are not put in force by brokers that hold newer ones.

--- a/crates/control/src/cluster_task/crashes.rs
+++ b/crates/control/src/cluster_task/crashes.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use gingerkeel_domain::catalog::Change;
-use gingerkeel_domain::cluster::CommandBody;
+use gingerkeel_domain::cluster::{Command, CommandBody};
 use gingerkeel_domain::crash_suspects::{CrashFinding, RequestDigest, Verdict};
 use gingerkeel_domain::time::Timestamp;
+use gingerkeel_protocol::unpack_document;
 use tracing::{debug, warn};
 
 use super::{ClusterTask, ConnectionId};
@@ -67,6 +68,19 @@
         }
     }
 
+    /// A process that has just started may have a proof in its log of which it learns only from a leader whether it was
+    /// accepted. Brokers that subscribe before there is one are told as of a hint, lest they send the request again.
+    pub(super) fn hint_at_crashes(&mut self, command: &[u8]) {
+        let Ok(Command { body: CommandBody::ReportCrashes(findings), .. }) =
+            unpack_document(command)
+        else {
+            return;
+        };
+        let refused = |finding: &CrashFinding| finding.verdict == Verdict::Refused;
+        let proofs = findings.into_iter().filter(refused).collect();
+        self.subscribers.tell_findings(self.clock.now(), None, proofs);
+    }
+
     fn propose_unanswered(&self, command: CommandBody) {
         let replication = self.replication.clone();
         monoio::spawn(async move {
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -207,6 +207,7 @@
     fn log_message(&mut self, message: StateMachineMessage) {
         match message {
             StateMachineMessage::Apply { index, command } => self.apply(index, &command),
+            StateMachineMessage::Unconfirmed { command } => self.hint_at_crashes(&command),
             StateMachineMessage::Restore { index, snapshot } => self.restore(index, &snapshot),
             StateMachineMessage::TakeSnapshot { reply } => match encode_state(&self.state) {
                 Ok(bytes) => {
@@ -391,8 +392,9 @@
         match event {
             FeedEvent::Subscribed { connection, subscriber, revision, feed } => {
                 let now = self.clock.now();
-                self.subscribers.subscribe(&self.state, connection, subscriber, revision, feed);
-                self.subscribers.send_current_hints(now, connection);
+                let state = &self.state;
+                self.subscribers.subscribe(now, state, connection, subscriber, revision, feed);
+                self.subscribers.send_current_warnings(now, connection);
                 self.subscribers.send_current_usage(now, connection, &self.quota_use);
             }
             FeedEvent::Renewed { connection, ticket, in_force } => {
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -79,6 +79,7 @@
     /// kept any more.
     pub fn subscribe(
         &mut self,
+        now: Timestamp,
         state: &ClusterState,
         connection: ConnectionId,
         identity: SubscriberIdentity,
@@ -112,6 +113,10 @@
         }
         // Before the routes, so that a broker does not serve without knowing them.
         follower.send_refused_requests(&refused_requests(state), true);
+        let findings = self.findings.current(now);
+        if !findings.is_empty() {
+            follower.send_findings(&findings);
+        }
         follower.send_copies(state, &mut self.copies);
         let controls = feed_addresses(state);
         follower.send_document(&controls, |addresses| FeedMessage::Controls { addresses });
@@ -351,8 +356,8 @@
         }
     }
 
-    /// Tells a broker that has just come of the warnings and findings that last.
-    pub fn send_current_hints(&self, now: Timestamp, connection: ConnectionId) {
+    /// Tells a broker that has just come of the warnings that last.
+    pub fn send_current_warnings(&self, now: Timestamp, connection: ConnectionId) {
         let Some(follower) = self.connections.get(&connection) else {
             return;
         };
@@ -360,10 +365,6 @@
         if !warnings.is_empty() {
             follower.send_warnings(&warnings);
         }
-        let findings = self.findings.current(now);
-        if !findings.is_empty() {
-            follower.send_findings(&findings);
-        }
     }
 
     /// Tells brokers that feed here of the use of quotas. A broker hears at once of tenants that come near
--- a/crates/control/src/replication/messages.rs
+++ b/crates/control/src/replication/messages.rs
@@ -51,6 +51,11 @@
         /// The command.
         command: Vec<u8>,
     },
+    /// A command of the recovered log of which it is not known yet whether it was accepted: a hint at most.
+    Unconfirmed {
+        /// The command.
+        command: Vec<u8>,
+    },
     /// Replace the state by a snapshot.
     Restore {
         /// The last command that it covers.
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use gingerkeel_domain::consensus::{
     Entry, Envelope, LogIndex, MemberChange, MemberChangeError, MemberId, Node, NodeNumber,
-    NodeStatus, Payload, Proposed, RoleName, Snapshot,
+    NodeStatus, Payload, Proposed, Recovered, RoleName, Snapshot,
 };
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::ControlSettings;
@@ -67,6 +67,17 @@
     ended: bool,
 }
 
+/// Tells the state machine what the log has beyond the last entry that was known to be committed.
+fn tell_unconfirmed(recovered: &Recovered, state_machine: &Tx<StateMachineMessage>) {
+    for entry in recovered.entries.iter().filter(|entry| entry.index > recovered.commit) {
+        if let Payload::Command(command) = &entry.payload {
+            let command = command.to_vec();
+            // The state machine's task lives as long as the process.
+            let _ = state_machine.send(StateMachineMessage::Unconfirmed { command });
+        }
+    }
+}
+
 impl ReplicationTask {
     pub fn new(
         settings: &ControlSettings,
@@ -80,6 +91,7 @@
         let identity = opened.identity;
         let random = Box::new(Pcg64::new(rand::rng().random(), rand::rng().random()));
         let now = clock.now();
+        tell_unconfirmed(&opened.recovered, &state_machine);
         Ok(Self {
             node: Node::new(identity, options.consensus, random, opened.recovered, now),
             clock,
--- a/crates/control/tests/crashing_requests.rs
+++ b/crates/control/tests/crashing_requests.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::net::TcpStream;
+
 use gingerkeel_domain::crash_suspects::{CrashFinding, RequestDigest, Verdict};
 use gingerkeel_protocol::{FeedMessage, SubscriberMessage, decode_document, encode_document};
 use support::HollowBroker;
@@ -112,3 +114,17 @@
     let granted = brokers.iter_mut().map(answer).filter(|granted| *granted).count();
     assert_eq!(granted, 1);
 }
+
+/// One of three processes starts again: no leader can be found, and its log ends with the proof.
+#[test]
+fn a_crashing_request_is_not_unknown_before_a_leader_is_found() {
+    let mut cluster = Cluster::start(PROCESSES);
+    let mut reporter = subscribe(&cluster, 0, "b0");
+    report(&mut reporter, proof());
+    let recorded = || !cluster.members[2].control.rows("SHOW REFUSED REQUESTS").is_empty();
+    support::wait_until(recorded);
+    (0..PROCESSES).for_each(|index| cluster.kill(index));
+    cluster.restart(2);
+    support::wait_until(|| TcpStream::connect(cluster.members[2].control.feed).is_ok());
+    is_told(&mut subscribe(&cluster, 2, "b2"));
+}
--- a/crates/rehearsal/src/log_member/words.rs
+++ b/crates/rehearsal/src/log_member/words.rs
@@ -75,9 +75,11 @@
                 // The log may have ended with the process.
                 let _ = reply.send(StateSnapshot { index: self.applied, bytes });
             }
-            // Words have no quotas, and no leaves.
+            // Words have no quotas, no leaves, and count once they are accepted.
             WordsMessage::Log(
-                StateMachineMessage::PeerUsed(_) | StateMachineMessage::PeerWarned(_),
+                StateMachineMessage::PeerUsed(_)
+                | StateMachineMessage::PeerWarned(_)
+                | StateMachineMessage::Unconfirmed { .. },
             ) => {}
             WordsMessage::Read { index, reply } => self.waiting.push(WaitingRead { index, reply }),
         }
