Count the rounds until a proposal is made again in one place

What is proposed, and that twice counts once, is as before. A wrapper with one call is gone, and two tests share how brokers subscribe. cargo test -p gingerkeel-control and clippy of the workspace: pass.

--- a/crates/control/src/cluster_task/crashes.rs
+++ b/crates/control/src/cluster_task/crashes.rs
@@ -10,6 +10,7 @@
 use gingerkeel_protocol::unpack_document;
 use tracing::{debug, warn};
 
+use super::proposal_rounds::ProposalRounds;
 use super::{ClusterTask, ConnectionId};
 
 /// Time for which a finding that the log did not take is proposed again.
@@ -20,20 +21,32 @@
 /// What brokers that are fed here found and the log does not have yet.
 #[derive(Default)]
 pub struct UnrecordedCrashes {
-    waiting: BTreeMap<RequestDigest, (Timestamp, CrashFinding)>,
+    waiting: BTreeMap<RequestDigest, Unrecorded>,
+}
+
+/// A finding that waits for the log.
+struct Unrecorded {
+    since: Timestamp,
+    finding: CrashFinding,
+    rounds: ProposalRounds,
 }
 
 impl UnrecordedCrashes {
     fn add(&mut self, now: Timestamp, finding: CrashFinding) {
         if self.waiting.len() < UNRECORDED_LIMIT {
-            self.waiting.insert(finding.digest, (now, finding));
+            let rounds = ProposalRounds::default();
+            self.waiting.insert(finding.digest, Unrecorded { since: now, finding, rounds });
         }
     }
 
-    /// What is to be proposed again.
-    fn due(&mut self, now: Timestamp) -> Vec<CrashFinding> {
-        self.waiting.retain(|_, (since, _)| now.since(*since) < PROPOSAL_LIFE);
-        self.waiting.values().map(|(_, finding)| finding.clone()).collect()
+    /// What is to be proposed again after one more round.
+    fn round(&mut self, now: Timestamp) -> Vec<CrashFinding> {
+        self.waiting.retain(|_, waiting| now.since(waiting.since) < PROPOSAL_LIFE);
+        let due = self.waiting.values_mut().filter_map(|waiting| {
+            let is_due = waiting.rounds.pass();
+            is_due.then(|| waiting.finding.clone())
+        });
+        due.collect()
     }
 }
 
@@ -50,7 +63,7 @@
 
     /// Proposes what a leader did not take.
     pub(super) fn propose_crashes_again(&mut self) {
-        let due = self.unrecorded_crashes.due(self.clock.now());
+        let due = self.unrecorded_crashes.round(self.clock.now());
         self.propose_crashes(due);
     }
 
@@ -102,11 +115,6 @@
         self.tell_verdicts(lasting);
     }
 
-    /// The replicated state has decided on a trial: brokers wait for the one after it.
-    pub(super) fn tell_trial(&self, finding: &CrashFinding) {
-        self.tell_verdicts(vec![finding.clone()]);
-    }
-
     /// An operator's change may release a request.
     pub(super) fn request_released(&mut self, change: &Change) {
         if let Change::ReleaseRequest(digest) = change {
@@ -117,7 +125,7 @@
     }
 
     /// Tells brokers what the replicated state has of these requests now.
-    fn tell_verdicts(&self, findings: Vec<CrashFinding>) {
+    pub(super) fn tell_verdicts(&self, findings: Vec<CrashFinding>) {
         let refused = self.state.refused_requests();
         let current = findings.into_iter().map(|finding| {
             let held = refused.finding(self.state.now(), finding.digest);
--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -5,6 +5,7 @@
 mod listed_leaves;
 mod membership;
 mod message;
+mod proposal_rounds;
 mod reads;
 mod rollouts;
 mod routes;
@@ -262,7 +263,8 @@
                 CommandBody::GrantTrial { broker, ticket, finding },
                 CommandOutcome::Trial { granted },
             ) => {
-                self.tell_trial(finding);
+                // Brokers wait for the trial after this one.
+                self.tell_verdicts(vec![finding.clone()]);
                 info!(event = "crash_trial", %broker, digest = %finding.digest, granted);
                 self.subscribers.answer_trial(broker, *ticket, granted);
             }
--- a/crates/control/src/cluster_task/waiting.rs
+++ b/crates/control/src/cluster_task/waiting.rs
@@ -3,18 +3,16 @@
 use gingerkeel_domain::cluster::{ChangeOutcome, ChangeRequest};
 use local_sync::oneshot;
 
+use super::proposal_rounds::ProposalRounds;
 use crate::replication::ProposeError;
 
-/// Rounds after which a change without an outcome is proposed again: one second.
-const ROUNDS_UNTIL_PROPOSED_AGAIN: u32 = 4;
-
 /// Where the outcome of a change goes.
 pub type ChangeReply = oneshot::Sender<Result<ChangeOutcome, ProposeError>>;
 
 struct WaitingChange {
     request: ChangeRequest,
     reply: ChangeReply,
-    rounds: u32,
+    rounds: ProposalRounds,
 }
 
 /// Changes whose outcome has not come yet.
@@ -26,7 +24,7 @@
 impl WaitingChanges {
     /// An operator waits for the outcome of a change.
     pub fn add(&mut self, request: ChangeRequest, reply: ChangeReply) {
-        self.changes.push(WaitingChange { request, reply, rounds: 0 });
+        self.changes.push(WaitingChange { request, reply, rounds: ProposalRounds::default() });
     }
 
     /// Tells the outcome to all that wait for this very change. Another change under the same
@@ -42,17 +40,13 @@
         }
     }
 
-    /// The changes to propose again after one more round. A command that was handed to a leader
-    /// which froze or fell is lost on the way; proposed twice, it is carried out once all the same.
+    /// The changes to propose again after one more round.
     pub fn round(&mut self) -> Vec<ChangeRequest> {
         self.changes.retain(|waiting| !waiting.reply.is_closed());
-        let mut due = Vec::new();
-        for waiting in &mut self.changes {
-            waiting.rounds += 1;
-            if waiting.rounds.is_multiple_of(ROUNDS_UNTIL_PROPOSED_AGAIN) {
-                due.push(waiting.request.clone());
-            }
-        }
-        due
+        let due = self.changes.iter_mut().filter_map(|waiting| {
+            let is_due = waiting.rounds.pass();
+            is_due.then(|| waiting.request.clone())
+        });
+        due.collect()
     }
 }
--- a/crates/control/src/cluster_task/waiting_routes.rs
+++ b/crates/control/src/cluster_task/waiting_routes.rs
@@ -6,18 +6,16 @@
 use gingerkeel_domain::routes::{AcceptedRoutes, RouteVersion};
 use local_sync::oneshot;
 
+use super::proposal_rounds::ProposalRounds;
 use crate::replication::ProposeError;
 
-/// Rounds after which a replacement without an outcome is proposed again: one second.
-const ROUNDS_UNTIL_PROPOSED_AGAIN: u32 = 4;
-
 /// Where the outcome of a replacement goes: the version accepted, its own or a higher one.
 pub type RoutesReply = oneshot::Sender<Result<RouteVersion, ProposeError>>;
 
 struct WaitingRoutes {
     routes: Arc<AcceptedRoutes>,
     reply: RoutesReply,
-    rounds: u32,
+    rounds: ProposalRounds,
 }
 
 /// Replacements whose outcome has not come yet.
@@ -29,7 +27,7 @@
 impl WaitingReplacements {
     /// An operator waits for a replacement.
     pub fn add(&mut self, routes: Arc<AcceptedRoutes>, reply: RoutesReply) {
-        self.waiting.push(WaitingRoutes { routes, reply, rounds: 0 });
+        self.waiting.push(WaitingRoutes { routes, reply, rounds: ProposalRounds::default() });
     }
 
     /// Configurations up to `accepted` have been accepted or overtaken.
@@ -47,9 +45,7 @@
         let same = |waiting: &WaitingRoutes| Arc::ptr_eq(&waiting.routes, routes);
         if matches!(error, ProposeError::Refused(consensus::ProposeError::NoLeader)) {
             let waiting = self.waiting.iter_mut().find(|waiting| same(waiting));
-            waiting
-                .into_iter()
-                .for_each(|waiting| waiting.rounds = ROUNDS_UNTIL_PROPOSED_AGAIN - 1);
+            waiting.into_iter().for_each(|waiting| waiting.rounds.hurry());
             return;
         }
         for failed in self.waiting.extract_if(.., |waiting| same(waiting)) {
@@ -58,17 +54,13 @@
         }
     }
 
-    /// The replacements to propose again after one more round. One that was handed to a leader
-    /// which froze or fell is lost on the way; proposed twice, it is carried out once all the same.
+    /// The replacements to propose again after one more round.
     pub fn round(&mut self) -> Vec<Arc<AcceptedRoutes>> {
         self.waiting.retain(|waiting| !waiting.reply.is_closed());
-        let mut due = Vec::new();
-        for waiting in &mut self.waiting {
-            waiting.rounds += 1;
-            if waiting.rounds.is_multiple_of(ROUNDS_UNTIL_PROPOSED_AGAIN) {
-                due.push(waiting.routes.clone());
-            }
-        }
-        due
+        let due = self.waiting.iter_mut().filter_map(|waiting| {
+            let is_due = waiting.rounds.pass();
+            is_due.then(|| waiting.routes.clone())
+        });
+        due.collect()
     }
 }
--- a/crates/control/tests/crashing_requests.rs
+++ b/crates/control/tests/crashing_requests.rs
@@ -43,6 +43,12 @@
     HollowBroker::subscribe(&cluster.members[control].control, name, 1, 0)
 }
 
+/// A broker at each control process.
+fn subscribe_to_each(cluster: &Cluster) -> Vec<HollowBroker> {
+    let controls = 0..PROCESSES;
+    controls.map(|control| subscribe(cluster, control, &format!("b{control}"))).collect()
+}
+
 #[test]
 fn a_crashing_request_is_not_unknown_to_brokers_of_other_control_processes() {
     let cluster = Cluster::start(PROCESSES);
@@ -69,9 +75,7 @@
 #[test]
 fn operators_see_refused_requests_and_release_them_everywhere() {
     let cluster = Cluster::start(PROCESSES);
-    let mut brokers: Vec<HollowBroker> = (0..PROCESSES)
-        .map(|control| subscribe(&cluster, control, &format!("b{control}")))
-        .collect();
+    let mut brokers = subscribe_to_each(&cluster);
     report(&mut brokers[0], proof());
     brokers.iter_mut().for_each(is_told);
     let control = &cluster.members[1].control;
@@ -96,9 +100,7 @@
 #[test]
 fn brokers_of_different_control_processes_get_one_trial_together() {
     let cluster = Cluster::start(PROCESSES);
-    let mut brokers: Vec<HollowBroker> = (0..PROCESSES)
-        .map(|control| subscribe(&cluster, control, &format!("b{control}")))
-        .collect();
+    let mut brokers = subscribe_to_each(&cluster);
     report(&mut brokers[0], CrashFinding { for_ms: 0, ..proof() });
     brokers.iter_mut().for_each(is_told);
     for broker in &mut brokers {
