--- a/crates/broker/src/routes/crash_watch.rs
+++ b/crates/broker/src/routes/crash_watch.rs
@@ -118,11 +118,26 @@
     }
 
     fn treatment(&self, now: Timestamp, route: &Route, request: &ForwardedRequest) -> Treatment {
-        let suspects = self.suspects.borrow();
-        match suspects.is_empty() {
-            true => Treatment::Usual,
-            false => suspects.treatment(now, &route.name, request.digest()),
-        }
+        let look =
+            |suspects: &mut CrashSuspects, digest| suspects.treatment(now, &route.name, digest);
+        self.look_at(request, look).unwrap_or(Treatment::Usual)
+    }
+
+    /// Looks at what is held of a request; none while nothing is held of any: a digest takes time, and no request pays
+    /// for it then.
+    fn look_at<T>(
+        &self,
+        request: &ForwardedRequest,
+        look: impl FnOnce(&mut CrashSuspects, RequestDigest) -> T,
+    ) -> Option<T> {
+        let mut suspects = self.suspects.borrow_mut();
+        (!suspects.is_empty()).then(|| look(&mut suspects, request.digest()))
+    }
+
+    /// Reports a finding, or asks for a trial with this number.
+    fn report(&self, finding: CrashFinding, trial: Option<u64>) {
+        // The feed lives as long as the process.
+        let _ = self.findings.send(FoundCrash { at: self.clock.now(), finding, trial });
     }
 
     /// Asks the control tier for a trial.
@@ -136,12 +151,7 @@
         let ticket = rand::rng().random();
         let (answer, answered) = oneshot::channel();
         self.trials.borrow_mut().insert(ticket, answer);
-        // The feed lives as long as the process.
-        let _ = self.findings.send(FoundCrash {
-            at: now,
-            finding: finding.clone(),
-            trial: Some(ticket),
-        });
+        self.report(finding.clone(), Some(ticket));
         let granted = timeout(TRIAL_LIMIT, answered).await;
         self.trials.borrow_mut().remove(&ticket);
         let granted = matches!(granted, Ok(Ok(true)));
@@ -167,16 +177,14 @@
 
     /// A link to a control process is up: it is told what may have been lost on another.
     pub fn link_up(&self) {
-        let now = self.clock.now();
-        for finding in self.suspects.borrow().unrecorded(now) {
-            let _ = self.findings.send(FoundCrash { at: now, finding, trial: None });
-        }
+        let unrecorded = self.suspects.borrow().unrecorded(self.clock.now());
+        unrecorded.into_iter().for_each(|finding| self.report(finding, None));
     }
 
     /// Whether a request is to be sent to nobody, as this or another broker found.
     pub fn is_refused(&self, request: &ForwardedRequest) -> bool {
-        let suspects = self.suspects.borrow();
-        !suspects.is_empty() && suspects.is_refused(self.clock.now(), request.digest())
+        let now = self.clock.now();
+        self.look_at(request, |suspects, digest| suspects.is_refused(now, digest)).unwrap_or(false)
     }
 
     /// A request was given up while it was under way.
@@ -218,21 +226,18 @@
         let finding = self.suspects.borrow_mut().leaf_ended(now, end);
         if let Some(finding) = finding {
             log_finding(&finding, "own");
-            // The feed lives as long as the process.
-            let _ = self.findings.send(FoundCrash { at: now, finding, trial: None });
+            self.report(finding, None);
         }
     }
 
     /// A leaf has replied to a request.
     pub fn replied(&self, request: &ForwardedRequest) {
-        let mut suspects = self.suspects.borrow_mut();
-        let Some(held) = suspects.replied(request.digest()) else {
+        let Some(held) = self.look_at(request, CrashSuspects::replied).flatten() else {
             return;
         };
         info!(event = "crash_suspicion_cleared", digest = %held.digest);
         if held.verdict == Verdict::Cleared {
-            let now = self.clock.now();
-            let _ = self.findings.send(FoundCrash { at: now, finding: held, trial: None });
+            self.report(held, None);
         }
     }
 
