Keep no hint of a request that was released

A hint that a request is refused was kept for its 30 s by the control process of the broker that had proved it, beside the replicated state: after an operator's release, or a trial that was answered elsewhere, a broker that subscribed there was told of the refusal again, held it as one of its own that the log lacks, and would have reported it once more on its next link.

--- a/crates/control/src/cluster_task/crashes.rs
+++ b/crates/control/src/cluster_task/crashes.rs
@@ -125,7 +125,7 @@
     }
 
     /// Tells brokers what the replicated state has of these requests now.
-    pub(super) fn tell_verdicts(&self, findings: Vec<CrashFinding>) {
+    pub(super) fn tell_verdicts(&mut self, findings: Vec<CrashFinding>) {
         let refused = self.state.refused_requests();
         let current = findings.into_iter().map(|finding| {
             let held = refused.finding(self.state.now(), finding.digest);
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -9,7 +9,7 @@
 use gingerkeel_domain::cluster::{
     BrokerOverload, ChargeCounter, ChargeKey, ChargeReceipt, ChargeReport, ClusterState,
 };
-use gingerkeel_domain::crash_suspects::{CrashFinding, FindingFold};
+use gingerkeel_domain::crash_suspects::{CrashFinding, FindingFold, Verdict};
 use gingerkeel_domain::directory::{DirectoryDelta, DirectoryVersion};
 use gingerkeel_domain::feed::{BrokerList, KnownBroker};
 use gingerkeel_domain::identifiers::{BrokerName, Revision, ServiceName};
@@ -338,11 +338,14 @@
         }
     }
 
-    /// Tells the brokers that feed here which requests the replicated state refuses, or does not any more.
-    pub fn tell_refused_requests(&self, findings: &[CrashFinding]) {
+    /// Tells the brokers that feed here which requests the replicated state refuses, or does not any more. What it has
+    /// released is no hint either to those that come later.
+    pub fn tell_refused_requests(&mut self, findings: &[CrashFinding]) {
         if findings.is_empty() {
             return;
         }
+        let released = findings.iter().filter(|finding| finding.verdict == Verdict::Cleared);
+        released.for_each(|finding| self.findings.forget(finding.digest));
         for follower in self.connections.values() {
             follower.send_refused_requests(findings, false);
         }
--- a/crates/control/tests/crashing_requests.rs
+++ b/crates/control/tests/crashing_requests.rs
@@ -130,3 +130,22 @@
     support::wait_until(|| TcpStream::connect(cluster.members[2].control.feed).is_ok());
     is_told(&mut subscribe(&cluster, 2, "b2"));
 }
+
+#[test]
+fn a_released_request_is_not_refused_by_a_broker_that_comes_later() {
+    let cluster = Cluster::start(PROCESSES);
+    let mut reporter = subscribe(&cluster, 0, "b0");
+    report(&mut reporter, proof());
+    is_told(&mut reporter);
+    let control = &cluster.members[0].control;
+    support::wait_until(|| !control.rows("SHOW REFUSED REQUESTS").is_empty());
+    control.change("RELEASE REQUEST 0000000000000007");
+    let mut late = subscribe(&cluster, 0, "b9");
+    let hint = late.receive_until(|message| match message {
+        FeedMessage::CrashFindings { .. } => Some(true),
+        // What is held of requests comes before it.
+        FeedMessage::Controls { .. } => Some(false),
+        _ => None,
+    });
+    assert!(!hint, "nothing is held against it any more");
+}
--- a/crates/domain/src/crash_suspects/fold.rs
+++ b/crates/domain/src/crash_suspects/fold.rs
@@ -32,6 +32,11 @@
         findings.into_iter().filter(|finding| self.take(now, finding)).collect()
     }
 
+    /// Nothing is held against a request any more.
+    pub fn forget(&mut self, digest: RequestDigest) {
+        self.kept.remove(&digest);
+    }
+
     /// What lasts, for a broker that has just come.
     pub fn current(&self, now: Timestamp) -> Vec<CrashFinding> {
         let lasting = self.kept.values().filter(|kept| now < kept.until);
