--- a/crates/rehearsal/src/soak/crash_tests.rs
+++ b/crates/rehearsal/src/soak/crash_tests.rs
@@ -1,14 +1,15 @@
 //! A request that crashes leaves, over real processes that lose power.
 
-use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
 
+use gingerkeel_domain::identifiers::SoftwareVersion;
+
 use super::fleet::{FleetSize, SoakFleet};
 use super::http::{Response, exchange};
-use super::leaves::{CRASHING, Journal, serve_directory};
+use super::leaves::{CRASHING, Journal};
 use super::parties::Scene;
-use super::{REST_LIMIT, set_scene, start_leaves};
+use super::{REST_LIMIT, Service};
 use crate::fleet::wait_until;
 
 const SIZE: FleetSize = FleetSize { controls: 3, brokers: 3 };
@@ -42,11 +43,8 @@
 #[test]
 fn a_crashing_request_is_not_sent_again_after_a_loss_of_all_power() {
     let folder = tempfile::tempdir().expect("a folder");
-    let journal = Arc::new(Journal::default());
-    let leaves = start_leaves(&journal).expect("leaves");
-    let directory = serve_directory(&leaves).expect("a directory").address;
-    let mut fleet = SoakFleet::start(folder.path(), directory, SIZE).expect("a fleet");
-    let scene = set_scene(&fleet).expect("a fleet that is ready");
+    let service = Service::start(folder.path(), SIZE, &SoftwareVersion::default());
+    let Service { journal, mut fleet, scene, .. } = service.expect("a fleet that is ready");
     assert!(wait_until(REST_LIMIT, || is_refused(&scene, 0)), "it is refused in the end");
     sleep(BETWEEN_REPEATS);
     let before = arrivals(&journal);
--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -21,12 +21,13 @@
 #[cfg(test)]
 mod tests;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use gingerkeel_domain::identifiers::SoftwareVersion;
 use gumdrop::Options;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -36,8 +37,8 @@
 use crate::error::RehearsalError;
 use crate::fleet::{end_processes_on_interrupt, wait_until};
 use answer::{SHARDS, SINGLE};
-use fleet::{SOAK_SIZE, SoakFleet};
-use leaves::{Journal, StandInLeaf, serve_directory};
+use fleet::{FleetSize, SOAK_SIZE, SoakFleet};
+use leaves::{Journal, ServedDirectory, StandInLeaf, serve_directory};
 use parties::{Scene, call, operate, read, replace};
 use record::{Counts, Cut, Record};
 
@@ -97,17 +98,10 @@
 ///
 /// # Errors
 /// A [`RehearsalError`] when the fleet cannot be run.
-pub fn soak(
-    seed: u64,
-    seconds: u64,
-    folder: &std::path::Path,
-) -> Result<SoakSummary, RehearsalError> {
+pub fn soak(seed: u64, seconds: u64, folder: &Path) -> Result<SoakSummary, RehearsalError> {
     info!(event = "soak_started", seed, seconds);
-    let journal = Arc::new(Journal::default());
-    let leaves = start_leaves(&journal)?;
-    let directory = serve_directory(&leaves)?;
-    let mut fleet = SoakFleet::start(folder, directory.address, SOAK_SIZE)?;
-    let scene = set_scene(&fleet)?;
+    let Service { journal, leaves, directory, mut fleet, scene } =
+        Service::start(folder, SOAK_SIZE, &SoftwareVersion::default())?;
     let mut threads: Vec<_> = (0..CALLERS)
         .map(|number| {
             let scene = scene.clone();
@@ -139,6 +133,32 @@
     Ok(SoakSummary { seed, seconds, counts: seen.counts, violations: seen.violations.clone() })
 }
 
+/// A fleet in service, with its leaves.
+struct Service {
+    journal: Arc<Journal>,
+    leaves: Vec<StandInLeaf>,
+    directory: ServedDirectory,
+    fleet: SoakFleet,
+    scene: Scene,
+}
+
+impl Service {
+    /// Starts all of it in a folder, with leaves of this version, and waits until it is ready.
+    fn start(
+        folder: &Path,
+        size: FleetSize,
+        version: &SoftwareVersion,
+    ) -> Result<Self, RehearsalError> {
+        let journal = Arc::new(Journal::default());
+        let mut leaves = start_leaves(&journal)?;
+        leaves.iter_mut().for_each(|leaf| leaf.listed.version = version.clone());
+        let directory = serve_directory(&leaves)?;
+        let fleet = SoakFleet::start(folder, directory.address, size)?;
+        let scene = set_scene(&fleet)?;
+        Ok(Self { journal, leaves, directory, fleet, scene })
+    }
+}
+
 /// What the parties of a run share, once a configuration is in force at all brokers.
 fn set_scene(fleet: &SoakFleet) -> Result<Scene, RehearsalError> {
     let scene = Scene {
--- a/crates/rehearsal/src/soak/quota_tests.rs
+++ b/crates/rehearsal/src/soak/quota_tests.rs
@@ -1,15 +1,15 @@
 //! A quota over real processes: callers who come to brokers unevenly, and a control process that is killed.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
-use super::fleet::{FleetSize, SoakFleet};
-use super::leaves::{Journal, serve_directory};
+use gingerkeel_domain::identifiers::SoftwareVersion;
+
+use super::Service;
+use super::fleet::FleetSize;
 use super::parties::{Scene, call_once};
 use super::tenants::{GREEDY, GREEDY_QUOTA, STEADY, fault_of_quota};
-use super::{set_scene, start_leaves};
 
 /// Two control processes, so that without one nothing is accepted, and brokers that callers use unevenly.
 const SIZE: FleetSize = FleetSize { controls: 2, brokers: 4 };
@@ -33,11 +33,8 @@
 #[test]
 fn a_quota_holds_over_uneven_brokers_while_a_control_process_is_killed() {
     let folder = tempfile::tempdir().expect("a folder");
-    let journal = Arc::new(Journal::default());
-    let leaves = start_leaves(&journal).expect("leaves");
-    let directory = serve_directory(&leaves).expect("a directory").address;
-    let mut fleet = SoakFleet::start(folder.path(), directory, SIZE).expect("a fleet");
-    let scene = set_scene(&fleet).expect("a fleet that is ready");
+    let service = Service::start(folder.path(), SIZE, &SoftwareVersion::default());
+    let Service { journal, mut fleet, scene, .. } = service.expect("a fleet that is ready");
     let rates = [(GREEDY, GREEDY_REQUESTS), (STEADY, STEADY_REQUESTS)];
     let parties = rates.into_iter().flat_map(|(tenant, rates)| {
         rates.into_iter().enumerate().map(move |(broker, rate)| (tenant, broker, rate))
--- a/crates/rehearsal/src/soak/rollout_tests.rs
+++ b/crates/rehearsal/src/soak/rollout_tests.rs
@@ -9,13 +9,13 @@
 use rstest::rstest;
 use tempfile::TempDir;
 
+use super::Service;
 use super::answer::SINGLE;
 use super::fleet::{FleetSize, SoakFleet};
 use super::http::exchange;
-use super::leaves::{Journal, LeafMode, ServedDirectory, StandInLeaf, serve_directory};
+use super::leaves::{Journal, LeafMode, ServedDirectory, StandInLeaf};
 use super::parties::Scene;
 use super::rollouts::{NEW_ZONE, allowed, fault_of_bad_version, look};
-use super::{set_scene, start_leaves};
 
 const SIZE: FleetSize = FleetSize { controls: 3, brokers: 3 };
 /// Callers of each broker.
@@ -41,12 +41,9 @@
 impl Play {
     fn start() -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let journal = Arc::new(Journal::default());
-        let mut leaves = start_leaves(&journal).expect("leaves");
-        leaves.iter_mut().for_each(|leaf| leaf.listed.version = SoftwareVersion::new("v1"));
-        let directory = serve_directory(&leaves).expect("a directory");
-        let fleet = SoakFleet::start(folder.path(), directory.address, SIZE).expect("a fleet");
-        let scene = set_scene(&fleet).expect("a fleet that is ready");
+        let service = Service::start(folder.path(), SIZE, &SoftwareVersion::new("v1"));
+        let Service { journal, directory, fleet, scene, .. } =
+            service.expect("a fleet that is ready");
         let parties = (0..SIZE.brokers * CALLERS).map(|number| {
             let scene = scene.clone();
             spawn(move || send(&scene, number))
