Close listeners before the end of a planned stop

Callers saw: a request on a connection made at the end of a planned stop got no answer, and the next connection was cut as well.

Cause: RouteServer::finish returned as soon as no connection was open, and the listener accepted until the process ended. Connections taken while the last charges were reported or the runtime was dropped were cut. The server of queries had the same gap for requests that had come in part.

Why it works: accept_until takes what waits in the accept queue, closes the listener, and only then are the last connections waited for. Later connections are refused by the kernel, so callers know that nothing has run.

Ruled out: the test's own exemption of each caller's last connection (two in turn were lost). Left: a connection completed within microseconds of the close is reset unread; readiness and metrics that are being read; control processes have no planned stop.

--- a/crates/broker/src/callers/connection.rs
+++ b/crates/broker/src/callers/connection.rs
@@ -94,6 +94,7 @@
             sleep(STOP_GRACE).await;
         };
         monoio::select! {
+            biased;
             begun = self.reader.wait() => matches!(begun, Ok(true)),
             _ = grace => false,
             _ = sleep(self.bounds.idle_time) => false,
--- a/crates/broker/src/callers/mod.rs
+++ b/crates/broker/src/callers/mod.rs
@@ -9,20 +9,18 @@
 use std::time::Duration;
 
 use gingerkeel_settings::BrokerSettings;
-use gingerkeel_transport::Limits;
+use gingerkeel_transport::{Limits, accept_until};
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::semaphore::Semaphore;
 use monoio::net::{TcpListener, TcpStream};
-use tracing::warn;
 
 use crate::engine::EngineMessage;
 use crate::latch::Latch;
 use connection::{CallerConnection, ConnectionBounds};
 use refusal::{ConnectionRefusal, RefusalResponder};
 
-/// Listener for callers, with a limit on open connections.
+/// Serves callers, with a limit on open connections.
 pub struct CallerServer {
-    listener: TcpListener,
     engine: Tx<EngineMessage>,
     stop: Latch,
     limits: Limits,
@@ -33,20 +31,14 @@
 }
 
 impl CallerServer {
-    /// Creates a server on a bound listener.
-    pub fn new(
-        listener: TcpListener,
-        engine: Tx<EngineMessage>,
-        stop: Latch,
-        settings: &BrokerSettings,
-    ) -> Self {
+    /// Creates a server without connections.
+    pub fn new(engine: Tx<EngineMessage>, stop: Latch, settings: &BrokerSettings) -> Self {
         let limits = Limits {
             body_bytes: settings.body_bytes as usize,
             message_time: Duration::from_millis(u64::from(settings.request_time_ms)),
             ..Limits::default()
         };
         Self {
-            listener,
             engine,
             stop,
             limits,
@@ -57,14 +49,11 @@
         }
     }
 
-    /// Accepts connections until the process ends.
-    pub async fn run(mut self) {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => self.accepted(stream),
-                Err(error) => warn!(event = "accept_failed", listener = "callers", %error),
-            }
-        }
+    /// Accepts connections until `closing` is set, then closes the listener and waits until the
+    /// last refusals are sent.
+    pub async fn run(mut self, listener: TcpListener, closing: Latch) {
+        accept_until(listener, "callers", closing.wait(), |stream| self.accepted(stream)).await;
+        self.refusal_responder.finish().await;
     }
 
     fn accepted(&mut self, stream: TcpStream) {
--- a/crates/broker/src/callers/refusal.rs
+++ b/crates/broker/src/callers/refusal.rs
@@ -40,6 +40,12 @@
         Self { limits, permits: Rc::new(Semaphore::new(MAX_CONCURRENT_REFUSALS)) }
     }
 
+    /// Waits until the refusals in progress are sent.
+    pub async fn finish(&self) {
+        // The semaphore is never closed.
+        let _ = self.permits.acquire_many(MAX_CONCURRENT_REFUSALS as u32).await;
+    }
+
     /// Answers the first request of a connection with a refusal, then closes the connection.
     pub fn refuse(&self, stream: TcpStream, reason: ConnectionRefusal) {
         let Ok(permit) = self.permits.clone().try_acquire_owned() else {
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -58,8 +58,9 @@
         }
         None => info!(event = "started", name = settings.name, listen = %address),
     }
-    let server = CallerServer::new(listener, engine.clone(), stop.clone(), &settings);
-    monoio::spawn(server.run());
+    let server = CallerServer::new(engine.clone(), stop.clone(), &settings);
+    let closing = Latch::new();
+    let callers = monoio::spawn(server.run(listener, closing.clone()));
     if let Some(listener) = metrics_listener {
         monoio::spawn(metrics::serve(listener, engine.clone()));
     }
@@ -83,6 +84,9 @@
         routes.finish().await;
     }
     report_last(totals, &last_report).await;
+    // Callers are told of the stop until now; the end of the process would cut later connections.
+    closing.set();
+    callers.await;
     info!(event = "stopped", name = settings.name);
     Ok(())
 }
--- a/crates/broker/src/metrics/endpoint.rs
+++ b/crates/broker/src/metrics/endpoint.rs
@@ -1,13 +1,15 @@
 //! The metrics endpoint, `GET /metrics`.
 
 use bytes::Bytes;
-use gingerkeel_transport::{HttpRequest, HttpResponse, Limits, ServerConnection};
+use gingerkeel_transport::{
+    HttpRequest, HttpResponse, Limits, ServerConnection, accept_connections,
+};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, StatusCode};
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 use monoio::net::TcpListener;
-use tracing::{debug, warn};
+use tracing::debug;
 
 use crate::engine::EngineMessage;
 
@@ -18,15 +20,11 @@
 
 /// Serves metrics until the process ends.
 pub async fn serve(listener: TcpListener, engine: Tx<EngineMessage>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection = ServerConnection::new(stream, Limits::default());
-                monoio::spawn(serve_connection(connection, engine.clone()));
-            }
-            Err(error) => warn!(event = "accept_failed", listener = "metrics", %error),
-        }
-    }
+    accept_connections(listener, "metrics", |stream| {
+        let connection = ServerConnection::new(stream, Limits::default());
+        monoio::spawn(serve_connection(connection, engine.clone()));
+    })
+    .await;
 }
 
 async fn serve_connection(mut connection: ServerConnection, engine: Tx<EngineMessage>) {
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -8,13 +8,14 @@
 use gingerkeel_domain::forwarding::PlannedStop;
 use gingerkeel_domain::routes::CallerLimits;
 use gingerkeel_domain::time::Timestamp;
+use gingerkeel_transport::accept_until;
 use gingerkeel_transport::http1::{
     BodyDecoder, BodyFraming, HeadError, HttpReader, ReadError, RequestHead, request_framing,
 };
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::{sleep, timeout};
-use tracing::{info, warn};
+use tracing::info;
 
 use super::attempt::{ForwardedRequest, LeafReply};
 use super::record::RequestRecord;
@@ -24,8 +25,6 @@
 use super::trail::Trail;
 use crate::latch::Latch;
 
-/// Pause after a failed accept, such as without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Deadline of a request whose caller states none and whose route is unknown.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Bytes that are read and discarded after a refusal, so that the refusal reaches the caller.
@@ -63,20 +62,12 @@
         self.open.clone()
     }
 
-    /// Accepts connections; never returns.
-    pub async fn run(self, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let connection = CallerConnection::new(stream, &self);
-                    monoio::spawn(connection.run());
-                }
-                Err(error) => {
-                    warn!(event = "accept_failed", listener = "routes", %error);
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+    /// Accepts connections until `closing` is set, then closes the listener.
+    pub async fn run(self, listener: TcpListener, closing: Latch) {
+        accept_until(listener, "routes", closing.wait(), |stream| {
+            monoio::spawn(CallerConnection::new(stream, &self).run());
+        })
+        .await;
     }
 }
 
@@ -190,6 +181,7 @@
             false => PlannedStop::idle_until,
         };
         monoio::select! {
+            biased;
             count = self.reader.fill() => match count {
                 Ok(count) if count > 0 => Ok(()),
                 _ => Err(ConnectionEnd::Closed),
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -36,10 +36,12 @@
 
 use gingerkeel_domain::identifiers::BrokerRun;
 use gingerkeel_domain::rollout::RolloutReport;
+use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::{BrokerSettings, RouteSettings, SettingsSource};
 use gingerkeel_transport::{Clock, listen};
 use local_sync::mpsc::bounded;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
+use monoio::task::JoinHandle;
 use monoio::time::sleep;
 use rand::Rng;
 use tracing::{info, warn};
@@ -96,6 +98,10 @@
 pub struct RouteServer {
     state: Rc<RouteState>,
     open: Rc<Cell<usize>>,
+    /// Set when the listener for callers is to be closed.
+    closing: Latch,
+    /// Ends once that listener is closed.
+    accepting: JoinHandle<()>,
 }
 
 impl RouteServer {
@@ -138,7 +144,8 @@
         }
         let server = CallerServer::new(state.clone(), stop.clone());
         let open = server.open_connections();
-        monoio::spawn(server.run(listener));
+        let closing = Latch::new();
+        let accepting = monoio::spawn(server.run(listener, closing.clone()));
         monoio::spawn(run_upkeep(state.clone()));
         monoio::spawn(standby::maintain(state.clone()));
         monoio::spawn(leaf_checks::run(state.clone()));
@@ -147,22 +154,34 @@
         monoio::spawn(report_rollouts(state.clone(), reporters.rollouts));
         let (updates, received) = unbounded::channel();
         monoio::spawn(apply_updates(received, state.clone()));
-        Ok((Self { state, open }, updates))
+        Ok((Self { state, open, closing, accepting }, updates))
     }
 
-    /// Begins a planned stop and waits until no connection is open and no new ones are expected, or
-    /// until the stop times out.
+    /// Begins a planned stop. Accepts connections until none is open and no new ones are expected,
+    /// then closes the listener and waits until the last connections are closed, or until the stop
+    /// times out.
     pub async fn finish(self) {
-        info!(event = "stopping", open = self.open.get());
-        let (clock, stop) = (self.state.clock, self.state.stop());
-        while clock.now() < stop.ends_by() {
-            if clock.now() >= stop.callers_until() && self.open.get() == 0 {
-                return;
-            }
-            sleep(STOP_POLL).await;
+        let Self { state, open, closing, accepting } = self;
+        let (clock, stop) = (state.clock, state.stop());
+        info!(event = "stopping", open = open.get());
+        sleep(clock.until(stop.callers_until())).await;
+        wait_until_idle(clock, &open, stop.answers_by()).await;
+        // The end of the process would cut connections that are accepted later.
+        closing.set();
+        accepting.await;
+        info!(event = "listener_closed", listener = "routes", open = open.get());
+        wait_until_idle(clock, &open, stop.ends_by()).await;
+        if open.get() > 0 {
+            // Requests read from these connections have been answered.
+            warn!(event = "stopped_with_open_connections", open = open.get());
         }
-        // Requests read from these connections have been answered.
-        warn!(event = "stopped_with_open_connections", open = self.open.get());
+    }
+}
+
+/// Waits until no connection is open, at most until `end`.
+async fn wait_until_idle(clock: Clock, open: &Cell<usize>, end: Timestamp) {
+    while open.get() > 0 && clock.now() < end {
+        sleep(STOP_POLL).await;
     }
 }
 
--- a/crates/broker/src/routes/readiness.rs
+++ b/crates/broker/src/routes/readiness.rs
@@ -1,33 +1,20 @@
 //! HTTP readiness endpoint of the broker.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use gingerkeel_transport::{HttpResponse, Limits, ServerConnection};
+use gingerkeel_transport::{HttpResponse, Limits, ServerConnection, accept_connections};
 use http::StatusCode;
 use monoio::net::{TcpListener, TcpStream};
-use monoio::time::sleep;
-use tracing::warn;
 
 use super::state::RouteState;
 
-/// Pause after a failed accept, such as without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Serves readiness checks; never returns.
 pub async fn serve(listener: TcpListener, state: Rc<RouteState>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(serve_connection(stream, state.clone()));
-            }
-            Err(error) => {
-                warn!(event = "accept_failed", listener = "readiness", %error);
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_connections(listener, "readiness", |stream| {
+        monoio::spawn(serve_connection(stream, state.clone()));
+    })
+    .await;
 }
 
 async fn serve_connection(stream: TcpStream, state: Rc<RouteState>) {
--- a/crates/broker/src/routes/route_metrics.rs
+++ b/crates/broker/src/routes/route_metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gingerkeel_transport::{HttpResponse, Limits, ServerConnection};
+use gingerkeel_transport::{HttpResponse, Limits, ServerConnection, accept_connections};
 use http::{HeaderValue, StatusCode, header};
 use monoio::net::{TcpListener, TcpStream};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -15,7 +15,6 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use std::rc::Rc;
-use tracing::warn;
 
 use super::state::RouteState;
 use super::tenant_metrics::TenantMetrics;
@@ -235,14 +234,10 @@
 
 /// Serves the metrics; never returns.
 pub async fn serve(listener: TcpListener, state: Rc<RouteState>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(serve_connection(stream, state.clone()));
-            }
-            Err(error) => warn!(event = "accept_failed", listener = "route_metrics", %error),
-        }
-    }
+    accept_connections(listener, "route_metrics", |stream| {
+        monoio::spawn(serve_connection(stream, state.clone()));
+    })
+    .await;
 }
 
 async fn serve_connection(stream: TcpStream, state: Rc<RouteState>) {
--- a/crates/broker/tests/planned_stop.rs
+++ b/crates/broker/tests/planned_stop.rs
@@ -3,12 +3,14 @@
 mod support;
 
 use std::sync::{Arc, Mutex, mpsc};
+use std::thread::sleep;
+use std::time::Duration;
 
 use rstest::rstest;
 use rustix::process::Signal;
 use support::broker::Broker;
 use support::caller::{Caller, Query, issue_key};
-use support::control::catalog;
+use support::control::{ControlScript, ScriptedControl, catalog};
 use support::leaf::{LeafAction, ScriptedLeaf};
 use support::wait_until;
 
@@ -139,3 +141,33 @@
     release.send(()).expect("the leaf waits");
     broker.assert_ends_well();
 }
+
+/// Connections were accepted until the process ended, and those that were just being refused were
+/// cut without an answer.
+#[test]
+fn callers_that_connect_before_the_end_of_a_stop_are_all_refused() {
+    let leaf = ScriptedLeaf::honest("right");
+    let script = ControlScript { receipts: false, ..ControlScript::default() };
+    let catalog = catalog(&[&[leaf.address]]);
+    let mut broker = Broker::start_on(ScriptedControl::serve_with(&catalog, script), "");
+    assert_eq!(broker.caller().ask(&Query::new("whole")).outcome(), "answered");
+    stop(&broker, Signal::TERM);
+    let query = Query::new("whole").bytes();
+    let (begin, end) = query.split_at(40);
+    let mut callers = Vec::new();
+    while let Some(mut caller) = Caller::try_connect(broker.listen) {
+        caller.send(begin);
+        callers.push(caller);
+        sleep(Duration::from_millis(50));
+    }
+    // The last connection may still be unread when the listener closes.
+    callers.pop();
+    // Earlier requests were refused a second after their connections were made.
+    let incomplete = callers.len().saturating_sub(10);
+    for caller in &mut callers[incomplete..] {
+        caller.send(end);
+        let response = caller.receive().expect("an answer");
+        assert_eq!((response.status, response.reason().as_str()), (503, "stopping"));
+    }
+    broker.assert_ends_well();
+}
--- a/crates/broker/tests/routes.rs
+++ b/crates/broker/tests/routes.rs
@@ -11,7 +11,7 @@
 use gingerkeel_domain::routes::{Destination, PartsPerMillion};
 use rstest::rstest;
 use rustix::process::Signal;
-use support::caller::Caller;
+use support::caller::{Caller, Query};
 use support::control::ControlScript;
 use support::leaf::{LeafAction, ScriptedLeaf, response};
 use support::routed::{
@@ -511,6 +511,7 @@
     statuses
 }
 
+/// A connection accepted just before the end of the process was cut without an answer.
 #[rstest]
 #[case::quick(5, "/one/", 1)]
 #[case::slow(150, "/one/", 1)]
@@ -551,6 +552,34 @@
     broker.broker.assert_ends_well();
 }
 
+/// Connections were accepted until the process ended, and those made while the last charges were
+/// reported were cut without an answer.
+#[test]
+fn callers_that_connect_while_the_last_charges_are_reported_lose_no_answer() {
+    let leaf = honest("s", b"x");
+    let query_leaf = ScriptedLeaf::honest("right");
+    let script = ControlScript {
+        feed_messages: feed_messages(&configuration(0), &directory(&[leaf.address], &[])),
+        receipts: false,
+        query_leaf: Some(query_leaf.address),
+        ..ControlScript::default()
+    };
+    let mut broker = RoutedBroker::start_on(script, "");
+    assert_eq!(broker.broker.caller().ask(&Query::new("whole")).outcome(), "answered");
+    let routes = broker.routes;
+    let callers: Vec<_> =
+        (0..3).map(|_| spawn(move || send_until_closed(routes, "/one/"))).collect();
+    wait_until("the leaf has requests", || !leaf.requests().is_empty());
+    broker.broker.signal(Signal::TERM);
+    for caller in callers {
+        let statuses = caller.join().expect("no panic");
+        // The last connection may still be unread when the listener closes.
+        let (_, read) = statuses.split_last().expect("requests");
+        assert!(!read.contains(&0), "a request got no response: {statuses:?}");
+    }
+    broker.broker.assert_ends_well();
+}
+
 #[test]
 fn sighup_does_not_end_the_process() {
     let leaf = honest("s", b"x");
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -53,6 +53,8 @@
     pub later_messages: BTreeMap<u64, Vec<FeedMessage>>,
     /// Answer to a request for a trial; none sends no answer.
     pub grants_trials: Option<bool>,
+    /// Leaf of the queries of a broker that serves routes, too; by default its address is closed.
+    pub query_leaf: Option<SocketAddr>,
 }
 
 impl Default for ControlScript {
@@ -70,6 +72,7 @@
             closes_on_usage: false,
             later_messages: BTreeMap::new(),
             grants_trials: None,
+            query_leaf: None,
         }
     }
 }
--- a/crates/broker/tests/support/routed.rs
+++ b/crates/broker/tests/support/routed.rs
@@ -48,7 +48,8 @@
     /// Starts a broker whose control process follows a script.
     pub fn start_on(script: ControlScript, further_settings: &str) -> Self {
         let ready = !script.feed_messages.is_empty() && script.feed_messages_lease == 0;
-        let mut catalog = super::control::catalog(&[&[super::closed_address()]]);
+        let query_leaf = script.query_leaf.unwrap_or_else(super::closed_address);
+        let mut catalog = super::control::catalog(&[&[query_leaf]]);
         for zone in &script.evacuated {
             let change = Change::EvacuateZone(ZoneName::new(zone));
             catalog.apply(&change).expect("a zone");
--- a/crates/control/src/feed/mod.rs
+++ b/crates/control/src/feed/mod.rs
@@ -6,11 +6,12 @@
 use std::io::ErrorKind;
 
 use gingerkeel_protocol::{FeedMessage, ProtocolError};
+use gingerkeel_transport::accept_connections;
 use local_sync::mpsc::unbounded::{self, Tx};
 use monoio::io::Splitable;
 use monoio::net::{TcpListener, TcpStream};
 use monoio_codec::FramedRead;
-use tracing::{info, warn};
+use tracing::info;
 
 use crate::cluster_task::{ClusterMessage, ConnectionId, FeedEvent};
 
@@ -21,23 +22,11 @@
     let mut last_connection = ConnectionId(0);
     let traffic = FeedTraffic::default();
     monoio::spawn(traffic.clone().log_periodically());
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                last_connection.0 += 1;
-                monoio::spawn(handle_connection(
-                    stream,
-                    last_connection,
-                    cluster.clone(),
-                    traffic.clone(),
-                ));
-            }
-            Err(error) => {
-                warn!(event = "accept_failed", listener = "feed", %error);
-                monoio::time::sleep(crate::ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_connections(listener, "feed", |stream| {
+        last_connection.0 += 1;
+        monoio::spawn(handle_connection(stream, last_connection, cluster.clone(), traffic.clone()));
+    })
+    .await;
 }
 
 async fn handle_connection(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,7 +26,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use gingerkeel_domain::identifiers::ControlName;
 use gingerkeel_domain::rollout::ExposureLimit;
@@ -49,9 +48,6 @@
 use crate::replication::ReplicationOptions;
 use crate::replication_client::ReplicationClient;
 
-/// Pause after a failed `accept`, for example when the process has run out of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
-
 /// Optional interfaces of a control process to systems outside the cluster.
 #[derive(Default)]
 pub struct Interfaces {
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -11,14 +11,16 @@
     SEQUENCE_HEADER, SESSION_HEADER, STATEMENTS_PATH, Statement, StatementReplies, StatementReply,
     Subject, parse,
 };
-use gingerkeel_transport::{HttpRequest, HttpResponse, Limits, ServerConnection, TransportError};
+use gingerkeel_transport::{
+    HttpRequest, HttpResponse, Limits, ServerConnection, TransportError, accept_connections,
+};
 use http::{HeaderMap, Method, StatusCode};
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::timeout;
 use rand::Rng;
-use tracing::{debug, warn};
+use tracing::debug;
 
 use crate::cluster_task::ClusterMessage;
 use crate::order_checks::OrderChecks;
@@ -30,17 +32,10 @@
 
 /// Accepts operators' connections until the process ends.
 pub async fn serve(listener: TcpListener, checks: Rc<OrderChecks>, cluster: Tx<ClusterMessage>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(serve_connection(stream, checks.clone(), cluster.clone()));
-            }
-            Err(error) => {
-                warn!(event = "accept_failed", listener = "operators", %error);
-                monoio::time::sleep(crate::ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_connections(listener, "operators", |stream| {
+        monoio::spawn(serve_connection(stream, checks.clone(), cluster.clone()));
+    })
+    .await;
 }
 
 async fn serve_connection(stream: TcpStream, checks: Rc<OrderChecks>, cluster: Tx<ClusterMessage>) {
--- a/crates/control/src/replication/peers/incoming.rs
+++ b/crates/control/src/replication/peers/incoming.rs
@@ -8,6 +8,7 @@
     Document, FrameCodec, PeerFrame, PeerRefusal, ProtocolError, ShortText, decode_document,
     encode_frame,
 };
+use gingerkeel_transport::accept_connections;
 use local_sync::mpsc::unbounded::Tx;
 use monoio::io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
@@ -20,25 +21,16 @@
 
 /// Time limit for the handshake, and afterwards between two messages of a peer.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause after a failed accept, for example when file descriptors are exhausted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 type Reader = FramedRead<OwnedReadHalf<TcpStream>, ()>;
 type Writer = OwnedWriteHalf<TcpStream>;
 
 /// Accepts connections of peers for the life of the process.
 pub async fn serve(listener: TcpListener, directory: PeerDirectory, events: Tx<TaskEvent>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(handle_connection(stream, directory.clone(), events.clone()));
-            }
-            Err(error) => {
-                warn!(event = "accept_failed", listener = "peers", %error);
-                monoio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_connections(listener, "peers", |stream| {
+        monoio::spawn(handle_connection(stream, directory.clone(), events.clone()));
+    })
+    .await;
 }
 
 async fn handle_connection(stream: TcpStream, directory: PeerDirectory, events: Tx<TaskEvent>) {
--- a/crates/control/src/route_operators.rs
+++ b/crates/control/src/route_operators.rs
@@ -7,12 +7,14 @@
 use gingerkeel_domain::identifiers::{ServiceName, ZoneName};
 use gingerkeel_domain::rollout::RolloutOrder;
 use gingerkeel_domain::routes::AcceptedRoutes;
-use gingerkeel_transport::{HttpRequest, HttpResponse, Limits, ServerConnection, TransportError};
+use gingerkeel_transport::{
+    HttpRequest, HttpResponse, Limits, ServerConnection, TransportError, accept_connections,
+};
 use local_sync::mpsc::unbounded::Tx;
 use local_sync::oneshot;
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::timeout;
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
 use crate::cluster_task::ClusterMessage;
 use crate::configured_zones::ConfiguredZones;
@@ -31,22 +33,10 @@
     checks: Rc<OrderChecks>,
     cluster: Tx<ClusterMessage>,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(serve_connection(
-                    stream,
-                    interface.clone(),
-                    checks.clone(),
-                    cluster.clone(),
-                ));
-            }
-            Err(error) => {
-                warn!(event = "accept_failed", listener = "routes", %error);
-                monoio::time::sleep(crate::ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_connections(listener, "routes", |stream| {
+        monoio::spawn(serve_connection(stream, interface.clone(), checks.clone(), cluster.clone()));
+    })
+    .await;
 }
 
 async fn serve_connection(
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -22,7 +22,7 @@
 pub use error::TransportError;
 pub use file_watch::FileWatch;
 pub use limits::Limits;
-pub use listener::listen;
+pub use listener::{accept_connections, accept_until, listen};
 pub use message::{HttpRequest, HttpResponse};
 pub use responses::{json_response, text_response};
 pub use runtime::{block_on, build_runtime};
