Tell the reporter of a crashing request only of the recorded refusal

What callers could see: a request known to crash leaves crashes three more after all control processes were killed.

Cause: a control process sent the broker that reported a refusal its own finding back as a hint, before the log had it. Nothing told that hint from the recorded refusal, and with the control processes killed in between the refusal was lost. A control process also drops a report after a minute without a leader, and the broker repeated it on a new link only.

The logs of a failed run have the hint 4 ms before the kill and no crash_verdict in any process. The evacuation of the test is refused in each run, as its zone is unknown, so it never waited for the log.

Why it works: the first that a reporter hears is committed by a quorum and synced; until then it keeps the refusal and reports it every 5 s.

crash_finding_is_sent_to_all_brokers asserted that the reporter gets its own hint, which is the fault. It now asserts that the reporter gets no hint and the recorded refusal, with the same digest, verdict and number of leaves; the checks of the other broker and of a late one stay.

Ruled out: an entry lost from the log; a control process that does not tell what its log has.

--- a/crates/broker/src/routes/crash_watch.rs
+++ b/crates/broker/src/routes/crash_watch.rs
@@ -1,6 +1,6 @@
 //! Detection of requests that crash leaves: what this broker knows of them and reports to others.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -44,6 +44,8 @@
     given_up: RefCell<AbandonedRequests>,
     /// Requests that wait for a trial, by ticket.
     trials: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
+    /// Whether there is a link to a control process.
+    linked: Cell<bool>,
 }
 
 impl CrashWatch {
@@ -57,6 +59,7 @@
             findings,
             given_up: RefCell::default(),
             trials: RefCell::default(),
+            linked: Cell::default(),
         }
     }
 
@@ -177,9 +180,23 @@
         }
     }
 
-    /// Reports unrecorded findings again on a new link to a control process: they may have been
-    /// lost with the previous one.
+    /// Reports unrecorded refusals on a new link to a control process.
     pub fn link_up(&self) {
+        self.linked.set(true);
+        self.report_unrecorded();
+    }
+
+    /// Handles the loss of the link to the control process.
+    pub fn link_down(&self) {
+        self.linked.set(false);
+    }
+
+    /// Reports again the refusals that the control tier has not recorded. A control process may
+    /// have ended, or may have found no leader for too long, before it had a report recorded.
+    pub fn report_unrecorded(&self) {
+        if !self.linked.get() {
+            return;
+        }
         let unrecorded = self.suspects.borrow().unrecorded(self.clock.now());
         unrecorded.into_iter().for_each(|finding| self.report(finding, None));
     }
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -66,6 +66,8 @@
 const USAGE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of roll-out reports; a bad version keeps getting requests until it is reported.
 const ROLLOUTS_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of reports of refused requests that are not recorded yet.
+const UNRECORDED_CRASHES_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval of checking whether a planned stop is complete.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -152,6 +154,7 @@
         monoio::spawn(report_slow_leaves(state.clone(), reporters.slow_leaves));
         monoio::spawn(report_usage(state.clone(), reporters.usage));
         monoio::spawn(report_rollouts(state.clone(), reporters.rollouts));
+        monoio::spawn(report_unrecorded_crashes(state.clone()));
         let (updates, received) = unbounded::channel();
         monoio::spawn(apply_updates(received, state.clone()));
         Ok((Self { state, open, closing, accepting }, updates))
@@ -232,7 +235,10 @@
                 state.quotas.link_up(link);
                 state.crashes.link_up();
             }
-            RouteUpdate::LinkDown => state.quotas.link_down(),
+            RouteUpdate::LinkDown => {
+                state.quotas.link_down();
+                state.crashes.link_down();
+            }
             RouteUpdate::Usage(usage) => state.quotas.apply_fleet_usage(&usage),
         }
         state.signal_if_ready();
@@ -279,6 +285,14 @@
     }
 }
 
+/// Reports unrecorded refusals of crashing requests; never returns.
+async fn report_unrecorded_crashes(state: Rc<RouteState>) {
+    loop {
+        sleep(UNRECORDED_CRASHES_INTERVAL).await;
+        state.crashes.report_unrecorded();
+    }
+}
+
 async fn run_upkeep(state: Rc<RouteState>) {
     loop {
         sleep(UPKEEP_INTERVAL).await;
--- a/crates/broker/tests/crashing_requests.rs
+++ b/crates/broker/tests/crashing_requests.rs
@@ -97,6 +97,20 @@
     assert!(!log.contains(CRASHING), "a path may tell of a caller");
 }
 
+/// A control process that finds no leader drops a report after a while, and the refusal ended with
+/// the brokers that knew of it.
+#[test]
+fn refusal_is_reported_again_until_it_is_recorded() {
+    let leaves: Vec<Arc<ScriptedLeaf>> = (0..2).map(|_| crashing("leaf")).collect();
+    let broker = RoutedBroker::start(&[leaves[0].address, leaves[1].address], &[]);
+    assert_eq!(broker.get("/one/crashing").status, 502);
+    let reports = || {
+        let reported = findings(&broker).into_iter();
+        reported.filter(|found| found.verdict == Verdict::Refused).count()
+    };
+    wait_until("the refusal is reported again", || reports() > 1);
+}
+
 #[test]
 fn crashing_request_loses_no_more_leaves_than_attempts() {
     let leaves: Vec<Arc<ScriptedLeaf>> = (0..4).map(|_| crashing("leaf")).collect();
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -316,20 +316,21 @@
         }
     }
 
-    /// Sends new findings of requests that crash leaves to the brokers subscribed here. `reporter`
-    /// is the connection of the broker that reported them, if it is subscribed here.
+    /// Sends new findings of requests that crash leaves to the brokers subscribed here, except the
+    /// one on the connection `reporter`, which reported them: it hears of a refusal only once the
+    /// refusal is recorded, and keeps reporting it until then.
     pub fn publish_findings(
         &mut self,
         now: Timestamp,
         reporter: Option<ConnectionId>,
         findings: Vec<CrashFinding>,
     ) {
-        let reporter = reporter.and_then(|connection| self.connections.get(&connection));
+        let broker = reporter.and_then(|connection| self.connections.get(&connection));
         let new_findings = self.findings.report(now, findings);
         for finding in &new_findings {
             info!(
                 event = "crash_finding",
-                broker = reporter.map(|reporter| reporter.identity.broker.as_str()),
+                broker = broker.map(|broker| broker.identity.broker.as_str()),
                 route = finding.route,
                 digest = %finding.digest,
                 leaves = finding.leaves,
@@ -340,7 +341,9 @@
         if new_findings.is_empty() {
             return;
         }
-        for subscriber in self.connections.values() {
+        let others =
+            self.connections.iter().filter(|(connection, _)| Some(**connection) != reporter);
+        for (_, subscriber) in others {
             subscriber.send_findings(&new_findings);
         }
     }
--- a/crates/control/tests/crashing_requests.rs
+++ b/crates/control/tests/crashing_requests.rs
@@ -59,6 +59,7 @@
     others.iter_mut().for_each(wait_until_refused);
 }
 
+/// The reporter took a hint for the recorded refusal, and the log did not have it yet.
 #[test]
 fn crash_finding_survives_a_restart_of_all_control_processes() {
     let mut cluster = Cluster::start(PROCESSES);
@@ -73,6 +74,19 @@
     wait_until_refused(&mut subscribe(&cluster, 1, "b1"));
 }
 
+/// The same without any statement between the report and the kill.
+#[test]
+fn crash_finding_is_durable_once_its_reporter_is_told_of_it() {
+    let mut cluster = Cluster::start(PROCESSES);
+    let mut reporter = subscribe(&cluster, 0, "b0");
+    report(&mut reporter, crash_finding());
+    wait_until_refused(&mut reporter);
+    (0..PROCESSES).for_each(|index| cluster.kill(index));
+    (0..PROCESSES).for_each(|index| cluster.restart(index));
+    support::wait_until(|| cluster.members.iter().all(|member| member.control.is_ready()));
+    wait_until_refused(&mut subscribe(&cluster, 1, "b1"));
+}
+
 #[test]
 fn operators_list_refused_requests_and_release_them_on_all_brokers() {
     let cluster = Cluster::start(PROCESSES);
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -304,9 +304,17 @@
         let findings = encode_document(&vec![found]).unwrap().into();
         brokers[0].send(&SubscriberMessage::CrashFindings { findings });
     }
-    for broker in &mut brokers {
-        assert_eq!(next_findings(broker), [crash(3, Verdict::Refused)]);
-    }
+    let [reporter, other] = &mut brokers;
+    assert_eq!(next_findings(other), [crash(3, Verdict::Refused)]);
+    // The reporter is told once the refusal is recorded, and of nothing before.
+    let recorded = reporter.receive_until(|message| match message {
+        FeedMessage::RefusedRequests { findings, is_whole: false, .. } => Some(findings),
+        FeedMessage::CrashFindings { .. } => panic!("a hint went to its reporter"),
+        _ => None,
+    });
+    let recorded: Vec<CrashFinding> = decode_document(&recorded.bytes).unwrap();
+    let told = |finding: &CrashFinding| (finding.digest, finding.verdict, finding.leaves);
+    assert_eq!(recorded.iter().map(told).collect::<Vec<_>>(), [told(&crash(3, Verdict::Refused))]);
     let mut late = FakeBroker::subscribe(&control, "b3", 1, 0);
     let told = next_findings(&mut late).remove(0);
     assert_eq!((told.verdict, told.leaves), (Verdict::Refused, 3));
