Send the complete list of refused requests with the first lease

What callers could see: a request known to crash leaves is sent to leaves again after a control process has restarted.

Cause: a control process sent its list of refused requests as complete to each broker that subscribed, also while no quorum had confirmed its state. If it had missed a refusal, brokers dropped what they knew to be recorded.

Evidence: list_of_refused_requests_is_complete_only_once_a_quorum_has_confirmed_it, one process down while the refusal is recorded and started alone afterwards, failed on ("the list is not confirmed") and passes now.

Why it works: the list at subscription only adds; the complete one comes before the first lease, whose read a quorum has confirmed, so it has all that the broker may know to be recorded. A request released while the broker had no link is dropped then.

Ruled out: a log index in the frame, which says the same and changes the protocol.

--- a/crates/control/src/cluster_task/mod.rs
+++ b/crates/control/src/cluster_task/mod.rs
@@ -389,7 +389,7 @@
                     let _ = reply.send(Ok(self.state.catalog().rollouts().get(&service).cloned()));
                 }
                 PendingRead::Leases(tickets) => {
-                    self.subscribers.grant_leases(self.state.catalog().revision(), &tickets)
+                    self.subscribers.grant_leases(&self.state, &tickets)
                 }
             }
         }
--- a/crates/control/src/cluster_task/subscribers.rs
+++ b/crates/control/src/cluster_task/subscribers.rs
@@ -49,6 +49,8 @@
     sent: Revision,
     routes_sent: Option<RouteVersion>,
     directory_sent: DirectoryVersion,
+    /// Whether it was sent the complete list of refused requests, confirmed by a quorum.
+    refused_requests_sent: bool,
     usage_sent: UsageSent,
     feed: Tx<FeedMessage>,
 }
@@ -102,6 +104,7 @@
             sent: revision,
             routes_sent: None,
             directory_sent: DirectoryVersion(0),
+            refused_requests_sent: false,
             usage_sent: UsageSent::default(),
             feed,
         };
@@ -114,8 +117,10 @@
         if let Some(delta) = pack(&broker_list(state).whole()) {
             subscriber.send(FeedMessage::Brokers { delta });
         }
-        // Before the routes, so that the broker does not serve requests that are to be refused.
-        subscriber.send_refused_requests(&refused_requests(state), true);
+        // Before the routes, so that the broker does not serve requests that are to be refused. The
+        // list counts as complete only with the first lease: this process may have missed refusals
+        // that the broker knows of.
+        subscriber.send_refused_requests(&refused_requests(state), false);
         let findings = self.findings.current(now);
         if !findings.is_empty() {
             subscriber.send_findings(&findings);
@@ -226,12 +231,16 @@
         self.controls = controls;
     }
 
-    /// Grants leases at a revision that a quorum has confirmed.
-    pub fn grant_leases(&self, revision: Revision, tickets: &[LeaseTicket]) {
+    /// Grants leases at the revision of a state that a quorum has confirmed.
+    pub fn grant_leases(&mut self, state: &ClusterState, tickets: &[LeaseTicket]) {
+        let revision = state.catalog().revision();
         for ticket in tickets {
-            let Some(subscriber) = self.connections.get(&ticket.connection) else {
+            let Some(subscriber) = self.connections.get_mut(&ticket.connection) else {
                 continue;
             };
+            if !std::mem::replace(&mut subscriber.refused_requests_sent, true) {
+                subscriber.send_refused_requests(&refused_requests(state), true);
+            }
             subscriber.send(FeedMessage::Lease {
                 ticket: ticket.ticket,
                 revision: revision.0,
--- a/crates/control/tests/crashing_requests.rs
+++ b/crates/control/tests/crashing_requests.rs
@@ -146,6 +146,36 @@
     wait_until_refused(&mut subscribe(&cluster, 2, "b2"));
 }
 
+/// The list of a process that had missed the refusal made brokers forget it.
+#[test]
+fn list_of_refused_requests_is_complete_only_once_a_quorum_has_confirmed_it() {
+    let mut cluster = Cluster::start(PROCESSES);
+    cluster.kill(2);
+    let mut reporter = subscribe(&cluster, 0, "b0");
+    report(&mut reporter, crash_finding());
+    wait_until_refused(&mut reporter);
+    (0..2).for_each(|index| cluster.kill(index));
+    cluster.restart(2);
+    support::wait_until(|| TcpStream::connect(cluster.members[2].control.feed).is_ok());
+    let mut broker = subscribe(&cluster, 2, "b2");
+    broker.receive_until(|message| match message {
+        FeedMessage::RefusedRequests { is_whole: true, .. } => panic!("the list is not confirmed"),
+        // Refused requests are sent before the list of control processes.
+        FeedMessage::Controls { .. } => Some(()),
+        _ => None,
+    });
+    (0..2).for_each(|index| cluster.restart(index));
+    support::wait_until(|| cluster.members.iter().all(|member| member.control.is_ready()));
+    broker.send(&SubscriberMessage::Renew { ticket: 1, in_force: 0 });
+    let whole = broker.receive_until(|message| match message {
+        FeedMessage::RefusedRequests { is_whole: true, findings, .. } => Some(findings),
+        FeedMessage::Lease { .. } => panic!("the list is sent before a broker may serve"),
+        _ => None,
+    });
+    let whole: Vec<CrashFinding> = decode_document(&whole.bytes).unwrap();
+    assert!(whole.iter().any(|finding| finding.digest == RequestDigest(7)), "{whole:?}");
+}
+
 #[test]
 fn released_request_is_not_reported_to_a_broker_that_subscribes_later() {
     let cluster = Cluster::start(PROCESSES);
