Split a quota over the sides of a partition so that the parts add up to one

Seen: while control processes were cut from each other, both sides together admitted 1.5 to 2 times the rate of a quota for as long as the cut lasted; after brokers had come back from a cut, twice the rate for 1.5 s.

Causes: (1) a side presumed the use of the other as its flow over 0.7 of the quota, which is too small while counts are young, or over a fleet flow with the own side's rush of the last moments. (2) Each broker that came back gave its presumed use back up to the burst, so several refilled the bucket several times. Reports lost on a link that was cut for a moment were taken for acknowledged, and their presumed use was given back as well.

Why it works: both sides divide the same counts of before the cut, so their shares add up to one; what is given back may not lift the level above the one by counted requests alone.

Ruled out: shorter silences of control processes (0.4 s) and brokers (0.8 and 1 s), which changed little and refused calm requests.

--- a/crates/domain/src/quota/fleet_tenant.rs
+++ b/crates/domain/src/quota/fleet_tenant.rs
@@ -5,8 +5,9 @@
 use super::admission::{Balance, HORIZON};
 use super::bucket::Bucket;
 use super::metered::REPORTED_SHARE;
-use super::rate::DecayedRate;
+use super::rate::{DecayedRate, LaggedRate};
 use super::share::{FLOW_MEMORY, MIN_FLOW_TIME};
+use super::source::{CONTROL_SILENCE_TIMEOUT, FleetFlow};
 use super::usage::TenantLevel;
 use crate::identifiers::TenantName;
 use crate::routes::TenantQuota;
@@ -32,8 +33,12 @@
 pub(super) struct FleetTenant {
     quota: TenantQuota,
     bucket: Bucket,
+    /// The same without presumed use: what is given back may raise the level to this one.
+    counted: Bucket,
     arrivals: DecayedRate,
     flow: DecayedRate,
+    /// The same without the most recent requests.
+    earlier_flow: LaggedRate,
     /// Share of the quota held by silent brokers.
     silent_share: f64,
     /// When its level was last sent; none once the tenant is no longer near its quota.
@@ -49,8 +54,10 @@
         Self {
             quota,
             bucket: Bucket::new(now, rate, burst, level),
+            counted: Bucket::new(now, rate, burst, level),
             arrivals: DecayedRate::new(now, ARRIVAL_MEMORY),
             flow: DecayedRate::new(now, FLOW_MEMORY),
+            earlier_flow: LaggedRate::new(now, FLOW_MEMORY, CONTROL_SILENCE_TIMEOUT),
             silent_share: 0.0,
             sent_at: None,
         }
@@ -59,6 +66,7 @@
     pub(super) fn configure(&mut self, now: Timestamp, quota: TenantQuota) {
         self.quota = quota;
         self.bucket.configure(now, quota.per_second(), quota.burst());
+        self.counted.configure(now, quota.per_second(), quota.burst());
     }
 
     /// Requests that the quota allows in `seconds`, plus `bursts` times its burst.
@@ -70,21 +78,29 @@
     pub(super) fn count(&mut self, now: Timestamp, arrived: f64, taken: f64) {
         self.arrivals.add(now, arrived);
         self.flow.add(now, arrived);
+        self.earlier_flow.add(now, arrived);
         self.bucket.take(now, taken);
+        self.counted.take(now, taken);
     }
 
     pub(super) fn take(&mut self, now: Timestamp, requests: f64) {
         self.bucket.take(now, requests);
     }
 
-    /// Returns presumed requests to the quota, up to the burst. Returns how many were credited.
+    /// Returns presumed requests to the quota, up to the level without any presumed use. Returns how
+    /// many were credited.
     pub(super) fn give_back(&mut self, now: Timestamp, requests: f64) -> f64 {
-        self.bucket.give_back(now, requests)
+        let room = self.counted.level_at(now) - self.bucket.level_at(now);
+        self.bucket.give_back(now, requests.min(room.max(0.0)))
     }
 
-    /// Decayed sum of the requests at all brokers, and the rate above which levels are sent.
-    pub(super) fn flow(&self, now: Timestamp) -> (f64, f64) {
-        (self.flow.sum_at(now), self.quota.per_second() * REPORTED_SHARE)
+    /// Requests at all brokers.
+    pub(super) fn fleet_flow(&mut self, now: Timestamp) -> FleetFlow {
+        FleetFlow {
+            sum: self.flow.sum_at(now),
+            earlier_sum: self.earlier_flow.sum_at(now),
+            unreported_rate: self.quota.per_second() * REPORTED_SHARE,
+        }
     }
 
     /// Reserves `share` of the quota for silent brokers. Returns the amount taken from the level.
--- a/crates/domain/src/quota/fold.rs
+++ b/crates/domain/src/quota/fold.rs
@@ -5,7 +5,7 @@
 
 use super::fleet_tenant::FleetTenant;
 use super::peers::{OwnTotals, PeerTotals};
-use super::source::{BROKER_SILENCE_TIMEOUT, CONTROL_SILENCE_TIMEOUT, Presumed, Source};
+use super::source::{FleetFlow, Presumed, Source, SourceKind};
 use super::usage::{PeerUsage, TenantLevel, UsageReport};
 use crate::cluster::DEPARTED_RETENTION;
 use crate::identifiers::{BrokerName, BrokerRun, ControlName, TenantName};
@@ -117,6 +117,9 @@
         if known.is_some_and(|known| report.sequence <= known.sequence) {
             return;
         }
+        // The reports before this one may be lost on a link that was cut for a moment; their requests
+        // stay presumed.
+        let is_complete = known.is_none_or(|known| report.sequence == known.sequence + 1);
         self.heard.insert(broker.clone(), Heard { run, sequence: report.sequence });
         let source = source_of(&mut self.sources, now, SourceId::Broker(broker.clone()));
         source.hear(now);
@@ -127,6 +130,7 @@
                 continue;
             };
             // Presumed requests are returned first, since a full bucket credits none of them.
+            let presumed = if is_complete { presumed } else { 0.0 };
             let given_back = tenant.give_back(now, presumed);
             tenant.count(now, arrived, admitted);
             self.own.add(&used.tenant, used.arrived, admitted - given_back);
@@ -294,9 +298,11 @@
     fn mark_silent(&mut self, now: Timestamp, id: &SourceId) {
         let brokers = self.brokers_behind(id);
         let serving = self.serving();
-        let tenants = &self.tenants;
-        let fleet =
-            |name: &TenantName| tenants.get(name).map_or((0.0, 1.0), |tenant| tenant.flow(now));
+        let tenants = &mut self.tenants;
+        let unknown = FleetFlow { sum: 0.0, earlier_sum: 0.0, unreported_rate: 1.0 };
+        let fleet = |name: &TenantName| {
+            tenants.get_mut(name).map_or(unknown, |tenant| tenant.fleet_flow(now))
+        };
         let Some(source) = self.sources.get_mut(id).filter(|source| !source.is_silent()) else {
             return;
         };
@@ -395,9 +401,9 @@
     now: Timestamp,
     id: SourceId,
 ) -> &mut Source {
-    let silence_limit = match id {
-        SourceId::Broker(_) => BROKER_SILENCE_TIMEOUT,
-        SourceId::Control(_) => CONTROL_SILENCE_TIMEOUT,
+    let kind = match id {
+        SourceId::Broker(_) => SourceKind::Broker,
+        SourceId::Control(_) => SourceKind::Control,
     };
-    sources.entry(id).or_insert_with(|| Source::new(now, silence_limit))
+    sources.entry(id).or_insert_with(|| Source::new(now, kind))
 }
--- a/crates/domain/src/quota/rate.rs
+++ b/crates/domain/src/quota/rate.rs
@@ -66,6 +66,12 @@
         self.present += requests;
     }
 
+    /// Decayed sum of the requests.
+    pub(super) fn sum_at(&mut self, now: Timestamp) -> f64 {
+        self.pass_on(now);
+        self.rate.sum_at(now)
+    }
+
     /// Requests per second, see [`DecayedRate::per_second_seen`].
     pub(super) fn per_second_seen(&mut self, now: Timestamp, least: Duration) -> f64 {
         self.pass_on(now);
--- a/crates/domain/src/quota/share.rs
+++ b/crates/domain/src/quota/share.rs
@@ -43,6 +43,13 @@
     }
 }
 
+/// The share of the brokers behind a silent control process, from the requests `seen` there and at
+/// all brokers. Both sides of a partition compute it alike, so that their shares add up to one, also
+/// shortly after the first requests.
+pub(super) fn partition_share(seen: f64, seen_by_all: f64, equal_share: f64) -> f64 {
+    (seen + PRIOR_REQUESTS * equal_share) / (seen_by_all.max(seen) + PRIOR_REQUESTS)
+}
+
 /// A share after some time without fleet levels.
 pub(super) fn aged_share(share: f64, isolated_for: Duration, brokers: usize) -> f64 {
     let kept = decay(isolated_for, SHARE_MEMORY);
--- a/crates/domain/src/quota/source.rs
+++ b/crates/domain/src/quota/source.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::rate::DecayedRate;
-use super::share::{FLOW_MEMORY, Flow, MIN_FLOW_TIME, aged_share};
+use super::share::{FLOW_MEMORY, Flow, MIN_FLOW_TIME, aged_share, partition_share};
 use crate::identifiers::{BrokerName, TenantName};
 use crate::time::Timestamp;
 
@@ -19,6 +19,36 @@
 /// Requests per second below which a flow is dropped: a few requests per minute change no share.
 const MIN_FLOW: f64 = 0.02;
 
+/// Kind of a source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SourceKind {
+    /// A broker.
+    Broker,
+    /// Another control process and the brokers that it feeds.
+    Control,
+}
+
+impl SourceKind {
+    /// Time without a message after which a source of this kind is considered silent.
+    fn silence_timeout(self) -> Duration {
+        match self {
+            Self::Broker => BROKER_SILENCE_TIMEOUT,
+            Self::Control => CONTROL_SILENCE_TIMEOUT,
+        }
+    }
+}
+
+/// Requests of one tenant at all brokers.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FleetFlow {
+    /// Decayed sum of the requests.
+    pub(super) sum: f64,
+    /// The same without the most recent ones, which a silent control process has not reported.
+    pub(super) earlier_sum: f64,
+    /// Upper bound of the requests per second of a tenant whose level is not sent.
+    pub(super) unreported_rate: f64,
+}
+
 /// The flow of one tenant from a source.
 #[derive(Debug)]
 struct Contribution {
@@ -42,9 +72,8 @@
 /// A broker or another control process.
 #[derive(Debug)]
 pub(super) struct Source {
+    kind: SourceKind,
     heard: Timestamp,
-    /// Time without a message after which the source is considered silent.
-    silence_limit: Duration,
     silent: bool,
     /// Whether no message ever arrived: its brokers are presumed to use equal shares of all quotas.
     never_heard: bool,
@@ -59,10 +88,10 @@
 
 impl Source {
     /// A source that is expected to report from now on.
-    pub(super) fn new(now: Timestamp, silence_limit: Duration) -> Self {
+    pub(super) fn new(now: Timestamp, kind: SourceKind) -> Self {
         Self {
+            kind,
             heard: now,
-            silence_limit,
             silent: false,
             never_heard: true,
             contributions: BTreeMap::new(),
@@ -77,7 +106,7 @@
     }
 
     pub(super) fn has_fallen_silent(&self, now: Timestamp) -> bool {
-        !self.silent && now.since(self.heard) >= self.silence_limit
+        !self.silent && now.since(self.heard) >= self.kind.silence_timeout()
     }
 
     /// Time since the last message.
@@ -100,14 +129,14 @@
         if self.never_heard { self.missing as f64 / serving as f64 } else { 0.0 }
     }
 
-    /// Marks the source as silent, with `brokers` behind it. `fleet` gives the decayed sum of a
-    /// tenant's requests at all brokers, and the rate above which its level is sent.
+    /// Marks the source as silent, with `brokers` behind it. `fleet` gives the requests of a tenant
+    /// at all brokers.
     pub(super) fn fall_silent(
         &mut self,
         now: Timestamp,
         brokers: BTreeSet<BrokerName>,
         serving: usize,
-        fleet: impl Fn(&TenantName) -> (f64, f64),
+        mut fleet: impl FnMut(&TenantName) -> FleetFlow,
     ) {
         let heard = self.heard;
         self.silent = true;
@@ -116,16 +145,25 @@
         let behind = self.missing.max(1) as f64;
         self.contributions.retain(|_, contribution| contribution.flow.per_second(now) >= MIN_FLOW);
         for (tenant, contribution) in &mut self.contributions {
-            // Mirrors the estimate that each of its brokers makes from its part of the flow.
-            let own = contribution.flow.sum_at(heard) / behind;
-            let (fleet, least) = fleet(tenant);
-            let flow = Flow {
-                seen: own,
-                seen_by_all: fleet,
-                rate: contribution.flow.per_second_seen(heard, MIN_FLOW_TIME) / behind,
-                rate_of_all: least.max(fleet / FLOW_MEMORY.as_secs_f64()),
+            let seen = contribution.flow.sum_at(heard);
+            let fleet = fleet(tenant);
+            contribution.share = match self.kind {
+                SourceKind::Control => {
+                    partition_share(seen, fleet.earlier_sum, behind / serving as f64)
+                }
+                // Mirrors the estimate that the broker makes.
+                SourceKind::Broker => {
+                    let flow = Flow {
+                        seen,
+                        seen_by_all: fleet.sum,
+                        rate: contribution.flow.per_second_seen(heard, MIN_FLOW_TIME),
+                        rate_of_all: fleet
+                            .unreported_rate
+                            .max(fleet.sum / FLOW_MEMORY.as_secs_f64()),
+                    };
+                    flow.share(serving)
+                }
             };
-            contribution.share = flow.share(serving) * behind;
             contribution.unreported = true;
         }
     }
