Bound what a broker admits on an old level

Seen: rushes beside a failure exceeded what operators tolerate of a quota, up to 1.43 of it, also with late messages alone.

Causes: (1) a broker went on with the last level for a second after its link was lost or nothing was acknowledged; (2) a rush was known only by messages, 0.2 to 0.4 s late; (3) without levels usual requests were admitted whatever the share had left.

Why it works: what a broker may admit without a new level is bounded by its share in each of the three cases.

--- a/crates/domain/src/quota/admission.rs
+++ b/crates/domain/src/quota/admission.rs
@@ -15,7 +15,10 @@
 /// requests within a quota to be refused. The rest covers over-admission before levels arrive,
 /// including in a network partition.
 const EXTRA_BURST_SHARE: f64 = 0.25;
-/// The same for a broker without current levels: from few requests it cannot distinguish random
+/// Upper bound of the additional burst, in requests. Chance variation within the delay of levels
+/// grows more slowly than a quota.
+const MAX_EXTRA_BURST: f64 = 12.0;
+/// The same share for a broker without current levels: from few requests it cannot distinguish random
 /// variation from a tenant whose load rises.
 const ISOLATED_EXTRA_BURST_SHARE: f64 = 0.5;
 /// Upper bound of the advised retry delay, so that callers use a quota soon after it is free again.
@@ -30,7 +33,7 @@
 
     /// Requests admitted beyond the burst. Stays below the debt that control processes track.
     pub(super) fn additional_burst(&self, quota: TenantQuota) -> f64 {
-        self.tracked_tolerance(quota) * EXTRA_BURST_SHARE
+        (self.tracked_tolerance(quota) * EXTRA_BURST_SHARE).min(MAX_EXTRA_BURST)
     }
 
     /// Requests admitted beyond the burst by a broker without current levels.
--- a/crates/domain/src/quota/counts.rs
+++ b/crates/domain/src/quota/counts.rs
@@ -123,6 +123,11 @@
         Some(report)
     }
 
+    /// Time since the oldest unacknowledged report was sent.
+    pub(super) fn unacknowledged_for(&self, now: Timestamp) -> Duration {
+        self.in_flight.front().map_or(Duration::ZERO, |(sent, _)| now.since(*sent))
+    }
+
     /// Drops the reports up to sequence `heard`. Returns their entries.
     pub(super) fn acknowledge(&mut self, heard: u64) -> Vec<TenantUse> {
         let mut acknowledged = Vec::new();
--- a/crates/domain/src/quota/fleet_tenant.rs
+++ b/crates/domain/src/quota/fleet_tenant.rs
@@ -4,7 +4,7 @@
 
 use super::admission::{Balance, HORIZON};
 use super::bucket::Bucket;
-use super::metered::REPORTED_SHARE;
+use super::metered::{REPORTED_SHARE, UNREPORTED_LOAD};
 use super::rate::{DecayedRate, LaggedRate};
 use super::share::{FLOW_MEMORY, MIN_FLOW_TIME};
 use super::source::{CONTROL_SILENCE_TIMEOUT, FleetFlow};
@@ -99,7 +99,7 @@
         FleetFlow {
             sum: self.flow.sum_at(now),
             earlier_sum: self.earlier_flow.sum_at(now),
-            unreported_rate: self.quota.per_second() * REPORTED_SHARE,
+            unreported_rate: self.quota.per_second() * UNREPORTED_LOAD,
         }
     }
 
--- a/crates/domain/src/quota/meter.rs
+++ b/crates/domain/src/quota/meter.rs
@@ -15,6 +15,10 @@
 /// used, also when a process lacks CPU for some rounds.
 pub(super) const LEVELS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time without an acknowledgement of a report after which a broker considers itself partitioned.
+/// Control acknowledges within 0.1 s and the network delay.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// The window over which quota use is counted, and the tolerated excess.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaSettings {
@@ -108,7 +112,7 @@
             return QuotaDecision::Admitted;
         };
         let balance = match isolated_for {
-            None => metered.balance(now, &self.settings),
+            None => metered.balance(now, &self.settings, self.brokers),
             Some(span) => metered.isolated_balance(now, &self.settings, span, self.brokers),
         };
         let verdict = metered.decide(now, &balance, draw);
@@ -140,6 +144,8 @@
     /// Handles the loss of the link to the control process: unacknowledged reports may be lost and
     /// are sent again.
     pub fn link_lost(&mut self, now: Timestamp) {
+        // Levels may not arrive for long: a rising load must not be admitted by the last one.
+        self.connected = false;
         let dropped = self.counts.take_back(now);
         self.settle(dropped);
     }
@@ -177,7 +183,8 @@
     /// Time since the last levels; none while they are current.
     fn isolated_for(&mut self, now: Timestamp) -> Option<Duration> {
         let span = self.levels_at.map_or(Duration::ZERO, |at| now.since(at));
-        self.connected = self.connected && span < LEVELS_TIMEOUT;
+        let is_acknowledged = self.counts.unacknowledged_for(now) < ACKNOWLEDGE_TIMEOUT;
+        self.connected = self.connected && span < LEVELS_TIMEOUT && is_acknowledged;
         (!self.connected).then_some(span)
     }
 }
--- a/crates/domain/src/quota/metered.rs
+++ b/crates/domain/src/quota/metered.rs
@@ -27,6 +27,22 @@
 const LEVEL_TTL: Duration = Duration::from_secs(2);
 /// Fraction of a quota above which control processes send the level of a tenant ([`super::fold`]).
 pub(super) const REPORTED_SHARE: f64 = 0.7;
+/// Load of a tenant whose level is not sent, as a fraction of its quota; above the usual load of such
+/// a tenant, so that the shares of all brokers add up to less than one.
+pub(super) const UNREPORTED_LOAD: f64 = 0.65;
+/// Requests by which an isolated broker may exceed its share for the usual requests of a tenant.
+const MAX_ISOLATED_DEBT: f64 = 1.5;
+/// Additional usual requests of a broker in the first moments without levels. Most losses of a link
+/// last no longer, and a request within a quota is not to be refused for them.
+const EARLY_REQUESTS: f64 = 2.0;
+/// Local requests that are added to both sides when a surge is estimated, so that one or two
+/// requests by chance are none.
+const SURGE_PRIOR: f64 = 4.0;
+/// Upper bound of an estimated surge: the callers of another broker may have moved here, which does
+/// not raise the load of the fleet.
+const MAX_SURGE: f64 = 2.0;
+/// Time to refill the debt from which on a surge is not estimated.
+const MAX_SURGE_DEBT: Duration = Duration::from_millis(500);
 /// Delay before requests count in the flows, so that an isolated broker uses the flows from before
 /// the outage. The load of a tenant may have risen within the last second: counted at once, each
 /// broker's share would grow with its own peak, and all shares together would exceed the quota.
@@ -54,6 +70,15 @@
     usual: f64,
 }
 
+impl IsolatedShare {
+    /// Requests within [`SLOW_ARRIVAL_MEMORY`] that are admitted after `isolated_for` whatever is
+    /// left of the share.
+    fn usual_within(&self, isolated_for: Duration) -> f64 {
+        let is_early = self.usual > 0.0 && isolated_for < LEVELS_TIMEOUT;
+        self.usual + if is_early { EARLY_REQUESTS } else { 0.0 }
+    }
+}
+
 /// Counters, flow estimates and the last fleet level of one tenant.
 #[derive(Debug)]
 pub(super) struct Metered {
@@ -115,18 +140,38 @@
     }
 
     /// The balance for the next request while levels are current.
-    pub(super) fn balance(&self, now: Timestamp, settings: &QuotaSettings) -> Balance {
+    pub(super) fn balance(
+        &mut self,
+        now: Timestamp,
+        settings: &QuotaSettings,
+        brokers: usize,
+    ) -> Balance {
         let last_level = self.fleet_balance(now, settings);
         let own = self.arrivals.per_second(now);
+        let surged = last_level.arrivals * self.surge(now, &last_level, brokers);
         let age = self.last_level.map_or(Duration::ZERO, |last_level| now.since(last_level.at));
         let used = self.unreported.max(last_level.drained_in(age));
         Balance {
             level: last_level.level - used,
-            arrivals: last_level.arrivals.max(own),
+            arrivals: last_level.arrivals.max(own).max(surged),
             ..last_level
         }
     }
 
+    /// Factor by which the load of all brokers may have risen since the last level, judged by the
+    /// local requests: they are known before those of other brokers, but are few. Not applied to a
+    /// tenant in debt, most of whose requests are refused anyway.
+    fn surge(&mut self, now: Timestamp, last: &Balance, brokers: usize) -> f64 {
+        let is_in_debt = last.level < -MAX_SURGE_DEBT.as_secs_f64() * last.rate;
+        if last.arrivals == 0.0 || is_in_debt {
+            return 1.0;
+        }
+        let expected = last.arrivals * self.share(now, brokers) * ARRIVAL_MEMORY.as_secs_f64();
+        let recent = self.arrivals.sum_at(now);
+        let factor = (recent + SURGE_PRIOR) / (expected + SURGE_PRIOR);
+        factor.clamp(1.0, MAX_SURGE)
+    }
+
     /// The fleet balance by the last level that was valid `at` that time.
     fn fleet_balance(&self, at: Timestamp, settings: &QuotaSettings) -> Balance {
         let last_level = self.last_level.filter(|last_level| at.since(last_level.at) < LEVEL_TTL);
@@ -159,7 +204,8 @@
         part.bucket.configure(now, rate * share, capacity * share);
         let level = part.bucket.level_at(now);
         self.part = Some(part);
-        if self.slow_arrivals.sum_at(now) + 1.0 <= part.usual {
+        let recent = self.slow_arrivals.sum_at(now) + 1.0;
+        if level >= -MAX_ISOLATED_DEBT && recent <= part.usual_within(isolated_for) {
             return Balance { rate: rate * share, level: 0.0, arrivals: 0.0, price: 0.0 };
         }
         let arrivals = self.isolated_rate(now);
@@ -271,7 +317,7 @@
             seen: self.reported_flow.sum_at(now),
             seen_by_all,
             rate: self.flow.per_second_seen(now, MIN_FLOW_TIME),
-            rate_of_all: fleet_rate.max(self.quota.per_second() * REPORTED_SHARE),
+            rate_of_all: fleet_rate.max(self.quota.per_second() * UNREPORTED_LOAD),
         };
         flow.share(brokers)
     }
