Say in the logs which limit of a quota refused a request

A 429 could not be told apart: the level of the whole fleet, a broker's share without current levels, or a level lowered by what is presumed of a silent broker or control process. The causes of two known failures (requests within a quota refused while a control process was killed) were therefore only inferred.

request_ended and tenant_limited name the limit (fleet_level or isolated_share); a control process logs usage_presumed and usage_not_presumed for each silent source while a tenant has a quota. No decision changes.

--- a/crates/broker/src/routes/quota.rs
+++ b/crates/broker/src/routes/quota.rs
@@ -7,7 +7,7 @@
 
 use gingerkeel_domain::identifiers::TenantName;
 use gingerkeel_domain::quota::{
-    FleetUsage, LimitedTenants, QuotaDecision, QuotaMeter, QuotaSettings,
+    FleetUsage, LimitedTenants, QuotaDecision, QuotaLimit, QuotaMeter, QuotaSettings,
 };
 use gingerkeel_domain::routes::Tenant;
 use gingerkeel_settings::RouteSettings;
@@ -29,6 +29,15 @@
     pub refused: u64,
 }
 
+/// Refusal of a request beyond a quota.
+#[derive(Debug, Clone, Copy)]
+pub struct OverQuota {
+    /// When the quota has room again.
+    pub retry_after: Duration,
+    /// What the request exceeds.
+    pub limit: QuotaLimit,
+}
+
 /// Quotas of all tenants at this broker.
 pub struct Quotas {
     clock: Clock,
@@ -87,18 +96,18 @@
     /// Counts a request of a tenant against its quota.
     ///
     /// # Errors
-    /// The retry-after of a request beyond the quota.
-    pub fn admit(&self, tenant: &TenantName) -> Result<(), Duration> {
+    /// The retry-after of a request beyond the quota, and what it exceeds.
+    pub fn admit(&self, tenant: &TenantName) -> Result<(), OverQuota> {
         let now = self.clock.now();
         let draw = self.random.borrow_mut().random();
         let verdict = self.meter.borrow_mut().admit(now, tenant, draw);
-        let QuotaDecision::Rejected { retry_after } = verdict else {
+        let QuotaDecision::Rejected { retry_after, limit } = verdict else {
             return Ok(());
         };
         if self.limited.borrow_mut().record_refusal(now, tenant) {
-            info!(event = "tenant_limited", %tenant);
+            info!(event = "tenant_limited", %tenant, limit = limit.as_str());
         }
-        Err(retry_after)
+        Err(OverQuota { retry_after, limit })
     }
 
     /// Refunds a counted request that reached no leaf.
--- a/crates/broker/src/routes/record.rs
+++ b/crates/broker/src/routes/record.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use gingerkeel_domain::forwarding::RequestOutcome;
+use gingerkeel_domain::quota::QuotaLimit;
 use gingerkeel_domain::routes::{Route, RouteVersion};
 use gingerkeel_domain::time::Timestamp;
 
@@ -31,6 +32,8 @@
     routes_version: RouteVersion,
     /// Whether the request was counted against the quota of its tenant.
     quota_charged: bool,
+    /// What the request exceeds, if it is refused for the quota of its tenant.
+    quota_limit: Option<QuotaLimit>,
     /// Set while the request holds a place in admission.
     admitted: Option<Admitted>,
     outcome: &'static str,
@@ -53,6 +56,7 @@
             route: None,
             routes_version,
             quota_charged: false,
+            quota_limit: None,
             admitted: None,
             outcome: "caller_left",
             status: 0,
@@ -79,7 +83,10 @@
     /// The retry-after of a request beyond the quota.
     pub fn charge_quota(&mut self) -> Result<(), Duration> {
         if let Some(tenant) = &self.request.tenant {
-            self.state.quotas.admit(&tenant.name)?;
+            if let Err(refused) = self.state.quotas.admit(&tenant.name) {
+                self.quota_limit = Some(refused.limit);
+                return Err(refused.retry_after);
+            }
             self.quota_charged = true;
         }
         Ok(())
@@ -190,6 +197,7 @@
             status: self.status,
             held,
             parts: self.parts,
+            quota_limit: self.quota_limit.map(QuotaLimit::as_str),
             retry_after_ms: self.retry_after.map(|span| span.as_millis() as u64),
             ordinary: (200..=499).contains(&self.status)
                 && self.retry_after.is_none()
--- a/crates/broker/src/routes/trail.rs
+++ b/crates/broker/src/routes/trail.rs
@@ -111,6 +111,8 @@
     pub held: Duration,
     /// Parts received, and all parts.
     pub parts: Option<(usize, usize)>,
+    /// What the request exceeds, if it is refused for the quota of its tenant.
+    pub quota_limit: Option<&'static str>,
     /// Retry-after, in milliseconds.
     pub retry_after_ms: Option<u64>,
     /// Whether the answer was complete and in time.
@@ -252,6 +254,7 @@
             caution = self.caution.get().map(Caution::as_str),
             leaves_ended = (self.leaves_ended() > 0).then_some(self.leaves_ended()),
             no_leaf = self.no_leaf_reason.get().map(NoLeafReason::as_str),
+            quota_limit = end.quota_limit,
             retry_after_ms = end.retry_after_ms,
             routes_version = end.routes_version.0,
             directory_version = end.directory_version
--- a/crates/control/src/cluster_task/usage.rs
+++ b/crates/control/src/cluster_task/usage.rs
@@ -4,7 +4,7 @@
 //! Usage is not replicated. It is published more often than reports are proposed to the log,
 //! because a tenant can exceed its quota by what it sends between two ticks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use gingerkeel_domain::cluster::ClusterState;
@@ -13,6 +13,7 @@
 use gingerkeel_domain::routes::RouteVersion;
 use gingerkeel_domain::time::Timestamp;
 use local_sync::mpsc::unbounded::Tx;
+use tracing::info;
 
 use super::{ClusterMessage, ClusterTask, SubscriberIdentity};
 use crate::replication::PeerUsageReport;
@@ -39,6 +40,8 @@
     levels: Vec<TenantLevel>,
     /// The level last published for each tenant, with the time.
     shown_levels: BTreeMap<TenantName, (Timestamp, TenantLevel)>,
+    /// Silent brokers and control processes, as logged last.
+    silent: BTreeSet<String>,
 }
 
 impl QuotaUsage {
@@ -52,6 +55,7 @@
             has_quotas: false,
             levels: Vec::new(),
             shown_levels: BTreeMap::new(),
+            silent: BTreeSet::new(),
         }
     }
 
@@ -116,9 +120,24 @@
         self.has_quotas.then_some(usage)
     }
 
+    /// Logs the brokers and control processes whose use begins or ceases to be presumed.
+    fn log_silent_sources(&mut self) {
+        let silent = self.fold.silent_sources();
+        for source in silent.difference(&self.silent) {
+            info!(event = "usage_presumed", source);
+        }
+        for source in self.silent.difference(&silent) {
+            info!(event = "usage_not_presumed", source);
+        }
+        self.silent = silent;
+    }
+
     /// Computes the levels to publish until the next tick.
     pub fn begin_tick(&mut self, now: Timestamp) {
         self.levels = self.fold.broker_levels(now);
+        if self.has_quotas {
+            self.log_silent_sources();
+        }
         self.shown_levels.retain(|_, (at, _)| now.since(*at) < DISPLAY_PERIOD);
         for level in &self.levels {
             self.shown_levels.insert(level.tenant.clone(), (now, level.clone()));
--- a/crates/domain/src/quota/fold.rs
+++ b/crates/domain/src/quota/fold.rs
@@ -1,6 +1,7 @@
 //! Aggregation of the quota use of all brokers at a control process.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::Duration;
 
 use super::fleet_tenant::FleetTenant;
@@ -34,6 +35,15 @@
     Control(ControlName),
 }
 
+impl fmt::Display for SourceId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broker(name) => name.fmt(formatter),
+            Self::Control(name) => name.fmt(formatter),
+        }
+    }
+}
+
 /// The last report applied for a broker.
 #[derive(Debug, Clone, Copy)]
 struct Heard {
@@ -242,6 +252,12 @@
         listened >= MAX_LISTEN_TIME || (listened >= MIN_LISTEN_TIME && all_heard)
     }
 
+    /// Names of the brokers and control processes that are silent, whose use is presumed.
+    pub fn silent_sources(&self) -> BTreeSet<String> {
+        let silent = self.sources.iter().filter(|(_, source)| source.is_silent());
+        silent.map(|(id, _)| id.to_string()).collect()
+    }
+
     /// Detects silent sources, and takes their presumed use from the quotas.
     fn update_silent(&mut self, now: Timestamp) {
         let passed = self.updated.map_or(Duration::ZERO, |updated| now.since(updated));
--- a/crates/domain/src/quota/meter.rs
+++ b/crates/domain/src/quota/meter.rs
@@ -30,6 +30,25 @@
     pub slack: f64,
 }
 
+/// What a broker compares a request to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaLimit {
+    /// The level of the whole fleet.
+    FleetLevel,
+    /// This broker's share of the quota, without current levels.
+    IsolatedShare,
+}
+
+impl QuotaLimit {
+    /// The name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FleetLevel => "fleet_level",
+            Self::IsolatedShare => "isolated_share",
+        }
+    }
+}
+
 /// The admission decision for one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuotaDecision {
@@ -39,6 +58,8 @@
     Rejected {
         /// Delay after which the caller should retry.
         retry_after: Duration,
+        /// What the request exceeds.
+        limit: QuotaLimit,
     },
 }
 
@@ -111,11 +132,17 @@
         let Some(metered) = self.tenants.get_mut(tenant) else {
             return QuotaDecision::Admitted;
         };
-        let balance = match isolated_for {
-            None => metered.balance(now, &self.settings, self.brokers),
-            Some(span) => metered.isolated_balance(now, &self.settings, span, self.brokers),
+        let (limit, balance) = match isolated_for {
+            None => (QuotaLimit::FleetLevel, metered.balance(now, &self.settings, self.brokers)),
+            Some(span) => (
+                QuotaLimit::IsolatedShare,
+                metered.isolated_balance(now, &self.settings, span, self.brokers),
+            ),
+        };
+        let verdict = match metered.decide(now, &balance, draw) {
+            Ok(()) => QuotaDecision::Admitted,
+            Err(retry_after) => QuotaDecision::Rejected { retry_after, limit },
         };
-        let verdict = metered.decide(now, &balance, draw);
         let dropped = self.counts.count(now, tenant, verdict == QuotaDecision::Admitted);
         if let Some(metered) = self.tenants.get_mut(tenant) {
             metered.settle(dropped);
--- a/crates/domain/src/quota/metered.rs
+++ b/crates/domain/src/quota/metered.rs
@@ -4,7 +4,7 @@
 
 use super::admission::Balance;
 use super::bucket::Bucket;
-use super::meter::{LEVELS_TIMEOUT, QuotaDecision, QuotaSettings, TenantQuotaStatus};
+use super::meter::{LEVELS_TIMEOUT, QuotaSettings, TenantQuotaStatus};
 use super::rate::{DecayedRate, LaggedRate};
 use super::share::{FLOW_MEMORY, Flow, MIN_FLOW_TIME, aged_share};
 use super::usage::TenantLevel;
@@ -249,21 +249,29 @@
     }
 
     /// Counts a request and decides on it by the random number `draw`.
-    pub(super) fn decide(&mut self, now: Timestamp, balance: &Balance, draw: f64) -> QuotaDecision {
+    ///
+    /// # Errors
+    /// The retry-after of a request that exceeds the quota.
+    pub(super) fn decide(
+        &mut self,
+        now: Timestamp,
+        balance: &Balance,
+        draw: f64,
+    ) -> Result<(), Duration> {
         self.arrived += 1;
         self.arrivals.add(now, 1.0);
         self.slow_arrivals.add(now, 1.0);
         self.flow.add(now, 1.0);
         if draw >= balance.fraction() {
             self.refused += 1;
-            return QuotaDecision::Rejected { retry_after: balance.retry_after(draw) };
+            return Err(balance.retry_after(draw));
         }
         self.unreported += 1.0;
         self.admitted_flow.add(now, 1.0);
         if let Some(part) = &mut self.part {
             part.bucket.take(now, 1.0);
         }
-        QuotaDecision::Admitted
+        Ok(())
     }
 
     /// Removes `admitted` requests that the level includes now, or that have expired.
--- a/crates/domain/src/quota/mod.rs
+++ b/crates/domain/src/quota/mod.rs
@@ -23,5 +23,5 @@
 
 pub use fold::UsageAggregator;
 pub use limited::{LimitEpisode, LimitedTenants};
-pub use meter::{QuotaDecision, QuotaMeter, QuotaSettings, TenantQuotaStatus};
+pub use meter::{QuotaDecision, QuotaLimit, QuotaMeter, QuotaSettings, TenantQuotaStatus};
 pub use usage::{FleetUsage, PeerUsage, TenantLevel, TenantTotal, TenantUse, UsageReport};
--- a/crates/domain/tests/quotas.rs
+++ b/crates/domain/tests/quotas.rs
@@ -91,7 +91,7 @@
     meter.configure(at(0), [(tenant.clone(), quota(1.0, 1.0))].into_iter());
     let verdicts: Vec<QuotaDecision> =
         (0..100).map(|_| meter.admit(at(1_000), &tenant, 0.5)).collect();
-    let Some(QuotaDecision::Rejected { retry_after }) = verdicts.last() else {
+    let Some(QuotaDecision::Rejected { retry_after, .. }) = verdicts.last() else {
         panic!("a hundred at once are beyond a quota of one a second");
     };
     assert!(retry_after.as_secs_f64() >= 1.0 && retry_after.as_secs_f64() <= 60.0);
