Probe the leaf of an abandoned request a second time

What callers saw: nothing yet; the next requests of the kind crash more leaves than needed, as the first crash is not held against it.

Cause: the leaf of a request that was given up unanswered was probed once, up to 200 ms later. A leaf that ended after its probe was missed, although its end counts for a second.

Why it works: the leaf is probed at once and again after 0.6 s; a crashed leaf needs longer than that to start again. Weighed: a probe in each round, five connections to a leaf instead of two.

The test of checks asserts the second check in addition to what it asserted.

--- a/crates/broker/src/routes/crash_watch.rs
+++ b/crates/broker/src/routes/crash_watch.rs
@@ -214,8 +214,8 @@
     }
 
     /// Takes the leaves to probe, at which unanswered requests were abandoned.
-    pub fn take_unchecked(&self) -> BTreeSet<LeafIdentity> {
-        self.given_up.borrow_mut().take_unchecked()
+    pub fn take_due_checks(&self) -> BTreeSet<LeafIdentity> {
+        self.given_up.borrow_mut().take_due_checks(self.clock.now())
     }
 
     /// Records that nothing listens at the address of a leaf: it has ended under the requests
--- a/crates/broker/src/routes/leaf_checks.rs
+++ b/crates/broker/src/routes/leaf_checks.rs
@@ -30,7 +30,7 @@
         if state.is_stopping() {
             continue;
         }
-        let given_up = state.crashes.take_unchecked();
+        let given_up = state.crashes.take_due_checks();
         let given_up = given_up.iter().filter_map(|identity| state.leaves.leaf(identity));
         for leaf in state.leaves.leaves_to_probe().into_iter().chain(given_up) {
             let state = state.clone();
--- a/crates/broker/tests/crashing_requests.rs
+++ b/crates/broker/tests/crashing_requests.rs
@@ -24,9 +24,14 @@
 
 /// A leaf that ends on a crashing request and answers all others after a short delay.
 fn crashing(attestation: &'static str) -> Arc<ScriptedLeaf> {
+    crashing_after(attestation, Duration::from_millis(5))
+}
+
+/// A leaf that ends this long after a crashing request and answers all others as late.
+fn crashing_after(attestation: &'static str, delay: Duration) -> Arc<ScriptedLeaf> {
     let (crash, crashes) = sync_channel(16);
     let leaf = Arc::new(ScriptedLeaf::for_all(move |request| {
-        sleep(Duration::from_millis(5));
+        sleep(delay);
         if !request.head.contains(CRASHING) {
             return LeafAction::Send(reply(request, attestation, &[b'x'; 16]));
         }
@@ -238,10 +243,24 @@
 }
 
 /// Leaves of other services have taken the addresses of the other shards, so that the gather fails
-/// while the request is still in flight.
+/// while the request is still in flight. A leaf that ended after it was probed once was missed.
 #[test]
 fn the_end_of_a_leaf_is_not_missed_when_its_request_is_given_up() {
     let lost: Vec<Arc<ScriptedLeaf>> = (0..2).map(|_| crashing("part")).collect();
+    end_after_the_request_is_given_up(&lost);
+}
+
+/// The leaf works on the request for longer than until the first probe.
+#[test]
+fn the_end_of_a_leaf_that_runs_an_abandoned_request_for_a_while_is_not_missed() {
+    let delay = Duration::from_millis(350);
+    let lost: Vec<Arc<ScriptedLeaf>> = (0..2).map(|_| crashing_after("part", delay)).collect();
+    end_after_the_request_is_given_up(&lost);
+}
+
+/// Has a gather fail while the request is in flight at one of the leaves `lost` of the first shard,
+/// and waits until the end of that leaf is noticed.
+fn end_after_the_request_is_given_up(lost: &[Arc<ScriptedLeaf>]) {
     let others: Vec<ScriptedLeaf> = (0..3)
         .map(|_| ScriptedLeaf::for_all(|_| LeafAction::Send(response(421, "", b"another leaf"))))
         .collect();
@@ -251,7 +270,7 @@
     shards.extend(taken.iter().map(|address| &address[..]));
     let broker = RoutedBroker::start(&[], &shards);
     assert_eq!(broker.get("/all/crashing").status, 502);
-    assert_eq!(leaves_hit(&lost), 1);
+    assert_eq!(leaves_hit(lost), 1);
     wait_until("the end is held against the request", || {
         broker.broker.log().contains("event=leaf_ended_under_request request=r1")
     });
--- a/crates/domain/src/crash_suspects/given_up.rs
+++ b/crates/domain/src/crash_suspects/given_up.rs
@@ -10,6 +10,10 @@
 /// Time after an abandoned attempt in which the termination of its leaf counts against the request:
 /// longer than a leaf works on most requests.
 const ABANDONED_TTL: Duration = Duration::from_secs(1);
+/// Age of an abandoned attempt at which its leaf is checked a second time: it may have run the
+/// request for a while before it terminated. Early enough for the result to arrive within
+/// [`ABANDONED_TTL`].
+const SECOND_CHECK_AGE: Duration = Duration::from_millis(600);
 /// Maximum number of abandoned attempts that are kept.
 const MAX_ABANDONED: usize = 256;
 
@@ -36,11 +40,22 @@
 #[derive(Debug)]
 struct Abandoned {
     at: Timestamp,
-    /// Whether its leaf has been checked since.
-    is_checked: bool,
+    /// Checks of its leaf since.
+    checks: u32,
     under_way: InFlightAttempt,
 }
 
+impl Abandoned {
+    /// Whether its leaf is to be checked: at once, and again after [`SECOND_CHECK_AGE`].
+    fn is_check_due(&self, now: Timestamp) -> bool {
+        match self.checks {
+            0 => true,
+            1 => now.since(self.at) >= SECOND_CHECK_AGE,
+            _ => false,
+        }
+    }
+}
+
 /// Recently abandoned attempts.
 #[derive(Debug, Default)]
 pub struct AbandonedRequests {
@@ -52,18 +67,19 @@
     pub fn add(&mut self, now: Timestamp, under_way: InFlightAttempt) {
         self.forget(now);
         if self.kept.len() < MAX_ABANDONED {
-            self.kept.push(Abandoned { at: now, is_checked: false, under_way });
+            self.kept.push(Abandoned { at: now, checks: 0, under_way });
         }
     }
 
-    /// The leaves that have not been checked since, which count as checked afterwards.
-    pub fn take_unchecked(&mut self) -> BTreeSet<LeafIdentity> {
-        let unchecked = self.kept.iter_mut().filter(|abandoned| !abandoned.is_checked);
+    /// The leaves that are due for a check, which count as checked afterwards.
+    pub fn take_due_checks(&mut self, now: Timestamp) -> BTreeSet<LeafIdentity> {
+        self.forget(now);
+        let due = self.kept.iter_mut().filter(|abandoned| abandoned.is_check_due(now));
         let leaf = |abandoned: &mut Abandoned| {
-            abandoned.is_checked = true;
+            abandoned.checks += 1;
             abandoned.under_way.leaf.clone()
         };
-        unchecked.map(leaf).collect()
+        due.map(leaf).collect()
     }
 
     /// Removes and returns the abandoned attempts at a leaf.
--- a/crates/domain/tests/crash_suspects.rs
+++ b/crates/domain/tests/crash_suspects.rs
@@ -431,14 +431,19 @@
 }
 
 #[test]
-fn a_leaf_with_abandoned_attempts_is_checked_once() {
+fn a_leaf_with_abandoned_attempts_is_checked_at_once_and_again_before_they_expire() {
     let mut abandoned = AbandonedRequests::default();
     (0..300).for_each(|_| abandoned.add(at(1_000), in_flight(CRASHING, "a")));
-    assert_eq!(abandoned.take_unchecked().len(), 1);
-    assert!(abandoned.take_unchecked().is_empty());
+    assert_eq!(abandoned.take_due_checks(at(1_000)).len(), 1);
+    assert!(abandoned.take_due_checks(at(1_000)).is_empty());
     assert_eq!(
         abandoned.take_at(at(1_001), &LeafIdentity::new("a")).len(),
         256,
         "no more are kept"
     );
+    abandoned.add(at(2_000), in_flight(CRASHING, "a"));
+    assert_eq!(abandoned.take_due_checks(at(2_100)).len(), 1);
+    assert!(abandoned.take_due_checks(at(2_400)).is_empty());
+    assert_eq!(abandoned.take_due_checks(at(2_700)).len(), 1);
+    assert!(abandoned.take_due_checks(at(2_900)).is_empty());
 }
