Say what the shares of brokers without levels add up to

The comment on the assumed load of 0.65 claimed that the shares stay below one; tenants up to 0.7 of their quota are not told of, so it is 1.08 at most.

--- a/crates/domain/src/quota/metered.rs
+++ b/crates/domain/src/quota/metered.rs
@@ -27,8 +27,8 @@
 const LEVEL_TTL: Duration = Duration::from_secs(2);
 /// Fraction of a quota above which control processes send the level of a tenant ([`super::fold`]).
 pub(super) const REPORTED_SHARE: f64 = 0.7;
-/// Load of a tenant whose level is not sent, as a fraction of its quota; above the usual load of such
-/// a tenant, so that the shares of all brokers add up to less than one.
+/// Load that is assumed of a tenant whose level is not sent, as a fraction of its quota. Near
+/// [`REPORTED_SHARE`], so that the shares of all brokers add up to little more than one at most.
 pub(super) const UNREPORTED_LOAD: f64 = 0.65;
 /// Requests by which an isolated broker may exceed its share for the usual requests of a tenant.
 const MAX_ISOLATED_DEBT: f64 = 1.5;
