--- a/review/standins.py
+++ b/review/standins.py
@@ -436,6 +436,8 @@
 
 def run_case(folder, case):
     """Runs `case(record, deployment)`, which returns an exit code, and ends all processes."""
+    # Processes are ended also when the case is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(folder)
     record(f"TROUBLE={'1' if trouble() else '0'}")
     code = COULD_NOT_RUN
@@ -443,9 +445,9 @@
     try:
         deployment = Deployment(record)
         code = case(record, deployment)
-    except (CouldNotRun, OSError) as error:
-        record(f"the case could not run: {error}")
-        print(error, file=sys.stderr)
+    except Exception as error:  # A fault of the case itself is no result.
+        record(f"the case could not run: {error!r}")
+        print(f"the case could not run: {error!r}", file=sys.stderr)
     finally:
         if deployment is not None:
             deployment.close()
