--- a/crates/control/src/storage/identity.rs
+++ b/crates/control/src/storage/identity.rs
@@ -1,6 +1,5 @@
 //! The identity file: format version, cluster and member of a data folder.
 
-use std::fs;
 use std::path::Path;
 
 use gingerkeel_domain::consensus::{Incarnation, MemberId, NodeNumber};
@@ -45,7 +44,7 @@
     owner: &FolderOwner,
 ) -> Result<MemberId, StorageError> {
     let path = folder.join(IDENTITY_FILE);
-    match fs::read(&path) {
+    match io.read(&path) {
         Ok(bytes) => {
             let (version, document) = check(&path, &bytes, owner)?;
             if version < FORMAT_VERSION {
--- a/crates/control/src/storage/mod.rs
+++ b/crates/control/src/storage/mod.rs
@@ -23,6 +23,6 @@
 
 pub use error::StorageError;
 pub use identity::{FORMAT_VERSION, FolderOwner};
-pub use io::{DiskIo, StorageIo};
+pub use io::{DiskIo, FolderLock, StorageFile, StorageIo};
 pub use storage_folder::{OpenedStorage, Storage};
 pub use writer::{Writer, WriterEvent, WriterMessage};
--- a/crates/control/src/storage/recovery.rs
+++ b/crates/control/src/storage/recovery.rs
@@ -1,6 +1,5 @@
 //! Recovery of the log from its segments.
 
-use std::fs::{self, OpenOptions};
 use std::path::Path;
 
 use gingerkeel_domain::consensus::{Entry, HardState, LogIndex, Recovered, Snapshot};
@@ -37,7 +36,7 @@
     io: &mut dyn StorageIo,
     folder: &Path,
 ) -> Result<RecoveredLog, StorageError> {
-    let files = numbered_files(folder, PREFIX)?;
+    let files = numbered_files(io, folder, PREFIX)?;
     let mut log = RecoveredLog::default();
     let count = files.len();
     for (position, file) in files.into_iter().enumerate() {
@@ -60,7 +59,7 @@
         is_last: bool,
     ) -> Result<(), StorageError> {
         let bytes =
-            fs::read(&file.path).map_err(|error| StorageError::unusable(&file.path, error))?;
+            io.read(&file.path).map_err(|error| StorageError::unusable(&file.path, error))?;
         let mut segment = Segment { file, last_index: LogIndex(0) };
         let mut offset = 0;
         while offset < bytes.len() {
@@ -143,9 +142,9 @@
         return Err(StorageError::Corrupted(path.to_owned(), offset as u64, reason));
     }
     let unusable = |error| StorageError::unusable(path, error);
-    let file = OpenOptions::new().write(true).open(path).map_err(unusable)?;
+    let mut file = io.open(path).map_err(unusable)?;
     file.set_len(offset as u64).map_err(unusable)?;
-    io.sync(&file).map_err(unusable)?;
+    file.sync().map_err(unusable)?;
     let removed = bytes.len() - offset;
     warn!(event = "torn_tail_cut", file = %path.display(), offset, bytes = removed);
     Ok(())
--- a/crates/control/src/storage/snapshot_file.rs
+++ b/crates/control/src/storage/snapshot_file.rs
@@ -1,6 +1,5 @@
 //! Snapshots on disk, one file each.
 
-use std::fs;
 use std::path::Path;
 
 use gingerkeel_domain::consensus::Snapshot;
@@ -26,21 +25,24 @@
         StorageError::Corrupted(file.path.clone(), 0, "the snapshot cannot be written")
     })?;
     replace_file(io, folder, &file.path, &with_checksum(&document))?;
-    for earlier in numbered_files(folder, PREFIX)?.iter().filter(|other| other.number < number) {
-        fs::remove_file(&earlier.path)
-            .map_err(|error| StorageError::unusable(&earlier.path, error))?;
+    for earlier in numbered_files(io, folder, PREFIX)?.iter().filter(|other| other.number < number)
+    {
+        io.remove(&earlier.path).map_err(|error| StorageError::unusable(&earlier.path, error))?;
     }
     sync_folder(io, folder)
 }
 
 /// Reads the latest snapshot; none if there is no file.
-pub(super) fn read_latest(folder: &Path) -> Result<Option<Snapshot>, StorageError> {
-    let files = numbered_files(folder, PREFIX)?;
+pub(super) fn read_latest(
+    io: &mut dyn StorageIo,
+    folder: &Path,
+) -> Result<Option<Snapshot>, StorageError> {
+    let files = numbered_files(io, folder, PREFIX)?;
     let Some(file) = files.last() else {
         return Ok(None);
     };
     let damaged = |reason| StorageError::Corrupted(file.path.clone(), 0, reason);
-    let bytes = fs::read(&file.path).map_err(|error| StorageError::unusable(&file.path, error))?;
+    let bytes = io.read(&file.path).map_err(|error| StorageError::unusable(&file.path, error))?;
     let document = without_checksum(&bytes).ok_or(damaged("wrong checksum"))?;
     decode_document(document).map(Some).map_err(|_| damaged("not a snapshot"))
 }
--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -1,18 +1,15 @@
 //! An open data folder: appends records, rolls segments and installs snapshots.
 
-use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 
 use gingerkeel_domain::consensus::{
     HardState, LogIndex, MemberId, Recovered, SnapshotWrite, Write,
 };
-use rustix::fs::{FlockOperation, flock};
-use rustix::io::Errno;
 
 use super::error::StorageError;
-use super::files::{NumberedFile, create_private_folder, private_file, sync_folder};
+use super::files::{NumberedFile, sync_folder, write_all};
 use super::identity::{self, FolderOwner};
-use super::io::{StorageIo, write_all};
+use super::io::{FolderLock, StorageFile, StorageIo};
 use super::record::{LoggedWrite, Record};
 use super::recovery::{PREFIX, Segment, read_log};
 use super::snapshot_file;
@@ -25,7 +22,7 @@
 pub struct Storage {
     folder: PathBuf,
     /// Held for as long as the folder is in use.
-    _lock: File,
+    _lock: FolderLock,
     io: Box<dyn StorageIo>,
     /// Segments that are complete, oldest first.
     closed: Vec<Segment>,
@@ -38,7 +35,7 @@
 
 struct OpenSegment {
     segment: Segment,
-    file: File,
+    file: Box<dyn StorageFile>,
     /// Number of bytes that are synced.
     length: u64,
 }
@@ -64,10 +61,10 @@
         owner: &FolderOwner,
         mut io: Box<dyn StorageIo>,
     ) -> Result<OpenedStorage, StorageError> {
-        create_private_folder(folder)?;
-        let lock = lock(folder)?;
+        io.create_folder(folder).map_err(|error| StorageError::unusable(folder, error))?;
+        let lock = lock(io.as_mut(), folder)?;
         let identity = identity::read_or_create(io.as_mut(), folder, owner)?;
-        let snapshot = snapshot_file::read_latest(folder)?;
+        let snapshot = snapshot_file::read_latest(io.as_mut(), folder)?;
         let mut log = read_log(io.as_mut(), folder)?;
         let recovered = log.combine(folder, snapshot)?;
         let storage = Self {
@@ -132,7 +129,7 @@
         let covered = self.closed.iter().take_while(|segment| segment.last_index <= index).count();
         for segment in self.closed.drain(..covered) {
             let path = segment.file.path;
-            fs::remove_file(&path).map_err(|error| StorageError::unusable(&path, error))?;
+            self.io.remove(&path).map_err(|error| StorageError::unusable(&path, error))?;
         }
         sync_folder(self.io.as_mut(), &self.folder)
     }
@@ -161,7 +158,7 @@
         let Some(bytes) = record.encode() else {
             return Err(StorageError::Stopped(path.clone()));
         };
-        if let Err(error) = write_all(self.io.as_mut(), &mut open.file, &bytes) {
+        if let Err(error) = write_all(open.file.as_mut(), &bytes) {
             let error = StorageError::unusable(path, error);
             // A partial write must not precede the next attempt.
             return match open.file.set_len(open.length) {
@@ -169,7 +166,7 @@
                 Err(cause) => Err(StorageError::Io(path.clone(), cause)),
             };
         }
-        self.io.sync(&open.file).map_err(|error| StorageError::SyncFailed(path.clone(), error))?;
+        open.file.sync().map_err(|error| StorageError::SyncFailed(path.clone(), error))?;
         open.length += bytes.len() as u64;
         open.segment.last_index = open.segment.last_index.max(last_index);
         self.next_sequence += 1;
@@ -187,8 +184,7 @@
         let file = NumberedFile::new(&self.folder, PREFIX, self.next_sequence);
         let unusable = |error| StorageError::unusable(&file.path, error);
         // An existing file of this name holds no synced record.
-        let handle = private_file().append(true).open(&file.path).map_err(unusable)?;
-        handle.set_len(0).map_err(unusable)?;
+        let handle = self.io.create(&file.path).map_err(unusable)?;
         sync_folder(self.io.as_mut(), &self.folder)?;
         self.closed.retain(|segment| segment.file != file);
         let segment = Segment { file, last_index: LogIndex(0) };
@@ -203,13 +199,8 @@
     }
 }
 
-fn lock(folder: &Path) -> Result<File, StorageError> {
+fn lock(io: &mut dyn StorageIo, folder: &Path) -> Result<FolderLock, StorageError> {
     let path = folder.join(LOCK_FILE);
-    let unusable = |error| StorageError::unusable(&path, error);
-    let file = private_file().truncate(false).open(&path).map_err(unusable)?;
-    match flock(&file, FlockOperation::NonBlockingLockExclusive) {
-        Ok(()) => Ok(file),
-        Err(Errno::WOULDBLOCK) => Err(StorageError::InUse(folder.to_owned())),
-        Err(error) => Err(unusable(error.into())),
-    }
+    let lock = io.lock(&path).map_err(|error| StorageError::unusable(&path, error))?;
+    lock.ok_or_else(|| StorageError::InUse(folder.to_owned()))
 }
--- /dev/null
+++ b/crates/control/tests/disks/mod.rs
@@ -0,0 +1,4 @@
+//! Disks for tests of the data folder.
+#![allow(dead_code)]
+
+pub mod faulty;
--- a/crates/control/tests/replication/full_disk.rs
+++ b/crates/control/tests/replication/full_disk.rs
@@ -1,39 +1,19 @@
 //! A full disk stops proposals and is reported, but loses no accepted entry.
 
-use std::fs::File;
-use std::io;
 use std::path::Path;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use gingerkeel_control::replication::ProposeError;
-use gingerkeel_control::storage::{DiskIo, FolderOwner, Storage, StorageIo};
+use gingerkeel_control::storage::{DiskIo, FolderOwner, Storage};
 use gingerkeel_domain::consensus::{Incarnation, NodeNumber};
 use tempfile::TempDir;
 
+use crate::disks::faulty::FaultyIo;
 use crate::support::{Member, settings};
 
 const PAUSE: Duration = Duration::from_millis(20);
 const TRIES: usize = 1_000;
 
-struct Disk {
-    full: Arc<AtomicBool>,
-}
-
-impl StorageIo for Disk {
-    fn write(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<usize> {
-        match self.full.load(Ordering::Relaxed) {
-            true => Err(io::ErrorKind::StorageFull.into()),
-            false => io::Write::write(file, bytes),
-        }
-    }
-
-    fn sync(&mut self, file: &File) -> io::Result<()> {
-        file.sync_data()
-    }
-}
-
 fn propose_until_accepted(member: &Member, command: &'static str) {
     let accepted = (0..TRIES).any(|_| {
         let accepted = member.propose(command).is_ok();
@@ -62,25 +42,21 @@
 #[test]
 fn full_disk_is_reported_and_proposals_resume_once_there_is_space() {
     let folder = TempDir::new().expect("a folder");
-    let full = Arc::new(AtomicBool::new(false));
-    let disk = Disk { full: full.clone() };
-    let member = Member::start(settings(folder.path(), &[]), Box::new(disk));
+    let disk = FaultyIo::default();
+    let member = Member::start(settings(folder.path(), &[]), Box::new(disk.clone()));
     propose_until_accepted(&member, "before");
-    full.store(true, Ordering::Relaxed);
+    disk.set_free_bytes(Some(0));
     assert_eq!(member.propose("during"), Err(ProposeError::Dropped));
     let error = member.propose("refused").expect_err("the disk is full");
     assert!(error.to_string().contains("the disk is full"), "{error}");
     assert!(member.status().storage_error.is_some());
-    full.store(false, Ordering::Relaxed);
+    disk.set_free_bytes(None);
     propose_until_accepted(&member, "after");
     assert_eq!(member.status().storage_error, None);
     member.stop();
     wait_until_unlocked(folder.path());
 
-    let member = Member::start(
-        settings(folder.path(), &[]),
-        Box::new(Disk { full: Arc::new(AtomicBool::new(false)) }),
-    );
+    let member = Member::start(settings(folder.path(), &[]), Box::new(FaultyIo::default()));
     propose_until_accepted(&member, "last");
     let commands: Vec<String> = member.commands.try_iter().collect();
     assert!(commands.starts_with(&["before".into()]), "{commands:?}");
--- a/crates/control/tests/replication/main.rs
+++ b/crates/control/tests/replication/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the replicated log's task: refused peers and a full disk.
 
+#[path = "../disks/mod.rs"]
+mod disks;
 mod full_disk;
 mod peers;
 mod support;
--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -1,15 +1,16 @@
 //! The data folder: recovery, truncation of torn tails, and refused folders.
 
-use std::fs::{self, File, OpenOptions};
-use std::io;
+mod disks;
+
+use std::fs::{self, OpenOptions};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use disks::faulty::FaultyIo;
 use gingerkeel_control::storage::{
-    DiskIo, FORMAT_VERSION, FolderOwner, OpenedStorage, Storage, StorageError, StorageIo, Writer,
-    WriterEvent, WriterMessage,
+    DiskIo, FORMAT_VERSION, FolderOwner, OpenedStorage, Storage, StorageError, Writer, WriterEvent,
+    WriterMessage,
 };
 use gingerkeel_domain::consensus::{
     Configuration, Entry, HardState, Incarnation, LogIndex, LogPosition, MemberId, NodeNumber,
@@ -263,44 +264,6 @@
     assert!(matches!(open(folder.path()).err(), Some(StorageError::InUse(_))));
 }
 
-/// A disk with injected faults.
-#[derive(Clone, Default)]
-struct FaultyIo {
-    faults: Arc<Mutex<Faults>>,
-    syncs: Arc<AtomicUsize>,
-}
-
-#[derive(Default)]
-struct Faults {
-    /// Free space in bytes; `None` is unlimited.
-    free_bytes: Option<usize>,
-    /// Maximum number of bytes per write; `None` is unlimited.
-    max_write_bytes: Option<usize>,
-    sync_fails: bool,
-}
-
-impl StorageIo for FaultyIo {
-    fn write(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<usize> {
-        let mut faults = self.faults.lock().expect("no panic");
-        let longest = faults.max_write_bytes.unwrap_or(usize::MAX);
-        let free_bytes = faults.free_bytes.unwrap_or(usize::MAX);
-        if free_bytes == 0 {
-            return Err(io::ErrorKind::StorageFull.into());
-        }
-        let count = bytes.len().min(longest).min(free_bytes);
-        faults.free_bytes = faults.free_bytes.map(|free_bytes| free_bytes - count);
-        io::Write::write(file, &bytes[..count])
-    }
-
-    fn sync(&mut self, file: &File) -> io::Result<()> {
-        self.syncs.fetch_add(1, Ordering::Relaxed);
-        match self.faults.lock().expect("no panic").sync_fails {
-            true => Err(io::Error::other("bad sector")),
-            false => file.sync_data(),
-        }
-    }
-}
-
 fn open_faulty(folder: &Path, io: &FaultyIo) -> Storage {
     Storage::open(folder, &owner(), Box::new(io.clone())).expect("the folder opens").storage
 }
@@ -326,10 +289,10 @@
     let io = FaultyIo::default();
     let mut storage = open_faulty(folder.path(), &io);
     storage.persist(vec![write(vec![entry(1, 1)])]).expect("persisted");
-    io.faults.lock().expect("no panic").free_bytes = Some(free_bytes);
+    io.set_free_bytes(Some(free_bytes));
     let error = storage.persist(vec![write(vec![entry(1, 2)])]).expect_err("full");
     assert!(matches!(error, StorageError::Full(_)), "{error}");
-    io.faults.lock().expect("no panic").free_bytes = None;
+    io.set_free_bytes(None);
     storage.persist(vec![write(vec![entry(1, 2)])]).expect("persisted");
     drop(storage);
     assert_eq!(
@@ -344,7 +307,7 @@
     let io = FaultyIo::default();
     let mut storage = open_faulty(folder.path(), &io);
     storage.persist(vec![write(vec![entry(1, 1)])]).expect("persisted");
-    io.faults.lock().expect("no panic").free_bytes = Some(25);
+    io.set_free_bytes(Some(25));
     storage.persist(vec![write(vec![entry(1, 2)])]).expect_err("full");
     drop(storage);
     assert_eq!(indexes(&open(folder.path()).expect("the folder opens").recovered), [(1, 1)]);
@@ -356,10 +319,10 @@
     let io = FaultyIo::default();
     let mut storage = open_faulty(folder.path(), &io);
     storage.persist(vec![write(vec![entry(1, 1)])]).expect("persisted");
-    io.faults.lock().expect("no panic").sync_fails = true;
+    io.set_sync_fails(true);
     let error = storage.persist(vec![write(vec![entry(1, 2)])]).expect_err("failed");
     assert!(matches!(error, StorageError::SyncFailed(..)), "{error}");
-    io.faults.lock().expect("no panic").sync_fails = false;
+    io.set_sync_fails(false);
     let error = storage.persist(vec![write(vec![entry(1, 2)])]).expect_err("stopped");
     assert!(matches!(error, StorageError::Stopped(_)), "{error}");
 }
@@ -381,13 +344,13 @@
     let folder = TempDir::new().expect("a folder");
     let io = FaultyIo::default();
     let storage = open_faulty(folder.path(), &io);
-    io.faults.lock().expect("no panic").free_bytes = Some(0);
+    io.set_free_bytes(Some(0));
     let writer = Writer::start(storage).expect("a thread");
     let number = WriteNumber(5);
     let persist = WriterMessage::Persist(Write { number, ..write(vec![entry(1, 1)]) });
     writer.messages.send(persist).expect("the writer runs");
     assert!(matches!(writer.events.recv(), Ok(WriterEvent::Full(_))));
-    io.faults.lock().expect("no panic").free_bytes = None;
+    io.set_free_bytes(None);
     assert!(matches!(writer.events.recv(), Ok(WriterEvent::Persisted(found)) if found == number));
 }
 
