--- a/crates/control/src/storage/recovery.rs
+++ b/crates/control/src/storage/recovery.rs
@@ -31,7 +31,10 @@
     commit: LogIndex,
 }
 
-/// Reads all segments and truncates a torn tail.
+/// Reads all segments, truncates a torn tail and syncs what is left.
+///
+/// A process may have been killed between a write and its sync; the write is read back all the same,
+/// and a loss of power would still revert it.
 pub(super) fn read_log(
     io: &mut dyn StorageIo,
     folder: &Path,
@@ -64,7 +67,7 @@
         let mut offset = 0;
         while offset < bytes.len() {
             let Decoded::Record(record, length) = Record::decode(&bytes[offset..]) else {
-                truncate_torn_tail(io, &segment.file.path, &bytes, offset, is_last)?;
+                check_torn_tail(&segment.file.path, &bytes, offset, is_last)?;
                 break;
             };
             if record.sequence != self.next_sequence {
@@ -79,6 +82,12 @@
             }
             offset += length;
         }
+        let path = &segment.file.path;
+        if offset < bytes.len() {
+            let removed = bytes.len() - offset;
+            warn!(event = "torn_tail_cut", file = %path.display(), offset, bytes = removed);
+        }
+        truncate(io, path, offset)?;
         self.segments.push(segment);
         Ok(())
     }
@@ -127,9 +136,9 @@
     }
 }
 
-/// Truncates an incomplete write at the end of the last segment; refuses any other corruption.
-fn truncate_torn_tail(
-    io: &mut dyn StorageIo,
+/// Refuses bytes without a valid record unless they are an incomplete write at the end of the last
+/// segment.
+fn check_torn_tail(
     path: &Path,
     bytes: &[u8],
     offset: usize,
@@ -141,11 +150,13 @@
         let reason = "a synced record is incomplete or corrupted";
         return Err(StorageError::Corrupted(path.to_owned(), offset as u64, reason));
     }
+    Ok(())
+}
+
+/// Truncates a segment to the length of its valid records and syncs it.
+fn truncate(io: &mut dyn StorageIo, path: &Path, length: usize) -> Result<(), StorageError> {
     let unusable = |error| StorageError::unusable(path, error);
     let mut file = io.open(path).map_err(unusable)?;
-    file.set_len(offset as u64).map_err(unusable)?;
-    file.sync().map_err(unusable)?;
-    let removed = bytes.len() - offset;
-    warn!(event = "torn_tail_cut", file = %path.display(), offset, bytes = removed);
-    Ok(())
+    file.set_len(length as u64).map_err(unusable)?;
+    file.sync().map_err(|error| StorageError::SyncFailed(path.to_owned(), error))
 }
--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -53,7 +53,7 @@
 
 impl Storage {
     /// Locks a folder, checks its identity and recovers its contents; an empty folder is
-    /// initialized for the owner.
+    /// initialized for the owner. What was recovered is durable.
     ///
     /// # Errors
     /// A [`StorageError`] with the path and a remedy.
@@ -68,6 +68,8 @@
         let snapshot = snapshot_file::read_latest(io.as_mut(), folder)?;
         let mut log = read_log(io.as_mut(), folder)?;
         let recovered = log.combine(folder, snapshot)?;
+        // An earlier process may have been killed before it synced the names that were read.
+        sync_folder(io.as_mut(), folder)?;
         let storage = Self {
             folder: folder.to_owned(),
             _lock: lock,
--- a/crates/control/tests/storage_crashes/directed.rs
+++ b/crates/control/tests/storage_crashes/directed.rs
@@ -46,3 +46,21 @@
         }
     }
 }
+
+/// Guards against a folder that is refused since a start took over a record that a killed process
+/// had not synced.
+#[test]
+fn record_read_before_its_sync_survives_a_later_loss_of_power() {
+    let first = [vec![write(vec![entry(1, 1)])]];
+    let both = [first[0].clone(), vec![write(vec![entry(1, 2)])]];
+    let last = [vec![write(vec![entry(1, 3)])]];
+    for seed in SEEDS {
+        let until_sync = operations(&VolatileDisk::new(seed), &both) - 1;
+        let disk = VolatileDisk::new(seed);
+        run_until_killed(&disk, until_sync, &both);
+        assert_eq!(positions(&recovered(&disk)), [(1, 1), (1, 2)]);
+        run(&disk, &last);
+        disk.lose_power();
+        assert_eq!(positions(&recovered(&disk)), [(1, 1), (1, 2), (1, 3)], "seed {seed}");
+    }
+}
