--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -131,8 +131,11 @@
         for segment in self.closed.drain(..covered) {
             let path = segment.file.path;
             self.io.remove(&path).map_err(|error| StorageError::unusable(&path, error))?;
+            // Removals that are synced together may survive a loss of power in any order, which
+            // would leave a gap between segments.
+            sync_folder(self.io.as_mut(), &self.folder)?;
         }
-        sync_folder(self.io.as_mut(), &self.folder)
+        Ok(())
     }
 
     /// Appends one record and syncs it.
--- a/crates/control/tests/storage_crashes/directed.rs
+++ b/crates/control/tests/storage_crashes/directed.rs
@@ -64,3 +64,23 @@
         assert_eq!(positions(&recovered(&disk)), [(1, 1), (1, 2), (1, 3)], "seed {seed}");
     }
 }
+
+/// Guards against a gap between segments when power is lost while a snapshot removes several.
+#[test]
+fn segments_removed_by_a_snapshot_leave_no_gap_after_a_loss_of_power() {
+    let removal = [vec![snapshot(1, 4, false)]];
+    let with_segments = |seed| {
+        let disk = VolatileDisk::new(seed);
+        (1..=5).for_each(|index| run(&disk, &[vec![write(vec![entry(1, index)])]]));
+        disk
+    };
+    for seed in SEEDS {
+        for killed_after in 0..=operations(&with_segments(seed), &removal) {
+            let disk = with_segments(seed);
+            run_until_killed(&disk, killed_after, &removal);
+            disk.lose_power();
+            let positions = positions(&recovered(&disk));
+            assert_eq!(positions.last(), Some(&(1, 5)), "seed {seed}, kill {killed_after}");
+        }
+    }
+}
