--- a/crates/control/src/storage/recovery.rs
+++ b/crates/control/src/storage/recovery.rs
@@ -27,6 +27,8 @@
     /// Sequence number of the next record.
     pub next_sequence: u64,
     pub hard_state: HardState,
+    /// Whether the segments hold entries that the snapshot replaced.
+    pub has_replaced_entries: bool,
     entries: Vec<Entry>,
     commit: LogIndex,
 }
@@ -125,6 +127,7 @@
         if conflicting || ends_before {
             // The process stopped after it installed a snapshot and before it discarded the old
             // log.
+            self.has_replaced_entries = !entries.is_empty();
             entries.clear();
         }
         entries.retain(|entry| entry.index > position.index);
--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -30,6 +30,9 @@
     open: Option<OpenSegment>,
     next_sequence: u64,
     hard_state: HardState,
+    /// Whether the log on disk still holds entries that the snapshot replaced, which the next record
+    /// must discard.
+    reset_due: bool,
     /// Whether a write failed permanently.
     stopped: bool,
 }
@@ -78,6 +81,7 @@
             open: None,
             next_sequence: log.next_sequence,
             hard_state: log.hard_state,
+            reset_due: log.has_replaced_entries,
             stopped: false,
         };
         Ok(OpenedStorage { storage, identity, recovered })
@@ -149,11 +153,12 @@
         let Some(open) = &mut self.open else {
             return Err(StorageError::Stopped(self.folder.clone()));
         };
-        if open.length == 0
-            && let Some(first) = writes.first_mut()
-        {
-            // Each segment repeats the hard state, so that older ones can be removed.
-            first.hard_state = first.hard_state.or(Some(self.hard_state));
+        if let Some(first) = writes.first_mut() {
+            first.resets_log |= self.reset_due;
+            if open.length == 0 {
+                // Each segment repeats the hard state, so that older ones can be removed.
+                first.hard_state = first.hard_state.or(Some(self.hard_state));
+            }
         }
         let path = &open.segment.file.path;
         let last = writes.iter().filter_map(|write| write.entries.last()).next_back();
@@ -175,6 +180,7 @@
         open.segment.last_index = open.segment.last_index.max(last_index);
         self.next_sequence += 1;
         self.hard_state = hard_state;
+        self.reset_due = false;
         if open.length >= SEGMENT_BYTES {
             self.close_segment();
         }
--- a/crates/control/tests/storage_crashes/directed.rs
+++ b/crates/control/tests/storage_crashes/directed.rs
@@ -84,3 +84,28 @@
         }
     }
 }
+
+/// Guards against the loss of entries that were persisted after a start which found a snapshot
+/// installed and the log that it replaced still there.
+#[test]
+fn entries_after_an_interrupted_installation_of_a_snapshot_are_kept() {
+    let replaced = [vec![write(vec![entry(1, 1), entry(1, 2), entry(1, 3)])]];
+    let installation = [vec![snapshot(2, 2, true)]];
+    let with_log = || {
+        let disk = VolatileDisk::new(1);
+        run(&disk, &replaced);
+        disk
+    };
+    let mut interrupted = 0;
+    for killed_after in 0..=operations(&with_log(), &installation) {
+        let disk = with_log();
+        run_until_killed(&disk, killed_after, &installation);
+        if recovered(&disk).snapshot.is_none() {
+            continue;
+        }
+        interrupted += 1;
+        run(&disk, &[vec![write(vec![entry(2, 3)])]]);
+        assert_eq!(positions(&recovered(&disk)), [(2, 3)], "killed after {killed_after}");
+    }
+    assert!(interrupted > 1, "the snapshot is there in {interrupted} cases");
+}
