--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -42,6 +42,8 @@
     file: Box<dyn StorageFile>,
     /// Number of bytes that are synced.
     length: u64,
+    /// Whether a partial write was truncated since the last sync.
+    is_truncated: bool,
 }
 
 /// An opened folder with its recovered contents.
@@ -128,7 +130,7 @@
 
     /// Removes the oldest segments that a snapshot covers, except the open one.
     fn remove_covered_segments(&mut self, index: LogIndex) -> Result<(), StorageError> {
-        self.close_segment();
+        self.close_segment()?;
         // Older segments may go only once a later one repeats the hard state.
         self.append(vec![LoggedWrite::default()])?;
         let covered = self.closed.iter().take_while(|segment| segment.last_index <= index).count();
@@ -170,19 +172,21 @@
         if let Err(error) = write_all(open.file.as_mut(), &bytes) {
             let error = StorageError::unusable(path, error);
             // A partial write must not precede the next attempt.
+            open.is_truncated = true;
             return match open.file.set_len(open.length) {
                 Ok(()) => Err(error),
                 Err(cause) => Err(StorageError::Io(path.clone(), cause)),
             };
         }
         open.file.sync().map_err(|error| StorageError::SyncFailed(path.clone(), error))?;
+        open.is_truncated = false;
         open.length += bytes.len() as u64;
         open.segment.last_index = open.segment.last_index.max(last_index);
         self.next_sequence += 1;
         self.hard_state = hard_state;
         self.reset_due = false;
         if open.length >= SEGMENT_BYTES {
-            self.close_segment();
+            self.close_segment()?;
         }
         Ok(())
     }
@@ -198,14 +202,22 @@
         sync_folder(self.io.as_mut(), &self.folder)?;
         self.closed.retain(|segment| segment.file != file);
         let segment = Segment { file, last_index: LogIndex(0) };
-        self.open = Some(OpenSegment { segment, file: handle, length: 0 });
+        self.open = Some(OpenSegment { segment, file: handle, length: 0, is_truncated: false });
         Ok(())
     }
 
-    fn close_segment(&mut self) {
-        if let Some(open) = self.open.take_if(|open| open.length > 0) {
-            self.closed.push(open.segment);
+    /// Closes the open segment unless it is empty.
+    fn close_segment(&mut self) -> Result<(), StorageError> {
+        let Some(mut open) = self.open.take_if(|open| open.length > 0) else {
+            return Ok(());
+        };
+        if open.is_truncated {
+            // Only the last segment may end with an incomplete record after a loss of power.
+            let path = &open.segment.file.path;
+            open.file.sync().map_err(|error| StorageError::SyncFailed(path.clone(), error))?;
         }
+        self.closed.push(open.segment);
+        Ok(())
     }
 }
 
--- a/crates/control/tests/storage_crashes/directed.rs
+++ b/crates/control/tests/storage_crashes/directed.rs
@@ -109,3 +109,23 @@
     }
     assert!(interrupted > 1, "the snapshot is there in {interrupted} cases");
 }
+
+/// Guards against an incomplete record in the middle of the log after a disk was full: the record was
+/// cut off again, and the next segment was started before that was synced.
+#[test]
+fn record_cut_off_on_a_full_disk_does_not_come_back_with_a_loss_of_power() {
+    for seed in SEEDS {
+        let disk = VolatileDisk::new(seed);
+        disk.start_process(None);
+        let mut storage = open(&disk).expect("the folder opens").storage;
+        let entries = (1..=3).map(|index| entry(1, index)).collect();
+        storage.persist(&mut vec![write(entries)].into()).expect("persisted");
+        disk.set_faults(DiskFaults { full: 1.0, ..DiskFaults::default() });
+        let error = storage.persist(&mut vec![write(vec![entry(1, 4)])].into()).expect_err("full");
+        assert!(matches!(error, StorageError::Full(_)), "{error}");
+        disk.set_faults(DiskFaults::default());
+        storage.persist(&mut vec![snapshot(1, 2, false)].into()).expect("persisted");
+        disk.lose_power();
+        assert_eq!(positions(&recovered(&disk)), [(1, 3)], "seed {seed}");
+    }
+}
