--- a/crates/control/src/storage/files.rs
+++ b/crates/control/src/storage/files.rs
@@ -41,20 +41,31 @@
     Ok(files)
 }
 
-/// Replaces a file atomically: writes it under a temporary name, syncs it and renames it.
+/// Replaces a file atomically and durably.
 pub(super) fn replace_file(
     io: &mut dyn StorageIo,
     folder: &Path,
     path: &Path,
     bytes: &[u8],
+) -> Result<(), StorageError> {
+    rename_into_place(io, folder, path, bytes)?;
+    sync_folder(io, folder)
+}
+
+/// Writes a file under a temporary name, syncs it and renames it. A sync of the folder has to follow,
+/// which makes the rename durable.
+pub(super) fn rename_into_place(
+    io: &mut dyn StorageIo,
+    folder: &Path,
+    path: &Path,
+    bytes: &[u8],
 ) -> Result<(), StorageError> {
     let temporary = folder.join(TEMPORARY_FILE);
     let unusable = |error| StorageError::unusable(path, error);
     let mut file = io.create(&temporary).map_err(unusable)?;
     write_all(file.as_mut(), bytes).map_err(unusable)?;
     file.sync().map_err(unusable)?;
-    io.rename(&temporary, path).map_err(unusable)?;
-    sync_folder(io, folder)
+    io.rename(&temporary, path).map_err(unusable)
 }
 
 /// Syncs a folder, so that created and removed names are durable.
--- a/crates/control/src/storage/recovery.rs
+++ b/crates/control/src/storage/recovery.rs
@@ -6,7 +6,7 @@
 use tracing::warn;
 
 use super::error::StorageError;
-use super::files::{NumberedFile, numbered_files, replace_file};
+use super::files::{NumberedFile, numbered_files, rename_into_place};
 use super::io::StorageIo;
 use super::record::{Decoded, LoggedWrite, Record};
 
@@ -33,7 +33,8 @@
     commit: LogIndex,
 }
 
-/// Reads all segments, truncates a torn tail and syncs what is left.
+/// Reads all segments, truncates a torn tail and syncs what is left; the folder's names are still to
+/// be synced.
 ///
 /// A process may have been killed between a write and its sync; the write is read back all the same,
 /// and a loss of power would still revert it.
@@ -167,7 +168,7 @@
 /// bytes, since nothing is written after a failed sync.
 fn rewrite(io: &mut dyn StorageIo, path: &Path, records: &[u8]) -> Result<(), StorageError> {
     let folder = path.parent().unwrap_or(Path::new("."));
-    match replace_file(io, folder, path, records) {
+    match rename_into_place(io, folder, path, records) {
         // A start must not need free space; what was written before has its space already.
         Err(error) if error.is_temporary() => truncate(io, path, records.len()),
         outcome => outcome,
