--- a/crates/control/src/storage/io.rs
+++ b/crates/control/src/storage/io.rs
@@ -24,10 +24,10 @@
 pub trait StorageIo: Send {
     /// Creates the folder if it is missing and restricts it and its files to their owner, since the
     /// route configuration contains callers' keys. Folders that earlier releases created are
-    /// readable by others.
+    /// readable by others. The name of a created folder is durable.
     ///
     /// # Errors
-    /// As [`DirBuilder::create`] and [`fs::read_dir`].
+    /// As [`DirBuilder::create`], [`fs::read_dir`] and [`File::sync_all`].
     fn create_folder(&mut self, folder: &Path) -> io::Result<()>;
 
     /// Locks a folder by its lock file; none if another process holds the lock.
@@ -106,7 +106,11 @@
 
 impl StorageIo for DiskIo {
     fn create_folder(&mut self, folder: &Path) -> io::Result<()> {
+        let missing: Vec<&Path> = folder.ancestors().take_while(|path| !path.exists()).collect();
         DirBuilder::new().recursive(true).mode(FOLDER_MODE).create(folder)?;
+        for created in missing {
+            self.sync_folder(parent(created))?;
+        }
         restrict_mode(folder, FOLDER_MODE);
         for path in self.files(folder)? {
             if path.is_file() {
@@ -152,7 +156,8 @@
     }
 
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
-        File::open(folder)?.sync_data()
+        // fdatasync covers what is needed to read a file's bytes, which excludes a folder's names.
+        File::open(folder)?.sync_all()
     }
 }
 
@@ -180,6 +185,14 @@
     options
 }
 
+/// The folder that holds the name of `path`.
+fn parent(path: &Path) -> &Path {
+    match path.parent() {
+        Some(parent) if parent != Path::new("") => parent,
+        _ => Path::new("."),
+    }
+}
+
 fn restrict_mode(path: &Path, mode: u32) {
     let restricted = fs::metadata(path).and_then(|metadata| {
         let is_open = metadata.permissions().mode() & !mode & PERMISSION_BITS != 0;
