--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt: sends a request to one leaf and reads its reply.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,7 +21,7 @@
 use super::authentication::{AUTHORIZATION, CallerIdentity};
 use super::crash_watch::request_digest;
 use super::dialect::Dialect;
-use super::pool::LeafConnection;
+use super::pool::{ConnectionNumber, LeafConnection};
 use super::state::RouteState;
 use super::trail::Trail;
 
@@ -57,6 +57,9 @@
     pub trail: Trail,
     /// Evidence of all attempts on whether the request has run.
     pub evidence: Cell<ExecutionEvidence>,
+    /// Connections on which a leaf has rejected the request. A leaf may repeat a reply late; on
+    /// these it would be taken for the reply to a second sending of the same id.
+    pub rejected_on: RefCell<Vec<ConnectionNumber>>,
     /// Cache of [`Self::digest()`].
     pub digest: OnceCell<RequestDigest>,
 }
@@ -175,7 +178,7 @@
         is_new: false,
         outcome: None,
     };
-    let connection = connect(&mut guard, leaf).await?;
+    let connection = connect(&mut guard, leaf, request).await?;
     request.update_evidence(ExecutionEvidence::sent);
     let outcome = exchange(&mut guard, connection, leaf, request).await;
     let status = outcome.as_ref().map(|reply| reply.head.status).map_err(|error| *error);
@@ -199,8 +202,9 @@
 async fn connect(
     guard: &mut AttemptGuard<'_>,
     leaf: &ListedLeaf,
+    request: &ForwardedRequest,
 ) -> Result<LeafConnection, AttemptError> {
-    if let Some(connection) = guard.state.leaves.take_idle(guard.leaf) {
+    if let Some(connection) = take_idle(guard, request) {
         guard.holds_connection = true;
         return Ok(connection);
     }
@@ -232,6 +236,11 @@
     })
 }
 
+/// An idle connection on which the leaf has not rejected the request.
+fn take_idle(guard: &AttemptGuard<'_>, request: &ForwardedRequest) -> Option<LeafConnection> {
+    guard.state.leaves.take_idle(guard.leaf, &request.rejected_on.borrow())
+}
+
 async fn exchange(
     guard: &mut AttemptGuard<'_>,
     mut connection: LeafConnection,
@@ -258,6 +267,9 @@
     let not_executed = head.headers.get(state.dialect.not_executed).is_some();
     let another_leaf = head.status == StatusCode::MISDIRECTED_REQUEST;
     let rejected = not_executed || another_leaf;
+    if rejected {
+        request.rejected_on.borrow_mut().push(connection.number);
+    }
     let reusable = whole
         && head.keeps_alive()
         && framing != BodyFraming::UntilClose
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -1,6 +1,6 @@
 //! HTTP server for callers.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -231,6 +231,7 @@
             deadline,
             trail: Trail::new(received),
             evidence: Cell::default(),
+            rejected_on: RefCell::default(),
             digest: OnceCell::new(),
         }
     }
--- a/crates/broker/src/routes/leaf_registry.rs
+++ b/crates/broker/src/routes/leaf_registry.rs
@@ -31,7 +31,7 @@
 use super::connection_book::ConnectionPlanner;
 use super::extra_load::ExtraLoadTotals;
 use super::known_leaves::{Leaves, ServiceLimits};
-use super::pool::{LeafConnection, LeafPool};
+use super::pool::{ConnectionNumber, LeafConnection, LeafPool};
 
 pub use choice::RequestContext;
 
@@ -403,9 +403,13 @@
         }
     }
 
-    /// Takes an idle connection to a leaf, if there is one.
-    pub fn take_idle(&self, leaf: &LeafIdentity) -> Option<LeafConnection> {
-        self.leaves.borrow_mut().pools.get_mut(leaf)?.take_idle()
+    /// Takes an idle connection to a leaf other than `excluded`, if there is one.
+    pub fn take_idle(
+        &self,
+        leaf: &LeafIdentity,
+        excluded: &[ConnectionNumber],
+    ) -> Option<LeafConnection> {
+        self.leaves.borrow_mut().pools.get_mut(leaf)?.take_idle(excluded)
     }
 
     /// Reserves a connection that is about to be opened; false if this broker has used up its share
--- a/crates/broker/src/routes/pool.rs
+++ b/crates/broker/src/routes/pool.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
@@ -15,8 +16,21 @@
 /// Share of the leaf's keep-alive timeout after which a connection is not reused.
 const KEEP_ALIVE_SHARE: f64 = 0.8;
 
+/// Number of a connection, unique in this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionNumber(u64);
+
+impl ConnectionNumber {
+    fn next() -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        Self(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// A connection to a leaf; one request at a time.
 pub struct LeafConnection {
+    /// Number of the connection.
+    pub number: ConnectionNumber,
     /// Reads responses.
     pub reader: HttpReader,
     writer: OwnedWriteHalf<TcpStream>,
@@ -34,7 +48,8 @@
         let _ = stream.set_nodelay(true);
         let (read_half, writer) = stream.into_split();
         let expires_at = Instant::now() + DEFAULT_KEEP_ALIVE;
-        Ok(Self { reader: HttpReader::new(read_half), writer, expires_at })
+        let reader = HttpReader::new(read_half);
+        Ok(Self { number: ConnectionNumber::next(), reader, writer, expires_at })
     }
 
     /// Writes a request and reads the response concurrently: a leaf may reply before it has read
@@ -81,10 +96,12 @@
 }
 
 impl LeafPool {
-    /// Takes a reusable idle connection, the most recently used first.
-    pub fn take_idle(&mut self) -> Option<LeafConnection> {
+    /// Takes a reusable idle connection other than `excluded`, the most recently used first.
+    pub fn take_idle(&mut self, excluded: &[ConnectionNumber]) -> Option<LeafConnection> {
         let now = Instant::now();
-        while let Some(mut connection) = self.idle.pop() {
+        let is_usable = |connection: &LeafConnection| !excluded.contains(&connection.number);
+        while let Some(position) = self.idle.iter().rposition(is_usable) {
+            let mut connection = self.idle.remove(position);
             if now < connection.expires_at && connection.is_reusable() {
                 return Some(connection);
             }
@@ -122,8 +139,12 @@
         self.open > 1
     }
 
-    /// Reserves a connection that is about to be opened; false if the pool has no room.
+    /// Reserves a connection that is about to be opened; false if the pool has no room. An idle
+    /// connection, which the request may not use, is closed to make room.
     pub fn reserve(&mut self, limit: usize) -> bool {
+        if !self.has_room(limit) && self.idle.pop().is_some() {
+            self.open = self.open.saturating_sub(1);
+        }
         let reserved = self.has_room(limit);
         self.open += usize::from(reserved);
         reserved
--- a/crates/broker/tests/support/leaf.rs
+++ b/crates/broker/tests/support/leaf.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use rustix::net::sockopt::set_socket_linger;
 
@@ -67,6 +68,8 @@
     Send(Vec<u8>),
     /// Send these bytes and close the connection.
     SendAndClose(Vec<u8>),
+    /// Send these bytes, then after the pause the others, and only then read the next request.
+    SendWithLater(Vec<u8>, Duration, Vec<u8>),
     /// Send no reply and keep the connection open.
     NoReply,
 }
@@ -133,7 +136,7 @@
                 entries.lock().expect("no thread panicked").push(request);
             }
             // A linger time of zero closes the connection with a reset.
-            let _ = set_socket_linger(&stream, Some(std::time::Duration::ZERO));
+            let _ = set_socket_linger(&stream, Some(Duration::ZERO));
         });
         Self { address: listening.address, journal, listening }
     }
@@ -243,6 +246,12 @@
         let action = script(&request);
         let (bytes, close) = match action {
             LeafAction::Send(bytes) => (bytes, false),
+            LeafAction::SendWithLater(first, pause, later) => {
+                // Fails if the broker has closed the connection.
+                let _ = stream.write_all(&first);
+                thread::sleep(pause);
+                (later, false)
+            }
             LeafAction::SendAndClose(bytes) => (bytes, true),
             LeafAction::NoReply => (Vec::new(), false),
         };
