--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -236,8 +236,12 @@
     })
 }
 
-/// An idle connection on which the leaf has not rejected the request.
+/// An idle connection on which the reply to the request cannot be mistaken.
 fn take_idle(guard: &AttemptGuard<'_>, request: &ForwardedRequest) -> Option<LeafConnection> {
+    if request.id.is_empty() {
+        // Replies to requests without an id look alike.
+        return None;
+    }
     guard.state.leaves.take_idle(guard.leaf, &request.rejected_on.borrow())
 }
 
@@ -250,9 +254,13 @@
     let state = guard.state;
     let bytes = encode_request(&state.dialect, leaf, request);
     let method = request.head.method.as_str();
-    let id_name = state.dialect.request_id;
-    let reading =
-        async |reader: &mut HttpReader| read_head(reader, method, id_name, &request.id).await;
+    let expected = ExpectedReply {
+        method,
+        id_name: state.dialect.request_id,
+        id: &request.id,
+        may_lack_id: std::mem::replace(&mut connection.is_fresh, false),
+    };
+    let reading = async |reader: &mut HttpReader| read_head(reader, &expected).await;
     let (head, whole) =
         connection.exchange(bytes, reading).await.map_err(|_| AttemptError::Lost)?;
     if let Some(report) =
@@ -299,13 +307,26 @@
     Ok(LeafReply { leaf, head, head_only, framing, body, rest: None })
 }
 
-/// Reads the head of the reply to the request `id`. Late replies to earlier requests are skipped.
+/// What identifies the reply to a request.
+struct ExpectedReply<'request> {
+    method: &'request str,
+    /// Name of the field that repeats the request id.
+    id_name: &'static str,
+    id: &'request [u8],
+    /// Whether an error reply without an id can only belong to this request.
+    may_lack_id: bool,
+}
+
+/// Reads the head of the expected reply. Late replies to earlier requests are skipped.
+///
+/// # Errors
+/// [`ReadError::ConnectionClosed`] after a reply that may belong to an earlier request or to this
+/// one, or after too many late ones; the connection is not to be used again.
 async fn read_head(
     reader: &mut HttpReader,
-    method: &str,
-    id_name: &str,
-    id: &[u8],
+    expected: &ExpectedReply<'_>,
 ) -> Result<ResponseHead, ReadError> {
+    let ExpectedReply { method, id_name, id, may_lack_id } = *expected;
     for _ in 0..=MAX_STALE_REPLIES {
         let head = reader.response_head(HEAD_LIMIT).await?;
         if (100..=199).contains(&head.status) {
@@ -314,6 +335,9 @@
         let repeated = head.headers.get(id_name);
         // Error replies may lack the request id; a success reply must repeat it.
         let nameless = repeated.is_none() && (id.is_empty() || head.status >= 400);
+        if nameless && !may_lack_id {
+            return Err(ReadError::ConnectionClosed);
+        }
         if nameless || repeated == Some(id) {
             return Ok(head);
         }
--- a/crates/broker/src/routes/pool.rs
+++ b/crates/broker/src/routes/pool.rs
@@ -31,6 +31,8 @@
 pub struct LeafConnection {
     /// Number of the connection.
     pub number: ConnectionNumber,
+    /// Whether no request was sent on the connection, so that no late reply can arrive on it.
+    pub is_fresh: bool,
     /// Reads responses.
     pub reader: HttpReader,
     writer: OwnedWriteHalf<TcpStream>,
@@ -49,7 +51,7 @@
         let (read_half, writer) = stream.into_split();
         let expires_at = Instant::now() + DEFAULT_KEEP_ALIVE;
         let reader = HttpReader::new(read_half);
-        Ok(Self { number: ConnectionNumber::next(), reader, writer, expires_at })
+        Ok(Self { number: ConnectionNumber::next(), is_fresh: true, reader, writer, expires_at })
     }
 
     /// Writes a request and reads the response concurrently: a leaf may reply before it has read
--- a/crates/broker/tests/late_replies.rs
+++ b/crates/broker/tests/late_replies.rs
@@ -83,3 +83,28 @@
     }
     assert_eq!(runs.most(), 1, "no request runs twice");
 }
+
+/// Guards against a request that runs on several leaves, or an answer of another request, when a late
+/// reply names no request.
+#[rstest]
+#[case::rejection(response(503, "gingerkeel-not-executed: 1\r\n", b"full"))]
+#[case::failure(response(500, "", b"of another request"))]
+fn late_reply_without_an_id_is_not_taken_for_the_reply_to_the_next_request(#[case] late: Vec<u8>) {
+    let runs = Runs::default();
+    let counted = runs.clone();
+    let leaf = ScriptedLeaf::for_all(move |request| {
+        if request.header("gingerkeel-request-id") == "first" {
+            return LeafAction::Send(reply(request, "first", b"first"));
+        }
+        counted.run(request);
+        LeafAction::Send([late.clone(), reply(request, "ran", b"ran")].concat())
+    });
+    let broker = RoutedBroker::start(&[leaf.address], &[]);
+    let mut caller = broker.caller();
+    caller.send(request("/one/", "5000").replace("request-id: r1", "request-id: first").as_bytes());
+    assert_eq!(caller.receive().expect("an answer").body, "first");
+    let answer = broker.get("/once/");
+    assert_eq!(answer.status, 502, "{}", answer.body);
+    assert_ne!(answer.body, "of another request");
+    assert_eq!(runs.most(), 1, "no request runs twice");
+}
