--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -33,6 +33,8 @@
 const FORWARDED_HEAD_BYTES: usize = 256;
 /// Extra capacity for the fields that differ per leaf and for the end of the head, in bytes.
 const OWN_FIELD_BYTES: usize = 128;
+/// Longest keep-alive timeout of a leaf that is used; a longer one would overflow an instant.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 /// Maximum number of late replies to other requests that are skipped on a connection.
 const MAX_STALE_REPLIES: usize = 2;
 
@@ -371,11 +373,12 @@
     Ok(body.freeze())
 }
 
-/// The keep-alive timeout that the leaf stated, if any.
+/// The keep-alive timeout that the leaf stated, if any, up to [`MAX_KEEP_ALIVE`].
 fn keep_alive_timeout(head: &ResponseHead) -> Option<Duration> {
     let text = head.headers.text("keep-alive")?;
     let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
+    let stated = timeout.trim().parse().ok().map(Duration::from_secs)?;
+    Some(stated.min(MAX_KEEP_ALIVE))
 }
 
 /// The part of the head that is equal for all leaves: request line, the caller's fields and the
