--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -31,6 +31,11 @@
 /// Default number of applied entries between two snapshots.
 pub const SNAPSHOT_INTERVAL: u64 = 1_000;
 
+/// Bytes of the commands applied since the latest snapshot from which the next one is taken, unless
+/// the latest one is larger. A member that joins gets a snapshot and the commands after it, so this
+/// bounds how long joining takes, however large the commands are.
+pub const SNAPSHOT_COMMAND_BYTES: usize = 4 * 1024 * 1024;
+
 /// Heartbeat intervals per election timeout.
 const HEARTBEATS_PER_ELECTION: u32 = 4;
 
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -21,7 +21,6 @@
 use rand_pcg::Pcg64;
 use tracing::{error, info, warn};
 
-use super::ReplicationOptions;
 use super::error::{ChangeError, ProposeError};
 use super::membership::{BootstrapStep, ConfiguredMembers};
 use super::messages::{
@@ -29,6 +28,7 @@
 };
 use super::peers::{Links, PeerDirectory};
 use super::requests::{ChangeReply, PendingRequests, ProposeReply, ReadReply};
+use super::{ReplicationOptions, SNAPSHOT_COMMAND_BYTES};
 use crate::storage::{OpenedStorage, Writer, WriterEvent, WriterMessage};
 
 /// Time limit for a leader's answer to a read or a membership change.
@@ -57,6 +57,10 @@
     snapshot_interval: u64,
     /// Applied index at the last snapshot request.
     snapshot_asked: LogIndex,
+    /// Bytes of the commands applied since then.
+    applied_bytes: usize,
+    /// Size in bytes of the latest snapshot.
+    snapshot_bytes: usize,
     maintenance_due: Timestamp,
     storage_error: Option<String>,
     logged_role: Option<(RoleName, Option<MemberId>)>,
@@ -104,6 +108,8 @@
             last_command: LogIndex(0),
             snapshot_interval: options.snapshot_interval,
             snapshot_asked: LogIndex(0),
+            applied_bytes: 0,
+            snapshot_bytes: 0,
             maintenance_due: now,
             storage_error: None,
             logged_role: None,
@@ -166,6 +172,7 @@
             TaskEvent::PeerIdentified => self.maintenance_due = self.clock.now(),
             TaskEvent::WriterSignaled => self.handle_writer(),
             TaskEvent::Snapshot(snapshot) => {
+                self.snapshot_bytes = snapshot.bytes.len();
                 self.node.snapshot_taken(snapshot.index, Bytes::from(snapshot.bytes));
             }
         }
@@ -339,6 +346,8 @@
         let index = snapshot.index();
         self.last_command = index;
         self.snapshot_asked = index;
+        self.applied_bytes = 0;
+        self.snapshot_bytes = snapshot.data.len();
         self.requests.drop_covered(index);
         let snapshot = snapshot.data.to_vec();
         // The state machine's task lives as long as the process.
@@ -351,6 +360,7 @@
             Payload::Empty => {}
             Payload::Command(command) => {
                 self.last_command = entry.index;
+                self.applied_bytes += command.len();
                 let apply =
                     StateMachineMessage::Apply { index: entry.index, command: command.to_vec() };
                 // The state machine's task lives as long as the process.
@@ -364,10 +374,13 @@
     }
 
     fn ask_for_snapshot(&mut self, status: &NodeStatus, events: &Tx<TaskEvent>) {
-        if status.applied.0 < self.snapshot_asked.0 + self.snapshot_interval {
+        let entries = status.applied.0 - self.snapshot_asked.0.min(status.applied.0);
+        let is_large = self.applied_bytes >= SNAPSHOT_COMMAND_BYTES.max(self.snapshot_bytes);
+        if entries < self.snapshot_interval && !is_large {
             return;
         }
         self.snapshot_asked = status.applied;
+        self.applied_bytes = 0;
         let (reply, receiver) = oneshot::channel();
         // The state machine's task lives as long as the process.
         let _ = self.state_machine.send(StateMachineMessage::TakeSnapshot { reply });
--- a/crates/control/tests/replication/main.rs
+++ b/crates/control/tests/replication/main.rs
@@ -4,4 +4,5 @@
 mod disks;
 mod full_disk;
 mod peers;
+mod snapshots;
 mod support;
--- a/crates/control/tests/replication/support.rs
+++ b/crates/control/tests/replication/support.rs
@@ -9,9 +9,10 @@
 
 use gingerkeel_control::replication::{
     ProposeError, ReplicationMessage, ReplicationOptions, ReplicationStatus, StateMachineMessage,
-    start_with_io,
+    StateSnapshot, start_with_io,
 };
 use gingerkeel_control::storage::{DiskIo, StorageIo};
+use gingerkeel_domain::consensus::LogIndex;
 use gingerkeel_settings::{ControlSettings, parse};
 use local_sync::mpsc::unbounded::{self, Tx};
 use local_sync::oneshot;
@@ -138,9 +139,17 @@
     let options = ReplicationOptions::default();
     let log = start_with_io(&settings, options, io, sender).expect("the member starts");
     monoio::spawn(async move {
+        let mut last = LogIndex(0);
         while let Some(message) = state_machine.recv().await {
-            if let StateMachineMessage::Apply { command, .. } = message {
-                let _ = applied.send(String::from_utf8_lossy(&command).into_owned());
+            match message {
+                StateMachineMessage::Apply { index, command } => {
+                    last = index;
+                    let _ = applied.send(String::from_utf8_lossy(&command).into_owned());
+                }
+                StateMachineMessage::TakeSnapshot { reply } => {
+                    let _ = reply.send(StateSnapshot { index: last, bytes: b"state".to_vec() });
+                }
+                _ => {}
             }
         }
     });
--- a/crates/domain/src/consensus/installing.rs
+++ b/crates/domain/src/consensus/installing.rs
@@ -8,6 +8,7 @@
 use super::node::Node;
 use super::progress::{ProgressState, SnapshotTransfer};
 use super::ready::SnapshotWrite;
+use super::settings::ConsensusSettings;
 use super::types::{LogIndex, LogPosition, MemberId, Snapshot, SnapshotMetadata};
 use crate::time::Timestamp;
 
@@ -36,9 +37,10 @@
         let snapshot = Snapshot { metadata, data };
         self.snapshot = Some(snapshot.clone());
         self.unissued_snapshot = Some(SnapshotWrite { snapshot, replaces_log: false });
-        let kept_from = index.0.saturating_sub(self.settings.trailing_entries);
-        self.log.compact(LogIndex(kept_from));
-        self.configurations.compact(LogIndex(kept_from));
+        let ConsensusSettings { trailing_entries, trailing_bytes, .. } = self.settings;
+        let base = self.log.base_before(index, trailing_entries, trailing_bytes);
+        self.log.compact(base);
+        self.configurations.compact(base);
     }
 
     /// Number of entries applied since the latest snapshot.
--- a/crates/domain/src/consensus/log.rs
+++ b/crates/domain/src/consensus/log.rs
@@ -117,6 +117,21 @@
         }
     }
 
+    /// The lowest index after which at most `count` entries of at most `bytes` are left up to and
+    /// including `index`.
+    pub fn base_before(&self, index: LogIndex, count: u64, bytes: usize) -> LogIndex {
+        let mut base = index;
+        let mut left = bytes;
+        while index.0 - base.0 < count
+            && let Some(entry) = self.entry(base)
+            && let Some(rest) = left.checked_sub(entry.size() + ENTRY_OVERHEAD)
+        {
+            left = rest;
+            base = base.previous();
+        }
+        base
+    }
+
     /// Drops the entries up to and including `index`.
     pub fn compact(&mut self, index: LogIndex) {
         while self.entries.front().is_some_and(|first| first.index <= index) {
--- a/crates/domain/src/consensus/settings.rs
+++ b/crates/domain/src/consensus/settings.rs
@@ -20,6 +20,8 @@
     pub snapshot_bytes_limit: u64,
     /// Entries kept in memory behind a snapshot, so that slightly lagging followers need none.
     pub trailing_entries: u64,
+    /// Maximum bytes of these entries: a member that joins gets all entries that are kept.
+    pub trailing_bytes: usize,
     /// Maximum bytes of a command.
     pub command_bytes_limit: usize,
     /// Maximum uncommitted entries in a leader's log.
@@ -38,6 +40,7 @@
             snapshot_chunk_bytes: 256 * 1024,
             snapshot_bytes_limit: 1024 * 1024 * 1024,
             trailing_entries: 256,
+            trailing_bytes: 1024 * 1024,
             command_bytes_limit: 1024 * 1024,
             uncommitted_entries_limit: 16 * 1024,
             promotion_lag: 16,
--- a/crates/domain/tests/consensus/snapshots.rs
+++ b/crates/domain/tests/consensus/snapshots.rs
@@ -44,6 +44,31 @@
     assert_eq!(lab.commands(3), ["d"]);
 }
 
+/// Guards against a member that takes long to join since the leader keeps many large entries behind
+/// its snapshot.
+#[test]
+fn a_member_that_joins_gets_a_snapshot_instead_of_many_large_entries() {
+    let settings = ConsensusSettings { trailing_entries: 256, trailing_bytes: 100, ..settings() };
+    let mut lab = Lab::with_settings(3, settings);
+    lab.settle(1, &[1, 2, 3]);
+    for _ in 0..5 {
+        lab.propose(1, "forty bytes: 0123456789 0123456789 0123");
+        lab.heartbeat(1, &[1, 2, 3]);
+    }
+    take_snapshot(&mut lab, 1);
+    lab.start(member(4), Recovered::default());
+    let now = lab.now;
+    let addition = MemberChange::AddLearner(member(4));
+    lab.node(1).node.change_members(now, addition).expect("the learner is added");
+    lab.flush(member(1));
+    for _ in 0..3 {
+        lab.heartbeat(1, &[1, 2, 3, 4]);
+    }
+    let joined = lab.node(4);
+    assert_eq!(joined.restored.len(), 1, "the snapshot is sent");
+    assert!(lab.commands(4).is_empty(), "no covered entry is sent");
+}
+
 #[test]
 fn lost_parts_are_sent_again() {
     let mut lab = lagging(3);
