--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -9,6 +9,10 @@
 
 use super::peers::PeerDirectory;
 
+/// Time without a response after which a voter is removed while there are others to spare; longer than
+/// a restart of the process usually takes.
+const SPARE_VOTER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// The members that the settings name, and whether the cluster may grow by itself.
 pub(super) struct ConfiguredMembers {
     own: MemberId,
@@ -44,6 +48,8 @@
             min_voters: seeds.least_voters as usize,
             max_voters: seeds.voters as usize,
             voter_timeout: Duration::from_millis(seeds.replace_after_ms.into()),
+            spare_voter_timeout: SPARE_VOTER_TIMEOUT
+                .min(Duration::from_millis(seeds.replace_after_ms.into())),
         });
         Self { own, voters, may_form, growth }
     }
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -369,6 +369,8 @@
             Payload::Configuration(members) => {
                 let (voters, learners) = (members.voters.len(), members.learners.len());
                 info!(event = "members_changed", index = entry.index.0, voters, learners);
+                // The next step of a replacement may be due.
+                self.maintenance_due = self.clock.now();
             }
         }
     }
--- a/crates/domain/src/consensus/election.rs
+++ b/crates/domain/src/consensus/election.rs
@@ -134,6 +134,7 @@
     pub(super) fn follow(&mut self, now: Timestamp, leader: MemberId) {
         self.role = Role::Follower;
         self.leader = Some(leader);
+        self.last_followed = Some(leader);
         self.leader_last_contact = now;
         self.reset_election_timer(now);
     }
--- a/crates/domain/src/consensus/leading.rs
+++ b/crates/domain/src/consensus/leading.rs
@@ -23,6 +23,7 @@
 
 impl Node {
     pub(super) fn become_leader(&mut self, now: Timestamp) {
+        let (former_leader, last_contact) = (self.last_followed, self.leader_last_contact);
         self.leader = Some(self.identity);
         self.role = Role::Leader(Leadership {
             progress: BTreeMap::new(),
@@ -31,6 +32,10 @@
             reads: PendingReads::default(),
         });
         self.sync_progress(now);
+        if let Some(progress) = former_leader.and_then(|member| self.progress_mut(member)) {
+            // Its silence has lasted since before the election.
+            progress.last_contact = last_contact;
+        }
         self.append_payload(Payload::Empty);
         self.broadcast(AppendMode::Always);
         self.advance_commit(now);
--- a/crates/domain/src/consensus/membership.rs
+++ b/crates/domain/src/consensus/membership.rs
@@ -9,6 +9,7 @@
 
 use super::configuration::{Configuration, MemberChange};
 use super::error::MemberChangeError;
+use super::leadership::Role;
 use super::leading::AppendMode;
 use super::message::{Message, RequestNumber};
 use super::node::Node;
@@ -24,6 +25,10 @@
     pub max_voters: usize,
     /// Time without a response after which a voter counts as lost.
     pub voter_timeout: Duration,
+    /// The same while there are more voters than the minimum, or a learner is ready to become one.
+    /// Shorter, since a lost voter then costs a quorum more than its removal does, and a voter that
+    /// is presumed lost by mistake rejoins as a learner.
+    pub spare_voter_timeout: Duration,
 }
 
 impl Node {
@@ -36,7 +41,7 @@
         now: Timestamp,
         change: MemberChange,
     ) -> Result<LogIndex, MemberChangeError> {
-        if !matches!(self.role, super::leadership::Role::Leader(_)) {
+        if !matches!(self.role, Role::Leader(_)) {
             return Err(MemberChangeError::NotLeader(self.leader));
         }
         if self.configuration().reflects(change) {
@@ -81,6 +86,9 @@
 
     /// The next change that replaces a lost data folder, if this member leads and any is due.
     pub fn due_replacement(&self, now: Timestamp) -> Option<MemberChange> {
+        if !matches!(self.role, Role::Leader(_)) {
+            return None;
+        }
         self.configuration().replacement(|learner| self.has_caught_up(now, learner))
     }
 
@@ -96,20 +104,25 @@
         policy: &MembershipPolicy,
     ) -> Option<MemberChange> {
         let configuration = self.configuration();
+        let voters = &configuration.voters;
+        let mut learners = configuration.learners.iter().copied();
+        let ready = learners.find(|learner| self.has_caught_up(now, *learner));
+        let has_spare = ready.is_some() || voters.len() > policy.min_voters;
+        let timeout = match has_spare {
+            true => policy.spare_voter_timeout,
+            false => policy.voter_timeout,
+        };
         let is_lost = |member: &MemberId| {
             let progress = self.progress(*member);
-            progress.is_some_and(|progress| !progress.is_active(now, policy.voter_timeout))
+            progress.is_some_and(|progress| !progress.is_active(now, timeout))
         };
-        let voters = &configuration.voters;
         let lost = voters.iter().copied().find(is_lost);
         let present = voters.iter().filter(|voter| !is_lost(voter)).count();
         if let Some(voter) = lost.filter(|_| present >= policy.min_voters) {
             return Some(MemberChange::Remove(voter));
         }
-        let mut learners = configuration.learners.iter().copied();
-        let ready = learners.find(|learner| self.has_caught_up(now, *learner))?;
         let wanted = voters.len() < policy.max_voters || lost.is_some();
-        wanted.then_some(MemberChange::Promote(ready))
+        ready.filter(|_| wanted).map(MemberChange::Promote)
     }
 
     /// Whether a learner is live and lags by no more than the promotion limit.
--- a/crates/domain/src/consensus/node.rs
+++ b/crates/domain/src/consensus/node.rs
@@ -35,7 +35,8 @@
     pub(super) applied: LogIndex,
     pub(super) role: Role,
     pub(super) leader: Option<MemberId>,
-    /// When the current leader last sent a message.
+    /// The leader that was followed last, and when it last sent a message.
+    pub(super) last_followed: Option<MemberId>,
     pub(super) leader_last_contact: Timestamp,
     pub(super) election_due: Timestamp,
     pub(super) snapshot: Option<Snapshot>,
@@ -127,6 +128,7 @@
             applied: base.index,
             role: Role::Follower,
             leader: None,
+            last_followed: None,
             leader_last_contact: now,
             election_due: now,
             restore: recovered.snapshot.clone(),
--- a/crates/domain/tests/consensus/membership.rs
+++ b/crates/domain/tests/consensus/membership.rs
@@ -171,8 +171,12 @@
     assert_eq!(outcome, Err(MemberChangeError::NotLeader(Some(member(1)))));
 }
 
-const GROWTH: MembershipPolicy =
-    MembershipPolicy { min_voters: 3, max_voters: 4, voter_timeout: Duration::from_millis(2_000) };
+const GROWTH: MembershipPolicy = MembershipPolicy {
+    min_voters: 3,
+    max_voters: 4,
+    voter_timeout: Duration::from_millis(2_000),
+    spare_voter_timeout: Duration::from_millis(2_000),
+};
 
 fn due(lab: &mut Lab, growth: &MembershipPolicy) -> Option<MemberChange> {
     let now = lab.now;
@@ -214,6 +218,39 @@
     assert_eq!(due(&mut lab, &GROWTH), None);
 }
 
+/// Guards against a second loss that ends the quorum, since a machine that was replaced stays a voter
+/// for long after it has left.
+#[test]
+fn a_lost_voter_is_taken_out_soon_while_there_are_voters_to_spare() {
+    let soon = MembershipPolicy { spare_voter_timeout: Duration::from_millis(500), ..GROWTH };
+    let mut lab = with_learner(&ALL);
+    change(&mut lab, MemberChange::Promote(member(4))).expect("promoted");
+    lab.heartbeat(1, &ALL);
+    for _ in 0..7 {
+        lab.heartbeat(1, &[1, 2, 4]);
+    }
+    assert_eq!(due(&mut lab, &GROWTH), None, "the usual time has not passed");
+    assert_eq!(due(&mut lab, &soon), Some(MemberChange::Remove(member(3))));
+}
+
+/// Guards against a machine that was replaced while it led, and stays a voter for longer than others
+/// since its successor counts its silence from the election on.
+#[test]
+fn the_silence_of_a_former_leader_counts_from_its_last_message() {
+    let mut lab = with_learner(&ALL);
+    change(&mut lab, MemberChange::Promote(member(4))).expect("promoted");
+    lab.heartbeat(1, &ALL);
+    lab.heartbeat(1, &ALL);
+    lab.advance(1_500);
+    lab.elect(2, &[2, 3, 4]);
+    for _ in 0..6 {
+        lab.heartbeat(2, &[2, 3, 4]);
+    }
+    let now = lab.now;
+    let due = lab.node(2).node.due_membership_change(now, &GROWTH);
+    assert_eq!(due, Some(MemberChange::Remove(member(1))));
+}
+
 #[test]
 fn a_member_that_was_taken_out_may_join_again_with_its_log() {
     let mut lab = with_learner(&ALL);
