--- a/crates/broker/tests/extreme_values.rs
+++ b/crates/broker/tests/extreme_values.rs
@@ -63,13 +63,13 @@
         }
     });
     let mut broker = RoutedBroker::start(&[leaf.address], &[]);
-    for number in 0..VALUES.len() {
+    for (number, value) in VALUES.iter().enumerate() {
         let mut caller = broker.caller();
         let field = format!("X-Own: kept\r\nX-Value: {number}");
         caller.send(request("/once/", "400").replace("X-Own: kept", &field).as_bytes());
         // Whether it is an answer depends on the field.
         let _ = caller.receive();
-        assert!(!broker.broker.has_ended(), "the broker ended on {:?}", VALUES[number]);
+        assert!(!broker.broker.has_ended(), "the broker ended on {value:?}");
     }
     assert_eq!(broker.get("/once/").body, "own");
 }
