Remove a voter that stops or that refuses connections before the next loss

What callers saw: a control machine is replaced as planned and ends; another one loses its disk soon after.

Cause: with its successor the machine makes four voters, of which three are needed, and it stayed one until it had been silent for 1.5 s. Control processes did not handle SIGTERM, and took refused connections for silence.

Ruled out: slow joining (the successor was a voter 1 ms after it connected), a long log, and the leadership at the machine that ended (it fails with and without).

The change: a process that stops asks the leader until it may end. While one more loss would end the quorum the leader removes it first, and lets it wait (2 s at most) while another voter is missing; a restart in place of three or five voters costs none. A leader that stops or is removed names its successor, which starts an election at once. A voter whose address refuses connections for 150 ms is removed under the same condition, and followers of such a leader start an election at once. Each change is one voter and needs a quorum as before.

What remains: a kill and a lost disk within 0.3 s, and 1.5 s for a machine that loses power.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -11,7 +11,6 @@
 mod reload;
 mod route_reports;
 pub mod routes;
-mod signals;
 
 use std::io;
 use std::time::Duration;
@@ -102,7 +101,7 @@
 }
 
 fn spawn_signal_watch(stop: Latch, engine: Tx<EngineMessage>) -> io::Result<()> {
-    let requested = signals::stop_requested()?;
+    let requested = gingerkeel_transport::stop_requested()?;
     monoio::spawn(async move {
         requested.await;
         stop.set();
--- a/crates/broker/src/routes/mod.rs
+++ b/crates/broker/src/routes/mod.rs
@@ -53,7 +53,6 @@
 use crate::latch::Latch;
 use crate::reload;
 use crate::route_reports::{self, LinkUsage, RouteReporters, RouteReports, SlowLeaves};
-use crate::signals;
 use callers::CallerServer;
 use state::RouteState;
 
@@ -83,7 +82,7 @@
     source: SettingsSource<BrokerSettings>,
 ) -> io::Result<()> {
     let controls = reload::start(source, &settings)?;
-    let requested = signals::stop_requested()?;
+    let requested = gingerkeel_transport::stop_requested()?;
     let (stop, clock) = (Latch::new(), Clock::start());
     let (reporters, reports) = route_reports::channels();
     let (server, updates) =
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -16,6 +16,11 @@
             source(error)
             display("address {address}: {error}: check that the address is this machine's and is free")
         }
+        /// Handlers for signals cannot be registered.
+        Signals(error: io::Error) {
+            source(error)
+            display("signals cannot be handled ({error}): check the limits of the process")
+        }
         /// The replicated log cannot be started, for example because the data folder is in use.
         Log(error: StartError) {
             from()
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod native_routes;
 mod operators;
 mod order_checks;
+mod planned_stop;
 pub mod ports;
 mod reload;
 pub mod replication;
@@ -31,7 +32,7 @@
 use gingerkeel_domain::rollout::ExposureLimit;
 use gingerkeel_domain::routes::PartsPerMillion;
 use gingerkeel_settings::{ControlSettings, SettingsSource};
-use gingerkeel_transport::listen;
+use gingerkeel_transport::{listen, stop_requested};
 use local_sync::mpsc::unbounded;
 use monoio::net::TcpListener;
 use rand::Rng;
@@ -57,8 +58,9 @@
     pub directory: Option<Rc<dyn DirectoryInterface>>,
 }
 
-/// Serves operators and brokers until the process ends. When the settings file in `source`
-/// changes, logs whether the change needs a restart.
+/// Serves operators and brokers until SIGTERM or SIGINT, then prepares the other control processes
+/// for the end of this one. When the settings file in `source` changes, logs whether the change
+/// needs a restart.
 ///
 /// # Errors
 /// A [`ControlError`] if an address or the data folder cannot be used.
@@ -85,6 +87,7 @@
     if let Some(source) = source {
         reload::start(source, &settings)?;
     }
+    let stop = stop_requested().map_err(ControlError::Signals)?;
     let operators = bind(settings.operators)?;
     let feed = bind(settings.feed)?;
     info!(
@@ -131,10 +134,13 @@
         ));
     }
     let senders = TaskSenders { polling, read_directory };
-    cluster_task::start(identity, replication, senders, cluster.clone(), messages);
+    cluster_task::start(identity, replication.clone(), senders, cluster.clone(), messages);
     monoio::spawn(leaf_polling::run(plans, cluster.clone()));
     monoio::spawn(feed::serve(feed, cluster.clone()));
-    operators::serve(operators, checks, cluster).await;
+    monoio::spawn(operators::serve(operators, checks, cluster));
+    stop.await;
+    planned_stop::prepare(&replication).await;
+    info!(event = "stopped", name = settings.name);
     Ok(())
 }
 
--- a/crates/control/src/replication/error.rs
+++ b/crates/control/src/replication/error.rs
@@ -81,6 +81,21 @@
     }
 }
 
+quick_error! {
+    /// A planned stop that the leader did not permit.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum StopError {
+        /// The leader did not permit it in time.
+        TimedOut {
+            display("no leader permitted the stop in time: check that a quorum of control processes is up before the next one is stopped")
+        }
+        /// The replicated log has ended.
+        Stopped {
+            display("the replicated log has ended: see the log lines before")
+        }
+    }
+}
+
 quick_error! {
     /// A membership change that was refused, or whose outcome is not known.
     #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -13,6 +13,10 @@
 /// a restart of the process usually takes.
 const SPARE_VOTER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time for which a voter's address refuses connections until the voter is removed, if one more loss
+/// would end the quorum. The second of two attempts confirms the first.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// The members that the settings name, and whether the cluster may grow by itself.
 pub(super) struct ConfiguredMembers {
     own: MemberId,
@@ -50,6 +54,7 @@
             voter_timeout: Duration::from_millis(seeds.replace_after_ms.into()),
             spare_voter_timeout: SPARE_VOTER_TIMEOUT
                 .min(Duration::from_millis(seeds.replace_after_ms.into())),
+            refusal_timeout: REFUSAL_TIMEOUT,
         });
         Self { own, voters, may_form, growth }
     }
--- a/crates/control/src/replication/messages.rs
+++ b/crates/control/src/replication/messages.rs
@@ -1,6 +1,8 @@
 //! Messages to and from the task that owns the log.
 
-use gingerkeel_domain::consensus::{Envelope, LogIndex, MemberChange, MemberId, RoleName, Term};
+use gingerkeel_domain::consensus::{
+    Envelope, LogIndex, MemberChange, MemberId, NodeNumber, RoleName, Term,
+};
 use gingerkeel_domain::identifiers::ControlName;
 use gingerkeel_domain::leaf_warnings::LeafWarning;
 use gingerkeel_domain::quota::PeerUsage;
@@ -30,6 +32,11 @@
         /// `Ok` once the change is committed.
         reply: oneshot::Sender<Result<(), ChangeError>>,
     },
+    /// Prepare the cluster for the end of this process.
+    PrepareStop {
+        /// Answered once the process may end.
+        reply: oneshot::Sender<()>,
+    },
     /// Report role, term, members and log positions.
     Status {
         /// Receives the status.
@@ -139,6 +146,10 @@
     PeerWarningsReceived(MemberId, Vec<LeafWarning>),
     /// A peer identified itself.
     PeerIdentified,
+    /// A connection to this node was established.
+    PeerConnected(NodeNumber),
+    /// The address of this node refused a connection.
+    PeerRefusing(NodeNumber),
     /// The storage writer has queued events.
     WriterSignaled,
     /// The state machine returned a requested snapshot.
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::storage::{DiskIo, FolderOwner, Storage, StorageIo};
 
-pub use error::{ChangeError, ProposeError, ReadError, StartError};
+pub use error::{ChangeError, ProposeError, ReadError, StartError, StopError};
 pub use messages::{
     MemberStatus, PeerUsageReport, ReplicationMessage, ReplicationStatus, StateMachineMessage,
     StateSnapshot,
--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, ErrorKind};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 use gingerkeel_settings::ControlSettings;
 use local_sync::mpsc::TryRecvError;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
+use local_sync::oneshot;
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
 use monoio::time::{sleep, timeout};
@@ -148,6 +150,7 @@
         let queued = Rc::new(Cell::new(0));
         let usage: Rc<RefCell<UsageOutbox>> = Rc::default();
         let task = LinkTask {
+            node,
             address,
             own_name: self.own_name.clone(),
             queue: receiver,
@@ -187,6 +190,7 @@
 }
 
 struct LinkTask {
+    node: NodeNumber,
     address: SocketAddr,
     own_name: ShortText,
     queue: Rx<Queued>,
@@ -200,27 +204,40 @@
     async fn run(mut self) {
         let mut failure_logged = false;
         loop {
+            let began = Instant::now();
             match self.connect().await {
                 Ok((reader, writer)) => {
                     failure_logged = false;
+                    self.report(TaskEvent::PeerConnected(self.node));
                     if let Err(error) = self.transmit(reader, writer).await {
                         info!(event = "peer_connection_ended", direction = "out", peer = %self.address, %error);
                     }
                 }
-                Err(error) if !failure_logged => {
-                    warn!(event = "peer_not_reached", peer = %self.address, %error);
-                    failure_logged = true;
+                Err(error) => {
+                    if is_refusal(&error) {
+                        self.report(TaskEvent::PeerRefusing(self.node));
+                    }
+                    if !failure_logged {
+                        warn!(event = "peer_not_reached", peer = %self.address, %error);
+                        failure_logged = true;
+                    }
                 }
-                Err(_) => {}
             }
             let dropped = self.discard_queue();
             if dropped || self.events.is_closed() {
                 return;
             }
-            sleep(RECONNECT_PAUSE).await;
+            // No pause after a longer connection: the next attempt shows whether the peer's process
+            // has ended, too.
+            sleep(RECONNECT_PAUSE.saturating_sub(began.elapsed())).await;
         }
     }
 
+    fn report(&self, event: TaskEvent) {
+        // The replication task may have ended with the process.
+        let _ = self.events.send(event);
+    }
+
     async fn connect(&mut self) -> Result<(Reader, OwnedWriteHalf<TcpStream>), ProtocolError> {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(self.address));
         let timed_out = |_| ProtocolError::TimedOut("no connection within 0.5 s");
@@ -236,8 +253,7 @@
                 let learned = self.directory.learn(identity);
                 learned.map_err(|reason| ProtocolError::Malformed(refusal_text(reason).into()))?;
                 info!(event = "peer_connected", peer = %self.address, node = identity.node);
-                // The replication task may have ended with the process.
-                let _ = self.events.send(TaskEvent::PeerIdentified);
+                self.report(TaskEvent::PeerIdentified);
                 Ok((reader, writer))
             }
             Some(PeerFrame::Refused { reason }) => {
@@ -255,11 +271,20 @@
         if self.discard_queue() {
             return Ok(());
         }
-        let last_reply = Rc::new(Cell::new(Some(Instant::now())));
-        monoio::spawn(read_probe_replies(reader, last_reply.clone(), self.directory.clone()));
+        let last_reply = Rc::new(Cell::new(Instant::now()));
+        let (ended, mut reader_ended) = oneshot::channel::<()>();
+        let replies = read_probe_replies(reader, last_reply.clone(), self.directory.clone());
+        monoio::spawn(async move {
+            replies.await;
+            drop(ended);
+        });
         let mut last_probe = Instant::now();
         loop {
-            match self.next_action().await {
+            let action = monoio::select! {
+                action = self.next_action() => action,
+                _ = &mut reader_ended => return Err(io::Error::from(ErrorKind::UnexpectedEof).into()),
+            };
+            match action {
                 Action::Message(message) => {
                     self.queued.set(self.queued.get().saturating_sub(1));
                     with_io_timeout(send(&mut writer, &message.frame()?)).await??;
@@ -273,8 +298,7 @@
                 Action::Idle => {}
                 Action::End => return Ok(()),
             }
-            if last_reply.get().is_none_or(|last_reply| last_reply.elapsed() > PROBE_REPLY_TIMEOUT)
-            {
+            if last_reply.get().elapsed() > PROBE_REPLY_TIMEOUT {
                 return Err(ProtocolError::TimedOut("no probe reply within 2 s"));
             }
             if last_probe.elapsed() >= PROBE_INTERVAL {
@@ -321,10 +345,10 @@
 
 type Reader = FramedRead<OwnedReadHalf<TcpStream>, ()>;
 
-/// Records the time of each probe reply; clears it when the connection ends.
+/// Records the time of each probe reply until the connection ends.
 async fn read_probe_replies(
     mut reader: Reader,
-    last_reply: Rc<Cell<Option<Instant>>>,
+    last_reply: Rc<Cell<Instant>>,
     directory: PeerDirectory,
 ) {
     let mut codec = FrameCodec::<PeerFrame>::default();
@@ -332,9 +356,13 @@
         if directory.learn(identity).is_err() {
             break;
         }
-        last_reply.set(Some(Instant::now()));
+        last_reply.set(Instant::now());
     }
-    last_reply.set(None);
+}
+
+/// Whether the peer's address refused the connection, so that no process listens there.
+fn is_refusal(error: &ProtocolError) -> bool {
+    matches!(error, ProtocolError::Socket(cause) if cause.kind() == ErrorKind::ConnectionRefused)
 }
 
 async fn with_io_timeout<F: Future>(future: F) -> Result<F::Output, ProtocolError> {
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::consensus::{
-    Entry, Envelope, LogIndex, MemberChange, MemberChangeError, MemberId, Node, NodeNumber,
-    NodeStatus, Payload, Proposed, Recovered, RoleName, Snapshot,
+    Entry, Envelope, LogIndex, MemberChange, MemberChangeError, MemberId, Message, Node,
+    NodeNumber, NodeStatus, Payload, Proposed, Recovered, RoleName, Snapshot,
 };
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::ControlSettings;
@@ -37,6 +37,8 @@
 const REJOIN_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval of membership maintenance and of request expiry.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between requests to the leader to permit the stop of this process.
+const STOP_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of events that are handled before the core's output is processed.
 const EVENT_BATCH: usize = 256;
 /// Size of the buffer for the writer's wake-up bytes, whose number has no meaning.
@@ -67,6 +69,8 @@
     /// The member to send the next join request to, when a former one named the leader.
     join_through: Option<MemberId>,
     leaderless_since: Option<Timestamp>,
+    /// Requesters that wait until this process may end.
+    stops: Vec<oneshot::Sender<()>>,
     /// Whether all senders of requests were dropped.
     ended: bool,
 }
@@ -115,6 +119,7 @@
             logged_role: None,
             join_through: None,
             leaderless_since: None,
+            stops: Vec::new(),
             ended: false,
         })
     }
@@ -151,12 +156,16 @@
             self.node.tick(now);
         }
         if now >= self.maintenance_due {
-            self.maintenance_due = now.after(MAINTENANCE_INTERVAL);
+            self.maintenance_due = now.after(self.maintenance_interval());
             self.requests.expire(now);
             self.maintain(now);
         }
     }
 
+    fn maintenance_interval(&self) -> Duration {
+        if self.stops.is_empty() { MAINTENANCE_INTERVAL } else { STOP_REQUEST_INTERVAL }
+    }
+
     fn handle(&mut self, event: TaskEvent) {
         match event {
             TaskEvent::Request(request) => self.handle_request(request),
@@ -170,6 +179,8 @@
                 StateMachineMessage::PeerWarningsReceived(warnings),
             ),
             TaskEvent::PeerIdentified => self.maintenance_due = self.clock.now(),
+            TaskEvent::PeerConnected(node) => self.handle_refusal(node, false),
+            TaskEvent::PeerRefusing(node) => self.handle_refusal(node, true),
             TaskEvent::WriterSignaled => self.handle_writer(),
             TaskEvent::Snapshot(snapshot) => {
                 self.snapshot_bytes = snapshot.bytes.len();
@@ -178,8 +189,21 @@
         }
     }
 
+    fn handle_refusal(&mut self, node: NodeNumber, refusing: bool) {
+        let now = self.clock.now();
+        self.node.set_refusing(now, node, refusing);
+        if refusing {
+            // A removal may be due.
+            self.maintenance_due = now;
+        }
+    }
+
     fn handle_envelope(&mut self, envelope: Envelope) {
         if !self.directory.is_superseded(envelope.from) {
+            if matches!(envelope.message, Message::StopRequest) {
+                // The membership changes that the stop requires, or its permission, may be due.
+                self.maintenance_due = self.clock.now();
+            }
             self.node.step(self.clock.now(), envelope);
         }
     }
@@ -200,6 +224,10 @@
             ReplicationMessage::ChangeMembers { change, reply } => {
                 self.change_members(change, reply);
             }
+            ReplicationMessage::PrepareStop { reply } => {
+                self.stops.push(reply);
+                self.maintenance_due = self.clock.now();
+            }
             ReplicationMessage::Status { reply } => {
                 // The requester may have given up.
                 let _ = reply.send(self.status());
@@ -357,7 +385,8 @@
     fn apply(&mut self, entry: Entry) {
         self.requests.committed(&entry);
         match entry.payload {
-            Payload::Empty => {}
+            // The first entry of a leader's term; membership changes may be due from now on.
+            Payload::Empty => self.maintenance_due = self.clock.now(),
             Payload::Command(command) => {
                 self.last_command = entry.index;
                 self.applied_bytes += command.len();
@@ -416,6 +445,7 @@
             self.replace_lost_folders(now);
             self.grow_cluster(now);
             self.rejoin_if_removed(now);
+            self.prepare_stops(now);
             return;
         }
         match self.planned.bootstrap_step(&self.directory) {
@@ -433,6 +463,19 @@
         }
     }
 
+    /// Permits other members to stop, and has the leader permit this one.
+    fn prepare_stops(&mut self, now: Timestamp) {
+        self.node.permit_stops(now, self.planned.growth().as_ref());
+        if self.stops.is_empty() || !self.node.prepare_stop() {
+            return;
+        }
+        info!(event = "stop_permitted");
+        for reply in self.stops.drain(..) {
+            // The requester may have given up.
+            let _ = reply.send(());
+        }
+    }
+
     fn replace_lost_folders(&mut self, now: Timestamp) {
         let Some(change) = self.node.due_replacement(now) else {
             return;
--- a/crates/control/src/replication_client.rs
+++ b/crates/control/src/replication_client.rs
@@ -12,11 +12,14 @@
 use monoio::time::timeout;
 use tracing::error;
 
-use crate::replication::{ProposeError, ReadError, ReplicationMessage};
+use crate::replication::{ProposeError, ReadError, ReplicationMessage, StopError};
 use crate::wall_clock::wall_time;
 
 /// Time limit for committing a command.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time limit for the leader to permit a planned stop. Covers an election and two membership
+/// changes; a process without a quorum stops afterwards all the same.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit for a quorum to confirm a read.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -66,6 +69,20 @@
         let _ = self.log.send(ReplicationMessage::BroadcastLeafWarnings(warnings));
     }
 
+    /// Has the leader prepare the cluster for the end of this process; returns once it may end.
+    ///
+    /// # Errors
+    /// A [`StopError`] if that did not happen in time, for example because there is no leader.
+    pub async fn prepare_stop(&self) -> Result<(), StopError> {
+        let (reply, receiver) = oneshot::channel();
+        let sent = self.log.send(ReplicationMessage::PrepareStop { reply });
+        sent.map_err(|_| StopError::Stopped)?;
+        match timeout(STOP_TIMEOUT, receiver).await {
+            Ok(outcome) => outcome.map_err(|_| StopError::Stopped),
+            Err(_) => Err(StopError::TimedOut),
+        }
+    }
+
     /// The role of this process in the cluster; none if the log has stopped.
     pub async fn role(&self) -> Option<RoleName> {
         let (reply, receiver) = oneshot::channel();
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -19,6 +19,8 @@
 use gingerkeel_statement::StatementReply;
 use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, block_on};
 use http::{Method, Uri};
+use rstest::rstest;
+use rustix::process::{Pid, Signal, kill_process};
 use support::{Control, FakeBroker, free_addresses, wait_until};
 use tempfile::TempDir;
 
@@ -27,6 +29,10 @@
 /// Number of clusters whose first process loses its disk. Without the rule, about one in 24 lost an
 /// acknowledged configuration.
 const DISK_LOSS_ROUNDS: usize = 6;
+/// Time in which a process that has the state becomes a voter.
+const JOIN_TIME: Duration = Duration::from_secs(1);
+/// Time from the kill of a process from which the cluster survives the loss of another disk.
+const KILL_COVERED_AFTER: Duration = Duration::from_millis(300);
 /// Interval between concurrent calls.
 const CALL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum number of concurrent calls.
@@ -125,6 +131,26 @@
         self.machines[index].process = Some(process);
     }
 
+    /// Asks a process to stop and waits until it has ended.
+    fn stop(&mut self, index: usize) {
+        if let Some(mut process) = self.machines[index].process.take() {
+            let id = Pid::from_child(&process);
+            kill_process(id, Signal::TERM).unwrap();
+            assert!(process.wait().unwrap().success());
+        }
+    }
+
+    fn lose_disk(&mut self, index: usize) {
+        self.kill(index);
+        std::fs::remove_dir_all(&self.machines[index].data).unwrap();
+    }
+
+    /// Waits until a process is a member that applies the log as the others do.
+    fn wait_joined(&self, index: usize, version: u64) {
+        wait_until(|| self.version(index) == Some(version));
+        thread::sleep(JOIN_TIME);
+    }
+
     fn kill(&mut self, index: usize) {
         if let Some(mut process) = self.machines[index].process.take() {
             process.kill().unwrap();
@@ -365,6 +391,43 @@
     wait_until(|| cluster.version(0) == Some(7));
 }
 
+/// Guards against a quorum lost for good because a machine that was replaced and stopped is still a
+/// voter when another one loses its disk right after.
+#[rstest]
+fn stop_of_a_replaced_machine_and_then_a_lost_disk_keep_the_quorum(
+    #[values(0, 1, 2)] replaced: usize,
+) {
+    let mut cluster = Cluster::start();
+    cluster.wait_accepted(0, 1);
+    let successor = cluster.add(false);
+    cluster.wait_joined(successor, 1);
+    cluster.stop(replaced);
+    let struck = (replaced + 1) % SEEDS;
+    cluster.lose_disk(struck);
+    cluster.run(struck);
+    cluster.wait_accepted(successor, 2);
+    wait_until(|| cluster.version(struck) == Some(2));
+}
+
+/// Guards against a quorum lost for good because a machine that was replaced and killed is a voter
+/// until it has been silent for long.
+#[rstest]
+fn kill_of_a_replaced_machine_and_soon_a_lost_disk_keep_the_quorum(
+    #[values(0, 1, 2)] replaced: usize,
+) {
+    let mut cluster = Cluster::start();
+    cluster.wait_accepted(0, 1);
+    let successor = cluster.add(false);
+    cluster.wait_joined(successor, 1);
+    cluster.kill(replaced);
+    thread::sleep(KILL_COVERED_AFTER);
+    let struck = (replaced + 1) % SEEDS;
+    cluster.lose_disk(struck);
+    cluster.run(struck);
+    cluster.wait_accepted(successor, 2);
+    wait_until(|| cluster.version(struck) == Some(2));
+}
+
 /// Guards against the loss of an acknowledged configuration when the process that formed the
 /// cluster loses its disk within about 20 ms of the acknowledgement. It came back empty and asked
 /// the other two whether they had a log: the third had none yet, and the one with the configuration
--- a/crates/domain/src/consensus/election.rs
+++ b/crates/domain/src/consensus/election.rs
@@ -1,7 +1,5 @@
 //! Elections: pre-vote, votes and stepping down to follower.
 
-use std::time::Duration;
-
 use super::leadership::{Ballot, Role};
 use super::message::Message;
 use super::node::Node;
@@ -12,7 +10,7 @@
     /// Asks the other voters whether they would vote for this member, before it starts a term.
     pub(super) fn start_pre_vote(&mut self, now: Timestamp) {
         self.reset_election_timer(now);
-        if !self.is_voter() || !self.storage_available {
+        if !self.is_voter() || !self.storage_available || self.stopping {
             self.leader = None;
             return;
         }
@@ -141,8 +139,7 @@
 
     pub(super) fn reset_election_timer(&mut self, now: Timestamp) {
         let timeout = self.settings.election_timeout;
-        let micros = u64::try_from(timeout.as_micros()).unwrap_or(u64::MAX);
-        let extra = Duration::from_micros(self.random_below(micros));
+        let extra = self.random_duration(timeout);
         self.election_due = now.after(timeout).after(extra);
     }
 
--- a/crates/domain/src/consensus/leading.rs
+++ b/crates/domain/src/consensus/leading.rs
@@ -237,11 +237,12 @@
         matched.get(configuration.quorum() - 1).copied().unwrap_or_default()
     }
 
-    /// Steps down if a committed change removed this leader from the voters.
+    /// Hands over the leadership if a committed change removed this leader from the voters.
     fn step_down_if_removed(&mut self, now: Timestamp) {
         let settled = self.configurations.current_index() <= self.commit;
         if settled && !self.is_voter() {
-            self.become_follower(now, self.hard_state.term, None);
+            self.hand_over_leadership(now);
+            self.may_stop = self.stopping;
         }
     }
 
--- a/crates/domain/src/consensus/membership.rs
+++ b/crates/domain/src/consensus/membership.rs
@@ -29,6 +29,10 @@
     /// Shorter, since a lost voter then costs a quorum more than its removal does, and a voter that
     /// is presumed lost by mistake rejoins as a learner.
     pub spare_voter_timeout: Duration,
+    /// Time for which the address of a voter refuses connections until the voter counts as lost. Only
+    /// applied while one more loss would end the quorum, since a process that is restarted in place
+    /// refuses connections, too.
+    pub refusal_timeout: Duration,
 }
 
 impl Node {
@@ -94,10 +98,11 @@
 
     /// The next change that `policy` requires, if this member leads and a change is due.
     ///
-    /// A lost voter is removed once enough other voters are live. A caught-up learner is promoted
-    /// while there are fewer voters than the maximum, or while a voter is lost, so that the
-    /// learner replaces the lost voter before its removal. A removed voter that comes back rejoins
-    /// as a learner.
+    /// A lost voter is removed once enough other voters are live. While one more loss would end the
+    /// quorum, that includes a voter that is about to stop or whose process has ended. A caught-up
+    /// learner is promoted while there are fewer voters than the maximum, or while a voter is lost,
+    /// so that the learner replaces the lost voter before its removal. A removed voter that comes
+    /// back rejoins as a learner.
     pub fn due_membership_change(
         &self,
         now: Timestamp,
@@ -106,25 +111,51 @@
         let configuration = self.configuration();
         let voters = &configuration.voters;
         let mut learners = configuration.learners.iter().copied();
-        let ready = learners.find(|learner| self.has_caught_up(now, *learner));
+        let ready = learners.find(|learner| {
+            self.has_caught_up(now, *learner) && !self.is_ending(now, *learner, policy)
+        });
         let has_spare = ready.is_some() || voters.len() > policy.min_voters;
         let timeout = match has_spare {
             true => policy.spare_voter_timeout,
             false => policy.voter_timeout,
         };
-        let is_lost = |member: &MemberId| {
+        let is_silent = |member: &MemberId| {
             let progress = self.progress(*member);
             progress.is_some_and(|progress| !progress.is_active(now, timeout))
         };
-        let lost = voters.iter().copied().find(is_lost);
-        let present = voters.iter().filter(|voter| !is_lost(voter)).count();
-        if let Some(voter) = lost.filter(|_| present >= policy.min_voters) {
+        let is_ending = |member: &MemberId| self.is_ending(now, *member, policy);
+        let present = voters.iter().filter(|voter| !is_silent(voter) && !is_ending(voter)).count();
+        let is_urgent = present <= configuration.quorum();
+        let is_lost = |member: &MemberId| is_silent(member) || is_urgent && is_ending(member);
+        let mut lost = voters.iter().copied().filter(is_lost).peekable();
+        let wanted = voters.len() < policy.max_voters || lost.peek().is_some();
+        let removable = |voter: &MemberId| present >= self.required_present(now, *voter, policy);
+        if let Some(voter) = lost.find(removable) {
             return Some(MemberChange::Remove(voter));
         }
-        let wanted = voters.len() < policy.max_voters || lost.is_some();
         ready.filter(|_| wanted).map(MemberChange::Promote)
     }
 
+    /// Number of voters that must be present for the removal of a voter. A voter that stops leaves in
+    /// any case, so with one to spare a quorum of the others suffices.
+    fn required_present(
+        &self,
+        now: Timestamp,
+        voter: MemberId,
+        policy: &MembershipPolicy,
+    ) -> usize {
+        let voters = self.configuration().voters.len();
+        if voters > policy.min_voters && self.is_stopping(now, voter) {
+            return (voters - 1) / 2 + 1;
+        }
+        policy.min_voters
+    }
+
+    /// Whether a member is about to stop, or its process has ended.
+    fn is_ending(&self, now: Timestamp, member: MemberId, policy: &MembershipPolicy) -> bool {
+        self.is_stopping(now, member) || self.has_refused_for(now, member, policy.refusal_timeout)
+    }
+
     /// Whether a learner is live and lags by no more than the promotion limit.
     pub fn has_caught_up(&self, now: Timestamp, learner: MemberId) -> bool {
         let lag = self.settings.promotion_lag;
--- a/crates/domain/src/consensus/message.rs
+++ b/crates/domain/src/consensus/message.rs
@@ -122,6 +122,15 @@
         /// Index of the entry that holds the change, which is not committed yet.
         outcome: Result<LogIndex, MemberChangeError>,
     },
+    /// Announces to the leader that the sender is about to stop.
+    StopRequest,
+    /// Permits the receiver to stop.
+    StopResponse,
+    /// The sender led this term and has stepped down.
+    LeadershipReleased {
+        /// The voter that should start an election; none if no other voter is live.
+        successor: Option<MemberId>,
+    },
 }
 
 impl Message {
@@ -134,6 +143,8 @@
                 | Self::ReadResponse { .. }
                 | Self::MemberChangeRequest { .. }
                 | Self::MemberChangeResponse { .. }
+                | Self::StopRequest
+                | Self::StopResponse
         )
     }
 }
--- a/crates/domain/src/consensus/mod.rs
+++ b/crates/domain/src/consensus/mod.rs
@@ -21,9 +21,11 @@
 mod node;
 mod output;
 mod progress;
+mod reachability;
 mod reading;
 mod ready;
 mod settings;
+mod stopping;
 mod types;
 
 pub use configuration::{Configuration, MemberChange};
--- a/crates/domain/src/consensus/node.rs
+++ b/crates/domain/src/consensus/node.rs
@@ -1,6 +1,7 @@
 //! The consensus core of one member.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use bytes::Bytes;
 use rand_core::RngCore;
@@ -16,7 +17,7 @@
 };
 use super::settings::ConsensusSettings;
 use super::types::{
-    HardState, LogIndex, LogPosition, MemberId, Payload, Recovered, Snapshot, Term,
+    HardState, LogIndex, LogPosition, MemberId, NodeNumber, Payload, Recovered, Snapshot, Term,
 };
 use crate::time::Timestamp;
 
@@ -50,6 +51,12 @@
     pub(super) reads: Vec<ReadOutcome>,
     pub(super) member_changes: Vec<MemberChangeOutcome>,
     pub(super) storage_available: bool,
+    /// Nodes whose address refuses connections, and since when.
+    pub(super) refusing_since: BTreeMap<NodeNumber, Timestamp>,
+    /// Whether this member is about to stop; it then starts no election.
+    pub(super) stopping: bool,
+    /// Whether the leader has permitted this member to stop.
+    pub(super) may_stop: bool,
 }
 
 /// Role of a member, without its state.
@@ -142,6 +149,9 @@
             reads: Vec::new(),
             member_changes: Vec::new(),
             storage_available: true,
+            refusing_since: BTreeMap::new(),
+            stopping: false,
+            may_stop: false,
         };
         let alone = node.configuration().has_quorum(|voter| voter == identity);
         if !alone {
@@ -252,8 +262,10 @@
         self.configuration().voters.contains(&self.identity)
     }
 
-    pub(super) fn random_below(&mut self, limit: u64) -> u64 {
-        self.random.next_u64() % limit.max(1)
+    /// A random duration below `limit`.
+    pub(super) fn random_duration(&mut self, limit: Duration) -> Duration {
+        let micros = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
+        Duration::from_micros(self.random.next_u64() % micros.max(1))
     }
 
     fn role_name(&self) -> RoleName {
@@ -331,6 +343,11 @@
             Message::MemberChangeResponse { number, outcome } => {
                 self.member_changes.push(MemberChangeOutcome { number, result: outcome });
             }
+            Message::StopRequest => self.handle_stop_request(now, from),
+            Message::StopResponse => self.handle_stop_response(),
+            Message::LeadershipReleased { successor } => {
+                self.handle_leadership_released(now, from, successor);
+            }
         }
     }
 }
--- a/crates/domain/src/consensus/progress.rs
+++ b/crates/domain/src/consensus/progress.rs
@@ -20,6 +20,17 @@
     pub last_contact: Timestamp,
     /// Latest read round that the member confirmed.
     pub confirmed_round: ReadRound,
+    /// The member's request to stop, until it expires.
+    pub stop: Option<PendingStop>,
+}
+
+/// A request of a member to stop.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PendingStop {
+    /// Until when the request is valid.
+    pub valid_until: Timestamp,
+    /// Whether the leader has permitted the stop.
+    pub permitted: bool,
 }
 
 /// Replication mode of a member.
@@ -56,6 +67,7 @@
             state: ProgressState::Probe { waiting: false },
             last_contact: now,
             confirmed_round: ReadRound(0),
+            stop: None,
         }
     }
 
@@ -64,6 +76,11 @@
         now.since(self.last_contact) < span
     }
 
+    /// The member's request to stop, if it is still valid.
+    pub fn pending_stop(&self, now: Timestamp) -> Option<PendingStop> {
+        self.stop.filter(|stop| now < stop.valid_until)
+    }
+
     /// Whether sending entries is currently suspended.
     pub fn is_paused(&self, in_flight_limit: usize) -> bool {
         match &self.state {
--- a/crates/domain/tests/consensus/membership.rs
+++ b/crates/domain/tests/consensus/membership.rs
@@ -176,6 +176,7 @@
     max_voters: 4,
     voter_timeout: Duration::from_millis(2_000),
     spare_voter_timeout: Duration::from_millis(2_000),
+    refusal_timeout: Duration::from_millis(150),
 };
 
 fn due(lab: &mut Lab, growth: &MembershipPolicy) -> Option<MemberChange> {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,6 +16,7 @@
 mod responses;
 mod runtime;
 mod server;
+mod signals;
 
 pub use client::{ClientConnection, RequestWriter, ResponseReader};
 pub use clock::Clock;
@@ -27,3 +28,4 @@
 pub use responses::{json_response, text_response};
 pub use runtime::{block_on, build_runtime};
 pub use server::{RequestReader, ResponseWriter, ServerConnection};
+pub use signals::stop_requested;
