Draw a higher number for a new data folder that counts as an earlier one

What callers saw: a control machine's data folder is created while its clock stands ahead; later the machine loses its disk. It never joins again, and the next lost disk ends the quorum: no change is acknowledged and no configuration read.

Cause: the number of a folder is the time of its creation. Peers refuse a lower one than they have seen for good, and the process that is refused was not told which, and drew no other.

Ruled out: the wipes alone, which are borne with correct clocks.

The change: a refusal names the later number, in a new frame and in the leader's answer to a request to join. A process whose log is empty draws a higher one and uses it once it is durable. With a log it stays refused, since its votes may have been overtaken.

--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -59,6 +59,11 @@
         Self { own, voters, may_form, growth }
     }
 
+    /// Sets the identity of this process, when it was drawn anew.
+    pub fn set_own(&mut self, own: MemberId) {
+        self.own = own;
+    }
+
     /// The nodes that form the cluster as its first voters.
     pub fn voters(&self) -> impl Iterator<Item = NodeNumber> + '_ {
         self.voters.iter().copied()
--- a/crates/control/src/replication/messages.rs
+++ b/crates/control/src/replication/messages.rs
@@ -1,7 +1,7 @@
 //! Messages to and from the task that owns the log.
 
 use gingerkeel_domain::consensus::{
-    Envelope, LogIndex, MemberChange, MemberId, NodeNumber, RoleName, Term,
+    Envelope, Incarnation, LogIndex, MemberChange, MemberId, NodeNumber, RoleName, Term,
 };
 use gingerkeel_domain::identifiers::ControlName;
 use gingerkeel_domain::leaf_warnings::LeafWarning;
@@ -146,6 +146,8 @@
     PeerWarningsReceived(MemberId, Vec<LeafWarning>),
     /// A peer identified itself.
     PeerIdentified,
+    /// A peer knows a later incarnation of this node than that of its data folder.
+    Superseded(Incarnation),
     /// A connection to this node was established.
     PeerConnected(NodeNumber),
     /// The address of this node refused a connection.
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -4,6 +4,7 @@
 //! state machine [`StateMachineMessage`]s.
 
 mod error;
+mod identity_renewal;
 mod membership;
 mod messages;
 mod peers;
@@ -123,7 +124,7 @@
 }
 
 /// Microseconds since the Unix epoch, so that the number exceeds that of any earlier data folder of
-/// the node.
+/// the node, unless the clock stood ahead when that one was created. Peers tell its number then.
 fn new_incarnation() -> Incarnation {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Incarnation(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
--- a/crates/control/src/replication/peers/directory.rs
+++ b/crates/control/src/replication/peers/directory.rs
@@ -11,7 +11,7 @@
 /// Identities of the peers; shared by the tasks of one process.
 #[derive(Clone)]
 pub struct PeerDirectory {
-    own: MemberId,
+    own: Rc<Cell<MemberId>>,
     formed: Rc<Cell<bool>>,
     cluster: Rc<str>,
     planned_voters: u32,
@@ -25,7 +25,7 @@
     pub fn new(settings: &ControlSettings, own: MemberId, formed: bool) -> Self {
         let listed = settings.other_peers().map(|peer| NodeNumber(peer.node)).collect();
         Self {
-            own,
+            own: Rc::new(Cell::new(own)),
             formed: Rc::new(Cell::new(formed)),
             cluster: settings.cluster.as_str().into(),
             planned_voters: checksum_of_voters(settings),
@@ -37,13 +37,18 @@
     /// The identity that this process sends to peers.
     pub fn own_identity(&self) -> PeerIdentity {
         PeerIdentity {
-            node: self.own.node.0,
-            incarnation: self.own.incarnation.0,
+            node: self.own.get().node.0,
+            incarnation: self.own.get().incarnation.0,
             formed: u8::from(self.formed.get()),
             planned_voters: self.planned_voters,
         }
     }
 
+    /// Sets the identity of this process, when it was drawn anew.
+    pub fn set_own(&self, own: MemberId) {
+        self.own.set(own);
+    }
+
     /// Whether the log of this process is known to hold entries.
     pub fn is_formed(&self) -> bool {
         self.formed.get()
@@ -99,12 +104,14 @@
         Ok(())
     }
 
+    /// The highest incarnation that a node has reported.
+    pub fn latest_incarnation(&self, node: NodeNumber) -> Option<Incarnation> {
+        self.latest.borrow().get(&node).map(|known| Incarnation(known.incarnation))
+    }
+
     /// Whether the node was seen with a newer incarnation, that is, with a newer data folder.
     pub fn is_superseded(&self, member: MemberId) -> bool {
-        self.latest
-            .borrow()
-            .get(&member.node)
-            .is_some_and(|known| known.incarnation > member.incarnation.0)
+        self.latest_incarnation(member.node).is_some_and(|latest| latest > member.incarnation)
     }
 
     /// The latest identity of a peer, if its settings name the same voters.
--- a/crates/control/src/replication/peers/incoming.rs
+++ b/crates/control/src/replication/peers/incoming.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use gingerkeel_domain::consensus::{Envelope, MemberId};
+use gingerkeel_domain::consensus::{Envelope, MemberId, NodeNumber};
 use gingerkeel_domain::identifiers::ControlName;
 use gingerkeel_protocol::{
-    Document, FrameCodec, PeerFrame, PeerRefusal, ProtocolError, ShortText, decode_document,
-    encode_frame,
+    Document, FrameCodec, PeerFrame, PeerIdentity, PeerRefusal, ProtocolError, ShortText,
+    decode_document, encode_frame,
 };
 use gingerkeel_transport::accept_connections;
 use local_sync::mpsc::unbounded::Tx;
@@ -109,7 +109,7 @@
     if let Err(reason) = directory.check_hello(protocol_version, &cluster, identity) {
         let (node, reason_text) = (identity.node, refusal_text(reason));
         warn!(event = "peer_refused", node, reason = reason_text);
-        send(writer, &PeerFrame::Refused { reason }).await?;
+        send(writer, &refusal(reason, directory, identity)).await?;
         return Ok(None);
     }
     send(writer, &PeerFrame::Welcome { identity: directory.own_identity() }).await?;
@@ -118,6 +118,18 @@
     Ok(Some(member(identity)))
 }
 
+/// The frame that refuses a connection. A process whose folder counts as an earlier one is told the
+/// later incarnation, so that it can draw one above it if its folder is new.
+fn refusal(reason: PeerRefusal, directory: &PeerDirectory, identity: PeerIdentity) -> PeerFrame {
+    let latest = directory.latest_incarnation(NodeNumber(identity.node));
+    match (reason, latest) {
+        (PeerRefusal::EarlierIncarnation, Some(latest)) => {
+            PeerFrame::Superseded { incarnation: latest.0 }
+        }
+        _ => PeerFrame::Refused { reason },
+    }
+}
+
 async fn next_frame(reader: &mut Reader) -> Result<Option<PeerFrame>, ProtocolError> {
     let mut codec = FrameCodec::<PeerFrame>::default();
     match timeout(IDLE_TIMEOUT, reader.next_with(&mut codec)).await {
--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -7,10 +7,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gingerkeel_domain::consensus::{Envelope, NodeNumber};
+use gingerkeel_domain::consensus::{Envelope, Incarnation, NodeNumber};
 use gingerkeel_domain::leaf_warnings::LeafWarning;
 use gingerkeel_domain::quota::PeerUsage;
-use gingerkeel_protocol::{FrameCodec, PeerFrame, ProtocolError, ShortText, encode_document};
+use gingerkeel_protocol::{
+    FrameCodec, PeerFrame, PeerRefusal, ProtocolError, ShortText, encode_document,
+};
 use gingerkeel_settings::ControlSettings;
 use local_sync::mpsc::TryRecvError;
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
@@ -259,6 +261,11 @@
             Some(PeerFrame::Refused { reason }) => {
                 Err(ProtocolError::Malformed(format!("refused: {}", refusal_text(reason))))
             }
+            Some(PeerFrame::Superseded { incarnation }) => {
+                self.report(TaskEvent::Superseded(Incarnation(incarnation)));
+                let reason = refusal_text(PeerRefusal::EarlierIncarnation);
+                Err(ProtocolError::Malformed(format!("refused: {reason}")))
+            }
             _ => Err(ProtocolError::Malformed("no reply to the handshake".into())),
         }
     }
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use gingerkeel_domain::consensus::{
-    Entry, Envelope, LogIndex, MemberChange, MemberChangeError, MemberId, Message, Node,
-    NodeNumber, NodeStatus, Payload, Proposed, Recovered, RoleName, Snapshot,
+    Entry, Envelope, Incarnation, LogIndex, MemberChange, MemberChangeError, MemberId, Message,
+    Node, NodeNumber, NodeStatus, Payload, Proposed, Recovered, RoleName, Snapshot,
 };
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::ControlSettings;
@@ -28,7 +28,7 @@
 };
 use super::peers::{Links, PeerDirectory};
 use super::requests::{ChangeReply, PendingRequests, ProposeReply, ReadReply};
-use super::{ReplicationOptions, SNAPSHOT_COMMAND_BYTES};
+use super::{ReplicationOptions, SNAPSHOT_COMMAND_BYTES, identity_renewal, new_incarnation};
 use crate::storage::{OpenedStorage, Writer, WriterEvent, WriterMessage};
 
 /// Time limit for a leader's answer to a read or a membership change.
@@ -47,6 +47,9 @@
 /// State of the task that owns the consensus core and the storage writer.
 pub(super) struct ReplicationTask {
     node: Node,
+    options: ReplicationOptions,
+    /// The identity that is being written to the folder, to replace the present one.
+    renewal: Option<MemberId>,
     clock: Clock,
     writer: Writer,
     links: Links,
@@ -56,7 +59,6 @@
     requests: PendingRequests,
     /// Index of the last command that was passed to the state machine.
     last_command: LogIndex,
-    snapshot_interval: u64,
     /// Applied index at the last snapshot request.
     snapshot_asked: LogIndex,
     /// Bytes of the commands applied since then.
@@ -75,6 +77,16 @@
     ended: bool,
 }
 
+fn new_node(
+    identity: MemberId,
+    options: ReplicationOptions,
+    recovered: Recovered,
+    now: Timestamp,
+) -> Node {
+    let random = Box::new(Pcg64::new(rand::rng().random(), rand::rng().random()));
+    Node::new(identity, options.consensus, random, recovered, now)
+}
+
 /// Sends the state machine the recovered commands beyond the last known commit index.
 fn forward_unconfirmed(recovered: &Recovered, state_machine: &Tx<StateMachineMessage>) {
     for entry in recovered.entries.iter().filter(|entry| entry.index > recovered.commit) {
@@ -97,11 +109,12 @@
     ) -> io::Result<Self> {
         let clock = Clock::start();
         let identity = opened.identity;
-        let random = Box::new(Pcg64::new(rand::rng().random(), rand::rng().random()));
         let now = clock.now();
         forward_unconfirmed(&opened.recovered, &state_machine);
         Ok(Self {
-            node: Node::new(identity, options.consensus, random, opened.recovered, now),
+            node: new_node(identity, options, opened.recovered, now),
+            options,
+            renewal: None,
             clock,
             writer: Writer::start(opened.storage)?,
             links,
@@ -110,7 +123,6 @@
             state_machine,
             requests: PendingRequests::default(),
             last_command: LogIndex(0),
-            snapshot_interval: options.snapshot_interval,
             snapshot_asked: LogIndex(0),
             applied_bytes: 0,
             snapshot_bytes: 0,
@@ -179,6 +191,7 @@
                 StateMachineMessage::PeerWarningsReceived(warnings),
             ),
             TaskEvent::PeerIdentified => self.maintenance_due = self.clock.now(),
+            TaskEvent::Superseded(later) => self.renew_identity(later),
             TaskEvent::PeerConnected(node) => self.handle_refusal(node, false),
             TaskEvent::PeerRefusing(node) => self.handle_refusal(node, true),
             TaskEvent::WriterSignaled => self.handle_writer(),
@@ -325,6 +338,11 @@
                     }
                     self.node.persisted(now, number);
                 }
+                WriterEvent::IdentityReplaced(identity) => self.adopt_identity(identity),
+                WriterEvent::IdentityKept(error) => {
+                    warn!(event = "identity_not_renewed", %error);
+                    self.renewal = None;
+                }
                 WriterEvent::Full(cause) | WriterEvent::Failed(cause) => {
                     error!(event = "storage_failed", %cause);
                     self.storage_error = Some(cause.to_string());
@@ -335,6 +353,27 @@
         }
     }
 
+    /// Draws a higher incarnation for a folder without a log. Until it is durable the process goes on
+    /// under its present identity, which peers refuse.
+    fn renew_identity(&mut self, later: Incarnation) {
+        let renewed = identity_renewal::renewed(&self.node.status(), later, new_incarnation());
+        if let Some(identity) = renewed.filter(|_| self.renewal.is_none()) {
+            self.renewal = Some(identity);
+            // A writer that failed has sent an event.
+            let _ = self.writer.messages.send(WriterMessage::ReplaceIdentity(identity));
+        }
+    }
+
+    fn adopt_identity(&mut self, identity: MemberId) {
+        info!(event = "identity_renewed", former = %self.node.identity(), member = %identity);
+        self.renewal = None;
+        let now = self.clock.now();
+        self.node = new_node(identity, self.options, Recovered::default(), now);
+        self.directory.set_own(identity);
+        self.planned.set_own(identity);
+        self.maintenance_due = now;
+    }
+
     /// Reports to peers that this log has entries, before any of them is acknowledged. A peer that
     /// lost its disk would form a second cluster if all others still reported empty logs.
     fn mark_formed(&self) {
@@ -360,7 +399,7 @@
                 self.requests.resolve_read(outcome);
             }
             for outcome in ready.member_changes {
-                self.note_join_redirect(outcome.result);
+                self.note_join_refusal(outcome.result);
                 self.requests.resolve_change(outcome.number, outcome.result);
             }
             let status = self.node.status();
@@ -407,7 +446,7 @@
     fn ask_for_snapshot(&mut self, status: &NodeStatus, events: &Tx<TaskEvent>) {
         let entries = status.applied.0 - self.snapshot_asked.0.min(status.applied.0);
         let is_large = self.applied_bytes >= SNAPSHOT_COMMAND_BYTES.max(self.snapshot_bytes);
-        if entries < self.snapshot_interval && !is_large {
+        if entries < self.options.snapshot_interval && !is_large {
             return;
         }
         self.snapshot_asked = status.applied;
@@ -528,10 +567,13 @@
         self.node.request_member_change(contact, number, change);
     }
 
-    /// Directs the next join request to the leader that a refusal names.
-    fn note_join_redirect(&mut self, result: Result<LogIndex, MemberChangeError>) {
-        if let Err(MemberChangeError::NotLeader(leader)) = result {
-            self.join_through = leader;
+    /// Directs the next join request to the leader that a refusal names, or draws a new identity if
+    /// the leader knows a later one.
+    fn note_join_refusal(&mut self, result: Result<LogIndex, MemberChangeError>) {
+        match result {
+            Err(MemberChangeError::NotLeader(leader)) => self.join_through = leader,
+            Err(MemberChangeError::Superseded(later)) => self.renew_identity(later.incarnation),
+            _ => {}
         }
     }
 }
--- a/crates/control/src/storage/identity.rs
+++ b/crates/control/src/storage/identity.rs
@@ -27,7 +27,7 @@
     pub cluster: String,
     /// Number of the node.
     pub node: NodeNumber,
-    /// Incarnation for an empty folder; must exceed that of any earlier folder of the node.
+    /// Incarnation for an empty folder; should exceed that of any earlier folder of the node.
     pub new_incarnation: Incarnation,
 }
 
@@ -60,6 +60,16 @@
     }
 }
 
+/// Replaces the identity of a folder.
+pub(super) fn replace(
+    io: &mut dyn StorageIo,
+    folder: &Path,
+    cluster: &str,
+    member: MemberId,
+) -> Result<(), StorageError> {
+    write(io, folder, &IdentityDocument { cluster: cluster.to_owned(), member })
+}
+
 fn create(
     io: &mut dyn StorageIo,
     folder: &Path,
--- a/crates/control/src/storage/mod.rs
+++ b/crates/control/src/storage/mod.rs
@@ -3,7 +3,7 @@
 //! | file | holds |
 //! |---|---|
 //! | `lock` | nothing; locked exclusively while a process uses the folder |
-//! | `identity` | format version, cluster and member; written once |
+//! | `identity` | format version, cluster and member; replaced only while there is no log |
 //! | `log-N` | records from number N on, appended and synced |
 //! | `snapshot-N` | the state after entry N; replaced atomically |
 //!
--- a/crates/control/src/storage/storage_folder.rs
+++ b/crates/control/src/storage/storage_folder.rs
@@ -22,6 +22,7 @@
 /// A data folder that this process holds locked.
 pub struct Storage {
     folder: PathBuf,
+    cluster: String,
     /// Held for as long as the folder is in use.
     _lock: FolderLock,
     io: Box<dyn StorageIo>,
@@ -77,6 +78,7 @@
         sync_folder(io.as_mut(), folder)?;
         let storage = Self {
             folder: folder.to_owned(),
+            cluster: owner.cluster.clone(),
             _lock: lock,
             io,
             closed: log.segments,
@@ -89,6 +91,15 @@
         Ok(OpenedStorage { storage, identity, recovered })
     }
 
+    /// Replaces the identity of the folder, which must hold no log: votes and entries belong to the
+    /// identity under which they were written.
+    ///
+    /// # Errors
+    /// A [`StorageError`]; the folder then keeps one of the two identities.
+    pub fn replace_identity(&mut self, member: MemberId) -> Result<(), StorageError> {
+        identity::replace(self.io.as_mut(), &self.folder, &self.cluster, member)
+    }
+
     /// Persists writes in order and takes those that are durable off the queue; after `Ok` it is
     /// empty.
     ///
--- a/crates/control/src/storage/writer.rs
+++ b/crates/control/src/storage/writer.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
-use gingerkeel_domain::consensus::{Write, WriteNumber};
+use gingerkeel_domain::consensus::{MemberId, Write, WriteNumber};
 
 use super::error::StorageError;
 use super::storage_folder::Storage;
@@ -22,6 +22,8 @@
 pub enum WriterMessage {
     /// Persist this write after all earlier ones.
     Persist(Write),
+    /// Replace the identity of a folder that holds no log.
+    ReplaceIdentity(MemberId),
 }
 
 /// An event from the writer thread.
@@ -29,6 +31,10 @@
 pub enum WriterEvent {
     /// All writes up to this one are durable.
     Persisted(WriteNumber),
+    /// The identity of the folder was replaced, durably.
+    IdentityReplaced(MemberId),
+    /// The identity of the folder could not be replaced.
+    IdentityKept(StorageError),
     /// The disk is full; the writer retries until there is space.
     Full(StorageError),
     /// A write failed permanently; nothing is written until the process restarts.
@@ -71,17 +77,39 @@
 
 impl WriterThread {
     fn run(mut self) {
-        while let Ok(WriterMessage::Persist(first)) = self.messages.recv() {
-            let waiting = self.messages.try_iter().map(|WriterMessage::Persist(write)| write);
-            let batch: VecDeque<Write> = std::iter::once(first).chain(waiting).collect();
+        while let Ok(first) = self.messages.recv() {
+            let mut batch = VecDeque::new();
+            let waiting: Vec<WriterMessage> = self.messages.try_iter().collect();
+            for message in std::iter::once(first).chain(waiting) {
+                match message {
+                    WriterMessage::Persist(write) => batch.push_back(write),
+                    WriterMessage::ReplaceIdentity(member) => {
+                        if !self.persist(std::mem::take(&mut batch)) {
+                            return;
+                        }
+                        self.replace_identity(member);
+                    }
+                }
+            }
             if !self.persist(batch) {
                 return;
             }
         }
     }
 
+    fn replace_identity(&mut self, member: MemberId) {
+        let event = match self.storage.replace_identity(member) {
+            Ok(()) => WriterEvent::IdentityReplaced(member),
+            Err(error) => WriterEvent::IdentityKept(error),
+        };
+        self.report(event);
+    }
+
     /// Persists a batch, retrying while the disk is full; false if the thread must stop.
     fn persist(&mut self, mut batch: VecDeque<Write>) -> bool {
+        if batch.is_empty() {
+            return true;
+        }
         let last = batch.back().map_or(WriteNumber(0), |write| write.number);
         let mut reported = false;
         loop {
--- a/crates/domain/src/consensus/configuration.rs
+++ b/crates/domain/src/consensus/configuration.rs
@@ -102,8 +102,13 @@
 
     fn add_learner(&mut self, member: MemberId) -> Result<(), MemberChangeError> {
         let same_node = self.members().filter(|known| known.node == member.node);
-        if same_node.into_iter().any(|known| known.incarnation >= member.incarnation) {
-            return Err(MemberChangeError::AlreadyMember(member));
+        if let Some(latest) = same_node.max() {
+            if latest == member {
+                return Err(MemberChangeError::AlreadyMember(member));
+            }
+            if latest > member {
+                return Err(MemberChangeError::Superseded(latest));
+            }
         }
         self.learners.insert(member);
         Ok(())
--- a/crates/domain/src/consensus/error.rs
+++ b/crates/domain/src/consensus/error.rs
@@ -60,9 +60,9 @@
         QuorumAtRisk {
             display("the change would leave no reachable quorum of voters: bring a stopped control machine back first")
         }
-        /// The machine is already a member with this or a newer data folder.
+        /// The machine is already a member with this data folder.
         AlreadyMember(member: MemberId) {
-            display("{member} is already a member, or its machine has rejoined since: no action is needed")
+            display("{member} is already a member: no action is needed")
         }
         /// Only a learner can be promoted.
         NotLearner(member: MemberId) {
@@ -76,6 +76,10 @@
         LastVoter(member: MemberId) {
             display("{member} is the last voter: promote a learner first")
         }
+        /// The machine is a member with a later data folder, which is named.
+        Superseded(later: MemberId) {
+            display("the machine is the member {later} by a later data folder: start it with that folder or an empty one")
+        }
     }
 }
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -36,7 +36,8 @@
     Cluster = 2,
     /// The node is not among the peers in the settings.
     UnknownPeer = 3,
-    /// The node has been seen with a later incarnation.
+    /// The node has been seen with a later incarnation. Sent by earlier releases, which do not say
+    /// with which one.
     EarlierIncarnation = 4,
 }
 
@@ -107,4 +108,10 @@
         /// The warnings as a document.
         warnings: Document,
     },
+    /// Refuses the connection: the node has been seen with a later incarnation.
+    #[brw(magic = 9u8)]
+    Superseded {
+        /// The later incarnation.
+        incarnation: u64,
+    },
 }
--- a/crates/protocol/tests/peer.rs
+++ b/crates/protocol/tests/peer.rs
@@ -29,6 +29,7 @@
 #[case::cluster(PeerFrame::Refused { reason: PeerRefusal::Cluster })]
 #[case::unknown(PeerFrame::Refused { reason: PeerRefusal::UnknownPeer })]
 #[case::earlier(PeerFrame::Refused { reason: PeerRefusal::EarlierIncarnation })]
+#[case::superseded(PeerFrame::Superseded { incarnation: u64::MAX })]
 #[case::probe(PeerFrame::Probe)]
 #[case::probe_reply(PeerFrame::ProbeReply { identity: IDENTITY })]
 #[case::consensus(PeerFrame::Consensus { document: vec![1, 2, 3] })]
