Propose a configuration again when the leader steps down with it pending

What callers saw: a configuration refused with 503 at once while the control processes have no quorum for a moment, where the call should wait for the next leader.

Cause: a leader that steps down drops its pending proposals, and the call was answered with that error; only the absence of a leader was a reason to wait.

Evidence: change_waits_while_the_quorum_is_missing, which stops the two other processes for a second while the call is under way, failed before with 503 at the leader and passes now. Ruled out: the call's time limit.

Why it works: the replacement is proposed with the next tick until the call's time is over.

--- a/crates/control/src/cluster_task/pending_routes.rs
+++ b/crates/control/src/cluster_task/pending_routes.rs
@@ -40,12 +40,16 @@
         }
     }
 
-    /// Handles a failed proposal. Without a leader the replacement is retried with the next tick:
-    /// the operator would only turn to another process, which has no leader either. Any other error
-    /// is returned to the operator.
+    /// Handles a failed proposal. Without a leader, and after a leader has stepped down with the
+    /// proposal pending, the replacement is retried with the next tick: the operator would only turn
+    /// to another process, which has no leader either. Replacing routes twice by the same ones changes
+    /// nothing. Any other error is returned to the operator.
     pub fn not_proposed(&mut self, routes: &Arc<AcceptedRoutes>, error: &ProposeError) {
         let same = |pending: &PendingReplacement| Arc::ptr_eq(&pending.routes, routes);
-        if matches!(error, ProposeError::Refused(consensus::ProposeError::NoLeader)) {
+        if matches!(
+            error,
+            ProposeError::Refused(consensus::ProposeError::NoLeader) | ProposeError::Dropped
+        ) {
             let pending = self.pending.iter_mut().find(|pending| same(pending));
             pending.into_iter().for_each(|pending| pending.retry.retry_on_next_tick());
             return;
--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -33,6 +33,8 @@
 const JOIN_TIME: Duration = Duration::from_secs(1);
 /// Time from the kill of a process from which the cluster survives the loss of another disk.
 const KILL_COVERED_AFTER: Duration = Duration::from_millis(300);
+/// Time without a quorum, in which a leader steps down; less than a call may take.
+const QUORUM_GAP: Duration = Duration::from_secs(1);
 /// Interval between concurrent calls.
 const CALL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum number of concurrent calls.
@@ -140,6 +142,11 @@
         }
     }
 
+    fn signal(&self, index: usize, signal: Signal) {
+        let process = self.machines[index].process.as_ref().unwrap();
+        kill_process(Pid::from_child(process), signal).unwrap();
+    }
+
     fn lose_disk(&mut self, index: usize) {
         self.kill(index);
         std::fs::remove_dir_all(&self.machines[index].data).unwrap();
@@ -374,13 +381,35 @@
     // One of the three kills hits the leader; each call goes to a live process.
     for (version, killed) in [(2, 0), (3, 1), (4, 2)] {
         cluster.kill(killed);
-        let status = cluster.replace((killed + 1) % SEEDS, version);
-        assert_eq!(status, Some(200), "the call waits for the election");
+        let body = serde_json::to_vec(&configuration(version)).unwrap();
+        let answer = cluster.call((killed + 1) % SEEDS, Method::PUT, body);
+        let status = answer.as_ref().map(|(status, _)| *status);
+        assert_eq!(status, Some(200), "the call waits for the election: {answer:?}");
         cluster.run(killed);
         wait_until(|| cluster.version(killed) == Some(version));
     }
 }
 
+/// Guards against a change that is refused with 503 because the leader steps down while it is
+/// pending, although the call has time left for the next leader.
+#[test]
+fn change_waits_while_the_quorum_is_missing() {
+    let cluster = Cluster::start();
+    cluster.wait_accepted(0, 1);
+    // One of the three is the leader.
+    for (version, asked) in [(2, 0), (3, 1), (4, 2)] {
+        let others = (0..SEEDS).filter(|index| *index != asked);
+        others.clone().for_each(|index| cluster.signal(index, Signal::STOP));
+        thread::scope(|scope| {
+            let call = scope.spawn(|| cluster.replace(asked, version));
+            thread::sleep(QUORUM_GAP);
+            others.for_each(|index| cluster.signal(index, Signal::CONT));
+            assert_eq!(call.join().unwrap(), Some(200), "the call waits for the quorum");
+        });
+        (0..SEEDS).for_each(|index| wait_until(|| cluster.version(index) == Some(version)));
+    }
+}
+
 #[test]
 fn machine_that_lost_its_disk_rejoins_and_forms_no_cluster() {
     let mut cluster = Cluster::start();
