Test elections while every disk is slow, and list what fails

The test runs three members on a virtual clock whose writes take 30, 300, 600 and 1,000 ms to sync, at an election timeout of 300 ms. At 30 ms a leader commits; at the others none does within 5 s, and terms reach 12. Causes as seen there: an election is started anew before the votes of the last one are durable, and a leader that was elected steps down, since heartbeats are answered only after the writes before them.

The three cases are listed as known failures; check, bound and times stay.

--- a/crates/domain/tests/consensus/main.rs
+++ b/crates/domain/tests/consensus/main.rs
@@ -16,5 +16,6 @@
 mod reads;
 mod seeds;
 mod server;
+mod slow_disks;
 mod snapshots;
 mod stopping;
