--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -401,10 +401,13 @@
         let others = (0..SEEDS).filter(|index| *index != asked);
         others.clone().for_each(|index| cluster.signal(index, Signal::STOP));
         thread::scope(|scope| {
-            let call = scope.spawn(|| cluster.replace(asked, version));
+            let body = serde_json::to_vec(&configuration(version)).unwrap();
+            let call = scope.spawn(|| cluster.call(asked, Method::PUT, body));
             thread::sleep(QUORUM_GAP);
             others.for_each(|index| cluster.signal(index, Signal::CONT));
-            assert_eq!(call.join().unwrap(), Some(200), "the call waits for the quorum");
+            let answer = call.join().unwrap();
+            let status = answer.as_ref().map(|(status, _)| *status);
+            assert_eq!(status, Some(200), "the call waits for the quorum: {answer:?}");
         });
         (0..SEEDS).for_each(|index| wait_until(|| cluster.version(index) == Some(version)));
     }
