Keep one copy of the checks and the identity behind planned stops

Read again as a whole, the change had written several things twice. What callers see stays as it is.

- "The latest membership change is committed" stood in three places; all now call membership_is_committed.
- The majority of a smaller group was counted by hand beside Configuration::quorum; both use quorum_of.
- "Responds and does not refuse connections" was written out for a stop and for a hand-over: is_reachable.
- The process's identity stood in the configured members and in the peer directory, and both had to be set when it was renewed; the directory alone holds it now.
- The identity that is being written was kept and only its presence was used: a flag.
- A link reported two events for one connection, and both only made maintenance due.
- A new folder writes its identity by the function that replaces one.

--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -19,7 +19,6 @@
 
 /// The members that the settings name, and whether the cluster may grow by itself.
 pub(super) struct ConfiguredMembers {
-    own: MemberId,
     voters: Vec<NodeNumber>,
     /// Whether this process may form a cluster.
     may_form: bool,
@@ -37,13 +36,13 @@
 }
 
 impl ConfiguredMembers {
-    pub fn new(settings: &ControlSettings, own: MemberId) -> Self {
+    pub fn new(settings: &ControlSettings, own: NodeNumber) -> Self {
         let voters = settings.peers.iter().filter(|peer| peer.voter);
         let mut voters: Vec<NodeNumber> = voters.map(|peer| NodeNumber(peer.node)).collect();
         if let Some(seeds) = &settings.seeds {
             voters.extend(seeds.seed_numbers().map(NodeNumber));
         } else if settings.peers.is_empty() {
-            voters.push(own.node);
+            voters.push(own);
         }
         voters.sort_unstable();
         voters.dedup();
@@ -56,12 +55,7 @@
                 .min(Duration::from_millis(seeds.replace_after_ms.into())),
             refusal_timeout: REFUSAL_TIMEOUT,
         });
-        Self { own, voters, may_form, growth }
-    }
-
-    /// Sets the identity of this process, when it was drawn anew.
-    pub fn set_own(&mut self, own: MemberId) {
-        self.own = own;
+        Self { voters, may_form, growth }
     }
 
     /// The nodes that form the cluster as its first voters.
@@ -81,14 +75,15 @@
     /// peers with a log and joins them, and a node with different settings cannot form a second
     /// cluster.
     pub fn bootstrap_step(&self, directory: &PeerDirectory) -> BootstrapStep {
+        let own = directory.own();
         if let Some(formed) = directory.any_formed() {
-            return BootstrapStep::Join(formed, MemberChange::AddLearner(self.own));
+            return BootstrapStep::Join(formed, MemberChange::AddLearner(own));
         }
-        if !self.may_form || self.voters.first() != Some(&self.own.node) {
+        if !self.may_form || self.voters.first() != Some(&own.node) {
             return BootstrapStep::Wait;
         }
-        let identity = |node: &NodeNumber| match *node == self.own.node {
-            true => Some(self.own),
+        let identity = |node: &NodeNumber| match *node == own.node {
+            true => Some(own),
             false => directory.latest_with_same_voters(*node).map(super::peers::member),
         };
         let voters: Option<Vec<MemberId>> = self.voters.iter().map(identity).collect();
--- a/crates/control/src/replication/messages.rs
+++ b/crates/control/src/replication/messages.rs
@@ -148,7 +148,7 @@
     PeerIdentified,
     /// A peer knows a later incarnation of this node than that of its data folder.
     Superseded(Incarnation),
-    /// A connection to this node was established.
+    /// A connection to this node was established; the node has identified itself.
     PeerConnected(NodeNumber),
     /// The address of this node refused a connection.
     PeerRefusing(NodeNumber),
--- a/crates/control/src/replication/peers/directory.rs
+++ b/crates/control/src/replication/peers/directory.rs
@@ -36,14 +36,20 @@
 
     /// The identity that this process sends to peers.
     pub fn own_identity(&self) -> PeerIdentity {
+        let own = self.own();
         PeerIdentity {
-            node: self.own.get().node.0,
-            incarnation: self.own.get().incarnation.0,
+            node: own.node.0,
+            incarnation: own.incarnation.0,
             formed: u8::from(self.formed.get()),
             planned_voters: self.planned_voters,
         }
     }
 
+    /// The member that this process is.
+    pub fn own(&self) -> MemberId {
+        self.own.get()
+    }
+
     /// Sets the identity of this process, when it was drawn anew.
     pub fn set_own(&self, own: MemberId) {
         self.own.set(own);
--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -255,16 +255,12 @@
                 let learned = self.directory.learn(identity);
                 learned.map_err(|reason| ProtocolError::Malformed(refusal_text(reason).into()))?;
                 info!(event = "peer_connected", peer = %self.address, node = identity.node);
-                self.report(TaskEvent::PeerIdentified);
                 Ok((reader, writer))
             }
-            Some(PeerFrame::Refused { reason }) => {
-                Err(ProtocolError::Malformed(format!("refused: {}", refusal_text(reason))))
-            }
+            Some(PeerFrame::Refused { reason }) => Err(refused(reason)),
             Some(PeerFrame::Superseded { incarnation }) => {
                 self.report(TaskEvent::Superseded(Incarnation(incarnation)));
-                let reason = refusal_text(PeerRefusal::EarlierIncarnation);
-                Err(ProtocolError::Malformed(format!("refused: {reason}")))
+                Err(refused(PeerRefusal::EarlierIncarnation))
             }
             _ => Err(ProtocolError::Malformed("no reply to the handshake".into())),
         }
@@ -367,6 +363,10 @@
     }
 }
 
+fn refused(reason: PeerRefusal) -> ProtocolError {
+    ProtocolError::Malformed(format!("refused: {}", refusal_text(reason)))
+}
+
 /// Whether the peer's address refused the connection, so that no process listens there.
 fn is_refusal(error: &ProtocolError) -> bool {
     matches!(error, ProtocolError::Socket(cause) if cause.kind() == ErrorKind::ConnectionRefused)
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -48,8 +48,8 @@
 pub(super) struct ReplicationTask {
     node: Node,
     options: ReplicationOptions,
-    /// The identity that is being written to the folder, to replace the present one.
-    renewal: Option<MemberId>,
+    /// Whether another identity is being written to the folder.
+    is_renewing: bool,
     clock: Clock,
     writer: Writer,
     links: Links,
@@ -114,12 +114,12 @@
         Ok(Self {
             node: new_node(identity, options, opened.recovered, now),
             options,
-            renewal: None,
+            is_renewing: false,
             clock,
             writer: Writer::start(opened.storage)?,
             links,
             directory,
-            planned: ConfiguredMembers::new(settings, identity),
+            planned: ConfiguredMembers::new(settings, identity.node),
             state_machine,
             requests: PendingRequests::default(),
             last_command: LogIndex(0),
@@ -192,8 +192,8 @@
             ),
             TaskEvent::PeerIdentified => self.maintenance_due = self.clock.now(),
             TaskEvent::Superseded(later) => self.renew_identity(later),
-            TaskEvent::PeerConnected(node) => self.handle_refusal(node, false),
-            TaskEvent::PeerRefusing(node) => self.handle_refusal(node, true),
+            TaskEvent::PeerConnected(node) => self.handle_reachability(node, false),
+            TaskEvent::PeerRefusing(node) => self.handle_reachability(node, true),
             TaskEvent::WriterSignaled => self.handle_writer(),
             TaskEvent::Snapshot(snapshot) => {
                 self.snapshot_bytes = snapshot.bytes.len();
@@ -202,13 +202,11 @@
         }
     }
 
-    fn handle_refusal(&mut self, node: NodeNumber, refusing: bool) {
+    fn handle_reachability(&mut self, node: NodeNumber, refusing: bool) {
         let now = self.clock.now();
         self.node.set_refusing(now, node, refusing);
-        if refusing {
-            // A removal may be due.
-            self.maintenance_due = now;
-        }
+        // A membership change may be due.
+        self.maintenance_due = now;
     }
 
     fn handle_envelope(&mut self, envelope: Envelope) {
@@ -341,7 +339,7 @@
                 WriterEvent::IdentityReplaced(identity) => self.adopt_identity(identity),
                 WriterEvent::IdentityKept(error) => {
                     warn!(event = "identity_not_renewed", %error);
-                    self.renewal = None;
+                    self.is_renewing = false;
                 }
                 WriterEvent::Full(cause) | WriterEvent::Failed(cause) => {
                     error!(event = "storage_failed", %cause);
@@ -357,8 +355,8 @@
     /// under its present identity, which peers refuse.
     fn renew_identity(&mut self, later: Incarnation) {
         let renewed = identity_renewal::renewed(&self.node.status(), later, new_incarnation());
-        if let Some(identity) = renewed.filter(|_| self.renewal.is_none()) {
-            self.renewal = Some(identity);
+        if let Some(identity) = renewed.filter(|_| !self.is_renewing) {
+            self.is_renewing = true;
             // A writer that failed has sent an event.
             let _ = self.writer.messages.send(WriterMessage::ReplaceIdentity(identity));
         }
@@ -366,11 +364,10 @@
 
     fn adopt_identity(&mut self, identity: MemberId) {
         info!(event = "identity_renewed", former = %self.node.identity(), member = %identity);
-        self.renewal = None;
+        self.is_renewing = false;
         let now = self.clock.now();
         self.node = new_node(identity, self.options, Recovered::default(), now);
         self.directory.set_own(identity);
-        self.planned.set_own(identity);
         self.maintenance_due = now;
     }
 
--- a/crates/control/src/storage/identity.rs
+++ b/crates/control/src/storage/identity.rs
@@ -60,7 +60,7 @@
     }
 }
 
-/// Replaces the identity of a folder.
+/// Writes the identity of a folder, in place of any earlier one.
 pub(super) fn replace(
     io: &mut dyn StorageIo,
     folder: &Path,
@@ -76,7 +76,7 @@
     owner: &FolderOwner,
 ) -> Result<MemberId, StorageError> {
     let member = MemberId { node: owner.node, incarnation: owner.new_incarnation };
-    write(io, folder, &IdentityDocument { cluster: owner.cluster.clone(), member })?;
+    replace(io, folder, &owner.cluster, member)?;
     Ok(member)
 }
 
--- a/crates/domain/src/consensus/configuration.rs
+++ b/crates/domain/src/consensus/configuration.rs
@@ -27,6 +27,11 @@
     Remove(MemberId),
 }
 
+/// Number of voters that form a quorum of `voters`.
+pub(super) fn quorum_of(voters: usize) -> usize {
+    voters / 2 + 1
+}
+
 impl Configuration {
     /// A configuration without learners.
     pub fn of_voters(voters: impl IntoIterator<Item = MemberId>) -> Self {
@@ -45,7 +50,7 @@
 
     /// Number of voters that form a quorum.
     pub fn quorum(&self) -> usize {
-        self.voters.len() / 2 + 1
+        quorum_of(self.voters.len())
     }
 
     /// Whether a quorum of voters satisfies `condition`.
--- a/crates/domain/src/consensus/leading.rs
+++ b/crates/domain/src/consensus/leading.rs
@@ -239,8 +239,7 @@
 
     /// Hands over the leadership if a committed change removed this leader from the voters.
     fn step_down_if_removed(&mut self, now: Timestamp) {
-        let settled = self.configurations.current_index() <= self.commit;
-        if settled && !self.is_voter() {
+        if self.membership_is_committed() && !self.is_voter() {
             self.hand_over_leadership(now);
             self.may_stop = self.stopping;
         }
--- a/crates/domain/src/consensus/membership.rs
+++ b/crates/domain/src/consensus/membership.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::configuration::{Configuration, MemberChange};
+use super::configuration::{Configuration, MemberChange, quorum_of};
 use super::error::MemberChangeError;
 use super::leadership::Role;
 use super::leading::AppendMode;
@@ -52,7 +52,7 @@
             return Ok(self.configurations.current_index());
         }
         let own_term = self.log.term_at(self.commit) == Some(self.hard_state.term);
-        if !own_term || self.configurations.current_index() > self.commit {
+        if !own_term || !self.membership_is_committed() {
             return Err(MemberChangeError::ChangePending);
         }
         let next = self.configuration().changed(change)?;
@@ -146,7 +146,7 @@
     ) -> usize {
         let voters = self.configuration().voters.len();
         if voters > policy.min_voters && self.is_stopping(now, voter) {
-            return (voters - 1) / 2 + 1;
+            return quorum_of(voters - 1);
         }
         policy.min_voters
     }
@@ -165,6 +165,11 @@
                 .is_some_and(|progress| progress.matched.0 + lag >= self.commit.0)
     }
 
+    /// Whether the latest membership change is committed.
+    pub(super) fn membership_is_committed(&self) -> bool {
+        self.configurations.current_index() <= self.commit
+    }
+
     fn check_change(
         &self,
         now: Timestamp,
--- a/crates/domain/src/consensus/reachability.rs
+++ b/crates/domain/src/consensus/reachability.rs
@@ -32,9 +32,9 @@
         }
     }
 
-    /// Whether the address of a member refuses connections.
-    pub(super) fn refuses(&self, member: MemberId) -> bool {
-        self.refusing_since.contains_key(&member.node)
+    /// On the leader: whether a member responds and its address does not refuse connections.
+    pub(super) fn is_reachable(&self, now: Timestamp, member: MemberId) -> bool {
+        self.is_active(now, member) && !self.refusing_since.contains_key(&member.node)
     }
 
     /// Whether the address of a member has refused connections for at least `span`.
--- a/crates/domain/src/consensus/stopping.rs
+++ b/crates/domain/src/consensus/stopping.rs
@@ -102,9 +102,7 @@
     /// one is of no use.
     fn survives_end_of(&self, now: Timestamp, member: MemberId) -> bool {
         let is_live = |voter: &MemberId| {
-            self.is_active(now, *voter)
-                && !self.refuses(*voter)
-                && !self.has_permitted_stop(now, *voter)
+            self.is_reachable(now, *voter) && !self.has_permitted_stop(now, *voter)
         };
         let configuration = self.configuration();
         let others = configuration.voters.iter().filter(|voter| **voter != member);
@@ -125,9 +123,10 @@
             return;
         };
         let voters = self.other_voters();
-        let live = voters.iter().copied().filter(|voter| {
-            self.is_active(now, *voter) && !self.is_stopping(now, *voter) && !self.refuses(*voter)
-        });
+        let live = voters
+            .iter()
+            .copied()
+            .filter(|voter| self.is_reachable(now, *voter) && !self.is_stopping(now, *voter));
         let matched = |voter: &MemberId| leadership.progress.get(voter).map(|known| known.matched);
         let successor = live.max_by_key(matched);
         self.become_follower(now, self.hard_state.term, None);
@@ -150,9 +149,4 @@
             self.election_due = now;
         }
     }
-
-    /// Whether the latest membership change is committed.
-    fn membership_is_committed(&self) -> bool {
-        self.configurations.current_index() <= self.commit
-    }
 }
