--- a/crates/control/tests/seeds.rs
+++ b/crates/control/tests/seeds.rs
@@ -2,35 +2,24 @@
 
 mod support;
 
-use gingerkeel_domain::forwarding::ColdStart;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
-use bytes::Bytes;
-use gingerkeel_domain::identifiers::{RegionName, ServiceName};
-use gingerkeel_domain::routes::{
-    BackEndService, CallerLimits, Destination, RegionPolicy, Route, RouteConfiguration,
-    RouteVersion,
-};
-use gingerkeel_statement::StatementReply;
-use gingerkeel_transport::{ClientConnection, HttpRequest, Limits, block_on};
-use http::{Method, Uri};
+use gingerkeel_domain::identifiers::RegionName;
+use gingerkeel_domain::routes::{RegionPolicy, RouteConfiguration};
+use http::Method;
 use rstest::rstest;
-use rustix::process::{Pid, Signal, kill_process};
-use support::{Control, FakeBroker, free_addresses, wait_until};
-use tempfile::TempDir;
+use rustix::process::Signal;
+use support::seeded::{Cluster, call, configuration};
+use support::{FakeBroker, wait_until};
 
 /// Number of seed processes, through which the others join.
 const SEEDS: usize = 3;
 /// Number of clusters whose first process loses its disk. Without the rule, about one in 24 lost an
 /// acknowledged configuration.
 const DISK_LOSS_ROUNDS: usize = 6;
-/// Time in which a process that has the state becomes a voter.
-const JOIN_TIME: Duration = Duration::from_secs(1);
 /// Time from the kill of a process from which the cluster survives the loss of another disk.
 const KILL_COVERED_AFTER: Duration = Duration::from_millis(300);
 /// Time without a quorum, in which a leader steps down; less than a call may take.
@@ -39,198 +28,6 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum number of concurrent calls.
 const MAX_CALLS: usize = 2_000;
-/// Number of ports per host for each test process.
-const PORTS_PER_PROCESS: u16 = 16;
-
-/// A simulated machine: a loopback host, a data folder and a process.
-struct Machine {
-    host: Ipv4Addr,
-    routes: SocketAddr,
-    data: PathBuf,
-    settings: PathBuf,
-    process: Option<Child>,
-}
-
-struct Cluster {
-    folder: TempDir,
-    machines: Vec<Machine>,
-    /// Ports of peers, feed, statements and routes, the same everywhere.
-    ports: [u16; 4],
-    hosts: Vec<Ipv4Addr>,
-}
-
-impl Cluster {
-    /// Starts the seeds, with permission to form a cluster.
-    fn start() -> Self {
-        let mut cluster = Self::prepare();
-        for _ in 0..SEEDS {
-            cluster.add(true);
-        }
-        cluster
-    }
-
-    /// Reserves hosts and ports; starts no machine.
-    fn prepare() -> Self {
-        let addresses = free_addresses(SEEDS + 3);
-        let hosts: Vec<Ipv4Addr> =
-            (0..SEEDS as u8 + 3).map(|last| host(addresses[0], last)).collect();
-        let ports = [0, 1, 2, 3].map(|place: usize| port(addresses[place]));
-        let folder = tempfile::tempdir().unwrap();
-        Self { folder, machines: Vec::new(), ports, hosts }
-    }
-
-    /// Starts the seeds with settings that name no zone.
-    fn start_without_zones() -> Self {
-        let mut cluster = Self::prepare();
-        for _ in 0..SEEDS {
-            let index = cluster.prepare_machine(true);
-            let settings = &cluster.machines[index].settings;
-            let text = std::fs::read_to_string(settings).unwrap();
-            let zones = text.lines().find(|line| line.starts_with("zone_regions")).unwrap();
-            std::fs::write(settings, text.replace(zones, "")).unwrap();
-            cluster.run(index);
-        }
-        cluster
-    }
-
-    /// Starts one more machine on a new host, with an empty data folder.
-    fn add(&mut self, form: bool) -> usize {
-        let index = self.prepare_machine(form);
-        self.run(index);
-        index
-    }
-
-    /// Prepares one more machine without starting it.
-    fn prepare_machine(&mut self, form: bool) -> usize {
-        let index = self.machines.len();
-        let host = self.hosts[index];
-        let [peers, feed, statements, routes] = self.ports;
-        let seeds: Vec<String> =
-            self.hosts[..SEEDS].iter().map(|seed| format!("\"{seed}:{peers}\"")).collect();
-        let data = self.folder.path().join(format!("data-{index}"));
-        let text = format!(
-            "name = \"control-{index}\"\noperators = \"{host}:{statements}\"\n\
-             feed = \"{host}:{feed}\"\nroutes = \"{host}:{routes}\"\ndata_folder = {data:?}\n\
-             election_ms = 300\nzone_regions = {{ hall-a = \"south\" }}\n[seeds]\nown = \"{host}:{peers}\"\nseeds = [{}]\nform = {form}\n\
-             replace_after_ms = 1500\n",
-            seeds.join(", ")
-        );
-        let settings = self.folder.path().join(format!("control-{index}.toml"));
-        std::fs::write(&settings, text).unwrap();
-        let routes = SocketAddr::from((host, routes));
-        self.machines.push(Machine { host, routes, data, settings, process: None });
-        index
-    }
-
-    fn run(&mut self, index: usize) {
-        let settings = self.machines[index].settings.display().to_string();
-        let process = Command::new(env!("CARGO_BIN_EXE_gingerkeel-control"))
-            .args(["--settings", &settings])
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        self.machines[index].process = Some(process);
-    }
-
-    /// Asks a process to stop and waits until it has ended.
-    fn stop(&mut self, index: usize) {
-        self.signal(index, Signal::TERM);
-        let mut process = self.machines[index].process.take().unwrap();
-        assert!(process.wait().unwrap().success());
-    }
-
-    fn signal(&self, index: usize, signal: Signal) {
-        let process = self.machines[index].process.as_ref().unwrap();
-        kill_process(Pid::from_child(process), signal).unwrap();
-    }
-
-    fn lose_disk(&mut self, index: usize) {
-        self.kill(index);
-        std::fs::remove_dir_all(&self.machines[index].data).unwrap();
-    }
-
-    /// Waits until a process is a member that applies the log as the others do.
-    fn wait_joined(&self, index: usize, version: u64) {
-        wait_until(|| self.version(index) == Some(version));
-        thread::sleep(JOIN_TIME);
-    }
-
-    fn kill(&mut self, index: usize) {
-        if let Some(mut process) = self.machines[index].process.take() {
-            process.kill().unwrap();
-            process.wait().unwrap();
-        }
-    }
-
-    /// Client of a process for statements and its feed.
-    fn statements(&self, index: usize) -> Control {
-        let host = self.machines[index].host;
-        Control::at((host, self.ports[2]).into(), (host, self.ports[1]).into())
-    }
-
-    fn replace(&self, index: usize, version: u64) -> Option<u16> {
-        self.answer_to_replace(index, version).map(|(status, _)| status)
-    }
-
-    fn answer_to_replace(&self, index: usize, version: u64) -> Option<(u16, Bytes)> {
-        let body = serde_json::to_vec(&configuration(version)).unwrap();
-        self.call(index, Method::PUT, body)
-    }
-
-    fn version(&self, index: usize) -> Option<u64> {
-        let (status, body) = self.call(index, Method::GET, Vec::new())?;
-        let read: RouteConfiguration = serde_json::from_slice(&body).ok()?;
-        (status == 200).then_some(read.version.0)
-    }
-
-    fn call(&self, index: usize, method: Method, body: Vec<u8>) -> Option<(u16, Bytes)> {
-        self.call_at(index, "/v1/routes", method, body)
-    }
-
-    /// Orders a zone evacuated (`PUT`) or restored (`DELETE`); returns the status.
-    fn order_zone(&self, index: usize, method: Method, zone: &str) -> Option<u16> {
-        let path = format!("/v1/evacuations/{zone}");
-        self.call_at(index, &path, method, Vec::new()).map(|(status, _)| status)
-    }
-
-    /// The rows of `SHOW ZONES`; `None` while no leader confirms the read, as during an election.
-    fn zones(&self, index: usize) -> Option<Vec<Vec<String>>> {
-        match self.statements(index).post("SHOW ZONES", None).1.pop() {
-            Some(StatementReply::Table { rows, .. }) => Some(rows),
-            _ => None,
-        }
-    }
-
-    /// The state of the first zone; `None` while the read fails or names no zone.
-    fn zone_state(&self, index: usize) -> Option<String> {
-        let rows = self.zones(index)?;
-        rows.first().map(|row| row[1].clone())
-    }
-
-    fn call_at(
-        &self,
-        index: usize,
-        path: &str,
-        method: Method,
-        body: Vec<u8>,
-    ) -> Option<(u16, Bytes)> {
-        call(self.machines[index].routes, path, method, body)
-    }
-
-    /// Waits until a process accepts the configuration of this version.
-    fn wait_accepted(&self, index: usize, version: u64) {
-        wait_until(|| self.replace(index, version) == Some(200));
-    }
-}
-
-impl Drop for Cluster {
-    fn drop(&mut self) {
-        for index in 0..self.machines.len() {
-            self.kill(index);
-        }
-    }
-}
 
 /// Sends a configuration repeatedly, without waiting for answers, until one is acknowledged. The
 /// first one sent after a leader is elected is thus acknowledged within milliseconds.
@@ -252,64 +49,6 @@
     panic!("no configuration was acknowledged in time");
 }
 
-fn call(address: SocketAddr, path: &str, method: Method, body: Vec<u8>) -> Option<(u16, Bytes)> {
-    let mut request = HttpRequest::new(Bytes::from(body));
-    *request.method_mut() = method;
-    *request.uri_mut() = path.parse::<Uri>().unwrap();
-    let exchanging = async move {
-        let mut connection = ClientConnection::connect(address, Limits::default()).await?;
-        connection.exchange(request).await
-    };
-    let response = block_on(exchanging).unwrap().ok()?;
-    Some((response.status().as_u16(), response.into_body()))
-}
-
-/// A host next to that of the address, so that all machines can use the same ports.
-fn host(address: SocketAddr, last: u8) -> Ipv4Addr {
-    let SocketAddr::V4(address) = address else {
-        panic!("an IPv4 address");
-    };
-    let [first, second, third, _] = address.ip().octets();
-    Ipv4Addr::new(first, second, third, 1 + last)
-}
-
-/// A port that no concurrent test process uses. Elsewhere the last byte of the host separates test
-/// processes; here it numbers the hosts of a cluster, so the port separates them instead.
-fn port(address: SocketAddr) -> u16 {
-    let SocketAddr::V4(host) = address else {
-        panic!("an IPv4 address");
-    };
-    address.port() + PORTS_PER_PROCESS * u16::from(host.ip().octets()[3])
-}
-
-fn configuration(version: u64) -> RouteConfiguration {
-    let service = ServiceName::new("s");
-    RouteConfiguration {
-        version: RouteVersion(version),
-        routes: vec![Route {
-            name: "r".to_owned(),
-            host: "h".to_owned(),
-            path_prefix: "/".to_owned(),
-            repeatable: true,
-            timeout_ms: 1_000,
-            target_latency_ms: 100,
-            priority: 0,
-            attempts: 1,
-            destination: Destination::Service(service.clone()),
-            allowed_regions: RegionPolicy::default(),
-            public: false,
-        }],
-        services: vec![BackEndService {
-            name: service,
-            health_path: "/health".to_owned(),
-            connection_limit: 4,
-            cold_start: ColdStart::default(),
-        }],
-        limits: CallerLimits::default(),
-        tenants: Vec::new(),
-    }
-}
-
 #[test]
 fn highest_version_reaches_all_processes_and_survives_a_restart_of_all() {
     let mut cluster = Cluster::start();
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod cluster;
+pub mod seeded;
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
