Log join requests, refusals and the membership behind each change of role

The logs could not tell a process that waits for a leader from one that is no member: both end in "no leader is known", and a join request that comes to nothing left no line. join_requested says whom a process asks and whether a connection is established, join_refused why it was refused, each once until it changes. role_changed gets the last and commit index and the voters, members_changed the names of voters and learners. The maintenance of the membership moves to a module of its own; no decision changes.

--- a/crates/control/src/replication/peers/outgoing.rs
+++ b/crates/control/src/replication/peers/outgoing.rs
@@ -60,6 +60,8 @@
     queue: Tx<Queued>,
     queued: Rc<Cell<usize>>,
     usage: Rc<RefCell<UsageOutbox>>,
+    /// Whether the connection is established.
+    connected: Rc<Cell<bool>>,
 }
 
 impl Link {
@@ -151,6 +153,7 @@
         let (queue, receiver) = unbounded::channel();
         let queued = Rc::new(Cell::new(0));
         let usage: Rc<RefCell<UsageOutbox>> = Rc::default();
+        let connected = Rc::new(Cell::new(false));
         let task = LinkTask {
             node,
             address,
@@ -158,11 +161,17 @@
             queue: receiver,
             queued: queued.clone(),
             usage: usage.clone(),
+            connected: connected.clone(),
             directory: self.directory.clone(),
             events: self.events.clone(),
         };
         monoio::spawn(task.run());
-        self.links.insert(node, Link { queue, queued, usage });
+        self.links.insert(node, Link { queue, queued, usage, connected });
+    }
+
+    /// Whether a connection to this node is established; messages to others are dropped.
+    pub fn is_connected(&self, node: NodeNumber) -> bool {
+        self.links.get(&node).is_some_and(|link| link.connected.get())
     }
 
     /// Queues a consensus message for its addressee, or drops it if the queue is full.
@@ -198,6 +207,7 @@
     queue: Rx<Queued>,
     queued: Rc<Cell<usize>>,
     usage: Rc<RefCell<UsageOutbox>>,
+    connected: Rc<Cell<bool>>,
     directory: PeerDirectory,
     events: Tx<TaskEvent>,
 }
@@ -211,7 +221,9 @@
                 Ok((reader, writer)) => {
                     failure_logged = false;
                     self.report(TaskEvent::PeerConnected(self.node));
-                    if let Err(error) = self.transmit(reader, writer).await {
+                    let ended = self.transmit(reader, writer).await;
+                    self.connected.set(false);
+                    if let Err(error) = ended {
                         info!(event = "peer_connection_ended", direction = "out", peer = %self.address, %error);
                     }
                 }
@@ -274,6 +286,7 @@
         if self.discard_queue() {
             return Ok(());
         }
+        self.connected.set(true);
         let last_reply = Rc::new(Cell::new(Instant::now()));
         let (ended, mut reader_ended) = oneshot::channel::<()>();
         let replies = read_probe_replies(reader, last_reply.clone(), self.directory.clone());
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -1,5 +1,7 @@
 //! The task that drives the consensus core, its disk and its peers.
 
+mod maintenance;
+
 use std::collections::BTreeSet;
 use std::io;
 use std::time::Duration;
@@ -22,7 +24,7 @@
 use tracing::{error, info, warn};
 
 use super::error::{ChangeError, ProposeError};
-use super::membership::{BootstrapStep, ConfiguredMembers};
+use super::membership::ConfiguredMembers;
 use super::messages::{
     MemberStatus, ReplicationMessage, ReplicationStatus, StateMachineMessage, TaskEvent,
 };
@@ -33,8 +35,6 @@
 
 /// Time limit for a leader's answer to a read or a membership change.
 const LEADER_ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time without a leader after which a member asks to be added again, as it may have been removed.
-const REJOIN_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval of membership maintenance and of request expiry.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between requests to the leader to permit the stop of this process.
@@ -71,6 +71,9 @@
     /// The member to send the next join request to, when a former one named the leader.
     join_through: Option<MemberId>,
     leaderless_since: Option<Timestamp>,
+    /// The join request that was logged last: whom it asked, and whether a connection was established.
+    logged_join_request: Option<(MemberId, bool)>,
+    logged_join_refusal: Option<MemberChangeError>,
     /// Requesters that wait until this process may end.
     stops: Vec<oneshot::Sender<()>>,
     /// Whether all senders of requests were dropped.
@@ -131,6 +134,8 @@
             logged_role: None,
             join_through: None,
             leaderless_since: None,
+            logged_join_request: None,
+            logged_join_refusal: None,
             stops: Vec::new(),
             ended: false,
         })
@@ -433,7 +438,16 @@
             }
             Payload::Configuration(members) => {
                 let (voters, learners) = (members.voters.len(), members.learners.len());
-                info!(event = "members_changed", index = entry.index.0, voters, learners);
+                let (voter_names, learner_names) =
+                    (names(&members.voters), names(&members.learners));
+                info!(
+                    event = "members_changed",
+                    index = entry.index.0,
+                    voters,
+                    learners,
+                    voter_names,
+                    learner_names
+                );
                 // The next step of a replacement may be due.
                 self.maintenance_due = self.clock.now();
             }
@@ -469,110 +483,17 @@
             }
             let leader = status.leader.map_or("none".to_owned(), |leader| leader.to_string());
             let (role, term) = (status.role, status.term.0);
-            info!(event = "role_changed", ?role, term, leader);
-        }
-    }
-
-    /// Membership maintenance: joining or forming a cluster, replacing members that lost their data
-    /// folder, and growing the cluster.
-    fn maintain(&mut self, now: Timestamp) {
-        self.update_links();
-        if self.node.status().last.index > LogIndex(0) {
-            self.replace_lost_folders(now);
-            self.grow_cluster(now);
-            self.rejoin_if_removed(now);
-            self.prepare_stops(now);
-            return;
-        }
-        match self.planned.bootstrap_step(&self.directory) {
-            BootstrapStep::Wait => {}
-            BootstrapStep::Form(configuration) => {
-                info!(event = "cluster_formed", voters = configuration.voters.len());
-                self.node.bootstrap(now, configuration);
-                self.node.tick(now);
-            }
-            BootstrapStep::Join(formed, change) => {
-                let contact = self.join_through.take().unwrap_or(formed);
-                let number = self.requests.next_number();
-                self.node.request_member_change(contact, number, change);
-            }
-        }
-    }
-
-    /// Permits other members to stop, and has the leader permit this one.
-    fn prepare_stops(&mut self, now: Timestamp) {
-        self.node.permit_stops(now, self.planned.growth().as_ref());
-        if self.stops.is_empty() || !self.node.prepare_stop() {
-            return;
-        }
-        info!(event = "stop_permitted");
-        for reply in self.stops.drain(..) {
-            // The requester may have given up.
-            let _ = reply.send(());
-        }
-    }
-
-    fn replace_lost_folders(&mut self, now: Timestamp) {
-        let Some(change) = self.node.due_replacement(now) else {
-            return;
-        };
-        match self.node.change_members(now, change) {
-            Ok(index) => info!(event = "folder_replaced", ?change, index = index.0),
-            Err(error) => warn!(event = "folder_not_replaced_yet", ?change, %error),
+            let (last, commit) = (status.last.index.0, status.commit.0);
+            let voters = names(&status.configuration.voters);
+            info!(event = "role_changed", ?role, term, leader, last, commit, voters);
         }
     }
+}
 
-    /// Keeps connections to the configured voters, all members and every process that joins.
-    fn update_links(&mut self) {
-        let mut nodes: BTreeSet<NodeNumber> = self.planned.voters().collect();
-        nodes.extend(self.node.configuration().members().map(|member| member.node));
-        nodes.extend(self.directory.known());
-        self.links.keep_only(&nodes);
-    }
-
-    fn grow_cluster(&mut self, now: Timestamp) {
-        let Some(growth) = self.planned.growth() else {
-            return;
-        };
-        let Some(change) = self.node.due_membership_change(now, &growth) else {
-            return;
-        };
-        match self.node.change_members(now, change) {
-            Ok(index) => info!(event = "member_change", ?change, index = index.0),
-            Err(error) => warn!(event = "member_not_changed_yet", ?change, %error),
-        }
-    }
-
-    /// Asks to be added as a learner after a long time without a leader: the member may have been
-    /// replaced as lost in the meantime. The request changes nothing if it is still a member.
-    fn rejoin_if_removed(&mut self, now: Timestamp) {
-        if self.planned.growth().is_none() || self.node.status().leader.is_some() {
-            self.leaderless_since = None;
-            return;
-        }
-        let since = *self.leaderless_since.get_or_insert(now);
-        if now.since(since) < REJOIN_TIMEOUT {
-            return;
-        }
-        self.leaderless_since = Some(now);
-        let Some(formed) = self.directory.any_formed() else {
-            return;
-        };
-        let contact = self.join_through.take().unwrap_or(formed);
-        let number = self.requests.next_number();
-        let change = MemberChange::AddLearner(self.node.identity());
-        self.node.request_member_change(contact, number, change);
-    }
-
-    /// Directs the next join request to the leader that a refusal names, or draws a new identity if
-    /// the leader knows a later one.
-    fn note_join_refusal(&mut self, result: Result<LogIndex, MemberChangeError>) {
-        match result {
-            Err(MemberChangeError::NotLeader(leader)) => self.join_through = leader,
-            Err(MemberChangeError::Superseded(later)) => self.renew_identity(later.incarnation),
-            _ => {}
-        }
-    }
+/// Members in one field of a log line.
+fn names(members: &BTreeSet<MemberId>) -> String {
+    let names: Vec<String> = members.iter().map(ToString::to_string).collect();
+    names.join(",")
 }
 
 async fn forward_wakes(wakes: std::os::unix::net::UnixStream, events: Tx<TaskEvent>) {
