Test that successors join and removed members return wherever the leader runs

Five real control processes of which two may be lost. A successor whose seeds leave out the leader never becomes a member; a removed member that comes back never gets its place again once the lowest address is gone.

--- /dev/null
+++ b/crates/control/tests/joining.rs
@@ -0,0 +1,110 @@
+//! Processes that join a cluster of more members than they know seeds, or that come back to it.
+
+mod support;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use support::seeded::{Cluster, ClusterShape};
+use support::wait_until;
+
+/// Members of the cluster. The settings of each successor name three of them as seeds.
+const MEMBERS: usize = 5;
+/// Members whose loss is tolerated.
+const SHAPE: ClusterShape = ClusterShape { seeds: 3, machines: 12, voters: 7, least_voters: 5 };
+/// Time within which a machine that starts, or runs again, serves the newest configuration.
+const CATCH_UP_TIME: Duration = Duration::from_secs(6);
+/// Time for which a voter is frozen, so that it is removed while there are voters to spare.
+const FREEZE: Duration = Duration::from_secs(4);
+
+/// Starts five members and gives the one that leads.
+fn start() -> (Cluster, usize) {
+    let mut cluster = Cluster::prepare_shape(SHAPE);
+    for member in 0..MEMBERS {
+        cluster.add(member < SHAPE.seeds);
+    }
+    cluster.wait_accepted(0, 1);
+    (0..MEMBERS).for_each(|member| cluster.wait_joined(member, 1));
+    let leader = cluster.leader().expect("a leader");
+    (cluster, leader)
+}
+
+/// The members besides these.
+fn members_except(excluded: &[usize]) -> Vec<usize> {
+    (0..MEMBERS).filter(|member| !excluded.contains(member)).collect()
+}
+
+/// Adds a machine of which the leader is a seed, and waits until it is a voter.
+fn add_voter(cluster: &mut Cluster) {
+    wait_until(|| cluster.leader().is_some());
+    let leader = cluster.leader().expect("a leader");
+    let successor = cluster.add_with_seeds(&[leader]);
+    cluster.wait_joined(successor, 1);
+}
+
+/// Checks that a machine that has just started, or runs again, serves the configuration of this
+/// version in time.
+fn assert_catches_up(cluster: &Cluster, machine: usize, version: u64) {
+    let began = Instant::now();
+    while cluster.version(machine) != Some(version) {
+        let log = cluster.log(machine);
+        assert!(began.elapsed() < CATCH_UP_TIME, "machine {machine} of {version}:\n{log}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against a successor that never joins because no seed leads.
+#[rstest]
+fn successor_joins_although_no_seed_leads(#[values(0, 1, 2, 3)] other_member: usize) {
+    let (mut cluster, leader) = start();
+    let mut seeds = members_except(&[leader]);
+    seeds.remove(other_member);
+    let successor = cluster.add_with_seeds(&seeds);
+    assert_catches_up(&cluster, successor, 1);
+}
+
+/// Guards against a successor that asks only seeds that are gone or hang.
+#[test]
+fn successor_joins_through_its_only_live_seed_although_another_member_leads() {
+    let (mut cluster, leader) = start();
+    let followers = members_except(&[leader]);
+    cluster.kill(followers[0]);
+    cluster.freeze(followers[1]);
+    let successor = cluster.add_with_seeds(&followers[..3]);
+    assert_catches_up(&cluster, successor, 1);
+}
+
+/// Guards against a successor that goes on asking for a leader that is gone.
+#[rstest]
+#[case::gone(Cluster::kill)]
+#[case::frozen(Cluster::freeze)]
+fn successor_joins_while_the_leader_changes(#[case] lose: fn(&mut Cluster, usize)) {
+    let (mut cluster, leader) = start();
+    let seeds = members_except(&[leader]);
+    lose(&mut cluster, leader);
+    let successor = cluster.add_with_seeds(&seeds[1..]);
+    assert_catches_up(&cluster, successor, 1);
+}
+
+/// Guards against a removed member that never returns because the machine with the lowest address,
+/// which it asks for its place, is lost for good.
+#[rstest]
+#[case::gone(Cluster::kill)]
+#[case::frozen(Cluster::freeze)]
+fn removed_member_returns_although_the_lowest_address_is_lost(
+    #[case] lose: fn(&mut Cluster, usize),
+) {
+    let (mut cluster, _) = start();
+    lose(&mut cluster, 0);
+    add_voter(&mut cluster);
+    // One more voter than the minimum: a silent voter is removed soon.
+    add_voter(&mut cluster);
+    let leader = cluster.leader().expect("a leader");
+    let removed = *members_except(&[0, leader]).last().expect("a follower");
+    cluster.freeze(removed);
+    thread::sleep(FREEZE);
+    cluster.wait_accepted(leader, 2);
+    cluster.thaw(removed);
+    assert_catches_up(&cluster, removed, 2);
+}
