Let a process that joins or returns find the leader through any contact

Callers saw a successor that answered 503 for good, and after further replacements a group that committed nothing: acknowledged configurations not in force, none that could be read back.

Cause: a follower refuses a join request and names the leader, but a process keeps connections only to seeds, members and those that connected to it, so that its next request to that leader was dropped, and the one after it went to the same follower. A member that was removed asked the lowest node number it had ever heard of, also when that machine was gone, once in three seconds.

LeaderSearch (pure) decides whom to ask: a named leader as soon as it is connected, else the connected contact asked least recently; no answer within 300 ms or a closed connection leads to the next one. A member without a leader asks after 1 s in place of 3 s.

--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use gingerkeel_domain::consensus::{
-    Configuration, MemberChange, MemberId, MembershipPolicy, NodeNumber,
-};
+use gingerkeel_domain::consensus::{Configuration, MemberId, MembershipPolicy, NodeNumber};
 use gingerkeel_settings::ControlSettings;
 
 use super::peers::PeerDirectory;
@@ -31,8 +29,8 @@
     Wait,
     /// Form a cluster with these voters.
     Form(Configuration),
-    /// Ask this member to add the process as a learner.
-    Join(MemberId, MemberChange),
+    /// Ask a process with a log for the leader, to be added as a learner.
+    Join,
 }
 
 impl ConfiguredMembers {
@@ -76,8 +74,8 @@
     /// cluster.
     pub fn bootstrap_step(&self, directory: &PeerDirectory) -> BootstrapStep {
         let own = directory.own();
-        if let Some(formed) = directory.any_formed() {
-            return BootstrapStep::Join(formed, MemberChange::AddLearner(own));
+        if directory.formed().next().is_some() {
+            return BootstrapStep::Join;
         }
         if !self.may_form || self.voters.first() != Some(&own.node) {
             return BootstrapStep::Wait;
--- a/crates/control/src/replication/peers/directory.rs
+++ b/crates/control/src/replication/peers/directory.rs
@@ -131,9 +131,12 @@
         self.latest.borrow().keys().copied().collect()
     }
 
-    /// A peer whose log holds entries.
-    pub fn any_formed(&self) -> Option<MemberId> {
-        self.latest.borrow().values().find(|peer| peer.formed != 0).map(|peer| member(*peer))
+    /// The peers whose log holds entries.
+    pub fn formed(&self) -> impl Iterator<Item = MemberId> + use<> {
+        let latest = self.latest.borrow();
+        let formed = latest.values().filter(|peer| peer.formed != 0);
+        let formed: Vec<MemberId> = formed.map(|peer| member(*peer)).collect();
+        formed.into_iter()
     }
 }
 
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -2,14 +2,15 @@
 
 mod maintenance;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
 use gingerkeel_domain::consensus::{
-    Entry, Envelope, Incarnation, LogIndex, MemberChange, MemberChangeError, MemberId, Message,
-    Node, NodeNumber, NodeStatus, Payload, Proposed, Recovered, RoleName, Snapshot,
+    Entry, Envelope, Incarnation, LeaderSearch, LogIndex, MemberChange, MemberChangeError,
+    MemberId, Message, Node, NodeNumber, NodeStatus, Payload, Proposed, Recovered, RoleName,
+    Snapshot,
 };
 use gingerkeel_domain::time::Timestamp;
 use gingerkeel_settings::ControlSettings;
@@ -37,8 +38,8 @@
 const LEADER_ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval of membership maintenance and of request expiry.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval between requests to the leader to permit the stop of this process.
-const STOP_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// The same while this process asks the leader to permit its stop, or to be a member.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of events that are handled before the core's output is processed.
 const EVENT_BATCH: usize = 256;
 /// Size of the buffer for the writer's wake-up bytes, whose number has no meaning.
@@ -68,12 +69,14 @@
     maintenance_due: Timestamp,
     storage_error: Option<String>,
     logged_role: Option<(RoleName, Option<MemberId>)>,
-    /// The member to send the next join request to, when a former one named the leader.
-    join_through: Option<MemberId>,
+    leader_search: LeaderSearch,
     leaderless_since: Option<Timestamp>,
-    /// The join request that was logged last: whom it asked, and whether a connection was established.
-    logged_join_request: Option<(MemberId, bool)>,
-    logged_join_refusal: Option<MemberChangeError>,
+    /// Whether this process asks to be a member.
+    is_searching: bool,
+    /// The last refusal that was logged of each contact; none before its first answer.
+    logged_join_answers: BTreeMap<NodeNumber, Option<MemberChangeError>>,
+    seeds_unreached_since: Option<Timestamp>,
+    seeds_logged: bool,
     /// Requesters that wait until this process may end.
     stops: Vec<oneshot::Sender<()>>,
     /// Whether all senders of requests were dropped.
@@ -132,10 +135,12 @@
             maintenance_due: now,
             storage_error: None,
             logged_role: None,
-            join_through: None,
+            leader_search: LeaderSearch::default(),
             leaderless_since: None,
-            logged_join_request: None,
-            logged_join_refusal: None,
+            is_searching: false,
+            logged_join_answers: BTreeMap::new(),
+            seeds_unreached_since: None,
+            seeds_logged: false,
             stops: Vec::new(),
             ended: false,
         })
@@ -180,7 +185,10 @@
     }
 
     fn maintenance_interval(&self) -> Duration {
-        if self.stops.is_empty() { MAINTENANCE_INTERVAL } else { STOP_REQUEST_INTERVAL }
+        match self.stops.is_empty() && !self.is_searching {
+            true => MAINTENANCE_INTERVAL,
+            false => REQUEST_INTERVAL,
+        }
     }
 
     fn handle(&mut self, event: TaskEvent) {
@@ -401,7 +409,7 @@
                 self.requests.resolve_read(outcome);
             }
             for outcome in ready.member_changes {
-                self.note_join_refusal(outcome.result);
+                self.note_join_answer(&outcome);
                 self.requests.resolve_change(outcome.number, outcome.result);
             }
             let status = self.node.status();
--- a/crates/control/src/replication/task/maintenance.rs
+++ b/crates/control/src/replication/task/maintenance.rs
@@ -1,10 +1,11 @@
 //! Membership maintenance: joining or forming a cluster, replacing members, and permission to stop.
 
 use std::collections::BTreeSet;
+use std::collections::btree_map::Entry;
 use std::time::Duration;
 
 use gingerkeel_domain::consensus::{
-    LogIndex, MemberChange, MemberChangeError, MemberId, NodeNumber,
+    LogIndex, MemberChange, MemberChangeError, MemberChangeOutcome, MemberId, NodeNumber,
 };
 use gingerkeel_domain::time::Timestamp;
 use tracing::{info, warn};
@@ -13,13 +14,16 @@
 use crate::replication::membership::BootstrapStep;
 
 /// Time without a leader after which a member asks to be added again, as it may have been removed.
-const REJOIN_TIMEOUT: Duration = Duration::from_secs(3);
+const REJOIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without a connection to any seed after which that is logged.
+const SEED_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl ReplicationTask {
     /// Membership maintenance: joining or forming a cluster, replacing members that lost their data
     /// folder, and growing the cluster.
     pub(super) fn maintain(&mut self, now: Timestamp) {
         self.update_links();
+        self.log_unreached_seeds(now);
         if self.node.status().last.index > LogIndex(0) {
             self.replace_lost_folders(now);
             self.grow_cluster(now);
@@ -34,25 +38,33 @@
                 self.node.bootstrap(now, configuration);
                 self.node.tick(now);
             }
-            BootstrapStep::Join(formed, change) => {
-                let contact = self.join_through.take().unwrap_or(formed);
-                self.request_membership(contact, change);
-            }
+            BootstrapStep::Join => self.ask_to_join(now),
         }
     }
 
-    /// Asks a member to pass this process's own change of the membership.
-    fn request_membership(&mut self, contact: MemberId, change: MemberChange) {
-        let linked = self.links.is_connected(contact.node);
-        if self.logged_join_request != Some((contact, linked)) {
-            self.logged_join_request = Some((contact, linked));
-            self.logged_join_refusal = None;
-            info!(event = "join_requested", %contact, linked);
-        }
+    /// Asks the next contact, if one is due, to add this process as a learner.
+    fn ask_to_join(&mut self, now: Timestamp) {
+        self.is_searching = true;
+        let connected = |contact: &MemberId| self.links.is_connected(contact.node);
+        let contacts: Vec<MemberId> = self.directory.formed().filter(connected).collect();
         let number = self.requests.next_number();
+        let Some(contact) = self.leader_search.next(now, number, &contacts) else {
+            return;
+        };
+        if let Entry::Vacant(unasked) = self.logged_join_answers.entry(contact.node) {
+            unasked.insert(None);
+            info!(event = "join_requested", %contact, contacts = contacts.len());
+        }
+        let change = MemberChange::AddLearner(self.node.identity());
         self.node.request_member_change(contact, number, change);
     }
 
+    fn end_search(&mut self) {
+        self.is_searching = false;
+        self.leader_search.end();
+        self.logged_join_answers.clear();
+    }
+
     /// Permits other members to stop, and has the leader permit this one.
     fn prepare_stops(&mut self, now: Timestamp) {
         self.node.permit_stops(now, self.planned.growth().as_ref());
@@ -76,11 +88,13 @@
         }
     }
 
-    /// Keeps connections to the configured voters, all members and every process that joins.
+    /// Keeps connections to the configured voters, all members, every process that joins, and the
+    /// leaders that refusals named.
     fn update_links(&mut self) {
         let mut nodes: BTreeSet<NodeNumber> = self.planned.voters().collect();
         nodes.extend(self.node.configuration().members().map(|member| member.node));
         nodes.extend(self.directory.known());
+        nodes.extend(self.leader_search.named_leaders());
         self.links.keep_only(&nodes);
     }
 
@@ -102,34 +116,52 @@
     fn rejoin_if_removed(&mut self, now: Timestamp) {
         if self.planned.growth().is_none() || self.node.status().leader.is_some() {
             self.leaderless_since = None;
+            self.end_search();
             return;
         }
         let since = *self.leaderless_since.get_or_insert(now);
-        if now.since(since) < REJOIN_TIMEOUT {
-            return;
+        if now.since(since) >= REJOIN_TIMEOUT {
+            self.ask_to_join(now);
         }
-        self.leaderless_since = Some(now);
-        let Some(formed) = self.directory.any_formed() else {
+    }
+
+    /// Handles the answer to a join request: the next contact may be due, or another identity if the
+    /// leader knows a later one.
+    pub(super) fn note_join_answer(&mut self, outcome: &MemberChangeOutcome) {
+        let now = self.clock.now();
+        let Some(contact) = self.leader_search.answered(now, outcome.number, &outcome.result)
+        else {
             return;
         };
-        let contact = self.join_through.take().unwrap_or(formed);
-        let change = MemberChange::AddLearner(self.node.identity());
-        self.request_membership(contact, change);
+        self.maintenance_due = now;
+        let Err(error) = outcome.result else {
+            return;
+        };
+        if self.logged_join_answers.insert(contact, Some(error)) != Some(Some(error)) {
+            info!(event = "join_refused", contact = contact.0, %error);
+        }
+        if let MemberChangeError::Superseded(later) = error {
+            self.renew_identity(later.incarnation);
+        }
     }
 
-    /// Directs the next join request to the leader that a refusal names, or draws a new identity if
-    /// the leader knows a later one.
-    pub(super) fn note_join_refusal(&mut self, result: Result<LogIndex, MemberChangeError>) {
-        if let Err(error) = &result
-            && self.logged_join_refusal.as_ref() != Some(error)
-        {
-            info!(event = "join_refused", %error);
-            self.logged_join_refusal = Some(*error);
+    /// Logs once that no seed answers a process that has no leader: it can join through none.
+    fn log_unreached_seeds(&mut self, now: Timestamp) {
+        let own = self.node.identity().node;
+        let mut seeds = self.planned.voters().filter(|seed| *seed != own).peekable();
+        let is_alone = seeds.peek().is_none();
+        let is_reached = seeds.any(|seed| self.links.is_connected(seed));
+        if is_alone || is_reached || self.node.status().leader.is_some() {
+            self.seeds_unreached_since = None;
+            self.seeds_logged = false;
+            return;
         }
-        match result {
-            Err(MemberChangeError::NotLeader(leader)) => self.join_through = leader,
-            Err(MemberChangeError::Superseded(later)) => self.renew_identity(later.incarnation),
-            _ => {}
+        let since = *self.seeds_unreached_since.get_or_insert(now);
+        if !self.seeds_logged && now.since(since) >= SEED_ANSWER_TIMEOUT {
+            self.seeds_logged = true;
+            let contacts =
+                self.directory.formed().filter(|peer| self.links.is_connected(peer.node));
+            warn!(event = "no_seed_answers", other_contacts = contacts.count());
         }
     }
 }
--- a/crates/domain/src/consensus/mod.rs
+++ b/crates/domain/src/consensus/mod.rs
@@ -13,6 +13,7 @@
 mod election;
 mod error;
 mod installing;
+mod leader_search;
 mod leadership;
 mod leading;
 mod log;
@@ -30,6 +31,7 @@
 
 pub use configuration::{Configuration, MemberChange};
 pub use error::{MemberChangeError, ProposeError, ReadError};
+pub use leader_search::LeaderSearch;
 pub use membership::MembershipPolicy;
 pub use message::{AppendOutcome, Envelope, Message, ReadRound, RequestNumber};
 pub use node::{Node, NodeStatus, Proposed, RoleName};
