Test a group through the replacement of every machine of its first start

Each of five machines is lost, or stopped as planned, and replaced at another address through three live seeds that do not lead, 6.3 s apart; each change has to be acknowledged at the first call and served by every machine in time. A process that reaches no seed says so in the log and joins once one is back.

--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -15,6 +15,8 @@
 const SHAPE: ClusterShape = ClusterShape { seeds: 3, machines: 12, voters: 7, least_voters: 5 };
 /// Time within which a machine that starts, or runs again, serves the newest configuration.
 const CATCH_UP_TIME: Duration = Duration::from_secs(6);
+/// Time from the replacement of a machine until the next one may be lost.
+const LOSS_INTERVAL: Duration = Duration::from_millis(6_300);
 /// Time for which a voter is frozen, so that it is removed while there are voters to spare.
 const FREEZE: Duration = Duration::from_secs(4);
 
@@ -108,3 +110,43 @@
     cluster.thaw(removed);
     assert_catches_up(&cluster, removed, 2);
 }
+
+/// Guards against a process that waits for its seeds without a word in the log.
+#[test]
+fn process_whose_seeds_are_all_gone_logs_that_and_joins_once_one_returns() {
+    let (mut cluster, leader) = start();
+    let seeds = &members_except(&[leader])[..2];
+    seeds.iter().for_each(|seed| cluster.kill(*seed));
+    let successor = cluster.add_with_seeds(seeds);
+    wait_until(|| cluster.log(successor).contains("event=no_seed_answers"));
+    assert_eq!(cluster.version(successor), None);
+    cluster.run(seeds[0]);
+    assert_catches_up(&cluster, successor, 1);
+}
+
+/// Guards against a group that is one voter short after each replacement, until no quorum is left.
+#[rstest]
+#[case::lost(Cluster::kill)]
+#[case::stopped(Cluster::stop)]
+fn group_stays_whole_while_each_machine_of_the_first_start_is_replaced(
+    #[case] end: fn(&mut Cluster, usize),
+) {
+    let (mut cluster, _) = start();
+    let mut live: Vec<usize> = (0..MEMBERS).collect();
+    for replaced in 0..MEMBERS {
+        let version = replaced as u64 + 2;
+        let leader = cluster.leader();
+        end(&mut cluster, replaced);
+        live.retain(|member| *member != replaced);
+        let followers = live.iter().copied().filter(|member| Some(*member) != leader);
+        let seeds: Vec<usize> = followers.take(3).collect();
+        let successor = cluster.add_with_seeds(&seeds);
+        assert_catches_up(&cluster, successor, version - 1);
+        live.push(successor);
+        let asked = live[replaced % live.len()];
+        let answer = cluster.answer_to_replace(asked, version);
+        assert_eq!(answer.as_ref().map(|(status, _)| *status), Some(200), "{answer:?}");
+        live.iter().for_each(|member| assert_catches_up(&cluster, *member, version));
+        thread::sleep(LOSS_INTERVAL);
+    }
+}
