Log why an operator's call waits

What callers saw: changes were not acknowledged, and the logs of the control processes did not tell whether a process knew no leader, led without a quorum, or was no member of the group. The only line was routes_not_proposed, every 0.25 s for each waiting call.

Cause: role, term, log positions and silent voters were known to the consensus core only.

Change: the core tells by read-only accessors what it last heard of the other members. While calls wait for longer than a second, a process logs event=call_waiting once a second: kind, version, waited_ms, calls, member, role, term, leader, last, commit, applied, voters, and who is missing (silent= and behind= at a leader, no_vote_from= at a candidate, leader_heard_ms= elsewhere). routes_outcome_unknown has the same fields. routes_not_proposed is logged for the first failure of a call only.

--- a/crates/control/src/cluster_task/pending_routes.rs
+++ b/crates/control/src/cluster_task/pending_routes.rs
@@ -5,6 +5,7 @@
 use gingerkeel_domain::consensus;
 use gingerkeel_domain::routes::{AcceptedRoutes, RouteVersion};
 use local_sync::oneshot;
+use tracing::info;
 
 use super::proposal_retry::ProposalRetry;
 use crate::replication::ProposeError;
@@ -16,6 +17,18 @@
     routes: Arc<AcceptedRoutes>,
     reply: RoutesReply,
     retry: ProposalRetry,
+    /// Whether the log tells that a proposal failed.
+    is_failure_logged: bool,
+}
+
+impl PendingReplacement {
+    /// Logs the first failure; while the call waits, `call_waiting` tells the rest.
+    fn log_failure(&mut self, error: &ProposeError) {
+        if !std::mem::replace(&mut self.is_failure_logged, true) {
+            let version = self.routes.configuration.version.0;
+            info!(event = "routes_not_proposed", version, %error);
+        }
+    }
 }
 
 /// Replacements that await their outcome.
@@ -27,7 +40,12 @@
 impl PendingRoutes {
     /// Registers a replacement whose outcome an operator awaits.
     pub fn add(&mut self, routes: Arc<AcceptedRoutes>, reply: RoutesReply) {
-        self.pending.push(PendingReplacement { routes, reply, retry: ProposalRetry::default() });
+        self.pending.push(PendingReplacement {
+            routes,
+            reply,
+            retry: ProposalRetry::default(),
+            is_failure_logged: false,
+        });
     }
 
     /// Acknowledges replacements up to version `accepted`: they were accepted or superseded.
@@ -50,11 +68,14 @@
             error,
             ProposeError::Refused(consensus::ProposeError::NoLeader) | ProposeError::Dropped
         ) {
-            let pending = self.pending.iter_mut().find(|pending| same(pending));
-            pending.into_iter().for_each(|pending| pending.retry.retry_on_next_tick());
+            if let Some(pending) = self.pending.iter_mut().find(|pending| same(pending)) {
+                pending.log_failure(error);
+                pending.retry.retry_on_next_tick();
+            }
             return;
         }
-        for failed in self.pending.extract_if(.., |pending| same(pending)) {
+        for mut failed in self.pending.extract_if(.., |pending| same(pending)) {
+            failed.log_failure(error);
             // The operator may have disconnected.
             let _ = failed.reply.send(Err(error.clone()));
         }
--- a/crates/control/src/cluster_task/routes.rs
+++ b/crates/control/src/cluster_task/routes.rs
@@ -29,12 +29,10 @@
         let replication = self.replication.clone();
         let messages = self.own_messages.clone();
         monoio::spawn(async move {
-            let version = routes.configuration.version.0;
             let proposed = replication.propose(CommandBody::ReplaceRoutes(routes.clone())).await;
             let Err(error) = proposed else {
                 return;
             };
-            info!(event = "routes_not_proposed", version, %error);
             // This task lives as long as the process.
             let _ = messages.send(ClusterMessage::RoutesNotProposed { routes, error });
         });
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod route_operators;
 pub mod storage;
 mod tables;
+mod waiting_calls;
 mod wall_clock;
 mod zone_orders;
 
@@ -48,6 +49,7 @@
 use crate::ports::{DirectoryInterface, RouteInterface};
 use crate::replication::ReplicationOptions;
 use crate::replication_client::ReplicationClient;
+use crate::waiting_calls::WaitingCalls;
 
 /// Optional interfaces of a control process to systems outside the cluster.
 #[derive(Default)]
@@ -115,6 +117,7 @@
     let (read_directory, directory_requests) = unbounded::channel();
     let (polling, plans) = leaf_polling::channel();
     let replication = ReplicationClient::new(log);
+    let waiting = WaitingCalls::start(replication.clone());
     if let (Some(directory), Some(interface)) = (settings.directory.clone(), interfaces.directory) {
         let (replication, cluster) = (replication.clone(), cluster.clone());
         monoio::spawn(directory_polling::run(
@@ -130,6 +133,7 @@
             bind(address)?,
             interface,
             checks.clone(),
+            waiting.clone(),
             cluster.clone(),
         ));
     }
@@ -137,7 +141,7 @@
     cluster_task::start(identity, replication.clone(), senders, cluster.clone(), messages);
     monoio::spawn(leaf_polling::run(plans, cluster.clone()));
     monoio::spawn(feed::serve(feed, cluster.clone()));
-    monoio::spawn(operators::serve(operators, checks, cluster));
+    monoio::spawn(operators::serve(operators, checks, waiting, cluster));
     stop.await;
     planned_stop::prepare(&replication).await;
     info!(event = "stopped", name = settings.name);
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -24,23 +24,37 @@
 
 use crate::cluster_task::ClusterMessage;
 use crate::order_checks::OrderChecks;
+use crate::waiting_calls::{CallKind, WaitingCalls};
 
 /// Maximum length of a session name, in bytes.
 const MAX_SESSION_NAME_BYTES: usize = 64;
 /// Time limit for a statement; after it the outcome is unknown.
 const STATEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What serves a statement.
+struct Context {
+    checks: Rc<OrderChecks>,
+    waiting: WaitingCalls,
+    cluster: Tx<ClusterMessage>,
+}
+
 /// Accepts operators' connections until the process ends.
-pub async fn serve(listener: TcpListener, checks: Rc<OrderChecks>, cluster: Tx<ClusterMessage>) {
+pub async fn serve(
+    listener: TcpListener,
+    checks: Rc<OrderChecks>,
+    waiting: WaitingCalls,
+    cluster: Tx<ClusterMessage>,
+) {
+    let context = Rc::new(Context { checks, waiting, cluster });
     accept_connections(listener, "operators", |stream| {
-        monoio::spawn(serve_connection(stream, checks.clone(), cluster.clone()));
+        monoio::spawn(serve_connection(stream, context.clone()));
     })
     .await;
 }
 
-async fn serve_connection(stream: TcpStream, checks: Rc<OrderChecks>, cluster: Tx<ClusterMessage>) {
+async fn serve_connection(stream: TcpStream, context: Rc<Context>) {
     let mut connection = ServerConnection::new(stream, Limits::default());
-    if let Err(error) = answer_requests(&mut connection, &checks, &cluster).await {
+    if let Err(error) = answer_requests(&mut connection, &context).await {
         debug!(event = "operator_connection_ended", %error);
         // Best effort: the peer may have closed the connection.
         let _ =
@@ -50,21 +64,16 @@
 
 async fn answer_requests(
     connection: &mut ServerConnection,
-    checks: &OrderChecks,
-    cluster: &Tx<ClusterMessage>,
+    context: &Context,
 ) -> Result<(), TransportError> {
     while let Some(request) = connection.next_request().await? {
-        let response = answer(request, checks, cluster).await;
+        let response = answer(request, context).await;
         connection.respond(response).await?;
     }
     Ok(())
 }
 
-async fn answer(
-    request: HttpRequest,
-    checks: &OrderChecks,
-    cluster: &Tx<ClusterMessage>,
-) -> HttpResponse {
+async fn answer(request: HttpRequest, context: &Context) -> HttpResponse {
     if request.method() != Method::POST || request.uri().path() != STATEMENTS_PATH {
         return text_response(
             StatusCode::NOT_FOUND,
@@ -85,7 +94,7 @@
         );
     };
     let replies = match parse(&text) {
-        Ok(statements) => execute_all(statements, first, checks, cluster).await,
+        Ok(statements) => execute_all(statements, first, context).await,
         Err(error) => {
             let error = error.to_string();
             StatementReplies { replies: vec![StatementReply::Refused { error }] }
@@ -126,12 +135,13 @@
 async fn execute_all(
     statements: Vec<Statement>,
     first: CommandId,
-    checks: &OrderChecks,
-    cluster: &Tx<ClusterMessage>,
+    context: &Context,
 ) -> StatementReplies {
+    let Context { checks, cluster, .. } = context;
     let mut replies = StatementReplies::default();
     let mut id = first;
     for statement in statements {
+        let _waiting = context.waiting.begin(CallKind::Statement, None);
         let reply = match statement {
             Statement::Show(subject) => show(subject, cluster).await,
             Statement::Change { change, based_on } => {
--- a/crates/control/src/replication/messages.rs
+++ b/crates/control/src/replication/messages.rs
@@ -1,7 +1,10 @@
 //! Messages to and from the task that owns the log.
 
+use std::time::Duration;
+
 use gingerkeel_domain::consensus::{
-    Envelope, Incarnation, LogIndex, MemberChange, MemberId, NodeNumber, RoleName, Term,
+    Envelope, Incarnation, LogIndex, MemberChange, MemberContact, MemberId, NodeNumber, RoleName,
+    Term,
 };
 use gingerkeel_domain::identifiers::ControlName;
 use gingerkeel_domain::leaf_warnings::LeafWarning;
@@ -113,6 +116,12 @@
     pub leader: Option<MemberId>,
     /// Voters and learners of the latest configuration in its log.
     pub members: Vec<MemberStatus>,
+    /// At a leader: what it last heard of each other member.
+    pub contacts: Vec<MemberContact>,
+    /// At a candidate: the voters that have not answered in this round of votes or pre-votes.
+    pub voters_without_answer: Vec<MemberId>,
+    /// At any other process than a leader: time since the leader that it followed last sent a message.
+    pub leader_silent_for: Option<Duration>,
     /// The commit index.
     pub commit: LogIndex,
     /// The last entry that was passed to the state machine.
@@ -123,6 +132,30 @@
     pub storage_error: Option<String>,
 }
 
+impl ReplicationStatus {
+    /// Whether the latest configuration in its log names this process.
+    pub fn is_member(&self) -> bool {
+        self.members.iter().any(|member| member.member == self.identity)
+    }
+
+    /// Number of voters of the latest configuration in its log.
+    pub fn voters(&self) -> usize {
+        self.members.iter().filter(|member| member.voter).count()
+    }
+
+    /// At a leader: the voters that have not answered for the election timeout.
+    pub fn silent_voters(&self) -> impl Iterator<Item = &MemberContact> {
+        self.contacts.iter().filter(|contact| contact.is_voter && contact.is_silent)
+    }
+
+    /// At a leader with entries that are not committed: the voters that answer and lack some.
+    pub fn voters_behind(&self) -> impl Iterator<Item = &MemberContact> {
+        let answering =
+            self.contacts.iter().filter(|contact| contact.is_voter && !contact.is_silent);
+        answering.filter(|contact| self.commit < self.last && contact.matched < self.last)
+    }
+}
+
 /// A member and whether it votes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemberStatus {
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -320,6 +320,7 @@
     }
 
     fn status(&self) -> ReplicationStatus {
+        let now = self.clock.now();
         let status = self.node.status();
         let voters = status.configuration.voters.iter();
         let voters = voters.map(|member| MemberStatus { member: *member, voter: true });
@@ -331,6 +332,9 @@
             term: status.term,
             leader: status.leader,
             members: voters.chain(learners).collect(),
+            contacts: self.node.contacts(now),
+            voters_without_answer: self.node.voters_without_answer(),
+            leader_silent_for: self.node.leader_silent_for(now),
             commit: status.commit,
             applied: status.applied,
             last: status.last.index,
--- a/crates/control/src/replication_client.rs
+++ b/crates/control/src/replication_client.rs
@@ -12,7 +12,9 @@
 use monoio::time::timeout;
 use tracing::error;
 
-use crate::replication::{ProposeError, ReadError, ReplicationMessage, StopError};
+use crate::replication::{
+    ProposeError, ReadError, ReplicationMessage, ReplicationStatus, StopError,
+};
 use crate::wall_clock::wall_time;
 
 /// Time limit for committing a command.
@@ -83,11 +85,16 @@
         }
     }
 
-    /// The role of this process in the cluster; none if the log has stopped.
-    pub async fn role(&self) -> Option<RoleName> {
+    /// Role, members and log positions of this process; none if the log has stopped.
+    pub async fn status(&self) -> Option<ReplicationStatus> {
         let (reply, receiver) = oneshot::channel();
         self.log.send(ReplicationMessage::Status { reply }).ok()?;
-        receiver.await.ok().map(|status| status.role)
+        receiver.await.ok()
+    }
+
+    /// The role of this process in the cluster; none if the log has stopped.
+    pub async fn role(&self) -> Option<RoleName> {
+        self.status().await.map(|status| status.role)
     }
 
     /// Has a quorum confirm the commit index; a linearizable read must wait until it is applied.
--- a/crates/control/src/route_operators.rs
+++ b/crates/control/src/route_operators.rs
@@ -17,40 +17,43 @@
 use tracing::{debug, info};
 
 use crate::cluster_task::ClusterMessage;
-use crate::configured_zones::ConfiguredZones;
 use crate::order_checks::OrderChecks;
 use crate::ports::{RouteAnswer, RouteCall, RouteInterface};
 use crate::rollout_orders::{self, RolloutOrderError};
+use crate::waiting_calls::{CallKind, WaitingCall, WaitingCalls};
 use crate::zone_orders::{ZoneOrder, ZoneOrderError, carry_out, check_zone};
 
 /// Time limit for a call; after it the outcome is unknown.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What serves a call.
+struct Context {
+    interface: Rc<dyn RouteInterface>,
+    checks: Rc<OrderChecks>,
+    waiting: WaitingCalls,
+    cluster: Tx<ClusterMessage>,
+}
+
 /// Accepts operators' connections until the process ends.
 pub async fn serve(
     listener: TcpListener,
     interface: Rc<dyn RouteInterface>,
     checks: Rc<OrderChecks>,
+    waiting: WaitingCalls,
     cluster: Tx<ClusterMessage>,
 ) {
+    let context = Rc::new(Context { interface, checks, waiting, cluster });
     accept_connections(listener, "routes", |stream| {
-        monoio::spawn(serve_connection(stream, interface.clone(), checks.clone(), cluster.clone()));
+        monoio::spawn(serve_connection(stream, context.clone()));
     })
     .await;
 }
 
-async fn serve_connection(
-    stream: TcpStream,
-    interface: Rc<dyn RouteInterface>,
-    checks: Rc<OrderChecks>,
-    cluster: Tx<ClusterMessage>,
-) {
+async fn serve_connection(stream: TcpStream, context: Rc<Context>) {
     let mut connection = ServerConnection::new(stream, Limits::default());
-    if let Err(error) =
-        answer_requests(&mut connection, interface.as_ref(), &checks, &cluster).await
-    {
+    if let Err(error) = answer_requests(&mut connection, &context).await {
         debug!(event = "operator_connection_ended", %error);
-        let answer = interface.answer(RouteAnswer::Invalid(error.to_string()));
+        let answer = context.interface.answer(RouteAnswer::Invalid(error.to_string()));
         // Best effort: the peer may have closed the connection.
         let _ = connection.respond(answer).await;
     }
@@ -58,64 +61,79 @@
 
 async fn answer_requests(
     connection: &mut ServerConnection,
-    interface: &dyn RouteInterface,
-    checks: &OrderChecks,
-    cluster: &Tx<ClusterMessage>,
+    context: &Context,
 ) -> Result<(), TransportError> {
     while let Some(request) = connection.next_request().await? {
-        let response = respond(&request, interface, checks, cluster).await;
+        let response = respond(&request, context).await;
         connection.respond(response).await?;
     }
     Ok(())
 }
 
-async fn respond(
-    request: &HttpRequest,
-    interface: &dyn RouteInterface,
-    checks: &OrderChecks,
-    cluster: &Tx<ClusterMessage>,
-) -> HttpResponse {
+async fn respond(request: &HttpRequest, context: &Context) -> HttpResponse {
+    let interface = context.interface.as_ref();
     match interface.parse_call(request) {
-        Ok(RouteCall::Replace(routes)) => {
-            replace_routes(*routes, interface, &checks.zones, cluster).await
+        Ok(RouteCall::Unknown) => interface.answer(RouteAnswer::Unknown),
+        Ok(call) => carry_out_call(call, context).await,
+        Err(error) => {
+            info!(event = "routes_refused", %error);
+            interface.answer(RouteAnswer::Invalid(error.to_string()))
         }
-        Ok(RouteCall::Evacuate(zone)) => match check_zone(&zone, &checks.zones, cluster).await {
+    }
+}
+
+/// Kind of a call, and the version of the configuration that it carries.
+fn kind_of(call: &RouteCall) -> (CallKind, Option<u64>) {
+    match call {
+        RouteCall::Replace(routes) => (CallKind::Routes, Some(routes.configuration.version.0)),
+        RouteCall::Evacuate(_) | RouteCall::Restore(_) => (CallKind::Zone, None),
+        RouteCall::BeginRollout { .. } => (CallKind::Rollout, None),
+        RouteCall::Read | RouteCall::ReadRollout(_) | RouteCall::Unknown => (CallKind::Read, None),
+    }
+}
+
+async fn carry_out_call(call: RouteCall, context: &Context) -> HttpResponse {
+    let Context { checks, cluster, .. } = context;
+    let interface = context.interface.as_ref();
+    let (kind, version) = kind_of(&call);
+    let waiting = context.waiting.begin(kind, version);
+    match call {
+        RouteCall::Replace(routes) => replace_routes(*routes, context, &waiting).await,
+        RouteCall::Evacuate(zone) => match check_zone(&zone, &checks.zones, cluster).await {
             Ok(()) => order_zone(ZoneOrder { zone, evacuate: true }, interface, cluster).await,
             Err(error) => answer_zone_error(&zone, &error, interface),
         },
-        Ok(RouteCall::Restore(zone)) => {
+        RouteCall::Restore(zone) => {
             order_zone(ZoneOrder { zone, evacuate: false }, interface, cluster).await
         }
-        Ok(RouteCall::BeginRollout { service, target, within }) => {
+        RouteCall::BeginRollout { service, target, within } => {
             let order = rollout_orders::order(service, target, within, checks.limit);
             begin_rollout(&order, interface, cluster).await
         }
-        Ok(RouteCall::ReadRollout(service)) => read_rollout(service, interface, cluster).await,
-        Ok(RouteCall::Read) => read_routes(interface, cluster).await,
-        Ok(RouteCall::Unknown) => interface.answer(RouteAnswer::Unknown),
-        Err(error) => {
-            info!(event = "routes_refused", %error);
-            interface.answer(RouteAnswer::Invalid(error.to_string()))
-        }
+        RouteCall::ReadRollout(service) => read_rollout(service, interface, cluster).await,
+        RouteCall::Read => read_routes(interface, cluster).await,
+        RouteCall::Unknown => interface.answer(RouteAnswer::Unknown),
     }
 }
 
 async fn replace_routes(
     routes: AcceptedRoutes,
-    interface: &dyn RouteInterface,
-    zones: &ConfiguredZones,
-    cluster: &Tx<ClusterMessage>,
+    context: &Context,
+    waiting: &WaitingCall,
 ) -> HttpResponse {
+    let interface = context.interface.as_ref();
     let version = routes.configuration.version.0;
     let valid = routes.configuration.validate();
-    if let Err(error) = valid.and_then(|()| zones.check_regions(&routes.configuration)) {
+    if let Err(error) =
+        valid.and_then(|()| context.checks.zones.check_regions(&routes.configuration))
+    {
         info!(event = "routes_refused", version, %error);
         return interface.answer(RouteAnswer::Invalid(error.to_string()));
     }
     let (reply, receiver) = oneshot::channel();
     let message = ClusterMessage::ReplaceRoutes { routes: Arc::new(routes), reply };
     // The cluster task lives as long as the process.
-    let _ = cluster.send(message);
+    let _ = context.cluster.send(message);
     let error = match timeout(CALL_TIMEOUT, receiver).await {
         Ok(Ok(Ok(accepted))) => {
             info!(event = "routes_acknowledged", version, accepted = accepted.0);
@@ -124,10 +142,33 @@
         Ok(Ok(Err(error))) => error.to_string(),
         _ => "the outcome is unknown: send the configuration again".to_owned(),
     };
-    info!(event = "routes_outcome_unknown", version, error);
+    log_unknown_outcome(version, &error, waiting).await;
     interface.answer(RouteAnswer::Unavailable(error))
 }
 
+async fn log_unknown_outcome(version: u64, error: &str, waiting: &WaitingCall) {
+    let view = waiting.group().await;
+    info!(
+        event = "routes_outcome_unknown",
+        version,
+        error,
+        waited_ms = waiting.waited_ms(),
+        member = view.member,
+        role = view.role,
+        term = view.term,
+        leader = view.leader,
+        last = view.last,
+        commit = view.commit,
+        applied = view.applied,
+        voters = view.voters,
+        silent = view.silent,
+        behind = view.behind,
+        no_vote_from = view.no_vote_from,
+        leader_heard_ms = view.leader_heard_ms,
+        storage_error = view.storage_error,
+    );
+}
+
 async fn order_zone(
     order: ZoneOrder,
     interface: &dyn RouteInterface,
--- a/crates/domain/src/consensus/mod.rs
+++ b/crates/domain/src/consensus/mod.rs
@@ -26,6 +26,7 @@
 mod reading;
 mod ready;
 mod settings;
+mod status;
 mod stopping;
 mod types;
 
@@ -37,6 +38,7 @@
 pub use node::{Node, NodeStatus, Proposed, RoleName};
 pub use ready::{MemberChangeOutcome, ReadOutcome, Ready, SnapshotWrite, Write, WriteNumber};
 pub use settings::ConsensusSettings;
+pub use status::MemberContact;
 pub use types::{
     Entry, HardState, Incarnation, LogIndex, LogPosition, MemberId, NodeNumber, Payload, Recovered,
     Snapshot, SnapshotMetadata, Term,
