Refuse calls at a control process outside the group soon

What callers saw: a replacement of routes at a control process that never joined waited its whole 5 s and was answered with 503 and 'the outcome is unknown'. An evacuation of a zone that only the others know was refused with 400 as unknown.

Cause: the call waits for the election of a leader, as at a member, but a process with an empty log takes part in no election.

Change: a process that is not in the latest configuration of its log and knows no leader lets calls wait for one second after its start, in which it may join, and then refuses them at once with 503; the text names the remedy. A member without a leader waits as before.

--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -137,30 +137,42 @@
     first: CommandId,
     context: &Context,
 ) -> StatementReplies {
-    let Context { checks, cluster, .. } = context;
     let mut replies = StatementReplies::default();
     let mut id = first;
     for statement in statements {
-        let _waiting = context.waiting.begin(CallKind::Statement, None);
-        let reply = match statement {
-            Statement::Show(subject) => show(subject, cluster).await,
-            Statement::Change { change, based_on } => {
-                let reply = match checks.complete(change, cluster).await {
-                    Ok(change) => execute_change(change, based_on, id.clone(), cluster).await,
-                    Err(error) => StatementReply::Refused { error },
-                };
-                id.sequence = id.sequence.saturating_add(1);
-                reply
-            }
-        };
-        replies.replies.push(reply);
+        let is_change = matches!(statement, Statement::Change { .. });
+        replies.replies.push(execute_or_refuse(statement, id.clone(), context).await);
         if !replies.succeeded() {
             break;
         }
+        id.sequence = id.sequence.saturating_add(u64::from(is_change));
     }
     replies
 }
 
+async fn execute_or_refuse(
+    statement: Statement,
+    id: CommandId,
+    context: &Context,
+) -> StatementReply {
+    let waiting = context.waiting.begin(CallKind::Statement, None);
+    match waiting.carry_out(execute(statement, id, context)).await {
+        Ok(reply) => reply,
+        Err(error) => StatementReply::Unknown { error: error.to_string() },
+    }
+}
+
+async fn execute(statement: Statement, id: CommandId, context: &Context) -> StatementReply {
+    let Context { checks, cluster, .. } = context;
+    match statement {
+        Statement::Show(subject) => show(subject, cluster).await,
+        Statement::Change { change, based_on } => match checks.complete(change, cluster).await {
+            Ok(change) => execute_change(change, based_on, id, cluster).await,
+            Err(error) => StatementReply::Refused { error },
+        },
+    }
+}
+
 async fn show(subject: Subject, cluster: &Tx<ClusterMessage>) -> StatementReply {
     let (reply, receiver) = oneshot::channel();
     // The cluster task lives as long as the process.
--- a/crates/control/src/route_operators.rs
+++ b/crates/control/src/route_operators.rs
@@ -74,7 +74,7 @@
     let interface = context.interface.as_ref();
     match interface.parse_call(request) {
         Ok(RouteCall::Unknown) => interface.answer(RouteAnswer::Unknown),
-        Ok(call) => carry_out_call(call, context).await,
+        Ok(call) => carry_out_or_refuse(call, context).await,
         Err(error) => {
             info!(event = "routes_refused", %error);
             interface.answer(RouteAnswer::Invalid(error.to_string()))
@@ -92,13 +92,20 @@
     }
 }
 
-async fn carry_out_call(call: RouteCall, context: &Context) -> HttpResponse {
-    let Context { checks, cluster, .. } = context;
-    let interface = context.interface.as_ref();
+async fn carry_out_or_refuse(call: RouteCall, context: &Context) -> HttpResponse {
     let (kind, version) = kind_of(&call);
     let waiting = context.waiting.begin(kind, version);
+    match waiting.carry_out(carry_out_call(call, context, &waiting)).await {
+        Ok(response) => response,
+        Err(error) => context.interface.answer(RouteAnswer::Unavailable(error.to_string())),
+    }
+}
+
+async fn carry_out_call(call: RouteCall, context: &Context, waiting: &WaitingCall) -> HttpResponse {
+    let Context { checks, cluster, .. } = context;
+    let interface = context.interface.as_ref();
     match call {
-        RouteCall::Replace(routes) => replace_routes(*routes, context, &waiting).await,
+        RouteCall::Replace(routes) => replace_routes(*routes, context, waiting).await,
         RouteCall::Evacuate(zone) => match check_zone(&zone, &checks.zones, cluster).await {
             Ok(()) => order_zone(ZoneOrder { zone, evacuate: true }, interface, cluster).await,
             Err(error) => answer_zone_error(&zone, &error, interface),
--- a/crates/control/src/waiting_calls.rs
+++ b/crates/control/src/waiting_calls.rs
@@ -1,12 +1,14 @@
-//! Operators' calls that wait for their outcome, and the log lines that tell why they wait.
+//! Operators' calls that wait for their outcome: the log lines that tell why they wait, and the
+//! refusal of calls at a process outside the group.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use gingerkeel_domain::consensus::{MemberContact, MemberId};
 use monoio::time::sleep;
+use quick_error::quick_error;
 use tracing::info;
 
 use crate::replication::ReplicationStatus;
@@ -17,6 +19,21 @@
 /// Interval at which waiting calls are looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which a process that is no member of the group, and knows no leader, lets calls wait for
+/// it to join. Calls at a member wait for the election of a leader instead.
+const JOIN_GRACE: Duration = Duration::from_secs(1);
+
+quick_error! {
+    /// A call that was refused.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum CallError {
+        /// The process cannot carry out any call, now or soon.
+        OutsideGroup {
+            display("this control process is not a member of the group yet: ask another control process, and check that one of the seeds in its settings runs")
+        }
+    }
+}
+
 /// Kind of an operator's call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -63,13 +80,16 @@
 #[derive(Clone)]
 pub struct WaitingCalls {
     calls: Rc<RefCell<Calls>>,
+    /// Since when the process is outside the group; none while it is a member or knows a leader.
+    outside_since: Rc<Cell<Option<Instant>>>,
     replication: ReplicationClient,
 }
 
 impl WaitingCalls {
-    /// Starts the task that logs why calls wait.
+    /// Starts the task that watches the membership and logs why calls wait.
     pub fn start(replication: ReplicationClient) -> Self {
-        let waiting = Self { calls: Rc::default(), replication };
+        let outside_since = Rc::new(Cell::new(Some(Instant::now())));
+        let waiting = Self { calls: Rc::default(), outside_since, replication };
         monoio::spawn(waiting.clone().watch());
         waiting
     }
@@ -81,24 +101,34 @@
         calls.last_number += 1;
         let number = calls.last_number;
         calls.waiting.insert(number, call);
-        WaitingCall { registry: self.clone(), number, since: call.since }
+        WaitingCall { registry: self.clone(), number, call }
     }
 
     async fn watch(self) {
+        let mut reported_at: Option<Instant> = None;
         loop {
             sleep(CHECK_INTERVAL).await;
-            if self.longest().is_none() {
-                continue;
-            }
             let Some(status) = self.replication.status().await else {
                 return;
             };
-            if self.report(&status) {
-                sleep(REPORT_AFTER - CHECK_INTERVAL).await;
+            self.note_membership(&status);
+            if reported_at.is_none_or(|at| at.elapsed() >= REPORT_AFTER) && self.report(&status) {
+                reported_at = Some(Instant::now());
             }
         }
     }
 
+    fn note_membership(&self, status: &ReplicationStatus) {
+        let is_outside = !status.is_member() && status.leader.is_none();
+        let since = self.outside_since.get().unwrap_or_else(Instant::now);
+        self.outside_since.set(is_outside.then_some(since));
+    }
+
+    /// Whether the process has been outside the group for longer than joining takes.
+    fn is_outside(&self) -> bool {
+        self.outside_since.get().is_some_and(|since| since.elapsed() >= JOIN_GRACE)
+    }
+
     /// The call that has waited longest, if that is long enough to be reported.
     fn longest(&self) -> Option<Call> {
         let calls = self.calls.borrow();
@@ -140,13 +170,49 @@
 pub struct WaitingCall {
     registry: WaitingCalls,
     number: u64,
-    since: Instant,
+    call: Call,
 }
 
 impl WaitingCall {
+    /// Carries out the call, unless the process is outside the group. What the call has proposed by
+    /// then may still be accepted.
+    ///
+    /// # Errors
+    /// [`CallError::OutsideGroup`]: another control process may carry it out.
+    pub async fn carry_out<T>(&self, call: impl Future<Output = T>) -> Result<T, CallError> {
+        monoio::select! {
+            biased;
+            outcome = call => Ok(outcome),
+            () = self.wait_until_outside() => Err(self.refuse().await),
+        }
+    }
+
+    async fn wait_until_outside(&self) {
+        while !self.registry.is_outside() {
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    async fn refuse(&self) -> CallError {
+        let (Call { kind, version, .. }, view) = (self.call, self.group().await);
+        info!(
+            event = "call_refused_outside_group",
+            kind = kind.as_str(),
+            version,
+            waited_ms = self.waited_ms(),
+            member = view.member,
+            role = view.role,
+            term = view.term,
+            leader = view.leader,
+            last = view.last,
+            storage_error = view.storage_error,
+        );
+        CallError::OutsideGroup
+    }
+
     /// Time since the call began, in milliseconds.
     pub fn waited_ms(&self) -> u64 {
-        milliseconds(self.since.elapsed())
+        milliseconds(self.call.since.elapsed())
     }
 
     /// The group as this process knows it now.
--- a/crates/control/tests/waiting_calls.rs
+++ b/crates/control/tests/waiting_calls.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use std::net::TcpStream;
 use std::thread;
+use std::time::{Duration, Instant};
 
+use http::Method;
 use rustix::process::Signal;
 use support::seeded::{Cluster, ClusterShape};
 use support::wait_until;
@@ -11,6 +14,10 @@
 /// Three seeds, whose members are kept.
 const SHAPE: ClusterShape = ClusterShape { seeds: 3, machines: 5, voters: 3, least_voters: 3 };
 
+/// Time in which a process outside the group refuses a call, so that an operator loses little time
+/// before turning to another process.
+const REFUSAL_TIME: Duration = Duration::from_secs(2);
+
 /// The value of a field of a log line.
 fn field<'line>(line: &'line str, name: &str) -> Option<&'line str> {
     let fields = line.split(' ').filter_map(|part| part.split_once('='));
@@ -112,3 +119,27 @@
     assert!((3..=5).contains(&waiting.len()), "{waiting:#?}");
     assert!(waiting.iter().any(|line| field(line, "calls") == Some("4")), "{waiting:#?}");
 }
+
+/// Guards against a call that takes its whole time at a process that never joined the group.
+#[test]
+fn call_at_a_process_outside_the_group_is_refused_soon() {
+    let (mut cluster, _) = start();
+    (0..SHAPE.seeds).for_each(|member| cluster.kill(member));
+    let stranger = cluster.add(false);
+    wait_until(|| TcpStream::connect(cluster.machines[stranger].routes).is_ok());
+    for call in ["first, in the time to join", "second"] {
+        let began = Instant::now();
+        let (status, text) = cluster.answer_to_replace(stranger, 2).expect("an answer");
+        let text = String::from_utf8(text.to_vec()).unwrap();
+        assert!(began.elapsed() < REFUSAL_TIME, "{call}: {:?}: {text}", began.elapsed());
+        assert_eq!(status, 503, "{call}: {text}");
+        assert!(text.contains("ask another control process"), "{call}: {text}");
+    }
+    let zone = cluster.call_at(stranger, "/v1/evacuations/hall-x", Method::PUT, Vec::new());
+    assert_eq!(zone.map(|(status, _)| status), Some(503), "it may be a zone that others know");
+    let refused = lines(&cluster, stranger, "call_refused_outside_group");
+    assert_eq!(refused.len(), 3, "{refused:#?}");
+    assert_eq!(field(&refused[0], "member"), Some("false"), "{refused:#?}");
+    let not_proposed = lines(&cluster, stranger, "routes_not_proposed");
+    assert!(not_proposed.len() <= 2, "one for each replacement: {not_proposed:#?}");
+}
