Let a leader whose removal is not committed be elected again

Cause: a configuration is in force as soon as it is in the log. A leader that took its own removal and lost its office before a quorum had the entry counted as no voter, and started no election. Its log was longer than that of the others, so it granted them no vote. With one more voter lost (of four, the disk of one) the others need its vote for a quorum, and nobody could be elected.

Change: a member that is a voter by its committed configuration stands for election as well, as the Raft thesis requires for a server that its own latest configuration leaves out (section 4.2.2). Its own vote doesn't count in the quorum of the new configuration. Pre-vote and the stickiness of the other voters keep a member that was removed for good from disturbing them, as before.

--- a/crates/domain/src/consensus/election.rs
+++ b/crates/domain/src/consensus/election.rs
@@ -7,10 +7,16 @@
 use crate::time::Timestamp;
 
 impl Node {
+    /// Whether this member is a voter. One whose removal is not committed stays eligible: its log may
+    /// be the only one of a quorum that is complete.
+    fn may_be_elected(&self) -> bool {
+        self.is_voter() || self.configurations.at(self.commit).voters.contains(&self.identity)
+    }
+
     /// Asks the other voters whether they would vote for this member, before it starts a term.
     pub(super) fn start_pre_vote(&mut self, now: Timestamp) {
         self.reset_election_timer(now);
-        if !self.is_voter() || !self.storage_available || self.stopping {
+        if !self.may_be_elected() || !self.storage_available || self.stopping {
             self.leader = None;
             return;
         }
--- a/crates/domain/tests/consensus/membership.rs
+++ b/crates/domain/tests/consensus/membership.rs
@@ -246,3 +246,21 @@
     let now = lab.now;
     assert_eq!(lab.node(2).node.due_membership_change(now, &GROWTH), None);
 }
+
+/// Guards against a group without a leader: the log of the removed leader is the most complete one,
+/// so that the others elect nobody, and it does not stand for election.
+#[test]
+fn a_leader_whose_removal_is_not_committed_can_be_elected_again() {
+    let mut lab = Lab::new(4);
+    lab.settle(1, &[1, 2, 3, 4]);
+    lab.heartbeat(1, &[1, 2, 3, 4]);
+    lab.change_members(MemberChange::Remove(member(1))).expect("the removal is taken");
+    lab.pending.clear();
+    lab.elect(1, &[1, 3, 4]);
+    lab.heartbeat(1, &[1, 3, 4]);
+    lab.heartbeat(1, &[1, 3, 4]);
+    let configuration = lab.node(3).node.configuration().clone();
+    assert!(!configuration.contains(member(1)));
+    assert_eq!(lab.role(1), RoleName::Follower);
+    lab.elect(3, &[3, 4]);
+}
