Use changed seeds of a control process without a restart

A control process whose seeds were all gone could be told of live ones only by a restart, and until then answered 503. The reload of its settings now hands new seeds to the search for the leader; any other change still asks for a restart. process_whose_seeds_are_all_gone_joins_through_those_of_its_changed_settings could not pass before: the file was only compared.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -86,9 +86,6 @@
     source: Option<SettingsSource<ControlSettings>>,
     interfaces: Interfaces,
 ) -> Result<(), ControlError> {
-    if let Some(source) = source {
-        reload::start(source, &settings)?;
-    }
     let stop = stop_requested().map_err(ControlError::Signals)?;
     let operators = bind(settings.operators)?;
     let feed = bind(settings.feed)?;
@@ -117,6 +114,9 @@
     let (read_directory, directory_requests) = unbounded::channel();
     let (polling, plans) = leaf_polling::channel();
     let replication = ReplicationClient::new(log);
+    if let Some(source) = source {
+        reload::start(source, &settings, replication.clone())?;
+    }
     let waiting = WaitingCalls::start(replication.clone());
     if let (Some(directory), Some(interface)) = (settings.directory.clone(), interfaces.directory) {
         let (replication, cluster) = (replication.clone(), cluster.clone());
--- a/crates/control/src/reload.rs
+++ b/crates/control/src/reload.rs
@@ -1,29 +1,52 @@
-//! Logs whether changed settings need a restart: a control process reads its settings only at its
-//! start.
+//! Changes of the settings file: new seeds are used at once, other changes need a restart.
 
 use std::io;
 
+use gingerkeel_domain::consensus::NodeNumber;
 use gingerkeel_settings::{ControlSettings, SettingsSource};
 use gingerkeel_transport::FileWatch;
 use tracing::info;
 
-/// Spawns a task that reads the settings file again on each change or signal and logs whether the
-/// settings differ from those in force.
+use crate::replication_client::ReplicationClient;
+
+/// Spawns a task that reads the settings file again on each change or signal. A process whose seeds
+/// are all gone can thus be told others without a restart.
 ///
 /// # Errors
 /// An [`io::Error`] if the file or the signal to reload it cannot be watched.
 pub fn start(
     source: SettingsSource<ControlSettings>,
     in_force: &ControlSettings,
+    replication: ReplicationClient,
 ) -> io::Result<()> {
     let watch = FileWatch::start(source.path())?;
-    let in_force = in_force.clone();
+    let mut in_force = in_force.clone();
     monoio::spawn(async move {
         let file = source.path().display().to_string();
-        let take = |settings: ControlSettings| {
-            info!(event = "settings_read", file, restart_needed = settings != in_force);
+        let take = move |settings: ControlSettings| {
+            let seeds_changed = take_seeds(&settings, &mut in_force);
+            let restart_needed = settings != in_force;
+            info!(event = "settings_read", file, seeds_changed, restart_needed);
+            if seeds_changed {
+                replication.use_seeds(seed_nodes(&settings));
+            }
         };
         watch.read_changes(|| source.read(), take).await;
     });
     Ok(())
 }
+
+/// Takes over the seeds; returns whether they differ.
+fn take_seeds(settings: &ControlSettings, in_force: &mut ControlSettings) -> bool {
+    let (Some(new), Some(current)) = (&settings.seeds, &mut in_force.seeds) else {
+        return false;
+    };
+    let changed = new.seeds != current.seeds;
+    current.seeds.clone_from(&new.seeds);
+    changed
+}
+
+fn seed_nodes(settings: &ControlSettings) -> Vec<NodeNumber> {
+    let seeds = settings.seeds.iter().flat_map(|seeds| seeds.seed_numbers());
+    seeds.map(NodeNumber).collect()
+}
--- a/crates/control/src/replication/messages.rs
+++ b/crates/control/src/replication/messages.rs
@@ -45,6 +45,8 @@
         /// Receives the status.
         reply: oneshot::Sender<ReplicationStatus>,
     },
+    /// Look for the leader through these seeds.
+    UseSeeds(Vec<NodeNumber>),
     /// Send tenants' usage to all other control processes, outside the log.
     BroadcastUsage(PeerUsage),
     /// Send warnings about leaves to all other control processes, outside the log.
--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -70,6 +70,8 @@
     storage_error: Option<String>,
     logged_role: Option<(RoleName, Option<MemberId>)>,
     leader_search: LeaderSearch,
+    /// The other processes through which the leader is searched; the first voters at first.
+    seeds: BTreeSet<NodeNumber>,
     leaderless_since: Option<Timestamp>,
     /// Whether this process asks to be a member.
     is_searching: bool,
@@ -117,6 +119,8 @@
         let identity = opened.identity;
         let now = clock.now();
         forward_unconfirmed(&opened.recovered, &state_machine);
+        let planned = ConfiguredMembers::new(settings, identity.node);
+        let seeds = planned.voters().collect();
         Ok(Self {
             node: new_node(identity, options, opened.recovered, now),
             options,
@@ -125,7 +129,7 @@
             writer: Writer::start(opened.storage)?,
             links,
             directory,
-            planned: ConfiguredMembers::new(settings, identity.node),
+            planned,
             state_machine,
             requests: PendingRequests::default(),
             last_command: LogIndex(0),
@@ -136,6 +140,7 @@
             storage_error: None,
             logged_role: None,
             leader_search: LeaderSearch::default(),
+            seeds,
             leaderless_since: None,
             is_searching: false,
             logged_join_answers: BTreeMap::new(),
@@ -256,6 +261,10 @@
                 // The requester may have given up.
                 let _ = reply.send(self.status());
             }
+            ReplicationMessage::UseSeeds(seeds) => {
+                self.seeds = seeds.into_iter().collect();
+                self.maintenance_due = self.clock.now();
+            }
             ReplicationMessage::BroadcastUsage(usage) => self.links.broadcast_usage(&usage),
             ReplicationMessage::BroadcastLeafWarnings(warnings) => {
                 self.links.broadcast_warnings(&warnings)
--- a/crates/control/src/replication/task/maintenance.rs
+++ b/crates/control/src/replication/task/maintenance.rs
@@ -88,10 +88,11 @@
         }
     }
 
-    /// Keeps connections to the configured voters, all members, every process that joins, and the
-    /// leaders that refusals named.
+    /// Keeps connections to the configured voters, the seeds, all members, every process that joins,
+    /// and the leaders that refusals named.
     fn update_links(&mut self) {
         let mut nodes: BTreeSet<NodeNumber> = self.planned.voters().collect();
+        nodes.extend(&self.seeds);
         nodes.extend(self.node.configuration().members().map(|member| member.node));
         nodes.extend(self.directory.known());
         nodes.extend(self.leader_search.named_leaders());
@@ -148,7 +149,7 @@
     /// Logs once that no seed answers a process that has no leader: it can join through none.
     fn log_unreached_seeds(&mut self, now: Timestamp) {
         let own = self.node.identity().node;
-        let mut seeds = self.planned.voters().filter(|seed| *seed != own).peekable();
+        let mut seeds = self.seeds.iter().copied().filter(|seed| *seed != own).peekable();
         let is_alone = seeds.peek().is_none();
         let is_reached = seeds.any(|seed| self.links.is_connected(seed));
         if is_alone || is_reached || self.node.status().leader.is_some() {
--- a/crates/control/src/replication_client.rs
+++ b/crates/control/src/replication_client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gingerkeel_domain::cluster::{Command, CommandBody, LogIndex};
-use gingerkeel_domain::consensus::RoleName;
+use gingerkeel_domain::consensus::{NodeNumber, RoleName};
 use gingerkeel_domain::leaf_warnings::LeafWarning;
 use gingerkeel_domain::quota::PeerUsage;
 use gingerkeel_protocol::pack_document;
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Has the process look for the leader through these seeds, in place of those it started with.
+    pub fn use_seeds(&self, seeds: Vec<NodeNumber>) {
+        // The log ends with the process.
+        let _ = self.log.send(ReplicationMessage::UseSeeds(seeds));
+    }
+
     /// Broadcasts tenants' usage to the other control processes. Totals are cumulative, so a later
     /// message makes up for a lost one.
     pub fn broadcast_usage(&self, usage: PeerUsage) {
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -124,6 +124,22 @@
     assert_catches_up(&cluster, successor, 1);
 }
 
+/// Guards against a process that needs a restart to learn of seeds that are alive.
+#[test]
+fn process_whose_seeds_are_all_gone_joins_through_those_of_its_changed_settings() {
+    let (mut cluster, leader) = start();
+    let [first, second, live, ..] = members_except(&[leader])[..] else {
+        panic!("five members");
+    };
+    cluster.kill(first);
+    cluster.kill(second);
+    let successor = cluster.add_with_seeds(&[first, second]);
+    wait_until(|| cluster.log(successor).contains("event=no_seed_answers"));
+    cluster.change_seeds(successor, &[second], &[live]);
+    assert_catches_up(&cluster, successor, 1);
+    assert!(cluster.log(successor).contains("seeds_changed=true restart_needed=false"));
+}
+
 /// Guards against a group that is one voter short after each replacement, until no quorum is left.
 #[rstest]
 #[case::lost(Cluster::kill)]
--- a/crates/control/tests/support/seeded.rs
+++ b/crates/control/tests/support/seeded.rs
@@ -91,6 +91,17 @@
         Self { folder, machines: Vec::new(), shape, ports, hosts }
     }
 
+    /// Names other machines as seeds in the settings of a machine that runs.
+    pub fn change_seeds(&self, index: usize, from: &[usize], to: &[usize]) {
+        let settings = &self.machines[index].settings;
+        let mut text = std::fs::read_to_string(settings).unwrap();
+        for (former, seed) in from.iter().zip(to) {
+            let [former, seed] = [former, seed].map(|place| format!("\"{}:", self.hosts[*place]));
+            text = text.replace(&former, &seed);
+        }
+        std::fs::write(settings, text).unwrap();
+    }
+
     /// Starts the seeds with settings that name no zone.
     pub fn start_without_zones() -> Self {
         let mut cluster = Self::prepare();
