--- a/crates/control/tests/support/seeded.rs
+++ b/crates/control/tests/support/seeded.rs
@@ -226,7 +226,7 @@
 
     /// The log lines of a machine's processes so far.
     pub fn log(&self, index: usize) -> String {
-        std::fs::read_to_string(&self.machines[index].log).unwrap()
+        std::fs::read_to_string(&self.machines[index].log).unwrap_or_default()
     }
 
     /// The running machine that was the last to report that it leads.
@@ -301,7 +301,12 @@
 }
 
 impl Drop for Cluster {
+    /// Ends all processes; prints their logs if the test has failed.
     fn drop(&mut self) {
+        if thread::panicking() {
+            (0..self.machines.len())
+                .for_each(|index| eprintln!("log of {index}:\n{}", self.log(index)));
+        }
         for index in 0..self.machines.len() {
             self.kill(index);
         }
