Test what a member tells of the others

The log lines of waiting calls rest on what the consensus core tells of silent voters, voters behind, candidates' missing answers and the time since the leader was heard of; calls in real processes reach only some of these states.

--- a/crates/domain/tests/consensus/main.rs
+++ b/crates/domain/tests/consensus/main.rs
@@ -18,4 +18,5 @@
 mod server;
 mod slow_disks;
 mod snapshots;
+mod status;
 mod stopping;
