Lead from a call that waits to its cause in OPERATIONS.md

What callers saw: changes that were not acknowledged, with no page that leads from the log lines to the cause.

Change: a section 'Changes are not acknowledged' with the commands, lines of runs of the tests and a table of causes: no leader, no quorum, elections that do not end, a leader whose voters are silent or behind, a process outside the group and each way in which a join request comes to nothing. The tests of waiting calls run the commands of the section on their logs.

--- a/crates/control/tests/waiting_calls.rs
+++ b/crates/control/tests/waiting_calls.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::net::TcpStream;
+use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,10 @@
 /// Three seeds, whose members are kept.
 const SHAPE: ClusterShape = ClusterShape { seeds: 3, machines: 5, voters: 3, least_voters: 3 };
 
+/// The page that leads from log lines to causes.
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
+/// Heading of its section on calls that wait.
+const SECTION: &str = "\n## Changes are not acknowledged\n";
 /// Time in which a process outside the group refuses a call, so that an operator loses little time
 /// before turning to another process.
 const REFUSAL_TIME: Duration = Duration::from_secs(2);
@@ -37,6 +42,26 @@
     field(&opened, "member").expect("a member").to_owned()
 }
 
+/// The output of each command of the page's section, on the logs of these machines.
+fn follow_page(cluster: &Cluster, machines: &[usize]) -> Vec<String> {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    let logs: Vec<String> = machines.iter().map(|machine| cluster.log(*machine)).collect();
+    std::fs::write(file.path(), logs.concat()).unwrap();
+    let log = file.path().display().to_string();
+    let section = PAGE.split(SECTION).nth(1).expect("the section");
+    let section = section.split("\n## ").next().unwrap();
+    let commands = section.split("```sh\n").skip(1).flat_map(|block| {
+        let block = block.split("```").next().unwrap();
+        block.lines()
+    });
+    let outputs = commands.map(|command| {
+        let command = command.replace("LOG", &log);
+        let output = Command::new("sh").args(["-c", &command]).output().unwrap();
+        String::from_utf8(output.stdout).unwrap()
+    });
+    outputs.collect()
+}
+
 /// Three members with an accepted configuration, and the one that leads.
 fn start() -> (Cluster, usize) {
     let mut cluster = Cluster::prepare_shape(SHAPE);
@@ -76,6 +101,10 @@
     assert_eq!(field(&unknown[0], "leader"), Some("none"), "{}", unknown[0]);
     let refused = lines(&cluster, asked, "routes_not_proposed");
     assert_eq!(refused.len(), 1, "one line for the call, not one per retry: {refused:#?}");
+    let [calls, roles, peers, _] = follow_page(&cluster, &[asked]).try_into().unwrap();
+    assert_eq!(calls.lines().count(), waiting.len() + 1, "{calls}");
+    assert!(roles.lines().last().unwrap().contains("leader=none"), "{roles}");
+    assert!(peers.contains("event=peer_connection_ended"), "{peers}");
 }
 
 /// Guards against a group without a quorum whose log does not name the voters that are missing.
@@ -140,6 +169,10 @@
     let refused = lines(&cluster, stranger, "call_refused_outside_group");
     assert_eq!(refused.len(), 3, "{refused:#?}");
     assert_eq!(field(&refused[0], "member"), Some("false"), "{refused:#?}");
+    let [calls, _, peers, joining] = follow_page(&cluster, &[stranger]).try_into().unwrap();
+    assert_eq!(calls.matches("event=call_refused_outside_group").count(), 3, "{calls}");
+    assert_eq!(peers.matches("event=peer_not_reached").count(), SHAPE.seeds, "{peers}");
+    assert!(joining.contains("entries=0") && !joining.contains("members_changed"), "{joining}");
     let not_proposed = lines(&cluster, stranger, "routes_not_proposed");
     assert!(not_proposed.len() <= 2, "one for each replacement: {not_proposed:#?}");
 }
