Let the soak lose and replace control machines that know each other by seeds

What callers saw: a group of five control processes came to have no quorum after some machines had been replaced, and a configuration that was acknowledged could not be read back. The soak has three control processes that all name each other as seeds, so that no run of it can show this.

Rounds drawn from the seed kill machines for good and start successors elsewhere, replace them as planned, remove data folders, kill and freeze, one or two at a time. Checked: each machine gives the newest configuration within 6 s of the last event, brokers serve it within 4 s (15 s more near a fault) and never go back, calls are answered within 8 s, and the newest one is read at each machine at the end. Each check is tested with a doctored record.

--- a/crates/rehearsal/src/soak/fleet.rs
+++ b/crates/rehearsal/src/soak/fleet.rs
@@ -45,19 +45,47 @@
 }
 
 impl Node {
-    fn new(
+    /// Prepares a process with the text of its settings, without starting it.
+    ///
+    /// # Errors
+    /// A [`RehearsalError`] when the settings cannot be written.
+    pub fn new(
         name: String,
         program: PathBuf,
         folder: &Path,
         text: &str,
     ) -> Result<Self, RehearsalError> {
         let settings = folder.join(format!("{name}.toml"));
-        fs::write(&settings, text)
-            .map_err(|error| RehearsalError::resource(settings.display(), error))?;
         let data = folder.join(format!("data-{name}"));
         let log = folder.to_owned();
         let disturbed = Vec::new();
-        Ok(Self { name, program, settings, data, log, starts: 0, process: None, disturbed })
+        let node = Self { name, program, settings, data, log, starts: 0, process: None, disturbed };
+        node.rewrite_settings(text)?;
+        Ok(node)
+    }
+
+    /// Replaces the settings, for the next start.
+    ///
+    /// # Errors
+    /// A [`RehearsalError`] when they cannot be written.
+    pub fn rewrite_settings(&self, text: &str) -> Result<(), RehearsalError> {
+        fs::write(&self.settings, text)
+            .map_err(|error| RehearsalError::resource(self.settings.display(), error))
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The log of its last start.
+    pub fn log(&self) -> PathBuf {
+        self.log.join(format!("{}-{}.log", self.name, self.starts))
+    }
+
+    /// Whether it was started and neither killed nor stopped since.
+    pub fn is_running(&self) -> bool {
+        self.process.is_some()
     }
 
     /// Starts the process, or lets a frozen one go on.
@@ -69,7 +97,7 @@
             process.signal(Signal::CONT)?;
         } else {
             self.starts += 1;
-            let log = self.log.join(format!("{}-{}.log", self.name, self.starts));
+            let log = self.log();
             let settings = self.settings.display().to_string();
             let arguments = ["--settings", settings.as_str()];
             self.process =
@@ -238,7 +266,7 @@
 }
 
 /// Hosts beside the given one, so that all control processes use the same ports.
-fn neighbours(host: IpAddr, count: usize) -> Vec<IpAddr> {
+pub fn neighbours(host: IpAddr, count: usize) -> Vec<IpAddr> {
     let IpAddr::V4(host) = host else {
         return vec![host; count];
     };
--- a/crates/rehearsal/src/soak/mod.rs
+++ b/crates/rehearsal/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod http;
 mod leaves;
+pub mod members;
 mod parties;
 #[cfg(test)]
 mod quota_tests;
@@ -37,8 +38,9 @@
 use crate::error::RehearsalError;
 use crate::fleet::{end_processes_on_interrupt, wait_until};
 use answer::{SHARDS, SINGLE};
-use fleet::{FleetSize, SOAK_SIZE, SoakFleet};
+use fleet::{CONTROLS, FleetSize, SOAK_SIZE, SoakFleet};
 use leaves::{Journal, ServedDirectory, StandInLeaf, serve_directory};
+use members::{LEAST_MACHINES, MOST_MACHINES, soak_members};
 use parties::{Scene, call, operate, read, replace};
 use record::{Counts, Cut, Record};
 
@@ -60,6 +62,13 @@
     seconds: u64,
     #[options(help = "seed of the faults; drawn by default", meta = "N", no_short)]
     seed: Option<u64>,
+    #[options(
+        help = "control machines: 3, or 5 to 9 of which two may be lost",
+        default = "3",
+        meta = "N",
+        no_short
+    )]
+    controls: usize,
     #[options(help = "keep logs in this folder", meta = "FOLDER", no_short)]
     folder: Option<PathBuf>,
 }
@@ -89,9 +98,25 @@
     let folder = flags.folder.clone().unwrap_or_else(|| temporary.path().to_owned());
     std::fs::create_dir_all(&folder)
         .map_err(|error| RehearsalError::resource(folder.display(), error))?;
-    let summary = soak(seed, flags.seconds, &folder)?;
-    println!("{}", serde_json::to_string(&summary).unwrap_or_default());
-    Ok(summary.violations.len())
+    match flags.controls {
+        CONTROLS => {
+            let summary = soak(seed, flags.seconds, &folder)?;
+            Ok(print(&summary, &summary.violations))
+        }
+        controls @ LEAST_MACHINES..=MOST_MACHINES => {
+            let summary = soak_members(controls, seed, flags.seconds, &folder)?;
+            Ok(print(&summary, &summary.violations))
+        }
+        _ => Err(RehearsalError::Flag(format!(
+            "--controls: use {CONTROLS}, or {LEAST_MACHINES} to {MOST_MACHINES}"
+        ))),
+    }
+}
+
+/// Prints a summary; gives the number of broken promises.
+fn print(summary: &impl Serialize, violations: &[String]) -> usize {
+    println!("{}", serde_json::to_string(summary).unwrap_or_default());
+    violations.len()
 }
 
 /// Runs a soak in a folder.
