Try each control process once before a broker returns to one that failed

Callers saw a broker that stays without a lease, or serves an older configuration, although a control process serves.

Cause: a control process without a group (a removed member, a successor that never joined) accepts connections and grants no lease. A broker excluded only the one lost last, so that it could alternate between two such processes near it. Learned addresses were tried only while no configured address accepted a connection, so never beside a dead end. A process without a group also replaced the learned addresses by its own list, which may be empty.

Change: feed::ControlHealth keeps when each control process last failed. A broker takes the nearest configured one that has not failed, then the nearest learned one, then all in turn, beginning with the one that failed first. Learned addresses are replaced only with a lease. The pause between attempts grows only once all have failed.

--- a/crates/broker/src/control_dial.rs
+++ b/crates/broker/src/control_dial.rs
@@ -8,11 +8,14 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use gingerkeel_domain::feed::{Acceptance, BackOff, NearestControl};
+use gingerkeel_transport::Clock;
 use monoio::net::TcpStream;
 use monoio::time::{sleep, timeout};
 use quick_error::quick_error;
 use tracing::warn;
 
+use crate::known_controls::KnownControls;
+
 /// Minimum pause before another control process is tried in parallel.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
 /// Connect timeout; a host without power does not answer at all.
@@ -45,7 +48,7 @@
 const REDIAL_PAUSE: Duration = Duration::from_millis(50);
 
 /// An established connection and the address of the control process.
-type Connected = (SocketAddr, TcpStream);
+pub type Connected = (SocketAddr, TcpStream);
 
 /// Result of dialling a control process, and how long the connect took.
 struct DialResult {
@@ -54,15 +57,30 @@
     connected: Result<TcpStream, DialError>,
 }
 
+/// Connects to the nearest control process that has not failed lately, or to any if all have.
+pub async fn dial_any(
+    controls: &mut KnownControls,
+    clock: Clock,
+    back_off: &mut BackOff,
+) -> Connected {
+    loop {
+        let mut usable = controls.usable(clock.now());
+        usable.truncate(MAX_PARALLEL_DIALS);
+        if usable.is_empty() {
+            return dial_in_turn(|| controls.next_in_turn(clock.now()), back_off).await;
+        }
+        if let Some(connected) = dial_nearest(&usable).await {
+            return connected;
+        }
+        warn!(event = "controls_not_reached", controls = ?usable);
+        controls.not_reached(clock.now(), &usable);
+    }
+}
+
 /// Connects to the nearest of these control processes that accepts; none if none accepts in time.
-pub async fn dial_nearest(controls: &[SocketAddr]) -> Option<Connected> {
+async fn dial_nearest(controls: &[SocketAddr]) -> Option<Connected> {
     let mut dials = FuturesUnordered::new();
-    dials.extend(
-        controls
-            .iter()
-            .take(MAX_PARALLEL_DIALS)
-            .map(|control| dial_after(*control, Duration::ZERO)),
-    );
+    dials.extend(controls.iter().map(|control| dial_after(*control, Duration::ZERO)));
     let mut nearest = NearestControl::default();
     let mut fallback: Option<Connected> = None;
     let mut until = Instant::now() + SEARCH_TIMEOUT;
@@ -96,15 +114,16 @@
     DialResult { control, took: began.elapsed(), connected }
 }
 
-/// Connects to the first control process that accepts. `next` returns the address to try, given
-/// the number of earlier attempts. Each pause without a connection starts another attempt in
-/// parallel, so that a host that is down or partitioned does not block the others.
-pub async fn dial(mut next: impl FnMut(usize) -> SocketAddr, back_off: &mut BackOff) -> Connected {
+/// Connects to the first control process that accepts. Each pause without a connection starts an
+/// attempt at the next one in parallel, so that a host that is down or partitioned does not block
+/// the others.
+async fn dial_in_turn(
+    mut next: impl FnMut() -> Option<SocketAddr>,
+    back_off: &mut BackOff,
+) -> Connected {
     let mut attempts = FuturesUnordered::new();
-    let mut tries = 0;
     loop {
-        attempts.push(connect(next(tries)));
-        tries += 1;
+        attempts.extend(next().map(connect));
         let pause = back_off.next_pause(&mut rand::rng()).max(MIN_PAUSE);
         // On a timeout the next attempt starts.
         if let Ok(connected) = timeout(pause, first_connected(&mut attempts)).await {
--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -36,7 +36,7 @@
 use rand::Rng;
 use tracing::{info, warn};
 
-use crate::control_dial::{dial, dial_nearest};
+use crate::control_dial::dial_any;
 use crate::engine::EngineMessage;
 use crate::known_controls::KnownControls;
 use crate::route_reports::{CrashReport, LinkNumber, LinkUsage, RouteReports, SlowLeaves};
@@ -99,19 +99,14 @@
         engine,
         routes,
     };
-    let mut lost: Option<SocketAddr> = None;
     loop {
-        let (control, stream) = match dial_nearest(&link.controls.configured_except(lost)).await {
-            Some(connected) => connected,
-            None => dial(|tries| link.controls.next(tries), &mut back_off).await,
-        };
-        lost = Some(control);
+        let (control, stream) = dial_any(&mut link.controls, link.clock, &mut back_off).await;
         let fresh_before = link.follower.is_fresh(clock.now());
         let Err(error) = link.follow_link(stream).await;
-        link.notify_follower(FollowerEvent::Disconnected, &mut Vec::new());
-        link.notify_routes(RouteUpdate::LinkDown);
         warn!(event = "control_link_lost", %control, %error);
-        if fresh_before || link.follower.is_fresh(clock.now()) {
+        link.end_link(control);
+        let others_usable = !link.controls.usable(clock.now()).is_empty();
+        if fresh_before || link.follower.is_fresh(clock.now()) || others_usable {
             back_off.succeeded();
         }
         let pause = back_off.next_pause(&mut rand::rng());
@@ -227,6 +222,12 @@
         }
     }
 
+    fn end_link(&mut self, control: SocketAddr) {
+        self.notify_follower(FollowerEvent::Disconnected, &mut Vec::new());
+        self.notify_routes(RouteUpdate::LinkDown);
+        self.controls.link_ended(self.clock.now(), control);
+    }
+
     async fn follow_link(
         &mut self,
         stream: TcpStream,
@@ -341,7 +342,11 @@
             FeedMessage::Lease { ticket, revision, duration_milliseconds } => {
                 let duration = Duration::from_millis(duration_milliseconds.into());
                 let grant = LeaseGrant { ticket, revision: Revision(revision), duration };
+                let lease_before = self.follower.last_lease();
                 self.notify_follower(FollowerEvent::Granted(grant), effects);
+                if self.follower.last_lease() != lease_before {
+                    self.controls.lease_granted(self.clock.now());
+                }
             }
             FeedMessage::Brokers { delta } => {
                 self.brokers.apply(unpack_document(&delta.bytes)?);
@@ -386,7 +391,7 @@
             }
             FeedMessage::Controls { .. } if !self.settings.learn_controls => {}
             FeedMessage::Controls { addresses } => {
-                self.controls.learn(decode_document(&addresses.bytes)?);
+                self.controls.name(decode_document(&addresses.bytes)?);
             }
             FeedMessage::Refused { protocol_version, reason } => {
                 let text = format!("refused ({reason:?}, protocol version {protocol_version})");
--- a/crates/broker/src/known_controls.rs
+++ b/crates/broker/src/known_controls.rs
@@ -1,56 +1,101 @@
-//! Addresses of the control processes that a broker can connect to.
+//! Addresses of the control processes that a broker can connect to, and which of them have failed.
 
 use std::net::SocketAddr;
 
+use gingerkeel_domain::feed::ControlHealth;
+use gingerkeel_domain::time::Timestamp;
 use local_sync::mpsc::unbounded::Rx;
-use rand::Rng;
 use rand::seq::SliceRandom;
 
+/// Maximum number of addresses kept from control processes that granted no lease.
+const MAX_UNCONFIRMED: usize = 64;
+
 /// Addresses from the settings, and addresses learned from control processes.
 pub struct KnownControls {
     configured: Vec<SocketAddr>,
+    /// Named by the last control process that granted a lease.
     learned: Vec<SocketAddr>,
+    /// Named by control processes that granted no lease since.
+    unconfirmed: Vec<SocketAddr>,
+    /// Named on the current link since its last lease.
+    named: Vec<SocketAddr>,
     /// New addresses after a change of the settings.
     changes: Rx<Vec<SocketAddr>>,
-    cursor: usize,
+    health: ControlHealth,
 }
 
 impl KnownControls {
-    /// Starts with the addresses of the settings, at a random position, so that brokers spread over
-    /// the control processes.
+    /// Starts with the addresses of the settings.
     pub fn new(configured: Vec<SocketAddr>, changes: Rx<Vec<SocketAddr>>) -> Self {
-        let cursor = rand::rng().random_range(0..configured.len().max(1));
-        Self { configured, learned: Vec::new(), changes, cursor }
+        Self {
+            configured,
+            learned: Vec::new(),
+            unconfirmed: Vec::new(),
+            named: Vec::new(),
+            changes,
+            health: ControlHealth::default(),
+        }
     }
 
-    /// Replaces the learned addresses.
-    pub fn learn(&mut self, learned: Vec<SocketAddr>) {
-        self.learned = learned;
+    /// Records the addresses that the current link names. They replace the learned ones with the
+    /// next lease: a control process without a group may name none, or those of long ago.
+    pub fn name(&mut self, named: Vec<SocketAddr>) {
+        self.named = named;
     }
 
-    /// The configured addresses in random order, except the one whose link was lost last: that
-    /// process may accept connections without serving them. The order is random so that brokers
-    /// spread over control processes at the same distance.
-    pub fn configured_except(&mut self, lost: Option<SocketAddr>) -> Vec<SocketAddr> {
+    /// Records a lease on the current link.
+    pub fn lease_granted(&mut self, now: Timestamp) {
+        self.health.lease_granted(now);
+        if !self.named.is_empty() {
+            self.learned = std::mem::take(&mut self.named);
+            self.unconfirmed.clear();
+        }
+    }
+
+    /// Records the end of a link.
+    pub fn link_ended(&mut self, now: Timestamp, control: SocketAddr) {
+        for named in std::mem::take(&mut self.named) {
+            if self.unconfirmed.len() < MAX_UNCONFIRMED && !self.unconfirmed.contains(&named) {
+                self.unconfirmed.push(named);
+            }
+        }
+        self.health.failed(now, control);
+    }
+
+    /// Records that these control processes accepted no connection.
+    pub fn not_reached(&mut self, now: Timestamp, controls: &[SocketAddr]) {
+        for control in controls {
+            self.health.failed(now, *control);
+        }
+    }
+
+    /// The control processes that have not failed lately, in random order, so that brokers spread
+    /// over those at the same distance; empty if all have failed.
+    pub fn usable(&mut self, now: Timestamp) -> Vec<SocketAddr> {
         self.apply_changes();
-        let others = self.configured.iter().copied().filter(|control| Some(*control) != lost);
-        let mut others: Vec<SocketAddr> = others.collect();
-        others.shuffle(&mut rand::rng());
-        others
+        let mut usable = self.health.usable(now, &self.configured, &self.only_learned());
+        usable.shuffle(&mut rand::rng());
+        usable
     }
 
-    /// The next address, round robin over the configured ones; after as many failed attempts in a
-    /// row as there are configured addresses, over the learned ones, too.
-    pub fn next(&mut self, tries: usize) -> SocketAddr {
+    /// The next of all control processes in turn, although each has failed lately; any of those
+    /// that failed at the same time.
+    pub fn next_in_turn(&mut self, now: Timestamp) -> Option<SocketAddr> {
         self.apply_changes();
-        self.cursor = self.cursor.wrapping_add(1);
-        let configured = &self.configured;
-        if tries < configured.len() {
-            return configured[self.cursor % configured.len()];
+        let mut all = [self.configured.clone(), self.only_learned()].concat();
+        all.shuffle(&mut rand::rng());
+        self.health.next_in_turn(now, &all)
+    }
+
+    /// The addresses that the settings do not name.
+    fn only_learned(&self) -> Vec<SocketAddr> {
+        let mut learned: Vec<SocketAddr> = Vec::new();
+        for control in self.learned.iter().chain(&self.unconfirmed) {
+            if !self.configured.contains(control) && !learned.contains(control) {
+                learned.push(*control);
+            }
         }
-        let learned = self.learned.iter().filter(|control| !configured.contains(control));
-        let all: Vec<SocketAddr> = configured.iter().chain(learned).copied().collect();
-        all[self.cursor % all.len()]
+        learned
     }
 
     fn apply_changes(&mut self) {
--- a/crates/broker/tests/support/control.rs
+++ b/crates/broker/tests/support/control.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -36,6 +37,9 @@
     pub lease_milliseconds: u32,
     /// Whether leases are renewed after the first one.
     pub renews: bool,
+    /// Whether the process belongs to a group: without one it accepts links, and sends neither a
+    /// catalog nor a lease. The test may change it.
+    pub belongs_to_group: Arc<AtomicBool>,
     /// Evacuated zones of the catalog.
     pub evacuated: Vec<&'static str>,
     /// Changes applied to the catalog before the start.
@@ -64,6 +68,7 @@
             lowest_admitted: ADMIT_ALL,
             lease_milliseconds: LEASE_MILLISECONDS,
             renews: true,
+            belongs_to_group: Arc::new(AtomicBool::new(true)),
             evacuated: Vec::new(),
             changes: Vec::new(),
             later_changes: BTreeMap::new(),
@@ -166,6 +171,12 @@
             let answer = |granted| FeedMessage::Trial { ticket: *ticket, granted };
             script.grants_trials.map(answer).into_iter().collect()
         }
+        SubscriberMessage::Subscribe { .. } if !script.belongs_to_group.load(Ordering::Relaxed) => {
+            messages_with(script, 0)
+        }
+        SubscriberMessage::Renew { .. } if !script.belongs_to_group.load(Ordering::Relaxed) => {
+            Vec::new()
+        }
         SubscriberMessage::Subscribe { .. } => {
             let bytes = encode_document(catalog).expect("a catalog is a document");
             let service = ShortText::new("tickets");
--- a/crates/domain/src/feed/follower.rs
+++ b/crates/domain/src/feed/follower.rs
@@ -139,6 +139,8 @@
     next_ticket: u64,
     renewals: VecDeque<Renewal>,
     pending_lease: Option<PendingLease>,
+    /// When the renewal of the last grant was requested.
+    last_lease: Option<Timestamp>,
     link: Option<Link>,
 }
 
@@ -152,6 +154,7 @@
             next_ticket: 1,
             renewals: VecDeque::new(),
             pending_lease: None,
+            last_lease: None,
             link: None,
         }
     }
@@ -166,6 +169,11 @@
         now < self.fresh_until
     }
 
+    /// When the last lease that was granted was requested; `None` before the first one.
+    pub fn last_lease(&self) -> Option<Timestamp> {
+        self.last_lease
+    }
+
     /// When [`FollowerEvent::TimerElapsed`] is due next; `None` without a link.
     pub fn next_timer(&self) -> Option<Timestamp> {
         let link = self.link?;
@@ -274,6 +282,7 @@
         if let Some(link) = &mut self.link {
             link.last_grant = now;
         }
+        self.last_lease = Some(renewal.requested_at);
         let until = renewal.requested_at.after(grant.duration);
         if grant.revision == in_force {
             self.extend(until, effects);
