Log which control process feeds a broker and for how long it has had no lease

Nobody could tell afterwards why a broker had an older configuration: the log named only lost links and their error.

Evidence: the_log_tells_why_a_broker_had_an_older_configuration (gingerkeel-broker, control_choice).

--- a/crates/broker/src/feed.rs
+++ b/crates/broker/src/feed.rs
@@ -101,9 +101,12 @@
     };
     loop {
         let (control, stream) = dial_any(&mut link.controls, link.clock, &mut back_off).await;
+        link.log_taken(control);
         let fresh_before = link.follower.is_fresh(clock.now());
+        let lease_before = link.follower.last_lease();
         let Err(error) = link.follow_link(stream).await;
-        warn!(event = "control_link_lost", %control, %error);
+        let granted = link.follower.last_lease() != lease_before;
+        link.log_lost(control, granted, &error);
         link.end_link(control);
         let others_usable = !link.controls.usable(clock.now()).is_empty();
         if fresh_before || link.follower.is_fresh(clock.now()) || others_usable {
@@ -228,6 +231,33 @@
         self.controls.link_ended(self.clock.now(), control);
     }
 
+    fn log_taken(&self, control: SocketAddr) {
+        info!(
+            event = "control_link_taken",
+            %control,
+            kind = %self.controls.kind(control),
+            revision = self.follower.catalog().revision().0,
+            since_lease_ms = self.since_lease_ms()
+        );
+    }
+
+    fn log_lost(&self, control: SocketAddr, granted: bool, error: &LinkError) {
+        warn!(
+            event = "control_link_lost",
+            %control,
+            granted,
+            revision = self.follower.catalog().revision().0,
+            since_lease_ms = self.since_lease_ms(),
+            %error
+        );
+    }
+
+    /// Milliseconds since the last lease was requested; none before the first lease.
+    fn since_lease_ms(&self) -> Option<u64> {
+        let since = self.clock.now().since(self.follower.last_lease()?);
+        u64::try_from(since.as_millis()).ok()
+    }
+
     async fn follow_link(
         &mut self,
         stream: TcpStream,
--- a/crates/broker/src/known_controls.rs
+++ b/crates/broker/src/known_controls.rs
@@ -1,5 +1,6 @@
 //! Addresses of the control processes that a broker can connect to, and which of them have failed.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use gingerkeel_domain::feed::ControlHealth;
@@ -10,6 +11,24 @@
 /// Maximum number of addresses kept from control processes that granted no lease.
 const MAX_UNCONFIRMED: usize = 64;
 
+/// Where the address of a control process comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ControlKind {
+    /// The settings.
+    Configured,
+    /// Another control process.
+    Learned,
+}
+
+impl fmt::Display for ControlKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Configured => "configured",
+            Self::Learned => "learned",
+        })
+    }
+}
+
 /// Addresses from the settings, and addresses learned from control processes.
 pub struct KnownControls {
     configured: Vec<SocketAddr>,
@@ -87,6 +106,15 @@
         self.health.next_in_turn(now, &all)
     }
 
+    /// Where the address of a control process comes from.
+    pub fn kind(&self, control: SocketAddr) -> ControlKind {
+        if self.configured.contains(&control) {
+            ControlKind::Configured
+        } else {
+            ControlKind::Learned
+        }
+    }
+
     /// The addresses that the settings do not name.
     fn only_learned(&self) -> Vec<SocketAddr> {
         let mut learned: Vec<SocketAddr> = Vec::new();
--- a/crates/broker/tests/control_choice.rs
+++ b/crates/broker/tests/control_choice.rs
@@ -136,3 +136,37 @@
     let took = began.elapsed();
     assert!(took < time_to_leave(1) + SEARCH, "{took:?}\n{}", broker.log());
 }
+
+/// The value of a field in each line of an event.
+fn field_of(log: &str, event: &str, key: &str) -> Vec<Option<String>> {
+    let (event, key) = (format!("event={event}"), format!("{key}="));
+    let lines = log.lines().filter(|line| line.split(' ').any(|pair| pair == event));
+    let value =
+        |line: &str| line.split(' ').find_map(|pair| pair.strip_prefix(&key).map(str::to_owned));
+    lines.map(value).collect()
+}
+
+#[test]
+fn the_log_tells_why_a_broker_had_an_older_configuration() {
+    let in_group = Arc::new(AtomicBool::new(true));
+    let other = ScriptedControl::serve(&any_catalog());
+    let first = control(&in_group, &[other.address]);
+    let (broker, _) = start(&[], first);
+    in_group.store(false, Ordering::Relaxed);
+    wait_until("the other control process feeds the broker", || subscriptions(&other) == 1);
+    let taken = "control_link_taken";
+    wait_until("the second link is logged", || field_of(&broker.log(), taken, "kind").len() == 2);
+    let log = broker.log();
+    let texts = |values: &[&str]| -> Vec<Option<String>> {
+        values.iter().map(|value| Some((*value).to_owned())).collect()
+    };
+    assert_eq!(field_of(&log, taken, "kind"), texts(&["configured", "learned"]), "{log}");
+    assert_eq!(field_of(&log, "control_link_lost", "granted"), texts(&["true"]), "{log}");
+    let revision = any_catalog().revision().0.to_string();
+    assert_eq!(field_of(&log, taken, "revision"), texts(&["0", &revision]), "{log}");
+    assert_eq!(field_of(&log, "control_link_lost", "revision"), texts(&[&revision]), "{log}");
+    let without_lease = field_of(&log, taken, "since_lease_ms");
+    let milliseconds = |value: &Option<String>| value.as_ref()?.parse::<u64>().ok();
+    assert_eq!(milliseconds(&without_lease[0]), None, "{log}");
+    assert!(milliseconds(&without_lease[1]) >= Some(1_500), "{log}");
+}
