Refuse a chunked body whose trailers do not end

Callers saw a request held until its deadline when a leaf sent the last chunk of its body and then trailer fields without end: the broker read on for as long as the leaf sent.

Cause: each trailer line was bounded, their number and total length were not.

Change: more than 16 KiB of trailer fields make the body malformed, as a line without an end does.

--- a/crates/transport/src/http1/body.rs
+++ b/crates/transport/src/http1/body.rs
@@ -7,6 +7,8 @@
 
 /// Maximum length of a chunk-size line or a trailer field, in bytes.
 const LINE_LIMIT: usize = 4 * 1024;
+/// Maximum length of all trailer fields of a body, in bytes.
+const TRAILERS_LIMIT: usize = 16 * 1024;
 
 /// Decodes one body from a buffer, piece by piece.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,7 +22,8 @@
     ChunkSize,
     Chunk(u64),
     ChunkEnd,
-    Trailers,
+    /// Trailer fields of this length have been read.
+    Trailers(usize),
     UntilClose,
     Done,
 }
@@ -81,9 +84,9 @@
                     Some(_) => return Err(malformed("bytes after a chunk")),
                     None => return Ok(None),
                 },
-                State::Trailers => match take_line(buffer)? {
+                State::Trailers(read) => match take_line(buffer)? {
                     Some(line) if line.is_empty() => self.state = State::Done,
-                    Some(_) => {}
+                    Some(line) => self.state = trailers_state(read + line.len())?,
                     None => return Ok(None),
                 },
             }
@@ -97,11 +100,18 @@
     let text = std::str::from_utf8(digits).map_err(|_| malformed("size of a chunk"))?;
     let size = u64::from_str_radix(text, 16).ok().filter(|_| hexadecimal);
     match size.ok_or_else(|| malformed("size of a chunk"))? {
-        0 => Ok(State::Trailers),
+        0 => Ok(State::Trailers(0)),
         size => Ok(State::Chunk(size)),
     }
 }
 
+fn trailers_state(read: usize) -> Result<State, HeadError> {
+    if read > TRAILERS_LIMIT {
+        return Err(malformed("trailers without an end"));
+    }
+    Ok(State::Trailers(read))
+}
+
 fn take(buffer: &mut BytesMut, limit: u64) -> Option<(Bytes, u64)> {
     let count = (buffer.len() as u64).min(limit);
     if count == 0 {
--- a/crates/transport/tests/http1.rs
+++ b/crates/transport/tests/http1.rs
@@ -118,6 +118,13 @@
     assert!(matches!(decoded, Err(HeadError::Malformed(_))), "{decoded:?}");
 }
 
+#[test]
+fn trailers_without_end_are_an_error() {
+    let trailers = [&b"0\r\n"[..], &b"a: b\r\n".repeat(10_000)].concat();
+    let decoded = decode(BodyFraming::Chunked, &trailers, 4096);
+    assert!(matches!(decoded, Err(HeadError::Malformed(_))), "{decoded:?}");
+}
+
 #[test]
 fn a_decoder_consumes_no_bytes_beyond_the_body() {
     let mut buffer = BytesMut::from("0\r\n\r\nnext");
