Refuse a chunk that is larger than the limit of the body

A peer that declared one huge chunk, or sent the digits of a chunk's size without end, made any process keep all that it sent: operators' and queries' bodies at control and brokers, the directory's pages and the answers of probes.

Cause: the chunk decoder of monoio-http returns a chunk only when it is whole, and the limit was checked on whole chunks.

Change: chunks are decoded in pieces as they arrive, by the decoder that the routes use, and the limit holds for each piece.

--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -13,6 +13,7 @@
 };
 use monoio_http::h1::payload::{FixedPayload, Payload};
 
+use crate::http1::{self, BodyFraming, HeadError};
 use crate::{Limits, TransportError};
 
 /// A request with its complete body.
@@ -126,20 +127,43 @@
             Some(Ok(bytes)) => Ok(bytes),
             Some(Err(_)) => Err(TransportError::ConnectionClosed),
         },
-        PayloadDecoder::Streamed(mut decoder) => {
-            let mut collected = BytesMut::new();
-            loop {
-                match framed.next_with(&mut decoder).await {
-                    None => return Err(TransportError::ConnectionClosed),
-                    Some(Err(error)) => return Err(TransportError::Malformed(error.to_string())),
-                    Some(Ok(None)) => return Ok(collected.freeze()),
-                    Some(Ok(Some(chunk))) => {
-                        if collected.len() + chunk.len() > limits.body_bytes {
-                            return Err(TransportError::BodyTooLarge(limits.body_bytes));
-                        }
-                        collected.extend_from_slice(&chunk);
-                    }
+        PayloadDecoder::Streamed(_) => read_chunks(framed, limits).await,
+    }
+}
+
+/// Decodes chunks in pieces as they arrive. The decoder of `monoio-http` buffers a whole chunk,
+/// whatever size the peer declares.
+struct ChunkDecoder(http1::BodyDecoder);
+
+impl Decoder for ChunkDecoder {
+    type Item = Option<Bytes>;
+    type Error = TransportError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Decoded<Self::Item>, Self::Error> {
+        let malformed = |error: HeadError| TransportError::Malformed(error.to_string());
+        match self.0.decode(source).map_err(malformed)? {
+            Some(piece) => Ok(Decoded::Some(Some(piece))),
+            None if self.0.is_done() => Ok(Decoded::Some(None)),
+            None => Ok(Decoded::Insufficient),
+        }
+    }
+}
+
+async fn read_chunks<IO: AsyncReadRent>(
+    framed: &mut FramedRead<IO, ()>,
+    limits: &Limits,
+) -> Result<Bytes, TransportError> {
+    let mut decoder = ChunkDecoder(http1::BodyDecoder::new(BodyFraming::Chunked));
+    let mut collected = BytesMut::new();
+    loop {
+        let piece = framed.next_with(&mut decoder).await;
+        match piece.ok_or(TransportError::ConnectionClosed)?? {
+            None => return Ok(collected.freeze()),
+            Some(piece) => {
+                if collected.len() + piece.len() > limits.body_bytes {
+                    return Err(TransportError::BodyTooLarge(limits.body_bytes));
                 }
+                collected.extend_from_slice(&piece);
             }
         }
     }
