End a streamed reply at the deadline of its request

Callers saw an answer that began and never ended, and their connection and the one to the leaf stayed open: a leaf that sent a long body without end, or fell silent in it, was read for as long as it kept the connection.

Cause: the deadline held until the reply was relayed; nothing bounded its rest.

Change: the rest of a streamed reply has to end by the deadline of the request; after it the caller's connection is closed without the end of the body, so that the answer looks cut short, and the one to the leaf is closed. The length of a body stays unbounded.

Evidence: endless_replies is new; it checks the status, the time, the closed connections, VmHWM and another request meanwhile.

--- a/crates/broker/src/routes/attempt.rs
+++ b/crates/broker/src/routes/attempt.rs
@@ -17,6 +17,7 @@
 };
 
 use http::StatusCode;
+use monoio::time::timeout;
 
 use super::authentication::{AUTHORIZATION, CallerIdentity};
 use super::crash_watch::request_digest;
@@ -91,6 +92,8 @@
 pub struct ReplyStream {
     connection: LeafConnection,
     decoder: BodyDecoder,
+    /// When the reply has to be complete.
+    deadline: Instant,
 }
 
 /// A leaf's reply.
@@ -113,9 +116,15 @@
     /// The next piece; none at the end of the body.
     ///
     /// # Errors
-    /// A [`ReadError`] if the reply is cut short.
+    /// A [`ReadError`] if the reply is cut short or does not end by the deadline.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ReadError> {
-        self.connection.reader.body_piece(&mut self.decoder).await
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            // A leaf that sends without end always has a piece ready.
+            return Err(ReadError::TimedOut);
+        }
+        let piece = self.connection.reader.body_piece(&mut self.decoder);
+        timeout(left, piece).await.unwrap_or(Err(ReadError::TimedOut))
     }
 }
 
@@ -285,7 +294,7 @@
         && framing != BodyFraming::UntilClose
         && connection.reader.is_empty();
     if !decoder.is_done() && !rejected {
-        let rest = ReplyStream { connection, decoder };
+        let rest = ReplyStream { connection, decoder, deadline: request.deadline };
         let leaf = leaf.identity.clone();
         let head_only = method == "HEAD";
         return Ok(LeafReply { leaf, head, head_only, framing, body, rest: Some(rest) });
--- a/crates/broker/src/routes/callers.rs
+++ b/crates/broker/src/routes/callers.rs
@@ -275,8 +275,8 @@
         }
     }
 
-    /// Relays a reply. If the leaf's reply is cut short, the connection is closed so that the
-    /// caller sees a truncated reply.
+    /// Relays a reply. If the leaf's reply is cut short or does not end by the deadline, the
+    /// connection is closed so that the caller sees a truncated reply.
     async fn relay(&mut self, reply: LeafReply, keep_alive: bool) -> Result<(), ConnectionEnd> {
         let (mut bytes, framing) = relayed_head(&reply, keep_alive);
         add_piece(&mut bytes, &reply.body, framing);
@@ -356,6 +356,7 @@
     match error {
         ReadError::Head(HeadError::TooLarge(_)) => ConnectionEnd::Refused(Refusal::HeadTooLarge),
         ReadError::Head(_) => ConnectionEnd::Refused(Refusal::Malformed),
+        ReadError::TimedOut => ConnectionEnd::Refused(Refusal::Slow),
         ReadError::Socket(_) | ReadError::ConnectionClosed => ConnectionEnd::Closed,
     }
 }
--- a/crates/transport/src/http1/reader.rs
+++ b/crates/transport/src/http1/reader.rs
@@ -51,6 +51,10 @@
         ConnectionClosed {
             display("the connection closed within a message: send the request again if it may be repeated")
         }
+        /// The message did not end in time.
+        TimedOut {
+            display("the message did not end in time: check the sender, or allow more time")
+        }
         /// The head or the framing is invalid.
         Head(error: HeadError) {
             from()
