Let other tasks run while a leaf sends faster than the broker reads

Callers saw other requests wait while a leaf sent a body faster than the broker passed it on; the broker's timers did not run either, so its deadlines were not kept.

Cause: the runtime switches tasks and runs timers only when a task waits. A socket that always has bytes to read, and one that always takes them, never let the relay wait.

Change: after 2 ms of reading a body without waiting for its sender, the reader pauses for 1 ms. A reader that waits for its sender never pauses.

--- a/crates/broker/tests/endless_replies.rs
+++ b/crates/broker/tests/endless_replies.rs
@@ -133,6 +133,7 @@
 #[case::size_of_a_chunk(CHUNKED, "0", &[502])]
 #[case::trailers(&format!("{CHUNKED}0\r\n"), "a: b\r\n", &[502, 504])]
 #[case::until_close(UNTIL_CLOSE, "x", &[200])]
+#[case::chunks(CHUNKED, "4\r\nabcd\r\n", &[200])]
 #[case::one_chunk(&format!("{CHUNKED}fffffffffff\r\n"), "x", &[200])]
 #[case::silence_in_a_long_reply(&format!("{UNTIL_CLOSE}{}", "x".repeat(100_000)), "", &[200])]
 #[case::trailers_of_a_long_reply(&format!("{CHUNKED}186a0\r\n{}\r\n0\r\n", "x".repeat(100_000)), "a: b\r\n", &[200])]
--- a/crates/transport/src/http1/reader.rs
+++ b/crates/transport/src/http1/reader.rs
@@ -1,11 +1,15 @@
 //! Buffered reader over the read half of a connection.
 
 use std::cell::RefCell;
+use std::future::{Future, poll_fn};
 use std::io;
+use std::pin::pin;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use monoio::io::{AsyncReadRent, OwnedReadHalf};
 use monoio::net::TcpStream;
+use monoio::time::sleep;
 use quick_error::quick_error;
 
 use super::body::BodyDecoder;
@@ -16,6 +20,11 @@
 /// Maximum number of idle read buffers per thread: as many as a scatter to tens of leaves uses at a
 /// time, at a negligible memory cost (128 KiB).
 const MAX_IDLE_BUFFERS: usize = 32;
+/// Longest time for which a body is read without waiting for its sender.
+const MAX_BUSY_TIME: Duration = Duration::from_millis(2);
+/// Pause after [`MAX_BUSY_TIME`]. The runtime switches tasks and runs timers only when a task waits,
+/// and a sender that is faster than the reader never lets it wait.
+const BUSY_PAUSE: Duration = Duration::from_millis(1);
 
 thread_local! {
     /// Pool of idle read buffers. Without the pool, a read of a few hundred bytes spends more time on
@@ -67,12 +76,14 @@
 pub struct HttpReader {
     half: OwnedReadHalf<TcpStream>,
     buffer: BytesMut,
+    /// Since when the body has been read without waiting for its sender.
+    busy_since: Option<Instant>,
 }
 
 impl HttpReader {
     /// Creates a reader with an empty buffer.
     pub fn new(half: OwnedReadHalf<TcpStream>) -> Self {
-        Self { half, buffer: BytesMut::new() }
+        Self { half, buffer: BytesMut::new(), busy_since: None }
     }
 
     /// Whether the buffer holds no unconsumed bytes.
@@ -105,6 +116,7 @@
     /// # Errors
     /// A [`ReadError`] if the head is invalid, too large or incomplete, or the socket fails.
     pub async fn request_head(&mut self, limit: usize) -> Result<Option<RequestHead>, ReadError> {
+        self.busy_since = None;
         loop {
             if let Some(head) = parse_request(&mut self.buffer, limit)? {
                 return Ok(Some(head));
@@ -120,6 +132,7 @@
     /// # Errors
     /// A [`ReadError`] if the head is invalid, too large or incomplete, or the socket fails.
     pub async fn response_head(&mut self, limit: usize) -> Result<ResponseHead, ReadError> {
+        self.busy_since = None;
         loop {
             if let Some(head) = parse_response(&mut self.buffer, limit)? {
                 return Ok(head);
@@ -130,7 +143,8 @@
         }
     }
 
-    /// The next piece of a body; none once the body is complete.
+    /// The next piece of a body; none once the body is complete. Pauses now and then, so that other
+    /// tasks run while the sender is faster than the reader.
     ///
     /// # Errors
     /// A [`ReadError`]; [`ReadError::ConnectionClosed`] if the connection closed before the end of the
@@ -139,6 +153,7 @@
         &mut self,
         decoder: &mut BodyDecoder,
     ) -> Result<Option<Bytes>, ReadError> {
+        self.pause_if_busy().await;
         loop {
             if let Some(piece) = decoder.decode(&mut self.buffer)? {
                 return Ok(Some(piece));
@@ -146,13 +161,39 @@
             if decoder.is_done() {
                 return Ok(None);
             }
-            if self.fill().await? == 0 {
+            if self.fill_noting_wait().await? == 0 {
                 let complete = decoder.ends_with_connection();
                 return if complete { Ok(None) } else { Err(ReadError::ConnectionClosed) };
             }
         }
     }
 
+    async fn pause_if_busy(&mut self) {
+        let since = *self.busy_since.get_or_insert_with(Instant::now);
+        if since.elapsed() >= MAX_BUSY_TIME {
+            sleep(BUSY_PAUSE).await;
+            self.busy_since = None;
+        }
+    }
+
+    /// Like [`Self::fill`]; notes whether it had to wait for the sender.
+    async fn fill_noting_wait(&mut self) -> io::Result<usize> {
+        let mut has_waited = false;
+        let count = {
+            let mut filling = pin!(self.fill());
+            poll_fn(|context| {
+                let polled = filling.as_mut().poll(context);
+                has_waited |= polled.is_pending();
+                polled
+            })
+            .await?
+        };
+        if has_waited {
+            self.busy_since = None;
+        }
+        Ok(count)
+    }
+
     /// Reads and discards up to `limit` bytes until the peer closes its side. Closing a connection
     /// with unread bytes resets it, and the peer could lose its response.
     pub async fn discard(&mut self, limit: usize) {
