End a reading of the directory that does not end

Operators saw a control process that took memory for as long as the outside directory named another page, up to 10,000 pages of 1 MiB, and a list of leaves that was not renewed meanwhile, for up to four hours.

Cause: the pages of a list were bounded by their number alone, each by 1.5 s and 1 MiB.

Change: all pages of one list are bounded by 16 MiB and 60 s.

--- a/crates/control/src/directory_polling.rs
+++ b/crates/control/src/directory_polling.rs
@@ -30,8 +30,11 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(300);
 /// Time limit for one call to the directory.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Maximum number of pages of one list, against a list that never ends.
-const MAX_PAGES: usize = 10_000;
+/// Maximum size of all pages of one list, in bytes: several times that of the largest planned
+/// cluster.
+const MAX_LIST_BYTES: usize = 16 * 1024 * 1024;
+/// Time limit for reading all pages of one list.
+const LIST_TIMEOUT: Duration = Duration::from_secs(60);
 
 quick_error! {
     /// Why a reading of the list failed.
@@ -59,8 +62,8 @@
         InvalidTarget(target: String) {
             display("`{target}` is not a valid path: check the directory")
         }
-        /// The list has more than the maximum number of pages.
-        TooManyPages {
+        /// The list has more pages than its limit of size or time allows.
+        Endless {
             display("the list does not end: check the directory")
         }
     }
@@ -147,6 +150,25 @@
     }
 }
 
+/// What is left of the limits of one reading.
+struct ReadingAllowance {
+    bytes: usize,
+    ends_at: Instant,
+}
+
+impl ReadingAllowance {
+    fn new(now: Instant) -> Self {
+        Self { bytes: MAX_LIST_BYTES, ends_at: now + LIST_TIMEOUT }
+    }
+
+    /// Counts a page of `length` bytes that has been read by `now`.
+    fn take_page(&mut self, now: Instant, length: usize) -> Result<(), PollError> {
+        let left = self.bytes.checked_sub(length).filter(|_| now < self.ends_at);
+        self.bytes = left.ok_or(PollError::Endless)?;
+        Ok(())
+    }
+}
+
 struct DirectoryReader {
     address: SocketAddr,
     interface: Rc<dyn DirectoryInterface>,
@@ -157,9 +179,11 @@
     async fn read(&mut self) -> Result<DirectoryReading, PollError> {
         let mut reading = DirectoryReading::default();
         let mut page: Option<String> = None;
-        for _ in 0..MAX_PAGES {
+        let mut allowance = ReadingAllowance::new(Instant::now());
+        loop {
             let body = timeout(CALL_TIMEOUT, self.call(page.as_deref()));
             let body = body.await.map_err(|_| PollError::TimedOut)??;
+            allowance.take_page(Instant::now(), body.len())?;
             let read = self.interface.parse_page(&body)?;
             read.leaves.into_iter().for_each(|leaf| reading.add(leaf));
             read.left_out.into_iter().for_each(|entry| reading.reject(entry));
@@ -168,7 +192,6 @@
                 None => return Ok(reading),
             }
         }
-        Err(PollError::TooManyPages)
     }
 
     async fn call(&mut self, page: Option<&str>) -> Result<Bytes, PollError> {
--- a/crates/control/src/directory_polling/tests.rs
+++ b/crates/control/src/directory_polling/tests.rs
@@ -50,3 +50,15 @@
         (900, true, false, false),
     ]);
 }
+
+/// Guards against a reading that lasts for as long as each page names another.
+#[test]
+fn reading_ends_at_its_limits_of_size_and_time() {
+    let start = Instant::now();
+    let mut large = ReadingAllowance::new(start);
+    assert!(large.take_page(start, MAX_LIST_BYTES).is_ok());
+    assert!(matches!(large.take_page(start, 1), Err(PollError::Endless)));
+    let mut slow = ReadingAllowance::new(start);
+    assert!(slow.take_page(start + LIST_TIMEOUT / 2, 1).is_ok());
+    assert!(matches!(slow.take_page(start + LIST_TIMEOUT, 1), Err(PollError::Endless)));
+}
