--- a/crates/control/tests/replication/main.rs
+++ b/crates/control/tests/replication/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../disks/mod.rs"]
 mod disks;
+mod endless_frames;
 mod full_disk;
 mod peers;
 mod snapshots;
