Test peers that send probes without end

Two tests that fail until peers/incoming.rs is mended:

probes_whose_replies_are_not_read_close_the_connection: a peer that never reads its replies keeps its connection and its task for good, since replies are written without a time limit ('the connection stays open' after 15 s).

probes_without_end_hold_up_no_other_peer: while a peer sends probes without a pause and reads the replies, the process serves nobody else, since neither socket lets its task wait (another peer was greeted after 10.16 s, at 5 s of probes).

--- a/crates/control/tests/replication/endless_frames.rs
+++ b/crates/control/tests/replication/endless_frames.rs
@@ -25,6 +25,8 @@
 const CLOSE_TIME: Duration = Duration::from_secs(15);
 /// Longest time for an answer of the member.
 const ANSWER_TIME: Duration = Duration::from_secs(3);
+/// Time for which a peer sends probes.
+const PROBING_TIME: Duration = Duration::from_secs(5);
 /// Time after which another peer connects while one sends without end.
 const MEANWHILE: Duration = Duration::from_millis(100);
 
@@ -39,6 +41,10 @@
     encode_frame(&frame).expect("a frame")
 }
 
+fn probe() -> Vec<u8> {
+    encode_frame(&PeerFrame::Probe).expect("a frame")
+}
+
 fn connect(address: SocketAddr) -> TcpStream {
     let due = Instant::now() + CLOSE_TIME;
     loop {
@@ -78,7 +84,17 @@
     written
 }
 
-/// Starts a member, sends without end to it, and asserts that it serves others meanwhile; returns the
+/// Asserts that another peer is greeted in time.
+fn assert_greets(address: SocketAddr) {
+    let began = Instant::now();
+    let mut other = connect(address);
+    other.set_read_timeout(Some(CLOSE_TIME)).expect("a valid time");
+    other.write_all(&hello()).expect("the greeting is sent");
+    assert!(other.read(&mut [0; 64]).is_ok_and(|count| count > 0), "the member answers");
+    assert!(began.elapsed() < ANSWER_TIME, "after {:?}", began.elapsed());
+}
+
+/// Starts a member, sends without end to it, and asserts that it greets others meanwhile; returns the
 /// number of bytes written.
 fn bytes_taken(start: Vec<u8>, unit: &'static [u8]) -> usize {
     let folder = TempDir::new().expect("a folder");
@@ -87,12 +103,7 @@
     let stream = connect(addresses[0]);
     let sender = thread::spawn(move || send_without_end(stream, &start, unit));
     thread::sleep(MEANWHILE);
-    let began = Instant::now();
-    let mut other = connect(addresses[0]);
-    other.set_read_timeout(Some(CLOSE_TIME)).expect("a valid time");
-    other.write_all(&hello()).expect("the greeting is sent");
-    assert!(other.read(&mut [0; 64]).is_ok_and(|count| count > 0), "the member answers");
-    assert!(began.elapsed() < ANSWER_TIME, "after {:?}", began.elapsed());
+    assert_greets(addresses[0]);
     sender.join().expect("the connection is closed")
 }
 
@@ -107,3 +118,34 @@
     let written = bytes_taken(start, unit);
     assert!(written < CONNECTION_BYTES, "{written} bytes were taken");
 }
+
+/// Guards against a connection whose peer sends probes and never reads the replies.
+#[test]
+fn probes_whose_replies_are_not_read_close_the_connection() {
+    let unit: &'static [u8] = Box::leak(probe().into_boxed_slice());
+    let written = bytes_taken(hello(), unit);
+    assert!(written < CONNECTION_BYTES, "{written} bytes were taken");
+}
+
+/// Guards against a member that serves nobody else while a peer sends probes without a pause.
+#[test]
+fn probes_without_end_hold_up_no_other_peer() {
+    let folder = TempDir::new().expect("a folder");
+    let addresses = free_addresses(2);
+    let _member = Member::start(settings(folder.path(), &addresses), Box::new(DiskIo));
+    let mut stream = connect(addresses[0]);
+    let mut replies = stream.try_clone().expect("a second handle");
+    thread::spawn(move || {
+        let mut buffer = vec![0; WRITE_BYTES];
+        while replies.read(&mut buffer).is_ok_and(|count| count > 0) {}
+    });
+    let sender = thread::spawn(move || {
+        stream.write_all(&hello()).expect("the greeting is sent");
+        let block = probe().repeat(WRITE_BYTES / probe().len());
+        let end = Instant::now() + PROBING_TIME;
+        while Instant::now() < end && stream.write_all(&block).is_ok() {}
+    });
+    thread::sleep(MEANWHILE);
+    assert_greets(addresses[0]);
+    sender.join().expect("the probes are sent");
+}
