Elect and keep a leader while every disk is slow

What callers saw: 503 after 5 s (no leader is known, or an unknown outcome) while every sync took as long as the election timeout or longer; terms rose to 12 within 5 s on a virtual clock.

Cause: (1) a candidate started the next election, with one more write, before its own vote and those of the others were durable; (2) a leader stepped down, since followers answered heartbeats only after the writes before them; (3) members that timed out together split the votes, which costs three more syncs.

Change, on the wire as before: - A heartbeat is answered at once while writes are pending, by an answer that says nothing about the log (AppendOutcome::StaleTerm until now, renamed NoStatement, same position in postcard). It waits for the term to be durable. Check-quorum counts it; `matched` doesn't move with it. - No election starts, and no pre-vote is granted, while the own vote is being written. The election timeout starts anew once it is durable, longer by the time of that write. - A candidate whose votes are late asks for pre-votes of the next term, which write nothing, and still counts the votes of its own term. - Of members that ask for pre-votes within one heartbeat interval one goes on. - Whether a member counts as lost, caught up or reachable is still judged by answers that waited for its writes, so that a voter whose disk hangs is replaced as before.

New mutants: an early answer that confirms entries, and a late vote that counts in a later term.

--- a/crates/domain/src/consensus/appending.rs
+++ b/crates/domain/src/consensus/appending.rs
@@ -23,22 +23,36 @@
             let term = self.log.term_at(self.commit).unwrap_or(previous.term);
             previous = LogPosition { term, index: self.commit };
         }
+        let mut appended = false;
         let outcome = if self.log.term_at(previous.index) == Some(previous.term) {
             let matched = entries.last().map_or(previous.index, |entry| entry.index);
-            self.merge(entries);
+            appended = self.merge(entries);
             self.commit = self.commit.max(commit.min(matched));
             AppendOutcome::Accepted { matched }
         } else {
             let hint = self.conflict_hint(previous.index);
             AppendOutcome::Rejected { previous: previous.index, hint }
         };
+        if !appended {
+            self.acknowledge_heartbeat(from, round);
+        }
         self.send(from, Message::AppendResponse { outcome, round });
     }
 
-    /// Appends entries whose predecessor matches, replacing conflicting ones.
-    fn merge(&mut self, entries: Vec<Entry>) {
+    /// Answers a heartbeat without waiting for the writes before it, so that a slow disk does not
+    /// make the leader step down. The answer confirms no entry.
+    fn acknowledge_heartbeat(&mut self, leader: MemberId, round: ReadRound) {
+        if self.term_is_persisted() && !self.all_is_persisted() {
+            let outcome = AppendOutcome::NoStatement;
+            self.send_once_in_term(leader, Message::AppendResponse { outcome, round });
+        }
+    }
+
+    /// Appends entries whose predecessor matches, replacing conflicting ones; returns whether any
+    /// was appended.
+    fn merge(&mut self, entries: Vec<Entry>) -> bool {
         let Some(first) = self.log.first_conflict(&entries) else {
-            return;
+            return false;
         };
         if first <= self.log.last().index {
             self.log.truncate_from(first);
@@ -47,6 +61,7 @@
         for entry in entries.into_iter().filter(|entry| entry.index >= first) {
             self.append_entry(entry);
         }
+        true
     }
 
     /// Appends an entry; a configuration in it is in force at once.
--- a/crates/domain/src/consensus/installing.rs
+++ b/crates/domain/src/consensus/installing.rs
@@ -77,7 +77,7 @@
             length: data.len() as u64,
             data: data.slice(start..end),
         };
-        self.send_as_leader(to, part);
+        self.send_once_in_term(to, part);
     }
 
     /// Resends the unacknowledged chunk of each transfer.
@@ -97,7 +97,7 @@
         let Some(progress) = self.progress_mut(from) else {
             return;
         };
-        progress.last_contact = now;
+        progress.record_durable_contact(now);
         let ProgressState::Snapshot(transfer) = &mut progress.state else {
             return;
         };
--- a/crates/domain/src/consensus/leadership.rs
+++ b/crates/domain/src/consensus/leadership.rs
@@ -15,11 +15,21 @@
     /// Collects pre-votes before it starts an election.
     PreCandidate(Ballot),
     /// Collects votes.
-    Candidate(Ballot),
+    Candidate(Candidacy),
     /// Replicates its log to the other members.
     Leader(Leadership),
 }
 
+/// State of a candidate.
+#[derive(Debug, Default)]
+pub(super) struct Candidacy {
+    /// Votes in the current term.
+    pub votes: Ballot,
+    /// Pre-votes for the next term, once the votes have taken longer than the election timeout.
+    /// Votes of the current term still count meanwhile.
+    pub next_term: Option<Ballot>,
+}
+
 /// Votes received in one election or pre-vote.
 #[derive(Debug, Default)]
 pub(super) struct Ballot {
@@ -27,6 +37,50 @@
     pub rejected: BTreeSet<MemberId>,
 }
 
+impl Role {
+    /// Votes received in the current term.
+    pub fn votes(&self) -> Option<&Ballot> {
+        match self {
+            Self::Candidate(candidacy) => Some(&candidacy.votes),
+            _ => None,
+        }
+    }
+
+    /// Pre-votes received for the next term.
+    pub fn pre_votes(&self) -> Option<&Ballot> {
+        match self {
+            Self::PreCandidate(ballot) => Some(ballot),
+            Self::Candidate(candidacy) => candidacy.next_term.as_ref(),
+            _ => None,
+        }
+    }
+
+    /// The same, to record a response.
+    pub fn pre_votes_mut(&mut self) -> Option<&mut Ballot> {
+        match self {
+            Self::PreCandidate(ballot) => Some(ballot),
+            Self::Candidate(candidacy) => candidacy.next_term.as_mut(),
+            _ => None,
+        }
+    }
+
+    /// Ends a pre-vote that is lost; votes of the current term still count.
+    pub fn end_pre_vote(&mut self) {
+        match self {
+            Self::Candidate(candidacy) => candidacy.next_term = None,
+            role => *role = Self::Follower,
+        }
+    }
+}
+
+impl Ballot {
+    /// Records the response of a voter.
+    pub fn record(&mut self, voter: MemberId, granted: bool) {
+        let votes = if granted { &mut self.granted } else { &mut self.rejected };
+        votes.insert(voter);
+    }
+}
+
 /// State of a leader.
 #[derive(Debug)]
 pub(super) struct Leadership {
--- a/crates/domain/src/consensus/leading.rs
+++ b/crates/domain/src/consensus/leading.rs
@@ -34,7 +34,7 @@
         self.sync_progress(now);
         if let Some(progress) = former_leader.and_then(|member| self.progress_mut(member)) {
             // Its silence has lasted since before the election.
-            progress.last_contact = last_contact;
+            progress.record_durable_contact(last_contact);
         }
         self.append_payload(Payload::Empty);
         self.broadcast(AppendMode::Always);
@@ -47,7 +47,7 @@
         };
         if now >= leadership.quorum_check_due {
             leadership.quorum_check_due = now.after(self.settings.election_timeout);
-            if !self.quorum_is_active(now) {
+            if !self.quorum_is_alive(now) {
                 self.become_follower(now, self.hard_state.term, None);
                 return;
             }
@@ -64,11 +64,15 @@
     }
 
     /// Whether a quorum of voters responded within the election timeout.
-    fn quorum_is_active(&self, now: Timestamp) -> bool {
-        self.configuration().has_quorum(|voter| self.is_active(now, voter))
+    fn quorum_is_alive(&self, now: Timestamp) -> bool {
+        let timeout = self.settings.election_timeout;
+        self.configuration().has_quorum(|voter| {
+            voter == self.identity
+                || self.progress(voter).is_some_and(|progress| progress.is_alive(now, timeout))
+        })
     }
 
-    /// Whether a member responded within the election timeout.
+    /// Whether a member responded within the election timeout with its writes on disk.
     pub(super) fn is_active(&self, now: Timestamp, member: MemberId) -> bool {
         member == self.identity
             || self
@@ -162,7 +166,7 @@
         }
         progress.sent(&entries);
         let commit = self.commit;
-        self.send_as_leader(to, Message::AppendRequest { previous, entries, commit, round });
+        self.send_once_in_term(to, Message::AppendRequest { previous, entries, commit, round });
     }
 
     pub(super) fn handle_append_response(
@@ -175,7 +179,10 @@
         let Some(progress) = self.progress_mut(from) else {
             return;
         };
-        progress.last_contact = now;
+        match outcome {
+            AppendOutcome::NoStatement => progress.last_contact = now,
+            _ => progress.record_durable_contact(now),
+        }
         progress.confirmed_round = progress.confirmed_round.max(round);
         match outcome {
             AppendOutcome::Accepted { matched } => {
@@ -189,7 +196,7 @@
                     self.send_append(from, AppendMode::Always);
                 }
             }
-            AppendOutcome::StaleTerm => {}
+            AppendOutcome::NoStatement => {}
         }
         self.confirm_reads();
     }
--- a/crates/domain/src/consensus/membership.rs
+++ b/crates/domain/src/consensus/membership.rs
@@ -85,7 +85,7 @@
         change: MemberChange,
     ) {
         let outcome = self.change_members(now, change);
-        self.send_as_leader(from, Message::MemberChangeResponse { number, outcome });
+        self.send_once_in_term(from, Message::MemberChangeResponse { number, outcome });
     }
 
     /// The next change that replaces a lost data folder, if this member leads and any is due.
--- a/crates/domain/src/consensus/message.rs
+++ b/crates/domain/src/consensus/message.rs
@@ -164,6 +164,7 @@
         /// Highest index at which the logs may still match.
         hint: LogIndex,
     },
-    /// The request's term is older than the receiver's.
-    StaleTerm,
+    /// Says nothing about the log: the request's term is older than the receiver's, or the receiver
+    /// answers a heartbeat while the answer about its log waits for a write.
+    NoStatement,
 }
--- a/crates/domain/src/consensus/node.rs
+++ b/crates/domain/src/consensus/node.rs
@@ -30,6 +30,8 @@
     pub(super) issued_hard_state: HardState,
     /// The write that persists the current term and vote.
     pub(super) term_write: WriteNumber,
+    /// When the current term and vote were set.
+    pub(super) term_set_at: Timestamp,
     pub(super) log: Log,
     pub(super) configurations: ConfigurationHistory,
     pub(super) commit: LogIndex,
@@ -40,6 +42,8 @@
     pub(super) last_followed: Option<MemberId>,
     pub(super) leader_last_contact: Timestamp,
     pub(super) election_due: Timestamp,
+    /// When this member last asked for pre-votes.
+    pub(super) pre_vote_started_at: Timestamp,
     pub(super) snapshot: Option<Snapshot>,
     pub(super) unissued_snapshot: Option<SnapshotWrite>,
     pub(super) incoming: Option<IncomingSnapshot>,
@@ -129,6 +133,7 @@
             hard_state: recovered.hard_state,
             issued_hard_state: recovered.hard_state,
             term_write: WriteNumber(0),
+            term_set_at: now,
             log: Log::new(base, recovered.entries),
             configurations,
             commit,
@@ -138,6 +143,7 @@
             last_followed: None,
             leader_last_contact: now,
             election_due: now,
+            pre_vote_started_at: now,
             restore: recovered.snapshot.clone(),
             snapshot: recovered.snapshot,
             unissued_snapshot: None,
@@ -201,7 +207,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         match &self.role {
             Role::Leader(_) => self.tick_leader(now),
-            _ if now >= self.election_due => self.start_pre_vote(now),
+            _ if now >= self.election_due => self.time_out(now),
             _ => {}
         }
     }
@@ -225,7 +231,7 @@
             return;
         }
         let initial = Recovered::bootstrap(configuration);
-        self.set_hard_state(initial.hard_state);
+        self.set_hard_state(now, initial.hard_state);
         initial.entries.into_iter().for_each(|entry| self.append_entry(entry));
         self.election_due = now;
     }
@@ -307,7 +313,7 @@
             Message::PreVoteRequest { .. } => Message::PreVoteResponse { granted: false },
             Message::VoteRequest { .. } => Message::VoteResponse { granted: false },
             Message::AppendRequest { .. } | Message::SnapshotRequest { .. } => {
-                let outcome = AppendOutcome::StaleTerm;
+                let outcome = AppendOutcome::NoStatement;
                 Message::AppendResponse { outcome, round: ReadRound(0) }
             }
             _ => return,
--- a/crates/domain/src/consensus/output.rs
+++ b/crates/domain/src/consensus/output.rs
@@ -22,6 +22,7 @@
 
     /// Records that all writes up to `number` are on disk.
     pub fn persisted(&mut self, now: Timestamp, number: WriteNumber) {
+        let vote_was_being_written = self.vote_is_being_written();
         while self.writes.front().is_some_and(|write| write.number <= number) {
             let Some(write) = self.writes.pop_front() else {
                 break;
@@ -33,6 +34,9 @@
             }
         }
         self.outbox.release(self.persisted);
+        if vote_was_being_written && !self.vote_is_being_written() {
+            self.vote_persisted(now);
+        }
         self.advance_commit(now);
     }
 
@@ -64,9 +68,24 @@
         self.push(to, self.hard_state.term, message, needed);
     }
 
+    /// Whether the current term and vote are on disk.
+    pub(super) fn term_is_persisted(&self) -> bool {
+        self.term_write <= self.persisted
+    }
+
+    /// Whether this member has voted in the current term and the vote is not on disk yet.
+    pub(super) fn vote_is_being_written(&self) -> bool {
+        self.hard_state.vote.is_some() && !self.term_is_persisted()
+    }
+
+    /// Whether the entire current state is on disk.
+    pub(super) fn all_is_persisted(&self) -> bool {
+        self.pending_write() <= self.persisted
+    }
+
     /// Sends once the current term is on disk. A leader's requests may precede the write of its
     /// own entries, because it counts its own replica only after that write.
-    pub(super) fn send_as_leader(&mut self, to: MemberId, message: Message) {
+    pub(super) fn send_once_in_term(&mut self, to: MemberId, message: Message) {
         self.push(to, self.hard_state.term, message, self.term_write);
     }
 
@@ -81,11 +100,12 @@
         self.push(to, term, Message::PreVoteResponse { granted: true }, WriteNumber(0));
     }
 
-    pub(super) fn set_hard_state(&mut self, hard_state: HardState) {
+    pub(super) fn set_hard_state(&mut self, now: Timestamp, hard_state: HardState) {
         let next = WriteNumber(self.issued.0 + 1);
         if hard_state != self.hard_state {
             self.hard_state = hard_state;
             self.term_write = next;
+            self.term_set_at = now;
         }
     }
 
--- a/crates/domain/src/consensus/progress.rs
+++ b/crates/domain/src/consensus/progress.rs
@@ -16,8 +16,10 @@
     pub next: LogIndex,
     /// Replication mode.
     pub state: ProgressState,
-    /// When the member last responded in this term.
+    /// When the member last responded in this term, in any way.
     pub last_contact: Timestamp,
+    /// When the member last sent a response that had waited for its writes.
+    pub last_durable_contact: Timestamp,
     /// Latest read round that the member confirmed.
     pub confirmed_round: ReadRound,
     /// The member's request to stop, until it expires.
@@ -66,16 +68,28 @@
             next,
             state: ProgressState::Probe { waiting: false },
             last_contact: now,
+            last_durable_contact: now,
             confirmed_round: ReadRound(0),
             stop: None,
         }
     }
 
-    /// Whether the member responded within `span`.
-    pub fn is_active(&self, now: Timestamp, span: Duration) -> bool {
+    /// Whether the member responded within `span`, even if its disk is slow.
+    pub fn is_alive(&self, now: Timestamp, span: Duration) -> bool {
         now.since(self.last_contact) < span
     }
 
+    /// Whether the member responded within `span` with its writes on disk.
+    pub fn is_active(&self, now: Timestamp, span: Duration) -> bool {
+        now.since(self.last_durable_contact) < span
+    }
+
+    /// Records a response that had waited for the member's writes.
+    pub fn record_durable_contact(&mut self, now: Timestamp) {
+        self.last_contact = now;
+        self.last_durable_contact = now;
+    }
+
     /// The member's request to stop, if it is still valid.
     pub fn pending_stop(&self, now: Timestamp) -> Option<PendingStop> {
         self.stop.filter(|stop| now < stop.valid_until)
--- a/crates/domain/src/consensus/status.rs
+++ b/crates/domain/src/consensus/status.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::leadership::Role;
 use super::node::Node;
 use super::types::{LogIndex, MemberId};
 use crate::time::Timestamp;
@@ -42,7 +41,7 @@
     /// The voters that have not answered in this round of votes or pre-votes; empty at a member that
     /// is no candidate.
     pub fn voters_without_answer(&self) -> Vec<MemberId> {
-        let (Role::PreCandidate(ballot) | Role::Candidate(ballot)) = &self.role else {
+        let Some(ballot) = self.role.pre_votes().or_else(|| self.role.votes()) else {
             return Vec::new();
         };
         let answered =
--- a/crates/domain/tests/consensus/cluster.rs
+++ b/crates/domain/tests/consensus/cluster.rs
@@ -33,6 +33,17 @@
     ReadsUnconfirmed,
     /// A machine that lost its disk goes on under its old identity.
     IdentityKept,
+    /// The answer to a heartbeat confirms entries that are not on disk.
+    HeartbeatConfirmsEntries,
+}
+
+/// How long the disks take for a sync.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Disks {
+    /// 5 ms at most, and 80 ms at most for one sync of twenty.
+    Fast,
+    /// 400 ms at most while faults are caused.
+    Slow,
 }
 
 #[derive(Debug)]
@@ -66,6 +77,7 @@
     random: Pcg64,
     settings: ConsensusSettings,
     pub mutant: Option<Mutant>,
+    disks: Disks,
     events: BTreeMap<(Timestamp, u64), Event>,
     next_event: u64,
     pub servers: Vec<Server>,
@@ -79,7 +91,7 @@
 
 impl Cluster {
     /// Five machines; three or five of them are voters at first.
-    pub fn new(seed: u64, mutant: Option<Mutant>) -> Self {
+    pub fn new(seed: u64, disks: Disks, mutant: Option<Mutant>) -> Self {
         let mut random = Pcg64::seed_from_u64(seed);
         let voters = if random.next_u64().is_multiple_of(2) { 3 } else { 5 };
         let identities: Vec<MemberId> = (1..=5)
@@ -104,6 +116,7 @@
             random,
             settings,
             mutant,
+            disks,
             events: BTreeMap::new(),
             next_event: 0,
             servers,
@@ -262,12 +275,13 @@
 
     fn write(&mut self, index: usize, node: &mut Node, write: gingerkeel_domain::consensus::Write) {
         let number = write.number;
-        let slow = self.chance(5);
-        let time = if slow { self.micros(5_000, 80_000) } else { self.micros(200, 5_000) };
+        let time = self.sync_time();
         let server = &mut self.servers[index];
         server.disk.unsynced.push_back(write);
-        let done = server.disk.busy_until.max(self.now).after(time);
-        server.disk.busy_until = done;
+        let done = match self.disks {
+            Disks::Fast => server.disk.sync_alone(self.now, time),
+            Disks::Slow => server.disk.sync_with_waiting(self.now, time),
+        };
         let run = server.run;
         self.schedule(done.since(self.now), Event::Synced { server: index, run, number });
         if self.mutant == Some(Mutant::PersistedTooEarly) {
@@ -275,6 +289,14 @@
         }
     }
 
+    fn sync_time(&mut self) -> Duration {
+        if self.disks == Disks::Slow && self.faults_allowed() {
+            return self.micros(5_000, 400_000);
+        }
+        let slow = self.chance(5);
+        if slow { self.micros(5_000, 80_000) } else { self.micros(200, 5_000) }
+    }
+
     fn synced(&mut self, index: usize, run: u64, number: WriteNumber) {
         let (now, server) = (self.now, &mut self.servers[index]);
         if server.run != run {
@@ -293,6 +315,10 @@
         if self.mutant == Some(Mutant::ReadsUnconfirmed) {
             forge_confirmation(self.now, node, &envelope);
         }
+        let envelope = match self.mutant {
+            Some(Mutant::HeartbeatConfirmsEntries) => confirm_entries(node, envelope),
+            _ => envelope,
+        };
         let to = envelope.to.node.0 as usize - 1;
         if self.cuts.contains(&Link { from: index, to }) {
             return;
@@ -461,7 +487,21 @@
     if round == ReadRound(0) {
         return;
     }
-    let message = Message::AppendResponse { outcome: AppendOutcome::StaleTerm, round };
+    let message = Message::AppendResponse { outcome: AppendOutcome::NoStatement, round };
     let (from, to) = (envelope.to, envelope.from);
     node.step(now, Envelope { from, to, term: envelope.term, message });
 }
+
+/// Lets a follower confirm its whole log when it answers a heartbeat before a write is done.
+fn confirm_entries(node: &Node, envelope: Envelope) -> Envelope {
+    let status = node.status();
+    let Message::AppendResponse { outcome: AppendOutcome::NoStatement, round } = envelope.message
+    else {
+        return envelope;
+    };
+    if status.leader != Some(envelope.to) {
+        return envelope;
+    }
+    let outcome = AppendOutcome::Accepted { matched: status.last.index };
+    Envelope { message: Message::AppendResponse { outcome, round }, ..envelope }
+}
--- a/crates/domain/tests/consensus/elections.rs
+++ b/crates/domain/tests/consensus/elections.rs
@@ -101,7 +101,7 @@
 fn a_leader_that_learns_of_a_later_term_steps_down() {
     let mut lab = Lab::new(3);
     lab.settle(1, &[1, 2, 3]);
-    let outcome = AppendOutcome::StaleTerm;
+    let outcome = AppendOutcome::NoStatement;
     let message = Message::AppendResponse { outcome, round: ReadRound(0) };
     lab.step(Envelope { from: member(2), to: member(1), term: Term(9), message });
     assert_eq!(lab.role(1), RoleName::Follower);
--- a/crates/domain/tests/consensus/main.rs
+++ b/crates/domain/tests/consensus/main.rs
@@ -17,6 +17,7 @@
 mod seeds;
 mod server;
 mod slow_disks;
+mod slow_writes;
 mod snapshots;
 mod status;
 mod stopping;
--- a/crates/domain/tests/consensus/mutants.rs
+++ b/crates/domain/tests/consensus/mutants.rs
@@ -7,19 +7,20 @@
 };
 use rstest::rstest;
 
-use crate::cluster::{Cluster, Mutant};
+use crate::cluster::{Cluster, Disks, Mutant};
 use crate::lab::{Lab, member, voters};
 
 /// Number of seeds, at least one of which must detect the mutant.
 const SEEDS: u64 = 400;
 
 #[rstest]
-#[case::persisted_too_early(Mutant::PersistedTooEarly, "lacks")]
-#[case::reads_unconfirmed(Mutant::ReadsUnconfirmed, "read at")]
-#[case::identity_kept(Mutant::IdentityKept, "lacks")]
-fn the_seeds_find(#[case] mutant: Mutant, #[case] expected: &str) {
+#[case::persisted_too_early(Mutant::PersistedTooEarly, Disks::Fast, "lacks")]
+#[case::reads_unconfirmed(Mutant::ReadsUnconfirmed, Disks::Fast, "read at")]
+#[case::identity_kept(Mutant::IdentityKept, Disks::Fast, "lacks")]
+#[case::heartbeat_confirms_entries(Mutant::HeartbeatConfirmsEntries, Disks::Slow, "lacks")]
+fn the_seeds_find(#[case] mutant: Mutant, #[case] disks: Disks, #[case] expected: &str) {
     let found = (0..SEEDS).find_map(|seed| {
-        let violation = Cluster::new(seed, Some(mutant)).run().err()?;
+        let violation = Cluster::new(seed, disks, Some(mutant)).run().err()?;
         violation.contains(expected).then_some((seed, violation))
     });
     let (seed, violation) = found.expect("a seed finds the fault");
@@ -71,7 +72,7 @@
     for _ in 0..13 {
         lab.heartbeat(1, &[1]);
         if !check_quorum {
-            let outcome = AppendOutcome::StaleTerm;
+            let outcome = AppendOutcome::NoStatement;
             let message = Message::AppendResponse { outcome, round: ReadRound(0) };
             lab.step(Envelope { from: member(2), to: member(1), term, message });
         }
@@ -138,3 +139,53 @@
 fn a_forgotten_vote_gives_a_term_two_leaders() {
     assert_eq!(leaders_of_one_term(false), 2);
 }
+
+/// Delivers the pending messages that are wanted, and those sent in return; gives back the others.
+fn deliver_wanted(lab: &mut Lab, wanted: impl Fn(&Envelope) -> bool) -> Vec<Envelope> {
+    let mut kept = Vec::new();
+    while let Some(envelope) = lab.pending.pop() {
+        match wanted(&envelope) {
+            true => lab.step(envelope),
+            false => kept.push(envelope),
+        }
+    }
+    kept
+}
+
+/// Two candidates stand in the third term, and a vote of the second term for one of them arrives
+/// late; returns how many of the two are elected.
+fn leaders_after_a_late_vote(counts_in_later_term: bool) -> usize {
+    let is_response =
+        |envelope: &Envelope| matches!(envelope.message, Message::VoteResponse { .. });
+    let involves =
+        |envelope: &Envelope, number| [envelope.from, envelope.to].contains(&member(number));
+    let mut lab = Lab::new(3);
+    lab.advance(10_000);
+    lab.tick(1);
+    let kept = deliver_wanted(&mut lab, |sent| !involves(sent, 3) && !is_response(sent));
+    let mut late = kept.into_iter().find(is_response).expect("the second member votes");
+    lab.advance(10_000);
+    lab.tick(1);
+    lab.tick(2);
+    let is_vote_request =
+        |envelope: &Envelope| matches!(envelope.message, Message::VoteRequest { .. });
+    let kept = deliver_wanted(&mut lab, |sent| involves(sent, 3) && !is_vote_request(sent));
+    let requests = kept.into_iter().filter(is_vote_request);
+    lab.pending = requests.filter(|sent| sent.from == member(2)).collect();
+    lab.deliver_where(&[2, 3], crate::lab::is_vote);
+    if counts_in_later_term {
+        late.term = Term(3);
+    }
+    lab.step(late);
+    [1, 2].into_iter().filter(|number| lab.role(*number) == RoleName::Leader).count()
+}
+
+#[test]
+fn a_late_vote_counts_only_in_its_own_term() {
+    assert_eq!(leaders_after_a_late_vote(false), 1);
+}
+
+#[test]
+fn a_late_vote_that_counts_in_a_later_term_gives_it_two_leaders() {
+    assert_eq!(leaders_after_a_late_vote(true), 2);
+}
--- a/crates/domain/tests/consensus/server.rs
+++ b/crates/domain/tests/consensus/server.rs
@@ -1,6 +1,7 @@
 //! A simulated machine: a disk whose unsynced writes may be lost, and a small state machine.
 
 use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 
 use bytes::Bytes;
 use gingerkeel_domain::consensus::{
@@ -14,10 +15,32 @@
     pub synced: Recovered,
     pub unsynced: VecDeque<Write>,
     /// When the latest write is going to be synced.
-    pub busy_until: Timestamp,
+    busy_until: Timestamp,
+    /// When the sync that runs is done; writes that wait for it share the next one.
+    running_until: Timestamp,
 }
 
 impl Disk {
+    /// When a write that is synced by itself, after those before it, is on disk.
+    pub fn sync_alone(&mut self, now: Timestamp, time: Duration) -> Timestamp {
+        self.busy_until = self.busy_until.max(now).after(time);
+        self.busy_until
+    }
+
+    /// The same for a write that shares its sync with all others that wait for the disk.
+    pub fn sync_with_waiting(&mut self, now: Timestamp, time: Duration) -> Timestamp {
+        if self.running_until <= now {
+            self.running_until = self.busy_until;
+        }
+        if self.busy_until <= now {
+            self.running_until = now.after(time);
+            self.busy_until = self.running_until;
+        } else if self.busy_until == self.running_until {
+            self.busy_until = self.running_until.after(time);
+        }
+        self.busy_until
+    }
+
     pub fn sync_up_to(&mut self, number: WriteNumber) {
         while self.unsynced.front().is_some_and(|write| write.number <= number) {
             if let Some(write) = self.unsynced.pop_front() {
