Check a leader for the entries of earlier terms only

Cause: leader completeness holds for leaders of later terms than the one in which an entry was committed. The checker asked it of every new leader. In the trace 1.1 asks for votes in term 2, the disk of a voter takes 1.3 s, 2.1 is elected in term 3 by that voter and commits (3, 2), is killed, and the late vote makes 1.1 the leader of term 2. It commits nothing, as a quorum is in term 3.

Change: entries of a later term than the leader's are left out; all others are checked as before.

Also: the test on a heartbeat of a new term looks at the follower's answers, which it dropped before (with an answer before the term is on disk it now fails, before it did not), and a test for the election timeout that starts anew once a vote is on disk (fails without that rule). A voter that counts as active by early answers makes a_voter_whose_writes_hang_counts_as_lost fail.

--- a/crates/domain/tests/consensus/checker.rs
+++ b/crates/domain/tests/consensus/checker.rs
@@ -61,7 +61,10 @@
 
     fn see_new_leader(&mut self, node: &Node) {
         let last = node.status().last.index;
-        let lost = self.applied.values().find(|entry| {
+        // A late vote may elect a leader of an earlier term than that of a committed entry.
+        let leader_term = node.status().term;
+        let mut required = self.applied.values().filter(|entry| entry.term <= leader_term);
+        let lost = required.find(|entry| {
             let term = node.term_at(entry.index);
             entry.index > last || term.is_some_and(|term| term != entry.term)
         });
--- a/crates/domain/tests/consensus/slow_writes.rs
+++ b/crates/domain/tests/consensus/slow_writes.rs
@@ -7,7 +7,7 @@
 };
 use rstest::rstest;
 
-use crate::lab::{Lab, POLICY, is_vote, member, voters};
+use crate::lab::{Lab, POLICY, is_vote, member, settings, voters};
 
 /// Reports all writes of a member as persisted.
 fn finish_writes(lab: &mut Lab, number: u32) {
@@ -58,7 +58,11 @@
     for _ in 0..3 {
         lab.advance(100);
         lab.tick(1);
-        lab.deliver_where(&[1, 3], |message| matches!(message, Message::AppendRequest { .. }));
+        for envelope in std::mem::take(&mut lab.pending) {
+            if envelope.to == member(3) {
+                lab.step(envelope);
+            }
+        }
         assert!(lab.pending.is_empty());
     }
     finish_writes(&mut lab, 3);
@@ -185,3 +189,16 @@
     }
     assert!(elected);
 }
+
+#[test]
+fn the_election_timeout_starts_anew_once_the_vote_is_on_disk() {
+    let mut lab = Lab::new(3);
+    lab.node(2).disk_works = false;
+    lab.advance(10_000);
+    lab.tick(1);
+    lab.deliver_where(&[1, 2], is_vote);
+    lab.advance(10_000);
+    finish_writes(&mut lab, 2);
+    let earliest = lab.now.after(settings().election_timeout);
+    assert!(lab.node(2).node.next_timer() >= earliest);
+}
