Bound the writes to a peer and let other peers be served while one sends without end

A peer that sends probes and never reads the replies kept its connection for good, as the reply was written without a time limit; one that sends faster than the process reads kept all other tasks from running (another peer was greeted after 10.2 s). A write that takes as long as a peer may be silent now ends the connection, and other tasks run after 64 frames.

--- a/crates/control/src/replication/peers/incoming.rs
+++ b/crates/control/src/replication/peers/incoming.rs
@@ -12,7 +12,7 @@
 use local_sync::mpsc::unbounded::Tx;
 use monoio::io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
-use monoio::time::timeout;
+use monoio::time::{sleep, timeout};
 use monoio_codec::FramedRead;
 use tracing::{info, warn};
 
@@ -22,6 +22,12 @@
 /// Time limit for the handshake, and afterwards between two messages of a peer.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Frames of a peer that are handled before other tasks run: the runtime switches tasks only when one
+/// waits, and a peer that sends faster than this process reads never lets it wait.
+const FRAMES_PER_TURN: u32 = 64;
+/// Pause after so many frames.
+const TURN_PAUSE: Duration = Duration::from_millis(1);
+
 type Reader = FramedRead<OwnedReadHalf<TcpStream>, ()>;
 type Writer = OwnedWriteHalf<TcpStream>;
 
@@ -52,7 +58,13 @@
     let Some(peer) = handshake(reader, writer, directory, events).await? else {
         return Ok(());
     };
+    let mut frames_left = FRAMES_PER_TURN;
     while let Some(frame) = next_frame(reader).await? {
+        frames_left -= 1;
+        if frames_left == 0 {
+            sleep(TURN_PAUSE).await;
+            frames_left = FRAMES_PER_TURN;
+        }
         match frame {
             PeerFrame::Probe => {
                 let identity = directory.own_identity();
@@ -139,7 +151,8 @@
 }
 
 pub(super) async fn send(writer: &mut Writer, frame: &PeerFrame) -> Result<(), ProtocolError> {
-    let (result, _) = writer.write_all(encode_frame(frame)?).await;
+    let writing = timeout(IDLE_TIMEOUT, writer.write_all(encode_frame(frame)?)).await;
+    let (result, _) = writing.map_err(|_| ProtocolError::TimedOut("the peer does not read"))?;
     result?;
     Ok(())
 }
