Find no membership change due at a member that does not lead

Followers tried to remove a voter whose address refused connections, at each maintenance, and logged member_not_changed_yet every 50 ms while they asked for the leader. due_membership_change now holds to its contract. no_change_is_due_at_a_follower failed before (the follower found the removal due) and passes.

--- a/crates/domain/src/consensus/membership.rs
+++ b/crates/domain/src/consensus/membership.rs
@@ -108,6 +108,9 @@
         now: Timestamp,
         policy: &MembershipPolicy,
     ) -> Option<MemberChange> {
+        if !matches!(self.role, Role::Leader(_)) {
+            return None;
+        }
         let configuration = self.configuration();
         let voters = &configuration.voters;
         let mut learners = configuration.learners.iter().copied();
--- a/crates/domain/tests/consensus/membership.rs
+++ b/crates/domain/tests/consensus/membership.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use gingerkeel_domain::consensus::{MemberChange, MemberChangeError, MembershipPolicy, RoleName};
+use gingerkeel_domain::consensus::{
+    MemberChange, MemberChangeError, MembershipPolicy, NodeNumber, RoleName,
+};
 use rstest::rstest;
 
 use crate::lab::{Lab, member};
@@ -264,3 +266,19 @@
     assert_eq!(lab.role(1), RoleName::Follower);
     lab.elect(3, &[3, 4]);
 }
+
+/// Guards against a follower that tries again and again to remove a voter whose process has ended.
+#[test]
+fn no_change_is_due_at_a_follower() {
+    let mut lab = Lab::new(4);
+    lab.settle(1, &[1, 2, 3, 4]);
+    let now = lab.now;
+    for number in [1, 2] {
+        lab.node(number).node.set_refusing(now, NodeNumber(4), true);
+    }
+    lab.heartbeat(1, &[1, 2, 3]);
+    lab.advance(200);
+    assert_eq!(due(&mut lab, &GROWTH), Some(MemberChange::Remove(member(4))));
+    let now = lab.now;
+    assert_eq!(lab.node(2).node.due_membership_change(now, &GROWTH), None);
+}
