Count answers that come after a contact was asked again

A contact that takes longer than 300 ms to answer was asked again, and the answer to the first request then counted as one to somebody else's: with slow contacts only, no answer ever counted, and the process stayed outside as before. The contacts of the latest 64 requests are kept.

--- a/crates/domain/src/consensus/leader_search.rs
+++ b/crates/domain/src/consensus/leader_search.rs
@@ -15,9 +15,13 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which an accepted request has to take effect.
 const ACCEPTED_PAUSE: Duration = Duration::from_millis(500);
-/// Time for which a named leader needs a connection; longer than establishing one takes.
+/// Time for which a connection to a named leader is kept for it to be asked.
 const NAMED_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum number of requests whose answers still count. A contact may answer only after it was asked
+/// again.
+const MAX_UNANSWERED: usize = 64;
+
 /// Decides which contact is asked next.
 ///
 /// One request is unanswered at a time. A leader that a refusal names is asked as soon as it is
@@ -25,8 +29,10 @@
 /// is gone, hangs or is cut off holds up the others.
 #[derive(Debug, Default)]
 pub struct LeaderSearch {
-    /// The latest request to each contact.
-    asked: BTreeMap<NodeNumber, Asked>,
+    /// When each contact was last asked.
+    asked_at: BTreeMap<NodeNumber, Timestamp>,
+    /// The contacts of the latest requests without an answer.
+    unanswered: BTreeMap<RequestNumber, NodeNumber>,
     /// The contact whose answer is awaited.
     awaited: Option<NodeNumber>,
     /// Leaders that were named recently. Contacts may name different ones, of which some are gone.
@@ -35,12 +41,6 @@
     paused_until: Timestamp,
 }
 
-#[derive(Debug)]
-struct Asked {
-    number: RequestNumber,
-    at: Timestamp,
-}
-
 #[derive(Debug)]
 struct NamedLeader {
     at: Timestamp,
@@ -50,7 +50,7 @@
 
 impl LeaderSearch {
     /// The contact to ask now, by a request with this number; none while an answer is awaited or
-    /// nobody is due. `contacts` are the processes with a log that are connected.
+    /// nobody is due. Numbers increase. `contacts` are the processes with a log that are connected.
     pub fn next(
         &mut self,
         now: Timestamp,
@@ -66,7 +66,11 @@
             named.asked = true;
         }
         self.awaited = Some(contact.node);
-        self.asked.insert(contact.node, Asked { number, at: now });
+        self.asked_at.insert(contact.node, now);
+        self.unanswered.insert(number, contact.node);
+        if self.unanswered.len() > MAX_UNANSWERED {
+            self.unanswered.pop_first();
+        }
         Some(contact)
     }
 
@@ -78,9 +82,7 @@
         number: RequestNumber,
         outcome: &Result<LogIndex, MemberChangeError>,
     ) -> Option<NodeNumber> {
-        let mut asked = self.asked.iter();
-        let (contact, _) = asked.find(|(_, asked)| asked.number == number)?;
-        let contact = *contact;
+        let contact = self.unanswered.remove(&number)?;
         if self.awaited == Some(contact) {
             self.awaited = None;
         }
@@ -106,15 +108,16 @@
         *self = Self::default();
     }
 
-    /// The contact to ask first, unless it was asked just now.
+    /// A named leader that is yet to be asked, or else the contact asked least recently; none if that
+    /// one was asked just now.
     fn first_due(&self, now: Timestamp, contacts: &[MemberId]) -> Option<MemberId> {
         let is_due = |contact: &&MemberId| {
-            self.asked_at(contact.node).is_none_or(|at| now.since(at) >= RETRY_INTERVAL)
+            self.last_asked(contact.node).is_none_or(|at| now.since(at) >= RETRY_INTERVAL)
         };
         let is_unasked_leader =
             |contact: &&MemberId| self.named.get(&contact.node).is_some_and(|named| !named.asked);
         let leader = contacts.iter().find(|contact| is_unasked_leader(contact));
-        let asked_first = || contacts.iter().min_by_key(|contact| self.asked_at(contact.node));
+        let asked_first = || contacts.iter().min_by_key(|contact| self.last_asked(contact.node));
         leader.or_else(asked_first).filter(is_due).copied()
     }
 
@@ -122,14 +125,14 @@
         self.named.insert(leader, NamedLeader { at: now, asked: false });
     }
 
-    fn asked_at(&self, contact: NodeNumber) -> Option<Timestamp> {
-        self.asked.get(&contact).map(|asked| asked.at)
+    fn last_asked(&self, contact: NodeNumber) -> Option<Timestamp> {
+        self.asked_at.get(&contact).copied()
     }
 
     fn awaits_answer(&self, now: Timestamp, contacts: &[MemberId]) -> bool {
         let awaited = self.awaited.filter(|awaited| {
             let is_connected = contacts.iter().any(|contact| contact.node == *awaited);
-            let asked_at = self.asked_at(*awaited);
+            let asked_at = self.last_asked(*awaited);
             is_connected && asked_at.is_some_and(|at| now.since(at) < ANSWER_TIMEOUT)
         });
         awaited.is_some()
--- a/crates/domain/tests/leader_search.rs
+++ b/crates/domain/tests/leader_search.rs
@@ -200,3 +200,29 @@
     }
     None
 }
+
+/// Guards against a search that never uses the answers of the only contact, as each comes after the
+/// next request to it.
+#[rstest]
+#[case::one_contact_within_the_time_limit(&[1], 250)]
+#[case::one_contact_after_the_time_limit(&[1], 350)]
+#[case::two_contacts_after_the_time_limit(&[1, 2], 650)]
+fn contact_that_answers_late_still_names_the_leader(#[case] contacts: &[u32], #[case] delay: u64) {
+    let mut search = LeaderSearch::default();
+    let mut answers: Vec<(u64, u64)> = Vec::new();
+    for at in (0..6_000).step_by(50) {
+        answers.retain(|(due, number)| {
+            if *due <= at {
+                search.answered(millis(at), RequestNumber(*number), &not_leader(Some(5)));
+            }
+            *due > at
+        });
+        if ask(&mut search, at, contacts).is_some() {
+            answers.push((at + delay, at));
+        }
+        if named(&search) == [5] {
+            return;
+        }
+    }
+    panic!("no answer after {delay} ms was used within 6 s");
+}
