Ask for a restart when seeds change before the cluster has formed

The process that forms the cluster does so with the seeds that it started with, since others could form a second one, but the log said that no restart was needed, and nothing formed.

--- a/crates/control/src/reload.rs
+++ b/crates/control/src/reload.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use gingerkeel_domain::consensus::NodeNumber;
+use gingerkeel_domain::consensus::{LogIndex, NodeNumber};
 use gingerkeel_settings::{ControlSettings, SettingsSource};
 use gingerkeel_transport::FileWatch;
 use tracing::info;
@@ -25,11 +25,16 @@
         let file = source.path().display().to_string();
         let take = move |settings: ControlSettings| {
             let seeds_changed = take_seeds(&settings, &mut in_force);
-            let restart_needed = settings != in_force;
-            info!(event = "settings_read", file, seeds_changed, restart_needed);
-            if seeds_changed {
-                replication.use_seeds(seed_nodes(&settings));
-            }
+            let others_changed = settings != in_force;
+            let (replication, file) = (replication.clone(), file.clone());
+            monoio::spawn(async move {
+                if seeds_changed {
+                    replication.use_seeds(seed_nodes(&settings));
+                }
+                let forms = seeds_changed && forms_cluster(&settings, &replication).await;
+                let restart_needed = others_changed || forms;
+                info!(event = "settings_read", file, seeds_changed, restart_needed);
+            });
         };
         watch.read_changes(|| source.read(), take).await;
     });
@@ -46,6 +51,14 @@
     changed
 }
 
+/// Whether the process may still form the cluster, which it does with the seeds that it started with:
+/// others could form a second one.
+async fn forms_cluster(settings: &ControlSettings, replication: &ReplicationClient) -> bool {
+    let may_form = settings.seeds.as_ref().is_some_and(|seeds| seeds.form);
+    let status = replication.status().await;
+    may_form && status.is_some_and(|status| status.last == LogIndex(0))
+}
+
 fn seed_nodes(settings: &ControlSettings) -> Vec<NodeNumber> {
     let seeds = settings.seeds.iter().flat_map(|seeds| seeds.seed_numbers());
     seeds.map(NodeNumber).collect()
