Let a process outside the group stop at once

A process with an empty log asked for a permission to stop that nobody gives, and ended after 2 s. It is no voter and needs none. Calls are refused as outside the group only after the log has told so, not from the start of the process. The tests of joining hold to the tightest target: a machine serves the newest configuration 4 s after its start, and the next one may be lost 4.3 s after it.

--- a/crates/control/src/replication/task.rs
+++ b/crates/control/src/replication/task.rs
@@ -70,7 +70,8 @@
     storage_error: Option<String>,
     logged_role: Option<(RoleName, Option<MemberId>)>,
     leader_search: LeaderSearch,
-    /// The other processes through which the leader is searched; the first voters at first.
+    /// The processes through which the leader is searched. They may change while the process runs,
+    /// unlike the planned voters, which form the cluster.
     seeds: BTreeSet<NodeNumber>,
     leaderless_since: Option<Timestamp>,
     /// Whether this process asks to be a member.
--- a/crates/control/src/replication/task/maintenance.rs
+++ b/crates/control/src/replication/task/maintenance.rs
@@ -31,6 +31,8 @@
             self.prepare_stops(now);
             return;
         }
+        // Without a log this process is no voter, whose end could cost a quorum.
+        self.permit_own_stop();
         match self.planned.bootstrap_step(&self.directory) {
             BootstrapStep::Wait => {}
             BootstrapStep::Form(configuration) => {
@@ -68,11 +70,14 @@
     /// Permits other members to stop, and has the leader permit this one.
     fn prepare_stops(&mut self, now: Timestamp) {
         self.node.permit_stops(now, self.planned.growth().as_ref());
-        if self.stops.is_empty() || !self.node.prepare_stop() {
-            return;
+        if !self.stops.is_empty() && self.node.prepare_stop() {
+            self.permit_own_stop();
         }
-        info!(event = "stop_permitted");
+    }
+
+    fn permit_own_stop(&mut self) {
         for reply in self.stops.drain(..) {
+            info!(event = "stop_permitted");
             // The requester may have given up.
             let _ = reply.send(());
         }
--- a/crates/control/src/waiting_calls.rs
+++ b/crates/control/src/waiting_calls.rs
@@ -88,7 +88,7 @@
 impl WaitingCalls {
     /// Starts the task that watches the membership and logs why calls wait.
     pub fn start(replication: ReplicationClient) -> Self {
-        let outside_since = Rc::new(Cell::new(Some(Instant::now())));
+        let outside_since = Rc::default();
         let waiting = Self { calls: Rc::default(), outside_since, replication };
         monoio::spawn(waiting.clone().watch());
         waiting
--- a/crates/control/tests/joining.rs
+++ b/crates/control/tests/joining.rs
@@ -14,9 +14,9 @@
 /// Members whose loss is tolerated.
 const SHAPE: ClusterShape = ClusterShape { seeds: 3, machines: 12, voters: 7, least_voters: 5 };
 /// Time within which a machine that starts, or runs again, serves the newest configuration.
-const CATCH_UP_TIME: Duration = Duration::from_secs(6);
-/// Time from the replacement of a machine until the next one may be lost.
-const LOSS_INTERVAL: Duration = Duration::from_millis(6_300);
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+/// Time from the start of a successor until the next machine may be lost.
+const LOSS_INTERVAL: Duration = Duration::from_millis(4_300);
 /// Time for which a voter is frozen, so that it is removed while there are voters to spare.
 const FREEZE: Duration = Duration::from_secs(4);
 
@@ -124,6 +124,32 @@
     assert_catches_up(&cluster, successor, 1);
 }
 
+/// Guards against a process that waits for a permission to stop which nobody can give.
+#[test]
+fn process_outside_the_group_stops_at_once() {
+    let (mut cluster, leader) = start();
+    let seeds = &members_except(&[leader])[..2];
+    seeds.iter().for_each(|seed| cluster.kill(*seed));
+    let successor = cluster.add_with_seeds(seeds);
+    wait_until(|| cluster.log(successor).contains("event=no_seed_answers"));
+    cluster.stop(successor);
+    assert!(cluster.log(successor).contains("event=stop_permitted"));
+}
+
+/// Guards against a log that asks for no restart although the cluster cannot form without one.
+#[test]
+fn seeds_that_change_before_the_cluster_forms_need_a_restart() {
+    let mut cluster = Cluster::prepare_shape(SHAPE);
+    let [first, second] = [cluster.add(true), cluster.add(true)];
+    let [missing, third] = [cluster.prepare_machine(true), cluster.prepare_machine(true)];
+    wait_until(|| cluster.log(first).contains("event=peer_connected"));
+    for machine in [first, second, third] {
+        cluster.change_seeds(machine, &[missing], &[third]);
+    }
+    let expected = "seeds_changed=true restart_needed=true";
+    wait_until(|| cluster.log(first).contains(expected));
+}
+
 /// Guards against a process that needs a restart to learn of seeds that are alive.
 #[test]
 fn process_whose_seeds_are_all_gone_joins_through_those_of_its_changed_settings() {
@@ -157,12 +183,13 @@
         let followers = live.iter().copied().filter(|member| Some(*member) != leader);
         let seeds: Vec<usize> = followers.take(3).collect();
         let successor = cluster.add_with_seeds(&seeds);
+        let started = Instant::now();
         assert_catches_up(&cluster, successor, version - 1);
         live.push(successor);
         let asked = live[replaced % live.len()];
         let answer = cluster.answer_to_replace(asked, version);
         assert_eq!(answer.as_ref().map(|(status, _)| *status), Some(200), "{answer:?}");
         live.iter().for_each(|member| assert_catches_up(&cluster, *member, version));
-        thread::sleep(LOSS_INTERVAL);
+        thread::sleep(LOSS_INTERVAL.saturating_sub(started.elapsed()));
     }
 }
