Share the log fields of the group and the list of contacts

call_waiting and routes_outcome_unknown spelled out the same thirteen fields, and the search for the leader and the line of unreached seeds each filtered the connected processes with a log. One macro and one function serve both; lines, fields and their order stay. 220 of 220 tests of the control process pass.

--- a/crates/control/src/replication/membership.rs
+++ b/crates/control/src/replication/membership.rs
@@ -74,7 +74,7 @@
     /// cluster.
     pub fn bootstrap_step(&self, directory: &PeerDirectory) -> BootstrapStep {
         let own = directory.own();
-        if directory.formed().next().is_some() {
+        if !directory.formed().is_empty() {
             return BootstrapStep::Join;
         }
         if !self.may_form || self.voters.first() != Some(&own.node) {
--- a/crates/control/src/replication/peers/directory.rs
+++ b/crates/control/src/replication/peers/directory.rs
@@ -132,11 +132,9 @@
     }
 
     /// The peers whose log holds entries.
-    pub fn formed(&self) -> impl Iterator<Item = MemberId> + use<> {
+    pub fn formed(&self) -> Vec<MemberId> {
         let latest = self.latest.borrow();
-        let formed = latest.values().filter(|peer| peer.formed != 0);
-        let formed: Vec<MemberId> = formed.map(|peer| member(*peer)).collect();
-        formed.into_iter()
+        latest.values().filter(|peer| peer.formed != 0).map(|peer| member(*peer)).collect()
     }
 }
 
--- a/crates/control/src/replication/task/maintenance.rs
+++ b/crates/control/src/replication/task/maintenance.rs
@@ -47,8 +47,7 @@
     /// Asks the next contact, if one is due, to add this process as a learner.
     fn ask_to_join(&mut self, now: Timestamp) {
         self.is_searching = true;
-        let connected = |contact: &MemberId| self.links.is_connected(contact.node);
-        let contacts: Vec<MemberId> = self.directory.formed().filter(connected).collect();
+        let contacts = self.contacts();
         let number = self.requests.next_number();
         let Some(contact) = self.leader_search.next(now, number, &contacts) else {
             return;
@@ -61,6 +60,13 @@
         self.node.request_member_change(contact, number, change);
     }
 
+    /// The connected processes with a log.
+    fn contacts(&self) -> Vec<MemberId> {
+        let mut contacts = self.directory.formed();
+        contacts.retain(|contact| self.links.is_connected(contact.node));
+        contacts
+    }
+
     fn end_search(&mut self) {
         self.is_searching = false;
         self.leader_search.end();
@@ -165,9 +171,7 @@
         let since = *self.seeds_unreached_since.get_or_insert(now);
         if !self.seeds_logged && now.since(since) >= SEED_ANSWER_TIMEOUT {
             self.seeds_logged = true;
-            let contacts =
-                self.directory.formed().filter(|peer| self.links.is_connected(peer.node));
-            warn!(event = "no_seed_answers", other_contacts = contacts.count());
+            warn!(event = "no_seed_answers", other_contacts = self.contacts().len());
         }
     }
 }
--- a/crates/control/src/route_operators.rs
+++ b/crates/control/src/route_operators.rs
@@ -20,7 +20,7 @@
 use crate::order_checks::OrderChecks;
 use crate::ports::{RouteAnswer, RouteCall, RouteInterface};
 use crate::rollout_orders::{self, RolloutOrderError};
-use crate::waiting_calls::{CallKind, WaitingCall, WaitingCalls};
+use crate::waiting_calls::{CallKind, WaitingCall, WaitingCalls, info_with_group};
 use crate::zone_orders::{ZoneOrder, ZoneOrderError, carry_out, check_zone};
 
 /// Time limit for a call; after it the outcome is unknown.
@@ -155,24 +155,12 @@
 
 async fn log_unknown_outcome(version: u64, error: &str, waiting: &WaitingCall) {
     let view = waiting.group().await;
-    info!(
+    info_with_group!(
+        view,
         event = "routes_outcome_unknown",
         version,
         error,
-        waited_ms = waiting.waited_ms(),
-        member = view.member,
-        role = view.role,
-        term = view.term,
-        leader = view.leader,
-        last = view.last,
-        commit = view.commit,
-        applied = view.applied,
-        voters = view.voters,
-        silent = view.silent,
-        behind = view.behind,
-        no_vote_from = view.no_vote_from,
-        leader_heard_ms = view.leader_heard_ms,
-        storage_error = view.storage_error,
+        waited_ms = waiting.waited_ms()
     );
 }
 
--- a/crates/control/src/waiting_calls.rs
+++ b/crates/control/src/waiting_calls.rs
@@ -23,6 +23,29 @@
 /// it to join. Calls at a member wait for the election of a leader instead.
 const JOIN_GRACE: Duration = Duration::from_secs(1);
 
+/// Logs an event with the fields of a [`GroupView`] behind its own.
+macro_rules! info_with_group {
+    ($view:expr, $($field:tt)+) => {
+        tracing::info!(
+            $($field)+,
+            member = $view.member,
+            role = $view.role,
+            term = $view.term,
+            leader = $view.leader,
+            last = $view.last,
+            commit = $view.commit,
+            applied = $view.applied,
+            voters = $view.voters,
+            silent = $view.silent,
+            behind = $view.behind,
+            no_vote_from = $view.no_vote_from,
+            leader_heard_ms = $view.leader_heard_ms,
+            storage_error = $view.storage_error,
+        )
+    };
+}
+pub(crate) use info_with_group;
+
 quick_error! {
     /// A call that was refused.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -142,25 +165,13 @@
             return false;
         };
         let view = GroupView::of(status);
-        info!(
+        info_with_group!(
+            view,
             event = "call_waiting",
             kind = call.kind.as_str(),
             version = call.version,
             waited_ms = milliseconds(call.since.elapsed()),
-            calls = self.calls.borrow().waiting.len(),
-            member = view.member,
-            role = view.role,
-            term = view.term,
-            leader = view.leader,
-            last = view.last,
-            commit = view.commit,
-            applied = view.applied,
-            voters = view.voters,
-            silent = view.silent,
-            behind = view.behind,
-            no_vote_from = view.no_vote_from,
-            leader_heard_ms = view.leader_heard_ms,
-            storage_error = view.storage_error,
+            calls = self.calls.borrow().waiting.len()
         );
         true
     }
