--- a/review/standins2.py
+++ b/review/standins2.py
@@ -425,6 +425,8 @@
 def run(folder, case):
     """Runs `case(record, trouble)`, which returns whether the rule held; ends the process."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the processes that were started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     record(f"disruption: {'yes' if trouble else 'no'}")
     for program in (BROKER, CONTROL):
